--- /dev/null
+++ b/dandeliongw/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protobuf code; ``scripts/protocol`` makes it anew."""
