--- a/dandeliongw/codec.py
+++ b/dandeliongw/codec.py
@@ -6,12 +6,12 @@
 Optional fields need ``optional`` in the ``.proto`` so that absence survives.
 """
 
+from collections import abc
 import dataclasses
 import enum
 import functools
 import types
 import typing
-from collections import abc
 
 from google.protobuf import message as protobuf_message
 
--- a/dandeliongw/coordination/parts.py
+++ b/dandeliongw/coordination/parts.py
@@ -11,9 +11,9 @@
 is never compared with another instance's.
 """
 
+from collections import abc
 import dataclasses
 import typing
-from collections import abc
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and tools of the developers; not part of the product."""
--- /dev/null
+++ b/tools/outcomes.py
@@ -0,0 +1,24 @@
+"""A nose2 plugin that keeps each test's outcome for the runner."""
+
+import nose2.events
+
+
+class Outcomes(nose2.events.Plugin):
+    """Collects test ids by outcome; a failed subtest fails its test."""
+
+    configSection = 'outcomes'
+    alwaysOn = True
+
+    #: Shared with the runner, which has no other way to reach the plugin.
+    failed: list[str] = []
+    skipped: list[str] = []
+    started: list[str] = []
+
+    def startTest(self, event: nose2.events.StartTestEvent) -> None:
+        self.started.append(event.test.id())
+
+    def testOutcome(self, event: nose2.events.TestOutcomeEvent) -> None:
+        if event.outcome == 'skipped':
+            self.skipped.append(event.test.id())
+        elif not event.expected or event.outcome == 'error':
+            self.failed.append(event.test.id())
