Claims: a key is granted once, its outcome recorded and replayed

Weighed: single-decree Paxos per key costs two round trips for the first caller, or one with a stable proposer that entries don't have. Taken: a slot per holder, key and round that never changes hands; a majority of one round's slots is a grant, in one round trip and one synced write.

--- /dev/null
+++ b/dandeliongw/coordination/claim_attempts.py
@@ -0,0 +1,629 @@
+"""The entry's half of claims: attempts that ask for slots, and give up.
+
+Every piece of work here ends: it is resent on ticks, and given up at a time
+that was set when it began.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from . import claim_messages as messages
+from . import claim_slots
+from . import parts
+
+#: A ``Begin``, ``Finish`` or withdrawal is given up after so many.
+GIVE_UP_ROUND_TRIPS = 10
+#: Unanswered messages are sent again after so many.
+RESEND_ROUND_TRIPS = 2
+#: Callers are not asked to stay away for longer than this at a time.
+MAX_RETRY_AFTER_S = 5.0
+
+Effects = list[typing.Any]
+_State = messages.SlotState
+_Answer = messages.PutAnswer
+_Reason = messages.UnavailableReason
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Attempt:
+    """A ``Begin`` that has no answer yet."""
+
+    begin: messages.Begin
+    round: int = 0
+    give_up_at: float
+    resend_at: float
+    #: When it may go to the next round, once that was put off.
+    advance_at: float | None = None
+    granted: set[str] = dataclasses.field(default_factory=set)
+    full: set[str] = dataclasses.field(default_factory=set)
+    seen_by_holder: dict[str, claim_slots.SeenSlot] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def forget_answers(self) -> None:
+        """Answers of another round or epoch count for nothing."""
+        self.granted.clear()
+        self.full.clear()
+        self.seen_by_holder.clear()
+        self.advance_at = None
+
+    def slot(
+        self, state: messages.SlotState, outcome: bytes, kept: bool
+    ) -> messages.ClaimSlot:
+        """Return the slot of this attempt in another state."""
+        return messages.ClaimSlot(
+            key=self.begin.key,
+            round=self.round,
+            state=state,
+            digest=self.begin.digest,
+            attempt_id=self.begin.attempt_id,
+            deadline_s=self.begin.deadline_s,
+            outcome=outcome,
+            kept=kept,
+        )
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Recording:
+    """An outcome on its way to a majority; then the ticket is answered."""
+
+    ticket: str
+    slot: messages.ClaimSlot
+    result: typing.Any
+    failure: typing.Any
+    give_up_at: float
+    resend_at: float
+    stored: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Withdrawal:
+    """The word that an attempt never runs, until each holder has it."""
+
+    key: str
+    round: int
+    digest: bytes
+    attempt_id: str
+    pending: set[str]
+    give_up_at: float
+    resend_at: float
+
+
+class Attempts:
+    """Takes claims for the callers of this instance.
+
+    :param round_trip_s: expected time to a holder and back, with its sync.
+    :param max_outcome_bytes: larger outcomes are noted but not kept.
+    :param retention_s: a granted attempt that is never finished or abandoned
+        is dropped after this.
+    """
+
+    def __init__(
+        self,
+        *,
+        round_trip_s: float,
+        max_outcome_bytes: int,
+        retention_s: float,
+    ) -> None:
+        self.round_trip_s = round_trip_s
+        self.max_outcome_bytes = max_outcome_bytes
+        self.retention_s = retention_s
+        self._holder_set: claim_slots.HolderSet | None = None
+        self._attempts_by_id: dict[str, _Attempt] = {}
+        self._granted_by_id: dict[str, _Attempt] = {}
+        self._recordings_by_ticket: dict[str, _Recording] = {}
+        self._withdrawals_by_id: dict[str, _Withdrawal] = {}
+
+    # Local requests.
+
+    def begin(self, begin: messages.Begin) -> Effects:
+        """Ask every holder for its slot."""
+        if begin.deadline_s > self.retention_s / 2:
+            raise ValueError(
+                f'deadline_s of {begin.deadline_s} is more than half of'
+                f' retention_s, {self.retention_s}'
+            )
+        if self._holder_set is None:
+            return [self._unavailable(begin.ticket, _Reason.NO_HOLDERS)]
+        attempt = _Attempt(
+            begin=begin,
+            give_up_at=begin.now + self._give_up_s,
+            resend_at=begin.now + self._resend_s,
+        )
+        self._attempts_by_id[begin.attempt_id] = attempt
+        return self._puts(attempt)
+
+    def finish(self, finish: messages.Finish) -> Effects:
+        """Record what a granted attempt gave."""
+        attempt = self._granted_by_id.pop(finish.attempt_id, None)
+        if attempt is None:
+            failed = messages.NotRecorded()
+            return [parts.Complete(ticket=finish.ticket, result=failed)]
+        kept = len(finish.outcome) <= self.max_outcome_bytes
+        outcome = finish.outcome if kept else b''
+        return self._start_recording(
+            finish.now,
+            finish.ticket,
+            attempt.slot(_State.RECORDED, outcome, kept),
+            result=messages.Recorded(),
+            failure=messages.NotRecorded(),
+        )
+
+    def abandon(self, abandon: messages.Abandon) -> Effects:
+        """Tell the holders that an attempt never ran and never will.
+
+        Nothing is told of an attempt that has been finished: it ran.
+        """
+        attempt = self._granted_by_id.pop(abandon.attempt_id, None)
+        if attempt is None:
+            attempt = self._attempts_by_id.pop(abandon.attempt_id, None)
+        if attempt is None:
+            return []
+        return self._withdraw(abandon.now, attempt, self._holders)
+
+    def holders_changed(
+        self, now: float, holder_set: claim_slots.HolderSet
+    ) -> Effects:
+        """Ask anew: grants of two epochs never add up to a majority."""
+        known = self._holder_set
+        if known is not None and holder_set.epoch <= known.epoch:
+            return []
+        self._holder_set = holder_set
+        effects: Effects = []
+        for attempt in self._attempts_by_id.values():
+            attempt.forget_answers()
+            effects += self._puts(attempt)
+        for recording in self._recordings_by_ticket.values():
+            recording.stored.clear()
+            effects += self._outcomes(recording)
+        return effects
+
+    def ticked(self, now: float) -> Effects:
+        """Send again what has no answer; give up what had its time."""
+        effects: Effects = []
+        for attempt in list(self._attempts_by_id.values()):
+            effects += self._attempt_ticked(now, attempt)
+        for recording in list(self._recordings_by_ticket.values()):
+            effects += self._recording_ticked(now, recording)
+        for withdrawal in list(self._withdrawals_by_id.values()):
+            effects += self._withdrawal_ticked(now, withdrawal)
+        self._drop_old(now)
+        return effects
+
+    # Taking a claim.
+
+    def put_answered(
+        self, now: float, sender: str, reply: messages.ClaimPutReply
+    ) -> Effects:
+        """Count one holder's answer, if it is to the present question."""
+        attempt = self._attempts_by_id.get(reply.attempt_id)
+        if attempt is None or reply.round != attempt.round:
+            return []
+        if not self._is_current(sender, reply.epoch, reply.disk_id):
+            return []
+        if reply.answer is _Answer.GRANTED:
+            attempt.granted.add(sender)
+        elif reply.answer is _Answer.FULL:
+            attempt.full.add(sender)
+        elif reply.answer is _Answer.TAKEN and reply.slot is not None:
+            attempt.seen_by_holder[sender] = claim_slots.SeenSlot(
+                slot=reply.slot, age_s=reply.age_s
+            )
+        return self._settle(now, attempt, final=False)
+
+    def _attempt_ticked(self, now: float, attempt: _Attempt) -> Effects:
+        if now >= attempt.give_up_at:
+            return self._settle(now, attempt, final=True)
+        effects = self._settle(now, attempt, final=False)
+        is_open = attempt.begin.attempt_id in self._attempts_by_id
+        if is_open and now >= attempt.resend_at:
+            attempt.resend_at = now + self._resend_s
+            effects += self._puts(attempt)
+        return effects
+
+    def _settle(
+        self, now: float, attempt: _Attempt, *, final: bool
+    ) -> Effects:
+        """Decide what the answers so far allow; often: wait for more."""
+        if self._set.is_majority(attempt.granted):
+            return self._grant(attempt)
+        recorded = self._recorded(attempt)
+        if recorded is not None:
+            return self._replay(now, attempt, recorded)
+        if self._later_rounds(attempt):
+            return self._join_round(now, attempt)
+        if self._set.is_majority(attempt.granted | self._silent(attempt)):
+            return self._lose(now, attempt) if final else []
+        rivals = self._rivals(now, attempt)
+        if rivals:
+            if not final and not self._is_settled(attempt, rivals):
+                return []
+            return self._lose(now, attempt, _slots_of(attempt, rivals))
+        if final or self._is_other_call(attempt):
+            return self._lose(now, attempt)
+        return self._advance(now, attempt)
+
+    def _grant(self, attempt: _Attempt) -> Effects:
+        attempt_id = attempt.begin.attempt_id
+        del self._attempts_by_id[attempt_id]
+        self._granted_by_id[attempt_id] = attempt
+        return [self._complete(attempt, messages.Granted())]
+
+    def _recorded(self, attempt: _Attempt) -> claim_slots.SeenSlot | None:
+        for seen in attempt.seen_by_holder.values():
+            if seen.slot.state is _State.RECORDED:
+                return seen
+        return None
+
+    def _replay(
+        self, now: float, attempt: _Attempt, seen: claim_slots.SeenSlot
+    ) -> Effects:
+        """Tell a recorded outcome, once a majority has it.
+
+        An outcome that one holder has could be lost with its disk after it
+        was told; the next caller would then be told something else.
+        """
+        if seen.slot.digest != attempt.begin.digest:
+            return self._end(now, attempt, messages.DigestMismatch())
+        outcome = seen.slot.outcome if seen.slot.kept else None
+        replayed = messages.Replayed(outcome=outcome)
+        having = {
+            holder
+            for holder, other in attempt.seen_by_holder.items()
+            if other.slot.state is _State.RECORDED
+        }
+        if self._set.is_majority(having):
+            return self._end(now, attempt, replayed)
+        return self._close(now, attempt) + self._start_recording(
+            now,
+            attempt.begin.ticket,
+            seen.slot,
+            result=replayed,
+            failure=messages.ClaimsUnavailable(
+                retry_after_s=self._resend_s,
+                reason=_Reason.HOLDERS_UNREACHABLE,
+            ),
+        )
+
+    def _later_rounds(self, attempt: _Attempt) -> list[claim_slots.SeenSlot]:
+        return [
+            seen
+            for seen in attempt.seen_by_holder.values()
+            if seen.slot.round > attempt.round
+        ]
+
+    def _join_round(self, now: float, attempt: _Attempt) -> Effects:
+        """Go on in a round that others started before this began."""
+        later = self._later_rounds(attempt)
+        top = max(seen.slot.round for seen in later)
+        age_s = now - attempt.begin.now
+        for seen in later:
+            if seen.slot.round == top and claim_slots.is_older(seen, age_s):
+                return self._enter_round(attempt, top)
+        return self._lose(now, attempt, later)
+
+    def _rivals(self, now: float, attempt: _Attempt) -> frozenset[str]:
+        return claim_slots.rivals(
+            attempt_id=attempt.begin.attempt_id,
+            round=attempt.round,
+            age_s=now - attempt.begin.now,
+            seen_by_holder={
+                **attempt.seen_by_holder,
+                **self._own_slots(attempt),
+            },
+            holder_set=self._set,
+        )
+
+    def _own_slots(self, attempt: _Attempt) -> dict[str, claim_slots.SeenSlot]:
+        slot = attempt.slot(_State.CLAIMED, b'', True)
+        return {
+            holder: claim_slots.SeenSlot(slot=slot, age_s=0.0)
+            for holder in attempt.granted
+        }
+
+    def _is_settled(self, attempt: _Attempt, rivals: frozenset[str]) -> bool:
+        """Whether no further answer can make the round dead or won."""
+        if not self._silent(attempt):
+            return True
+        counts: dict[str, set[str]] = {}
+        for holder, seen in attempt.seen_by_holder.items():
+            counts.setdefault(seen.slot.attempt_id, set()).add(holder)
+        return any(
+            self._set.is_majority(counts.get(rival, set())) for rival in rivals
+        )
+
+    def _is_other_call(self, attempt: _Attempt) -> bool:
+        """Whether a majority of slots was used for another digest."""
+        others = {
+            holder
+            for holder, seen in attempt.seen_by_holder.items()
+            if _is_of_other_call(attempt, seen)
+        }
+        return self._set.may_be_majority(others)
+
+    def _advance(self, now: float, attempt: _Attempt) -> Effects:
+        """Start the next round; the lowest attempt id gets a head start."""
+        live = [
+            seen.slot.attempt_id
+            for seen in attempt.seen_by_holder.values()
+            if seen.slot.state is _State.CLAIMED
+        ]
+        if min(live, default='~') < attempt.begin.attempt_id:
+            if attempt.advance_at is None:
+                attempt.advance_at = now + self.round_trip_s
+            if now < attempt.advance_at:
+                return []
+        return self._enter_round(attempt, attempt.round + 1)
+
+    def _enter_round(self, attempt: _Attempt, round: int) -> Effects:
+        attempt.round = round
+        attempt.forget_answers()
+        return self._puts(attempt)
+
+    def _lose(
+        self,
+        now: float,
+        attempt: _Attempt,
+        blockers: abc.Sequence[claim_slots.SeenSlot] = (),
+    ) -> Effects:
+        """End without a grant, with what is known of those in the way."""
+        if self._is_other_call(attempt):
+            return self._end(now, attempt, messages.DigestMismatch())
+        return self._end(now, attempt, self._loss(attempt, blockers))
+
+    def _loss(
+        self, attempt: _Attempt, blockers: abc.Sequence[claim_slots.SeenSlot]
+    ) -> typing.Any:
+        if not blockers:
+            return messages.ClaimsUnavailable(
+                retry_after_s=self._resend_s,
+                reason=self._unavailable_reason(attempt),
+            )
+        if all(_is_of_other_call(attempt, seen) for seen in blockers):
+            return messages.DigestMismatch()
+        remaining_s = max(self._remaining_s(seen) for seen in blockers)
+        if remaining_s <= 0:
+            return messages.OutcomeUnknown()
+        return messages.InProgress(
+            retry_after_s=min(remaining_s, MAX_RETRY_AFTER_S)
+        )
+
+    def _unavailable_reason(
+        self, attempt: _Attempt
+    ) -> messages.UnavailableReason:
+        if attempt.full:
+            return _Reason.HOLDERS_FULL
+        if self._silent(attempt):
+            return _Reason.HOLDERS_UNREACHABLE
+        return _Reason.CONTENDED
+
+    def _remaining_s(self, seen: claim_slots.SeenSlot) -> float:
+        """Return how long the attempt's entry may still be at work."""
+        if seen.slot.state is _State.WITHDRAWN:
+            return self.round_trip_s
+        if seen.slot.state is _State.CONTESTED:
+            return 0.0
+        return seen.slot.deadline_s + self._give_up_s - seen.age_s
+
+    def _end(
+        self, now: float, attempt: _Attempt, result: typing.Any
+    ) -> Effects:
+        closing = self._close(now, attempt)
+        return [self._complete(attempt, result), *closing]
+
+    def _close(self, now: float, attempt: _Attempt) -> Effects:
+        """Forget an attempt and take back what it may have been given."""
+        del self._attempts_by_id[attempt.begin.attempt_id]
+        return self._withdraw(
+            now, attempt, attempt.granted | self._silent(attempt)
+        )
+
+    # Recording outcomes.
+
+    def _start_recording(
+        self,
+        now: float,
+        ticket: str,
+        slot: messages.ClaimSlot,
+        *,
+        result: typing.Any,
+        failure: typing.Any,
+    ) -> Effects:
+        recording = _Recording(
+            ticket=ticket,
+            slot=slot,
+            result=result,
+            failure=failure,
+            give_up_at=now + self._give_up_s,
+            resend_at=now + self._resend_s,
+        )
+        self._recordings_by_ticket[ticket] = recording
+        return self._outcomes(recording)
+
+    def outcome_answered(
+        self, now: float, sender: str, reply: messages.ClaimOutcomeReply
+    ) -> Effects:
+        """Count a holder that keeps an outcome."""
+        if not reply.stored:
+            return []
+        if not self._is_current(sender, reply.epoch, reply.disk_id):
+            return []
+        effects: Effects = []
+        for recording in list(self._recordings_by_ticket.values()):
+            if recording.slot.attempt_id == reply.attempt_id:
+                recording.stored.add(sender)
+                effects += self._end_recording(recording)
+        return effects
+
+    def _end_recording(self, recording: _Recording) -> Effects:
+        if not self._set.is_majority(recording.stored):
+            return []
+        del self._recordings_by_ticket[recording.ticket]
+        return [
+            parts.Complete(ticket=recording.ticket, result=recording.result)
+        ]
+
+    def _recording_ticked(self, now: float, recording: _Recording) -> Effects:
+        if now >= recording.give_up_at:
+            del self._recordings_by_ticket[recording.ticket]
+            return [
+                parts.Complete(
+                    ticket=recording.ticket, result=recording.failure
+                )
+            ]
+        if now < recording.resend_at:
+            return []
+        recording.resend_at = now + self._resend_s
+        return self._outcomes(recording)
+
+    def _outcomes(self, recording: _Recording) -> Effects:
+        return [
+            parts.Send(
+                to=holder,
+                message=messages.ClaimOutcome(
+                    slot=recording.slot,
+                    epoch=self._set.epoch,
+                    disk_id=self._set.disk_id_of(holder),
+                ),
+            )
+            for holder in sorted(self._holders - recording.stored)
+        ]
+
+    # Withdrawing.
+
+    def _withdraw(
+        self, now: float, attempt: _Attempt, holders: frozenset[str] | set[str]
+    ) -> Effects:
+        if not holders:
+            return []
+        withdrawal = _Withdrawal(
+            key=attempt.begin.key,
+            round=attempt.round,
+            digest=attempt.begin.digest,
+            attempt_id=attempt.begin.attempt_id,
+            pending=set(holders),
+            give_up_at=now + self._give_up_s,
+            resend_at=now + self._resend_s,
+        )
+        self._withdrawals_by_id[withdrawal.attempt_id] = withdrawal
+        return self._withdraws(withdrawal)
+
+    def withdrawal_answered(
+        self, sender: str, reply: messages.ClaimWithdrawReply
+    ) -> None:
+        """Stop telling a holder that has understood."""
+        withdrawal = self._withdrawals_by_id.get(reply.attempt_id)
+        if withdrawal is None:
+            return
+        withdrawal.pending.discard(sender)
+        if not withdrawal.pending:
+            del self._withdrawals_by_id[reply.attempt_id]
+
+    def _withdrawal_ticked(
+        self, now: float, withdrawal: _Withdrawal
+    ) -> Effects:
+        if now >= withdrawal.give_up_at:
+            del self._withdrawals_by_id[withdrawal.attempt_id]
+            return []
+        if now < withdrawal.resend_at:
+            return []
+        withdrawal.resend_at = now + self._resend_s
+        return self._withdraws(withdrawal)
+
+    def _withdraws(self, withdrawal: _Withdrawal) -> Effects:
+        return [
+            parts.Send(
+                to=holder,
+                message=messages.ClaimWithdraw(
+                    key=withdrawal.key,
+                    round=withdrawal.round,
+                    digest=withdrawal.digest,
+                    attempt_id=withdrawal.attempt_id,
+                    disk_id=self._set.disk_id_of(holder),
+                ),
+            )
+            for holder in sorted(withdrawal.pending)
+        ]
+
+    # Helpers.
+
+    @property
+    def _set(self) -> claim_slots.HolderSet:
+        assert self._holder_set is not None
+        return self._holder_set
+
+    @property
+    def _holders(self) -> frozenset[str]:
+        return self._set.holders
+
+    @property
+    def _give_up_s(self) -> float:
+        return GIVE_UP_ROUND_TRIPS * self.round_trip_s
+
+    @property
+    def _resend_s(self) -> float:
+        return RESEND_ROUND_TRIPS * self.round_trip_s
+
+    def _is_current(self, holder: str, epoch: int, disk_id: str) -> bool:
+        if self._holder_set is None or epoch != self._holder_set.epoch:
+            return False
+        return disk_id == self._holder_set.disk_id_of(holder)
+
+    def _silent(self, attempt: _Attempt) -> frozenset[str]:
+        """Return the holders that have said nothing that counts."""
+        told = attempt.granted | attempt.full | attempt.seen_by_holder.keys()
+        return self._holders - told
+
+    def _puts(self, attempt: _Attempt) -> Effects:
+        begin = attempt.begin
+        return [
+            parts.Send(
+                to=holder,
+                message=messages.ClaimPut(
+                    key=begin.key,
+                    round=attempt.round,
+                    digest=begin.digest,
+                    attempt_id=begin.attempt_id,
+                    deadline_s=begin.deadline_s,
+                    epoch=self._set.epoch,
+                    disk_id=self._set.disk_id_of(holder),
+                ),
+            )
+            for holder in sorted(self._silent(attempt))
+        ]
+
+    def _complete(self, attempt: _Attempt, result: typing.Any) -> typing.Any:
+        return parts.Complete(ticket=attempt.begin.ticket, result=result)
+
+    def _unavailable(
+        self, ticket: str, reason: messages.UnavailableReason
+    ) -> typing.Any:
+        result = messages.ClaimsUnavailable(
+            retry_after_s=self._resend_s, reason=reason
+        )
+        return parts.Complete(ticket=ticket, result=result)
+
+    def _drop_old(self, now: float) -> None:
+        """Drop granted attempts that nobody finished or abandoned."""
+        for attempt_id, attempt in list(self._granted_by_id.items()):
+            if now - attempt.begin.now < self.retention_s:
+                break
+            del self._granted_by_id[attempt_id]
+
+
+def _slots_of(
+    attempt: _Attempt, rivals: abc.Set[str]
+) -> list[claim_slots.SeenSlot]:
+    """Return the seen slots that stand for a rival, or for nobody knows."""
+    return [
+        seen
+        for seen in attempt.seen_by_holder.values()
+        if seen.slot.attempt_id in rivals
+    ]
+
+
+def _is_of_other_call(attempt: _Attempt, seen: claim_slots.SeenSlot) -> bool:
+    if seen.slot.state is _State.CONTESTED:
+        return False
+    return seen.slot.digest != attempt.begin.digest
--- /dev/null
+++ b/dandeliongw/coordination/claim_holder.py
@@ -0,0 +1,491 @@
+"""The holder's half of claims: slots on a disk that are given away once.
+
+All answers wait until what they tell is synced, and everything that arrives
+while one sync is under way goes into the next: one sync for many records.
+"""
+
+import bisect
+from collections import abc
+import dataclasses
+import typing
+
+from . import claim_messages as messages
+from . import claim_slots
+from . import parts
+
+#: A page of a copy ends after so many slots or bytes of outcomes.
+PAGE_SLOTS = 64
+PAGE_BYTES = 256 * 1024
+
+Effects = list[typing.Any]
+_State = messages.SlotState
+_Answer = messages.PutAnswer
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Held:
+    """A slot and when it last changed (monotonic seconds)."""
+
+    slot: messages.ClaimSlot
+    since: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Batch:
+    """Records for one sync, and what may be told after it."""
+
+    records: list[typing.Any] = dataclasses.field(default_factory=list)
+    keys: set[str] = dataclasses.field(default_factory=set)
+    effects: Effects = dataclasses.field(default_factory=list)
+    epoch: int | None = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Copy:
+    """What a joining holder has asked for and got."""
+
+    holder_set: claim_slots.HolderSet
+    resend_at: float
+    cursors_by_source: dict[str, str]
+    done: set[str] = dataclasses.field(default_factory=set)
+
+    def has_majority(self) -> bool:
+        """Whether a majority of the set that counts was read to the end."""
+        return len(self.done) > len(self.holder_set.disk_ids_by_holder) // 2
+
+
+class Holder:
+    """Keeps the slots of all keys on this instance's disk.
+
+    :param disk_id: made when the disk was first used; a disk that comes
+        back empty has another one, so that it can't speak for the old.
+    :param retention_s: seconds a slot is kept after its last change.
+    :param max_records: keys held at once; further new ones are refused.
+    :param resend_s: seconds between requests of an unfinished copy.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        disk_id: str,
+        retention_s: float,
+        max_records: int,
+        resend_s: float,
+    ) -> None:
+        self.instance_id = instance_id
+        self.disk_id = disk_id
+        self.retention_s = retention_s
+        self.max_records = max_records
+        self.resend_s = resend_s
+        #: Oldest change first, so that forgetting looks at the front only.
+        self._held_by_key: dict[str, _Held] = {}
+        self._keys: list[str] = []
+        self._clock_started = False
+        self._holder_set: claim_slots.HolderSet | None = None
+        #: The highest epoch that is journaled, and that is synced.
+        self._journaled_epoch = 0
+        self._synced_epoch = 0
+        self._waiting = _Batch()
+        self._syncing: _Batch | None = None
+        self._syncs = 0
+        self._copy: _Copy | None = None
+
+    # Journal.
+
+    def restore(self, record: typing.Any) -> None:
+        """Take one journal record back, in the order of writing."""
+        if isinstance(record, messages.ClaimSlot):
+            self._store(record, 0.0)
+        elif isinstance(record, messages.ClaimEpoch):
+            self._journaled_epoch = max(self._journaled_epoch, record.epoch)
+            self._synced_epoch = self._journaled_epoch
+        elif isinstance(record, messages.ClaimCopyStarted):
+            self._clear()
+        elif isinstance(record, messages.ClaimsForgotten):
+            for key in record.keys:
+                self._forget(key)
+
+    def snapshot(self) -> abc.Sequence[typing.Any]:
+        """Return the records that rebuild this holder."""
+        slots = [held.slot for held in self._held_by_key.values()]
+        return [messages.ClaimEpoch(epoch=self._journaled_epoch), *slots]
+
+    def persisted(self, token: str) -> Effects:
+        """Tell what the finished sync allows, and start the next one."""
+        batch = self._syncing
+        if batch is None or token != self._token:
+            return []
+        self._syncing = None
+        if batch.epoch is not None:
+            self._synced_epoch = batch.epoch
+        return batch.effects + self.flush()
+
+    def flush(self) -> Effects:
+        """Start a sync if records wait and none is under way."""
+        if self._syncing is not None or not self._waiting.records:
+            return []
+        self._syncing, self._waiting = self._waiting, _Batch()
+        self._syncs += 1
+        return [
+            parts.Persist(
+                token=self._token,
+                records=tuple(self._syncing.records),
+            )
+        ]
+
+    @property
+    def _token(self) -> str:
+        return f'claims-{self._syncs}'
+
+    # Time and the set of holders.
+
+    def start_clock(self, now: float) -> None:
+        """Give restored slots an age, once: from now, so too young.
+
+        The time spent dead is unknown. Too young means kept for longer and
+        called "in progress" for longer, and never the other way round.
+        """
+        if self._clock_started:
+            return
+        self._clock_started = True
+        for held in self._held_by_key.values():
+            held.since = now
+
+    def ticked(self, now: float) -> Effects:
+        """Forget what is past its retention; ask again for lost pages."""
+        self._forget_old(now)
+        effects: Effects = []
+        copy = self._copy
+        if copy is not None and now >= copy.resend_at:
+            copy.resend_at = now + self.resend_s
+            effects += self._request_pages()
+            effects += self._caught_up()
+        return effects
+
+    def holders_changed(
+        self, now: float, holder_set: claim_slots.HolderSet
+    ) -> Effects:
+        """Act under a new epoch, from when it is synced.
+
+        Without the sync a restart would forget the epoch, and grant under an
+        old one what a joining holder can't have copied.
+        """
+        if holder_set.epoch < self._journaled_epoch:
+            return []
+        known = self._holder_set
+        if known is not None and known.epoch == holder_set.epoch:
+            return []
+        self._holder_set = holder_set
+        if holder_set.epoch > self._journaled_epoch:
+            self._journaled_epoch = holder_set.epoch
+            self._waiting.epoch = holder_set.epoch
+            self._waiting.records.append(
+                messages.ClaimEpoch(epoch=holder_set.epoch)
+            )
+        return self._start_copy(now, holder_set)
+
+    def _counts(self) -> bool:
+        """Whether this disk is one of those whose word counts now."""
+        holder_set = self._holder_set
+        if holder_set is None or holder_set.epoch != self._synced_epoch:
+            return False
+        counted = holder_set.disk_ids_by_holder.get(self.instance_id)
+        return counted == self.disk_id
+
+    # Claims.
+
+    def put(self, now: float, sender: str, put: messages.ClaimPut) -> Effects:
+        """Give the slot of a key and round to the first who asks."""
+        if not self._accepts(put.epoch, put.disk_id):
+            return [self._put_reply(sender, put, _Answer.UNKNOWN)]
+        held = self._held_by_key.get(put.key)
+        if held is None and len(self._held_by_key) >= self.max_records:
+            return [self._put_reply(sender, put, _Answer.FULL)]
+        if held is None or _gives_way(held.slot, put.round):
+            self._write(now, _claimed(put))
+            return self._tell(
+                put.key, self._put_reply(sender, put, _Answer.GRANTED)
+            )
+        if _is_granted(held.slot, put):
+            reply = self._put_reply(sender, put, _Answer.GRANTED)
+        else:
+            reply = self._put_reply(sender, put, _Answer.TAKEN, held, now)
+        return self._tell(put.key, reply)
+
+    def withdraw(
+        self, now: float, sender: str, withdraw: messages.ClaimWithdraw
+    ) -> Effects:
+        """Note that an attempt never runs; leave other attempts alone.
+
+        The slot is not freed: within its round it changes hands never, else
+        two attempts could be granted a majority of one round. A free slot is
+        used up as well, so that a late double of the put finds it so.
+        """
+        if withdraw.disk_id != self.disk_id or not self._counts():
+            return []
+        if self._withdrawal_changes(withdraw):
+            self._write(now, _withdrawn(withdraw))
+        reply = messages.ClaimWithdrawReply(attempt_id=withdraw.attempt_id)
+        return self._tell(withdraw.key, parts.Send(to=sender, message=reply))
+
+    def _withdrawal_changes(self, withdraw: messages.ClaimWithdraw) -> bool:
+        held = self._held_by_key.get(withdraw.key)
+        if held is None:
+            return len(self._held_by_key) < self.max_records
+        if _gives_way(held.slot, withdraw.round):
+            return True
+        return (
+            held.slot.state is _State.CLAIMED
+            and held.slot.attempt_id == withdraw.attempt_id
+            and held.slot.round == withdraw.round
+        )
+
+    def record(
+        self, now: float, sender: str, outcome: messages.ClaimOutcome
+    ) -> Effects:
+        """Keep an outcome; it proves that its attempt won its round."""
+        stored = self._accepts(outcome.epoch, outcome.disk_id)
+        if stored:
+            stored = self._record(now, outcome.slot)
+        reply = messages.ClaimOutcomeReply(
+            attempt_id=outcome.slot.attempt_id,
+            epoch=self._synced_epoch,
+            disk_id=self.disk_id,
+            stored=stored,
+        )
+        return self._tell(
+            outcome.slot.key, parts.Send(to=sender, message=reply)
+        )
+
+    def _record(self, now: float, slot: messages.ClaimSlot) -> bool:
+        held = self._held_by_key.get(slot.key)
+        if held is not None and held.slot.state is _State.RECORDED:
+            return held.slot.attempt_id == slot.attempt_id
+        if held is None and len(self._held_by_key) >= self.max_records:
+            return False
+        self._write(now, slot)
+        return True
+
+    def _accepts(self, epoch: int, disk_id: str) -> bool:
+        """Whether a message means this disk, in this epoch.
+
+        An older epoch must be refused: a joining holder has copied this one
+        since, and a grant that it can't know would be lost with the next
+        disk.
+        """
+        if disk_id != self.disk_id or epoch != self._synced_epoch:
+            return False
+        return self._counts()
+
+    def _put_reply(
+        self,
+        sender: str,
+        put: messages.ClaimPut,
+        answer: messages.PutAnswer,
+        held: _Held | None = None,
+        now: float = 0.0,
+    ) -> parts.Send:
+        reply = messages.ClaimPutReply(
+            key=put.key,
+            round=put.round,
+            attempt_id=put.attempt_id,
+            epoch=self._synced_epoch,
+            disk_id=self.disk_id,
+            answer=answer,
+            slot=held.slot if held else None,
+            age_s=now - held.since if held else 0.0,
+        )
+        return parts.Send(to=sender, message=reply)
+
+    # Copies.
+
+    def copy_requested(
+        self, now: float, sender: str, request: messages.ClaimCopyRequest
+    ) -> Effects:
+        """Show a joining holder a page of synced slots, in key order."""
+        if request.epoch != self._synced_epoch or not self._counts():
+            return []
+        page = self._page(now, request)
+        return self._tell(None, parts.Send(to=sender, message=page))
+
+    def _page(
+        self, now: float, request: messages.ClaimCopyRequest
+    ) -> messages.ClaimCopyPage:
+        first = bisect.bisect_right(self._keys, request.after_key)
+        copies: list[messages.ClaimCopied] = []
+        size = 0
+        for key in self._keys[first : first + PAGE_SLOTS]:
+            held = self._held_by_key[key]
+            age_s = now - held.since
+            copies.append(messages.ClaimCopied(slot=held.slot, age_s=age_s))
+            size += len(held.slot.outcome)
+            if size >= PAGE_BYTES:
+                break
+        return messages.ClaimCopyPage(
+            epoch=request.epoch,
+            after_key=request.after_key,
+            copies=tuple(copies),
+            last=first + len(copies) >= len(self._keys),
+        )
+
+    def _start_copy(
+        self, now: float, holder_set: claim_slots.HolderSet
+    ) -> Effects:
+        self._copy = None
+        counted = holder_set.disk_ids_by_holder.get(self.instance_id)
+        joins = holder_set.joining.get(self.instance_id) == self.disk_id
+        if not joins or counted == self.disk_id:
+            return self.flush()
+        self._clear()
+        self._waiting.records.append(
+            messages.ClaimCopyStarted(epoch=holder_set.epoch)
+        )
+        sources = set(holder_set.disk_ids_by_holder) - {self.instance_id}
+        self._copy = _Copy(
+            holder_set=holder_set,
+            resend_at=now + self.resend_s,
+            cursors_by_source=dict.fromkeys(sorted(sources), ''),
+        )
+        return self.flush() + self._request_pages()
+
+    def _request_pages(self) -> Effects:
+        assert self._copy is not None
+        return [
+            self._request_page(source)
+            for source in self._copy.cursors_by_source
+            if source not in self._copy.done
+        ]
+
+    def _request_page(self, source: str) -> parts.Send:
+        assert self._copy is not None
+        request = messages.ClaimCopyRequest(
+            epoch=self._copy.holder_set.epoch,
+            after_key=self._copy.cursors_by_source[source],
+        )
+        return parts.Send(to=source, message=request)
+
+    def copied(
+        self, now: float, sender: str, page: messages.ClaimCopyPage
+    ) -> Effects:
+        """Merge a page; ask for the next, or note that all is here."""
+        copy = self._copy
+        if copy is None or page.epoch != copy.holder_set.epoch:
+            return []
+        if copy.cursors_by_source.get(sender) != page.after_key:
+            return []
+        if sender in copy.done:
+            return []
+        for one in page.copies:
+            self._merge(now, one)
+        if page.last:
+            copy.done.add(sender)
+            return self.flush() + self._caught_up()
+        copy.cursors_by_source[sender] = page.copies[-1].slot.key
+        return self.flush() + [self._request_page(sender)]
+
+    def _merge(self, now: float, copied: messages.ClaimCopied) -> None:
+        held = self._held_by_key.get(copied.slot.key)
+        slot = claim_slots.merge(held.slot if held else None, copied.slot)
+        since = now - copied.age_s
+        if held is not None:
+            since = max(since, held.since)
+        if held is None or held.slot != slot:
+            self._write(since, slot)
+
+    def _caught_up(self) -> Effects:
+        copy = self._copy
+        if copy is None or not copy.has_majority():
+            return []
+        self._sort_by_age()
+        effect = messages.CaughtUp(
+            epoch=copy.holder_set.epoch, disk_id=self.disk_id
+        )
+        return self._tell(None, effect)
+
+    # Slots.
+
+    def _write(self, since: float, slot: messages.ClaimSlot) -> None:
+        self._store(slot, since)
+        self._waiting.records.append(slot)
+        self._waiting.keys.add(slot.key)
+
+    def _store(self, slot: messages.ClaimSlot, since: float) -> None:
+        if self._held_by_key.pop(slot.key, None) is None:
+            bisect.insort(self._keys, slot.key)
+        self._held_by_key[slot.key] = _Held(slot=slot, since=since)
+
+    def _tell(self, key: str | None, effect: typing.Any) -> Effects:
+        """Let out an effect once what it tells is synced.
+
+        :param key: of the slot that it tells of; ``None``: of all slots.
+
+        A refusal waits as well: were the slot that it shows lost in a crash,
+        the next to ask would get it, and the proof that nobody can win this
+        round would be false.
+        """
+        for batch in (self._waiting, self._syncing):
+            if batch is None or not batch.records:
+                continue
+            if key is None or key in batch.keys:
+                batch.effects.append(effect)
+                return self.flush()
+        return [*self.flush(), effect]
+
+    def _sort_by_age(self) -> None:
+        by_age = sorted(self._held_by_key.items(), key=lambda i: i[1].since)
+        self._held_by_key = dict(by_age)
+
+    def _clear(self) -> None:
+        self._held_by_key.clear()
+        self._keys.clear()
+
+    def _forget(self, key: str) -> None:
+        if self._held_by_key.pop(key, None) is not None:
+            del self._keys[bisect.bisect_left(self._keys, key)]
+
+    def _forget_old(self, now: float) -> None:
+        old = []
+        for key, held in self._held_by_key.items():
+            if now - held.since < self.retention_s:
+                break
+            old.append(key)
+        if not old:
+            return
+        for key in old:
+            self._forget(key)
+        self._waiting.records.append(messages.ClaimsForgotten(keys=tuple(old)))
+
+
+def _gives_way(slot: messages.ClaimSlot, round: int) -> bool:
+    """Whether a slot may pass to a round: a later one proves it dead."""
+    return slot.state is not _State.RECORDED and slot.round < round
+
+
+def _is_granted(slot: messages.ClaimSlot, put: messages.ClaimPut) -> bool:
+    return (
+        slot.state is _State.CLAIMED
+        and slot.round == put.round
+        and slot.attempt_id == put.attempt_id
+    )
+
+
+def _claimed(put: messages.ClaimPut) -> messages.ClaimSlot:
+    return messages.ClaimSlot(
+        key=put.key,
+        round=put.round,
+        state=_State.CLAIMED,
+        digest=put.digest,
+        attempt_id=put.attempt_id,
+        deadline_s=put.deadline_s,
+    )
+
+
+def _withdrawn(withdraw: messages.ClaimWithdraw) -> messages.ClaimSlot:
+    return messages.ClaimSlot(
+        key=withdraw.key,
+        round=withdraw.round,
+        state=_State.WITHDRAWN,
+        digest=withdraw.digest,
+        attempt_id=withdraw.attempt_id,
+    )
--- /dev/null
+++ b/dandeliongw/coordination/claims.py
@@ -0,0 +1,149 @@
+"""Claims: a non-idempotent call runs at most once.
+
+An attempt may run once a majority of the claim holders has synced that the
+key's slot is its own. ``docs/CLAIMS.md`` tells why this holds, and which
+transition of ``specs/claims_spec.py`` each function here stands for.
+"""
+
+from collections import abc
+import typing
+
+from . import claim_attempts
+from . import claim_holder
+from . import claim_messages as messages
+from . import claim_slots
+from . import parts
+
+Effects = list[typing.Any]
+
+
+class Claims:
+    """Takes claims for local callers; holds them where there is a disk.
+
+    :param instance_id: of this instance.
+    :param is_holder: whether this instance has a disk for claims.
+    :param disk_id: made once for an empty disk; ``None`` without one.
+    :param retention_s: seconds in which callers may resend a key.
+    :param max_records: keys a holder keeps; further ones are refused.
+    :param max_outcome_bytes: larger outcomes are noted but not kept.
+    :param round_trip_s: expected time to a holder and back with its sync.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        is_holder: bool,
+        disk_id: str | None,
+        retention_s: float,
+        max_records: int,
+        max_outcome_bytes: int,
+        round_trip_s: float,
+    ) -> None:
+        self._attempts = claim_attempts.Attempts(
+            round_trip_s=round_trip_s,
+            max_outcome_bytes=max_outcome_bytes,
+            retention_s=retention_s,
+        )
+        self._holder: claim_holder.Holder | None = None
+        if not is_holder:
+            return
+        if not disk_id:
+            raise ValueError(f'holder {instance_id!r} needs a disk_id')
+        self._holder = claim_holder.Holder(
+            instance_id=instance_id,
+            disk_id=disk_id,
+            retention_s=retention_s,
+            max_records=max_records,
+            resend_s=claim_attempts.RESEND_ROUND_TRIPS * round_trip_s,
+        )
+
+    def handle(self, event: typing.Any) -> Effects:
+        """Change state by one event; return what is to be done."""
+        if self._holder is not None:
+            self._holder.start_clock(event.now)
+        match event:
+            case parts.Received():
+                return self._received(event)
+            case parts.Persisted():
+                return self._persisted(event.token)
+            case parts.Ticked():
+                return self._ticked(event.now)
+            case messages.Begin():
+                return self._attempts.begin(event)
+            case messages.Finish():
+                return self._attempts.finish(event)
+            case messages.Abandon():
+                return self._attempts.abandon(event)
+            case messages.HoldersChanged():
+                return self._holders_changed(event)
+        raise TypeError(f'claims take no {type(event).__name__}')
+
+    def restore(self, record: typing.Any) -> None:
+        """Take one journal record back in."""
+        if self._holder is not None:
+            self._holder.restore(record)
+
+    def snapshot(self) -> abc.Sequence[typing.Any]:
+        """Return the records that rebuild this part."""
+        if self._holder is None:
+            return []
+        return self._holder.snapshot()
+
+    def _persisted(self, token: str) -> Effects:
+        if self._holder is None:
+            return []
+        return self._holder.persisted(token)
+
+    def _received(self, event: parts.Received) -> Effects:
+        message = event.message
+        match message:
+            case messages.ClaimPutReply():
+                return self._attempts.put_answered(
+                    event.now, event.sender, message
+                )
+            case messages.ClaimOutcomeReply():
+                return self._attempts.outcome_answered(
+                    event.now, event.sender, message
+                )
+            case messages.ClaimWithdrawReply():
+                self._attempts.withdrawal_answered(event.sender, message)
+                return []
+        if self._holder is None:
+            return []
+        return self._received_by_holder(event, self._holder)
+
+    def _received_by_holder(
+        self, event: parts.Received, holder: claim_holder.Holder
+    ) -> Effects:
+        now, sender, message = event.now, event.sender, event.message
+        match message:
+            case messages.ClaimPut():
+                return holder.put(now, sender, message)
+            case messages.ClaimOutcome():
+                return holder.record(now, sender, message)
+            case messages.ClaimWithdraw():
+                return holder.withdraw(now, sender, message)
+            case messages.ClaimCopyRequest():
+                return holder.copy_requested(now, sender, message)
+            case messages.ClaimCopyPage():
+                return holder.copied(now, sender, message)
+        raise TypeError(f'claims take no {type(message).__name__}')
+
+    def _ticked(self, now: float) -> Effects:
+        effects = self._attempts.ticked(now)
+        if self._holder is not None:
+            effects += self._holder.ticked(now)
+        return effects
+
+    def _holders_changed(self, event: messages.HoldersChanged) -> Effects:
+        holder_set = claim_slots.HolderSet(
+            epoch=event.epoch,
+            disk_ids_by_holder=dict(event.disk_ids_by_holder),
+            joining=dict(event.joining),
+            leaving=frozenset(event.leaving),
+        )
+        effects = self._attempts.holders_changed(event.now, holder_set)
+        if self._holder is not None:
+            effects += self._holder.holders_changed(event.now, holder_set)
+        return effects
