--- /dev/null
+++ b/dandeliongw/admission.py
@@ -0,0 +1,252 @@
+"""Who may have what served at this entry, before any owner is asked."""
+
+import dataclasses
+import typing
+
+from . import document
+from . import events
+from . import verdict
+
+_REASON = verdict.RefusalReason
+
+#: Seconds after which a caller may find a transient refusal gone.
+SOON_S = 1.0
+
+
+class Directory(typing.Protocol):
+    """What an entry knows about the system around it."""
+
+    @property
+    def document(self) -> document.Document: ...
+
+    @property
+    def is_draining(self) -> bool: ...
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the document was confirmed by a majority lately."""
+        ...
+
+    def cell_of(self, service: str, request_id: str) -> str: ...
+
+    def owners_of(self, cell: str) -> tuple[str, ...]:
+        """Return instance ids to ask, the likeliest owner first."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Admitted:
+    """A call that is allowed, with what the document says of it."""
+
+    service: document.Service
+    route: document.Route
+    account: document.Account
+    priority: document.Priority
+
+
+class Admission:
+    """Checks calls against the document and this instance's own limits.
+
+    :param max_requests: requests in flight at this instance.
+    :param max_streams: completions in flight, so that the threads left
+        over always serve plain calls: no long prompt blocks a lookup.
+    """
+
+    def __init__(
+        self, *, directory: Directory, max_requests: int, max_streams: int
+    ) -> None:
+        self._directory = directory
+        self._max_requests = max_requests
+        self._max_streams = max_streams
+        self._requests = 0
+        self._streams = 0
+        self._in_flight_by_account: dict[str, int] = {}
+        self._buckets_by_account: dict[str, RateBucket] = {}
+
+    def check(
+        self, now: float, call: events.Call
+    ) -> Admitted | verdict.Refusal:
+        """Return what the call is, or why it is refused; counts nothing."""
+        if self._directory.is_draining:
+            return not_run(
+                _REASON.DRAINING,
+                'this instance is shutting down; use another entry',
+                SOON_S,
+            )
+        if not self._directory.is_fresh(now):
+            # An instance that is cut off can't know whether its document is
+            # still the accepted one, so it must not act on it.
+            return not_run(
+                _REASON.CONFIGURATION_STALE,
+                'this instance has not confirmed its configuration lately; '
+                'use another entry',
+                SOON_S,
+            )
+        return self._check_document(now, call)
+
+    def _check_document(
+        self, now: float, call: events.Call
+    ) -> Admitted | verdict.Refusal:
+        described = self._directory.document
+        account = described.accounts_by_key_sha256.get(call.key_sha256)
+        if account is None:
+            return not_run(
+                _REASON.UNKNOWN_ACCOUNT, 'the account key is not known'
+            )
+        service = described.services_by_name.get(call.service)
+        if service is None or service.name not in account.services:
+            allowed = ', '.join(account.services)
+            return not_run(
+                _REASON.UNKNOWN_SERVICE,
+                f'no service {call.service!r} for account '
+                f'{account.name!r}; there are: {allowed}',
+            )
+        if (service.kind == 'model') != call.streamed:
+            return not_run(
+                _REASON.BAD_REQUEST,
+                f'service {service.name!r} is of kind {service.kind!r} and '
+                'does not take this kind of call',
+            )
+        route = described.route_for(call.service, call.method, call.path)
+        if route is None:
+            return not_run(
+                _REASON.UNKNOWN_ROUTE,
+                f'no route of {call.service!r} matches '
+                f'{call.method} {call.path}',
+            )
+        return self._check_limits(now, call, service, route, account)
+
+    def _check_limits(
+        self,
+        now: float,
+        call: events.Call,
+        service: document.Service,
+        route: document.Route,
+        account: document.Account,
+    ) -> Admitted | verdict.Refusal:
+        name = call.priority or route.priority or account.priority
+        priority = self._directory.document.priorities_by_name.get(name)
+        if priority is None:
+            known = ', '.join(self._directory.document.priorities_by_name)
+            return not_run(
+                _REASON.BAD_REQUEST,
+                f'no priority {name!r}; there are: {known}',
+            )
+        if self._requests >= self._max_requests or (
+            call.streamed and self._streams >= self._max_streams
+        ):
+            return not_run(
+                _REASON.INSTANCE_FULL,
+                'this instance serves as many requests as it may; '
+                'use another entry',
+                SOON_S,
+            )
+        in_flight = self._in_flight_by_account.get(account.name, 0)
+        if account.max_in_flight and in_flight >= account.max_in_flight:
+            return not_run(
+                _REASON.ACCOUNT_LIMIT,
+                f'account {account.name!r} has {in_flight} requests in '
+                'flight, as many as it may',
+                SOON_S,
+            )
+        wait_s = self._wait_for_rate(now, account)
+        if wait_s > 0:
+            return not_run(
+                _REASON.ACCOUNT_LIMIT,
+                f'account {account.name!r} sends more than '
+                f'{account.requests_per_s} requests a second',
+                wait_s,
+            )
+        return Admitted(
+            service=service, route=route, account=account, priority=priority
+        )
+
+    def _wait_for_rate(self, now: float, account: document.Account) -> float:
+        if not account.requests_per_s:
+            return 0.0
+        bucket = self._buckets_by_account.get(account.name)
+        if bucket is None or bucket.rate != account.requests_per_s:
+            bucket = RateBucket(rate=account.requests_per_s, now=now)
+            self._buckets_by_account[account.name] = bucket
+        return bucket.take(now)
+
+    def enter(self, account: str, streamed: bool) -> None:
+        """Count a request in."""
+        self._requests += 1
+        self._streams += streamed
+        in_flight = self._in_flight_by_account.get(account, 0)
+        self._in_flight_by_account[account] = in_flight + 1
+
+    def leave(self, account: str, streamed: bool) -> None:
+        """Count a request out; once for each :meth:`enter`."""
+        self._requests -= 1
+        self._streams -= streamed
+        left = self._in_flight_by_account[account] - 1
+        if left:
+            self._in_flight_by_account[account] = left
+        else:
+            del self._in_flight_by_account[account]
+
+    @property
+    def in_flight(self) -> int:
+        return self._requests
+
+
+class RateBucket:
+    """A token bucket that holds one second's worth, at least one token.
+
+    :param rate: tokens a second.
+    """
+
+    def __init__(self, *, rate: float, now: float) -> None:
+        self.rate = rate
+        self._size = max(1.0, rate)
+        self._level = self._size
+        self._updated_at = now
+
+    def take(self, now: float) -> float:
+        """Take one token and return 0, or the seconds until there is one."""
+        gained = (now - self._updated_at) * self.rate
+        self._level = min(self._size, self._level + gained)
+        self._updated_at = now
+        if self._level >= 1.0:
+            self._level -= 1.0
+            return 0.0
+        return (1.0 - self._level) / self.rate
+
+
+class RetryBudget:
+    """Bounds retries to a share of the requests of the last while.
+
+    Without it, a pool that fails gets every request several times, which
+    shows as load that grows while goodput falls, and keeps it failing.
+    """
+
+    SHARE = 0.1
+    MOST = 10.0
+
+    def __init__(self) -> None:
+        self._level = self.MOST
+
+    def earn(self) -> None:
+        self._level = min(self.MOST, self._level + self.SHARE)
+
+    def spend(self) -> bool:
+        """Return whether one more retry is within the budget."""
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+def not_run(
+    reason: verdict.RefusalReason,
+    message: str,
+    retry_after_s: float | None = None,
+) -> verdict.Refusal:
+    """Return a refusal of something that was never sent anywhere."""
+    return verdict.Refusal(
+        reason=reason,
+        verdict=verdict.Verdict.NOT_RUN,
+        message=message,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/dandeliongw/effects.py
@@ -0,0 +1,117 @@
+"""What the reducer asks the runtime to do.
+
+Directives go to the thread that serves one request; the others are the
+runtime's own. Coordination parts have more in ``coordination/parts.py``.
+"""
+
+import dataclasses
+import typing
+
+from . import verdict
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Directive:
+    """For the thread of ``request_id``; dropped when that has ended."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunPrefill(Directive):
+    """Compute the prompt, and the text answered so far, on an engine.
+
+    :param start_in_s: seconds to wait first, so that the decode slot is
+        free when the prefill ends; its result is evicted in under a second.
+    """
+
+    attempt_id: str
+    url: str
+    priority: int
+    fence: int
+    start_in_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunDecode(Directive):
+    """Import the KV cache unless ``kv`` is empty, then stream tokens.
+
+    :param from_offset: the first token that is still missing.
+    """
+
+    attempt_id: str
+    url: str
+    source_url: str
+    kv: str
+    from_offset: int
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunCall(Directive):
+    """Pass the caller's call to a plain service."""
+
+    attempt_id: str
+    url: str
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refuse(Directive):
+    refusal: verdict.Refusal
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Replay(Directive):
+    """Answer with the outcome recorded for an earlier send of this call."""
+
+    outcome: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Complete(Directive):
+    """Everything that must be durable is: give the end of the answer."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Abort(Directive):
+    """Stop at once, also inside a blocking read."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Dispatch:
+    """Let the reducer handle this event next, before any other."""
+
+    event: typing.Any
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CountRefusal:
+    reason: verdict.RefusalReason
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CountRetry:
+    reason: verdict.RetryReason
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CountWaste:
+    """Prompt tokens computed for nothing, by the retry reason's value."""
+
+    reason: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Log:
+    """One log line; ``fields`` become its JSON fields."""
+
+    message: str
+    fields: tuple[tuple[str, str], ...] = ()
+    level: str = 'INFO'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Drained:
+    """Nothing is left that a shutdown would interrupt."""
--- /dev/null
+++ b/dandeliongw/engine.py
@@ -0,0 +1,447 @@
+"""What a backend server can be asked, and how to ask it over HTTP.
+
+Every call opens a connection of its own and closes it after. That costs
+half a millisecond and buys three things: a refused connect proves that
+nothing ran; a reply that was not read to its end can never be taken for the
+next call's; and no idle connection can have gone silent in the meantime.
+"""
+
+from collections import abc
+import contextlib
+import dataclasses
+import json
+import socket
+import typing
+import urllib.parse
+
+import urllib3
+import urllib3.connection
+
+from . import verdict
+
+#: The end mark and the pieces of a stream are short lines.
+MAX_LINE_BYTES = 1 << 20
+
+
+class EngineError(Exception):
+    """A call to a backend server failed.
+
+    :param known: whether the call may have run there.
+    :param reason: the backend server's own word, or ``''``.
+    """
+
+    def __init__(
+        self, message: str, *, known: verdict.Verdict, reason: str = ''
+    ) -> None:
+        super().__init__(message)
+        self.known = known
+        self.reason = reason
+
+
+class StalledError(EngineError):
+    """Nothing came for longer than the time-out; the link may be dead."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Prefilled:
+    """:param kv: handle of the result, which the engine soon evicts."""
+
+    kv: str
+    tokens: int
+    cached_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Piece:
+    """Some text of a stream, or its end mark.
+
+    :param offset: number of tokens before this piece; for the end mark,
+        the number of tokens of the whole answer.
+    """
+
+    attempt_id: str
+    offset: int
+    text: str
+    is_end: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """A plain service's answer, read to its end."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Engine(typing.Protocol):
+    """A model engine, in either role."""
+
+    def prefill(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        prompt: str,
+        priority: int,
+        fence: int,
+    ) -> Prefilled: ...
+
+    def import_kv(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        kv: str,
+        source_url: str,
+        fence: int,
+    ) -> None: ...
+
+    def decode(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        max_tokens: int,
+        from_offset: int,
+    ) -> abc.Iterator[Piece]: ...
+
+    def cancel(self, *, stream_id: str, attempt_id: str) -> None: ...
+
+    def abort(self) -> None:
+        """Break off the call in progress, from any thread."""
+        ...
+
+
+class Exchange:
+    """One HTTP call on a connection of its own.
+
+    :param connect_s: seconds to wait for the connection.
+    :param read_s: seconds without a byte after which the call has stalled.
+    """
+
+    def __init__(self, *, url: str, connect_s: float, read_s: float) -> None:
+        parts = urllib.parse.urlsplit(url)
+        self._connection = urllib3.connection.HTTPConnection(
+            parts.hostname or '', parts.port or 80, timeout=connect_s
+        )
+        self._read_s = read_s
+        self._socket: socket.socket | None = None
+        self._aborted = False
+
+    def open(self) -> None:
+        """Connect; a failure here proves that nothing was sent."""
+        try:
+            self._connection.connect()
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            raise EngineError(
+                f'no connection to {self._connection.host}:'
+                f'{self._connection.port}: {error}',
+                known=verdict.Verdict.NOT_RUN,
+                reason=verdict.RetryReason.CONNECT_REFUSED,
+            ) from error
+        self._socket = self._connection.sock
+        self._socket.settimeout(self._read_s)
+        if self._aborted:
+            # The abort came before there was a socket to shut down.
+            raise EngineError('aborted', known=verdict.Verdict.NOT_RUN)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: abc.Mapping[str, str],
+    ) -> typing.Any:
+        """Send the call and return the reply once its headers are in."""
+        with self._as_engine_error():
+            self._connection.request(
+                method,
+                path,
+                body=body,
+                headers={**headers, 'Connection': 'close'},
+                preload_content=False,
+                decode_content=False,
+            )
+            return self._connection.getresponse()
+
+    def read(self, response: typing.Any, most: int) -> bytes:
+        """Read a whole body; a cut-off one is an error, never an answer."""
+        with self._as_engine_error():
+            body = response.read(most + 1)
+            while len(body) <= most:
+                more = response.read(most + 1 - len(body))
+                if not more:
+                    break
+                body += more
+        if len(body) > most:
+            raise EngineError(
+                f'the answer is larger than {most} bytes',
+                known=verdict.Verdict.RAN,
+            )
+        return body
+
+    def lines(self, response: typing.Any) -> abc.Iterator[bytes]:
+        """Yield the lines of a body as they arrive, without their ends."""
+        rest = b''
+        while True:
+            with self._as_engine_error():
+                data = response.read1(65536)
+            if not data:
+                return
+            rest += data
+            *whole, rest = rest.split(b'\n')
+            yield from whole
+            if len(rest) > MAX_LINE_BYTES:
+                raise EngineError(
+                    f'a line is longer than {MAX_LINE_BYTES} bytes',
+                    known=verdict.Verdict.MAY_HAVE_RUN,
+                )
+
+    def abort(self) -> None:
+        """Wake a thread that is blocked in this exchange."""
+        self._aborted = True
+        if self._socket is not None:
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        self._connection.close()
+
+    @contextlib.contextmanager
+    def _as_engine_error(self) -> abc.Iterator[None]:
+        """Name what broke; from the first byte on, the call may have run."""
+        try:
+            yield
+        except (TimeoutError, urllib3.exceptions.ReadTimeoutError) as error:
+            raise StalledError(
+                f'nothing came for {self._read_s} s',
+                known=verdict.Verdict.MAY_HAVE_RUN,
+            ) from error
+        except (
+            OSError,
+            urllib3.exceptions.HTTPError,
+            ValueError,
+            AttributeError,
+        ) as error:
+            # An abort from another thread closes the socket under the
+            # reader, which urllib3 reports in any of these ways.
+            raise EngineError(
+                f'the connection broke: {error}',
+                known=verdict.Verdict.MAY_HAVE_RUN,
+            ) from error
+
+
+class HttpEngine:
+    """The :class:`Engine` that speaks the HTTP of docs/ARCHITECTURE.md."""
+
+    #: Longest JSON answer that is read.
+    MAX_ANSWER_BYTES = 1 << 20
+
+    def __init__(
+        self, *, url: str, connect_s: float, first_byte_s: float, stall_s: float
+    ) -> None:
+        self.url = url
+        self._connect_s = connect_s
+        self._first_byte_s = first_byte_s
+        self._stall_s = stall_s
+        self._current: Exchange | None = None
+        self._aborted = False
+
+    def prefill(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        prompt: str,
+        priority: int,
+        fence: int,
+    ) -> Prefilled:
+        answer = self._ask(
+            '/v1/prefill',
+            {
+                'stream_id': stream_id,
+                'attempt_id': attempt_id,
+                'prompt': prompt,
+                'priority': priority,
+                'fence': fence,
+            },
+        )
+        return Prefilled(
+            kv=str(answer['kv']),
+            tokens=int(answer['tokens']),
+            cached_tokens=int(answer.get('cached_tokens', 0)),
+        )
+
+    def import_kv(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        kv: str,
+        source_url: str,
+        fence: int,
+    ) -> None:
+        self._ask(
+            '/v1/import',
+            {
+                'stream_id': stream_id,
+                'attempt_id': attempt_id,
+                'kv': kv,
+                'source_url': source_url,
+                'fence': fence,
+            },
+        )
+
+    def decode(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        max_tokens: int,
+        from_offset: int,
+    ) -> abc.Iterator[Piece]:
+        body = {
+            'stream_id': stream_id,
+            'attempt_id': attempt_id,
+            'max_tokens': max_tokens,
+            'from_offset': from_offset,
+        }
+        with self._exchange(self._stall_s) as exchange:
+            response = self._post(exchange, '/v1/decode', body)
+            self._raise_unless_ok(exchange, response)
+            for line in exchange.lines(response):
+                if line.startswith(b'data:'):
+                    yield _read_piece(line[5:])
+
+    def cancel(self, *, stream_id: str, attempt_id: str) -> None:
+        self._ask(
+            '/v1/cancel', {'stream_id': stream_id, 'attempt_id': attempt_id}
+        )
+
+    def order(self, *, order: str, value: str, fence: int) -> None:
+        """Load a model, adapter or version, or change role.
+
+        :raises EngineError: with reason ``fenced`` from an engine that has
+            seen a higher fencing number.
+        """
+        self._ask(
+            '/v1/order', {'order': order, 'value': value, 'fence': fence}
+        )
+
+    def abort(self) -> None:
+        self._aborted = True
+        if self._current is not None:
+            self._current.abort()
+
+    @contextlib.contextmanager
+    def _exchange(self, read_s: float) -> abc.Iterator[Exchange]:
+        exchange = Exchange(
+            url=self.url, connect_s=self._connect_s, read_s=read_s
+        )
+        self._current = exchange
+        if self._aborted:
+            exchange.abort()
+        try:
+            exchange.open()
+            yield exchange
+        finally:
+            self._current = None
+            exchange.close()
+
+    def _ask(self, path: str, body: dict) -> dict:
+        with self._exchange(self._first_byte_s) as exchange:
+            response = self._post(exchange, path, body)
+            self._raise_unless_ok(exchange, response)
+            return _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+
+    def _post(self, exchange: Exchange, path: str, body: dict) -> typing.Any:
+        return exchange.send(
+            'POST',
+            path,
+            json.dumps(body).encode(),
+            {'Content-Type': 'application/json'},
+        )
+
+    def _raise_unless_ok(
+        self, exchange: Exchange, response: typing.Any
+    ) -> None:
+        if response.status == 200:
+            return
+        answer = _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+        raise EngineError(
+            f'{self.url} answered {response.status}: {answer}',
+            # An engine that answers an error says that it did not run it.
+            known=verdict.Verdict.NOT_RUN,
+            reason=str(answer.get('reason', '')),
+        )
+
+
+def _read_json(body: bytes) -> dict:
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        answer = None
+    if not isinstance(answer, dict):
+        raise EngineError(
+            f'not a JSON object: {body[:80]!r}',
+            known=verdict.Verdict.MAY_HAVE_RUN,
+        )
+    return answer
+
+
+def _read_piece(data: bytes) -> Piece:
+    answer = _read_json(data)
+    is_end = bool(answer.get('end'))
+    return Piece(
+        attempt_id=str(answer.get('attempt_id', '')),
+        offset=int(answer['tokens'] if is_end else answer['offset']),
+        text=str(answer.get('text', '')),
+        is_end=is_end,
+    )
+
+
+class PlainService:
+    """One call to a plain service, passed on as the caller sent it."""
+
+    def __init__(self, *, url: str, connect_s: float, timeout_s: float) -> None:
+        self.url = url
+        self._exchange = Exchange(
+            url=url, connect_s=connect_s, read_s=timeout_s
+        )
+
+    def call(
+        self,
+        *,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: abc.Mapping[str, str],
+        most_bytes: int,
+    ) -> Reply:
+        """Return the answer, whole.
+
+        :raises EngineError: its ``known`` is ``NOT_RUN`` only when the
+            connection was never made, or the service says so with 503 and
+            ``X-Not-Run: true``.
+        """
+        try:
+            self._exchange.open()
+            response = self._exchange.send(method, path, body, headers)
+            content = self._exchange.read(response, most_bytes)
+        finally:
+            self._exchange.close()
+        if response.status == 503 and response.headers.get('X-Not-Run'):
+            raise EngineError(
+                f'{self.url} is busy',
+                known=verdict.Verdict.NOT_RUN,
+                reason='busy',
+            )
+        return Reply(
+            status=response.status,
+            content_type=response.headers.get('Content-Type', ''),
+            body=content,
+        )
+
+    def abort(self) -> None:
+        self._exchange.abort()
--- /dev/null
+++ b/dandeliongw/events.py
@@ -0,0 +1,106 @@
+"""What can happen to an instance, as the reducer sees it.
+
+Coordination parts bring events of their own; these are the daemon's. All
+carry ``now``, the instance's monotonic clock in seconds.
+"""
+
+import dataclasses
+import enum
+
+from . import verdict
+
+
+class Step(enum.StrEnum):
+    """One piece of blocking work that a request's thread does."""
+
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+    CALL = 'call'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """A caller's request, checked for form but not yet admitted.
+
+    :param service: name in the document.
+    :param streamed: whether it asks a model service for a completion.
+    :param key_sha256: hex digest of the caller's account key, or ``''``.
+    :param idempotency_key: the caller's own key, or ``None``.
+    :param digest: of method, path and body; tells two bodies apart.
+    :param prompt_tokens: an estimate, for admission.
+    :param prefix: digests of the prompt's leading blocks, for cache hints.
+    :param priority: a name in the document, or ``None`` for the route's.
+    :param deadline_s: seconds the caller is willing to wait, from arrival.
+    """
+
+    service: str
+    method: str
+    path: str
+    streamed: bool
+    key_sha256: str
+    idempotency_key: str | None
+    digest: bytes
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix: tuple[str, ...] = ()
+    priority: str | None = None
+    deadline_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestArrived:
+    now: float
+    request_id: str
+    call: Call
+    entropy: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StepEnded:
+    """A request's thread finished, or failed at, one step.
+
+    :param known: what the step proves about the request having run; only
+        meaningful when ``failure`` is set.
+    :param failure: why another attempt might help, or ``None`` on success.
+    :param kv: the prefill's result, by the engine's own handle.
+    :param tokens: prompt tokens computed (prefill) or the next missing
+        offset of the stream (decode).
+    :param cached_tokens: prompt tokens that the prefix cache saved.
+    :param outcome: what a resend would be told; recorded under a claim.
+    """
+
+    now: float
+    request_id: str
+    attempt_id: str
+    step: Step
+    known: verdict.Verdict
+    failure: verdict.RetryReason | None = None
+    message: str = ''
+    kv: str = ''
+    tokens: int = 0
+    cached_tokens: int = 0
+    outcome: bytes = b''
+    entropy: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallerGone:
+    """The caller closed its connection before it had the whole answer."""
+
+    now: float
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RequestClosed:
+    """The request's thread is done with it, however it ended."""
+
+    now: float
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ShutdownBegun:
+    """The process was asked to end (SIGTERM)."""
+
+    now: float
