Settings and the document: validated models that tell every problem

Cause: everything else reads its limits, times and services from these two files, so a fault in them must be told where they enter and not later.

Each problem has the field's path, what was given and what is allowed. References, duplicates and the needs of each kind are checked between fields. A field in another unit (first_token_ms) is told which is meant.

Ruled out: taking pydantic's messages as they are (they echo the value, and a person may paste a token where its digest belongs); lenient types ('5' for 5); JSON's own handling of a name given twice, which keeps the last and would lose a whole list of pools without a word. By trial, the strict Literal[1] took true for the version: now refused.

--- /dev/null
+++ b/dandeliongw/_models.py
@@ -0,0 +1,253 @@
+"""The base of the validated models, and their errors in plain words."""
+
+from collections import abc
+import difflib
+import json
+import typing
+
+import pydantic
+
+from . import exceptions
+
+#: Names that operators choose; safe in URLs, labels and file names.
+Name = typing.Annotated[
+    str,
+    pydantic.StringConstraints(
+        pattern=r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$',
+    ),
+]
+Sha256 = typing.Annotated[
+    str, pydantic.StringConstraints(pattern=r'^[0-9a-f]{64}$')
+]
+Positive = typing.Annotated[float, pydantic.Field(gt=0)]
+PositiveInt = typing.Annotated[int, pydantic.Field(gt=0)]
+NotNegativeInt = typing.Annotated[int, pydantic.Field(ge=0)]
+
+_MEANINGS_BY_PATTERN = {
+    r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$': (
+        '1 to 63 of a-z, 0-9 and -, with no - at either end'
+    ),
+    r'^[0-9a-f]{64}$': '64 hexadecimal digits in lower case (a SHA-256)',
+}
+#: Unit suffixes, so that ``first_token_ms`` is told of ``first_token_s``.
+_UNITS = frozenset(
+    'ms us ns s sec seconds minutes hours bytes kib mib gib kb mb gb '
+    'kbps mbps gbps bits per'.split()
+)
+#: A person may paste the secret itself where its digest belongs.
+_SECRET_WORDS = ('secret', 'sha256', 'token', 'key')
+_LONGEST_SHOWN = 80
+
+M = typing.TypeVar('M', bound='Model')
+
+
+class Model(pydantic.BaseModel):
+    """A frozen model that takes no unknown field and guesses no type.
+
+    Its fields may be checked against each other in :meth:`find_problems`;
+    an object with problems is never made.
+    """
+
+    model_config = pydantic.ConfigDict(
+        frozen=True,
+        extra='forbid',
+        strict=True,
+        allow_inf_nan=False,
+        use_attribute_docstrings=True,
+    )
+
+    def find_problems(self) -> abc.Iterator[exceptions.Problem]:
+        """Yield what is wrong between fields; a hook for subclasses."""
+        return iter(())
+
+    @pydantic.model_validator(mode='after')
+    def _refuse_problems(self) -> typing.Self:
+        problems = tuple(self.find_problems())
+        if problems:
+            raise exceptions.InvalidInput(problems=problems)
+        return self
+
+
+def parse(model: type[M], body: bytes, source: str = '') -> M:
+    """Return ``model`` read from JSON.
+
+    :param source: where the body came from, for the message.
+    :raises InvalidInput: with every problem that can be told.
+    """
+    try:
+        load_json(body, source)
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        problems = _problems(model, error)
+    except exceptions.InvalidInput as error:
+        problems = error.problems
+    raise exceptions.InvalidInput(problems=problems, source=source)
+
+
+def load_json(body: bytes, source: str = '') -> typing.Any:
+    """Return plain JSON values; refuse a name given twice in one object.
+
+    The second would silently replace the first: a whole list of pools could
+    be lost without a word.
+
+    :raises InvalidInput: for text that is no JSON in UTF-8.
+    """
+    try:
+        return json.loads(body, object_pairs_hook=_unique_names)
+    except exceptions.InvalidInput as error:
+        error.source = source
+        raise
+    except (ValueError, RecursionError) as error:
+        problem = exceptions.Problem(
+            path='', given=f'not JSON: {error}', allowed='give JSON in UTF-8'
+        )
+        raise exceptions.InvalidInput(problems=(problem,), source=source)
+
+
+def duplicates(
+    values: abc.Iterable[typing.Any], list_path: str, field: str
+) -> abc.Iterator[exceptions.Problem]:
+    """Yield a problem for each value that stood earlier in the list."""
+    first_by_value: dict[typing.Any, int] = {}
+    for index, value in enumerate(values):
+        first = first_by_value.setdefault(value, index)
+        if first != index:
+            path = f'{list_path}[{index}].{field}'
+            yield exceptions.Problem(
+                path=path,
+                given=_given(path, value),
+                allowed=f'already given in {list_path}[{first}]',
+            )
+
+
+def missing(
+    value: str, known: abc.Collection[str], path: str
+) -> abc.Iterator[exceptions.Problem]:
+    """Yield a problem if ``value`` names nothing that is known."""
+    if value not in known:
+        yield exceptions.Problem(
+            path=path,
+            given=_given(path, value),
+            allowed=f'must be one of: {_choices(known)}',
+        )
+
+
+def _choices(known: abc.Collection[str]) -> str:
+    return ', '.join(sorted(known)) if known else '(none is defined)'
+
+
+def _unique_names(
+    pairs: list[tuple[str, typing.Any]],
+) -> dict[str, typing.Any]:
+    values: dict[str, typing.Any] = {}
+    for name, value in pairs:
+        if name in values:
+            problem = exceptions.Problem(
+                path=name,
+                given='given twice in one object',
+                allowed='give each field once',
+            )
+            raise exceptions.InvalidInput(problems=(problem,))
+        values[name] = value
+    return values
+
+
+def _problems(
+    model: type[Model], error: pydantic.ValidationError
+) -> list[exceptions.Problem]:
+    found = error.errors(include_url=False)
+    return [_problem(model, detail) for detail in found]
+
+
+def _problem(model: type[Model], detail: typing.Any) -> exceptions.Problem:
+    location = detail['loc']
+    path = _path(location)
+    kind = detail['type']
+    if kind == 'extra_forbidden':
+        owner = _model_at(model, location[:-1])
+        return exceptions.Problem(
+            path=path,
+            given='no such field',
+            allowed=_suggestion(str(location[-1]), owner),
+        )
+    if kind == 'missing':
+        return exceptions.Problem(
+            path=path, given='not given', allowed='this field is required'
+        )
+    return exceptions.Problem(
+        path=path,
+        given=_given(path, detail['input']),
+        allowed=_allowed(detail),
+    )
+
+
+def _path(location: abc.Iterable[int | str]) -> str:
+    path = ''
+    for part in location:
+        if isinstance(part, int):
+            path += f'[{part}]'
+        else:
+            path += f'.{part}' if path else part
+    return path
+
+
+def _given(path: str, value: typing.Any) -> str:
+    field = path.rpartition('.')[2]
+    if any(word in field for word in _SECRET_WORDS):
+        return 'a value that is not shown'
+    if isinstance(value, (dict, Model)):
+        return 'given an object'
+    if isinstance(value, (list, tuple)):
+        return f'given a list of {len(value)}'
+    text = json.dumps(value, ensure_ascii=False, default=str)
+    if len(text) > _LONGEST_SHOWN:
+        text = text[:_LONGEST_SHOWN] + '…'
+    return f'given {text}'
+
+
+def _allowed(detail: typing.Any) -> str:
+    pattern = detail.get('ctx', {}).get('pattern')
+    if pattern in _MEANINGS_BY_PATTERN:
+        return 'must be ' + _MEANINGS_BY_PATTERN[pattern]
+    message = detail['msg'].removeprefix('Value error, ')
+    return message[:1].lower() + message[1:]
+
+
+def _suggestion(name: str, owner: type[Model]) -> str:
+    fields = list(owner.model_fields)
+    stem = _without_unit(name)
+    meant = [field for field in fields if _without_unit(field) == stem]
+    if not meant:
+        meant = difflib.get_close_matches(name, fields, n=1)
+    if meant:
+        return f'did you mean {meant[0]!r}?'
+    return f'the fields here are: {", ".join(fields)}'
+
+
+def _without_unit(name: str) -> tuple[str, ...]:
+    words = name.split('_')
+    while len(words) > 1 and words[-1].lower() in _UNITS:
+        words.pop()
+    return tuple(words)
+
+
+def _model_at(
+    model: type[Model], location: abc.Iterable[int | str]
+) -> type[Model]:
+    """Return the model that an error's location leads to."""
+    current = model
+    for part in location:
+        if isinstance(part, str):
+            annotation = current.model_fields[part].annotation
+            current = _find_model(annotation) or current
+    return current
+
+
+def _find_model(annotation: typing.Any) -> type[Model] | None:
+    if isinstance(annotation, type) and issubclass(annotation, Model):
+        return annotation
+    for argument in typing.get_args(annotation):
+        found = _find_model(argument)
+        if found is not None:
+            return found
+    return None
--- /dev/null
+++ b/dandeliongw/document.py
@@ -0,0 +1,344 @@
+"""The one document that says what the system does for its callers.
+
+The console, the command line and the HTTP API all produce it, and it is the
+only way to change anything. Units are part of the fields' names.
+"""
+
+from collections import abc
+import functools
+import json
+import typing
+
+import pydantic
+
+from . import _models
+from . import exceptions
+
+#: The only version that this release reads and writes.
+VERSION = 1
+
+ServiceKind = typing.Literal['model', 'plain']
+PoolRole = typing.Literal['prefill', 'decode', 'plain']
+Method = typing.Literal[
+    'GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'
+]
+#: A trailing ``*`` matches whatever follows.
+RoutePath = typing.Annotated[
+    str, pydantic.StringConstraints(pattern=r'^/[!-)+->@-~]*\*?$')
+]
+NotNegative = typing.Annotated[float, pydantic.Field(ge=0)]
+
+#: The fields that a pool of each role can't be planned without.
+_POOL_NEEDS_BY_ROLE = {
+    'prefill': (
+        'link_bytes_per_s',
+        'kv_bytes_per_token',
+        'prefill_tokens_per_s',
+    ),
+    'decode': ('link_bytes_per_s', 'decode_tokens_per_s'),
+    'plain': (),
+}
+_MODEL_POOL_FIELDS = (
+    'link_bytes_per_s',
+    'kv_bytes_per_token',
+    'prefill_tokens_per_s',
+    'decode_tokens_per_s',
+)
+_ROLES_BY_KIND = {'model': ('prefill', 'decode'), 'plain': ('plain',)}
+_TARGETS = ('first_token_s', 'token_gap_s')
+
+
+class Weights(_models.Model):
+    """What a loss of each measure counts when the policy must choose."""
+
+    goodput: NotNegative = 1.0
+    wasted_prefill: NotNegative = 1.0
+
+
+class Service(_models.Model):
+    """Something that callers ask for by name."""
+
+    name: _models.Name
+    kind: ServiceKind
+    first_token_s: _models.Positive | None = None
+    """Target for the time to the first token; model services only."""
+    token_gap_s: _models.Positive | None = None
+    """Target for the time between tokens; model services only."""
+    timeout_s: _models.Positive
+    """The longest that a request may take in all."""
+    weights: Weights = Weights()
+
+
+class Pool(_models.Model):
+    """Backend servers of one role for one service, by their nominal rates."""
+
+    name: _models.Name
+    service: _models.Name
+    role: PoolRole
+    slots: _models.PositiveInt
+    """Requests that one backend server works on at a time."""
+    link_bytes_per_s: _models.Positive | None = None
+    """Rate of one backend server's link to the other pool."""
+    kv_bytes_per_token: _models.Positive | None = None
+    prefill_tokens_per_s: _models.Positive | None = None
+    decode_tokens_per_s: _models.Positive | None = None
+    """Of one backend server, all of its slots together."""
+    cell_size: _models.PositiveInt = 32
+    """Backend servers to one cell, and so to one owner of their slots."""
+
+
+class Priority(_models.Model):
+    """A class of work."""
+
+    name: _models.Name
+    rank: _models.NotNegativeInt
+    """0 is the most urgent."""
+    max_wait_s: _models.Positive
+    """Work that has waited so long goes ahead of more urgent work."""
+
+
+class Route(_models.Model):
+    """Which calls a service takes, and whether one may be repeated."""
+
+    service: _models.Name
+    method: Method
+    path: RoutePath
+    idempotent: bool
+    """``false``: such a call runs at most once."""
+    priority: _models.Name | None = None
+    """Goes before the account's own."""
+
+    def matches(self, method: str, path: str) -> bool:
+        """Whether a call with this method and path is meant."""
+        if method != self.method:
+            return False
+        if self.path.endswith('*'):
+            return path.startswith(self.path[:-1])
+        return path == self.path
+
+
+class Account(_models.Model):
+    """A caller."""
+
+    name: _models.Name
+    key_sha256: _models.Sha256
+    """SHA-256 of the caller's key; the key itself is kept nowhere."""
+    services: tuple[_models.Name, ...]
+    """What the caller may ask for."""
+    share: _models.Positive = 1.0
+    """Weight against the other accounts where work has to wait."""
+    max_in_flight: _models.PositiveInt
+    requests_per_s: _models.Positive
+    priority: _models.Name
+    """Of calls whose route names none."""
+
+
+class Document(_models.Model):
+    """The whole description; without any service it is the first state."""
+
+    version: typing.Literal[1]
+    services: tuple[Service, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    priorities: tuple[Priority, ...] = ()
+    routes: tuple[Route, ...] = ()
+    accounts: tuple[Account, ...] = ()
+
+    @functools.cached_property
+    def services_by_name(self) -> abc.Mapping[str, Service]:
+        """Every service by its name."""
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def pools_by_name(self) -> abc.Mapping[str, Pool]:
+        """Every pool by its name."""
+        return {pool.name: pool for pool in self.pools}
+
+    @functools.cached_property
+    def priorities_by_name(self) -> abc.Mapping[str, Priority]:
+        """Every priority by its name."""
+        return {priority.name: priority for priority in self.priorities}
+
+    @functools.cached_property
+    def accounts_by_key_sha256(self) -> abc.Mapping[str, Account]:
+        """Every account by the digest of its key."""
+        return {account.key_sha256: account for account in self.accounts}
+
+    @functools.cached_property
+    def _routes_by_service(self) -> abc.Mapping[str, list[Route]]:
+        """Routes of each service, the one that decides first."""
+        routes: dict[str, list[Route]] = {}
+        for route in sorted(self.routes, key=_precedence):
+            routes.setdefault(route.service, []).append(route)
+        return routes
+
+    def pools_of(self, service: str) -> tuple[Pool, ...]:
+        """Return the pools of a service, in the document's order."""
+        return tuple(pool for pool in self.pools if pool.service == service)
+
+    def route_for(self, service: str, method: str, path: str) -> Route | None:
+        """Return the route that decides a call, or ``None``.
+
+        An exact path goes before one with ``*``, a longer before a shorter.
+
+        :param path: without the query.
+        """
+        for route in self._routes_by_service.get(service, ()):
+            if route.matches(method, path):
+                return route
+        return None
+
+    def find_problems(self) -> abc.Iterator[exceptions.Problem]:
+        yield from self._find_duplicates()
+        yield from self._find_dangling()
+        for index, service in enumerate(self.services):
+            yield from self._check_service(service, f'services[{index}]')
+        for index, pool in enumerate(self.pools):
+            yield from self._check_pool(pool, f'pools[{index}]')
+
+    def _find_duplicates(self) -> abc.Iterator[exceptions.Problem]:
+        for path in ('services', 'pools', 'priorities', 'accounts'):
+            names = [entry.name for entry in getattr(self, path)]
+            yield from _models.duplicates(names, path, 'name')
+        ranks = [priority.rank for priority in self.priorities]
+        yield from _models.duplicates(ranks, 'priorities', 'rank')
+        calls = [
+            f'{route.service} {route.method} {route.path}'
+            for route in self.routes
+        ]
+        yield from _models.duplicates(calls, 'routes', 'path')
+        digests = [account.key_sha256 for account in self.accounts]
+        yield from _models.duplicates(digests, 'accounts', 'key_sha256')
+
+    def _find_dangling(self) -> abc.Iterator[exceptions.Problem]:
+        services = self.services_by_name.keys()
+        priorities = self.priorities_by_name.keys()
+        for index, pool in enumerate(self.pools):
+            path = f'pools[{index}].service'
+            yield from _models.missing(pool.service, services, path)
+        for index, route in enumerate(self.routes):
+            path = f'routes[{index}]'
+            yield from _models.missing(
+                route.service, services, f'{path}.service'
+            )
+            if route.priority is not None:
+                yield from _models.missing(
+                    route.priority, priorities, f'{path}.priority'
+                )
+        for index, account in enumerate(self.accounts):
+            path = f'accounts[{index}]'
+            for place, service in enumerate(account.services):
+                yield from _models.missing(
+                    service, services, f'{path}.services[{place}]'
+                )
+            yield from _models.missing(
+                account.priority, priorities, f'{path}.priority'
+            )
+
+    def _check_service(
+        self, service: Service, path: str
+    ) -> abc.Iterator[exceptions.Problem]:
+        if not service.weights.goodput + service.weights.wasted_prefill:
+            yield exceptions.Problem(
+                path=f'{path}.weights',
+                given='both given 0',
+                allowed='at least one must be more than 0',
+            )
+        for field in _TARGETS:
+            given = getattr(service, field) is not None
+            if given != (service.kind == 'model'):
+                yield _presence_problem(
+                    f'{path}.{field}', given, f'{service.kind} service'
+                )
+        found = {pool.role for pool in self.pools_of(service.name)}
+        for role in _ROLES_BY_KIND[service.kind]:
+            if role not in found:
+                yield exceptions.Problem(
+                    path=path,
+                    given=f'{service.name!r} has no {role} pool',
+                    allowed=f'a {service.kind} service needs at least one',
+                )
+
+    def _check_pool(
+        self, pool: Pool, path: str
+    ) -> abc.Iterator[exceptions.Problem]:
+        service = self.services_by_name.get(pool.service)
+        if service is not None:
+            roles = _ROLES_BY_KIND[service.kind]
+            if pool.role not in roles:
+                yield exceptions.Problem(
+                    path=f'{path}.role',
+                    given=f'given "{pool.role}"',
+                    allowed=(
+                        f'{pool.service!r} is a {service.kind} service, '
+                        f'whose pools are: {", ".join(roles)}'
+                    ),
+                )
+        for field in _POOL_NEEDS_BY_ROLE[pool.role]:
+            if getattr(pool, field) is None:
+                yield _presence_problem(
+                    f'{path}.{field}', False, f'{pool.role} pool'
+                )
+        if pool.role == 'plain':
+            for field in _MODEL_POOL_FIELDS:
+                if getattr(pool, field) is not None:
+                    yield _presence_problem(
+                        f'{path}.{field}', True, 'plain pool'
+                    )
+
+
+#: The first state of a new system.
+EMPTY = Document(version=VERSION)
+
+
+def parse_document(body: bytes, source: str = '') -> Document:
+    """Return the document that JSON describes.
+
+    :raises InvalidInput: with every problem; a document of another version
+        is told only that.
+    """
+    value = _models.load_json(body, source)
+    if isinstance(value, dict):
+        _check_version(value, source)
+    return _models.parse(Document, body, source)
+
+
+def document_bytes(document: Document) -> bytes:
+    """Return canonical JSON: equal documents give equal bytes."""
+    value = document.model_dump(mode='json', exclude_none=True)
+    text = json.dumps(
+        value, sort_keys=True, separators=(',', ':'), ensure_ascii=False
+    )
+    return text.encode()
+
+
+def _check_version(value: dict[str, typing.Any], source: str) -> None:
+    version = value.get('version')
+    # ``True`` equals 1, but is no version.
+    if version == VERSION and type(version) is int:
+        return
+    given = f'given {version!r}' if 'version' in value else 'not given'
+    problem = exceptions.Problem(
+        path='version',
+        given=given,
+        allowed=(
+            f'this release reads version {VERSION} only; a newer one may '
+            'read others'
+        ),
+    )
+    raise exceptions.InvalidInput(problems=(problem,), source=source)
+
+
+def _precedence(route: Route) -> tuple[bool, int]:
+    return route.path.endswith('*'), -len(route.path)
+
+
+def _presence_problem(
+    path: str, given: bool, owner: str
+) -> exceptions.Problem:
+    if given:
+        return exceptions.Problem(
+            path=path, given='given', allowed=f'a {owner} has none'
+        )
+    return exceptions.Problem(
+        path=path, given='not given', allowed=f'a {owner} needs it'
+    )
--- /dev/null
+++ b/dandeliongw/settings.py
@@ -0,0 +1,275 @@
+"""What one process reads from its own file before it does anything.
+
+Settings say who and where this instance is. What the system does for its
+callers is in the shared document (:mod:`dandeliongw.document`) instead.
+Every time is in seconds, every size in bytes.
+"""
+
+from collections import abc
+import functools
+import ipaddress
+import pathlib
+import typing
+
+import pydantic
+
+from . import _models
+from . import exceptions
+
+MIB = 1024 * 1024
+MAX_PORT = 65535
+
+Port = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
+LogLevel = typing.Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
+
+
+def _check_ip(host: str) -> str:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError('must be an IP number, such as 10.0.1.5')
+    return host
+
+
+#: Instances find each other by IP number; no name service is asked.
+IpNumber = typing.Annotated[str, pydantic.AfterValidator(_check_ip)]
+
+
+class Address(_models.Model):
+    """Where to listen; port 0 lets the system choose one."""
+
+    host: IpNumber
+    port: Port
+
+    def show(self) -> str:
+        """Return ``host:port``, with an IPv6 number in brackets."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
+
+
+class Listen(Address):
+    """An HTTP port with its threads."""
+
+    threads: _models.PositiveInt = 200
+    """Requests and streams that are served at one time."""
+    queue: _models.PositiveInt = 64
+    """Connections that wait for a thread; more are refused."""
+    advertised: IpNumber | None = None
+    """The number that others are told, where it isn't ``host``."""
+
+
+class ControlListen(Listen):
+    """The port for backend servers and operators."""
+
+    threads: _models.PositiveInt = 16
+
+
+class PeerSettings(_models.Model):
+    """One instance as all the others find it."""
+
+    instance_id: _models.Name
+    host: IpNumber
+    port: Port
+    data_centre: _models.Name
+    region: _models.Name
+    voter: bool = False
+    """Holds a copy of the register and of claims; needs a data folder."""
+
+
+class Operator(_models.Model):
+    """Who may read and change the document."""
+
+    name: _models.Name
+    token_sha256: _models.Sha256
+    """SHA-256 of the operator's token; the token itself is kept nowhere."""
+
+
+class Limits(_models.Model):
+    """What one instance takes on; what is more is refused at once."""
+
+    max_body_bytes: _models.PositiveInt = 8 * MIB
+    max_requests: _models.PositiveInt = 192
+    """Requests in hand at one time, streams and lookups together."""
+    max_streams: _models.PositiveInt = 160
+    """Streams from model engines at one time."""
+    reserved_lookups: _models.NotNegativeInt = 32
+    """Threads that streams never take, so that lookups stay quick."""
+    max_outcome_bytes: _models.PositiveInt = 65536
+    """The longest recorded answer of a non-idempotent call."""
+
+
+class Timeouts(_models.Model):
+    """All in seconds."""
+
+    connect_s: _models.Positive = 1.0
+    first_byte_s: _models.Positive = 10.0
+    stall_s: _models.Positive = 3.0
+    """Silence on an open connection before a new one is tried."""
+    confirm_ttl_s: _models.Positive = 5.0
+    """How long a majority's word on the revision lets work in."""
+    entries_ttl_s: _models.Positive = 10.0
+    """How long callers may keep the list of entries."""
+    lease_s: _models.Positive = 2.0
+    lease_margin_s: _models.Positive = 0.25
+    """The holder stops this long before the lease's end."""
+    presence_s: _models.Positive = 3.0
+    """A backend server that hasn't renewed for so long gets no work."""
+    renew_s: _models.Positive = 1.0
+    claim_retention_s: _models.Positive = 86400.0
+    """How long a resend gets the recorded outcome."""
+    shutdown_s: _models.Positive = 60.0
+    """How long a graceful shutdown waits for requests in flight."""
+
+    def find_problems(self) -> abc.Iterator[exceptions.Problem]:
+        pairs = (('lease_margin_s', 'lease_s'), ('renew_s', 'presence_s'))
+        for short, long in pairs:
+            if getattr(self, short) >= getattr(self, long):
+                yield exceptions.Problem(
+                    path=f'timeouts.{short}',
+                    given=f'given {getattr(self, short)}',
+                    allowed=(
+                        f'must be less than timeouts.{long}, which is '
+                        f'{getattr(self, long)}'
+                    ),
+                )
+
+
+class Settings(_models.Model):
+    """The whole settings file of one instance."""
+
+    instance_id: _models.Name
+    data_centre: _models.Name
+    region: _models.Name
+    data_folder: str | None = None
+    """Where a voter keeps what must survive; nothing else is written."""
+    callers: Listen
+    control: ControlListen
+    peer: Address
+    """Where the other instances connect to."""
+    peers: tuple[PeerSettings, ...]
+    """Every instance, this one included; the same list on all of them."""
+    peer_secret: str | None = pydantic.Field(
+        default=None, min_length=16, repr=False
+    )
+    """What instances prove themselves to each other with."""
+    operators: tuple[Operator, ...] = ()
+    backend_key_sha256: _models.Sha256 | None = None
+    """SHA-256 of the key that backend servers announce themselves with."""
+    limits: Limits = Limits()
+    timeouts: Timeouts = Timeouts()
+    log_level: LogLevel = 'INFO'
+
+    @functools.cached_property
+    def peers_by_id(self) -> abc.Mapping[str, PeerSettings]:
+        """Every instance by its id, this one included."""
+        return {peer.instance_id: peer for peer in self.peers}
+
+    @functools.cached_property
+    def operators_by_token_sha256(self) -> abc.Mapping[str, Operator]:
+        """Every operator by the digest of the token."""
+        return {entry.token_sha256: entry for entry in self.operators}
+
+    def find_problems(self) -> abc.Iterator[exceptions.Problem]:
+        yield from self._find_duplicates()
+        yield from self._check_own_entry()
+        yield from self._check_addresses()
+        yield from self._check_limits()
+
+    def _find_duplicates(self) -> abc.Iterator[exceptions.Problem]:
+        ids = [peer.instance_id for peer in self.peers]
+        yield from _models.duplicates(ids, 'peers', 'instance_id')
+        # Port 0 is no address yet, so each of them counts as its own.
+        addresses = [
+            Address(host=peer.host, port=peer.port).show()
+            if peer.port
+            else object()
+            for peer in self.peers
+        ]
+        yield from _models.duplicates(addresses, 'peers', 'port')
+        names = [entry.name for entry in self.operators]
+        yield from _models.duplicates(names, 'operators', 'name')
+        digests = [entry.token_sha256 for entry in self.operators]
+        yield from _models.duplicates(digests, 'operators', 'token_sha256')
+
+    def _check_own_entry(self) -> abc.Iterator[exceptions.Problem]:
+        own = self.peers_by_id.get(self.instance_id)
+        if own is None:
+            yield from _models.missing(
+                self.instance_id, self.peers_by_id.keys(), 'instance_id'
+            )
+            return
+        for field in ('data_centre', 'region'):
+            mine, listed = getattr(self, field), getattr(own, field)
+            if mine != listed:
+                yield exceptions.Problem(
+                    path=field,
+                    given=f'given "{mine}"',
+                    allowed=f'must be as in peers, which says "{listed}"',
+                )
+        if own.voter and self.data_folder is None:
+            yield exceptions.Problem(
+                path='data_folder',
+                given='not given',
+                allowed='a voter needs one: its promises must survive',
+            )
+
+    def _check_addresses(self) -> abc.Iterator[exceptions.Problem]:
+        path_by_address: dict[str, str] = {}
+        for path in ('callers', 'control', 'peer'):
+            address: Address = getattr(self, path)
+            shown = address.show()
+            first = path_by_address.setdefault(shown, path)
+            if first != path and address.port:
+                yield exceptions.Problem(
+                    path=f'{path}.port',
+                    given=f'given {shown}',
+                    allowed=f'already taken by {first}',
+                )
+        host = ipaddress.ip_address(self.callers.host)
+        if host.is_unspecified and self.callers.advertised is None:
+            yield exceptions.Problem(
+                path='callers.advertised',
+                given='not given',
+                allowed=f'callers cannot connect to {host}: give a number',
+            )
+
+    def _check_limits(self) -> abc.Iterator[exceptions.Problem]:
+        threads = self.callers.threads
+        wanted = self.limits.max_streams + self.limits.reserved_lookups
+        if wanted > threads:
+            yield exceptions.Problem(
+                path='limits.max_streams',
+                given=f'{wanted} together with limits.reserved_lookups',
+                allowed=f'must fit in callers.threads, which is {threads}',
+            )
+        if self.limits.max_requests > threads:
+            yield exceptions.Problem(
+                path='limits.max_requests',
+                given=f'given {self.limits.max_requests}',
+                allowed=f'must fit in callers.threads, which is {threads}',
+            )
+
+
+def parse_settings(body: bytes, source: str = '') -> Settings:
+    """Return the settings that JSON describes.
+
+    :raises InvalidInput: with every problem.
+    """
+    return _models.parse(Settings, body, source)
+
+
+def load_settings(path: str | pathlib.Path) -> Settings:
+    """Return the settings in the file at ``path``.
+
+    :raises InvalidInput: with every problem, or that it can't be read.
+    """
+    try:
+        body = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        problem = exceptions.Problem(
+            path='',
+            given=f'cannot be read: {error.strerror}',
+            allowed='give the path of a settings file',
+        )
+        raise exceptions.InvalidInput(problems=(problem,), source=str(path))
+    return parse_settings(body, str(path))
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,117 @@
+"""Settings are refused with every problem, its place and what may stand."""
+
+import copy
+import json
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import exceptions
+from dandeliongw import settings
+
+SECRET = 'a-secret-that-nobody-may-see'
+
+VALID = {
+    'instance_id': 'gw-1',
+    'data_centre': 'austin-a',
+    'region': 'tx-central',
+    'data_folder': '/var/lib/dandeliongw',
+    'callers': {'host': '127.0.0.1', 'port': 0},
+    'control': {'host': '127.0.0.1', 'port': 0},
+    'peer': {'host': '127.0.0.1', 'port': 7101},
+    'peers': [
+        {
+            'instance_id': 'gw-1',
+            'host': '127.0.0.1',
+            'port': 7101,
+            'data_centre': 'austin-a',
+            'region': 'tx-central',
+            'voter': True,
+        }
+    ],
+}
+
+
+def changed(path: str, value: object) -> bytes:
+    """Return the valid settings with one dotted field set."""
+    tree = copy.deepcopy(VALID)
+    *parents, last = path.split('.')
+    target = tree
+    for name in parents:
+        target = target.setdefault(name, {})
+    target[last] = value
+    return json.dumps(tree).encode()
+
+
+def problems_of(body: bytes) -> tuple[exceptions.Problem, ...]:
+    try:
+        settings.parse_settings(body)
+    except exceptions.InvalidInput as error:
+        return error.problems
+    raise AssertionError('these settings were accepted')
+
+
+class SettingsTest(unittest.TestCase):
+    def test_defaults(self):
+        found = settings.parse_settings(json.dumps(VALID).encode())
+        self.assertEqual(200, found.callers.threads)
+        self.assertEqual(16, found.control.threads)
+        self.assertEqual(8 * 1024 * 1024, found.limits.max_body_bytes)
+        self.assertEqual(0.25, found.timeouts.lease_margin_s)
+        self.assertTrue(found.peers_by_id['gw-1'].voter)
+
+    @params(
+        ('data_folder', None, 'data_folder'),
+        ('instance_id', 'gw-9', 'instance_id'),
+        ('data_centre', 'waco-hall', 'data_centre'),
+        ('peers', VALID['peers'] * 2, 'peers[1].instance_id'),
+        ('callers.host', 'gateway.example', 'callers.host'),
+        ('callers.host', '0.0.0.0', 'callers.advertised'),
+        ('control.port', 65536, 'control.port'),
+        ('callers.port', 7101, 'peer.port'),
+        ('callers.threads', '200', 'callers.threads'),
+        ('limits.reserved_lookups', 41, 'limits.max_streams'),
+        ('timeouts.lease_margin_s', 2, 'timeouts.lease_margin_s'),
+        ('timeouts.renew_s', 0, 'timeouts.renew_s'),
+        ('log_level', 'LOUD', 'log_level'),
+    )
+    def test_refused_with_its_path(self, path, value, told):
+        problems = problems_of(changed(path, value))
+        self.assertIn(told, [problem.path for problem in problems])
+
+    def test_every_problem_is_told(self):
+        tree = VALID | {'log_level': 'LOUD', 'region': 5, 'colour': 'red'}
+        problems = problems_of(json.dumps(tree).encode())
+        self.assertEqual(
+            {'log_level', 'region', 'colour'},
+            {problem.path for problem in problems},
+        )
+
+    def test_another_unit_is_told_which_field_is_meant(self):
+        (problem,) = problems_of(changed('timeouts.lease_ms', 2000))
+        self.assertEqual('timeouts.lease_ms', problem.path)
+        self.assertEqual("did you mean 'lease_s'?", problem.allowed)
+
+    @params(
+        ('peer_secret', 5, 'peer_secret'),
+        ('peer_secrets', SECRET, 'peer_secrets'),
+        ('backend_key_sha256', SECRET, 'backend_key_sha256'),
+        (
+            'operators',
+            [{'name': 'ana', 'token_sha256': SECRET}],
+            'operators[0].token_sha256',
+        ),
+    )
+    def test_a_misplaced_secret_is_not_shown(self, path, value, told):
+        (problem,) = problems_of(changed(path, value))
+        self.assertEqual(told, problem.path)
+        self.assertNotIn(SECRET, str(problem))
+
+    def test_the_secret_is_not_in_the_representation(self):
+        found = settings.parse_settings(changed('peer_secret', SECRET))
+        self.assertNotIn(SECRET, repr(found))
+
+    def test_a_file_that_cannot_be_read(self):
+        with self.assertRaises(exceptions.InvalidInput) as raised:
+            settings.load_settings('/nowhere/settings.json')
+        self.assertIn('/nowhere/settings', raised.exception.format_message())
