Logs as JSON lines and metrics with every reason from the start

Cause: operators need a counter for each refusal and retry reason, and logs that machines can read and that hold no secret.

Ruled out: loguru's own tracebacks, which print variables' values and so secrets; the global prometheus registry, which two instances in one process would share; labels by account, 1,200 of them at the planned size.

--- /dev/null
+++ b/dandeliongw/metrics.py
@@ -0,0 +1,214 @@
+"""Counters, gauges and histograms of one instance.
+
+Every value of every reason exists at zero from the start, so that a rate
+over a counter that has never moved is zero and not missing.
+"""
+
+import enum
+import typing
+
+import prometheus_client
+
+from . import verdict as verdicts
+from . import waste
+
+NAMESPACE = 'dandeliongw'
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+
+#: Seconds, close together around the targets of 0.55 s and of tens of s.
+FIRST_TOKEN_BUCKETS = (
+    *(0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.55, 0.6, 0.8),
+    *(1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0),
+)
+#: Seconds, close together around the target of 34 ms.
+TOKEN_GAP_BUCKETS = (
+    *(0.005, 0.01, 0.02, 0.025, 0.03, 0.034, 0.04, 0.05),
+    *(0.075, 0.1, 0.2, 0.5, 1.0, 3.0),
+)
+
+
+class Targets(enum.StrEnum):
+    """Whether an answer met both latency targets (goodput) or not."""
+
+    MET = 'met'
+    MISSED = 'missed'
+
+
+class Metrics:
+    """All metrics of one instance, in a registry of their own.
+
+    Safe to call from any thread.
+
+    :param registry: where to register; a new one by default.
+    """
+
+    def __init__(
+        self, *, registry: prometheus_client.CollectorRegistry | None = None
+    ) -> None:
+        self.registry = registry or prometheus_client.CollectorRegistry()
+        self._make_counters()
+        self._make_gauges()
+        self._make_histograms()
+
+    def _make_counters(self) -> None:
+        self.answers = self._counter(
+            'answers', 'Answers to callers.', 'verdict', verdicts.Verdict
+        )
+        self.refusals = self._counter(
+            'refusals',
+            'Requests that got an error instead of a result.',
+            'reason',
+            verdicts.RefusalReason,
+        )
+        self.retries = self._counter(
+            'retries',
+            'Attempts after the first.',
+            'reason',
+            verdicts.RetryReason,
+        )
+        self.wasted_prefill = self._counter(
+            'wasted_prefill_tokens',
+            'Prompt tokens whose prefill was thrown away or done again.',
+            'reason',
+            waste.WasteReason,
+        )
+        self.prefill = prometheus_client.Counter(
+            'prefill_tokens',
+            'Prompt tokens that were prefilled, wasted ones included.',
+            namespace=NAMESPACE,
+            registry=self.registry,
+        )
+        self.streams = prometheus_client.Counter(
+            'streams',
+            'Answers of model services, by whether both targets were met.',
+            ['service', 'targets'],
+            namespace=NAMESPACE,
+            registry=self.registry,
+        )
+
+    def _make_gauges(self) -> None:
+        self.configuration_revision = self._gauge(
+            'configuration_revision', 'The revision that is in force here.'
+        )
+        self.configuration_age = self._gauge(
+            'configuration_age_seconds',
+            'Time since a majority confirmed that revision.',
+        )
+        self.members = self._gauge(
+            'members', 'Instances that are heard of, this one included.'
+        )
+        self.backends = self._gauge(
+            'backends', 'Backend servers that may get work.', 'pool'
+        )
+        self.slots = self._gauge(
+            'slots', 'Slots of the cells that this instance owns.', 'pool'
+        )
+        self.slots_used = self._gauge(
+            'slots_used', 'Of these, booked or busy.', 'pool'
+        )
+        self.queue = self._gauge(
+            'queue', 'Requests that wait for a slot of these cells.', 'pool'
+        )
+
+    def _make_histograms(self) -> None:
+        self.first_token = self._histogram(
+            'first_token_seconds',
+            'Time from arrival to the first token.',
+            FIRST_TOKEN_BUCKETS,
+        )
+        self.token_gap = self._histogram(
+            'token_gap_seconds',
+            'Time between tokens sent to a caller.',
+            TOKEN_GAP_BUCKETS,
+        )
+
+    def count_answer(self, verdict: verdicts.Verdict) -> None:
+        """Count one answer of any kind to a caller."""
+        self.answers.labels(verdict.value).inc()
+
+    def count_refusal(self, refusal: verdicts.Refusal) -> None:
+        """Count one refusal, as an answer too."""
+        self.refusals.labels(refusal.reason.value).inc()
+        self.count_answer(refusal.verdict)
+
+    def count_retry(self, reason: verdicts.RetryReason) -> None:
+        """Count one attempt after the first."""
+        self.retries.labels(reason.value).inc()
+
+    def count_wasted_prefill(
+        self, reason: waste.WasteReason, tokens: int
+    ) -> None:
+        """Count prompt tokens whose prefill was of no use."""
+        self.wasted_prefill.labels(reason.value).inc(tokens)
+
+    def count_stream(self, service: str, targets: Targets) -> None:
+        """Count one whole answer of a model service."""
+        self.streams.labels(service, targets.value).inc()
+
+    def observe_first_token(self, service: str, seconds: float) -> None:
+        """Record the time from a request's arrival to its first token."""
+        self.first_token.labels(service).observe(seconds)
+
+    def observe_token_gap(self, service: str, seconds: float) -> None:
+        """Record the time between two tokens of one stream."""
+        self.token_gap.labels(service).observe(seconds)
+
+    def set_pool(
+        self, pool: str, *, backends: int, slots: int, used: int, queue: int
+    ) -> None:
+        """Set all gauges of one pool."""
+        self.backends.labels(pool).set(backends)
+        self.slots.labels(pool).set(slots)
+        self.slots_used.labels(pool).set(used)
+        self.queue.labels(pool).set(queue)
+
+    def forget_pool(self, pool: str) -> None:
+        """Drop a pool's gauges once the document no longer has it.
+
+        They would stay at their last values, and look like spare slots.
+        """
+        gauges = (self.backends, self.slots, self.slots_used, self.queue)
+        for gauge in gauges:
+            gauge.remove(pool)
+
+    def render(self) -> bytes:
+        """Return the text that Prometheus reads."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def value(self, name: str, **labels: str) -> float:
+        """Return one sample by its full name; 0 where there is none."""
+        found = self.registry.get_sample_value(f'{NAMESPACE}_{name}', labels)
+        return found or 0.0
+
+    def _counter(
+        self, name: str, text: str, label: str, values: type[enum.StrEnum]
+    ) -> prometheus_client.Counter:
+        counter = prometheus_client.Counter(
+            name,
+            text,
+            [label],
+            namespace=NAMESPACE,
+            registry=self.registry,
+        )
+        for value in values:
+            counter.labels(value.value)
+        return counter
+
+    def _gauge(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            name, text, labels, namespace=NAMESPACE, registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, buckets: typing.Sequence[float]
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            name,
+            text,
+            ['service'],
+            namespace=NAMESPACE,
+            registry=self.registry,
+            buckets=buckets,
+        )
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,63 @@
+"""Log lines are JSON, carry the bound ids, and hold no secret."""
+
+import io
+import json
+import unittest
+
+from loguru import logger
+from nose2.tools import params
+
+from dandeliongw import logs
+
+SECRET = 'correct "horse" battery'
+
+
+class LogsTest(unittest.TestCase):
+    def setUp(self):
+        self.stream = io.StringIO()
+        logs.configure(
+            instance_id='gw-1',
+            data_centre='austin-a',
+            secrets=[SECRET],
+            stream=self.stream,
+        )
+        self.addCleanup(logger.remove)
+
+    def line(self) -> dict:
+        (line,) = self.stream.getvalue().splitlines()
+        return json.loads(line)
+
+    def test_ids_are_bound_for_the_block_only(self):
+        with logs.bound(request_id='r-1', attempt_id='a-1'):
+            logger.info('sent')
+        logger.info('idle')
+        first, second = map(json.loads, self.stream.getvalue().splitlines())
+        self.assertEqual('r-1', first['request_id'])
+        self.assertEqual('a-1', first['attempt_id'])
+        self.assertEqual('gw-1', first['instance'])
+        self.assertNotIn('request_id', second)
+
+    def test_a_line_break_does_not_start_a_line(self):
+        logger.info('one\n{"message": "forged"}')
+        self.assertTrue(self.line()['message'].startswith('one\n'))
+
+    @params('token', 'peer_secret', 'Authorization', 'key')
+    def test_secret_fields_are_hidden(self, name):
+        logger.info('asked', headers={name: 'open sesame'})
+        self.assertEqual({name: logs.HIDDEN}, self.line()['headers'])
+
+    def test_a_secret_in_an_exception_is_hidden(self):
+        try:
+            raise ValueError(f'bad proof {SECRET}')
+        except ValueError:
+            logger.exception('refused')
+        self.assertIn('bad proof ' + logs.HIDDEN, self.line()['exception'])
+        self.assertNotIn('horse', self.stream.getvalue())
+
+    def test_a_count_of_tokens_is_shown(self):
+        logger.info('done', tokens=7)
+        self.assertEqual(7, self.line()['tokens'])
+
+    def test_a_field_cannot_replace_the_instance(self):
+        logger.info('heard', instance='gw-2')
+        self.assertEqual('gw-1', self.line()['instance'])
