Cells: the owner's contract with entries, bookings as leases

Cause: two instances can both spend the same free slot when each picks for itself. One owner books pairs; entries renew; orphans are cancelled until the engine confirms. The choice is round robin for now. Added to the contract: Queued, so that admitted work can wait its turn without looking like a lost Book.

--- /dev/null
+++ b/dandeliongw/cells.py
@@ -0,0 +1,565 @@
+"""A cell at its owner: exact bookings of slots, as leases.
+
+A cell is the backend servers of one service in one region, or a part of
+them. Exactly one instance owns it, under a lease with an epoch, so that two
+instances can't both spend the same free slot. The cell is a state machine:
+all time comes in events, all work leaves as effects.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from .coordination import parts
+from .policy import BackendState
+from .policy import Booking
+from .policy import CellBackend
+from .policy import CellTerms
+from .policy import CellView
+from .policy import Decline
+from .policy import Place
+from .policy import Policy
+from .policy import Role
+from .policy import Stage
+from .policy import Wait
+from .verdict import RefusalReason
+
+#: A booking that its entry hasn't renewed for so long has lost its entry.
+BOOKING_LEASE_S = 4.0
+#: How often an entry should send :class:`Progress`.
+PROGRESS_EVERY_S = 1.0
+#: How often an unconfirmed cancel is sent again.
+CANCEL_AGAIN_S = 1.0
+
+
+class Outcome(enum.StrEnum):
+    """How an attempt ended, told by its entry."""
+
+    DONE = 'done'
+    CANCELLED = 'cancelled'
+    FAILED = 'failed'
+    EXPIRED = 'expired'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Book:
+    """Entry to owner: find backend servers for one attempt.
+
+    Sending it again with the same ids gives the same answer.
+
+    :param prefix: hashes of the prompt's blocks, see ``policy.hash_blocks``.
+    :param deadline_s: seconds that remain.
+    :param exclude: ids of backend servers that failed for this request.
+    """
+
+    cell: str
+    request_id: str
+    attempt_id: str
+    account: str
+    priority: str
+    prompt_tokens: int
+    max_tokens: int
+    prefix: tuple[str, ...]
+    deadline_s: float
+    exclude: tuple[str, ...] = ()
+    stage: Stage = Stage.PAIR
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PrefillDone:
+    """Entry to owner: the prefill engine answered."""
+
+    cell: str
+    request_id: str
+    attempt_id: str
+    tokens: int
+    cached_tokens: int
+    kv_bytes: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Holding:
+    """The ids of one booking."""
+
+    request_id: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Progress:
+    """Entry to owner: these bookings are still wanted."""
+
+    cell: str
+    bookings: tuple[Holding, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Release:
+    """Entry to owner: an attempt ended.
+
+    :param wasted_tokens: prefill tokens whose result was thrown away.
+    :param backend_fault: id of the backend server at fault, or empty.
+    """
+
+    cell: str
+    request_id: str
+    attempt_id: str
+    outcome: Outcome
+    wasted_tokens: int = 0
+    backend_fault: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReclaimedBooking:
+    """What an entry holds, told to a new owner."""
+
+    request_id: str
+    attempt_id: str
+    account: str
+    priority: str
+    stage: Stage
+    prompt_tokens: int
+    max_tokens: int
+    deadline_s: float
+    prefill_id: str
+    decode_id: str
+    plain_id: str
+    prefill_done: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reclaim:
+    """Entry to a new owner: all bookings of the cell that it holds."""
+
+    cell: str
+    epoch: int
+    bookings: tuple[ReclaimedBooking, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Booked:
+    """Owner to entry: start the attempt here, in ``start_in_s``."""
+
+    cell: str
+    epoch: int
+    request_id: str
+    attempt_id: str
+    prefill_id: str
+    prefill_url: str
+    decode_id: str
+    decode_url: str
+    plain_id: str
+    plain_url: str
+    start_in_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Queued:
+    """Owner to entry: admitted; ``Booked`` follows when it may start."""
+
+    cell: str
+    epoch: int
+    request_id: str
+    attempt_id: str
+    expected_in_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Declined:
+    """Owner to entry: refused, and nothing has run."""
+
+    cell: str
+    request_id: str
+    attempt_id: str
+    reason: RefusalReason
+    retry_after_s: float
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NotOwner:
+    """Whoever got a ``Book`` doesn't own the cell.
+
+    :param holder: instance id of the owner, empty if unknown.
+    """
+
+    cell: str
+    request_id: str
+    attempt_id: str
+    holder: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Cancelled:
+    """Owner to entry: this booking is gone; stop the attempt."""
+
+    cell: str
+    epoch: int
+    request_id: str
+    attempt_id: str
+
+
+MESSAGES = (
+    Book,
+    PrefillDone,
+    Progress,
+    Release,
+    Reclaim,
+    Booked,
+    Queued,
+    Declined,
+    NotOwner,
+    Cancelled,
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackendsChanged:
+    """The backend servers of this cell that may get new work."""
+
+    now: float
+    backends: tuple[CellBackend, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LoadReported:
+    """A load report came in; it was true some time ago."""
+
+    now: float
+    backend_id: str
+    running: int
+    waiting: int
+    queued_tokens: int
+    slots_used: int
+    kv_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CacheHint:
+    """Cache events came in, perhaps late.
+
+    :param gap: events before these were lost.
+    """
+
+    now: float
+    backend_id: str
+    stored: tuple[str, ...]
+    evicted: tuple[str, ...]
+    gap: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamCancelled:
+    """The backend server confirmed a cancel (or knew no such stream)."""
+
+    now: float
+    backend_id: str
+    stream_id: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CancelStream:
+    """Effect: ``POST /v1/cancel``; post :class:`StreamCancelled` on 200."""
+
+    backend_id: str
+    url: str
+    stream_id: str
+    attempt_id: str
+    epoch: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PendingCancel:
+    """A cancel that its backend server hasn't confirmed."""
+
+    effect: CancelStream
+    again_at: float
+
+
+class Cell:
+    """The state of one cell at its owner.
+
+    :param cell_id: ``service/region/k``.
+    :param epoch: of the owner's lease; every order carries it.
+    :param document_part: what the document says about the service.
+    """
+
+    def __init__(
+        self,
+        *,
+        cell_id: str,
+        service: str,
+        epoch: int,
+        document_part: CellTerms,
+        policy: Policy,
+    ) -> None:
+        self.cell_id = cell_id
+        self.service = service
+        self.epoch = epoch
+        self.policy = policy
+        self.view = CellView(terms=document_part)
+        self.bookings_by_key: dict[tuple[str, str], Booking] = {}
+        self.cancels_by_key: dict[tuple[str, str, str], PendingCancel] = {}
+        self._handlers_by_type: dict[type, typing.Any] = {
+            Book: self._book,
+            PrefillDone: self._prefill_done,
+            Progress: self._progress,
+            Release: self._release,
+            Reclaim: self._reclaim,
+        }
+
+    def handle(self, event: typing.Any) -> list[typing.Any]:
+        """Take one event in; return what is to be done."""
+        match event:
+            case parts.Received(now=now, sender=sender, message=message):
+                handler = self._handlers_by_type.get(type(message))
+                return handler(now, sender, message) if handler else []
+            case parts.Ticked(now=now):
+                return self._tick(now)
+            case BackendsChanged():
+                return self._change_backends(event)
+            case LoadReported():
+                return self._report_load(event)
+            case StreamCancelled():
+                key = (event.backend_id, event.stream_id, event.attempt_id)
+                self.cancels_by_key.pop(key, None)
+                return []
+        return []
+
+    def restore(self, record: typing.Any) -> None:
+        """Nothing is journalled: entries reclaim what they hold."""
+
+    def snapshot(self) -> tuple[typing.Any, ...]:
+        """Return no records, see :meth:`restore`."""
+        return ()
+
+    def _book(self, now: float, sender: str, book: Book) -> list:
+        key = (book.request_id, book.attempt_id)
+        known = self.bookings_by_key.get(key)
+        if known is not None and known.stage is book.stage:
+            known.renewed_at = now
+            return [self._answer(now, known)]
+        if known is not None:
+            self._forget(known)
+        booking = Booking(
+            request_id=book.request_id,
+            attempt_id=book.attempt_id,
+            entry=sender,
+            account=book.account,
+            priority=book.priority,
+            stage=book.stage,
+            prompt_tokens=book.prompt_tokens,
+            max_tokens=book.max_tokens,
+            prefix=book.prefix,
+            exclude=book.exclude,
+            arrived_at=now,
+            deadline_at=now + book.deadline_s,
+            renewed_at=now,
+            prefill_done=book.stage is Stage.DECODE,
+        )
+        return self._decide(now, booking)
+
+    def _decide(self, now: float, booking: Booking) -> list:
+        decision = self.policy.decide(now=now, view=self.view, booking=booking)
+        match decision:
+            case Decline():
+                return [self._decline(booking, decision)]
+            case Wait():
+                booking.start_at = None
+            case Place():
+                booking.prefill_id = decision.prefill_id
+                booking.decode_id = decision.decode_id
+                booking.plain_id = decision.plain_id
+                booking.start_at = now + decision.start_in_s
+        self._remember(booking)
+        return [self._answer(now, booking)]
+
+    def _decline(self, booking: Booking, decision: Decline) -> parts.Send:
+        declined = Declined(
+            cell=self.cell_id,
+            request_id=booking.request_id,
+            attempt_id=booking.attempt_id,
+            reason=decision.reason,
+            retry_after_s=decision.retry_after_s,
+            message=decision.message,
+        )
+        return parts.Send(to=booking.entry, message=declined)
+
+    def _answer(self, now: float, booking: Booking) -> parts.Send:
+        if booking.start_at is None:
+            queued = Queued(
+                cell=self.cell_id,
+                epoch=self.epoch,
+                request_id=booking.request_id,
+                attempt_id=booking.attempt_id,
+                expected_in_s=0.0,
+            )
+            return parts.Send(to=booking.entry, message=queued)
+        booked = Booked(
+            cell=self.cell_id,
+            epoch=self.epoch,
+            request_id=booking.request_id,
+            attempt_id=booking.attempt_id,
+            prefill_id=booking.prefill_id,
+            prefill_url=self._url(booking.prefill_id),
+            decode_id=booking.decode_id,
+            decode_url=self._url(booking.decode_id),
+            plain_id=booking.plain_id,
+            plain_url=self._url(booking.plain_id),
+            start_in_s=max(0.0, booking.start_at - now),
+        )
+        return parts.Send(to=booking.entry, message=booked)
+
+    def _url(self, backend_id: str) -> str:
+        state = self.view.backends_by_id.get(backend_id)
+        return state.backend.url if state else ''
+
+    def _remember(self, booking: Booking) -> None:
+        self.bookings_by_key[booking.key] = booking
+        for state in self._states_of(booking):
+            state.bookings_by_key[booking.key] = booking
+
+    def _forget(self, booking: Booking) -> None:
+        self.bookings_by_key.pop(booking.key, None)
+        for state in self._states_of(booking):
+            state.bookings_by_key.pop(booking.key, None)
+
+    def _states_of(self, booking: Booking) -> list[BackendState]:
+        ids = (booking.prefill_id, booking.decode_id, booking.plain_id)
+        by_id = self.view.backends_by_id
+        return [by_id[each] for each in ids if each in by_id]
+
+    def _prefill_done(
+        self, now: float, sender: str, done: PrefillDone
+    ) -> list:
+        booking = self.bookings_by_key.get((done.request_id, done.attempt_id))
+        if booking is None:
+            return [self._gone(sender, done.request_id, done.attempt_id)]
+        booking.renewed_at = now
+        booking.prefill_done = True
+        state = self.view.backends_by_id.get(booking.prefill_id)
+        if state is not None:
+            state.bookings_by_key.pop(booking.key, None)
+        return []
+
+    def _gone(
+        self, entry: str, request_id: str, attempt_id: str
+    ) -> parts.Send:
+        cancelled = Cancelled(
+            cell=self.cell_id,
+            epoch=self.epoch,
+            request_id=request_id,
+            attempt_id=attempt_id,
+        )
+        return parts.Send(to=entry, message=cancelled)
+
+    def _progress(self, now: float, sender: str, progress: Progress) -> list:
+        effects = []
+        for holding in progress.bookings:
+            key = (holding.request_id, holding.attempt_id)
+            booking = self.bookings_by_key.get(key)
+            if booking is None:
+                effects.append(self._gone(sender, *key))
+            else:
+                booking.renewed_at = now
+        return effects
+
+    def _release(self, now: float, sender: str, release: Release) -> list:
+        key = (release.request_id, release.attempt_id)
+        booking = self.bookings_by_key.get(key)
+        if booking is None:
+            return []
+        self._forget(booking)
+        if release.outcome is Outcome.DONE:
+            return []
+        return self._cancel(now, booking)
+
+    def _cancel(self, now: float, booking: Booking) -> list:
+        effects = []
+        for state in self._states_of(booking):
+            if state.backend.role is Role.PLAIN:
+                continue
+            effect = CancelStream(
+                backend_id=state.backend.backend_id,
+                url=state.backend.url,
+                stream_id=booking.request_id,
+                attempt_id=booking.attempt_id,
+                epoch=self.epoch,
+            )
+            key = (effect.backend_id, effect.stream_id, effect.attempt_id)
+            again_at = now + CANCEL_AGAIN_S
+            self.cancels_by_key[key] = PendingCancel(
+                effect=effect, again_at=again_at
+            )
+            effects.append(effect)
+        return effects
+
+    def _reclaim(self, now: float, sender: str, reclaim: Reclaim) -> list:
+        for held in reclaim.bookings:
+            key = (held.request_id, held.attempt_id)
+            if key in self.bookings_by_key:
+                self.bookings_by_key[key].renewed_at = now
+                continue
+            booking = Booking(
+                request_id=held.request_id,
+                attempt_id=held.attempt_id,
+                entry=sender,
+                account=held.account,
+                priority=held.priority,
+                stage=held.stage,
+                prompt_tokens=held.prompt_tokens,
+                max_tokens=held.max_tokens,
+                prefix=(),
+                exclude=(),
+                arrived_at=now,
+                deadline_at=now + held.deadline_s,
+                renewed_at=now,
+                prefill_id=held.prefill_id,
+                decode_id=held.decode_id,
+                plain_id=held.plain_id,
+                start_at=now,
+                prefill_done=held.prefill_done,
+            )
+            self._remember(booking)
+        return []
+
+    def _change_backends(self, event: BackendsChanged) -> list:
+        old = self.view.backends_by_id
+        new = {}
+        for backend in event.backends:
+            state = old.get(backend.backend_id)
+            same = state is not None and (
+                state.backend.incarnation == backend.incarnation
+            )
+            if same:
+                state.backend = backend
+                new[backend.backend_id] = state
+            else:
+                new[backend.backend_id] = BackendState(backend=backend)
+        self.view.backends_by_id = new
+        return []
+
+    def _report_load(self, event: LoadReported) -> list:
+        state = self.view.backends_by_id.get(event.backend_id)
+        if state is not None:
+            state.reported_running = event.running
+            state.reported_waiting = event.waiting
+            state.reported_queued_tokens = event.queued_tokens
+            state.reported_at = event.now
+        return []
+
+    def _tick(self, now: float) -> list:
+        effects = []
+        for booking in list(self.bookings_by_key.values()):
+            # An entry that died sends no release. One would notice slots
+            # that stay taken with no stream behind them; the lease frees
+            # them, and the cancel frees the engine's memory.
+            if now - booking.renewed_at >= BOOKING_LEASE_S:
+                self._forget(booking)
+                effects.extend(self._cancel(now, booking))
+        for pending in self.cancels_by_key.values():
+            if now >= pending.again_at:
+                pending.again_at = now + CANCEL_AGAIN_S
+                effects.append(pending.effect)
+        return effects
--- /dev/null
+++ b/dandeliongw/policy.py
@@ -0,0 +1,263 @@
+"""The load policy: what a cell's owner knows and how it decides.
+
+Everything here is pure. The owner (:mod:`.cells`) keeps a :class:`CellView`
+up to date and asks a :class:`Policy` where a piece of work goes, when, or
+why not. Times are monotonic seconds of the owner's instance.
+"""
+
+from collections import abc
+import dataclasses
+import enum
+import typing
+
+import xxhash
+
+from .verdict import RefusalReason
+
+#: Words of a prompt that share one prefix hash.
+BLOCK_TOKENS = 64
+
+
+def hash_blocks(prompt: str, block_tokens: int = BLOCK_TOKENS) -> tuple:
+    """Return a hash for each whole block of a prompt.
+
+    Each hash covers the prompt up to the end of its block, so that equal
+    hashes mean equal prefixes. A last block that isn't full has none.
+    """
+    words = prompt.split()
+    hashes = []
+    chain = xxhash.xxh64()
+    for end in range(block_tokens, len(words) + 1, block_tokens):
+        chain.update(' '.join(words[end - block_tokens : end]) + ' ')
+        hashes.append(chain.hexdigest())
+    return tuple(hashes)
+
+
+class Stage(enum.StrEnum):
+    """What a booking has to cover."""
+
+    #: A prefill engine and a decode engine.
+    PAIR = 'pair'
+    #: Another decode engine for a prefill that is done.
+    DECODE = 'decode'
+    #: A plain service.
+    PLAIN = 'plain'
+
+
+class Role(enum.StrEnum):
+    """What a backend server does."""
+
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+    PLAIN = 'plain'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Weights:
+    """How much each of the two measures counts for this service."""
+
+    goodput: float = 1.0
+    wasted_prefill: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CellTerms:
+    """What the document says about the service of a cell.
+
+    :param first_token_s: target from arrival to first token.
+    :param token_gap_s: target between tokens.
+    :param timeout_s: longest life of a request.
+    :param prefill_tokens_per_s: of one prefill engine.
+    :param decode_tokens_per_s: of one stream in a full batch.
+    :param kv_bytes_per_token: size of the KV cache that moves.
+    :param link_bytes_per_s: of the link out of one prefill engine.
+    :param slots_by_role: used where an announcement says none.
+    :param max_wait_s_by_priority: how much longer than ``first_token_s`` a
+        request may wait for its first token.
+    :param rank_by_priority: lower goes first.
+    :param share_by_account: weight of each client account; one if absent.
+    """
+
+    first_token_s: float
+    token_gap_s: float
+    timeout_s: float
+    weights: Weights = Weights()
+    prefill_tokens_per_s: float = 10_000.0
+    decode_tokens_per_s: float = 30.0
+    kv_bytes_per_token: float = 100_000.0
+    link_bytes_per_s: float = 10e9
+    slots_by_role: dict[str, int] = dataclasses.field(default_factory=dict)
+    max_wait_s_by_priority: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    rank_by_priority: dict[str, int] = dataclasses.field(default_factory=dict)
+    share_by_account: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CellBackend:
+    """A backend server that may get work now."""
+
+    backend_id: str
+    incarnation: int
+    role: Role
+    url: str
+    slots: int
+    data_centre: str = ''
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Booking:
+    """One reservation: a lease that the entry renews."""
+
+    request_id: str
+    attempt_id: str
+    entry: str
+    account: str
+    priority: str
+    stage: Stage
+    prompt_tokens: int
+    max_tokens: int
+    prefix: tuple[str, ...]
+    exclude: tuple[str, ...]
+    arrived_at: float
+    deadline_at: float
+    renewed_at: float
+    prefill_id: str = ''
+    decode_id: str = ''
+    plain_id: str = ''
+    #: When the booked work starts; ``None`` while it waits in the queue.
+    start_at: float | None = None
+    prefill_done: bool = False
+
+    @property
+    def key(self) -> tuple[str, str]:
+        return self.request_id, self.attempt_id
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class BackendState:
+    """What the owner knows of one backend server."""
+
+    backend: CellBackend
+    #: Live bookings here, by (request id, attempt id).
+    bookings_by_key: dict[tuple[str, str], Booking] = dataclasses.field(
+        default_factory=dict
+    )
+    reported_running: int = 0
+    reported_waiting: int = 0
+    reported_queued_tokens: int = 0
+    reported_at: float | None = None
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class CellView:
+    """All that a policy may look at."""
+
+    terms: CellTerms
+    backends_by_id: dict[str, BackendState] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def candidates(
+        self, role: Role, exclude: abc.Container[str]
+    ) -> list[BackendState]:
+        """Return the backend servers of a role, in a stable order."""
+        return [
+            state
+            for backend_id, state in sorted(self.backends_by_id.items())
+            if state.backend.role is role and backend_id not in exclude
+        ]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Start the work on these backend servers in ``start_in_s``."""
+
+    prefill_id: str = ''
+    decode_id: str = ''
+    plain_id: str = ''
+    start_in_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Wait:
+    """Keep the work in the queue; it starts in about ``expected_s``."""
+
+    expected_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Decline:
+    """Refuse at once."""
+
+    reason: RefusalReason
+    message: str
+    retry_after_s: float
+
+
+Decision = Place | Wait | Decline
+
+
+class Policy(typing.Protocol):
+    """Decides for one cell; may keep state of its own."""
+
+    def decide(
+        self, *, now: float, view: CellView, booking: Booking
+    ) -> Decision:
+        """Say where a new piece of work goes."""
+        ...
+
+
+#: Retry-After where nothing better is known.
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+class RoundRobin:
+    """Takes the backend servers of a role in turn; never queues."""
+
+    def __init__(self) -> None:
+        self._turn_by_role: dict[Role, int] = {}
+
+    def decide(
+        self, *, now: float, view: CellView, booking: Booking
+    ) -> Decision:
+        roles = ROLES_BY_STAGE[booking.stage]
+        ids_by_role = {}
+        for role in roles:
+            candidates = view.candidates(role, booking.exclude)
+            if not candidates:
+                return no_backend(role)
+            turn = self._turn_by_role.get(role, 0)
+            self._turn_by_role[role] = turn + 1
+            chosen = candidates[turn % len(candidates)]
+            ids_by_role[role] = chosen.backend.backend_id
+        return place(ids_by_role, start_in_s=0.0)
+
+
+ROLES_BY_STAGE = {
+    Stage.PAIR: (Role.PREFILL, Role.DECODE),
+    Stage.DECODE: (Role.DECODE,),
+    Stage.PLAIN: (Role.PLAIN,),
+}
+
+
+def place(ids_by_role: dict[Role, str], *, start_in_s: float) -> Place:
+    """Return a :class:`Place` from chosen ids."""
+    return Place(
+        prefill_id=ids_by_role.get(Role.PREFILL, ''),
+        decode_id=ids_by_role.get(Role.DECODE, ''),
+        plain_id=ids_by_role.get(Role.PLAIN, ''),
+        start_in_s=start_in_s,
+    )
+
+
+def no_backend(role: Role) -> Decline:
+    """Return the refusal for a role that no backend server fills."""
+    return Decline(
+        reason=RefusalReason.NO_BACKEND,
+        message=f'no {role.value} backend server is ready',
+        retry_after_s=DEFAULT_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/tests/test_cells.py
@@ -0,0 +1,143 @@
+"""The owner of a cell books exactly, and leaks nothing."""
+
+import dataclasses
+import typing
+import unittest
+
+from dandeliongw import cells
+from dandeliongw import codec
+from dandeliongw.coordination import parts
+from dandeliongw import policy
+from dandeliongw.protocol import cells_pb2
+from dandeliongw.verdict import RefusalReason
+
+TERMS = policy.CellTerms(first_token_s=1.0, token_gap_s=0.05, timeout_s=60)
+
+
+def make_backend(backend_id: str, role: str, slots: int = 20):
+    return policy.CellBackend(
+        backend_id=backend_id,
+        incarnation=1,
+        role=policy.Role(role),
+        url=f'http://{backend_id}',
+        slots=slots,
+    )
+
+
+def make_cell(*backends: policy.CellBackend, **changes: typing.Any):
+    values = {
+        'cell_id': 'dieline-llm/tx-central/0',
+        'service': 'dieline-llm',
+        'epoch': 7,
+        'document_part': TERMS,
+        'policy': policy.RoundRobin(),
+    }
+    cell = cells.Cell(**(values | changes))
+    cell.handle(cells.BackendsChanged(now=0.0, backends=backends))
+    return cell
+
+
+def make_pair_cell(**changes: typing.Any) -> cells.Cell:
+    prefill = make_backend('p1', 'prefill')
+    return make_cell(prefill, make_backend('d1', 'decode'), **changes)
+
+
+def make_book(request_id: str = 'r1', **changes: typing.Any) -> cells.Book:
+    values = {
+        'cell': 'dieline-llm/tx-central/0',
+        'request_id': request_id,
+        'attempt_id': 'a1',
+        'account': 'studio-1',
+        'priority': 'urgent',
+        'prompt_tokens': 1000,
+        'max_tokens': 100,
+        'prefix': (),
+        'deadline_s': 30.0,
+    }
+    return cells.Book(**(values | changes))
+
+
+def send(cell: cells.Cell, message: typing.Any, now: float = 0.0):
+    event = parts.Received(now=now, sender='gw-1', message=message)
+    return cell.handle(event)
+
+
+def tick(cell: cells.Cell, now: float) -> list:
+    return cell.handle(parts.Ticked(now=now, entropy=0))
+
+
+class BookingTest(unittest.TestCase):
+    def test_a_pair_is_booked_under_the_owners_epoch(self):
+        (effect,) = send(make_pair_cell(), make_book())
+        self.assertEqual('gw-1', effect.to)
+        self.assertEqual(7, effect.message.epoch)
+        self.assertEqual('http://p1', effect.message.prefill_url)
+        self.assertEqual('http://d1', effect.message.decode_url)
+
+    def test_a_book_sent_again_gets_the_same_answer(self):
+        cell = make_pair_cell()
+        first = send(cell, make_book())
+        self.assertEqual(first, send(cell, make_book()))
+        self.assertEqual(1, len(cell.bookings_by_key))
+
+    def test_no_backend_is_a_refusal_at_once(self):
+        (effect,) = send(make_cell(), make_book())
+        self.assertIs(RefusalReason.NO_BACKEND, effect.message.reason)
+
+
+class OrphanTest(unittest.TestCase):
+    """Symptom: slots stay taken and no stream runs.
+
+    An entry books, starts a stream and dies. Nobody sends a release, and
+    the first cancel is lost.
+    """
+
+    def test_a_dead_entrys_streams_are_cancelled_until_confirmed(self):
+        cell = make_pair_cell()
+        send(cell, make_book())
+        self.assertEqual([], tick(cell, cells.BOOKING_LEASE_S - 0.1))
+        first = tick(cell, cells.BOOKING_LEASE_S)
+        self.assertEqual({'p1', 'd1'}, {each.backend_id for each in first})
+        again = tick(cell, cells.BOOKING_LEASE_S + cells.CANCEL_AGAIN_S)
+        self.assertEqual(first, again)
+        for each in first:
+            cell.handle(
+                cells.StreamCancelled(
+                    now=6.0,
+                    backend_id=each.backend_id,
+                    stream_id=each.stream_id,
+                    attempt_id=each.attempt_id,
+                )
+            )
+        self.assertEqual([], tick(cell, 60.0))
+
+    def test_progress_renews_the_lease(self):
+        cell = make_pair_cell()
+        send(cell, make_book())
+        holding = cells.Holding(request_id='r1', attempt_id='a1')
+        progress = cells.Progress(cell=cell.cell_id, bookings=(holding,))
+        send(cell, progress, now=3.0)
+        self.assertEqual([], tick(cell, cells.BOOKING_LEASE_S))
+
+    def test_progress_for_a_lost_booking_is_told(self):
+        cell = make_pair_cell()
+        holding = cells.Holding(request_id='r9', attempt_id='a1')
+        progress = cells.Progress(cell=cell.cell_id, bookings=(holding,))
+        (effect,) = send(cell, progress)
+        self.assertIsInstance(effect.message, cells.Cancelled)
+
+
+class WireTest(unittest.TestCase):
+    def test_every_message_has_its_fields_on_the_wire(self):
+        nested = (cells.Holding, cells.ReclaimedBooking)
+        for message in cells.MESSAGES + nested:
+            wire = getattr(cells_pb2, message.__name__)
+            names = {each.name for each in dataclasses.fields(message)}
+            self.assertEqual(names, set(wire.DESCRIPTOR.fields_by_name))
+
+    def test_a_book_survives_the_wire(self):
+        wire = codec.Codec(
+            data_classes=cells.MESSAGES, wire_modules=[cells_pb2]
+        )
+        book = make_book(stage=policy.Stage.DECODE, prefix=('x', 'y'))
+        self.assertEqual(book, wire.decode(*wire.encode(book)))
