--- /dev/null
+++ b/dandeliongw/backends.py
@@ -0,0 +1,195 @@
+"""The border for backend servers: announce, renew, leave.
+
+Backend servers know any instance's control port; which instance owns their
+cell is not their concern. Bodies are checked here and become events.
+"""
+
+from collections import abc
+import hashlib
+import hmac
+import json
+import typing
+
+import cherrypy
+import pydantic
+
+from . import _models
+from . import exceptions
+
+Role = typing.Literal['prefill', 'decode', 'plain']
+MAX_BODY_BYTES = 1 << 20
+
+
+class Identity(_models.Model):
+    """What every message of a backend server carries.
+
+    :param incarnation: grows at every start of the backend server.
+    :param sequence: grows with every message of one incarnation.
+    """
+
+    backend_id: _models.Name
+    incarnation: _models.NotNegativeInt
+    sequence: _models.NotNegativeInt
+
+
+class Announcement(Identity):
+    """A backend server offers itself.
+
+    :param checks_fence: whether it refuses orders that carry an old fencing
+        number; one that says nothing counts as one that ignores them.
+    """
+
+    service: _models.Name
+    role: Role
+    url: typing.Annotated[
+        str, pydantic.StringConstraints(pattern=r'^http://[^/]+$')
+    ]
+    data_centre: _models.Name
+    slots: _models.NotNegativeInt = 0
+    checks_fence: bool = False
+
+
+class Load(_models.Model):
+    """A load report; it was true some time before it was sent."""
+
+    running: _models.NotNegativeInt = 0
+    waiting: _models.NotNegativeInt = 0
+    queued_tokens: _models.NotNegativeInt = 0
+    slots_used: _models.NotNegativeInt = 0
+    kv_bytes: _models.NotNegativeInt = 0
+
+
+class CacheEvent(_models.Model):
+    kind: typing.Literal['stored', 'evicted']
+    prefix: str
+
+
+class CacheEvents(_models.Model):
+    """Cache events in a row; ``first`` is the number of the first."""
+
+    first: _models.NotNegativeInt = 0
+    events: tuple[CacheEvent, ...] = ()
+
+
+class Renewal(Identity):
+    load: Load = Load()
+    cache_events: CacheEvents = CacheEvents()
+
+
+class Leaving(Identity):
+    """The backend server will take no new work."""
+
+
+class Desk(typing.Protocol):
+    """What the border needs of the server around it."""
+
+    def announce(self, announcement: Announcement) -> None: ...
+
+    def renew(self, renewal: Renewal) -> bool:
+        """Return ``False`` when the backend server must announce again."""
+        ...
+
+    def leave(self, leaving: Leaving) -> None: ...
+
+
+class Backends:
+    """The handlers, mounted at ``/v1/backends``.
+
+    :param key_sha256: digest of the key that announcements need, if any.
+    :param lease_s: presence that one renewal buys.
+    :param renew_s: how often a backend server should renew.
+    """
+
+    def __init__(
+        self,
+        *,
+        desk: Desk,
+        key_sha256: str | None,
+        lease_s: float,
+        renew_s: float,
+    ) -> None:
+        self._desk = desk
+        self._key_sha256 = key_sha256
+        self._lease_s = lease_s
+        self._renew_s = renew_s
+
+    @cherrypy.expose
+    def default(self, *path: str, **query: str) -> bytes:
+        """Dispatch ``announce``, ``renew`` and ``leave``."""
+        handlers = {
+            ('announce',): self._announce,
+            ('renew',): self._renew,
+            ('leave',): self._leave,
+        }
+        handler = handlers.get(path)
+        if handler is None or cherrypy.request.method != 'POST':
+            return _answer(
+                404,
+                {
+                    'reason': 'unknown_path',
+                    'message': 'there are: POST announce, renew, leave',
+                },
+            )
+        if not self._is_allowed():
+            return _answer(
+                401,
+                {
+                    'reason': 'unknown_key',
+                    'message': 'backend servers need the key of the settings',
+                },
+            )
+        try:
+            return handler(cherrypy.request.rfile.read(MAX_BODY_BYTES))
+        except exceptions.InvalidInput as error:
+            return _answer(
+                400,
+                {'reason': 'bad_request', 'message': error.format_message()},
+            )
+
+    def _announce(self, body: bytes) -> bytes:
+        self._desk.announce(_models.parse(Announcement, body, ''))
+        return _answer(
+            200, {'lease_s': self._lease_s, 'renew_s': self._renew_s}
+        )
+
+    def _renew(self, body: bytes) -> bytes:
+        if self._desk.renew(_models.parse(Renewal, body, '')):
+            return _answer(
+                200, {'lease_s': self._lease_s, 'renew_s': self._renew_s}
+            )
+        return _answer(
+            404,
+            {
+                'reason': 'announce_again',
+                'message': 'this instance does not know that backend server',
+            },
+        )
+
+    def _leave(self, body: bytes) -> bytes:
+        self._desk.leave(_models.parse(Leaving, body, ''))
+        return _answer(200, {})
+
+    def _is_allowed(self) -> bool:
+        if self._key_sha256 is None:
+            return True
+        value = cherrypy.request.headers.get('Authorization', '')
+        _, _, key = value.partition(' ')
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        return hmac.compare_digest(digest, self._key_sha256)
+
+
+def _answer(status: int, fields: abc.Mapping[str, typing.Any]) -> bytes:
+    cherrypy.response.status = status
+    cherrypy.response.headers['Content-Type'] = 'application/json'
+    return json.dumps(fields).encode() + b'\n'
+
+
+def make_application(backends: Backends) -> cherrypy.Application:
+    """Return the application, for a server that mounts it."""
+    config = {
+        '/': {
+            'request.process_request_body': False,
+            'request.show_tracebacks': False,
+        }
+    }
+    return cherrypy.Application(backends, '/v1/backends', config)
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -8,6 +8,7 @@
 import typing
 
 from . import verdict
+from . import waste
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,7 +88,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CountRefusal:
-    reason: verdict.RefusalReason
+    refusal: verdict.Refusal
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,9 +98,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CountWaste:
-    """Prompt tokens computed for nothing, by the retry reason's value."""
+    """Prompt tokens computed for nothing."""
 
-    reason: str
+    reason: waste.WasteReason
     tokens: int
 
 
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -239,7 +239,12 @@
     MAX_ANSWER_BYTES = 1 << 20
 
     def __init__(
-        self, *, url: str, connect_s: float, first_byte_s: float, stall_s: float
+        self,
+        *,
+        url: str,
+        connect_s: float,
+        first_byte_s: float,
+        stall_s: float,
     ) -> None:
         self.url = url
         self._connect_s = connect_s
@@ -404,7 +409,9 @@
 class PlainService:
     """One call to a plain service, passed on as the caller sent it."""
 
-    def __init__(self, *, url: str, connect_s: float, timeout_s: float) -> None:
+    def __init__(
+        self, *, url: str, connect_s: float, timeout_s: float
+    ) -> None:
         self.url = url
         self._exchange = Exchange(
             url=url, connect_s=connect_s, read_s=timeout_s
--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -18,6 +18,7 @@
 from . import events
 from . import policy
 from . import verdict
+from . import waste
 from .coordination import claims
 from .coordination import parts
 
@@ -270,9 +271,7 @@
         if request is None or request.is_ended:
             return []
         request.claim_key = ''
-        return self._end(
-            now, request, effects.Complete(request_id=request_id)
-        )
+        return self._end(now, request, effects.Complete(request_id=request_id))
 
     # Booking
 
@@ -672,7 +671,7 @@
     ) -> list[typing.Any]:
         request.is_ended = True
         if isinstance(last, effects.Refuse):
-            count = effects.CountRefusal(reason=last.refusal.reason)
+            count = effects.CountRefusal(refusal=last.refusal)
             return [count, last]
         return [last]
 
@@ -783,15 +782,24 @@
 
 def _refuse(request_id: str, refusal: verdict.Refusal) -> list[typing.Any]:
     return [
-        effects.CountRefusal(reason=refusal.reason),
+        effects.CountRefusal(refusal=refusal),
         effects.Refuse(request_id=request_id, refusal=refusal),
     ]
 
 
+#: Retry and refusal reasons that waste a prefill under another name.
+_WASTE_BY_REASON = {
+    _RETRY.CONNECT_REFUSED: waste.WasteReason.IMPORT_REFUSED,
+    _RETRY.BACKEND_BUSY: waste.WasteReason.IMPORT_REFUSED,
+    _RETRY.STREAM_STALLED: waste.WasteReason.STREAM_BROKEN,
+}
+
+
 def _waste(reason: enum.StrEnum, tokens: int) -> list[typing.Any]:
     if not tokens:
         return []
-    return [effects.CountWaste(reason=reason.value, tokens=tokens)]
+    named = _WASTE_BY_REASON.get(reason) or waste.WasteReason(reason.value)
+    return [effects.CountWaste(reason=named, tokens=tokens)]
 
 
 def _no_owner(request: Request) -> verdict.Refusal:
--- /dev/null
+++ b/dandeliongw/runtime.py
@@ -0,0 +1,385 @@
+"""Runs the reducer and performs its effects.
+
+All events go through one thread, the control thread, which runs an asyncio
+loop; so the reducer needs no locks. Blocking work is done elsewhere: HTTP
+threads relay, the journal's thread syncs, a few threads send cancels.
+"""
+
+import asyncio
+from collections import abc
+import concurrent.futures
+import contextlib
+import queue
+import secrets
+import threading
+import time
+import typing
+import uuid
+
+from loguru import logger
+
+from . import cells
+from . import effects
+from . import engine
+from . import metrics as metrics_module
+from . import relay
+from .coordination import membership
+from .coordination import parts
+
+#: Seconds between ticks.
+TICK_S = 0.1
+#: Threads that send cancels and orders to engines.
+CONTROL_THREADS = 8
+#: The journal is compacted once it has grown by so much.
+COMPACT_BYTES = 8 << 20
+#: Seconds a handler waits for the reducer's answer to an operator.
+ASK_S = 15.0
+
+
+class Reducer(typing.Protocol):
+    """The runtime's view of the reducer."""
+
+    def handle(self, event: typing.Any) -> list[typing.Any]: ...
+
+    def snapshot(self) -> list[typing.Any]: ...
+
+
+class Journal(typing.Protocol):
+    """The runtime's view of the journal."""
+
+    def append(self, records: abc.Sequence[typing.Any]) -> None: ...
+
+    def compact(self, records: abc.Sequence[typing.Any]) -> None: ...
+
+    @property
+    def size(self) -> int: ...
+
+
+class Wire(typing.Protocol):
+    """The runtime's view of the connections to other instances."""
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def send(self, to: str, message: typing.Any) -> None: ...
+
+    def reconnect(self, to: str) -> None: ...
+
+
+class Runtime:
+    """The control thread and what works for it.
+
+    :param engine_for: makes the adapter that cancels streams at a URL.
+    :param journal: ``None`` on an instance without a data folder.
+    :param on_broken: called when the instance can't go on (disk failed).
+    """
+
+    def __init__(
+        self,
+        *,
+        reducer: Reducer,
+        metrics: metrics_module.Metrics,
+        engine_for: abc.Callable[[str], engine.Engine],
+        journal: Journal | None,
+        on_broken: abc.Callable[[str], None],
+    ) -> None:
+        self._reducer = reducer
+        self._metrics = metrics
+        self._engine_for = engine_for
+        self._on_broken = on_broken
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._run, name='control', daemon=True
+        )
+        self._wire: Wire | None = None
+        self._journal = journal
+        self._writer = _Writer(runtime=self, journal=journal)
+        self._relays_by_id: dict[str, relay.Relay] = {}
+        self._futures_by_ticket: dict[str, concurrent.futures.Future] = {}
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            CONTROL_THREADS, thread_name_prefix='orders'
+        )
+        self.drained = threading.Event()
+        self._performers_by_type: dict[
+            type, abc.Callable[[typing.Any], None]
+        ] = {
+            parts.Send: self._send,
+            parts.Persist: self._persist,
+            parts.Complete: self._complete,
+            cells.CancelStream: self._cancel_stream,
+            membership.Reconnect: self._reconnect,
+            effects.CountRefusal: self._count_refusal,
+            effects.CountRetry: self._count_retry,
+            effects.CountWaste: self._count_waste,
+            effects.Log: self._log,
+            effects.Drained: self._note_drained,
+        }
+
+    def start(self, make_wire: abc.Callable[[], Wire]) -> None:
+        """Start the control thread; return once the wire listens.
+
+        :param make_wire: called on the loop's thread.
+        """
+        self._thread.start()
+        self._writer.start()
+        asyncio.run_coroutine_threadsafe(
+            self._open_wire(make_wire), self._loop
+        ).result()
+        self._loop.call_soon_threadsafe(self._tick)
+
+    async def _open_wire(self, make_wire: abc.Callable[[], Wire]) -> None:
+        wire = make_wire()
+        await wire.start()
+        self._wire = wire
+
+    def stop(self) -> None:
+        """Stop ticking, close the wire, sync what is queued."""
+        if self._wire is not None:
+            closing = asyncio.run_coroutine_threadsafe(
+                self._wire.stop(), self._loop
+            )
+            with contextlib.suppress(concurrent.futures.TimeoutError):
+                closing.result(timeout=5.0)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._writer.stop()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    # From other threads
+
+    def post(self, make_event: abc.Callable[..., typing.Any]) -> None:
+        """Let the reducer handle ``make_event(now=...)`` soon."""
+        self._loop.call_soon_threadsafe(self.handle_soon, make_event)
+
+    def ask(self, make_event: abc.Callable[..., typing.Any]) -> typing.Any:
+        """Post ``make_event(now=..., ticket=...)``; return its answer.
+
+        :raises TimeoutError: when the reducer gives none in time.
+        """
+        ticket = f'ask:{uuid.uuid4().hex}'
+        future: concurrent.futures.Future = concurrent.futures.Future()
+        self._futures_by_ticket[ticket] = future
+        self.post(lambda now: make_event(now=now, ticket=ticket))
+        try:
+            return future.result(timeout=ASK_S)
+        finally:
+            self._futures_by_ticket.pop(ticket, None)
+
+    def look(self, read: abc.Callable[[float], typing.Any]) -> typing.Any:
+        """Run ``read(now)`` on the control thread and return its result."""
+
+        async def run() -> typing.Any:
+            return read(time.monotonic())
+
+        return asyncio.run_coroutine_threadsafe(run(), self._loop).result(
+            timeout=ASK_S
+        )
+
+    def add_relay(self, carrier: relay.Relay) -> None:
+        self._relays_by_id[carrier.request_id] = carrier
+
+    def remove_relay(self, request_id: str) -> None:
+        self._relays_by_id.pop(request_id, None)
+
+    # On the control thread
+
+    def receive(self, sender: str, message: typing.Any) -> None:
+        """Take a message in from the wire."""
+        event = parts.Received(
+            now=time.monotonic(), sender=sender, message=message
+        )
+        self.apply(event)
+
+    def handle_soon(self, make_event: abc.Callable[..., typing.Any]) -> None:
+        self.apply(make_event(now=time.monotonic()))
+
+    def apply(self, event: typing.Any) -> None:
+        """Let the reducer handle an event; perform what it wants done."""
+        try:
+            wanted = self._reducer.handle(event)
+        except Exception:
+            # One bad event must not end the control thread, which everybody
+            # waits for; what it was is in the log.
+            logger.exception(f'the reducer failed on {type(event).__name__}')
+            return
+        for effect in wanted:
+            self._perform(effect)
+
+    def _perform(self, effect: typing.Any) -> None:
+        if isinstance(effect, effects.Directive):
+            carrier = self._relays_by_id.get(effect.request_id)
+            if carrier is not None:
+                carrier.give(effect)
+            return
+        performer = self._performers_by_type.get(type(effect))
+        if performer is None:
+            logger.error(f'nothing performs {type(effect).__name__}')
+            return
+        performer(effect)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    def _tick(self) -> None:
+        self._loop.call_later(TICK_S, self._tick)
+        self.apply(
+            parts.Ticked(now=time.monotonic(), entropy=secrets.randbits(64))
+        )
+
+    def _send(self, effect: parts.Send) -> None:
+        if self._wire is not None:
+            self._wire.send(effect.to, effect.message)
+
+    def _reconnect(self, effect: membership.Reconnect) -> None:
+        if self._wire is not None:
+            self._wire.reconnect(effect.to)
+
+    def _persist(self, effect: parts.Persist) -> None:
+        self._writer.put(effect)
+
+    def _complete(self, effect: parts.Complete) -> None:
+        future = self._futures_by_ticket.pop(effect.ticket, None)
+        if future is not None:
+            future.set_result(effect.result)
+
+    def _cancel_stream(self, effect: cells.CancelStream) -> None:
+        self._pool.submit(self._cancel_now, effect)
+
+    def _cancel_now(self, effect: cells.CancelStream) -> None:
+        try:
+            self._engine_for(effect.url).cancel(
+                stream_id=effect.stream_id, attempt_id=effect.attempt_id
+            )
+        except engine.EngineError as error:
+            logger.bind(
+                request_id=effect.stream_id, attempt_id=effect.attempt_id
+            ).warning(f'a cancel was not confirmed: {error}')
+            return
+        self.post(
+            lambda now: cells.StreamCancelled(
+                now=now,
+                backend_id=effect.backend_id,
+                stream_id=effect.stream_id,
+                attempt_id=effect.attempt_id,
+            )
+        )
+
+    def _count_refusal(self, effect: effects.CountRefusal) -> None:
+        self._metrics.count_refusal(effect.refusal)
+
+    def _count_retry(self, effect: effects.CountRetry) -> None:
+        self._metrics.count_retry(effect.reason)
+
+    def _count_waste(self, effect: effects.CountWaste) -> None:
+        self._metrics.count_wasted_prefill(effect.reason, effect.tokens)
+
+    def _log(self, effect: effects.Log) -> None:
+        logger.bind(**dict(effect.fields)).log(effect.level, effect.message)
+
+    def _note_drained(self, effect: effects.Drained) -> None:
+        self.drained.set()
+
+    def snapshot_soon(self) -> None:
+        """Queue a compaction; called by the journal's thread."""
+        self._loop.call_soon_threadsafe(
+            lambda: self._writer.put(_Compact(self._reducer.snapshot()))
+        )
+
+    def break_off(self, message: str) -> None:
+        self._on_broken(message)
+
+
+class _Compact:
+    """A snapshot that takes the journal's place."""
+
+    def __init__(self, records: list[typing.Any]) -> None:
+        self.records = records
+
+
+class _Writer:
+    """Syncs records to the journal, all that are queued in one write.
+
+    While one sync is under way the next batch gathers: the busier the
+    instance, the more records share a sync (group commit).
+    """
+
+    _STOP = object()
+
+    def __init__(self, *, runtime: Runtime, journal: Journal | None) -> None:
+        self._runtime = runtime
+        self._journal = journal
+        self._queue: queue.SimpleQueue = queue.SimpleQueue()
+        self._compacted_size = 0
+        self._is_compacting = False
+        self._thread = threading.Thread(
+            target=self._run, name='journal', daemon=True
+        )
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._queue.put(self._STOP)
+        self._thread.join()
+
+    def put(self, item: parts.Persist | _Compact) -> None:
+        self._queue.put(item)
+
+    def _run(self) -> None:
+        while True:
+            batch = self._next_batch()
+            try:
+                self._write(batch)
+            except OSError as error:
+                # A disk that failed to sync may have lost anything, so no
+                # promise may be made on it any more.
+                self._runtime.break_off(f'the journal failed: {error}')
+                return
+            if self._STOP in batch:
+                return
+
+    def _next_batch(self) -> list[typing.Any]:
+        batch = [self._queue.get()]
+        with contextlib.suppress(queue.Empty):
+            while True:
+                batch.append(self._queue.get_nowait())
+        return batch
+
+    def _write(self, batch: list[typing.Any]) -> None:
+        waiting: list[parts.Persist] = []
+        for item in batch:
+            if isinstance(item, _Compact):
+                self._append(waiting)
+                waiting = []
+                self._compact(item)
+            elif isinstance(item, parts.Persist):
+                waiting.append(item)
+        self._append(waiting)
+
+    def _append(self, waiting: list[parts.Persist]) -> None:
+        if not waiting:
+            return
+        records = [record for each in waiting for record in each.records]
+        if self._journal is not None:
+            self._journal.append(records)
+        for each in waiting:
+            token = each.token
+            self._runtime.post(
+                lambda now, token=token: parts.Persisted(now=now, token=token)
+            )
+        self._compact_if_large()
+
+    def _compact_if_large(self) -> None:
+        if self._journal is None or self._is_compacting:
+            return
+        if self._journal.size - self._compacted_size >= COMPACT_BYTES:
+            self._is_compacting = True
+            self._runtime.snapshot_soon()
+
+    def _compact(self, item: _Compact) -> None:
+        if self._journal is not None:
+            self._journal.compact(item.records)
+            self._compacted_size = self._journal.size
+        self._is_compacting = False
--- /dev/null
+++ b/dandeliongw/web.py
@@ -0,0 +1,123 @@
+"""HTTP ports: cheroot's server, set up as this system needs it.
+
+CherryPy's applications run on it; CherryPy's own global engine is not
+started, so that a process can hold several ports and tests several servers.
+"""
+
+from collections import abc
+import contextlib
+import logging
+import threading
+import typing
+
+import cheroot.wsgi
+import cherrypy
+from loguru import logger
+
+from . import exceptions
+from . import settings as settings_module
+
+#: Where a handler finds its caller's socket.
+SOCKET_KEY = 'dandeliongw.socket'
+#: Seconds an idle keep-alive connection is kept.
+IDLE_S = 30
+
+
+class _SocketGateway(cheroot.wsgi.Gateway_10):
+    """Hands the connection's socket to the application.
+
+    HTTP frameworks hide it, but only the socket tells, while no byte
+    flows, that a caller has gone.
+    """
+
+    def get_environ(self) -> dict[str, typing.Any]:
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.req.conn.socket
+        return environ
+
+
+class _Server(cheroot.wsgi.Server):
+    def error_log(
+        self, msg: str = '', level: int = 20, traceback: bool = False
+    ) -> None:
+        logger.opt(exception=traceback).log(
+            logging.getLevelName(level), f'http: {msg}'
+        )
+
+
+class Port:
+    """One listening HTTP port.
+
+    :param application: a WSGI application.
+    :param field: the settings' field, for the message of a port in use.
+    :param shutdown_s: seconds that a stop waits for handlers.
+    """
+
+    def __init__(
+        self,
+        *,
+        application: abc.Callable,
+        listen: settings_module.Listen,
+        field: str,
+        shutdown_s: float,
+    ) -> None:
+        self._listen = listen
+        self._field = field
+        self._server = _Server(
+            (listen.host, listen.port),
+            application,
+            numthreads=listen.threads,
+            max=listen.threads,
+            request_queue_size=listen.queue,
+            timeout=IDLE_S,
+            # At its end cheroot shuts down the reading side of connections
+            # that are still busy, which looks as if their callers had left.
+            # The server waits for its requests before it stops; this is
+            # only a bound.
+            shutdown_timeout=shutdown_s,
+            accepted_queue_size=listen.queue,
+            accepted_queue_timeout=1,
+        )
+        self._server.gateway = _SocketGateway
+        self._thread = threading.Thread(
+            target=self._server.serve, name=f'http-{field}', daemon=True
+        )
+
+    @property
+    def port(self) -> int:
+        """The port number, also when the system chose it."""
+        return self._server.bind_addr[1]
+
+    def open(self) -> None:
+        """Bind and serve.
+
+        :raises PortInUse: naming the settings' field.
+        """
+        try:
+            self._server.prepare()
+        except OSError as error:
+            raise exceptions.PortInUse(
+                address=self._listen.show(), field=self._field
+            ) from error
+        self._thread.start()
+
+    def close(self) -> None:
+        self._server.stop()
+        self._thread.join()
+
+
+@contextlib.contextmanager
+def opened(port: Port) -> abc.Iterator[Port]:
+    """Serve while the context lasts."""
+    port.open()
+    try:
+        yield port
+    finally:
+        port.close()
+
+
+def quiet_cherrypy() -> None:
+    """Keep CherryPy from writing lines of its own beside the JSON ones."""
+    cherrypy.log.screen = False
+    cherrypy.log.access_log.propagate = False
+    cherrypy.log.error_log.propagate = False
