--- /dev/null
+++ b/dandeliongw/coordination/grantor.py
@@ -0,0 +1,337 @@
+"""The voter's side of leases: grants, and what it must remember of them.
+
+Only epochs are on disk. How long a grant still stands is in memory alone,
+so that a renewal costs no sync; a restart pays for it by waiting.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import typing
+
+from . import lease_messages as messages
+from . import parts
+
+Outcome = messages.LeaseOutcome
+
+#: Subject of a sync of the version, beside the names of leases.
+_VERSION = '\0version'
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Grant:
+    """The last grant of one name."""
+
+    record: messages.LeaseGranted
+    expires_at: float = float('-inf')
+    released: bool = False
+
+    def stands(self, now: float) -> bool:
+        return not self.released and now < self.expires_at
+
+    def is_to(self, holder: str, life: int) -> bool:
+        return (self.record.holder, self.record.life) == (holder, life)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Withheld:
+    """An answer that waits until all that it promises is synced."""
+
+    to: str
+    message: typing.Any
+    tokens: set[str]
+
+
+class Grantor:
+    """Grants leases by this instance's own clock.
+
+    :param instance_id: this instance.
+    :param duration_s: longest lease that it grants.
+    :param margin_s: added to each wait, for clocks that run apart.
+    """
+
+    def __init__(
+        self, *, instance_id: str, duration_s: float, margin_s: float
+    ) -> None:
+        self.instance_id = instance_id
+        self.duration_s = duration_s
+        self.margin_s = margin_s
+        #: Whether all epochs that this grantor ever granted are known to it.
+        self.ready = False
+        #: Claims under an older set of grantors are refused.
+        self.version = 0
+        #: How often each outcome was answered, for the metrics.
+        self.outcomes_by_label: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._grants_by_name: dict[str, _Grant] = {}
+        self._wait_until: float | None = None
+        self._withheld: list[_Withheld] = []
+        self._tokens_by_subject: dict[str, str] = {}
+        self._token_count = 0
+
+    def restore(self, record: typing.Any) -> None:
+        """Take one journal record back in; later records win."""
+        if isinstance(record, messages.LeaseReady):
+            self.ready = True
+            self.version = max(self.version, record.version)
+        if isinstance(record, messages.LeaseGranted):
+            self.learn(record)
+
+    def snapshot(self) -> list[typing.Any]:
+        """Return the records that rebuild this grantor, marker last."""
+        records: list[typing.Any] = list(self.records())
+        if self.ready:
+            records.append(messages.LeaseReady(version=self.version))
+        return records
+
+    def records(self) -> tuple[messages.LeaseGranted, ...]:
+        """Return the highest grant of each name."""
+        return tuple(grant.record for grant in self._grants_by_name.values())
+
+    def learn(self, record: messages.LeaseGranted) -> None:
+        """Remember an epoch, from the journal or from another grantor."""
+        grant = self._grants_by_name.get(record.name)
+        if grant is None or grant.record.epoch < record.epoch:
+            self._grants_by_name[record.name] = _Grant(record=record)
+
+    def start(self, now: float) -> None:
+        """Begin the wait after a restart; does nothing the second time.
+
+        Without the wait a grantor that restarted would grant a name whose
+        lease, granted before the restart, still runs: two holders at once.
+        """
+        if self._wait_until is None:
+            self._wait_until = now + self.longest_wait_s()
+
+    def form(self) -> list[typing.Any]:
+        """Become ready without epochs, as the first of a new system."""
+        return self.become_ready(self.version)
+
+    def become_ready(self, version: int) -> list[typing.Any]:
+        """Journal all epochs with the marker that they are complete."""
+        self.ready = True
+        self.version = max(self.version, version)
+        records = tuple(self.snapshot())
+        return [parts.Persist(token=self.next_token(), records=records)]
+
+    def longest_wait_s(self) -> float:
+        """Return how long any grant given until now can still be counted on.
+
+        The journal knows the longest duration, so that a shorter one in the
+        settings of the restarted process doesn't shorten the wait.
+        """
+        durations = [record.duration_s for record in self.records()]
+        if not durations:
+            return 0.0
+        return max(durations) + self.margin_s
+
+    def on_claims(
+        self, now: float, sender: str, claims: messages.LeaseClaims
+    ) -> list[typing.Any]:
+        """Answer every claim of one message with one message."""
+        granted: dict[str, messages.LeaseGranted] = {}
+        answers = []
+        for claim in claims.claims:
+            outcome = self._judge(now, sender, claims, claim)
+            self.outcomes_by_label[outcome.name.lower()] += 1
+            answers.append(self._answer(now, claim, outcome))
+            if outcome is Outcome.GRANTED and claim.epoch:
+                granted |= self._grant(now, sender, claims, claim)
+        if self.ready:
+            self.version = max(self.version, claims.version)
+        message = messages.LeaseAnswers(
+            version=self.version,
+            life=claims.life,
+            asked_at=claims.asked_at,
+            answers=tuple(answers),
+        )
+        names = {claim.name for claim in claims.claims}
+        return self._reply(sender, message, names, granted)
+
+    def on_release(
+        self, sender: str, release: messages.LeaseRelease
+    ) -> list[typing.Any]:
+        """Free a name at once, if it is the sender's own grant."""
+        grant = self._grants_by_name.get(release.name)
+        if grant is None or grant.released:
+            return []
+        if grant.record.epoch != release.epoch:
+            return []
+        if not grant.is_to(sender, release.life):
+            return []
+        grant.released = True
+        if not release.successor:
+            return []
+        vacant = messages.LeaseVacant(name=release.name, epoch=release.epoch)
+        return [parts.Send(to=release.successor, message=vacant)]
+
+    def on_persisted(self, token: str) -> list[typing.Any]:
+        """Send the answers that waited for this sync alone."""
+        self._tokens_by_subject = {
+            subject: waiting
+            for subject, waiting in self._tokens_by_subject.items()
+            if waiting != token
+        }
+        effects: list[typing.Any] = []
+        still_withheld = []
+        for withheld in self._withheld:
+            withheld.tokens.discard(token)
+            if withheld.tokens:
+                still_withheld.append(withheld)
+            else:
+                effects.append(
+                    parts.Send(to=withheld.to, message=withheld.message)
+                )
+        self._withheld = still_withheld
+        return effects
+
+    def on_epochs_wanted(
+        self, sender: str, wanted: messages.LeaseEpochsWanted
+    ) -> list[typing.Any]:
+        """Let another grantor read the epochs, and fence older sets.
+
+        A claim that counts on the replaced set must not get its majority
+        after this read, or the reader would miss its epoch.
+        """
+        if self.ready:
+            self.version = max(self.version, wanted.version)
+        epochs = messages.LeaseEpochs(
+            reading=wanted.reading,
+            ready=self.ready,
+            records=self.records(),
+        )
+        return [parts.Send(to=sender, message=epochs)]
+
+    def next_token(self) -> str:
+        """Return a token for ``Persist`` that no other part uses."""
+        self._token_count += 1
+        return f'lease:{self._token_count}'
+
+    def _judge(
+        self,
+        now: float,
+        sender: str,
+        claims: messages.LeaseClaims,
+        claim: messages.LeaseClaim,
+    ) -> Outcome:
+        """Decide on one claim; the order of the checks matters."""
+        if not self.ready:
+            return Outcome.NOT_CAUGHT_UP
+        if claims.version < self.version:
+            return Outcome.OLD_VERSION
+        if claims.duration_s > self.duration_s:
+            return Outcome.TOO_LONG
+        grant = self._grants_by_name.get(claim.name)
+        if grant is not None and claim.epoch == grant.record.epoch:
+            return self._judge_renewal(sender, claims, grant)
+        if grant is not None and 0 < claim.epoch < grant.record.epoch:
+            return Outcome.OLD_EPOCH
+        if self._wait_until is None or now < self._wait_until:
+            return Outcome.WAITING_OUT
+        if grant is None or not grant.stands(now):
+            return Outcome.GRANTED
+        # A candidate holds nothing while it asks, so a higher ask of the
+        # same life gives up the lower one.
+        if grant.is_to(sender, claims.life):
+            return Outcome.GRANTED
+        return Outcome.HELD
+
+    def _judge_renewal(
+        self, sender: str, claims: messages.LeaseClaims, grant: _Grant
+    ) -> Outcome:
+        """Decide on a claim for the highest epoch.
+
+        It is granted during the wait after a restart too: had this grantor
+        granted anything since, the highest epoch would be another one.
+        """
+        if not grant.is_to(sender, claims.life):
+            return Outcome.OLD_EPOCH
+        if grant.released:
+            return Outcome.RELEASED
+        if claims.duration_s > grant.record.duration_s:
+            return Outcome.TOO_LONG
+        return Outcome.GRANTED
+
+    def _grant(
+        self,
+        now: float,
+        sender: str,
+        claims: messages.LeaseClaims,
+        claim: messages.LeaseClaim,
+    ) -> dict[str, messages.LeaseGranted]:
+        """Note a grant; return the record to sync if the epoch is new."""
+        expires_at = now + claims.duration_s
+        grant = self._grants_by_name.get(claim.name)
+        if grant is not None and grant.record.epoch == claim.epoch:
+            grant.expires_at = max(grant.expires_at, expires_at)
+            return {}
+        record = messages.LeaseGranted(
+            name=claim.name,
+            epoch=claim.epoch,
+            holder=sender,
+            life=claims.life,
+            duration_s=claims.duration_s,
+        )
+        self._grants_by_name[claim.name] = _Grant(
+            record=record, expires_at=expires_at
+        )
+        return {claim.name: record}
+
+    def _answer(
+        self, now: float, claim: messages.LeaseClaim, outcome: Outcome
+    ) -> messages.LeaseAnswer:
+        grant = self._grants_by_name.get(claim.name)
+        if outcome is Outcome.GRANTED and claim.epoch:
+            return messages.LeaseAnswer(
+                name=claim.name, epoch=claim.epoch, outcome=outcome
+            )
+        return messages.LeaseAnswer(
+            name=claim.name,
+            epoch=claim.epoch,
+            outcome=outcome,
+            highest=grant.record.epoch if grant else 0,
+            holder=grant.record.holder if grant else '',
+            remaining_s=self._remaining_s(now, outcome, grant),
+        )
+
+    def _remaining_s(
+        self, now: float, outcome: Outcome, grant: _Grant | None
+    ) -> float:
+        if outcome is Outcome.WAITING_OUT and self._wait_until is not None:
+            return self._wait_until - now
+        if outcome is Outcome.HELD and grant is not None:
+            return grant.expires_at - now
+        return 0.0
+
+    def _reply(
+        self,
+        sender: str,
+        message: typing.Any,
+        subjects: abc.Set[str],
+        records_by_subject: abc.Mapping[str, typing.Any],
+    ) -> list[typing.Any]:
+        """Answer now, or once every record behind the answer is synced.
+
+        An answer that ran ahead of the sync would let the holder count a
+        grant that a crash of this grantor forgets, and the same epoch be
+        granted to another.
+        """
+        effects: list[typing.Any] = []
+        if records_by_subject:
+            token = self.next_token()
+            records = tuple(records_by_subject.values())
+            effects.append(parts.Persist(token=token, records=records))
+            for subject in records_by_subject:
+                self._tokens_by_subject[subject] = token
+        tokens = {
+            self._tokens_by_subject[subject]
+            for subject in subjects
+            if subject in self._tokens_by_subject
+        }
+        if tokens:
+            withheld = _Withheld(to=sender, message=message, tokens=tokens)
+            self._withheld.append(withheld)
+        else:
+            effects.append(parts.Send(to=sender, message=message))
+        return effects
