Claims: judge a slot's age when its reply arrives

Cause: an age compared later, while other replies were awaited, made evidence that had been old enough look too young; a rightful resend would have been sent away.

--- a/dandeliongw/coordination/claim_attempts.py
+++ b/dandeliongw/coordination/claim_attempts.py
@@ -208,7 +208,12 @@
             attempt.full.add(sender)
         elif reply.answer is _Answer.TAKEN and reply.slot is not None:
             attempt.seen_by_holder[sender] = claim_slots.SeenSlot(
-                slot=reply.slot, age_s=reply.age_s
+                slot=reply.slot,
+                age_s=reply.age_s,
+                is_older=claim_slots.is_older(
+                    slot_age_s=reply.age_s,
+                    attempt_age_s=now - attempt.begin.now,
+                ),
             )
         return self._settle(now, attempt, final=False)
 
@@ -235,7 +240,7 @@
             return self._join_round(now, attempt)
         if self._set.is_majority(attempt.granted | self._silent(attempt)):
             return self._lose(now, attempt) if final else []
-        rivals = self._rivals(now, attempt)
+        rivals = self._rivals(attempt)
         if rivals:
             if not final and not self._is_settled(attempt, rivals):
                 return []
@@ -297,17 +302,15 @@
         """Go on in a round that others started before this began."""
         later = self._later_rounds(attempt)
         top = max(seen.slot.round for seen in later)
-        age_s = now - attempt.begin.now
         for seen in later:
-            if seen.slot.round == top and claim_slots.is_older(seen, age_s):
+            if seen.slot.round == top and seen.is_older:
                 return self._enter_round(attempt, top)
         return self._lose(now, attempt, later)
 
-    def _rivals(self, now: float, attempt: _Attempt) -> frozenset[str]:
+    def _rivals(self, attempt: _Attempt) -> frozenset[str]:
         return claim_slots.rivals(
             attempt_id=attempt.begin.attempt_id,
             round=attempt.round,
-            age_s=now - attempt.begin.now,
             seen_by_holder={
                 **attempt.seen_by_holder,
                 **self._own_slots(attempt),
@@ -318,7 +321,7 @@
     def _own_slots(self, attempt: _Attempt) -> dict[str, claim_slots.SeenSlot]:
         slot = attempt.slot(_State.CLAIMED, b'', True)
         return {
-            holder: claim_slots.SeenSlot(slot=slot, age_s=0.0)
+            holder: claim_slots.SeenSlot(slot=slot, age_s=0.0, is_older=False)
             for holder in attempt.granted
         }
 
--- a/dandeliongw/coordination/claim_slots.py
+++ b/dandeliongw/coordination/claim_slots.py
@@ -65,17 +65,27 @@
     """A slot as a holder showed it to an attempt.
 
     :param age_s: seconds since it last changed, or fewer.
+    :param is_older: whether it last changed before the attempt began.
     """
 
     slot: messages.ClaimSlot
     age_s: float
+    is_older: bool
+
+
+def is_older(*, slot_age_s: float, attempt_age_s: float) -> bool:
+    """Whether a slot last changed before an attempt began.
+
+    Durations of two clocks are compared, never two clocks; on its way the
+    reply can only make the slot older than it says.
+    """
+    return slot_age_s > attempt_age_s * (1 + CLOCK_DRIFT)
 
 
 def rivals(
     *,
     attempt_id: str,
     round: int,
-    age_s: float,
     seen_by_holder: abc.Mapping[str, SeenSlot],
     holder_set: HolderSet,
 ) -> frozenset[str]:
@@ -87,7 +97,6 @@
     id stands for one that was never seen.
 
     :param attempt_id: the one that asks; it knows that it did not win.
-    :param age_s: seconds since the asking attempt began.
     """
     shown = {
         holder: seen
@@ -98,7 +107,7 @@
     never_ran = {
         seen.slot.attempt_id
         for seen in shown.values()
-        if is_withdrawn_before(seen, age_s)
+        if is_withdrawn_before(seen)
     }
     never_ran.add(attempt_id)
     suspects = {seen.slot.attempt_id for seen in shown.values()} | {''}
@@ -121,21 +130,15 @@
     )
 
 
-def is_withdrawn_before(seen: SeenSlot, age_s: float) -> bool:
-    """Whether an attempt was withdrawn before another one of this age began.
+def is_withdrawn_before(seen: SeenSlot) -> bool:
+    """Whether an attempt was withdrawn before the asking one began.
 
-    What goes wrong without the age: a caller's first send is slow in
-    taking its claim, the second is granted, withdrawn and answered "not
-    run", then the first finds the key free and runs. One would notice a
-    booking whose caller was told that there is none. Durations of two clocks
-    are compared, never two clocks: the slot is at least ``age_s`` old.
+    What goes wrong without the order: a caller's first send is slow in
+    taking its claim; the second is granted, withdrawn and answered "not
+    run"; then the first finds the key free and runs. One would notice a
+    booking whose caller was told that there is none.
     """
-    return seen.slot.state is _State.WITHDRAWN and is_older(seen, age_s)
-
-
-def is_older(seen: SeenSlot, age_s: float) -> bool:
-    """Whether a slot last changed before an attempt of this age began."""
-    return seen.age_s > age_s * (1 + CLOCK_DRIFT)
+    return seen.slot.state is _State.WITHDRAWN and seen.is_older
 
 
 def merge(
@@ -150,9 +153,8 @@
     """
     if one is None or one == other:
         return other
-    for state in (_State.RECORDED,):
-        if state in (one.state, other.state):
-            return one if one.state is state else other
+    if _State.RECORDED in (one.state, other.state):
+        return one if one.state is _State.RECORDED else other
     if one.round != other.round:
         return max(one, other, key=lambda slot: slot.round)
     if one.attempt_id == other.attempt_id:
