Peers: sealed envelopes between instances over grpclib

Cause: the parts speak only through effects; something has to carry their messages and drop, by reason, what can't be carried.

Ruled out: a counter field in the envelope (the proof carries it, so the protocol file stays as it is); a unary call a message (one answer a message doubles the bytes); waiting senders (one silent peer would hold all).

The blackholed connection is not tested yet.

--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,238 @@
+"""Messages between instances: what arrives, what is dropped and counted."""
+
+import asyncio
+from collections import abc
+import contextlib
+import dataclasses
+import typing
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import codec
+from dandeliongw import envelopes
+from dandeliongw import peers
+from dandeliongw.protocol import envelope_pb2
+
+SECRET = b'shared by all instances'
+#: Seconds after which a condition that must come true counts as failed.
+LIMIT_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Received:
+    """Any message will do; this one is in the envelope's own protocol."""
+
+    count: int
+
+
+class Node:
+    """One end, with what it was given."""
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        addresses_by_id: dict[str, tuple[str, int]],
+        incarnation: int = 1,
+        port: int = 0,
+        limits: peers.Limits = peers.Limits(),
+    ) -> None:
+        self.inbox: asyncio.Queue[tuple[str, int]] = asyncio.Queue()
+        self.faults: asyncio.Queue[str] = asyncio.Queue()
+        self.peers = peers.Peers(
+            instance_id=instance_id,
+            incarnation=incarnation,
+            host='127.0.0.1',
+            port=port,
+            addresses_by_id=addresses_by_id,
+            codec=codec.Codec(
+                data_classes=[Received], wire_modules=[envelope_pb2]
+            ),
+            secret=SECRET,
+            on_message=lambda sender, message: self.inbox.put_nowait(
+                (sender, message.count)
+            ),
+            on_fault=lambda peer, text: self.faults.put_nowait(text),
+            limits=limits,
+        )
+
+    async def next(self) -> tuple[str, int]:
+        return await asyncio.wait_for(self.inbox.get(), LIMIT_S)
+
+    async def fault(self, part: str) -> str:
+        async with asyncio.timeout(LIMIT_S):
+            while part not in (text := await self.faults.get()):
+                pass
+        return text
+
+    def drops(self, reason: envelopes.DropReason) -> int:
+        return self.peers.counters.drops_by_reason[reason]
+
+
+@contextlib.asynccontextmanager
+async def running(**settings: typing.Any) -> abc.AsyncIterator[Node]:
+    node = Node(**settings)
+    await node.peers.start()
+    address = ('127.0.0.1', node.peers.port)
+    settings['addresses_by_id'][node.peers.instance_id] = address
+    try:
+        yield node
+    finally:
+        await node.peers.stop()
+
+
+@contextlib.asynccontextmanager
+async def running_pair(
+    **settings: typing.Any,
+) -> abc.AsyncIterator[tuple[Node, Node]]:
+    addresses_by_id: dict[str, tuple[str, int]] = {}
+    settings['addresses_by_id'] = addresses_by_id
+    async with running(instance_id='gw-1', **settings) as one:
+        async with running(instance_id='gw-2', **settings) as two:
+            yield one, two
+
+
+class DeliveryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_messages_arrive_in_order_both_ways_and_to_oneself(self):
+        async with running_pair() as (one, two):
+            for count in range(3):
+                one.peers.send('gw-2', Received(count=count))
+            two.peers.send('gw-1', Received(count=7))
+            two.peers.send('gw-2', Received(count=8))
+            got = {await two.next() for _ in range(4)}
+            expected = {('gw-1', 0), ('gw-1', 1), ('gw-1', 2), ('gw-2', 8)}
+            self.assertEqual(expected, got)
+            self.assertEqual(('gw-2', 7), await one.next())
+
+    async def test_a_reconnect_uses_a_new_connection(self):
+        async with running_pair() as (one, two):
+            one.peers.send('gw-2', Received(count=1))
+            await two.next()
+            one.peers.reconnect('gw-2')
+            await one.fault('reconnect_asked')
+            one.peers.send('gw-2', Received(count=2))
+            self.assertEqual(('gw-1', 2), await two.next())
+            self.assertEqual(2, one.peers.counters.connects)
+
+    async def test_a_restarted_peer_is_reached_again(self):
+        """The sender must not stay with the connection to a stopped peer.
+
+        Symptom: after a restart of gw-2, gw-1's messages go nowhere.
+        Sequence: connect; gw-2 stops and starts on the same port.
+        Cause: a broken stream noticed only by writing, or a stop that leaves
+        connections open and unread.
+        """
+        addresses: dict[str, tuple[str, int]] = {}
+        async with running(instance_id='gw-1', addresses_by_id=addresses) as a:
+            first = {'instance_id': 'gw-2', 'addresses_by_id': addresses}
+            async with running(**first) as two:
+                a.peers.send('gw-2', Received(count=1))
+                await two.next()
+            await a.fault('stream_broken')
+            port = addresses['gw-2'][1]
+            async with running(**first, port=port, incarnation=2) as two:
+                a.peers.send('gw-2', Received(count=2))
+                self.assertEqual(('gw-1', 2), await two.next())
+
+    async def test_a_stop_sends_what_is_queued(self):
+        async with running_pair() as (one, two):
+            one.peers.send('gw-2', Received(count=1))
+            await one.peers.stop()
+            self.assertEqual(('gw-1', 1), await two.next())
+            one.peers.send('gw-2', Received(count=2))
+            self.assertEqual(1, one.drops(envelopes.DropReason.STOPPED))
+
+    async def test_an_idle_connection_is_closed_and_opened_again(self):
+        limits = peers.Limits(idle_s=0.01)
+        async with running_pair(limits=limits) as (one, two):
+            async with asyncio.timeout(LIMIT_S):
+                while one.peers.counters.connects < 2:
+                    one.peers.send('gw-2', Received(count=1))
+                    await two.next()
+                    await asyncio.sleep(limits.idle_s)
+            self.assertEqual({}, dict(one.peers.counters.faults_by_reason))
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_port_in_use_names_host_and_port(self):
+        async with running_pair() as (one, _):
+            port = one.peers.port
+            third = Node(instance_id='gw-3', addresses_by_id={}, port=port)
+            with self.assertRaisesRegex(
+                peers.AddressInUse, f'127.0.0.1:{port} is in use'
+            ):
+                await third.peers.start()
+
+    async def test_a_large_message_is_dropped_with_its_size(self):
+        limits = peers.Limits(max_envelope_bytes=2)
+        async with running_pair(limits=limits) as (one, _):
+            one.peers.send('gw-2', Received(count=2**40))
+            await one.fault('Received of 7 bytes is over the limit of 2')
+            self.assertEqual(1, one.drops(envelopes.DropReason.TOO_LARGE))
+
+    async def test_what_can_not_be_sent_is_dropped_by_reason(self):
+        """One silent peer must not hold memory or the event loop."""
+        limits = peers.Limits(max_queued=2)
+        node = Node(
+            instance_id='gw-1',
+            addresses_by_id={'gw-2': ('127.0.0.1', 1)},
+            limits=limits,
+        )
+        for _ in range(5):
+            node.peers.send('gw-2', Received(count=1))
+        node.peers.send('gw-9', Received(count=1))
+        node.peers.send('gw-2', 'not a message')
+        reasons = envelopes.DropReason
+        self.assertEqual(3, node.drops(reasons.QUEUE_FULL))
+        self.assertEqual(1, node.drops(reasons.UNKNOWN_PEER))
+        self.assertEqual(1, node.drops(reasons.NOT_ENCODED))
+        await node.fault('connect_failed')
+        await node.peers.stop()
+
+
+def seal(
+    *, incarnation: int = 5, secret: bytes | None = SECRET, times: int = 1
+) -> envelope_pb2.Envelope:
+    """Return the envelope that is sealed after ``times`` tries."""
+    sealer = envelopes.Sealer(
+        sender='gw-1', incarnation=incarnation, secret=secret
+    )
+    for _ in range(times):
+        envelope = sealer.seal('gw-2', 'Received', b'\x08\x01')
+    return envelope
+
+
+def change(**fields: typing.Any) -> envelope_pb2.Envelope:
+    envelope = seal(times=9)
+    for name, value in fields.items():
+        setattr(envelope, name, value)
+    return envelope
+
+
+class EnvelopeTest(unittest.TestCase):
+    """Symptom: a message of an earlier process or a stranger takes effect.
+
+    Sequence: an envelope is changed, sent to another, played again, or
+    arrives after its sender's restart.
+    Cause: TCP says nothing of who sent a byte, nor when it was sent.
+    """
+
+    @params(
+        (seal(times=2), None),
+        (seal(incarnation=6), None),
+        (seal(times=1), envelopes.DropReason.REPLAYED),
+        (seal(incarnation=4, times=3), envelopes.DropReason.OLD_INCARNATION),
+        (seal(secret=b'another', times=2), envelopes.DropReason.BAD_PROOF),
+        (seal(secret=None, times=2), envelopes.DropReason.BAD_PROOF),
+        (change(proof=b''), envelopes.DropReason.BAD_PROOF),
+        (change(sender='gw-3'), envelopes.DropReason.BAD_PROOF),
+        (change(incarnation=9), envelopes.DropReason.BAD_PROOF),
+        (change(kind='Receive'), envelopes.DropReason.BAD_PROOF),
+        (change(body=b'\x08\x02'), envelopes.DropReason.BAD_PROOF),
+        (change(recipient='gw-3'), envelopes.DropReason.WRONG_RECIPIENT),
+    )
+    def test_second_envelope(self, envelope, reason):
+        opener = envelopes.Opener(recipient='gw-2', secret=SECRET)
+        self.assertIsNone(opener.check(seal(times=1)))
+        self.assertEqual(reason, opener.check(envelope))
