--- /dev/null
+++ b/dandeliongw/coordination/_roster.py
@@ -0,0 +1,179 @@
+"""What an instance believes of all members, and which belief wins.
+
+A belief is ordered by ``(incarnation, left, revision, severity)``:
+
+* a restarted member has a higher incarnation, so that nothing said of its
+  earlier process counts any more;
+* within one incarnation a leave is final;
+* only the member itself raises its revision, to change a flag or to refute
+  a suspicion; so old news of it never wins;
+* at equal revision the worse state wins, until the member refutes it.
+"""
+
+import collections
+import dataclasses
+import enum
+import functools
+import hashlib
+import operator
+
+#: Groups of members that two instances compare by one hash each.
+BUCKETS = 32
+
+
+class MemberState(enum.IntEnum):
+    """What is believed of a member; the order is that of severity."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceInfo:
+    """What a member says of itself once a start.
+
+    :param host: where its peers connect, with ``port``.
+    :param callers_address: the URL that callers are given.
+    """
+
+    host: str
+    port: int
+    data_centre: str
+    region: str
+    callers_address: str
+
+
+NO_INFO = InstanceInfo(
+    host='', port=0, data_centre='', region='', callers_address=''
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MemberNews:
+    """A belief on its way; ``info`` is left out where it is known."""
+
+    instance_id: str
+    incarnation: int
+    revision: int
+    state: MemberState
+    draining: bool
+    serving: bool
+    info: InstanceInfo | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """What this instance believes of a member.
+
+    :param draining: it accepts no new callers.
+    :param serving: it says that it may admit work.
+    """
+
+    instance_id: str
+    info: InstanceInfo
+    state: MemberState
+    incarnation: int
+    revision: int
+    draining: bool = False
+    serving: bool = False
+
+    def news(self, *, with_info: bool) -> MemberNews:
+        """Return this belief for others."""
+        return MemberNews(
+            instance_id=self.instance_id,
+            incarnation=self.incarnation,
+            revision=self.revision,
+            state=self.state,
+            draining=self.draining,
+            serving=self.serving,
+            info=self.info if with_info else None,
+        )
+
+
+Rank = tuple[int, bool, int, MemberState]
+
+
+def rank(belief: Member | MemberNews) -> Rank:
+    """Return the order of beliefs of one member."""
+    return (
+        belief.incarnation,
+        belief.state is MemberState.LEFT,
+        belief.revision,
+        belief.state,
+    )
+
+
+def version(belief: Member | MemberNews) -> tuple[int, int]:
+    """Return what only the member itself can raise."""
+    return belief.incarnation, belief.revision
+
+
+@functools.lru_cache(maxsize=4096)
+def bucket_of(instance_id: str) -> int:
+    """Return the group that a member is compared in."""
+    return hashlib.blake2b(instance_id.encode()).digest()[0] % BUCKETS
+
+
+def _hash(member: Member) -> int:
+    text = f'{member.instance_id}/{member.incarnation}/{member.revision}'
+    digest = hashlib.blake2b(text.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def _is_present(member: Member) -> bool:
+    return member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+class Roster:
+    """The beliefs by member, with hashes to compare them cheaply.
+
+    The hashes cover only members that are alive or suspected: the memory of
+    the others ends at another moment on each instance, which must not look
+    like a difference.
+    """
+
+    def __init__(self) -> None:
+        self.members_by_id: dict[str, Member] = {}
+        self.hashes = [0] * BUCKETS
+        self._ids_by_bucket: collections.defaultdict[int, set[str]] = (
+            collections.defaultdict(set)
+        )
+        self._present_ids: set[str] = set()
+
+    def put(self, member: Member) -> None:
+        """Hold a belief in place of the former one."""
+        self.remove(member.instance_id)
+        self.members_by_id[member.instance_id] = member
+        bucket = bucket_of(member.instance_id)
+        self._ids_by_bucket[bucket].add(member.instance_id)
+        if _is_present(member):
+            self.hashes[bucket] ^= _hash(member)
+            self._present_ids.add(member.instance_id)
+
+    def remove(self, instance_id: str) -> None:
+        """Forget a member."""
+        member = self.members_by_id.pop(instance_id, None)
+        if member is None:
+            return
+        bucket = bucket_of(instance_id)
+        self._ids_by_bucket[bucket].discard(instance_id)
+        if _is_present(member):
+            self.hashes[bucket] ^= _hash(member)
+            self._present_ids.discard(instance_id)
+
+    @property
+    def present_ids(self) -> set[str]:
+        """Members that are alive or suspected; don't change it."""
+        return self._present_ids
+
+    @property
+    def view_hash(self) -> int:
+        """One hash over all members that are alive or suspected."""
+        return functools.reduce(operator.xor, self.hashes)
+
+    def in_bucket(self, bucket: int) -> list[Member]:
+        """Return what is believed of the members of one group."""
+        ids = sorted(self._ids_by_bucket[bucket])
+        return [self.members_by_id[instance_id] for instance_id in ids]
