The operators' API: one document, changed by compare-and-set

Cause: the document is the only way to change what the system does; operators race each other and resend changes after their answers were lost.

The border knows the daemon as the Protocol Control only. A conflict answers with the current document and its author; a change whose fate is open is told as such, never as not applied; a resend by its change id gets the first result.

Ruled out: CherryPy's tools for the token check (its toolbox is global); CherryPy's own log lines, which are no JSON, now handed on to loguru.

A path of the API that doesn't exist answered 405 at first, as the parent was exposed too; now 404.

--- /dev/null
+++ b/dandeliongw/changes.py
@@ -0,0 +1,37 @@
+"""The one way to change the document, for the API and the console alike."""
+
+from loguru import logger
+
+from . import control as controls
+from . import document as documents
+
+
+def propose(
+    control: controls.Control,
+    *,
+    change_id: str,
+    author: str,
+    expected_revision: int,
+    document: documents.Document,
+) -> (
+    controls.Applied
+    | controls.Conflict
+    | controls.ChangeIdReused
+    | controls.Unavailable
+):
+    """Propose a validated document and log who did and what came of it."""
+    result = control.propose(
+        change_id=change_id,
+        author=author,
+        expected_revision=expected_revision,
+        document=documents.document_bytes(document),
+    )
+    logger.info(
+        'document change',
+        operator=author,
+        change_id=change_id,
+        expected_revision=expected_revision,
+        result=type(result).__name__,
+        revision=getattr(result, 'revision', None),
+    )
+    return result
--- /dev/null
+++ b/dandeliongw/operators.py
@@ -0,0 +1,346 @@
+"""The operators' HTTP API on the control port.
+
+One document describes everything, and ``PUT /v1/document`` is the only call
+that changes it. ``GET /metrics`` needs no token, as it names no caller.
+"""
+
+import enum
+import functools
+import json
+import logging
+import typing
+
+import cherrypy
+from loguru import logger
+import pydantic
+
+from . import _models
+from . import changes
+from . import control as controls
+from . import document as documents
+from . import exceptions
+from . import metrics as metrics_module
+from . import settings as settings_module
+from . import tokens
+
+MAX_BODY_BYTES = 4 * settings_module.MIB
+JSON_TYPE = 'application/json'
+
+Handler = typing.TypeVar('Handler', bound=typing.Callable)
+
+
+class ApiReason(enum.StrEnum):
+    """Why the API did not do what was asked."""
+
+    BAD_REQUEST = 'bad_request'
+    INVALID_DOCUMENT = 'invalid_document'
+    UNAUTHORIZED = 'unauthorized'
+    CONFLICT = 'conflict'
+    CHANGE_ID_REUSED = 'change_id_reused'
+    UNAVAILABLE = 'unavailable'
+    HTTP_ERROR = 'http_error'
+
+
+class ApiError(Exception):
+    """Ends a call with an error answer.
+
+    :param status: the HTTP status code.
+    :param details: more fields of the JSON body.
+    """
+
+    def __init__(
+        self,
+        *,
+        status: int,
+        reason: ApiReason,
+        message: str,
+        details: dict[str, typing.Any] | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.body = {
+            'reason': reason.value,
+            'message': message,
+            **(details or {}),
+        }
+
+
+class Change(_models.Model):
+    """The body of ``PUT /v1/document``."""
+
+    document: dict[str, typing.Any]
+    expected_revision: _models.NotNegativeInt
+    """The revision that the change was made from."""
+    change_id: typing.Annotated[
+        str, pydantic.StringConstraints(pattern=r'^[A-Za-z0-9._-]{1,64}$')
+    ]
+    """Chosen by the operator; a resend carries the same one."""
+
+
+def make_application(
+    control: controls.Control,
+    settings: settings_module.Settings,
+    metrics: metrics_module.Metrics,
+) -> cherrypy.Application:
+    """Return the WSGI application of the API and the console.
+
+    It is not mounted anywhere and sets nothing global in CherryPy.
+    """
+    root = _Root()
+    root.metrics = _MetricsPage(metrics=metrics)
+    root.v1 = _Version1(control=control, settings=settings)
+    application = cherrypy.Application(root, script_name='')
+    application.merge(_configuration())
+    _log_through_loguru(application)
+    return application
+
+
+class _Root:
+    """Holds the parts; has no page of its own."""
+
+
+class _MetricsPage:
+    def __init__(self, *, metrics: metrics_module.Metrics) -> None:
+        self._metrics = metrics
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        headers = cherrypy.response.headers
+        headers['Content-Type'] = metrics_module.CONTENT_TYPE
+        return self._metrics.render()
+
+
+def _answers_json(handler: Handler) -> Handler:
+    """Turn what a handler returns, or an ``ApiError``, into JSON."""
+
+    @functools.wraps(handler)
+    def answer(self: typing.Any, **query: str) -> bytes:
+        try:
+            if query:
+                raise _bad_request(f'no such parameter: {min(query)!r}')
+            return _json(handler(self))
+        except ApiError as error:
+            cherrypy.response.status = error.status
+            return _json(error.body)
+
+    return typing.cast(Handler, answer)
+
+
+class _Resource:
+    """A path of the API; methods are named by the HTTP method."""
+
+    exposed = True
+
+    def __init__(
+        self,
+        *,
+        control: controls.Control,
+        settings: settings_module.Settings,
+    ) -> None:
+        self._control = control
+        self._settings = settings
+
+    def _authorize(self) -> settings_module.Operator:
+        header = cherrypy.request.headers.get('Authorization', '')
+        scheme, _, token = header.partition(' ')
+        operator = None
+        if scheme.lower() == 'bearer':
+            operator = tokens.find_operator(self._settings, token.strip())
+        if operator is None:
+            headers = cherrypy.response.headers
+            headers['WWW-Authenticate'] = 'Bearer'
+            raise ApiError(
+                status=401,
+                reason=ApiReason.UNAUTHORIZED,
+                message='the bearer token is not that of an operator',
+            )
+        return operator
+
+
+class _Document(_Resource):
+    @_answers_json
+    def GET(self) -> dict[str, typing.Any]:
+        self._authorize()
+        current = self._control.current()
+        if isinstance(current, controls.Unavailable):
+            raise _unavailable(current.message)
+        return _described(current)
+
+    @_answers_json
+    def PUT(self) -> dict[str, typing.Any]:
+        operator = self._authorize()
+        change = _read_change()
+        result = changes.propose(
+            self._control,
+            change_id=change.change_id,
+            author=operator.name,
+            expected_revision=change.expected_revision,
+            document=_read_document(change.document),
+        )
+        if isinstance(result, controls.Applied):
+            return {'revision': result.revision, 'repeated': result.repeated}
+        raise _refused(result)
+
+
+class _Status(_Resource):
+    @_answers_json
+    def GET(self) -> controls.Status:
+        self._authorize()
+        return self._control.status()
+
+
+class _Backends(_Resource):
+    @_answers_json
+    def GET(self) -> dict[str, typing.Any]:
+        self._authorize()
+        return {'backends': self._control.backends()}
+
+
+class _History(_Resource):
+    @_answers_json
+    def GET(self) -> dict[str, typing.Any]:
+        self._authorize()
+        return {'changes': self._control.history()}
+
+
+class _Version1:
+    """The parts of the API, by path."""
+
+    def __init__(
+        self,
+        *,
+        control: controls.Control,
+        settings: settings_module.Settings,
+    ) -> None:
+        self.document = _Document(control=control, settings=settings)
+        self.status = _Status(control=control, settings=settings)
+        self.backends = _Backends(control=control, settings=settings)
+        self.history = _History(control=control, settings=settings)
+
+
+def _read_change() -> Change:
+    if cherrypy.request.headers.get('Content-Type', '') != JSON_TYPE:
+        raise ApiError(
+            status=415,
+            reason=ApiReason.BAD_REQUEST,
+            message=f'the Content-Type must be {JSON_TYPE}',
+        )
+    body = cherrypy.request.body.fp.read()
+    try:
+        return _models.parse(Change, body)
+    except exceptions.InvalidInput as error:
+        raise _invalid(ApiReason.BAD_REQUEST, error)
+
+
+def _read_document(tree: dict[str, typing.Any]) -> documents.Document:
+    try:
+        return documents.parse_document(json.dumps(tree).encode())
+    except exceptions.InvalidInput as error:
+        raise _invalid(ApiReason.INVALID_DOCUMENT, error)
+
+
+def _described(current: controls.Configuration) -> dict[str, typing.Any]:
+    return {
+        'revision': current.revision,
+        'author': current.author,
+        'document': json.loads(current.document),
+    }
+
+
+def _refused(
+    result: controls.Conflict | controls.ChangeIdReused | controls.Unavailable,
+) -> ApiError:
+    if isinstance(result, controls.Conflict):
+        current = result.current
+        return ApiError(
+            status=409,
+            reason=ApiReason.CONFLICT,
+            message=(
+                f'{current.author!r} has made revision {current.revision} '
+                'meanwhile; nothing was applied'
+            ),
+            details=_described(current),
+        )
+    if isinstance(result, controls.ChangeIdReused):
+        return ApiError(
+            status=409,
+            reason=ApiReason.CHANGE_ID_REUSED,
+            message=(
+                f'change id {result.change_id!r} names another change; '
+                'nothing was applied'
+            ),
+        )
+    return _unavailable(
+        f'{result.message}; the change may still take effect: send it '
+        'again with the same change id'
+    )
+
+
+def _unavailable(message: str) -> ApiError:
+    return ApiError(status=503, reason=ApiReason.UNAVAILABLE, message=message)
+
+
+def _bad_request(message: str) -> ApiError:
+    return ApiError(status=400, reason=ApiReason.BAD_REQUEST, message=message)
+
+
+def _invalid(reason: ApiReason, error: exceptions.InvalidInput) -> ApiError:
+    problems = [
+        {
+            'path': problem.path,
+            'given': problem.given,
+            'allowed': problem.allowed,
+        }
+        for problem in error.problems
+    ]
+    return ApiError(
+        status=400,
+        reason=reason,
+        message=error.message,
+        details={'problems': problems},
+    )
+
+
+def _json(value: typing.Any) -> bytes:
+    headers = cherrypy.response.headers
+    headers['Content-Type'] = JSON_TYPE
+    headers['Cache-Control'] = 'no-store'
+    return json.dumps(value, ensure_ascii=False).encode()
+
+
+def _error_body(
+    status: str, message: str, traceback: str, version: str
+) -> bytes:
+    """Show errors that CherryPy itself raises as JSON, without details."""
+    return _json({'reason': ApiReason.HTTP_ERROR.value, 'message': status})
+
+
+def _configuration() -> dict[str, dict[str, typing.Any]]:
+    return {
+        '/': {
+            'request.show_tracebacks': False,
+            'request.body.maxbytes': MAX_BODY_BYTES,
+            'error_page.default': _error_body,
+            'tools.trailing_slash.on': False,
+        },
+        '/v1': {'request.dispatch': cherrypy.dispatch.MethodDispatcher()},
+    }
+
+
+class _LoguruHandler(logging.Handler):
+    """Hands CherryPy's error log on, as JSON lines like all others."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        logger.opt(exception=record.exc_info).log(
+            'ERROR' if record.levelno >= logging.ERROR else 'DEBUG',
+            record.getMessage(),
+        )
+
+
+def _log_through_loguru(application: cherrypy.Application) -> None:
+    """Keep CherryPy's own lines, which aren't JSON, off the streams."""
+    application.log.error_log.propagate = False
+    application.log.error_log.handlers = [_LoguruHandler()]
+    # Access lines hold whatever the client sent; changes are logged above.
+    application.log.access_log.propagate = False
+    application.log.access_log.handlers = [logging.NullHandler()]
--- /dev/null
+++ b/dandeliongw/tokens.py
@@ -0,0 +1,27 @@
+"""Bearer tokens: kept as SHA-256 digests, compared in constant time."""
+
+import hashlib
+import hmac
+
+from . import settings as settings_module
+
+
+def digest(token: str) -> str:
+    """Return the SHA-256 of a token or key, in hexadecimal."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def find_operator(
+    settings: settings_module.Settings, token: str
+) -> settings_module.Operator | None:
+    """Return the operator whose token it is.
+
+    Every digest is compared, each in constant time: how long it takes tells
+    nothing about the digests.
+    """
+    given = digest(token)
+    found = None
+    for operator in settings.operators:
+        if hmac.compare_digest(operator.token_sha256, given):
+            found = operator
+    return found
--- /dev/null
+++ b/tests/operators_fake.py
@@ -0,0 +1,186 @@
+"""A control over a dictionary, and its HTTP border on a free port."""
+
+from collections import abc
+import contextlib
+import json
+import threading
+
+from cheroot import wsgi
+import urllib3
+
+from dandeliongw import control
+from dandeliongw import document
+from dandeliongw import metrics
+from dandeliongw import operators
+from dandeliongw import settings
+from dandeliongw import tokens
+
+TOKENS_BY_NAME = {'ana': 'token-of-ana', 'bat': 'token-of-bat'}
+
+
+def make_settings() -> settings.Settings:
+    """Return settings with two operators and ports of the system's choice."""
+    address = {'host': '127.0.0.1', 'port': 0}
+    place = {'data_centre': 'austin-a', 'region': 'tx-central'}
+    tree = {
+        'instance_id': 'gw-1',
+        **place,
+        'callers': address,
+        'control': address,
+        'peer': address,
+        'peers': [{'instance_id': 'gw-1', **address, **place}],
+        'peer_secret': 'between-instances-only',
+        'operators': [
+            {'name': name, 'token_sha256': tokens.digest(token)}
+            for name, token in TOKENS_BY_NAME.items()
+        ],
+    }
+    return settings.parse_settings(json.dumps(tree).encode())
+
+
+class FakeControl:
+    """Compare-and-set in memory; ``failing`` loses answers."""
+
+    def __init__(self) -> None:
+        self.configurations = [
+            control.Configuration(
+                revision=0,
+                document=document.document_bytes(document.EMPTY),
+                author='',
+            )
+        ]
+        self.changes_by_id: dict[str, control.Configuration] = {}
+        #: Whether proposals take effect while their answers are lost.
+        self.answers_lost = False
+        #: Whether no majority answers.
+        self.cut_off = False
+
+    def current(self) -> control.Configuration | control.Unavailable:
+        if self.cut_off:
+            return control.Unavailable(message='no majority answered')
+        return self.configurations[-1]
+
+    def propose(self, *, change_id, author, expected_revision, document):
+        if self.cut_off:
+            return control.Unavailable(message='no majority answered')
+        known = self.changes_by_id.get(change_id)
+        if known is not None:
+            if known.document != document:
+                return control.ChangeIdReused(change_id=change_id)
+            return control.Applied(revision=known.revision, repeated=True)
+        last = self.configurations[-1]
+        if last.revision != expected_revision:
+            return control.Conflict(current=last)
+        made = control.Configuration(
+            revision=last.revision + 1, document=document, author=author
+        )
+        self.configurations.append(made)
+        self.changes_by_id[change_id] = made
+        if self.answers_lost:
+            return control.Unavailable(message='the answer was lost')
+        return control.Applied(revision=made.revision, repeated=False)
+
+    def status(self) -> control.Status:
+        last = self.configurations[-1]
+        return {
+            'instance_id': 'gw-1',
+            'revision': last.revision,
+            'author': last.author,
+            'in_force': self.in_force(last.revision),
+            'instances': [
+                {
+                    'instance_id': 'gw-1',
+                    'data_centre': 'austin-a',
+                    'region': 'tx-central',
+                    'voter': True,
+                    'heard': True,
+                    'revision': last.revision,
+                }
+            ],
+            'leases': [{'name': 'cell-0', 'holder': 'gw-1', 'epoch': 4}],
+            'pools': [
+                {
+                    'name': '<portal>',
+                    'service': 'studio-portal',
+                    'backends': 2,
+                    'slots': 64,
+                    'used': 7,
+                    'queue': 3,
+                }
+            ],
+        }
+
+    def backends(self) -> list[control.BackendStatus]:
+        return [
+            {
+                'backend_id': '<script>alert(1)</script>',
+                'service': 'studio-portal',
+                'role': 'plain',
+                'url': 'http://10.0.1.9:80',
+                'data_centre': 'austin-a',
+                'state': 'ready',
+                'slots': 32,
+                'used': 7,
+                'checks_fence': False,
+            }
+        ]
+
+    def history(self) -> list[control.HistoryEntry]:
+        return [
+            {
+                'revision': made.revision,
+                'author': made.author,
+                'change_id': change_id,
+                'time': '2026-12-02T18:00:00Z',
+            }
+            for change_id, made in reversed(self.changes_by_id.items())
+        ]
+
+    def in_force(self, revision: int) -> control.InForce:
+        return {
+            'revision': revision,
+            'confirmed': 6,
+            'expired': 1,
+            'instances': 8,
+        }
+
+
+@contextlib.contextmanager
+def serving(application: object) -> abc.Iterator[str]:
+    """Serve a WSGI application on loopback; yields its URL."""
+    server = wsgi.Server(('127.0.0.1', 0), application, numthreads=4)
+    # How often the server looks whether it has been stopped.
+    server.expiration_interval = 0.01
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        yield f'http://127.0.0.1:{server.bind_addr[1]}'
+    finally:
+        server.stop()
+        thread.join()
+
+
+class Border:
+    """One fake control behind the real border, and a client to it."""
+
+    def __init__(self, *, control: FakeControl, url: str) -> None:
+        self.control = control
+        self.url = url
+        self._client = urllib3.PoolManager(retries=False, timeout=10)
+
+    def ask(self, method: str, path: str, **options):
+        return self._client.request(
+            method, self.url + path, redirect=False, **options
+        )
+
+
+@contextlib.contextmanager
+def border() -> abc.Iterator[Border]:
+    """Yield the operators' border over a fresh fake control."""
+    fake = FakeControl()
+    application = operators.make_application(
+        fake, make_settings(), metrics.Metrics()
+    )
+    with serving(application) as url:
+        yield Border(control=fake, url=url)
