The command line: serve, check, apply, show, status, backends, entries

Cause: operators need to check files before they count, and to make a change whose answer was lost again without making it twice.

apply asks for the revision that the change was made from; fetching it in the command would make the compare-and-set worthless. The token comes from a file, as other users can see a process's arguments. If no answer comes, the message names the change id to send again; exit codes tell bad input, unavailable, conflict and unauthorized apart.

Ruled out: sending again inside the command (an operator must know that the fate was open); defopt's short flags, which change as commands grow.

--- /dev/null
+++ b/tests/test_command.py
@@ -0,0 +1,154 @@
+"""The command line: output, messages and exit codes, run in this process."""
+
+import contextlib
+import io
+import json
+import pathlib
+import sys
+import tempfile
+import types
+import unittest
+from unittest import mock
+
+from loguru import logger
+from nose2.tools import params
+
+from dandeliongw import command
+from dandeliongw import exceptions
+from tests import operators_fake
+from tests import test_settings
+
+PRIORITY = {'name': 'urgent', 'rank': 0, 'max_wait_s': 1}
+
+
+class Outcome:
+    """What one command wrote and returned."""
+
+    def __init__(self, *arguments: object) -> None:
+        output, errors = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(output):
+            with contextlib.redirect_stderr(errors):
+                self.code = command.main([str(part) for part in arguments])
+        self.output = output.getvalue()
+        self.errors = errors.getvalue()
+
+
+class CommandTest(unittest.TestCase):
+    def setUp(self):
+        logger.remove()
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.folder = pathlib.Path(folder)
+        self.token = self.write('token', 'token-of-ana\n')
+
+    def write(self, name: str, text: str) -> pathlib.Path:
+        path = self.folder / name
+        path.write_text(text)
+        return path
+
+    def apply(self, url: str, *more: object, **fields) -> Outcome:
+        path = self.write('document', json.dumps({'version': 1} | fields))
+        rights = ('--url', url, '--token-file', self.token)
+        return Outcome('apply', path, *rights, '--expected-revision', 0, *more)
+
+    def test_help_names_every_command(self):
+        for arguments in ((), ('--help',)):
+            outcome = Outcome(*arguments)
+            self.assertEqual(0, outcome.code)
+            for function in command.COMMANDS:
+                self.assertIn(function.__name__, outcome.output)
+
+    @params(
+        (['bogus'], "'bogus'"),
+        (['check'], 'file'),
+        (['check', '/nowhere/file'], '/nowhere/file'),
+        (['apply', 'x'], '--expected-revision'),
+        (['entries', '--url', 'gw-1:7000'], "'gw-1:7000'"),
+    )
+    def test_wrong_usage_names_the_bad_value(self, arguments, told):
+        outcome = Outcome(*arguments)
+        self.assertEqual(exceptions.ExitCode.BAD_INPUT, outcome.code)
+        self.assertIn(told, outcome.errors)
+        self.assertEqual('', outcome.output)
+
+    @params(
+        (json.dumps(test_settings.VALID), 'settings'),
+        ('{"version": 1}', 'document'),
+    )
+    def test_check_tells_which_of_the_two(self, text, kind):
+        outcome = Outcome('check', self.write('file', text))
+        self.assertEqual(0, outcome.code)
+        self.assertEqual(kind, json.loads(outcome.output)['kind'])
+
+    @params(
+        ('{"version": 1, "colour": 2}', 'colour: no such field'),
+        ('{"instance_id": "gw-1"}', 'peers: not given'),
+        ('{', 'not JSON'),
+        ('[]', 'neither'),
+    )
+    def test_check_refuses(self, text, told):
+        outcome = Outcome('check', self.write('file', text))
+        self.assertEqual(exceptions.ExitCode.BAD_INPUT, outcome.code)
+        self.assertIn(told, outcome.errors)
+
+    def test_serve_hands_the_settings_to_the_server(self):
+        served = []
+        server = types.ModuleType('dandeliongw.server')
+        server.serve = served.append
+        path = self.write('file', json.dumps(test_settings.VALID))
+        with mock.patch.dict(sys.modules, {server.__name__: server}):
+            with mock.patch('dandeliongw.server', server, create=True):
+                outcome = Outcome('serve', path)
+        logger.remove()
+        self.assertEqual(0, outcome.code)
+        self.assertEqual('gw-1', served[0].instance_id)
+
+    def test_apply_then_show(self):
+        with operators_fake.border() as border:
+            rights = ('--url', border.url, '--token-file', self.token)
+            outcome = self.apply(border.url, priorities=[PRIORITY])
+            self.assertEqual(1, json.loads(outcome.output)['revision'])
+            shown = json.loads(Outcome('show', *rights).output)
+            for name in ('status', 'backends'):
+                self.assertEqual(0, Outcome(name, *rights).code)
+        self.assertEqual([PRIORITY], shown['document']['priorities'])
+        self.assertEqual('ana', shown['author'])
+
+    def test_apply_after_another_change(self):
+        with operators_fake.border() as border:
+            self.apply(border.url)
+            outcome = self.apply(border.url, priorities=[PRIORITY])
+        self.assertEqual(exceptions.ExitCode.CONFLICT, outcome.code)
+        self.assertIn('revision 0', outcome.errors)
+        self.assertIn("'ana' has since made revision 1", outcome.errors)
+
+    def test_a_lost_answer_names_the_change_id_to_send_again(self):
+        """Symptom: an operator makes a change twice, or gives it up.
+
+        Sequence: the change is accepted, its answer is lost, the command
+        fails. Cause: nothing tells how to learn what became of it.
+        """
+        with operators_fake.border() as border:
+            border.control.answers_lost = True
+            outcome = self.apply(border.url)
+            self.assertEqual(exceptions.ExitCode.UNAVAILABLE, outcome.code)
+            words = outcome.errors.split()
+            change_id = words[words.index('--change-id') + 1]
+            outcome = self.apply(border.url, '--change-id', change_id)
+        self.assertEqual(0, outcome.code)
+        self.assertTrue(json.loads(outcome.output)['repeated'])
+
+    def test_an_instance_that_does_not_answer(self):
+        with operators_fake.border() as border:
+            gone = border.url
+        outcome = Outcome('entries', '--url', gone)
+        self.assertEqual(exceptions.ExitCode.UNAVAILABLE, outcome.code)
+        self.assertIn(gone, outcome.errors)
+
+    def test_a_wrong_token(self):
+        token = self.write('token', 'token-of-nobody')
+        with operators_fake.border() as border:
+            outcome = Outcome(
+                'show', '--url', border.url, '--token-file', token
+            )
+        self.assertEqual(exceptions.ExitCode.UNAUTHORIZED, outcome.code)
+        self.assertNotIn('token-of-nobody', outcome.errors)
