--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -18,7 +18,9 @@
 BLOCK_TOKENS = 64
 
 
-def hash_blocks(prompt: str, block_tokens: int = BLOCK_TOKENS) -> tuple:
+def hash_blocks(
+    prompt: str, block_tokens: int = BLOCK_TOKENS
+) -> tuple[str, ...]:
     """Return a hash for each whole block of a prompt.
 
     Each hash covers the prompt up to the end of its block, so that equal
@@ -28,7 +30,8 @@
     hashes = []
     chain = xxhash.xxh64()
     for end in range(block_tokens, len(words) + 1, block_tokens):
-        chain.update(' '.join(words[end - block_tokens : end]) + ' ')
+        block = ' '.join(words[end - block_tokens : end])
+        chain.update(f'{block} '.encode())
         hashes.append(chain.hexdigest())
     return tuple(hashes)
 
