Configuration register: one value, prepare and accept, no log

Cause: an accepted configuration has to be in force everywhere in seconds and must never revert, without an outside store. Ruled out: a replicated log with a leader.

Ballots of (number, proposer) alone: a proposer without a disk forgets its numbers, so a nonce makes each attempt its own. Values in prepare replies: up to 12 copies of most of a megabyte; a reply names the ballot, and the value is fetched from one voter when it isn't known. Faults are not tested yet.

--- /dev/null
+++ b/dandeliongw/coordination/ballot.py
@@ -0,0 +1,22 @@
+"""Numbers that order the attempts to write the register."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class Ballot:
+    """The identity of one attempt; no two attempts ever share one.
+
+    A proposer without a disk forgets its numbers at a restart. If it came
+    back to (number, proposer), two different values could be accepted under
+    one ballot, and readers that compare ballots would take them for the same
+    value. The nonce makes every attempt its own.
+
+    :param number: grows past every number the proposer has heard of.
+    :param proposer: instance id.
+    :param nonce: 64 random bits drawn for this attempt.
+    """
+
+    number: int
+    proposer: str
+    nonce: int
--- /dev/null
+++ b/dandeliongw/coordination/configuration.py
@@ -0,0 +1,199 @@
+"""The value that the register holds, and the steps between two values."""
+
+import dataclasses
+import hashlib
+import zlib
+
+from . import ballot as ballots
+from . import voters as voter_sets
+
+#: Change ids older than this many changes are forgotten; at 1,000 changes a
+#: day a resend is recognized for ten days.
+CHANGES_KEPT = 10_000
+DIGEST_BYTES = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeRecord:
+    """What became of one change, so that a resend gets the same answer.
+
+    :param revision: the revision that the change got.
+    :param digest: of what was asked; tells a resend from a reused id.
+    """
+
+    change_id: str
+    revision: int
+    digest: bytes
+    author: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationStep:
+    """How one configuration differs from the one it was made from.
+
+    :param document: the new packed document; ``None`` when it is the same.
+    :param added: the records of changes that came with this step.
+    :param voters: the new voters; ``None`` when they are the same.
+    """
+
+    document: bytes | None = None
+    author: str | None = None
+    added: tuple[ChangeRecord, ...] = ()
+    voters: voter_sets.Voters | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Configuration:
+    """One value of the register.
+
+    :param revision: counts the changes of the document; a change of voters
+        keeps it, so that an operator's compare-and-set isn't disturbed.
+    :param document: the document, packed by :func:`pack`.
+    :param author: who changed the document last.
+    :param changes: the latest changes, oldest first.
+    """
+
+    revision: int
+    document: bytes
+    author: str
+    changes: tuple[ChangeRecord, ...]
+    voters: voter_sets.Voters
+
+    def apply(self, step: ConfigurationStep) -> 'Configuration':
+        """Return the configuration that comes of a step from this one."""
+        changed = step.document is not None
+        return Configuration(
+            revision=self.revision + 1 if changed else self.revision,
+            document=step.document if changed else self.document,
+            author=step.author if changed else self.author,
+            changes=(self.changes + step.added)[-CHANGES_KEPT:],
+            voters=self.voters if step.voters is None else step.voters,
+        )
+
+    def find_change(self, change_id: str) -> ChangeRecord | None:
+        """Return the record of a change, if it is still kept."""
+        for record in reversed(self.changes):
+            if record.change_id == change_id:
+                return record
+        return None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Version:
+    """A configuration and the ballot under which it was written."""
+
+    ballot: ballots.Ballot
+    configuration: Configuration
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VersionUpdate:
+    """A version on its way to someone who may hold an earlier one.
+
+    Ten thousand change records make a value of most of a megabyte, while
+    one change is a few hundred bytes. So an update is either ``full`` or the
+    steps from a ``base`` that the receiver said it holds. A ballot belongs
+    to one value only, so naming the base's ballot names its content.
+    """
+
+    ballot: ballots.Ballot
+    base: ballots.Ballot | None = None
+    steps: tuple[ConfigurationStep, ...] = ()
+    full: Configuration | None = None
+
+
+def resolve(update: VersionUpdate, base: Version | None) -> Version | None:
+    """Return the version that an update brings.
+
+    :param base: what the receiver holds.
+    :returns: ``None`` when the update starts from something else; the full
+        value has to be asked for then.
+    """
+    if update.full is not None:
+        return Version(ballot=update.ballot, configuration=update.full)
+    if base is None or base.ballot != update.base:
+        return None
+    configuration = base.configuration
+    for step in update.steps:
+        configuration = configuration.apply(step)
+    return Version(ballot=update.ballot, configuration=configuration)
+
+
+class VersionHistory:
+    """The version held now and the way from a few before it.
+
+    :param steps_kept: receivers further behind than this get the full value.
+    """
+
+    def __init__(self, *, steps_kept: int = 32) -> None:
+        self.current: Version | None = None
+        self._steps_kept = steps_kept
+        self._update_by_base: dict[ballots.Ballot, VersionUpdate] = {}
+
+    @property
+    def ballot(self) -> ballots.Ballot | None:
+        """Return the ballot of the current version."""
+        return None if self.current is None else self.current.ballot
+
+    def advance(self, update: VersionUpdate) -> bool:
+        """Take in a later version.
+
+        :returns: whether it could be resolved from the current one.
+        """
+        version = resolve(update, self.current)
+        if version is None:
+            return False
+        if update.full is not None:
+            self._update_by_base.clear()
+        elif update.base != update.ballot:
+            self._update_by_base[update.base] = update
+            self._forget_old_steps()
+        self.current = version
+        return True
+
+    def _forget_old_steps(self) -> None:
+        while len(self._update_by_base) > self._steps_kept:
+            oldest = next(iter(self._update_by_base))
+            del self._update_by_base[oldest]
+
+    def update_for(self, base: ballots.Ballot | None) -> VersionUpdate:
+        """Return the shortest update to the current version."""
+        if self.current is None:
+            raise ValueError('no version is held yet')
+        steps: list[ConfigurationStep] = []
+        reached = base
+        while reached != self.current.ballot:
+            update = self._update_by_base.get(reached)
+            if update is None:
+                return full_update(self.current)
+            steps.extend(update.steps)
+            reached = update.ballot
+        return VersionUpdate(
+            ballot=self.current.ballot, base=base, steps=tuple(steps)
+        )
+
+
+def full_update(version: Version) -> VersionUpdate:
+    """Return an update that needs no base."""
+    return VersionUpdate(ballot=version.ballot, full=version.configuration)
+
+
+def pack(document: bytes) -> bytes:
+    """Compress a document for the wire and the journal."""
+    return zlib.compress(document)
+
+
+def unpack(document: bytes) -> bytes:
+    """Undo :func:`pack`."""
+    return zlib.decompress(document)
+
+
+def digest(*parts: str | int | bytes) -> bytes:
+    """Return a digest that tells two requests apart."""
+    hasher = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        encoded = part if isinstance(part, bytes) else str(part).encode()
+        # The length in front keeps ('ab', 'c') apart from ('a', 'bc').
+        hasher.update(len(encoded).to_bytes(8, 'big'))
+        hasher.update(encoded)
+    return hasher.digest()
--- /dev/null
+++ b/dandeliongw/coordination/confirmation.py
@@ -0,0 +1,160 @@
+"""How an instance learns that its configuration is still the current one.
+
+A voter asks its fellow voters which ballot they hold; when a quorum holds
+the same one, that version was the latest when the check began. Everyone else
+asks one voter, which answers all who wait with one check.
+"""
+
+from collections import abc
+import dataclasses
+
+from . import ballot as ballots
+from . import configuration as configurations
+from . import parts
+from . import register_messages as messages
+
+# Fractions of the time to live. An ask goes out at 0.3; two voters may stay
+# silent for 0.2 each, and the third one's answer, which waits up to 0.15 for
+# the next check, still comes before the time to live has run out.
+ASK_EVERY = 0.3
+ASK_TIMEOUT = 0.2
+CHECK_GAP = 0.15
+CHECK_TIMEOUT = 0.1
+#: A silent voter is asked last for this many times to live.
+AVOID_FOR = 4.0
+
+
+class Asker:
+    """Asks one voter after the other to confirm the configuration.
+
+    :param ttl_s: how long a confirmation lasts, in seconds.
+    """
+
+    def __init__(self, *, instance_id: str, ttl_s: float) -> None:
+        self._instance_id = instance_id
+        self._ttl_s = ttl_s
+        self._ask_id = 0
+        self._target: str | None = None
+        self._sent_at = 0.0
+        self._next_at: float | None = None
+        self._is_hurried = False
+        self._avoid_until_by_id: dict[str, float] = {}
+
+    def hurry(self) -> None:
+        """Ask at the next occasion: something has changed.
+
+        An ask that is under way may have left before the change, so its
+        answer does not count as the occasion.
+        """
+        self._is_hurried = True
+
+    def tick(
+        self,
+        now: float,
+        candidates: abc.Sequence[str],
+        base: ballots.Ballot | None,
+    ) -> list[parts.Send]:
+        """Ask when it is time, or another one when the last is silent."""
+        if self._target is not None:
+            if now - self._sent_at < ASK_TIMEOUT * self._ttl_s:
+                return []
+            self._avoid(self._target, now)
+        elif not self._is_due(now):
+            return []
+        return self._ask(now, candidates, base)
+
+    def _is_due(self, now: float) -> bool:
+        if self._is_hurried or self._next_at is None:
+            return True
+        return now >= self._next_at
+
+    def answered(self, ask_id: int) -> float | None:
+        """Return when the ask left, if this answers the latest one."""
+        if ask_id != self._ask_id or self._target is None:
+            return None
+        self._target = None
+        self._next_at = self._sent_at + ASK_EVERY * self._ttl_s
+        return self._sent_at
+
+    def refused(self, ask_id: int, now: float) -> None:
+        """Pass over the one that was asked."""
+        if ask_id == self._ask_id and self._target is not None:
+            self._avoid(self._target, now)
+            self._target = None
+            self._next_at = None
+
+    def _avoid(self, instance_id: str, now: float) -> None:
+        self._avoid_until_by_id[instance_id] = now + AVOID_FOR * self._ttl_s
+
+    def _ask(
+        self,
+        now: float,
+        candidates: abc.Sequence[str],
+        base: ballots.Ballot | None,
+    ) -> list[parts.Send]:
+        self._target = None
+        if not candidates:
+            return []
+        self._is_hurried = False
+        self._target = min(candidates, key=lambda i: self._rank(i, now))
+        self._ask_id += 1
+        self._sent_at = now
+        message = messages.ConfirmConfiguration(ask_id=self._ask_id, base=base)
+        return [parts.Send(to=self._target, message=message)]
+
+    def _rank(self, instance_id: str, now: float) -> tuple[float, bytes]:
+        avoided_until = self._avoid_until_by_id.get(instance_id, now)
+        # The digest spreads the askers evenly over the voters.
+        spread = configurations.digest(self._instance_id, instance_id)
+        return max(avoided_until, now), spread
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WaitingAsk:
+    """An instance that waits for the outcome of a check."""
+
+    instance_id: str
+    arrived_at: float
+    ask: messages.ConfirmConfiguration
+
+
+class Check:
+    """One majority check of a voter.
+
+    :param asks: whoever asked before the check began; a check never
+        answers later ones, as it may have read before they were sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        check_id: int,
+        started_at: float,
+        asks: abc.Sequence[WaitingAsk],
+    ) -> None:
+        self.check_id = check_id
+        self.started_at = started_at
+        self.asks = tuple(asks)
+        self.accepted_by_disk: dict[str, ballots.Ballot | None] = {}
+
+    def disks_holding(self, ballot: ballots.Ballot) -> set[str]:
+        """Return the disks that reported exactly this ballot."""
+        return {
+            disk_id
+            for disk_id, accepted in self.accepted_by_disk.items()
+            if accepted == ballot
+        }
+
+    def confirms(self, version: configurations.Version) -> bool:
+        """Tell whether the version was the latest when the check began.
+
+        A quorum of its voters holds it, so a later chosen version would have
+        left a trace on at least one of them.
+        """
+        voters = version.configuration.voters
+        return voters.has_quorum(self.disks_holding(version.ballot))
+
+    def latest(self) -> ballots.Ballot | None:
+        """Return the highest ballot that any disk reported."""
+        reported = [b for b in self.accepted_by_disk.values() if b]
+        return max(reported, default=None)
