Presence: leases of backend servers at the instances that dispatch

Cause: nobody lists backend servers; they announce themselves to any instance, and work may go only to those that still renew.

Ruled out: keeping only the last thing said (a renewal that overtakes a leave makes the leave look old); dropping announcements that are refused for their address (the order of messages then decides who is present).

--- /dev/null
+++ b/dandeliongw/coordination/_backends.py
@@ -0,0 +1,271 @@
+"""What a dispatching instance holds of each backend server.
+
+For each backend server the highest announcement and the highest leave are
+kept, ordered by ``(incarnation, sequence)``. It is present while the
+announcement is the higher one, its lease runs, and no other process has
+started at its address since. All of these only grow, so any order and
+doubling of messages ends in the same state.
+
+A renewal moves neither: one that overtakes a leave would otherwise make the
+leave look old, and a backend server that has left would get work until its
+last renewal has run out.
+"""
+
+import dataclasses
+import typing
+
+from ._presence_messages import BackendAnnouncement
+from ._presence_messages import BackendChanged
+from ._presence_messages import BackendDeparture
+from ._presence_messages import BackendLoad
+from ._presence_messages import BackendRenewal
+from ._presence_messages import CacheEvents
+from ._presence_messages import CacheHints
+
+Stamp = tuple[int, int]
+#: Before all that a backend server can say.
+NEVER: Stamp = (-1, -1)
+#: Seconds after the end of a lease in which its address is not given to a
+#: process with a lower incarnation.
+URL_MEMORY_S = 60.0
+#: Seconds between two looks for what may be forgotten.
+FORGET_PERIOD_S = 30.0
+
+
+def stamp(
+    said: BackendAnnouncement | BackendRenewal | BackendDeparture,
+) -> Stamp:
+    """Return the order of what one backend server said."""
+    return said.incarnation, said.sequence
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Backend:
+    """A backend server that was announced to this instance.
+
+    :param lease_until: seconds of this instance's own clock.
+    :param load: the last report, or ``None``.
+    :param load_at: when it was received first, on this instance's clock.
+    :param cache_gaps: times that cache events were lost.
+    """
+
+    announcement: BackendAnnouncement
+    lease_until: float
+    renewed: Stamp
+    present: bool = False
+    load: BackendLoad | None = None
+    load_at: float = 0.0
+    next_cache_event: int = 0
+    cache_gaps: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Holder:
+    """The process that was the last to start at an address."""
+
+    incarnation: int
+    backend_id: str
+    until: float
+
+    @property
+    def rank(self) -> tuple[int, str]:
+        return self.incarnation, self.backend_id
+
+
+class Backends:
+    """The table of backend servers, their leases and the leaves.
+
+    :param lease_s: seconds without renewal after which one gets no work.
+    :param memory_s: seconds that leaves and expired ones are remembered.
+    """
+
+    def __init__(self, *, lease_s: float, memory_s: float) -> None:
+        self._lease_s = lease_s
+        self._memory_s = memory_s
+        self.by_id: dict[str, Backend] = {}
+        self._left_by_id: dict[str, Stamp] = {}
+        self._forget_left_by_id: dict[str, float] = {}
+        self._holders_by_url: dict[str, _Holder] = {}
+        self._forget_at = 0.0
+
+    def left(self, backend_id: str) -> Stamp:
+        """Return the highest leave of a backend server."""
+        return self._left_by_id.get(backend_id, NEVER)
+
+    def announce(
+        self, now: float, announcement: BackendAnnouncement, age_s: float
+    ) -> list[typing.Any]:
+        """Take an announcement, unless something newer is known."""
+        replaced = self._claim_url(now, announcement)
+        held = self.by_id.get(announcement.backend_id)
+        if held is not None and stamp(announcement) <= stamp(
+            held.announcement
+        ):
+            return replaced
+        effects = []
+        if held is not None and held.present and _is_other(held, announcement):
+            effects.append(self._changed(held, present=False))
+        backend = self._put(now, announcement, age_s, held)
+        return effects + replaced + self._refresh(now, backend)
+
+    def renew(
+        self, now: float, renewal: BackendRenewal
+    ) -> list[typing.Any] | None:
+        """Take a renewal; ``None`` when its announcement is not known."""
+        held = self.by_id.get(renewal.backend_id)
+        if held is None or held.announcement.incarnation < renewal.incarnation:
+            has_left = renewal.incarnation <= self.left(renewal.backend_id)[0]
+            return [] if has_left else None
+        if stamp(renewal) <= held.renewed:
+            return []
+        held.renewed = stamp(renewal)
+        received_at = now - renewal.age_s
+        held.lease_until = max(held.lease_until, received_at + self._lease_s)
+        self._keep_url(held)
+        if renewal.load is not None:
+            held.load = renewal.load
+            held.load_at = received_at
+        effects = self._refresh(now, held)
+        if renewal.cache_events is not None:
+            effects += _hints(held, renewal.cache_events)
+        return effects
+
+    def leave(
+        self, now: float, departure: BackendDeparture
+    ) -> list[typing.Any]:
+        """Take a leave and remember it."""
+        backend_id = departure.backend_id
+        if stamp(departure) <= self.left(backend_id):
+            return []
+        self._left_by_id[backend_id] = stamp(departure)
+        self._forget_left_by_id[backend_id] = now + self._memory_s
+        held = self.by_id.get(backend_id)
+        return [] if held is None else self._refresh(now, held)
+
+    def expire(self, now: float) -> list[typing.Any]:
+        """End the leases that have run out; forget what is old enough."""
+        effects = []
+        for backend in self.by_id.values():
+            if backend.present:
+                effects += self._refresh(now, backend)
+        if now >= self._forget_at:
+            self._forget_at = now + FORGET_PERIOD_S
+            self._forget(now)
+        return effects
+
+    def _forget(self, now: float) -> None:
+        for backend_id, backend in list(self.by_id.items()):
+            if now >= backend.lease_until + self._memory_s:
+                del self.by_id[backend_id]
+        for backend_id, end in list(self._forget_left_by_id.items()):
+            if now >= end:
+                del self._forget_left_by_id[backend_id]
+                del self._left_by_id[backend_id]
+        self._forget_urls(now)
+
+    def may_work(self, backend: Backend, now: float) -> bool:
+        """Return whether it may get work at this moment."""
+        announcement = backend.announcement
+        return (
+            stamp(announcement) > self.left(announcement.backend_id)
+            and now < backend.lease_until
+            and self._holders_by_url[announcement.url].rank
+            == _rank(announcement)
+        )
+
+    def _put(
+        self,
+        now: float,
+        announcement: BackendAnnouncement,
+        age_s: float,
+        held: Backend | None,
+    ) -> Backend:
+        backend = Backend(
+            announcement=announcement,
+            lease_until=now - age_s + self._lease_s,
+            renewed=stamp(announcement),
+        )
+        if held is not None and not _is_other(held, announcement):
+            backend.present = held.present
+            backend.renewed = max(held.renewed, backend.renewed)
+            backend.lease_until = max(held.lease_until, backend.lease_until)
+            backend.load, backend.load_at = held.load, held.load_at
+            backend.next_cache_event = held.next_cache_event
+            backend.cache_gaps = held.cache_gaps
+        self.by_id[announcement.backend_id] = backend
+        return backend
+
+    def _claim_url(
+        self, now: float, announcement: BackendAnnouncement
+    ) -> list[typing.Any]:
+        """Give the address to the process that was the last to start there.
+
+        Another process may start under the address of one that died. An old
+        announcement of the dead one would send its requests to a process
+        that serves something else.
+        """
+        holder = self._holders_by_url.get(announcement.url)
+        is_held = holder is not None and now < holder.until
+        if is_held and holder.rank >= _rank(announcement):
+            return []
+        self._holders_by_url[announcement.url] = _Holder(
+            incarnation=announcement.incarnation,
+            backend_id=announcement.backend_id,
+            until=now + self._lease_s + URL_MEMORY_S,
+        )
+        former = self.by_id.get(holder.backend_id) if holder else None
+        return [] if former is None else self._refresh(now, former)
+
+    def _keep_url(self, backend: Backend) -> None:
+        announcement = backend.announcement
+        holder = self._holders_by_url[announcement.url]
+        if holder.rank == _rank(announcement):
+            holder.until = backend.lease_until + URL_MEMORY_S
+
+    def _refresh(self, now: float, backend: Backend) -> list[typing.Any]:
+        present = self.may_work(backend, now)
+        if present == backend.present:
+            return []
+        return [self._changed(backend, present=present)]
+
+    def _changed(self, backend: Backend, *, present: bool) -> BackendChanged:
+        backend.present = present
+        return BackendChanged(
+            backend_id=backend.announcement.backend_id,
+            incarnation=backend.announcement.incarnation,
+            present=present,
+        )
+
+    def _forget_urls(self, now: float) -> None:
+        used = {backend.announcement.url for backend in self.by_id.values()}
+        for url in self._holders_by_url.keys() - used:
+            if now >= self._holders_by_url[url].until:
+                del self._holders_by_url[url]
+
+
+def _rank(announcement: BackendAnnouncement) -> tuple[int, str]:
+    return announcement.incarnation, announcement.backend_id
+
+
+def _is_other(held: Backend, announcement: BackendAnnouncement) -> bool:
+    return held.announcement.incarnation != announcement.incarnation
+
+
+def _hints(backend: Backend, batch: CacheEvents) -> list[CacheHints]:
+    """Return the new events; a gap makes old hints stale, it is no error."""
+    expected = backend.next_cache_event
+    events = batch.events[max(0, expected - batch.first) :]
+    after_gap = batch.first > expected
+    backend.cache_gaps += after_gap
+    end = batch.first + len(batch.events)
+    backend.next_cache_event = max(expected, end)
+    if not events and not after_gap:
+        return []
+    return [
+        CacheHints(
+            backend_id=backend.announcement.backend_id,
+            incarnation=backend.announcement.incarnation,
+            events=events,
+            after_gap=after_gap,
+        )
+    ]
--- /dev/null
+++ b/dandeliongw/coordination/presence.py
@@ -0,0 +1,394 @@
+"""Which backend servers may get work.
+
+A backend server announces itself to any instance, renews about once a
+second, and says when it leaves. The instance that hears it passes this on
+to those that dispatch to it. Presence at a dispatching instance is a short
+lease on that instance's own clock: without renewal it ends, so that neither
+a crash nor a partition leaves work going to a server that is gone.
+
+A leave goes at once to every instance and is repeated, also with every
+batch of renewals for a while; it is remembered longer than any old
+announcement can travel, so that none can bring the server back.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from . import parts
+from ._backends import Backend
+from ._backends import Backends
+from ._backends import stamp
+from ._presence_messages import Announced
+from ._presence_messages import BackendAnnouncement
+from ._presence_messages import BackendChanged
+from ._presence_messages import BackendDeparture
+from ._presence_messages import BackendLoad
+from ._presence_messages import BackendRenewal
+from ._presence_messages import BackendRole
+from ._presence_messages import CacheEvent
+from ._presence_messages import CacheEventKind
+from ._presence_messages import CacheEvents
+from ._presence_messages import CacheHints
+from ._presence_messages import Forward
+from ._presence_messages import Left
+from ._presence_messages import MESSAGES
+from ._presence_messages import PresenceBatch
+from ._presence_messages import PresenceOutcome
+from ._presence_messages import PresenceUnknown
+from ._presence_messages import Presented
+from ._presence_messages import Renewed
+from ._presence_messages import SetInstances
+
+__all__ = [
+    'Announced',
+    'Backend',
+    'BackendAnnouncement',
+    'BackendChanged',
+    'BackendDeparture',
+    'BackendLoad',
+    'BackendRenewal',
+    'BackendRole',
+    'CacheEvent',
+    'CacheEventKind',
+    'CacheEvents',
+    'CacheHints',
+    'Forward',
+    'Left',
+    'MESSAGES',
+    'Presence',
+    'PresenceBatch',
+    'PresenceOutcome',
+    'PresenceUnknown',
+    'Presented',
+    'Renewed',
+    'SetInstances',
+]
+
+#: Seconds without renewal after which a backend server gets no work.
+LEASE_S = 3.0
+#: Seconds that leaves are remembered. A message waits a few seconds in a
+#: queue of ours, but minutes in a connection that went silent and came back.
+MEMORY_S = 3600.0
+#: Seconds that renewals wait for others to the same instance.
+BATCH_S = 0.2
+#: Seconds after a leave in which every batch repeats it.
+REPEAT_S = 10.0
+#: Seconds after a leave at which all instances are told again.
+TELL_AGAIN_S = (1.0, 3.0)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Front:
+    """A backend server that talks to this instance.
+
+    :param last: stamp of what it said last.
+    """
+
+    announcement: BackendAnnouncement
+    heard_at: float
+    last: tuple[int, int]
+    to: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Renewal:
+    """A renewal that waits for its batch."""
+
+    renewal: BackendRenewal
+    received_at: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Departure:
+    """A leave that is still repeated.
+
+    :param tell_at: when to tell all instances again; empty where another
+        instance heard it first.
+    """
+
+    departure: BackendDeparture
+    until: float
+    tell_at: tuple[float, ...]
+
+
+class Presence:
+    """The coordination part, at the hearing and at the dispatching end.
+
+    :param instance_id: this instance.
+    :param lease_s: seconds of a presence without renewal.
+    :param memory_s: seconds that leaves are remembered.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        lease_s: float = LEASE_S,
+        memory_s: float = MEMORY_S,
+    ) -> None:
+        self.instance_id = instance_id
+        self.lease_s = lease_s
+        self._memory_s = memory_s
+        self._backends = Backends(lease_s=lease_s, memory_s=memory_s)
+        self._fronts_by_id: dict[str, _Front] = {}
+        self._instance_ids: tuple[str, ...] = (instance_id,)
+        self._waiting_by_dispatcher: dict[str, list[_Renewal]] = {}
+        self._batch_at = 0.0
+        self._departures_by_id: dict[str, _Departure] = {}
+
+    # Accessors.
+
+    @property
+    def backends_by_id(self) -> dict[str, Backend]:
+        """All that were announced to this instance, present or not."""
+        return self._backends.by_id
+
+    def usable(self, service: str, now: float) -> list[Backend]:
+        """Return the backend servers of a service that may get work."""
+        return [
+            backend
+            for _, backend in sorted(self.backends_by_id.items())
+            if backend.announcement.service == service
+            and self._backends.may_work(backend, now)
+        ]
+
+    # The part.
+
+    def handle(self, event: typing.Any) -> list[typing.Any]:
+        """Change state by an event and return effects, to do in order."""
+        match event:
+            case parts.Ticked():
+                return self._tick(event.now)
+            case parts.Received():
+                return self._receive(event)
+            case Announced():
+                return self._on_announced(event)
+            case Renewed():
+                return self._on_renewed(event)
+            case Left():
+                return self._on_left(event)
+            case Forward():
+                return self._on_forward(event)
+            case SetInstances():
+                self._instance_ids = event.instance_ids
+                return []
+        raise TypeError(f'presence does not know {type(event).__name__}')
+
+    def restore(self, record: typing.Any) -> None:
+        """Do nothing: backend servers renew within a second."""
+
+    def snapshot(self) -> tuple[typing.Any, ...]:
+        """Return nothing to keep."""
+        return ()
+
+    # What backend servers say to this instance.
+
+    def _on_announced(self, event: Announced) -> list[typing.Any]:
+        announcement = event.announcement
+        outcome = self._judge(announcement.backend_id, stamp(announcement))
+        front = self._fronts_by_id.get(announcement.backend_id)
+        is_repeated = front is not None and front.last == stamp(announcement)
+        if outcome is not PresenceOutcome.ACCEPTED or is_repeated:
+            return [_complete(event.ticket, outcome)]
+        self._fronts_by_id[announcement.backend_id] = _Front(
+            announcement=announcement,
+            heard_at=event.now,
+            last=stamp(announcement),
+            to=front.to if front is not None else (),
+        )
+        effects: list[typing.Any] = [_complete(event.ticket, outcome)]
+        front = self._fronts_by_id[announcement.backend_id]
+        return effects + self._present(event.now, front, front.to)
+
+    def _on_renewed(self, event: Renewed) -> list[typing.Any]:
+        front = self._fronts_by_id.get(event.backend_id)
+        said = (event.incarnation, event.sequence)
+        outcome = self._judge_renewal(event, front)
+        is_accepted = outcome is PresenceOutcome.ACCEPTED
+        if is_accepted and front is not None and front.last < said:
+            front.last = said
+            front.heard_at = event.now
+            self._queue(event, front)
+        return [_complete(event.ticket, outcome)]
+
+    def _judge_renewal(
+        self, event: Renewed, front: _Front | None
+    ) -> PresenceOutcome:
+        left = self._backends.left(event.backend_id)
+        if front is None:
+            if event.incarnation <= left[0]:
+                return PresenceOutcome.LEFT
+            return PresenceOutcome.ANNOUNCE_AGAIN
+        if event.incarnation > front.announcement.incarnation:
+            return PresenceOutcome.ANNOUNCE_AGAIN
+        return self._judge(
+            event.backend_id, (event.incarnation, event.sequence)
+        )
+
+    def _judge(
+        self, backend_id: str, said: tuple[int, int]
+    ) -> PresenceOutcome:
+        if said <= self._backends.left(backend_id):
+            return PresenceOutcome.LEFT
+        front = self._fronts_by_id.get(backend_id)
+        # The same again is a resend whose answer was lost.
+        if front is not None and said < front.last:
+            return PresenceOutcome.OLD
+        return PresenceOutcome.ACCEPTED
+
+    def _on_left(self, event: Left) -> list[typing.Any]:
+        departure = BackendDeparture(
+            backend_id=event.backend_id,
+            incarnation=event.incarnation,
+            sequence=event.sequence,
+        )
+        effects: list[typing.Any] = [
+            _complete(event.ticket, PresenceOutcome.ACCEPTED)
+        ]
+        if stamp(departure) <= self._backends.left(event.backend_id):
+            return effects
+        effects += self._depart(event.now, departure, TELL_AGAIN_S)
+        return effects + self._tell_all(departure)
+
+    def _on_forward(self, event: Forward) -> list[typing.Any]:
+        front = self._fronts_by_id.get(event.backend_id)
+        if front is None:
+            return []
+        added = tuple(to for to in event.to if to not in front.to)
+        front.to = event.to
+        return self._present(event.now, front, added)
+
+    # Passing it on.
+
+    def _present(
+        self, now: float, front: _Front, to: abc.Iterable[str]
+    ) -> list[typing.Any]:
+        message = Presented(
+            announcement=front.announcement, age_s=now - front.heard_at
+        )
+        return [parts.Send(to=each, message=message) for each in to]
+
+    def _queue(self, event: Renewed, front: _Front) -> None:
+        renewal = BackendRenewal(
+            backend_id=event.backend_id,
+            incarnation=event.incarnation,
+            sequence=event.sequence,
+            load=event.load,
+            cache_events=event.cache_events,
+            age_s=0.0,
+        )
+        for to in front.to:
+            waiting = self._waiting_by_dispatcher.setdefault(to, [])
+            waiting.append(_Renewal(renewal=renewal, received_at=event.now))
+
+    def _tick(self, now: float) -> list[typing.Any]:
+        effects = self._backends.expire(now)
+        effects += self._repeat_departures(now)
+        if now >= self._batch_at:
+            self._batch_at = now + BATCH_S
+            effects += self._send_batches(now)
+        for backend_id, front in list(self._fronts_by_id.items()):
+            if now >= front.heard_at + self.lease_s:
+                del self._fronts_by_id[backend_id]
+        return effects
+
+    def _send_batches(self, now: float) -> list[typing.Any]:
+        departures = tuple(
+            item.departure for item in self._departures_by_id.values()
+        )
+        effects = []
+        for to, waiting in self._waiting_by_dispatcher.items():
+            message = PresenceBatch(
+                renewals=tuple(_aged(item, now) for item in waiting),
+                departures=departures,
+            )
+            effects.append(parts.Send(to=to, message=message))
+        self._waiting_by_dispatcher = {}
+        return effects
+
+    def _repeat_departures(self, now: float) -> list[typing.Any]:
+        effects: list[typing.Any] = []
+        for backend_id, item in list(self._departures_by_id.items()):
+            if item.tell_at and now >= item.tell_at[0]:
+                item.tell_at = item.tell_at[1:]
+                effects += self._tell_all(item.departure)
+            if now >= item.until:
+                del self._departures_by_id[backend_id]
+        return effects
+
+    def _tell_all(self, departure: BackendDeparture) -> list[typing.Any]:
+        message = PresenceBatch(renewals=(), departures=(departure,))
+        return [
+            parts.Send(to=to, message=message)
+            for to in self._instance_ids
+            if to != self.instance_id
+        ]
+
+    # What other instances pass on.
+
+    def _receive(self, event: parts.Received) -> list[typing.Any]:
+        now, message = event.now, event.message
+        match message:
+            case Presented():
+                return self._backends.announce(
+                    now, message.announcement, message.age_s
+                )
+            case PresenceBatch():
+                return self._on_batch(now, event.sender, message)
+            case PresenceUnknown():
+                return self._on_unknown(now, event.sender, message)
+        raise TypeError(f'presence does not know {type(message).__name__}')
+
+    def _on_batch(
+        self, now: float, sender: str, message: PresenceBatch
+    ) -> list[typing.Any]:
+        effects: list[typing.Any] = []
+        for departure in message.departures:
+            if stamp(departure) > self._backends.left(departure.backend_id):
+                effects += self._depart(now, departure, ())
+        unknown = []
+        for renewal in message.renewals:
+            renewed = self._backends.renew(now, renewal)
+            if renewed is None:
+                unknown.append(renewal.backend_id)
+            effects += renewed or []
+        if unknown:
+            answer = PresenceUnknown(backend_ids=tuple(unknown))
+            effects.append(parts.Send(to=sender, message=answer))
+        return effects
+
+    def _on_unknown(
+        self, now: float, sender: str, message: PresenceUnknown
+    ) -> list[typing.Any]:
+        effects: list[typing.Any] = []
+        for backend_id in message.backend_ids:
+            front = self._fronts_by_id.get(backend_id)
+            if front is not None and sender in front.to:
+                effects += self._present(now, front, (sender,))
+        return effects
+
+    def _depart(
+        self,
+        now: float,
+        departure: BackendDeparture,
+        tell_after_s: tuple[float, ...],
+    ) -> list[typing.Any]:
+        backend_id = departure.backend_id
+        self._departures_by_id[backend_id] = _Departure(
+            departure=departure,
+            until=now + REPEAT_S,
+            tell_at=tuple(now + after_s for after_s in tell_after_s),
+        )
+        front = self._fronts_by_id.get(backend_id)
+        if front is not None and stamp(front.announcement) <= stamp(departure):
+            del self._fronts_by_id[backend_id]
+        return self._backends.leave(now, departure)
+
+
+def _complete(ticket: str, outcome: PresenceOutcome) -> parts.Complete:
+    return parts.Complete(ticket=ticket, result=outcome)
+
+
+def _aged(item: _Renewal, now: float) -> BackendRenewal:
+    return dataclasses.replace(item.renewal, age_s=now - item.received_at)
