--- a/dandeliongw/coordination/lease_messages.py
+++ b/dandeliongw/coordination/lease_messages.py
@@ -241,3 +241,16 @@
     """
 
     version: int
+
+
+#: What goes between instances.
+MESSAGES = (
+    LeaseClaims,
+    LeaseAnswers,
+    LeaseRelease,
+    LeaseVacant,
+    LeaseEpochsWanted,
+    LeaseEpochs,
+)
+#: What goes to the journal.
+RECORDS = (LeaseGranted, LeaseReady)
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -130,10 +130,12 @@
     """Effect: other voters were confirmed by a majority.
 
     :param joining_by_id: the coming voters; empty when none are coming.
+    :param number: grows with every change, alike at every instance.
     """
 
     voters_by_id: dict[str, str]
     joining_by_id: dict[str, str]
+    number: int
 
 
 class _Job:
@@ -1013,6 +1015,7 @@
                 VotersChanged(
                     voters_by_id=self.voters_by_id,
                     joining_by_id=self.joining_by_id,
+                    number=configuration.voters.number,
                 )
             )
         return effects
--- a/dandeliongw/coordination/voters.py
+++ b/dandeliongw/coordination/voters.py
@@ -23,10 +23,13 @@
     :param joining_by_id: the whole set that is to replace them; empty when
         no replacement is going on. While it is set, a quorum needs a
         majority of both sets, so that majorities before and after overlap.
+    :param number: grows with every change of either set; the same at every
+        instance, so that messages can name the sets they count on.
     """
 
     voters_by_id: dict[str, str]
     joining_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
+    number: int = 0
 
     def has_quorum(self, disk_ids: abc.Set[str]) -> bool:
         """Tell whether these disks can decide."""
@@ -58,8 +61,14 @@
         joining = dict(self.voters_by_id)
         del joining[instance_id]
         joining[by] = disk_id
-        return Voters(voters_by_id=self.voters_by_id, joining_by_id=joining)
+        return Voters(
+            voters_by_id=self.voters_by_id,
+            joining_by_id=joining,
+            number=self.number + 1,
+        )
 
     def finish(self) -> 'Voters':
         """Make the coming set the only one."""
-        return Voters(voters_by_id=self.joining_by_id)
+        return Voters(
+            voters_by_id=self.joining_by_id, number=self.number + 1
+        )
--- /dev/null
+++ b/dandeliongw/directory.py
@@ -0,0 +1,106 @@
+"""What this instance knows of the system around it, for its requests."""
+
+from . import document as document_module
+from . import settings as settings_module
+from .coordination import lease
+from .coordination import membership
+from .coordination import placement
+from .coordination import register
+
+
+class Directory:
+    """Answers whom to ask for what.
+
+    :param own_region: where this instance's callers are served.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        members: membership.Membership,
+        configuration: register.Register,
+        leases: lease.Leases,
+    ) -> None:
+        self.document = document_module.EMPTY
+        self.is_draining = False
+        #: Set when the accepted document can't be read by this release.
+        self.is_unreadable = False
+        self._own_region = settings.region
+        self._regions_by_data_centre = {
+            peer.data_centre: peer.region for peer in settings.peers
+        }
+        self._members = members
+        self._configuration = configuration
+        self._leases = leases
+        self._holders_by_cell: dict[str, str] = {}
+
+    @property
+    def data_centres(self) -> tuple[str, ...]:
+        """Every data centre of the settings."""
+        return tuple(sorted(self._regions_by_data_centre))
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether work may be admitted under the document."""
+        return self._configuration.is_fresh(now) and not self.is_unreadable
+
+    def cell_of(self, service: str, request_id: str) -> str:
+        """Return the cell that serves this instance's callers."""
+        return cell_id(service, self._own_region)
+
+    def cell_of_backend(self, service: str, data_centre: str) -> str | None:
+        """Return the cell of a backend server; ``None`` if unknown."""
+        region = self._regions_by_data_centre.get(data_centre)
+        return None if region is None else cell_id(service, region)
+
+    def all_cells(self) -> dict[str, str]:
+        """Return the service by cell id, for every cell there should be."""
+        regions = set(self._regions_by_data_centre.values())
+        return {
+            cell_id(service.name, region): service.name
+            for service in self.document.services
+            for region in regions
+        }
+
+    def ranked_owners(self, cell: str) -> tuple[str, ...]:
+        """Return who should own a cell, the first choice first."""
+        region = cell.split('/')[1]
+        members = [
+            placement.Member(
+                instance_id=instance_id, data_centre=member.info.data_centre
+            )
+            for instance_id, member in self._alive_members()
+            if member.info.region == region and not member.draining
+        ]
+        return placement.ranked_owners(cell, members)
+
+    def owners_of(self, cell: str) -> tuple[str, ...]:
+        """Return instances to ask, the likeliest owner first."""
+        ranked = self.ranked_owners(cell)
+        hint = self._holders_by_cell.get(cell)
+        hint = hint or self._leases.known_holder(cell)
+        if hint is None or hint not in dict(self._alive_members()):
+            return ranked
+        return hint, *(owner for owner in ranked if owner != hint)
+
+    def note_owner(self, cell: str, holder: str) -> None:
+        """Remember who answered as a cell's owner."""
+        self._holders_by_cell[cell] = holder
+
+    def note_not_owner(self, cell: str, sender: str, holder: str) -> None:
+        """Take back what is remembered, unless it is newer than this."""
+        if self._holders_by_cell.get(cell) != sender:
+            return
+        if holder and holder != sender:
+            self._holders_by_cell[cell] = holder
+        else:
+            del self._holders_by_cell[cell]
+
+    def _alive_members(self) -> list[tuple[str, membership.Member]]:
+        by_id = self._members.members_by_id
+        return [(each, by_id[each]) for each in self._members.alive_ids()]
+
+
+def cell_id(service: str, region: str, part: int = 0) -> str:
+    """Return the id of a cell: ``service/region/part``."""
+    return f'{service}/{region}/{part}'
--- /dev/null
+++ b/dandeliongw/owner.py
@@ -0,0 +1,258 @@
+"""The cells that this instance owns, for as long as it holds their leases."""
+
+import typing
+
+from . import cells
+from . import directory as directory_module
+from . import document as document_module
+from . import policy
+from .coordination import lease
+from .coordination import parts
+from .coordination import presence
+
+#: Every message that goes to the owner of ``message.cell``.
+TO_OWNER = (
+    cells.Book,
+    cells.PrefillDone,
+    cells.Progress,
+    cells.Release,
+    cells.Reclaim,
+)
+
+
+class Owner:
+    """Makes a cell when its lease is gained, drops it when it is lost.
+
+    A cell's state is not handed over: entries tell a new owner what they
+    hold, and backend servers renew within a second.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: directory_module.Directory,
+        leases: lease.Leases,
+        backends: presence.Presence,
+    ) -> None:
+        self._directory = directory
+        self._leases = leases
+        self._presence = backends
+        self._loads_told_by_id: dict[str, float] = {}
+        self.cells_by_id: dict[str, cells.Cell] = {}
+
+    def gain(self, now: float, cell: str, epoch: int) -> list[typing.Any]:
+        """Start owning a cell."""
+        service = cell.split('/')[0]
+        terms = self._terms(service)
+        if terms is None:
+            return []
+        self.cells_by_id[cell] = cells.Cell(
+            cell_id=cell,
+            service=service,
+            epoch=epoch,
+            document_part=terms,
+            policy=self.make_policy(),
+        )
+        return self._tell_backends(now, cell)
+
+    def make_policy(self) -> policy.Policy:
+        """Return the policy of a new cell; a hook."""
+        return policy.RoundRobin()
+
+    def lose(self, cell: str) -> None:
+        """Stop owning a cell; the next owner starts from what it is told."""
+        self.cells_by_id.pop(cell, None)
+
+    def change_document(self) -> None:
+        """Take the document's new terms; drop cells whose service is gone."""
+        for cell_id, cell in list(self.cells_by_id.items()):
+            terms = self._terms(cell.service)
+            if terms is None:
+                del self.cells_by_id[cell_id]
+            else:
+                cell.view.terms = terms
+
+    def receive(self, event: parts.Received) -> list[typing.Any]:
+        """Take a message for a cell, or say that it isn't owned here."""
+        message = event.message
+        cell = self._held_cell(event.now, message.cell)
+        if cell is None:
+            return self._not_owner(event)
+        return cell.handle(event)
+
+    def _held_cell(self, now: float, cell_id: str) -> cells.Cell | None:
+        """Return the cell if its lease is held at this very moment.
+
+        A process that was frozen past its lease wakes up with its cells
+        still in memory and messages waiting in its sockets. Asking the
+        clock before each message keeps it from spending slots that the
+        next owner has already given away.
+        """
+        cell = self.cells_by_id.get(cell_id)
+        if cell is None:
+            return None
+        if self._leases.epoch_if_held(cell_id, now) != cell.epoch:
+            return None
+        return cell
+
+    def _not_owner(self, event: parts.Received) -> list[typing.Any]:
+        message = event.message
+        if isinstance(message, cells.Book):
+            about = message
+        elif isinstance(message, cells.Progress) and message.bookings:
+            about = message.bookings[0]
+        else:
+            return []
+        reply = cells.NotOwner(
+            cell=message.cell,
+            request_id=about.request_id,
+            attempt_id=about.attempt_id,
+            holder=self._leases.known_holder(message.cell) or '',
+        )
+        return [parts.Send(to=event.sender, message=reply)]
+
+    def handle_in_all(self, event: typing.Any) -> list[typing.Any]:
+        """Give an event to every cell that is held."""
+        out = []
+        for cell_id in list(self.cells_by_id):
+            cell = self._held_cell(event.now, cell_id)
+            if cell is not None:
+                out.extend(cell.handle(event))
+        return out
+
+    def tick(self, event: parts.Ticked) -> list[typing.Any]:
+        """Let time pass and pass on the load reports that came since."""
+        return [*self._tell_loads(event.now), *self.handle_in_all(event)]
+
+    def change_backend(self, now: float, backend_id: str) -> list[typing.Any]:
+        """Tell the backend server's cell that its presence changed."""
+        backend = self._presence.backends_by_id.get(backend_id)
+        if backend is None:
+            return []
+        announcement = backend.announcement
+        cell = self._directory.cell_of_backend(
+            announcement.service, announcement.data_centre
+        )
+        return [] if cell is None else self._tell_backends(now, cell)
+
+    def hint(self, now: float, hints: presence.CacheHints) -> list[typing.Any]:
+        """Pass cache events on; they are late and may have gaps."""
+        kind = presence.CacheEventKind
+        return self.handle_in_all(
+            cells.CacheHint(
+                now=now,
+                backend_id=hints.backend_id,
+                stored=_prefixes(hints, kind.STORED),
+                evicted=_prefixes(hints, kind.EVICTED),
+                gap=hints.after_gap,
+            )
+        )
+
+    def _tell_loads(self, now: float) -> list[typing.Any]:
+        out = []
+        if not self.cells_by_id:
+            return out
+        for backend_id, backend in self._presence.backends_by_id.items():
+            load, load_at = backend.load, backend.load_at
+            if load is None or (
+                self._loads_told_by_id.get(backend_id) == load_at
+            ):
+                continue
+            self._loads_told_by_id[backend_id] = load_at
+            reported = cells.LoadReported(
+                now=now,
+                backend_id=backend_id,
+                running=load.running,
+                waiting=load.waiting,
+                queued_tokens=load.queued_tokens,
+                slots_used=load.slots_used,
+                kv_bytes=load.kv_bytes,
+            )
+            out.extend(self.handle_in_all(reported))
+        return out
+
+    def _tell_backends(self, now: float, cell_id: str) -> list[typing.Any]:
+        cell = self.cells_by_id.get(cell_id)
+        if cell is None:
+            return []
+        slots_by_role = cell.view.terms.slots_by_role
+        backends = tuple(
+            _cell_backend(each.announcement, slots_by_role)
+            for each in self._presence.usable(cell.service, now)
+            if self._directory.cell_of_backend(
+                cell.service, each.announcement.data_centre
+            )
+            == cell_id
+        )
+        return cell.handle(cells.BackendsChanged(now=now, backends=backends))
+
+    def _terms(self, service: str) -> policy.CellTerms | None:
+        return terms_of(self._directory.document, service)
+
+
+def terms_of(
+    described: document_module.Document, service_name: str
+) -> policy.CellTerms | None:
+    """Return what the document says about a service, for its cells."""
+    service = described.services_by_name.get(service_name)
+    if service is None:
+        return None
+    fields: dict[str, typing.Any] = {}
+    slots_by_role: dict[str, int] = {}
+    for pool in described.pools_of(service_name):
+        slots_by_role[pool.role] = pool.slots
+        _add_rates(fields, pool)
+    return policy.CellTerms(
+        first_token_s=service.first_token_s or service.timeout_s,
+        token_gap_s=service.token_gap_s or service.timeout_s,
+        timeout_s=service.timeout_s,
+        weights=policy.Weights(
+            goodput=service.weights.goodput,
+            wasted_prefill=service.weights.wasted_prefill,
+        ),
+        slots_by_role=slots_by_role,
+        max_wait_s_by_priority={
+            each.name: each.max_wait_s for each in described.priorities
+        },
+        rank_by_priority={
+            each.name: each.rank for each in described.priorities
+        },
+        share_by_account={
+            each.name: each.share for each in described.accounts
+        },
+        **fields,
+    )
+
+
+def _add_rates(
+    fields: dict[str, typing.Any], pool: document_module.Pool
+) -> None:
+    if pool.role == 'prefill':
+        fields['prefill_tokens_per_s'] = pool.prefill_tokens_per_s
+        fields['kv_bytes_per_token'] = pool.kv_bytes_per_token
+        fields['link_bytes_per_s'] = pool.link_bytes_per_s
+    if pool.role == 'decode':
+        # The document has the rate of a backend server, the policy that of
+        # one of its streams.
+        fields['decode_tokens_per_s'] = pool.decode_tokens_per_s / pool.slots
+
+
+def _cell_backend(
+    announcement: presence.BackendAnnouncement,
+    slots_by_role: dict[str, int],
+) -> policy.CellBackend:
+    role = policy.Role(announcement.role)
+    return policy.CellBackend(
+        backend_id=announcement.backend_id,
+        incarnation=announcement.incarnation,
+        role=role,
+        url=announcement.url,
+        slots=announcement.slots or slots_by_role.get(role, 1),
+        data_centre=announcement.data_centre,
+    )
+
+
+def _prefixes(
+    hints: presence.CacheHints, kind: presence.CacheEventKind
+) -> tuple[str, ...]:
+    return tuple(each.prefix for each in hints.events if each.kind is kind)
--- /dev/null
+++ b/dandeliongw/wire.py
@@ -0,0 +1,45 @@
+"""The codec of everything that instances send and journals keep."""
+
+from . import cells
+from . import codec
+from .coordination import claim_messages
+from .coordination import lease_messages
+from .coordination import membership
+from .coordination import presence
+from .coordination import register_messages
+from .protocol import cells_pb2
+from .protocol import claims_pb2
+from .protocol import lease_pb2
+from .protocol import membership_pb2
+from .protocol import presence_pb2
+from .protocol import register_pb2
+
+MESSAGES = (
+    *register_messages.MESSAGES,
+    *claim_messages.MESSAGES,
+    *lease_messages.MESSAGES,
+    *membership.MESSAGES,
+    *presence.MESSAGES,
+    *cells.MESSAGES,
+)
+RECORDS = (
+    *register_messages.RECORDS,
+    *claim_messages.RECORDS,
+    *lease_messages.RECORDS,
+)
+
+
+def make_codec() -> codec.Codec:
+    """Return the codec for peers and for the journal."""
+    return codec.Codec(
+        # A type can be both, such as a claim's slot on its way to a copy.
+        data_classes=dict.fromkeys((*MESSAGES, *RECORDS)),
+        wire_modules=(
+            register_pb2,
+            claims_pb2,
+            lease_pb2,
+            membership_pb2,
+            presence_pb2,
+            cells_pb2,
+        ),
+    )
