The whole path, thin, as separate processes

The stand-in's test asked for an end mark without it and is replaced by one that asks for the id too.

--- a/dandeliongw/coordination/voters.py
+++ b/dandeliongw/coordination/voters.py
@@ -69,6 +69,4 @@
 
     def finish(self) -> 'Voters':
         """Make the coming set the only one."""
-        return Voters(
-            voters_by_id=self.joining_by_id, number=self.number + 1
-        )
+        return Voters(voters_by_id=self.joining_by_id, number=self.number + 1)
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -113,6 +113,15 @@
     level: str = 'INFO'
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerAddress:
+    """Where another instance listens; before any message to it."""
+
+    instance_id: str
+    host: str
+    port: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Drained:
     """Nothing is left that a shutdown would interrupt."""
--- /dev/null
+++ b/dandeliongw/gates.py
@@ -0,0 +1,348 @@
+"""What stands between the HTTP borders and the reducer.
+
+Each class answers one border: it turns the border's calls into events and
+what the reducer's parts know into the border's answers. Parts are read on
+the control thread only.
+"""
+
+import functools
+import os
+import typing
+
+import cherrypy
+
+from . import backends as backends_module
+from . import control
+from . import document as document_module
+from . import engine
+from . import events
+from . import exceptions
+from . import reducer as reducer_module
+from . import relay
+from . import runtime as runtime_module
+from . import settings as settings_module
+from . import watch as watch_module
+from . import web
+from .coordination import membership
+from .coordination import presence
+from .coordination import register
+
+_EMPTY = document_module.document_bytes(document_module.EMPTY)
+
+
+class HttpBackends:
+    """Makes the HTTP adapters of a request's backend servers."""
+
+    def __init__(self, *, timeouts: settings_module.Timeouts) -> None:
+        self._timeouts = timeouts
+
+    def model_engine(self, url: str) -> engine.HttpEngine:
+        return engine.HttpEngine(
+            url=url,
+            connect_s=self._timeouts.connect_s,
+            first_byte_s=self._timeouts.first_byte_s,
+            stall_s=self._timeouts.stall_s,
+        )
+
+    def plain_service(self, url: str, timeout_s: float) -> engine.PlainService:
+        return engine.PlainService(
+            url=url,
+            connect_s=self._timeouts.connect_s,
+            timeout_s=timeout_s,
+        )
+
+
+class CallersGate:
+    """Opens relays for callers and tells them the entries."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        reducer: reducer_module.Reducer,
+        runtime: runtime_module.Runtime,
+        watch: watch_module.Watch,
+    ) -> None:
+        self._settings = settings
+        self._reducer = reducer
+        self._runtime = runtime
+        self._watch = watch
+        self._backends = HttpBackends(timeouts=settings.timeouts)
+
+    def open_relay(
+        self, *, call: events.Call, work: relay.Work, request_id: str
+    ) -> relay.Relay:
+        carrier = relay.Relay(
+            request_id=request_id,
+            call=call,
+            work=work,
+            backends=self._backends,
+            post=self._runtime.post,
+        )
+        self._runtime.add_relay(carrier)
+        caller = cherrypy.request.wsgi_environ.get(web.SOCKET_KEY)
+        if caller is not None:
+            self._watch.add(request_id, caller)
+        return carrier
+
+    def close_relay(self, request_id: str) -> None:
+        self._watch.remove(request_id)
+        self._runtime.remove_relay(request_id)
+
+    def entries(self) -> dict[str, typing.Any]:
+        found = self._runtime.look(self._reducer.membership.entries)
+        return {
+            'ttl_s': self._settings.timeouts.entries_ttl_s,
+            'entries': [
+                {
+                    'instance_id': entry.instance_id,
+                    'url': entry.callers_address,
+                    'data_centre': entry.data_centre,
+                    'region': entry.region,
+                }
+                for entry in found
+            ],
+        }
+
+
+class BackendsDesk:
+    """Takes in what backend servers say of themselves."""
+
+    def __init__(
+        self,
+        *,
+        reducer: reducer_module.Reducer,
+        runtime: runtime_module.Runtime,
+    ) -> None:
+        self._reducer = reducer
+        self._runtime = runtime
+
+    def announce(self, announcement: backends_module.Announcement) -> None:
+        known = self._reducer.directory.data_centres
+        if announcement.data_centre not in known:
+            problem = exceptions.Problem(
+                path='data_centre',
+                given=f'given "{announcement.data_centre}"',
+                allowed=f'there are: {", ".join(known)}',
+            )
+            raise exceptions.InvalidInput(problems=(problem,))
+        said = presence.BackendAnnouncement(
+            **{
+                **announcement.model_dump(),
+                'role': presence.BackendRole(announcement.role),
+            }
+        )
+        self._runtime.ask(
+            functools.partial(presence.Announced, announcement=said)
+        )
+
+    def renew(self, renewal: backends_module.Renewal) -> bool:
+        kinds = presence.CacheEventKind
+        cache_events = presence.CacheEvents(
+            first=renewal.cache_events.first,
+            events=tuple(
+                presence.CacheEvent(kind=kinds(each.kind), prefix=each.prefix)
+                for each in renewal.cache_events.events
+            ),
+        )
+        outcome = self._runtime.ask(
+            functools.partial(
+                presence.Renewed,
+                backend_id=renewal.backend_id,
+                incarnation=renewal.incarnation,
+                sequence=renewal.sequence,
+                load=presence.BackendLoad(**renewal.load.model_dump()),
+                cache_events=cache_events if cache_events.events else None,
+            )
+        )
+        return outcome is not presence.PresenceOutcome.ANNOUNCE_AGAIN
+
+    def leave(self, leaving: backends_module.Leaving) -> None:
+        self._runtime.ask(
+            functools.partial(presence.Left, **leaving.model_dump())
+        )
+
+
+class OperatorsControl:
+    """Changes and shows what operators may; a ``control.Control``."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        reducer: reducer_module.Reducer,
+        runtime: runtime_module.Runtime,
+    ) -> None:
+        self._settings = settings
+        self._reducer = reducer
+        self._runtime = runtime
+
+    def current(self) -> control.Configuration | control.Unavailable:
+        return self._runtime.look(self._read_current)
+
+    def _read_current(
+        self, now: float
+    ) -> control.Configuration | control.Unavailable:
+        held = self._reducer.register
+        if held.revision is None or not held.is_fresh(now):
+            return control.Unavailable(
+                message='no majority of the voters has confirmed the '
+                'document lately; ask another instance, or later'
+            )
+        return control.Configuration(
+            revision=held.revision,
+            # Revision 0 is what the voters formed, before any document.
+            document=held.document or _EMPTY,
+            author=held.author,
+        )
+
+    def propose(
+        self,
+        *,
+        change_id: str,
+        author: str,
+        expected_revision: int,
+        document: bytes,
+    ) -> typing.Any:
+        result = self._runtime.ask(
+            functools.partial(
+                register.Propose,
+                change_id=change_id,
+                author=author,
+                expected_revision=expected_revision,
+                document=document,
+                entropy=int.from_bytes(os.urandom(8), 'big'),
+            )
+        )
+        match result:
+            case register.Applied():
+                return control.Applied(
+                    revision=result.revision, repeated=result.repeated
+                )
+            case register.Conflict():
+                return control.Conflict(
+                    current=control.Configuration(
+                        revision=result.revision,
+                        document=result.document or _EMPTY,
+                        author=result.author,
+                    )
+                )
+            case register.ChangeIdReused():
+                return control.ChangeIdReused(change_id=change_id)
+        return control.Unavailable(message=result.message)
+
+    def in_force(self, revision: int) -> control.InForce:
+        return self._runtime.look(
+            lambda now: self._read_in_force(revision, now)
+        )
+
+    def _read_in_force(self, revision: int, now: float) -> control.InForce:
+        states = self._reducer.register.in_force(revision, now).values()
+        kinds = register.Enforcement
+        return control.InForce(
+            revision=revision,
+            confirmed=sum(each is kinds.CONFIRMED for each in states),
+            expired=sum(each is kinds.STOPPED for each in states),
+            instances=len(states),
+        )
+
+    def status(self) -> control.Status:
+        return self._runtime.look(self._read_status)
+
+    def _read_status(self, now: float) -> control.Status:
+        held = self._reducer.register
+        revision = held.revision or 0
+        return control.Status(
+            instance_id=self._settings.instance_id,
+            revision=revision,
+            author=held.author,
+            in_force=self._read_in_force(revision, now),
+            instances=self._read_instances(),
+            leases=[
+                control.LeaseStatus(
+                    name=cell_id,
+                    holder=self._settings.instance_id,
+                    epoch=cell.epoch,
+                )
+                for cell_id, cell in self._reducer.owner.cells_by_id.items()
+            ],
+            pools=self._read_pools(),
+        )
+
+    def _read_instances(self) -> list[control.InstanceStatus]:
+        voters = self._reducer.register.voters_by_id
+        alive = set(self._reducer.membership.alive_ids())
+        return [
+            control.InstanceStatus(
+                instance_id=instance_id,
+                data_centre=member.info.data_centre,
+                region=member.info.region,
+                voter=instance_id in voters,
+                heard=instance_id in alive,
+                revision=None,
+            )
+            for instance_id, member in sorted(
+                self._reducer.membership.members_by_id.items()
+            )
+            if member.state is not membership.MemberState.LEFT
+        ]
+
+    def _read_pools(self) -> list[control.PoolStatus]:
+        out = []
+        for pool in self._reducer.directory.document.pools:
+            states = [
+                state
+                for cell in self._reducer.owner.cells_by_id.values()
+                if cell.service == pool.service
+                for state in cell.view.backends_by_id.values()
+                if state.backend.role.value == pool.role
+            ]
+            out.append(
+                control.PoolStatus(
+                    name=pool.name,
+                    service=pool.service,
+                    backends=len(states),
+                    slots=sum(state.backend.slots for state in states),
+                    used=sum(len(state.bookings_by_key) for state in states),
+                    queue=0,
+                )
+            )
+        return out
+
+    def backends(self) -> list[control.BackendStatus]:
+        return self._runtime.look(self._read_backends)
+
+    def _read_backends(self, now: float) -> list[control.BackendStatus]:
+        out = []
+        for backend_id, backend in sorted(
+            self._reducer.presence.backends_by_id.items()
+        ):
+            said = backend.announcement
+            out.append(
+                control.BackendStatus(
+                    backend_id=backend_id,
+                    service=said.service,
+                    role=said.role.value,
+                    url=said.url,
+                    data_centre=said.data_centre,
+                    state='present' if backend.present else 'gone',
+                    slots=said.slots,
+                    used=backend.load.slots_used if backend.load else 0,
+                    checks_fence=said.checks_fence,
+                )
+            )
+        return out
+
+    def history(self) -> list[control.HistoryEntry]:
+        records = self._runtime.look(
+            lambda now: self._reducer.register.history()
+        )
+        return [
+            control.HistoryEntry(
+                revision=record.revision,
+                author=record.author,
+                change_id=record.change_id,
+                time=None,
+            )
+            for record in reversed(records)
+        ]
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -55,14 +55,11 @@
         incarnation: int,
         disk_id: str | None,
         callers_url: str,
-        peer_port: int,
     ) -> None:
         self.settings = settings
         self._is_voter = disk_id is not None
         self._entries_ttl_s = settings.timeouts.entries_ttl_s
-        self.membership = _make_membership(
-            settings, incarnation, callers_url, peer_port
-        )
+        self.membership = _make_membership(settings, incarnation, callers_url)
         self.register = register.Register(
             instance_id=settings.instance_id,
             initial_voters=_voter_ids(settings),
@@ -341,9 +338,7 @@
         self, now: float, effect: lease.LeaseGained
     ) -> list[typing.Any]:
         return [
-            _log(
-                'owns a cell', cell=effect.name, epoch=str(effect.epoch)
-            ),
+            _log('owns a cell', cell=effect.name, epoch=str(effect.epoch)),
             *self.owner.gain(now, effect.name, effect.epoch),
         ]
 
@@ -351,9 +346,7 @@
         self, now: float, effect: lease.LeaseLost
     ) -> list[typing.Any]:
         self.owner.lose(effect.name)
-        return [
-            _log('owns a cell no more', cell=effect.name, level='WARNING')
-        ]
+        return [_log('owns a cell no more', cell=effect.name, level='WARNING')]
 
     # Backend servers
 
@@ -418,9 +411,7 @@
         self.directory.document = described
         self.owner.change_document()
         self._review_at = now
-        return [
-            _log('configuration in force', revision=str(effect.revision))
-        ]
+        return [_log('configuration in force', revision=str(effect.revision))]
 
     def _change_voters(
         self, now: float, effect: register.VotersChanged
@@ -463,7 +454,20 @@
         self, now: float, effect: typing.Any
     ) -> list[typing.Any]:
         self._review_at = now
-        return [effect]
+        if isinstance(effect, membership.MemberForgotten):
+            return []
+        info = effect.member.info
+        if not info.host or effect.member.instance_id == (
+            self.settings.instance_id
+        ):
+            return []
+        return [
+            effects.PeerAddress(
+                instance_id=effect.member.instance_id,
+                host=info.host,
+                port=info.port,
+            )
+        ]
 
     # Time
 
@@ -536,9 +540,7 @@
 
     # Shutdown
 
-    def _begin_shutdown(
-        self, event: events.ShutdownBegun
-    ) -> list[typing.Any]:
+    def _begin_shutdown(self, event: events.ShutdownBegun) -> list[typing.Any]:
         """Leave the entries, but serve those who still hold the address.
 
         Callers keep an answer of ``GET /v1/entries`` for its time to live.
@@ -585,14 +587,13 @@
     settings: settings_module.Settings,
     incarnation: int,
     callers_url: str,
-    peer_port: int,
 ) -> membership.Membership:
     return membership.Membership(
         instance_id=settings.instance_id,
         incarnation=incarnation,
         self_info=membership.InstanceInfo(
             host=settings.peers_by_id[settings.instance_id].host,
-            port=peer_port,
+            port=settings.peers_by_id[settings.instance_id].port,
             data_centre=settings.data_centre,
             region=settings.region,
             callers_address=callers_url,
@@ -620,9 +621,7 @@
     name: str, wanted: abc.Iterable[typing.Any]
 ) -> list[typing.Any]:
     return [
-        parts.Persist(
-            token=f'{name}/{effect.token}', records=effect.records
-        )
+        parts.Persist(token=f'{name}/{effect.token}', records=effect.records)
         if isinstance(effect, parts.Persist)
         else effect
         for effect in wanted
--- a/dandeliongw/relay.py
+++ b/dandeliongw/relay.py
@@ -48,9 +48,11 @@
 class Backends(typing.Protocol):
     """Makes the adapters that a relay talks through."""
 
-    def engine(self, url: str) -> engine.Engine: ...
+    def model_engine(self, url: str) -> engine.Engine: ...
 
-    def plain(self, url: str, timeout_s: float) -> engine.PlainService: ...
+    def plain_service(
+        self, url: str, timeout_s: float
+    ) -> engine.PlainService: ...
 
 
 class Post(typing.Protocol):
@@ -151,7 +153,7 @@
         if self._aborted.wait(directive.start_in_s):
             end(known=verdict.Verdict.NOT_RUN, failure=_RETRY.PREFILL_FAILED)
             return
-        adapter = self._current = self._backends.engine(directive.url)
+        adapter = self._current = self._backends.model_engine(directive.url)
         try:
             done = adapter.prefill(
                 stream_id=self.request_id,
@@ -180,7 +182,7 @@
         self, directive: effects.RunDecode
     ) -> abc.Iterator[engine.Piece]:
         end = self._step_end(directive.attempt_id, events.Step.DECODE)
-        adapter = self._current = self._backends.engine(directive.url)
+        adapter = self._current = self._backends.model_engine(directive.url)
         if self._aborted.is_set():
             adapter.abort()
         try:
@@ -261,7 +263,7 @@
 
     def _run_call(self, directive: effects.RunCall) -> None:
         end = self._step_end(directive.attempt_id, events.Step.CALL)
-        adapter = self._current = self._backends.plain(
+        adapter = self._current = self._backends.plain_service(
             directive.url, directive.timeout_s
         )
         if self._aborted.is_set():
--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -19,7 +19,7 @@
 from . import policy
 from . import verdict
 from . import waste
-from .coordination import claims
+from .coordination import claim_messages as claims
 from .coordination import parts
 
 #: An owner that hasn't answered a booking for so long is asked again.
@@ -468,6 +468,11 @@
 
     def _fail_step(
         self, event: events.StepEnded, request: Request
+    ) -> list[typing.Any]:
+        return [_log_failure(event), *self._after_failure(event, request)]
+
+    def _after_failure(
+        self, event: events.StepEnded, request: Request
     ) -> list[typing.Any]:
         failure = event.failure
         if event.step is events.Step.DECODE:
@@ -802,6 +807,18 @@
     return [effects.CountWaste(reason=named, tokens=tokens)]
 
 
+def _log_failure(event: events.StepEnded) -> effects.Log:
+    return effects.Log(
+        message=f'{event.step} failed: {event.message}',
+        fields=(
+            ('request_id', event.request_id),
+            ('attempt_id', event.attempt_id),
+            ('reason', str(event.failure)),
+        ),
+        level='WARNING',
+    )
+
+
 def _no_owner(request: Request) -> verdict.Refusal:
     return verdict.Refusal(
         reason=_REASON.NO_OWNER,
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -66,13 +66,14 @@
 
     def reconnect(self, to: str) -> None: ...
 
+    def set_address(self, to: str, address: tuple[str, int]) -> None: ...
+
 
 class Runtime:
     """The control thread and what works for it.
 
     :param engine_for: makes the adapter that cancels streams at a URL.
     :param journal: ``None`` on an instance without a data folder.
-    :param on_broken: called when the instance can't go on (disk failed).
     """
 
     def __init__(
@@ -82,12 +83,10 @@
         metrics: metrics_module.Metrics,
         engine_for: abc.Callable[[str], engine.Engine],
         journal: Journal | None,
-        on_broken: abc.Callable[[str], None],
     ) -> None:
         self._reducer = reducer
         self._metrics = metrics
         self._engine_for = engine_for
-        self._on_broken = on_broken
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._run, name='control', daemon=True
@@ -101,6 +100,8 @@
             CONTROL_THREADS, thread_name_prefix='orders'
         )
         self.drained = threading.Event()
+        #: Why the instance can't go on, once it can't.
+        self.broken: str | None = None
         self._performers_by_type: dict[
             type, abc.Callable[[typing.Any], None]
         ] = {
@@ -112,6 +113,7 @@
             effects.CountRefusal: self._count_refusal,
             effects.CountRetry: self._count_retry,
             effects.CountWaste: self._count_waste,
+            effects.PeerAddress: self._set_address,
             effects.Log: self._log,
             effects.Drained: self._note_drained,
         }
@@ -236,6 +238,12 @@
         if self._wire is not None:
             self._wire.reconnect(effect.to)
 
+    def _set_address(self, effect: effects.PeerAddress) -> None:
+        if self._wire is not None:
+            self._wire.set_address(
+                effect.instance_id, (effect.host, effect.port)
+            )
+
     def _persist(self, effect: parts.Persist) -> None:
         self._writer.put(effect)
 
@@ -288,7 +296,7 @@
         )
 
     def break_off(self, message: str) -> None:
-        self._on_broken(message)
+        self.broken = message
 
 
 class _Compact:
@@ -332,7 +340,7 @@
             batch = self._next_batch()
             try:
                 self._write(batch)
-            except OSError as error:
+            except Exception as error:
                 # A disk that failed to sync may have lost anything, so no
                 # promise may be made on it any more.
                 self._runtime.break_off(f'the journal failed: {error}')
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -3,357 +3,69 @@
 from collections import abc
 import contextlib
 import functools
-import os
 import signal
-import threading
 import time
-import typing
 
 import cherrypy
 from loguru import logger
 
 from . import backends as backends_module
 from . import callers as callers_module
-from . import control
-from . import engine
 from . import events
 from . import exceptions
+from . import gates
 from . import journal as journal_module
 from . import logs
 from . import metrics as metrics_module
 from . import operators
 from . import peers as peers_module
 from . import reducer as reducer_module
-from . import relay
 from . import runtime as runtime_module
 from . import settings as settings_module
 from . import watch as watch_module
 from . import web
 from . import wire
-from .coordination import membership
-from .coordination import presence
-from .coordination import register
 
 #: Seconds between two looks at whether a shutdown has come to its end.
 WAIT_S = 0.2
 
 
-class HttpBackends:
-    """Makes the HTTP adapters of a request's backend servers."""
-
-    def __init__(self, *, timeouts: settings_module.Timeouts) -> None:
-        self._timeouts = timeouts
-
-    def engine(self, url: str) -> engine.HttpEngine:
-        return engine.HttpEngine(
-            url=url,
-            connect_s=self._timeouts.connect_s,
-            first_byte_s=self._timeouts.first_byte_s,
-            stall_s=self._timeouts.stall_s,
-        )
-
-    def plain(self, url: str, timeout_s: float) -> engine.PlainService:
-        return engine.PlainService(
-            url=url,
-            connect_s=self._timeouts.connect_s,
-            timeout_s=timeout_s,
-        )
-
-
 class Server:
     """A running instance; made by :func:`opened`.
 
-    It is the border modules' view of the reducer: it turns their calls into
-    events, and what the reducer's parts know into their answers.
+    :param callers_port: where callers connect.
+    :param control_port: where backend servers and operators connect.
     """
 
     def __init__(
         self,
         *,
         settings: settings_module.Settings,
-        reducer: reducer_module.Reducer,
         runtime: runtime_module.Runtime,
-        watch: watch_module.Watch,
+        callers_port: int,
+        control_port: int,
     ) -> None:
-        self.settings = settings
-        self._reducer = reducer
+        self.callers_port = callers_port
+        self.control_port = control_port
+        self._settings = settings
         self._runtime = runtime
-        self._watch = watch
-        self._backends = HttpBackends(timeouts=settings.timeouts)
-        self.broken: str | None = None
-
-    # Callers
-
-    def open_relay(
-        self, *, call: events.Call, work: relay.Work, request_id: str
-    ) -> relay.Relay:
-        carrier = relay.Relay(
-            request_id=request_id,
-            call=call,
-            work=work,
-            backends=self._backends,
-            post=self._runtime.post,
-        )
-        self._runtime.add_relay(carrier)
-        caller = cherrypy.request.wsgi_environ.get(web.SOCKET_KEY)
-        if caller is not None:
-            self._watch.add(request_id, caller)
-        return carrier
-
-    def close_relay(self, request_id: str) -> None:
-        self._watch.remove(request_id)
-        self._runtime.remove_relay(request_id)
-
-    def entries(self) -> dict[str, typing.Any]:
-        found = self._runtime.look(self._reducer.membership.entries)
-        return {
-            'ttl_s': self.settings.timeouts.entries_ttl_s,
-            'entries': [
-                {
-                    'instance_id': entry.instance_id,
-                    'url': entry.callers_address,
-                    'data_centre': entry.data_centre,
-                    'region': entry.region,
-                }
-                for entry in found
-            ],
-        }
-
-    # Backend servers
-
-    def announce(self, announcement: backends_module.Announcement) -> None:
-        known = self._reducer.directory.data_centres
-        if announcement.data_centre not in known:
-            problem = exceptions.Problem(
-                path='data_centre',
-                given=f'given "{announcement.data_centre}"',
-                allowed=f'there are: {", ".join(known)}',
-            )
-            raise exceptions.InvalidInput(problems=(problem,))
-        said = presence.BackendAnnouncement(
-            **{
-                **announcement.model_dump(),
-                'role': presence.BackendRole(announcement.role),
-            }
-        )
-        self._runtime.ask(
-            functools.partial(presence.Announced, announcement=said)
-        )
-
-    def renew(self, renewal: backends_module.Renewal) -> bool:
-        kinds = presence.CacheEventKind
-        cache_events = presence.CacheEvents(
-            first=renewal.cache_events.first,
-            events=tuple(
-                presence.CacheEvent(kind=kinds(each.kind), prefix=each.prefix)
-                for each in renewal.cache_events.events
-            ),
-        )
-        outcome = self._runtime.ask(
-            functools.partial(
-                presence.Renewed,
-                backend_id=renewal.backend_id,
-                incarnation=renewal.incarnation,
-                sequence=renewal.sequence,
-                load=presence.BackendLoad(**renewal.load.model_dump()),
-                cache_events=cache_events if cache_events.events else None,
-            )
-        )
-        return outcome is not presence.PresenceOutcome.ANNOUNCE_AGAIN
-
-    def leave(self, leaving: backends_module.Leaving) -> None:
-        self._runtime.ask(
-            functools.partial(presence.Left, **leaving.model_dump())
-        )
-
-    # Operators
-
-    def current(self) -> control.Configuration | control.Unavailable:
-        return self._runtime.look(self._read_current)
-
-    def _read_current(
-        self, now: float
-    ) -> control.Configuration | control.Unavailable:
-        held = self._reducer.register
-        if held.revision is None or not held.is_fresh(now):
-            return control.Unavailable(
-                message='no majority of the voters has confirmed the '
-                'document lately; ask another instance, or later'
-            )
-        return control.Configuration(
-            revision=held.revision, document=held.document, author=held.author
-        )
-
-    def propose(
-        self,
-        *,
-        change_id: str,
-        author: str,
-        expected_revision: int,
-        document: bytes,
-    ) -> typing.Any:
-        result = self._runtime.ask(
-            functools.partial(
-                register.Propose,
-                change_id=change_id,
-                author=author,
-                expected_revision=expected_revision,
-                document=document,
-                entropy=int.from_bytes(os.urandom(8), 'big'),
-            )
-        )
-        match result:
-            case register.Applied():
-                return control.Applied(
-                    revision=result.revision, repeated=result.repeated
-                )
-            case register.Conflict():
-                return control.Conflict(
-                    current=control.Configuration(
-                        revision=result.revision,
-                        document=result.document,
-                        author=result.author,
-                    )
-                )
-            case register.ChangeIdReused():
-                return control.ChangeIdReused(change_id=change_id)
-        return control.Unavailable(message=result.message)
-
-    def in_force(self, revision: int) -> control.InForce:
-        return self._runtime.look(
-            lambda now: self._read_in_force(revision, now)
-        )
-
-    def _read_in_force(self, revision: int, now: float) -> control.InForce:
-        states = self._reducer.register.in_force(revision, now).values()
-        kinds = register.Enforcement
-        return control.InForce(
-            revision=revision,
-            confirmed=sum(each is kinds.CONFIRMED for each in states),
-            expired=sum(each is kinds.STOPPED for each in states),
-            instances=len(states),
-        )
-
-    def status(self) -> control.Status:
-        return self._runtime.look(self._read_status)
-
-    def _read_status(self, now: float) -> control.Status:
-        held = self._reducer.register
-        revision = held.revision or 0
-        return control.Status(
-            instance_id=self.settings.instance_id,
-            revision=revision,
-            author=held.author,
-            in_force=self._read_in_force(revision, now),
-            instances=self._read_instances(),
-            leases=[
-                control.LeaseStatus(
-                    name=cell_id,
-                    holder=self.settings.instance_id,
-                    epoch=cell.epoch,
-                )
-                for cell_id, cell in self._reducer.owner.cells_by_id.items()
-            ],
-            pools=self._read_pools(),
-        )
-
-    def _read_instances(self) -> list[control.InstanceStatus]:
-        voters = self._reducer.register.voters_by_id
-        alive = set(self._reducer.membership.alive_ids())
-        return [
-            control.InstanceStatus(
-                instance_id=instance_id,
-                data_centre=member.info.data_centre,
-                region=member.info.region,
-                voter=instance_id in voters,
-                heard=instance_id in alive,
-                revision=None,
-            )
-            for instance_id, member in sorted(
-                self._reducer.membership.members_by_id.items()
-            )
-            if member.state is not membership.MemberState.LEFT
-        ]
-
-    def _read_pools(self) -> list[control.PoolStatus]:
-        out = []
-        for pool in self._reducer.directory.document.pools:
-            states = [
-                state
-                for cell in self._reducer.owner.cells_by_id.values()
-                if cell.service == pool.service
-                for state in cell.view.backends_by_id.values()
-                if state.backend.role.value == pool.role
-            ]
-            out.append(
-                control.PoolStatus(
-                    name=pool.name,
-                    service=pool.service,
-                    backends=len(states),
-                    slots=sum(state.backend.slots for state in states),
-                    used=sum(len(state.bookings_by_key) for state in states),
-                    queue=0,
-                )
-            )
-        return out
-
-    def backends(self) -> list[control.BackendStatus]:
-        return self._runtime.look(self._read_backends)
-
-    def _read_backends(self, now: float) -> list[control.BackendStatus]:
-        out = []
-        for backend_id, backend in sorted(
-            self._reducer.presence.backends_by_id.items()
-        ):
-            said = backend.announcement
-            out.append(
-                control.BackendStatus(
-                    backend_id=backend_id,
-                    service=said.service,
-                    role=said.role.value,
-                    url=said.url,
-                    data_centre=said.data_centre,
-                    state='present' if backend.present else 'gone',
-                    slots=said.slots,
-                    used=backend.load.slots_used if backend.load else 0,
-                    checks_fence=said.checks_fence,
-                )
-            )
-        return out
-
-    def history(self) -> list[control.HistoryEntry]:
-        records = self._runtime.look(
-            lambda now: self._reducer.register.history()
-        )
-        return [
-            control.HistoryEntry(
-                revision=record.revision,
-                author=record.author,
-                change_id=record.change_id,
-                time=None,
-            )
-            for record in reversed(records)
-        ]
-
-    # The process
 
     def begin_shutdown(self) -> None:
         """Start to leave; a second call changes nothing."""
         self._runtime.post(events.ShutdownBegun)
 
     def wait(self) -> None:
-        """Return when a shutdown has ended or the instance has broken."""
+        """Return when a shutdown has come to its end.
+
+        :raises DataFolderUnusable: when the journal fails meanwhile.
+        """
         while not self._runtime.drained.wait(WAIT_S):
-            if self.broken is not None:
+            if self._runtime.broken is not None:
                 raise exceptions.DataFolderUnusable(
-                    path=self.settings.data_folder or '', reason=self.broken
+                    path=self._settings.data_folder or '',
+                    reason=self._runtime.broken,
                 )
 
-    def caller_gone(self, request_id: str) -> None:
-        self._runtime.post(
-            functools.partial(events.CallerGone, request_id=request_id)
-        )
-
 
 @contextlib.contextmanager
 def opened(settings: settings_module.Settings) -> abc.Iterator[Server]:
@@ -365,49 +77,55 @@
     web.quiet_cherrypy()
     codec = wire.make_codec()
     metrics = metrics_module.Metrics()
+    shutdown_s = settings.timeouts.shutdown_s
     with contextlib.ExitStack() as stack:
         journal = _open_journal(stack, settings, codec)
-        ports = _make_ports(settings, metrics)
-        callers_port, control_port = ports
-        stack.callback(control_port.close)
-        control_port.bind()
-        stack.callback(callers_port.close)
-        callers_port.bind()
+        control_port = stack.enter_context(
+            web.bound(settings.control, 'control', shutdown_s)
+        )
+        callers_port = stack.enter_context(
+            web.bound(settings.callers, 'callers', shutdown_s)
+        )
         incarnation = time.time_ns()
         reducer = reducer_module.Reducer(
             settings=settings,
             incarnation=incarnation,
             disk_id=journal.disk_id if journal else None,
-            callers_url=_callers_url(settings, callers_port.port),
-            peer_port=settings.peers_by_id[settings.instance_id].port,
+            callers_url=_callers_url(settings, callers_port.number),
         )
         if journal is not None:
             reducer.restore(journal.records)
-        server = _assemble(stack, settings, reducer, metrics, journal)
-        runtime = server._runtime
+        backends = gates.HttpBackends(timeouts=settings.timeouts)
+        runtime = runtime_module.Runtime(
+            reducer=reducer,
+            metrics=metrics,
+            engine_for=backends.model_engine,
+            journal=journal,
+        )
         stack.callback(runtime.stop)
-        _start(runtime, reducer, settings, incarnation, codec)
-        callers_port.mount(
-            {
-                '': callers_module.make_application(
-                    callers_module.Callers(
-                        gate=server,
-                        metrics=metrics,
-                        max_body_bytes=settings.limits.max_body_bytes,
-                    )
-                )
-            }
+        _start(runtime, _make_wire(settings, incarnation, codec, runtime))
+        watch = stack.enter_context(_watching(runtime))
+        _mount(
+            settings,
+            reducer,
+            runtime,
+            watch,
+            metrics,
+            callers_port,
+            control_port,
         )
-        control_port.mount(_control_applications(server, settings, metrics))
-        control_port.serve()
-        callers_port.serve()
         logger.info(
             'serving',
-            callers=callers_port.port,
-            control=control_port.port,
+            callers=callers_port.number,
+            control=control_port.number,
             peer=settings.peer.port,
         )
-        yield server
+        yield Server(
+            settings=settings,
+            runtime=runtime,
+            callers_port=callers_port.number,
+            control_port=control_port.number,
+        )
 
 
 def serve(settings: settings_module.Settings) -> None:
@@ -423,3 +141,146 @@
             signal.signal(number, lambda *_: server.begin_shutdown())
         server.wait()
     logger.info('ended')
+
+
+def _open_journal(
+    stack: contextlib.ExitStack,
+    settings: settings_module.Settings,
+    codec: wire.Codec,
+) -> journal_module.Journal | None:
+    if settings.data_folder is None:
+        return None
+    try:
+        journal = stack.enter_context(
+            journal_module.open_journal(
+                folder=settings.data_folder, codec=codec
+            )
+        )
+    except journal_module.JournalError as error:
+        raise exceptions.DataFolderUnusable(
+            path=settings.data_folder, reason=error.reason
+        ) from error
+    if journal.damage is not None:
+        logger.warning(f'the journal was damaged: {journal.damage}')
+    return journal
+
+
+def _callers_url(settings: settings_module.Settings, port: int) -> str:
+    host = settings.callers.advertised or settings.callers.host
+    shown = f'[{host}]' if ':' in host else host
+    return f'http://{shown}:{port}'
+
+
+def _make_wire(
+    settings: settings_module.Settings,
+    incarnation: int,
+    codec: wire.Codec,
+    runtime: runtime_module.Runtime,
+) -> abc.Callable[[], peers_module.Peers]:
+    secret = settings.peer_secret
+    return functools.partial(
+        peers_module.Peers,
+        instance_id=settings.instance_id,
+        incarnation=incarnation,
+        host=settings.peer.host,
+        port=settings.peer.port,
+        addresses_by_id={
+            peer.instance_id: (peer.host, peer.port)
+            for peer in settings.peers
+            if peer.instance_id != settings.instance_id
+        },
+        codec=codec,
+        secret=secret.encode() if secret else None,
+        on_message=runtime.receive,
+        on_fault=_log_fault,
+    )
+
+
+def _start(
+    runtime: runtime_module.Runtime,
+    make_wire: abc.Callable[[], peers_module.Peers],
+) -> None:
+    try:
+        runtime.start(make_wire)
+    except peers_module.AddressInUse as error:
+        raise exceptions.PortInUse(
+            address=f'{error.host}:{error.port}', field='peer'
+        ) from error
+
+
+def _log_fault(peer_id: str, message: str) -> None:
+    logger.warning(f'connection to a peer: {message}', peer=peer_id)
+
+
+@contextlib.contextmanager
+def _watching(
+    runtime: runtime_module.Runtime,
+) -> abc.Iterator[watch_module.Watch]:
+    watch = watch_module.Watch(
+        on_gone=lambda request_id: runtime.post(
+            functools.partial(events.CallerGone, request_id=request_id)
+        )
+    )
+    watch.start()
+    try:
+        yield watch
+    finally:
+        watch.stop()
+
+
+def _mount(
+    settings: settings_module.Settings,
+    reducer: reducer_module.Reducer,
+    runtime: runtime_module.Runtime,
+    watch: watch_module.Watch,
+    metrics: metrics_module.Metrics,
+    callers_port: web.Port,
+    control_port: web.Port,
+) -> None:
+    """Give each port its application and let it serve."""
+    gate = gates.CallersGate(
+        settings=settings, reducer=reducer, runtime=runtime, watch=watch
+    )
+    callers = callers_module.Callers(
+        gate=gate,
+        metrics=metrics,
+        max_body_bytes=settings.limits.max_body_bytes,
+    )
+    backends = backends_module.Backends(
+        desk=gates.BackendsDesk(reducer=reducer, runtime=runtime),
+        key_sha256=settings.backend_key_sha256,
+        lease_s=settings.timeouts.presence_s,
+        renew_s=settings.timeouts.renew_s,
+    )
+    control = gates.OperatorsControl(
+        settings=settings, reducer=reducer, runtime=runtime
+    )
+    control_port.serve(
+        _ControlPort(
+            backends=backends_module.make_application(backends),
+            operators=operators.make_application(control, settings, metrics),
+        )
+    )
+    callers_port.serve(callers_module.make_application(callers))
+
+
+class _ControlPort:
+    """Sends what backend servers post to their border, the rest on."""
+
+    def __init__(
+        self,
+        *,
+        backends: cherrypy.Application,
+        operators: cherrypy.Application,
+    ) -> None:
+        self._backends = backends
+        self._operators = operators
+
+    def __call__(
+        self, environ: dict, start_response: abc.Callable
+    ) -> abc.Iterable[bytes]:
+        is_backend = environ['REQUEST_METHOD'] == 'POST' and environ[
+            'PATH_INFO'
+        ].startswith('/v1/backends/')
+        chosen = self._backends if is_backend else self._operators
+        return chosen(environ, start_response)
--- a/dandeliongw/web.py
+++ b/dandeliongw/web.py
@@ -46,9 +46,11 @@
 
 
 class Port:
-    """One listening HTTP port.
+    """One HTTP port: bound first, serving later.
+
+    Between the two its number is known, also when the system chose it, and
+    can be told to others before the first call is taken.
 
-    :param application: a WSGI application.
     :param field: the settings' field, for the message of a port in use.
     :param shutdown_s: seconds that a stop waits for handlers.
     """
@@ -56,7 +58,6 @@
     def __init__(
         self,
         *,
-        application: abc.Callable,
         listen: settings_module.Listen,
         field: str,
         shutdown_s: float,
@@ -65,7 +66,7 @@
         self._field = field
         self._server = _Server(
             (listen.host, listen.port),
-            application,
+            None,
             numthreads=listen.threads,
             max=listen.threads,
             request_queue_size=listen.queue,
@@ -84,12 +85,12 @@
         )
 
     @property
-    def port(self) -> int:
-        """The port number, also when the system chose it."""
+    def number(self) -> int:
+        """The port number that callers connect to."""
         return self._server.bind_addr[1]
 
-    def open(self) -> None:
-        """Bind and serve.
+    def bind(self) -> None:
+        """Take the address.
 
         :raises PortInUse: naming the settings' field.
         """
@@ -99,17 +100,25 @@
             raise exceptions.PortInUse(
                 address=self._listen.show(), field=self._field
             ) from error
+
+    def serve(self, application: abc.Callable) -> None:
+        """Answer with a WSGI application, in threads."""
+        self._server.wsgi_app = application
         self._thread.start()
 
     def close(self) -> None:
         self._server.stop()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
 
 
 @contextlib.contextmanager
-def opened(port: Port) -> abc.Iterator[Port]:
-    """Serve while the context lasts."""
-    port.open()
+def bound(
+    listen: settings_module.Listen, field: str, shutdown_s: float
+) -> abc.Iterator[Port]:
+    """Hold a port while the context lasts."""
+    port = Port(listen=listen, field=field, shutdown_s=shutdown_s)
+    port.bind()
     try:
         yield port
     finally:
--- a/dandeliongw/wire.py
+++ b/dandeliongw/wire.py
@@ -1,7 +1,7 @@
 """The codec of everything that instances send and journals keep."""
 
 from . import cells
-from . import codec
+from .codec import Codec
 from .coordination import claim_messages
 from .coordination import lease_messages
 from .coordination import membership
@@ -29,9 +29,9 @@
 )
 
 
-def make_codec() -> codec.Codec:
+def make_codec() -> Codec:
     """Return the codec for peers and for the journal."""
-    return codec.Codec(
+    return Codec(
         # A type can be both, such as a claim's slot on its way to a copy.
         data_classes=dict.fromkeys((*MESSAGES, *RECORDS)),
         wire_modules=(
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -92,7 +92,9 @@
             streams = urllib3.request('GET', f'{decode_url}/v1/streams')
         answer = engine_model.expected_answer(PROMPT, 5)
         self.assertEqual(answer, text_of(pieces))
-        self.assertEqual({'end': True, 'tokens': 5}, pieces[-1])
+        self.assertEqual(
+            {'attempt_id': 'a1', 'end': True, 'tokens': 5}, pieces[-1]
+        )
         self.assertEqual([], streams.json()['streams'])
 
     @params('cut_after_tokens', 'truncate_after_tokens')
--- a/tools/standin_engine.py
+++ b/tools/standin_engine.py
@@ -265,7 +265,13 @@
                     yield self._piece(stream, offset)
                 offset += 1
             if over:
-                yield event({'end': True, 'tokens': stream.made})
+                yield event(
+                    {
+                        'attempt_id': stream.attempt_id,
+                        'end': True,
+                        'tokens': stream.made,
+                    }
+                )
                 break
         with self.at_now():
             if self._is_reading(stream, reader):
