Membership: refutations reach all; tests of cuts, freezes, partitions, restarts

Cause: each of these failures makes, or hides, a verdict in a simple prober.

Ruled out: taking over a death by hearsay (one confused instance could remove all); making the suspicion longer (every death is then known later).

--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -692,15 +692,21 @@
             return [Superseded(incarnation=item.incarnation)]
         if rank(item) <= rank(self._own):
             return []
-        # A suspicion, or an earlier statement that this process has lost
-        # count of: a higher revision refutes it.
-        return self._state_own(now, revision=item.revision)
+        if self._own.state is MemberState.LEFT:
+            return []
+        # A suspicion, or a statement that this process has lost count of: a
+        # higher revision refutes it.
+        return self._believe_own(now, revision=item.revision + 1)
 
     def _state_own(self, now: float, **changes: typing.Any) -> list:
-        base = dataclasses.replace(self._own, **changes)
-        if base == self._own or self._own.state is MemberState.LEFT:
+        changed = dataclasses.replace(self._own, **changes)
+        if changed == self._own or self._own.state is MemberState.LEFT:
             return []
-        self._own = dataclasses.replace(base, revision=base.revision + 1)
+        revision = self._own.revision + 1
+        return self._believe_own(now, **changes, revision=revision)
+
+    def _believe_own(self, now: float, **changes: typing.Any) -> list:
+        self._own = dataclasses.replace(self._own, **changes)
         return self._believe(now, self._own)
 
     def _leave(self, now: float) -> list[typing.Any]:
@@ -737,9 +743,12 @@
         return self._send_gossip(URGENT_FANOUT)
 
     def _send_gossip(self, fanout: int) -> list[typing.Any]:
+        # A suspected member has to hear it more than anyone.
+        others = sorted(self._roster.present_ids - {self.instance_id})
+        chosen = self._random.sample(others, min(fanout, len(others)))
         return [
             parts.Send(to=to, message=Gossip(news=self._news_for(to)))
-            for to in self._some_alive(fanout)
+            for to in chosen
         ]
 
 
@@ -771,10 +780,16 @@
 
 
 def _is_urgent(held: Member | None, member: Member) -> bool:
+    """Return whether others must hear before the next probe tells them.
+
+    Callers must not be sent to who leaves or drains, and who is suspected
+    needs its time for the refutation, not for hearing of the suspicion.
+    """
     if held is None:
         return False
-    left = member.state is MemberState.LEFT and held.state is not member.state
-    return left or (member.draining and not held.draining)
+    if member.state is not held.state and member.state is not MemberState.DEAD:
+        return True
+    return member.draining and not held.draining
 
 
 def _known_info(item: MemberNews, held: Member | None) -> InstanceInfo | None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,8 @@
 import typing
 import unittest
 
+from nose2.tools import params
+
 from dandeliongw import codec
 from dandeliongw.coordination import membership
 from dandeliongw.coordination import parts
@@ -40,6 +42,8 @@
         self.ids = [f'gw-{number}' for number in range(count)]
         self.lost: Lost = lambda sender, to, message: False
         self.frozen: set[str] = set()
+        #: Bytes of the largest message.
+        self.largest = 0
         self.members: dict[str, membership.Membership] = {}
         self.incarnations: collections.Counter[str] = collections.Counter()
         #: (seconds, observer, effect other than a send)
@@ -75,6 +79,11 @@
                     ticked = parts.Ticked(now=self.now, entropy=entropy)
                     self.tell(instance_id, ticked)
 
+    def gossip(self, to: str, news: membership.MemberNews) -> None:
+        message = membership.Gossip(news=(news,))
+        event = parts.Received(now=self.now, sender='gw-1', message=message)
+        self.tell(to, event)
+
     def states(self, of: str, *, but: abc.Collection[str] = ()) -> set[str]:
         """Return what all others believe of one member."""
         return {
@@ -105,6 +114,7 @@
     def _put(self, sender: str, to: str, message: typing.Any) -> None:
         at = self.now + DELAY_S
         encoded = CODEC.encode(message)
+        self.largest = max(self.largest, len(encoded[1]))
         heapq.heappush(
             self._inbox, (at, next(self._order), sender, to, encoded)
         )
@@ -167,3 +177,278 @@
         lan.frozen.add('gw-4')
         lan.run(2 * TICK_S)
         self.assertEqual({'LEFT'}, lan.states('gw-4'))
+
+
+def make_news(
+    state: str, incarnation: int, revision: int
+) -> membership.MemberNews:
+    """Return news of gw-2."""
+    return membership.MemberNews(
+        instance_id='gw-2',
+        incarnation=incarnation,
+        revision=revision,
+        state=membership.MemberState[state],
+        draining=False,
+        serving=True,
+        info=make_info(2),
+    )
+
+
+def cut(*pairs: tuple[str, str]) -> Lost:
+    return lambda sender, to, message: (sender, to) in pairs
+
+
+def cut_off(*ids: str) -> Lost:
+    """Between these and all others nothing gets through."""
+    return lambda sender, to, message: (sender in ids) != (to in ids)
+
+
+class LinkFaultTest(unittest.TestCase):
+    """Symptom: a healthy member is declared dead, again and again.
+
+    Sequence: one link fails while both its ends are well.
+    Cause: a verdict by one observer over one connection.
+    """
+
+    @params(
+        (cut(('gw-1', 'gw-2')),),
+        (cut(('gw-2', 'gw-1')),),
+        (cut(('gw-1', 'gw-2'), ('gw-2', 'gw-1')),),
+    )
+    def test_a_cut_link_is_no_verdict(self, lost):
+        lan = joined()
+        lan.lost = lost
+        lan.run(30)
+        self.assertEqual(set(), lan.beliefs_since(5))
+        self.assertTrue(
+            any(isinstance(e, membership.Reconnect) for _, _, e in lan.log)
+        )
+
+    def test_a_lost_acknowledgement_is_no_verdict(self):
+        """Symptom: a member is suspected after one lost message.
+
+        Sequence: every first acknowledgement is lost, a second gets through.
+        Cause: no second try before the verdict.
+        """
+        lan = joined()
+        answered: set[tuple[str, int]] = set()
+
+        def lost(sender, to, message):
+            if not isinstance(message, membership.ProbeAck):
+                return isinstance(message, membership.IndirectProbe)
+            first = (to, message.sequence) not in answered
+            answered.add((to, message.sequence))
+            return first
+
+        lan.lost = lost
+        lan.run(20)
+        self.assertEqual(set(), lan.beliefs_since(5))
+
+    def test_two_that_suspect_each_other_both_live(self):
+        """Symptom: both ends of a cut link are declared dead.
+
+        Sequence: the link between two is cut and nobody helps; each
+        suspects the other; a third hears both suspicions.
+        Cause: a suspicion that its subject does not hear of, or can't refute.
+        """
+        lan = joined(3)
+        both = cut(('gw-1', 'gw-2'), ('gw-2', 'gw-1'))
+        lan.lost = lambda sender, to, message: (
+            both(sender, to, message)
+            or isinstance(message, membership.IndirectProbe)
+        )
+        lan.run(40)
+        beliefs = lan.beliefs_since(5)
+        self.assertIn(('gw-1', 'gw-2', 'SUSPECT'), beliefs)
+        self.assertIn(('gw-2', 'gw-1', 'SUSPECT'), beliefs)
+        self.assertEqual(set(), {b for b in beliefs if b[2] == 'DEAD'})
+
+
+class DeathTest(unittest.TestCase):
+    def test_a_death_is_known_to_all_within_its_time(self):
+        lan = joined()
+        lan.frozen.add('gw-4')
+        # A probe, its verdict, the news of it, and time to refute.
+        lan.run(2 + 1 + 3 + lan.members['gw-0'].suspicion_s)
+        self.assertEqual({'DEAD'}, lan.states('gw-4'))
+        others = {b for b in lan.beliefs_since(5) if b[1] != 'gw-4'}
+        self.assertEqual(set(), others)
+
+    def test_a_frozen_member_refutes_and_blames_nobody(self):
+        """Symptom: a process that wakes declares its peers dead.
+
+        Sequence: it is frozen for seconds; on waking it finds every
+        acknowledgement late and every suspicion run out.
+        Cause: a pause of one's own, taken for the silence of others.
+        """
+        lan = joined()
+        lan.frozen.add('gw-4')
+        lan.run(4.5)
+        lan.frozen.clear()
+        lan.run(5)
+        self.assertEqual({'ALIVE'}, lan.states('gw-4'))
+        beliefs = lan.beliefs_since(5)
+        self.assertEqual(
+            set(),
+            {b for b in beliefs if b[0] == 'gw-4'}
+            - {('gw-4', 'gw-4', 'ALIVE')},
+        )
+        self.assertEqual(set(), {b for b in beliefs if b[2] == 'DEAD'})
+
+    def test_one_that_was_frozen_for_a_minute_is_taken_back(self):
+        lan = joined()
+        lan.frozen.add('gw-4')
+        lan.run(60)
+        self.assertEqual({'DEAD'}, lan.states('gw-4'))
+        lan.frozen.clear()
+        lan.run(15)
+        self.assertEqual({'ALIVE'}, lan.states('gw-4'))
+        self.assertEqual(lan.ids, lan.members['gw-4'].alive_ids())
+
+    def test_a_leaver_is_forgotten_in_the_end(self):
+        lan = joined(3)
+        lan.tell('gw-2', membership.Leave(now=lan.now))
+        lan.frozen.add('gw-2')
+        lan.run(10)
+        lan.now += membership.MEMORY_S
+        lan.run(1)
+        self.assertEqual({'UNKNOWN'}, lan.states('gw-2'))
+        forgotten = membership.MemberForgotten(instance_id='gw-2')
+        self.assertIn(forgotten, [effect for _, _, effect in lan.log])
+
+
+class PartitionTest(unittest.TestCase):
+    def test_one_that_was_cut_off_disturbs_nobody_on_its_return(self):
+        """Symptom: all instances doubt each other for some seconds.
+
+        Sequence: one is cut off, finds everyone dead, and comes back.
+        Cause: verdicts made while hearing nobody, spread afterwards.
+        """
+        lan = joined()
+        lan.lost = cut_off('gw-4')
+        lan.run(30)
+        self.assertEqual({'DEAD'}, lan.states('gw-4'))
+        lan.lost = lambda *message: False
+        back = lan.now
+        lan.run(15)
+        self.assertEqual({'ALIVE'}, lan.states('gw-4'))
+        self.assertEqual(lan.ids, lan.members['gw-4'].alive_ids())
+        doubts = {
+            (observer, of)
+            for observer, of, state in lan.beliefs_since(back)
+            if state != 'ALIVE'
+        }
+        self.assertEqual(set(), doubts)
+
+    def test_two_halves_meet_again(self):
+        """Symptom: after a partition two groups go on without each other.
+
+        Sequence: each half declares the other dead; the network heals.
+        Cause: nobody probes the dead.
+        """
+        lan = joined()
+        lan.lost = cut_off(*lan.ids[:4])
+        lan.run(30)
+        self.assertEqual(lan.ids[:4], lan.members['gw-0'].alive_ids())
+        self.assertEqual(lan.ids[4:], lan.members['gw-8'].alive_ids())
+        lan.lost = lambda *message: False
+        lan.run(20)
+        for member in lan.members.values():
+            self.assertEqual(lan.ids, member.alive_ids())
+
+    def test_one_cut_off_from_a_leave_learns_it_and_revives_nobody(self):
+        """Symptom: an instance that left is listed for callers again.
+
+        Sequence: one is cut off; another leaves; the first comes back and
+        still believes the leaver alive.
+        Cause: a leave that travels only once, or is not remembered.
+        """
+        lan = joined()
+        lan.lost = cut_off('gw-4')
+        lan.run(1)
+        lan.tell('gw-7', membership.Leave(now=lan.now))
+        lan.frozen.add('gw-7')
+        lan.run(3)
+        lan.lost = lambda *message: False
+        back = lan.now
+        lan.run(20)
+        self.assertEqual({'LEFT'}, lan.states('gw-7'))
+        revived = {
+            b for b in lan.beliefs_since(back) if b[1:] == ('gw-7', 'ALIVE')
+        }
+        self.assertEqual(set(), {b for b in revived if b[0] != 'gw-4'})
+
+
+class IncarnationTest(unittest.TestCase):
+    """Symptom: a member flaps, or a dead process is listed for callers.
+
+    Sequence: a process ends and another starts with its id and address;
+    what was said of the first arrives after that.
+    Cause: news without an order that survives a restart.
+    """
+
+    def test_a_restart_is_a_new_process_at_once(self):
+        lan = joined()
+        lan.start('gw-4')
+        lan.run(5)
+        self.assertEqual({'ALIVE'}, lan.states('gw-4'))
+        incarnations = {
+            member.members_by_id['gw-4'].incarnation
+            for member in lan.members.values()
+        }
+        self.assertEqual({2}, incarnations)
+
+    @params(
+        ('ALIVE', 1, 99),
+        ('SUSPECT', 1, 99),
+        ('DEAD', 1, 99),
+        ('LEFT', 1, 99),
+        ('ALIVE', 2, 0),
+    )
+    def test_old_news_changes_nothing(self, state, incarnation, revision):
+        lan = joined(3)
+        lan.start('gw-2')
+        lan.run(5)
+        self.check(lan, make_news(state, incarnation, revision), 'ALIVE')
+
+    @params(('ALIVE',), ('SUSPECT',), ('DEAD',))
+    def test_a_leave_is_final_in_its_incarnation(self, state):
+        lan = joined(3)
+        lan.tell('gw-2', membership.Leave(now=lan.now))
+        lan.frozen.add('gw-2')
+        lan.run(1)
+        self.check(lan, make_news(state, 1, 99), 'LEFT')
+
+    def test_a_death_by_hearsay_is_a_suspicion_first(self):
+        """Symptom: one confused instance removes others everywhere.
+
+        Sequence: its verdict arrives where the member answers every probe.
+        Cause: taking a verdict over without a chance to refute it.
+        """
+        self.check(joined(3), make_news('DEAD', 1, 0), 'SUSPECT')
+
+    def check(self, lan, news, expected):
+        """Tell one member of gw-2 and compare what it believes then."""
+        lan.gossip('gw-0', news)
+        self.assertEqual(expected, lan.state('gw-0', 'gw-2'))
+
+    def test_one_whose_id_another_process_took_is_told(self):
+        lan = joined(3)
+        lan.gossip('gw-2', make_news('ALIVE', 2, 0))
+        self.assertIn(
+            membership.Superseded(incarnation=2), [e for _, _, e in lan.log]
+        )
+
+
+class BoundTest(unittest.TestCase):
+    def test_messages_stay_small_while_fifty_join(self):
+        """Symptom: heartbeats late, links full, when a rack comes back.
+
+        Sequence: many members change at once.
+        Cause: all news in one message.
+        """
+        lan = Lan(count=50)
+        lan.run(20)
+        for member in lan.members.values():
+            self.assertEqual(50, len(member.alive_ids()))
+        self.assertLess(lan.largest, 4096)
