Published schemas and pages; examples of both deployments

Cause: operators write these files by hand and need the fields, their units and a whole example; a page that is kept by hand drifts from the code.

scripts/schemas writes the JSON Schemas, METRICS.md and the field tables from the models and enums, and a test fails if they aren't current.

--- a/dandeliongw/_models.py
+++ b/dandeliongw/_models.py
@@ -239,15 +239,16 @@
     for part in location:
         if isinstance(part, str):
             annotation = current.model_fields[part].annotation
-            current = _find_model(annotation) or current
+            current = find_model(annotation) or current
     return current
 
 
-def _find_model(annotation: typing.Any) -> type[Model] | None:
+def find_model(annotation: typing.Any) -> type[Model] | None:
+    """Return the model inside an annotation such as a tuple of it."""
     if isinstance(annotation, type) and issubclass(annotation, Model):
         return annotation
     for argument in typing.get_args(annotation):
-        found = _find_model(argument)
+        found = find_model(argument)
         if found is not None:
             return found
     return None
--- a/dandeliongw/document.py
+++ b/dandeliongw/document.py
@@ -52,14 +52,18 @@
     """What a loss of each measure counts when the policy must choose."""
 
     goodput: NotNegative = 1.0
+    """Against a request that misses a latency target."""
     wasted_prefill: NotNegative = 1.0
+    """Against a prefill that is thrown away or done again."""
 
 
 class Service(_models.Model):
     """Something that callers ask for by name."""
 
     name: _models.Name
+    """What callers put into the URL."""
     kind: ServiceKind
+    """``model``: prefill and decode pools; ``plain``: neither."""
     first_token_s: _models.Positive | None = None
     """Target for the time to the first token; model services only."""
     token_gap_s: _models.Positive | None = None
@@ -67,22 +71,28 @@
     timeout_s: _models.Positive
     """The longest that a request may take in all."""
     weights: Weights = Weights()
+    """How the policy weighs the two measures."""
 
 
 class Pool(_models.Model):
     """Backend servers of one role for one service, by their nominal rates."""
 
     name: _models.Name
+    """Its label in metrics."""
     service: _models.Name
+    """The service that it serves."""
     role: PoolRole
+    """What its backend servers announce themselves as."""
     slots: _models.PositiveInt
     """Requests that one backend server works on at a time."""
     link_bytes_per_s: _models.Positive | None = None
     """Rate of one backend server's link to the other pool."""
     kv_bytes_per_token: _models.Positive | None = None
+    """Size of the KV cache of one prompt token."""
     prefill_tokens_per_s: _models.Positive | None = None
+    """Prompt tokens of one backend server, all slots together."""
     decode_tokens_per_s: _models.Positive | None = None
-    """Of one backend server, all of its slots together."""
+    """Tokens that one backend server makes, all slots together."""
     cell_size: _models.PositiveInt = 32
     """Backend servers to one cell, and so to one owner of their slots."""
 
@@ -91,6 +101,7 @@
     """A class of work."""
 
     name: _models.Name
+    """What routes and accounts refer to."""
     rank: _models.NotNegativeInt
     """0 is the most urgent."""
     max_wait_s: _models.Positive
@@ -101,8 +112,11 @@
     """Which calls a service takes, and whether one may be repeated."""
 
     service: _models.Name
+    """The service that takes the call."""
     method: Method
+    """The HTTP method."""
     path: RoutePath
+    """A trailing ``*`` matches whatever follows."""
     idempotent: bool
     """``false``: such a call runs at most once."""
     priority: _models.Name | None = None
@@ -121,6 +135,7 @@
     """A caller."""
 
     name: _models.Name
+    """The caller, as operators know it."""
     key_sha256: _models.Sha256
     """SHA-256 of the caller's key; the key itself is kept nowhere."""
     services: tuple[_models.Name, ...]
@@ -128,7 +143,9 @@
     share: _models.Positive = 1.0
     """Weight against the other accounts where work has to wait."""
     max_in_flight: _models.PositiveInt
+    """Requests at one time; more are refused."""
     requests_per_s: _models.Positive
+    """Lasting rate; what is more is refused."""
     priority: _models.Name
     """Of calls whose route names none."""
 
@@ -137,11 +154,17 @@
     """The whole description; without any service it is the first state."""
 
     version: typing.Literal[1]
+    """The form of this document."""
     services: tuple[Service, ...] = ()
+    """What callers ask for."""
     pools: tuple[Pool, ...] = ()
+    """Backend servers by service and role."""
     priorities: tuple[Priority, ...] = ()
+    """Classes of work."""
     routes: tuple[Route, ...] = ()
+    """Which calls there are, and which may be repeated."""
     accounts: tuple[Account, ...] = ()
+    """The callers."""
 
     @functools.cached_property
     def services_by_name(self) -> abc.Mapping[str, Service]:
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -15,7 +15,7 @@
 NAMESPACE = 'dandeliongw'
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
-#: Seconds, close together around the targets of 0.55 s and of tens of s.
+#: Seconds, close together around the target of 0.55 s.
 FIRST_TOKEN_BUCKETS = (
     *(0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.55, 0.6, 0.8),
     *(1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0),
@@ -46,45 +46,43 @@
         self, *, registry: prometheus_client.CollectorRegistry | None = None
     ) -> None:
         self.registry = registry or prometheus_client.CollectorRegistry()
+        #: Names of the labels of every metric, for the reference page.
+        self.labels_by_name: dict[str, tuple[str, ...]] = {}
         self._make_counters()
         self._make_gauges()
         self._make_histograms()
 
     def _make_counters(self) -> None:
         self.answers = self._counter(
-            'answers', 'Answers to callers.', 'verdict', verdicts.Verdict
+            'answers', 'Answers to callers.', 'verdict'
         )
         self.refusals = self._counter(
             'refusals',
             'Requests that got an error instead of a result.',
             'reason',
-            verdicts.RefusalReason,
         )
         self.retries = self._counter(
-            'retries',
-            'Attempts after the first.',
-            'reason',
-            verdicts.RetryReason,
+            'retries', 'Attempts after the first.', 'reason'
         )
         self.wasted_prefill = self._counter(
             'wasted_prefill_tokens',
             'Prompt tokens whose prefill was thrown away or done again.',
             'reason',
-            waste.WasteReason,
         )
-        self.prefill = prometheus_client.Counter(
+        self.prefill = self._counter(
             'prefill_tokens',
             'Prompt tokens that were prefilled, wasted ones included.',
-            namespace=NAMESPACE,
-            registry=self.registry,
         )
-        self.streams = prometheus_client.Counter(
+        self.streams = self._counter(
             'streams',
             'Answers of model services, by whether both targets were met.',
-            ['service', 'targets'],
-            namespace=NAMESPACE,
-            registry=self.registry,
+            'service',
+            'targets',
         )
+        _start_at_zero(self.answers, verdicts.Verdict)
+        _start_at_zero(self.refusals, verdicts.RefusalReason)
+        _start_at_zero(self.retries, verdicts.RetryReason)
+        _start_at_zero(self.wasted_prefill, waste.WasteReason)
 
     def _make_gauges(self) -> None:
         self.configuration_revision = self._gauge(
@@ -181,22 +179,17 @@
         return found or 0.0
 
     def _counter(
-        self, name: str, text: str, label: str, values: type[enum.StrEnum]
+        self, name: str, text: str, *labels: str
     ) -> prometheus_client.Counter:
-        counter = prometheus_client.Counter(
-            name,
-            text,
-            [label],
-            namespace=NAMESPACE,
-            registry=self.registry,
+        self._remember(name, labels)
+        return prometheus_client.Counter(
+            name, text, labels, namespace=NAMESPACE, registry=self.registry
         )
-        for value in values:
-            counter.labels(value.value)
-        return counter
 
     def _gauge(
         self, name: str, text: str, *labels: str
     ) -> prometheus_client.Gauge:
+        self._remember(name, labels)
         return prometheus_client.Gauge(
             name, text, labels, namespace=NAMESPACE, registry=self.registry
         )
@@ -204,6 +197,7 @@
     def _histogram(
         self, name: str, text: str, buckets: typing.Sequence[float]
     ) -> prometheus_client.Histogram:
+        self._remember(name, ('service',))
         return prometheus_client.Histogram(
             name,
             text,
@@ -212,3 +206,13 @@
             registry=self.registry,
             buckets=buckets,
         )
+
+    def _remember(self, name: str, labels: tuple[str, ...]) -> None:
+        self.labels_by_name[f'{NAMESPACE}_{name}'] = labels
+
+
+def _start_at_zero(
+    counter: prometheus_client.Counter, values: type[enum.StrEnum]
+) -> None:
+    for value in values:
+        counter.labels(value.value)
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -39,7 +39,9 @@
     """Where to listen; port 0 lets the system choose one."""
 
     host: IpNumber
+    """The IP number to listen on."""
     port: Port
+    """0: the system chooses."""
 
     def show(self) -> str:
         """Return ``host:port``, with an IPv6 number in brackets."""
@@ -62,16 +64,22 @@
     """The port for backend servers and operators."""
 
     threads: _models.PositiveInt = 16
+    """Calls that are served at one time."""
 
 
 class PeerSettings(_models.Model):
     """One instance as all the others find it."""
 
     instance_id: _models.Name
+    """The same as in its own settings."""
     host: IpNumber
+    """The IP number that others connect to."""
     port: Port
+    """Its ``peer`` port."""
     data_centre: _models.Name
+    """Where it stands."""
     region: _models.Name
+    """The region of that data centre."""
     voter: bool = False
     """Holds a copy of the register and of claims; needs a data folder."""
 
@@ -80,6 +88,7 @@
     """Who may read and change the document."""
 
     name: _models.Name
+    """Goes into the history of changes."""
     token_sha256: _models.Sha256
     """SHA-256 of the operator's token; the token itself is kept nowhere."""
 
@@ -88,6 +97,7 @@
     """What one instance takes on; what is more is refused at once."""
 
     max_body_bytes: _models.PositiveInt = 8 * MIB
+    """The longest request body."""
     max_requests: _models.PositiveInt = 192
     """Requests in hand at one time, streams and lookups together."""
     max_streams: _models.PositiveInt = 160
@@ -102,7 +112,9 @@
     """All in seconds."""
 
     connect_s: _models.Positive = 1.0
+    """To open a connection."""
     first_byte_s: _models.Positive = 10.0
+    """From the end of sending to the first byte back."""
     stall_s: _models.Positive = 3.0
     """Silence on an open connection before a new one is tried."""
     confirm_ttl_s: _models.Positive = 5.0
@@ -110,11 +122,13 @@
     entries_ttl_s: _models.Positive = 10.0
     """How long callers may keep the list of entries."""
     lease_s: _models.Positive = 2.0
+    """How long an owner of slots holds them without renewal."""
     lease_margin_s: _models.Positive = 0.25
     """The holder stops this long before the lease's end."""
     presence_s: _models.Positive = 3.0
     """A backend server that hasn't renewed for so long gets no work."""
     renew_s: _models.Positive = 1.0
+    """How often backend servers renew."""
     claim_retention_s: _models.Positive = 86400.0
     """How long a resend gets the recorded outcome."""
     shutdown_s: _models.Positive = 60.0
@@ -138,12 +152,17 @@
     """The whole settings file of one instance."""
 
     instance_id: _models.Name
+    """Unique over all instances, and never given to another one."""
     data_centre: _models.Name
+    """Where this instance stands."""
     region: _models.Name
+    """The region of that data centre."""
     data_folder: str | None = None
     """Where a voter keeps what must survive; nothing else is written."""
     callers: Listen
+    """The port for callers."""
     control: ControlListen
+    """The port for backend servers and operators."""
     peer: Address
     """Where the other instances connect to."""
     peers: tuple[PeerSettings, ...]
@@ -153,11 +172,15 @@
     )
     """What instances prove themselves to each other with."""
     operators: tuple[Operator, ...] = ()
+    """Who may read and change the document."""
     backend_key_sha256: _models.Sha256 | None = None
     """SHA-256 of the key that backend servers announce themselves with."""
     limits: Limits = Limits()
+    """What this instance takes on."""
     timeouts: Timeouts = Timeouts()
+    """When waiting ends."""
     log_level: LogLevel = 'INFO'
+    """The least severe level that is written."""
 
     @functools.cached_property
     def peers_by_id(self) -> abc.Mapping[str, PeerSettings]:
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -2,8 +2,10 @@
 
 import copy
 import json
+import pathlib
 import unittest
 
+import jsonschema
 from nose2.tools import params
 
 from dandeliongw import document
@@ -182,3 +184,29 @@
     def test_the_first_state_is_valid(self):
         empty = document.parse_document(b'{"version": 1}')
         self.assertEqual(document.EMPTY, empty)
+
+    @params(
+        ('brazos', 'dieline-llm', 'studio-portal', '/v1/quotes'),
+        ('khangai', 'coach-assist', 'booking-desk', '/bookings'),
+    )
+    def test_examples(self, name, model, plain, once_only):
+        path = pathlib.Path('examples', f'{name}.document.json')
+        found = document.parse_document(path.read_bytes())
+        self.assertEqual('model', found.services_by_name[model].kind)
+        self.assertEqual('plain', found.services_by_name[plain].kind)
+        (route,) = [r for r in found.routes if r.path == once_only]
+        self.assertFalse(route.idempotent)
+        lookup = found.route_for(plain, 'GET', '/jobs/7')
+        self.assertTrue(lookup.idempotent)
+        self.assertEqual(0, found.priorities_by_name[lookup.priority].rank)
+
+    @params('brazos', 'khangai')
+    def test_examples_fit_the_published_schemas(self, name):
+        for path in pathlib.Path('examples').glob(f'{name}*.json'):
+            kind = path.name.split('.')[1]
+            schema = pathlib.Path('docs', f'{kind}.schema.json')
+            jsonschema.validate(
+                json.loads(path.read_bytes()),
+                json.loads(schema.read_bytes()),
+                jsonschema.Draft202012Validator,
+            )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,13 +2,17 @@
 
 import copy
 import json
+import pathlib
 import unittest
 
 from nose2.tools import params
 
 from dandeliongw import exceptions
+from dandeliongw import reference
 from dandeliongw import settings
 
+EXAMPLES = pathlib.Path('examples')
+DOCS = pathlib.Path('docs')
 SECRET = 'a-secret-that-nobody-may-see'
 
 VALID = {
@@ -115,3 +119,50 @@
         with self.assertRaises(exceptions.InvalidInput) as raised:
             settings.load_settings('/nowhere/settings.json')
         self.assertIn('/nowhere/settings', raised.exception.format_message())
+
+    @params(
+        (
+            'brazos',
+            {'austin-a', 'austin-b', 'waco-hall', 'temple-hall'},
+            'tx-central',
+        ),
+        (
+            'khangai',
+            {'hall-tuul', 'hall-bogd', 'hall-selbe'},
+            'ulaanbaatar',
+        ),
+    )
+    def test_examples_describe_one_deployment(self, name, places, region):
+        paths = EXAMPLES.glob(f'{name}-*.settings.json')
+        found = [settings.load_settings(path) for path in paths]
+        self.assertIn(len(found), range(7, 10))
+        self.assertEqual(places, {each.data_centre for each in found})
+        self.assertEqual({region}, {each.region for each in found})
+        (peers,) = {each.peers for each in found}
+        self.assertEqual(
+            {peer.instance_id for peer in peers},
+            {each.instance_id for each in found},
+        )
+        for each in found:
+            own = each.peers_by_id[each.instance_id]
+            self.assertEqual((own.host, own.port), listens_at(each.peer))
+            self.assertEqual(own.voter, each.data_folder is not None)
+
+    @params('brazos', 'khangai')
+    def test_examples_keep_a_majority_without_any_data_centre(self, name):
+        path = next(EXAMPLES.glob(f'{name}-*.settings.json'))
+        peers = settings.load_settings(path).peers
+        voters = [peer.data_centre for peer in peers if peer.voter]
+        self.assertEqual(1, len(voters) % 2)
+        for place in voters:
+            left = len(voters) - voters.count(place)
+            self.assertGreater(left, len(voters) / 2)
+
+    def test_generated_pages_are_current(self):
+        """Run scripts/schemas if this fails."""
+        for path, text in reference.pages(DOCS).items():
+            self.assertEqual(text, path.read_text(), path)
+
+
+def listens_at(address: settings.Address) -> tuple[str, int]:
+    return address.host, address.port
