Operators' results look like the register's

Cause: the register's part names its results with these fields; the border should take them as they are.

--- a/dandeliongw/changes.py
+++ b/dandeliongw/changes.py
@@ -13,12 +13,7 @@
     author: str,
     expected_revision: int,
     document: documents.Document,
-) -> (
-    controls.Applied
-    | controls.Conflict
-    | controls.ChangeIdReused
-    | controls.Unavailable
-):
+) -> controls.ProposeResult:
     """Propose a validated document and log who did and what came of it."""
     result = control.propose(
         change_id=change_id,
--- a/dandeliongw/control.py
+++ b/dandeliongw/control.py
@@ -38,17 +38,24 @@
 class Conflict:
     """Another change came first; nothing was applied.
 
-    :param current: what is accepted now.
+    :param revision: the current one.
+    :param document: the current document.
+    :param author: who made it.
     """
 
-    current: Configuration
+    revision: int
+    document: bytes
+    author: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ChangeIdReused:
-    """The change id names another change; nothing was applied."""
+    """The change id names another change; nothing was applied.
 
-    change_id: str
+    :param revision: the revision that the other change got.
+    """
+
+    revision: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,13 +71,13 @@
 class InForce(typing.TypedDict):
     """How far a revision has come.
 
-    ``confirmed`` instances work by it or a later one, ``expired`` ones are
-    out of touch and have stopped admitting work; the rest is waited for.
+    ``confirmed`` instances work by it or a later one, ``stopped`` ones are
+    out of touch and admit no work any more; the rest is waited for.
     """
 
     revision: int
     confirmed: int
-    expired: int
+    stopped: int
     instances: int
 
 
@@ -139,6 +146,9 @@
     time: str | None
 
 
+ProposeResult = Applied | Conflict | ChangeIdReused | Unavailable
+
+
 class Control(typing.Protocol):
     """The daemon, as operators see it; called from HTTP threads.
 
@@ -156,7 +166,7 @@
         author: str,
         expected_revision: int,
         document: bytes,
-    ) -> Applied | Conflict | ChangeIdReused | Unavailable:
+    ) -> ProposeResult:
         """Make the document the next revision after the expected one.
 
         :param document: canonical JSON of a document that was validated.
