The console: forms that make the document, for one or many changes at once

Cause: operators drive the system from a console of forms, race each other, and resend forms whose answers were lost.

Items are edited into a draft, reviewed field by field and applied as one change by compare-and-set. The form that applies holds the document, its revision and a change id made from the draft's content: the same form is the same change, also through a restarted instance, and an edit in between is another one. A conflict shows what the other operator changed and can carry the draft over; an item that both changed stays as accepted and is told. Inputs are made from the models, so the forms can't differ from the document. Pages are built of elements that escape all text.

Ruled out: a draft in hidden fields of every page (300 kB of accounts with each click at the planned size); sessions in memory (lost with the instance); templates (they leave escaping to whoever writes them); Referrer-Policy no-referrer (browsers then send our own forms with Origin: null).

Found by the tests and mended: CherryPy logs the headers of a failed request, and so put an operator's token into the log at level DEBUG; a form inside a paragraph, which a strict parser refuses.

--- a/dandeliongw/changes.py
+++ b/dandeliongw/changes.py
@@ -1,10 +1,20 @@
 """The one way to change the document, for the API and the console alike."""
 
+import re
+
 from loguru import logger
 
 from . import control as controls
 from . import document as documents
 
+#: Chosen by whoever makes a change; a resend carries the same one.
+CHANGE_ID_PATTERN = r'^[A-Za-z0-9._-]{1,64}$'
+
+
+def is_change_id(text: str) -> bool:
+    """Whether this can name a change."""
+    return re.fullmatch(CHANGE_ID_PATTERN, text) is not None
+
 
 def propose(
     control: controls.Control,
--- a/dandeliongw/operators.py
+++ b/dandeliongw/operators.py
@@ -16,6 +16,7 @@
 
 from . import _models
 from . import changes
+from . import console
 from . import control as controls
 from . import document as documents
 from . import exceptions
@@ -72,7 +73,7 @@
     expected_revision: _models.NotNegativeInt
     """The revision that the change was made from."""
     change_id: typing.Annotated[
-        str, pydantic.StringConstraints(pattern=r'^[A-Za-z0-9._-]{1,64}$')
+        str, pydantic.StringConstraints(pattern=changes.CHANGE_ID_PATTERN)
     ]
     """Chosen by the operator; a resend carries the same one."""
 
@@ -89,6 +90,9 @@
     root = _Root()
     root.metrics = _MetricsPage(metrics=metrics)
     root.v1 = _Version1(control=control, settings=settings)
+    root.console = console.Console(
+        control=control, settings=settings, metrics=metrics
+    )
     application = cherrypy.Application(root, script_name='')
     application.merge(_configuration())
     _log_through_loguru(application)
@@ -96,7 +100,11 @@
 
 
 class _Root:
-    """Holds the parts; has no page of its own."""
+    """Holds the parts; its only page leads to the console."""
+
+    @cherrypy.expose
+    def index(self) -> None:
+        raise cherrypy.HTTPRedirect('/console/', status=303)
 
 
 class _MetricsPage:
@@ -323,8 +331,15 @@
             'request.body.maxbytes': MAX_BODY_BYTES,
             'error_page.default': _error_body,
             'tools.trailing_slash.on': False,
+            # CherryPy would log the headers of a failed request, and with
+            # them the operator's token or cookie.
+            'tools.log_headers.on': False,
         },
         '/v1': {'request.dispatch': cherrypy.dispatch.MethodDispatcher()},
+        '/console': {
+            'error_page.default': console.error_page,
+            'tools.trailing_slash.on': True,
+        },
     }
 
 
--- /dev/null
+++ b/dandeliongw/pages/status.py
@@ -0,0 +1,160 @@
+"""Pages that only show: instances, backend servers, load and history."""
+
+from collections import abc
+import typing
+
+from .. import control as controls
+from .. import metrics as metrics_module
+from .. import verdict as verdicts
+from .. import waste
+from . import layout
+from . import markup
+
+NONE = '-'
+
+
+def overview(status: controls.Status) -> list[markup.Markup]:
+    """Show the revision, how far it has come, instances and leases."""
+    instances = [
+        (
+            each['instance_id'],
+            each['data_centre'],
+            each['region'],
+            yes_or_no(each['voter']),
+            yes_or_no(each['heard']),
+            _or_none(each['revision']),
+        )
+        for each in status['instances']
+    ]
+    leases = [
+        (each['name'], _or_none(each['holder']), each['epoch'])
+        for each in status['leases']
+    ]
+    return [
+        layout.paragraph(
+            f'Revision {status["revision"]}',
+            f' by {status["author"]}' if status['author'] else '',
+            f', as instance {status["instance_id"]} knows it.',
+        ),
+        in_force(status['in_force']),
+        layout.table(
+            'Instances',
+            ('Instance', 'Data centre', 'Region', 'Voter', 'Heard', 'Has'),
+            instances,
+        ),
+        layout.table('Leases', ('Lease', 'Holder', 'Epoch'), leases),
+    ]
+
+
+def in_force(found: controls.InForce) -> markup.Markup:
+    """Tell in a sentence how far a revision has come."""
+    total = found['instances']
+    settled = found['confirmed'] + found['stopped']
+    sentence = (
+        f'Revision {found["revision"]} is in force on '
+        f'{found["confirmed"]} of {total} instances.'
+    )
+    rest = []
+    if found['stopped']:
+        rest.append(f' {found["stopped"]} are out of touch and admit no work.')
+    if settled < total:
+        rest.append(f' {total - settled} are still waited for.')
+    return layout.paragraph(sentence, rest)
+
+
+def backends(
+    found: abc.Iterable[controls.BackendStatus],
+) -> list[markup.Markup]:
+    """Show every backend server that has announced itself."""
+    rows = [
+        (
+            each['backend_id'],
+            each['service'],
+            each['role'],
+            each['data_centre'],
+            each['state'],
+            f'{each["used"]} of {each["slots"]}',
+            yes_or_no(each['checks_fence']),
+            # As text: a link to an announced address could be a script.
+            each['url'],
+        )
+        for each in found
+    ]
+    headings = (
+        *('Backend server', 'Service', 'Role', 'Data centre', 'State'),
+        *('Slots used', 'Checks fencing numbers', 'Address'),
+    )
+    return [layout.table('Backend servers', headings, rows)]
+
+
+def load(
+    pools: abc.Iterable[controls.PoolStatus],
+) -> list[markup.Markup]:
+    """Show slots and queues by pool."""
+    rows = [
+        (
+            each['name'],
+            each['service'],
+            each['backends'],
+            each['slots'],
+            each['used'],
+            each['queue'],
+        )
+        for each in pools
+    ]
+    headings = (
+        *('Pool', 'Service', 'Backend servers'),
+        *('Slots', 'Used', 'Waiting'),
+    )
+    return [layout.table('Pools', headings, rows)]
+
+
+def reasons(metrics: metrics_module.Metrics) -> list[markup.Markup]:
+    """Show this instance's counters by reason, since its start."""
+    groups: tuple[tuple[str, str, str, typing.Any], ...] = (
+        ('Answers', 'answers_total', 'verdict', verdicts.Verdict),
+        ('Refusals', 'refusals_total', 'reason', verdicts.RefusalReason),
+        ('Retries', 'retries_total', 'reason', verdicts.RetryReason),
+        (
+            'Wasted prefill tokens',
+            'wasted_prefill_tokens_total',
+            'reason',
+            waste.WasteReason,
+        ),
+    )
+    tables = []
+    for caption, name, label, values in groups:
+        rows = [
+            (value.value, int(metrics.value(name, **{label: value.value})))
+            for value in values
+        ]
+        tables.append(
+            layout.table(caption, (label.capitalize(), 'Count'), rows)
+        )
+    return tables
+
+
+def history(
+    changes: abc.Iterable[controls.HistoryEntry],
+) -> list[markup.Markup]:
+    """Show who changed the document and when."""
+    rows = [
+        (
+            each['revision'],
+            each['author'],
+            each['time'] or 'not known',
+            each['change_id'],
+        )
+        for each in changes
+    ]
+    headings = ('Revision', 'Operator', 'Time', 'Change id')
+    return [layout.table('Accepted changes', headings, rows)]
+
+
+def yes_or_no(value: bool) -> str:
+    """Return a flag as a word."""
+    return 'yes' if value else 'no'
+
+
+def _or_none(value: typing.Any) -> typing.Any:
+    return NONE if value is None else value
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,394 @@
+"""The console as a browser sees it: every page fetched, every form posted."""
+
+import json
+import pathlib
+import re
+import unittest
+import urllib.parse
+
+import bs4
+import html5lib
+from loguru import logger
+from nose2.tools import params
+
+from dandeliongw import control
+from dandeliongw import differences
+from dandeliongw import document
+from dandeliongw import drafts
+from dandeliongw import sessions
+from tests import operators_fake
+
+BRAZOS = json.loads(pathlib.Path('examples/brazos.document.json').read_bytes())
+URGENT = {'name': 'urgent', 'rank': 0, 'max_wait_s': 1.0}
+STATUS_PAGES = ('', 'backends', 'load', 'reasons', 'history', 'draft')
+SECTION_PAGES = tuple(f'section?name={name}' for name in differences.SECTIONS)
+ACTIONS = ('item', 'remove', 'discard', 'carry-over', 'apply', 'sign-out')
+
+
+class Browser:
+    """Keeps the cookie and the page, follows links' ends, sends forms."""
+
+    def __init__(self, *, border: operators_fake.Border) -> None:
+        self._border = border
+        self.cookie = ''
+        self.set_cookie = ''
+        self.path = ''
+        self.status = 0
+        self.page = bs4.BeautifulSoup('', 'html5lib')
+
+    @property
+    def text(self) -> str:
+        return self.page.get_text(' ')
+
+    def sign_in(self, token: str) -> 'Browser':
+        self.get('sign-in')
+        self.send('sign-in', token=token)
+        return self
+
+    def get(self, path: str) -> None:
+        self._ask('GET', f'/console/{path}')
+
+    def post(self, path: str, /, headers=None, **fields) -> None:
+        body = urllib.parse.urlencode(fields, doseq=True)
+        self._ask('POST', f'/console/{path}', body, headers or {})
+
+    def send(self, action: str, /, **filled) -> None:
+        """Send the first form of this page that has this action."""
+        form = self.page.find('form', action=f'/console/{action}')
+        self.post(action, **(form_values(form) | filled))
+
+    def _ask(self, method, path, body=None, headers=None) -> None:
+        given = {'Cookie': self.cookie} | (headers or {})
+        if body is not None:
+            given['Content-Type'] = 'application/x-www-form-urlencoded'
+        answer = self._border.ask(method, path, body=body, headers=given)
+        self.set_cookie = answer.headers.get('Set-Cookie', '')
+        if self.set_cookie:
+            self.cookie = self.set_cookie.partition(';')[0]
+        if answer.status == 303:
+            target = urllib.parse.urlsplit(answer.headers['Location'])
+            self._ask('GET', f'{target.path}?{target.query}'.rstrip('?'))
+            return
+        self.path, self.status = path, answer.status
+        # Strict: a page that a browser would have to mend is an error.
+        html5lib.HTMLParser(strict=True).parse(answer.data.decode())
+        self.page = bs4.BeautifulSoup(answer.data, 'html5lib')
+
+
+def form_values(form: bs4.Tag) -> dict[str, object]:
+    """Return what a browser would send for an untouched form."""
+    values: dict[str, object] = {}
+    for field in form.find_all('input'):
+        if field['type'] != 'checkbox':
+            values[field['name']] = field.get('value', '')
+        elif field.has_attr('checked'):
+            values.setdefault(field['name'], []).append(field['value'])
+    for field in form.find_all('select'):
+        chosen = field.find('option', selected=True)
+        values[field['name']] = chosen['value'] if chosen else ''
+    return values
+
+
+def filled_in(item: dict) -> dict[str, object]:
+    """Return an item of the document as a person would type it."""
+    values: dict[str, object] = {}
+    for name, value in item.items():
+        if isinstance(value, dict):
+            values |= {f'{name}.{k}': v for k, v in value.items()}
+        elif isinstance(value, bool):
+            values[name] = 'yes' if value else 'no'
+        else:
+            values[name] = value
+    return values
+
+
+class ConsoleTest(unittest.TestCase):
+    def setUp(self):
+        logger.remove()
+        self.border = self.enterContext(operators_fake.border())
+        self.browser = self.another('token-of-ana')
+
+    def another(self, token: str) -> Browser:
+        return Browser(border=self.border).sign_in(token)
+
+    def accepted(self) -> dict:
+        return json.loads(self.border.control.current().document)
+
+    def put(self, browser: Browser, section: str, /, key='', **item):
+        query = urllib.parse.urlencode({'section': section, 'key': key})
+        browser.get(f'item?{query}')
+        browser.send('item', **filled_in(item))
+
+    def apply(self, browser: Browser) -> None:
+        browser.get('draft')
+        browser.send('apply')
+
+    @params(*STATUS_PAGES, *SECTION_PAGES, 'item?section=pools')
+    def test_pages_need_a_sign_in(self, path):
+        stranger = Browser(border=self.border)
+        stranger.get(path)
+        self.assertEqual('/console/sign-in', stranger.path)
+        self.browser.get(path)
+        self.assertEqual((200, f'/console/{path}'), self.answer())
+
+    def answer(self) -> tuple[int, str]:
+        return self.browser.status, self.browser.path
+
+    @params(*STATUS_PAGES, *SECTION_PAGES, 'item?section=pools', 'sign-in')
+    def test_pages_can_be_used_by_keyboard_and_reader(self, path):
+        self.put(self.browser, 'priorities', **URGENT)
+        self.browser.get(path)
+        page = self.browser.page
+        self.assertEqual(1, len(page.find_all('h1')))
+        self.assertEqual([], page.find_all('script'))
+        ids = [each['id'] for each in page.find_all(id=True)]
+        self.assertEqual(len(ids), len(set(ids)))
+        for field in page.select('input:not([type=hidden]), select'):
+            label = page.find('label', attrs={'for': field.get('id')})
+            self.assertTrue(label or field.find_parent('label'), field)
+
+    def test_a_wrong_token_is_refused(self):
+        stranger = self.another('token-of-nobody')
+        self.assertEqual(401, stranger.status)
+        self.assertEqual('', stranger.cookie)
+
+    def test_the_cookie_is_kept_from_scripts_and_other_sites(self):
+        stranger = Browser(border=self.border)
+        stranger.get('sign-in')
+        answer = self.border.ask(
+            'POST', '/console/sign-in', fields={'token': 'token-of-ana'}
+        )
+        cookie = answer.headers['Set-Cookie']
+        for attribute in ('HttpOnly', 'SameSite=Strict', 'Path=/console'):
+            self.assertIn(attribute, cookie)
+        self.assertNotIn('token-of-ana', cookie)
+
+    @params(*ACTIONS)
+    def test_forms_of_other_sites_are_refused(self, action):
+        """Symptom: the document changes though no operator meant it.
+
+        Sequence: an operator who is signed in opens another site, which
+        makes the browser send a form here. Cause: a form is believed for
+        its cookie alone.
+        """
+        self.browser.get('')
+        form = self.browser.page.find('form', action='/console/sign-out')
+        token = form_values(form)['form_token']
+        other = self.another('token-of-bat')
+        origin = {'Origin': 'http://elsewhere.example'}
+        self.browser.post(action)
+        self.assertEqual(403, self.browser.status)
+        other.post(action, form_token=token)
+        self.assertEqual(403, other.status)
+        self.browser.post(action, headers=origin, form_token=token)
+        self.assertEqual(403, self.browser.status)
+        if action != 'item':
+            self.browser.get(action)
+            self.assertEqual(405, self.browser.status)
+
+    def test_nothing_from_users_is_markup(self):
+        for path in ('backends', 'load'):
+            self.browser.get(path)
+            self.assertEqual([], self.browser.page.find_all('script'))
+        self.assertIn('<portal>', self.browser.text)
+        bad = '"><script>alert(1)</script>'
+        self.put(self.browser, 'priorities', name=bad, rank=bad)
+        self.assertEqual(400, self.browser.status)
+        self.assertEqual([], self.browser.page.find_all('script'))
+        self.assertEqual(bad, self.browser.page.find(id='name')['value'])
+        self.browser.get(f'section?name={urllib.parse.quote(bad)}')
+        self.assertEqual(404, self.browser.status)
+        self.assertEqual([], self.browser.page.find_all('script'))
+
+    def test_forms_make_the_same_document_as_the_api(self):
+        order = ('priorities', 'services', 'pools', 'routes', 'accounts')
+        for section in order:
+            for item in BRAZOS[section]:
+                self.put(self.browser, section, **item)
+                self.assertEqual(200, self.browser.status)
+        self.apply(self.browser)
+        self.assertIn('Revision 1 is accepted', self.browser.text)
+        self.assertIn('in force on 6 of 8', self.browser.text)
+        expected = document.parse_document(json.dumps(BRAZOS).encode())
+        self.assertEqual(
+            document.document_bytes(expected),
+            self.border.control.current().document,
+        )
+        self.browser.get('history')
+        self.assertIn('ana', self.browser.text)
+
+    def test_an_item_is_edited_and_removed(self):
+        self.put(self.browser, 'priorities', **URGENT)
+        self.put(self.browser, 'priorities', key='urgent', name='now')
+        self.apply(self.browser)
+        self.assertEqual('now', self.accepted()['priorities'][0]['name'])
+        self.browser.get('section?name=priorities')
+        self.browser.send('remove')
+        self.browser.get('draft')
+        self.assertIn('removed', self.browser.text)
+        self.browser.send('apply')
+        self.assertEqual([], self.accepted()['priorities'])
+
+    @params(
+        ({'rank': '0,5'}, 'valid integer'),
+        ({'rank': 'NaN'}, 'valid integer'),
+        ({'max_wait_s': '0'}, 'greater than 0'),
+        ({'name': ''}, 'required'),
+        ({'name': 'taken'}, 'one already'),
+    )
+    def test_a_wrong_value_stays_in_the_form(self, wrong, told):
+        self.put(self.browser, 'priorities', **(URGENT | {'name': 'taken'}))
+        self.put(self.browser, 'priorities', **(URGENT | wrong))
+        self.assertEqual(400, self.browser.status)
+        ((name, value),) = wrong.items()
+        field = self.browser.page.find(id=name)
+        self.assertEqual(value, field['value'])
+        self.assertIn(told, field.find_parent('p').get_text())
+
+    def test_a_draft_with_problems_cannot_be_applied(self):
+        service = {'name': 'portal', 'kind': 'plain', 'timeout_s': 5}
+        self.put(self.browser, 'services', **service)
+        self.browser.get('draft')
+        self.assertIn('has no plain pool', self.browser.text)
+        page = self.browser.page
+        self.assertIsNone(page.find('form', action='/console/apply'))
+        link = page.find('a', string='service portal')
+        self.browser.get(link['href'].removeprefix('/console/'))
+        self.assertEqual('portal', self.browser.page.find(id='name')['value'])
+
+    def test_a_conflict_shows_what_the_other_changed(self):
+        """Symptom: one operator's change undoes another's unseen.
+
+        Sequence: both begin from one revision, both apply. Cause: the
+        second form holds the whole document as it was before the first.
+        """
+        other = self.another('token-of-bat')
+        self.put(self.browser, 'priorities', **URGENT)
+        patient = {'name': 'patient', 'rank': 1, 'max_wait_s': 30.0}
+        self.put(other, 'priorities', **patient)
+        self.browser.get('draft')
+        self.apply(other)
+        self.browser.send('apply')
+        self.assertEqual(409, self.browser.status)
+        self.assertIn('bat has made revision 1', self.browser.text)
+        self.assertIn('patient', self.browser.text)
+        self.assertEqual([patient], self.accepted()['priorities'])
+        self.browser.send('carry-over')
+        self.browser.send('apply')
+        self.assertEqual([patient, URGENT], self.accepted()['priorities'])
+
+    def test_an_item_that_both_changed_is_left_out_and_told(self):
+        other = self.another('token-of-bat')
+        self.put(self.browser, 'priorities', **URGENT)
+        self.put(other, 'priorities', **(URGENT | {'max_wait_s': 9}))
+        self.apply(other)
+        self.browser.get('draft')
+        self.browser.send('carry-over')
+        self.assertIn('changed by both', self.browser.text)
+        self.assertEqual(9, self.accepted()['priorities'][0]['max_wait_s'])
+
+    def test_a_form_sent_again_is_the_same_change(self):
+        """Symptom: a change is made twice, or over somebody's later one.
+
+        Sequence: the change is accepted, the answer is lost, another
+        change follows, the operator sends the form again. Cause: the form
+        doesn't name its change.
+        """
+        self.put(self.browser, 'priorities', **URGENT)
+        self.border.control.answers_lost = True
+        self.apply(self.browser)
+        self.assertEqual(503, self.browser.status)
+        self.assertIn('may still take effect', self.browser.text)
+        self.border.control.answers_lost = False
+        other = self.another('token-of-bat')
+        self.put(other, 'priorities', key='urgent', max_wait_s=9)
+        self.apply(other)
+        self.browser.send('apply')
+        self.assertIn('Revision 1 is accepted', self.browser.text)
+        self.assertEqual(9, self.accepted()['priorities'][0]['max_wait_s'])
+        self.browser.get('draft')
+        self.assertIn('There are no changes', self.browser.text)
+
+    def test_a_form_outlives_the_instance_that_made_it(self):
+        self.put(self.browser, 'priorities', **URGENT)
+        self.browser.get('draft')
+        restarted = self.enterContext(operators_fake.border())
+        self.browser._border = restarted
+        self.browser.send('apply')
+        current = restarted.control.current()
+        self.assertEqual([URGENT], json.loads(current.document)['priorities'])
+
+    def test_discarding(self):
+        self.put(self.browser, 'priorities', **URGENT)
+        self.browser.get('draft')
+        self.browser.send('discard')
+        self.assertIn('There are no changes', self.browser.text)
+
+    def test_signing_out(self):
+        self.browser.get('')
+        self.browser.send('sign-out')
+        self.assertEqual('/console/sign-in', self.browser.path)
+        self.browser.get('draft')
+        self.assertEqual('/console/sign-in', self.browser.path)
+
+    def test_no_majority_is_told(self):
+        self.border.control.cut_off = True
+        self.browser.get('section?name=pools')
+        self.assertEqual(503, self.browser.status)
+        self.assertIn('no majority answered', self.browser.text)
+
+
+class SessionsTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 1_000.0
+        self.settings = operators_fake.make_settings()
+        self.sessions = self.make(self.settings)
+        self.ana = self.settings.operators[0]
+        self.cookie = self.sessions.make_cookie(self.ana)
+
+    def make(self, settings) -> sessions.Sessions:
+        return sessions.Sessions(settings=settings, clock=lambda: self.now)
+
+    def test_it_holds_at_any_instance_until_its_time(self):
+        other = self.make(operators_fake.make_settings())
+        self.now += sessions.LIFETIME_S - 1
+        self.assertEqual(self.ana, other.find_operator(self.cookie))
+        self.now += 1
+        self.assertIsNone(other.find_operator(self.cookie))
+
+    def test_it_ends_when_the_token_is_replaced(self):
+        replaced = self.ana.model_copy(update={'token_sha256': 'ab' * 32})
+        changed = self.settings.model_copy(update={'operators': (replaced,)})
+        self.assertIsNone(self.make(changed).find_operator(self.cookie))
+
+    @params(
+        lambda cookie: '',
+        lambda cookie: 'ana',
+        lambda cookie: cookie[:-1],
+        lambda cookie: cookie.replace('ana', 'bat'),
+        lambda cookie: re.sub(r'\.\d+\.', '.9999999999.', cookie),
+        lambda cookie: cookie.rpartition('.')[0] + '.é',
+    )
+    def test_a_forged_one_is_refused(self, forge):
+        forged = forge(self.cookie)
+        self.assertIsNone(self.sessions.find_operator(forged))
+
+
+class DraftTest(unittest.TestCase):
+    def test_an_edit_after_sending_is_another_change(self):
+        """Symptom: an edit is told as accepted but isn't in the document.
+
+        Sequence: a change is sent and its answer lost; the operator edits
+        on and applies. Cause: both went under one change id, so the second
+        got the first one's result.
+        """
+        found = drafts.Drafts(make_nonce=lambda: 'ab')
+        current = control.Configuration(
+            revision=3, document=b'{"version": 1}', author='ana'
+        )
+        found.edit('ana', current, lambda tree: tree | {'pools': []})
+        sent = found.find('ana').change_id
+        found.edit('ana', current, lambda tree: tree | {'pools': [{}]})
+        self.assertNotEqual(sent, found.find('ana').change_id)
+        found.discard('ana', sent)
+        self.assertIsNotNone(found.find('ana'))
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -23,7 +23,12 @@
 class OperatorsTest(unittest.TestCase):
     def setUp(self):
         self.log = io.StringIO()
-        logs.configure(instance_id='gw-1', data_centre='a', stream=self.log)
+        logs.configure(
+            instance_id='gw-1',
+            data_centre='austin-a',
+            level='DEBUG',
+            stream=self.log,
+        )
         self.addCleanup(logger.remove)
         self.border = self.enterContext(operators_fake.border())
 
@@ -141,3 +146,4 @@
         self.assertEqual(500, answer.status)
         self.assertNotIn(b'division', answer.data)
         self.assertIn('division', self.log.getvalue())
+        self.assertNotIn('token-of-ana', self.log.getvalue())
