--- a/dandeliongw/console.py
+++ b/dandeliongw/console.py
@@ -273,8 +273,8 @@
                 who,
                 'Not applied',
                 layout.alert(
-                    'This form names a change that was made before, as '
-                    f'revision {result.revision}. Nothing was applied.'
+                    f'{result.change_id} names another change that was made '
+                    'before. Nothing was applied.'
                 ),
             )
         cherrypy.response.status = 503
@@ -389,25 +389,21 @@
         document: documents.Document,
         conflict: controls.Conflict,
     ) -> bytes:
-        current = controls.Configuration(
-            revision=conflict.revision,
-            document=conflict.document,
-            author=conflict.author,
-        )
+        current = conflict.current
         title = 'Another change came first'
         draft = self._drafts.find(who.operator)
         if draft is not None and draft.base.revision != current.revision:
             return _show(who, title, self._overtaken(who, draft, current))
         # Nothing tells any more what the change was made from.
         found = differences.find(
-            json.loads(conflict.document),
+            json.loads(current.document),
             json.loads(documents.document_bytes(document)),
         )
         return _show(
             who,
             title,
             layout.alert(
-                f'{conflict.author} has made revision {conflict.revision}. '
+                f'{current.author} has made revision {current.revision}. '
                 'Nothing of your change was applied.'
             ),
             editing.difference_table(
--- a/dandeliongw/control.py
+++ b/dandeliongw/control.py
@@ -38,24 +38,17 @@
 class Conflict:
     """Another change came first; nothing was applied.
 
-    :param revision: the current one.
-    :param document: the current document.
-    :param author: who made it.
+    :param current: what is accepted now.
     """
 
-    revision: int
-    document: bytes
-    author: str
+    current: Configuration
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ChangeIdReused:
-    """The change id names another change; nothing was applied.
+    """The change id names another change; nothing was applied."""
 
-    :param revision: the revision that the other change got.
-    """
-
-    revision: int
+    change_id: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,13 +64,13 @@
 class InForce(typing.TypedDict):
     """How far a revision has come.
 
-    ``confirmed`` instances work by it or a later one, ``stopped`` ones are
-    out of touch and admit no work any more; the rest is waited for.
+    ``confirmed`` instances work by it or a later one, ``expired`` ones are
+    out of touch and have stopped admitting work; the rest is waited for.
     """
 
     revision: int
     confirmed: int
-    stopped: int
+    expired: int
     instances: int
 
 
--- a/dandeliongw/operators.py
+++ b/dandeliongw/operators.py
@@ -247,9 +247,7 @@
         raise _invalid(ApiReason.INVALID_DOCUMENT, error)
 
 
-def _described(
-    current: controls.Configuration | controls.Conflict,
-) -> dict[str, typing.Any]:
+def _described(current: controls.Configuration) -> dict[str, typing.Any]:
     return {
         'revision': current.revision,
         'author': current.author,
@@ -261,22 +259,23 @@
     result: controls.Conflict | controls.ChangeIdReused | controls.Unavailable,
 ) -> ApiError:
     if isinstance(result, controls.Conflict):
+        current = result.current
         return ApiError(
             status=409,
             reason=ApiReason.CONFLICT,
             message=(
-                f'{result.author!r} has made revision {result.revision} '
+                f'{current.author!r} has made revision {current.revision} '
                 'meanwhile; nothing was applied'
             ),
-            details=_described(result),
+            details=_described(current),
         )
     if isinstance(result, controls.ChangeIdReused):
         return ApiError(
             status=409,
             reason=ApiReason.CHANGE_ID_REUSED,
             message=(
-                'the change id names another change, which made revision '
-                f'{result.revision}; nothing was applied'
+                f'change id {result.change_id!r} names another change; '
+                'nothing was applied'
             ),
         )
     return _unavailable(
--- a/dandeliongw/pages/status.py
+++ b/dandeliongw/pages/status.py
@@ -49,14 +49,14 @@
 def in_force(found: controls.InForce) -> markup.Markup:
     """Tell in a sentence how far a revision has come."""
     total = found['instances']
-    settled = found['confirmed'] + found['stopped']
+    settled = found['confirmed'] + found['expired']
     sentence = (
         f'Revision {found["revision"]} is in force on '
         f'{found["confirmed"]} of {total} instances.'
     )
     rest = []
-    if found['stopped']:
-        rest.append(f' {found["stopped"]} are out of touch and admit no work.')
+    if found['expired']:
+        rest.append(f' {found["expired"]} are out of touch and admit no work.')
     if settled < total:
         rest.append(f' {total - settled} are still waited for.')
     return layout.paragraph(sentence, rest)
--- a/tests/operators_fake.py
+++ b/tests/operators_fake.py
@@ -66,15 +66,11 @@
         known = self.changes_by_id.get(change_id)
         if known is not None:
             if known.document != document:
-                return control.ChangeIdReused(revision=known.revision)
+                return control.ChangeIdReused(change_id=change_id)
             return control.Applied(revision=known.revision, repeated=True)
         last = self.configurations[-1]
         if last.revision != expected_revision:
-            return control.Conflict(
-                revision=last.revision,
-                document=last.document,
-                author=last.author,
-            )
+            return control.Conflict(current=last)
         made = control.Configuration(
             revision=last.revision + 1, document=document, author=author
         )
@@ -144,7 +140,7 @@
         return {
             'revision': revision,
             'confirmed': 6,
-            'stopped': 1,
+            'expired': 1,
             'instances': 8,
         }
 
