The console refuses an item's form from an older revision; smaller modules

Cause: an operator opens an item's form, another changes that item and applies, the first sends the form. The draft began from the new revision and took the whole item as it was in the old one: the other's change would have been undone, shown as the first one's own. Forms now carry the revision they were made from, and one of another revision than the draft is refused.

Ruled out: carrying over field by field (two fields of one item can depend on each other; the operator should see the item again).

--- /dev/null
+++ b/dandeliongw/_console_base.py
@@ -0,0 +1,115 @@
+"""What all pages of the console share: sessions, drafts and the frame."""
+
+from collections import abc
+import dataclasses
+import functools
+import json
+import time
+import typing
+
+import cherrypy
+
+from . import _browser
+from . import control as controls
+from . import differences
+from . import drafts
+from . import metrics as metrics_module
+from . import sessions
+from . import settings as settings_module
+from .pages import forms
+from .pages import layout
+
+Handler = abc.Callable[..., bytes]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SignedIn:
+    """Who asks, and the token that this session's forms carry."""
+
+    operator: str
+    form_token: str
+
+
+def page(handler: Handler) -> Handler:
+    """Show a page to an operator who is signed in."""
+
+    @functools.wraps(handler)
+    def show(self: 'Pages', **form: typing.Any) -> bytes:
+        _browser.allow('GET', 'HEAD')
+        who = self._signed_in()
+        if who is None:
+            raise _browser.see_other('sign-in')
+        return handler(self, who, form)
+
+    return show
+
+
+def action(handler: Handler) -> Handler:
+    """Do what a form asks, if one of our pages sent it."""
+
+    @functools.wraps(handler)
+    def act(self: 'Pages', **form: typing.Any) -> bytes:
+        _browser.allow('POST')
+        _browser.check_origin()
+        who = self._signed_in()
+        if who is None:
+            raise cherrypy.HTTPError(403, 'Sign in, then send it again.')
+        given = forms.text(form, 'form_token')
+        if not self._sessions.is_form_token(_browser.cookie(), given):
+            raise cherrypy.HTTPError(403, 'This form is of another session.')
+        return handler(self, who, form)
+
+    return act
+
+
+class Pages:
+    """The base of the console's pages.
+
+    :param clock: seconds since the epoch, for sessions.
+    """
+
+    def __init__(
+        self,
+        *,
+        control: controls.Control,
+        settings: settings_module.Settings,
+        metrics: metrics_module.Metrics,
+        clock: abc.Callable[[], float] = time.time,
+    ) -> None:
+        self._control = control
+        self._settings = settings
+        self._metrics = metrics
+        self._sessions = sessions.Sessions(settings=settings, clock=clock)
+        self._drafts = drafts.Drafts()
+
+    def _signed_in(self) -> SignedIn | None:
+        cookie = _browser.cookie()
+        operator = self._sessions.find_operator(cookie)
+        if operator is None:
+            return None
+        return SignedIn(
+            operator=operator.name,
+            form_token=self._sessions.form_token(cookie),
+        )
+
+    def _current(self) -> controls.Configuration:
+        current = self._control.current()
+        if isinstance(current, controls.Unavailable):
+            raise cherrypy.HTTPError(503, current.message)
+        return current
+
+    def _shown(self, who: SignedIn) -> tuple[int, differences.Tree]:
+        """Return what is edited, and the revision that it began from."""
+        draft = self._drafts.find(who.operator)
+        if draft is not None:
+            return draft.base.revision, draft.tree
+        current = self._current()
+        return current.revision, json.loads(current.document)
+
+
+def show(who: SignedIn, title: str, *content: typing.Any) -> bytes:
+    """Return a page with the navigation."""
+    cherrypy.response.headers.update(_browser.HEADERS)
+    return layout.page(
+        title, *content, operator=who.operator, form_token=who.form_token
+    )
--- a/dandeliongw/drafts.py
+++ b/dandeliongw/drafts.py
@@ -81,20 +81,27 @@
         self,
         operator: str,
         current: controls.Configuration,
+        revision: int,
         change: abc.Callable[[differences.Tree], differences.Tree],
-    ) -> None:
+    ) -> bool:
         """Change the draft, which begins from ``current`` if there is none.
 
         Reading and writing are one step: two tabs of one operator must not
         lose each other's edits.
+
+        :param revision: that the edited page was made from.
+        :returns: ``False`` if the draft is of another one; nothing changed.
         """
         with self._lock:
             draft = self._drafts_by_operator.get(operator)
             if draft is None:
                 draft = self._begin(current)
+            if draft.base.revision != revision:
+                return False
             self._drafts_by_operator[operator] = dataclasses.replace(
                 draft, tree=change(draft.tree)
             )
+            return True
 
     def carry_over(
         self, operator: str, current: controls.Configuration
--- a/dandeliongw/pages/editing.py
+++ b/dandeliongw/pages/editing.py
@@ -24,15 +24,23 @@
 
 
 def section(
-    name: str, tree: differences.Tree, form_token: str
+    name: str, revision: int, tree: differences.Tree, form_token: str
 ) -> list[markup.Markup]:
-    """Show the items of one section with what can be done to each."""
+    """Show the items of one section with what can be done to each.
+
+    :param revision: that the tree began from.
+    """
     rows = [
         (
             key,
             layout.link(_item_path(name, key), f'Edit {key}'),
             layout.button_form(
-                'remove', form_token, f'Remove {key}', section=name, key=key
+                'remove',
+                form_token,
+                f'Remove {key}',
+                section=name,
+                key=key,
+                revision=str(revision),
             ),
         )
         for key in differences.items_by_key(tree, name)
@@ -48,6 +56,7 @@
     *,
     name: str,
     key: str,
+    revision: int,
     tree: differences.Tree,
     value: differences.Item,
     problems: abc.Sequence[exceptions.Problem],
@@ -56,6 +65,7 @@
     """Show the form of one item.
 
     :param key: of the item as it is in the draft; empty for a new one.
+    :param revision: that the tree began from.
     :param value: what the fields hold.
     """
     fields = forms.fields_of(name, tree)
@@ -66,6 +76,7 @@
             form_token,
             layout.hidden('section', name),
             layout.hidden('key', key),
+            layout.hidden('revision', str(revision)),
             forms.inputs(fields, value, problems),
             markup.tag('button', 'Put into the draft'),
             # The model's own messages are better than a browser's, and tell
@@ -160,6 +171,50 @@
     )
 
 
+def conflict(
+    current: controls.Configuration, found: list[differences.Difference]
+) -> list[markup.Markup]:
+    """Tell of a conflict when the draft is gone."""
+    return [
+        layout.alert(
+            f'{current.author} has made revision {current.revision}. '
+            'Nothing of your change was applied.'
+        ),
+        difference_table('Your document, against the current one', found),
+    ]
+
+
+def not_known(message: str, again: markup.Markup) -> list[markup.Markup]:
+    """Tell that nobody knows yet what became of a change.
+
+    :param again: the form that sends it again.
+    """
+    return [
+        layout.alert(
+            f'{message}. The change may still take effect. Send it again to '
+            'learn what became of it; it is never made twice.'
+        ),
+        again,
+    ]
+
+
+def change_id_reused(change_id: str) -> markup.Markup:
+    """Tell that a form names a change that was made before."""
+    return layout.alert(
+        f'{change_id} names another change that was made before. Nothing '
+        'was applied.'
+    )
+
+
+def out_of_date(name: str) -> markup.Markup:
+    """Tell that a page was made from another revision than the draft."""
+    return layout.alert(
+        'The document has changed since this page was made. Nothing was '
+        'put into the draft. ',
+        layout.link(f'section?name={name}', 'Look at it as it is now'),
+    )
+
+
 def left_out(
     found: abc.Sequence[differences.Difference],
 ) -> list[markup.Markup]:
--- a/dandeliongw/pages/status.py
+++ b/dandeliongw/pages/status.py
@@ -56,9 +56,9 @@
     )
     rest = []
     if found['expired']:
-        rest.append(f' {found["expired"]} are out of touch and admit no work.')
+        rest.append(f' Out of touch, admitting no work: {found["expired"]}.')
     if settled < total:
-        rest.append(f' {total - settled} are still waited for.')
+        rest.append(f' Still waited for: {total - settled}.')
     return layout.paragraph(sentence, rest)
 
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -20,6 +20,7 @@
 
 BRAZOS = json.loads(pathlib.Path('examples/brazos.document.json').read_bytes())
 URGENT = {'name': 'urgent', 'rank': 0, 'max_wait_s': 1.0}
+URGENT_LINK = 'item?section=priorities&key=urgent'
 STATUS_PAGES = ('', 'backends', 'load', 'reasons', 'history', 'draft')
 SECTION_PAGES = tuple(f'section?name={name}' for name in differences.SECTIONS)
 ACTIONS = ('item', 'remove', 'discard', 'carry-over', 'apply', 'sign-out')
@@ -287,6 +288,24 @@
         self.assertIn('changed by both', self.browser.text)
         self.assertEqual(9, self.accepted()['priorities'][0]['max_wait_s'])
 
+    def test_an_item_of_an_older_page_undoes_nothing(self):
+        """Symptom: an operator's change is undone by another's form.
+
+        Sequence: one opens an item's form; another changes that item and
+        applies; the first sends the form. Cause: a draft that begins from
+        the new revision takes the item as it was in the old one.
+        """
+        other = self.another('token-of-bat')
+        self.put(other, 'priorities', **URGENT)
+        self.apply(other)
+        self.browser.get(URGENT_LINK)
+        self.put(other, 'priorities', key='urgent', max_wait_s=9)
+        self.apply(other)
+        self.browser.send('item', rank=4)
+        self.assertEqual(409, self.browser.status)
+        self.browser.get('draft')
+        self.assertIn('There are no changes', self.browser.text)
+
     def test_a_form_sent_again_is_the_same_change(self):
         """Symptom: a change is made twice, or over somebody's later one.
 
@@ -386,9 +405,9 @@
         current = control.Configuration(
             revision=3, document=b'{"version": 1}', author='ana'
         )
-        found.edit('ana', current, lambda tree: tree | {'pools': []})
+        found.edit('ana', current, 3, lambda tree: tree | {'pools': []})
         sent = found.find('ana').change_id
-        found.edit('ana', current, lambda tree: tree | {'pools': [{}]})
+        found.edit('ana', current, 3, lambda tree: tree | {'pools': [{}]})
         self.assertNotEqual(sent, found.find('ana').change_id)
         found.discard('ana', sent)
         self.assertIsNotNone(found.find('ana'))
