--- a/dandeliongw/document.py
+++ b/dandeliongw/document.py
@@ -86,13 +86,13 @@
     slots: _models.PositiveInt
     """Requests that one backend server works on at a time."""
     link_bytes_per_s: _models.Positive | None = None
-    """Rate of one backend server's link to the other pool."""
+    """Of one backend server's link to the other pool; not for plain pools."""
     kv_bytes_per_token: _models.Positive | None = None
-    """Size of the KV cache of one prompt token."""
+    """Size of the KV cache of one prompt token; prefill pools need it."""
     prefill_tokens_per_s: _models.Positive | None = None
-    """Prompt tokens of one backend server, all slots together."""
+    """Of one backend server, all slots together; prefill pools need it."""
     decode_tokens_per_s: _models.Positive | None = None
-    """Tokens that one backend server makes, all slots together."""
+    """Of one backend server, all slots together; decode pools need it."""
     cell_size: _models.PositiveInt = 32
     """Backend servers to one cell, and so to one owner of their slots."""
 
