Settings without a voter, or with more than twelve, are refused

Cause: an instance whose list has no voter would start, admit nothing and accept no change, with no word about why. serve leaves the logs to the server, which sets them up anyway.

--- a/dandeliongw/command.py
+++ b/dandeliongw/command.py
@@ -18,7 +18,6 @@
 from . import client
 from . import document as documents
 from . import exceptions
-from . import logs
 from . import settings as settings_module
 
 
@@ -30,12 +29,6 @@
     :param settings: path of this instance's settings file
     """
     found = settings_module.load_settings(settings)
-    logs.configure(
-        instance_id=found.instance_id,
-        data_centre=found.data_centre,
-        level=found.log_level,
-        secrets=[found.peer_secret] if found.peer_secret else [],
-    )
     # Imported here, as no other command needs the daemon's parts.
     from . import server
 
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -18,6 +18,8 @@
 
 MIB = 1024 * 1024
 MAX_PORT = 65535
+#: More would cost every change more messages than they add in safety.
+MAX_VOTERS = 12
 
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
 LogLevel = typing.Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
@@ -195,6 +197,7 @@
     def find_problems(self) -> abc.Iterator[exceptions.Problem]:
         yield from self._find_duplicates()
         yield from self._check_own_entry()
+        yield from self._check_voters()
         yield from self._check_addresses()
         yield from self._check_limits()
 
@@ -236,6 +239,16 @@
                 allowed='a voter needs one: its promises must survive',
             )
 
+    def _check_voters(self) -> abc.Iterator[exceptions.Problem]:
+        count = sum(peer.voter for peer in self.peers)
+        if not 1 <= count <= MAX_VOTERS:
+            yield exceptions.Problem(
+                path='peers',
+                given=f'{count} of them have "voter": true',
+                allowed=f'must be 1 to {MAX_VOTERS}; without one, no change '
+                'can be accepted and no work be admitted',
+            )
+
     def _check_addresses(self) -> abc.Iterator[exceptions.Problem]:
         path_by_address: dict[str, str] = {}
         for path in ('callers', 'control', 'peer'):
--- a/tests/operators_fake.py
+++ b/tests/operators_fake.py
@@ -25,10 +25,12 @@
     tree = {
         'instance_id': 'gw-1',
         **place,
+        # Nothing here opens it.
+        'data_folder': '/nowhere',
         'callers': address,
         'control': address,
         'peer': address,
-        'peers': [{'instance_id': 'gw-1', **address, **place}],
+        'peers': [{'instance_id': 'gw-1', 'voter': True, **address, **place}],
         'peer_secret': 'between-instances-only',
         'operators': [
             {'name': name, 'token_sha256': tokens.digest(token)}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -47,6 +47,14 @@
     return json.dumps(tree).encode()
 
 
+def peer(number: int) -> dict:
+    """Return one voter of many."""
+    return VALID['peers'][0] | {
+        'instance_id': f'gw-{number}',
+        'port': 7100 + number,
+    }
+
+
 def problems_of(body: bytes) -> tuple[exceptions.Problem, ...]:
     try:
         settings.parse_settings(body)
@@ -69,6 +77,8 @@
         ('instance_id', 'gw-9', 'instance_id'),
         ('data_centre', 'waco-hall', 'data_centre'),
         ('peers', VALID['peers'] * 2, 'peers[1].instance_id'),
+        ('peers', [VALID['peers'][0] | {'voter': False}], 'peers'),
+        ('peers', [peer(number) for number in range(1, 14)], 'peers'),
         ('callers.host', 'gateway.example', 'callers.host'),
         ('callers.host', '0.0.0.0', 'callers.advertised'),
         ('control.port', 65536, 'control.port'),
