--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -4,6 +4,8 @@
 import io
 import json
 import pathlib
+import re
+import shlex
 import sys
 import tempfile
 import types
@@ -90,6 +92,13 @@
         self.assertEqual(exceptions.ExitCode.BAD_INPUT, outcome.code)
         self.assertIn(told, outcome.errors)
 
+    @params('SETTINGS', 'DOCUMENT')
+    def test_the_examples_of_the_docs_run(self, page):
+        text = pathlib.Path('docs', f'{page}.md').read_text()
+        shown = r'^\$ dandeliongw (check examples/.*)\n(\{\n(?:.*\n)*?\}\n)'
+        ((arguments, output),) = re.findall(shown, text, re.MULTILINE)
+        self.assertEqual(output, Outcome(*shlex.split(arguments)).output)
+
     def test_serve_hands_the_settings_to_the_server(self):
         served = []
         server = types.ModuleType('dandeliongw.server')
@@ -98,7 +107,6 @@
         with mock.patch.dict(sys.modules, {server.__name__: server}):
             with mock.patch('dandeliongw.server', server, create=True):
                 outcome = Outcome('serve', path)
-        logger.remove()
         self.assertEqual(0, outcome.code)
         self.assertEqual('gw-1', served[0].instance_id)
 
