Only secrets are hidden, not every field with a token in its name

Cause: first_token_s and kv_bytes_per_token were taken for secrets, so an operator who wrote 0,5 was told 'a value that is not shown', and a log line about a first token would have hidden its time. One rule now decides for messages and logs, by the last word of the name.

--- a/dandeliongw/_models.py
+++ b/dandeliongw/_models.py
@@ -7,6 +7,7 @@
 
 import pydantic
 
+from . import _secrets
 from . import exceptions
 
 #: Names that operators choose; safe in URLs, labels and file names.
@@ -34,8 +35,6 @@
     'ms us ns s sec seconds minutes hours bytes kib mib gib kb mb gb '
     'kbps mbps gbps bits per'.split()
 )
-#: A person may paste the secret itself where its digest belongs.
-_SECRET_WORDS = ('secret', 'sha256', 'token', 'key')
 _LONGEST_SHOWN = 80
 
 M = typing.TypeVar('M', bound='Model')
@@ -192,8 +191,7 @@
 
 
 def _given(path: str, value: typing.Any) -> str:
-    field = path.rpartition('.')[2]
-    if any(word in field for word in _SECRET_WORDS):
+    if _secrets.may_be_secret(path.rpartition('.')[2]):
         return 'a value that is not shown'
     if isinstance(value, (dict, Model)):
         return 'given an object'
--- a/dandeliongw/logs.py
+++ b/dandeliongw/logs.py
@@ -9,13 +9,10 @@
 
 from loguru import logger
 
-HIDDEN = '[hidden]'
+from . import _secrets
+
+HIDDEN = _secrets.HIDDEN
 
-#: A field whose name holds one of these is never written out.
-_SECRET_WORDS = ('secret', 'token', 'password', 'authorization', 'cookie')
-_SECRET_NAMES = frozenset({'key', 'api_key', 'backend_key'})
-#: Counts of tokens are no secrets.
-_OPEN_NAMES = frozenset({'tokens', 'cached_tokens', 'max_tokens'})
 #: A shorter one would blank out innocent text.
 _SHORTEST_SECRET = 8
 
@@ -60,7 +57,7 @@
 
 def redact(name: str, value: typing.Any) -> typing.Any:
     """Return ``value``, or a mark where the field's name tells a secret."""
-    if _is_secret(name):
+    if _secrets.is_secret(name):
         return HIDDEN
     if isinstance(value, dict):
         return {key: redact(str(key), part) for key, part in value.items()}
@@ -114,12 +111,3 @@
                 traceback.format_exception(record['exception'].value)
             )
         return fields
-
-
-def _is_secret(name: str) -> bool:
-    lowered = name.lower()
-    if lowered in _OPEN_NAMES or lowered.endswith('sha256'):
-        return False
-    if lowered in _SECRET_NAMES:
-        return True
-    return any(word in lowered for word in _SECRET_WORDS)
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -142,6 +142,15 @@
         self.assertEqual(f'{part}[0].{name}', problem.path)
         self.assertIn(hint, problem.allowed)
 
+    @params(
+        ('services', 'first_token_s'),
+        ('pools', 'kv_bytes_per_token'),
+        ('accounts', 'share'),
+    )
+    def test_a_wrong_value_is_shown(self, part, name):
+        (problem,) = problems_of(body_with(part, 0, name, '0,5'))
+        self.assertEqual('given "0,5"', problem.given)
+
     def test_a_field_given_twice_is_refused(self):
         """Symptom: pools vanish.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -41,7 +41,7 @@
         logger.info('one\n{"message": "forged"}')
         self.assertTrue(self.line()['message'].startswith('one\n'))
 
-    @params('token', 'peer_secret', 'Authorization', 'key')
+    @params('token', 'peer_secret', 'Authorization', 'Set-Cookie', 'key')
     def test_secret_fields_are_hidden(self, name):
         logger.info('asked', headers={name: 'open sesame'})
         self.assertEqual({name: logs.HIDDEN}, self.line()['headers'])
@@ -54,9 +54,10 @@
         self.assertIn('bad proof ' + logs.HIDDEN, self.line()['exception'])
         self.assertNotIn('horse', self.stream.getvalue())
 
-    def test_a_count_of_tokens_is_shown(self):
-        logger.info('done', tokens=7)
-        self.assertEqual(7, self.line()['tokens'])
+    @params('tokens', 'max_tokens', 'first_token_s', 'token_gap_s')
+    def test_counts_and_times_of_tokens_are_shown(self, name):
+        logger.info('done', **{name: 7})
+        self.assertEqual(7, self.line()[name])
 
     def test_a_field_cannot_replace_the_instance(self):
         logger.info('heard', instance='gw-2')
