--- a/dandeliongw/control.py
+++ b/dandeliongw/control.py
@@ -139,6 +139,9 @@
     time: str | None
 
 
+ProposeResult = Applied | Conflict | ChangeIdReused | Unavailable
+
+
 class Control(typing.Protocol):
     """The daemon, as operators see it; called from HTTP threads.
 
@@ -156,7 +159,7 @@
         author: str,
         expected_revision: int,
         document: bytes,
-    ) -> Applied | Conflict | ChangeIdReused | Unavailable:
+    ) -> ProposeResult:
         """Make the document the next revision after the expected one.
 
         :param document: canonical JSON of a document that was validated.
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -18,6 +18,8 @@
 
 MIB = 1024 * 1024
 MAX_PORT = 65535
+#: More would cost every change more messages than they add in safety.
+MAX_VOTERS = 12
 
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
 LogLevel = typing.Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
@@ -39,7 +41,9 @@
     """Where to listen; port 0 lets the system choose one."""
 
     host: IpNumber
+    """The IP number to listen on."""
     port: Port
+    """0: the system chooses."""
 
     def show(self) -> str:
         """Return ``host:port``, with an IPv6 number in brackets."""
@@ -62,16 +66,22 @@
     """The port for backend servers and operators."""
 
     threads: _models.PositiveInt = 16
+    """Calls that are served at one time."""
 
 
 class PeerSettings(_models.Model):
     """One instance as all the others find it."""
 
     instance_id: _models.Name
+    """The same as in its own settings."""
     host: IpNumber
+    """The IP number that others connect to."""
     port: Port
+    """Its ``peer`` port."""
     data_centre: _models.Name
+    """Where it stands."""
     region: _models.Name
+    """The region of that data centre."""
     voter: bool = False
     """Holds a copy of the register and of claims; needs a data folder."""
 
@@ -80,6 +90,7 @@
     """Who may read and change the document."""
 
     name: _models.Name
+    """Goes into the history of changes."""
     token_sha256: _models.Sha256
     """SHA-256 of the operator's token; the token itself is kept nowhere."""
 
@@ -88,6 +99,7 @@
     """What one instance takes on; what is more is refused at once."""
 
     max_body_bytes: _models.PositiveInt = 8 * MIB
+    """The longest request body."""
     max_requests: _models.PositiveInt = 192
     """Requests in hand at one time, streams and lookups together."""
     max_streams: _models.PositiveInt = 160
@@ -102,7 +114,9 @@
     """All in seconds."""
 
     connect_s: _models.Positive = 1.0
+    """To open a connection."""
     first_byte_s: _models.Positive = 10.0
+    """From the end of sending to the first byte back."""
     stall_s: _models.Positive = 3.0
     """Silence on an open connection before a new one is tried."""
     confirm_ttl_s: _models.Positive = 5.0
@@ -110,11 +124,13 @@
     entries_ttl_s: _models.Positive = 10.0
     """How long callers may keep the list of entries."""
     lease_s: _models.Positive = 2.0
+    """How long an owner of slots holds them without renewal."""
     lease_margin_s: _models.Positive = 0.25
     """The holder stops this long before the lease's end."""
     presence_s: _models.Positive = 3.0
     """A backend server that hasn't renewed for so long gets no work."""
     renew_s: _models.Positive = 1.0
+    """How often backend servers renew."""
     claim_retention_s: _models.Positive = 86400.0
     """How long a resend gets the recorded outcome."""
     shutdown_s: _models.Positive = 60.0
@@ -138,12 +154,17 @@
     """The whole settings file of one instance."""
 
     instance_id: _models.Name
+    """Unique over all instances, and never given to another one."""
     data_centre: _models.Name
+    """Where this instance stands."""
     region: _models.Name
+    """The region of that data centre."""
     data_folder: str | None = None
     """Where a voter keeps what must survive; nothing else is written."""
     callers: Listen
+    """The port for callers."""
     control: ControlListen
+    """The port for backend servers and operators."""
     peer: Address
     """Where the other instances connect to."""
     peers: tuple[PeerSettings, ...]
@@ -153,11 +174,15 @@
     )
     """What instances prove themselves to each other with."""
     operators: tuple[Operator, ...] = ()
+    """Who may read and change the document."""
     backend_key_sha256: _models.Sha256 | None = None
     """SHA-256 of the key that backend servers announce themselves with."""
     limits: Limits = Limits()
+    """What this instance takes on."""
     timeouts: Timeouts = Timeouts()
+    """When waiting ends."""
     log_level: LogLevel = 'INFO'
+    """The least severe level that is written."""
 
     @functools.cached_property
     def peers_by_id(self) -> abc.Mapping[str, PeerSettings]:
@@ -172,6 +197,7 @@
     def find_problems(self) -> abc.Iterator[exceptions.Problem]:
         yield from self._find_duplicates()
         yield from self._check_own_entry()
+        yield from self._check_voters()
         yield from self._check_addresses()
         yield from self._check_limits()
 
@@ -213,6 +239,16 @@
                 allowed='a voter needs one: its promises must survive',
             )
 
+    def _check_voters(self) -> abc.Iterator[exceptions.Problem]:
+        count = sum(peer.voter for peer in self.peers)
+        if not 1 <= count <= MAX_VOTERS:
+            yield exceptions.Problem(
+                path='peers',
+                given=f'{count} of them have "voter": true',
+                allowed=f'must be 1 to {MAX_VOTERS}; without one, no change '
+                'can be accepted and no work be admitted',
+            )
+
     def _check_addresses(self) -> abc.Iterator[exceptions.Problem]:
         path_by_address: dict[str, str] = {}
         for path in ('callers', 'control', 'peer'):
