--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -16,6 +16,7 @@
 from .policy import CellBackend
 from .policy import CellTerms
 from .policy import CellView
+from .policy import Decision
 from .policy import Decline
 from .policy import Place
 from .policy import Policy
@@ -277,6 +278,20 @@
     again_at: float
 
 
+def _is_same(known: Booking, book: Book) -> bool:
+    """Return whether a ``Book`` is one that was answered already.
+
+    A second move of one KV cache has the same ids and stage as the first;
+    answered alike, it would go to the engine that has just refused it,
+    over and over. One would notice refused imports by the thousand. The
+    longer list of failed backend servers tells the two apart.
+    """
+    unplaced = known.stage is Stage.DECODE and not known.decode_id
+    if unplaced and known.start_at is not None:
+        return False
+    return known.stage is book.stage and known.exclude == book.exclude
+
+
 class Cell:
     """The state of one cell at its owner.
 
@@ -311,6 +326,21 @@
 
     def handle(self, event: typing.Any) -> list[typing.Any]:
         """Take one event in; return what is to be done."""
+        effects = self._take(event)
+        return effects + self._dispatch(event.now)
+
+    def _dispatch(self, now: float) -> list[typing.Any]:
+        effects = []
+        while self.view.queue:
+            decided = self.policy.dispatch(now=now, view=self.view)
+            if not decided:
+                break
+            for booking, decision in decided:
+                self._forget(booking)
+                effects.extend(self._apply(now, booking, decision))
+        return effects
+
+    def _take(self, event: typing.Any) -> list[typing.Any]:
         match event:
             case parts.Received(now=now, sender=sender, message=message):
                 handler = self._handlers_by_type.get(type(message))
@@ -337,9 +367,12 @@
     def _book(self, now: float, sender: str, book: Book) -> list:
         key = (book.request_id, book.attempt_id)
         known = self.bookings_by_key.get(key)
-        if known is not None and known.stage is book.stage:
+        if known is not None and _is_same(known, book):
             known.renewed_at = now
             return [self._answer(now, known)]
+        if known is not None and book.stage is Stage.PAIR:
+            # A late copy: this attempt has gone on to move its KV cache.
+            return []
         if known is not None:
             self._forget(known)
         booking = Booking(
@@ -358,15 +391,26 @@
             renewed_at=now,
             prefill_done=book.stage is Stage.DECODE,
         )
-        return self._decide(now, booking)
+        effects = self._decide(now, booking)
+        if known is not None and booking.key not in self.bookings_by_key:
+            # Declined, but the KV cache is still held and may yet move.
+            known.decode_id = ''
+            known.stage = Stage.DECODE
+            self._remember(known)
+        return effects
 
     def _decide(self, now: float, booking: Booking) -> list:
         decision = self.policy.decide(now=now, view=self.view, booking=booking)
+        return self._apply(now, booking, decision)
+
+    def _apply(self, now: float, booking: Booking, decision: Decision) -> list:
         match decision:
             case Decline():
                 return [self._decline(booking, decision)]
             case Wait():
                 booking.start_at = None
+                booking.expected_at = now + decision.expected_s
+                self.view.queue.append(booking)
             case Place():
                 booking.prefill_id = decision.prefill_id
                 booking.decode_id = decision.decode_id
@@ -393,7 +437,7 @@
                 epoch=self.epoch,
                 request_id=booking.request_id,
                 attempt_id=booking.attempt_id,
-                expected_in_s=0.0,
+                expected_in_s=max(0.0, booking.expected_at - now),
             )
             return parts.Send(to=booking.entry, message=queued)
         booked = Booked(
@@ -422,6 +466,8 @@
 
     def _forget(self, booking: Booking) -> None:
         self.bookings_by_key.pop(booking.key, None)
+        if booking in self.view.queue:
+            self.view.queue.remove(booking)
         for state in self._states_of(booking):
             state.bookings_by_key.pop(booking.key, None)
 
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -111,7 +111,7 @@
     data_centre: str = ''
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class Booking:
     """One reservation: a lease that the entry renews."""
 
@@ -133,6 +133,8 @@
     plain_id: str = ''
     #: When the booked work starts; ``None`` while it waits in the queue.
     start_at: float | None = None
+    #: When the queue is expected to let it start.
+    expected_at: float = 0.0
     prefill_done: bool = False
 
     @property
@@ -140,7 +142,7 @@
         return self.request_id, self.attempt_id
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BackendState:
     """What the owner knows of one backend server."""
 
@@ -164,6 +166,9 @@
         default_factory=dict
     )
 
+    #: Admitted work that has not been placed, in order of arrival.
+    queue: list[Booking] = dataclasses.field(default_factory=list)
+
     def candidates(
         self, role: Role, exclude: abc.Container[str]
     ) -> list[BackendState]:
@@ -213,6 +218,16 @@
         """Say where a new piece of work goes."""
         ...
 
+    def dispatch(
+        self, *, now: float, view: CellView
+    ) -> list[tuple[Booking, Decision]]:
+        """Say which of ``view.queue`` start now, or are refused after all.
+
+        The caller applies the decisions and asks again until there are
+        none, so an implementation may return one at a time.
+        """
+        ...
+
 
 #: Retry-After where nothing better is known.
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -239,6 +254,12 @@
             ids_by_role[role] = chosen.backend.backend_id
         return place(ids_by_role, start_in_s=0.0)
 
+    def dispatch(
+        self, *, now: float, view: CellView
+    ) -> list[tuple[Booking, Decision]]:
+        """Return nothing: no work is ever queued."""
+        return []
+
 
 ROLES_BY_STAGE = {
     Stage.PAIR: (Role.PREFILL, Role.DECODE),
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -85,6 +85,44 @@
         self.assertIs(RefusalReason.NO_BACKEND, effect.message.reason)
 
 
+class MoveTest(unittest.TestCase):
+    """Symptom: thousands of refused imports for a handful of requests.
+
+    A KV cache is refused by one decode engine, then by the next. The second
+    move looks like the first one sent again, and gets its answer.
+    """
+
+    def setUp(self):
+        self.cell = make_cell(
+            make_backend('p1', 'prefill'),
+            *(make_backend(f'd{n}', 'decode') for n in (1, 2, 3)),
+        )
+        (booked,) = send(self.cell, make_book())
+        self.failed = (booked.message.decode_id,)
+
+    def move(self):
+        book = make_book(stage=policy.Stage.DECODE, exclude=self.failed)
+        (effect,) = send(self.cell, book)
+        return effect.message
+
+    def test_each_move_goes_to_an_engine_that_has_not_failed(self):
+        for _ in range(2):
+            moved = self.move()
+            self.assertNotIn(moved.decode_id, self.failed)
+            self.failed = (*self.failed, moved.decode_id)
+
+    def test_a_late_copy_of_the_first_book_changes_nothing(self):
+        self.move()
+        self.assertEqual([], send(self.cell, make_book()))
+
+    def test_a_declined_move_keeps_the_booking_of_the_kv_cache(self):
+        self.failed = ('d1', 'd2', 'd3')
+        self.assertIsInstance(self.move(), cells.Declined)
+        holding = cells.Holding(request_id='r1', attempt_id='a1')
+        progress = cells.Progress(cell=self.cell.cell_id, bookings=(holding,))
+        self.assertEqual([], send(self.cell, progress))
+
+
 class OrphanTest(unittest.TestCase):
     """Symptom: slots stay taken and no stream runs.
 
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,666 @@
+"""Load on a virtual clock: callers, entries, one real cell, engine models.
+
+The cell and its policy are the product's own; entries do what an entry has
+to do with the owner's answers and nothing more. Every hop takes
+:data:`HOP_S`. This measures the policy's decisions, not the processes.
+"""
+
+from collections import abc
+import dataclasses
+import heapq
+import math
+import random
+import typing
+
+from dandeliongw import cells
+from dandeliongw.coordination import parts
+from dandeliongw import policy
+from dandeliongw.verdict import RefusalReason
+from dandeliongw.verdict import RetryReason
+from tools import engine_model
+from tools import tally
+from tools import workloads
+
+#: One way between any two of entry, owner and engine, in seconds.
+HOP_S = 0.0005
+REPORT_EVERY_S = 1.0
+REPORT_LAG_S = 0.5
+#: Lose the cache events of every so many reports.
+GAP_EVERY = 7
+TICK_S = 0.05
+#: A transfer or stream silent for so long counts as stalled.
+STALL_S = 1.5
+#: A dead engine's presence lease runs out after so long.
+PRESENCE_S = 2.0
+MAX_ATTEMPTS = 4
+#: Pause after every decode engine refused a KV cache.
+MOVE_AGAIN_S = 0.05
+#: How often a refused caller comes back.
+MAX_COMEBACKS = 3
+CELL_ID = 'service/region/0'
+
+
+class Clock:
+    """Runs calls in order of their virtual time."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._calls: list = []
+        self._serial = 0
+
+    def at(self, when: float, call: abc.Callable, *arguments) -> None:
+        """Make a call at a time, or now if that has passed."""
+        self._serial += 1
+        when = max(when, self.now)
+        heapq.heappush(self._calls, (when, self._serial, call, arguments))
+
+    def run(self, until: float) -> None:
+        """Run all calls up to a time."""
+        while self._calls and self._calls[0][0] <= until:
+            self.now, _, call, arguments = heapq.heappop(self._calls)
+            call(*arguments)
+
+
+class SimulatedEngine:
+    """An engine model on the virtual clock; tells what happens."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        backend: policy.CellBackend,
+        speeds: engine_model.EngineSpeeds,
+        on_event: abc.Callable,
+    ) -> None:
+        self.backend = backend
+        self.alive = True
+        self.model = engine_model.EngineModel(speeds=speeds)
+        self.reporter = engine_model.Reporter(
+            model=self.model, lag_s=REPORT_LAG_S, gap_every=GAP_EVERY
+        )
+        self.link_in_free_at = 0.0
+        self.next_cache_event = 0
+        self._clock = clock
+        self._on_event = on_event
+        self._wakes_at = math.inf
+
+    def wake(self) -> None:
+        """Bring the model up to now and plan the next wake."""
+        if not self.alive:
+            return
+        now = self._clock.now
+        for happened in self.model.advance(now):
+            self._on_event(self, happened)
+        next_at = self.model.next_at()
+        if next_at < self._wakes_at or self._wakes_at <= now:
+            self._wakes_at = next_at
+            if next_at != math.inf:
+                self._clock.at(next_at, self.wake)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Job:
+    """One call of one caller, as its entry sees it."""
+
+    request: workloads.Request
+    name: str
+    entry: str
+    arrived_at: float
+    comebacks: int = 0
+    attempt: int = 0
+    stage: policy.Stage = policy.Stage.PAIR
+    exclude: tuple[str, ...] = ()
+    booked: cells.Booked | None = None
+    #: Where the KV cache is until it has been imported.
+    prefill_id: str = ''
+    prefilled: engine_model.Prefilled | None = None
+    started_at: float | None = None
+    first_token_at: float | None = None
+    last_token_at: float | None = None
+    made: int = 0
+    streaming: bool = False
+    over: bool = False
+
+    @property
+    def attempt_id(self) -> str:
+        return f'a{self.attempt}'
+
+
+class Run:
+    """One run of one policy on one stream of requests."""
+
+    def __init__(
+        self,
+        *,
+        deployment: workloads.Deployment,
+        policy_factory: abc.Callable[[], policy.Policy],
+        requests: abc.Iterable[workloads.Request],
+        seed: int = 1,
+    ) -> None:
+        self.clock = Clock()
+        self.deployment = deployment
+        self.tally = tally.Tally(terms=deployment.terms)
+        self.jobs_by_name: dict[str, Job] = {}
+        self.engines_by_id: dict[str, SimulatedEngine] = {}
+        self._draw = random.Random(seed)
+        self._policy_factory = policy_factory
+        self._epoch = 1
+        self._add_engines()
+        self.cell = self._make_cell()
+        self._tell_backends()
+        for request in requests:
+            self.clock.at(request.at, self._arrive, request, request.name, 0)
+        self.clock.at(0.0, self._report_all)
+        self.clock.at(0.0, self._tick)
+        self.clock.at(0.0, self._progress_all)
+
+    def _add_engines(self) -> None:
+        counts = {
+            policy.Role.PREFILL: self.deployment.prefill_engines,
+            policy.Role.DECODE: self.deployment.decode_engines,
+        }
+        for role, count in counts.items():
+            for number in range(count):
+                self.add_engine(f'{role.value}-{number}', role)
+
+    def add_engine(self, backend_id: str, role: policy.Role) -> None:
+        """Start an engine; the owner learns of it with the next change."""
+        speeds = self.deployment.speeds
+        backend = policy.CellBackend(
+            backend_id=backend_id,
+            incarnation=1,
+            role=role,
+            url=f'http://{backend_id}',
+            slots=speeds.slots if role is policy.Role.DECODE else 1,
+        )
+        self.engines_by_id[backend_id] = SimulatedEngine(
+            clock=self.clock,
+            backend=backend,
+            speeds=speeds,
+            on_event=self._on_engine_event,
+        )
+
+    def _make_cell(self) -> cells.Cell:
+        return cells.Cell(
+            cell_id=CELL_ID,
+            service=self.deployment.name,
+            epoch=self._epoch,
+            document_part=self.deployment.terms,
+            policy=self._policy_factory(),
+        )
+
+    def run(self, until: float) -> tally.Tally:
+        """Run to a time; return the figures."""
+        self.clock.run(until)
+        for engine in self.engines_by_id.values():
+            self.tally.count_engine(engine.model)
+        return self.tally
+
+    # The owner.
+
+    def _tell_backends(self) -> None:
+        backends = tuple(
+            engine.backend
+            for engine in self.engines_by_id.values()
+            if engine.alive
+        )
+        self._own(cells.BackendsChanged(now=self.clock.now, backends=backends))
+
+    def _own(self, event: typing.Any) -> None:
+        for effect in self.cell.handle(event):
+            later = self.clock.now + HOP_S
+            if isinstance(effect, parts.Send):
+                self.clock.at(later, self._hear, effect.message)
+            else:
+                self.clock.at(later, self._cancel_stream, effect)
+
+    def _send(self, job: Job, message: typing.Any) -> None:
+        self.clock.at(
+            self.clock.now + HOP_S, self._receive, job.entry, message
+        )
+
+    def _receive(self, entry: str, message: typing.Any) -> None:
+        self._own(
+            parts.Received(now=self.clock.now, sender=entry, message=message)
+        )
+
+    def _tick(self) -> None:
+        self._own(parts.Ticked(now=self.clock.now, entropy=0))
+        self.clock.at(self.clock.now + TICK_S, self._tick)
+
+    def _report_all(self) -> None:
+        now = self.clock.now
+        for engine in self.engines_by_id.values():
+            if engine.alive:
+                engine.wake()
+                self._report(now, engine)
+        self.clock.at(now + REPORT_EVERY_S, self._report_all)
+
+    def _report(self, now: float, engine: SimulatedEngine) -> None:
+        report = engine.reporter.report(now)
+        backend_id = engine.backend.backend_id
+        load = dataclasses.asdict(report.load)
+        self._own(cells.LoadReported(now=now, backend_id=backend_id, **load))
+        by_kind = {
+            kind: tuple(e.prefix for e in report.events if e.kind == kind)
+            for kind in ('stored', 'evicted')
+        }
+        gap = report.first != engine.next_cache_event
+        engine.next_cache_event = report.first + len(report.events)
+        self._own(
+            cells.CacheHint(now=now, backend_id=backend_id, gap=gap, **by_kind)
+        )
+
+    def _cancel_stream(self, effect: cells.CancelStream) -> None:
+        engine = self.engines_by_id[effect.backend_id]
+        if not engine.alive:
+            return
+        engine.wake()
+        engine.model.cancel(
+            self.clock.now,
+            stream_id=effect.stream_id,
+            attempt_id=effect.attempt_id,
+        )
+        engine.wake()
+        if not engine.model.faults.drop_cancels:
+            confirmed = cells.StreamCancelled(
+                now=self.clock.now + HOP_S,
+                backend_id=effect.backend_id,
+                stream_id=effect.stream_id,
+                attempt_id=effect.attempt_id,
+            )
+            self.clock.at(confirmed.now, self._own, confirmed)
+
+    # The callers.
+
+    def _arrive(
+        self, request: workloads.Request, name: str, comebacks: int
+    ) -> None:
+        number = self._draw.randrange(self.deployment.entries)
+        job = Job(
+            request=request,
+            name=name,
+            entry=f'entry-{number}',
+            arrived_at=self.clock.now,
+            comebacks=comebacks,
+        )
+        self.jobs_by_name[name] = job
+        self.tally.arrived(job)
+        if request.leaves_after_s is not None:
+            leaves_at = self.clock.now + request.leaves_after_s
+            self.clock.at(leaves_at, self._leave, job)
+        self._book(job, policy.Stage.PAIR)
+
+    def _leave(self, job: Job) -> None:
+        if not job.over:
+            self._release(job, cells.Outcome.CANCELLED)
+            self._end(job)
+            self.tally.left(job)
+
+    def _end(self, job: Job) -> None:
+        job.over = True
+        job.streaming = False
+        del self.jobs_by_name[job.name]
+
+    def _refuse(
+        self, job: Job, reason: RefusalReason, retry_after_s: float
+    ) -> None:
+        self._end(job)
+        again = job.comebacks < MAX_COMEBACKS
+        self.tally.refused(job, reason, last=not again)
+        if again:
+            comebacks = job.comebacks + 1
+            name = f'{job.request.name}+{comebacks}'
+            when = self.clock.now + retry_after_s * self._draw.uniform(1, 1.1)
+            self.clock.at(when, self._arrive, job.request, name, comebacks)
+
+    # The entries.
+
+    def _progress_all(self) -> None:
+        holdings_by_entry: dict[str, list[cells.Holding]] = {}
+        for job in self.jobs_by_name.values():
+            holding = cells.Holding(
+                request_id=job.name, attempt_id=job.attempt_id
+            )
+            holdings_by_entry.setdefault(job.entry, []).append(holding)
+        for entry, holdings in holdings_by_entry.items():
+            message = cells.Progress(cell=CELL_ID, bookings=tuple(holdings))
+            self.clock.at(
+                self.clock.now + HOP_S, self._receive, entry, message
+            )
+        later = self.clock.now + cells.PROGRESS_EVERY_S
+        self.clock.at(later, self._progress_all)
+
+    def _book(self, job: Job, stage: policy.Stage) -> None:
+        request = job.request
+        if stage is policy.Stage.PAIR:
+            job.attempt += 1
+            job.prefilled = None
+        job.stage = stage
+        job.booked = None
+        left_s = job.arrived_at + self.deployment.terms.timeout_s
+        self._send(
+            job,
+            cells.Book(
+                cell=CELL_ID,
+                request_id=job.name,
+                attempt_id=job.attempt_id,
+                account=request.account,
+                priority=request.priority,
+                # A stream that broke goes on after what was delivered.
+                prompt_tokens=request.prompt_tokens + job.made,
+                max_tokens=request.max_tokens - job.made,
+                prefix=request.prefix,
+                deadline_s=left_s - self.clock.now,
+                exclude=job.exclude,
+                stage=stage,
+            ),
+        )
+
+    def _hear(self, message: typing.Any) -> None:
+        job = self.jobs_by_name.get(getattr(message, 'request_id', ''))
+        if job is None or message.attempt_id != job.attempt_id:
+            # The caller left while the owner answered.
+            return
+        match message:
+            case cells.Declined():
+                self._hear_declined(job, message)
+            case cells.Cancelled():
+                self._retry(job, RetryReason.OWNER_CHANGED, '')
+            case cells.Booked() if job.booked is None:
+                job.booked = message
+                when = self.clock.now + message.start_in_s + HOP_S
+                self.clock.at(when, self._start, job, message)
+
+    def _hear_declined(self, job: Job, declined: cells.Declined) -> None:
+        if job.stage is policy.Stage.DECODE:
+            self.clock.at(self.clock.now + MOVE_AGAIN_S, self._move_again, job)
+        elif job.first_token_at is not None:
+            self._fail(job, declined.reason)
+        else:
+            self._refuse(job, declined.reason, declined.retry_after_s)
+
+    def _move_again(self, job: Job) -> None:
+        """Every decode engine refused: try while the KV cache lasts."""
+        if job.over or job.prefilled is None:
+            return
+        gone_at = job.prefilled.at + self.deployment.speeds.kv_ttl_s
+        if self.clock.now >= gone_at:
+            self._retry(job, RetryReason.KV_EVICTED, '')
+            return
+        job.exclude = ()
+        self._book(job, policy.Stage.DECODE)
+
+    def _is_current(self, job: Job, booked: cells.Booked) -> bool:
+        return not job.over and job.booked is booked
+
+    def _start(self, job: Job, booked: cells.Booked) -> None:
+        if not self._is_current(job, booked):
+            return
+        if job.started_at is None:
+            job.started_at = self.clock.now
+        if job.stage is policy.Stage.DECODE:
+            self._import(job, booked)
+            return
+        job.prefill_id = booked.prefill_id
+        engine = self.engines_by_id[booked.prefill_id]
+        if not engine.alive:
+            self._retry(job, RetryReason.CONNECT_REFUSED, booked.prefill_id)
+            return
+        engine.wake()
+        request = job.request
+        rank = self.deployment.terms.rank_by_priority[request.priority]
+        refused = engine.model.start_prefill(
+            self.clock.now,
+            stream_id=job.name,
+            attempt_id=job.attempt_id,
+            tokens=request.prompt_tokens + job.made,
+            prefix=request.prefix,
+            rank=rank,
+        )
+        engine.wake()
+        if refused is not None:
+            self._retry(job, RetryReason.BACKEND_BUSY, '')
+
+    def _on_engine_event(
+        self, engine: SimulatedEngine, happened: typing.Any
+    ) -> None:
+        match happened:
+            case engine_model.Prefilled():
+                later = self.clock.now + HOP_S
+                self.clock.at(later, self._prefilled, happened)
+            case engine_model.Stepped():
+                self._count_tokens(happened)
+
+    def _prefilled(self, done: engine_model.Prefilled) -> None:
+        job = self.jobs_by_name.get(done.stream_id)
+        if job is None or job.attempt_id != done.attempt_id:
+            return
+        if job.booked is None:
+            return
+        job.prefilled = done
+        message = cells.PrefillDone(
+            cell=CELL_ID,
+            request_id=job.name,
+            attempt_id=job.attempt_id,
+            tokens=done.tokens,
+            cached_tokens=done.cached_tokens,
+            kv_bytes=done.kv_bytes,
+        )
+        self._send(job, message)
+        later = self.clock.now + HOP_S
+        self.clock.at(later, self._import, job, job.booked)
+
+    def _import(self, job: Job, booked: cells.Booked) -> None:
+        if not self._is_current(job, booked):
+            return
+        engine = self.engines_by_id[booked.decode_id]
+        if not engine.alive:
+            self._move(job, RetryReason.CONNECT_REFUSED)
+            return
+        engine.wake()
+        refused = engine.model.reserve_slot(
+            self.clock.now,
+            stream_id=job.name,
+            attempt_id=job.attempt_id,
+            kv_bytes=job.prefilled.kv_bytes,
+        )
+        if refused is not None:
+            self._move(job, RetryReason.IMPORT_REFUSED)
+            return
+        self._transfer(job, booked, engine)
+
+    def _transfer(
+        self, job: Job, booked: cells.Booked, engine: SimulatedEngine
+    ) -> None:
+        source = self.engines_by_id[job.prefill_id]
+        transfer = engine_model.Reason.EVICTED
+        if source.alive:
+            source.wake()
+            transfer = source.model.export(
+                self.clock.now,
+                job.prefilled.kv,
+                not_before=engine.link_in_free_at,
+            )
+        if not isinstance(transfer, engine_model.Transfer):
+            self._free_slot(job, engine)
+            self._retry(job, RetryReason.KV_EVICTED, '')
+            return
+        stalls_at = self.clock.now + STALL_S
+        if transfer.ends_at > stalls_at:
+            self.clock.at(stalls_at, self._stalled, job, booked)
+            return
+        engine.link_in_free_at = transfer.ends_at
+        self.clock.at(transfer.ends_at, self._imported, job, booked)
+
+    def _free_slot(self, job: Job, engine: SimulatedEngine) -> None:
+        engine.model.cancel(
+            self.clock.now, stream_id=job.name, attempt_id=job.attempt_id
+        )
+
+    def _stalled(self, job: Job, booked: cells.Booked) -> None:
+        if not self._is_current(job, booked):
+            return
+        source = self.engines_by_id[job.prefill_id]
+        source.wake()
+        source.model.unpin_kv(self.clock.now, job.prefilled.kv)
+        source.wake()
+        self._free_slot(job, self.engines_by_id[booked.decode_id])
+        # The KV cache is past its time by now: compute it again elsewhere.
+        self._retry(
+            job, RetryReason.TRANSFER_STALLED, source.backend.backend_id
+        )
+
+    def _imported(self, job: Job, booked: cells.Booked) -> None:
+        if not self._is_current(job, booked):
+            return
+        source = self.engines_by_id[job.prefill_id]
+        engine = self.engines_by_id[booked.decode_id]
+        if not engine.alive:
+            self._move(job, RetryReason.CONNECT_REFUSED)
+            return
+        if source.alive:
+            source.wake()
+            source.model.drop_kv(job.prefilled.kv)
+        job.streaming = True
+        engine.wake()
+        left = job.request.answer_tokens - job.made
+        engine.model.start_decode(
+            self.clock.now, stream_id=job.name, max_tokens=left
+        )
+        engine.wake()
+
+    def _count_tokens(self, step: engine_model.Stepped) -> None:
+        seen_at = step.at + HOP_S
+        for stream_id in step.stream_ids:
+            job = self.jobs_by_name.get(stream_id)
+            if job is None or not job.streaming:
+                continue
+            job.made += 1
+            job.last_token_at = seen_at
+            if job.first_token_at is None:
+                job.first_token_at = seen_at
+        for stream_id in step.finished:
+            job = self.jobs_by_name.get(stream_id)
+            if job is not None and job.streaming:
+                self._finish(job)
+
+    def _finish(self, job: Job) -> None:
+        engine = self.engines_by_id[job.booked.decode_id]
+        engine.model.forget_stream(job.name)
+        self._release(job, cells.Outcome.DONE)
+        self._end(job)
+        self.tally.finished(job)
+
+    def _release(
+        self,
+        job: Job,
+        outcome: cells.Outcome,
+        fault: str = '',
+        wasted_tokens: int = 0,
+    ) -> None:
+        message = cells.Release(
+            cell=CELL_ID,
+            request_id=job.name,
+            attempt_id=job.attempt_id,
+            outcome=outcome,
+            wasted_tokens=wasted_tokens,
+            backend_fault=fault,
+        )
+        self._send(job, message)
+
+    def _move(self, job: Job, reason: RetryReason) -> None:
+        """Ask for another decode engine for the KV cache that waits."""
+        self.tally.retried(reason)
+        failed = job.booked.decode_id
+        job.exclude = (*job.exclude, failed)
+        self._book(job, policy.Stage.DECODE)
+
+    def _retry(self, job: Job, reason: RetryReason, fault: str) -> None:
+        """Give this attempt up and begin another one."""
+        self.tally.retried(reason)
+        wasted_tokens = 0
+        if job.streaming:
+            done = job.prefilled
+            wasted_tokens = done.tokens - done.cached_tokens
+            self.tally.wasted(reason.value, wasted_tokens)
+        job.streaming = False
+        self._release(job, cells.Outcome.FAILED, fault, wasted_tokens)
+        if fault:
+            job.exclude = (*job.exclude, fault)
+        if job.attempt >= MAX_ATTEMPTS:
+            self._fail(job, RefusalReason.RETRIES_SPENT)
+            return
+        self._book(job, policy.Stage.PAIR)
+
+    def _fail(self, job: Job, reason: RefusalReason) -> None:
+        if job.booked is not None or job.prefilled is not None:
+            self._release(job, cells.Outcome.FAILED)
+        self._end(job)
+        self.tally.failed(job, reason)
+
+    # Faults.
+
+    def kill(self, backend_id: str) -> None:
+        """Kill an engine; its connections are reset."""
+        engine = self.engines_by_id[backend_id]
+        engine.alive = False
+        for job in list(self.jobs_by_name.values()):
+            if job.booked is None:
+                continue
+            at_decode = job.streaming and job.booked.decode_id == backend_id
+            at_prefill = (
+                job.prefilled is None
+                and job.started_at is not None
+                and job.booked.prefill_id == backend_id
+            )
+            if at_decode or at_prefill:
+                self._retry(job, RetryReason.STREAM_BROKEN, backend_id)
+        self.clock.at(self.clock.now + PRESENCE_S, self._tell_backends)
+
+    def set_fault(self, backend_id: str, **switches: typing.Any) -> None:
+        """Set fault switches of an engine."""
+        engine = self.engines_by_id[backend_id]
+        engine.wake()
+        for name, value in switches.items():
+            setattr(engine.model.faults, name, value)
+
+    def lose_owner(self) -> None:
+        """Replace the owner; entries tell the new one what they hold."""
+        self._epoch += 1
+        self.cell = self._make_cell()
+        self._tell_backends()
+        bookings_by_entry: dict[str, list[cells.ReclaimedBooking]] = {}
+        for job in list(self.jobs_by_name.values()):
+            if job.booked is None:
+                self._book_again(job)
+                continue
+            held = bookings_by_entry.setdefault(job.entry, [])
+            held.append(self._reclaimed(job))
+        for entry, held in bookings_by_entry.items():
+            message = cells.Reclaim(
+                cell=CELL_ID, epoch=self._epoch, bookings=tuple(held)
+            )
+            self._receive(entry, message)
+
+    def _book_again(self, job: Job) -> None:
+        if job.stage is policy.Stage.PAIR:
+            job.attempt -= 1
+        self._book(job, job.stage)
+
+    def _reclaimed(self, job: Job) -> cells.ReclaimedBooking:
+        request = job.request
+        return cells.ReclaimedBooking(
+            request_id=job.name,
+            attempt_id=job.attempt_id,
+            account=request.account,
+            priority=request.priority,
+            stage=job.stage,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens - job.made,
+            deadline_s=self.deployment.terms.timeout_s,
+            prefill_id=job.prefill_id,
+            decode_id=job.booked.decode_id,
+            plain_id='',
+            prefill_done=job.prefilled is not None,
+        )
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,118 @@
+"""Measures each policy on the same work; see docs/POLICY.md.
+
+Prints one line of JSON for each deployment, policy and load. The last line
+sums up the current policy against the best plain router.
+"""
+
+from collections import abc
+import functools
+import json
+import typing
+
+import defopt
+
+from dandeliongw import policy
+from tools import baselines
+from tools import load
+from tools import tally
+from tools import workloads
+
+WARM_UP_S = 10.0
+#: After the last arrival, for what still runs to end.
+DRAIN_S = 70.0
+
+PolicyFactory = abc.Callable[[], policy.Policy]
+
+#: Limits of waiting prompts that are tried for the plain routers.
+WAITING_LIMITS = (2, 3, 8, 16)
+
+
+def plain_routers(
+    deployment: workloads.Deployment,
+) -> dict[str, PolicyFactory]:
+    """Return the baselines by name."""
+    divided = functools.partial(
+        baselines.LeastConnections, entries=deployment.entries
+    )
+    factories_by_name = {
+        'round-robin': baselines.RoundRobin,
+        'least-reported': baselines.LeastReported,
+        'least-connections': divided,
+    }
+    return {
+        f'{name}-{limit}': functools.partial(factory, waiting_limit=limit)
+        for name, factory in factories_by_name.items()
+        for limit in WAITING_LIMITS
+    }
+
+
+def measure(
+    deployment: workloads.Deployment,
+    factory: PolicyFactory,
+    *,
+    at_load: float,
+    duration_s: float,
+    seed: int = 1,
+    disturb: abc.Callable[[load.Run], None] | None = None,
+    **mix: typing.Any,
+) -> tally.Tally:
+    """Return the figures of one run.
+
+    :param disturb: plans faults on the run's clock before it starts.
+    :param mix: further arguments of ``workloads.make_requests``.
+    """
+    requests = workloads.make_requests(
+        deployment, load=at_load, duration_s=duration_s, seed=seed, **mix
+    )
+    run = load.Run(
+        deployment=deployment,
+        policy_factory=factory,
+        requests=requests,
+        seed=seed,
+    )
+    run.tally.since = WARM_UP_S
+    run.tally.until = duration_s
+    if disturb is not None:
+        disturb(run)
+    result = run.run(duration_s + DRAIN_S)
+    result.counts['lost'] = len(run.jobs_by_name)
+    return result
+
+
+def main(
+    *,
+    quick: bool = False,
+    policies: list[str] | None = None,
+    loads: list[float] | None = None,
+    duration_s: float = 60.0,
+    seed: int = 1,
+) -> None:
+    """Measure policies and print JSON lines.
+
+    :param quick: a short run that ends within 50 s.
+    :param policies: names to measure; all if none are given.
+    :param loads: in parts of the capacity.
+    :param duration_s: virtual seconds of arrivals.
+    """
+    for deployment in workloads.DEPLOYMENTS_BY_NAME.values():
+        factories_by_name = plain_routers(deployment)
+        for name in policies or factories_by_name:
+            for at_load in loads or (0.5, 0.75, 1.0, 1.2, 1.5):
+                result = measure(
+                    deployment,
+                    factories_by_name[name],
+                    at_load=at_load,
+                    duration_s=duration_s,
+                    seed=seed,
+                )
+                line = {
+                    'deployment': deployment.name,
+                    'policy': name,
+                    'load': at_load,
+                    'capacity': workloads.capacity(deployment),
+                }
+                print(json.dumps(line | result.figures()), flush=True)
+
+
+if __name__ == '__main__':
+    defopt.run(main, cli_options='all')
