--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -352,9 +352,7 @@
             case LoadReported():
                 return self._report_load(event)
             case StreamCancelled():
-                key = (event.backend_id, event.stream_id, event.attempt_id)
-                self.cancels_by_key.pop(key, None)
-                return []
+                self._confirm_cancel(event)
         return []
 
     def restore(self, record: typing.Any) -> None:
@@ -416,6 +414,7 @@
                 booking.decode_id = decision.decode_id
                 booking.plain_id = decision.plain_id
                 booking.start_at = now + decision.start_in_s
+                self.view.plan(booking)
         self._remember(booking)
         return [self._answer(now, booking)]
 
@@ -483,10 +482,12 @@
         if booking is None:
             return [self._gone(sender, done.request_id, done.attempt_id)]
         booking.renewed_at = now
-        booking.prefill_done = True
         state = self.view.backends_by_id.get(booking.prefill_id)
         if state is not None:
+            computed = done.tokens - done.cached_tokens
+            self.view.learn_prefill(now, state, booking, computed)
             state.bookings_by_key.pop(booking.key, None)
+        booking.prefill_done = True
         return []
 
     def _gone(
@@ -518,6 +519,7 @@
             return []
         self._forget(booking)
         if release.outcome is Outcome.DONE:
+            self.view.learn_answer(now, booking)
             return []
         return self._cancel(now, booking)
 
@@ -535,12 +537,20 @@
             )
             key = (effect.backend_id, effect.stream_id, effect.attempt_id)
             again_at = now + CANCEL_AGAIN_S
+            if key not in self.cancels_by_key:
+                state.cancelling += 1
             self.cancels_by_key[key] = PendingCancel(
                 effect=effect, again_at=again_at
             )
             effects.append(effect)
         return effects
 
+    def _confirm_cancel(self, event: StreamCancelled) -> None:
+        key = (event.backend_id, event.stream_id, event.attempt_id)
+        state = self.view.backends_by_id.get(event.backend_id)
+        if self.cancels_by_key.pop(key, None) and state is not None:
+            state.cancelling -= 1
+
     def _reclaim(self, now: float, sender: str, reclaim: Reclaim) -> list:
         for held in reclaim.bookings:
             key = (held.request_id, held.attempt_id)
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -16,6 +16,10 @@
 
 #: Words of a prompt that share one prefix hash.
 BLOCK_TOKENS = 64
+#: Weight of a new measurement in a moving average.
+SMOOTHING = 0.1
+#: A prefill that hung tells nothing about the next one beyond this.
+MOST_SLOWNESS = 10.0
 
 
 def hash_blocks(
@@ -136,6 +140,11 @@
     #: When the queue is expected to let it start.
     expected_at: float = 0.0
     prefill_done: bool = False
+    #: Predictions, made anew as facts come in; zero where none is made.
+    prefill_work_s: float = 0.0
+    prefill_ends_at: float = 0.0
+    transfer_ends_at: float = 0.0
+    decode_ends_at: float = 0.0
 
     @property
     def key(self) -> tuple[str, str]:
@@ -155,6 +164,26 @@
     reported_waiting: int = 0
     reported_queued_tokens: int = 0
     reported_at: float | None = None
+    #: Streams that were cancelled; each holds its slot until confirmed.
+    cancelling: int = 0
+    #: Measured prefill time over predicted; above one is slow.
+    slowness: float = 1.0
+    last_prefill_at: float = 0.0
+    link_free_at: float = 0.0
+
+    @property
+    def slots_used(self) -> int:
+        """Slots that are booked, used or not yet given back."""
+        return len(self.bookings_by_key) + self.cancelling
+
+    def prefill_free_at(self, now: float) -> float:
+        """Return when the prompts that were sent here will be done."""
+        ends = [
+            booking.prefill_ends_at
+            for booking in self.bookings_by_key.values()
+            if not booking.prefill_done
+        ]
+        return max(ends, default=now)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -168,6 +197,8 @@
 
     #: Admitted work that has not been placed, in order of arrival.
     queue: list[Booking] = dataclasses.field(default_factory=list)
+    #: Measured length of answers over the longest they may be.
+    answer_ratio: float = 1.0
 
     def candidates(
         self, role: Role, exclude: abc.Container[str]
@@ -179,6 +210,63 @@
             if state.backend.role is role and backend_id not in exclude
         ]
 
+    def prefill_work_s(self, state: BackendState, tokens: int) -> float:
+        """Return how long an engine takes to compute some tokens."""
+        return tokens / self.terms.prefill_tokens_per_s * state.slowness
+
+    def transfer_s(self, booking: Booking) -> float:
+        """Return how long the KV cache of a prompt takes to move."""
+        kv_bytes = booking.prompt_tokens * self.terms.kv_bytes_per_token
+        return kv_bytes / self.terms.link_bytes_per_s
+
+    def decode_s(self, booking: Booking) -> float:
+        """Return how long an answer is expected to take."""
+        tokens = booking.max_tokens * self.answer_ratio
+        return tokens / self.terms.decode_tokens_per_s
+
+    def plan(self, booking: Booking) -> None:
+        """Predict the times of a booking that has just been placed."""
+        state = self.backends_by_id.get(booking.prefill_id)
+        ends_at = booking.start_at
+        if state is not None and not booking.prefill_done:
+            starts_at = max(ends_at, state.prefill_free_at(ends_at))
+            booking.prefill_work_s = self.prefill_work_s(
+                state, booking.prompt_tokens
+            )
+            ends_at = starts_at + booking.prefill_work_s
+            booking.prefill_ends_at = ends_at
+        self._plan_decode(booking, ends_at)
+
+    def _plan_decode(self, booking: Booking, ends_at: float) -> None:
+        booking.transfer_ends_at = ends_at + self.transfer_s(booking)
+        decode_s = self.decode_s(booking)
+        booking.decode_ends_at = booking.transfer_ends_at + decode_s
+
+    def learn_prefill(
+        self, now: float, state: BackendState, booking: Booking, computed: int
+    ) -> None:
+        """Take in that a prefill is done; ``state`` still counts it."""
+        began_at = max(booking.start_at or now, state.last_prefill_at)
+        expected_s = computed / self.terms.prefill_tokens_per_s
+        if expected_s > 0.0 and now > began_at:
+            measured = min((now - began_at) / expected_s, MOST_SLOWNESS)
+            state.slowness += SMOOTHING * (measured - state.slowness)
+        state.last_prefill_at = now
+        at = now
+        for each in state.bookings_by_key.values():
+            if not each.prefill_done and each is not booking:
+                at = max(at, each.start_at or at) + each.prefill_work_s
+                each.prefill_ends_at = at
+        self._plan_decode(booking, now)
+
+    def learn_answer(self, now: float, booking: Booking) -> None:
+        """Take in that an answer is complete."""
+        longest_s = booking.max_tokens / self.terms.decode_tokens_per_s
+        took_s = now - booking.transfer_ends_at
+        if longest_s > 0.0 and took_s > 0.0:
+            measured = min(1.0, took_s / longest_s)
+            self.answer_ratio += SMOOTHING * (measured - self.answer_ratio)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Place:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -12,6 +12,7 @@
 import defopt
 
 from dandeliongw import policy
+from dandeliongw import scheduler
 from tools import baselines
 from tools import load
 from tools import tally
@@ -46,6 +47,24 @@
     }
 
 
+#: The policy in force and the versions before it, the oldest first.
+VERSIONS_BY_NAME: dict[str, scheduler.Options] = {
+    'v1-slots': scheduler.Options(),
+}
+CURRENT = list(VERSIONS_BY_NAME)[-1]
+
+
+def all_policies(
+    deployment: workloads.Deployment,
+) -> dict[str, PolicyFactory]:
+    """Return the baselines and every version, by name."""
+    versions = {
+        name: functools.partial(scheduler.Scheduler, options=options)
+        for name, options in VERSIONS_BY_NAME.items()
+    }
+    return plain_routers(deployment) | versions
+
+
 def measure(
     deployment: workloads.Deployment,
     factory: PolicyFactory,
@@ -95,7 +114,7 @@
     :param duration_s: virtual seconds of arrivals.
     """
     for deployment in workloads.DEPLOYMENTS_BY_NAME.values():
-        factories_by_name = plain_routers(deployment)
+        factories_by_name = all_policies(deployment)
         for name in policies or factories_by_name:
             for at_load in loads or (0.5, 0.75, 1.0, 1.2, 1.5):
                 result = measure(
