Engine model: a KV cache that moves is kept until its transfer ends

Cause: a transfer that outlasted the 0.8 s until eviction was evicted at the very instant it ended. The stand-in would have answered 404 to such an import.

--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -75,6 +75,16 @@
         self.assertAlmostEqual(0.25, first.ends_at)
         self.assertAlmostEqual(0.30, second.ends_at)
 
+    def test_a_result_is_kept_while_it_moves_and_no_longer(self):
+        model = make_model()
+        prefill(model, tokens=20_000)
+        model.advance(2.0)
+        # One second on the link outlasts the 0.8 s until eviction.
+        self.assertAlmostEqual(3.0, model.export(2.0, 's1.a1').ends_at)
+        self.assertEqual([], model.advance(3.0))
+        model.unpin_kv(3.0, 's1.a1')
+        self.assertEqual(1, len(model.advance(3.0)))
+
     def test_a_stalled_transfer_never_ends(self):
         model = make_model()
         model.faults.stall_transfer = True
--- a/tools/engine_model.py
+++ b/tools/engine_model.py
@@ -141,7 +141,8 @@
 
     job: PrefillJob
     expires_at: float
-    busy_until: float = 0.0
+    #: Transfers that have begun; while there are any, it is kept.
+    transfers: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -324,7 +325,7 @@
             ends_at = math.inf
         else:
             self._link_free_at = ends_at
-        held.busy_until = max(held.busy_until, ends_at)
+        held.transfers += 1
         return Transfer(
             starts_at=starts_at,
             ends_at=ends_at,
@@ -341,7 +342,8 @@
         """End a transfer that failed; the result lives out its time."""
         held = self.kv_by_name.get(kv)
         if held is not None:
-            held.busy_until = now
+            held.transfers -= 1
+            held.expires_at = max(held.expires_at, now)
 
     def reserve_slot(
         self,
@@ -457,7 +459,8 @@
         if self._step_ends_at is not None:
             at = min(at, self._step_ends_at)
         for held in self.kv_by_name.values():
-            at = min(at, max(held.expires_at, held.busy_until))
+            if not held.transfers:
+                at = min(at, held.expires_at)
         return at
 
     def advance(self, now: float) -> list[Prefilled | Evicted | Stepped]:
@@ -521,7 +524,7 @@
     def _evict(self, at: float) -> list[Evicted]:
         gone = []
         for name, held in list(self.kv_by_name.items()):
-            if at < max(held.expires_at, held.busy_until):
+            if held.transfers or at < held.expires_at:
                 continue
             del self.kv_by_name[name]
             self._waste(Waste.EVICTED, held.job)
--- a/tools/load.py
+++ b/tools/load.py
@@ -491,7 +491,9 @@
             self.clock.at(stalls_at, self._stalled, job, booked)
             return
         engine.link_in_free_at = transfer.ends_at
-        self.clock.at(transfer.ends_at, self._imported, job, booked)
+        self.clock.at(
+            transfer.ends_at, self._imported, job, booked, job.prefilled
+        )
 
     def _free_slot(self, job: Job, engine: SimulatedEngine) -> None:
         engine.model.cancel(
@@ -511,17 +513,19 @@
             job, RetryReason.TRANSFER_STALLED, source.backend.backend_id
         )
 
-    def _imported(self, job: Job, booked: cells.Booked) -> None:
-        if not self._is_current(job, booked):
-            return
-        source = self.engines_by_id[job.prefill_id]
+    def _imported(
+        self, job: Job, booked: cells.Booked, done: engine_model.Prefilled
+    ) -> None:
+        source = self.engines_by_id[booked.prefill_id or job.prefill_id]
         engine = self.engines_by_id[booked.decode_id]
-        if not engine.alive:
-            self._move(job, RetryReason.CONNECT_REFUSED)
-            return
-        if source.alive:
+        source.wake()
+        if not self._is_current(job, booked) or not engine.alive:
+            source.model.unpin_kv(self.clock.now, done.kv)
             source.wake()
-            source.model.drop_kv(job.prefilled.kv)
+            if self._is_current(job, booked):
+                self._move(job, RetryReason.CONNECT_REFUSED)
+            return
+        source.model.drop_kv(done.kv)
         job.streaming = True
         engine.wake()
         left = job.request.answer_tokens - job.made
