--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -236,41 +236,12 @@
             ends_at = starts_at + booking.prefill_work_s
             booking.prefill_ends_at = ends_at
         self._plan_decode(booking, ends_at)
-        if booking.stage is not Stage.PLAIN:
-            self.book_links(booking)
 
     def _plan_decode(self, booking: Booking, ends_at: float) -> None:
-        starts_at = self.transfer_starts_at(
-            booking.prefill_id, booking.decode_id, ends_at
-        )
-        booking.transfer_ends_at = starts_at + self.transfer_s(booking)
+        booking.transfer_ends_at = ends_at + self.transfer_s(booking)
         decode_s = self.decode_s(booking)
         booking.decode_ends_at = booking.transfer_ends_at + decode_s
 
-    def transfer_starts_at(
-        self, prefill_id: str, decode_id: str, ready_at: float
-    ) -> float:
-        """Return when the links at both ends are free for a transfer.
-
-        A link carries one KV cache after the other. The bookings that are
-        done by ``ready_at`` don't stand in the way.
-        """
-        at = ready_at
-        for backend_id in (prefill_id, decode_id):
-            state = self.backends_by_id.get(backend_id)
-            if state is not None:
-                at = max(at, state.link_free_at)
-        return at
-
-    def book_links(self, booking: Booking) -> None:
-        """Keep the links of a booking for its transfer."""
-        for backend_id in (booking.prefill_id, booking.decode_id):
-            state = self.backends_by_id.get(backend_id)
-            if state is not None:
-                state.link_free_at = max(
-                    state.link_free_at, booking.transfer_ends_at
-                )
-
     def learn_prefill(
         self, now: float, state: BackendState, booking: Booking, computed: int
     ) -> None:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -49,8 +49,7 @@
 
 #: The policy in force and the versions before it, the oldest first.
 VERSIONS_BY_NAME: dict[str, scheduler.Options] = {
-    'v1-slots': scheduler.Options(links=False),
-    'v2-links': scheduler.Options(),
+    'v1-slots': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
