--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -1,6 +1,9 @@
 """The policy in force: exact slots, booked before a prefill starts."""
 
 import dataclasses
+import heapq
+
+import xxhash
 
 from .policy import BackendState
 from .policy import Booking
@@ -9,17 +12,32 @@
 from .policy import Decline
 from .policy import DEFAULT_RETRY_AFTER_S
 from .policy import no_backend
-from .policy import place
 from .policy import Place
 from .policy import Role
 from .policy import ROLES_BY_STAGE
 from .policy import Stage
+from .policy import Wait
 from .verdict import RefusalReason
 
+#: A prompt goes to its engine so long before the one ahead of it is done,
+#: to cover the hops between; more would let engines reorder what is sent.
+SEND_AHEAD_S = 0.02
+#: Shortest Retry-After; a resend sooner than this costs more than it gains.
+LEAST_RETRY_AFTER_S = 0.25
+#: Retry-After is stretched by up to this part, so that those who were
+#: refused together don't come back together.
+RETRY_JITTER = 0.5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Options:
-    """Which decisions are made; earlier versions lack the later ones."""
+    """Which decisions are made; earlier versions lack the later ones.
+
+    :param queue: let admitted work wait at the owner for a slot; refuse
+        what can't meet its first-token target.
+    """
+
+    queue: bool = True
 
 
 class Scheduler:
@@ -38,14 +56,48 @@
         for role in ROLES_BY_STAGE[booking.stage]:
             if not view.candidates(role, booking.exclude):
                 return no_backend(role)
-        return self._place(now, view, booking) or _refuse_full(booking)
+        is_pair = booking.stage is Stage.PAIR
+        if not self._options.queue or not is_pair:
+            return self._place(now, view, booking) or _refuse_full(booking)
+        ahead = self._ahead_of(view, booking)
+        placed = None if ahead else self._place(now, view, booking)
+        return placed or self._admit(now, view, booking, ahead)
 
     def dispatch(
         self, *, now: float, view: CellView
     ) -> list[tuple[Booking, Decision]]:
-        """Return nothing: no work is queued."""
+        """Place the first in the queue, or refuse one that is too late."""
+        ordered = sorted(view.queue, key=self._order)
+        for booking in ordered:
+            if now > latest_start(view, booking):
+                return [(booking, _refuse_late(booking, 0.0))]
+        for booking in ordered[:1]:
+            placed = self._place(now, view, booking)
+            if placed is not None:
+                return [(booking, placed)]
         return []
 
+    def _order(self, booking: Booking) -> tuple[float, ...]:
+        return (booking.arrived_at,)
+
+    def _ahead_of(self, view: CellView, booking: Booking) -> list[Booking]:
+        mine = self._order(booking)
+        return [each for each in view.queue if self._order(each) <= mine]
+
+    def _admit(
+        self,
+        now: float,
+        view: CellView,
+        booking: Booking,
+        ahead: list[Booking],
+    ) -> Decision:
+        ahead.sort(key=self._order)
+        starts_at = expected_start(now, view, [*ahead, booking])
+        late_s = starts_at - latest_start(view, booking)
+        if late_s > 0.0:
+            return _refuse_late(booking, late_s)
+        return Wait(expected_s=starts_at - now)
+
     def _place(
         self, now: float, view: CellView, booking: Booking
     ) -> Place | None:
@@ -53,21 +105,86 @@
         for role in ROLES_BY_STAGE[booking.stage]:
             candidates = view.candidates(role, booking.exclude)
             if role is Role.PREFILL:
-                chosen = _earliest_free(now, candidates)
+                chosen = self._choose_prefill(now, candidates)
             else:
                 chosen = _most_free_slots(candidates)
             if chosen is None:
                 return None
             ids_by_role[role] = chosen.backend.backend_id
-        return place(ids_by_role, start_in_s=0.0)
+        return Place(
+            prefill_id=ids_by_role.get(Role.PREFILL, ''),
+            decode_id=ids_by_role.get(Role.DECODE, ''),
+            plain_id=ids_by_role.get(Role.PLAIN, ''),
+        )
+
+    def _choose_prefill(
+        self, now: float, candidates: list[BackendState]
+    ) -> BackendState | None:
+        chosen = min(candidates, key=lambda each: each.prefill_free_at(now))
+        wait_s = chosen.prefill_free_at(now) - now
+        if self._options.queue and wait_s > SEND_AHEAD_S:
+            return None
+        return chosen
+
+
+def latest_start(view: CellView, booking: Booking) -> float:
+    """Return until when work may start and still meet its target.
+
+    Work that would miss it on idle engines may start only at once.
+    """
+    terms = view.terms
+    patience_s = terms.max_wait_s_by_priority.get(booking.priority, 0.0)
+    target_s = terms.first_token_s + patience_s
+    target_at = min(booking.arrived_at + target_s, booking.deadline_at)
+    return max(booking.arrived_at, target_at - first_token_s(view, booking))
 
 
-def _earliest_free(
-    now: float, candidates: list[BackendState]
-) -> BackendState | None:
-    return min(
-        candidates, key=lambda state: state.prefill_free_at(now), default=None
-    )
+def first_token_s(view: CellView, booking: Booking) -> float:
+    """Return how long from the start to the first token."""
+    work_s = booking.prompt_tokens / view.terms.prefill_tokens_per_s
+    gap_s = 1.0 / view.terms.decode_tokens_per_s
+    # The first step may have to wait for the end of the one that runs.
+    return work_s + view.transfer_s(booking) + 2 * gap_s
+
+
+def expected_start(
+    now: float, view: CellView, ordered: list[Booking]
+) -> float:
+    """Return when the last of some queued work will start.
+
+    Goes through the work in order, giving each the next slot and the next
+    prefill engine to be free.
+    """
+    slots = _slot_times(now, view)
+    engines = [
+        state.prefill_free_at(now)
+        for state in view.candidates(Role.PREFILL, ())
+    ]
+    heapq.heapify(slots)
+    heapq.heapify(engines)
+    starts_at = now
+    for booking in ordered:
+        if not slots:
+            return float('inf')
+        starts_at = max(heapq.heappop(slots), engines[0])
+        work_s = booking.prompt_tokens / view.terms.prefill_tokens_per_s
+        done_at = starts_at + work_s
+        heapq.heapreplace(engines, done_at)
+        moved_at = done_at + view.transfer_s(booking)
+        heapq.heappush(slots, moved_at + view.decode_s(booking))
+    return starts_at
+
+
+def _slot_times(now: float, view: CellView) -> list[float]:
+    """Return when each decode slot is free."""
+    times = []
+    for state in view.candidates(Role.DECODE, ()):
+        times.extend([now] * max(0, _free_slots(state)))
+        times.extend(
+            max(now, booking.decode_ends_at)
+            for booking in state.bookings_by_key.values()
+        )
+    return times
 
 
 def _free_slots(state: BackendState) -> int:
@@ -86,3 +203,19 @@
         message=f'every slot of the {role} backend servers is taken',
         retry_after_s=DEFAULT_RETRY_AFTER_S,
     )
+
+
+def _refuse_late(booking: Booking, late_s: float) -> Decline:
+    return Decline(
+        reason=RefusalReason.TARGET_UNREACHABLE,
+        message=f'the first token would be {late_s:.1f} s late',
+        retry_after_s=_retry_after(booking, late_s),
+    )
+
+
+def _retry_after(booking: Booking, late_s: float) -> float:
+    # The identity stands in for a random number, which a reducer must not
+    # draw; callers who were refused together have different ones.
+    digest = xxhash.xxh32_intdigest(booking.request_id.encode())
+    stretch = 1.0 + RETRY_JITTER * digest / 2**32
+    return max(late_s, LEAST_RETRY_AFTER_S) * stretch
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -49,7 +49,8 @@
 
 #: The policy in force and the versions before it, the oldest first.
 VERSIONS_BY_NAME: dict[str, scheduler.Options] = {
-    'v1-slots': scheduler.Options(),
+    'v1-slots': scheduler.Options(queue=False),
+    'v2-queue': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
@@ -104,7 +105,7 @@
     policies: list[str] | None = None,
     loads: list[float] | None = None,
     duration_s: float = 60.0,
-    seed: int = 1,
+    seeds: list[int] | None = None,
 ) -> None:
     """Measure policies and print JSON lines.
 
@@ -112,25 +113,28 @@
     :param policies: names to measure; all if none are given.
     :param loads: in parts of the capacity.
     :param duration_s: virtual seconds of arrivals.
+    :param seeds: of the arrivals; three if none are given.
     """
     for deployment in workloads.DEPLOYMENTS_BY_NAME.values():
         factories_by_name = all_policies(deployment)
         for name in policies or factories_by_name:
             for at_load in loads or (0.5, 0.75, 1.0, 1.2, 1.5):
-                result = measure(
-                    deployment,
-                    factories_by_name[name],
-                    at_load=at_load,
-                    duration_s=duration_s,
-                    seed=seed,
-                )
-                line = {
-                    'deployment': deployment.name,
-                    'policy': name,
-                    'load': at_load,
-                    'capacity': workloads.capacity(deployment),
-                }
-                print(json.dumps(line | result.figures()), flush=True)
+                for seed in seeds or (1, 2, 3):
+                    result = measure(
+                        deployment,
+                        factories_by_name[name],
+                        at_load=at_load,
+                        duration_s=duration_s,
+                        seed=seed,
+                    )
+                    line = {
+                        'deployment': deployment.name,
+                        'policy': name,
+                        'load': at_load,
+                        'seed': seed,
+                        'capacity': workloads.capacity(deployment),
+                    }
+                    print(json.dumps(line | result.figures()), flush=True)
 
 
 if __name__ == '__main__':
