--- a/dandeliongw/control.py
+++ b/dandeliongw/control.py
@@ -105,13 +105,19 @@
 
 
 class Status(typing.TypedDict):
-    """The answer to ``GET /v1/status``."""
+    """The answer to ``GET /v1/status``.
+
+    ``disks`` are those that vote, by instance id; ``joining`` the set that
+    is to replace them, empty when no replacement is under way.
+    """
 
     instance_id: str
     revision: int
     author: str
     in_force: InForce
     instances: list[InstanceStatus]
+    disks: dict[str, str]
+    joining: dict[str, str]
     leases: list[LeaseStatus]
     pools: list[PoolStatus]
 
--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -34,6 +34,8 @@
         self._configuration = configuration
         self._leases = leases
         self._holders_by_cell: dict[str, str] = {}
+        self._epochs_by_cell: dict[str, int] = {}
+        self._ranks_by_cell: dict[str, tuple[str, ...]] = {}
 
     @property
     def data_centres(self) -> tuple[str, ...]:
@@ -64,6 +66,15 @@
 
     def ranked_owners(self, cell: str) -> tuple[str, ...]:
         """Return who should own a cell, the first choice first."""
+        if cell not in self._ranks_by_cell:
+            self._ranks_by_cell[cell] = self._rank(cell)
+        return self._ranks_by_cell[cell]
+
+    def forget_ranks(self) -> None:
+        """Rank anew: the members have changed."""
+        self._ranks_by_cell.clear()
+
+    def _rank(self, cell: str) -> tuple[str, ...]:
         region = cell.split('/')[1]
         members = [
             placement.Member(
@@ -83,9 +94,17 @@
             return ranked
         return hint, *(owner for owner in ranked if owner != hint)
 
-    def note_owner(self, cell: str, holder: str) -> None:
-        """Remember who answered as a cell's owner."""
+    def note_owner(self, cell: str, holder: str, epoch: int) -> bool:
+        """Remember who speaks as a cell's owner.
+
+        :returns: ``False`` for a message of an owner before the present
+            one, which can be late.
+        """
+        if epoch < self._epochs_by_cell.get(cell, 0):
+            return False
+        self._epochs_by_cell[cell] = epoch
         self._holders_by_cell[cell] = holder
+        return True
 
     def note_not_owner(self, cell: str, sender: str, holder: str) -> None:
         """Take back what is remembered, unless it is newer than this."""
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -113,6 +113,34 @@
     level: str = 'INFO'
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PoolLoad:
+    """A pool over the cells that this instance owns.
+
+    :param queue: requests that wait for a slot.
+    """
+
+    pool: str
+    backends: int
+    slots: int
+    used: int
+    queue: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Observed:
+    """What the gauges show.
+
+    :param confirmed_age_s: since a majority confirmed the revision;
+        ``None`` before the first time.
+    """
+
+    revision: int
+    confirmed_age_s: float | None
+    members: int
+    pools: tuple[PoolLoad, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PeerAddress:
     """Where another instance listens; before any message to it."""
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -108,6 +108,8 @@
 
     def cancel(self, *, stream_id: str, attempt_id: str) -> None: ...
 
+    def streams(self) -> tuple[tuple[str, str], ...]: ...
+
     def abort(self) -> None:
         """Break off the call in progress, from any thread."""
         ...
@@ -324,6 +326,17 @@
             '/v1/cancel', {'stream_id': stream_id, 'attempt_id': attempt_id}
         )
 
+    def streams(self) -> tuple[tuple[str, str], ...]:
+        """Return stream id and attempt id of all that the engine holds."""
+        with self._exchange(self._first_byte_s) as exchange:
+            response = exchange.send('GET', '/v1/streams', b'', {})
+            self._raise_unless_ok(exchange, response)
+            answer = _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+        return tuple(
+            (str(each['stream_id']), str(each['attempt_id']))
+            for each in answer['streams']
+        )
+
     def order(self, *, order: str, value: str, fence: int) -> None:
         """Load a model, adapter or version, or change role.
 
--- a/dandeliongw/exceptions.py
+++ b/dandeliongw/exceptions.py
@@ -132,6 +132,12 @@
         super().__init__(message=f'data folder {path!r}: {reason}')
 
 
+class InstanceBroken(DandeliongwError):
+    """A running instance can't go on: its disk failed, or its id is taken."""
+
+    exit_code = ExitCode.UNAVAILABLE
+
+
 class InstanceUnreachable(DandeliongwError):
     """No answer from an instance; a change may still have been accepted.
 
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -257,7 +257,9 @@
             revision=revision,
             author=held.author,
             in_force=self._read_in_force(revision, now),
-            instances=self._read_instances(),
+            instances=self._read_instances(revision, now),
+            disks=held.voters_by_id,
+            joining=held.joining_by_id,
             leases=[
                 control.LeaseStatus(
                     name=cell_id,
@@ -269,7 +271,11 @@
             pools=self._read_pools(),
         )
 
-    def _read_instances(self) -> list[control.InstanceStatus]:
+    def _read_instances(
+        self, revision: int, now: float
+    ) -> list[control.InstanceStatus]:
+        states = self._reducer.register.in_force(revision, now)
+        confirmed = register.Enforcement.CONFIRMED
         voters = self._reducer.register.voters_by_id
         alive = set(self._reducer.membership.alive_ids())
         return [
@@ -279,7 +285,9 @@
                 region=member.info.region,
                 voter=instance_id in voters,
                 heard=instance_id in alive,
-                revision=None,
+                revision=revision
+                if states.get(instance_id) is confirmed
+                else None,
             )
             for instance_id, member in sorted(
                 self._reducer.membership.members_by_id.items()
@@ -288,26 +296,18 @@
         ]
 
     def _read_pools(self) -> list[control.PoolStatus]:
-        out = []
-        for pool in self._reducer.directory.document.pools:
-            states = [
-                state
-                for cell in self._reducer.owner.cells_by_id.values()
-                if cell.service == pool.service
-                for state in cell.view.backends_by_id.values()
-                if state.backend.role.value == pool.role
-            ]
-            out.append(
-                control.PoolStatus(
-                    name=pool.name,
-                    service=pool.service,
-                    backends=len(states),
-                    slots=sum(state.backend.slots for state in states),
-                    used=sum(len(state.bookings_by_key) for state in states),
-                    queue=0,
-                )
+        pools = self._reducer.directory.document.pools_by_name
+        return [
+            control.PoolStatus(
+                name=load.pool,
+                service=pools[load.pool].service,
+                backends=load.backends,
+                slots=load.slots,
+                used=load.used,
+                queue=load.queue,
             )
-        return out
+            for load in self._reducer.owner.pool_loads()
+        ]
 
     def backends(self) -> list[control.BackendStatus]:
         return self._runtime.look(self._read_backends)
--- a/dandeliongw/owner.py
+++ b/dandeliongw/owner.py
@@ -5,7 +5,10 @@
 from . import cells
 from . import directory as directory_module
 from . import document as document_module
+from . import effects
 from . import policy
+from . import sweep
+from . import takeover
 from .coordination import lease
 from .coordination import parts
 from .coordination import presence
@@ -24,7 +27,7 @@
     """Makes a cell when its lease is gained, drops it when it is lost.
 
     A cell's state is not handed over: entries tell a new owner what they
-    hold, and backend servers renew within a second.
+    hold, see ``takeover.py``, and backend servers renew within a second.
     """
 
     def __init__(
@@ -38,10 +41,17 @@
         self._leases = leases
         self._presence = backends
         self._loads_told_by_id: dict[str, float] = {}
+        self._takeovers_by_cell: dict[str, takeover.Takeover] = {}
+        self._sweeps_by_cell: dict[str, sweep.Sweep] = {}
         self.cells_by_id: dict[str, cells.Cell] = {}
 
-    def gain(self, now: float, cell: str, epoch: int) -> list[typing.Any]:
-        """Start owning a cell."""
+    def gain(
+        self, now: float, cell: str, epoch: int, instance_ids: frozenset[str]
+    ) -> list[typing.Any]:
+        """Start owning a cell.
+
+        :param instance_ids: all that may hold bookings of it.
+        """
         service = cell.split('/')[0]
         terms = self._terms(service)
         if terms is None:
@@ -53,7 +63,12 @@
             document_part=terms,
             policy=self.make_policy(),
         )
-        return self._tell_backends(now, cell)
+        begun = takeover.Takeover(
+            now=now, cell=cell, epoch=epoch, awaited=instance_ids
+        )
+        self._takeovers_by_cell[cell] = begun
+        self._sweeps_by_cell[cell] = sweep.Sweep(now=now)
+        return [*self._tell_backends(now, cell), *begun.announce()]
 
     def make_policy(self) -> policy.Policy:
         """Return the policy of a new cell; a hook."""
@@ -62,13 +77,15 @@
     def lose(self, cell: str) -> None:
         """Stop owning a cell; the next owner starts from what it is told."""
         self.cells_by_id.pop(cell, None)
+        self._takeovers_by_cell.pop(cell, None)
+        self._sweeps_by_cell.pop(cell, None)
 
     def change_document(self) -> None:
         """Take the document's new terms; drop cells whose service is gone."""
         for cell_id, cell in list(self.cells_by_id.items()):
             terms = self._terms(cell.service)
             if terms is None:
-                del self.cells_by_id[cell_id]
+                self.lose(cell_id)
             else:
                 cell.view.terms = terms
 
@@ -78,7 +95,39 @@
         cell = self._held_cell(event.now, message.cell)
         if cell is None:
             return self._not_owner(event)
-        return cell.handle(event)
+        begun = self._takeovers_by_cell.get(message.cell)
+        if begun is None:
+            return cell.handle(event)
+        if isinstance(message, cells.Book):
+            return begun.hold_back(event)
+        if isinstance(message, cells.Reclaim):
+            begun.note_reclaim(event.sender)
+        return [*cell.handle(event), *self._end_takeovers(event.now)]
+
+    def _end_takeovers(self, now: float) -> list[typing.Any]:
+        out = []
+        for cell_id, begun in list(self._takeovers_by_cell.items()):
+            if not begun.is_over(now):
+                continue
+            del self._takeovers_by_cell[cell_id]
+            for held_back in begun.release(now):
+                out.extend(self.receive(held_back))
+        return out
+
+    def list_streams(self, listed: sweep.StreamsListed) -> list[typing.Any]:
+        """Take an engine's answer to a sweep's question."""
+        cell = self._held_cell(listed.now, listed.cell)
+        if cell is None:
+            return []
+        return self._sweeps_by_cell[listed.cell].judge(listed, cell)
+
+    def _sweep(self, now: float) -> list[typing.Any]:
+        out = []
+        for cell_id, each in self._sweeps_by_cell.items():
+            cell = self._held_cell(now, cell_id)
+            if cell is not None:
+                out.extend(each.tick(now, cell))
+        return out
 
     def _held_cell(self, now: float, cell_id: str) -> cells.Cell | None:
         """Return the cell if its lease is held at this very moment.
@@ -122,7 +171,12 @@
 
     def tick(self, event: parts.Ticked) -> list[typing.Any]:
         """Let time pass and pass on the load reports that came since."""
-        return [*self._tell_loads(event.now), *self.handle_in_all(event)]
+        return [
+            *self._tell_loads(event.now),
+            *self.handle_in_all(event),
+            *self._end_takeovers(event.now),
+            *self._sweep(event.now),
+        ]
 
     def change_backend(self, now: float, backend_id: str) -> list[typing.Any]:
         """Tell the backend server's cell that its presence changed."""
@@ -148,6 +202,32 @@
             )
         )
 
+    def pool_loads(self) -> tuple[effects.PoolLoad, ...]:
+        """Return slots and queues of every pool, as far as owned here."""
+        return tuple(
+            self._pool_load(pool) for pool in self._directory.document.pools
+        )
+
+    def _pool_load(self, pool: document_module.Pool) -> effects.PoolLoad:
+        owned = [
+            cell
+            for cell in self.cells_by_id.values()
+            if cell.service == pool.service
+        ]
+        states = [
+            state
+            for cell in owned
+            for state in cell.view.backends_by_id.values()
+            if state.backend.role.value == pool.role
+        ]
+        return effects.PoolLoad(
+            pool=pool.name,
+            backends=len(states),
+            slots=sum(state.backend.slots for state in states),
+            used=sum(len(state.bookings_by_key) for state in states),
+            queue=sum(_waiting(cell) for cell in owned),
+        )
+
     def _tell_loads(self, now: float) -> list[typing.Any]:
         out = []
         if not self.cells_by_id:
@@ -190,6 +270,12 @@
         return terms_of(self._directory.document, service)
 
 
+def _waiting(cell: cells.Cell) -> int:
+    return sum(
+        booking.start_at is None for booking in cell.bookings_by_key.values()
+    )
+
+
 def terms_of(
     described: document_module.Document, service_name: str
 ) -> policy.CellTerms | None:
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -20,6 +20,8 @@
 from . import owner as owner_module
 from . import requests
 from . import settings as settings_module
+from . import sweep
+from . import takeover
 from .coordination import claim_messages
 from .coordination import claims
 from .coordination import lease
@@ -37,6 +39,13 @@
 #: Seconds between two looks at who should own and dispatch what.
 REVIEW_S = 0.5
 
+#: Seconds for which a deputy that was asked keeps trying for a lease.
+DEPUTY_S = 10.0
+#: Seconds between two tries to bring a new disk among the voters.
+REPAIR_S = 5.0
+#: Ticket prefix of those tries.
+REPAIR_TICKET = 'repair:'
+
 Handler = abc.Callable[[typing.Any], list[typing.Any]]
 
 
@@ -117,6 +126,11 @@
         self._has_left = False
         self._fronts_by_id: dict[str, tuple[str, str]] = {}
         self._forwards_by_id: dict[str, tuple[str, ...]] = {}
+        self._asked_at_by_cell: dict[str, float] = {}
+        self._entropy = incarnation
+        self._repair_at = 0.0
+        #: Parts that hold all of the coming voters' state, by set number.
+        self._caught_up: set[tuple[str, int]] = set()
         self._handlers_by_type = self._make_handlers()
         self._receivers_by_type = self._make_receivers()
         self._absorbers_by_type = self._make_absorbers()
@@ -206,6 +220,7 @@
             ),
             (self._announce, (presence.Announced,)),
             (self.owner.handle_in_all, (cells.StreamCancelled,)),
+            (self.owner.list_streams, (sweep.StreamsListed,)),
             (self._tick, (parts.Ticked,)),
             (self._receive, (parts.Received,)),
             (self._persisted, (parts.Persisted,)),
@@ -225,6 +240,7 @@
             (self.membership.handle, membership.MESSAGES),
             (self.presence.handle, presence.MESSAGES),
             (self._to_owner, owner_module.TO_OWNER),
+            (self._reclaim, takeover.MESSAGES),
             (self._to_entry, set(cells.MESSAGES) - set(owner_module.TO_OWNER)),
         ]
         return {
@@ -239,8 +255,8 @@
             register.VotersChanged: self._change_voters,
             lease.LeaseGained: self._gain_lease,
             lease.LeaseLost: self._lose_lease,
-            lease.GrantorCaughtUp: self._note_caught_up,
-            claim_messages.CaughtUp: self._note_caught_up,
+            lease.GrantorCaughtUp: self._leases_caught_up,
+            claim_messages.CaughtUp: self._claims_caught_up,
             membership.MemberChanged: self._member_changed,
             membership.MemberForgotten: self._member_changed,
             presence.BackendChanged: self._change_backend,
@@ -296,6 +312,9 @@
                 for further in answer(now, request_id, effect.result):
                     self._absorb(now, further, pending, out)
                 return
+        if effect.ticket.startswith(REPAIR_TICKET):
+            out.append(_log(f'replacing the disk: {effect.result}'))
+            return
         out.append(effect)
 
     def _receive(self, event: parts.Received) -> list[typing.Any]:
@@ -322,6 +341,14 @@
     # Cells
 
     def _to_owner(self, event: parts.Received) -> list[typing.Any]:
+        message = event.message
+        if isinstance(message, cells.Book) and (
+            message.cell not in self.owner.cells_by_id
+        ):
+            # Entries ask a deputy when the owner doesn't answer them. Its
+            # lease may be free long before its death is certain.
+            self._asked_at_by_cell[message.cell] = event.now
+            self._review_at = event.now
         return self.owner.receive(event)
 
     def _to_entry(self, event: parts.Received) -> list[typing.Any]:
@@ -330,16 +357,33 @@
             self.directory.note_not_owner(
                 message.cell, event.sender, message.holder
             )
-        elif isinstance(message, (cells.Booked, cells.Queued, cells.Declined)):
-            self.directory.note_owner(message.cell, event.sender)
+        elif isinstance(message, (cells.Booked, cells.Queued)):
+            self.directory.note_owner(
+                message.cell, event.sender, message.epoch
+            )
         return self.requests.handle(event)
 
+    def _reclaim(self, event: parts.Received) -> list[typing.Any]:
+        message = event.message
+        if not self.directory.note_owner(
+            message.cell, event.sender, message.epoch
+        ):
+            return []
+        return self.requests.reclaim_all(
+            event.now, message.cell, event.sender, message.epoch
+        )
+
     def _gain_lease(
         self, now: float, effect: lease.LeaseGained
     ) -> list[typing.Any]:
         return [
             _log('owns a cell', cell=effect.name, epoch=str(effect.epoch)),
-            *self.owner.gain(now, effect.name, effect.epoch),
+            *self.owner.gain(
+                now,
+                effect.name,
+                effect.epoch,
+                frozenset(self.membership.alive_ids()),
+            ),
         ]
 
     def _lose_lease(
@@ -443,10 +487,57 @@
             out += self._in_leases(lease.GrantorsFormed(now=now))
         return out
 
+    def _leases_caught_up(
+        self, now: float, effect: lease.GrantorCaughtUp
+    ) -> list[typing.Any]:
+        return self._note_caught_up(now, 'leases', effect.version)
+
+    def _claims_caught_up(
+        self, now: float, effect: claim_messages.CaughtUp
+    ) -> list[typing.Any]:
+        return self._note_caught_up(now, 'claims', effect.epoch)
+
     def _note_caught_up(
-        self, now: float, effect: typing.Any
+        self, now: float, part: str, number: int
     ) -> list[typing.Any]:
-        return []
+        """Let the register finish a replacement once all parts are whole.
+
+        Counting the new disk earlier would leave claims or epochs on fewer
+        disks than a majority: one would see nothing, until a second disk is
+        lost right after and a booking runs twice.
+        """
+        self._caught_up.add((part, number))
+        wanted = {('leases', number), ('claims', number)}
+        if not wanted <= self._caught_up:
+            return []
+        return self._in_register(
+            register.CaughtUp(
+                now=now, disk_id=self.register.disk_id, entropy=self._entropy
+            )
+        )
+
+    def _review_disk(self, now: float) -> list[typing.Any]:
+        """Ask for this disk to vote in place of the one that was lost."""
+        own = self.settings.instance_id
+        held = self.register
+        counted = held.voters_by_id.get(own)
+        is_known = counted in (None, held.disk_id)
+        if is_known or held.joining_by_id or now < self._repair_at:
+            return []
+        self._repair_at = now + REPAIR_S
+        return [
+            _log('a new disk asks to vote in place of a lost one'),
+            *self._in_register(
+                register.ReplaceVoter(
+                    now=now,
+                    ticket=f'{REPAIR_TICKET}{held.disk_id}',
+                    change_id=f'disk-{held.disk_id}',
+                    instance_id=own,
+                    by=own,
+                    entropy=self._entropy,
+                )
+            ),
+        ]
 
     # Membership
 
@@ -454,6 +545,7 @@
         self, now: float, effect: typing.Any
     ) -> list[typing.Any]:
         self._review_at = now
+        self.directory.forget_ranks()
         if isinstance(effect, membership.MemberForgotten):
             return []
         info = effect.member.info
@@ -472,6 +564,7 @@
     # Time
 
     def _tick(self, event: parts.Ticked) -> list[typing.Any]:
+        self._entropy = event.entropy
         out = [
             *self.membership.handle(event),
             *self._in_register(event),
@@ -493,7 +586,9 @@
         return [
             *self._review_instances(now),
             *self._review_serving(now),
+            self._observe(now),
             *self._review_cells(now),
+            *self._review_disk(now),
             *(
                 effect
                 for backend_id in list(self._fronts_by_id)
@@ -501,6 +596,16 @@
             ),
         ]
 
+    def _observe(self, now: float) -> effects.Observed:
+        held = self.register
+        age = None if held.confirmed_at is None else now - held.confirmed_at
+        return effects.Observed(
+            revision=held.revision or 0,
+            confirmed_age_s=age,
+            members=len(self._instance_ids),
+            pools=self.owner.pool_loads(),
+        )
+
     def _review_instances(self, now: float) -> list[typing.Any]:
         alive = tuple(self.membership.alive_ids())
         if alive == self._instance_ids:
@@ -527,17 +632,25 @@
         )
 
     def _review_cells(self, now: float) -> list[typing.Any]:
-        own = self.settings.instance_id
         wanted = frozenset(
             cell
             for cell in self.directory.all_cells()
-            if self.directory.ranked_owners(cell)[:1] == (own,)
+            if self._should_own(now, cell)
         )
         if wanted == self._wanted:
             return []
         self._wanted = wanted
         return self._in_leases(lease.Wanted(now=now, names=wanted))
 
+    def _should_own(self, now: float, cell: str) -> bool:
+        own = self.settings.instance_id
+        ranked = self.directory.ranked_owners(cell)
+        if ranked[:1] == (own,):
+            return True
+        asked_at = self._asked_at_by_cell.get(cell)
+        was_asked = asked_at is not None and now - asked_at < DEPUTY_S
+        return was_asked and own in ranked
+
     # Shutdown
 
     def _begin_shutdown(self, event: events.ShutdownBegun) -> list[typing.Any]:
--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -745,11 +745,41 @@
         progress = cells.Progress(cell=cell, bookings=bookings)
         return [*out, parts.Send(to=holder, message=progress)]
 
+    def reclaim_all(
+        self, now: float, cell: str, holder: str, epoch: int
+    ) -> list[typing.Any]:
+        """Tell a cell's new owner all that this entry holds of it.
+
+        It waits for this also when there is nothing. What the old owner had
+        queued is booked anew with the new one.
+        """
+        held = []
+        again = []
+        for request in list(self.requests_by_id.values()):
+            if request.cell != cell or request.is_ended:
+                continue
+            if request.booked is not None:
+                request.owner = holder
+                held.append(self._held(now, request))
+            elif request.phase in (Phase.BOOKING, Phase.QUEUED):
+                request.phase = Phase.BOOKING
+                again.extend(self._ask_owner(now, request, holder))
+        message = cells.Reclaim(cell=cell, epoch=epoch, bookings=tuple(held))
+        return [parts.Send(to=holder, message=message), *again]
+
     def _reclaim(
         self, now: float, request: Request, holder: str
     ) -> parts.Send:
+        message = cells.Reclaim(
+            cell=request.cell,
+            epoch=request.booked.epoch,
+            bookings=(self._held(now, request),),
+        )
+        return parts.Send(to=holder, message=message)
+
+    def _held(self, now: float, request: Request) -> cells.ReclaimedBooking:
         booked = request.booked
-        held = cells.ReclaimedBooking(
+        return cells.ReclaimedBooking(
             request_id=request.request_id,
             attempt_id=request.attempt_id,
             account=request.admitted.account.name,
@@ -763,10 +793,6 @@
             plain_id=booked.plain_id,
             prefill_done=request.phase is not Phase.PREFILL,
         )
-        message = cells.Reclaim(
-            cell=request.cell, epoch=booked.epoch, bookings=(held,)
-        )
-        return parts.Send(to=holder, message=message)
 
 
 def _claim_key(request: Request) -> str:
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -23,6 +23,7 @@
 from . import engine
 from . import metrics as metrics_module
 from . import relay
+from . import sweep
 from .coordination import membership
 from .coordination import parts
 
@@ -99,6 +100,7 @@
         self._pool = concurrent.futures.ThreadPoolExecutor(
             CONTROL_THREADS, thread_name_prefix='orders'
         )
+        self._pools_shown: set[str] = set()
         self.drained = threading.Event()
         #: Why the instance can't go on, once it can't.
         self.broken: str | None = None
@@ -109,11 +111,14 @@
             parts.Persist: self._persist,
             parts.Complete: self._complete,
             cells.CancelStream: self._cancel_stream,
+            sweep.ListStreams: self._list_streams,
             membership.Reconnect: self._reconnect,
             effects.CountRefusal: self._count_refusal,
             effects.CountRetry: self._count_retry,
             effects.CountWaste: self._count_waste,
             effects.PeerAddress: self._set_address,
+            effects.Observed: self._observe,
+            membership.Superseded: self._end_superseded,
             effects.Log: self._log,
             effects.Drained: self._note_drained,
         }
@@ -274,6 +279,27 @@
             )
         )
 
+    def _list_streams(self, effect: sweep.ListStreams) -> None:
+        self._pool.submit(self._list_now, effect)
+
+    def _list_now(self, effect: sweep.ListStreams) -> None:
+        try:
+            streams = self._engine_for(effect.url).streams()
+        except engine.EngineError as error:
+            logger.warning(
+                f'an engine did not list its streams: {error}',
+                backend_id=effect.backend_id,
+            )
+            return
+        self.post(
+            lambda now: sweep.StreamsListed(
+                now=now,
+                cell=effect.cell,
+                backend_id=effect.backend_id,
+                streams=streams,
+            )
+        )
+
     def _count_refusal(self, effect: effects.CountRefusal) -> None:
         self._metrics.count_refusal(effect.refusal)
 
@@ -283,6 +309,31 @@
     def _count_waste(self, effect: effects.CountWaste) -> None:
         self._metrics.count_wasted_prefill(effect.reason, effect.tokens)
 
+    def _observe(self, effect: effects.Observed) -> None:
+        gauges = self._metrics
+        gauges.configuration_revision.set(effect.revision)
+        if effect.confirmed_age_s is not None:
+            gauges.configuration_age.set(effect.confirmed_age_s)
+        gauges.members.set(effect.members)
+        pools = {pool.pool for pool in effect.pools}
+        for gone in self._pools_shown - pools:
+            gauges.forget_pool(gone)
+        self._pools_shown = pools
+        for pool in effect.pools:
+            gauges.set_pool(
+                pool.pool,
+                backends=pool.backends,
+                slots=pool.slots,
+                used=pool.used,
+                queue=pool.queue,
+            )
+
+    def _end_superseded(self, effect: membership.Superseded) -> None:
+        self.break_off(
+            'another process runs under this instance id, or the clock went '
+            f'back: incarnation {effect.incarnation} is known to the others'
+        )
+
     def _log(self, effect: effects.Log) -> None:
         logger.bind(**dict(effect.fields)).log(effect.level, effect.message)
 
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -57,14 +57,11 @@
     def wait(self) -> None:
         """Return when a shutdown has come to its end.
 
-        :raises DataFolderUnusable: when the journal fails meanwhile.
+        :raises InstanceBroken: when the instance can't go on.
         """
         while not self._runtime.drained.wait(WAIT_S):
             if self._runtime.broken is not None:
-                raise exceptions.DataFolderUnusable(
-                    path=self._settings.data_folder or '',
-                    reason=self._runtime.broken,
-                )
+                raise exceptions.InstanceBroken(message=self._runtime.broken)
 
 
 @contextlib.contextmanager
--- /dev/null
+++ b/tests/test_system.py
@@ -0,0 +1,162 @@
+"""Failures of whole instances, with real processes on loopback addresses."""
+
+import pathlib
+import shutil
+import signal
+import tempfile
+import unittest
+
+from tools import local
+
+BOOKINGS = '/services/studio-portal/bookings'
+LOOKUP = '/services/studio-portal/lookup'
+TIMEOUTS = {'entries_ttl_s': 0.5, 'confirm_ttl_s': 2.0}
+
+
+class SystemTest(unittest.TestCase):
+    """A fresh system for each test: every one of them breaks it."""
+
+    def setUp(self):
+        folder = tempfile.mkdtemp(prefix='dandeliongw-')
+        self.addCleanup(shutil.rmtree, folder)
+        running = local.running(folder=pathlib.Path(folder), timeouts=TIMEOUTS)
+        self.system = self.enterContext(running)
+        self.revision = self.system.apply(
+            'gw-1', local.example_document(), 'first'
+        )
+        self.system.wait_serving(self.revision)
+        self.system.start_stand_in(
+            'standin_service',
+            'portal-1',
+            *('--service', 'studio-portal', '--data-centre', 'dc-a'),
+        )
+        for instance_id in self.system.instances_by_id:
+            self.wait_lookup(instance_id)
+
+    def wait_lookup(self, instance_id):
+        local.wait_until(
+            f'a lookup through {instance_id} is answered',
+            lambda: self.system.caller(instance_id, 'GET', LOOKUP)[0] == 200,
+        )
+
+    def book(self, instance_id, key):
+        return self.system.caller(
+            instance_id,
+            'POST',
+            BOOKINGS,
+            {'horse': key},
+            {'Idempotency-Key': key},
+        )
+
+    def runs(self):
+        stand_in = self.system.stand_ins_by_id['portal-1']
+        _, answer = self.system.call('GET', f'{stand_in.url}/runs')
+        return answer['by_body']
+
+    def status(self, instance_id):
+        return self.system.operator(instance_id, 'GET', '/v1/status')[1]
+
+    def owner(self):
+        for instance_id, instance in self.system.instances_by_id.items():
+            if instance.process.poll() is None:
+                leases = self.status(instance_id).get('leases', [])
+                if any('studio-portal' in each['name'] for each in leases):
+                    return instance_id
+        return None
+
+    def others(self, instance_id):
+        return [
+            each for each in self.system.instances_by_id if each != instance_id
+        ]
+
+    def test_a_dead_owner_is_replaced(self):
+        """Symptom: no call of a service is answered any more.
+
+        Sequence: the instance that owns the cell is killed.
+        Cause: without a lease that ends, nobody else may book its slots.
+        """
+        owner = local.wait_until('the cell has an owner', self.owner)
+        instance = self.system.instances_by_id[owner]
+        self.system.kill(instance.process)
+        for instance_id in self.others(owner):
+            self.wait_lookup(instance_id)
+        self.assertNotEqual(owner, self.owner())
+
+    def test_a_frozen_owner_spends_nothing_when_it_wakes(self):
+        """Symptom: slots are booked twice, batches are larger than allowed.
+
+        Sequence: the owner is stopped past its lease, another instance gets
+        the lease, the first one goes on with its cells still in memory.
+        Cause: the owner believes in a lease that has run out.
+        """
+        owner = local.wait_until('the cell has an owner', self.owner)
+        process = self.system.instances_by_id[owner].process
+        process.send_signal(signal.SIGSTOP)
+        other = self.others(owner)[0]
+        self.wait_lookup(other)
+        process.send_signal(signal.SIGCONT)
+        self.wait_lookup(owner)
+        epochs = [
+            lease['epoch']
+            for instance_id in self.system.instances_by_id
+            for lease in self.status(instance_id)['leases']
+            if 'studio-portal' in lease['name']
+        ]
+        self.assertEqual(1, len(epochs), epochs)
+
+    def test_an_instance_cut_off_from_the_voters_admits_nothing(self):
+        """Symptom: an accepted change is not in force at one instance.
+
+        Sequence: the other voters freeze; the instance goes on alone.
+        Cause: an instance that admits work on what it remembers.
+        """
+        frozen = [
+            self.system.instances_by_id[each].process
+            for each in ('gw-2', 'gw-3')
+        ]
+        for process in frozen:
+            process.send_signal(signal.SIGSTOP)
+
+        def is_refused():
+            status, answer = self.system.caller('gw-1', 'GET', LOOKUP)
+            error = answer.get('error', {}) if status == 503 else {}
+            return error.get('reason') == 'configuration_stale' and error
+
+        error = local.wait_until('gw-1 refuses', is_refused)
+        self.assertEqual('not_run', error['verdict'])
+        self.assertIsNotNone(error['retry_after_s'])
+        for process in frozen:
+            process.send_signal(signal.SIGCONT)
+        self.wait_lookup('gw-1')
+
+    def test_a_second_loss_right_after_a_repair_loses_nothing(self):
+        """Symptom: a booking runs twice, or the document goes back.
+
+        Sequence: a voter loses its disk and is repaired; at once another
+        voter dies; the booking is sent again.
+        Cause: a repair that counts as finished before the new disk holds
+        all that the lost one held.
+        """
+        first = self.book('gw-1', 'once')
+        self.assertEqual(200, first[0], first)
+        lost = self.system.instances_by_id['gw-3']
+        old_disk = self.status('gw-1')['disks']['gw-3']
+        self.system.kill(lost.process)
+        shutil.rmtree(self.system.folder / 'gw-3')
+        self.system.start_instance('gw-3')
+
+        def is_repaired():
+            answer = self.status('gw-1')
+            disks = answer.get('disks', {})
+            return not answer.get('joining', True) and (
+                disks.get('gw-3') not in (old_disk, None)
+            )
+
+        local.wait_until('the new disk votes', is_repaired)
+        self.system.kill(self.system.instances_by_id['gw-2'].process)
+        for instance_id in ('gw-1', 'gw-3'):
+            self.wait_lookup(instance_id)
+        self.assertEqual(first, self.book('gw-3', 'once'))
+        self.assertEqual(1, self.runs()['{"horse": "once"}'])
+        _, held = self.system.operator('gw-3', 'GET', '/v1/document')
+        self.assertEqual(self.revision, held['revision'])
