apply tells a change that was never sent from one that may take effect

Cause: with no instance listening, apply said that the change may still take effect. A connection that was never made proves that it can't.

Ruled out: the same for a connection that broke, as the request may have arrived; a test has an instance that reads the request and dies.

--- a/dandeliongw/client.py
+++ b/dandeliongw/client.py
@@ -12,6 +12,11 @@
 #: Longer than an instance waits for a majority.
 READ_TIMEOUT_S = 30.0
 
+_NEVER_CONNECTED = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
 
 class Client:
     """Asks one instance, once; nothing is sent again behind one's back.
@@ -75,7 +80,11 @@
                 method, url, headers=headers, json=body, redirect=False
             )
         except urllib3.exceptions.HTTPError as error:
-            raise exceptions.InstanceUnreachable(url=url, reason=str(error))
+            raise exceptions.InstanceUnreachable(
+                url=url,
+                reason=str(error),
+                may_have_arrived=not isinstance(error, _NEVER_CONNECTED),
+            )
         return response.status, _read_object(url, response.data)
 
     def _success(
--- a/dandeliongw/command.py
+++ b/dandeliongw/command.py
@@ -83,12 +83,11 @@
     caller = _make_client(url, token_file)
     try:
         answer = caller.put_document(tree, expected_revision, named)
-    except exceptions.DandeliongwError as error:
-        if error.exit_code == exceptions.ExitCode.UNAVAILABLE:
-            sys.stderr.write(
-                'The change may still take effect. Run the same command '
-                f'again with --change-id {named}\n'
-            )
+    except exceptions.InstanceUnreachable as error:
+        _tell_change_id(named, error.may_have_arrived)
+        raise
+    except exceptions.ServiceUnavailable:
+        _tell_change_id(named, True)
         raise
     _show(answer | {'change_id': named})
 
@@ -163,6 +162,16 @@
     return exceptions.ExitCode.OK
 
 
+def _tell_change_id(change_id: str, may_have_arrived: bool) -> None:
+    if may_have_arrived:
+        fate = 'The change may still take effect.'
+    else:
+        fate = 'Nothing was sent: this run changed nothing.'
+    sys.stderr.write(
+        f'{fate} Run the same command again with --change-id {change_id}\n'
+    )
+
+
 def _make_client(url: str, token_file: str) -> client.Client:
     # The token comes by file: other users can see a process's arguments.
     token = _read(token_file).decode(errors='replace').strip()
--- a/dandeliongw/exceptions.py
+++ b/dandeliongw/exceptions.py
@@ -133,22 +133,30 @@
 
 
 class InstanceUnreachable(DandeliongwError):
-    """No answer from an instance; a change may still have been accepted.
+    """No answer from an instance.
 
     :param url: what was asked.
     :param reason: what the connection reported.
+    :param may_have_arrived: ``False`` only if no connection was made, so
+        that nothing can have been sent.
     """
 
     exit_code = ExitCode.UNAVAILABLE
 
-    def __init__(self, *, url: str, reason: str) -> None:
+    def __init__(
+        self, *, url: str, reason: str, may_have_arrived: bool = True
+    ) -> None:
         self.url = url
         self.reason = reason
+        self.may_have_arrived = may_have_arrived
         super().__init__(message=f'no answer from {url}: {reason}')
 
 
 class ServiceUnavailable(DandeliongwError):
-    """An instance answered that it can't do this now; try again later."""
+    """An instance answered that it can't tell or do this now.
+
+    A change that was asked for may still take effect.
+    """
 
     exit_code = ExitCode.UNAVAILABLE
 
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -6,8 +6,10 @@
 import pathlib
 import re
 import shlex
+import socket
 import sys
 import tempfile
+import threading
 import types
 import unittest
 from unittest import mock
@@ -23,6 +25,13 @@
 PRIORITY = {'name': 'urgent', 'rank': 0, 'max_wait_s': 1}
 
 
+def read_and_hang_up(listener: socket.socket) -> None:
+    """Be an instance that dies after it has read a request."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(65536)
+
+
 class Outcome:
     """What one command wrote and returned."""
 
@@ -151,6 +160,22 @@
         outcome = Outcome('entries', '--url', gone)
         self.assertEqual(exceptions.ExitCode.UNAVAILABLE, outcome.code)
         self.assertIn(gone, outcome.errors)
+        self.assertIn('Nothing was sent', self.apply(gone).errors)
+
+    def test_a_connection_that_ends_without_an_answer(self):
+        """Symptom: a change is told as not sent, yet takes effect.
+
+        Sequence: the instance takes the request and dies before its answer.
+        Cause: a connection that broke is taken for one never made.
+        """
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            dying = threading.Thread(target=read_and_hang_up, args=[listener])
+            dying.start()
+            url = f'http://127.0.0.1:{listener.getsockname()[1]}'
+            outcome = self.apply(url)
+            dying.join()
+        self.assertEqual(exceptions.ExitCode.UNAVAILABLE, outcome.code)
+        self.assertIn('may still take effect', outcome.errors)
 
     def test_a_wrong_token(self):
         token = self.write('token', 'token-of-nobody')
