One way to make a CherryPy application: no headers in the log, faults as JSON

Cause: the callers' and backend servers' borders need the same as the operators' one: CherryPy logs the headers of a failed request (with the caller's key), and its error log, once quieted, loses a handler's traceback.

Also: the log line of a conflict names the current revision.

--- a/dandeliongw/changes.py
+++ b/dandeliongw/changes.py
@@ -37,6 +37,14 @@
         change_id=change_id,
         expected_revision=expected_revision,
         result=type(result).__name__,
-        revision=getattr(result, 'revision', None),
+        revision=_revision_of(result),
     )
     return result
+
+
+def _revision_of(result: controls.ProposeResult) -> int | None:
+    if isinstance(result, controls.Applied):
+        return result.revision
+    if isinstance(result, controls.Conflict):
+        return result.current.revision
+    return None
--- a/dandeliongw/operators.py
+++ b/dandeliongw/operators.py
@@ -7,13 +7,12 @@
 import enum
 import functools
 import json
-import logging
 import typing
 
 import cherrypy
-from loguru import logger
 import pydantic
 
+from . import _application
 from . import _models
 from . import changes
 from . import console
@@ -93,10 +92,7 @@
     root.console = console.Console(
         control=control, settings=settings, metrics=metrics
     )
-    application = cherrypy.Application(root, script_name='')
-    application.merge(_configuration())
-    _log_through_loguru(application)
-    return application
+    return _application.make_application(root, _configuration())
 
 
 class _Root:
@@ -326,13 +322,9 @@
 def _configuration() -> dict[str, dict[str, typing.Any]]:
     return {
         '/': {
-            'request.show_tracebacks': False,
             'request.body.maxbytes': MAX_BODY_BYTES,
             'error_page.default': _error_body,
             'tools.trailing_slash.on': False,
-            # CherryPy would log the headers of a failed request, and with
-            # them the operator's token or cookie.
-            'tools.log_headers.on': False,
         },
         '/v1': {'request.dispatch': cherrypy.dispatch.MethodDispatcher()},
         '/console': {
@@ -340,22 +332,3 @@
             'tools.trailing_slash.on': True,
         },
     }
-
-
-class _LoguruHandler(logging.Handler):
-    """Hands CherryPy's error log on, as JSON lines like all others."""
-
-    def emit(self, record: logging.LogRecord) -> None:
-        logger.opt(exception=record.exc_info).log(
-            'ERROR' if record.levelno >= logging.ERROR else 'DEBUG',
-            record.getMessage(),
-        )
-
-
-def _log_through_loguru(application: cherrypy.Application) -> None:
-    """Keep CherryPy's own lines, which aren't JSON, off the streams."""
-    application.log.error_log.propagate = False
-    application.log.error_log.handlers = [_LoguruHandler()]
-    # Access lines hold whatever the client sent; changes are logged above.
-    application.log.access_log.propagate = False
-    application.log.access_log.handlers = [logging.NullHandler()]
