--- a/dandeliongw/operators.py
+++ b/dandeliongw/operators.py
@@ -223,7 +223,8 @@
 
 
 def _read_change() -> Change:
-    if cherrypy.request.headers.get('Content-Type', '') != JSON_TYPE:
+    # Without its parameters, such as a charset.
+    if cherrypy.request.body.content_type.value != JSON_TYPE:
         raise ApiError(
             status=415,
             reason=ApiReason.BAD_REQUEST,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -55,6 +55,11 @@
         self.assertEqual('ana', found.json()['author'])
         self.assertEqual(1, found.json()['document']['version'])
 
+    def test_a_charset_may_be_named(self):
+        named = {'Content-Type': 'application/json; charset=utf-8'}
+        answer = self.put(change(), headers=BEARER_ANA | named)
+        self.assertEqual(200, answer.status)
+
     def test_a_resend_gets_its_first_result(self):
         """Symptom: an old document comes back after a later change.
 
