--- a/dandeliongw/backends.py
+++ b/dandeliongw/backends.py
@@ -13,6 +13,7 @@
 import cherrypy
 import pydantic
 
+from . import _application
 from . import _models
 from . import exceptions
 
@@ -186,10 +187,12 @@
 
 def make_application(backends: Backends) -> cherrypy.Application:
     """Return the application, for a server that mounts it."""
-    config = {
-        '/': {
-            'request.process_request_body': False,
-            'request.show_tracebacks': False,
-        }
-    }
-    return cherrypy.Application(backends, '/v1/backends', config)
+    root = _Root()
+    root.v1 = _Root()
+    root.v1.backends = backends
+    config = {'/': {'request.process_request_body': False}}
+    return _application.make_application(root, config)
+
+
+class _Root:
+    """A part of the path without a page of its own."""
--- a/dandeliongw/callers.py
+++ b/dandeliongw/callers.py
@@ -16,6 +16,7 @@
 import cherrypy
 from loguru import logger
 
+from . import _application
 from . import engine
 from . import events
 from . import metrics as metrics_module
@@ -458,7 +459,7 @@
 
 def make_application(callers: Callers) -> cherrypy.Application:
     """Return the CherryPy application of the callers' port."""
-    return cherrypy.Application(_Tree(callers), '', _CONFIG)
+    return _application.make_application(_Tree(callers), _CONFIG)
 
 
 _CONFIG = {
@@ -467,7 +468,6 @@
         'request.process_request_body': False,
         'response.stream': True,
         'tools.trailing_slash.on': False,
-        'request.show_tracebacks': False,
     }
 }
 
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,216 @@
+"""A few instances' reducers on a virtual clock, for tests of failures.
+
+Messages arrive at once and syncs succeed at once, unless a test says
+otherwise: an instance can be cut off, frozen or crashed.
+"""
+
+import collections
+import json
+import typing
+
+from dandeliongw.coordination import parts
+from dandeliongw.coordination import presence
+from dandeliongw.coordination import register
+from dandeliongw import document
+from dandeliongw import reducer
+from dandeliongw import settings
+from dandeliongw import wire
+from tools import local
+
+TICK_S = 0.1
+#: More messages at one moment than this answer each other in a circle.
+MOST_DELIVERIES = 5000
+
+
+class Network:
+    """Instances named ``gw-1`` and on, all of them voters.
+
+    :param timeouts: overrides of the settings' time-outs.
+    """
+
+    def __init__(self, *, count: int = 3, **timeouts: float) -> None:
+        self.now = 1000.0
+        self.cut: set[str] = set()
+        self.frozen: set[str] = set()
+        self.reducers_by_id: dict[str, reducer.Reducer] = {}
+        self.journals_by_id: dict[str, list] = collections.defaultdict(list)
+        #: Effects that left each reducer and that the network didn't take.
+        self.effects_by_id: dict[str, list] = collections.defaultdict(list)
+        self._codec = wire.make_codec()
+        self._timeouts = timeouts
+        self._ids = [f'gw-{number + 1}' for number in range(count)]
+        self._queue: collections.deque = collections.deque()
+        self._starts = 0
+        for instance_id in self._ids:
+            self.start(instance_id, disk_id=f'disk-{instance_id}')
+
+    def start(self, instance_id: str, disk_id: str) -> None:
+        """Start an instance; its journal is restored if it has that disk."""
+        self._starts += 1
+        made = reducer.Reducer(
+            settings=self._settings(instance_id),
+            incarnation=self._starts,
+            disk_id=disk_id,
+            callers_url=f'http://{instance_id}',
+        )
+        made.restore(self.journals_by_id[disk_id])
+        self.reducers_by_id[instance_id] = made
+        self.frozen.discard(instance_id)
+
+    def crash(self, instance_id: str) -> None:
+        self.frozen.add(instance_id)
+
+    def _settings(self, instance_id: str) -> settings.Settings:
+        peers = [
+            {
+                'instance_id': each,
+                'host': '127.0.0.1',
+                'port': 1 + place,
+                'data_centre': f'dc-{place}',
+                'region': 'local',
+                'voter': True,
+            }
+            for place, each in enumerate(self._ids)
+        ]
+        own = self._ids.index(instance_id)
+        body = {
+            'instance_id': instance_id,
+            'data_centre': f'dc-{own}',
+            'region': 'local',
+            'data_folder': 'unused',
+            'callers': {'host': '127.0.0.1', 'port': 0},
+            'control': {'host': '127.0.0.1', 'port': 0},
+            'peer': {'host': '127.0.0.1', 'port': 0},
+            'peers': peers,
+            'timeouts': self._timeouts,
+        }
+        return settings.parse_settings(json.dumps(body).encode())
+
+    def post(self, instance_id: str, event: typing.Any) -> list:
+        """Give an event to an instance; deliver all that comes of it."""
+        before = len(self.effects_by_id[instance_id])
+        self._handle(instance_id, event)
+        self._deliver()
+        return self.effects_by_id[instance_id][before:]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            for place, instance_id in enumerate(self._ids):
+                entropy = hash((round(self.now * 10), place)) & (2**64 - 1)
+                self._handle(
+                    instance_id, parts.Ticked(now=self.now, entropy=entropy)
+                )
+            self._deliver()
+
+    def run_until(self, check: typing.Callable, limit_s: float) -> float:
+        """Let time pass until ``check()``; return how much it took."""
+        began = self.now
+        while not check():
+            if self.now - began >= limit_s:
+                raise AssertionError(f'not within {limit_s} virtual seconds')
+            self.run(TICK_S)
+        return self.now - began
+
+    def _handle(self, instance_id: str, event: typing.Any) -> None:
+        if instance_id in self.frozen:
+            return
+        for effect in self.reducers_by_id[instance_id].handle(event):
+            if isinstance(effect, parts.Send):
+                self._queue.append((instance_id, effect))
+            elif isinstance(effect, parts.Persist):
+                disk_id = self.reducers_by_id[instance_id].register.disk_id
+                self.journals_by_id[disk_id].extend(effect.records)
+                persisted = parts.Persisted(now=self.now, token=effect.token)
+                self._queue.append((instance_id, persisted))
+            else:
+                self.effects_by_id[instance_id].append(effect)
+
+    def _deliver(self) -> None:
+        delivered = []
+        while self._queue:
+            source, item = self._queue.popleft()
+            delivered.append((source, item))
+            if len(delivered) > MOST_DELIVERIES:
+                last = '\n'.join(map(str, delivered[-6:]))
+                raise AssertionError(f'messages without end:\n{last}')
+            if isinstance(item, parts.Persisted):
+                self._handle(source, item)
+                continue
+            if source in self.cut or item.to in self.cut:
+                continue
+            # Through bytes, so that what can't travel fails here.
+            message = self._codec.decode(*self._codec.encode(item.message))
+            received = parts.Received(
+                now=self.now, sender=source, message=message
+            )
+            self._handle(item.to, received)
+
+    # What tests often need
+
+    def apply(self, instance_id: str, described: dict, change_id: str) -> None:
+        """Apply a document and wait until it is in force everywhere."""
+        body = document.document_bytes(
+            document.parse_document(json.dumps(described).encode())
+        )
+        held = self.reducers_by_id[instance_id].register
+        self.run_until(lambda: held.revision is not None, 10)
+        revision = held.revision + 1
+        self.post(
+            instance_id,
+            register.Propose(
+                now=self.now,
+                ticket='apply',
+                change_id=change_id,
+                author='test',
+                expected_revision=held.revision,
+                document=body,
+                entropy=1,
+            ),
+        )
+        self.run_until(
+            lambda: all(
+                each.register.revision == revision
+                for each in self.reducers_by_id.values()
+            ),
+            10,
+        )
+
+    def apply_example(self) -> None:
+        self.apply('gw-1', local.example_document(), 'example')
+
+    def announce(
+        self, instance_id: str, backend_id: str, role: str, sequence: int = 1
+    ) -> None:
+        """Announce a backend server through an instance."""
+        service = 'studio-portal' if role == 'plain' else 'dieline-llm'
+        self.post(
+            instance_id,
+            presence.Announced(
+                now=self.now,
+                ticket=f'announce-{backend_id}',
+                announcement=presence.BackendAnnouncement(
+                    backend_id=backend_id,
+                    incarnation=1,
+                    sequence=sequence,
+                    service=service,
+                    role=presence.BackendRole(role),
+                    url=f'http://{backend_id}',
+                    data_centre='dc-0',
+                    slots=4,
+                    checks_fence=False,
+                ),
+            ),
+        )
+
+    def owner_of(self, cell: str) -> str | None:
+        """Return who holds a cell's lease at this moment."""
+        holders = [
+            instance_id
+            for instance_id, each in self.reducers_by_id.items()
+            if instance_id not in self.frozen
+            and each.leases.epoch_if_held(cell, self.now) is not None
+        ]
+        assert len(holders) <= 1, holders
+        return holders[0] if holders else None
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,236 @@
+"""The parts of instances together, on a virtual clock."""
+
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import cells
+from dandeliongw.coordination import claim_messages
+from dandeliongw.coordination import lease
+from dandeliongw.coordination import parts
+from dandeliongw.coordination import presence
+from dandeliongw import effects
+from dandeliongw import events
+from tests import network
+from tools import local
+
+CELL = 'studio-portal/local/0'
+
+
+def lookup(request_id, now):
+    call = events.Call(
+        service='studio-portal',
+        method='GET',
+        path='/lookup',
+        streamed=False,
+        key_sha256=local.sha256(local.ACCOUNT_KEY),
+        idempotency_key=None,
+        digest=b'',
+    )
+    return events.RequestArrived(
+        now=now, request_id=request_id, call=call, entropy=1
+    )
+
+
+def book(request_id):
+    return cells.Book(
+        cell=CELL,
+        request_id=request_id,
+        attempt_id=f'{request_id}.1',
+        account='studio-1',
+        priority='urgent',
+        prompt_tokens=0,
+        max_tokens=0,
+        prefix=(),
+        deadline_s=5.0,
+        stage='plain',
+    )
+
+
+class ReducerTest(unittest.TestCase):
+    def setUp(self):
+        self.sequence = 1
+        self.net = network.Network()
+        self.net.apply_example()
+        self.net.announce('gw-1', 'portal-1', 'plain')
+        self.net.run_until(lambda: self.net.owner_of(CELL), 10)
+        self.net.run(1.0)
+        self.owner = self.net.owner_of(CELL)
+        self.others = [
+            each for each in self.net.reducers_by_id if each != self.owner
+        ]
+
+    def call(self, instance_id, request_id):
+        """Return the directives that a lookup leads to within a second."""
+        done = self.net.effects_by_id[instance_id]
+        before = len(done)
+        self.net.post(instance_id, lookup(request_id, self.net.now))
+        self.keep_present(1.0)
+        return [
+            effect
+            for effect in done[before:]
+            if isinstance(effect, effects.Directive)
+            and effect.request_id == request_id
+        ]
+
+    def keep_present(self, seconds):
+        """Renew the backend server through the first instance."""
+        for _ in range(round(seconds / 0.5)):
+            self.sequence += 1
+            self.net.post(
+                'gw-1',
+                presence.Renewed(
+                    now=self.net.now,
+                    backend_id='portal-1',
+                    incarnation=1,
+                    sequence=self.sequence,
+                    load=None,
+                    cache_events=None,
+                    ticket='renew',
+                ),
+            )
+            self.net.run(0.5)
+
+    def test_a_call_through_any_instance_is_dispatched(self):
+        for instance_id in self.net.reducers_by_id:
+            found = self.call(instance_id, f'r-{instance_id}')
+            self.assertIsInstance(found[0], effects.RunCall)
+
+    def test_a_cut_off_instance_stops_admitting_within_the_ttl(self):
+        """Symptom: an accepted change is not in force at one instance.
+
+        Sequence: the instance is cut off from the voters and goes on with
+        the document that it remembers, while the others change theirs.
+        Cause: work admitted on an old confirmation.
+        """
+        cut = self.others[0]
+        self.net.cut.add(cut)
+        ttl_s = 5.0
+        self.net.run(ttl_s)
+        found = self.call(cut, 'late')
+        self.assertEqual('configuration_stale', found[0].refusal.reason.value)
+        self.assertEqual('not_run', found[0].refusal.verdict.value)
+
+    def test_a_frozen_owner_books_nothing_when_it_wakes(self):
+        """Symptom: slots are booked twice.
+
+        Sequence: the owner freezes past its lease; another gets it; the
+        first wakes with its cells in memory and a booking in its socket.
+        Cause: the cell is used without asking the clock for the lease.
+        """
+        self.net.frozen.add(self.owner)
+        self.net.run(3.0)
+        self.net.frozen.discard(self.owner)
+        woken = self.net.reducers_by_id[self.owner]
+        self.assertIn(CELL, woken.owner.cells_by_id)
+        out = woken.handle(
+            parts.Received(
+                now=self.net.now, sender=self.others[0], message=book('r')
+            )
+        )
+        sent = [each.message for each in out if isinstance(each, parts.Send)]
+        self.assertEqual(
+            [cells.NotOwner],
+            [type(each) for each in sent if hasattr(each, 'request_id')],
+        )
+
+    def test_a_deputy_takes_over_before_the_owner_counts_as_dead(self):
+        """Symptom: a service answers nothing for many seconds.
+
+        Sequence: its cell's owner dies; entries ask the deputy.
+        Cause: the deputy waits until membership is certain of the death,
+        though the lease has run out long before.
+        """
+        self.net.crash(self.owner)
+        entry = self.others[0]
+
+        def is_served():
+            self.number = getattr(self, 'number', 0) + 1
+            found = self.call(entry, f'n-{self.number}')
+            return found and isinstance(found[0], effects.RunCall)
+
+        took_s = self.net.run_until(is_served, 10)
+        self.assertLessEqual(took_s, 4.0)
+        self.assertNotEqual(self.owner, self.net.owner_of(CELL))
+
+    def test_a_new_owner_counts_what_entries_hold(self):
+        """Symptom: batches are larger than their slots after a failover.
+
+        Sequence: calls fill all slots, the owner dies, more calls come.
+        Cause: a new owner that starts to book with an empty table.
+        """
+        entry = next(each for each in self.others if each != 'gw-1')
+        for number in range(4):
+            found = self.call(entry, f'held-{number}')
+            self.assertIsInstance(found[0], effects.RunCall)
+        self.keep_present(0.5)
+        if self.owner == 'gw-1':
+            self.skipTest('the only front of the backend server is the owner')
+        self.net.crash(self.owner)
+        self.keep_present(8.0)
+        owner = self.net.owner_of(CELL)
+        held = self.net.reducers_by_id[owner].owner.cells_by_id[CELL]
+        self.assertEqual(
+            {f'held-{number}' for number in range(4)},
+            {request_id for request_id, _ in held.bookings_by_key},
+        )
+
+    @params(('leases', 'claims'), ('claims', 'leases'))
+    def test_a_new_disk_counts_only_when_all_parts_are_whole(
+        self, first, second
+    ):
+        """Symptom: a booking runs twice after two lost disks.
+
+        Sequence: a disk is replaced; one part is copied, the other not yet;
+        the replacement is finished; a second disk is lost.
+        Cause: the register hears of the first part only.
+        """
+        effects_by_part = {
+            'leases': lease.GrantorCaughtUp(version=7),
+            'claims': claim_messages.CaughtUp(epoch=7, disk_id='disk-gw-1'),
+        }
+        reducer = self.net.reducers_by_id['gw-1']
+        told = []
+        reducer._in_register = lambda event: told.append(event) or []
+        for part, count in ((first, 0), (second, 1)):
+            effect = effects_by_part[part]
+            reducer._absorbers_by_type[type(effect)](self.net.now, effect)
+            self.assertEqual(count, len(told))
+
+    def test_a_lost_disk_is_replaced_by_itself(self):
+        """Symptom: after a second loss there is no majority any more.
+
+        Sequence: an instance comes back with an empty data folder.
+        Cause: nobody brings the new disk among the voters.
+        """
+        self.net.crash('gw-3')
+        self.net.run(1.0)
+        self.net.start('gw-3', disk_id='disk-new')
+        register = self.net.reducers_by_id['gw-1'].register
+        self.net.run_until(
+            lambda: (
+                register.voters_by_id['gw-3'] == 'disk-new'
+                and not register.joining_by_id
+            ),
+            30,
+        )
+        self.net.crash('gw-2')
+        self.net.run(6.0)
+        for instance_id in ('gw-1', 'gw-3'):
+            reducer = self.net.reducers_by_id[instance_id]
+            self.assertTrue(reducer.register.is_fresh(self.net.now))
+            self.assertEqual(1, reducer.register.revision)
+
+    def test_a_leaver_gets_no_work_even_if_its_leave_is_lost(self):
+        """Symptom: calls go to a backend server that has left.
+
+        Sequence: the leave is heard by an instance that is cut off; the
+        owner hears neither the leave nor any renewal.
+        Cause: a presence that doesn't end by itself.
+        """
+        self.net.cut.add('gw-1')
+        self.net.run(4.0)
+        entry = next(each for each in self.others if each != 'gw-1')
+        found = self.call(entry, 'after')
+        self.assertIsInstance(found[0], effects.Refuse)
+        self.assertEqual('not_run', found[0].refusal.verdict.value)
