--- a/dandeliongw/coordination/catchup.py
+++ b/dandeliongw/coordination/catchup.py
@@ -5,6 +5,8 @@
 then grants.
 """
 
+import collections
+import dataclasses
 import enum
 import typing
 
@@ -100,12 +102,29 @@
         self._epochs_by_source[sender] = epochs
         if len(self._epochs_by_source) < self._enough:
             return []
-        for source_epochs in self._epochs_by_source.values():
-            for record in source_epochs.records:
-                self._grantor.learn(record)
+        self._learn()
         self._wait(now, Phase.SETTLING)
         return []
 
+    def _learn(self) -> None:
+        """Take the highest epoch of each name over.
+
+        Its holder may renew here only if a majority reports that grant.
+        Otherwise two candidates may have got the same epoch from one grantor
+        each, and taking either one's renewal could give it a majority for an
+        epoch that the other held with a grant this grantor has forgotten.
+        """
+        reports: collections.Counter[messages.LeaseGranted] = (
+            collections.Counter()
+        )
+        for epochs in self._epochs_by_source.values():
+            reports.update(epochs.records)
+        needed = quorum.majority(len(self._sources))
+        for record, count in reports.most_common():
+            if count < needed:
+                record = dataclasses.replace(record, holder='', life=0)
+            self._grantor.learn(record)
+
     def _wait(self, now: float, phase: Phase) -> None:
         self.phase = phase
         own_s = self._grantor.duration_s + self._grantor.margin_s
--- a/dandeliongw/coordination/grantor.py
+++ b/dandeliongw/coordination/grantor.py
@@ -90,10 +90,18 @@
         return tuple(grant.record for grant in self._grants_by_name.values())
 
     def learn(self, record: messages.LeaseGranted) -> None:
-        """Remember an epoch, from the journal or from another grantor."""
+        """Remember an epoch, from the journal or from another grantor.
+
+        A grant of this grantor's own that still stands goes on standing.
+        """
         grant = self._grants_by_name.get(record.name)
-        if grant is None or grant.record.epoch < record.epoch:
+        if grant is None:
             self._grants_by_name[record.name] = _Grant(record=record)
+        elif grant.record.epoch < record.epoch:
+            grant.record = record
+            if grant.released:
+                grant.released = False
+                grant.expires_at = float('-inf')
 
     def start(self, now: float) -> None:
         """Begin the wait after a restart; does nothing the second time.
