--- /dev/null
+++ b/dandeliongw/changes.py
@@ -0,0 +1,42 @@
+"""The one way to change the document, for the API and the console alike."""
+
+import re
+
+from loguru import logger
+
+from . import control as controls
+from . import document as documents
+
+#: Chosen by whoever makes a change; a resend carries the same one.
+CHANGE_ID_PATTERN = r'^[A-Za-z0-9._-]{1,64}$'
+
+
+def is_change_id(text: str) -> bool:
+    """Whether this can name a change."""
+    return re.fullmatch(CHANGE_ID_PATTERN, text) is not None
+
+
+def propose(
+    control: controls.Control,
+    *,
+    change_id: str,
+    author: str,
+    expected_revision: int,
+    document: documents.Document,
+) -> controls.ProposeResult:
+    """Propose a validated document and log who did and what came of it."""
+    result = control.propose(
+        change_id=change_id,
+        author=author,
+        expected_revision=expected_revision,
+        document=documents.document_bytes(document),
+    )
+    logger.info(
+        'document change',
+        operator=author,
+        change_id=change_id,
+        expected_revision=expected_revision,
+        result=type(result).__name__,
+        revision=getattr(result, 'revision', None),
+    )
+    return result
