Orders to engines, one at a time, guarded by the lease

Cause: engines are told what to load by whoever holds a cell's lease, and an older order must never undo a newer one. Two orders of one epoch carry one fencing number, so a different order waits until every unanswered attempt of an earlier one has settled. Ruled out: freeing an order at its first confirmation; another attempt of it may still sit in a socket.

--- a/dandeliongw/coordination/lease_messages.py
+++ b/dandeliongw/coordination/lease_messages.py
@@ -153,19 +153,6 @@
     records: tuple[LeaseGranted, ...]
 
 
-#: What passes between instances and what lies in the journal, for a codec.
-WIRE_CLASSES = (
-    LeaseClaims,
-    LeaseAnswers,
-    LeaseRelease,
-    LeaseVacant,
-    LeaseEpochsWanted,
-    LeaseEpochs,
-    LeaseGranted,
-    LeaseReady,
-)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Wanted:
     """Event: the names that this instance should hold or try to hold.
--- /dev/null
+++ b/dandeliongw/orders.py
@@ -0,0 +1,433 @@
+"""Orders to the engines of one cell: what to load, which role to play.
+
+The document says what each backend server should run; the holder of the
+cell's lease brings it about. An engine gets one order at a time, and a
+different one only when no earlier one can still take effect: fencing numbers
+can't tell two orders of one holder apart, and some engines ignore them.
+
+A pure part: time comes in events, orders leave as :class:`SendOrder`.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import enum
+import typing
+
+from . import verdict
+from .coordination import parts
+
+
+class OrderKind(enum.StrEnum):
+    """What an order changes, in the sequence in which they are given.
+
+    A role comes last: an engine should have its weights before it serves.
+    """
+
+    LOAD_MODEL = 'load_model'
+    LOAD_VERSION = 'load_version'
+    LOAD_ADAPTER = 'load_adapter'
+    CHANGE_ROLE = 'change_role'
+
+
+#: Orders that read from the weight store, whose rate is limited.
+LOADS = frozenset(
+    {OrderKind.LOAD_MODEL, OrderKind.LOAD_VERSION, OrderKind.LOAD_ADAPTER}
+)
+#: What an engine no longer has once another model was loaded.
+_DROPPED_WITH_MODEL = (OrderKind.LOAD_VERSION, OrderKind.LOAD_ADAPTER)
+#: Pause before an order that was proved not to have run is sent again.
+RETRY_S = 1.0
+
+
+class HoldReason(enum.StrEnum):
+    """Why an order that is due was not given now (a counter label)."""
+
+    LEASE_NOT_HELD = 'lease_not_held'
+    #: The engine ignores fencing numbers, and a predecessor's order may
+    #: still take effect there.
+    PREDECESSOR_UNSETTLED = 'predecessor_unsettled'
+    #: An own order without an answer may still take effect.
+    ORDER_UNSETTLED = 'order_unsettled'
+    STORE_BUDGET = 'store_budget'
+    #: The engine has seen a higher fencing number.
+    FENCED = 'fenced'
+
+
+class Guard(typing.Protocol):
+    """Whether this instance may give orders; ``Leases`` is one."""
+
+    def epoch_if_held(self, name: str, now: float) -> int | None: ...
+
+    def may_order(
+        self, name: str, now: float, longest_order_s: float
+    ) -> int | None: ...
+
+
+class StoreBudget:
+    """Tokens for reads from the weight store; shared by an instance's cells.
+
+    It starts empty, so that failovers in a row can't each spend a burst.
+
+    :param loads_per_s: this instance's share of the store's rate.
+    :param burst: most loads that may be saved up.
+    """
+
+    def __init__(self, *, loads_per_s: float, burst: float) -> None:
+        self.loads_per_s = loads_per_s
+        self.burst = burst
+        self._tokens = 0.0
+        self._filled_at: float | None = None
+
+    def take(self, now: float) -> bool:
+        """Spend one token, if there is one."""
+        elapsed_s = now - (now if self._filled_at is None else self._filled_at)
+        self._filled_at = now
+        gained = elapsed_s * self.loads_per_s
+        self._tokens = min(self.burst, self._tokens + gained)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EngineSeen:
+    """Event: a backend server announced itself.
+
+    :param incarnation: a new one has nothing that the last one had loaded.
+    :param checks_fence: as announced; one that says nothing ignores them.
+    """
+
+    now: float
+    backend_id: str
+    incarnation: int
+    checks_fence: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EngineGone:
+    """Event: a backend server left or fell silent."""
+
+    now: float
+    backend_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DesiredChanged:
+    """Event: the configuration in force says what engines should run.
+
+    :param revision: of the document; an older one is ignored.
+    :param values_by_backend: for each backend server the value of each kind;
+        a kind that is missing is left as it is.
+    """
+
+    now: float
+    revision: int
+    values_by_backend: abc.Mapping[str, abc.Mapping[OrderKind, str]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OrderAnswered:
+    """Event: one send of an order ended.
+
+    :param attempt: of the :class:`SendOrder` that it answers.
+    :param run: ``RAN``: confirmed. ``NOT_RUN``: proved that it had no effect
+        and will have none. ``MAY_HAVE_RUN``: anything else, a timeout too.
+    :param is_fenced: the engine refused the fencing number.
+    """
+
+    now: float
+    order_id: str
+    attempt: int
+    run: verdict.Verdict
+    is_fenced: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SendOrder:
+    """Effect: send an order, if :meth:`Orders.may_send` still says so.
+
+    :param order_id: the same for each attempt, so that the engine can tell
+        a repeat from another order.
+    :param send_by: no byte may leave after this time of the own clock.
+    """
+
+    order_id: str
+    attempt: int
+    backend_id: str
+    kind: OrderKind
+    value: str
+    fence: int
+    send_by: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Order:
+    """The order that an engine was last given, until it is confirmed."""
+
+    order_id: str
+    kind: OrderKind
+    value: str
+    attempts: int = 0
+    next_try_at: float = float('-inf')
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Engine:
+    """One backend server.
+
+    :param settled_at_by_attempt: when each attempt without a definite answer
+        can take effect no more, by order id and attempt.
+    """
+
+    incarnation: int
+    checks_fence: bool
+    is_fenced: bool = False
+    confirmed_by_kind: dict[OrderKind, str] = dataclasses.field(
+        default_factory=dict
+    )
+    order: _Order | None = None
+    settled_at_by_attempt: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Orders:
+    """Orders of one holder under one epoch; a new epoch gets a new object.
+
+    :param cell: the name of the lease.
+    :param epoch: the holder's epoch, sent as the fencing number.
+    :param guard: tells whether the lease is held.
+    :param budget: of the weight store.
+    :param longest_order_s: an order takes effect within this time of the
+        check before its send, or never; the sender's timeout.
+    :param lease_wait_s: lease and margin. A sender that freezes between the
+        check and the send for longer than this has lost its lease.
+    :param send_within_s: patience until an order leaves the queue.
+    """
+
+    def __init__(
+        self,
+        *,
+        cell: str,
+        epoch: int,
+        guard: Guard,
+        budget: StoreBudget,
+        longest_order_s: float,
+        lease_wait_s: float = 2.25,
+        send_within_s: float = 0.5,
+    ) -> None:
+        self.cell = cell
+        self.epoch = epoch
+        self.longest_order_s = longest_order_s
+        #: How often an order that was due was held back, for the metrics.
+        self.holds_by_reason: collections.Counter[HoldReason] = (
+            collections.Counter()
+        )
+        #: Attempts after the first, for the metrics.
+        self.repeats = 0
+        self._guard = guard
+        self._budget = budget
+        self._settle_s = lease_wait_s + longest_order_s
+        self._send_within_s = send_within_s
+        self._revision = -1
+        self._values_by_backend: abc.Mapping[
+            str, abc.Mapping[OrderKind, str]
+        ] = {}
+        self._engines_by_id: dict[str, _Engine] = {}
+        self._order_count = 0
+
+    def may_send(self, order: SendOrder, now: float) -> bool:
+        """Return whether an order may leave at this very moment.
+
+        The sending thread asks with a fresh reading of the clock. An order
+        waits in its queue, and the process may have been frozen meanwhile:
+        it would reach the engine after the next holder's.
+        """
+        if now > order.send_by:
+            return False
+        return self._guard.epoch_if_held(self.cell, now) == order.fence
+
+    def handle(self, event: typing.Any) -> list[SendOrder]:
+        """Take one event in and return the orders to send.
+
+        :raises TypeError: for an event that the part doesn't know.
+        """
+        if isinstance(event, parts.Ticked):
+            return self._on_ticked(event.now)
+        if isinstance(event, EngineSeen):
+            self._on_seen(event)
+        elif isinstance(event, EngineGone):
+            self._on_gone(event)
+        elif isinstance(event, DesiredChanged):
+            self._on_desired(event)
+        elif isinstance(event, OrderAnswered):
+            self._on_answered(event)
+        else:
+            raise TypeError(f'not an event of orders: {event!r}')
+        return []
+
+    def _on_seen(self, event: EngineSeen) -> None:
+        engine = self._engines_by_id.get(event.backend_id)
+        if engine is None:
+            engine = _Engine(
+                incarnation=event.incarnation, checks_fence=event.checks_fence
+            )
+            self._engines_by_id[event.backend_id] = engine
+        if engine.incarnation < event.incarnation:
+            # What is under way may reach the new process at the same
+            # address, so it stays noted until it has settled.
+            engine.incarnation = event.incarnation
+            engine.confirmed_by_kind.clear()
+            engine.is_fenced = False
+        if engine.incarnation == event.incarnation:
+            engine.checks_fence = event.checks_fence
+
+    def _on_gone(self, event: EngineGone) -> None:
+        engine = self._engines_by_id.get(event.backend_id)
+        if engine is None:
+            return
+        # Kept while an order may still reach it, should it come back.
+        engine.confirmed_by_kind.clear()
+        if not engine.settled_at_by_attempt:
+            del self._engines_by_id[event.backend_id]
+
+    def _on_desired(self, event: DesiredChanged) -> None:
+        # Of two operators with equal numbers the register lets one win. An
+        # older revision that comes late must not take orders back.
+        if event.revision <= self._revision:
+            return
+        self._revision = event.revision
+        self._values_by_backend = event.values_by_backend
+
+    def _on_answered(self, event: OrderAnswered) -> None:
+        for engine in self._engines_by_id.values():
+            attempt = (event.order_id, event.attempt)
+            if attempt not in engine.settled_at_by_attempt:
+                continue
+            if event.run is not verdict.Verdict.MAY_HAVE_RUN:
+                del engine.settled_at_by_attempt[attempt]
+                self._try_soon(event, engine)
+            if event.is_fenced:
+                engine.is_fenced = True
+            if event.run is verdict.Verdict.RAN:
+                self._confirm(engine, event.order_id)
+
+    def _try_soon(self, event: OrderAnswered, engine: _Engine) -> None:
+        order = engine.order
+        if order is not None and order.order_id == event.order_id:
+            order.next_try_at = event.now + RETRY_S
+
+    def _confirm(self, engine: _Engine, order_id: str) -> None:
+        order = engine.order
+        if order is None or order.order_id != order_id:
+            return
+        if order.kind is OrderKind.LOAD_MODEL:
+            for kind in _DROPPED_WITH_MODEL:
+                engine.confirmed_by_kind.pop(kind, None)
+        engine.confirmed_by_kind[order.kind] = order.value
+        engine.order = None
+
+    def _on_ticked(self, now: float) -> list[SendOrder]:
+        sends = []
+        for backend_id in sorted(self._values_by_backend):
+            engine = self._engines_by_id.get(backend_id)
+            if engine is None:
+                continue
+            send = self._next_send(now, backend_id, engine)
+            if send is not None:
+                sends.append(send)
+        return sends
+
+    def _next_send(
+        self, now: float, backend_id: str, engine: _Engine
+    ) -> SendOrder | None:
+        values = self._values_by_backend[backend_id]
+        if engine.order is not None:
+            if now < engine.order.next_try_at:
+                return None
+            if values.get(engine.order.kind) != engine.order.value:
+                engine.order = None
+        order = engine.order or self._next_order(backend_id, engine, values)
+        if order is None:
+            return None
+        reason = self._hold_reason(now, engine, order)
+        if reason is None and order.kind in LOADS:
+            if not self._budget.take(now):
+                reason = HoldReason.STORE_BUDGET
+        if reason is not None:
+            self.holds_by_reason[reason] += 1
+            return None
+        return self._send(now, backend_id, engine, order)
+
+    def _next_order(
+        self,
+        backend_id: str,
+        engine: _Engine,
+        values: abc.Mapping[OrderKind, str],
+    ) -> _Order | None:
+        for kind in OrderKind:
+            value = values.get(kind)
+            if value is None or engine.confirmed_by_kind.get(kind) == value:
+                continue
+            order_id = f'{backend_id}/{self.epoch}/{self._order_count}'
+            return _Order(order_id=order_id, kind=kind, value=value)
+        return None
+
+    def _hold_reason(
+        self, now: float, engine: _Engine, order: _Order
+    ) -> HoldReason | None:
+        if engine.is_fenced:
+            return HoldReason.FENCED
+        if self._guard.epoch_if_held(self.cell, now) != self.epoch:
+            return HoldReason.LEASE_NOT_HELD
+        if not engine.checks_fence and not self._guard.may_order(
+            self.cell, now, self.longest_order_s
+        ):
+            return HoldReason.PREDECESSOR_UNSETTLED
+        if self._is_unsettled(now, engine, order):
+            return HoldReason.ORDER_UNSETTLED
+        return None
+
+    def _is_unsettled(
+        self, now: float, engine: _Engine, order: _Order
+    ) -> bool:
+        """Return whether another order may still take effect.
+
+        An order whose answer was lost may sit in a socket, and an attempt
+        may have been confirmed while another one of it still does. It would
+        undo a newer order, and both carry the same fencing number.
+        """
+        engine.settled_at_by_attempt = {
+            attempt: settled_at
+            for attempt, settled_at in engine.settled_at_by_attempt.items()
+            if now < settled_at
+        }
+        return any(
+            order_id != order.order_id
+            for order_id, _ in engine.settled_at_by_attempt
+        )
+
+    def _send(
+        self, now: float, backend_id: str, engine: _Engine, order: _Order
+    ) -> SendOrder:
+        if engine.order is None:
+            self._order_count += 1
+            engine.order = order
+        else:
+            self.repeats += 1
+        order.attempts += 1
+        send_by = now + self._send_within_s
+        attempt = (order.order_id, order.attempts)
+        engine.settled_at_by_attempt[attempt] = send_by + self._settle_s
+        order.next_try_at = send_by + self.longest_order_s
+        return SendOrder(
+            order_id=order.order_id,
+            attempt=order.attempts,
+            backend_id=backend_id,
+            kind=order.kind,
+            value=order.value,
+            fence=self.epoch,
+            send_by=send_by,
+        )
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,189 @@
+"""Orders to engines: one at a time, by the holder, none undone by an older."""
+
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw.coordination import parts
+from dandeliongw import orders
+from dandeliongw import verdict
+
+MODEL = orders.OrderKind.LOAD_MODEL
+ROLE = orders.OrderKind.CHANGE_ROLE
+LONGEST_S = 5.0
+RAN = verdict.Verdict.RAN
+NOT_RUN = verdict.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+
+
+class FakeGuard:
+    held: int | None = 7
+    may: int | None = 7
+
+    def epoch_if_held(self, name, now):
+        return self.held
+
+    def may_order(self, name, now, longest_order_s):
+        return self.may
+
+
+class OrdersTest(unittest.TestCase):
+    def setUp(self):
+        self.guard = FakeGuard()
+        self.orders = orders.Orders(
+            cell='c',
+            epoch=7,
+            guard=self.guard,
+            budget=orders.StoreBudget(loads_per_s=1000.0, burst=2.0),
+            longest_order_s=LONGEST_S,
+        )
+        self.see(1, checks_fence=True)
+        self.want(1, {MODEL: 'm1'})
+        self.tick(0.0)
+
+    def see(self, incarnation, **announced):
+        seen = orders.EngineSeen(
+            now=0.0, backend_id='e', incarnation=incarnation, **announced
+        )
+        self.orders.handle(seen)
+
+    def want(self, revision, values):
+        changed = orders.DesiredChanged(
+            now=0.0, revision=revision, values_by_backend={'e': values}
+        )
+        self.orders.handle(changed)
+
+    def tick(self, now):
+        return self.orders.handle(parts.Ticked(now=now, entropy=0))
+
+    def answer(self, sent, run, **more):
+        answered = orders.OrderAnswered(
+            now=0.0,
+            order_id=sent.order_id,
+            attempt=sent.attempt,
+            run=run,
+            **more,
+        )
+        self.orders.handle(answered)
+
+    def test_orders_go_one_at_a_time_and_end_when_confirmed(self):
+        self.want(2, {MODEL: 'm1', ROLE: 'decode'})
+        (first,) = self.tick(1.0)
+        self.assertEqual([], self.tick(1.1))
+        self.answer(first, RAN)
+        (second,) = self.tick(1.2)
+        self.assertEqual((MODEL, ROLE), (first.kind, second.kind))
+        self.assertEqual(7, second.fence)
+        self.answer(second, RAN)
+        self.assertEqual([], self.tick(1.3))
+
+    def test_a_lost_answer_is_repeated_under_the_same_order_id(self):
+        """An engine that did it already can tell the repeat.
+
+        Symptom: weights are loaded twice. Sequence: the order is carried
+        out, its answer is lost, it is sent again. Cause: a new id.
+        """
+        (first,) = self.tick(1.0)
+        self.answer(first, MAY_HAVE_RUN)
+        (second,) = self.tick(1.0 + LONGEST_S + 0.5)
+        self.assertEqual(first.order_id, second.order_id)
+        self.assertEqual(2, second.attempt)
+
+    @params((1, True), (2, True), (1, False))
+    def test_an_unanswered_order_can_not_undo_the_next_one(
+        self, attempts, is_last_lost
+    ):
+        """Two orders of one epoch carry one fencing number.
+
+        Symptom: the engine runs the old model after the new was confirmed.
+        Sequence: an attempt for m1 gets no answer and sits in a socket; the
+        operators want m2; m2 is loaded; m1 arrives. Cause: m2 was ordered
+        before m1 had settled, perhaps because another attempt for m1 had
+        been confirmed.
+        """
+        now = 1.0
+        for _ in range(attempts):
+            (sent,) = self.tick(now)
+            now += LONGEST_S + 0.5
+        if not is_last_lost:
+            self.answer(sent, NOT_RUN)
+        elif attempts > 1:
+            self.answer(sent, RAN)
+        self.want(2, {MODEL: 'm2'})
+        last_lost = 1.0 + 0.5 + 2.25 + LONGEST_S
+        if not is_last_lost:
+            self.assertEqual('m2', self.tick(now)[0].value)
+            return
+        self.assertEqual([], self.tick(last_lost - 0.01))
+        (other,) = self.tick(last_lost)
+        self.assertEqual('m2', other.value)
+
+    @params(('held', False, []), ('may', False, []), ('may', True, ['m1']))
+    def test_orders_need_the_lease_and_unchecked_engines_the_wait(
+        self, missing, checks_fence, values
+    ):
+        """An announcement that says nothing counts as one that ignores.
+
+        Symptom: a predecessor's order undoes the new holder's. Sequence: the
+        predecessor hands an order to a socket and dies; the successor orders
+        at once; the old order arrives. Cause: no wait at an engine that
+        takes any number.
+        """
+        announced = {'checks_fence': True} if checks_fence else {}
+        self.see(2, **announced)
+        setattr(self.guard, missing, None)
+        self.assertEqual(values, [sent.value for sent in self.tick(1.0)])
+
+    def test_a_holder_frozen_before_the_send_sends_nothing(self):
+        """The check stands just before the send, not where it was decided.
+
+        Symptom: an order of an old holder arrives. Sequence: the order waits
+        for a thread, the process freezes, wakes, sends. Cause: the lease was
+        checked when the order was made only.
+        """
+        (sent,) = self.tick(1.0)
+        self.assertTrue(self.orders.may_send(sent, 1.1))
+        self.assertFalse(self.orders.may_send(sent, 60.0))
+        self.guard.held = None
+        self.assertFalse(self.orders.may_send(sent, 1.1))
+
+    def test_a_late_older_revision_takes_no_order_back(self):
+        """The newest revision counts, not the one that came last.
+
+        Symptom: an engine goes back to an older model. Sequence: revisions
+        2 and 1 arrive in this order. Cause: the last one to come was taken
+        for the newest.
+        """
+        self.want(2, {MODEL: 'm2'})
+        self.want(1, {MODEL: 'm1'})
+        self.want(2, {MODEL: 'm1'})
+        self.assertEqual(['m2'], [sent.value for sent in self.tick(1.0)])
+
+    def test_a_fenced_engine_gets_no_more_orders_of_this_epoch(self):
+        (sent,) = self.tick(1.0)
+        self.answer(sent, NOT_RUN, is_fenced=True)
+        self.assertEqual([], self.tick(60.0))
+        fenced = self.orders.holds_by_reason[orders.HoldReason.FENCED]
+        self.assertEqual(1, fenced)
+
+    def test_a_restarted_engine_is_ordered_again(self):
+        (sent,) = self.tick(1.0)
+        self.answer(sent, RAN)
+        self.see(2, checks_fence=True)
+        self.assertEqual(['m1'], [sent.value for sent in self.tick(2.0)])
+
+    def test_another_model_takes_its_adapter_with_it(self):
+        adapter = orders.OrderKind.LOAD_ADAPTER
+        for revision, model in enumerate(['m1', 'm2'], 2):
+            self.want(revision, {MODEL: model, adapter: 'a'})
+            for kind in (MODEL, adapter):
+                (sent,) = self.tick(float(revision))
+                self.assertEqual(kind, sent.kind)
+                self.answer(sent, RAN)
+
+    def test_the_weight_store_is_asked_within_its_budget(self):
+        budget = orders.StoreBudget(loads_per_s=0.5, burst=2.0)
+        taken = [now for now in range(20) if budget.take(float(now))]
+        self.assertEqual(list(range(2, 20, 2)), taken)
+        waited = [budget.take(100.0) for _ in range(3)]
+        self.assertEqual([True, True, False], waited)
