--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -12,6 +12,7 @@
 from dandeliongw.coordination import lease
 from dandeliongw.coordination import lease_messages as messages
 from dandeliongw.coordination import parts
+from dandeliongw.coordination import quorum
 from dandeliongw.protocol import lease_pb2
 from tests import lease_network
 
@@ -196,7 +197,7 @@
             if isinstance(effect.message, messages.LeaseRelease)
         ]
         self.assertTrue(splits)
-        self.assertLess(waited, LEASE_S / 2)
+        self.assertLess(waited, LEASE_S / 5)
 
     def test_a_candidate_cut_off_from_some_does_not_unseat_the_holder(self):
         """Symptom: a healthy holder loses its lease again and again.
@@ -221,7 +222,7 @@
         epoch = self.hold(rival=None)
         self.network.start('a')
         self.network.want('a')
-        self.take('a')
+        self.assertGreater(self.take('a'), LEASE_S / 2)
         self.assertGreater(self.network.epoch('a'), epoch)
 
     def test_an_engine_that_ignores_epochs_gets_orders_after_the_wait(self):
@@ -265,6 +266,7 @@
                 lambda: network.effects(name, lease.GrantorCaughtUp), 6
             )
         network.change_grantors(grantors=new, joining=(), version=2)
+        network.change_grantors(grantors=('v3',), joining=(), version=1)
         network.freeze('v1')
         network.freeze('v3')
         network.run(5)
@@ -318,20 +320,20 @@
         return answer.outcome
 
     @params(
-        (3.0, 'a', claim(5), Outcome.GRANTED),
+        (3.0, 'a', claim(5, duration_s=1.5), Outcome.GRANTED),
         (3.0, 'b', claim(0), Outcome.GRANTED),
         (3.0, 'b', claim(6), Outcome.GRANTED),
         (3.0, 'b', claim(5), Outcome.OLD_EPOCH),
         (3.0, 'a', claim(5, life=2), Outcome.OLD_EPOCH),
         (3.0, 'a', claim(4), Outcome.OLD_EPOCH),
         (3.0, 'b', claim(6, duration_s=9.0), Outcome.TOO_LONG),
-        (3.0, 'a', claim(5, duration_s=1.5), Outcome.GRANTED),
+        (3.0, 'a', claim(5, duration_s=1.9), Outcome.TOO_LONG),
         (1.0, 'b', claim(6), Outcome.WAITING_OUT),
         (1.0, 'b', claim(0), Outcome.WAITING_OUT),
-        (1.0, 'a', claim(5), Outcome.GRANTED),
+        (1.0, 'a', claim(5, duration_s=1.5), Outcome.GRANTED),
     )
     def test_a_restarted_grantor_decides(self, now, sender, claims, expected):
-        part = make_grantor(record(5, 'a'))
+        part = make_grantor(record(5, 'a', duration_s=1.5))
         self.assertEqual(expected, self.outcome(part, now, sender, claims))
 
     def test_an_answer_waits_until_the_epoch_is_synced(self):
@@ -360,10 +362,10 @@
         part.on_release('a', released)
         late = self.outcome(part, 0.1, 'a', claim(1))
         self.assertEqual(Outcome.RELEASED, late)
-        taken = self.outcome(part, 0.1, 'b', claim(2))
-        self.assertEqual(Outcome.GRANTED, taken)
+        again = self.outcome(part, 0.1, 'a', claim(2))
+        self.assertEqual(Outcome.GRANTED, again)
         part.on_release('a', released)
-        self.assertEqual(Outcome.HELD, self.outcome(part, 0.2, 'c', claim(3)))
+        self.assertEqual(Outcome.HELD, self.outcome(part, 0.2, 'b', claim(3)))
 
     def test_a_shorter_setting_does_not_shorten_the_wait(self):
         """Symptom: two holders after a change of settings and a restart.
@@ -409,6 +411,84 @@
         )
 
 
+class HolderTest(unittest.TestCase):
+    def setUp(self):
+        self.part = lease.Leases(instance_id='a', is_grantor=False)
+        self.part.handle(
+            lease.GrantorsChanged(now=0.0, grantors=('v1', 'v2', 'v3'))
+        )
+        self.part.handle(lease.Wanted(now=0.0, names=frozenset({CELL})))
+        self.part.handle(parts.Ticked(now=0.0, entropy=1))
+
+    def receive(self, sender, message):
+        received = parts.Received(now=0.1, sender=sender, message=message)
+        return self.part.handle(received)
+
+    def answer(self, sender, epoch, *, life=1, asked_at=0.1):
+        granted = messages.LeaseAnswer(
+            name=CELL, epoch=epoch, outcome=Outcome.GRANTED
+        )
+        message = messages.LeaseAnswers(
+            version=0, life=life, asked_at=asked_at, answers=(granted,)
+        )
+        return self.receive(sender, message)
+
+    @params(
+        ('v2', 1, {}, True),
+        ('v1', 1, {}, False),
+        ('b', 1, {}, False),
+        ('v2', 9, {}, False),
+        ('v2', 0, {}, False),
+        ('v2', 1, {'life': 2, 'asked_at': 99.0}, False),
+    )
+    def test_only_answers_to_the_own_ask_count(
+        self, sender, epoch, more, is_held
+    ):
+        """Symptom: a lease that nobody granted, or with a wrong end.
+
+        Sequence: an answer comes twice, from elsewhere, to another epoch, or
+        to an earlier start with another clock. Cause: it is counted.
+        """
+        self.answer('v1', 0, asked_at=0.0)
+        self.answer('v2', 0, asked_at=0.0)
+        self.answer('v1', 1)
+        self.answer(sender, epoch, **more)
+        held = self.part.epoch_if_held(CELL, 0.1)
+        self.assertEqual(1 if is_held else None, held)
+
+    def test_an_answer_to_an_earlier_probe_does_not_count(self):
+        self.answer('v1', 0, asked_at=0.0)
+        self.assertEqual([], self.answer('v2', 0, asked_at=-5.0))
+
+    def test_one_word_of_a_release_does_not_start_an_ask(self):
+        vacant = messages.LeaseVacant(name=CELL, epoch=4)
+        self.assertEqual([], self.receive('v1', vacant))
+        self.assertEqual([], self.receive('v1', vacant))
+        asks = [send.message.claims for send in self.receive('v2', vacant)]
+        self.assertEqual(
+            [(messages.LeaseClaim(name=CELL, epoch=5),)] * 3, asks
+        )
+
+
+class QuorumTest(unittest.TestCase):
+    @params(
+        ('abc', '', 'ab', True),
+        ('abc', '', 'a', False),
+        ('abcd', '', 'ab', False),
+        ('', '', '', False),
+        ('abc', 'def', 'ab', False),
+        ('abc', 'def', 'de', False),
+        ('abc', 'abd', 'ab', True),
+        ('abc', 'def', 'abde', True),
+    )
+    def test_a_change_needs_a_majority_of_both_sets(
+        self, grantors, joining, agreeing, is_enough
+    ):
+        both = quorum.Quorum(grantors=tuple(grantors), joining=tuple(joining))
+        agreed = both.agreed(dict.fromkeys(agreeing, 1.0))
+        self.assertEqual(is_enough, agreed == 1.0)
+
+
 class CatchUpTest(unittest.TestCase):
     @params(
         (record(2, 'a'), record(2, 'a'), Outcome.GRANTED),
@@ -427,11 +507,14 @@
         part = lease.Leases(instance_id='v1', is_grantor=True)
         grantors = ('v1', 'v2', 'v3')
         part.handle(lease.GrantorsChanged(now=0.0, grantors=grantors))
+        self.assertEqual([], part.handle(parts.Ticked(now=2.2, entropy=7)))
         wanted = part.handle(parts.Ticked(now=3.0, entropy=7))
         self.assertEqual([*grantors], [send.to for send in sends(wanted)])
-        for sender, granted in (('v2', first), ('v3', second)):
-            self.receive(part, sender, granted)
         self.receive(part, 'b', record(99, 'b'))
+        self.receive(part, 'v2', record(99, 'b'), reading=6)
+        self.receive(part, 'v2', first)
+        self.receive(part, 'v3', second)
+        self.assertEqual([], part.handle(parts.Ticked(now=5.2, entropy=7)))
         done = part.handle(parts.Ticked(now=6.0, entropy=7))
         persist, caught_up = done
         self.assertEqual(messages.LeaseReady(version=0), persist.records[-1])
@@ -441,9 +524,9 @@
         self.assertEqual(expected, answer.outcome)
         self.assertEqual(persist.records, tuple(part.snapshot()))
 
-    def receive(self, part, sender, granted):
+    def receive(self, part, sender, granted, reading=7):
         epochs = messages.LeaseEpochs(
-            reading=7, ready=True, records=(granted,)
+            reading=reading, ready=True, records=(granted,)
         )
         part.handle(parts.Received(now=3.0, sender=sender, message=epochs))
 
@@ -479,7 +562,7 @@
 
 
 NAMES = strategies.sampled_from(['v1', 'v2', 'v3', 'a', 'b'])
-RIVALS = strategies.sampled_from(['a', 'b', 'v1'])
+RIVALS = ('a', 'b', 'v1')
 
 
 class LossyLeases(stateful.RuleBasedStateMachine):
@@ -490,37 +573,51 @@
         self.network = lease_network.Network(seed=seed)
         for name, node in self.network.nodes_by_id.items():
             node.rate = 0.95 if name in ('a', 'b') else 1.05
+        self.want()
+
+    def want(self):
+        for name in RIVALS:
+            self.network.want(name)
 
     @stateful.rule(
         seconds=strategies.sampled_from([0.05, 0.3, 1.0, 2.5]),
-        loss=strategies.sampled_from([0.0, 0.3, 0.7]),
+        loss=strategies.sampled_from([0.0, 0.3, 0.6]),
         longest_delay_s=strategies.sampled_from([0.001, 0.5, 3.0]),
+        lonely=strategies.sampled_from(['', 'a', 'b', 'v2']),
     )
-    def run(self, seconds, loss, longest_delay_s):
+    def run(self, seconds, loss, longest_delay_s, lonely):
         chance = self.network.random.random
-        self.network.loses = lambda *sent: chance() < loss
+        self.network.loses = lambda sender, to, message: (
+            chance() < loss or lonely in (sender, to)
+        )
         self.network.delay_s = lambda *sent: chance() ** 4 * longest_delay_s
         self.network.run(seconds)
 
-    @stateful.rule(name=RIVALS)
-    def want(self, name):
-        self.network.want(name)
-
-    @stateful.rule(name=RIVALS, successor=RIVALS)
-    def release(self, name, successor):
-        self.network.release(name, successor)
+    @stateful.rule(successor=strategies.sampled_from(RIVALS))
+    def release(self, successor):
+        for name in self.network.holders():
+            self.network.release(name, successor)
+        self.want()
 
     @stateful.rule(name=NAMES)
     def freeze(self, name):
         self.network.freeze(name)
 
-    @stateful.rule(name=NAMES)
-    def wake(self, name):
-        self.network.wake(name)
+    @stateful.rule()
+    def wake_all(self):
+        for name in self.network.nodes_by_id:
+            self.network.wake(name)
+
+    @stateful.rule(names=strategies.sets(NAMES))
+    def restart(self, names):
+        for name in sorted(names):
+            self.network.start(name)
+        self.want()
 
-    @stateful.rule(name=NAMES, loses_disk=strategies.booleans())
-    def restart(self, name, loses_disk):
-        self.network.start(name, loses_disk=loses_disk)
+    @stateful.rule(name=strategies.sampled_from(['v1', 'v2', 'v3']))
+    def lose_disk(self, name):
+        self.network.start(name, loses_disk=True)
+        self.want()
 
     @stateful.invariant()
     def has_one_holder_at_most(self):
@@ -529,6 +626,6 @@
 
 
 LossyLeases.TestCase.settings = settings(
-    max_examples=40, stateful_step_count=25, derandomize=True, deadline=None
+    max_examples=60, stateful_step_count=20, derandomize=True, deadline=None
 )
 LossyLeasesTest = LossyLeases.TestCase
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -89,9 +89,9 @@
         self.assertEqual(first.order_id, second.order_id)
         self.assertEqual(2, second.attempt)
 
-    @params((1, True), (2, True), (1, False))
+    @params((1, None), (1, MAY_HAVE_RUN), (2, RAN), (1, NOT_RUN))
     def test_an_unanswered_order_can_not_undo_the_next_one(
-        self, attempts, is_last_lost
+        self, attempts, answer
     ):
         """Two orders of one epoch carry one fencing number.
 
@@ -105,13 +105,11 @@
         for _ in range(attempts):
             (sent,) = self.tick(now)
             now += LONGEST_S + 0.5
-        if not is_last_lost:
-            self.answer(sent, NOT_RUN)
-        elif attempts > 1:
-            self.answer(sent, RAN)
+        if answer is not None:
+            self.answer(sent, answer)
         self.want(2, {MODEL: 'm2'})
         last_lost = 1.0 + 0.5 + 2.25 + LONGEST_S
-        if not is_last_lost:
+        if answer is NOT_RUN:
             self.assertEqual('m2', self.tick(now)[0].value)
             return
         self.assertEqual([], self.tick(last_lost - 0.01))
