--- a/dandeliongw/coordination/holder.py
+++ b/dandeliongw/coordination/holder.py
@@ -188,8 +188,6 @@
         """Count one grantor's answers to a probe, an ask or a renewal."""
         if answers.life != self._life:
             return []
-        if sender not in self.quorum.everyone():
-            return []
         effects: list[typing.Any] = []
         claims: list[messages.LeaseClaim] = []
         for answer in answers.answers:
