Placement weighed: rendezvous hashing against a jump map

Conclusion: rendezvous stays; the jump map's gain in time needs positions that every instance agrees on and keeps for the dead. ranked_owners hashes without joining names.

--- a/dandeliongw/coordination/placement.py
+++ b/dandeliongw/coordination/placement.py
@@ -11,9 +11,6 @@
 
 import xxhash
 
-#: Between the two hashed names; no instance id or cell name contains it.
-_SEPARATOR = b'\0'
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Member:
@@ -33,26 +30,36 @@
 
     The best instance of each data centre comes before any second one of a
     data centre, so that a lost data centre leaves a deputy wherever there
-    are two.
+    are two. The answer costs a hash for each member: keep it until the
+    members change.
 
     :param cell: the cell's name.
     :param members: the live instances, in any order.
     :param count: how many to return; fewer if there are fewer members.
     """
-    key = cell.encode()
-    ranked = sorted(members, key=lambda member: _rank(key, member))
-    depth_by_data_centre: dict[str, int] = {}
-    spread = []
-    for position, member in enumerate(ranked):
-        depth = depth_by_data_centre.get(member.data_centre, 0)
-        depth_by_data_centre[member.data_centre] = depth + 1
-        spread.append((depth, position, member.instance_id))
-    spread.sort()
-    return tuple(instance_id for _, _, instance_id in spread[:count])
-
-
-def _rank(key: bytes, member: Member) -> tuple[int, str]:
-    name = member.instance_id.encode()
-    score = xxhash.xxh3_64_intdigest(key + _SEPARATOR + name)
-    # Equal scores must not be ordered by the order of the input.
-    return -score, member.instance_id
+    score = xxhash.xxh3_64_intdigest
+    seed = score(cell.encode())
+    data_centres = {
+        # An id after its score: equal scores must not go by the input.
+        (
+            score(member.instance_id.encode(), seed),
+            member.instance_id,
+        ): member.data_centre
+        for member in members
+    }
+    ranked = sorted(data_centres, reverse=True)
+    owners: list[str] = []
+    while ranked and len(owners) < count:
+        # A round takes the best that is left of each data centre.
+        seen: set[str] = set()
+        left = []
+        for rank in ranked:
+            if data_centres[rank] in seen:
+                left.append(rank)
+                continue
+            seen.add(data_centres[rank])
+            owners.append(rank[1])
+            if len(owners) == count:
+                break
+        ranked = left
+    return tuple(owners)
