--- a/dandeliongw/coordination/claim_attempts.py
+++ b/dandeliongw/coordination/claim_attempts.py
@@ -20,6 +20,8 @@
 MAX_RETRY_AFTER_S = 5.0
 
 Effects = list[typing.Any]
+Result = typing.Any
+UNSEEN = claim_slots.UNSEEN
 _State = messages.SlotState
 _Answer = messages.PutAnswer
 _Reason = messages.UnavailableReason
@@ -125,7 +127,10 @@
                 f' retention_s, {self.retention_s}'
             )
         if self._holder_set is None:
-            return [self._unavailable(begin.ticket, _Reason.NO_HOLDERS)]
+            refused = messages.ClaimsUnavailable(
+                retry_after_s=self._resend_s, reason=_Reason.NO_HOLDERS
+            )
+            return [parts.Complete(ticket=begin.ticket, result=refused)]
         attempt = _Attempt(
             begin=begin,
             give_up_at=begin.now + self._give_up_s,
@@ -244,7 +249,7 @@
         if rivals:
             if not final and not self._is_settled(attempt, rivals):
                 return []
-            return self._lose(now, attempt, _slots_of(attempt, rivals))
+            return self._lose(now, attempt, rivals)
         if final or self._is_other_call(attempt):
             return self._lose(now, attempt)
         return self._advance(now, attempt)
@@ -305,7 +310,7 @@
         for seen in later:
             if seen.slot.round == top and seen.is_older:
                 return self._enter_round(attempt, top)
-        return self._lose(now, attempt, later)
+        return self._end(now, attempt, self._blocked(later))
 
     def _rivals(self, attempt: _Attempt) -> frozenset[str]:
         return claim_slots.rivals(
@@ -368,23 +373,21 @@
         self,
         now: float,
         attempt: _Attempt,
-        blockers: abc.Sequence[claim_slots.SeenSlot] = (),
+        rivals: abc.Set[str] = frozenset(),
     ) -> Effects:
         """End without a grant, with what is known of those in the way."""
         if self._is_other_call(attempt):
             return self._end(now, attempt, messages.DigestMismatch())
-        return self._end(now, attempt, self._loss(attempt, blockers))
-
-    def _loss(
-        self, attempt: _Attempt, blockers: abc.Sequence[claim_slots.SeenSlot]
-    ) -> typing.Any:
+        blockers = _slots_of(attempt, rivals)
         if not blockers:
-            return messages.ClaimsUnavailable(
-                retry_after_s=self._resend_s,
-                reason=self._unavailable_reason(attempt),
-            )
-        if all(_is_of_other_call(attempt, seen) for seen in blockers):
-            return messages.DigestMismatch()
+            return self._end(now, attempt, self._unavailable(attempt))
+        # A rival that nobody has seen may be of the same call, and have run.
+        is_other = all(_is_of_other_call(attempt, one) for one in blockers)
+        if is_other and UNSEEN not in rivals:
+            return self._end(now, attempt, messages.DigestMismatch())
+        return self._end(now, attempt, self._blocked(blockers))
+
+    def _blocked(self, blockers: abc.Sequence[claim_slots.SeenSlot]) -> Result:
         remaining_s = max(self._remaining_s(seen) for seen in blockers)
         if remaining_s <= 0:
             return messages.OutcomeUnknown()
@@ -392,6 +395,12 @@
             retry_after_s=min(remaining_s, MAX_RETRY_AFTER_S)
         )
 
+    def _unavailable(self, attempt: _Attempt) -> messages.ClaimsUnavailable:
+        return messages.ClaimsUnavailable(
+            retry_after_s=self._resend_s,
+            reason=self._unavailable_reason(attempt),
+        )
+
     def _unavailable_reason(
         self, attempt: _Attempt
     ) -> messages.UnavailableReason:
@@ -599,14 +608,6 @@
     def _complete(self, attempt: _Attempt, result: typing.Any) -> typing.Any:
         return parts.Complete(ticket=attempt.begin.ticket, result=result)
 
-    def _unavailable(
-        self, ticket: str, reason: messages.UnavailableReason
-    ) -> typing.Any:
-        result = messages.ClaimsUnavailable(
-            retry_after_s=self._resend_s, reason=reason
-        )
-        return parts.Complete(ticket=ticket, result=result)
-
     def _drop_old(self, now: float) -> None:
         """Drop granted attempts that nobody finished or abandoned."""
         for attempt_id, attempt in list(self._granted_by_id.items()):
--- a/dandeliongw/coordination/claim_slots.py
+++ b/dandeliongw/coordination/claim_slots.py
@@ -12,6 +12,9 @@
 #: Two monotonic clocks drift apart by less than this share.
 CLOCK_DRIFT = 0.001
 
+#: Stands for attempts that no answer has shown.
+UNSEEN = ''
+
 _State = messages.SlotState
 
 
@@ -93,8 +96,8 @@
 
     A slot never changes hands within a round, so an attempt that can't have
     a majority of what is seen and what is unseen never had one and never
-    gets one. What nobody has seen counts for everybody: the empty attempt
-    id stands for one that was never seen.
+    gets one. What nobody has seen counts for everybody, also for attempts
+    that no answer has shown, for which :data:`UNSEEN` stands.
 
     :param attempt_id: the one that asks; it knows that it did not win.
     """
@@ -110,7 +113,7 @@
         if is_withdrawn_before(seen)
     }
     never_ran.add(attempt_id)
-    suspects = {seen.slot.attempt_id for seen in shown.values()} | {''}
+    suspects = {seen.slot.attempt_id for seen in shown.values()} | {UNSEEN}
     return frozenset(
         suspect
         for suspect in suspects - never_ran
--- a/dandeliongw/coordination/claims.py
+++ b/dandeliongw/coordination/claims.py
@@ -13,6 +13,42 @@
 from . import claim_messages as messages
 from . import claim_slots
 from . import parts
+from .claim_messages import Abandon
+from .claim_messages import Begin
+from .claim_messages import CaughtUp
+from .claim_messages import ClaimsUnavailable
+from .claim_messages import DigestMismatch
+from .claim_messages import Finish
+from .claim_messages import Granted
+from .claim_messages import HoldersChanged
+from .claim_messages import InProgress
+from .claim_messages import MESSAGES
+from .claim_messages import NotRecorded
+from .claim_messages import OutcomeUnknown
+from .claim_messages import Recorded
+from .claim_messages import RECORDS
+from .claim_messages import Replayed
+from .claim_messages import UnavailableReason
+
+__all__ = [
+    'Abandon',
+    'Begin',
+    'CaughtUp',
+    'Claims',
+    'ClaimsUnavailable',
+    'DigestMismatch',
+    'Finish',
+    'Granted',
+    'HoldersChanged',
+    'InProgress',
+    'MESSAGES',
+    'NotRecorded',
+    'OutcomeUnknown',
+    'RECORDS',
+    'Recorded',
+    'Replayed',
+    'UnavailableReason',
+]
 
 Effects = list[typing.Any]
 
--- /dev/null
+++ b/specs/claims_spec.py
@@ -0,0 +1,759 @@
+"""One key's claims: rounds, withdrawals, syncs, lost disks, repairs.
+
+Three holders. A state is ``(holders, attempts, repair)``. Holders stand in
+sorted order, so that states that differ by their names only are one state.
+``docs/CLAIMS.md`` names the function behind every transition.
+
+What is folded together, and why nothing is lost by it:
+
+* A message that was sent may arrive at any later time, once, again or never;
+  so none is kept: its arrival is a step that its sender's past allows.
+* A reply is noted by its attempt when the holder gives it. A late one is
+  noted early but used late, as decisions are steps of their own; one that is
+  lost is noted and never used.
+* An entry that crashes is an attempt that takes no more steps. A *ghost* is
+  an attempt whose entry died when its puts had been sent.
+* Time-outs are steps that can be taken at any moment.
+"""
+
+import typing
+
+import minicheck
+
+import specs
+
+HOLDERS = 3
+MAJORITY = 2
+
+# What a slot says of its attempt.
+CLAIMED, WITHDRAWN, RECORDED, CONTESTED = range(4)
+# Status of an attempt. GONE: it ended without running, and withdraws;
+# TOLD: it told an outcome, its own or another's.
+IDLE, ASKING, GRANTED, RAN, GONE, REPLAYING, TOLD = range(7)
+# Status of a holder's disk.
+COUNTED, LOST, JOINING = range(3)
+
+FREE: tuple = ()
+Slot = tuple[int, ...]
+
+
+class Holder(typing.NamedTuple):
+    """A holder, and what each attempt knows of it.
+
+    :param slot: in memory; ``(round, attempt, what)`` or ``FREE``.
+    :param synced: the slot on the disk.
+    :param epoch: the highest one that it acts under.
+    :param sources: how many others a joining one has copied.
+    :param given: to a joining one: whether this holder was copied.
+    :param seen: by attempt: the last reply, or ``FREE``.
+    :param changed: bits of attempts in whose time the slot has changed.
+    """
+
+    slot: Slot
+    synced: Slot
+    disk: int
+    epoch: int
+    sources: int
+    given: bool
+    seen: tuple[Slot, ...]
+    changed: int
+
+
+class Attempt(typing.NamedTuple):
+    """An attempt at its entry.
+
+    :param barred: a caller was told "not run" after it had begun.
+    :param ran: it was let loose on a backend server.
+    """
+
+    status: int
+    round: int
+    epoch: int
+    barred: bool
+    ran: bool
+
+
+class Repair(typing.NamedTuple):
+    """The register's epoch, and what may still go wrong."""
+
+    epoch: int
+    losses: int
+    crashes: int
+
+
+SAFEGUARDS_BY_NAME = {
+    'sync_before_grant': 'a crash frees a slot that was granted',
+    'sync_before_refusal': 'a crash frees a slot that proved a round dead',
+    'majority_before_run': 'two attempts run on a holder each',
+    'one_owner_in_a_round': 'a slot counts for two attempts of a round',
+    'withdrawal_uses_slot_up': 'a freed slot makes a second majority',
+    'withdrawal_of_own_only': "another attempt's slot looks withdrawn",
+    'withdrawn_never_runs': 'a late grant runs what was said not to run',
+    'unseen_holders_feared': 'the next round starts while one may have won',
+    'expired_never_reruns': 'a slow attempt runs beside its successor',
+    'lower_round_refused': 'a late put takes a slot back from a later round',
+    'grants_of_one_round': 'grants of a dead round make a majority',
+    'withdrawal_before_begin': 'told "not run", an earlier send then runs',
+    'later_round_before_begin': 'the same, by way of a round of others',
+    'empty_disk_is_unknown': 'an empty disk answers "free"',
+    'catching_up_not_counted': 'a joining holder answers before it knows',
+    'copy_from_majority': 'a joining holder misses what one other knows',
+    'copy_under_new_epoch': 'a grant slips in behind the copy',
+    'old_epoch_refused': 'the same, where the holder forgets to look',
+    'grants_of_one_epoch': 'grants of a lost disk make a majority',
+    'epoch_synced': 'a restarted holder grants under the old epoch',
+    'contested_never_resolved': 'one of two is picked, the other ran',
+    'used_slot_contests': 'a withdrawn slot is overlooked in a merge',
+    'outcome_on_majority': 'a told outcome is lost with one disk',
+    'replay_written_back': 'an outcome is told from a disk that is lost',
+    'outcomes_of_one_epoch': 'an outcome slips in behind the copy',
+}
+
+
+class Bounds(typing.NamedTuple):
+    """What happens in a model, and how often.
+
+    :param full: attempts with a working entry.
+    :param ghosts: attempts whose entry gave up, or died, after its puts.
+    :param rounds: how many rounds there are.
+    :param withdrawals: whether an attempt may give up and say so.
+    :param abandons: whether a granted attempt may be abandoned.
+    :param outcomes: whether outcomes are recorded and replayed.
+    :param resends: whether an attempt begins only when one has run.
+    """
+
+    full: int = 2
+    ghosts: int = 0
+    rounds: int = 1
+    crashes: int = 0
+    losses: int = 0
+    withdrawals: bool = False
+    abandons: bool = False
+    outcomes: bool = False
+    resends: bool = False
+
+    @property
+    def attempts(self) -> int:
+        """How many attempts there are in all."""
+        return self.full + self.ghosts
+
+
+class State(typing.NamedTuple):
+    """All of it; ``minicheck`` sees the same three fields."""
+
+    holders: tuple[Holder, ...]
+    attempts: tuple[Attempt, ...]
+    repair: Repair
+
+
+Step = tuple[str, State]
+
+
+class Claims:
+    """The transitions, with one safeguard left out or none."""
+
+    def __init__(self, *, bounds: Bounds, without: str | None) -> None:
+        self.bounds = bounds
+        self.without = without
+
+    def lacks(self, safeguard: str) -> bool:
+        return self.without == safeguard
+
+    def initial(self) -> State:
+        bounds = self.bounds
+        holder = Holder(
+            FREE,
+            FREE,
+            COUNTED,
+            0,
+            0,
+            False,
+            (FREE,) * bounds.full,
+            0,
+        )
+        idle = Attempt(IDLE, 0, 0, False, False)
+        asking = idle._replace(status=ASKING)
+        first = idle if bounds.abandons else asking
+        later = idle if bounds.abandons or bounds.resends else asking
+        ghosts = (idle._replace(status=GONE),) * bounds.ghosts
+        attempts = (first, *(later,) * (bounds.full - 1), *ghosts)
+        repair = Repair(0, bounds.losses, bounds.crashes)
+        return State((holder,) * HOLDERS, attempts, repair)
+
+    def transitions(self, state: tuple) -> list[Step]:
+        state = State(*state)
+        steps: list[Step] = []
+        for number, attempt in enumerate(state.attempts):
+            steps += self.attempt_steps(state, number, attempt)
+        for number, holder in enumerate(state.holders):
+            steps += self.holder_steps(state, number, holder)
+        if self.bounds.losses:
+            steps += self.repair_steps(state)
+        return [
+            (label, State(tuple(sorted(after.holders)), *after[1:]))
+            for label, after in steps
+        ]
+
+    # Attempts, at their entries.
+
+    def attempt_steps(
+        self, state: State, number: int, attempt: Attempt
+    ) -> list[Step]:
+        if attempt.status == IDLE:
+            return self.begin(state, number, attempt)
+        steps = self.messages(state, number, attempt)
+        if number >= self.bounds.full:
+            return steps
+        is_at_work = attempt.status in (ASKING, REPLAYING) or (
+            attempt.status == RAN and self.bounds.outcomes
+        )
+        if is_at_work and attempt.epoch < state.repair.epoch:
+            steps.append(self.learn_epoch(state, number, attempt))
+        if attempt.status == ASKING:
+            steps += self.decide(state, number, attempt)
+        elif attempt.status == GONE and self.lacks('withdrawn_never_runs'):
+            steps += self.grant(state, number, attempt)
+        elif attempt.status == GRANTED:
+            steps += self.use_grant(state, number, attempt)
+        elif attempt.status in (RAN, REPLAYING):
+            steps += self.tell(state, number, attempt)
+        return steps
+
+    def begin(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        # One that begins late is one that asks and is not heard; so this is
+        # a step of its own only where the moment matters.
+        before = state.attempts[number - 1] if number else None
+        if before and before.status == IDLE:
+            return []
+        if before and self.bounds.resends and not before.ran:
+            return []
+        begun = attempt._replace(status=ASKING, epoch=state.repair.epoch)
+        return [(f'begin {number}', _with_attempt(state, number, begun))]
+
+    def messages(
+        self, state: State, number: int, attempt: Attempt
+    ) -> list[Step]:
+        steps: list[Step] = []
+        for at, holder in enumerate(state.holders):
+            for round in range(attempt.round + 1):
+                steps += self.put(state, number, at, round)
+            asks = attempt.status == ASKING or (
+                attempt.status == GONE and self.lacks('withdrawn_never_runs')
+            )
+            if asks and number < self.bounds.full:
+                steps += self.reply(state, number, at, holder)
+            if attempt.status == GONE:
+                steps += self.withdraw(state, number, at, holder)
+            if attempt.status in (RAN, REPLAYING) and self.bounds.outcomes:
+                steps += self.record(state, number, at, holder)
+        return steps
+
+    def decide(
+        self, state: State, number: int, attempt: Attempt
+    ) -> list[Step]:
+        steps = self.grant(state, number, attempt)
+        if self.bounds.withdrawals:
+            gone = attempt._replace(status=GONE)
+            lost = _with_attempt(state, number, gone)
+            if not self.lacks('withdrawn_never_runs'):
+                lost = _forget_seen(lost, number)
+            steps.append((f'lose {number}', lost))
+        if any(seen[2:3] == (RECORDED,) for seen in _seen(state, number)):
+            if self.bounds.outcomes:
+                replaying = attempt._replace(status=REPLAYING)
+                steps.append(
+                    (
+                        f'replay {number}',
+                        _with_attempt(state, number, replaying),
+                    )
+                )
+            return steps
+        return steps + self.next_round(state, number, attempt)
+
+    def grant(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        if self.lacks('grants_of_one_round'):
+            own = sum(
+                seen[1:3] == (number, CLAIMED) for seen in _seen(state, number)
+            )
+        else:
+            slot = (attempt.round, number, CLAIMED)
+            own = sum(seen[:3] == slot for seen in _seen(state, number))
+        enough = 1 if self.lacks('majority_before_run') else MAJORITY
+        if own < enough:
+            return []
+        # What is granted may run at any time; unless it may be abandoned
+        # instead, it counts as run at once.
+        granted = attempt._replace(status=RAN, ran=True)
+        if self.bounds.abandons:
+            granted = attempt._replace(status=GRANTED)
+        granted = _with_attempt(state, number, granted)
+        return [(f'grant {number}', _forget_seen(granted, number))]
+
+    def next_round(
+        self, state: State, number: int, attempt: Attempt
+    ) -> list[Step]:
+        steps = []
+        seen = [one for one in _seen(state, number) if one]
+        later = [one for one in seen if one[0] > attempt.round]
+        old = any(one[3] for one in later)
+        if later and not old and not self.lacks('later_round_before_begin'):
+            return []
+        if not later and attempt.round + 1 == self.bounds.rounds:
+            return []
+        if later or not self.may_have_winner(number, attempt, seen):
+            round = later[0][0] if later else attempt.round + 1
+            moved = _with_attempt(state, number, attempt._replace(round=round))
+            if not self.lacks('grants_of_one_round'):
+                moved = _forget_seen(moved, number)
+            steps.append((f'{number} goes to round {round}', moved))
+        return steps
+
+    def may_have_winner(
+        self, number: int, attempt: Attempt, seen: list[Slot]
+    ) -> bool:
+        """The rule of ``claim_slots.rivals``."""
+        shown = [one for one in seen if one[2] != CONTESTED]
+        unseen = HOLDERS - len(shown)
+        if self.lacks('unseen_holders_feared'):
+            unseen = 0
+        never_ran = {number}
+        for one in shown:
+            before = one[3] or self.lacks('withdrawal_before_begin')
+            if one[2] == WITHDRAWN and before:
+                never_ran.add(one[1])
+            if self.lacks('expired_never_reruns'):
+                never_ran.add(one[1])
+        if unseen >= MAJORITY:
+            return True
+        for rival in {one[1] for one in shown} - never_ran:
+            if unseen + sum(one[1] == rival for one in shown) >= MAJORITY:
+                return True
+        return False
+
+    def use_grant(
+        self, state: State, number: int, attempt: Attempt
+    ) -> list[Step]:
+        ran = attempt._replace(status=RAN, ran=True)
+        steps = [(f'{number} runs', _with_attempt(state, number, ran))]
+        if self.bounds.abandons:
+            others = tuple(
+                other._replace(barred=other.status not in (IDLE, GONE))
+                for other in state.attempts
+            )
+            told = state._replace(attempts=others)
+            gone = attempt._replace(status=GONE)
+            steps.append(
+                (
+                    f'{number} is told not run',
+                    _with_attempt(told, number, gone),
+                )
+            )
+        return steps
+
+    def tell(self, state: State, number: int, attempt: Attempt) -> list[Step]:
+        if not self.bounds.outcomes:
+            return []
+        kept = sum(seen[2:3] == (RECORDED,) for seen in _seen(state, number))
+        enough = MAJORITY
+        if attempt.status == RAN and self.lacks('outcome_on_majority'):
+            enough = 1
+        if attempt.status == REPLAYING and self.lacks('replay_written_back'):
+            enough = 1
+        if kept < enough:
+            return []
+        told = attempt._replace(status=TOLD)
+        told_state = _with_attempt(state, number, told)
+        return [(f'{number} tells', _forget_seen(told_state, number))]
+
+    def learn_epoch(self, state: State, number: int, attempt: Attempt) -> Step:
+        learnt = _with_attempt(
+            state, number, attempt._replace(epoch=attempt.epoch + 1)
+        )
+        keeps = 'grants_of_one_epoch'
+        if attempt.status in (RAN, REPLAYING):
+            keeps = 'outcomes_of_one_epoch'
+        if not self.lacks(keeps):
+            learnt = _forget_seen(learnt, number)
+        return (f'entry of {number} learns the epoch', learnt)
+
+    # Messages, at a holder.
+
+    def counts(self, state: State, holder: Holder, epoch: int) -> bool:
+        """The rule of ``Holder._accepts``."""
+        if holder.disk == LOST:
+            return self.lacks('empty_disk_is_unknown')
+        if holder.disk == JOINING:
+            early = self.lacks('catching_up_not_counted')
+            return early and holder.epoch == epoch
+        if self.lacks('old_epoch_refused') and epoch < holder.epoch:
+            return True
+        return holder.epoch == epoch
+
+    def put(
+        self, state: State, number: int, at: int, round: int
+    ) -> list[Step]:
+        attempt, holder = state.attempts[number], state.holders[at]
+        # A put that was sent in an earlier epoch may come now.
+        epochs = range(attempt.epoch + 1)
+        if not any(self.counts(state, holder, epoch) for epoch in epochs):
+            return []
+        if not self.gives_way(holder.slot, round):
+            return []
+        slot = (round, number, CLAIMED)
+        written = self.write(state, at, slot)
+        holder = written.holders[at]
+        is_asked = attempt.status == ASKING and round == attempt.round
+        if is_asked and number < self.bounds.full and not self.bounds.crashes:
+            if self.counts(state, holder, attempt.epoch):
+                _, written = self.see(written, number, at, holder)
+        return [(f'put {number} round {round}', written)]
+
+    def gives_way(self, slot: Slot, round: int) -> bool:
+        if slot == FREE:
+            return True
+        if slot[2] == RECORDED:
+            return False
+        if slot[0] == round:
+            return self.lacks('one_owner_in_a_round') and slot[2] == CLAIMED
+        return slot[0] < round or self.lacks('lower_round_refused')
+
+    def reply(
+        self, state: State, number: int, at: int, holder: Holder
+    ) -> list[Step]:
+        attempt = state.attempts[number]
+        slot = holder.slot
+        if not self.counts(state, holder, attempt.epoch):
+            return []
+        if slot == FREE or slot[0] < attempt.round:
+            return []
+        is_own = slot == (attempt.round, number, CLAIMED)
+        unsafe = self.lacks(
+            'sync_before_grant' if is_own else 'sync_before_refusal'
+        )
+        if not unsafe:
+            # The reply has waited for the sync.
+            holder = holder._replace(synced=slot)
+        return [self.see(state, number, at, holder)]
+
+    def see(self, state: State, number: int, at: int, holder: Holder) -> Step:
+        shown = (*holder.slot, not holder.changed & 1 << number)
+        seen = _replaced(holder.seen, number, shown)
+        return (
+            f'{number} sees {shown}',
+            _with_holder(state, at, holder._replace(seen=seen)),
+        )
+
+    def withdraw(
+        self, state: State, number: int, at: int, holder: Holder
+    ) -> list[Step]:
+        attempt = state.attempts[number]
+        slot = holder.slot
+        if not self.counts(state, holder, holder.epoch):
+            return []
+        mine = slot[:2] == (attempt.round, number) and slot[2] == CLAIMED
+        if slot and self.lacks('withdrawal_of_own_only'):
+            mine = slot[2] == CLAIMED
+        if slot and not mine and not slot[0] < attempt.round:
+            return []
+        if slot and slot[2] == RECORDED:
+            return []
+        after: Slot = (attempt.round, number, WITHDRAWN)
+        if self.lacks('withdrawal_uses_slot_up') and mine:
+            after = FREE
+        elif mine:
+            after = (slot[0], slot[1], WITHDRAWN)
+        return [(f'withdraw {number}', self.write(state, at, after))]
+
+    def record(
+        self, state: State, number: int, at: int, holder: Holder
+    ) -> list[Step]:
+        attempt = state.attempts[number]
+        epochs = [attempt.epoch]
+        if self.lacks('outcomes_of_one_epoch'):
+            epochs = list(range(attempt.epoch + 1))
+        if not any(self.counts(state, holder, one) for one in epochs):
+            return []
+        steps = []
+        if holder.slot[2:] != (RECORDED,):
+            slot = (*self.outcome_of(state, number), RECORDED)
+            steps.append((f'record {number}', self.write(state, at, slot)))
+        else:
+            steps.append(self.see(state, number, at, holder))
+        return steps
+
+    def outcome_of(self, state: State, number: int) -> tuple[int, int]:
+        attempt = state.attempts[number]
+        if attempt.ran:
+            return (attempt.round, number)
+        for other, winner in enumerate(state.attempts):
+            if winner.ran:
+                return (winner.round, other)
+        raise AssertionError('an outcome without a run')
+
+    def write(self, state: State, at: int, slot: Slot) -> State:
+        holder = state.holders[at]
+        changed = 0
+        if self.bounds.abandons:
+            for number in range(self.bounds.full):
+                if state.attempts[number].status == ASKING:
+                    changed |= 1 << number
+        # A sync that nobody waits for changes nothing but what a crash
+        # leaves; so it is part of the reply that waits for it.
+        synced = holder.synced if state.repair.crashes else slot
+        return _with_holder(
+            state,
+            at,
+            holder._replace(
+                slot=slot,
+                synced=synced,
+                changed=holder.changed | changed,
+            ),
+        )
+
+    # Holders: syncs, crashes, lost disks, repairs.
+
+    def holder_steps(
+        self, state: State, at: int, holder: Holder
+    ) -> list[Step]:
+        steps = []
+        repair = state.repair
+        if repair.crashes and (
+            holder.slot != holder.synced or self.lacks('epoch_synced')
+        ):
+            steps.append(self.crash(state, at, holder))
+        if holder.epoch < repair.epoch and holder.disk != LOST:
+            learnt = holder._replace(epoch=holder.epoch + 1)
+            steps.append(
+                ('holder learns the epoch', _with_holder(state, at, learnt))
+            )
+        return steps
+
+    def crash(self, state: State, at: int, holder: Holder) -> Step:
+        crashed = holder._replace(slot=holder.synced)
+        if self.lacks('epoch_synced'):
+            crashed = crashed._replace(epoch=max(holder.epoch - 1, 0))
+        left = state.repair._replace(crashes=state.repair.crashes - 1)
+        after = _with_holder(state, at, crashed)._replace(repair=left)
+        if not left.crashes:
+            after = _synced(after)
+        return ('holder crashes', after)
+
+    def repair_steps(self, state: State) -> list[Step]:
+        disks = [holder.disk for holder in state.holders]
+        if LOST in disks:
+            return [self.join(state, disks.index(LOST))]
+        if JOINING in disks:
+            return self.copy_steps(state, disks.index(JOINING))
+        if not state.repair.losses:
+            return []
+        return [
+            self.lose_disk(state, at, holder)
+            for at, holder in enumerate(state.holders)
+        ]
+
+    def lose_disk(self, state: State, at: int, holder: Holder) -> Step:
+        empty = holder._replace(slot=FREE, synced=FREE, disk=LOST)
+        left = state.repair._replace(losses=state.repair.losses - 1)
+        return (
+            'disk lost',
+            _with_holder(state, at, empty)._replace(repair=left),
+        )
+
+    def join(self, state: State, at: int) -> Step:
+        epoch = state.repair.epoch + 1
+        holder = state.holders[at]._replace(
+            slot=FREE, synced=FREE, disk=JOINING, epoch=epoch
+        )
+        joined = _with_holder(state, at, holder)
+        return (
+            'holder joins with an empty disk',
+            joined._replace(repair=state.repair._replace(epoch=epoch)),
+        )
+
+    def copy_steps(self, state: State, at: int) -> list[Step]:
+        joining = state.holders[at]
+        epoch = state.repair.epoch
+        steps = []
+        needed = 1 if self.lacks('copy_from_majority') else MAJORITY
+        if joining.sources >= needed:
+            return [self.count(state, at)]
+        for source, holder in enumerate(state.holders):
+            if source == at or holder.given:
+                continue
+            if holder.epoch < epoch and not self.lacks('copy_under_new_epoch'):
+                continue
+            copied = _with_holder(state, source, holder._replace(given=True))
+            merged = self.merge(joining.slot, holder.slot)
+            target = joining._replace(sources=joining.sources + 1)
+            if merged != joining.slot:
+                copied = self.write(copied, at, merged)
+                target = copied.holders[at]._replace(sources=target.sources)
+            steps.append(
+                (f'copy {holder.slot}', _with_holder(copied, at, target))
+            )
+        return steps
+
+    def merge(self, one: Slot, other: Slot) -> Slot:
+        """The rule of ``claim_slots.merge``."""
+        if FREE in (one, other):
+            return one or other
+        if RECORDED in (one[2], other[2]):
+            return one if one[2] == RECORDED else other
+        if one[0] != other[0]:
+            return max(one, other)
+        if one[:2] == other[:2]:
+            return max(one, other)
+        if self.lacks('contested_never_resolved'):
+            return min(one, other)
+        claimed = [slot for slot in (one, other) if slot[2] == CLAIMED]
+        if self.lacks('used_slot_contests') and len(claimed) == 1:
+            return claimed[0]
+        return (one[0], -1, CONTESTED)
+
+    def count(self, state: State, at: int) -> Step:
+        epoch = state.repair.epoch + 1
+        holders = tuple(
+            holder._replace(given=False) for holder in state.holders
+        )
+        counted = state._replace(holders=holders)
+        holder = holders[at]._replace(disk=COUNTED, sources=0)
+        return (
+            'repair is finished',
+            _with_holder(counted, at, holder)._replace(
+                repair=state.repair._replace(epoch=epoch)
+            ),
+        )
+
+
+def _replaced(items: tuple, index: int, item: typing.Any) -> tuple:
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def _with_holder(state: State, at: int, holder: Holder) -> State:
+    return state._replace(holders=_replaced(state.holders, at, holder))
+
+
+def _with_attempt(state: State, number: int, attempt: Attempt) -> State:
+    return state._replace(attempts=_replaced(state.attempts, number, attempt))
+
+
+def _synced(state: State) -> State:
+    holders = (one._replace(synced=one.slot) for one in state.holders)
+    return state._replace(holders=tuple(holders))
+
+
+def _seen(state: State, number: int) -> list[Slot]:
+    return [holder.seen[number] for holder in state.holders]
+
+
+def _forget_seen(state: State, number: int) -> State:
+    holders = tuple(
+        holder._replace(seen=_replaced(holder.seen, number, FREE))
+        for holder in state.holders
+    )
+    return state._replace(holders=holders)
+
+
+def at_most_one_runs(state: dict[str, typing.Any]) -> bool:
+    return sum(one.ran for one in state['attempts']) <= 1
+
+
+def not_run_is_true(state: dict[str, typing.Any]) -> bool:
+    return not any(one.barred and one.ran for one in state['attempts'])
+
+
+def told_outcome_stays(state: dict[str, typing.Any]) -> bool:
+    """No majority that can answer is without a told outcome."""
+    if not any(one.status == TOLD for one in state['attempts']):
+        return True
+    without = sum(
+        holder.disk == COUNTED and holder.synced[2:] != (RECORDED,)
+        for holder in state['holders']
+    )
+    return without < MAJORITY
+
+
+INVARIANTS = {
+    'at_most_one_runs': at_most_one_runs,
+    'not_run_is_true': not_run_is_true,
+    'told_outcome_stays': told_outcome_stays,
+}
+
+ROUNDS = Bounds(full=2, ghosts=1, rounds=2)
+CRASHES = ROUNDS._replace(crashes=1)
+ABANDONS = Bounds(full=2, rounds=2, withdrawals=True, abandons=True)
+LATER_ROUNDS = Bounds(full=3, rounds=2, abandons=True)
+REPAIRS = Bounds(full=2, losses=1)
+REPAIRS_WITH_CRASH = REPAIRS._replace(crashes=1)
+REPAIRS_WITH_ROUNDS = ROUNDS._replace(losses=1)
+TWO_REPAIRS = Bounds(full=2, losses=2, resends=True)
+OUTCOMES = Bounds(full=1, losses=2, outcomes=True)
+REPLAYS = Bounds(full=2, losses=1, outcomes=True, resends=True)
+
+SWEPT = (
+    ROUNDS,
+    CRASHES,
+    ABANDONS,
+    REPAIRS,
+    TWO_REPAIRS,
+    OUTCOMES,
+    REPLAYS,
+)
+#: Where the harm of a missing safeguard shows; elsewhere: ``ROUNDS``.
+SHOWN_BY_SAFEGUARD = {
+    'sync_before_grant': CRASHES,
+    'sync_before_refusal': CRASHES,
+    'withdrawn_never_runs': ABANDONS,
+    'withdrawal_before_begin': ABANDONS,
+    'later_round_before_begin': LATER_ROUNDS,
+    'empty_disk_is_unknown': REPAIRS,
+    'catching_up_not_counted': REPAIRS,
+    'copy_from_majority': REPAIRS,
+    'copy_under_new_epoch': REPAIRS,
+    'old_epoch_refused': REPAIRS,
+    'grants_of_one_epoch': REPAIRS,
+    'epoch_synced': REPAIRS_WITH_CRASH,
+    'contested_never_resolved': REPAIRS,
+    'used_slot_contests': REPAIRS_WITH_ROUNDS,
+    'outcome_on_majority': OUTCOMES,
+    'replay_written_back': REPLAYS,
+    'outcomes_of_one_epoch': OUTCOMES,
+}
+
+
+def _describe(bounds: Bounds) -> str:
+    given = [
+        f'{value} {name}' if value is not True else name
+        for name, value in bounds._asdict().items()
+        if value
+    ]
+    return f'{HOLDERS} holders, {", ".join(given)}'
+
+
+def _model(bounds: Bounds, without: str | None = None) -> specs.BoundedModel:
+    claims = Claims(bounds=bounds, without=without)
+    return specs.BoundedModel(
+        bounds=_describe(bounds),
+        protocol=minicheck.Protocol(
+            name='claims',
+            candidate=False,
+            fields=State._fields,
+            initial=claims.initial(),
+            transitions=claims.transitions,
+            invariants=INVARIANTS,
+        ),
+        reached=_reached(bounds),
+        max_states=500_000,
+    )
+
+
+def _reached(bounds: Bounds) -> dict[str, typing.Any]:
+    """What has to happen in a model, lest it prove nothing."""
+    return {'a run': lambda state: any(one.ran for one in state['attempts'])}
+
+
+def build(*, without: str | None = None) -> tuple[specs.BoundedModel, ...]:
+    """Return the models to sweep, or the one that shows the harm."""
+    if without is None:
+        return tuple(_model(bounds) for bounds in SWEPT)
+    return (_model(SHOWN_BY_SAFEGUARD.get(without, ROUNDS), without),)
