--- a/specs/claims_spec.py
+++ b/specs/claims_spec.py
@@ -99,6 +99,7 @@
     'catching_up_not_counted': 'a joining holder answers before it knows',
     'copy_from_majority': 'a joining holder misses what one other knows',
     'copy_under_new_epoch': 'a grant slips in behind the copy',
+    'copy_synced': 'a crash frees a slot of a holder that was repaired',
     'old_epoch_refused': 'the same, where the holder forgets to look',
     'grants_of_one_epoch': 'grants of a lost disk make a majority',
     'epoch_synced': 'a restarted holder grants under the old epoch',
@@ -119,7 +120,8 @@
     :param withdrawals: whether an attempt may give up and say so.
     :param abandons: whether a granted attempt may be abandoned.
     :param outcomes: whether outcomes are recorded and replayed.
-    :param resends: whether an attempt begins only when one has run.
+    :param resends: whether the second attempt begins only when the first
+        has run, whose entry then dies before it can tell the outcome.
     """
 
     full: int = 2
@@ -185,7 +187,7 @@
         steps: list[Step] = []
         for number, attempt in enumerate(state.attempts):
             steps += self.attempt_steps(state, number, attempt)
-        for number, holder in enumerate(state.holders):
+        for number, holder in _distinct(state.holders):
             steps += self.holder_steps(state, number, holder)
         if self.bounds.losses:
             steps += self.repair_steps(state)
@@ -234,7 +236,7 @@
         self, state: State, number: int, attempt: Attempt
     ) -> list[Step]:
         steps: list[Step] = []
-        for at, holder in enumerate(state.holders):
+        for at, holder in _distinct(state.holders):
             for round in range(attempt.round + 1):
                 steps += self.put(state, number, at, round)
             asks = attempt.status == ASKING or (
@@ -389,16 +391,20 @@
             return True
         return holder.epoch == epoch
 
+    def counts_once(self, state: State, holder: Holder, newest: int) -> bool:
+        """Whether a message of this or an earlier epoch may come now."""
+        if holder.disk == COUNTED:
+            return holder.epoch <= newest or self.lacks('old_epoch_refused')
+        return self.counts(state, holder, min(holder.epoch, newest))
+
     def put(
         self, state: State, number: int, at: int, round: int
     ) -> list[Step]:
         attempt, holder = state.attempts[number], state.holders[at]
-        # A put that was sent in an earlier epoch may come now.
-        epochs = range(attempt.epoch + 1)
-        if not any(self.counts(state, holder, epoch) for epoch in epochs):
-            return []
         if not self.gives_way(holder.slot, round):
             return []
+        if not self.counts_once(state, holder, attempt.epoch):
+            return []
         slot = (round, number, CLAIMED)
         written = self.write(state, at, slot)
         holder = written.holders[at]
@@ -432,16 +438,14 @@
         )
         if not unsafe:
             # The reply has waited for the sync.
-            holder = holder._replace(synced=slot)
+            holder = Holder(slot, slot, *holder[2:])
         return [self.see(state, number, at, holder)]
 
     def see(self, state: State, number: int, at: int, holder: Holder) -> Step:
         shown = (*holder.slot, not holder.changed & 1 << number)
         seen = _replaced(holder.seen, number, shown)
-        return (
-            f'{number} sees {shown}',
-            _with_holder(state, at, holder._replace(seen=seen)),
-        )
+        shown_to = Holder(*holder[:6], seen, holder.changed)
+        return (f'{number} sees {shown}', _with_holder(state, at, shown_to))
 
     def withdraw(
         self, state: State, number: int, at: int, holder: Holder
@@ -477,7 +481,7 @@
         if holder.slot[2:] != (RECORDED,):
             slot = (*self.outcome_of(state, number), RECORDED)
             steps.append((f'record {number}', self.write(state, at, slot)))
-        else:
+        elif number or not self.bounds.resends:
             steps.append(self.see(state, number, at, holder))
         return steps
 
@@ -500,15 +504,9 @@
         # A sync that nobody waits for changes nothing but what a crash
         # leaves; so it is part of the reply that waits for it.
         synced = holder.synced if state.repair.crashes else slot
-        return _with_holder(
-            state,
-            at,
-            holder._replace(
-                slot=slot,
-                synced=synced,
-                changed=holder.changed | changed,
-            ),
-        )
+        changed |= holder.changed
+        written = Holder(slot, synced, *holder[2:7], changed)
+        return _with_holder(state, at, written)
 
     # Holders: syncs, crashes, lost disks, repairs.
 
@@ -517,10 +515,10 @@
     ) -> list[Step]:
         steps = []
         repair = state.repair
-        if repair.crashes and (
-            holder.slot != holder.synced or self.lacks('epoch_synced')
-        ):
-            steps.append(self.crash(state, at, holder))
+        has_something_to_lose = holder.slot != holder.synced
+        if has_something_to_lose or self.lacks('epoch_synced'):
+            if repair.crashes and holder.disk != LOST:
+                steps.append(self.crash(state, at, holder))
         if holder.epoch < repair.epoch and holder.disk != LOST:
             learnt = holder._replace(epoch=holder.epoch + 1)
             steps.append(
@@ -533,7 +531,12 @@
         if self.lacks('epoch_synced'):
             crashed = crashed._replace(epoch=max(holder.epoch - 1, 0))
         left = state.repair._replace(crashes=state.repair.crashes - 1)
-        after = _with_holder(state, at, crashed)._replace(repair=left)
+        after = state._replace(repair=left)
+        if holder.disk == JOINING:
+            # It copies anew, and keeps nothing of what it had copied.
+            after = _forget_copies(after)
+            crashed = crashed._replace(slot=FREE, synced=FREE, sources=0)
+        after = _with_holder(after, at, crashed)
         if not left.crashes:
             after = _synced(after)
         return ('holder crashes', after)
@@ -548,14 +551,14 @@
             return []
         return [
             self.lose_disk(state, at, holder)
-            for at, holder in enumerate(state.holders)
+            for at, holder in _distinct(state.holders)
         ]
 
     def lose_disk(self, state: State, at: int, holder: Holder) -> Step:
         empty = holder._replace(slot=FREE, synced=FREE, disk=LOST)
         left = state.repair._replace(losses=state.repair.losses - 1)
         return (
-            'disk lost',
+            f'disk with {holder.slot} is lost',
             _with_holder(state, at, empty)._replace(repair=left),
         )
 
@@ -612,11 +615,10 @@
 
     def count(self, state: State, at: int) -> Step:
         epoch = state.repair.epoch + 1
-        holders = tuple(
-            holder._replace(given=False) for holder in state.holders
-        )
-        counted = state._replace(holders=holders)
-        holder = holders[at]._replace(disk=COUNTED, sources=0)
+        counted = _forget_copies(state)
+        holder = counted.holders[at]._replace(disk=COUNTED, sources=0)
+        if not self.lacks('copy_synced'):
+            holder = holder._replace(synced=holder.slot)
         return (
             'repair is finished',
             _with_holder(counted, at, holder)._replace(
@@ -625,16 +627,32 @@
         )
 
 
+def _distinct(holders: tuple[Holder, ...]) -> list[tuple[int, Holder]]:
+    """Return the first of each run of equal holders; the rest do the same."""
+    return [
+        (at, holder)
+        for at, holder in enumerate(holders)
+        if not at or holder != holders[at - 1]
+    ]
+
+
 def _replaced(items: tuple, index: int, item: typing.Any) -> tuple:
     return (*items[:index], item, *items[index + 1 :])
 
 
 def _with_holder(state: State, at: int, holder: Holder) -> State:
-    return state._replace(holders=_replaced(state.holders, at, holder))
+    holders = _replaced(state.holders, at, holder)
+    return State(holders, state.attempts, state.repair)
 
 
 def _with_attempt(state: State, number: int, attempt: Attempt) -> State:
-    return state._replace(attempts=_replaced(state.attempts, number, attempt))
+    attempts = _replaced(state.attempts, number, attempt)
+    return State(state.holders, attempts, state.repair)
+
+
+def _forget_copies(state: State) -> State:
+    holders = (one._replace(given=False) for one in state.holders)
+    return state._replace(holders=tuple(holders))
 
 
 def _synced(state: State) -> State:
@@ -692,7 +710,7 @@
 
 SWEPT = (
     ROUNDS,
-    CRASHES,
+    CRASHES._replace(ghosts=0),
     ABANDONS,
     REPAIRS,
     TWO_REPAIRS,
@@ -712,6 +730,7 @@
     'copy_under_new_epoch': REPAIRS,
     'old_epoch_refused': REPAIRS,
     'grants_of_one_epoch': REPAIRS,
+    'copy_synced': REPAIRS_WITH_CRASH,
     'epoch_synced': REPAIRS_WITH_CRASH,
     'contested_never_resolved': REPAIRS,
     'used_slot_contests': REPAIRS_WITH_ROUNDS,
@@ -719,6 +738,96 @@
     'replay_written_back': REPLAYS,
     'outcomes_of_one_epoch': OUTCOMES,
 }
+NOT_RUN_TOLD = (
+    'begin 0',
+    'begin 1',
+    'put 1 round 0',
+    'put 1 round 0',
+    'grant 1',
+    '1 is told not run',
+)
+DISK_LOST = (
+    'put 0 round 0',
+    'disk with (0, 0, 0) is lost',
+    'holder joins with an empty disk',
+)
+#: Steps that lead to where the harm begins, to keep these searches short.
+PREFIX_BY_SAFEGUARD = {
+    'withdrawn_never_runs': (
+        'begin 0',
+        'put 0 round 0',
+        'put 0 round 0',
+        'lose 0',
+        'withdraw 0',
+    ),
+    'withdrawal_before_begin': NOT_RUN_TOLD,
+    'later_round_before_begin': (
+        *NOT_RUN_TOLD,
+        'withdraw 1',
+        'withdraw 1',
+        'begin 2',
+    ),
+    'sync_before_grant': ('put 0 round 0', '0 sees (0, 0, 0, True)'),
+    'sync_before_refusal': (
+        'put 0 round 0',
+        'put 1 round 0',
+        'put 2 round 0',
+        '0 sees (0, 1, 0, True)',
+    ),
+    'copy_under_new_epoch': DISK_LOST,
+    'grants_of_one_epoch': DISK_LOST,
+    'old_epoch_refused': DISK_LOST,
+    'copy_synced': (
+        'put 0 round 0',
+        'put 0 round 0',
+        '0 sees (0, 0, 0, True)',
+        '0 sees (0, 0, 0, True)',
+        'grant 0',
+        'disk with (0, 0, 0) is lost',
+        'holder joins with an empty disk',
+    ),
+    'epoch_synced': (
+        'put 0 round 0',
+        '0 sees (0, 0, 0, True)',
+        'disk with (0, 0, 0) is lost',
+        'holder joins with an empty disk',
+        'holder learns the epoch',
+        'holder learns the epoch',
+        'copy ()',
+    ),
+    'used_slot_contests': (
+        'put 0 round 0',
+        'withdraw 2',
+        '0 sees (0, 2, 1, True)',
+        '0 goes to round 1',
+        'disk with (0, 0, 0) is lost',
+        'holder joins with an empty disk',
+        'entry of 0 learns the epoch',
+        'entry of 1 learns the epoch',
+        'holder learns the epoch',
+        'put 1 round 0',
+    ),
+}
+SWEPT_FROM_PREFIX = (
+    'sync_before_refusal',
+    'later_round_before_begin',
+    'copy_synced',
+    'epoch_synced',
+    'used_slot_contests',
+)
+
+
+def _follow(claims: Claims, labels: tuple[str, ...]) -> State:
+    """Return the state that these steps lead to."""
+    state = claims.initial()
+    for label in labels:
+        found = [
+            after for name, after in claims.transitions(state) if name == label
+        ]
+        if not found:
+            raise ValueError(f'no step {label!r} after those before it')
+        state = found[0]
+    return state
 
 
 def _describe(bounds: Bounds) -> str:
@@ -730,30 +839,63 @@
     return f'{HOLDERS} holders, {", ".join(given)}'
 
 
-def _model(bounds: Bounds, without: str | None = None) -> specs.BoundedModel:
+def _model(
+    bounds: Bounds,
+    without: str | None = None,
+    prefix: tuple[str, ...] = (),
+) -> specs.BoundedModel:
     claims = Claims(bounds=bounds, without=without)
+    after = f', after {len(prefix)} given steps' if prefix else ''
     return specs.BoundedModel(
-        bounds=_describe(bounds),
+        bounds=_describe(bounds) + after,
         protocol=minicheck.Protocol(
             name='claims',
             candidate=False,
             fields=State._fields,
-            initial=claims.initial(),
+            initial=_follow(claims, prefix),
             transitions=claims.transitions,
             invariants=INVARIANTS,
         ),
         reached=_reached(bounds),
-        max_states=500_000,
+        max_states=100_000,
     )
 
 
 def _reached(bounds: Bounds) -> dict[str, typing.Any]:
-    """What has to happen in a model, lest it prove nothing."""
-    return {'a run': lambda state: any(one.ran for one in state['attempts'])}
+    """Return what has to happen in a model, lest it prove nothing."""
+    reached = {
+        'a run': lambda state: any(one.ran for one in state['attempts'])
+    }
+    if bounds.rounds > 1:
+        reached['a run in the last round'] = lambda state: any(
+            one.ran and one.round == bounds.rounds - 1
+            for one in state['attempts']
+        )
+    if bounds.losses:
+        reached['every repair finished'] = lambda state: (
+            state['repair'].epoch == 2 * bounds.losses
+        )
+    if bounds.losses and not bounds.resends and bounds.full > 1:
+        reached['a contested slot'] = lambda state: any(
+            one.slot[2:] == (CONTESTED,) for one in state['holders']
+        )
+    if bounds.outcomes:
+        reached['an outcome told by the last entry'] = lambda state: (
+            state['attempts'][-1].status == TOLD
+        )
+    return reached
 
 
 def build(*, without: str | None = None) -> tuple[specs.BoundedModel, ...]:
     """Return the models to sweep, or the one that shows the harm."""
-    if without is None:
-        return tuple(_model(bounds) for bounds in SWEPT)
-    return (_model(SHOWN_BY_SAFEGUARD.get(without, ROUNDS), without),)
+    if without is not None:
+        bounds = SHOWN_BY_SAFEGUARD.get(without, ROUNDS)
+        prefix = PREFIX_BY_SAFEGUARD.get(without, ())
+        return (_model(bounds, without, prefix),)
+    # Models that are too large as a whole: from the state on in which a
+    # missing safeguard shows, so that it is that which makes the harm.
+    partial = tuple(
+        _model(SHOWN_BY_SAFEGUARD[name], prefix=PREFIX_BY_SAFEGUARD[name])
+        for name in SWEPT_FROM_PREFIX
+    )
+    return tuple(_model(bounds) for bounds in SWEPT) + partial
