--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,236 +1,26 @@
-"""Claims over a fake network with losses, crashes and lost disks.
+"""Claims over a fake network: each trap once, and all of them at random."""
 
-Nothing waits: the network delivers what a test lets it deliver, and time is
-a number that a test moves.
-"""
-
-from collections import abc
-import dataclasses
-import typing
 import unittest
 
-from dandeliongw import codec
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+from nose2.tools import params
+
 from dandeliongw.coordination import claim_messages as messages
 from dandeliongw.coordination import claims
 from dandeliongw.coordination import parts
-from dandeliongw.protocol import claims_pb2
-
-ROUND_TRIP_S = 0.01
-RETENTION_S = 1000.0
-DEADLINE_S = 10.0
-#: Longer than any piece of work at an entry takes.
-GIVE_UP_S = 1.0
-DIGEST = b'body'
-CODEC = codec.Codec(
-    data_classes=messages.MESSAGES + messages.RECORDS,
-    wire_modules=[claims_pb2],
-)
+from tests import claims_network
 
-
-@dataclasses.dataclass(kw_only=True)
-class Packet:
-    sender: str
-    to: str
-    message: typing.Any
-
-
-class Network:
-    """Instances, their disks, and what is on its way between them.
-
-    :param journals_by_id: what each disk has synced, as encoded records.
-    :param cut: instances that nothing reaches or leaves.
-    """
-
-    def __init__(
-        self, *, holders: abc.Iterable[str] = 'ABC', max_records: int = 100
-    ) -> None:
-        self.now = 0.0
-        self.max_records = max_records
-        self.parts_by_id: dict[str, claims.Claims] = {}
-        self.disk_ids_by_id: dict[str, str] = {}
-        self.journals_by_id: dict[str, list[typing.Any]] = {}
-        self.packets: list[Packet] = []
-        self.cut: set[str] = set()
-        self.results_by_ticket: dict[str, typing.Any] = {}
-        self.caught_up: list[messages.CaughtUp] = []
-        self.syncs = 0
-        self.epoch = 0
-        self.sets = (dict[str, str](), dict[str, str]())
-        for holder in holders:
-            self.add_disk(holder, f'disk-{holder}')
-        for entry in ('E', 'F'):
-            self.start(entry)
-        self.change(dict(self.disk_ids_by_id))
-
-    def add_disk(self, holder: str, disk_id: str) -> None:
-        self.disk_ids_by_id[holder] = disk_id
-        self.journals_by_id[holder] = []
-        self.start(holder)
-
-    def start(self, instance: str) -> None:
-        """Start anew: only what the disk has synced is left."""
-        disk_id = self.disk_ids_by_id.get(instance)
-        part = claims.Claims(
-            instance_id=instance,
-            is_holder=disk_id is not None,
-            disk_id=disk_id,
-            retention_s=RETENTION_S,
-            max_records=self.max_records,
-            max_outcome_bytes=8,
-            round_trip_s=ROUND_TRIP_S,
-        )
-        for kind, body in self.journals_by_id.get(instance, []):
-            part.restore(CODEC.decode(kind, body))
-        self.parts_by_id[instance] = part
-        if self.epoch:
-            self.tell_set(instance)
-
-    def change(
-        self, current: dict[str, str], joining: dict[str, str] | None = None
-    ) -> None:
-        self.epoch += 1
-        self.sets = (current, joining or {})
-        for instance in self.parts_by_id:
-            if instance not in self.cut:
-                self.tell_set(instance)
-
-    def tell_set(self, instance: str) -> None:
-        event = messages.HoldersChanged(
-            now=self.now,
-            disk_ids_by_holder=self.sets[0],
-            joining=self.sets[1],
-            epoch=self.epoch,
-        )
-        self.handle(instance, event)
-
-    def replace(self, holder: str, disk_id: str) -> None:
-        """Give a holder an empty disk and repair it to the end."""
-        current = self.sets[0]
-        self.add_disk(holder, disk_id)
-        self.change(current, {holder: disk_id})
-        self.run()
-        if self.caught_up and self.caught_up[-1].epoch == self.epoch:
-            self.change({**current, holder: disk_id})
-            self.run()
-
-    def handle(self, instance: str, event: typing.Any) -> None:
-        for effect in self.parts_by_id[instance].handle(event):
-            self.perform(instance, effect)
-
-    def perform(self, instance: str, effect: typing.Any) -> None:
-        match effect:
-            case parts.Send():
-                self.packets.append(
-                    Packet(
-                        sender=instance, to=effect.to, message=effect.message
-                    )
-                )
-            case parts.Persist():
-                self.packets.append(
-                    Packet(sender=instance, to=instance, message=effect)
-                )
-            case parts.Complete():
-                assert effect.ticket not in self.results_by_ticket
-                self.results_by_ticket[effect.ticket] = effect.result
-            case messages.CaughtUp():
-                self.caught_up.append(effect)
-
-    def deliver(self, packet: Packet) -> None:
-        """Deliver one packet: a message, or the end of a sync."""
-        if packet.to not in self.parts_by_id:
-            return
-        message = packet.message
-        if isinstance(message, parts.Persist):
-            self.syncs += 1
-            journal = self.journals_by_id[packet.to]
-            journal += [CODEC.encode(record) for record in message.records]
-            event = parts.Persisted(now=self.now, token=message.token)
-        elif self.cut & {packet.sender, packet.to}:
-            return
-        else:
-            event = parts.Received(
-                now=self.now,
-                sender=packet.sender,
-                message=CODEC.decode(*CODEC.encode(message)),
-            )
-        self.handle(packet.to, event)
-
-    def run(self, only: abc.Callable[[Packet], bool] | None = None) -> None:
-        """Deliver, in order, all packets that ``only`` allows."""
-        while True:
-            ready = [p for p in self.packets if only is None or only(p)]
-            if not ready:
-                return
-            self.packets.remove(ready[0])
-            self.deliver(ready[0])
-
-    def crash(self, instance: str) -> None:
-        """Lose memory, unsynced records and what is on its way in."""
-        del self.parts_by_id[instance]
-        self.packets = [p for p in self.packets if p.to != instance]
-
-    def tick(self, seconds: float) -> None:
-        self.now += seconds
-        for instance in list(self.parts_by_id):
-            self.handle(instance, parts.Ticked(now=self.now, entropy=0))
-        self.run()
-
-    def begin(
-        self, entry: str, attempt: str, *, digest: bytes = DIGEST
-    ) -> None:
-        self.handle(
-            entry,
-            messages.Begin(
-                now=self.now,
-                ticket=attempt,
-                key='key',
-                digest=digest,
-                attempt_id=attempt,
-                deadline_s=DEADLINE_S,
-            ),
-        )
-
-    def claim(
-        self, entry: str, attempt: str, *, digest: bytes = DIGEST
-    ) -> typing.Any:
-        """Begin, and run to the answer; ticks as often as it takes."""
-        self.begin(entry, attempt, digest=digest)
-        self.run()
-        for _ in range(50):
-            if attempt in self.results_by_ticket:
-                break
-            self.tick(2 * ROUND_TRIP_S)
-        return self.results_by_ticket.get(attempt)
-
-    def finish(self, entry: str, attempt: str, outcome: bytes) -> None:
-        self.handle(
-            entry,
-            messages.Finish(
-                now=self.now,
-                ticket=f'finish {attempt}',
-                key='key',
-                attempt_id=attempt,
-                outcome=outcome,
-            ),
-        )
-
-    def record(self, entry: str, attempt: str, outcome: bytes) -> typing.Any:
-        self.finish(entry, attempt, outcome)
-        self.run()
-        if f'finish {attempt}' not in self.results_by_ticket:
-            self.tick(GIVE_UP_S)
-        return self.results_by_ticket[f'finish {attempt}']
-
-    def abandon(self, entry: str, attempt: str) -> None:
-        self.handle(
-            entry,
-            messages.Abandon(now=self.now, key='key', attempt_id=attempt),
-        )
+DEADLINE_S = claims_network.DEADLINE_S
+DIGEST = claims_network.DIGEST
+GIVE_UP_S = claims_network.GIVE_UP_S
+RETENTION_S = claims_network.RETENTION_S
 
 
 class FaultFreeTest(unittest.TestCase):
     def setUp(self):
-        self.network = Network()
+        self.network = claims_network.Network()
 
     def test_a_free_key_is_granted_and_its_outcome_replayed(self):
         self.assertEqual(messages.Granted(), self.network.claim('E', 'e1'))
@@ -269,3 +59,468 @@
         self.assertEqual(
             messages.Replayed(outcome=b'done'), self.network.claim('F', 'f1')
         )
+
+
+class ClaimsTest(unittest.TestCase):
+    def setUp(self):
+        self.network = claims_network.Network()
+
+    def granted_while_cut(self, holder, *, attempt='e1'):
+        """Let E be granted by the other two holders only."""
+        self.network.cut.add(holder)
+        result = self.network.claim('E', attempt)
+        self.assertEqual(messages.Granted(), result)
+        self.network.tick(GIVE_UP_S)
+        self.network.cut.clear()
+
+
+class ResendTest(ClaimsTest):
+    def test_a_resend_while_the_first_works_is_told_to_come_back(self):
+        """Symptom: a booking is made twice.
+
+        Sequence: the caller loses its connection to E, which works on, and
+        sends again through F. Cause: F knows nothing of E's attempt.
+        """
+        self.network.claim('E', 'e1')
+        result = self.network.claim('F', 'f1')
+        self.assertIsInstance(result, messages.InProgress)
+        self.network.record('E', 'e1', b'done')
+        self.assertEqual(
+            messages.Replayed(outcome=b'done'), self.network.claim('F', 'f2')
+        )
+
+    def test_a_dead_entrys_attempt_never_runs_again(self):
+        """Symptom: a booking is made twice, much later.
+
+        Sequence: E dies after its call went out; its deadline passes; the
+        caller sends again. Cause: the passed deadline is taken for a proof
+        that E did not run it.
+        """
+        self.network.claim('E', 'e1')
+        self.network.crash('E')
+        self.network.tick(DEADLINE_S / 2)
+        early = self.network.claim('F', 'f1')
+        self.assertIsInstance(early, messages.InProgress)
+        self.network.tick(DEADLINE_S)
+        late = self.network.claim('F', 'f2')
+        self.assertEqual(messages.OutcomeUnknown(), late)
+
+    def test_a_lost_put_is_sent_again(self):
+        """Symptom: a call is refused though all holders work.
+
+        Sequence: all puts are lost once. Cause: nothing sends them again.
+        """
+        self.network.begin('E', 'e1')
+        self.network.packets.clear()
+        self.network.tick(GIVE_UP_S / 20)
+        self.assertEqual(
+            messages.Granted(), self.network.results_by_ticket['e1']
+        )
+
+    def test_a_begin_without_holders_ends(self):
+        """Symptom: a caller waits for ever.
+
+        Sequence: two holders are cut off. Cause: a begin waits for a
+        majority that doesn't come.
+        """
+        self.network.cut |= {'A', 'B'}
+        result = self.network.claim('E', 'e1')
+        self.assertEqual(
+            messages.UnavailableReason.HOLDERS_UNREACHABLE, result.reason
+        )
+
+    def test_told_not_run_an_earlier_send_never_runs(self):
+        """Symptom: told "not run", the caller finds its booking made.
+
+        Sequence: E's puts are slow; the caller sends again through F, which
+        is granted, abandons, and tells "not run"; then E's puts arrive.
+        Cause: to E the key looks free for a resend.
+        """
+        self.network.begin('E', 'e1')
+        self.network.now += 0.001
+        slow, self.network.packets = self.network.packets, []
+        self.assertEqual(messages.Granted(), self.network.claim('F', 'f1'))
+        self.network.abandon('F', 'f1')
+        self.network.run()
+        self.network.packets = slow
+        self.network.run()
+        self.network.tick(GIVE_UP_S)
+        self.assertIsInstance(
+            self.network.results_by_ticket['e1'], messages.InProgress
+        )
+
+    def test_an_abandoned_begin_frees_the_key_and_never_runs(self):
+        """Symptom: a caller who left has its booking made later.
+
+        Sequence: the caller leaves while the claim is on its way; the
+        grants, and doubles of the puts, arrive late. Cause: a late grant
+        counts for an attempt that was given up.
+        """
+        self.network.begin('E', 'e1')
+        doubles = list(self.network.packets)
+        self.network.abandon('E', 'e1')
+        self.network.run()
+        self.network.packets = doubles
+        self.network.tick(GIVE_UP_S)
+        self.assertNotIn('e1', self.network.results_by_ticket)
+        self.assertEqual(messages.Granted(), self.network.claim('F', 'f1'))
+
+    def test_a_split_of_three_ends_with_one_grant(self):
+        """Symptom: a key is blocked though nobody ran; or two run.
+
+        Sequence: three sends of one call reach a holder each first. Cause:
+        no attempt can have a majority of that round any more.
+        """
+        self.network.start('G')
+        for entry, holder in (('E', 'A'), ('F', 'B'), ('G', 'C')):
+            self.network.begin(entry, entry)
+            first = [p for p in self.network.packets if p.to == holder]
+            self.network.run(lambda packet: packet is first[-1])
+        self.network.run()
+        self.network.tick(GIVE_UP_S / 20)
+        self.network.tick(GIVE_UP_S)
+        results = [self.network.results_by_ticket[one] for one in 'EFG']
+        self.assertEqual(1, results.count(messages.Granted()), results)
+
+    def test_another_body_is_refused_only_where_that_is_proved(self):
+        """Symptom: told "another call", the caller's own had run.
+
+        Sequence: an attempt with another body has one holder; the two that
+        granted this body are cut off. Cause: one slot is taken for all.
+        """
+        self.granted_while_cut('C')
+        self.network.cut |= {'A', 'B'}
+        self.network.claim('F', 'f1', digest=b'other body')
+        result = self.network.claim('F', 'f2')
+        self.assertNotEqual(messages.DigestMismatch(), result)
+
+
+class LostDiskTest(ClaimsTest):
+    def test_an_empty_disk_does_not_answer_free(self):
+        """Symptom: a booking is made twice.
+
+        Sequence: A and B grant, A comes back with an empty disk, B is cut
+        off. Cause: A finds no slot and grants anew.
+        """
+        self.granted_while_cut('C')
+        self.network.add_disk('A', 'disk-A2')
+        self.network.cut.add('B')
+        result = self.network.claim('F', 'f1')
+        self.assertNotEqual(messages.Granted(), result)
+
+    def test_two_disks_lost_with_a_repair_between_lose_nothing(self):
+        """Symptom: a told outcome is gone and the call runs again.
+
+        Sequence: A and B keep the outcome; A's disk is lost and repaired,
+        then B's. Cause: the repair counts A before it has copied.
+        """
+        self.network.cut.add('C')
+        self.network.claim('E', 'e1')
+        self.network.record('E', 'e1', b'done')
+        self.network.cut.clear()
+        self.network.replace('A', 'disk-A2')
+        self.network.replace('B', 'disk-B2')
+        self.assertEqual(5, self.network.epoch)
+        self.network.cut.add('C')
+        self.assertEqual(
+            messages.Replayed(outcome=b'done'), self.network.claim('F', 'f1')
+        )
+
+    @params('A', 'B', 'C')
+    def test_a_claim_survives_the_loss_of_any_disk(self, lost):
+        """Symptom: a booking is made twice after a repair.
+
+        Sequence: E is granted by A and B; a disk is lost and repaired.
+        Cause: the repaired holder misses what the lost disk knew.
+        """
+        self.granted_while_cut('C')
+        self.network.replace(lost, 'disk-new')
+        result = self.network.claim('F', 'f1')
+        self.assertIsInstance(result, messages.InProgress)
+
+    def test_many_claims_are_copied_in_pages(self):
+        """Symptom: after two repairs some outcomes are gone.
+
+        Sequence: more slots than a page holds. Cause: a copy ends early.
+        """
+        for number in range(150):
+            key = f'key-{number}'
+            self.network.begin('E', key, key=key)
+        self.network.run()
+        self.network.replace('A', 'disk-A2')
+        copied = self.network.parts_by_id['A'].snapshot()
+        self.assertEqual(151, len(copied))
+
+    def test_grants_of_two_epochs_do_not_add_up(self):
+        """Symptom: a booking is made twice.
+
+        Sequence: A grants E and loses its disk; A is repaired; F is granted
+        by A and C; then B grants E. Cause: E counts a disk that is gone.
+        """
+        self.network.begin('E', 'e1')
+        self.network.run(
+            lambda packet: {packet.sender, packet.to} <= set('AE')
+        )
+        slow, self.network.packets = self.network.packets, []
+        self.network.cut.add('E')
+        self.network.replace('A', 'disk-A2')
+        self.network.cut.add('B')
+        self.assertEqual(messages.Granted(), self.network.claim('F', 'f1'))
+        self.network.cut.clear()
+        self.network.packets = slow
+        self.network.run()
+        self.network.tell_set('E')
+        self.network.tick(GIVE_UP_S)
+        self.assertNotEqual(
+            messages.Granted(), self.network.results_by_ticket['e1']
+        )
+
+    def test_holders_that_disagree_leave_a_contested_slot(self):
+        """Symptom: a booking is made twice after a repair.
+
+        Sequence: A and B grant E while C had granted F; A's disk is lost.
+        Cause: the repaired A takes F's side, and F is granted.
+        """
+        self.network.begin('F', 'f1')
+        self.network.run(lambda packet: packet.to == 'C')
+        self.network.packets.clear()
+        self.network.crash('F')
+        self.network.start('F')
+        self.granted_while_cut('C')
+        self.network.replace('A', 'disk-A2')
+        self.network.tick(DEADLINE_S + GIVE_UP_S)
+        for attempt in ('f2', 'f3'):
+            result = self.network.claim('F', attempt)
+            self.assertEqual(messages.OutcomeUnknown(), result)
+        self.network.record('E', 'e1', b'done')
+        self.assertEqual(
+            messages.Replayed(outcome=b'done'), self.network.claim('F', 'f4')
+        )
+
+    def test_an_outcome_is_on_a_majority_before_it_is_replayed(self):
+        """Symptom: a caller is told an outcome, the next one another thing.
+
+        Sequence: only A keeps the outcome; F is told; A's disk is lost.
+        Cause: F tells what one holder says.
+        """
+        self.network.claim('E', 'e1')
+        self.network.cut |= {'B', 'C'}
+        self.assertEqual(
+            messages.NotRecorded(), self.network.record('E', 'e1', b'done')
+        )
+        self.network.cut.clear()
+        told = self.network.claim('F', 'f1')
+        self.assertEqual(messages.Replayed(outcome=b'done'), told)
+        self.network.replace('A', 'disk-A2')
+        self.assertEqual(told, self.network.claim('F', 'f2'))
+
+
+class KilledTest(ClaimsTest):
+    @params(*range(0, 26, 2))
+    def test_holders_killed_at_any_step(self, step):
+        """Symptom: a booking is made twice after a power cut.
+
+        Sequence: E begins; after some steps all holders lose what was not
+        synced; F begins. Cause: something was told before its sync.
+        """
+        self.network.begin('E', 'e1')
+        self.network.step(step)
+        for holder in 'ABC':
+            self.network.crash(holder)
+            self.network.start(holder)
+        self.network.claim('F', 'f1')
+        self.assertLessEqual(len(self.network.granted()), 1)
+
+    @params(*range(0, 30, 3))
+    def test_an_entry_killed_at_any_step(self, step):
+        """Symptom: a call runs twice, or its key is blocked for nothing.
+
+        Sequence: E begins, is granted, finishes; it dies after some steps;
+        F begins, and again after E's deadline. Cause: F can't ask E.
+        """
+        self.network.begin('E', 'e1')
+        self.network.run_until('e1')
+        self.network.finish('E', 'e1', b'done')
+        self.network.step(step)
+        told = 'finish e1' in self.network.results_by_ticket
+        self.network.crash('E')
+        first = self.network.claim('F', 'f1')
+        self.network.tick(DEADLINE_S + GIVE_UP_S)
+        second = self.network.claim('F', 'f2')
+        self.assertNotIn(messages.Granted(), (first, second))
+        if told:
+            self.assertEqual(messages.Replayed(outcome=b'done'), first)
+
+
+class RetentionTest(unittest.TestCase):
+    def test_full_holders_refuse_new_keys_and_drop_none(self):
+        """Symptom: a resend within the retention runs again.
+
+        Sequence: holders are full; another key comes. Cause: the oldest
+        claim is dropped to make room.
+        """
+        network = claims_network.Network(max_records=1)
+        network.claim('E', 'e1')
+        network.begin('E', 'e2', key='another key')
+        network.run()
+        self.assertEqual(
+            messages.UnavailableReason.HOLDERS_FULL,
+            network.results_by_ticket['e2'].reason,
+        )
+        self.assertIsInstance(network.claim('F', 'f1'), messages.InProgress)
+
+    @params((RETENTION_S - 1, False), (RETENTION_S + 1, True))
+    def test_a_slot_is_kept_for_the_retention(self, passed, is_forgotten):
+        network = claims_network.Network()
+        network.claim('E', 'e1')
+        network.record('E', 'e1', b'done')
+        network.tick(passed)
+        network.begin('F', 'f1')
+        network.run()
+        for holder in 'ABC':
+            network.crash(holder)
+            network.start(holder)
+        result = network.results_by_ticket['f1']
+        self.assertEqual(is_forgotten, result == messages.Granted())
+
+    def test_a_deadline_beyond_the_retention_is_a_mistake(self):
+        part = claims_network.Network().parts_by_id['E']
+        begin = messages.Begin(
+            now=0.0,
+            ticket='t',
+            key='key',
+            digest=DIGEST,
+            attempt_id='e1',
+            deadline_s=RETENTION_S,
+        )
+        with self.assertRaisesRegex(ValueError, '1000'):
+            part.handle(begin)
+
+    def test_a_holder_needs_a_disk_id(self):
+        with self.assertRaisesRegex(ValueError, "'A'"):
+            claims.Claims(
+                instance_id='A',
+                is_holder=True,
+                disk_id=None,
+                retention_s=1.0,
+                max_records=1,
+                max_outcome_bytes=1,
+                round_trip_s=1.0,
+            )
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """The real parts under losses, doubles, crossings, crashes, repairs."""
+
+    def __init__(self):
+        super().__init__()
+        self.network = claims_network.Network()
+        self.network.tells_by_packet = True
+        self.begun = 0
+        self.barred = set()
+        self.ended = set()
+        self.outcome = None
+
+    @stateful.rule(entry=strategies.sampled_from('EF'))
+    def begin(self, entry):
+        self.begun += 1
+        if self.begun < 7:
+            self.network.begin(entry, f'{entry}{self.begun}')
+
+    @stateful.rule(index=strategies.integers(0, 30))
+    def deliver(self, index):
+        packets = self.network.packets
+        if packets:
+            self.network.deliver(packets.pop(index % len(packets)))
+
+    @stateful.rule(index=strategies.integers(0, 30))
+    def deliver_double(self, index):
+        packets = [
+            packet
+            for packet in self.network.packets
+            if not isinstance(packet.message, parts.Persist)
+        ]
+        if packets:
+            self.network.deliver(packets[index % len(packets)])
+
+    @stateful.rule(count=strategies.integers(1, 12))
+    def deliver_some(self, count):
+        self.network.step(count)
+
+    @stateful.rule(to=strategies.sampled_from('ABCEF'))
+    def lose(self, to):
+        self.network.packets = [
+            packet
+            for packet in self.network.packets
+            if packet.to != to or isinstance(packet.message, parts.Persist)
+        ]
+
+    @stateful.rule(instance=strategies.sampled_from('ABCEF'))
+    def restart(self, instance):
+        # What the dead entry had been granted may have run.
+        self.ended |= {
+            attempt
+            for attempt in self.network.granted()
+            if attempt[0] == instance
+        }
+        self.network.crash(instance)
+        self.network.start(instance)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.001, 0.05, 20.0]))
+    def tick(self, seconds):
+        self.network.now += seconds
+        for instance in 'ABCEF':
+            event = parts.Ticked(now=self.network.now, entropy=0)
+            self.network.handle(instance, event)
+
+    @stateful.rule(holder=strategies.sampled_from('ABC'))
+    def repair(self, holder):
+        """Lose a disk, or take the running repair a step further."""
+        network = self.network
+        current, joining = network.sets
+        if not joining:
+            network.crash(holder)
+            network.add_disk(holder, f'disk-{holder}{network.epoch}')
+            network.change(current, {holder: network.disk_ids_by_id[holder]})
+        elif (
+            network.caught_up and network.caught_up[-1].epoch == network.epoch
+        ):
+            network.change({**current, **joining})
+
+    @stateful.rule(is_run=strategies.booleans())
+    def use_grant(self, is_run):
+        for attempt in self.network.granted() - self.ended:
+            self.ended.add(attempt)
+            if is_run:
+                self.network.finish(attempt[0], attempt, b'done')
+                continue
+            self.network.abandon(attempt[0], attempt)
+            self.barred |= self.network.begun - self.network.granted()
+            self.network.abandoned.add(attempt)
+
+    @stateful.invariant()
+    def at_most_one_may_run(self):
+        assert len(self.network.granted() - self.network.abandoned) <= 1
+
+    @stateful.invariant()
+    def what_was_told_not_run_does_not(self):
+        assert not self.barred & self.network.granted()
+
+    @stateful.invariant()
+    def an_outcome_stays(self):
+        told = [
+            result
+            for result in self.network.results_by_ticket.values()
+            if isinstance(result, messages.Replayed)
+        ]
+        assert all(result.outcome == b'done' for result in told)
+
+
+MachineTest = Machine.TestCase
+MachineTest.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=60,
+    database=None,
+)
