--- a/specs/__init__.py
+++ b/specs/__init__.py
@@ -14,6 +14,9 @@
 --mutants`` calls ``build(without=name)`` for every safeguard, and fails
 unless some invariant of some returned model has a counterexample. Return
 only the models that matter to a mutant, to keep its check short.
+
+A module may also have ``build_deep()``, which returns models that take
+minutes; ``scripts/modelcheck --deep`` sweeps only these.
 """
 
 from collections import abc
--- a/specs/register_voters.py
+++ b/specs/register_voters.py
@@ -294,8 +294,10 @@
             )
 
     def order(self, ballot: int) -> int:
-        """Return what disks compare: a restarted proposer's second ballot
-        equals its first, unless every attempt has a ballot of its own.
+        """Return what disks compare.
+
+        A restarted proposer's second ballot equals its first, unless every
+        attempt has a ballot of its own.
         """
         if self.without == 'unique_ballots' and ballot == 2:
             return 1
--- a/tools/modelcheck.py
+++ b/tools/modelcheck.py
@@ -119,11 +119,17 @@
     return lambda state: not predicate(state)
 
 
-def run_specifications(modules: abc.Iterable[types.ModuleType]) -> bool:
-    """Sweep all specifications; print bounds, states and the verdict."""
+def run_specifications(
+    modules: abc.Iterable[types.ModuleType], *, deep: bool = False
+) -> bool:
+    """Sweep all specifications; print bounds, states and the verdict.
+
+    :param deep: sweep the models of ``build_deep`` in their place.
+    """
     good = True
     for module in modules:
-        for model in module.build():
+        build_deep = getattr(module, 'build_deep', tuple)
+        for model in build_deep() if deep else module.build():
             started = time.monotonic()
             states, faults = check_model(model)
             seconds = time.monotonic() - started
@@ -171,6 +177,9 @@
     parser.add_argument(
         '--mutants', action='store_true', help='remove each safeguard'
     )
+    parser.add_argument(
+        '--deep', action='store_true', help='the models that take minutes'
+    )
     parser.add_argument(
         '--verbose', action='store_true', help='print the traces of mutants'
     )
@@ -191,7 +200,7 @@
     if options.mutants:
         good = run_mutants(modules, verbose=options.verbose)
     else:
-        good = run_specifications(modules)
+        good = run_specifications(modules, deep=options.deep)
     return 0 if good else 1
 
 
