--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -325,16 +325,16 @@
             retry_at=now + ACK_SHARE * self.period_s,
             verdict_at=now + self.period_s,
         )
-        return self._probe_message(target, sequence, retry=False)
+        return self._probe_message(now, target, sequence, retry=False)
 
     def _next_sequence(self) -> int:
         self._sequence = (self._sequence + 1) % _MAX_SEQUENCE
         return self._sequence
 
     def _probe_message(
-        self, target: str, sequence: int, *, retry: bool
+        self, now: float, target: str, sequence: int, *, retry: bool
     ) -> parts.Send:
-        news = self._news_for(target)
+        news = self._news_for(now, target)
         if retry:
             # The target can't answer one whose address it does not know.
             news = (self._own.news(with_info=True), *news)
@@ -354,13 +354,15 @@
                 effects += self._suspect(now, pending.target)
             elif now >= pending.retry_at and not pending.retried:
                 pending.retried = True
-                effects += self._retry(sequence, pending.target)
+                effects += self._retry(now, sequence, pending.target)
         for sequence, errand in list(self._errands_by_sequence.items()):
             if now >= errand.expires_at:
                 del self._errands_by_sequence[sequence]
         return effects
 
-    def _retry(self, sequence: int, target: str) -> list[typing.Any]:
+    def _retry(
+        self, now: float, sequence: int, target: str
+    ) -> list[typing.Any]:
         """Probe over a new connection and through others.
 
         A connection can go silent for good while new ones work. One would
@@ -368,7 +370,7 @@
         again, and no process restart nearby.
         """
         effects: list[typing.Any] = [Reconnect(to=target)]
-        effects.append(self._probe_message(target, sequence, retry=True))
+        effects.append(self._probe_message(now, target, sequence, retry=True))
         message = IndirectProbe(sequence=sequence, target=target)
         for helper in self._some_alive(HELPERS, but=target):
             effects.append(parts.Send(to=helper, message=message))
@@ -466,7 +468,7 @@
         ack = ProbeAck(
             sequence=message.sequence,
             view_hash=self._roster.view_hash,
-            news=self._news_for(sender),
+            news=self._news_for(now, sender),
         )
         effects.append(parts.Send(to=sender, message=ack))
         return effects
@@ -495,7 +497,9 @@
             sequence=message.sequence,
             expires_at=now + 2 * self.period_s,
         )
-        return [self._probe_message(message.target, sequence, retry=False)]
+        return [
+            self._probe_message(now, message.target, sequence, retry=False)
+        ]
 
     # Comparing beliefs.
 
@@ -712,7 +716,7 @@
     def _leave(self, now: float) -> list[typing.Any]:
         effects = self._state_own(now, state=MemberState.LEFT)
         # At once: the process may not live to its next tick.
-        return effects + self._send_gossip(LEAVE_FANOUT)
+        return effects + self._send_gossip(now, LEAVE_FANOUT)
 
     def _forget(self, now: float) -> list[typing.Any]:
         effects = []
@@ -725,7 +729,10 @@
 
     # Spreading.
 
-    def _news_for(self, other: str) -> tuple[MemberNews, ...]:
+    def _news_for(self, now: float, other: str) -> tuple[MemberNews, ...]:
+        if self._is_cut_off(now):
+            # What is sent now may be the first that gets through again.
+            return ()
         news = self._news.take(
             self.members_by_id, len(self._roster.present_ids)
         )
@@ -740,14 +747,14 @@
             return []
         self._urgent = False
         self._urgent_at = now + URGENT_GAP_S
-        return self._send_gossip(URGENT_FANOUT)
+        return self._send_gossip(now, URGENT_FANOUT)
 
-    def _send_gossip(self, fanout: int) -> list[typing.Any]:
+    def _send_gossip(self, now: float, fanout: int) -> list[typing.Any]:
         # A suspected member has to hear it more than anyone.
         others = sorted(self._roster.present_ids - {self.instance_id})
         chosen = self._random.sample(others, min(fanout, len(others)))
         return [
-            parts.Send(to=to, message=Gossip(news=self._news_for(to)))
+            parts.Send(to=to, message=Gossip(news=self._news_for(now, to)))
             for to in chosen
         ]
 
