--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -1,6 +1,7 @@
 """The policy in force: exact slots, booked before a prefill starts."""
 
 import dataclasses
+import enum
 import heapq
 
 import xxhash
@@ -22,6 +23,8 @@
 #: A prompt goes to its engine so long before the one ahead of it is done,
 #: to cover the hops between; more would let engines reorder what is sent.
 SEND_AHEAD_S = 0.02
+#: Of a priority that the document doesn't know.
+LAST_RANK = 1_000
 #: Shortest Retry-After; a resend sooner than this costs more than it gains.
 LEAST_RETRY_AFTER_S = 0.25
 #: Retry-After is stretched by up to this part, so that those who were
@@ -29,6 +32,16 @@
 RETRY_JITTER = 0.5
 
 
+class Order(enum.Enum):
+    """Who goes first among those who wait."""
+
+    ARRIVAL = 'arrival'
+    #: By the latest start that still meets the target: urgent work passes
+    #: patient work until that has waited as long as it may.
+    DEADLINE = 'deadline'
+    RANK = 'rank'
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Options:
     """Which decisions are made; earlier versions lack the later ones.
@@ -38,6 +51,7 @@
     """
 
     queue: bool = True
+    order: Order = Order.DEADLINE
 
 
 class Scheduler:
@@ -67,7 +81,7 @@
         self, *, now: float, view: CellView
     ) -> list[tuple[Booking, Decision]]:
         """Place the first in the queue, or refuse one that is too late."""
-        ordered = sorted(view.queue, key=self._order)
+        ordered = self._sorted(view, view.queue)
         for booking in ordered:
             if now > latest_start(view, booking):
                 return [(booking, _refuse_late(booking, 0.0))]
@@ -77,12 +91,25 @@
                 return [(booking, placed)]
         return []
 
-    def _order(self, booking: Booking) -> tuple[float, ...]:
-        return (booking.arrived_at,)
+    def _order(self, view: CellView, booking: Booking) -> tuple[float, ...]:
+        if self._options.order is Order.ARRIVAL:
+            return (booking.arrived_at,)
+        if self._options.order is Order.DEADLINE:
+            return latest_start(view, booking), booking.arrived_at
+        rank = view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
+        return rank, booking.arrived_at
 
     def _ahead_of(self, view: CellView, booking: Booking) -> list[Booking]:
-        mine = self._order(booking)
-        return [each for each in view.queue if self._order(each) <= mine]
+        mine = self._order(view, booking)
+        ahead = [
+            each for each in view.queue if self._order(view, each) <= mine
+        ]
+        return self._sorted(view, ahead)
+
+    def _sorted(
+        self, view: CellView, bookings: list[Booking]
+    ) -> list[Booking]:
+        return sorted(bookings, key=lambda each: self._order(view, each))
 
     def _admit(
         self,
@@ -91,7 +118,6 @@
         booking: Booking,
         ahead: list[Booking],
     ) -> Decision:
-        ahead.sort(key=self._order)
         starts_at = expected_start(now, view, [*ahead, booking])
         late_s = starts_at - latest_start(view, booking)
         if late_s > 0.0:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -50,7 +50,9 @@
 #: The policy in force and the versions before it, the oldest first.
 VERSIONS_BY_NAME: dict[str, scheduler.Options] = {
     'v1-slots': scheduler.Options(queue=False),
-    'v2-queue': scheduler.Options(),
+    'v2-queue': scheduler.Options(order=scheduler.Order.ARRIVAL),
+    'v3-rank': scheduler.Options(order=scheduler.Order.RANK),
+    'v3-deadline': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
