--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -25,6 +25,10 @@
 SEND_AHEAD_S = 0.02
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
+#: Of work whose wait has nearly reached its bound.
+FIRST_RANK = -1
+#: Part of its longest wait after which work goes ahead of all.
+OLD_PART = 0.8
 #: Shortest Retry-After; a resend sooner than this costs more than it gains.
 LEAST_RETRY_AFTER_S = 0.25
 #: Retry-After is stretched by up to this part, so that those who were
@@ -40,6 +44,8 @@
     #: patient work until that has waited as long as it may.
     DEADLINE = 'deadline'
     RANK = 'rank'
+    #: By rank, but ahead of all once the bound of its wait is near.
+    AGED = 'aged'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,7 +57,7 @@
     """
 
     queue: bool = True
-    order: Order = Order.DEADLINE
+    order: Order = Order.AGED
 
 
 class Scheduler:
@@ -73,7 +79,7 @@
         is_pair = booking.stage is Stage.PAIR
         if not self._options.queue or not is_pair:
             return self._place(now, view, booking) or _refuse_full(booking)
-        ahead = self._ahead_of(view, booking)
+        ahead = self._ahead_of(now, view, booking)
         placed = None if ahead else self._place(now, view, booking)
         return placed or self._admit(now, view, booking, ahead)
 
@@ -81,7 +87,7 @@
         self, *, now: float, view: CellView
     ) -> list[tuple[Booking, Decision]]:
         """Place the first in the queue, or refuse one that is too late."""
-        ordered = self._sorted(view, view.queue)
+        ordered = self._sorted(now, view, view.queue)
         for booking in ordered:
             if now > latest_start(view, booking):
                 return [(booking, _refuse_late(booking, 0.0))]
@@ -91,25 +97,31 @@
                 return [(booking, placed)]
         return []
 
-    def _order(self, view: CellView, booking: Booking) -> tuple[float, ...]:
+    def _order(
+        self, now: float, view: CellView, booking: Booking
+    ) -> tuple[float, ...]:
         if self._options.order is Order.ARRIVAL:
             return (booking.arrived_at,)
         if self._options.order is Order.DEADLINE:
             return latest_start(view, booking), booking.arrived_at
         rank = view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
+        if self._options.order is Order.AGED and is_old(now, view, booking):
+            rank = FIRST_RANK
         return rank, booking.arrived_at
 
-    def _ahead_of(self, view: CellView, booking: Booking) -> list[Booking]:
-        mine = self._order(view, booking)
+    def _ahead_of(
+        self, now: float, view: CellView, booking: Booking
+    ) -> list[Booking]:
+        mine = self._order(now, view, booking)
         ahead = [
-            each for each in view.queue if self._order(view, each) <= mine
+            each for each in view.queue if self._order(now, view, each) <= mine
         ]
-        return self._sorted(view, ahead)
+        return self._sorted(now, view, ahead)
 
     def _sorted(
-        self, view: CellView, bookings: list[Booking]
+        self, now: float, view: CellView, bookings: list[Booking]
     ) -> list[Booking]:
-        return sorted(bookings, key=lambda each: self._order(view, each))
+        return sorted(bookings, key=lambda each: self._order(now, view, each))
 
     def _admit(
         self,
@@ -162,7 +174,16 @@
     patience_s = terms.max_wait_s_by_priority.get(booking.priority, 0.0)
     target_s = terms.first_token_s + patience_s
     target_at = min(booking.arrived_at + target_s, booking.deadline_at)
-    return max(booking.arrived_at, target_at - first_token_s(view, booking))
+    start_at = target_at - first_token_s(view, booking)
+    bound_s = patience_s or terms.first_token_s
+    start_at = min(start_at, booking.arrived_at + bound_s)
+    return max(booking.arrived_at, start_at)
+
+
+def is_old(now: float, view: CellView, booking: Booking) -> bool:
+    """Return whether work has nearly waited as long as it may."""
+    longest_s = latest_start(view, booking) - booking.arrived_at
+    return now - booking.arrived_at > OLD_PART * longest_s
 
 
 def first_token_s(view: CellView, booking: Booking) -> float:
--- a/tools/load.py
+++ b/tools/load.py
@@ -37,6 +37,8 @@
 MOVE_AGAIN_S = 0.05
 #: How often a refused caller comes back.
 MAX_COMEBACKS = 3
+#: A refusal that took longer than this was held back.
+HELD_BACK_S = 0.05
 CELL_ID = 'service/region/0'
 
 
@@ -306,6 +308,9 @@
         self, job: Job, reason: RefusalReason, retry_after_s: float
     ) -> None:
         self._end(job)
+        held_s = self.clock.now - job.arrived_at
+        if held_s > HELD_BACK_S:
+            self.tally.counts['refused_late'] += 1
         again = job.comebacks < MAX_COMEBACKS
         self.tally.refused(job, reason, last=not again)
         if again:
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -158,6 +158,7 @@
             'finished': self.counts['finished'],
             'failed': self.counts['failed'],
             'gave_up': self.counts['gave_up'],
+            'refused_late': self.counts['refused_late'],
             'double_answers': self.counts['double'],
             'short_answers': self.counts['short'],
             'lost_answers': self.counts['lost'],
