--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -25,10 +25,6 @@
 SEND_AHEAD_S = 0.02
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
-#: Of work whose wait has nearly reached its bound.
-FIRST_RANK = -1
-#: Part of its longest wait after which work goes ahead of all.
-OLD_PART = 0.8
 #: Shortest Retry-After; a resend sooner than this costs more than it gains.
 LEAST_RETRY_AFTER_S = 0.25
 #: Retry-After is stretched by up to this part, so that those who were
@@ -44,8 +40,6 @@
     #: patient work until that has waited as long as it may.
     DEADLINE = 'deadline'
     RANK = 'rank'
-    #: By rank, but ahead of all once the bound of its wait is near.
-    AGED = 'aged'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -57,7 +51,7 @@
     """
 
     queue: bool = True
-    order: Order = Order.AGED
+    order: Order = Order.RANK
 
 
 class Scheduler:
@@ -79,7 +73,7 @@
         is_pair = booking.stage is Stage.PAIR
         if not self._options.queue or not is_pair:
             return self._place(now, view, booking) or _refuse_full(booking)
-        ahead = self._ahead_of(now, view, booking)
+        ahead = self._ahead_of(view, booking)
         placed = None if ahead else self._place(now, view, booking)
         return placed or self._admit(now, view, booking, ahead)
 
@@ -87,7 +81,7 @@
         self, *, now: float, view: CellView
     ) -> list[tuple[Booking, Decision]]:
         """Place the first in the queue, or refuse one that is too late."""
-        ordered = self._sorted(now, view, view.queue)
+        ordered = self._sorted(view, view.queue)
         for booking in ordered:
             if now > latest_start(view, booking):
                 return [(booking, _refuse_late(booking, 0.0))]
@@ -97,31 +91,25 @@
                 return [(booking, placed)]
         return []
 
-    def _order(
-        self, now: float, view: CellView, booking: Booking
-    ) -> tuple[float, ...]:
+    def _order(self, view: CellView, booking: Booking) -> tuple[float, ...]:
         if self._options.order is Order.ARRIVAL:
             return (booking.arrived_at,)
         if self._options.order is Order.DEADLINE:
             return latest_start(view, booking), booking.arrived_at
         rank = view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
-        if self._options.order is Order.AGED and is_old(now, view, booking):
-            rank = FIRST_RANK
         return rank, booking.arrived_at
 
-    def _ahead_of(
-        self, now: float, view: CellView, booking: Booking
-    ) -> list[Booking]:
-        mine = self._order(now, view, booking)
+    def _ahead_of(self, view: CellView, booking: Booking) -> list[Booking]:
+        mine = self._order(view, booking)
         ahead = [
-            each for each in view.queue if self._order(now, view, each) <= mine
+            each for each in view.queue if self._order(view, each) <= mine
         ]
-        return self._sorted(now, view, ahead)
+        return self._sorted(view, ahead)
 
     def _sorted(
-        self, now: float, view: CellView, bookings: list[Booking]
+        self, view: CellView, bookings: list[Booking]
     ) -> list[Booking]:
-        return sorted(bookings, key=lambda each: self._order(now, view, each))
+        return sorted(bookings, key=lambda each: self._order(view, each))
 
     def _admit(
         self,
@@ -180,12 +168,6 @@
     return max(booking.arrived_at, start_at)
 
 
-def is_old(now: float, view: CellView, booking: Booking) -> bool:
-    """Return whether work has nearly waited as long as it may."""
-    longest_s = latest_start(view, booking) - booking.arrived_at
-    return now - booking.arrived_at > OLD_PART * longest_s
-
-
 def first_token_s(view: CellView, booking: Booking) -> float:
     """Return how long from the start to the first token."""
     work_s = booking.prompt_tokens / view.terms.prefill_tokens_per_s
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -51,9 +51,8 @@
 VERSIONS_BY_NAME: dict[str, scheduler.Options] = {
     'v1-slots': scheduler.Options(queue=False),
     'v2-queue': scheduler.Options(order=scheduler.Order.ARRIVAL),
-    'v3-rank': scheduler.Options(order=scheduler.Order.RANK),
     'v3-deadline': scheduler.Options(order=scheduler.Order.DEADLINE),
-    'v4-aged': scheduler.Options(),
+    'v3-rank': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
