--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import heapq
+import math
 
 import xxhash
 
@@ -25,6 +26,10 @@
 SEND_AHEAD_S = 0.02
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
+#: How fast a measured rate forgets, in seconds.
+FADES_S = 10.0
+#: Patient work keeps at least a tenth in every prediction.
+MOST_PASSING = 0.9
 #: Shortest Retry-After; a resend sooner than this costs more than it gains.
 LEAST_RETRY_AFTER_S = 0.25
 #: Retry-After is stretched by up to this part, so that those who were
@@ -48,10 +53,30 @@
 
     :param queue: let admitted work wait at the owner for a slot; refuse
         what can't meet its first-token target.
+    :param order: of those who wait.
+    :param foresee: count on the work that will pass while one waits.
     """
 
     queue: bool = True
     order: Order = Order.RANK
+    foresee: bool = True
+
+
+class Flow:
+    """A rate, as a moving average that fades over :data:`FADES_S`."""
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._at = 0.0
+
+    def add(self, now: float, amount: float) -> None:
+        """Count an amount."""
+        self._rate = self.rate(now) + amount / FADES_S
+        self._at = now
+
+    def rate(self, now: float) -> float:
+        """Return the rate a second."""
+        return self._rate * math.exp((self._at - now) / FADES_S)
 
 
 class Scheduler:
@@ -63,6 +88,9 @@
 
     def __init__(self, *, options: Options = Options()) -> None:
         self._options = options
+        #: Slot seconds and prefill seconds that were let in, by rank.
+        self._slot_flow_by_rank: dict[int, Flow] = {}
+        self._prefill_flow_by_rank: dict[int, Flow] = {}
 
     def decide(
         self, *, now: float, view: CellView, booking: Booking
@@ -75,7 +103,40 @@
             return self._place(now, view, booking) or _refuse_full(booking)
         ahead = self._ahead_of(view, booking)
         placed = None if ahead else self._place(now, view, booking)
-        return placed or self._admit(now, view, booking, ahead)
+        decision = placed or self._admit(now, view, booking, ahead)
+        if not isinstance(decision, Decline):
+            self._count(now, view, booking)
+        return decision
+
+    def _count(self, now: float, view: CellView, booking: Booking) -> None:
+        rank = rank_of(view, booking)
+        slots = self._slot_flow_by_rank.setdefault(rank, Flow())
+        slots.add(now, view.transfer_s(booking) + view.decode_s(booking))
+        prefills = self._prefill_flow_by_rank.setdefault(rank, Flow())
+        prefills.add(now, prefill_s(view, booking))
+
+    def _passing_part(
+        self, now: float, view: CellView, booking: Booking
+    ) -> float:
+        """Return the part of the cell that goes to work of better rank.
+
+        Such work keeps coming while this waits, and passes it. One would
+        notice work that was admitted, waited to its bound and was refused.
+        """
+        rank = rank_of(view, booking)
+        parts = []
+        for role, flows in (
+            (Role.DECODE, self._slot_flow_by_rank),
+            (Role.PREFILL, self._prefill_flow_by_rank),
+        ):
+            total = sum(
+                state.backend.slots for state in view.candidates(role, ())
+            )
+            passing = sum(
+                flow.rate(now) for each, flow in flows.items() if each < rank
+            )
+            parts.append(passing / max(1, total))
+        return min(max(parts), MOST_PASSING)
 
     def dispatch(
         self, *, now: float, view: CellView
@@ -96,8 +157,7 @@
             return (booking.arrived_at,)
         if self._options.order is Order.DEADLINE:
             return latest_start(view, booking), booking.arrived_at
-        rank = view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
-        return rank, booking.arrived_at
+        return rank_of(view, booking), booking.arrived_at
 
     def _ahead_of(self, view: CellView, booking: Booking) -> list[Booking]:
         mine = self._order(view, booking)
@@ -119,6 +179,9 @@
         ahead: list[Booking],
     ) -> Decision:
         starts_at = expected_start(now, view, [*ahead, booking])
+        if self._options.foresee:
+            left = 1.0 - self._passing_part(now, view, booking)
+            starts_at = now + (starts_at - now) / left
         late_s = starts_at - latest_start(view, booking)
         if late_s > 0.0:
             return _refuse_late(booking, late_s)
@@ -153,6 +216,16 @@
         return chosen
 
 
+def rank_of(view: CellView, booking: Booking) -> int:
+    """Return the rank of work; lower goes first."""
+    return view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
+
+
+def prefill_s(view: CellView, booking: Booking) -> float:
+    """Return how long a prompt takes on an engine of usual speed."""
+    return booking.prompt_tokens / view.terms.prefill_tokens_per_s
+
+
 def latest_start(view: CellView, booking: Booking) -> float:
     """Return until when work may start and still meet its target.
 
@@ -170,7 +243,7 @@
 
 def first_token_s(view: CellView, booking: Booking) -> float:
     """Return how long from the start to the first token."""
-    work_s = booking.prompt_tokens / view.terms.prefill_tokens_per_s
+    work_s = prefill_s(view, booking)
     gap_s = 1.0 / view.terms.decode_tokens_per_s
     # The first step may have to wait for the end of the one that runs.
     return work_s + view.transfer_s(booking) + 2 * gap_s
@@ -196,8 +269,7 @@
         if not slots:
             return float('inf')
         starts_at = max(heapq.heappop(slots), engines[0])
-        work_s = booking.prompt_tokens / view.terms.prefill_tokens_per_s
-        done_at = starts_at + work_s
+        done_at = starts_at + prefill_s(view, booking)
         heapq.heapreplace(engines, done_at)
         moved_at = done_at + view.transfer_s(booking)
         heapq.heappush(slots, moved_at + view.decode_s(booking))
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -52,7 +52,8 @@
     'v1-slots': scheduler.Options(queue=False),
     'v2-queue': scheduler.Options(order=scheduler.Order.ARRIVAL),
     'v3-deadline': scheduler.Options(order=scheduler.Order.DEADLINE),
-    'v3-rank': scheduler.Options(),
+    'v3-rank': scheduler.Options(foresee=False),
+    'v4-foresee': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
