--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -351,6 +351,8 @@
                 return self._change_backends(event)
             case LoadReported():
                 return self._report_load(event)
+            case CacheHint():
+                return self._take_hint(event)
             case StreamCancelled():
                 self._confirm_cancel(event)
         return []
@@ -605,6 +607,19 @@
             state.reported_at = event.now
         return []
 
+    def _take_hint(self, event: CacheHint) -> list:
+        state = self.view.backends_by_id.get(event.backend_id)
+        if state is not None:
+            if event.gap:
+                # Evictions may be among the lost events. One would notice
+                # prompts sent to a cache that has forgotten them, and a
+                # first token that comes late; what is dropped in vain is
+                # learned again with the next prompt.
+                state.blocks.clear()
+            state.add_blocks(event.stored)
+            state.drop_blocks(event.evicted)
+        return []
+
     def _tick(self, now: float) -> list:
         effects = []
         for booking in list(self.bookings_by_key.values()):
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -5,6 +5,7 @@
 why not. Times are monotonic seconds of the owner's instance.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import enum
@@ -18,6 +19,8 @@
 BLOCK_TOKENS = 64
 #: Weight of a new measurement in a moving average.
 SMOOTHING = 0.1
+#: Blocks remembered for each backend server, about 100 bytes each.
+MOST_BLOCKS = 4_096
 #: A prefill that hung tells nothing about the next one beyond this.
 MOST_SLOWNESS = 10.0
 
@@ -169,13 +172,40 @@
     #: Measured prefill time over predicted; above one is slow.
     slowness: float = 1.0
     last_prefill_at: float = 0.0
-    link_free_at: float = 0.0
+    #: Blocks that its prefix cache may hold, the last used at the end. A
+    #: guess: cache events come late and with gaps, and blocks count from
+    #: the moment a prompt is sent, long before an event tells.
+    blocks: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
 
     @property
     def slots_used(self) -> int:
         """Slots that are booked, used or not yet given back."""
         return len(self.bookings_by_key) + self.cancelling
 
+    def cached_tokens(self, prefix: abc.Sequence[str]) -> int:
+        """Return how many leading tokens are probably cached here."""
+        count = 0
+        for block in prefix:
+            if block not in self.blocks:
+                break
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def add_blocks(self, prefix: abc.Iterable[str]) -> None:
+        """Take in that these blocks are, or soon will be, cached here."""
+        for block in prefix:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        while len(self.blocks) > MOST_BLOCKS:
+            self.blocks.popitem(last=False)
+
+    def drop_blocks(self, prefix: abc.Iterable[str]) -> None:
+        """Take in that these blocks are no longer cached here."""
+        for block in prefix:
+            self.blocks.pop(block, None)
+
     def prefill_free_at(self, now: float) -> float:
         """Return when the prompts that were sent here will be done."""
         ends = [
@@ -210,9 +240,11 @@
             if state.backend.role is role and backend_id not in exclude
         ]
 
-    def prefill_work_s(self, state: BackendState, tokens: int) -> float:
-        """Return how long an engine takes to compute some tokens."""
-        return tokens / self.terms.prefill_tokens_per_s * state.slowness
+    def prefill_work_s(self, state: BackendState, booking: Booking) -> float:
+        """Return how long an engine takes to compute a prompt."""
+        tokens = booking.prompt_tokens - state.cached_tokens(booking.prefix)
+        rate = self.terms.prefill_tokens_per_s
+        return max(0, tokens) / rate * state.slowness
 
     def transfer_s(self, booking: Booking) -> float:
         """Return how long the KV cache of a prompt takes to move."""
@@ -230,9 +262,8 @@
         ends_at = booking.start_at
         if state is not None and not booking.prefill_done:
             starts_at = max(ends_at, state.prefill_free_at(ends_at))
-            booking.prefill_work_s = self.prefill_work_s(
-                state, booking.prompt_tokens
-            )
+            booking.prefill_work_s = self.prefill_work_s(state, booking)
+            state.add_blocks(booking.prefix)
             ends_at = starts_at + booking.prefill_work_s
             booking.prefill_ends_at = ends_at
         self._plan_decode(booking, ends_at)
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -55,11 +55,13 @@
         what can't meet its first-token target.
     :param order: of those who wait.
     :param foresee: count on the work that will pass while one waits.
+    :param affinity: prefer a prefill engine that has cached the prefix.
     """
 
     queue: bool = True
     order: Order = Order.RANK
     foresee: bool = True
+    affinity: bool = True
 
 
 class Flow:
@@ -194,7 +196,7 @@
         for role in ROLES_BY_STAGE[booking.stage]:
             candidates = view.candidates(role, booking.exclude)
             if role is Role.PREFILL:
-                chosen = self._choose_prefill(now, candidates)
+                chosen = self._choose_prefill(now, view, booking, candidates)
             else:
                 chosen = _most_free_slots(candidates)
             if chosen is None:
@@ -207,9 +209,25 @@
         )
 
     def _choose_prefill(
-        self, now: float, candidates: list[BackendState]
+        self,
+        now: float,
+        view: CellView,
+        booking: Booking,
+        candidates: list[BackendState],
     ) -> BackendState | None:
-        chosen = min(candidates, key=lambda each: each.prefill_free_at(now))
+        """Choose the engine that would be done first.
+
+        What an engine has cached shortens its work, so prompts go back to
+        the cache they know unless it is busier by more than it saves.
+        """
+
+        def done_at(state: BackendState) -> float:
+            free_at = state.prefill_free_at(now)
+            if not self._options.affinity:
+                return free_at
+            return free_at + view.prefill_work_s(state, booking)
+
+        chosen = min(candidates, key=done_at)
         wait_s = chosen.prefill_free_at(now) - now
         if self._options.queue and wait_s > SEND_AHEAD_S:
             return None
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -53,7 +53,8 @@
     'v2-queue': scheduler.Options(order=scheduler.Order.ARRIVAL),
     'v3-deadline': scheduler.Options(order=scheduler.Order.DEADLINE),
     'v3-rank': scheduler.Options(foresee=False),
-    'v4-foresee': scheduler.Options(),
+    'v4-foresee': scheduler.Options(affinity=False),
+    'v5-affinity': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
@@ -109,6 +110,7 @@
     loads: list[float] | None = None,
     duration_s: float = 60.0,
     seeds: list[int] | None = None,
+    mixes: list[str] | None = None,
 ) -> None:
     """Measure policies and print JSON lines.
 
@@ -116,9 +118,12 @@
     :param policies: names to measure; all if none are given.
     :param loads: in parts of the capacity.
     :param duration_s: virtual seconds of arrivals.
+    :param mixes: brazos, khangai, brazos-shared, khangai-shared.
     :param seeds: of the arrivals; three if none are given.
     """
-    for deployment in workloads.DEPLOYMENTS_BY_NAME.values():
+    deployments = workloads.DEPLOYMENTS_BY_NAME | workloads.SHARED_BY_NAME
+    names = mixes or list(workloads.DEPLOYMENTS_BY_NAME)
+    for deployment in (deployments[name] for name in names):
         factories_by_name = all_policies(deployment)
         for name in policies or factories_by_name:
             for at_load in loads or (0.5, 0.75, 1.0, 1.2, 1.5):
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -163,6 +163,7 @@
             'short_answers': self.counts['short'],
             'lost_answers': self.counts['lost'],
             'wasted_prefill': self.wasted_share,
+            'prefill_tokens': self.prefill_tokens,
             'wasted_by_reason': {
                 reason: tokens / total
                 for reason, tokens in self.wasted_by_reason.items()
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -136,6 +136,27 @@
     ),
 )
 
+
+def share_more(deployment: Deployment) -> Deployment:
+    """Return a mix whose prompts begin alike for all they can.
+
+    Accounts have more such beginnings than one prefix cache holds.
+    """
+    block = deployment.speeds.block_tokens
+    kinds = tuple(
+        dataclasses.replace(
+            kind, shared_tokens=kind.prompt_tokens[0] // block * block
+        )
+        for kind in deployment.kinds
+    )
+    return dataclasses.replace(
+        deployment, name=f'{deployment.name}-shared', kinds=kinds
+    )
+
+
+SHARED_BY_NAME = {
+    each.name: each for each in (share_more(BRAZOS), share_more(KHANGAI))
+}
 DEPLOYMENTS_BY_NAME = {each.name: each for each in (BRAZOS, KHANGAI)}
 
 
