--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -172,6 +172,8 @@
     #: Measured prefill time over predicted; above one is slow.
     slowness: float = 1.0
     last_prefill_at: float = 0.0
+    #: When the transfers booked on this link will be over.
+    link_free_at: float = 0.0
     #: Blocks that its prefix cache may hold, the last used at the end. A
     #: guess: cache events come late and with gaps, and blocks count from
     #: the moment a prompt is sent, long before an event tells.
@@ -266,10 +268,21 @@
             state.add_blocks(booking.prefix)
             ends_at = starts_at + booking.prefill_work_s
             booking.prefill_ends_at = ends_at
-        self._plan_decode(booking, ends_at)
+        if booking.stage is not Stage.PLAIN:
+            self._plan_decode(booking, ends_at)
 
     def _plan_decode(self, booking: Booking, ends_at: float) -> None:
-        booking.transfer_ends_at = ends_at + self.transfer_s(booking)
+        ends = [
+            self.backends_by_id[each]
+            for each in (booking.prefill_id, booking.decode_id)
+            if each in self.backends_by_id
+        ]
+        starts_at = max([ends_at, *(state.link_free_at for state in ends)])
+        booking.transfer_ends_at = starts_at + self.transfer_s(booking)
+        for state in ends:
+            state.link_free_at = max(
+                state.link_free_at, booking.transfer_ends_at
+            )
         decode_s = self.decode_s(booking)
         booking.decode_ends_at = booking.transfer_ends_at + decode_s
 
@@ -288,7 +301,11 @@
             if not each.prefill_done and each is not booking:
                 at = max(at, each.start_at or at) + each.prefill_work_s
                 each.prefill_ends_at = at
-        self._plan_decode(booking, now)
+        # The links were booked with the pair; only a late prefill needs
+        # them for longer.
+        transfer_ends_at = now + self.transfer_s(booking)
+        if transfer_ends_at > booking.transfer_ends_at:
+            self._plan_decode(booking, now)
 
     def learn_answer(self, now: float, booking: Booking) -> None:
         """Take in that an answer is complete."""
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -24,6 +24,11 @@
 #: A prompt goes to its engine so long before the one ahead of it is done,
 #: to cover the hops between; more would let engines reorder what is sent.
 SEND_AHEAD_S = 0.02
+#: Times that differ by less than 10 ms count as equal.
+LINK_DIGITS = 2
+#: Longest planned wait of a KV cache for a link; engines keep it for
+#: somewhat under a second and predictions err by some tenths.
+MOST_LINK_WAIT_S = 0.25
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
 #: How fast a measured rate forgets, in seconds.
@@ -56,12 +61,14 @@
     :param order: of those who wait.
     :param foresee: count on the work that will pass while one waits.
     :param affinity: prefer a prefill engine that has cached the prefix.
+    :param links: book the links with the pair.
     """
 
     queue: bool = True
     order: Order = Order.RANK
     foresee: bool = True
     affinity: bool = True
+    links: bool = True
 
 
 class Flow:
@@ -192,46 +199,60 @@
     def _place(
         self, now: float, view: CellView, booking: Booking
     ) -> Place | None:
-        ids_by_role = {}
-        for role in ROLES_BY_STAGE[booking.stage]:
-            candidates = view.candidates(role, booking.exclude)
-            if role is Role.PREFILL:
-                chosen = self._choose_prefill(now, view, booking, candidates)
-            else:
-                chosen = _most_free_slots(candidates)
-            if chosen is None:
-                return None
-            ids_by_role[role] = chosen.backend.backend_id
-        return Place(
-            prefill_id=ids_by_role.get(Role.PREFILL, ''),
-            decode_id=ids_by_role.get(Role.DECODE, ''),
-            plain_id=ids_by_role.get(Role.PLAIN, ''),
-        )
+        if booking.stage is Stage.PAIR:
+            return self._place_pair(now, view, booking)
+        role = ROLES_BY_STAGE[booking.stage][0]
+        chosen = _most_free_slots(view.candidates(role, booking.exclude))
+        if chosen is None:
+            return None
+        backend_id = chosen.backend.backend_id
+        if role is Role.PLAIN:
+            return Place(plain_id=backend_id)
+        return Place(decode_id=backend_id)
 
-    def _choose_prefill(
-        self,
-        now: float,
-        view: CellView,
-        booking: Booking,
-        candidates: list[BackendState],
-    ) -> BackendState | None:
-        """Choose the engine that would be done first.
+    def _place_pair(
+        self, now: float, view: CellView, booking: Booking
+    ) -> Place | None:
+        """Choose the pair over which the KV cache would be moved first.
 
         What an engine has cached shortens its work, so prompts go back to
         the cache they know unless it is busier by more than it saves.
         """
-
-        def done_at(state: BackendState) -> float:
-            free_at = state.prefill_free_at(now)
-            if not self._options.affinity:
-                return free_at
-            return free_at + view.prefill_work_s(state, booking)
-
-        chosen = min(candidates, key=done_at)
-        wait_s = chosen.prefill_free_at(now) - now
-        if self._options.queue and wait_s > SEND_AHEAD_S:
+        best: tuple[tuple[float, ...], Place] | None = None
+        for prefill in view.candidates(Role.PREFILL, booking.exclude):
+            free_at = prefill.prefill_free_at(now)
+            if self._options.queue and free_at - now > SEND_AHEAD_S:
+                continue
+            done_at = free_at
+            if self._options.affinity:
+                done_at += view.prefill_work_s(prefill, booking)
+            for decode in view.candidates(Role.DECODE, booking.exclude):
+                if _free_slots(decode) <= 0:
+                    continue
+                cost = self._cost(done_at, prefill, decode)
+                if cost is not None and (best is None or cost < best[0]):
+                    chosen = Place(
+                        prefill_id=prefill.backend.backend_id,
+                        decode_id=decode.backend.backend_id,
+                    )
+                    best = cost, chosen
+        return best[1] if best else None
+
+    def _cost(
+        self, done_at: float, prefill: BackendState, decode: BackendState
+    ) -> tuple[float, ...] | None:
+        """Return what to make least, or ``None`` if the links are full.
+
+        A KV cache that waits for a link is evicted in under a second. One
+        would notice imports answered with "evicted" and prompts computed
+        twice; a prefill that would wait long is not started yet.
+        """
+        if not self._options.links:
+            return done_at, -_free_slots(decode)
+        moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
+        if moves_at - done_at > MOST_LINK_WAIT_S:
             return None
-        return chosen
+        return round(moves_at, LINK_DIGITS), -_free_slots(decode)
 
 
 def rank_of(view: CellView, booking: Booking) -> int:
@@ -288,8 +309,11 @@
             return float('inf')
         starts_at = max(heapq.heappop(slots), engines[0])
         done_at = starts_at + prefill_s(view, booking)
-        heapq.heapreplace(engines, done_at)
         moved_at = done_at + view.transfer_s(booking)
+        # Prefill and link of an engine work at the same time, each on
+        # another prompt; the slower of the two sets the pace.
+        paced_at = max(done_at, starts_at + view.transfer_s(booking))
+        heapq.heapreplace(engines, paced_at)
         heapq.heappush(slots, moved_at + view.decode_s(booking))
     return starts_at
 
