--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -29,8 +29,6 @@
 #: Longest planned wait of a KV cache for a link; engines keep it for
 #: somewhat under a second and predictions err by some tenths.
 MOST_LINK_WAIT_S = 0.25
-#: An answer counts as over so long after it was expected to be.
-SLOT_MARGIN_S = 0.1
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
 #: How fast a measured rate forgets, in seconds.
@@ -64,7 +62,6 @@
     :param foresee: count on the work that will pass while one waits.
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
-    :param timed: book slots that will be free when the KV cache comes.
     """
 
     queue: bool = True
@@ -72,7 +69,6 @@
     foresee: bool = True
     affinity: bool = True
     links: bool = True
-    timed: bool = True
 
 
 class Flow:
@@ -231,6 +227,8 @@
             if self._options.affinity:
                 done_at += view.prefill_work_s(prefill, booking)
             for decode in view.candidates(Role.DECODE, booking.exclude):
+                if _free_slots(decode) <= 0:
+                    continue
                 cost = self._cost(done_at, prefill, decode)
                 if cost is not None and (best is None or cost < best[0]):
                     chosen = Place(
@@ -249,17 +247,12 @@
         would notice imports answered with "evicted" and prompts computed
         twice; a prefill that would wait long is not started yet.
         """
-        moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
-        free = _free_slots(decode)
-        if self._options.timed:
-            free += _ending_by(decode, moves_at - SLOT_MARGIN_S)
-        if free <= 0:
-            return None
         if not self._options.links:
-            return done_at, -free
+            return done_at, -_free_slots(decode)
+        moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
         if moves_at - done_at > MOST_LINK_WAIT_S:
             return None
-        return round(moves_at, LINK_DIGITS), -free
+        return round(moves_at, LINK_DIGITS), -_free_slots(decode)
 
 
 def rank_of(view: CellView, booking: Booking) -> int:
@@ -341,14 +334,6 @@
     return state.backend.slots - state.slots_used
 
 
-def _ending_by(state: BackendState, at: float) -> int:
-    """Return how many answers are expected to be over by then."""
-    return sum(
-        booking.decode_ends_at < at
-        for booking in state.bookings_by_key.values()
-    )
-
-
 def _most_free_slots(candidates: list[BackendState]) -> BackendState | None:
     free = [state for state in candidates if _free_slots(state) > 0]
     return max(free, key=_free_slots, default=None)
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -55,8 +55,7 @@
     'v3-rank': scheduler.Options(foresee=False),
     'v4-foresee': scheduler.Options(affinity=False),
     'v5-affinity': scheduler.Options(links=False),
-    'v6-links': scheduler.Options(timed=False),
-    'v7-timed': scheduler.Options(),
+    'v6-links': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
