--- a/tools/load.py
+++ b/tools/load.py
@@ -147,6 +147,7 @@
         self._draw = random.Random(seed)
         self._policy_factory = policy_factory
         self._epoch = 1
+        self._lost_entries: set[str] = set()
         self._add_engines()
         self.cell = self._make_cell()
         self._tell_backends()
@@ -196,6 +197,11 @@
         self.clock.run(until)
         for engine in self.engines_by_id.values():
             self.tally.count_engine(engine.model)
+            if engine.alive:
+                held = engine.model.load().slots_used
+                self.tally.counts['slots_held'] += held
+        self.tally.counts['lost'] = len(self.jobs_by_name)
+        self.tally.counts['bookings_held'] = len(self.cell.bookings_by_key)
         return self.tally
 
     # The owner.
@@ -257,6 +263,7 @@
         engine = self.engines_by_id[effect.backend_id]
         if not engine.alive:
             return
+        self.tally.counts['cancels'] += 1
         engine.wake()
         engine.model.cancel(
             self.clock.now,
@@ -278,11 +285,10 @@
     def _arrive(
         self, request: workloads.Request, name: str, comebacks: int
     ) -> None:
-        number = self._draw.randrange(self.deployment.entries)
         job = Job(
             request=request,
             name=name,
-            entry=f'entry-{number}',
+            entry=self._draw.choice(self._entries()),
             arrived_at=self.clock.now,
             comebacks=comebacks,
         )
@@ -293,6 +299,10 @@
             self.clock.at(leaves_at, self._leave, job)
         self._book(job, policy.Stage.PAIR)
 
+    def _entries(self) -> list[str]:
+        names = [f'entry-{n}' for n in range(self.deployment.entries)]
+        return [name for name in names if name not in self._lost_entries]
+
     def _leave(self, job: Job) -> None:
         if not job.over:
             self._release(job, cells.Outcome.CANCELLED)
@@ -627,6 +637,19 @@
                 self._retry(job, RetryReason.STREAM_BROKEN, backend_id)
         self.clock.at(self.clock.now + PRESENCE_S, self._tell_backends)
 
+    def lose_entry(self, entry: str) -> None:
+        """Kill an entry; its callers are cut off and it says no more."""
+        for job in list(self.jobs_by_name.values()):
+            if job.entry == entry:
+                self._end(job)
+                self.tally.left(job)
+        self._lost_entries.add(entry)
+
+    def join_engine(self, backend_id: str, role: policy.Role) -> None:
+        """Start an engine that the owner learns of at once."""
+        self.add_engine(backend_id, role)
+        self._tell_backends()
+
     def set_fault(self, backend_id: str, **switches: typing.Any) -> None:
         """Set fault switches of an engine."""
         engine = self.engines_by_id[backend_id]
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -14,6 +14,7 @@
 from dandeliongw import policy
 from dandeliongw import scheduler
 from tools import baselines
+from tools import faults
 from tools import load
 from tools import tally
 from tools import workloads
@@ -99,9 +100,7 @@
     run.tally.until = duration_s
     if disturb is not None:
         disturb(run)
-    result = run.run(duration_s + DRAIN_S)
-    result.counts['lost'] = len(run.jobs_by_name)
-    return result
+    return run.run(duration_s + DRAIN_S)
 
 
 def main(
@@ -112,6 +111,10 @@
     duration_s: float = 60.0,
     seeds: list[int] | None = None,
     mixes: list[str] | None = None,
+    fault: str = '',
+    leaving: float = 0.0,
+    flood: float = 0.0,
+    burst: bool = False,
 ) -> None:
     """Measure policies and print JSON lines.
 
@@ -120,6 +123,10 @@
     :param loads: in parts of the capacity.
     :param duration_s: virtual seconds of arrivals.
     :param mixes: brazos, khangai, brazos-shared, khangai-shared.
+    :param fault: a name in tools.faults; none if empty.
+    :param leaving: part of the callers that leave early.
+    :param flood: part of all calls that come from a single account.
+    :param burst: let the load swing between 0.4 and 1.6 of itself.
     :param seeds: of the arrivals; three if none are given.
     """
     deployments = workloads.DEPLOYMENTS_BY_NAME | workloads.SHARED_BY_NAME
@@ -135,12 +142,17 @@
                         at_load=at_load,
                         duration_s=duration_s,
                         seed=seed,
+                        disturb=faults.FAULTS_BY_NAME.get(fault),
+                        leaving=leaving,
+                        flood=flood,
+                        burst=burst,
                     )
                     line = {
                         'deployment': deployment.name,
                         'policy': name,
                         'load': at_load,
                         'seed': seed,
+                        'fault': fault,
                         'capacity': workloads.capacity(deployment),
                     }
                     print(json.dumps(line | result.figures()), flush=True)
