--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -18,6 +18,7 @@
 from .policy import CellView
 from .policy import Decision
 from .policy import Decline
+from .policy import Health
 from .policy import Place
 from .policy import Policy
 from .policy import Role
@@ -375,6 +376,8 @@
             return []
         if known is not None:
             self._forget(known)
+            if known.decode_id in book.exclude:
+                self._blame(now, known.decode_id)
         booking = Booking(
             request_id=book.request_id,
             attempt_id=book.attempt_id,
@@ -520,11 +523,17 @@
         if booking is None:
             return []
         self._forget(booking)
+        self._blame(now, release.backend_fault)
         if release.outcome is Outcome.DONE:
             self.view.learn_answer(now, booking)
             return []
         return self._cancel(now, booking)
 
+    def _blame(self, now: float, backend_id: str) -> None:
+        state = self.view.backends_by_id.get(backend_id)
+        if state is not None:
+            state.health.add_fault(now)
+
     def _cancel(self, now: float, booking: Booking) -> list:
         effects = []
         for state in self._states_of(booking):
@@ -594,10 +603,22 @@
                 state.backend = backend
                 new[backend.backend_id] = state
             else:
-                new[backend.backend_id] = BackendState(backend=backend)
+                new[backend.backend_id] = BackendState(
+                    backend=backend, health=self._first_health(event, backend)
+                )
         self.view.backends_by_id = new
         return []
 
+    def _first_health(
+        self, event: BackendsChanged, backend: CellBackend
+    ) -> Health:
+        """Return the health of a backend server that the cell meets.
+
+        A new owner meets all at once, and none of them is new.
+        """
+        others = self.view.candidates(backend.role, ())
+        return Health(came_at=event.now if others else None)
+
     def _report_load(self, event: LoadReported) -> list:
         state = self.view.backends_by_id.get(event.backend_id)
         if state is not None:
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -21,6 +21,14 @@
 SMOOTHING = 0.1
 #: Blocks remembered for each backend server, about 100 bytes each.
 MOST_BLOCKS = 4_096
+#: So many faults within the window leave a backend server out.
+FAULTS_TO_EJECT = 3
+FAULT_WINDOW_S = 5.0
+#: How long it is left out the first time, and at most.
+EJECTED_S = 2.0
+MOST_EJECTED_S = 60.0
+#: How long it takes from one slot to all of them.
+RAMP_S = 4.0
 #: A prefill that hung tells nothing about the next one beyond this.
 MOST_SLOWNESS = 10.0
 
@@ -154,6 +162,58 @@
         return self.request_id, self.attempt_id
 
 
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Health:
+    """Whether a backend server is trusted with new work.
+
+    One that keeps failing is left out for a while, longer each time, and
+    comes back slowly: without this each request would find out anew, and
+    one would notice a steady stream of retries against one backend server.
+    A new one comes in as slowly, as its caches are cold.
+    """
+
+    recent_faults: list[float] = dataclasses.field(default_factory=list)
+    ejected_until: float = 0.0
+    ejections: int = 0
+    #: When it came, or came back; ``None`` if it has always been there.
+    came_at: float | None = None
+
+    def is_ejected(self, now: float) -> bool:
+        return now < self.ejected_until
+
+    def is_new(self, now: float) -> bool:
+        """Return whether it came, or came back, a short while ago."""
+        return self.came_at is not None and now < self.came_at + RAMP_S
+
+    def open_part(self, now: float) -> float:
+        """Return which part of its slots may be used now."""
+        if not self.is_new(now):
+            return 1.0
+        return max(0.0, (now - self.came_at) / RAMP_S)
+
+    def add_fault(self, now: float) -> None:
+        """Count a fault; leave the backend server out if it is one of many.
+
+        The faults that come in while it is left out are of work from
+        before, and don't count again.
+        """
+        if self.is_ejected(now):
+            return
+        since = now - FAULT_WINDOW_S
+        self.recent_faults = [at for at in self.recent_faults if at > since]
+        self.recent_faults.append(now)
+        suspect = self.ejections > 0 and self.is_new(now)
+        if suspect or len(self.recent_faults) >= FAULTS_TO_EJECT:
+            self._eject(now)
+
+    def _eject(self, now: float) -> None:
+        ejected_s = min(EJECTED_S * 2**self.ejections, MOST_EJECTED_S)
+        self.ejected_until = now + ejected_s
+        self.came_at = self.ejected_until
+        self.ejections += 1
+        self.recent_faults.clear()
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BackendState:
     """What the owner knows of one backend server."""
@@ -174,6 +234,7 @@
     last_prefill_at: float = 0.0
     #: When the transfers booked on this link will be over.
     link_free_at: float = 0.0
+    health: Health = dataclasses.field(default_factory=lambda: Health())
     #: Blocks that its prefix cache may hold, the last used at the end. A
     #: guess: cache events come late and with gaps, and blocks count from
     #: the moment a prompt is sent, long before an event tells.
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -62,6 +62,7 @@
     :param foresee: count on the work that will pass while one waits.
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
+    :param health: leave out what keeps failing; let new ones in slowly.
     """
 
     queue: bool = True
@@ -69,6 +70,7 @@
     foresee: bool = True
     affinity: bool = True
     links: bool = True
+    health: bool = True
 
 
 class Flow:
@@ -196,13 +198,45 @@
             return _refuse_late(booking, late_s)
         return Wait(expected_s=starts_at - now)
 
+    def _usable(
+        self, now: float, view: CellView, role: Role, booking: Booking
+    ) -> list[BackendState]:
+        """Return the trusted backend servers, or all if none is."""
+        candidates = view.candidates(role, booking.exclude)
+        if not self._options.health:
+            return candidates
+        trusted = [
+            state for state in candidates if not state.health.is_ejected(now)
+        ]
+        return trusted or candidates
+
+    def _free_slots(self, now: float, state: BackendState) -> int:
+        slots = state.backend.slots
+        if self._options.health:
+            part = state.health.open_part(now)
+            slots = max(1, math.floor(slots * part))
+        return slots - state.slots_used
+
+    def _most_free(
+        self, now: float, candidates: list[BackendState]
+    ) -> BackendState | None:
+        chosen = max(
+            candidates,
+            key=lambda each: self._free_slots(now, each),
+            default=None,
+        )
+        if chosen is None or self._free_slots(now, chosen) <= 0:
+            return None
+        return chosen
+
     def _place(
         self, now: float, view: CellView, booking: Booking
     ) -> Place | None:
         if booking.stage is Stage.PAIR:
             return self._place_pair(now, view, booking)
         role = ROLES_BY_STAGE[booking.stage][0]
-        chosen = _most_free_slots(view.candidates(role, booking.exclude))
+        usable = self._usable(now, view, role, booking)
+        chosen = self._most_free(now, usable)
         if chosen is None:
             return None
         backend_id = chosen.backend.backend_id
@@ -219,17 +253,20 @@
         the cache they know unless it is busier by more than it saves.
         """
         best: tuple[tuple[float, ...], Place] | None = None
-        for prefill in view.candidates(Role.PREFILL, booking.exclude):
+        decodes = [
+            state
+            for state in self._usable(now, view, Role.DECODE, booking)
+            if self._free_slots(now, state) > 0
+        ]
+        for prefill in self._usable(now, view, Role.PREFILL, booking):
             free_at = prefill.prefill_free_at(now)
             if self._options.queue and free_at - now > SEND_AHEAD_S:
                 continue
             done_at = free_at
             if self._options.affinity:
                 done_at += view.prefill_work_s(prefill, booking)
-            for decode in view.candidates(Role.DECODE, booking.exclude):
-                if _free_slots(decode) <= 0:
-                    continue
-                cost = self._cost(done_at, prefill, decode)
+            for decode in decodes:
+                cost = self._cost(now, done_at, prefill, decode)
                 if cost is not None and (best is None or cost < best[0]):
                     chosen = Place(
                         prefill_id=prefill.backend.backend_id,
@@ -239,7 +276,11 @@
         return best[1] if best else None
 
     def _cost(
-        self, done_at: float, prefill: BackendState, decode: BackendState
+        self,
+        now: float,
+        done_at: float,
+        prefill: BackendState,
+        decode: BackendState,
     ) -> tuple[float, ...] | None:
         """Return what to make least, or ``None`` if the links are full.
 
@@ -247,12 +288,13 @@
         would notice imports answered with "evicted" and prompts computed
         twice; a prefill that would wait long is not started yet.
         """
+        free = self._free_slots(now, decode)
         if not self._options.links:
-            return done_at, -_free_slots(decode)
+            return done_at, -free
         moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
         if moves_at - done_at > MOST_LINK_WAIT_S:
             return None
-        return round(moves_at, LINK_DIGITS), -_free_slots(decode)
+        return round(moves_at, LINK_DIGITS), -free
 
 
 def rank_of(view: CellView, booking: Booking) -> int:
@@ -300,13 +342,14 @@
     engines = [
         state.prefill_free_at(now)
         for state in view.candidates(Role.PREFILL, ())
+        if not state.health.is_ejected(now)
     ]
+    if not slots or not engines:
+        return math.inf
     heapq.heapify(slots)
     heapq.heapify(engines)
     starts_at = now
     for booking in ordered:
-        if not slots:
-            return float('inf')
         starts_at = max(heapq.heappop(slots), engines[0])
         done_at = starts_at + prefill_s(view, booking)
         moved_at = done_at + view.transfer_s(booking)
@@ -322,7 +365,10 @@
     """Return when each decode slot is free."""
     times = []
     for state in view.candidates(Role.DECODE, ()):
-        times.extend([now] * max(0, _free_slots(state)))
+        if state.health.is_ejected(now):
+            continue
+        free = state.backend.slots - state.slots_used
+        times.extend([now] * max(0, free))
         times.extend(
             max(now, booking.decode_ends_at)
             for booking in state.bookings_by_key.values()
@@ -330,15 +376,6 @@
     return times
 
 
-def _free_slots(state: BackendState) -> int:
-    return state.backend.slots - state.slots_used
-
-
-def _most_free_slots(candidates: list[BackendState]) -> BackendState | None:
-    free = [state for state in candidates if _free_slots(state) > 0]
-    return max(free, key=_free_slots, default=None)
-
-
 def _refuse_full(booking: Booking) -> Decline:
     role = 'plain' if booking.stage is Stage.PLAIN else 'decode'
     return Decline(
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -56,7 +56,8 @@
     'v3-rank': scheduler.Options(foresee=False),
     'v4-foresee': scheduler.Options(affinity=False),
     'v5-affinity': scheduler.Options(links=False),
-    'v6-links': scheduler.Options(),
+    'v6-links': scheduler.Options(health=False),
+    'v7-health': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
