--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -420,6 +420,8 @@
                 booking.plain_id = decision.plain_id
                 booking.start_at = now + decision.start_in_s
                 self.view.plan(booking)
+                for state in self._states_of(booking):
+                    state.health.last_given_at = now
         self._remember(booking)
         return [self._answer(now, booking)]
 
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -9,6 +9,7 @@
 from collections import abc
 import dataclasses
 import enum
+import math
 import typing
 
 import xxhash
@@ -27,6 +28,8 @@
 #: How long it is left out the first time, and at most.
 EJECTED_S = 2.0
 MOST_EJECTED_S = 60.0
+#: Pause between the first pieces of work after it came back.
+PACE_S = 1.0
 #: How long it takes from one slot to all of them.
 RAMP_S = 4.0
 #: A prefill that hung tells nothing about the next one beyond this.
@@ -177,6 +180,7 @@
     ejections: int = 0
     #: When it came, or came back; ``None`` if it has always been there.
     came_at: float | None = None
+    last_given_at: float = -math.inf
 
     def is_ejected(self, now: float) -> bool:
         return now < self.ejected_until
@@ -191,6 +195,17 @@
             return 1.0
         return max(0.0, (now - self.came_at) / RAMP_S)
 
+    def may_get_work(self, now: float) -> bool:
+        """Return whether it may get new work now.
+
+        A fault may take seconds to show. Until the ramp is over the work
+        is spaced, so that little is lost if the fault is still there.
+        """
+        if self.is_ejected(now):
+            return False
+        pause_s = PACE_S * (1.0 - self.open_part(now))
+        return now >= self.last_given_at + pause_s
+
     def add_fault(self, now: float) -> None:
         """Count a fault; leave the backend server out if it is one of many.
 
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -201,14 +201,15 @@
     def _usable(
         self, now: float, view: CellView, role: Role, booking: Booking
     ) -> list[BackendState]:
-        """Return the trusted backend servers, or all if none is."""
+        """Return those that may get work; all if every one is left out."""
         candidates = view.candidates(role, booking.exclude)
         if not self._options.health:
             return candidates
-        trusted = [
-            state for state in candidates if not state.health.is_ejected(now)
+        if all(state.health.is_ejected(now) for state in candidates):
+            return candidates
+        return [
+            state for state in candidates if state.health.may_get_work(now)
         ]
-        return trusted or candidates
 
     def _free_slots(self, now: float, state: BackendState) -> int:
         slots = state.backend.slots
