--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -19,6 +19,8 @@
 from .policy import ROLES_BY_STAGE
 from .policy import Stage
 from .policy import Wait
+from .shares import FairShares
+from .shares import Flow
 from .verdict import RefusalReason
 
 #: A prompt goes to its engine so long before the one ahead of it is done,
@@ -31,8 +33,6 @@
 MOST_LINK_WAIT_S = 0.25
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
-#: How fast a measured rate forgets, in seconds.
-FADES_S = 10.0
 #: Patient work keeps at least a tenth in every prediction.
 MOST_PASSING = 0.9
 #: Shortest Retry-After; a resend sooner than this costs more than it gains.
@@ -62,6 +62,7 @@
     :param foresee: count on the work that will pass while one waits.
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
+    :param fair: hold accounts to their share when the cell is full.
     :param health: leave out what keeps failing; let new ones in slowly.
     """
 
@@ -71,23 +72,7 @@
     affinity: bool = True
     links: bool = True
     health: bool = True
-
-
-class Flow:
-    """A rate, as a moving average that fades over :data:`FADES_S`."""
-
-    def __init__(self) -> None:
-        self._rate = 0.0
-        self._at = 0.0
-
-    def add(self, now: float, amount: float) -> None:
-        """Count an amount."""
-        self._rate = self.rate(now) + amount / FADES_S
-        self._at = now
-
-    def rate(self, now: float) -> float:
-        """Return the rate a second."""
-        return self._rate * math.exp((self._at - now) / FADES_S)
+    fair: bool = True
 
 
 class Scheduler:
@@ -102,6 +87,7 @@
         #: Slot seconds and prefill seconds that were let in, by rank.
         self._slot_flow_by_rank: dict[int, Flow] = {}
         self._prefill_flow_by_rank: dict[int, Flow] = {}
+        self._shares_by_rank: dict[int, FairShares] = {}
 
     def decide(
         self, *, now: float, view: CellView, booking: Booking
@@ -112,6 +98,8 @@
         is_pair = booking.stage is Stage.PAIR
         if not self._options.queue or not is_pair:
             return self._place(now, view, booking) or _refuse_full(booking)
+        slot_s = view.transfer_s(booking) + view.decode_s(booking)
+        self._shares(view, booking).want(now, booking.account, slot_s)
         ahead = self._ahead_of(view, booking)
         placed = None if ahead else self._place(now, view, booking)
         decision = placed or self._admit(now, view, booking, ahead)
@@ -121,11 +109,41 @@
 
     def _count(self, now: float, view: CellView, booking: Booking) -> None:
         rank = rank_of(view, booking)
+        slot_s = view.transfer_s(booking) + view.decode_s(booking)
+        self._shares(view, booking).give(now, booking.account, slot_s)
         slots = self._slot_flow_by_rank.setdefault(rank, Flow())
-        slots.add(now, view.transfer_s(booking) + view.decode_s(booking))
+        slots.add(now, slot_s)
         prefills = self._prefill_flow_by_rank.setdefault(rank, Flow())
         prefills.add(now, prefill_s(view, booking))
 
+    def _shares(self, view: CellView, booking: Booking) -> FairShares:
+        rank = rank_of(view, booking)
+        return self._shares_by_rank.setdefault(rank, FairShares())
+
+    def _is_over_share(
+        self, now: float, view: CellView, booking: Booking
+    ) -> bool:
+        """Return whether the account has its share of what its rank gets.
+
+        Ranks are held apart: an account's many patient calls say nothing
+        against its urgent ones.
+        """
+        rank = rank_of(view, booking)
+        slots = sum(
+            state.backend.slots for state in view.candidates(Role.DECODE, ())
+        )
+        passing = sum(
+            flow.rate(now)
+            for each, flow in self._slot_flow_by_rank.items()
+            if each < rank
+        )
+        return self._shares(view, booking).is_over(
+            now,
+            booking.account,
+            view.terms.share_by_account,
+            max(0.0, slots - passing),
+        )
+
     def _passing_part(
         self, now: float, view: CellView, booking: Booking
     ) -> float:
@@ -189,6 +207,8 @@
         booking: Booking,
         ahead: list[Booking],
     ) -> Decision:
+        if self._options.fair and self._is_over_share(now, view, booking):
+            return _refuse_share(booking)
         starts_at = expected_start(now, view, [*ahead, booking])
         if self._options.foresee:
             left = 1.0 - self._passing_part(now, view, booking)
@@ -386,6 +406,16 @@
     )
 
 
+def _refuse_share(booking: Booking) -> Decline:
+    return Decline(
+        reason=RefusalReason.ACCOUNT_LIMIT,
+        message=(
+            f'account {booking.account!r} has its share of a full service'
+        ),
+        retry_after_s=_retry_after(booking, DEFAULT_RETRY_AFTER_S),
+    )
+
+
 def _refuse_late(booking: Booking, late_s: float) -> Decline:
     return Decline(
         reason=RefusalReason.TARGET_UNREACHABLE,
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -57,7 +57,8 @@
     'v4-foresee': scheduler.Options(affinity=False),
     'v5-affinity': scheduler.Options(links=False),
     'v6-links': scheduler.Options(health=False),
-    'v7-health': scheduler.Options(),
+    'v8-health': scheduler.Options(fair=False),
+    'v9-fair': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -145,6 +145,11 @@
             1, self.prefill_tokens
         )
 
+    def _goodput_others(self) -> float:
+        """Good calls a second of all accounts but the busiest."""
+        good = self.counts['good'] - self.good_by_account['account-0']
+        return good / (self.until - self.since)
+
     def figures(self) -> dict[str, typing.Any]:
         """Return all figures, ready for JSON."""
         seconds = self.until - self.since
@@ -154,6 +159,7 @@
             'goodput': self.goodput,
             'goodput_first_call': self.counts['good_first'] / seconds,
             'goodput_urgent': self.counts['good_urgent'] / seconds,
+            'goodput_others': self._goodput_others(),
             'goodput_patient': self.counts['good_patient'] / seconds,
             'finished': self.counts['finished'],
             'failed': self.counts['failed'],
