--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,191 @@
+"""The policy in force, on a small cell of its own."""
+
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import cells
+from dandeliongw import policy
+from dandeliongw import scheduler
+from dandeliongw.verdict import RefusalReason
+from tests import test_cells
+
+TERMS = policy.CellTerms(
+    first_token_s=1.0,
+    token_gap_s=0.034,
+    timeout_s=60.0,
+    prefill_tokens_per_s=10_000.0,
+    decode_tokens_per_s=33.0,
+    kv_bytes_per_token=100_000.0,
+    link_bytes_per_s=2e9,
+    max_wait_s_by_priority={'urgent': 0.0, 'patient': 6.0},
+    rank_by_priority={'urgent': 0, 'patient': 1},
+)
+
+
+def make_cell(*backends: policy.CellBackend, **changes) -> cells.Cell:
+    return test_cells.make_cell(
+        *backends,
+        document_part=TERMS,
+        policy=scheduler.Scheduler(),
+        **changes,
+    )
+
+
+class SchedulerTest(unittest.TestCase):
+    def setUp(self):
+        self.cell = make_cell(
+            test_cells.make_backend('p1', 'prefill', slots=1),
+            test_cells.make_backend('d1', 'decode', slots=2),
+        )
+
+    def book(self, request_id: str, now: float = 0.0, **changes):
+        book = test_cells.make_book(request_id, **changes)
+        effects = test_cells.send(self.cell, book, now=now)
+        return [each.message for each in effects]
+
+    def release(self, request_id: str, now: float, **changes):
+        release = cells.Release(
+            cell=self.cell.cell_id,
+            request_id=request_id,
+            attempt_id='a1',
+            **({'outcome': cells.Outcome.DONE} | changes),
+        )
+        effects = test_cells.send(self.cell, release, now=now)
+        return [each.message for each in effects]
+
+    def finish_prefill(self, request_id: str, now: float) -> None:
+        done = cells.PrefillDone(
+            cell=self.cell.cell_id,
+            request_id=request_id,
+            attempt_id='a1',
+            tokens=1000,
+            cached_tokens=0,
+        )
+        test_cells.send(self.cell, done, now=now)
+
+    def fill(self, *, ends_at: float) -> None:
+        """Take both decode slots until about a time."""
+        for request_id in ('full-1', 'full-2'):
+            # Patient, so that no urgent work is foreseen to pass.
+            tokens = int(ends_at * 33)
+            self.book(request_id, priority='patient', max_tokens=tokens)
+            self.finish_prefill(request_id, 0.0)
+            for state in self.cell.view.backends_by_id.values():
+                state.link_free_at = 0.0
+
+    def test_what_cannot_be_in_time_is_refused_at_once(self):
+        self.fill(ends_at=9.0)
+        (declined,) = self.book('urgent', now=0.0)
+        self.assertIs(RefusalReason.TARGET_UNREACHABLE, declined.reason)
+        # The slot is free in about 9 s, and up to half is added as jitter.
+        self.assertGreater(declined.retry_after_s, 7.0)
+        self.assertLess(declined.retry_after_s, 14.0)
+
+    def test_urgent_work_passes_patient_work_that_waits(self):
+        self.fill(ends_at=0.7)
+        (queued,) = self.book('patient', now=0.1, priority='patient')
+        self.assertIsInstance(queued, cells.Queued)
+        (queued,) = self.book('urgent', now=0.2)
+        self.assertIsInstance(queued, cells.Queued)
+        (booked,) = self.release('full-1', now=0.3)
+        self.assertEqual('urgent', booked.request_id)
+        self.finish_prefill('urgent', 0.4)
+        (booked,) = self.release('full-2', now=0.5)
+        self.assertEqual('patient', booked.request_id)
+
+    def test_nobody_waits_longer_than_the_document_allows(self):
+        self.fill(ends_at=5.0)
+        self.book('patient', now=0.0, priority='patient')
+        holding = tuple(
+            cells.Holding(request_id=request_id, attempt_id='a1')
+            for request_id in ('full-1', 'full-2', 'patient')
+        )
+        progress = cells.Progress(cell=self.cell.cell_id, bookings=holding)
+        for now in (3.0, 5.9):
+            self.assertEqual([], test_cells.send(self.cell, progress, now))
+        (effect,) = test_cells.tick(self.cell, 6.01)
+        self.assertIsInstance(effect.message, cells.Declined)
+
+    def test_a_caller_who_left_the_queue_gets_no_slot(self):
+        self.fill(ends_at=0.7)
+        self.book('patient', now=0.1, priority='patient')
+        self.release('patient', now=0.2, outcome=cells.Outcome.CANCELLED)
+        self.assertEqual([], self.release('full-1', now=0.3))
+
+    def test_a_prompt_waits_until_its_engine_is_nearly_free(self):
+        self.book('first', priority='patient', prompt_tokens=5000)
+        (queued,) = self.book('second', priority='patient')
+        self.assertIsInstance(queued, cells.Queued)
+        self.finish_prefill('first', 0.5)
+        self.assertEqual(0, len(self.cell.view.queue))
+
+    def test_an_unconfirmed_cancel_keeps_its_slot(self):
+        """Symptom: an import is refused though the owner saw a free slot.
+
+        The entry gave up, the cancel is lost: the engine still decodes.
+        """
+        self.fill(ends_at=9.0)
+        failed = cells.Outcome.FAILED
+        effects = test_cells.send(
+            self.cell,
+            cells.Release(
+                cell=self.cell.cell_id,
+                request_id='full-1',
+                attempt_id='a1',
+                outcome=failed,
+            ),
+        )
+        decode = self.cell.view.backends_by_id['d1']
+        self.assertEqual(2, decode.slots_used)
+        for effect in effects:
+            self.cell.handle(
+                cells.StreamCancelled(
+                    now=1.0,
+                    backend_id=effect.backend_id,
+                    stream_id=effect.stream_id,
+                    attempt_id=effect.attempt_id,
+                )
+            )
+        self.assertEqual(1, decode.slots_used)
+
+
+class ChoiceTest(unittest.TestCase):
+    @params((False, 'p1'), (True, 'p2'))
+    def test_a_known_prefix_draws_the_prompt(self, is_known, prefill_id):
+        cell = make_cell(
+            test_cells.make_backend('p1', 'prefill', slots=1),
+            test_cells.make_backend('p2', 'prefill', slots=1),
+            test_cells.make_backend('d1', 'decode'),
+        )
+        stored = ('x', 'y') if is_known else ()
+        cell.handle(
+            cells.CacheHint(
+                now=0.0, backend_id='p2', stored=stored, evicted=(), gap=False
+            )
+        )
+        book = test_cells.make_book(prefix=('x', 'y', 'z'))
+        (effect,) = test_cells.send(cell, book)
+        self.assertEqual(prefill_id, effect.message.prefill_id)
+
+    def test_a_busy_link_is_passed_over(self):
+        cell = make_cell(
+            test_cells.make_backend('p1', 'prefill', slots=1),
+            test_cells.make_backend('d1', 'decode'),
+            test_cells.make_backend('d2', 'decode'),
+        )
+        cell.view.backends_by_id['d1'].link_free_at = 0.3
+        (effect,) = test_cells.send(cell, test_cells.make_book())
+        self.assertEqual('d2', effect.message.decode_id)
+
+    def test_a_plain_call_waits_for_no_prompt(self):
+        cell = make_cell(
+            test_cells.make_backend('p1', 'prefill', slots=1),
+            test_cells.make_backend('d1', 'decode', slots=1),
+            test_cells.make_backend('s1', 'plain'),
+        )
+        for number in range(5):
+            test_cells.send(cell, test_cells.make_book(f'r{number}'))
+        book = test_cells.make_book('lookup', stage=policy.Stage.PLAIN)
+        (effect,) = test_cells.send(cell, book)
+        self.assertEqual('s1', effect.message.plain_id)
