--- a/tools/measure.py
+++ b/tools/measure.py
@@ -7,6 +7,7 @@
 from collections import abc
 import functools
 import json
+import math
 import typing
 
 import defopt
@@ -20,6 +21,11 @@
 from tools import workloads
 
 WARM_UP_S = 10.0
+#: Arrivals of a quick run, in virtual seconds.
+QUICK_S = 45.0
+#: Part of the calls that are good again once a fault is overcome.
+RECOVERED = 0.9
+NAMED_BASELINES = ('round-robin', 'least-reported')
 #: After the last arrival, for what still runs to end.
 DRAIN_S = 70.0
 
@@ -105,6 +111,52 @@
     return run.run(duration_s + DRAIN_S)
 
 
+def summarize(duration_s: float, seed: int) -> dict[str, typing.Any]:
+    """Return the current policy against the best plain router.
+
+    The best of round robin and least reported load, each with every limit
+    of waiting prompts, at 1.2 of capacity; the worse deployment counts.
+    Answers are also counted in runs with a killed engine and a lost owner.
+    """
+    summary: dict[str, typing.Any] = {
+        'goodput_ratio': math.inf,
+        'wasted_prefill_ratio': 0.0,
+        'double_answers': 0,
+        'lost_answers': 0,
+        'recovery_s': 0,
+    }
+    options = {'duration_s': duration_s, 'seed': seed}
+    for deployment in workloads.DEPLOYMENTS_BY_NAME.values():
+        factories_by_name = all_policies(deployment)
+        current = factories_by_name[CURRENT]
+        ours = measure(deployment, current, at_load=1.2, **options)
+        plain = [
+            measure(deployment, factory, at_load=1.2, **options)
+            for name, factory in factories_by_name.items()
+            if name.startswith(NAMED_BASELINES)
+        ]
+        best = max(plain, key=lambda result: result.goodput)
+        ratio = ours.goodput / best.goodput
+        summary['goodput_ratio'] = min(summary['goodput_ratio'], ratio)
+        if best.wasted_share > 0.0:
+            wasted = ours.wasted_share / best.wasted_share
+            summary['wasted_prefill_ratio'] = max(
+                summary['wasted_prefill_ratio'], wasted
+            )
+        disturbed = [
+            measure(deployment, current, at_load=0.7, disturb=each, **options)
+            for each in (faults.kill_decode, faults.lose_owner)
+        ]
+        recovery_s = disturbed[0].seconds_below(
+            RECOVERED, faults.BEGINS_AT, faults.ENDS_AT
+        )
+        summary['recovery_s'] = max(summary['recovery_s'], recovery_s)
+        for result in (ours, *disturbed):
+            summary['double_answers'] += result.counts['double']
+            summary['lost_answers'] += result.counts['lost']
+    return summary
+
+
 def main(
     *,
     quick: bool = False,
@@ -132,6 +184,9 @@
     :param seeds: of the arrivals; three if none are given.
     """
     deployments = workloads.DEPLOYMENTS_BY_NAME | workloads.SHARED_BY_NAME
+    if quick:
+        print(json.dumps(summarize(QUICK_S, 1)))
+        return
     names = mixes or list(workloads.DEPLOYMENTS_BY_NAME)
     for deployment in (deployments[name] for name in names):
         factories_by_name = all_policies(deployment)
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -48,6 +48,9 @@
         self.wasted_by_reason: collections.Counter[str] = collections.Counter()
         self.prefill_tokens = 0
         self.good_by_second: collections.Counter[int] = collections.Counter()
+        self.arrived_by_second: collections.Counter[int] = (
+            collections.Counter()
+        )
         self.good_by_account: collections.Counter[str] = collections.Counter()
         self.first_token_by_priority: dict[str, typing.Any] = {}
         self.wait_by_priority: dict[str, typing.Any] = {}
@@ -59,6 +62,7 @@
         return self.since <= job.arrived_at < self.until
 
     def arrived(self, job: typing.Any) -> None:
+        self.arrived_by_second[int(job.arrived_at)] += 1
         if self._is_counted(job):
             self.counts['calls'] += 1
             self.counts['offered'] += job.comebacks == 0
@@ -145,6 +149,19 @@
             1, self.prefill_tokens
         )
 
+    def seconds_below(self, part: float, since: float, until: float) -> int:
+        """Return how long after a time goodput was last below a part.
+
+        Counted by the second in which calls arrive.
+        """
+        below = [
+            second
+            for second in range(int(since), int(until))
+            if self.good_by_second[second]
+            < part * self.arrived_by_second[second]
+        ]
+        return int(max(below, default=since - 1) + 1 - since)
+
     def _goodput_others(self) -> float:
         """Good calls a second of all accounts but the busiest."""
         good = self.counts['good'] - self.good_by_account['account-0']
