--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -63,8 +63,6 @@
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
     :param fair: hold accounts to their share when the cell is full.
-    :param early: part of the answers that are expected to end before a KV
-        cache comes, whose slots are booked already.
     :param health: leave out what keeps failing; let new ones in slowly.
     """
 
@@ -75,7 +73,6 @@
     links: bool = True
     health: bool = True
     fair: bool = True
-    early: float = 0.5
 
 
 class Scheduler:
@@ -277,7 +274,11 @@
         the cache they know unless it is busier by more than it saves.
         """
         best: tuple[tuple[float, ...], Place] | None = None
-        decodes = self._usable(now, view, Role.DECODE, booking)
+        decodes = [
+            state
+            for state in self._usable(now, view, Role.DECODE, booking)
+            if self._free_slots(now, state) > 0
+        ]
         for prefill in self._usable(now, view, Role.PREFILL, booking):
             free_at = prefill.prefill_free_at(now)
             if self._options.queue and free_at - now > SEND_AHEAD_S:
@@ -309,14 +310,9 @@
         twice; a prefill that would wait long is not started yet.
         """
         free = self._free_slots(now, decode)
-        moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
-        if self._options.early > 0.0:
-            ending = _ending_by(decode, moves_at)
-            free += math.floor(ending * self._options.early)
-        if free <= 0:
-            return None
         if not self._options.links:
             return done_at, -free
+        moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
         if moves_at - done_at > MOST_LINK_WAIT_S:
             return None
         return round(moves_at, LINK_DIGITS), -free
@@ -401,14 +397,6 @@
     return times
 
 
-def _ending_by(state: BackendState, at: float) -> int:
-    """Return how many answers are expected to be over by then."""
-    return sum(
-        booking.decode_ends_at < at
-        for booking in state.bookings_by_key.values()
-    )
-
-
 def _refuse_full(booking: Booking) -> Decline:
     role = 'plain' if booking.stage is Stage.PLAIN else 'decode'
     return Decline(
