--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -31,10 +31,6 @@
 #: Longest planned wait of a KV cache for a link; engines keep it for
 #: somewhat under a second and predictions err by some tenths.
 MOST_LINK_WAIT_S = 0.25
-#: Part of its longest wait during which work may be passed by its equals.
-PICK_PART = 0.5
-#: How deep in the queue a cached prompt is looked for.
-MOST_PICKED = 32
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
 #: Patient work keeps at least a tenth in every prediction.
@@ -67,8 +63,6 @@
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
     :param fair: hold accounts to their share when the cell is full.
-    :param pick: among equals, start the prompt that is cached where there
-        is room.
     :param health: leave out what keeps failing; let new ones in slowly.
     """
 
@@ -79,7 +73,6 @@
     links: bool = True
     health: bool = True
     fair: bool = True
-    pick: bool = True
 
 
 class Scheduler:
@@ -182,49 +175,12 @@
         for booking in ordered:
             if now > latest_start(view, booking):
                 return [(booking, _refuse_late(booking, 0.0))]
-        for booking in self._next(now, view, ordered):
+        for booking in ordered[:1]:
             placed = self._place(now, view, booking)
             if placed is not None:
                 return [(booking, placed)]
-            break
         return []
 
-    def _next(
-        self, now: float, view: CellView, ordered: list[Booking]
-    ) -> list[Booking]:
-        """Return the work to place next, or none.
-
-        Among work of one rank that has time left, the prompt goes first
-        whose prefix the free engine has cached. Else each engine takes
-        whatever comes, every cache holds a bit of every account, and one
-        would notice that prompts which begin alike are computed again.
-        """
-        if not ordered or not self._options.pick:
-            return ordered[:1]
-        head = ordered[0]
-        longest_s = latest_start(view, head) - head.arrived_at
-        if now - head.arrived_at > PICK_PART * longest_s:
-            return [head]
-        free = [
-            state
-            for state in view.candidates(Role.PREFILL, ())
-            if state.prefill_free_at(now) - now <= SEND_AHEAD_S
-            and state.health.may_get_work(now)
-        ]
-        if not free:
-            return []
-        rank = rank_of(view, head)
-        peers = [
-            each
-            for each in ordered[:MOST_PICKED]
-            if rank_of(view, each) == rank
-        ]
-        cached = {
-            each.key: max(state.cached_tokens(each.prefix) for state in free)
-            for each in peers
-        }
-        return [max(peers, key=lambda each: cached[each.key])]
-
     def _order(self, view: CellView, booking: Booking) -> tuple[float, ...]:
         if self._options.order is Order.ARRIVAL:
             return (booking.arrived_at,)
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -64,8 +64,7 @@
     'v5-affinity': scheduler.Options(links=False),
     'v6-links': scheduler.Options(health=False),
     'v8-health': scheduler.Options(fair=False),
-    'v9-fair': scheduler.Options(pick=False),
-    'v10-pick': scheduler.Options(),
+    'v9-fair': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
