--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -63,6 +63,7 @@
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
     :param fair: hold accounts to their share when the cell is full.
+    :param spare: part of the longest wait that predictions must leave over.
     :param health: leave out what keeps failing; let new ones in slowly.
     """
 
@@ -73,6 +74,7 @@
     links: bool = True
     health: bool = True
     fair: bool = True
+    spare: float = 0.1
 
 
 class Scheduler:
@@ -213,7 +215,9 @@
         if self._options.foresee:
             left = 1.0 - self._passing_part(now, view, booking)
             starts_at = now + (starts_at - now) / left
-        late_s = starts_at - latest_start(view, booking)
+        latest = latest_start(view, booking)
+        spare_s = self._options.spare * (latest - booking.arrived_at)
+        late_s = starts_at - (latest - spare_s)
         if late_s > 0.0:
             return _refuse_late(booking, late_s)
         return Wait(expected_s=starts_at - now)
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -64,7 +64,8 @@
     'v5-affinity': scheduler.Options(links=False),
     'v6-links': scheduler.Options(health=False),
     'v8-health': scheduler.Options(fair=False),
-    'v9-fair': scheduler.Options(),
+    'v9-fair': scheduler.Options(spare=0.0),
+    'v10-spare': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
