--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -31,10 +31,6 @@
 #: Longest planned wait of a KV cache for a link; engines keep it for
 #: somewhat under a second and predictions err by some tenths.
 MOST_LINK_WAIT_S = 0.25
-#: Of work whose wait has nearly reached its bound.
-FIRST_RANK = -1
-#: Part of its longest wait after which work goes ahead of all.
-OLD_PART = 0.9
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
 #: Patient work keeps at least a tenth in every prediction.
@@ -66,7 +62,6 @@
     :param foresee: count on the work that will pass while one waits.
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
-    :param aged: patient work near its bound goes ahead of all.
     :param fair: hold accounts to their share when the cell is full.
     :param spare: part of the longest wait that predictions must leave over.
     :param health: leave out what keeps failing; let new ones in slowly.
@@ -79,7 +74,6 @@
     links: bool = True
     health: bool = True
     fair: bool = True
-    aged: bool = True
     spare: float = 0.1
 
 
@@ -108,7 +102,7 @@
             return self._place(now, view, booking) or _refuse_full(booking)
         slot_s = view.transfer_s(booking) + view.decode_s(booking)
         self._shares(view, booking).want(now, booking.account, slot_s)
-        ahead = self._ahead_of(now, view, booking)
+        ahead = self._ahead_of(view, booking)
         placed = None if ahead else self._place(now, view, booking)
         decision = placed or self._admit(now, view, booking, ahead)
         if not isinstance(decision, Decline):
@@ -179,7 +173,7 @@
         self, *, now: float, view: CellView
     ) -> list[tuple[Booking, Decision]]:
         """Place the first in the queue, or refuse one that is too late."""
-        ordered = self._sorted(now, view, view.queue)
+        ordered = self._sorted(view, view.queue)
         for booking in ordered:
             if now > latest_start(view, booking):
                 return [(booking, _refuse_late(booking, 0.0))]
@@ -189,31 +183,24 @@
                 return [(booking, placed)]
         return []
 
-    def _order(
-        self, now: float, view: CellView, booking: Booking
-    ) -> tuple[float, ...]:
+    def _order(self, view: CellView, booking: Booking) -> tuple[float, ...]:
         if self._options.order is Order.ARRIVAL:
             return (booking.arrived_at,)
         if self._options.order is Order.DEADLINE:
             return latest_start(view, booking), booking.arrived_at
-        rank = rank_of(view, booking)
-        if self._options.aged and is_old(now, view, booking):
-            rank = FIRST_RANK
-        return rank, booking.arrived_at
+        return rank_of(view, booking), booking.arrived_at
 
-    def _ahead_of(
-        self, now: float, view: CellView, booking: Booking
-    ) -> list[Booking]:
-        mine = self._order(now, view, booking)
+    def _ahead_of(self, view: CellView, booking: Booking) -> list[Booking]:
+        mine = self._order(view, booking)
         ahead = [
-            each for each in view.queue if self._order(now, view, each) <= mine
+            each for each in view.queue if self._order(view, each) <= mine
         ]
-        return self._sorted(now, view, ahead)
+        return self._sorted(view, ahead)
 
     def _sorted(
-        self, now: float, view: CellView, bookings: list[Booking]
+        self, view: CellView, bookings: list[Booking]
     ) -> list[Booking]:
-        return sorted(bookings, key=lambda each: self._order(now, view, each))
+        return sorted(bookings, key=lambda each: self._order(view, each))
 
     def _admit(
         self,
@@ -360,14 +347,6 @@
     return max(booking.arrived_at, start_at)
 
 
-def is_old(now: float, view: CellView, booking: Booking) -> bool:
-    """Return whether patient work has nearly waited as long as it may."""
-    patience_s = view.terms.max_wait_s_by_priority.get(booking.priority, 0.0)
-    longest_s = latest_start(view, booking) - booking.arrived_at
-    waited_s = now - booking.arrived_at
-    return patience_s > 0.0 and waited_s > OLD_PART * longest_s
-
-
 def first_token_s(view: CellView, booking: Booking) -> float:
     """Return how long from the start to the first token."""
     work_s = prefill_s(view, booking)
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -65,8 +65,7 @@
     'v6-links': scheduler.Options(health=False),
     'v8-health': scheduler.Options(fair=False),
     'v9-fair': scheduler.Options(spare=0.0),
-    'v10-spare': scheduler.Options(aged=False),
-    'v11-aged': scheduler.Options(),
+    'v10-spare': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
