--- a/tools/measure.py
+++ b/tools/measure.py
@@ -7,6 +7,7 @@
 from collections import abc
 import functools
 import json
+import math
 import typing
 
 import defopt
@@ -14,11 +15,17 @@
 from dandeliongw import policy
 from dandeliongw import scheduler
 from tools import baselines
+from tools import faults
 from tools import load
 from tools import tally
 from tools import workloads
 
 WARM_UP_S = 10.0
+#: Arrivals of a quick run, in virtual seconds.
+QUICK_S = 45.0
+#: Part of the calls that are good again once a fault is overcome.
+RECOVERED = 0.9
+NAMED_BASELINES = ('round-robin', 'least-reported')
 #: After the last arrival, for what still runs to end.
 DRAIN_S = 70.0
 
@@ -50,7 +57,15 @@
 #: The policy in force and the versions before it, the oldest first.
 VERSIONS_BY_NAME: dict[str, scheduler.Options] = {
     'v1-slots': scheduler.Options(queue=False),
-    'v2-queue': scheduler.Options(),
+    'v2-queue': scheduler.Options(order=scheduler.Order.ARRIVAL),
+    'v3-deadline': scheduler.Options(order=scheduler.Order.DEADLINE),
+    'v3-rank': scheduler.Options(foresee=False),
+    'v4-foresee': scheduler.Options(affinity=False),
+    'v5-affinity': scheduler.Options(links=False),
+    'v6-links': scheduler.Options(health=False),
+    'v8-health': scheduler.Options(fair=False),
+    'v9-fair': scheduler.Options(spare=0.0),
+    'v10-spare': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
@@ -94,9 +109,53 @@
     run.tally.until = duration_s
     if disturb is not None:
         disturb(run)
-    result = run.run(duration_s + DRAIN_S)
-    result.counts['lost'] = len(run.jobs_by_name)
-    return result
+    return run.run(duration_s + DRAIN_S)
+
+
+def summarize(duration_s: float, seed: int) -> dict[str, typing.Any]:
+    """Return the current policy against the best plain router.
+
+    The best of round robin and least reported load, each with every limit
+    of waiting prompts, at 1.2 of capacity; the worse deployment counts.
+    Answers are also counted in runs with a killed engine and a lost owner.
+    """
+    summary: dict[str, typing.Any] = {
+        'goodput_ratio': math.inf,
+        'wasted_prefill_ratio': 0.0,
+        'double_answers': 0,
+        'lost_answers': 0,
+        'recovery_s': 0,
+    }
+    options = {'duration_s': duration_s, 'seed': seed}
+    for deployment in workloads.DEPLOYMENTS_BY_NAME.values():
+        factories_by_name = all_policies(deployment)
+        current = factories_by_name[CURRENT]
+        ours = measure(deployment, current, at_load=1.2, **options)
+        plain = [
+            measure(deployment, factory, at_load=1.2, **options)
+            for name, factory in factories_by_name.items()
+            if name.startswith(NAMED_BASELINES)
+        ]
+        best = max(plain, key=lambda result: result.goodput)
+        ratio = ours.goodput / best.goodput
+        summary['goodput_ratio'] = min(summary['goodput_ratio'], ratio)
+        if best.wasted_share > 0.0:
+            wasted = ours.wasted_share / best.wasted_share
+            summary['wasted_prefill_ratio'] = max(
+                summary['wasted_prefill_ratio'], wasted
+            )
+        disturbed = [
+            measure(deployment, current, at_load=0.7, disturb=each, **options)
+            for each in (faults.kill_decode, faults.lose_owner)
+        ]
+        recovery_s = disturbed[0].seconds_below(
+            RECOVERED, faults.BEGINS_AT, faults.ENDS_AT
+        )
+        summary['recovery_s'] = max(summary['recovery_s'], recovery_s)
+        for result in (ours, *disturbed):
+            summary['double_answers'] += result.counts['double']
+            summary['lost_answers'] += result.counts['lost']
+    return summary
 
 
 def main(
@@ -106,6 +165,11 @@
     loads: list[float] | None = None,
     duration_s: float = 60.0,
     seeds: list[int] | None = None,
+    mixes: list[str] | None = None,
+    fault: str = '',
+    leaving: float = 0.0,
+    flood: float = 0.0,
+    burst: bool = False,
 ) -> None:
     """Measure policies and print JSON lines.
 
@@ -113,9 +177,19 @@
     :param policies: names to measure; all if none are given.
     :param loads: in parts of the capacity.
     :param duration_s: virtual seconds of arrivals.
+    :param mixes: brazos, khangai, brazos-shared, khangai-shared.
+    :param fault: a name in tools.faults; none if empty.
+    :param leaving: part of the callers that leave early.
+    :param flood: part of all calls that come from a single account.
+    :param burst: let the load swing between 0.4 and 1.6 of itself.
     :param seeds: of the arrivals; three if none are given.
     """
-    for deployment in workloads.DEPLOYMENTS_BY_NAME.values():
+    deployments = workloads.DEPLOYMENTS_BY_NAME | workloads.SHARED_BY_NAME
+    if quick:
+        print(json.dumps(summarize(QUICK_S, 1)))
+        return
+    names = mixes or list(workloads.DEPLOYMENTS_BY_NAME)
+    for deployment in (deployments[name] for name in names):
         factories_by_name = all_policies(deployment)
         for name in policies or factories_by_name:
             for at_load in loads or (0.5, 0.75, 1.0, 1.2, 1.5):
@@ -126,12 +200,17 @@
                         at_load=at_load,
                         duration_s=duration_s,
                         seed=seed,
+                        disturb=faults.FAULTS_BY_NAME.get(fault),
+                        leaving=leaving,
+                        flood=flood,
+                        burst=burst,
                     )
                     line = {
                         'deployment': deployment.name,
                         'policy': name,
                         'load': at_load,
                         'seed': seed,
+                        'fault': fault,
                         'capacity': workloads.capacity(deployment),
                     }
                     print(json.dumps(line | result.figures()), flush=True)
