--- a/dandeliongw/admission.py
+++ b/dandeliongw/admission.py
@@ -238,6 +238,26 @@
         return True
 
 
+class RetryBudgets:
+    """A budget for each service.
+
+    With one for all, a pool that fails spends the retries of the others,
+    whose callers then see errors that one more attempt would have spared.
+    """
+
+    def __init__(self) -> None:
+        self._budgets_by_service: dict[str, RetryBudget] = {}
+
+    def earn(self, service: str) -> None:
+        self._budget(service).earn()
+
+    def spend(self, service: str) -> bool:
+        return self._budget(service).spend()
+
+    def _budget(self, service: str) -> RetryBudget:
+        return self._budgets_by_service.setdefault(service, RetryBudget())
+
+
 def not_run(
     reason: verdict.RefusalReason,
     message: str,
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 import typing
 
 from . import verdict
@@ -24,12 +25,14 @@
 
     :param start_in_s: seconds to wait first, so that the decode slot is
         free when the prefill ends; its result is evicted in under a second.
+    :param deadline_in_s: seconds after which it must not start any more.
     """
 
     attempt_id: str
     url: str
     priority: int
     fence: int
+    deadline_in_s: float
     start_in_s: float = 0.0
 
 
@@ -37,24 +40,30 @@
 class RunDecode(Directive):
     """Import the KV cache unless ``kv`` is empty, then stream tokens.
 
-    :param from_offset: the first token that is still missing.
+    Without ``kv`` the stream is one that broke: it resumes at the first
+    token that the caller has not got.
+
+    :param deadline_in_s: seconds after which it must not start any more.
     """
 
     attempt_id: str
     url: str
     source_url: str
     kv: str
-    from_offset: int
     fence: int
+    deadline_in_s: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunCall(Directive):
-    """Pass the caller's call to a plain service."""
+    """Pass the caller's call to a plain service.
+
+    :param deadline_in_s: seconds that are left for all of it.
+    """
 
     attempt_id: str
     url: str
-    timeout_s: float
+    deadline_in_s: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,7 +85,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Abort(Directive):
-    """Stop at once, also inside a blocking read."""
+    """Stop work on one attempt at once, also inside a blocking read."""
+
+    attempt_id: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -104,6 +115,24 @@
     tokens: int
 
 
+class Late(enum.StrEnum):
+    """What came for an attempt that was over (a counter label)."""
+
+    #: A message of a cell's owner.
+    OWNER = 'owner'
+    #: The end of a step that had been broken off.
+    STEP = 'step'
+    #: A piece of a stream.
+    PIECE = 'piece'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CountLate:
+    """Something late or crossed was dropped."""
+
+    what: Late
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Log:
     """One log line; ``fields`` become its JSON fields."""
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -9,6 +9,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import http.client
 import json
 import socket
 import typing
@@ -21,6 +22,13 @@
 
 #: The end mark and the pieces of a stream are short lines.
 MAX_LINE_BYTES = 1 << 20
+#: An engine's own words for what it did not do. Any other error, a plain
+#: 500 or one of a box in between, proves nothing.
+NOT_RUN_REASONS = frozenset(
+    ('busy', 'full', 'evicted', 'stalled', 'fenced', 'unknown')
+)
+#: How a plain service says, with status 503, that it did not run a call.
+NOT_RUN_HEADER = 'X-Not-Run'
 
 
 class EngineError(Exception):
@@ -75,7 +83,10 @@
 
 
 class Engine(typing.Protocol):
-    """A model engine, in either role."""
+    """A model engine, in either role.
+
+    ``deadline_s`` is how long anybody waits for the result.
+    """
 
     def prefill(
         self,
@@ -85,6 +96,7 @@
         prompt: str,
         priority: int,
         fence: int,
+        deadline_s: float,
     ) -> Prefilled: ...
 
     def import_kv(
@@ -95,6 +107,7 @@
         kv: str,
         source_url: str,
         fence: int,
+        deadline_s: float,
     ) -> None: ...
 
     def decode(
@@ -104,7 +117,8 @@
         attempt_id: str,
         max_tokens: int,
         from_offset: int,
-    ) -> abc.Iterator[Piece]: ...
+        deadline_s: float,
+    ) -> abc.Generator[Piece, None, None]: ...
 
     def cancel(self, *, stream_id: str, attempt_id: str) -> None: ...
 
@@ -223,6 +237,8 @@
         except (
             OSError,
             urllib3.exceptions.HTTPError,
+            # Of an answer that is no HTTP at all, or of an odd path.
+            http.client.HTTPException,
             ValueError,
             AttributeError,
         ) as error:
@@ -263,6 +279,7 @@
         prompt: str,
         priority: int,
         fence: int,
+        deadline_s: float,
     ) -> Prefilled:
         answer = self._ask(
             '/v1/prefill',
@@ -273,12 +290,14 @@
                 'priority': priority,
                 'fence': fence,
             },
+            deadline_s,
         )
-        return Prefilled(
-            kv=str(answer['kv']),
-            tokens=int(answer['tokens']),
-            cached_tokens=int(answer.get('cached_tokens', 0)),
-        )
+        with _understood(answer):
+            return Prefilled(
+                kv=str(answer['kv']),
+                tokens=int(answer['tokens']),
+                cached_tokens=int(answer.get('cached_tokens', 0)),
+            )
 
     def import_kv(
         self,
@@ -288,6 +307,7 @@
         kv: str,
         source_url: str,
         fence: int,
+        deadline_s: float,
     ) -> None:
         self._ask(
             '/v1/import',
@@ -298,6 +318,7 @@
                 'source_url': source_url,
                 'fence': fence,
             },
+            deadline_s,
         )
 
     def decode(
@@ -307,7 +328,8 @@
         attempt_id: str,
         max_tokens: int,
         from_offset: int,
-    ) -> abc.Iterator[Piece]:
+        deadline_s: float,
+    ) -> abc.Generator[Piece, None, None]:
         body = {
             'stream_id': stream_id,
             'attempt_id': attempt_id,
@@ -315,7 +337,7 @@
             'from_offset': from_offset,
         }
         with self._exchange(self._stall_s) as exchange:
-            response = self._post(exchange, '/v1/decode', body)
+            response = self._post(exchange, '/v1/decode', body, deadline_s)
             self._raise_unless_ok(exchange, response)
             for line in exchange.lines(response):
                 if line.startswith(b'data:'):
@@ -367,19 +389,25 @@
             self._current = None
             exchange.close()
 
-    def _ask(self, path: str, body: dict) -> dict:
+    def _ask(
+        self, path: str, body: dict, deadline_s: float | None = None
+    ) -> dict:
         with self._exchange(self._first_byte_s) as exchange:
-            response = self._post(exchange, path, body)
+            response = self._post(exchange, path, body, deadline_s)
             self._raise_unless_ok(exchange, response)
             return _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
 
-    def _post(self, exchange: Exchange, path: str, body: dict) -> typing.Any:
-        return exchange.send(
-            'POST',
-            path,
-            json.dumps(body).encode(),
-            {'Content-Type': 'application/json'},
-        )
+    def _post(
+        self,
+        exchange: Exchange,
+        path: str,
+        body: dict,
+        deadline_s: float | None,
+    ) -> typing.Any:
+        headers = {'Content-Type': 'application/json'}
+        if deadline_s is not None:
+            headers['X-Deadline-S'] = f'{deadline_s:.3f}'
+        return exchange.send('POST', path, json.dumps(body).encode(), headers)
 
     def _raise_unless_ok(
         self, exchange: Exchange, response: typing.Any
@@ -387,11 +415,15 @@
         if response.status == 200:
             return
         answer = _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+        reason = str(answer.get('reason', ''))
         raise EngineError(
             f'{self.url} answered {response.status}: {answer}',
-            # An engine that answers an error says that it did not run it.
-            known=verdict.Verdict.NOT_RUN,
-            reason=str(answer.get('reason', '')),
+            known=(
+                verdict.Verdict.NOT_RUN
+                if reason in NOT_RUN_REASONS
+                else verdict.Verdict.MAY_HAVE_RUN
+            ),
+            reason=reason,
         )
 
 
@@ -411,12 +443,26 @@
 def _read_piece(data: bytes) -> Piece:
     answer = _read_json(data)
     is_end = bool(answer.get('end'))
-    return Piece(
-        attempt_id=str(answer.get('attempt_id', '')),
-        offset=int(answer['tokens'] if is_end else answer['offset']),
-        text=str(answer.get('text', '')),
-        is_end=is_end,
-    )
+    with _understood(answer):
+        return Piece(
+            attempt_id=str(answer.get('attempt_id', '')),
+            offset=int(answer['tokens'] if is_end else answer['offset']),
+            text=str(answer.get('text', '')),
+            is_end=is_end,
+        )
+
+
+@contextlib.contextmanager
+def _understood(answer: dict) -> abc.Iterator[None]:
+    """Fail as any other call does where a field is missing or odd."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError) as error:
+        raise EngineError(
+            f'an answer that is not understood, {error!r} in '
+            f'{str(answer)[:80]}',
+            known=verdict.Verdict.MAY_HAVE_RUN,
+        ) from error
 
 
 class PlainService:
@@ -443,7 +489,7 @@
 
         :raises EngineError: its ``known`` is ``NOT_RUN`` only when the
             connection was never made, or the service says so with 503 and
-            ``X-Not-Run: true``.
+            ``X-Not-Run: true``. One whose answer is too long has ``RAN``.
         """
         try:
             self._exchange.open()
@@ -451,7 +497,8 @@
             content = self._exchange.read(response, most_bytes)
         finally:
             self._exchange.close()
-        if response.status == 503 and response.headers.get('X-Not-Run'):
+        says_not_run = response.headers.get(NOT_RUN_HEADER, '') == 'true'
+        if response.status == 503 and says_not_run:
             raise EngineError(
                 f'{self.url} is busy',
                 known=verdict.Verdict.NOT_RUN,
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -9,6 +9,7 @@
 
 import prometheus_client
 
+from . import effects
 from . import verdict as verdicts
 from . import waste
 
@@ -79,6 +80,12 @@
             'service',
             'targets',
         )
+        self.late_answers = self._counter(
+            'late_answers',
+            'Replies for attempts that were over, dropped.',
+            'what',
+        )
+        _start_at_zero(self.late_answers, effects.Late)
         _start_at_zero(self.answers, verdicts.Verdict)
         _start_at_zero(self.refusals, verdicts.RefusalReason)
         _start_at_zero(self.retries, verdicts.RetryReason)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -106,7 +106,10 @@
             max_streams=settings.limits.max_streams,
         )
         self.requests = requests.Requests(
-            directory=self.directory, gate=self.admission
+            directory=self.directory,
+            gate=self.admission,
+            # The claims part takes no attempt that may outlive its record.
+            most_claimed_s=settings.timeouts.claim_retention_s / 2,
         )
         self.owner = owner_module.Owner(
             directory=self.directory,
--- /dev/null
+++ b/dandeliongw/refusals.py
@@ -0,0 +1,167 @@
+"""The refusals that a request can end with, and how its waste is counted."""
+
+import dataclasses
+import enum
+import typing
+
+from . import admission
+from . import effects
+from . import events
+from . import request as request_module
+from . import verdict
+from . import waste
+from .coordination import claim_messages as claims
+
+_REASON = verdict.RefusalReason
+_RETRY = verdict.RetryReason
+_MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+
+#: Reasons that waste a prefill under another name.
+_WASTE_BY_REASON = {
+    _REASON.NO_OWNER: waste.WasteReason.OWNER_CHANGED,
+    _REASON.BACKEND_FAILED: waste.WasteReason.STREAM_BROKEN,
+    _RETRY.CONNECT_REFUSED: waste.WasteReason.IMPORT_REFUSED,
+    _RETRY.BACKEND_BUSY: waste.WasteReason.IMPORT_REFUSED,
+    _RETRY.STREAM_STALLED: waste.WasteReason.STREAM_BROKEN,
+}
+
+
+def count_waste(reason: enum.StrEnum, tokens: int) -> list[typing.Any]:
+    """Count prefilled tokens that are thrown away, if there are any."""
+    if not tokens:
+        return []
+    named = _WASTE_BY_REASON.get(reason) or waste.WasteReason(reason.value)
+    return [effects.CountWaste(reason=named, tokens=tokens)]
+
+
+def keyed(refusal: verdict.Refusal) -> verdict.Refusal:
+    """Return the refusal of a call with a key that took no claim yet.
+
+    The claim alone tells whether an earlier send of the call has run. A
+    caller that got no answer to its first send and is told "not run" for
+    the second would give up a booking that was made.
+    """
+    if refusal.retry_after_s is None:
+        return refusal
+    return dataclasses.replace(
+        refusal,
+        verdict=_MAY_HAVE_RUN,
+        message=f'{refusal.message}; this send did not run, an earlier one '
+        'with the same Idempotency-Key may have',
+    )
+
+
+def past_deadline(request: request_module.Request) -> verdict.Refusal:
+    """The caller's time, or the service's, is over."""
+    return verdict.Refusal(
+        reason=_REASON.DEADLINE_PASSED,
+        verdict=request.known_when_stopped(),
+        message=f'no answer within '
+        f'{request.deadline_at - request.arrived_at:g} s',
+    )
+
+
+def caller_gone(request: request_module.Request) -> verdict.Refusal:
+    """Nobody reads this one; it is counted."""
+    return verdict.Refusal(
+        reason=_REASON.CALLER_GONE,
+        verdict=request.known_when_stopped(),
+        message='the caller closed its connection',
+    )
+
+
+def no_owner(request: request_module.Request) -> verdict.Refusal:
+    """Nobody books slots for the service just now."""
+    return verdict.Refusal(
+        reason=_REASON.NO_OWNER,
+        verdict=request.known,
+        message=f'no instance owns cell {request.cell!r} just now',
+        retry_after_s=admission.SOON_S,
+    )
+
+
+def backend_failed(message: str) -> verdict.Refusal:
+    """A call that may not be repeated failed after it was sent."""
+    return verdict.Refusal(
+        reason=_REASON.BACKEND_FAILED,
+        verdict=_MAY_HAVE_RUN,
+        message=f'the backend server failed after it got the call, which '
+        f'may not be repeated: {message}',
+    )
+
+
+def answer_unusable(message: str) -> verdict.Refusal:
+    """The call ran, and what came back can't be passed on."""
+    return verdict.Refusal(
+        reason=_REASON.BACKEND_FAILED,
+        verdict=verdict.Verdict.RAN,
+        message=f'the call ran, but its answer can not be passed on: '
+        f'{message}',
+    )
+
+
+def retries_spent(
+    request: request_module.Request, message: str
+) -> verdict.Refusal:
+    """Another attempt would cost more than it is likely to give."""
+    return verdict.Refusal(
+        reason=_REASON.RETRIES_SPENT,
+        verdict=request.known,
+        message=f'{request.attempts} attempts failed, the last one: {message}',
+        retry_after_s=admission.SOON_S,
+    )
+
+
+def outcome_too_large() -> verdict.Refusal:
+    """A resend of a call whose answer was too long to be recorded."""
+    return verdict.Refusal(
+        reason=_REASON.OUTCOME_UNKNOWN,
+        verdict=verdict.Verdict.RAN,
+        message='an earlier send of this call ran; its answer was too large '
+        'to be kept, and it will not be run again',
+    )
+
+
+def of_claim(result: typing.Any) -> verdict.Refusal:
+    """Return the refusal for a claim that was not granted."""
+    match result:
+        case claims.InProgress(retry_after_s=retry_after_s):
+            return verdict.Refusal(
+                reason=_REASON.IN_PROGRESS,
+                verdict=_MAY_HAVE_RUN,
+                message='an earlier send of this call is still in progress',
+                retry_after_s=retry_after_s,
+            )
+        case claims.DigestMismatch():
+            return admission.not_run(
+                _REASON.KEY_REUSED,
+                'this Idempotency-Key was used for another call',
+            )
+        case claims.OutcomeUnknown():
+            return verdict.Refusal(
+                reason=_REASON.OUTCOME_UNKNOWN,
+                verdict=_MAY_HAVE_RUN,
+                message='an earlier send of this call may have run; its '
+                'outcome was lost, and it will not be run again',
+            )
+    return keyed(
+        admission.not_run(
+            _REASON.CLAIMS_UNAVAILABLE,
+            'too few instances with disks answer to make sure that this call '
+            'runs at most once',
+            getattr(result, 'retry_after_s', admission.SOON_S),
+        )
+    )
+
+
+def log_failure(event: events.StepEnded) -> effects.Log:
+    """Return the log line of a step that failed."""
+    return effects.Log(
+        message=f'{event.step} failed: {event.message}',
+        fields=(
+            ('request_id', event.request_id),
+            ('attempt_id', event.attempt_id),
+            ('reason', str(event.failure)),
+        ),
+        level='WARNING',
+    )
--- a/dandeliongw/relay.py
+++ b/dandeliongw/relay.py
@@ -6,13 +6,17 @@
 """
 
 from collections import abc
+import contextlib
 import dataclasses
 import functools
 import queue
 import secrets
 import threading
+import time
 import typing
 
+from loguru import logger
+
 from . import effects
 from . import engine
 from . import events
@@ -65,7 +69,7 @@
     """Carries one request from its arrival to its answer's end.
 
     :param post: where events go.
-    :param observe_late: called for each piece of another attempt, dropped.
+    :param clock: monotonic seconds, as the reducer's.
     """
 
     def __init__(
@@ -76,29 +80,31 @@
         work: Work,
         backends: Backends,
         post: Post,
-        observe_late: abc.Callable[[], None] = lambda: None,
+        clock: abc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.request_id = request_id
         self.call = call
         self._work = work
         self._backends = backends
         self._post = post
-        self._observe_late = observe_late
-        self._directives: queue.SimpleQueue[effects.Directive] = (
-            queue.SimpleQueue()
-        )
-        self._aborted = threading.Event()
-        self._current: typing.Any = None
+        self._clock = clock
+        self._directives: queue.SimpleQueue[
+            tuple[float, effects.Directive]
+        ] = queue.SimpleQueue()
+        self._stops = _Stops()
         self._text: list[str] = []
         self._offset = 0
+        # Where the present engine's count of tokens begins.
+        self._base = 0
+        self._late_pieces = 0
         self._outcome: outcome.Outcome | None = None
 
     def give(self, directive: effects.Directive) -> None:
         """Take a directive; called by the runtime, never blocks."""
         if isinstance(directive, effects.Abort):
-            self._abort()
+            self._stops.stop(directive.attempt_id)
         else:
-            self._directives.put(directive)
+            self._directives.put((self._clock(), directive))
 
     def pieces(
         self,
@@ -127,14 +133,8 @@
             entropy=secrets.randbits(64),
         )
         while True:
-            directive = self._directives.get()
+            given_at, directive = self._directives.get()
             match directive:
-                case effects.RunPrefill():
-                    self._prefill(directive)
-                case effects.RunDecode():
-                    yield from self._decode(directive)
-                case effects.RunCall():
-                    self._run_call(directive)
                 case effects.Refuse(refusal=refusal):
                     yield refusal
                     return
@@ -147,91 +147,121 @@
                     assert self._outcome is not None
                     yield Finished(outcome=self._outcome)
                     return
+                case _:
+                    yield from self._run(given_at, directive)
+
+    # Steps
+
+    def _run(
+        self, given_at: float, directive: typing.Any
+    ) -> abc.Iterator[engine.Piece]:
+        """Do one step and tell how it ended, whatever comes in between.
 
-    def _prefill(self, directive: effects.RunPrefill) -> None:
-        end = self._step_end(directive.attempt_id, events.Step.PREFILL)
-        if self._aborted.wait(directive.start_in_s):
-            end(known=verdict.Verdict.NOT_RUN, failure=_RETRY.PREFILL_FAILED)
-            return
-        adapter = self._current = self._backends.model_engine(directive.url)
+        An answer that no adapter foresaw must not end the thread: its caller
+        would get no verdict, and its slot would stay booked for seconds.
+        """
+        attempt_id = directive.attempt_id
+        step = _STEP_BY_DIRECTIVE[type(directive)]
         try:
+            end = yield from self._do(given_at, directive)
+        except engine.EngineError as error:
+            end = _Failed(
+                known=error.known,
+                failure=_failure(step, error),
+                message=str(error),
+            )
+        except (KeyError, TypeError, ValueError, LookupError) as error:
+            logger.exception('a backend server was not understood')
+            end = _Failed(
+                known=verdict.Verdict.MAY_HAVE_RUN,
+                failure=_GENERAL_FAILURES[step],
+                message=f'the answer was not understood: {error!r}',
+            )
+        finally:
+            self._stops.forget(attempt_id)
+        self._end_step(step, attempt_id, end)
+
+    def _do(
+        self, given_at: float, directive: typing.Any
+    ) -> abc.Generator[engine.Piece, None, '_End']:
+        start_in_s = getattr(directive, 'start_in_s', 0.0)
+        stop = self._stops.event(directive.attempt_id)
+        if stop.wait(start_in_s) or stop.is_set():
+            return _Failed.unstarted('it was broken off before it started')
+        left_s = given_at + directive.deadline_in_s - self._clock()
+        if left_s <= 0:
+            # The process was frozen, or the machine is overloaded: nobody
+            # waits for the result any more.
+            return _Failed.unstarted('its deadline passed before it started')
+        match directive:
+            case effects.RunPrefill():
+                return self._prefill(directive, left_s)
+            case effects.RunDecode():
+                return (yield from self._decode(directive, left_s))
+        return self._call(directive, left_s)
+
+    def _prefill(
+        self, directive: effects.RunPrefill, left_s: float
+    ) -> '_Done':
+        adapter = self._backends.model_engine(directive.url)
+        with self._stops.watching(directive.attempt_id, adapter):
+            # After a decode engine died mid-stream, the text that the
+            # caller already has is part of the prompt, and the engine's
+            # count of tokens begins after it.
+            self._base = self._offset
             done = adapter.prefill(
                 stream_id=self.request_id,
                 attempt_id=directive.attempt_id,
-                # After a decode engine died mid-stream, the text that the
-                # caller already has is part of the prompt.
                 prompt=self._work.prompt + ''.join(self._text),
                 priority=directive.priority,
                 fence=directive.fence,
+                deadline_s=left_s,
             )
-        except engine.EngineError as error:
-            end(
-                known=error.known,
-                failure=_prefill_failure(error),
-                message=str(error),
-            )
-            return
-        end(
-            known=verdict.Verdict.RAN,
-            kv=done.kv,
-            tokens=done.tokens,
-            cached_tokens=done.cached_tokens,
+        return _Done(
+            kv=done.kv, tokens=done.tokens, cached_tokens=done.cached_tokens
         )
 
     def _decode(
-        self, directive: effects.RunDecode
-    ) -> abc.Iterator[engine.Piece]:
-        end = self._step_end(directive.attempt_id, events.Step.DECODE)
-        adapter = self._current = self._backends.model_engine(directive.url)
-        if self._aborted.is_set():
-            adapter.abort()
-        try:
-            self._import(adapter, directive)
-        except engine.EngineError as error:
-            end(
-                known=error.known,
-                failure=_import_failure(error),
-                message=str(error),
-                tokens=self._offset,
-            )
-            return
-        try:
-            yield from self._stream(adapter, directive)
-        except engine.EngineError as error:
-            end(
-                known=verdict.Verdict.RAN,
-                failure=_stream_failure(error),
-                message=str(error),
-                tokens=self._offset,
-            )
-            return
+        self, directive: effects.RunDecode, left_s: float
+    ) -> abc.Generator[engine.Piece, None, '_Done']:
+        adapter = self._backends.model_engine(directive.url)
+        with self._stops.watching(directive.attempt_id, adapter):
+            if directive.kv:
+                self._import(adapter, directive, left_s)
+            try:
+                yield from self._stream(adapter, directive, left_s)
+            except engine.EngineError as error:
+                # A whole answer that lacks only its end mark is whole.
+                if directive.kv or self._offset < self.call.max_tokens:
+                    raise _StreamError(error) from error
         self._outcome = outcome.Outcome(
             status=200,
             content_type='application/json',
             text=''.join(self._text),
             tokens=self._offset,
         )
-        end(
-            known=verdict.Verdict.RAN,
-            tokens=self._offset,
-            outcome=self._outcome.to_bytes(),
-        )
+        return _Done(outcome=self._outcome.to_bytes())
 
     def _import(
-        self, adapter: engine.Engine, directive: effects.RunDecode
+        self,
+        adapter: engine.Engine,
+        directive: effects.RunDecode,
+        left_s: float,
     ) -> None:
-        if not directive.kv:
-            return
         adapter.import_kv(
             stream_id=self.request_id,
             attempt_id=directive.attempt_id,
             kv=directive.kv,
             source_url=directive.source_url,
             fence=directive.fence,
+            deadline_s=left_s,
         )
 
     def _stream(
-        self, adapter: engine.Engine, directive: effects.RunDecode
+        self,
+        adapter: engine.Engine,
+        directive: effects.RunDecode,
+        left_s: float,
     ) -> abc.Iterator[engine.Piece]:
         """Pass on what is missing; only the end mark ends a stream.
 
@@ -242,33 +272,31 @@
         pieces = adapter.decode(
             stream_id=self.request_id,
             attempt_id=directive.attempt_id,
-            max_tokens=self.call.max_tokens,
-            from_offset=self._offset,
+            max_tokens=self.call.max_tokens - self._base,
+            from_offset=self._offset - self._base,
+            deadline_s=left_s,
         )
-        for piece in pieces:
-            if piece.attempt_id != directive.attempt_id:
-                self._observe_late()
-                continue
-            if piece.offset < self._offset:
-                # Sent again after a resume; the caller has it.
-                continue
-            if piece.offset > self._offset:
-                raise _broken(f'token {self._offset} of the stream is missing')
-            if piece.is_end:
-                return
-            self._text.append(piece.text)
-            self._offset += 1
-            yield piece
+        with contextlib.closing(pieces):
+            for piece in pieces:
+                if piece.attempt_id != directive.attempt_id:
+                    self._late_pieces += 1
+                    continue
+                offset = piece.offset + self._base
+                if offset < self._offset and not piece.is_end:
+                    # Sent again after a resume; the caller has it.
+                    continue
+                if offset != self._offset:
+                    raise _broken(f'token {self._offset} is missing')
+                if piece.is_end:
+                    return
+                self._text.append(piece.text)
+                self._offset += 1
+                yield dataclasses.replace(piece, offset=offset)
         raise _broken(f'the stream stopped at token {self._offset}')
 
-    def _run_call(self, directive: effects.RunCall) -> None:
-        end = self._step_end(directive.attempt_id, events.Step.CALL)
-        adapter = self._current = self._backends.plain_service(
-            directive.url, directive.timeout_s
-        )
-        if self._aborted.is_set():
-            adapter.abort()
-        try:
+    def _call(self, directive: effects.RunCall, left_s: float) -> '_Done':
+        adapter = self._backends.plain_service(directive.url, left_s)
+        with self._stops.watching(directive.attempt_id, adapter):
             reply = adapter.call(
                 method=self.call.method,
                 path=self._work.path,
@@ -277,58 +305,162 @@
                     **dict(self._work.headers),
                     'X-Request-Id': self.request_id,
                     'X-Attempt-Id': directive.attempt_id,
+                    'X-Deadline-S': f'{left_s:.3f}',
                 },
                 most_bytes=self._work.most_bytes,
             )
-        except engine.EngineError as error:
-            end(
-                known=error.known,
-                failure=_call_failure(error),
-                message=str(error),
-            )
-            return
         self._outcome = outcome.Outcome(
             status=reply.status,
             content_type=reply.content_type,
             body=reply.body,
         )
-        end(known=verdict.Verdict.RAN, outcome=self._outcome.to_bytes())
+        return _Done(outcome=self._outcome.to_bytes())
 
-    def _step_end(
-        self, attempt_id: str, step: events.Step
-    ) -> abc.Callable[..., None]:
-        return functools.partial(
-            self._tell,
+    def _end_step(
+        self, step: events.Step, attempt_id: str, end: '_End'
+    ) -> None:
+        late_pieces, self._late_pieces = self._late_pieces, 0
+        fields = {
+            field.name: getattr(end, field.name)
+            for field in dataclasses.fields(end)
+        }
+        if step is events.Step.DECODE:
+            fields['tokens'] = self._offset
+        self._tell(
             events.StepEnded,
             request_id=self.request_id,
             attempt_id=attempt_id,
             step=step,
+            late_pieces=late_pieces,
             entropy=secrets.randbits(64),
+            **fields,
         )
 
     def _tell(self, event_class: type, **fields: typing.Any) -> None:
         self._post(functools.partial(event_class, **fields))
 
-    def _abort(self) -> None:
-        self._aborted.set()
-        current = self._current
-        if current is not None:
-            current.abort()
+
+class _Stops:
+    """Which attempts are to stop, and the adapter that may block in one."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._events_by_attempt: dict[str, threading.Event] = {}
+        self._adapters_by_attempt: dict[str, typing.Any] = {}
+
+    def event(self, attempt_id: str) -> threading.Event:
+        with self._lock:
+            return self._events_by_attempt.setdefault(
+                attempt_id, threading.Event()
+            )
+
+    def stop(self, attempt_id: str) -> None:
+        self.event(attempt_id).set()
+        with self._lock:
+            adapter = self._adapters_by_attempt.get(attempt_id)
+        if adapter is not None:
+            adapter.abort()
+
+    def forget(self, attempt_id: str) -> None:
+        with self._lock:
+            self._adapters_by_attempt.pop(attempt_id, None)
+
+    @contextlib.contextmanager
+    def watching(
+        self, attempt_id: str, adapter: typing.Any
+    ) -> abc.Iterator[None]:
+        """Let a stop reach ``adapter``, also one that came just before.
+
+        A stop between the look at the event and the adapter's being known
+        would be lost, and the thread would work on for a caller who left.
+        """
+        with self._lock:
+            self._adapters_by_attempt[attempt_id] = adapter
+        if self.event(attempt_id).is_set():
+            adapter.abort()
+        try:
+            yield
+        finally:
+            self.forget(attempt_id)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Done:
+    """A step that did what it should."""
+
+    known: verdict.Verdict = verdict.Verdict.RAN
+    kv: str = ''
+    tokens: int = 0
+    cached_tokens: int = 0
+    outcome: bytes = b''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Failed:
+    """A step that did not."""
+
+    known: verdict.Verdict
+    failure: verdict.RetryReason
+    message: str
+
+    @classmethod
+    def unstarted(cls, message: str) -> '_Failed':
+        """Nothing was sent."""
+        return cls(
+            known=verdict.Verdict.NOT_RUN,
+            failure=verdict.RetryReason.PREFILL_FAILED,
+            message=message,
+        )
+
+
+_End = _Done | _Failed
+
+
+class _StreamError(engine.EngineError):
+    """A decode engine's stream broke after its KV cache had arrived."""
+
+    def __init__(self, error: engine.EngineError) -> None:
+        super().__init__(
+            str(error), known=verdict.Verdict.RAN, reason=error.reason
+        )
+        self.is_stalled = isinstance(error, engine.StalledError)
+
+
+_STEP_BY_DIRECTIVE = {
+    effects.RunPrefill: events.Step.PREFILL,
+    effects.RunDecode: events.Step.DECODE,
+    effects.RunCall: events.Step.CALL,
+}
 
 
 _RETRY = verdict.RetryReason
 
+#: What a step failed by where nothing more is known.
+_GENERAL_FAILURES = {
+    events.Step.PREFILL: _RETRY.PREFILL_FAILED,
+    events.Step.DECODE: _RETRY.STREAM_BROKEN,
+    events.Step.CALL: _RETRY.STREAM_BROKEN,
+}
+
 
 def _broken(message: str) -> engine.EngineError:
     return engine.EngineError(message, known=verdict.Verdict.RAN)
 
 
-def _prefill_failure(error: engine.EngineError) -> verdict.RetryReason:
+def _failure(
+    step: events.Step, error: engine.EngineError
+) -> verdict.RetryReason:
+    if isinstance(error, _StreamError):
+        if error.is_stalled:
+            return _RETRY.STREAM_STALLED
+        return _RETRY.STREAM_BROKEN
     if error.reason == _RETRY.CONNECT_REFUSED:
         return _RETRY.CONNECT_REFUSED
     if error.reason == 'busy':
         return _RETRY.BACKEND_BUSY
-    return _RETRY.PREFILL_FAILED
+    if step is events.Step.DECODE:
+        return _import_failure(error)
+    return _GENERAL_FAILURES[step]
 
 
 def _import_failure(error: engine.EngineError) -> verdict.RetryReason:
@@ -336,20 +468,4 @@
         return _RETRY.TRANSFER_STALLED
     if error.reason == 'evicted':
         return _RETRY.KV_EVICTED
-    if error.reason == _RETRY.CONNECT_REFUSED:
-        return _RETRY.CONNECT_REFUSED
     return _RETRY.IMPORT_REFUSED
-
-
-def _stream_failure(error: engine.EngineError) -> verdict.RetryReason:
-    if isinstance(error, engine.StalledError):
-        return _RETRY.STREAM_STALLED
-    return _RETRY.STREAM_BROKEN
-
-
-def _call_failure(error: engine.EngineError) -> verdict.RetryReason:
-    if error.reason == 'busy':
-        return _RETRY.BACKEND_BUSY
-    if error.known == verdict.Verdict.NOT_RUN:
-        return _RETRY.CONNECT_REFUSED
-    return _RETRY.STREAM_BROKEN
--- /dev/null
+++ b/dandeliongw/request.py
@@ -0,0 +1,138 @@
+"""One request in flight at its entry: what is known and held for it."""
+
+import dataclasses
+import enum
+import hashlib
+
+from . import admission
+from . import cells
+from . import events
+from . import policy
+from . import verdict
+
+_NOT_RUN = verdict.Verdict.NOT_RUN
+
+
+class Phase(enum.Enum):
+    """Where a request is."""
+
+    CLAIMING = 'claiming'
+    BOOKING = 'booking'
+    QUEUED = 'queued'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+    CALL = 'call'
+    #: Waits a little before it asks for another attempt.
+    BACKOFF = 'backoff'
+    RECORDING = 'recording'
+
+
+#: Phases in which a backend server may be working on the request.
+WORKING = (Phase.PREFILL, Phase.DECODE, Phase.CALL)
+#: Phases in which the owner has yet to place the request.
+UNPLACED = (Phase.BOOKING, Phase.QUEUED)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Request:
+    """One request in flight.
+
+    :param known: what is proved about the whole request having run, its
+        earlier sends included.
+    :param claim_key: set while this entry holds a claim for it.
+    :param serial: numbers the attempt ids; grows faster than ``attempts``,
+        because each owner that is asked gets an id of its own.
+    :param search_s: longest search for an owner.
+    :param is_held: whether an owner may hold a reservation for it.
+    :param resumes_from: offset of the last resume; a second break at the
+        same offset means that resuming does not help.
+    :param reclaimed_at: when the present owner was first told that this
+        booking, made by an earlier owner, is held.
+    :param cancels_by_attempt: cancels to send once more when the thread has
+        let go of an attempt that was broken off.
+    """
+
+    request_id: str
+    call: events.Call
+    admitted: admission.Admitted
+    cell: str
+    arrived_at: float
+    deadline_at: float
+    phase: Phase
+    phase_at: float
+    stage: policy.Stage
+    search_s: float
+    known: verdict.Verdict = _NOT_RUN
+    claim_key: str = ''
+    attempts: int = 0
+    serial: int = 0
+    owner: str = ''
+    asked_at: float = 0.0
+    asked: int = 0
+    hops: int = 0
+    heard_at: float = 0.0
+    is_held: bool = False
+    booked: cells.Booked | None = None
+    reclaimed_at: float | None = None
+    exclude: tuple[str, ...] = ()
+    retry_at: float = 0.0
+    kv: str = ''
+    kv_id: str = ''
+    kv_source: str = ''
+    kv_at: float = 0.0
+    prefill_s: float = 0.0
+    prefilled_tokens: int = 0
+    resumes_from: int = -1
+    caller_gone: bool = False
+    is_ended: bool = False
+    cancels_by_attempt: dict[str, tuple[cells.CancelStream, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    @property
+    def attempt_id(self) -> str:
+        """Unique, since request ids are; told to every backend server."""
+        return f'{self.request_id}.{self.serial}'
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another attempt can do no harm."""
+        return self.admitted.route.idempotent or self.known is _NOT_RUN
+
+    @property
+    def is_placed(self) -> bool:
+        """Whether it works in a slot that an owner counts as its own."""
+        return self.is_held and self.phase in WORKING
+
+    @property
+    def service(self) -> str:
+        return self.admitted.service.name
+
+    def left_s(self, now: float) -> float:
+        """Return the seconds until the deadline, never less than none."""
+        return max(0.0, self.deadline_at - now)
+
+    def known_when_stopped(self) -> verdict.Verdict:
+        """Return what is proved if it is broken off just now."""
+        if self.phase in WORKING:
+            return verdict.Verdict.MAY_HAVE_RUN
+        return self.known
+
+    def forget_kv(self) -> None:
+        """The prefill's result is gone, or is no longer of use."""
+        self.kv = ''
+        self.kv_id = ''
+        self.kv_source = ''
+        self.prefilled_tokens = 0
+
+
+def claim_key(request: Request) -> str:
+    """Return a key that no other account or service can collide with."""
+    fields = (
+        request.admitted.account.name,
+        request.call.service,
+        request.call.idempotency_key or '',
+    )
+    # A length before each field keeps ('ab', 'c') and ('a', 'bc') apart.
+    joined = ''.join(f'{len(field)}:{field}' for field in fields)
+    return hashlib.sha256(joined.encode()).hexdigest()
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -116,6 +116,7 @@
             effects.CountRefusal: self._count_refusal,
             effects.CountRetry: self._count_retry,
             effects.CountWaste: self._count_waste,
+            effects.CountLate: self._count_late,
             effects.PeerAddress: self._set_address,
             effects.Observed: self._observe,
             membership.Superseded: self._end_superseded,
@@ -309,6 +310,9 @@
     def _count_waste(self, effect: effects.CountWaste) -> None:
         self._metrics.count_wasted_prefill(effect.reason, effect.tokens)
 
+    def _count_late(self, effect: effects.CountLate) -> None:
+        self._metrics.late_answers.labels(effect.what.value).inc()
+
     def _observe(self, effect: effects.Observed) -> None:
         gauges = self._metrics
         gauges.configuration_revision.set(effect.revision)
--- /dev/null
+++ b/tests/entry_fake.py
@@ -0,0 +1,267 @@
+"""An entry's requests with nothing around them: time and owners are given."""
+
+import itertools
+import json
+
+from dandeliongw import admission
+from dandeliongw import cells
+from dandeliongw.coordination import claim_messages as claims
+from dandeliongw.coordination import parts
+from dandeliongw import document
+from dandeliongw import effects
+from dandeliongw import events
+from dandeliongw import requests
+from dandeliongw import verdict
+from tools import local
+
+OWNER = 'gw-1'
+NEXT_OWNER = 'gw-2'
+CELL = 'cell'
+
+
+def described(**changes_by_service):
+    """Return the example document; services changed, a quote route added."""
+    fields = local.example_document()
+    fields['routes'].append(
+        {
+            'service': 'dieline-llm',
+            'method': 'POST',
+            'path': '/v1/quotes',
+            'idempotent': False,
+        }
+    )
+    for service in fields['services']:
+        name = service['name'].replace('-', '_')
+        service.update(changes_by_service.get(name, {}))
+    return document.parse_document(json.dumps(fields).encode())
+
+
+class Directory:
+    """What a test says that the entry knows."""
+
+    def __init__(self):
+        self.document = described()
+        self.is_draining = False
+        self.fresh = True
+        self.owners = (OWNER, NEXT_OWNER)
+
+    def is_fresh(self, now):
+        return self.fresh
+
+    def cell_of(self, service, request_id):
+        return CELL
+
+    def owners_of(self, cell):
+        return self.owners
+
+
+def call(kind='lookup', key=None, **changes):
+    """Return a call: a lookup, a booking, a completion or a quote."""
+    method, path, service = {
+        'lookup': ('GET', '/lookup', 'studio-portal'),
+        'booking': ('POST', '/bookings', 'studio-portal'),
+        'completion': ('POST', '/v1/completions', 'dieline-llm'),
+        'quote': ('POST', '/v1/quotes', 'dieline-llm'),
+    }[kind]
+    fields = {
+        'service': service,
+        'method': method,
+        'path': path,
+        'streamed': service == 'dieline-llm',
+        'key_sha256': local.sha256(local.ACCOUNT_KEY),
+        'idempotency_key': key,
+        'digest': b'digest',
+        'prompt_tokens': 100,
+        'max_tokens': 10,
+    }
+    return events.Call(**{**fields, **changes})
+
+
+class Entry:
+    """Drives ``Requests`` and sorts what comes out of it."""
+
+    def __init__(self, **options):
+        self.now = 100.0
+        self.directory = Directory()
+        self.gate = admission.Admission(
+            directory=self.directory, max_requests=20, max_streams=10
+        )
+        self.requests = requests.Requests(
+            directory=self.directory, gate=self.gate, **options
+        )
+        self.ids = (f'r{number}' for number in itertools.count(1))
+        #: Everything that came out, and what came out last.
+        self.all = []
+        self.out = []
+
+    def take(self, effects_out):
+        self.out = list(effects_out)
+        self.all += self.out
+        return self.out
+
+    def post(self, event_class, **fields):
+        return self.take(
+            self.requests.handle(event_class(now=self.now, **fields))
+        )
+
+    # Events
+
+    def arrive(self, kind='lookup', key=None, **changes):
+        request_id = next(self.ids)
+        self.post(
+            events.RequestArrived,
+            request_id=request_id,
+            call=call(kind, key, **changes),
+            entropy=0,
+        )
+        return request_id
+
+    def tick(self, seconds=0.1):
+        self.now += seconds
+        return self.post(parts.Ticked, entropy=0)
+
+    def claim(self, request_id, result=None):
+        return self.take(
+            self.requests.claim_answered(
+                self.now, request_id, result or claims.Granted()
+            )
+        )
+
+    def record(self, request_id, result=None):
+        return self.take(
+            self.requests.finish_answered(
+                self.now, request_id, result or claims.Recorded()
+            )
+        )
+
+    def receive(self, message, sender=OWNER):
+        return self.post(parts.Received, sender=sender, message=message)
+
+    def ids_of(self, request_id):
+        request = self.requests.requests_by_id[request_id]
+        return {
+            'cell': CELL,
+            'request_id': request_id,
+            'attempt_id': request.attempt_id,
+        }
+
+    def booked(self, request_id, epoch=1, **changes):
+        """Return what an owner answers to the booking at hand."""
+        request = self.requests.requests_by_id[request_id]
+        places = {
+            'prefill_id': 'p1',
+            'prefill_url': 'http://p1',
+            'decode_id': 'd1',
+            'decode_url': 'http://d1',
+            'plain_id': '',
+            'plain_url': '',
+        }
+        if request.stage.value == 'plain':
+            places = dict.fromkeys(places, '')
+            places.update(plain_id='s1', plain_url='http://s1')
+        fields = {**self.ids_of(request_id), 'epoch': epoch, 'start_in_s': 0.0}
+        return cells.Booked(**{**fields, **places, **changes})
+
+    def book(self, request_id, sender=OWNER, **changes):
+        return self.receive(self.booked(request_id, **changes), sender)
+
+    def cancelled(self, request_id, epoch=1, sender=OWNER):
+        message = cells.Cancelled(**self.ids_of(request_id), epoch=epoch)
+        return self.receive(message, sender)
+
+    def end(self, request_id, step, failure=None, **changes):
+        """End a step of the present attempt: well without a failure."""
+        fields = {
+            'attempt_id': self.ids_of(request_id)['attempt_id'],
+            'known': verdict.Verdict.RAN,
+            'kv': 'kv1' if step is events.Step.PREFILL else '',
+            'tokens': 100 if step is events.Step.PREFILL else 10,
+            'outcome': b'outcome',
+        }
+        return self.post(
+            events.StepEnded,
+            request_id=request_id,
+            step=step,
+            failure=failure,
+            **{**fields, **changes},
+        )
+
+    def prefill(self, request_id, **changes):
+        return self.end(request_id, events.Step.PREFILL, **changes)
+
+    def decode(self, request_id, failure=None, **changes):
+        return self.end(request_id, events.Step.DECODE, failure, **changes)
+
+    def answer(self, request_id, failure=None, **changes):
+        return self.end(request_id, events.Step.CALL, failure, **changes)
+
+    def leave(self, request_id):
+        return self.post(events.CallerGone, request_id=request_id)
+
+    def close(self, request_id):
+        return self.post(events.RequestClosed, request_id=request_id)
+
+    # What came out last
+
+    def found(self, kind, among=None):
+        return [
+            each
+            for each in (self.out if among is None else among)
+            if isinstance(each, kind)
+        ]
+
+    def one(self, kind):
+        (found,) = self.found(kind)
+        return found
+
+    def sent(self, kind, among=None):
+        """Return (recipient, message) of all messages of a kind."""
+        return [
+            (each.to, each.message)
+            for each in self.found(parts.Send, among)
+            if isinstance(each.message, kind)
+        ]
+
+    def dispatched(self, kind):
+        return [
+            each.event
+            for each in self.found(effects.Dispatch)
+            if isinstance(each.event, kind)
+        ]
+
+    @property
+    def refusal(self):
+        return self.one(effects.Refuse).refusal
+
+    @property
+    def retries(self):
+        return [each.reason for each in self.found(effects.CountRetry)]
+
+    @property
+    def wastes(self):
+        return [
+            (each.reason, each.tokens)
+            for each in self.found(effects.CountWaste)
+        ]
+
+    # Ways to a stage
+
+    def calling(self, kind='booking', key='k'):
+        """Return the id of a plain call that is under way."""
+        request_id = self.arrive(kind, key)
+        if key is not None:
+            self.claim(request_id)
+        self.book(request_id)
+        return request_id
+
+    def prefilling(self, kind='completion', key=None):
+        request_id = self.arrive(kind, key)
+        if key is not None:
+            self.claim(request_id)
+        self.book(request_id)
+        return request_id
+
+    def decoding(self, kind='completion', key=None):
+        request_id = self.prefilling(kind, key)
+        self.prefill(request_id)
+        return request_id
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,688 @@
+"""The life of a request at its entry, failure by failure."""
+
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import admission
+from dandeliongw import cells
+from dandeliongw.coordination import claim_messages as claims
+from dandeliongw import effects
+from dandeliongw import events
+from dandeliongw import requests
+from dandeliongw import reservations
+from dandeliongw import verdict
+from dandeliongw import waste
+from tests import entry_fake
+from tests.entry_fake import Entry
+from tests.entry_fake import NEXT_OWNER
+from tests.entry_fake import OWNER
+
+RETRY = verdict.RetryReason
+REASON = verdict.RefusalReason
+NOT_RUN = verdict.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+RAN = verdict.Verdict.RAN
+
+
+class WholeWay(unittest.TestCase):
+    def test_a_completion_books_prefills_decodes_and_completes(self):
+        entry = Entry()
+        request_id = entry.prefilling()
+        self.assertEqual(entry.one(effects.RunPrefill).url, 'http://p1')
+        entry.prefill(request_id)
+        self.assertEqual(entry.one(effects.RunDecode).kv, 'kv1')
+        entry.decode(request_id)
+        entry.one(effects.Complete)
+        ((to, release),) = entry.sent(cells.Release)
+        self.assertEqual((to, release.outcome), (OWNER, cells.Outcome.DONE))
+
+    def test_a_claim_is_recorded_before_the_end_is_given(self):
+        entry = Entry()
+        request_id = entry.calling()
+        entry.answer(request_id)
+        self.assertEqual(entry.found(effects.Complete), [])
+        (finish,) = entry.dispatched(claims.Finish)
+        self.assertEqual(finish.outcome, b'outcome')
+        entry.record(request_id, claims.NotRecorded())
+        entry.one(effects.Complete)
+
+
+class Attempts(unittest.TestCase):
+    def test_the_end_of_an_earlier_attempt_is_dropped(self):
+        """Symptom: a caller gets tokens of two attempts, mixed.
+
+        Sequence: the first attempt breaks; the second starts; the first
+        one's end arrives.
+        Cause: only the request id would tell the two apart.
+        """
+        entry = Entry()
+        request_id = entry.prefilling()
+        old = entry.ids_of(request_id)['attempt_id']
+        entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
+        entry.book(request_id)
+        entry.prefill(request_id, attempt_id=old)
+        self.assertEqual(entry.found(effects.RunDecode), [])
+        self.assertEqual(entry.one(effects.CountLate).what, effects.Late.STEP)
+
+    def test_swapped_bookings_go_back_or_to_their_own_request(self):
+        """Symptom: two callers get each other's slots.
+
+        Sequence: two bookings are asked for; the replies come swapped.
+        Cause: replies would be matched by their order.
+        """
+        entry = Entry()
+        first, second = entry.arrive('lookup'), entry.arrive('lookup')
+        entry.book(second, plain_url='http://for-2')
+        self.assertEqual(entry.one(effects.RunCall).request_id, second)
+        entry.book(first, plain_url='http://for-1')
+        run = entry.one(effects.RunCall)
+        self.assertEqual((run.request_id, run.url), (first, 'http://for-1'))
+
+    def test_a_booking_told_twice_starts_once(self):
+        entry = Entry()
+        request_id = entry.arrive('booking')
+        message = entry.booked(request_id)
+        entry.receive(message)
+        entry.receive(message)
+        self.assertEqual(entry.out, [])
+
+    def test_an_owner_that_answers_after_its_successor_is_given_back(self):
+        """Symptom: two slots are booked for one stream, one is never used.
+
+        Sequence: the owner is slow; its successor is asked and books; then
+        the first one's booking arrives.
+        Cause: one attempt id for all owners that are asked.
+        """
+        entry = Entry()
+        request_id = entry.arrive('completion')
+        late = entry.booked(request_id)
+        for _ in range(2):
+            entry.tick(reservations.OWNER_ANSWER_S)
+        ((to, _),) = entry.sent(cells.Book)
+        self.assertEqual(to, NEXT_OWNER)
+        entry.book(request_id, NEXT_OWNER, decode_id='d2')
+        entry.receive(late, OWNER)
+        self.assertEqual(entry.found(effects.RunPrefill), [])
+        ((to, release),) = entry.sent(cells.Release)
+        self.assertEqual(to, OWNER)
+        self.assertEqual(release.attempt_id, late.attempt_id)
+
+
+class Leaving(unittest.TestCase):
+    @params('claiming', 'queued', 'prefill', 'decode', 'call', 'backoff')
+    def test_a_caller_who_has_gone_frees_everything(self, stage):
+        """Symptom: engines hold memory for answers nobody will read.
+
+        Sequence: the caller closes while no byte flows.
+        Cause: only a failed write would tell that it has gone.
+        """
+        entry = Entry()
+        request_id = _at(entry, stage)
+        entry.leave(request_id)
+        self.assertEqual(entry.refusal.reason, REASON.CALLER_GONE)
+        releases = len(entry.sent(cells.Release))
+        self.assertEqual(releases, stage not in ('claiming', 'backoff'))
+        engines = {each.backend_id for each in entry.found(cells.CancelStream)}
+        working = stage in ('prefill', 'decode')
+        self.assertEqual(engines, {'p1', 'd1'} if working else set())
+        self.assertEqual(
+            entry.refusal.verdict is NOT_RUN, stage in ('queued', 'backoff')
+        )
+        entry.leave(request_id)
+        entry.close(request_id)
+        self.assertEqual(entry.sent(cells.Release), [])
+        self.assertEqual(entry.gate.in_flight, 0)
+
+    def test_a_cancel_goes_again_when_the_thread_has_let_go(self):
+        """Symptom: an engine works on for a caller who left at once.
+
+        Sequence: prefill is directed; the caller leaves; the cancel reaches
+        the engine before the prefill does, and finds nothing.
+        Cause: cancel and call travel over connections of their own.
+        """
+        entry = Entry()
+        request_id = entry.prefilling()
+        entry.leave(request_id)
+        entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
+        engines = {each.backend_id for each in entry.found(cells.CancelStream)}
+        self.assertEqual(engines, {'p1', 'd1'})
+        entry.close(request_id)
+        self.assertEqual(entry.out, [])
+
+    def test_a_claimed_call_is_left_to_end(self):
+        """Symptom: a resend is told "may have run" though all went well.
+
+        Sequence: a booking is under way; the caller goes; it resends.
+        Cause: the call would be broken off with its caller.
+        """
+        entry = Entry()
+        request_id = entry.calling()
+        entry.leave(request_id)
+        self.assertEqual(entry.out, [])
+        entry.answer(request_id)
+        self.assertEqual(len(entry.dispatched(claims.Finish)), 1)
+        entry.record(request_id)
+        entry.one(effects.Complete)
+
+    def test_a_claimed_call_that_did_not_run_ends_with_its_caller(self):
+        entry = Entry()
+        request_id = entry.calling()
+        entry.leave(request_id)
+        entry.answer(request_id, RETRY.CONNECT_REFUSED, known=NOT_RUN)
+        self.assertEqual(entry.refusal.reason, REASON.CALLER_GONE)
+        self.assertEqual(len(entry.dispatched(claims.Abandon)), 1)
+
+    def test_a_thread_that_dies_in_a_claimed_call_leaks_nothing(self):
+        """Symptom: a slot stays booked, the account's count never falls.
+
+        Sequence: a claimed call's thread ends without an answer.
+        Cause: a caller's leaving is no news to a claimed call.
+        """
+        entry = Entry()
+        request_id = entry.calling()
+        entry.close(request_id)
+        self.assertEqual(len(entry.sent(cells.Release)), 1)
+        self.assertEqual(entry.gate.in_flight, 0)
+        self.assertEqual(entry.dispatched(claims.Abandon), [])
+
+
+def _at(entry, stage):
+    """Return the id of a new request that has come to a stage."""
+    if stage == 'prefill':
+        return entry.prefilling()
+    if stage == 'decode':
+        return entry.decoding()
+    if stage == 'call':
+        return entry.calling(key=None)
+    if stage == 'backoff':
+        request_id = entry.arrive('booking')
+        for _ in range(2):
+            entry.book(request_id)
+            entry.answer(request_id, RETRY.BACKEND_BUSY, known=NOT_RUN)
+        return request_id
+    request_id = entry.arrive('booking', 'k' if stage == 'claiming' else None)
+    if stage == 'queued':
+        _queue(entry, request_id)
+    return request_id
+
+
+def _queue(entry, request_id, sender=OWNER):
+    entry.receive(
+        cells.Queued(**entry.ids_of(request_id), epoch=1, expected_in_s=1.0),
+        sender,
+    )
+
+
+class Verdicts(unittest.TestCase):
+    @params(
+        ('booking', NOT_RUN, True),
+        ('booking', MAY_HAVE_RUN, False),
+        ('lookup', MAY_HAVE_RUN, True),
+    )
+    def test_another_try_needs_proof_or_idempotence(self, kind, known, again):
+        """Symptom: two riders are booked on one horse.
+
+        Sequence: the connection is reset after the last byte went out.
+        Cause: a broken call would count as one that did not run.
+        """
+        entry = Entry()
+        request_id = entry.calling(kind, None)
+        entry.answer(request_id, RETRY.STREAM_BROKEN, known=known)
+        self.assertEqual(len(entry.sent(cells.Book)), again)
+        if not again:
+            self.assertEqual(entry.refusal.verdict, MAY_HAVE_RUN)
+            self.assertIsNone(entry.refusal.retry_after_s)
+
+    @params(False, True)
+    def test_a_quote_is_resumed_but_never_prefilled_again(self, resumed):
+        """Symptom: a studio is billed for two drafts.
+
+        Sequence: tokens flow; the stream breaks; its resume breaks.
+        Cause: another prefill makes a second draft.
+        """
+        entry = Entry()
+        request_id = entry.decoding('quote')
+        entry.decode(request_id, RETRY.STREAM_BROKEN, tokens=4)
+        self.assertEqual(entry.one(effects.RunDecode).kv, '')
+        if resumed:
+            entry.decode(request_id)
+            entry.one(effects.Complete)
+            return
+        entry.decode(request_id, RETRY.STREAM_BROKEN, tokens=4)
+        self.assertEqual(entry.sent(cells.Book), [])
+        self.assertEqual(entry.refusal.verdict, MAY_HAVE_RUN)
+
+    def test_an_answer_that_ran_but_is_too_long_is_not_fetched_again(self):
+        entry = Entry()
+        request_id = entry.calling('lookup', None)
+        entry.answer(request_id, RETRY.STREAM_BROKEN, known=RAN)
+        self.assertEqual(entry.refusal.verdict, RAN)
+        self.assertEqual(entry.sent(cells.Book), [])
+
+    @params('draining', 'stale', 'full')
+    def test_a_key_that_was_not_looked_up_is_never_told_not_run(self, why):
+        """Symptom: a rider whose booking was made is told that it was not.
+
+        Sequence: a booking runs, its answer is lost; the resend meets an
+        instance that is shutting down.
+        Cause: "not run" would be said of the send, not of the call.
+        """
+        entry = Entry()
+        entry.directory.is_draining = why == 'draining'
+        entry.directory.fresh = why != 'stale'
+        if why == 'full':
+            for _ in range(20):
+                entry.arrive('lookup')
+        entry.arrive('booking', 'k')
+        self.assertEqual(entry.refusal.verdict, MAY_HAVE_RUN)
+        entry.arrive('booking')
+        self.assertEqual(entry.refusal.verdict, NOT_RUN)
+
+    @params(
+        (claims.InProgress(retry_after_s=2.0), REASON.IN_PROGRESS, 2.0),
+        (claims.OutcomeUnknown(), REASON.OUTCOME_UNKNOWN, None),
+        (
+            claims.ClaimsUnavailable(
+                retry_after_s=1.0,
+                reason=claims.UnavailableReason.HOLDERS_UNREACHABLE,
+            ),
+            REASON.CLAIMS_UNAVAILABLE,
+            1.0,
+        ),
+    )
+    def test_a_claim_not_granted(self, result, reason, retry_after_s):
+        entry = Entry()
+        entry.claim(entry.arrive('booking', 'k'), result)
+        self.assertEqual(entry.refusal.reason, reason)
+        self.assertEqual(entry.refusal.verdict, MAY_HAVE_RUN)
+        self.assertEqual(entry.refusal.retry_after_s, retry_after_s)
+        self.assertEqual(entry.dispatched(claims.Abandon), [])
+
+
+class Claims(unittest.TestCase):
+    def test_an_outcome_too_large_to_keep_is_told_as_run(self):
+        """Symptom: the resend's thread dies and its caller gets a 500.
+
+        Sequence: a long answer is given but not kept; the caller resends.
+        Cause: a replay without an outcome can't be read.
+        """
+        entry = Entry()
+        entry.claim(
+            entry.arrive('booking', 'k'), claims.Replayed(outcome=None)
+        )
+        self.assertEqual(entry.refusal.verdict, RAN)
+
+    def test_a_claimed_call_takes_no_longer_than_its_record_lasts(self):
+        """Symptom: a call with a key never gets any answer.
+
+        Sequence: the service allows more time than claims are kept for.
+        Cause: the claims part raises, and the reducer drops the event.
+        """
+        entry = Entry(most_claimed_s=2.0)
+        entry.arrive('booking', 'k')
+        (begin,) = entry.dispatched(claims.Begin)
+        self.assertEqual(begin.deadline_s, 2.0)
+
+    @params(
+        ('booking', NOT_RUN, 1),
+        ('booking', MAY_HAVE_RUN, 0),
+        ('quote', None, 0),
+    )
+    def test_only_proof_frees_a_key(self, kind, known, abandoned):
+        entry = Entry()
+        if kind == 'quote':
+            entry.leave(entry.decoding(kind, 'k'))
+        else:
+            request_id = entry.calling(kind)
+            for _ in range(requests.MAX_ATTEMPTS):
+                if not entry.found(effects.Refuse):
+                    entry.answer(request_id, RETRY.STREAM_BROKEN, known=known)
+                    if not entry.found(effects.Refuse):
+                        entry.tick(1.0)
+                        entry.book(request_id)
+        self.assertEqual(len(entry.dispatched(claims.Abandon)), abandoned)
+
+    def test_a_key_of_an_idempotent_call_is_free_when_its_caller_left(self):
+        entry = Entry()
+        entry.leave(entry.decoding('completion', 'k'))
+        self.assertEqual(len(entry.dispatched(claims.Abandon)), 1)
+
+    def test_a_call_that_ends_just_past_its_deadline_is_recorded(self):
+        entry = Entry()
+        request_id = entry.calling()
+        entry.tick(11.0)
+        self.assertEqual(entry.refusal.verdict, MAY_HAVE_RUN)
+        entry.answer(request_id)
+        self.assertEqual(len(entry.dispatched(claims.Finish)), 1)
+
+
+class NextSteps(unittest.TestCase):
+    def test_a_kv_cache_moves_without_being_given_back(self):
+        """Symptom: every refused import costs a second prefill.
+
+        Sequence: the decode engine is full; the booking is released; the
+        owner cancels on both engines; the KV cache is gone before its move.
+        Cause: a move that begins with a release.
+        """
+        entry = Entry()
+        request_id = entry.decoding()
+        entry.decode(request_id, RETRY.IMPORT_REFUSED, tokens=0, known=NOT_RUN)
+        self.assertEqual(entry.sent(cells.Release), [])
+        self.assertEqual(entry.one(cells.CancelStream).backend_id, 'd1')
+        ((_, book),) = entry.sent(cells.Book)
+        self.assertEqual((book.stage, book.exclude), ('decode', ('d1',)))
+        entry.receive(entry.booked(request_id))
+        self.assertEqual(entry.out, [], 'the pair that it moves away from')
+        entry.book(
+            request_id, prefill_id='', decode_id='d2', decode_url='http://d2'
+        )
+        run = entry.one(effects.RunDecode)
+        self.assertEqual((run.kv, run.url), ('kv1', 'http://d2'))
+        entry.leave(request_id)
+        engines = {each.backend_id for each in entry.found(cells.CancelStream)}
+        self.assertEqual(engines, {'p1', 'd2'})
+
+    @params('declined', 'late')
+    def test_a_move_that_finds_no_engine_is_computed_again(self, why):
+        """Symptom: a request fails although its prompt could be run again.
+
+        Sequence: the import is refused; no other decode engine is free.
+        Cause: a refused move would end the request, and leave its booking.
+        """
+        entry = Entry()
+        request_id = entry.decoding()
+        entry.decode(request_id, RETRY.IMPORT_REFUSED, tokens=0, known=NOT_RUN)
+        if why == 'declined':
+            entry.receive(_declined(entry, request_id))
+        else:
+            entry.tick(requests.KV_LIFE_S + 0.1)
+        self.assertEqual(len(entry.sent(cells.Release)), 1)
+        self.assertEqual([tokens for _, tokens in entry.wastes], [100])
+        entry.tick(1.0)
+        ((_, book),) = entry.sent(cells.Book)
+        self.assertEqual(book.stage, 'pair')
+
+    @params(
+        (RETRY.KV_EVICTED, 0.0), (RETRY.TRANSFER_STALLED, requests.KV_LIFE_S)
+    )
+    def test_a_kv_cache_that_is_gone_is_not_moved(self, failure, after_s):
+        entry = Entry()
+        request_id = entry.decoding()
+        entry.now += after_s
+        entry.decode(request_id, failure, tokens=0, known=NOT_RUN)
+        ((_, book),) = entry.sent(cells.Book)
+        self.assertEqual(book.stage, 'pair')
+        self.assertEqual(
+            entry.wastes, [(waste.WasteReason(failure.value), 100)]
+        )
+
+    def test_a_stream_resumes_while_it_gets_on(self):
+        entry = Entry()
+        request_id = entry.decoding()
+        for tokens in (4, 6):
+            entry.decode(request_id, RETRY.STREAM_STALLED, tokens=tokens)
+            entry.one(effects.RunDecode)
+            self.assertEqual(entry.retries, [RETRY.STREAM_STALLED])
+        entry.decode(request_id, RETRY.STREAM_BROKEN, tokens=6)
+        ((_, book),) = entry.sent(cells.Book)
+        self.assertEqual((book.stage, book.exclude), ('pair', ('d1',)))
+
+    def test_a_failing_pool_is_not_stormed(self):
+        """Symptom: a pool that fails gets four times its load, in waves.
+
+        Sequence: every call fails at once, again and again.
+        Cause: retries that neither wait nor know a budget.
+        """
+        entry = Entry()
+        waits = []
+        for entropy in (0, 2**63):
+            request_id = entry.calling('lookup', None)
+            entry.answer(request_id, RETRY.STREAM_BROKEN, known=MAY_HAVE_RUN)
+            self.assertEqual(len(entry.sent(cells.Book)), 1, 'first at once')
+            entry.book(request_id)
+            entry.answer(
+                request_id,
+                RETRY.STREAM_BROKEN,
+                known=MAY_HAVE_RUN,
+                entropy=entropy,
+            )
+            self.assertEqual(entry.sent(cells.Book), [])
+            request = entry.requests.requests_by_id[request_id]
+            waits.append(request.retry_at - entry.now)
+        self.assertLess(waits[0], waits[1])
+
+    def test_a_service_has_a_retry_budget_of_its_own(self):
+        entry = Entry()
+        for _ in range(12):
+            request_id = entry.prefilling()
+            entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
+            entry.leave(request_id)
+            entry.close(request_id)
+        request_id = entry.prefilling()
+        entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
+        self.assertEqual(entry.refusal.reason, REASON.RETRIES_SPENT)
+        self.assertEqual(entry.refusal.retry_after_s, admission.SOON_S)
+        request_id = entry.calling('lookup', None)
+        entry.answer(request_id, RETRY.STREAM_BROKEN, known=MAY_HAVE_RUN)
+        self.assertEqual(len(entry.sent(cells.Book)), 1)
+
+    def test_a_prefill_that_can_not_end_in_time_is_not_begun(self):
+        entry = Entry()
+        request_id = entry.arrive('completion', deadline_s=3.0)
+        entry.book(request_id)
+        entry.now += 1.6
+        entry.prefill(request_id)
+        entry.decode(request_id, RETRY.KV_EVICTED, tokens=0, known=NOT_RUN)
+        self.assertEqual(entry.refusal.reason, REASON.RETRIES_SPENT)
+
+
+def _declined(entry, request_id):
+    return cells.Declined(
+        **entry.ids_of(request_id),
+        reason=REASON.NO_CAPACITY,
+        retry_after_s=1.0,
+        message='full',
+    )
+
+
+class Deadlines(unittest.TestCase):
+    @params('claiming', 'queued', 'prefill', 'decode', 'call', 'backoff')
+    def test_the_deadline_ends_every_stage(self, stage):
+        entry = Entry()
+        request_id = _at(entry, stage)
+        entry.tick(60.0)
+        self.assertEqual(entry.refusal.reason, REASON.DEADLINE_PASSED)
+        self.assertEqual(
+            entry.refusal.verdict is NOT_RUN, stage in ('queued', 'backoff')
+        )
+        entry.close(request_id)
+        self.assertEqual(entry.requests.requests_by_id, {})
+
+    def test_every_step_is_told_what_is_left(self):
+        entry = Entry()
+        request_id = entry.arrive('completion', deadline_s=5.0)
+        entry.now += 1.0
+        entry.book(request_id)
+        self.assertEqual(entry.one(effects.RunPrefill).deadline_in_s, 4.0)
+        entry.now += 1.0
+        entry.prefill(request_id)
+        self.assertEqual(entry.one(effects.RunDecode).deadline_in_s, 3.0)
+
+    def test_a_refusal_of_the_owner_is_passed_on_at_once(self):
+        entry = Entry()
+        request_id = entry.arrive('booking')
+        entry.receive(_declined(entry, request_id))
+        self.assertEqual(entry.refusal.verdict, NOT_RUN)
+        self.assertEqual(entry.refusal.retry_after_s, 1.0)
+        self.assertEqual(entry.sent(cells.Release), [])
+
+
+class Owners(unittest.TestCase):
+    def test_two_instances_that_point_at_each_other(self):
+        """Symptom: thousands of messages a second between two instances.
+
+        Sequence: each says that the other is the owner.
+        Cause: hints would be followed without end.
+        """
+        entry = Entry()
+        request_id = entry.arrive('lookup')
+        asked = 0
+        for turn in range(20):
+            holders = (OWNER, NEXT_OWNER)
+            sender, holder = holders[turn % 2], holders[1 - turn % 2]
+            message = cells.NotOwner(**entry.ids_of(request_id), holder=holder)
+            entry.receive(message, sender)
+            asked += len(entry.sent(cells.Book))
+        self.assertEqual(asked, reservations.MOST_HOPS)
+
+    def test_nobody_owns_the_cell(self):
+        entry = Entry()
+        entry.arrive('lookup')
+        entry.tick(reservations.OWNER_SEARCH_S)
+        self.assertEqual(entry.refusal.reason, REASON.NO_OWNER)
+        self.assertEqual(entry.refusal.verdict, NOT_RUN)
+        self.assertEqual(len(entry.sent(cells.Release)), 1)
+
+    def test_a_slot_told_once_and_lost_is_heard_of(self):
+        """Symptom: a request waits out its deadline beside a free slot.
+
+        Sequence: queued; the owner says once that a slot is free; that
+        message is lost; renewals keep the slot booked.
+        Cause: nobody asks again.
+        """
+        entry = Entry()
+        request_id = entry.arrive('completion')
+        _queue(entry, request_id)
+        entry.tick(cells.PROGRESS_EVERY_S)
+        ((_, book),) = entry.sent(cells.Book)
+        self.assertEqual(
+            book.attempt_id, entry.ids_of(request_id)['attempt_id']
+        )
+        entry.book(request_id)
+        entry.one(effects.RunPrefill)
+
+    def test_a_queued_request_outlives_its_owner(self):
+        """Symptom: what was queued at an owner that died is never answered.
+
+        Sequence: queued; the owner dies; it says nothing any more.
+        Cause: only requests in a slot would be told to its successor.
+        """
+        entry = Entry()
+        request_id = entry.arrive('completion')
+        _queue(entry, request_id)
+        old = entry.ids_of(request_id)['attempt_id']
+        entry.directory.owners = (NEXT_OWNER,)
+        entry.tick(reservations.OWNER_SILENT_S)
+        ((to, book),) = entry.sent(cells.Book)
+        self.assertEqual(to, NEXT_OWNER)
+        self.assertNotEqual(book.attempt_id, old)
+
+    def test_a_new_owner_is_told_of_all_before_it_is_renewed_at(self):
+        entry = Entry()
+        held = [entry.decoding(), entry.prefilling(), entry.calling()]
+        queued = entry.arrive('completion')
+        _queue(entry, queued)
+        entry.directory.owners = (NEXT_OWNER, OWNER)
+        entry.tick(cells.PROGRESS_EVERY_S)
+        ((to, reclaim),) = entry.sent(cells.Reclaim)
+        self.assertEqual(to, NEXT_OWNER)
+        told = {each.request_id: each for each in reclaim.bookings}
+        self.assertEqual(set(told), set(held))
+        self.assertEqual(
+            [told[each].prefill_done for each in held], [True, False, True]
+        )
+        ((_, progress),) = entry.sent(cells.Progress)
+        self.assertEqual(len(progress.bookings), 3)
+        entry.tick(cells.PROGRESS_EVERY_S)
+        self.assertEqual(entry.sent(cells.Reclaim), [])
+
+    def test_a_new_owner_that_asks_gets_all_and_the_queued_book_anew(self):
+        entry = Entry()
+        held = entry.decoding()
+        queued = entry.arrive('completion')
+        _queue(entry, queued)
+        entry.take(
+            entry.requests.reclaim_all(
+                entry.now, entry_fake.CELL, NEXT_OWNER, 2
+            )
+        )
+        ((to, reclaim),) = entry.sent(cells.Reclaim)
+        self.assertEqual((to, reclaim.epoch), (NEXT_OWNER, 2))
+        self.assertEqual(
+            [each.request_id for each in reclaim.bookings], [held]
+        )
+        ((to, book),) = entry.sent(cells.Book)
+        self.assertEqual((to, book.request_id), (NEXT_OWNER, queued))
+
+    def test_a_new_owner_that_was_not_told_yet_is_told_again(self):
+        """Symptom: a change of owner breaks streams that run well.
+
+        Sequence: the news of a booking crosses the new owner's "gone".
+        Cause: "gone" would always be believed.
+        """
+        entry = Entry()
+        request_id = entry.decoding()
+        entry.cancelled(request_id, epoch=2, sender=NEXT_OWNER)
+        self.assertEqual(len(entry.sent(cells.Reclaim)), 1)
+        entry.now += 1.0
+        entry.cancelled(request_id, epoch=2, sender=NEXT_OWNER)
+        self.assertEqual(len(entry.sent(cells.Reclaim)), 1)
+        entry.cancelled(request_id, epoch=0, sender=OWNER)
+        self.assertEqual(entry.out, [], 'from before the booking')
+
+    @params('same owner', 'next owner')
+    def test_a_slot_that_was_given_away_is_left(self, whose):
+        """Symptom: an engine runs more streams than it has slots.
+
+        Sequence: this process is frozen for longer than a booking lasts;
+        the owner gives the slot away; the process wakes up and streams on.
+        Cause: the owner's "gone" would be answered by "I hold it".
+        """
+        entry = Entry()
+        request_id = entry.decoding()
+        old = entry.ids_of(request_id)['attempt_id']
+        if whose == 'next owner':
+            entry.directory.owners = (NEXT_OWNER,)
+            entry.tick(cells.PROGRESS_EVERY_S)
+            entry.now += cells.BOOKING_LEASE_S + 1
+            entry.cancelled(request_id, epoch=2, sender=NEXT_OWNER)
+        else:
+            entry.cancelled(request_id)
+        self.assertEqual(entry.sent(cells.Reclaim), [])
+        self.assertEqual(entry.one(effects.Abort).attempt_id, old)
+        self.assertEqual(len(entry.found(cells.CancelStream)), 2)
+        self.assertEqual(entry.retries, [RETRY.OWNER_CHANGED])
+        self.assertEqual(len(entry.sent(cells.Book)), 1)
+
+    def test_a_call_without_a_slot_still_ends(self):
+        entry = Entry()
+        request_id = entry.calling(key=None)
+        entry.cancelled(request_id)
+        self.assertEqual(entry.out, [])
+        entry.answer(request_id)
+        entry.one(effects.Complete)
+        self.assertEqual(entry.sent(cells.Release), [])
+
+    def test_a_late_message_for_nobody_gives_the_slot_back(self):
+        entry = Entry()
+        request_id = entry.arrive('completion')
+        late = entry.booked(request_id)
+        entry.leave(request_id)
+        entry.close(request_id)
+        entry.receive(late)
+        self.assertEqual(len(entry.sent(cells.Release)), 1)
+        self.assertEqual(entry.one(effects.CountLate).what, effects.Late.OWNER)
+
+
+class Borders(unittest.TestCase):
+    def test_steps_of_requests_that_are_gone_are_no_news(self):
+        entry = Entry()
+        entry.post(
+            events.StepEnded,
+            request_id='gone',
+            attempt_id='gone.1',
+            step=events.Step.CALL,
+            known=RAN,
+        )
+        self.assertEqual(entry.out, [])
