--- /dev/null
+++ b/tools/capacity_processes.py
@@ -0,0 +1,162 @@
+"""What real instances spend: processor time, memory, bytes between them.
+
+Read from /proc and from ``ss`` for processes that are started here. Where
+``ss`` is missing, bytes are left out.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import os
+import pathlib
+import re
+import shutil
+import statistics
+import subprocess
+import tempfile
+import time
+
+from tools import local
+
+#: Seconds after the start in which leases and addresses settle.
+SETTLE_S = 2.0
+#: Seconds from one change to the next: far more than 1,000 a day.
+CHANGE_EVERY_S = 0.5
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+_PID = re.compile(r'pid=(\d+)')
+_COUNTED = re.compile(r'bytes_(?:sent|received):(\d+)')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reading:
+    """What one process has spent so far."""
+
+    cpu_s: float
+    rss_bytes: int
+    peer_bytes: int | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Spent:
+    """What an instance spends a second, the mean over all.
+
+    :param cpu_us: a second, in microseconds.
+    :param peer_bytes: a second both ways, without TCP and IP headers.
+    """
+
+    instances: int
+    seconds: float
+    changes: int
+    cpu_us: float
+    rss_bytes: float
+    peer_bytes: float | None
+
+    def as_line(self) -> dict[str, object]:
+        """Return the fields of its JSON line."""
+        return {'processes': self.instances} | {
+            name: None if value is None else float(f'{value:.4g}')
+            for name, value in dataclasses.asdict(self).items()
+            if name != 'instances'
+        }
+
+
+def measure(instances: int, seconds: float) -> abc.Iterator[Spent]:
+    """Start a local system; measure it idle, then with changes."""
+    with (
+        tempfile.TemporaryDirectory(prefix='dandeliongw-capacity-') as folder,
+        local.running(
+            folder=pathlib.Path(folder),
+            instances=instances,
+            timeouts={'entries_ttl_s': 0.2},
+        ) as system,
+    ):
+        document = local.example_document()
+        system.wait_serving(system.apply('gw-1', document, 'first'))
+        time.sleep(SETTLE_S)
+        yield _spent(system, seconds, changes=0)
+        yield _spent(system, seconds, int(seconds / CHANGE_EVERY_S))
+
+
+def _spent(system: local.LocalSystem, seconds: float, changes: int) -> Spent:
+    processes = [each.process for each in system.instances_by_id.values()]
+    ports = {each.peer_port for each in system.instances_by_id.values()}
+    pids = [process.pid for process in processes]
+    before = _read(pids, ports)
+    began = time.monotonic()
+    for number in range(changes):
+        document = local.example_document()
+        document['accounts'][0]['max_in_flight'] = 100 + number
+        system.apply('gw-1', document, f'change-{number}')
+        _sleep_until(began + (number + 1) * CHANGE_EVERY_S)
+    _sleep_until(began + seconds)
+    passed = time.monotonic() - began
+    after = _read(pids, ports)
+    counted = [
+        after[pid].peer_bytes - before[pid].peer_bytes
+        for pid in pids
+        if after[pid].peer_bytes is not None
+    ]
+    return Spent(
+        instances=len(pids),
+        seconds=passed,
+        changes=changes,
+        cpu_us=statistics.fmean(
+            (after[pid].cpu_s - before[pid].cpu_s) * 1e6 / passed
+            for pid in pids
+        ),
+        rss_bytes=statistics.fmean(after[pid].rss_bytes for pid in pids),
+        peer_bytes=statistics.fmean(counted) / passed if counted else None,
+    )
+
+
+def _sleep_until(moment: float) -> None:
+    time.sleep(max(0.0, moment - time.monotonic()))
+
+
+def _read(pids: list[int], ports: set[int]) -> dict[int, Reading]:
+    peer_bytes = _peer_bytes(ports)
+    return {
+        pid: Reading(
+            cpu_s=_cpu_s(pid),
+            rss_bytes=_rss_bytes(pid),
+            peer_bytes=None if peer_bytes is None else peer_bytes[pid],
+        )
+        for pid in pids
+    }
+
+
+def _cpu_s(pid: int) -> float:
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    # The name, in brackets, may hold spaces; utime and stime come 12th and
+    # 13th after it.
+    fields = stat.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def _rss_bytes(pid: int) -> int:
+    fields = pathlib.Path(f'/proc/{pid}/statm').read_text().split()
+    return int(fields[1]) * _PAGE_BYTES
+
+
+def _peer_bytes(ports: set[int]) -> collections.Counter[int] | None:
+    """Return bytes by process over connections to or from these ports."""
+    if shutil.which('ss') is None:
+        return None
+    listed = subprocess.run(
+        ['ss', '-tinpH', '-O'], capture_output=True, text=True, check=True
+    )
+    found: collections.Counter[int] = collections.Counter()
+    for line in listed.stdout.splitlines():
+        ends = line.split()[3:5]
+        if not any(_port(end) in ports for end in ends):
+            continue
+        total = sum(int(each) for each in _COUNTED.findall(line))
+        for pid in _PID.findall(line):
+            found[int(pid)] += total
+    return found
+
+
+def _port(end: str) -> int:
+    number = end.rpartition(':')[2]
+    return int(number) if number.isdigit() else -1
