--- /dev/null
+++ b/tools/capacity_model.py
@@ -0,0 +1,323 @@
+"""The size of two years, worked out from measured slopes."""
+
+from collections import abc
+import dataclasses
+
+from tools import capacity_fits as fits
+
+KIB = 1024
+DAY_S = 86400.0
+#: Changes that the register remembers, to know a resend by.
+HISTORY = 10_000
+#: What a node may spend on control.
+BYTES_PER_S = 3 * KIB
+CPU_US_PER_S = 32_000.0
+MEMORY_BYTES = 256 * KIB**2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Aim:
+    """The sizes that the design aims at, and what is assumed besides.
+
+    :param voters: assumed; at most 12 instances may be set aside.
+    :param kv_bytes_per_token: assumed; with it the KV cache of 550 GB a
+        second means prompts of about 2,000 tokens.
+    :param claimed_share: assumed part of the calls that carry a claim.
+    :param cell_size: replicas to a cell; ``None`` while pools aren't split.
+    """
+
+    instances: int = 350
+    replicas: int = 1300
+    requests_per_s: float = 2800.0
+    tokens_per_s: float = 1.1e6
+    token_gap_s: float = 0.034
+    kv_bytes_per_s: float = 550e9
+    accounts: int = 1200
+    models: int = 6
+    regions: int = 2
+    changes_per_day: float = 1000.0
+    in_force_s: float = 19.0
+    voters: int = 11
+    kv_bytes_per_token: float = 1e5
+    claimed_share: float = 0.01
+    retention_s: float = DAY_S
+    cell_size: int | None = None
+
+    @property
+    def cells(self) -> int:
+        """Cells, and so leases."""
+        whole = self.models * self.regions
+        if self.cell_size is None:
+            return whole
+        return max(whole, -(-self.replicas // self.cell_size))
+
+    @property
+    def prompt_tokens(self) -> float:
+        """Mean length of a prompt."""
+        per_request = self.kv_bytes_per_s / self.requests_per_s
+        return per_request / self.kv_bytes_per_token
+
+    @property
+    def held_s(self) -> float:
+        """Mean time that a request holds its slot."""
+        tokens = self.tokens_per_s / self.requests_per_s
+        return tokens * self.token_gap_s
+
+    @property
+    def claims_per_s(self) -> float:
+        return self.requests_per_s * self.claimed_share
+
+    @property
+    def changes_per_s(self) -> float:
+        return self.changes_per_day / DAY_S
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cost:
+    """One line of a role's bill.
+
+    :param role: who pays.
+    :param what: for which work.
+    :param carried_by: the mechanism, by module.
+    """
+
+    role: str
+    what: str
+    carried_by: str
+    bytes_per_s: float = 0.0
+    messages_per_s: float = 0.0
+    cpu_us_per_s: float = 0.0
+    memory_bytes: float = 0.0
+
+    def as_line(self) -> dict[str, object]:
+        """Return the fields of its JSON line."""
+        return {'cost': self.what} | {
+            name: float(f'{value:.4g}') if isinstance(value, float) else value
+            for name, value in dataclasses.asdict(self).items()
+            if name != 'what'
+        }
+
+
+class Model:
+    """Bills by role.
+
+    :param fits_by_name: every line that was measured.
+    :param process_us_per_s: of an idle process beside its messages.
+    :param message_us: of one message besides the reducer's part.
+    :param process_bytes: resident memory of a process that knows little.
+    """
+
+    def __init__(
+        self,
+        *,
+        fits_by_name: abc.Mapping[str, fits.Fit],
+        process_us_per_s: float,
+        message_us: float,
+        process_bytes: float,
+    ) -> None:
+        self._fits_by_name = fits_by_name
+        self._process_us_per_s = process_us_per_s
+        self._message_us = message_us
+        self._process_bytes = process_bytes
+
+    def bill(self, aim: Aim) -> list[Cost]:
+        """Return every line, role by role."""
+        return [
+            *self._every_instance(aim),
+            *self._entry(aim),
+            *self._owner(aim),
+            *self._voter(aim),
+        ]
+
+    def _at(self, name: str, size: float) -> float:
+        return self._fits_by_name[name].at(size)
+
+    def _slope(self, name: str) -> float:
+        return self._fits_by_name[name].slope
+
+    def _every_instance(self, aim: Aim) -> list[Cost]:
+        document = self._at('memory of the document', aim.accounts)
+        history = self._at('memory of the history', HISTORY)
+        return [
+            Cost(
+                role='every instance',
+                what='the process, idle',
+                carried_by='Python, CherryPy, grpclib, ticks',
+                cpu_us_per_s=self._process_us_per_s,
+                memory_bytes=self._process_bytes,
+            ),
+            Cost(
+                role='every instance',
+                what='probes, news, asks for the configuration',
+                carried_by='membership, register',
+                bytes_per_s=self._at('entry idle bytes', aim.instances),
+                messages_per_s=self._at('entry idle messages', aim.instances),
+                cpu_us_per_s=self._at(
+                    'entry idle processor time', aim.instances
+                ),
+                memory_bytes=self._at('memory of a reducer', aim.instances),
+            ),
+            Cost(
+                role='every instance',
+                what='changes of the document',
+                carried_by='register',
+                bytes_per_s=aim.changes_per_s
+                * self._at('change bytes at an entry', aim.accounts),
+                cpu_us_per_s=aim.changes_per_s
+                * self._at('change processor time at an entry', aim.accounts),
+                memory_bytes=document + history,
+            ),
+        ]
+
+    def _entry(self, aim: Aim) -> list[Cost]:
+        rate = aim.requests_per_s / aim.instances
+        replicas = aim.replicas / aim.instances
+        sent = self._slope('renewal bytes of all together') / 2
+        claims = aim.claims_per_s / aim.instances
+        return [
+            Cost(
+                role='entry',
+                what='renewals of its backend servers, passed on',
+                carried_by='presence',
+                bytes_per_s=replicas * sent,
+                messages_per_s=replicas * 2,
+            ),
+            self._requests('entry', 'the entries', rate, aim),
+            self._bookings('entry', 'the entries', rate, aim),
+            Cost(
+                role='entry',
+                what='claims of non-idempotent calls',
+                carried_by='claims',
+                bytes_per_s=claims
+                * self._slope('claim bytes at the entries')
+                * aim.voters
+                / 5,
+            ),
+        ]
+
+    def _requests(self, role: str, whose: str, rate: float, aim: Aim) -> Cost:
+        prompt = self._slope('request bytes at its entry') * aim.prompt_tokens
+        return Cost(
+            role=role,
+            what='requests: book, start, release',
+            carried_by='cells, requests',
+            bytes_per_s=rate
+            * (self._slope(f'request bytes at {whose}') + prompt),
+            messages_per_s=rate * self._slope(f'request messages at {whose}'),
+            cpu_us_per_s=rate
+            * self._slope(f'request processor time at {whose}'),
+        )
+
+    def _bookings(self, role: str, whose: str, rate: float, aim: Aim) -> Cost:
+        held = rate * aim.held_s
+        # One message a second from each entry to each cell that it uses.
+        messages = (
+            min(held, aim.cells / aim.regions)
+            if role == 'entry'
+            else min(held, aim.instances / aim.regions)
+        )
+        return Cost(
+            role=role,
+            what='bookings that are held, told once a second',
+            carried_by='cells, requests',
+            bytes_per_s=held * self._slope(f'held booking bytes at {whose}'),
+            messages_per_s=messages,
+            cpu_us_per_s=held
+            * self._slope(f'held booking processor time at {whose}'),
+            memory_bytes=held * 3 * KIB,
+        )
+
+    def _owner(self, aim: Aim) -> list[Cost]:
+        replicas = aim.replicas / aim.cells
+        rate = aim.requests_per_s / aim.cells
+        role = 'owner of a cell'
+        leases = self._slope('lease bytes of all together') / 2
+        return [
+            Cost(
+                role=role,
+                what='renewals and load reports of its backend servers',
+                carried_by='presence, owner',
+                bytes_per_s=self._at('renewal bytes at the owner', replicas),
+                messages_per_s=self._at(
+                    'renewal messages at the owner', replicas
+                ),
+                cpu_us_per_s=replicas
+                * self._slope('renewal processor time at the owner'),
+                memory_bytes=replicas * self._slope('memory of presence'),
+            ),
+            self._requests(role, 'the owner', rate, aim),
+            self._bookings(role, 'the owner', rate, aim),
+            Cost(
+                role=role,
+                what='its lease',
+                carried_by='leases',
+                bytes_per_s=leases * aim.voters / 5,
+                messages_per_s=4 * aim.voters,
+                cpu_us_per_s=self._slope('lease processor time at a voter')
+                * aim.voters,
+            ),
+        ]
+
+    def _voter(self, aim: Aim) -> list[Cost]:
+        askers = aim.instances / aim.voters
+        role = 'voter and claim holder'
+        copies = askers + 2
+        kept = aim.claims_per_s * aim.retention_s
+        return [
+            Cost(
+                role=role,
+                what='asks for the configuration, checks among voters',
+                carried_by='register',
+                bytes_per_s=self._idle_voter('bytes', askers, aim),
+                messages_per_s=self._idle_voter('messages', askers, aim),
+                cpu_us_per_s=self._idle_voter('processor time', askers, aim),
+            ),
+            Cost(
+                role=role,
+                what='changes, given on to those who ask',
+                carried_by='register',
+                bytes_per_s=aim.changes_per_s
+                * copies
+                * self._at('change bytes at an entry', aim.accounts),
+            ),
+            Cost(
+                role=role,
+                what='leases that it grants',
+                carried_by='leases',
+                bytes_per_s=self._at('lease bytes at a voter', aim.cells),
+                messages_per_s=self._at(
+                    'lease messages at a voter', aim.cells
+                ),
+                cpu_us_per_s=self._at(
+                    'lease processor time at a voter', aim.cells
+                ),
+            ),
+            Cost(
+                role=role,
+                what='claims that it keeps',
+                carried_by='claims, journal',
+                bytes_per_s=aim.claims_per_s
+                * self._slope('claim bytes at a voter'),
+                messages_per_s=aim.claims_per_s * 4,
+                cpu_us_per_s=aim.claims_per_s
+                * self._slope('claim processor time at a voter'),
+                memory_bytes=kept * self._slope('memory of claims'),
+            ),
+        ]
+
+    def _idle_voter(self, quantity: str, askers: float, aim: Aim) -> float:
+        """Return a voter's own part, beside that of every instance."""
+        by_voters = self._fits_by_name[f'voter idle {quantity}, by voters']
+        by_askers = self._fits_by_name[f'voter idle {quantity}, by askers']
+        sizes = [size for size, _ in by_voters.points]
+        own = self._at(f'entry idle {quantity}', sizes[-1] * ASKERS)
+        more = by_askers.slope * (askers - ASKERS)
+        return max(0.0, by_voters.at(aim.voters) + more - own)
+
+    def cpu_of_messages(self, cost: Cost) -> float:
+        """Return what the messages of a line cost outside the reducer."""
+        return cost.messages_per_s * self._message_us
+
+
+#: Instances to one voter in the runs that vary the voters.
+ASKERS = 4
--- a/tools/capacity_network.py
+++ b/tools/capacity_network.py
@@ -71,8 +71,9 @@
 
     sent_bytes: int = 0
     received_bytes: int = 0
-    messages: int = 0
-    syncs: int = 0
+    messages_by_part: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     bytes_by_part: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -85,6 +86,11 @@
         """Both ways."""
         return self.sent_bytes + self.received_bytes
 
+    @property
+    def messages(self) -> int:
+        """Both ways."""
+        return sum(self.messages_by_part.values())
+
     @property
     def cpu_s(self) -> float:
         """All parts together."""
@@ -100,6 +106,7 @@
     sealer: envelopes.Sealer
     opener: envelopes.Opener
     region: str
+    is_down: bool = False
     meter: Meter = dataclasses.field(default_factory=Meter)
 
 
@@ -190,7 +197,7 @@
         part = _PART_BY_MESSAGE.get(type(send.message), 'cells')
         size = len(body) + FRAME_BYTES
         node.meter.sent_bytes += size
-        node.meter.messages += 1
+        node.meter.messages_by_part[part] += 1
         node.meter.bytes_by_part[part] += size
         target = self.nodes_by_id.get(send.to)
         if target is None:
@@ -198,8 +205,10 @@
         near = target.region == node.region
 
         def deliver() -> None:
+            if target.is_down:
+                return
             target.meter.received_bytes += size
-            target.meter.messages += 1
+            target.meter.messages_by_part[part] += 1
             target.meter.bytes_by_part[part] += size
             began = time.thread_time()
             received = type(envelope).FromString(body)
@@ -218,7 +227,6 @@
     def _perform(self, node: Node, effect: typing.Any) -> None:
         match effect:
             case parts.Persist(token=token):
-                node.meter.syncs += 1
                 self.at(SYNC_S, lambda: self._persisted(node, token))
             case parts.Complete(ticket=ticket, result=result):
                 self.results_by_ticket[ticket] = result
@@ -266,6 +274,8 @@
 
     def _ticking(self, node: Node) -> abc.Callable[[], None]:
         def tick() -> None:
+            if node.is_down:
+                return
             self.at(runtime.TICK_S, tick)
             self.load(node)
             event = parts.Ticked(
--- a/tools/capacity_runs.py
+++ b/tools/capacity_runs.py
@@ -10,9 +10,13 @@
 import tracemalloc
 import typing
 
+from dandeliongw.coordination import ballot as ballots
 from dandeliongw.coordination import claim_messages
 from dandeliongw.coordination import claims
+from dandeliongw.coordination import configuration
 from dandeliongw.coordination import presence
+from dandeliongw.coordination import register_messages
+from dandeliongw.coordination import voters as voter_sets
 from dandeliongw import document
 from dandeliongw import events
 from dandeliongw import wire
@@ -22,8 +26,14 @@
 
 #: Cache events in one renewal of a model engine.
 CACHE_EVENTS = 4
+#: Voters where the number of instances varies.
+_VOTERS = 5
+#: Instances to one voter where the number of voters varies.
+ASKERS = 4
 #: Virtual seconds in which the cost without calls is taken.
 IDLE_S = 5.0
+#: Voters that grant the leases of :func:`by_cells`.
+LEASE_VOTERS = 5
 _MICRO = 1e6
 
 
@@ -31,31 +41,35 @@
 class Sizes:
     """How large and how long the runs are."""
 
-    instances: tuple[int, ...] = (15, 30, 60)
-    voters: int = 11
-    models: tuple[int, ...] = (0, 6, 12)
-    replicas: tuple[int, ...] = (50, 100, 200)
+    instances: tuple[int, ...] = (12, 30, 60)
+    voters: tuple[int, ...] = (3, 5, 7)
+    models: tuple[int, ...] = (0, 4, 8)
+    fronts: int = 27
+    replicas: tuple[int, ...] = (25, 50, 100)
     rates: tuple[int, ...] = (10, 20, 40)
     max_tokens: tuple[int, ...] = (30, 150, 300)
     prompt_tokens: tuple[int, ...] = (64, 1024, 4096)
     accounts: tuple[int, ...] = (100, 600, 1200)
     slots: tuple[int, ...] = (1000, 5000)
-    members: tuple[int, ...] = (6, 12, 24)
-    seconds: float = 12.0
+    members: tuple[int, ...] = (4, 8, 16)
+    records: tuple[int, ...] = (1000, 10_000)
+    seconds: float = 5.0
 
 
 QUICK = Sizes(
-    instances=(5, 9),
-    voters=5,
-    models=(0, 2),
-    replicas=(10, 20),
+    instances=(7, 9),
+    voters=(1, 2),
+    models=(0, 1),
+    fronts=5,
+    replicas=(5, 10),
     rates=(2, 4),
-    max_tokens=(10, 30),
+    max_tokens=(10, 20),
     prompt_tokens=(64, 1024),
     accounts=(10, 50),
-    slots=(100, 500),
-    members=(3, 6),
-    seconds=3.0,
+    slots=(50, 100),
+    members=(3, 4),
+    records=(10, 100),
+    seconds=1.0,
 )
 
 
@@ -68,6 +82,7 @@
     yield from by_prompt(sizes)
     yield from by_claims(sizes)
     yield from by_changes(sizes)
+    yield from by_history(sizes)
     yield from memory(sizes)
 
 
@@ -105,32 +120,61 @@
 def by_instances(sizes: Sizes) -> abc.Iterator[fits.Fit]:
     """An idle system: probes, news, and asks for the configuration.
 
-    Leases are left out here, see :func:`by_cells`.
+    Leases are left out here, see :func:`by_cells`. A voter's cost grows
+    with the instances that ask it, and with the voters that it asks.
     """
     points = collections.defaultdict(list)
+    asked = collections.defaultdict(list)
     for count in sizes.instances:
-        network = _started(count, sizes.voters, models=0)
-        _measured(network, sizes.seconds)
-        for role, nodes in _by_role(network).items():
-            for quantity, unit, read in _IDLE:
-                value = _mean(read(each.meter) for each in nodes)
-                points[f'{role} {quantity}', unit].append(
-                    (count, value / sizes.seconds)
-                )
+        by_role = _idle(count, _VOTERS, sizes.seconds)
+        for (quantity, unit), value in by_role['entry'].items():
+            points[f'entry {quantity}', unit].append((count, value))
+        for (quantity, unit), value in by_role['voter'].items():
+            asked[f'voter {quantity}, by askers', unit].append(
+                (count / _VOTERS, value)
+            )
     yield from _lines(points, 'instance')
+    yield from _lines(asked, 'instance that asks this voter')
+    points.clear()
+    for voters in sizes.voters:
+        by_role = _idle(voters * ASKERS, voters, sizes.seconds)
+        for (quantity, unit), value in by_role['voter'].items():
+            points[f'voter {quantity}, by voters', unit].append(
+                (voters, value)
+            )
+    yield from _lines(points, 'voter')
+
+
+def _idle(
+    instances: int, voters: int, seconds: float
+) -> dict[str, dict[tuple[str, str], float]]:
+    network = _started(instances, voters, models=0)
+    _measured(network, seconds)
+    return {
+        role: {
+            (quantity, unit): _mean(read(each.meter) for each in nodes)
+            / seconds
+            for quantity, unit, read in _IDLE
+        }
+        for role, nodes in _by_role(network).items()
+    }
 
 
 def _idle_bytes(meter: networks.Meter) -> float:
     return meter.bytes - meter.bytes_by_part['leases']
 
 
+def _idle_messages(meter: networks.Meter) -> float:
+    return meter.messages - meter.messages_by_part['leases']
+
+
 def _idle_cpu(meter: networks.Meter) -> float:
     return (meter.cpu_s - meter.cpu_s_by_part['leases']) * _MICRO
 
 
 _IDLE: tuple[tuple[str, str, abc.Callable], ...] = (
     ('idle bytes', 'B/s', _idle_bytes),
-    ('idle messages', '1/s', lambda meter: meter.messages),
+    ('idle messages', '1/s', _idle_messages),
     ('idle processor time', 'us/s', _idle_cpu),
 )
 
@@ -157,7 +201,7 @@
     """Leases: one for each cell, renewed at every voter."""
     points = collections.defaultdict(list)
     for models in sizes.models:
-        network = _started(sizes.instances[0], sizes.voters, models)
+        network = _started(sizes.instances[0], LEASE_VOTERS, models)
         _measured(network, sizes.seconds)
         nodes = list(network.nodes_by_id.values())
         held = sum(len(each.reducer.owner.cells_by_id) for each in nodes)
@@ -172,6 +216,10 @@
         points['lease bytes of all together', 'B/s'].append(
             (held, total / seconds)
         )
+        messages = _mean(each.messages_by_part['leases'] for each in voters)
+        points['lease messages at a voter', '1/s'].append(
+            (held, messages / seconds)
+        )
         points['lease processor time at a voter', 'us/s'].append(
             (held, cpu * _MICRO / seconds)
         )
@@ -273,7 +321,7 @@
     points = collections.defaultdict(list)
     seconds = sizes.seconds
     for count in (0, *sizes.replicas):
-        network = _started(9, 5, models=1)
+        network = _started(sizes.fronts, _VOTERS, models=1)
         _Replicas(network, count)
         network.run(3.0)
         _measured(network, seconds)
@@ -286,6 +334,9 @@
         points['renewal bytes of all together', 'B/s'].append(
             (count, total / seconds)
         )
+        points['renewal messages at the owner', '1/s'].append(
+            (count, owner.messages_by_part['presence'] / seconds)
+        )
         cpu = owner.cpu_s_by_part['presence'] + owner.cpu_s_by_part['ticks']
         points['renewal processor time at the owner', 'us/s'].append(
             (count, cpu * _MICRO / seconds)
@@ -342,7 +393,7 @@
     Processor time that they spend anyway is taken off.
     """
     network = _started(9, 5, models=1)
-    _Replicas(network, 60, slots=64)
+    _Replicas(network, 12, slots=400)
     network.run(3.0)
     _measured(network, IDLE_S)
     owner = _owner_of(network, 'model-0')
@@ -373,6 +424,9 @@
         spent[f'request bytes at {name}', 'B'] = sum(
             each.meter.bytes_by_part['cells'] for each in group
         )
+        spent[f'request messages at {name}', '1'] = sum(
+            each.meter.messages_by_part['cells'] for each in group
+        )
         spent[f'request processor time at {name}', 'us'] = (
             _cpu(group) - idle[name] * (seconds + drain_s)
         ) * _MICRO
@@ -570,6 +624,7 @@
         ('memory of claims', 'claimed call', sizes.slots, _claim_slots),
         ('memory of presence', 'replica', sizes.slots, _presences),
         ('memory of the document', 'client account', sizes.accounts, _parsed),
+        ('memory of the history', 'change', sizes.records, _history),
         ('memory of a reducer', 'instance', sizes.members, _network),
     ):
         points = [(count, _allocated(make, count)) for count in counts]
@@ -598,6 +653,45 @@
     return used / copies
 
 
+def by_history(sizes: Sizes) -> abc.Iterator[fits.Fit]:
+    """The whole configuration, as one gets it who is far behind."""
+    codec = wire.make_codec()
+    points = []
+    for count in sizes.records:
+        full = configuration.Configuration(
+            revision=count,
+            document=b'',
+            author='operator',
+            changes=tuple(_change(number) for number in range(count)),
+            voters=voter_sets.Voters(
+                voters_by_id={}, joining_by_id={}, number=1
+            ),
+        )
+        update = configuration.VersionUpdate(
+            ballot=ballots.Ballot(number=1, proposer='entry-000', nonce=1),
+            full=full,
+        )
+        confirmed = register_messages.ConfigurationConfirmed(
+            ask_id=1, update=update
+        )
+        points.append((count, len(codec.encode(confirmed)[1])))
+    yield fits.fit(
+        'bytes of the whole configuration',
+        unit='B',
+        per='change in its history',
+        points=points,
+    )
+
+
+def _change(number: int) -> configuration.ChangeRecord:
+    return configuration.ChangeRecord(
+        change_id=f'{number:032x}',
+        revision=number,
+        digest=number.to_bytes(configuration.DIGEST_BYTES, 'big'),
+        author='maribel',
+    )
+
+
 def _claim_slot(number: int) -> claim_messages.ClaimSlot:
     return claim_messages.ClaimSlot(
         key=f'account-17/desk/{number:032x}',
@@ -653,6 +747,10 @@
     return part, 1
 
 
+def _history(count: int) -> tuple[typing.Any, float]:
+    return tuple(_change(number) for number in range(count)), 1
+
+
 def _parsed(count: int) -> tuple[typing.Any, float]:
     tree = networks.make_document(models=6, accounts=count)
     body = json.dumps(tree).encode()
