--- a/tests/network.py
+++ b/tests/network.py
@@ -32,6 +32,8 @@
         self.now = 1000.0
         self.cut: set[str] = set()
         self.frozen: set[str] = set()
+        #: Tells which messages are lost, by sender, receiver and message.
+        self.loses: typing.Callable = lambda sender, to, message: False
         self.reducers_by_id: dict[str, reducer.Reducer] = {}
         self.journals_by_id: dict[str, list] = collections.defaultdict(list)
         #: Effects that left each reducer and that the network didn't take.
@@ -140,6 +142,8 @@
                 continue
             if source in self.cut or item.to in self.cut:
                 continue
+            if self.loses(source, item.to, item.message):
+                continue
             # Through bytes, so that what can't travel fails here.
             message = self._codec.decode(*self._codec.encode(item.message))
             received = parts.Received(
