--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections import abc
+import dataclasses
 import typing
 
 from . import admission
@@ -41,6 +42,8 @@
 
 #: Seconds for which a deputy that was asked keeps trying for a lease.
 DEPUTY_S = 10.0
+#: Seconds that each further deputy gives the one before it.
+DEPUTY_TURN_S = 3.0
 #: Seconds between two tries to bring a new disk among the voters.
 REPAIR_S = 5.0
 #: Ticket prefix of those tries.
@@ -49,6 +52,14 @@
 Handler = abc.Callable[[typing.Any], list[typing.Any]]
 
 
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Asked:
+    """When entries asked for a cell that this instance doesn't own."""
+
+    first_at: float
+    last_at: float
+
+
 class Reducer:
     """All parts of one instance, and what passes between them.
 
@@ -129,7 +140,7 @@
         self._has_left = False
         self._fronts_by_id: dict[str, tuple[str, str]] = {}
         self._forwards_by_id: dict[str, tuple[str, ...]] = {}
-        self._asked_at_by_cell: dict[str, float] = {}
+        self._asked_by_cell: dict[str, _Asked] = {}
         self._entropy = incarnation
         self._repair_at = 0.0
         #: Parts that hold all of the coming voters' state, by set number.
@@ -348,10 +359,7 @@
         if isinstance(message, cells.Book) and (
             message.cell not in self.owner.cells_by_id
         ):
-            # Entries ask a deputy when the owner doesn't answer them. Its
-            # lease may be free long before its death is certain.
-            self._asked_at_by_cell[message.cell] = event.now
-            self._review_at = event.now
+            self._note_asked(event.now, message.cell)
         return self.owner.receive(event)
 
     def _to_entry(self, event: parts.Received) -> list[typing.Any]:
@@ -646,13 +654,36 @@
         return self._in_leases(lease.Wanted(now=now, names=wanted))
 
     def _should_own(self, now: float, cell: str) -> bool:
+        """Whether to try for a cell's lease.
+
+        Deputies that are asked for it try one after the other: when several
+        try at once, none gets a majority, and the cell has no owner for
+        seconds longer than it need be.
+        """
         own = self.settings.instance_id
         ranked = self.directory.ranked_owners(cell)
-        if ranked[:1] == (own,):
+        if own not in ranked:
+            return False
+        place = ranked.index(own)
+        if place == 0:
             return True
-        asked_at = self._asked_at_by_cell.get(cell)
-        was_asked = asked_at is not None and now - asked_at < DEPUTY_S
-        return was_asked and own in ranked
+        asked = self._asked_by_cell.get(cell)
+        if asked is None or now - asked.last_at >= DEPUTY_S:
+            return False
+        return now - asked.first_at >= (place - 1) * DEPUTY_TURN_S
+
+    def _note_asked(self, now: float, cell: str) -> None:
+        """Note that an entry asks this instance for a cell it doesn't own.
+
+        Entries ask a deputy when the owner doesn't answer them. Its lease
+        may be free long before its death is certain.
+        """
+        asked = self._asked_by_cell.get(cell)
+        if asked is None or now - asked.last_at >= DEPUTY_S:
+            asked = _Asked(first_at=now, last_at=now)
+            self._asked_by_cell[cell] = asked
+        asked.last_at = now
+        self._review_at = now
 
     # Shutdown
 
--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -277,10 +277,9 @@
             return []
         if request.phase is Phase.BOOKING:
             return self._reservations.follow(event.now, request, holder)
-        if request.is_placed and holder and holder != request.owner:
-            return self._reservations.tell(
-                event.now, request.cell, [request], holder
-            )
+        # For placed work, the next renewal goes to whoever is known then.
+        # Telling the named instance at once would go round for ever when
+        # two that don't own the cell name each other.
         return []
 
     def _cancelled(self, event: parts.Received, request: Request) -> Effects:
