--- a/dandeliongw/owner.py
+++ b/dandeliongw/owner.py
@@ -7,6 +7,7 @@
 from . import document as document_module
 from . import effects
 from . import policy
+from . import scheduler
 from . import sweep
 from . import takeover
 from .coordination import lease
@@ -72,7 +73,7 @@
 
     def make_policy(self) -> policy.Policy:
         """Return the policy of a new cell; a hook."""
-        return policy.RoundRobin()
+        return scheduler.Scheduler()
 
     def lose(self, cell: str) -> None:
         """Stop owning a cell; the next owner starts from what it is told."""
