--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,5 +1,8 @@
 """Leases: one holder at a time, through losses, freezes and restarts."""
 
+import contextlib
+import io
+import pathlib
 import unittest
 
 from hypothesis import settings
@@ -478,6 +481,17 @@
         )
 
 
+class DocumentedExampleTest(unittest.TestCase):
+    def test_the_example_prints_what_the_page_says(self):
+        page = pathlib.Path('docs/LEASES.md').read_text()
+        example = page.split('```python\n')[1].split('```')[0]
+        printed = page.split('```text\n')[1].split('```')[0]
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            exec(example, {})
+        self.assertEqual(printed, out.getvalue())
+
+
 class QuorumTest(unittest.TestCase):
     @params(
         ('abc', '', 'ab', True),
