--- /dev/null
+++ b/specs/lease_change_spec.py
@@ -0,0 +1,336 @@
+"""Specification of a change of the grantors under leases that are held.
+
+The old set is one grantor, the new set is another one, so that no majority
+of one set overlaps the other's by luck. Two candidates want one lease. Each
+hears of the change at any time or never, messages are late, lost and
+doubled, and the old grantor may restart. Ticks and worst clocks are as in
+``lease_spec``; docs/LEASES.md maps the transitions to the code.
+"""
+
+from collections import abc
+import dataclasses
+import functools
+import typing
+
+import minicheck
+
+import specs
+
+CANDIDATES = (0, 1)
+NOBODY = -1
+
+IDLE, ASKING, HELD = range(3)
+#: The sets in force: the old one, both, the new one.
+OLD, JOINT, NEW = range(3)
+WAITING, SETTLING, READY = range(3)
+
+SAFEGUARDS_BY_NAME = {
+    'both_majorities': 'during the change an epoch is granted by the old set'
+    ' alone, and the new one never hears of it',
+    'read_epochs': 'the new set starts without epochs and grants them again',
+    'fence': 'a claim that counts on the old set alone is granted after the'
+    ' new set has read the epochs',
+    'synced_fence': 'the old grantor restarts after the read and takes'
+    ' claims that count on it alone',
+    'settle_after_read': 'a lease of the old set still runs when the new set'
+    ' grants',
+    'finish_after_catch_up': 'the old set is dropped before the new one has'
+    ' caught up',
+}
+
+
+class Voter(typing.NamedTuple):
+    """A grantor, with the time left to each candidate from its answer.
+
+    :param fence: claims under an older set are refused.
+    """
+
+    epoch: int = 0
+    holder: int = NOBODY
+    stands: int = 0
+    wait: int = 0
+    fence: int = OLD
+    progress: int = READY
+    left_by_candidate: tuple[int, int] = (0, 0)
+
+
+class Candidate(typing.NamedTuple):
+    """A candidate or holder.
+
+    :param known: the sets that it counts majorities of.
+    :param claimed: the sets named by its latest claim.
+    :param left: time left of the lease, by what it counted.
+    """
+
+    phase: int = IDLE
+    known: int = OLD
+    epoch: int = 0
+    claim_left: int = 0
+    claimed: int = OLD
+    left: int = 0
+
+
+class State(typing.NamedTuple):
+    """The whole system."""
+
+    force: int
+    old: Voter
+    new: Voter
+    candidates: tuple[Candidate, Candidate]
+    owner_by_epoch: tuple[int, ...]
+    restarts: int
+    is_granted_twice: bool = False
+
+
+Steps = abc.Iterator[tuple[str, State]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Machine:
+    """The transitions, with at most one safeguard left out.
+
+    :param ticks: how long a grant stands and a holder counts.
+    """
+
+    ticks: int
+    epochs: int
+    restarts: int
+    without: str | None = None
+
+    def initial(self) -> State:
+        return State(
+            force=OLD,
+            old=Voter(),
+            new=Voter(progress=WAITING),
+            candidates=(Candidate(), Candidate()),
+            owner_by_epoch=(NOBODY,) * self.epochs,
+            restarts=self.restarts,
+        )
+
+    def has(self, safeguard: str) -> bool:
+        return self.without != safeguard
+
+    def steps(self, values: tuple) -> list[tuple[str, State]]:
+        state = State(*values)
+        found = [('tick', self.tick(state))]
+        found += self.change_steps(state)
+        for who in CANDIDATES:
+            found += self.candidate_steps(state, who)
+            found += self.grant_steps(state, who)
+        return found
+
+    # The change
+
+    def change_steps(self, state: State) -> Steps:
+        new = state.new
+        if state.force == OLD:
+            yield 'change begins', state._replace(force=JOINT)
+        if state.force == JOINT and new.progress == WAITING:
+            yield 'new reads', self.read(state)
+        if new.progress == SETTLING and not new.wait:
+            ready = new._replace(progress=READY)
+            yield 'new is ready', state._replace(new=ready)
+        is_caught_up = new.progress == READY
+        if not self.has('finish_after_catch_up'):
+            is_caught_up = True
+        if state.force == JOINT and is_caught_up:
+            # A grantor that has not caught up does so at the set in force.
+            ready = new._replace(progress=READY)
+            yield 'change ends', state._replace(force=NEW, new=ready)
+        if state.restarts:
+            yield 'old restarts', self.restart(state)
+
+    def read(self, state: State) -> State:
+        old = state.old
+        if self.has('fence'):
+            old = old._replace(fence=JOINT)
+        new = state.new._replace(progress=SETTLING)
+        if self.has('read_epochs'):
+            new = new._replace(epoch=old.epoch, holder=old.holder)
+        if self.has('settle_after_read'):
+            new = new._replace(wait=self.ticks)
+        return state._replace(old=old, new=new)
+
+    def restart(self, state: State) -> State:
+        old = state.old._replace(stands=0, wait=self.ticks)
+        if not self.has('synced_fence'):
+            old = old._replace(fence=OLD)
+        return state._replace(old=old, restarts=state.restarts - 1)
+
+    # Candidates
+
+    def candidate_steps(self, state: State, who: int) -> Steps:
+        # Candidate 0 is whichever asks first.
+        if who and not state.candidates[0].epoch:
+            return
+        own = state.candidates[who]
+        for known in range(own.known + 1, state.force + 1):
+            learned = own._replace(known=known)
+            yield f'{who} hears', _with(state, who, learned)
+        claimed = own._replace(claim_left=self.ticks, claimed=own.known)
+        if own.phase == HELD:
+            yield f'{who} renews', _with(state, who, claimed)
+            yield f'{who} releases', self.stop(state, who)
+            return
+        for epoch in range(own.epoch + 1, self.epochs + 1):
+            asking = claimed._replace(phase=ASKING, epoch=epoch)
+            asked = _without_answers(_with(state, who, asking), who)
+            yield f'{who} asks for {epoch}', asked
+
+    def stop(self, state: State, who: int) -> State:
+        own = state.candidates[who]._replace(phase=IDLE, claim_left=0, left=0)
+        return _without_answers(_with(state, who, own), who)
+
+    def count(self, state: State, who: int) -> State:
+        """Let a candidate count what the sets that it knows have granted."""
+        own = state.candidates[who]
+        old = state.old.left_by_candidate[who]
+        new = state.new.left_by_candidate[who]
+        both = min(old, new) if self.has('both_majorities') else old
+        left = max(own.left, (old, both, new)[own.known])
+        if not left or own.phase == IDLE:
+            return state
+        owners = list(state.owner_by_epoch)
+        other = owners[own.epoch - 1] not in (NOBODY, who)
+        owners[own.epoch - 1] = who
+        held = own._replace(phase=HELD, left=left)
+        return _with(state, who, held)._replace(
+            owner_by_epoch=tuple(owners),
+            is_granted_twice=state.is_granted_twice or other,
+        )
+
+    # Grantors
+
+    def grant_steps(self, state: State, who: int) -> Steps:
+        own = state.candidates[who]
+        if _may_grant(state.old, own, who) and own.claimed <= JOINT:
+            granted = state._replace(old=self.granted(state.old, own, who))
+            yield f'old grants {who}', self.count(granted, who)
+        if _may_grant(state.new, own, who) and own.claimed >= JOINT:
+            granted = state._replace(new=self.granted(state.new, own, who))
+            yield f'new grants {who}', self.count(granted, who)
+        if own.phase != IDLE and own.known:
+            yield f'{who} counts again', self.count(state, who)
+        for name in ('old', 'new'):
+            voter = getattr(state, name)
+            if _may_free(voter, own, who):
+                freed = voter._replace(stands=0)
+                yield f'{name} is released', state._replace(**{name: freed})
+
+    def granted(self, voter: Voter, own: Candidate, who: int) -> Voter:
+        left = max(voter.left_by_candidate[who], own.claim_left)
+        return _with_left(voter, who, left)._replace(
+            epoch=own.epoch, holder=who, stands=self.ticks
+        )
+
+    # Time
+
+    def tick(self, state: State) -> State:
+        candidates = tuple(_aged_candidate(c) for c in state.candidates)
+        state = state._replace(
+            old=_aged_voter(state.old),
+            new=_aged_voter(state.new),
+            candidates=candidates,
+        )
+        for who in CANDIDATES:
+            if candidates[who].phase == HELD and not candidates[who].left:
+                state = self.stop(state, who)
+        return state
+
+
+@functools.cache
+def _may_grant(voter: Voter, own: Candidate, who: int) -> bool:
+    if voter.progress != READY or own.phase == IDLE or not own.claim_left:
+        return False
+    if own.claimed < voter.fence:
+        return False
+    if voter.epoch == own.epoch and voter.holder == who:
+        return True
+    if own.epoch <= voter.epoch or voter.wait:
+        return False
+    return voter.holder == who or not voter.stands
+
+
+def _may_free(voter: Voter, own: Candidate, who: int) -> bool:
+    if voter.holder != who or not voter.stands:
+        return False
+    return own.epoch > voter.epoch or own.phase == IDLE
+
+
+@functools.cache
+def _aged_voter(voter: Voter) -> Voter:
+    lefts = tuple(max(left - 1, 0) for left in voter.left_by_candidate)
+    return voter._replace(
+        stands=max(voter.stands - 1, 0),
+        wait=max(voter.wait - 1, 0),
+        left_by_candidate=lefts,
+    )
+
+
+@functools.cache
+def _aged_candidate(candidate: Candidate) -> Candidate:
+    return candidate._replace(
+        claim_left=max(candidate.claim_left - 1, 0),
+        left=max(candidate.left - 1, 0),
+    )
+
+
+def _with(state: State, who: int, own: Candidate) -> State:
+    candidates = list(state.candidates)
+    candidates[who] = own
+    return state._replace(candidates=tuple(candidates))
+
+
+@functools.cache
+def _with_left(voter: Voter, who: int, left: int) -> Voter:
+    lefts = list(voter.left_by_candidate)
+    lefts[who] = left
+    return voter._replace(left_by_candidate=tuple(lefts))
+
+
+def _without_answers(state: State, who: int) -> State:
+    return state._replace(
+        old=_with_left(state.old, who, 0), new=_with_left(state.new, who, 0)
+    )
+
+
+def build(*, without: str | None = None) -> tuple[specs.BoundedModel, ...]:
+    """Return the models, or the smaller one with one safeguard left out."""
+    restarting = Machine(ticks=1, epochs=2, restarts=1, without=without)
+    if without is not None:
+        return (_bounded(restarting),)
+    lasting = Machine(ticks=2, epochs=1, restarts=1)
+    return _bounded(restarting), _bounded(lasting)
+
+
+def _bounded(machine: Machine) -> specs.BoundedModel:
+    reached: dict[str, abc.Callable[[dict[str, typing.Any]], bool]] = {}
+    if machine.epochs > 1:
+        reached['two_holders_in_turn'] = lambda s: (
+            set(s['owner_by_epoch']) == set(CANDIDATES)
+        )
+    # A lease of one tick ends while the new set settles.
+    if machine.ticks > 1:
+        reached['held_through_the_change'] = lambda s: any(
+            own.phase == HELD and own.known == NEW for own in s['candidates']
+        )
+    return specs.BoundedModel(
+        bounds=(
+            f'1 grantor replaced by 1, 2 candidates, {machine.epochs} epochs, '
+            f'{machine.restarts} restarts, {machine.ticks} ticks'
+        ),
+        protocol=minicheck.Protocol(
+            name='lease change',
+            candidate=False,
+            fields=State._fields,
+            initial=machine.initial(),
+            transitions=machine.steps,
+            invariants={
+                'one_holder': lambda s: (
+                    not all(candidate.left for candidate in s['candidates'])
+                ),
+                'epoch_of_one_holder': lambda s: not s['is_granted_twice'],
+            },
+        ),
+        reached=reached,
+    )
