Membership: a benchmark; what a comparison brings in bulk is not spread again

Cause: after 100 instances had joined at once, each sent the joins of all others again for minutes.

Ruled out: no info in gossip (a joining instance would be known only by comparison, seconds later).

--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,381 @@
+"""Measures membership and presence on a virtual clock; prints JSON.
+
+Run: ``python -m benchmarks.membership [quick]``. Only the reducers run, in
+one process: figures of bytes are of real sealed envelopes plus the headers
+below, and processor time is that of ``handle`` alone, without the transport.
+"""
+
+import collections
+import heapq
+import itertools
+import json
+import random
+import statistics
+import sys
+import time
+import typing
+
+from dandeliongw import codec
+from dandeliongw.coordination import membership
+from dandeliongw.coordination import parts
+from dandeliongw.coordination import presence
+from dandeliongw import envelopes
+from dandeliongw.protocol import membership_pb2
+from dandeliongw.protocol import presence_pb2
+
+TICK_S = 0.1
+DELAY_S = 0.002
+#: gRPC prefix, HTTP/2 frame, TCP with timestamps and IP of one message.
+HEADER_BYTES = 5 + 9 + 32 + 20
+#: The bare TCP acknowledgement that the receiver sends back.
+TCP_ACK_BYTES = 52
+CODEC = codec.Codec(
+    data_classes=membership.MESSAGES + presence.MESSAGES,
+    wire_modules=[membership_pb2, presence_pb2],
+)
+
+
+class Network:
+    """Parts of one kind, by instance, between which messages travel.
+
+    :param part_by_id: the parts.
+    :param loss: share of messages that are lost.
+    """
+
+    def __init__(
+        self, *, part_by_id: dict[str, typing.Any], loss: float = 0.0
+    ) -> None:
+        self.now = 0.0
+        self.part_by_id = part_by_id
+        self.stopped: set[str] = set()
+        self.handle_s = 0.0
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.received_bytes: collections.Counter[str] = collections.Counter()
+        #: (seconds, observer, effect other than a send)
+        self.log: list[tuple[float, str, typing.Any]] = []
+        self._loss = loss
+        self._random = random.Random(1)
+        self._order = itertools.count()
+        self._wire: list[tuple] = []
+        self._sealers = {
+            each: envelopes.Sealer(
+                sender=each, incarnation=1_790_000_000_000, secret=b'secret'
+            )
+            for each in part_by_id
+        }
+
+    def reset(self) -> None:
+        """Begin to count."""
+        self.handle_s = 0.0
+        self.sent.clear()
+        self.sent_bytes.clear()
+        self.received_bytes.clear()
+        self.log.clear()
+
+    def run(
+        self,
+        seconds: float,
+        each_tick: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            each_tick()
+            for instance_id in self.part_by_id:
+                entropy = self._random.getrandbits(64)
+                event = parts.Ticked(now=self.now, entropy=entropy)
+                self.tell(instance_id, event)
+            while self._wire and self._wire[0][0] <= self.now + TICK_S:
+                at, _, sender, to, message = heapq.heappop(self._wire)
+                event = parts.Received(now=at, sender=sender, message=message)
+                self.tell(to, event, at)
+
+    def tell(
+        self, instance_id: str, event: typing.Any, now: float | None = None
+    ) -> None:
+        if instance_id in self.stopped:
+            return
+        start = time.perf_counter()
+        effects = self.part_by_id[instance_id].handle(event)
+        self.handle_s += time.perf_counter() - start
+        for effect in effects:
+            if isinstance(effect, parts.Send):
+                self._send(now or self.now, instance_id, effect)
+            else:
+                self.log.append((now or self.now, instance_id, effect))
+
+    def per_instance(self, seconds: float) -> dict[str, float]:
+        """Return the cost of one instance in one second, on average."""
+        count = len(self.part_by_id) * seconds
+        return {
+            'messages_sent': round(self.sent.total() / count, 2),
+            'bytes_sent': round(self.sent_bytes.total() / count),
+            'most_bytes_received': round(
+                max(self.received_bytes.values()) / seconds
+            ),
+            'handle_us': round(1e6 * self.handle_s / count),
+        }
+
+    def _send(self, now: float, sender: str, effect: parts.Send) -> None:
+        if effect.to != sender:
+            self._count(sender, effect)
+            if self._random.random() < self._loss:
+                return
+        item = (now + DELAY_S, next(self._order), sender, effect.to)
+        heapq.heappush(self._wire, (*item, effect.message))
+
+    def _count(self, sender: str, effect: parts.Send) -> None:
+        kind, body = CODEC.encode(effect.message)
+        envelope = self._sealers[sender].seal(effect.to, kind, body)
+        size = envelope.ByteSize() + HEADER_BYTES
+        self.sent[sender] += 1
+        self.sent_bytes[sender] += size
+        self.received_bytes[effect.to] += size
+        # Each end pays for the acknowledgements that it sends.
+        self.sent_bytes[effect.to] += TCP_ACK_BYTES
+        self.received_bytes[sender] += TCP_ACK_BYTES
+
+
+def make_members(count: int, loss: float = 0.0) -> Network:
+    """Return instances that have found each other."""
+    infos = {
+        f'gw-{number:03}': membership.InstanceInfo(
+            host=f'10.0.{number // 250}.{number % 250}',
+            port=7000,
+            data_centre=f'dc-{number % 4}',
+            region=f'region-{number % 2}',
+            callers_address=f'http://10.0.{number // 250}.{number % 250}:80',
+        )
+        for number in range(count)
+    }
+    seeds = {each: infos[each] for each in list(infos)[:9]}
+    network = Network(
+        part_by_id={
+            each: membership.Membership(
+                instance_id=each,
+                incarnation=1_790_000_000_000,
+                self_info=info,
+                seeds_by_id=seeds,
+            )
+            for each, info in infos.items()
+        },
+        loss=loss,
+    )
+    network.run(10)
+    return network
+
+
+def measure_quiet(count: int, seconds: float) -> dict:
+    """Return the cost when nothing happens, and that of the joining."""
+    network = make_members(count)
+    joining = network.per_instance(10)
+    network.run(110)
+    network.reset()
+    network.run(seconds)
+    alive = {len(each.alive_ids()) for each in network.part_by_id.values()}
+    return {
+        'instances': count,
+        'seconds': seconds,
+        'quiet': network.per_instance(seconds),
+        'joining_10_s': joining,
+        'alive_counts': sorted(alive),
+        'changes': len(network.log),
+    }
+
+
+def measure_deaths(count: int, deaths: int) -> dict:
+    """Stop instances one after another; return how long all take to know."""
+    network = make_members(count)
+    network.run(20)
+    rng = random.Random(3)
+    first, everyone, suspected, doubted = [], [], [], []
+    for _ in range(deaths):
+        network.run(rng.uniform(0.1, 2.0))
+        living = sorted(network.part_by_id.keys() - network.stopped)
+        victim = rng.choice(living)
+        network.stopped.add(victim)
+        start = network.now
+        network.log.clear()
+        network.run(20)
+        suspects = changes(network, victim, 'SUSPECT')
+        suspected.append(min(suspects) - start)
+        doubted.append(max(suspects) - start)
+        dead = changes(network, victim, 'DEAD')
+        first.append(min(dead) - start)
+        everyone.append(max(dead) - start)
+        if len(dead) < len(living) - 1:
+            everyone.append(float('inf'))
+    return {
+        'instances': count,
+        'deaths': deaths,
+        'first_suspicion_s': spread(suspected),
+        'suspected_by_all_s': spread(doubted),
+        'first_verdict_s': spread(first),
+        'known_to_all_s': spread(everyone),
+    }
+
+
+def changes(network: Network, member: str, state: str) -> list[float]:
+    return [
+        at
+        for at, _, effect in network.log
+        if isinstance(effect, membership.MemberChanged)
+        and effect.member.instance_id == member
+        and effect.member.state.name == state
+    ]
+
+
+def spread(values: list[float]) -> dict[str, float]:
+    return {
+        'min': round(min(values), 1),
+        'median': round(statistics.median(values), 1),
+        'max': round(max(values), 1),
+    }
+
+
+def measure_loss(count: int, seconds: float, loss: float) -> dict:
+    """Lose messages at random; return the verdicts about the living."""
+    network = make_members(count, loss)
+    network.run(20)
+    network.reset()
+    network.run(seconds)
+    states = collections.Counter(
+        effect.member.state.name
+        for _, _, effect in network.log
+        if isinstance(effect, membership.MemberChanged)
+    )
+    suspected = {
+        (effect.member.instance_id, effect.member.revision)
+        for _, _, effect in network.log
+        if isinstance(effect, membership.MemberChanged)
+        and effect.member.state is membership.MemberState.SUSPECT
+    }
+    reconnects = sum(
+        isinstance(effect, membership.Reconnect)
+        for _, _, effect in network.log
+    )
+    return {
+        'instances': count,
+        'seconds': seconds,
+        'loss': loss,
+        'false_deaths': states['DEAD'],
+        'false_suspicions': len(suspected),
+        'reconnects': reconnects,
+        **network.per_instance(seconds),
+    }
+
+
+def measure_presence(instances: int, backends: int, cell: int) -> dict:
+    """Renew once a second; a cell of backend servers has one dispatcher."""
+    ids = [f'gw-{number:03}' for number in range(instances)]
+    network = Network(
+        part_by_id={each: presence.Presence(instance_id=each) for each in ids}
+    )
+    rng = random.Random(5)
+    fronts = [rng.choice(ids) for _ in range(backends)]
+    for number, front in enumerate(fronts):
+        owner = ids[number // cell % instances]
+        announce(network, number, front, owner)
+    network.run(1)
+    network.reset()
+    seconds = 20
+    renewals = itertools.count(2)
+
+    def renew() -> None:
+        sequence = next(renewals)
+        for number in range(sequence % 10, backends, 10):
+            renew_one(network, number, fronts[number], sequence)
+
+    network.run(seconds, renew)
+    usable = sum(
+        len(part.usable('dieline-llm', network.now))
+        for part in network.part_by_id.values()
+    )
+    per_instance = network.per_instance(seconds)
+    renewed = backends * seconds
+    return {
+        'instances': instances,
+        'backends': backends,
+        'cell': cell,
+        'usable': usable,
+        'handle_us_per_renewal': round(1e6 * network.handle_s / renewed, 1),
+        'bytes_per_renewal': round(network.sent_bytes.total() / renewed),
+        **per_instance,
+    }
+
+
+def announce(network: Network, number: int, front: str, owner: str) -> None:
+    announcement = presence.BackendAnnouncement(
+        backend_id=f'decode-{number:04}',
+        incarnation=1_790_000_000_000,
+        sequence=1,
+        service='dieline-llm',
+        role=presence.BackendRole.DECODE,
+        url=f'http://10.9.{number // 250}.{number % 250}:9000',
+        data_centre='austin-a',
+        slots=20,
+        checks_fence=True,
+    )
+    network.tell(
+        front,
+        presence.Announced(
+            now=network.now, announcement=announcement, ticket=''
+        ),
+    )
+    network.tell(
+        front,
+        presence.Forward(
+            now=network.now, backend_id=announcement.backend_id, to=(owner,)
+        ),
+    )
+
+
+def renew_one(
+    network: Network, number: int, front: str, sequence: int
+) -> None:
+    load = presence.BackendLoad(
+        running=18,
+        waiting=3,
+        queued_tokens=21_000,
+        slots_used=18,
+        kv_bytes=40_000_000_000,
+    )
+    network.tell(
+        front,
+        presence.Renewed(
+            now=network.now,
+            backend_id=f'decode-{number:04}',
+            incarnation=1_790_000_000_000,
+            sequence=sequence,
+            load=load,
+            cache_events=None,
+            ticket='',
+        ),
+    )
+
+
+def main() -> None:
+    quick = sys.argv[1:] == ['quick']
+    sizes = (9, 100) if quick else (9, 100, 350)
+    results = {
+        'quiet': [measure_quiet(size, 60) for size in sizes],
+        'deaths': [
+            measure_deaths(size, 5 if quick or size > 100 else 20)
+            for size in sizes
+        ],
+        'loss': [
+            measure_loss(size, seconds, 0.05)
+            for size, seconds in ((9, 3600), (100, 300), (350, 60))
+            if size in sizes
+        ],
+        'presence': [
+            measure_presence(9, 100, 12),
+            measure_presence(350, 1300, 30),
+            measure_presence(350, 1300, 4),
+        ],
+    }
+    print(json.dumps(results, indent=1))
+
+
+if __name__ == '__main__':
+    main()
--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -35,6 +35,7 @@
 from ._membership_messages import Superseded
 from ._membership_messages import ViewHashes
 from ._membership_messages import ViewPart
+from ._news import BUDGET
 from ._news import NewsQueue
 from ._roster import InstanceInfo
 from ._roster import Member
@@ -187,6 +188,7 @@
         self._forget_at_by_id: dict[str, float] = {}
         self._heard_at = 0.0
         self._unheard_verdicts: set[str] = set()
+        self._spreads = True
 
     # Accessors.
 
@@ -597,9 +599,13 @@
         if message.buckets:
             told = self._told(message.buckets)
             answer = self._parts_to(sender, told, ())
+        # Many at once are old news to others, who would be sent them for
+        # minutes; who lacks them finds out by comparing, too.
+        self._spreads = len(message.news) <= BUDGET
         effects: list[typing.Any] = []
         for item in message.news:
             effects += self._compare_item(now, item, message.doubt is not None)
+        self._spreads = True
         if message.doubt is not None:
             effects += self._learn(now, (message.doubt,))
         return effects + answer
@@ -669,7 +675,7 @@
         held = self.members_by_id.get(member.instance_id)
         self._roster.put(member)
         self._keep_clocks(now, member)
-        if spread:
+        if spread and self._spreads:
             urgent = _is_urgent(held, member)
             self._urgent = self._urgent or urgent
             self._news.add(
