--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -101,6 +101,8 @@
 
     :param wasted_tokens: prefill tokens whose result was thrown away.
     :param backend_fault: id of the backend server at fault, or empty.
+    :param token_gap_s: mean gap between the tokens of a whole answer;
+        zero if not measured.
     """
 
     cell: str
@@ -109,6 +111,7 @@
     outcome: Outcome
     wasted_tokens: int = 0
     backend_fault: str = ''
+    token_gap_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -528,9 +531,20 @@
         self._blame(now, release.backend_fault)
         if release.outcome is Outcome.DONE:
             self.view.learn_answer(now, booking)
+            self._learn_gap(now, booking, release.token_gap_s)
             return []
         return self._cancel(now, booking)
 
+    def _learn_gap(
+        self, now: float, booking: Booking, token_gap_s: float
+    ) -> None:
+        state = self.view.backends_by_id.get(booking.decode_id)
+        if state is not None and token_gap_s > 0.0:
+            # The answer's own slot counts: it was in the batch.
+            streams = len(state.bookings_by_key) + 1
+            target_s = self.view.terms.token_gap_s
+            state.batch.learn(now, token_gap_s, target_s, streams)
+
     def _blame(self, now: float, backend_id: str) -> None:
         state = self.view.backends_by_id.get(backend_id)
         if state is not None:
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -30,6 +30,11 @@
 MOST_EJECTED_S = 60.0
 #: Pause between the first pieces of work after it came back.
 PACE_S = 1.0
+#: Parts of the token gap's target above and below which the cap moves.
+GAP_HIGH = 0.95
+GAP_LOW = 0.90
+#: Pause between two moves of the cap.
+BATCH_RESTS_S = 1.0
 #: How long it takes from one slot to all of them.
 RAMP_S = 4.0
 #: A prefill that hung tells nothing about the next one beyond this.
@@ -229,6 +234,37 @@
         self.recent_faults.clear()
 
 
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Batch:
+    """How many streams a decode engine carries within the token gap.
+
+    A batch steps more slowly the fuller it is. With more slots than the
+    target bears, every answer of a full engine is too slow; one would
+    notice token gaps just above the target on all of them at once.
+    """
+
+    #: ``None`` until answers have been too slow.
+    cap: int | None = None
+    changed_at: float = -math.inf
+
+    def learn(
+        self, now: float, gap_s: float, target_s: float, streams: int
+    ) -> None:
+        """Take in the mean gap of a whole answer.
+
+        An answer tells of the batch as it was over seconds, so the cap
+        moves by one and then rests until answers tell of the new one.
+        """
+        if now < self.changed_at + BATCH_RESTS_S:
+            return
+        if gap_s > target_s * GAP_HIGH:
+            self.cap = max(1, min(self.cap or streams, streams) - 1)
+            self.changed_at = now
+        elif self.cap is not None and gap_s < target_s * GAP_LOW:
+            self.cap += 1
+            self.changed_at = now
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BackendState:
     """What the owner knows of one backend server."""
@@ -249,6 +285,7 @@
     last_prefill_at: float = 0.0
     #: When the transfers booked on this link will be over.
     link_free_at: float = 0.0
+    batch: Batch = dataclasses.field(default_factory=Batch)
     health: Health = dataclasses.field(default_factory=lambda: Health())
     #: Blocks that its prefix cache may hold, the last used at the end. A
     #: guess: cache events come late and with gaps, and blocks count from
@@ -257,6 +294,13 @@
         default_factory=collections.OrderedDict
     )
 
+    @property
+    def slots_open(self) -> int:
+        """Slots that may be used without slowing the batch too much."""
+        if self.batch.cap is None:
+            return self.backend.slots
+        return min(self.backend.slots, self.batch.cap)
+
     @property
     def slots_used(self) -> int:
         """Slots that are booked, used or not yet given back."""
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -62,6 +62,7 @@
     :param foresee: count on the work that will pass while one waits.
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
+    :param cap: hold the token gap by using fewer slots.
     :param fair: hold accounts to their share when the cell is full.
     :param spare: part of the longest wait that predictions must leave over.
     :param health: leave out what keeps failing; let new ones in slowly.
@@ -75,6 +76,7 @@
     health: bool = True
     fair: bool = True
     spare: float = 0.1
+    cap: bool = True
 
 
 class Scheduler:
@@ -237,6 +239,8 @@
 
     def _free_slots(self, now: float, state: BackendState) -> int:
         slots = state.backend.slots
+        if self._options.cap:
+            slots = state.slots_open
         if self._options.health:
             part = state.health.open_part(now)
             slots = max(1, math.floor(slots * part))
@@ -392,12 +396,14 @@
     for state in view.candidates(Role.DECODE, ()):
         if state.health.is_ejected(now):
             continue
-        free = state.backend.slots - state.slots_used
+        free = state.slots_open - state.slots_used
         times.extend([now] * max(0, free))
-        times.extend(
+        ends = sorted(
             max(now, booking.decode_ends_at)
             for booking in state.bookings_by_key.values()
         )
+        # Above the cap the first to end give no slot back.
+        times.extend(ends[max(0, -free) :])
     return times
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -58,3 +58,22 @@
         state.add_blocks(str(n) for n in range(policy.MOST_BLOCKS))
         self.assertEqual(0, state.cached_tokens(('first',)))
         self.assertEqual(policy.MOST_BLOCKS, len(state.blocks))
+
+
+class BatchTest(unittest.TestCase):
+    """Symptom: every answer of a full engine is a little too slow."""
+
+    def test_the_cap_falls_while_answers_are_slow_and_then_rises(self):
+        batch = policy.Batch()
+        caps = []
+        gaps = (0.030, 0.036, 0.036, 0.033, 0.030)
+        for number, gap_s in enumerate(gaps):
+            batch.learn(2.0 * number, gap_s, target_s=0.034, streams=24)
+            caps.append(batch.cap)
+        self.assertEqual([None, 23, 22, 21, 22], caps)
+
+    def test_many_answers_at_once_move_it_by_one(self):
+        batch = policy.Batch()
+        for _ in range(10):
+            batch.learn(1.0, 0.036, target_s=0.034, streams=24)
+        self.assertEqual(23, batch.cap)
--- a/tools/load.py
+++ b/tools/load.py
@@ -127,6 +127,12 @@
     def attempt_id(self) -> str:
         return f'a{self.attempt}'
 
+    @property
+    def token_gap_s(self) -> float:
+        """Mean gap between the tokens of a whole answer."""
+        gaps = max(1, self.made - 1)
+        return (self.last_token_at - self.first_token_at) / gaps
+
 
 class Run:
     """One run of one policy on one stream of requests."""
@@ -567,7 +573,7 @@
     def _finish(self, job: Job) -> None:
         engine = self.engines_by_id[job.booked.decode_id]
         engine.model.forget_stream(job.name)
-        self._release(job, cells.Outcome.DONE)
+        self._release(job, cells.Outcome.DONE, token_gap_s=job.token_gap_s)
         self._end(job)
         self.tally.finished(job)
 
@@ -577,6 +583,7 @@
         outcome: cells.Outcome,
         fault: str = '',
         wasted_tokens: int = 0,
+        token_gap_s: float = 0.0,
     ) -> None:
         message = cells.Release(
             cell=CELL_ID,
@@ -585,6 +592,7 @@
             outcome=outcome,
             wasted_tokens=wasted_tokens,
             backend_fault=fault,
+            token_gap_s=token_gap_s,
         )
         self._send(job, message)
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -65,7 +65,8 @@
     'v6-links': scheduler.Options(health=False),
     'v8-health': scheduler.Options(fair=False),
     'v9-fair': scheduler.Options(spare=0.0),
-    'v10-spare': scheduler.Options(),
+    'v10-spare': scheduler.Options(cap=False),
+    'v11-cap': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
@@ -177,14 +178,15 @@
     :param policies: names to measure; all if none are given.
     :param loads: in parts of the capacity.
     :param duration_s: virtual seconds of arrivals.
-    :param mixes: brazos, khangai, brazos-shared, khangai-shared.
+    :param mixes: brazos, khangai, brazos-shared, khangai-shared,
+        brazos-deep, khangai-deep.
     :param fault: a name in tools.faults; none if empty.
     :param leaving: part of the callers that leave early.
     :param flood: part of all calls that come from a single account.
     :param burst: let the load swing between 0.4 and 1.6 of itself.
     :param seeds: of the arrivals; three if none are given.
     """
-    deployments = workloads.DEPLOYMENTS_BY_NAME | workloads.SHARED_BY_NAME
+    deployments = workloads.DEPLOYMENTS_BY_NAME | workloads.VARIANTS_BY_NAME
     if quick:
         print(json.dumps(summarize(QUICK_S, 1)))
         return
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -101,8 +101,7 @@
         priority = job.request.priority
         first_token_s = job.first_token_at - job.arrived_at
         wait_s = job.started_at - job.arrived_at
-        gaps = max(1, job.made - 1)
-        gap_s = (job.last_token_at - job.first_token_at) / gaps
+        gap_s = job.token_gap_s
         self._record(self.first_token_by_priority, priority, first_token_s)
         self._record(self.wait_by_priority, priority, wait_s)
         self.gap.record_value(int(gap_s * 1e6) + 1)
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -56,7 +56,17 @@
 
 
 SPEEDS = engine_model.EngineSpeeds()
-FULL_STEP_S = SPEEDS.step_s + SPEEDS.step_per_stream_s * SPEEDS.slots
+TOKEN_GAP_S = 0.034
+
+
+def best_batch(speeds: engine_model.EngineSpeeds) -> tuple[int, float]:
+    """Return the largest batch within the token gap, and its step."""
+    room_s = TOKEN_GAP_S - speeds.step_s
+    streams = min(speeds.slots, int(room_s / speeds.step_per_stream_s))
+    return streams, speeds.step_s + speeds.step_per_stream_s * streams
+
+
+FULL_STEP_S = best_batch(SPEEDS)[1]
 
 
 def make_terms(
@@ -67,7 +77,7 @@
     """Return the terms that an operator's document would give."""
     return policy.CellTerms(
         first_token_s=first_token_s,
-        token_gap_s=0.034,
+        token_gap_s=TOKEN_GAP_S,
         timeout_s=60.0,
         weights=weights,
         prefill_tokens_per_s=SPEEDS.prefill_tokens_per_s,
@@ -154,8 +164,23 @@
     )
 
 
-SHARED_BY_NAME = {
-    each.name: each for each in (share_more(BRAZOS), share_more(KHANGAI))
+def deepen(deployment: Deployment) -> Deployment:
+    """Return engines with more slots than the token gap bears."""
+    speeds = dataclasses.replace(
+        deployment.speeds, slots=32, prefill_tokens_per_s=15_000.0
+    )
+    terms = dataclasses.replace(
+        deployment.terms, prefill_tokens_per_s=15_000.0
+    )
+    return dataclasses.replace(
+        deployment, name=f'{deployment.name}-deep', speeds=speeds, terms=terms
+    )
+
+
+VARIANTS_BY_NAME = {
+    each.name: each
+    for change in (share_more, deepen)
+    for each in (change(BRAZOS), change(KHANGAI))
 }
 DEPLOYMENTS_BY_NAME = {each.name: each for each in (BRAZOS, KHANGAI)}
 
@@ -173,6 +198,7 @@
     router attains; no policy enters into it.
     """
     speeds = deployment.speeds
+    streams, step_s = best_batch(speeds)
     prefill_s = link_s = slot_s = 0.0
     for kind in deployment.kinds:
         prompt = middle(kind.prompt_tokens)
@@ -182,11 +208,11 @@
         kv_bytes = prompt * speeds.kv_bytes_per_token
         link_s += kind.part * kv_bytes / speeds.link_bytes_per_s
         answer = middle(kind.max_tokens) * (1 + kind.stop_early) / 2
-        slot_s += kind.part * answer * FULL_STEP_S
+        slot_s += kind.part * answer * step_s
     return min(
         deployment.prefill_engines / prefill_s,
         deployment.prefill_engines / link_s,
-        deployment.decode_engines * speeds.slots / slot_s,
+        deployment.decode_engines * streams / slot_s,
     )
 
 
