Retries: a budget and spread pauses for entries

Cause: an outage multiplies attempts just when little can be carried. Conclusion: kept as a bound for owners that can't be asked, not for a gain; the module is the entry's to use.

--- /dev/null
+++ b/dandeliongw/retries.py
@@ -0,0 +1,50 @@
+"""How often an entry tries again, and after which pause."""
+
+import dataclasses
+
+#: Retries allowed for each request that comes in.
+RETRY_PART = 0.2
+#: Retries that may be saved up, for an engine that dies with its streams.
+RETRY_BURST = 40.0
+FIRST_PAUSE_S = 0.02
+MOST_PAUSE_S = 1.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RetryBudget:
+    """Bounds retries to a part of the requests.
+
+    Without it, an outage multiplies the load just when least of it can be
+    carried; one would notice more attempts than requests long after the
+    first cause is gone. The burst lets all streams of a few engines that
+    died together be tried again at once.
+
+    :param part: gained with each request.
+    :param burst: most that is saved up, and what there is at first.
+    """
+
+    part: float = RETRY_PART
+    burst: float = RETRY_BURST
+    left: float = RETRY_BURST
+
+    def earn(self) -> None:
+        """Count a new request."""
+        self.left = min(self.burst, self.left + self.part)
+
+    def spend(self) -> bool:
+        """Return whether one more attempt may be made, and count it."""
+        if self.left < 1.0:
+            return False
+        self.left -= 1.0
+        return True
+
+
+def pause_s(attempt: int, entropy: int) -> float:
+    """Return how long to wait before an attempt, in seconds.
+
+    :param attempt: two for the first retry.
+    :param entropy: 64 random bits, from the event that brought the failure;
+        the pause lies between half and all of its bound.
+    """
+    bound_s = min(MOST_PAUSE_S, FIRST_PAUSE_S * 2 ** max(0, attempt - 2))
+    return bound_s * (0.5 + 0.5 * entropy / 2**64)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,21 @@
+"""Retries stay a part of the requests."""
+
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import retries
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_an_outage_cannot_multiply_the_load(self):
+        budget = retries.RetryBudget(part=0.1, burst=2.0, left=2.0)
+        spent = 0
+        for _ in range(100):
+            budget.earn()
+            spent += sum(budget.spend() for _ in range(3))
+        self.assertIn(spent, (11, 12))
+
+    @params((2, 0, 0.01), (2, 2**64 - 1, 0.02), (60, 2**64 - 1, 1.0))
+    def test_pauses_grow_to_a_bound_and_are_spread(self, attempt, bits, s):
+        self.assertAlmostEqual(s, retries.pause_s(attempt, bits))
--- a/tools/load.py
+++ b/tools/load.py
@@ -5,6 +5,7 @@
 :data:`HOP_S`. This measures the policy's decisions, not the processes.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import heapq
@@ -15,6 +16,7 @@
 from dandeliongw import cells
 from dandeliongw.coordination import parts
 from dandeliongw import policy
+from dandeliongw import retries
 from dandeliongw.verdict import RefusalReason
 from dandeliongw.verdict import RetryReason
 from tools import engine_model
@@ -154,6 +156,7 @@
         self._policy_factory = policy_factory
         self._epoch = 1
         self._lost_entries: set[str] = set()
+        self._budgets_by_entry = collections.defaultdict(retries.RetryBudget)
         self._add_engines()
         self.cell = self._make_cell()
         self._tell_backends()
@@ -299,6 +302,7 @@
             comebacks=comebacks,
         )
         self.jobs_by_name[name] = job
+        self._budgets_by_entry[job.entry].earn()
         self.tally.arrived(job)
         if request.leaves_after_s is not None:
             leaves_at = self.clock.now + request.leaves_after_s
@@ -615,10 +619,16 @@
         self._release(job, cells.Outcome.FAILED, fault, wasted_tokens)
         if fault:
             job.exclude = (*job.exclude, fault)
-        if job.attempt >= MAX_ATTEMPTS:
+        budget = self._budgets_by_entry[job.entry]
+        if job.attempt >= MAX_ATTEMPTS or not budget.spend():
             self._fail(job, RefusalReason.RETRIES_SPENT)
             return
-        self._book(job, policy.Stage.PAIR)
+        pause_s = retries.pause_s(job.attempt + 1, self._draw.getrandbits(64))
+        self.clock.at(self.clock.now + pause_s, self._try_again, job)
+
+    def _try_again(self, job: Job) -> None:
+        if not job.over:
+            self._book(job, policy.Stage.PAIR)
 
     def _fail(self, job: Job, reason: RefusalReason) -> None:
         if job.booked is not None or job.prefilled is not None:
