Cells: the owner asks engines what they hold, and cancels what nobody claims

Cause: an owner and an entry that die together leave streams the new owner never hears of. Every 5 s it lists the streams of each engine and cancels those without a booking, once entries have had a lease to reclaim. The load tool counted slots in use as held; finished streams that nobody read escaped it. It counts all that holds memory now.

--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -30,6 +30,8 @@
 BOOKING_LEASE_S = 4.0
 #: How often an entry should send :class:`Progress`.
 PROGRESS_EVERY_S = 1.0
+#: How often an owner asks backend servers for what they hold.
+LIST_EVERY_S = 5.0
 #: How often an unconfirmed cancel is sent again.
 CANCEL_AGAIN_S = 1.0
 
@@ -274,6 +276,35 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ListStreams:
+    """Effect: ``GET /v1/streams``; post :class:`StreamsListed` on 200."""
+
+    backend_id: str
+    url: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HeldStream:
+    """A stream that a backend server holds memory for."""
+
+    stream_id: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamsListed:
+    """What a backend server holds, as it was at ``asked_at`` or later.
+
+    :param asked_at: when the effect was performed, on this instance's clock.
+    """
+
+    now: float
+    backend_id: str
+    asked_at: float
+    streams: tuple[HeldStream, ...]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PendingCancel:
     """A cancel that its backend server hasn't confirmed."""
@@ -320,6 +351,8 @@
         self.view = CellView(terms=document_part)
         self.bookings_by_key: dict[tuple[str, str], Booking] = {}
         self.cancels_by_key: dict[tuple[str, str, str], PendingCancel] = {}
+        self._first_tick_at: float | None = None
+        self._listed_at = 0.0
         self._handlers_by_type: dict[type, typing.Any] = {
             Book: self._book,
             PrefillDone: self._prefill_done,
@@ -357,6 +390,8 @@
                 return self._report_load(event)
             case CacheHint():
                 return self._take_hint(event)
+            case StreamsListed():
+                return self._cancel_unknown(event)
             case StreamCancelled():
                 self._confirm_cancel(event)
         return []
@@ -551,26 +586,31 @@
             state.health.add_fault(now)
 
     def _cancel(self, now: float, booking: Booking) -> list:
-        effects = []
-        for state in self._states_of(booking):
-            if state.backend.role is Role.PLAIN:
-                continue
-            effect = CancelStream(
-                backend_id=state.backend.backend_id,
-                url=state.backend.url,
-                stream_id=booking.request_id,
-                attempt_id=booking.attempt_id,
-                epoch=self.epoch,
-            )
-            key = (effect.backend_id, effect.stream_id, effect.attempt_id)
-            again_at = now + CANCEL_AGAIN_S
-            if key not in self.cancels_by_key:
-                state.cancelling += 1
-            self.cancels_by_key[key] = PendingCancel(
-                effect=effect, again_at=again_at
-            )
-            effects.append(effect)
-        return effects
+        return [
+            self._cancel_at(now, state, booking.key)
+            for state in self._states_of(booking)
+            if state.backend.role is not Role.PLAIN
+        ]
+
+    def _cancel_at(
+        self, now: float, state: BackendState, booking_key: tuple[str, str]
+    ) -> CancelStream:
+        """Return a cancel, to be sent again until it is confirmed."""
+        stream_id, attempt_id = booking_key
+        effect = CancelStream(
+            backend_id=state.backend.backend_id,
+            url=state.backend.url,
+            stream_id=stream_id,
+            attempt_id=attempt_id,
+            epoch=self.epoch,
+        )
+        key = (effect.backend_id, stream_id, attempt_id)
+        if key not in self.cancels_by_key:
+            state.cancelling += 1
+        self.cancels_by_key[key] = PendingCancel(
+            effect=effect, again_at=now + CANCEL_AGAIN_S
+        )
+        return effect
 
     def _confirm_cancel(self, event: StreamCancelled) -> None:
         key = (event.backend_id, event.stream_id, event.attempt_id)
@@ -623,6 +663,13 @@
                     backend=backend, health=self._first_health(event, backend)
                 )
         self.view.backends_by_id = new
+        # What has left holds nothing any more, and a new incarnation
+        # starts empty.
+        self.cancels_by_key = {
+            key: pending
+            for key, pending in self.cancels_by_key.items()
+            if new.get(key[0]) is not None and new[key[0]] is old.get(key[0])
+        }
         return []
 
     def _first_health(
@@ -657,8 +704,43 @@
             state.drop_blocks(event.evicted)
         return []
 
-    def _tick(self, now: float) -> list:
+    def _list_streams(self, now: float) -> list:
+        if self._first_tick_at is None:
+            self._first_tick_at = self._listed_at = now
+        if now - self._listed_at < LIST_EVERY_S:
+            return []
+        self._listed_at = now
+        return [
+            ListStreams(
+                backend_id=state.backend.backend_id, url=state.backend.url
+            )
+            for state in self.view.backends_by_id.values()
+            if state.backend.role is not Role.PLAIN
+        ]
+
+    def _cancel_unknown(self, event: StreamsListed) -> list:
+        """Cancel the streams that no entry has claimed.
+
+        An owner and an entry that die together leave streams which the new
+        owner never hears of. One would notice engines with slots in use
+        and no booking for them. Entries have had a whole lease to reclaim
+        by then, and a stream begins only after its booking.
+        """
+        state = self.view.backends_by_id.get(event.backend_id)
+        began_at = self._first_tick_at
+        if state is None or began_at is None:
+            return []
+        if event.asked_at < began_at + BOOKING_LEASE_S:
+            return []
         effects = []
+        for stream in event.streams:
+            key = (stream.stream_id, stream.attempt_id)
+            if key not in self.bookings_by_key:
+                effects.append(self._cancel_at(event.now, state, key))
+        return effects
+
+    def _tick(self, now: float) -> list:
+        effects = self._list_streams(now)
         for booking in list(self.bookings_by_key.values()):
             # An entry that died sends no release. One would notice slots
             # that stay taken with no stream behind them; the lease frees
--- a/tools/engine_model.py
+++ b/tools/engine_model.py
@@ -563,6 +563,18 @@
             if not stream.finished
         )
 
+    def held(self) -> list[tuple[str, str]]:
+        """Return (stream id, attempt id) of all that holds memory."""
+        ids = [
+            (each.stream_id, each.attempt_id)
+            for each in self.streams_by_id.values()
+        ]
+        ids.extend(
+            (held.job.stream_id, held.job.attempt_id)
+            for held in self.kv_by_name.values()
+        )
+        return ids
+
     def forget_stream(self, stream_id: str) -> None:
         """Drop a finished stream whose text has been read to the end."""
         self.streams_by_id.pop(stream_id, None)
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -76,6 +76,12 @@
     run.clock.at(BEGINS_AT, run.lose_entry, 'entry-0')
 
 
+def lose_owner_and_entry(run: load.Run) -> None:
+    """Lose the owner and an entry together: nobody reclaims its streams."""
+    run.clock.at(BEGINS_AT, run.lose_entry, 'entry-0')
+    run.clock.at(BEGINS_AT, run.lose_owner)
+
+
 def add_engine(run: load.Run) -> None:
     """Add a decode engine to a cell at work."""
     role = policy.Role.DECODE
@@ -95,6 +101,7 @@
         lose_owner,
         lose_owner_and_engine,
         lose_entry,
+        lose_owner_and_entry,
         add_engine,
     )
 }
--- a/tools/load.py
+++ b/tools/load.py
@@ -207,8 +207,7 @@
         for engine in self.engines_by_id.values():
             self.tally.count_engine(engine.model)
             if engine.alive:
-                held = engine.model.load().slots_used
-                self.tally.counts['slots_held'] += held
+                self.tally.counts['streams_held'] += len(engine.model.held())
         self.tally.counts['lost'] = len(self.jobs_by_name)
         self.tally.counts['bookings_held'] = len(self.cell.bookings_by_key)
         return self.tally
@@ -228,6 +227,8 @@
             later = self.clock.now + HOP_S
             if isinstance(effect, parts.Send):
                 self.clock.at(later, self._hear, effect.message)
+            elif isinstance(effect, cells.ListStreams):
+                self.clock.at(later, self._list_streams, effect)
             else:
                 self.clock.at(later, self._cancel_stream, effect)
 
@@ -289,6 +290,22 @@
             )
             self.clock.at(confirmed.now, self._own, confirmed)
 
+    def _list_streams(self, effect: cells.ListStreams) -> None:
+        engine = self.engines_by_id[effect.backend_id]
+        if not engine.alive:
+            return
+        engine.wake()
+        listed = cells.StreamsListed(
+            now=self.clock.now + HOP_S,
+            backend_id=effect.backend_id,
+            asked_at=self.clock.now - HOP_S,
+            streams=tuple(
+                cells.HeldStream(stream_id=stream_id, attempt_id=attempt_id)
+                for stream_id, attempt_id in engine.model.held()
+            ),
+        )
+        self.clock.at(listed.now, self._own, listed)
+
     # The callers.
 
     def _arrive(
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -185,7 +185,7 @@
             'short_answers': self.counts['short'],
             'lost_answers': self.counts['lost'],
             'wasted_prefill': self.wasted_share,
-            'slots_held_at_end': self.counts['slots_held'],
+            'streams_held_at_end': self.counts['streams_held'],
             'bookings_held_at_end': self.counts['bookings_held'],
             'prefill_tokens': self.prefill_tokens,
             'wasted_by_reason': {
