Cells: a new owner asks what entries hold; leaving engines get their cancels

Cause: with half a second between a lost owner and the entries' reclaims, the new owner told every renewing entry that its bookings were gone. Also: a backend server that leaves keeps its address until what ran there is over, so that cancels reach it; Retry-After is bounded; a new attempt may go where one failed if there is nowhere else; TermsChanged. The tests that read a tick's effects leave the regular listing out.

--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -206,6 +206,14 @@
     attempt_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReclaimWanted:
+    """Owner to entry: a new owner; send ``Reclaim`` with all you hold."""
+
+    cell: str
+    epoch: int
+
+
 MESSAGES = (
     Book,
     PrefillDone,
@@ -217,6 +225,7 @@
     Declined,
     NotOwner,
     Cancelled,
+    ReclaimWanted,
 )
 
 
@@ -228,6 +237,14 @@
     backends: tuple[CellBackend, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TermsChanged:
+    """The document says something else about the service now."""
+
+    now: float
+    terms: CellTerms
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReported:
     """A load report came in; it was true some time ago."""
@@ -351,7 +368,9 @@
         self.view = CellView(terms=document_part)
         self.bookings_by_key: dict[tuple[str, str], Booking] = {}
         self.cancels_by_key: dict[tuple[str, str, str], PendingCancel] = {}
-        self._first_tick_at: float | None = None
+        #: Left, or cut off, with work of ours that may still run there.
+        self.leaving_by_id: dict[str, BackendState] = {}
+        self._began_at: float | None = None
         self._listed_at = 0.0
         self._handlers_by_type: dict[type, typing.Any] = {
             Book: self._book,
@@ -363,6 +382,8 @@
 
     def handle(self, event: typing.Any) -> list[typing.Any]:
         """Take one event in; return what is to be done."""
+        if self._began_at is None:
+            self._began_at = self._listed_at = event.now
         effects = self._take(event)
         return effects + self._dispatch(event.now)
 
@@ -384,6 +405,8 @@
                 return handler(now, sender, message) if handler else []
             case parts.Ticked(now=now):
                 return self._tick(now)
+            case TermsChanged():
+                self.view.terms = event.terms
             case BackendsChanged():
                 return self._change_backends(event)
             case LoadReported():
@@ -500,13 +523,20 @@
         return parts.Send(to=booking.entry, message=booked)
 
     def _url(self, backend_id: str) -> str:
-        state = self.view.backends_by_id.get(backend_id)
+        state = self._state(backend_id)
         return state.backend.url if state else ''
 
+    def _state(self, backend_id: str) -> BackendState | None:
+        """Return a backend server, also one that is leaving."""
+        leaving = self.leaving_by_id.get(backend_id)
+        return self.view.backends_by_id.get(backend_id, leaving)
+
     def _remember(self, booking: Booking) -> None:
         self.bookings_by_key[booking.key] = booking
         for state in self._states_of(booking):
             state.bookings_by_key[booking.key] = booking
+            own = len(state.bookings_by_key) + state.cancelling
+            state.peak_used = max(state.peak_used, own)
 
     def _forget(self, booking: Booking) -> None:
         self.bookings_by_key.pop(booking.key, None)
@@ -517,15 +547,17 @@
 
     def _states_of(self, booking: Booking) -> list[BackendState]:
         ids = (booking.prefill_id, booking.decode_id, booking.plain_id)
-        by_id = self.view.backends_by_id
-        return [by_id[each] for each in ids if each in by_id]
+        states = [self._state(each) for each in ids]
+        return [state for state in states if state is not None]
 
     def _prefill_done(
         self, now: float, sender: str, done: PrefillDone
     ) -> list:
         booking = self.bookings_by_key.get((done.request_id, done.attempt_id))
         if booking is None:
-            return [self._gone(sender, done.request_id, done.attempt_id)]
+            return [
+                self._gone(now, sender, (done.request_id, done.attempt_id))
+            ]
         booking.renewed_at = now
         state = self.view.backends_by_id.get(booking.prefill_id)
         if state is not None:
@@ -535,9 +567,23 @@
         booking.prefill_done = True
         return []
 
+    def _is_reclaiming(self, now: float) -> bool:
+        """Return whether entries may still have to tell what they hold."""
+        return now < self._began_at + BOOKING_LEASE_S
+
     def _gone(
-        self, entry: str, request_id: str, attempt_id: str
+        self, now: float, entry: str, booking_key: tuple[str, str]
     ) -> parts.Send:
+        """Tell an entry that its booking isn't known.
+
+        A new owner knows none at first. Told that it is gone, entries
+        would stop every running stream; one would notice each change of
+        owner as a wave of attempts and of prefills computed twice.
+        """
+        if self._is_reclaiming(now):
+            wanted = ReclaimWanted(cell=self.cell_id, epoch=self.epoch)
+            return parts.Send(to=entry, message=wanted)
+        request_id, attempt_id = booking_key
         cancelled = Cancelled(
             cell=self.cell_id,
             epoch=self.epoch,
@@ -552,10 +598,10 @@
             key = (holding.request_id, holding.attempt_id)
             booking = self.bookings_by_key.get(key)
             if booking is None:
-                effects.append(self._gone(sender, *key))
+                effects.append(self._gone(now, sender, key))
             else:
                 booking.renewed_at = now
-        return effects
+        return list(dict.fromkeys(effects))
 
     def _release(self, now: float, sender: str, release: Release) -> list:
         key = (release.request_id, release.attempt_id)
@@ -614,7 +660,7 @@
 
     def _confirm_cancel(self, event: StreamCancelled) -> None:
         key = (event.backend_id, event.stream_id, event.attempt_id)
-        state = self.view.backends_by_id.get(event.backend_id)
+        state = self._state(event.backend_id)
         if self.cancels_by_key.pop(key, None) and state is not None:
             state.cancelling -= 1
 
@@ -648,10 +694,10 @@
         return []
 
     def _change_backends(self, event: BackendsChanged) -> list:
-        old = self.view.backends_by_id
+        old = self.leaving_by_id | self.view.backends_by_id
         new = {}
         for backend in event.backends:
-            state = old.get(backend.backend_id)
+            state = old.pop(backend.backend_id, None)
             same = state is not None and (
                 state.backend.incarnation == backend.incarnation
             )
@@ -659,18 +705,39 @@
                 state.backend = backend
                 new[backend.backend_id] = state
             else:
+                self._forget_cancels(backend.backend_id)
                 new[backend.backend_id] = BackendState(
                     backend=backend, health=self._first_health(event, backend)
                 )
         self.view.backends_by_id = new
-        # What has left holds nothing any more, and a new incarnation
-        # starts empty.
+        for state in old.values():
+            if state.left_at is None:
+                state.left_at = event.now
+        for state in new.values():
+            state.left_at = None
+        self.leaving_by_id = old
+        return []
+
+    def _forget_cancels(self, backend_id: str) -> None:
+        """Drop the cancels of an incarnation that is gone, memory and all."""
         self.cancels_by_key = {
             key: pending
             for key, pending in self.cancels_by_key.items()
-            if new.get(key[0]) is not None and new[key[0]] is old.get(key[0])
+            if key[0] != backend_id
         }
-        return []
+
+    def _drop_left(self, now: float) -> None:
+        """Drop what left long ago or holds nothing of ours.
+
+        A backend server that leaves finishes its streams. Dropped at once,
+        its cancels would have no address, and its memory would stay held
+        for callers who have gone.
+        """
+        for backend_id, state in list(self.leaving_by_id.items()):
+            idle = not state.bookings_by_key and not state.cancelling
+            if idle or now >= state.left_at + self.view.terms.timeout_s:
+                del self.leaving_by_id[backend_id]
+                self._forget_cancels(backend_id)
 
     def _first_health(
         self, event: BackendsChanged, backend: CellBackend
@@ -689,6 +756,7 @@
             state.reported_waiting = event.waiting
             state.reported_queued_tokens = event.queued_tokens
             state.reported_at = event.now
+            state.count_foreign(event.slots_used)
         return []
 
     def _take_hint(self, event: CacheHint) -> list:
@@ -705,8 +773,6 @@
         return []
 
     def _list_streams(self, now: float) -> list:
-        if self._first_tick_at is None:
-            self._first_tick_at = self._listed_at = now
         if now - self._listed_at < LIST_EVERY_S:
             return []
         self._listed_at = now
@@ -727,10 +793,7 @@
         by then, and a stream begins only after its booking.
         """
         state = self.view.backends_by_id.get(event.backend_id)
-        began_at = self._first_tick_at
-        if state is None or began_at is None:
-            return []
-        if event.asked_at < began_at + BOOKING_LEASE_S:
+        if state is None or self._is_reclaiming(event.asked_at):
             return []
         effects = []
         for stream in event.streams:
@@ -740,6 +803,7 @@
         return effects
 
     def _tick(self, now: float) -> list:
+        self._drop_left(now)
         effects = self._list_streams(now)
         for booking in list(self.bookings_by_key.values()):
             # An entry that died sends no release. One would notice slots
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -278,6 +278,14 @@
     reported_waiting: int = 0
     reported_queued_tokens: int = 0
     reported_at: float | None = None
+    #: When it left; ``None`` while it may get work.
+    left_at: float | None = None
+    #: Most slots that the owner counted since the report before the last,
+    #: and since the last.
+    peak_used_before: int = 0
+    peak_used: int = 0
+    #: Slots in use that the owner knows nothing of.
+    foreign: int = 0
     #: Streams that were cancelled; each holds its slot until confirmed.
     cancelling: int = 0
     #: Measured prefill time over predicted; above one is slow.
@@ -304,7 +312,21 @@
     @property
     def slots_used(self) -> int:
         """Slots that are booked, used or not yet given back."""
-        return len(self.bookings_by_key) + self.cancelling
+        return len(self.bookings_by_key) + self.cancelling + self.foreign
+
+    def count_foreign(self, reported_used: int) -> None:
+        """Take in how many slots a report says are used.
+
+        A report is old, and the owner's own count newer; but a new owner
+        doesn't know yet what runs. What is reported above the most that the
+        owner counted lately is not its own: without this a new owner would
+        fill full engines, and one would notice refused imports after each
+        change of owner.
+        """
+        own = max(self.peak_used_before, self.peak_used)
+        self.foreign = max(0, reported_used - own)
+        self.peak_used_before = self.peak_used
+        self.peak_used = len(self.bookings_by_key) + self.cancelling
 
     def cached_tokens(self, prefix: abc.Sequence[str]) -> int:
         """Return how many leading tokens are probably cached here."""
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -37,6 +37,8 @@
 MOST_PASSING = 0.9
 #: Shortest Retry-After; a resend sooner than this costs more than it gains.
 LEAST_RETRY_AFTER_S = 0.25
+#: Longest, also where no end can be foreseen.
+MOST_RETRY_AFTER_S = 30.0
 #: Retry-After is stretched by up to this part, so that those who were
 #: refused together don't come back together.
 RETRY_JITTER = 0.5
@@ -97,7 +99,7 @@
         self, *, now: float, view: CellView, booking: Booking
     ) -> Decision:
         for role in ROLES_BY_STAGE[booking.stage]:
-            if not view.candidates(role, booking.exclude):
+            if not candidates_for(view, role, booking):
                 return no_backend(role)
         is_pair = booking.stage is Stage.PAIR
         if not self._options.queue or not is_pair:
@@ -228,7 +230,7 @@
         self, now: float, view: CellView, role: Role, booking: Booking
     ) -> list[BackendState]:
         """Return those that may get work; all if every one is left out."""
-        candidates = view.candidates(role, booking.exclude)
+        candidates = candidates_for(view, role, booking)
         if not self._options.health:
             return candidates
         if all(state.health.is_ejected(now) for state in candidates):
@@ -326,6 +328,20 @@
         return round(moves_at, LINK_DIGITS), -free
 
 
+def candidates_for(
+    view: CellView, role: Role, booking: Booking
+) -> list[BackendState]:
+    """Return the backend servers that this work may go to.
+
+    A whole new attempt may go where one failed, if there is nowhere else;
+    a KV cache that was refused everywhere may not, at once.
+    """
+    candidates = view.candidates(role, booking.exclude)
+    if not candidates and booking.stage is Stage.PAIR:
+        return view.candidates(role, ())
+    return candidates
+
+
 def rank_of(view: CellView, booking: Booking) -> int:
     """Return the rank of work; lower goes first."""
     return view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
@@ -439,4 +455,5 @@
     # draw; callers who were refused together have different ones.
     digest = xxhash.xxh32_intdigest(booking.request_id.encode())
     stretch = 1.0 + RETRY_JITTER * digest / 2**32
-    return max(late_s, LEAST_RETRY_AFTER_S) * stretch
+    wanted_s = max(late_s, LEAST_RETRY_AFTER_S) * stretch
+    return min(wanted_s, MOST_RETRY_AFTER_S)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -66,6 +66,13 @@
     return cell.handle(parts.Ticked(now=now, entropy=0))
 
 
+def without_listing(effects: list) -> list:
+    """Leave out the regular listing of streams."""
+    return [
+        each for each in effects if not isinstance(each, cells.ListStreams)
+    ]
+
+
 class BookingTest(unittest.TestCase):
     def test_a_pair_is_booked_under_the_owners_epoch(self):
         (effect,) = send(make_pair_cell(), make_book())
@@ -137,7 +144,7 @@
         first = tick(cell, cells.BOOKING_LEASE_S)
         self.assertEqual({'p1', 'd1'}, {each.backend_id for each in first})
         again = tick(cell, cells.BOOKING_LEASE_S + cells.CANCEL_AGAIN_S)
-        self.assertEqual(first, again)
+        self.assertEqual(first, without_listing(again))
         for each in first:
             cell.handle(
                 cells.StreamCancelled(
@@ -147,8 +154,7 @@
                     attempt_id=each.attempt_id,
                 )
             )
-        later = tick(cell, 60.0)
-        self.assertEqual({cells.ListStreams}, {type(each) for each in later})
+        self.assertEqual([], without_listing(tick(cell, 60.0)))
 
     def test_progress_renews_the_lease(self):
         cell = make_pair_cell()
@@ -162,9 +168,40 @@
         cell = make_pair_cell()
         holding = cells.Holding(request_id='r9', attempt_id='a1')
         progress = cells.Progress(cell=cell.cell_id, bookings=(holding,))
-        (effect,) = send(cell, progress)
+        (effect,) = send(cell, progress, now=cells.BOOKING_LEASE_S)
         self.assertIsInstance(effect.message, cells.Cancelled)
 
+    def test_a_new_owner_asks_before_it_gives_a_booking_up(self):
+        """Symptom: a wave of new attempts at each change of owner.
+
+        Entries renew at the new owner before they have told it what they
+        hold; it takes their running streams for lost ones.
+        """
+        cell = make_pair_cell()
+        held = tuple(
+            cells.Holding(request_id=request_id, attempt_id='a1')
+            for request_id in ('r8', 'r9')
+        )
+        progress = cells.Progress(cell=cell.cell_id, bookings=held)
+        (effect,) = send(cell, progress, now=cells.BOOKING_LEASE_S - 0.1)
+        self.assertIsInstance(effect.message, cells.ReclaimWanted)
+
+    def test_a_leaving_backend_gets_no_work_and_its_cancels(self):
+        cell = make_pair_cell()
+        send(cell, make_book('r1'))
+        prefill = make_backend('p1', 'prefill')
+        cell.handle(cells.BackendsChanged(now=1.0, backends=(prefill,)))
+        (declined,) = send(cell, make_book('r2'), now=1.0)
+        self.assertIs(RefusalReason.NO_BACKEND, declined.message.reason)
+        release = cells.Release(
+            cell=cell.cell_id,
+            request_id='r1',
+            attempt_id='a1',
+            outcome=cells.Outcome.CANCELLED,
+        )
+        cancels = send(cell, release, now=1.1)
+        self.assertEqual({'p1', 'd1'}, {each.backend_id for each in cancels})
+
 
 class LostTogetherTest(unittest.TestCase):
     """Symptom: an engine's slots are in use and no booking tells of them.
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -104,7 +104,9 @@
         progress = cells.Progress(cell=self.cell.cell_id, bookings=holding)
         for now in (3.0, 5.9):
             self.assertEqual([], test_cells.send(self.cell, progress, now))
-        (effect,) = test_cells.tick(self.cell, 6.01)
+        (effect,) = test_cells.without_listing(
+            test_cells.tick(self.cell, 6.01)
+        )
         self.assertIsInstance(effect.message, cells.Declined)
 
     def test_a_caller_who_left_the_queue_gets_no_slot(self):
@@ -189,3 +191,55 @@
         book = test_cells.make_book('lookup', stage=policy.Stage.PLAIN)
         (effect,) = test_cells.send(cell, book)
         self.assertEqual('s1', effect.message.plain_id)
+
+
+class NewOwnerTest(unittest.TestCase):
+    """Symptom: imports are refused after each change of owner.
+
+    The new owner counts no bookings before entries reclaim them, and takes
+    the slots of a full engine for free ones.
+    """
+
+    def test_slots_that_only_a_report_tells_of_are_not_given_away(self):
+        cell = make_cell(
+            test_cells.make_backend('p1', 'prefill', slots=1),
+            test_cells.make_backend('d1', 'decode', slots=2),
+            test_cells.make_backend('d2', 'decode', slots=1),
+        )
+        report = cells.LoadReported(
+            now=0.1,
+            backend_id='d1',
+            running=2,
+            waiting=0,
+            queued_tokens=0,
+            slots_used=2,
+            kv_bytes=0,
+        )
+        cell.handle(report)
+        (effect,) = test_cells.send(cell, test_cells.make_book(), now=0.2)
+        self.assertEqual('d2', effect.message.decode_id)
+
+    def test_an_old_report_of_its_own_streams_takes_no_slot(self):
+        cell = make_cell(
+            test_cells.make_backend('p1', 'prefill', slots=1),
+            test_cells.make_backend('d1', 'decode', slots=1),
+        )
+        test_cells.send(cell, test_cells.make_book('r1'))
+        release = cells.Release(
+            cell=cell.cell_id,
+            request_id='r1',
+            attempt_id='a1',
+            outcome=cells.Outcome.DONE,
+        )
+        test_cells.send(cell, release, now=0.3)
+        report = cells.LoadReported(
+            now=0.4,
+            backend_id='d1',
+            running=1,
+            waiting=0,
+            queued_tokens=0,
+            slots_used=1,
+            kv_bytes=0,
+        )
+        cell.handle(report)
+        self.assertEqual(0, cell.view.backends_by_id['d1'].slots_used)
--- a/tools/load.py
+++ b/tools/load.py
@@ -41,6 +41,8 @@
 MAX_COMEBACKS = 3
 #: A refusal that took longer than this was held back.
 HELD_BACK_S = 0.05
+#: Until entries have learned of a new owner and told it what they hold.
+RECLAIM_AFTER_S = 0.5
 CELL_ID = 'service/region/0'
 
 
@@ -123,6 +125,8 @@
     last_token_at: float | None = None
     made: int = 0
     streaming: bool = False
+    #: Between a failed attempt and the next.
+    pausing: bool = False
     over: bool = False
 
     @property
@@ -361,6 +365,8 @@
     def _progress_all(self) -> None:
         holdings_by_entry: dict[str, list[cells.Holding]] = {}
         for job in self.jobs_by_name.values():
+            if job.pausing:
+                continue
             holding = cells.Holding(
                 request_id=job.name, attempt_id=job.attempt_id
             )
@@ -402,6 +408,8 @@
     def _hear(self, message: typing.Any) -> None:
         job = self.jobs_by_name.get(getattr(message, 'request_id', ''))
         if job is None or message.attempt_id != job.attempt_id:
+            return
+        if job.pausing:
             # The caller left while the owner answered.
             return
         match message:
@@ -472,7 +480,7 @@
                 later = self.clock.now + HOP_S
                 self.clock.at(later, self._prefilled, happened)
             case engine_model.Stepped():
-                self._count_tokens(happened)
+                self._count_tokens(engine, happened)
 
     def _prefilled(self, done: engine_model.Prefilled) -> None:
         job = self.jobs_by_name.get(done.stream_id)
@@ -576,19 +584,32 @@
         )
         engine.wake()
 
-    def _count_tokens(self, step: engine_model.Stepped) -> None:
+    def _reading(self, engine: SimulatedEngine, name: str) -> Job | None:
+        """Return the call that reads this stream from this engine.
+
+        An earlier attempt may still run on another one.
+        """
+        job = self.jobs_by_name.get(name)
+        if job is None or not job.streaming:
+            return None
+        here = job.booked.decode_id == engine.backend.backend_id
+        return job if here else None
+
+    def _count_tokens(
+        self, engine: SimulatedEngine, step: engine_model.Stepped
+    ) -> None:
         seen_at = step.at + HOP_S
         for stream_id in step.stream_ids:
-            job = self.jobs_by_name.get(stream_id)
-            if job is None or not job.streaming:
+            job = self._reading(engine, stream_id)
+            if job is None:
                 continue
             job.made += 1
             job.last_token_at = seen_at
             if job.first_token_at is None:
                 job.first_token_at = seen_at
         for stream_id in step.finished:
-            job = self.jobs_by_name.get(stream_id)
-            if job is not None and job.streaming:
+            job = self._reading(engine, stream_id)
+            if job is not None:
                 self._finish(job)
 
     def _finish(self, job: Job) -> None:
@@ -641,10 +662,12 @@
             self._fail(job, RefusalReason.RETRIES_SPENT)
             return
         pause_s = retries.pause_s(job.attempt + 1, self._draw.getrandbits(64))
+        job.pausing = True
         self.clock.at(self.clock.now + pause_s, self._try_again, job)
 
     def _try_again(self, job: Job) -> None:
         if not job.over:
+            job.pausing = False
             self._book(job, policy.Stage.PAIR)
 
     def _fail(self, job: Job, reason: RefusalReason) -> None:
@@ -697,8 +720,13 @@
         self._epoch += 1
         self.cell = self._make_cell()
         self._tell_backends()
+        self.clock.at(self.clock.now + RECLAIM_AFTER_S, self._reclaim_all)
+
+    def _reclaim_all(self) -> None:
         bookings_by_entry: dict[str, list[cells.ReclaimedBooking]] = {}
         for job in list(self.jobs_by_name.values()):
+            if job.pausing:
+                continue
             if job.booked is None:
                 self._book_again(job)
                 continue
