--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -37,6 +37,8 @@
 MOST_PASSING = 0.9
 #: Shortest Retry-After; a resend sooner than this costs more than it gains.
 LEAST_RETRY_AFTER_S = 0.25
+#: Longest, also where no end can be foreseen.
+MOST_RETRY_AFTER_S = 30.0
 #: Retry-After is stretched by up to this part, so that those who were
 #: refused together don't come back together.
 RETRY_JITTER = 0.5
@@ -62,6 +64,7 @@
     :param foresee: count on the work that will pass while one waits.
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
+    :param cap: hold the token gap by using fewer slots.
     :param fair: hold accounts to their share when the cell is full.
     :param spare: part of the longest wait that predictions must leave over.
     :param health: leave out what keeps failing; let new ones in slowly.
@@ -75,6 +78,7 @@
     health: bool = True
     fair: bool = True
     spare: float = 0.1
+    cap: bool = True
 
 
 class Scheduler:
@@ -95,7 +99,7 @@
         self, *, now: float, view: CellView, booking: Booking
     ) -> Decision:
         for role in ROLES_BY_STAGE[booking.stage]:
-            if not view.candidates(role, booking.exclude):
+            if not candidates_for(view, role, booking):
                 return no_backend(role)
         is_pair = booking.stage is Stage.PAIR
         if not self._options.queue or not is_pair:
@@ -226,7 +230,7 @@
         self, now: float, view: CellView, role: Role, booking: Booking
     ) -> list[BackendState]:
         """Return those that may get work; all if every one is left out."""
-        candidates = view.candidates(role, booking.exclude)
+        candidates = candidates_for(view, role, booking)
         if not self._options.health:
             return candidates
         if all(state.health.is_ejected(now) for state in candidates):
@@ -237,6 +241,8 @@
 
     def _free_slots(self, now: float, state: BackendState) -> int:
         slots = state.backend.slots
+        if self._options.cap:
+            slots = state.slots_open
         if self._options.health:
             part = state.health.open_part(now)
             slots = max(1, math.floor(slots * part))
@@ -322,6 +328,20 @@
         return round(moves_at, LINK_DIGITS), -free
 
 
+def candidates_for(
+    view: CellView, role: Role, booking: Booking
+) -> list[BackendState]:
+    """Return the backend servers that this work may go to.
+
+    A whole new attempt may go where one failed, if there is nowhere else;
+    a KV cache that was refused everywhere may not, at once.
+    """
+    candidates = view.candidates(role, booking.exclude)
+    if not candidates and booking.stage is Stage.PAIR:
+        return view.candidates(role, ())
+    return candidates
+
+
 def rank_of(view: CellView, booking: Booking) -> int:
     """Return the rank of work; lower goes first."""
     return view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
@@ -392,12 +412,14 @@
     for state in view.candidates(Role.DECODE, ()):
         if state.health.is_ejected(now):
             continue
-        free = state.backend.slots - state.slots_used
+        free = state.slots_open - state.slots_used
         times.extend([now] * max(0, free))
-        times.extend(
+        ends = sorted(
             max(now, booking.decode_ends_at)
             for booking in state.bookings_by_key.values()
         )
+        # Above the cap the first to end give no slot back.
+        times.extend(ends[max(0, -free) :])
     return times
 
 
@@ -433,4 +455,5 @@
     # draw; callers who were refused together have different ones.
     digest = xxhash.xxh32_intdigest(booking.request_id.encode())
     stretch = 1.0 + RETRY_JITTER * digest / 2**32
-    return max(late_s, LEAST_RETRY_AFTER_S) * stretch
+    wanted_s = max(late_s, LEAST_RETRY_AFTER_S) * stretch
+    return min(wanted_s, MOST_RETRY_AFTER_S)
--- a/tools/load.py
+++ b/tools/load.py
@@ -5,6 +5,7 @@
 :data:`HOP_S`. This measures the policy's decisions, not the processes.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import heapq
@@ -15,6 +16,7 @@
 from dandeliongw import cells
 from dandeliongw.coordination import parts
 from dandeliongw import policy
+from dandeliongw import retries
 from dandeliongw.verdict import RefusalReason
 from dandeliongw.verdict import RetryReason
 from tools import engine_model
@@ -39,6 +41,8 @@
 MAX_COMEBACKS = 3
 #: A refusal that took longer than this was held back.
 HELD_BACK_S = 0.05
+#: Until entries have learned of a new owner and told it what they hold.
+RECLAIM_AFTER_S = 0.5
 CELL_ID = 'service/region/0'
 
 
@@ -121,12 +125,20 @@
     last_token_at: float | None = None
     made: int = 0
     streaming: bool = False
+    #: Between a failed attempt and the next.
+    pausing: bool = False
     over: bool = False
 
     @property
     def attempt_id(self) -> str:
         return f'a{self.attempt}'
 
+    @property
+    def token_gap_s(self) -> float:
+        """Mean gap between the tokens of a whole answer."""
+        gaps = max(1, self.made - 1)
+        return (self.last_token_at - self.first_token_at) / gaps
+
 
 class Run:
     """One run of one policy on one stream of requests."""
@@ -148,6 +160,7 @@
         self._policy_factory = policy_factory
         self._epoch = 1
         self._lost_entries: set[str] = set()
+        self._budgets_by_entry = collections.defaultdict(retries.RetryBudget)
         self._add_engines()
         self.cell = self._make_cell()
         self._tell_backends()
@@ -198,8 +211,7 @@
         for engine in self.engines_by_id.values():
             self.tally.count_engine(engine.model)
             if engine.alive:
-                held = engine.model.load().slots_used
-                self.tally.counts['slots_held'] += held
+                self.tally.counts['streams_held'] += len(engine.model.held())
         self.tally.counts['lost'] = len(self.jobs_by_name)
         self.tally.counts['bookings_held'] = len(self.cell.bookings_by_key)
         return self.tally
@@ -219,6 +231,8 @@
             later = self.clock.now + HOP_S
             if isinstance(effect, parts.Send):
                 self.clock.at(later, self._hear, effect.message)
+            elif isinstance(effect, cells.ListStreams):
+                self.clock.at(later, self._list_streams, effect)
             else:
                 self.clock.at(later, self._cancel_stream, effect)
 
@@ -280,6 +294,22 @@
             )
             self.clock.at(confirmed.now, self._own, confirmed)
 
+    def _list_streams(self, effect: cells.ListStreams) -> None:
+        engine = self.engines_by_id[effect.backend_id]
+        if not engine.alive:
+            return
+        engine.wake()
+        listed = cells.StreamsListed(
+            now=self.clock.now + HOP_S,
+            backend_id=effect.backend_id,
+            asked_at=self.clock.now - HOP_S,
+            streams=tuple(
+                cells.HeldStream(stream_id=stream_id, attempt_id=attempt_id)
+                for stream_id, attempt_id in engine.model.held()
+            ),
+        )
+        self.clock.at(listed.now, self._own, listed)
+
     # The callers.
 
     def _arrive(
@@ -293,6 +323,7 @@
             comebacks=comebacks,
         )
         self.jobs_by_name[name] = job
+        self._budgets_by_entry[job.entry].earn()
         self.tally.arrived(job)
         if request.leaves_after_s is not None:
             leaves_at = self.clock.now + request.leaves_after_s
@@ -334,6 +365,8 @@
     def _progress_all(self) -> None:
         holdings_by_entry: dict[str, list[cells.Holding]] = {}
         for job in self.jobs_by_name.values():
+            if job.pausing:
+                continue
             holding = cells.Holding(
                 request_id=job.name, attempt_id=job.attempt_id
             )
@@ -375,6 +408,8 @@
     def _hear(self, message: typing.Any) -> None:
         job = self.jobs_by_name.get(getattr(message, 'request_id', ''))
         if job is None or message.attempt_id != job.attempt_id:
+            return
+        if job.pausing:
             # The caller left while the owner answered.
             return
         match message:
@@ -445,7 +480,7 @@
                 later = self.clock.now + HOP_S
                 self.clock.at(later, self._prefilled, happened)
             case engine_model.Stepped():
-                self._count_tokens(happened)
+                self._count_tokens(engine, happened)
 
     def _prefilled(self, done: engine_model.Prefilled) -> None:
         job = self.jobs_by_name.get(done.stream_id)
@@ -549,25 +584,38 @@
         )
         engine.wake()
 
-    def _count_tokens(self, step: engine_model.Stepped) -> None:
+    def _reading(self, engine: SimulatedEngine, name: str) -> Job | None:
+        """Return the call that reads this stream from this engine.
+
+        An earlier attempt may still run on another one.
+        """
+        job = self.jobs_by_name.get(name)
+        if job is None or not job.streaming:
+            return None
+        here = job.booked.decode_id == engine.backend.backend_id
+        return job if here else None
+
+    def _count_tokens(
+        self, engine: SimulatedEngine, step: engine_model.Stepped
+    ) -> None:
         seen_at = step.at + HOP_S
         for stream_id in step.stream_ids:
-            job = self.jobs_by_name.get(stream_id)
-            if job is None or not job.streaming:
+            job = self._reading(engine, stream_id)
+            if job is None:
                 continue
             job.made += 1
             job.last_token_at = seen_at
             if job.first_token_at is None:
                 job.first_token_at = seen_at
         for stream_id in step.finished:
-            job = self.jobs_by_name.get(stream_id)
-            if job is not None and job.streaming:
+            job = self._reading(engine, stream_id)
+            if job is not None:
                 self._finish(job)
 
     def _finish(self, job: Job) -> None:
         engine = self.engines_by_id[job.booked.decode_id]
         engine.model.forget_stream(job.name)
-        self._release(job, cells.Outcome.DONE)
+        self._release(job, cells.Outcome.DONE, token_gap_s=job.token_gap_s)
         self._end(job)
         self.tally.finished(job)
 
@@ -577,6 +625,7 @@
         outcome: cells.Outcome,
         fault: str = '',
         wasted_tokens: int = 0,
+        token_gap_s: float = 0.0,
     ) -> None:
         message = cells.Release(
             cell=CELL_ID,
@@ -585,6 +634,7 @@
             outcome=outcome,
             wasted_tokens=wasted_tokens,
             backend_fault=fault,
+            token_gap_s=token_gap_s,
         )
         self._send(job, message)
 
@@ -607,10 +657,18 @@
         self._release(job, cells.Outcome.FAILED, fault, wasted_tokens)
         if fault:
             job.exclude = (*job.exclude, fault)
-        if job.attempt >= MAX_ATTEMPTS:
+        budget = self._budgets_by_entry[job.entry]
+        if job.attempt >= MAX_ATTEMPTS or not budget.spend():
             self._fail(job, RefusalReason.RETRIES_SPENT)
             return
-        self._book(job, policy.Stage.PAIR)
+        pause_s = retries.pause_s(job.attempt + 1, self._draw.getrandbits(64))
+        job.pausing = True
+        self.clock.at(self.clock.now + pause_s, self._try_again, job)
+
+    def _try_again(self, job: Job) -> None:
+        if not job.over:
+            job.pausing = False
+            self._book(job, policy.Stage.PAIR)
 
     def _fail(self, job: Job, reason: RefusalReason) -> None:
         if job.booked is not None or job.prefilled is not None:
@@ -662,8 +720,13 @@
         self._epoch += 1
         self.cell = self._make_cell()
         self._tell_backends()
+        self.clock.at(self.clock.now + RECLAIM_AFTER_S, self._reclaim_all)
+
+    def _reclaim_all(self) -> None:
         bookings_by_entry: dict[str, list[cells.ReclaimedBooking]] = {}
         for job in list(self.jobs_by_name.values()):
+            if job.pausing:
+                continue
             if job.booked is None:
                 self._book_again(job)
                 continue
