--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -289,7 +289,8 @@
             return self._search(event.now, request)
         if not request.is_placed:
             return []
-        if event.message.epoch < request.booked.epoch:
+        is_owner = event.sender == request.owner
+        if not is_owner and event.message.epoch <= request.booked.epoch:
             # From before the present owner's time.
             return []
         if self._reservations.is_lost(request, event):
@@ -452,7 +453,14 @@
         out: Effects = [
             effects.CountLate(what=effects.Late.PIECE)
         ] * event.late_pieces
-        if request.is_ended or event.attempt_id != request.attempt_id:
+        is_current = (
+            not request.is_ended
+            and event.attempt_id == request.attempt_id
+            # An attempt that was broken off keeps its id while the next one
+            # waits its turn.
+            and request.phase in WORKING
+        )
+        if not is_current:
             return [*out, *self._let_go(event, request)]
         if event.known is not _NOT_RUN:
             # Part of it ran; only a whole answer is told as having run.
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -655,6 +655,37 @@
         self.assertEqual(entry.retries, [RETRY.OWNER_CHANGED])
         self.assertEqual(len(entry.sent(cells.Book)), 1)
 
+    def test_the_end_of_what_was_broken_off_comes_while_it_waits(self):
+        """Symptom: the request is never answered; the reducer has failed.
+
+        Sequence: a second attempt loses its slot and waits for a third; its
+        thread tells how it ended.
+        Cause: the third attempt has no id of its own before it begins.
+        """
+        entry = Entry()
+        request_id = entry.prefilling()
+        entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
+        entry.book(request_id)
+        entry.cancelled(request_id)
+        entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
+        self.assertEqual(len(entry.found(cells.CancelStream)), 2)
+        entry.tick(1.0)
+        self.assertEqual(len(entry.sent(cells.Book)), 1)
+
+    def test_an_owner_of_before_is_not_believed(self):
+        """Symptom: a slot stays booked at the new owner, used by nobody.
+
+        Sequence: the booking has moved to a new owner; the old one, which
+        made it, says that it is gone.
+        Cause: only the epochs would be compared.
+        """
+        entry = Entry()
+        request_id = entry.decoding()
+        entry.directory.owners = (NEXT_OWNER,)
+        entry.tick(cells.PROGRESS_EVERY_S)
+        entry.cancelled(request_id, epoch=1, sender=OWNER)
+        self.assertEqual(entry.out, [])
+
     def test_a_call_without_a_slot_still_ends(self):
         entry = Entry()
         request_id = entry.calling(key=None)
