--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -1,7 +1,9 @@
 """The policy in force: exact slots, booked before a prefill starts."""
 
 import dataclasses
+import enum
 import heapq
+import math
 
 import xxhash
 
@@ -17,11 +19,22 @@
 from .policy import ROLES_BY_STAGE
 from .policy import Stage
 from .policy import Wait
+from .shares import FairShares
+from .shares import Flow
 from .verdict import RefusalReason
 
 #: A prompt goes to its engine so long before the one ahead of it is done,
 #: to cover the hops between; more would let engines reorder what is sent.
 SEND_AHEAD_S = 0.02
+#: Times that differ by less than 10 ms count as equal.
+LINK_DIGITS = 2
+#: Longest planned wait of a KV cache for a link; engines keep it for
+#: somewhat under a second and predictions err by some tenths.
+MOST_LINK_WAIT_S = 0.25
+#: Of a priority that the document doesn't know.
+LAST_RANK = 1_000
+#: Patient work keeps at least a tenth in every prediction.
+MOST_PASSING = 0.9
 #: Shortest Retry-After; a resend sooner than this costs more than it gains.
 LEAST_RETRY_AFTER_S = 0.25
 #: Retry-After is stretched by up to this part, so that those who were
@@ -29,15 +42,39 @@
 RETRY_JITTER = 0.5
 
 
+class Order(enum.Enum):
+    """Who goes first among those who wait."""
+
+    ARRIVAL = 'arrival'
+    #: By the latest start that still meets the target: urgent work passes
+    #: patient work until that has waited as long as it may.
+    DEADLINE = 'deadline'
+    RANK = 'rank'
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Options:
     """Which decisions are made; earlier versions lack the later ones.
 
     :param queue: let admitted work wait at the owner for a slot; refuse
         what can't meet its first-token target.
+    :param order: of those who wait.
+    :param foresee: count on the work that will pass while one waits.
+    :param affinity: prefer a prefill engine that has cached the prefix.
+    :param links: book the links with the pair.
+    :param fair: hold accounts to their share when the cell is full.
+    :param spare: part of the longest wait that predictions must leave over.
+    :param health: leave out what keeps failing; let new ones in slowly.
     """
 
     queue: bool = True
+    order: Order = Order.RANK
+    foresee: bool = True
+    affinity: bool = True
+    links: bool = True
+    health: bool = True
+    fair: bool = True
+    spare: float = 0.1
 
 
 class Scheduler:
@@ -49,6 +86,10 @@
 
     def __init__(self, *, options: Options = Options()) -> None:
         self._options = options
+        #: Slot seconds and prefill seconds that were let in, by rank.
+        self._slot_flow_by_rank: dict[int, Flow] = {}
+        self._prefill_flow_by_rank: dict[int, Flow] = {}
+        self._shares_by_rank: dict[int, FairShares] = {}
 
     def decide(
         self, *, now: float, view: CellView, booking: Booking
@@ -59,15 +100,80 @@
         is_pair = booking.stage is Stage.PAIR
         if not self._options.queue or not is_pair:
             return self._place(now, view, booking) or _refuse_full(booking)
+        slot_s = view.transfer_s(booking) + view.decode_s(booking)
+        self._shares(view, booking).want(now, booking.account, slot_s)
         ahead = self._ahead_of(view, booking)
         placed = None if ahead else self._place(now, view, booking)
-        return placed or self._admit(now, view, booking, ahead)
+        decision = placed or self._admit(now, view, booking, ahead)
+        if not isinstance(decision, Decline):
+            self._count(now, view, booking)
+        return decision
+
+    def _count(self, now: float, view: CellView, booking: Booking) -> None:
+        rank = rank_of(view, booking)
+        slot_s = view.transfer_s(booking) + view.decode_s(booking)
+        self._shares(view, booking).give(now, booking.account, slot_s)
+        slots = self._slot_flow_by_rank.setdefault(rank, Flow())
+        slots.add(now, slot_s)
+        prefills = self._prefill_flow_by_rank.setdefault(rank, Flow())
+        prefills.add(now, prefill_s(view, booking))
+
+    def _shares(self, view: CellView, booking: Booking) -> FairShares:
+        rank = rank_of(view, booking)
+        return self._shares_by_rank.setdefault(rank, FairShares())
+
+    def _is_over_share(
+        self, now: float, view: CellView, booking: Booking
+    ) -> bool:
+        """Return whether the account has its share of what its rank gets.
+
+        Ranks are held apart: an account's many patient calls say nothing
+        against its urgent ones.
+        """
+        rank = rank_of(view, booking)
+        slots = sum(
+            state.backend.slots for state in view.candidates(Role.DECODE, ())
+        )
+        passing = sum(
+            flow.rate(now)
+            for each, flow in self._slot_flow_by_rank.items()
+            if each < rank
+        )
+        return self._shares(view, booking).is_over(
+            now,
+            booking.account,
+            view.terms.share_by_account,
+            max(0.0, slots - passing),
+        )
+
+    def _passing_part(
+        self, now: float, view: CellView, booking: Booking
+    ) -> float:
+        """Return the part of the cell that goes to work of better rank.
+
+        Such work keeps coming while this waits, and passes it. One would
+        notice work that was admitted, waited to its bound and was refused.
+        """
+        rank = rank_of(view, booking)
+        parts = []
+        for role, flows in (
+            (Role.DECODE, self._slot_flow_by_rank),
+            (Role.PREFILL, self._prefill_flow_by_rank),
+        ):
+            total = sum(
+                state.backend.slots for state in view.candidates(role, ())
+            )
+            passing = sum(
+                flow.rate(now) for each, flow in flows.items() if each < rank
+            )
+            parts.append(passing / max(1, total))
+        return min(max(parts), MOST_PASSING)
 
     def dispatch(
         self, *, now: float, view: CellView
     ) -> list[tuple[Booking, Decision]]:
         """Place the first in the queue, or refuse one that is too late."""
-        ordered = sorted(view.queue, key=self._order)
+        ordered = self._sorted(view, view.queue)
         for booking in ordered:
             if now > latest_start(view, booking):
                 return [(booking, _refuse_late(booking, 0.0))]
@@ -77,12 +183,24 @@
                 return [(booking, placed)]
         return []
 
-    def _order(self, booking: Booking) -> tuple[float, ...]:
-        return (booking.arrived_at,)
+    def _order(self, view: CellView, booking: Booking) -> tuple[float, ...]:
+        if self._options.order is Order.ARRIVAL:
+            return (booking.arrived_at,)
+        if self._options.order is Order.DEADLINE:
+            return latest_start(view, booking), booking.arrived_at
+        return rank_of(view, booking), booking.arrived_at
 
     def _ahead_of(self, view: CellView, booking: Booking) -> list[Booking]:
-        mine = self._order(booking)
-        return [each for each in view.queue if self._order(each) <= mine]
+        mine = self._order(view, booking)
+        ahead = [
+            each for each in view.queue if self._order(view, each) <= mine
+        ]
+        return self._sorted(view, ahead)
+
+    def _sorted(
+        self, view: CellView, bookings: list[Booking]
+    ) -> list[Booking]:
+        return sorted(bookings, key=lambda each: self._order(view, each))
 
     def _admit(
         self,
@@ -91,40 +209,127 @@
         booking: Booking,
         ahead: list[Booking],
     ) -> Decision:
-        ahead.sort(key=self._order)
+        if self._options.fair and self._is_over_share(now, view, booking):
+            return _refuse_share(booking)
         starts_at = expected_start(now, view, [*ahead, booking])
-        late_s = starts_at - latest_start(view, booking)
+        if self._options.foresee:
+            left = 1.0 - self._passing_part(now, view, booking)
+            starts_at = now + (starts_at - now) / left
+        latest = latest_start(view, booking)
+        spare_s = self._options.spare * (latest - booking.arrived_at)
+        late_s = starts_at - (latest - spare_s)
         if late_s > 0.0:
             return _refuse_late(booking, late_s)
         return Wait(expected_s=starts_at - now)
 
+    def _usable(
+        self, now: float, view: CellView, role: Role, booking: Booking
+    ) -> list[BackendState]:
+        """Return those that may get work; all if every one is left out."""
+        candidates = view.candidates(role, booking.exclude)
+        if not self._options.health:
+            return candidates
+        if all(state.health.is_ejected(now) for state in candidates):
+            return candidates
+        return [
+            state for state in candidates if state.health.may_get_work(now)
+        ]
+
+    def _free_slots(self, now: float, state: BackendState) -> int:
+        slots = state.backend.slots
+        if self._options.health:
+            part = state.health.open_part(now)
+            slots = max(1, math.floor(slots * part))
+        return slots - state.slots_used
+
+    def _most_free(
+        self, now: float, candidates: list[BackendState]
+    ) -> BackendState | None:
+        chosen = max(
+            candidates,
+            key=lambda each: self._free_slots(now, each),
+            default=None,
+        )
+        if chosen is None or self._free_slots(now, chosen) <= 0:
+            return None
+        return chosen
+
     def _place(
         self, now: float, view: CellView, booking: Booking
     ) -> Place | None:
-        ids_by_role = {}
-        for role in ROLES_BY_STAGE[booking.stage]:
-            candidates = view.candidates(role, booking.exclude)
-            if role is Role.PREFILL:
-                chosen = self._choose_prefill(now, candidates)
-            else:
-                chosen = _most_free_slots(candidates)
-            if chosen is None:
-                return None
-            ids_by_role[role] = chosen.backend.backend_id
-        return Place(
-            prefill_id=ids_by_role.get(Role.PREFILL, ''),
-            decode_id=ids_by_role.get(Role.DECODE, ''),
-            plain_id=ids_by_role.get(Role.PLAIN, ''),
-        )
+        if booking.stage is Stage.PAIR:
+            return self._place_pair(now, view, booking)
+        role = ROLES_BY_STAGE[booking.stage][0]
+        usable = self._usable(now, view, role, booking)
+        chosen = self._most_free(now, usable)
+        if chosen is None:
+            return None
+        backend_id = chosen.backend.backend_id
+        if role is Role.PLAIN:
+            return Place(plain_id=backend_id)
+        return Place(decode_id=backend_id)
 
-    def _choose_prefill(
-        self, now: float, candidates: list[BackendState]
-    ) -> BackendState | None:
-        chosen = min(candidates, key=lambda each: each.prefill_free_at(now))
-        wait_s = chosen.prefill_free_at(now) - now
-        if self._options.queue and wait_s > SEND_AHEAD_S:
+    def _place_pair(
+        self, now: float, view: CellView, booking: Booking
+    ) -> Place | None:
+        """Choose the pair over which the KV cache would be moved first.
+
+        What an engine has cached shortens its work, so prompts go back to
+        the cache they know unless it is busier by more than it saves.
+        """
+        best: tuple[tuple[float, ...], Place] | None = None
+        decodes = [
+            state
+            for state in self._usable(now, view, Role.DECODE, booking)
+            if self._free_slots(now, state) > 0
+        ]
+        for prefill in self._usable(now, view, Role.PREFILL, booking):
+            free_at = prefill.prefill_free_at(now)
+            if self._options.queue and free_at - now > SEND_AHEAD_S:
+                continue
+            done_at = free_at
+            if self._options.affinity:
+                done_at += view.prefill_work_s(prefill, booking)
+            for decode in decodes:
+                cost = self._cost(now, done_at, prefill, decode)
+                if cost is not None and (best is None or cost < best[0]):
+                    chosen = Place(
+                        prefill_id=prefill.backend.backend_id,
+                        decode_id=decode.backend.backend_id,
+                    )
+                    best = cost, chosen
+        return best[1] if best else None
+
+    def _cost(
+        self,
+        now: float,
+        done_at: float,
+        prefill: BackendState,
+        decode: BackendState,
+    ) -> tuple[float, ...] | None:
+        """Return what to make least, or ``None`` if the links are full.
+
+        A KV cache that waits for a link is evicted in under a second. One
+        would notice imports answered with "evicted" and prompts computed
+        twice; a prefill that would wait long is not started yet.
+        """
+        free = self._free_slots(now, decode)
+        if not self._options.links:
+            return done_at, -free
+        moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
+        if moves_at - done_at > MOST_LINK_WAIT_S:
             return None
-        return chosen
+        return round(moves_at, LINK_DIGITS), -free
+
+
+def rank_of(view: CellView, booking: Booking) -> int:
+    """Return the rank of work; lower goes first."""
+    return view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
+
+
+def prefill_s(view: CellView, booking: Booking) -> float:
+    """Return how long a prompt takes on an engine of usual speed."""
+    return booking.prompt_tokens / view.terms.prefill_tokens_per_s
 
 
 def latest_start(view: CellView, booking: Booking) -> float:
@@ -136,12 +341,15 @@
     patience_s = terms.max_wait_s_by_priority.get(booking.priority, 0.0)
     target_s = terms.first_token_s + patience_s
     target_at = min(booking.arrived_at + target_s, booking.deadline_at)
-    return max(booking.arrived_at, target_at - first_token_s(view, booking))
+    start_at = target_at - first_token_s(view, booking)
+    bound_s = patience_s or terms.first_token_s
+    start_at = min(start_at, booking.arrived_at + bound_s)
+    return max(booking.arrived_at, start_at)
 
 
 def first_token_s(view: CellView, booking: Booking) -> float:
     """Return how long from the start to the first token."""
-    work_s = booking.prompt_tokens / view.terms.prefill_tokens_per_s
+    work_s = prefill_s(view, booking)
     gap_s = 1.0 / view.terms.decode_tokens_per_s
     # The first step may have to wait for the end of the one that runs.
     return work_s + view.transfer_s(booking) + 2 * gap_s
@@ -159,18 +367,21 @@
     engines = [
         state.prefill_free_at(now)
         for state in view.candidates(Role.PREFILL, ())
+        if not state.health.is_ejected(now)
     ]
+    if not slots or not engines:
+        return math.inf
     heapq.heapify(slots)
     heapq.heapify(engines)
     starts_at = now
     for booking in ordered:
-        if not slots:
-            return float('inf')
         starts_at = max(heapq.heappop(slots), engines[0])
-        work_s = booking.prompt_tokens / view.terms.prefill_tokens_per_s
-        done_at = starts_at + work_s
-        heapq.heapreplace(engines, done_at)
+        done_at = starts_at + prefill_s(view, booking)
         moved_at = done_at + view.transfer_s(booking)
+        # Prefill and link of an engine work at the same time, each on
+        # another prompt; the slower of the two sets the pace.
+        paced_at = max(done_at, starts_at + view.transfer_s(booking))
+        heapq.heapreplace(engines, paced_at)
         heapq.heappush(slots, moved_at + view.decode_s(booking))
     return starts_at
 
@@ -179,7 +390,10 @@
     """Return when each decode slot is free."""
     times = []
     for state in view.candidates(Role.DECODE, ()):
-        times.extend([now] * max(0, _free_slots(state)))
+        if state.health.is_ejected(now):
+            continue
+        free = state.backend.slots - state.slots_used
+        times.extend([now] * max(0, free))
         times.extend(
             max(now, booking.decode_ends_at)
             for booking in state.bookings_by_key.values()
@@ -187,15 +401,6 @@
     return times
 
 
-def _free_slots(state: BackendState) -> int:
-    return state.backend.slots - state.slots_used
-
-
-def _most_free_slots(candidates: list[BackendState]) -> BackendState | None:
-    free = [state for state in candidates if _free_slots(state) > 0]
-    return max(free, key=_free_slots, default=None)
-
-
 def _refuse_full(booking: Booking) -> Decline:
     role = 'plain' if booking.stage is Stage.PLAIN else 'decode'
     return Decline(
@@ -205,6 +410,16 @@
     )
 
 
+def _refuse_share(booking: Booking) -> Decline:
+    return Decline(
+        reason=RefusalReason.ACCOUNT_LIMIT,
+        message=(
+            f'account {booking.account!r} has its share of a full service'
+        ),
+        retry_after_s=_retry_after(booking, DEFAULT_RETRY_AFTER_S),
+    )
+
+
 def _refuse_late(booking: Booking, late_s: float) -> Decline:
     return Decline(
         reason=RefusalReason.TARGET_UNREACHABLE,
