--- a/dandeliongw/coordination/grantor.py
+++ b/dandeliongw/coordination/grantor.py
@@ -90,10 +90,18 @@
         return tuple(grant.record for grant in self._grants_by_name.values())
 
     def learn(self, record: messages.LeaseGranted) -> None:
-        """Remember an epoch, from the journal or from another grantor."""
+        """Remember an epoch, from the journal or from another grantor.
+
+        A grant of this grantor's own that still stands goes on standing.
+        """
         grant = self._grants_by_name.get(record.name)
-        if grant is None or grant.record.epoch < record.epoch:
+        if grant is None:
             self._grants_by_name[record.name] = _Grant(record=record)
+        elif grant.record.epoch < record.epoch:
+            grant.record = record
+            if grant.released:
+                grant.released = False
+                grant.expires_at = float('-inf')
 
     def start(self, now: float) -> None:
         """Begin the wait after a restart; does nothing the second time.
@@ -192,16 +200,19 @@
         """Let another grantor read the epochs, and fence older sets.
 
         A claim that counts on the replaced set must not get its majority
-        after this read, or the reader would miss its epoch.
+        after this read, or the reader would miss its epoch. The fence is
+        synced first, as a restart would else forget it.
         """
-        if self.ready:
-            self.version = max(self.version, wanted.version)
         epochs = messages.LeaseEpochs(
             reading=wanted.reading,
             ready=self.ready,
             records=self.records(),
         )
-        return [parts.Send(to=sender, message=epochs)]
+        if not self.ready or wanted.version <= self.version:
+            return self._reply(sender, epochs, {_VERSION}, {})
+        self.version = wanted.version
+        marker = messages.LeaseReady(version=self.version)
+        return self._reply(sender, epochs, {_VERSION}, {_VERSION: marker})
 
     def next_token(self) -> str:
         """Return a token for ``Persist`` that no other part uses."""
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -5,9 +5,11 @@
 why not. Times are monotonic seconds of the owner's instance.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import enum
+import math
 import typing
 
 import xxhash
@@ -18,6 +20,18 @@
 BLOCK_TOKENS = 64
 #: Weight of a new measurement in a moving average.
 SMOOTHING = 0.1
+#: Blocks remembered for each backend server, about 100 bytes each.
+MOST_BLOCKS = 4_096
+#: So many faults within the window leave a backend server out.
+FAULTS_TO_EJECT = 3
+FAULT_WINDOW_S = 5.0
+#: How long it is left out the first time, and at most.
+EJECTED_S = 2.0
+MOST_EJECTED_S = 60.0
+#: Pause between the first pieces of work after it came back.
+PACE_S = 1.0
+#: How long it takes from one slot to all of them.
+RAMP_S = 4.0
 #: A prefill that hung tells nothing about the next one beyond this.
 MOST_SLOWNESS = 10.0
 
@@ -151,6 +165,70 @@
         return self.request_id, self.attempt_id
 
 
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Health:
+    """Whether a backend server is trusted with new work.
+
+    One that keeps failing is left out for a while, longer each time, and
+    comes back slowly: without this each request would find out anew, and
+    one would notice a steady stream of retries against one backend server.
+    A new one comes in as slowly, as its caches are cold.
+    """
+
+    recent_faults: list[float] = dataclasses.field(default_factory=list)
+    ejected_until: float = 0.0
+    ejections: int = 0
+    #: When it came, or came back; ``None`` if it has always been there.
+    came_at: float | None = None
+    last_given_at: float = -math.inf
+
+    def is_ejected(self, now: float) -> bool:
+        return now < self.ejected_until
+
+    def is_new(self, now: float) -> bool:
+        """Return whether it came, or came back, a short while ago."""
+        return self.came_at is not None and now < self.came_at + RAMP_S
+
+    def open_part(self, now: float) -> float:
+        """Return which part of its slots may be used now."""
+        if not self.is_new(now):
+            return 1.0
+        return max(0.0, (now - self.came_at) / RAMP_S)
+
+    def may_get_work(self, now: float) -> bool:
+        """Return whether it may get new work now.
+
+        A fault may take seconds to show. Until the ramp is over the work
+        is spaced, so that little is lost if the fault is still there.
+        """
+        if self.is_ejected(now):
+            return False
+        pause_s = PACE_S * (1.0 - self.open_part(now))
+        return now >= self.last_given_at + pause_s
+
+    def add_fault(self, now: float) -> None:
+        """Count a fault; leave the backend server out if it is one of many.
+
+        The faults that come in while it is left out are of work from
+        before, and don't count again.
+        """
+        if self.is_ejected(now):
+            return
+        since = now - FAULT_WINDOW_S
+        self.recent_faults = [at for at in self.recent_faults if at > since]
+        self.recent_faults.append(now)
+        suspect = self.ejections > 0 and self.is_new(now)
+        if suspect or len(self.recent_faults) >= FAULTS_TO_EJECT:
+            self._eject(now)
+
+    def _eject(self, now: float) -> None:
+        ejected_s = min(EJECTED_S * 2**self.ejections, MOST_EJECTED_S)
+        self.ejected_until = now + ejected_s
+        self.came_at = self.ejected_until
+        self.ejections += 1
+        self.recent_faults.clear()
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BackendState:
     """What the owner knows of one backend server."""
@@ -169,13 +247,43 @@
     #: Measured prefill time over predicted; above one is slow.
     slowness: float = 1.0
     last_prefill_at: float = 0.0
+    #: When the transfers booked on this link will be over.
     link_free_at: float = 0.0
+    health: Health = dataclasses.field(default_factory=lambda: Health())
+    #: Blocks that its prefix cache may hold, the last used at the end. A
+    #: guess: cache events come late and with gaps, and blocks count from
+    #: the moment a prompt is sent, long before an event tells.
+    blocks: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
 
     @property
     def slots_used(self) -> int:
         """Slots that are booked, used or not yet given back."""
         return len(self.bookings_by_key) + self.cancelling
 
+    def cached_tokens(self, prefix: abc.Sequence[str]) -> int:
+        """Return how many leading tokens are probably cached here."""
+        count = 0
+        for block in prefix:
+            if block not in self.blocks:
+                break
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def add_blocks(self, prefix: abc.Iterable[str]) -> None:
+        """Take in that these blocks are, or soon will be, cached here."""
+        for block in prefix:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        while len(self.blocks) > MOST_BLOCKS:
+            self.blocks.popitem(last=False)
+
+    def drop_blocks(self, prefix: abc.Iterable[str]) -> None:
+        """Take in that these blocks are no longer cached here."""
+        for block in prefix:
+            self.blocks.pop(block, None)
+
     def prefill_free_at(self, now: float) -> float:
         """Return when the prompts that were sent here will be done."""
         ends = [
@@ -210,9 +318,11 @@
             if state.backend.role is role and backend_id not in exclude
         ]
 
-    def prefill_work_s(self, state: BackendState, tokens: int) -> float:
-        """Return how long an engine takes to compute some tokens."""
-        return tokens / self.terms.prefill_tokens_per_s * state.slowness
+    def prefill_work_s(self, state: BackendState, booking: Booking) -> float:
+        """Return how long an engine takes to compute a prompt."""
+        tokens = booking.prompt_tokens - state.cached_tokens(booking.prefix)
+        rate = self.terms.prefill_tokens_per_s
+        return max(0, tokens) / rate * state.slowness
 
     def transfer_s(self, booking: Booking) -> float:
         """Return how long the KV cache of a prompt takes to move."""
@@ -230,15 +340,25 @@
         ends_at = booking.start_at
         if state is not None and not booking.prefill_done:
             starts_at = max(ends_at, state.prefill_free_at(ends_at))
-            booking.prefill_work_s = self.prefill_work_s(
-                state, booking.prompt_tokens
-            )
+            booking.prefill_work_s = self.prefill_work_s(state, booking)
+            state.add_blocks(booking.prefix)
             ends_at = starts_at + booking.prefill_work_s
             booking.prefill_ends_at = ends_at
-        self._plan_decode(booking, ends_at)
+        if booking.stage is not Stage.PLAIN:
+            self._plan_decode(booking, ends_at)
 
     def _plan_decode(self, booking: Booking, ends_at: float) -> None:
-        booking.transfer_ends_at = ends_at + self.transfer_s(booking)
+        ends = [
+            self.backends_by_id[each]
+            for each in (booking.prefill_id, booking.decode_id)
+            if each in self.backends_by_id
+        ]
+        starts_at = max([ends_at, *(state.link_free_at for state in ends)])
+        booking.transfer_ends_at = starts_at + self.transfer_s(booking)
+        for state in ends:
+            state.link_free_at = max(
+                state.link_free_at, booking.transfer_ends_at
+            )
         decode_s = self.decode_s(booking)
         booking.decode_ends_at = booking.transfer_ends_at + decode_s
 
@@ -257,7 +377,11 @@
             if not each.prefill_done and each is not booking:
                 at = max(at, each.start_at or at) + each.prefill_work_s
                 each.prefill_ends_at = at
-        self._plan_decode(booking, now)
+        # The links were booked with the pair; only a late prefill needs
+        # them for longer.
+        transfer_ends_at = now + self.transfer_s(booking)
+        if transfer_ends_at > booking.transfer_ends_at:
+            self._plan_decode(booking, now)
 
     def learn_answer(self, now: float, booking: Booking) -> None:
         """Take in that an answer is complete."""
