One listing of streams and one question to entries at a change of owner

The cell's own listing stays (it compares with the time of asking, not two looks); the takeover stays for what the cell lacks: new work is held back until every instance has said what it holds, or 0.5 s are over, and all are asked at once.

--- a/dandeliongw/owner.py
+++ b/dandeliongw/owner.py
@@ -8,7 +8,6 @@
 from . import effects
 from . import policy
 from . import scheduler
-from . import sweep
 from . import takeover
 from .coordination import lease
 from .coordination import parts
@@ -43,7 +42,6 @@
         self._presence = backends
         self._loads_told_by_id: dict[str, float] = {}
         self._takeovers_by_cell: dict[str, takeover.Takeover] = {}
-        self._sweeps_by_cell: dict[str, sweep.Sweep] = {}
         self.cells_by_id: dict[str, cells.Cell] = {}
 
     def gain(
@@ -68,7 +66,6 @@
             now=now, cell=cell, epoch=epoch, awaited=instance_ids
         )
         self._takeovers_by_cell[cell] = begun
-        self._sweeps_by_cell[cell] = sweep.Sweep(now=now)
         return [*self._tell_backends(now, cell), *begun.announce()]
 
     def make_policy(self) -> policy.Policy:
@@ -79,7 +76,6 @@
         """Stop owning a cell; the next owner starts from what it is told."""
         self.cells_by_id.pop(cell, None)
         self._takeovers_by_cell.pop(cell, None)
-        self._sweeps_by_cell.pop(cell, None)
 
     def change_document(self) -> None:
         """Take the document's new terms; drop cells whose service is gone."""
@@ -115,21 +111,6 @@
                 out.extend(self.receive(held_back))
         return out
 
-    def list_streams(self, listed: sweep.StreamsListed) -> list[typing.Any]:
-        """Take an engine's answer to a sweep's question."""
-        cell = self._held_cell(listed.now, listed.cell)
-        if cell is None:
-            return []
-        return self._sweeps_by_cell[listed.cell].judge(listed, cell)
-
-    def _sweep(self, now: float) -> list[typing.Any]:
-        out = []
-        for cell_id, each in self._sweeps_by_cell.items():
-            cell = self._held_cell(now, cell_id)
-            if cell is not None:
-                out.extend(each.tick(now, cell))
-        return out
-
     def _held_cell(self, now: float, cell_id: str) -> cells.Cell | None:
         """Return the cell if its lease is held at this very moment.
 
@@ -176,7 +157,6 @@
             *self._tell_loads(event.now),
             *self.handle_in_all(event),
             *self._end_takeovers(event.now),
-            *self._sweep(event.now),
         ]
 
     def change_backend(self, now: float, backend_id: str) -> list[typing.Any]:
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -21,8 +21,6 @@
 from . import owner as owner_module
 from . import requests
 from . import settings as settings_module
-from . import sweep
-from . import takeover
 from .coordination import claim_messages
 from .coordination import claims
 from .coordination import lease
@@ -233,8 +231,10 @@
                 ),
             ),
             (self._announce, (presence.Announced,)),
-            (self.owner.handle_in_all, (cells.StreamCancelled,)),
-            (self.owner.list_streams, (sweep.StreamsListed,)),
+            (
+                self.owner.handle_in_all,
+                (cells.StreamCancelled, cells.StreamsListed),
+            ),
             (self._tick, (parts.Ticked,)),
             (self._receive, (parts.Received,)),
             (self._persisted, (parts.Persisted,)),
@@ -254,8 +254,12 @@
             (self.membership.handle, membership.MESSAGES),
             (self.presence.handle, presence.MESSAGES),
             (self._to_owner, owner_module.TO_OWNER),
-            (self._reclaim, takeover.MESSAGES),
-            (self._to_entry, set(cells.MESSAGES) - set(owner_module.TO_OWNER)),
+            (self._reclaim, (cells.ReclaimWanted,)),
+            (
+                self._to_entry,
+                set(cells.MESSAGES)
+                - {*owner_module.TO_OWNER, cells.ReclaimWanted},
+            ),
         ]
         return {
             message_type: receiver
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -23,7 +23,6 @@
 from . import engine
 from . import metrics as metrics_module
 from . import relay
-from . import sweep
 from .coordination import membership
 from .coordination import parts
 
@@ -111,7 +110,7 @@
             parts.Persist: self._persist,
             parts.Complete: self._complete,
             cells.CancelStream: self._cancel_stream,
-            sweep.ListStreams: self._list_streams,
+            cells.ListStreams: self._list_streams,
             membership.Reconnect: self._reconnect,
             effects.CountRefusal: self._count_refusal,
             effects.CountRetry: self._count_retry,
@@ -280,10 +279,11 @@
             )
         )
 
-    def _list_streams(self, effect: sweep.ListStreams) -> None:
+    def _list_streams(self, effect: cells.ListStreams) -> None:
         self._pool.submit(self._list_now, effect)
 
-    def _list_now(self, effect: sweep.ListStreams) -> None:
+    def _list_now(self, effect: cells.ListStreams) -> None:
+        asked_at = time.monotonic()
         try:
             streams = self._engine_for(effect.url).streams()
         except engine.EngineError as error:
@@ -293,11 +293,16 @@
             )
             return
         self.post(
-            lambda now: sweep.StreamsListed(
+            lambda now: cells.StreamsListed(
                 now=now,
-                cell=effect.cell,
                 backend_id=effect.backend_id,
-                streams=streams,
+                asked_at=asked_at,
+                streams=tuple(
+                    cells.HeldStream(
+                        stream_id=stream_id, attempt_id=attempt_id
+                    )
+                    for stream_id, attempt_id in streams
+                ),
             )
         )
 
--- a/dandeliongw/takeover.py
+++ b/dandeliongw/takeover.py
@@ -17,20 +17,6 @@
 LONGEST_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OwnerChanged:
-    """New owner to every instance; answered by a ``Reclaim``.
-
-    :param epoch: of the new owner's lease.
-    """
-
-    cell: str
-    epoch: int
-
-
-MESSAGES = (OwnerChanged,)
-
-
 class Takeover:
     """The first moments of a cell at a new owner.
 
@@ -48,7 +34,7 @@
 
     def announce(self) -> list[typing.Any]:
         """Return the question to all."""
-        message = OwnerChanged(cell=self._cell, epoch=self._epoch)
+        message = cells.ReclaimWanted(cell=self._cell, epoch=self._epoch)
         return [
             parts.Send(to=instance_id, message=message)
             for instance_id in sorted(self._awaited)
--- a/dandeliongw/wire.py
+++ b/dandeliongw/wire.py
@@ -1,7 +1,6 @@
 """The codec of everything that instances send and journals keep."""
 
 from . import cells
-from . import takeover
 from .codec import Codec
 from .coordination import claim_messages
 from .coordination import lease_messages
@@ -14,7 +13,6 @@
 from .protocol import membership_pb2
 from .protocol import presence_pb2
 from .protocol import register_pb2
-from .protocol import takeover_pb2
 
 MESSAGES = (
     *register_messages.MESSAGES,
@@ -23,7 +21,6 @@
     *membership.MESSAGES,
     *presence.MESSAGES,
     *cells.MESSAGES,
-    *takeover.MESSAGES,
 )
 RECORDS = (
     *register_messages.RECORDS,
@@ -44,6 +41,5 @@
             membership_pb2,
             presence_pb2,
             cells_pb2,
-            takeover_pb2,
         ),
     )
