--- a/dandeliongw/web.py
+++ b/dandeliongw/web.py
@@ -19,6 +19,10 @@
 
 #: Where a handler finds its caller's socket.
 SOCKET_KEY = 'dandeliongw.socket'
+#: Where it finds the server's own view of the call, to end the connection.
+REQUEST_KEY = 'dandeliongw.request'
+#: Request line and headers; more is refused while it comes in.
+MAX_HEADER_BYTES = 65536
 #: Seconds an idle keep-alive connection is kept.
 IDLE_S = 30
 
@@ -33,6 +37,7 @@
     def get_environ(self) -> dict[str, typing.Any]:
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.req.conn.socket
+        environ[REQUEST_KEY] = self.req
         return environ
 
 
@@ -80,6 +85,7 @@
             accepted_queue_timeout=1,
         )
         self._server.gateway = _SocketGateway
+        self._server.max_request_header_size = MAX_HEADER_BYTES
         self._thread = threading.Thread(
             target=self._server.serve, name=f'http-{field}', daemon=True
         )
