--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -19,6 +19,7 @@
 from .policy import ROLES_BY_STAGE
 from .policy import Stage
 from .policy import Wait
+from .policy import Weights
 from .shares import FairShares
 from .shares import Flow
 from .verdict import RefusalReason
@@ -28,9 +29,13 @@
 SEND_AHEAD_S = 0.02
 #: Times that differ by less than 10 ms count as equal.
 LINK_DIGITS = 2
-#: Longest planned wait of a KV cache for a link; engines keep it for
-#: somewhat under a second and predictions err by some tenths.
-MOST_LINK_WAIT_S = 0.25
+#: Planned wait of a KV cache for a link, the longest where wasted prefill
+#: is all that counts and where goodput is. Engines keep the cache for
+#: somewhat under a second, and predictions err by some tenths.
+LEAST_LINK_WAIT_S = 0.1
+MOST_LINK_WAIT_S = 0.7
+#: Of the versions that didn't look at the weights.
+FIXED_LINK_WAIT_S = 0.25
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
 #: Patient work keeps at least a tenth in every prediction.
@@ -65,6 +70,8 @@
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links with the pair.
     :param cap: hold the token gap by using fewer slots.
+    :param weigh: let the document's weights say how long a KV cache may
+        wait for a link.
     :param fair: hold accounts to their share when the cell is full.
     :param spare: part of the longest wait that predictions must leave over.
     :param health: leave out what keeps failing; let new ones in slowly.
@@ -79,6 +86,7 @@
     fair: bool = True
     spare: float = 0.1
     cap: bool = True
+    weigh: bool = True
 
 
 class Scheduler:
@@ -297,7 +305,7 @@
             if self._options.affinity:
                 done_at += view.prefill_work_s(prefill, booking)
             for decode in decodes:
-                cost = self._cost(now, done_at, prefill, decode)
+                cost = self._cost(now, view, done_at, prefill, decode)
                 if cost is not None and (best is None or cost < best[0]):
                     chosen = Place(
                         prefill_id=prefill.backend.backend_id,
@@ -306,9 +314,15 @@
                     best = cost, chosen
         return best[1] if best else None
 
+    def _longest_link_wait_s(self, view: CellView) -> float:
+        if not self._options.weigh:
+            return FIXED_LINK_WAIT_S
+        return link_wait_s(view.terms.weights)
+
     def _cost(
         self,
         now: float,
+        view: CellView,
         done_at: float,
         prefill: BackendState,
         decode: BackendState,
@@ -323,11 +337,23 @@
         if not self._options.links:
             return done_at, -free
         moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
-        if moves_at - done_at > MOST_LINK_WAIT_S:
+        if moves_at - done_at > self._longest_link_wait_s(view):
             return None
         return round(moves_at, LINK_DIGITS), -free
 
 
+def link_wait_s(weights: Weights) -> float:
+    """Return the longest planned wait of a KV cache for a link.
+
+    A long wait keeps prefill engines busy and risks that results are
+    evicted: the document's weights say which matters more.
+    """
+    total = weights.goodput + weights.wasted_prefill
+    part = weights.goodput / total if total > 0.0 else 0.5
+    span_s = MOST_LINK_WAIT_S - LEAST_LINK_WAIT_S
+    return LEAST_LINK_WAIT_S + span_s * part
+
+
 def candidates_for(
     view: CellView, role: Role, booking: Booking
 ) -> list[BackendState]:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -193,6 +193,15 @@
         self.assertEqual('s1', effect.message.plain_id)
 
 
+class WeightsTest(unittest.TestCase):
+    @params(
+        (0.0, 1.0, 0.1), (1.0, 0.0, 0.7), (1.0, 3.0, 0.25), (0.0, 0.0, 0.4)
+    )
+    def test_the_document_says_what_matters_more(self, good, wasted, wait_s):
+        weights = policy.Weights(goodput=good, wasted_prefill=wasted)
+        self.assertAlmostEqual(wait_s, scheduler.link_wait_s(weights))
+
+
 class NewOwnerTest(unittest.TestCase):
     """Symptom: imports are refused after each change of owner.
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -66,7 +66,8 @@
     'v8-health': scheduler.Options(fair=False),
     'v9-fair': scheduler.Options(spare=0.0),
     'v10-spare': scheduler.Options(cap=False),
-    'v11-cap': scheduler.Options(),
+    'v11-cap': scheduler.Options(weigh=False),
+    'v12-weights': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
