--- a/tools/tally.py
+++ b/tools/tally.py
@@ -166,6 +166,9 @@
         good = self.counts['good'] - self.good_by_account['account-0']
         return good / (self.until - self.since)
 
+    def _by_second(self, counter: collections.Counter[int]) -> list[int]:
+        return [counter[second] for second in range(int(self.until))]
+
     def figures(self) -> dict[str, typing.Any]:
         """Return all figures, ready for JSON."""
         seconds = self.until - self.since
@@ -185,6 +188,8 @@
             'short_answers': self.counts['short'],
             'lost_answers': self.counts['lost'],
             'wasted_prefill': self.wasted_share,
+            'arrived_by_second': self._by_second(self.arrived_by_second),
+            'good_by_second': self._by_second(self.good_by_second),
             'streams_held_at_end': self.counts['streams_held'],
             'bookings_held_at_end': self.counts['bookings_held'],
             'prefill_tokens': self.prefill_tokens,
