--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -158,6 +158,8 @@
     start_at: float | None = None
     #: When the queue is expected to let it start.
     expected_at: float = 0.0
+    #: Until when it may wait, by the terms it was admitted under.
+    latest_start_at: float = math.inf
     prefill_done: bool = False
     #: Predictions, made anew as facts come in; zero where none is made.
     prefill_work_s: float = 0.0
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -185,15 +185,16 @@
         self, *, now: float, view: CellView
     ) -> list[tuple[Booking, Decision]]:
         """Place the first in the queue, or refuse one that is too late."""
-        ordered = self._sorted(view, view.queue)
-        for booking in ordered:
-            if now > latest_start(view, booking):
-                return [(booking, _refuse_late(booking, 0.0))]
-        for booking in ordered[:1]:
-            placed = self._place(now, view, booking)
-            if placed is not None:
-                return [(booking, placed)]
-        return []
+        late = [each for each in view.queue if now > each.latest_start_at]
+        if late:
+            first = self._first(view, late)
+            return [(first, _refuse_late(first, 0.0))]
+        first = self._first(view, view.queue)
+        placed = self._place(now, view, first)
+        return [] if placed is None else [(first, placed)]
+
+    def _first(self, view: CellView, bookings: list[Booking]) -> Booking:
+        return min(bookings, key=lambda each: self._order(view, each))
 
     def _order(self, view: CellView, booking: Booking) -> tuple[float, ...]:
         if self._options.order is Order.ARRIVAL:
@@ -232,6 +233,7 @@
         late_s = starts_at - (latest - spare_s)
         if late_s > 0.0:
             return _refuse_late(booking, late_s)
+        booking.latest_start_at = latest
         return Wait(expected_s=starts_at - now)
 
     def _usable(
@@ -291,55 +293,65 @@
         What an engine has cached shortens its work, so prompts go back to
         the cache they know unless it is busier by more than it saves.
         """
+        rooms = self._rooms(now, view, booking)
+        if not rooms:
+            return None
         best: tuple[tuple[float, ...], Place] | None = None
-        decodes = [
-            state
-            for state in self._usable(now, view, Role.DECODE, booking)
-            if self._free_slots(now, state) > 0
-        ]
         for prefill in self._usable(now, view, Role.PREFILL, booking):
-            free_at = prefill.prefill_free_at(now)
-            if self._options.queue and free_at - now > SEND_AHEAD_S:
+            done_at = prefill.prefill_free_at(now)
+            if self._options.queue and done_at - now > SEND_AHEAD_S:
                 continue
-            done_at = free_at
             if self._options.affinity:
                 done_at += view.prefill_work_s(prefill, booking)
-            for decode in decodes:
-                cost = self._cost(now, view, done_at, prefill, decode)
-                if cost is not None and (best is None or cost < best[0]):
-                    chosen = Place(
-                        prefill_id=prefill.backend.backend_id,
-                        decode_id=decode.backend.backend_id,
-                    )
-                    best = cost, chosen
+            found = self._choose_room(view, done_at, prefill, rooms)
+            if found is not None and (best is None or found[0] < best[0]):
+                cost, decode = found
+                chosen = Place(
+                    prefill_id=prefill.backend.backend_id,
+                    decode_id=decode.backend.backend_id,
+                )
+                best = cost, chosen
         return best[1] if best else None
 
-    def _longest_link_wait_s(self, view: CellView) -> float:
-        if not self._options.weigh:
-            return FIXED_LINK_WAIT_S
-        return link_wait_s(view.terms.weights)
+    def _rooms(
+        self, now: float, view: CellView, booking: Booking
+    ) -> list[tuple[BackendState, int]]:
+        """Return the decode engines with free slots, and how many."""
+        rooms = [
+            (state, self._free_slots(now, state))
+            for state in self._usable(now, view, Role.DECODE, booking)
+        ]
+        return [(state, free) for state, free in rooms if free > 0]
 
-    def _cost(
+    def _choose_room(
         self,
-        now: float,
         view: CellView,
         done_at: float,
         prefill: BackendState,
-        decode: BackendState,
-    ) -> tuple[float, ...] | None:
-        """Return what to make least, or ``None`` if the links are full.
+        rooms: list[tuple[BackendState, int]],
+    ) -> tuple[tuple[float, ...], BackendState] | None:
+        """Return the least cost and its decode engine.
 
         A KV cache that waits for a link is evicted in under a second. One
         would notice imports answered with "evicted" and prompts computed
         twice; a prefill that would wait long is not started yet.
         """
-        free = self._free_slots(now, decode)
         if not self._options.links:
-            return done_at, -free
-        moves_at = max(done_at, prefill.link_free_at, decode.link_free_at)
-        if moves_at - done_at > self._longest_link_wait_s(view):
-            return None
-        return round(moves_at, LINK_DIGITS), -free
+            state, free = max(rooms, key=lambda room: room[1])
+            return (done_at, -free), state
+        latest_at = done_at + self._longest_link_wait_s(view)
+        source_at = max(done_at, prefill.link_free_at)
+        costs = [
+            ((round(moves_at, LINK_DIGITS), -free), state)
+            for state, free in rooms
+            if (moves_at := max(source_at, state.link_free_at)) <= latest_at
+        ]
+        return min(costs, key=lambda each: each[0], default=None)
+
+    def _longest_link_wait_s(self, view: CellView) -> float:
+        if not self._options.weigh:
+            return FIXED_LINK_WAIT_S
+        return link_wait_s(view.terms.weights)
 
 
 def link_wait_s(weights: Weights) -> float:
