Orders to engines: from the document's pools to the engine, by the holder only

A pool can name the model, version and adapter that its engines load. The owner of a cell gives the orders, one at a time for each engine, and the thread that sends one asks for the lease with a fresh clock just before. Without that question tests/test_runtime.py (an order that is too late) fails; a holder that doesn't wait out its predecessor's orders fails tests/test_reducer.py (an engine that ignores numbers).

--- a/dandeliongw/document.py
+++ b/dandeliongw/document.py
@@ -43,6 +43,9 @@
     'kv_bytes_per_token',
     'prefill_tokens_per_s',
     'decode_tokens_per_s',
+    'model',
+    'version',
+    'adapter',
 )
 _ROLES_BY_KIND = {'model': ('prefill', 'decode'), 'plain': ('plain',)}
 _TARGETS = ('first_token_s', 'token_gap_s')
@@ -93,6 +96,10 @@
     """Of one backend server, all slots together; prefill pools need it."""
     decode_tokens_per_s: _models.Positive | None = None
     """Of one backend server, all slots together; decode pools need it."""
+    model: _models.Name | None = None
+    """What its engines are ordered to load; model pools only."""
+    version: _models.Name | None = None
+    adapter: _models.Name | None = None
     cell_size: _models.PositiveInt = 32
     """Backend servers to one cell, and so to one owner of their slots."""
 
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -8,6 +8,7 @@
 import enum
 import typing
 
+from . import orders
 from . import verdict
 from . import waste
 
@@ -142,6 +143,16 @@
     level: str = 'INFO'
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GiveOrder:
+    """Send an order to an engine, unless it may no longer be sent."""
+
+    cell: str
+    url: str
+    order: orders.SendOrder
+    timeout_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PoolLoad:
     """A pool over the cells that this instance owns.
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -359,15 +359,20 @@
             for each in answer['streams']
         )
 
-    def order(self, *, order: str, value: str, fence: int) -> None:
+    def order(
+        self, *, order: str, value: str, fence: int, timeout_s: float
+    ) -> None:
         """Load a model, adapter or version, or change role.
 
+        :param timeout_s: longest silence of the engine.
         :raises EngineError: with reason ``fenced`` from an engine that has
             seen a higher fencing number.
         """
-        self._ask(
-            '/v1/order', {'order': order, 'value': value, 'fence': fence}
-        )
+        body = {'order': order, 'value': value, 'fence': fence}
+        with self._exchange(timeout_s) as exchange:
+            response = self._post(exchange, '/v1/order', body)
+            self._raise_unless_ok(exchange, response)
+            exchange.read(response, self.MAX_ANSWER_BYTES)
 
     def abort(self) -> None:
         self._aborted = True
--- a/dandeliongw/owner.py
+++ b/dandeliongw/owner.py
@@ -6,6 +6,7 @@
 from . import directory as directory_module
 from . import document as document_module
 from . import effects
+from . import orders
 from . import policy
 from . import scheduler
 from . import takeover
@@ -13,6 +14,8 @@
 from .coordination import parts
 from .coordination import presence
 
+#: Loads from the weight store that an instance may save up.
+STORE_BURST = 2.0
 #: Every message that goes to the owner of ``message.cell``.
 TO_OWNER = (
     cells.Book,
@@ -36,10 +39,20 @@
         directory: directory_module.Directory,
         leases: lease.Leases,
         backends: presence.Presence,
+        store_loads_per_s: float = 1.0,
+        longest_order_s: float = 5.0,
+        lease_wait_s: float = 2.25,
     ) -> None:
         self._directory = directory
         self._leases = leases
         self._presence = backends
+        self._budget = orders.StoreBudget(
+            loads_per_s=store_loads_per_s, burst=STORE_BURST
+        )
+        self._longest_order_s = longest_order_s
+        self._lease_wait_s = lease_wait_s
+        self._orders_by_cell: dict[str, orders.Orders] = {}
+        self._order_revision = 0
         self._loads_told_by_id: dict[str, float] = {}
         self._takeovers_by_cell: dict[str, takeover.Takeover] = {}
         self.cells_by_id: dict[str, cells.Cell] = {}
@@ -66,6 +79,14 @@
             now=now, cell=cell, epoch=epoch, awaited=instance_ids
         )
         self._takeovers_by_cell[cell] = begun
+        self._orders_by_cell[cell] = orders.Orders(
+            cell=cell,
+            epoch=epoch,
+            guard=self._leases,
+            budget=self._budget,
+            longest_order_s=self._longest_order_s,
+            lease_wait_s=self._lease_wait_s,
+        )
         return [*self._tell_backends(now, cell), *begun.announce()]
 
     def make_policy(self) -> policy.Policy:
@@ -76,15 +97,17 @@
         """Stop owning a cell; the next owner starts from what it is told."""
         self.cells_by_id.pop(cell, None)
         self._takeovers_by_cell.pop(cell, None)
+        self._orders_by_cell.pop(cell, None)
 
-    def change_document(self) -> None:
+    def change_document(self, now: float) -> None:
         """Take the document's new terms; drop cells whose service is gone."""
         for cell_id, cell in list(self.cells_by_id.items()):
             terms = self._terms(cell.service)
             if terms is None:
                 self.lose(cell_id)
             else:
-                cell.view.terms = terms
+                cell.handle(cells.TermsChanged(now=now, terms=terms))
+                self._tell_orders(now, cell_id)
 
     def receive(self, event: parts.Received) -> list[typing.Any]:
         """Take a message for a cell, or say that it isn't owned here."""
@@ -157,6 +180,7 @@
             *self._tell_loads(event.now),
             *self.handle_in_all(event),
             *self._end_takeovers(event.now),
+            *self._give_orders(event),
         ]
 
     def change_backend(self, now: float, backend_id: str) -> list[typing.Any]:
@@ -183,6 +207,69 @@
             )
         )
 
+    def may_send(self, wanted: effects.GiveOrder, now: float) -> bool:
+        """Whether an order may leave at this very moment; any thread."""
+        held = self._orders_by_cell.get(wanted.cell)
+        return held is not None and held.may_send(wanted.order, now)
+
+    def answer_order(self, event: orders.OrderAnswered) -> list[typing.Any]:
+        """Take the end of one send of an order."""
+        for held in self._orders_by_cell.values():
+            held.handle(event)
+        return []
+
+    def _give_orders(self, event: parts.Ticked) -> list[typing.Any]:
+        out = []
+        for cell_id, held in self._orders_by_cell.items():
+            backends = self.cells_by_id[cell_id].view.backends_by_id
+            for order in held.handle(event):
+                state = backends.get(order.backend_id)
+                if state is not None:
+                    out.append(
+                        effects.GiveOrder(
+                            cell=cell_id,
+                            url=state.backend.url,
+                            order=order,
+                            timeout_s=self._longest_order_s,
+                        )
+                    )
+        return out
+
+    def _tell_orders(self, now: float, cell_id: str) -> None:
+        """Say which engines there are and what the document wants of them."""
+        held = self._orders_by_cell.get(cell_id)
+        if held is None:
+            return
+        values_by_role = wanted_of(
+            self._directory.document, self.cells_by_id[cell_id].service
+        )
+        present = self.cells_by_id[cell_id].view.backends_by_id
+        for backend_id, state in present.items():
+            said = self._presence.backends_by_id[backend_id].announcement
+            held.handle(
+                orders.EngineSeen(
+                    now=now,
+                    backend_id=backend_id,
+                    incarnation=state.backend.incarnation,
+                    checks_fence=said.checks_fence,
+                )
+            )
+        held.handle(
+            orders.DesiredChanged(
+                now=now,
+                revision=self._next_order_revision(),
+                values_by_backend={
+                    backend_id: values_by_role.get(state.backend.role, {})
+                    for backend_id, state in present.items()
+                },
+            )
+        )
+
+    def _next_order_revision(self) -> int:
+        """Number what is desired; it changes with the engines as well."""
+        self._order_revision += 1
+        return self._order_revision
+
     def pool_loads(self) -> tuple[effects.PoolLoad, ...]:
         """Return slots and queues of every pool, as far as owned here."""
         return tuple(
@@ -245,7 +332,9 @@
             )
             == cell_id
         )
-        return cell.handle(cells.BackendsChanged(now=now, backends=backends))
+        out = cell.handle(cells.BackendsChanged(now=now, backends=backends))
+        self._tell_orders(now, cell_id)
+        return out
 
     def _terms(self, service: str) -> policy.CellTerms | None:
         return terms_of(self._directory.document, service)
@@ -291,6 +380,23 @@
     )
 
 
+def wanted_of(
+    described: document_module.Document, service_name: str
+) -> dict[policy.Role, dict[orders.OrderKind, str]]:
+    """Return what the engines of each role should have loaded."""
+    wanted = {}
+    for pool in described.pools_of(service_name):
+        values = {
+            orders.OrderKind.LOAD_MODEL: pool.model,
+            orders.OrderKind.LOAD_VERSION: pool.version,
+            orders.OrderKind.LOAD_ADAPTER: pool.adapter,
+        }
+        wanted[policy.Role(pool.role)] = {
+            kind: value for kind, value in values.items() if value
+        }
+    return wanted
+
+
 def _add_rates(
     fields: dict[str, typing.Any], pool: document_module.Pool
 ) -> None:
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -18,6 +18,7 @@
 from . import effects
 from . import events
 from . import exceptions
+from . import orders
 from . import owner as owner_module
 from . import requests
 from . import settings as settings_module
@@ -124,6 +125,10 @@
             directory=self.directory,
             leases=self.leases,
             backends=self.presence,
+            store_loads_per_s=settings.limits.store_loads_per_s,
+            longest_order_s=settings.timeouts.longest_order_s,
+            lease_wait_s=settings.timeouts.lease_s
+            + settings.timeouts.lease_margin_s,
         )
         self._parts_by_name: dict[str, parts.Part] = {
             'register': self.register,
@@ -235,6 +240,7 @@
                 self.owner.handle_in_all,
                 (cells.StreamCancelled, cells.StreamsListed),
             ),
+            (self.owner.answer_order, (orders.OrderAnswered,)),
             (self._tick, (parts.Ticked,)),
             (self._receive, (parts.Received,)),
             (self._persisted, (parts.Persisted,)),
@@ -468,7 +474,7 @@
             ]
         self.directory.is_unreadable = False
         self.directory.document = described
-        self.owner.change_document()
+        self.owner.change_document(now)
         self._review_at = now
         return [_log('configuration in force', revision=str(effect.revision))]
 
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -22,7 +22,9 @@
 from . import effects
 from . import engine
 from . import metrics as metrics_module
+from . import orders
 from . import relay
+from . import verdict
 from .coordination import membership
 from .coordination import parts
 
@@ -30,6 +32,8 @@
 TICK_S = 0.1
 #: Threads that send cancels and orders to engines.
 CONTROL_THREADS = 8
+#: An engine's word for an order with an old fencing number.
+FENCED = 'fenced'
 #: The journal is compacted once it has grown by so much.
 COMPACT_BYTES = 8 << 20
 #: Seconds a handler waits for the reducer's answer to an operator.
@@ -73,6 +77,7 @@
     """The control thread and what works for it.
 
     :param engine_for: makes the adapter that cancels streams at a URL.
+    :param may_send: whether an order may leave at this moment.
     :param journal: ``None`` on an instance without a data folder.
     """
 
@@ -83,7 +88,9 @@
         metrics: metrics_module.Metrics,
         engine_for: abc.Callable[[str], engine.Engine],
         journal: Journal | None,
+        may_send: abc.Callable[[effects.GiveOrder, float], bool],
     ) -> None:
+        self._may_send = may_send
         self._reducer = reducer
         self._metrics = metrics
         self._engine_for = engine_for
@@ -118,6 +125,7 @@
             effects.CountLate: self._count_late,
             effects.PeerAddress: self._set_address,
             effects.Observed: self._observe,
+            effects.GiveOrder: self._give_order,
             membership.Superseded: self._end_superseded,
             effects.Log: self._log,
             effects.Drained: self._note_drained,
@@ -306,6 +314,40 @@
             )
         )
 
+    def _give_order(self, effect: effects.GiveOrder) -> None:
+        self._pool.submit(self._order_now, effect)
+
+    def _order_now(self, effect: effects.GiveOrder) -> None:
+        order = effect.order
+        # Asked in this thread, with a fresh reading of the clock: the order
+        # may have waited, or the process may have been frozen, until
+        # another instance gives orders.
+        if not self._may_send(effect, time.monotonic()):
+            return
+        known, is_fenced = verdict.Verdict.RAN, False
+        try:
+            self._engine_for(effect.url).order(
+                order=order.kind.value,
+                value=order.value,
+                fence=order.fence,
+                timeout_s=effect.timeout_s,
+            )
+        except engine.EngineError as error:
+            known = error.known
+            is_fenced = error.reason == FENCED
+            logger.warning(
+                f'an order failed: {error}', backend_id=order.backend_id
+            )
+        self.post(
+            lambda now: orders.OrderAnswered(
+                now=now,
+                order_id=order.order_id,
+                attempt=order.attempt,
+                run=known,
+                is_fenced=is_fenced,
+            )
+        )
+
     def _count_refusal(self, effect: effects.CountRefusal) -> None:
         self._metrics.count_refusal(effect.refusal)
 
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -98,6 +98,7 @@
             metrics=metrics,
             engine_for=backends.model_engine,
             journal=journal,
+            may_send=reducer.owner.may_send,
         )
         stack.callback(runtime.stop)
         _start(runtime, _make_wire(settings, incarnation, codec, runtime))
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -106,6 +106,8 @@
     """Streams from model engines at one time."""
     reserved_lookups: _models.NotNegativeInt = 32
     """Threads that streams never take, so that lookups stay quick."""
+    store_loads_per_s: _models.Positive = 1.0
+    """This instance's share of the weight store's rate."""
     max_outcome_bytes: _models.PositiveInt = 65536
     """The longest recorded answer of a non-idempotent call."""
 
@@ -131,6 +133,8 @@
     """A backend server that hasn't renewed for so long gets no work."""
     renew_s: _models.Positive = 1.0
     """How often backend servers renew."""
+    longest_order_s: _models.Positive = 5.0
+    """How long an engine may take to answer an order."""
     claim_retention_s: _models.Positive = 86400.0
     """How long a resend gets the recorded outcome."""
     shutdown_s: _models.Positive = 60.0
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -75,18 +75,18 @@
             and effect.request_id == request_id
         ]
 
-    def keep_present(self, seconds):
-        """Let time pass while the backend server renews everywhere."""
+    def keep_present(self, seconds, backend_id='portal-1'):
+        """Let time pass while a backend server renews everywhere."""
         for _ in range(round(seconds / network.TICK_S)):
             self.sequence += 1
             for instance_id in self.net.reducers_by_id:
-                self.net.post(instance_id, self.renewal())
+                self.net.post(instance_id, self.renewal(backend_id))
             self.net.run(network.TICK_S)
 
-    def renewal(self):
+    def renewal(self, backend_id):
         return presence.Renewed(
             now=self.net.now,
-            backend_id='portal-1',
+            backend_id=backend_id,
             incarnation=1,
             sequence=self.sequence,
             load=None,
@@ -184,6 +184,36 @@
         ]
         self.assertEqual([], started)
 
+    def test_an_engine_that_ignores_numbers_is_ordered_late(self):
+        """Symptom: an engine loads what an earlier holder ordered.
+
+        Sequence: a cell gets a new owner, which orders at once; an order of
+        the one before it arrives after that.
+        Cause: the engine ignores fencing numbers, and the new owner didn't
+        wait until its predecessor's orders could take effect no more.
+        """
+        described = local.example_document()
+        described['pools'][1]['model'] = 'dieline-70b'
+        self.net.apply('gw-1', described, 'order')
+        for instance_id in self.net.reducers_by_id:
+            self.net.announce(instance_id, 'decode-1', 'decode')
+        self.keep_present(12.0, 'decode-1')
+        (holder, order), *more = self.orders()
+        self.assertEqual([], more)
+        cell = 'dieline-llm/local/0'
+        self.assertEqual(self.net.owner_of(cell), holder)
+        self.assertEqual('dieline-70b', order.order.value)
+        held = self.net.reducers_by_id[holder].leases
+        self.assertIsNotNone(held.may_order(cell, self.net.now, 5.0))
+
+    def orders(self):
+        return [
+            (instance_id, effect)
+            for instance_id, done in self.net.effects_by_id.items()
+            for effect in done
+            if isinstance(effect, effects.GiveOrder)
+        ]
+
     @params(('leases', 'claims'), ('claims', 'leases'))
     def test_a_new_disk_counts_only_when_all_parts_are_whole(
         self, first, second
--- /dev/null
+++ b/tests/test_runtime.py
@@ -0,0 +1,168 @@
+"""The runtime performs effects, each at its time and in its thread."""
+
+import threading
+import unittest
+
+from dandeliongw.coordination import parts
+from dandeliongw import effects
+from dandeliongw import metrics
+from dandeliongw import orders
+from dandeliongw import runtime
+from dandeliongw import verdict
+
+PATIENCE_S = 30
+
+
+class FakeReducer:
+    """Answers each event with the effects that were put in for its type."""
+
+    def __init__(self):
+        self.effects_by_type = {}
+        self.seen = []
+        self.changed = threading.Condition()
+
+    def handle(self, event):
+        with self.changed:
+            self.seen.append(event)
+            self.changed.notify_all()
+        return self.effects_by_type.pop(type(event), [])
+
+    def snapshot(self):
+        return ['snapshot']
+
+    def wait_for(self, event_type):
+        with self.changed:
+            found = self.changed.wait_for(
+                lambda: [e for e in self.seen if isinstance(e, event_type)],
+                PATIENCE_S,
+            )
+        return found[0]
+
+
+class FakeJournal:
+    size = 0
+
+    def __init__(self):
+        self.batches = []
+        self.failure = None
+        self.may_go_on = threading.Event()
+
+    def append(self, records):
+        self.may_go_on.wait(PATIENCE_S)
+        if self.failure:
+            raise self.failure
+        self.batches.append(list(records))
+
+
+class FakeWire:
+    async def start(self):
+        pass
+
+    async def stop(self):
+        pass
+
+
+class FakeEngine:
+    def __init__(self):
+        self.orders = []
+
+    def order(self, **fields):
+        self.orders.append(fields)
+
+
+class RuntimeTest(unittest.TestCase):
+    def setUp(self):
+        self.reducer = FakeReducer()
+        self.journal = FakeJournal()
+        self.engine = FakeEngine()
+        self.may_send = True
+        self.runtime = runtime.Runtime(
+            reducer=self.reducer,
+            metrics=metrics.Metrics(),
+            engine_for=lambda url: self.engine,
+            journal=self.journal,
+            may_send=lambda wanted, now: self.may_send,
+        )
+        self.runtime.start(FakeWire)
+        self.addCleanup(self.runtime.stop)
+        self.addCleanup(self.journal.may_go_on.set)
+
+    def perform(self, *wanted):
+        self.reducer.effects_by_type[parts.Received] = list(wanted)
+        self.runtime.post(
+            lambda now: parts.Received(now=now, sender='x', message=None)
+        )
+
+    def test_what_gathers_during_a_sync_shares_the_next_one(self):
+        self.perform(
+            parts.Persist(token='a', records=(1,)),
+            parts.Persist(token='b', records=(2,)),
+            parts.Persist(token='c', records=(3,)),
+        )
+        self.journal.may_go_on.set()
+        self.reducer.wait_for(parts.Persisted)
+        self.runtime._writer.stop()
+        self.assertEqual([1, 2, 3], sum(self.journal.batches, []))
+        self.assertLess(len(self.journal.batches), 3)
+
+    def test_nothing_counts_as_persisted_before_its_sync(self):
+        """Symptom: a promise is forgotten after a crash.
+
+        Sequence: a record is written, the answer goes out, power fails.
+        Cause: the event that lets the answer go came before the sync.
+        """
+        self.perform(parts.Persist(token='a', records=(1,)))
+        self.reducer.wait_for(parts.Received)
+        seen = [type(event) for event in self.reducer.seen]
+        self.assertNotIn(parts.Persisted, seen)
+        self.journal.may_go_on.set()
+        self.assertEqual('a', self.reducer.wait_for(parts.Persisted).token)
+
+    def test_a_failed_disk_breaks_the_instance(self):
+        """Symptom: an instance promises what it can't keep.
+
+        Sequence: a sync fails; the next one claims success.
+        Cause: the system drops the pages that it could not write.
+        """
+        self.journal.failure = OSError('no space left')
+        self.journal.may_go_on.set()
+        self.perform(parts.Persist(token='a', records=(1,)))
+        self.runtime._writer._thread.join(PATIENCE_S)
+        self.assertIn('no space left', self.runtime.broken)
+        seen = [type(event) for event in self.reducer.seen]
+        self.assertNotIn(parts.Persisted, seen)
+
+    def give_order(self):
+        order = orders.SendOrder(
+            order_id='o',
+            attempt=1,
+            backend_id='decode-1',
+            kind=orders.OrderKind.LOAD_MODEL,
+            value='m',
+            fence=3,
+            send_by=0.0,
+        )
+        self.perform(
+            effects.GiveOrder(
+                cell='c', url='http://x', order=order, timeout_s=1.0
+            )
+        )
+
+    def test_an_order_is_sent_and_its_end_told(self):
+        self.give_order()
+        answered = self.reducer.wait_for(orders.OrderAnswered)
+        self.assertEqual(verdict.Verdict.RAN, answered.run)
+        self.assertEqual(3, self.engine.orders[0]['fence'])
+
+    def test_an_order_that_is_too_late_is_not_sent(self):
+        """Symptom: an old order undoes a newer one.
+
+        Sequence: an order waits for its thread; the process freezes; the
+        next holder orders something else; the process goes on.
+        Cause: the lease was asked for when the order was made only.
+        """
+        self.may_send = False
+        self.give_order()
+        self.reducer.wait_for(parts.Received)
+        self.runtime._pool.shutdown(wait=True)
+        self.assertEqual([], self.engine.orders)
