Focused tests of the register's traps; two faults found by them

Found: a voter whose report always came after the quorum's was never brought up to date (the late report was dropped); it is looked at now. Found: ids of asks and checks started at 1 after a restart, so an answer from before it counted for the first ask after it. They start at a random number; the specification has the safeguard too.

--- a/dandeliongw/coordination/confirmation.py
+++ b/dandeliongw/coordination/confirmation.py
@@ -33,13 +33,21 @@
     def __init__(self, *, instance_id: str, ttl_s: float) -> None:
         self._instance_id = instance_id
         self._ttl_s = ttl_s
-        self._ask_id = 0
+        self._ask_id: int | None = None
         self._target: str | None = None
         self._sent_at = 0.0
         self._next_at: float | None = None
         self._is_hurried = False
         self._avoid_until_by_id: dict[str, float] = {}
 
+    def start(self, first_id: int) -> None:
+        """Begin to ask, with ids that no earlier run of this instance used.
+
+        Otherwise the answer to an ask from before a restart would pass for
+        the answer to the first ask after it, and count from that one.
+        """
+        self._ask_id = first_id
+
     def hurry(self) -> None:
         """Ask at the next occasion: something has changed.
 
@@ -55,6 +63,8 @@
         base: ballots.Ballot | None,
     ) -> list[parts.Send]:
         """Ask when it is time, or another one when the last is silent."""
+        if self._ask_id is None:
+            return []
         if self._target is not None:
             if now - self._sent_at < ASK_TIMEOUT * self._ttl_s:
                 return []
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -52,6 +52,8 @@
 ATTEMPT_LIMIT_S = 1.0
 FIRST_BACKOFF_S = 0.05
 LONGEST_BACKOFF_S = 0.8
+#: Ids of asks and checks start at a random number below this.
+FIRST_ID_LIMIT = 2**48
 FORMATION_EVERY_S = 0.5
 HINT_EVERY_S = 1.0
 #: A disk that lags is sent the version at most once in this many times to
@@ -220,7 +222,8 @@
         self._referred_ids: tuple[str, ...] = ()
         self._waiting: list[confirmation.WaitingAsk] = []
         self._check: confirmation.Check | None = None
-        self._check_id = 0
+        #: ``None`` before the first tick has brought entropy.
+        self._check_id: int | None = None
         self._last_check_at: float | None = None
         self._is_check_wanted = False
         self._repair_wanted = False
@@ -378,6 +381,8 @@
         return []
 
     def _on_ticked(self, event: parts.Ticked) -> list[typing.Any]:
+        if self._check_id is None:
+            self._start_ids(event.entropy)
         return [
             *self._tick_formation(event),
             *self._tick_voter(event),
@@ -387,6 +392,13 @@
             *self._tick_hints(event.now),
         ]
 
+    def _start_ids(self, entropy: int) -> None:
+        # A report to a check from before a restart must not count for a
+        # check after it: it tells of what the voter held before the ask.
+        self._check_id = entropy % FIRST_ID_LIMIT
+        self._query_id = entropy % FIRST_ID_LIMIT
+        self._asker.start(entropy % FIRST_ID_LIMIT)
+
     # The voter: promises and acceptances of this disk.
 
     def _on_prepare(
@@ -826,6 +838,8 @@
     def _start_check_if_due(self, now: float) -> list[typing.Any]:
         if not self._is_voter() or self._check is not None:
             return []
+        if self._check_id is None:
+            return []
         last = self._last_check_at
         gap = confirmation.CHECK_GAP * self._ttl_s
         own_gap = confirmation.ASK_EVERY * self._ttl_s
@@ -861,13 +875,22 @@
     ) -> list[typing.Any]:
         check = self._check
         if check is None or check.check_id != message.check_id:
-            return []
+            return self._take_late_report(message, event.now)
         check.accepted_by_disk[message.from_disk_id] = message.accepted
         return [
             *self._fetch_if_behind(event.sender, message),
             *self._settle_check(event.now),
         ]
 
+    def _take_late_report(
+        self, message: messages.AcceptedReport, now: float
+    ) -> list[typing.Any]:
+        # The quorum was faster. A disk that always comes late would never be
+        # brought up to date if only the reports in time were looked at.
+        if self._confirmed is None or message.check_id != self._check_id:
+            return []
+        return self._catch_up(message.from_disk_id, message.accepted, now)
+
     def _fetch_if_behind(
         self, sender: str, message: messages.AcceptedReport
     ) -> list[typing.Any]:
@@ -907,37 +930,37 @@
                 update=versions.update_for(waiting.ask.base),
             )
             effects.append(parts.Send(to=waiting.instance_id, message=answer))
-        effects.extend(self._catch_up_others(check, versions, now))
+        for disk_id, accepted in check.accepted_by_disk.items():
+            effects.extend(self._catch_up(disk_id, accepted, now))
         return effects
 
-    def _catch_up_others(
-        self,
-        check: confirmation.Check,
-        versions: configurations.VersionHistory,
-        now: float,
+    def _catch_up(
+        self, disk_id: str, accepted: ballots.Ballot | None, now: float
     ) -> list[typing.Any]:
-        """Repeat the accept for disks that missed it, or that join."""
-        sends = []
-        instance_by_disk = (
-            versions.current.configuration.voters.instance_by_disk
+        """Repeat the accept for a disk that missed it, or that joins."""
+        version = self._confirmed
+        instance_by_disk = version.configuration.voters.instance_by_disk
+        if accepted is not None and accepted >= version.ballot:
+            return []
+        last = self._caught_up_at_by_disk.get(disk_id)
+        pause = CATCH_UP_EVERY * self._ttl_s
+        if last is not None and now - last < pause:
+            return []
+        if disk_id not in instance_by_disk:
+            return []
+        self._caught_up_at_by_disk[disk_id] = now
+        message = messages.AcceptVersion(
+            to_disk_id=disk_id, update=self._update_to_confirmed(accepted)
         )
-        for disk_id, accepted in check.accepted_by_disk.items():
-            if accepted is not None and accepted >= versions.ballot:
-                continue
-            last = self._caught_up_at_by_disk.get(disk_id)
-            pause = CATCH_UP_EVERY * self._ttl_s
-            if last is not None and now - last < pause:
-                continue
-            if disk_id not in instance_by_disk:
-                continue
-            self._caught_up_at_by_disk[disk_id] = now
-            message = messages.AcceptVersion(
-                to_disk_id=disk_id, update=versions.update_for(accepted)
-            )
-            sends.append(
-                parts.Send(to=instance_by_disk[disk_id], message=message)
-            )
-        return sends
+        return [parts.Send(to=instance_by_disk[disk_id], message=message)]
+
+    def _update_to_confirmed(
+        self, base: ballots.Ballot | None
+    ) -> configurations.VersionUpdate:
+        for versions in self._histories():
+            if versions.ballot == self._confirmed.ballot:
+                return versions.update_for(base)
+        return configurations.full_update(self._confirmed)
 
     # Confirmation, at everyone.
 
--- a/specs/register_reads.py
+++ b/specs/register_reads.py
@@ -182,6 +182,8 @@
                 *state.answers[number + 1 :],
             )
             age = 0 if self.without == 'time_from_send' else answer.age
+            if self.without == 'unique_ask_ids' and state.ask is not None:
+                age = state.ask.age
             confirmed = state.confirmed
             if confirmed is not None and self.without != 'no_older_ballot':
                 if answer.ballot < confirmed.ballot:
@@ -205,9 +207,12 @@
         confirmed = None
         if self.without == 'read_after_restart':
             confirmed = state.confirmed._replace(age=0)
+        # Answers to asks from before have ids that no ask after has.
+        keeps = self.without == 'unique_ask_ids'
+        answers = state.answers if keeps else ()
         yield (
             'the instance restarts',
-            state._replace(confirmed=confirmed, ask=None, answers=()),
+            state._replace(confirmed=confirmed, ask=None, answers=answers),
         )
 
     # What must hold
--- a/specs/register_spec.py
+++ b/specs/register_spec.py
@@ -45,6 +45,7 @@
     'time_from_send': 'a late answer counts from its arrival',
     'no_older_ballot': 'a late answer brings an earlier revision back',
     'read_after_restart': 'an instance acts on what it remembers',
+    'unique_ask_ids': 'an answer from before a restart counts after it',
     'confirmation_runs_out': 'an isolated instance goes on for ever',
     'stopped_after_time_to_live': 'an instance that acts is called stopped',
 }
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -6,11 +6,16 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+from nose2.tools import params
 
 from dandeliongw import codec
+from dandeliongw.coordination import ballot
+from dandeliongw.coordination import changes
+from dandeliongw.coordination import configuration
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import register
 from dandeliongw.coordination import register_messages as messages
+from dandeliongw.coordination import voters
 from dandeliongw.protocol import register_pb2
 
 VOTERS = ('gw-1', 'gw-2', 'gw-3')
@@ -119,7 +124,8 @@
         for name in self.by_id:
             if name not in self.down:
                 self.entropy += 1
-                event = parts.Ticked(now=self.now, entropy=self.entropy)
+                entropy = self.entropy * 0x9E3779B97F4A7C15 % 2**64
+                event = parts.Ticked(now=self.now, entropy=entropy)
                 self.handle(name, event)
 
     def propose(
@@ -241,6 +247,620 @@
             self.assertEqual(value, mapped.decode(kind, body))
 
 
+def is_kind(*kinds):
+    """Return a filter that loses messages of these kinds."""
+    return lambda sender, to, message: isinstance(message, kinds)
+
+
+def only(name, *kinds):
+    """Return a filter: of these kinds, just those to ``name`` arrive."""
+    return lambda sender, to, message: (
+        isinstance(message, kinds) and to != name
+    )
+
+
+class ChangesTest(unittest.TestCase):
+    def test_no_answer_tells_of_what_a_minority_holds(self):
+        """Symptom: an operator is told of a revision that then vanishes.
+
+        Sequence: a proposer reaches one voter and dies; a second one reads
+        that value, finds a conflict and answers; that voter is lost.
+        Cause: the answer left before a majority held the value it tells of.
+        """
+        cluster = formed()
+        cluster.loses = only('gw-1', messages.AcceptVersion)
+        cluster.propose('gw-4', change_id='c1', expected=0, document=b'one')
+        cluster.deliver()
+        cluster.by_id['gw-4'].start()
+        cluster.down = {'gw-3'}
+        cluster.loses = is_kind(messages.AcceptVersion)
+        ticket = cluster.propose('gw-2', change_id='c2', expected=0)
+        cluster.run(1)
+        self.assertIsNone(cluster.result('gw-2', ticket))
+        cluster.loses = lambda *_: False
+        result = cluster.wait('gw-2', ticket)
+        self.assertEqual((1, b'one'), (result.revision, result.document))
+        holders = [
+            name
+            for name in VOTERS
+            if cluster.part(name).snapshot()[0].update.full.revision == 1
+        ]
+        self.assertEqual(['gw-1', 'gw-2'], holders)
+
+    def test_a_resend_gets_the_first_result_and_restores_nothing(self):
+        """Symptom: an old document is back, days after it was replaced.
+
+        Sequence: the answer to a change is lost, others change the document,
+        the operator's tool sends the change again.
+        Cause: the resend is taken for a change, or told of a conflict.
+        """
+        cluster = formed()
+        cluster.change('gw-4', change_id='c1', expected=0, document=b'one')
+        cluster.change('gw-1', change_id='c2', expected=1, document=b'two')
+        cluster.run(1)
+        result = cluster.change(
+            'gw-3', change_id='c1', expected=0, document=b'one'
+        )
+        self.assertEqual(register.Applied(revision=1, repeated=True), result)
+        cluster.run(1)
+        self.assertEqual(b'two', cluster.part('gw-4').document)
+
+    def test_a_change_id_with_other_content_is_refused(self):
+        """Symptom: an operator is told that a change that never was is in.
+
+        Sequence: a tool reuses a change id for another document.
+        Cause: the id alone is compared.
+        """
+        cluster = formed()
+        cluster.change('gw-4', change_id='c1', expected=0, document=b'one')
+        result = cluster.change(
+            'gw-4', change_id='c1', expected=0, document=b'other'
+        )
+        self.assertEqual(register.ChangeIdReused(revision=1), result)
+
+    def test_rivals_under_equal_numbers_both_get_an_answer(self):
+        """Symptom: two operators' changes block each other for seconds.
+
+        Sequence: two instances propose at once under the same number; each
+        refusal starts the other one anew.
+        Cause: both wait equally long before the next attempt.
+        """
+        cluster = formed()
+        tickets = {
+            name: cluster.propose(name, change_id=name, expected=0)
+            for name in ('gw-1', 'gw-2')
+        }
+        cluster.run(2)
+        results = {
+            type(cluster.result(name, ticket)).__name__
+            for name, ticket in tickets.items()
+        }
+        self.assertEqual({'Applied', 'Conflict'}, results)
+
+    def test_a_restarted_proposer_never_uses_a_ballot_twice(self):
+        """Symptom: two documents are in force under one revision.
+
+        Sequence: an instance without a disk proposes, restarts, proposes
+        another document under the same number; readers compare ballots.
+        Cause: its ballot numbers start again, and the proposer is the same.
+        """
+        cluster = formed()
+        first = self.first_ballot(cluster, 'c1')
+        cluster.by_id['gw-4'].start()
+        cluster.loses = lambda *_: False
+        cluster.run(2)
+        second = self.first_ballot(cluster, 'c2')
+        self.assertEqual(first.number, second.number)
+        self.assertNotEqual(first, second)
+
+    def first_ballot(self, cluster, change_id):
+        cluster.loses = is_kind(messages.PrepareBallot)
+        cluster.sent.clear()
+        cluster.propose('gw-4', change_id=change_id, expected=0)
+        kinds = [m for _, _, m in cluster.sent]
+        return next(
+            m.ballot for m in kinds if isinstance(m, messages.PrepareBallot)
+        )
+
+    @params(
+        (messages.PrepareBallot, 'did not take effect'),
+        (messages.AcceptVersion, 'may still take effect'),
+    )
+    def test_no_majority_is_said_with_what_is_known(self, lost, said):
+        cluster = formed()
+        cluster.loses = is_kind(lost)
+        result = cluster.change('gw-4', change_id='c1', expected=0)
+        self.assertIsInstance(result, register.Unavailable)
+        self.assertIn(said, result.message)
+        self.assertIn('same change id', result.message)
+
+    def test_a_change_survives_lost_messages(self):
+        """Symptom: a change takes a second try of the operator.
+
+        Sequence: the first promise request and the first accept are lost.
+        Cause: nobody sends them again.
+        """
+        cluster = formed()
+        lost = set()
+
+        def loses(sender, to, message):
+            key = (to, type(message))
+            is_first = key not in lost
+            lost.add(key)
+            wanted = (messages.PrepareBallot, messages.AcceptVersion)
+            return is_first and isinstance(message, wanted)
+
+        cluster.loses = loses
+        cluster.sent.clear()
+        result = cluster.change('gw-4', change_id='c1', expected=0)
+        self.assertEqual(register.Applied(revision=1, repeated=False), result)
+        prepared = [
+            m.ballot
+            for _, _, m in cluster.sent
+            if isinstance(m, messages.PrepareBallot)
+        ]
+        self.assertEqual(1, len(set(prepared)))
+
+    def test_a_voter_that_missed_changes_is_sent_the_whole_value(self):
+        """Symptom: a voter accepts a document with changes missing.
+
+        Sequence: it is cut off for one change and back for the next, which
+        comes as a step.
+        Cause: the step is applied to another value than it was made from.
+        """
+        cluster = formed()
+        cluster.down = {'gw-3'}
+        cluster.change('gw-4', change_id='c1', expected=0, document=b'one')
+        cluster.down = {'gw-1'}
+        cluster.change('gw-4', change_id='c2', expected=1, document=b'two')
+        cluster.run(2)
+        held = [
+            c.snapshot()[0].update.full
+            for c in map(cluster.part, ('gw-2', 'gw-3'))
+        ]
+        self.assertEqual(held[0], held[1])
+        self.assertEqual(2, held[0].revision)
+
+
+class VoterTest(unittest.TestCase):
+    def test_nothing_is_told_before_it_is_synced(self):
+        """Symptom: a voter breaks a promise after a power loss.
+
+        Sequence: it promises, its promise is counted, it loses power before
+        the sync and comes back free to accept an older ballot.
+        Cause: the reply, or a repeat of it, overtook the sync.
+        """
+        cluster = formed()
+        cluster.syncs_at_once = False
+        cluster.propose('gw-4', change_id='c1', expected=0)
+        for envelope in [e for e in cluster.queue if e[1] == 'gw-1'] * 2:
+            cluster.deliver_one(envelope)
+        told = [e for e in cluster.queue if e[0] == 'gw-1']
+        self.assertEqual([], told)
+        cluster.sync('gw-1')
+        told = [e for e in cluster.queue if e[0] == 'gw-1']
+        self.assertEqual(2, len(told))
+
+    def test_a_late_accept_does_not_undo_a_later_one(self):
+        """Symptom: an accepted revision is gone from a voter.
+
+        Sequence: a slow accept of an earlier ballot arrives after a later
+        ballot was promised.
+        Cause: the voter does not compare it with its promise.
+        """
+        cluster = formed()
+        cluster.loses = is_kind(messages.AcceptVersion)
+        cluster.propose('gw-4', change_id='c1', expected=0, document=b'old')
+        cluster.deliver()
+        late = [
+            e for e in cluster.sent if isinstance(e[2], messages.AcceptVersion)
+        ][-3:]
+        cluster.by_id['gw-4'].start()
+        cluster.loses = lambda *_: False
+        cluster.change('gw-1', change_id='c2', expected=0, document=b'new')
+        for envelope in late:
+            cluster.deliver_one(envelope)
+        cluster.run(1)
+        self.assertEqual(b'new', cluster.part('gw-2').document)
+
+    def test_a_restart_keeps_promises_that_came_with_an_accept(self):
+        cluster = formed()
+        for name in VOTERS:
+            instance = cluster.by_id[name]
+            before = instance.part.snapshot()
+            instance.start()
+            self.assertEqual(before, instance.part.snapshot())
+            copy = Instance(name, instance.disk_id)
+            copy.synced = before
+            copy.start()
+            self.assertEqual(before, copy.part.snapshot())
+
+    def test_a_lost_disk_does_not_vote_under_its_old_name(self):
+        """Symptom: an accepted revision is gone.
+
+        Sequence: a voter's disk is lost, it starts with an empty one; a
+        majority of the empty one and one that missed the change decides.
+        Cause: the instance's name is taken for its disk.
+        """
+        cluster = formed()
+        cluster.down = {'gw-3'}
+        cluster.change('gw-4', change_id='c1', expected=0, document=b'one')
+        cluster.by_id['gw-1'].lose_disk('disk-new')
+        cluster.down = {'gw-2'}
+        cluster.by_id['gw-4'].start()
+        result = cluster.change('gw-3', change_id='c2', expected=0)
+        self.assertIsInstance(result, register.Unavailable)
+        cluster.down = set()
+        cluster.run(1)
+        self.assertEqual(b'one', cluster.part('gw-4').document)
+
+
+class ReplacementTest(unittest.TestCase):
+    def replaced(self, cluster, name, disk_id, change_id):
+        cluster.by_id[name].lose_disk(disk_id)
+        ticket = cluster.replace(
+            'gw-4', change_id=change_id, old=name, by=name
+        )
+        result = cluster.wait('gw-4', ticket)
+        cluster.run(1)
+        return result
+
+    def test_a_second_loss_right_after_a_repair_loses_nothing(self):
+        """Symptom: an accepted revision is gone after a repair.
+
+        Sequence: a disk is lost and replaced, the repair is called finished,
+        the next disk is lost; the third voter had missed the change.
+        Cause: the new voter counted before it held what the lost one held.
+        """
+        cluster = formed()
+        cluster.down = {'gw-3'}
+        cluster.change('gw-4', change_id='c1', expected=0, document=b'one')
+        cluster.down = set()
+        result = self.replaced(cluster, 'gw-1', 'disk-5', 'r1')
+        self.assertEqual(register.Applied(revision=1, repeated=False), result)
+        cluster.run(3)
+        self.assertEqual('disk-5', cluster.part('gw-2').joining_by_id['gw-1'])
+        cluster.catch_up('gw-1')
+        cluster.run(2)
+        self.assertEqual({}, cluster.part('gw-2').joining_by_id)
+        self.replaced(cluster, 'gw-2', 'disk-6', 'r2')
+        cluster.catch_up('gw-2')
+        cluster.run(2)
+        voters = cluster.part('gw-3').voters_by_id
+        self.assertEqual(
+            {'gw-1': 'disk-5', 'gw-2': 'disk-6', 'gw-3': 'disk-gw-3'}, voters
+        )
+        self.assertEqual(b'one', cluster.part('gw-3').document)
+
+    def test_while_a_voter_joins_both_majorities_are_needed(self):
+        """Symptom: two documents are in force, one on each side.
+
+        Sequence: a replacement is under way; a partition leaves a majority
+        of the old voters on one side and one of the coming on the other.
+        Cause: either majority is enough.
+        """
+        cluster = formed()
+        ticket = cluster.replace('gw-4', change_id='r1', old='gw-1', by='gw-5')
+        cluster.by_id['gw-5'] = Instance('gw-5', 'disk-5')
+        cluster.wait('gw-4', ticket)
+        cluster.run(1)
+        cluster.down = {'gw-3', 'gw-5'}
+        result = cluster.change('gw-4', change_id='c1', expected=0)
+        self.assertIsInstance(result, register.Unavailable)
+        cluster.down = {'gw-1', 'gw-2'}
+        result = cluster.change('gw-4', change_id='c2', expected=0)
+        self.assertIsInstance(result, register.Unavailable)
+
+    def test_a_proposer_that_knows_the_old_voters_asks_the_new_ones(self):
+        """Symptom: a change is accepted that nobody else ever sees.
+
+        Sequence: an instance is cut off while a voter is replaced; back
+        again, it reaches the old majority first.
+        Cause: it counts the voters it knows, not those of the value it read.
+        """
+        cluster = formed()
+        cluster.by_id['gw-5'] = Instance('gw-5', 'disk-5')
+        stale = cluster.by_id.pop('gw-4')
+        cluster.down = {'gw-4'}
+        ticket = cluster.replace('gw-3', change_id='r1', old='gw-1', by='gw-5')
+        cluster.wait('gw-3', ticket)
+        cluster.run(1)
+        cluster.catch_up('gw-5')
+        cluster.run(2)
+        self.assertIn('gw-5', cluster.part('gw-3').voters_by_id)
+        cluster.by_id['gw-4'] = stale
+        cluster.down = {'gw-3'}
+        cluster.sent.clear()
+        result = cluster.change('gw-4', change_id='c1', expected=0)
+        self.assertEqual(register.Applied(revision=1, repeated=False), result)
+        accepted = {
+            sender
+            for sender, _, m in cluster.sent
+            if isinstance(m, messages.VersionAccepted)
+        }
+        self.assertIn('gw-5', accepted)
+
+    def test_a_replacement_does_not_end_on_a_value_that_may_vanish(self):
+        """Symptom: old and new voters decide apart from each other.
+
+        Sequence: the value with both sets reached one voter only; the end of
+        the replacement is written on top of it.
+        Cause: a reader of the value before asks the old set only.
+        """
+        joint = voters.Voters(
+            voters_by_id={'a': '1', 'b': '2', 'c': '3'}
+        ).replace('a', 'a', '4')
+        version = configuration.Version(
+            ballot=ballot.Ballot(number=1, proposer='b', nonce=1),
+            configuration=configuration.Configuration(
+                revision=0, document=b'', author='', changes=(), voters=joint
+            ),
+        )
+        end = changes.ReplacementEnd(disk_id='4')
+        early = end.decide(version, is_chosen=False)
+        self.assertEqual((True, None), (early.again, early.step.voters))
+        late = end.decide(version, is_chosen=True)
+        self.assertEqual({}, late.step.voters.joining_by_id)
+
+    @params(
+        ('gw-4', 'gw-4', 'is no voter'),
+        ('gw-1', 'gw-1', 'present disk'),
+        ('gw-1', 'gw-4', 'has no disk'),
+    )
+    def test_a_replacement_that_makes_no_sense_is_refused(self, old, by, said):
+        cluster = formed()
+        cluster.by_id['gw-4'].lose_disk('disk-4' if old == 'gw-4' else None)
+        cluster.run(1)
+        ticket = cluster.replace('gw-2', change_id='r1', old=old, by=by)
+        result = cluster.wait('gw-2', ticket)
+        self.assertIn(said, result.message)
+
+
+class ConfirmationTest(unittest.TestCase):
+    def test_an_isolated_voter_stops_and_confirms_nothing(self):
+        """Symptom: callers are served under an old configuration for hours.
+
+        Sequence: a partition leaves one voter with one entry; the others
+        change the document.
+        Cause: the voter answers from its own disk.
+        """
+        cluster = formed()
+        cluster.loses = lambda sender, to, _: (
+            (sender in ('gw-1', 'gw-4')) != (to in ('gw-1', 'gw-4'))
+        )
+        cluster.change('gw-2', change_id='c1', expected=0, document=b'one')
+        cluster.run(TTL_S + 0.5)
+        for name in ('gw-1', 'gw-4'):
+            self.assertFalse(cluster.part(name).is_fresh(cluster.now))
+        for name in ('gw-2', 'gw-3'):
+            self.assertTrue(cluster.part(name).is_fresh(cluster.now))
+        states = cluster.part('gw-2').in_force(1, cluster.now)
+        self.assertEqual('stopped', states['gw-4'])
+
+    def test_in_force_waits_for_an_instance_that_may_still_act(self):
+        """Symptom: a change is called in force too early.
+
+        Sequence: an instance confirms, is cut off, a change is accepted.
+        Cause: silence is taken for having stopped before its time is out.
+        """
+        cluster = formed()
+        cluster.down = {'gw-4'}
+        cluster.change('gw-2', change_id='c1', expected=0)
+        while cluster.part('gw-4').is_fresh(cluster.now):
+            states = cluster.part('gw-2').in_force(1, cluster.now)
+            self.assertEqual('waiting', states['gw-4'])
+            cluster.run(TICK_S)
+        cluster.run(1)
+        states = cluster.part('gw-2').in_force(1, cluster.now)
+        self.assertEqual('stopped', states['gw-4'])
+
+    @params('gw-1', 'gw-2', 'gw-3')
+    def test_one_silent_voter_leaves_everyone_fresh(self, name):
+        """Symptom: entries stop admitting when one voter dies.
+
+        Sequence: a voter goes silent while others wait for its answer.
+        Cause: they wait too long, or ask the same one again.
+        """
+        cluster = formed()
+        cluster.run(3)
+        cluster.down = {name}
+        for _ in range(round(3 * TTL_S / TICK_S)):
+            cluster.run(TICK_S)
+            for other in set(cluster.by_id) - {name}:
+                self.assertTrue(cluster.part(other).is_fresh(cluster.now))
+
+    def test_a_late_answer_counts_from_its_ask(self):
+        """Symptom: an entry serves the old document past its time.
+
+        Sequence: the answer to an ask is held up for seconds.
+        Cause: the time is counted from the arrival.
+        """
+        cluster = formed()
+        cluster.run(2)
+        kind = messages.ConfigurationConfirmed
+        cluster.loses = is_kind(kind)
+        cluster.sent.clear()
+        while not any(isinstance(m, kind) for _, _, m in cluster.sent):
+            cluster.run(TICK_S)
+        asked = [
+            m
+            for _, _, m in cluster.sent
+            if isinstance(m, messages.ConfirmConfiguration)
+        ]
+        self.assertTrue(asked)
+        answer = next(e for e in cluster.sent if isinstance(e[2], kind))
+        asked_by = cluster.now
+        cluster.down = {*VOTERS, 'gw-4'}
+        cluster.run(TTL_S - 0.2)
+        cluster.down = set()
+        cluster.loses = lambda *_: False
+        cluster.deliver_one(answer)
+        confirmed_at = cluster.part('gw-4').confirmed_at
+        self.assertLessEqual(confirmed_at, asked_by)
+
+    def test_a_check_answers_only_who_asked_before_it_began(self):
+        """Symptom: a revision is confirmed after a later one was chosen.
+
+        Sequence: a voter's check has read; a change is chosen; an ask
+        arrives and gets the answer of that check.
+        Cause: the check is older than the ask.
+        """
+        cluster = formed()
+        cluster.run(1)
+        cluster.queue.clear()
+        voter = cluster.part('gw-1')
+        for _ in range(40):
+            cluster.tick()
+            reports = [
+                e
+                for e in cluster.queue
+                if isinstance(e[2], messages.CheckAccepted) and e[0] == 'gw-1'
+            ]
+            if reports:
+                break
+            cluster.deliver()
+        ask = messages.ConfirmConfiguration(ask_id=99, base=None)
+        cluster.handle(
+            'gw-1',
+            parts.Received(now=cluster.now, sender='gw-4', message=ask),
+        )
+        cluster.sent.clear()
+        cluster.deliver()
+        answered = [
+            m.ask_id
+            for _, _, m in cluster.sent
+            if isinstance(m, messages.ConfigurationConfirmed)
+        ]
+        self.assertNotIn(99, answered)
+        self.assertTrue(voter.is_fresh(cluster.now))
+
+    @params(
+        ('gw-4', messages.ConfigurationConfirmed),
+        ('gw-1', messages.AcceptedReport),
+    )
+    def test_answers_from_before_a_restart_count_for_nothing(self, name, kind):
+        """Symptom: a restarted entry serves the document before.
+
+        Sequence: an answer is held up, its asker restarts and asks anew
+        while it is cut off, the answer arrives.
+        Cause: ids start again, so it passes for the answer to the new ask.
+        """
+        cluster = Cluster()
+        cluster.loses = is_kind(kind)
+        cluster.run(1)
+        late = [
+            e for e in cluster.sent if isinstance(e[2], kind) and e[1] == name
+        ]
+        self.assertTrue(late)
+        cluster.by_id[name].start()
+        cluster.run(0.1)
+        cluster.loses = lambda *_: True
+        for envelope in late:
+            event = parts.Received(
+                now=cluster.now, sender=envelope[0], message=envelope[2]
+            )
+            cluster.handle(name, event)
+        self.assertFalse(cluster.part(name).is_fresh(cluster.now))
+
+    def test_a_late_confirmation_does_not_revert(self):
+        """Symptom: an entry goes back to the document before.
+
+        Sequence: an answer with the earlier revision arrives after a later
+        one was confirmed.
+        Cause: the last answer wins.
+        """
+        cluster = formed()
+        part = cluster.part('gw-4')
+        old = part._confirmed
+        cluster.change('gw-1', change_id='c1', expected=0, document=b'one')
+        cluster.run(1)
+        self.assertEqual([], part._confirm(old, cluster.now, cluster.now))
+        self.assertEqual(b'one', part.document)
+
+    def test_half_done_work_of_a_dead_proposer_is_repaired(self):
+        """Symptom: no instance can confirm anything; all stop admitting.
+
+        Sequence: a proposer dies after one of two reachable voters accepted.
+        Cause: no value is held by a majority, and nobody writes one back.
+        """
+        cluster = formed()
+        cluster.down = {'gw-3'}
+        cluster.loses = only('gw-1', messages.AcceptVersion)
+        cluster.propose('gw-4', change_id='c1', expected=0, document=b'one')
+        cluster.deliver()
+        cluster.by_id['gw-4'].start()
+        cluster.loses = lambda *_: False
+        cluster.run(TTL_S + 1)
+        self.assertTrue(cluster.part('gw-4').is_fresh(cluster.now))
+        self.assertEqual(b'one', cluster.part('gw-4').document)
+
+    def test_a_restart_after_hundreds_of_changes_acts_on_none_of_them(self):
+        """Symptom: a restarted voter serves a document of last week.
+
+        Sequence: it is down for hundreds of changes, and starts while it
+        can't reach the others.
+        Cause: it takes its disk's word for the present.
+        """
+        cluster = formed()
+        cluster.down = {'gw-3'}
+        for number in range(200):
+            cluster.change('gw-1', change_id=f'c{number}', expected=number)
+        cluster.by_id['gw-3'].start()
+        cluster.down = {'gw-1', 'gw-2'}
+        cluster.run(TTL_S)
+        self.assertFalse(cluster.part('gw-3').is_fresh(cluster.now))
+        self.assertIsNone(cluster.part('gw-3').revision)
+        cluster.down = set()
+        cluster.run(3)
+        self.assertEqual(200, cluster.part('gw-3').revision)
+        held = cluster.part('gw-3').snapshot()[0].update.full
+        self.assertEqual(200, held.revision)
+
+
+class FormationTest(unittest.TestCase):
+    def test_nothing_forms_while_a_first_voter_is_missing(self):
+        """Symptom: two registers, each formed by a part of the voters.
+
+        Sequence: a first voter is unreachable at the start.
+        Cause: a majority of empty disks is taken for all of them.
+        """
+        cluster = Cluster()
+        cluster.down = {'gw-3'}
+        cluster.run(2)
+        self.assertIsNone(cluster.part('gw-1').revision)
+        cluster.down = set()
+        cluster.run(1)
+        self.assertEqual(0, cluster.part('gw-1').revision)
+
+    def test_the_rest_of_a_lost_register_forms_no_other(self):
+        """Symptom: revisions start anew at 0, all changes are gone.
+
+        Sequence: the register forms, one voter misses the first accept; the
+        disks of the two others are lost.
+        Cause: three disks without a value are taken for a first start.
+        """
+        cluster = Cluster()
+        cluster.loses = lambda sender, to, message: (
+            to == 'gw-3' and isinstance(message, messages.AcceptVersion)
+        )
+        cluster.run(0.1)
+        cluster.change('gw-1', change_id='c1', expected=0)
+        cluster.by_id['gw-1'].lose_disk('disk-5')
+        cluster.by_id['gw-2'].lose_disk('disk-6')
+        cluster.by_id['gw-4'].start()
+        cluster.by_id['gw-3'].start()
+        cluster.loses = lambda *_: False
+        cluster.run(5)
+        self.assertIsNone(cluster.part('gw-3').revision)
+
+    def test_a_lost_disk_of_the_first_voter_forms_no_other(self):
+        cluster = formed()
+        cluster.change('gw-1', change_id='c1', expected=0, document=b'one')
+        cluster.by_id['gw-1'].lose_disk('disk-5')
+        cluster.run(3)
+        self.assertEqual(b'one', cluster.part('gw-1').document)
+
+
 class Machine(stateful.RuleBasedStateMachine):
     """Real reducers over a network that drops, reorders and doubles."""
 
@@ -251,7 +871,6 @@
         self.expected_by_change: dict = {}
         self.document_by_revision: dict = {0: b''}
         self.known_since_by_revision: dict = {}
-        self.applied: dict = {}
         self.conflicts: set = set()
         self.losses = 0
         self.tickets: list = []
@@ -354,8 +973,8 @@
                 continue
             self.tickets.remove((name, ticket, change_id))
             if isinstance(result, register.Applied):
-                first = self.applied.setdefault(change_id, result.revision)
-                assert first == result.revision
+                expected = self.expected_by_change[change_id] + 1
+                assert result.revision == expected, (change_id, result)
                 self.note_revision(result.revision, change_id.encode())
             if isinstance(result, register.Conflict):
                 self.conflicts.add(change_id)
