Register split by job: proposer, checker, formation, hints, knowledge

Ruled out: one class per message kind; they share what is known of versions. Also: a late answer about a coming voter's disk could name a disk that was lost since; each request asks under an id of its own now.

--- /dev/null
+++ b/dandeliongw/coordination/checker.py
@@ -0,0 +1,203 @@
+"""A voter's majority checks, for itself and for those who ask it."""
+
+from collections import abc
+import typing
+
+from . import ballot as ballots
+from . import configuration as configurations
+from . import confirmation
+from . import knowledge as knowledges
+from . import parts
+from . import register_messages as messages
+
+#: A disk that lags is sent the version at most once in this many times to
+#: live, as the full value may be large.
+CATCH_UP_EVERY = 1.0
+
+Confirm = abc.Callable[[configurations.Version, float, float], list]
+
+
+class Checker:
+    """Runs one check at a time; whoever asks meanwhile waits for the next.
+
+    :param ttl_s: how long a confirmation lasts, in seconds.
+    :param confirm: takes a version, when the check began and the time;
+        returns effects.
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: knowledges.Knowledge,
+        ttl_s: float,
+        confirm: Confirm,
+    ) -> None:
+        #: Whether a proposer was seen to have left its work half done.
+        self.is_repair_wanted = False
+        self._knowledge = knowledge
+        self._ttl_s = ttl_s
+        self._confirm = confirm
+        self._waiting: list[confirmation.WaitingAsk] = []
+        self._check: confirmation.Check | None = None
+        #: ``None`` before the first tick has brought entropy.
+        self._check_id: int | None = None
+        self._last_at: float | None = None
+        self._is_wanted = False
+        self._caught_up_at_by_disk: dict[str, float] = {}
+
+    def start(self, first_id: int) -> None:
+        """Begin to check, with ids that no earlier run of ours used.
+
+        A report to a check from before a restart tells of what a voter held
+        before whoever waits now has asked; it must not count.
+        """
+        self._check_id = first_id
+
+    def ask(
+        self, sender: str, ask: messages.ConfirmConfiguration, now: float
+    ) -> list[typing.Any]:
+        """Take in an ask; the next check to begin answers it."""
+        waiting = confirmation.WaitingAsk(
+            instance_id=sender, arrived_at=now, ask=ask
+        )
+        self._waiting.append(waiting)
+        return self._begin_if_due(now)
+
+    def hurry(self, now: float) -> list[typing.Any]:
+        """Check soon: a later revision was accepted."""
+        self._is_wanted = True
+        return self._begin_if_due(now)
+
+    def tick(self, now: float) -> list[typing.Any]:
+        """End a check that takes too long; begin one when it is time."""
+        check = self._check
+        timeout = confirmation.CHECK_TIMEOUT * self._ttl_s
+        if check is not None and now - check.started_at >= timeout:
+            self._give_up(check, now)
+        return self._begin_if_due(now)
+
+    def on_report(
+        self, sender: str, message: messages.AcceptedReport, now: float
+    ) -> list[typing.Any]:
+        """Count a report, and see to a voter that lags."""
+        # Reports that come after the quorum's are looked at as well, or a
+        # voter that always comes late would never be brought up to date.
+        effects = self._catch_up(message, now)
+        check = self._check
+        if check is None or check.check_id != message.check_id:
+            return effects
+        check.accepted_by_disk[message.from_disk_id] = message.accepted
+        return [
+            *effects,
+            *self._fetch_if_behind(sender, message),
+            *self.settle(now),
+        ]
+
+    def settle(self, now: float) -> list[typing.Any]:
+        """End the check if it confirms a version that is known."""
+        check = self._check
+        if check is None:
+            return []
+        for versions in self._knowledge.histories:
+            version = versions.current
+            if version is not None and check.confirms(version):
+                self._check = None
+                return self._answer(check, versions, now)
+        return []
+
+    def _begin_if_due(self, now: float) -> list[typing.Any]:
+        if not self._knowledge.is_voter or self._check is not None:
+            return []
+        if self._check_id is None or not self._is_due(now):
+            return []
+        self._check_id += 1
+        self._last_at = now
+        self._is_wanted = False
+        self._check = confirmation.Check(
+            check_id=self._check_id, started_at=now, asks=self._waiting
+        )
+        self._waiting = []
+        instance_by_disk = self._knowledge.voters.instance_by_disk
+        return [
+            self._query(instance_by_disk[disk_id], disk_id)
+            for disk_id in sorted(instance_by_disk)
+        ]
+
+    def _is_due(self, now: float) -> bool:
+        if self._last_at is None:
+            return True
+        gap = confirmation.ASK_EVERY
+        if self._waiting or self._is_wanted:
+            gap = confirmation.CHECK_GAP
+        return now - self._last_at >= gap * self._ttl_s
+
+    def _query(self, instance_id: str, disk_id: str) -> parts.Send:
+        message = messages.CheckAccepted(
+            to_disk_id=disk_id, check_id=self._check_id
+        )
+        return parts.Send(to=instance_id, message=message)
+
+    def _give_up(self, check: confirmation.Check, now: float) -> None:
+        oldest = now - confirmation.ASK_TIMEOUT * self._ttl_s
+        kept = [ask for ask in check.asks if ask.arrived_at > oldest]
+        self._waiting = [*kept, *self._waiting]
+        self._check = None
+        # A quorum answers, but does not hold one and the same version: a
+        # proposer has left its work half done.
+        answered = set(check.accepted_by_disk)
+        if self._knowledge.voters.has_quorum(answered):
+            self.is_repair_wanted = True
+
+    def _fetch_if_behind(
+        self, sender: str, message: messages.AcceptedReport
+    ) -> list[typing.Any]:
+        known = self._knowledge.known.ballot
+        if message.accepted is None or message.accepted <= known:
+            return []
+        fetch = messages.FetchVersion(
+            to_disk_id=message.from_disk_id, base=known
+        )
+        return [parts.Send(to=sender, message=fetch)]
+
+    def _answer(
+        self,
+        check: confirmation.Check,
+        versions: configurations.VersionHistory,
+        now: float,
+    ) -> list[typing.Any]:
+        effects = self._confirm(versions.current, check.started_at, now)
+        for waiting in check.asks:
+            answer = messages.ConfigurationConfirmed(
+                ask_id=waiting.ask.ask_id,
+                update=versions.update_for(waiting.ask.base),
+            )
+            effects.append(parts.Send(to=waiting.instance_id, message=answer))
+        return effects
+
+    def _catch_up(
+        self, report: messages.AcceptedReport, now: float
+    ) -> list[typing.Any]:
+        """Repeat the accept for a disk that missed it, or that joins."""
+        version = self._knowledge.confirmed
+        if version is None or not _is_behind(report, version.ballot):
+            return []
+        disk_id = report.from_disk_id
+        instance_by_disk = version.configuration.voters.instance_by_disk
+        last = self._caught_up_at_by_disk.get(disk_id)
+        pause = CATCH_UP_EVERY * self._ttl_s
+        if last is not None and now - last < pause:
+            return []
+        if disk_id not in instance_by_disk:
+            return []
+        self._caught_up_at_by_disk[disk_id] = now
+        message = messages.AcceptVersion(
+            to_disk_id=disk_id,
+            update=self._knowledge.update_to_confirmed(report.accepted),
+        )
+        return [parts.Send(to=instance_by_disk[disk_id], message=message)]
+
+
+def _is_behind(
+    report: messages.AcceptedReport, ballot: ballots.Ballot
+) -> bool:
+    return report.accepted is None or report.accepted < ballot
--- /dev/null
+++ b/dandeliongw/coordination/formation.py
@@ -0,0 +1,97 @@
+"""Forms the register, once every first voter has an empty disk."""
+
+import typing
+
+from . import changes
+from . import configuration as configurations
+from . import knowledge as knowledges
+from . import parts
+from . import proposer as proposers
+from . import register_messages as messages
+
+#: The first voters are asked for their disks this often, in seconds.
+FORMATION_EVERY_S = 0.5
+
+
+class Formation:
+    """Asks the first voters for their disks until the register is formed.
+
+    One instance forms, so that two never compete; it needs all the first
+    voters anyway.
+
+    :param initial_voters: instance ids, the same at every instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: knowledges.Knowledge,
+        proposer: proposers.Proposer,
+        initial_voters: tuple[str, ...],
+    ) -> None:
+        self._knowledge = knowledge
+        self._proposer = proposer
+        self._initial_voters = initial_voters
+        self._query_id = 0
+        self._query_at: float | None = None
+        self._reports_by_id: dict[str, messages.DiskReport] = {}
+
+    def start(self, first_id: int) -> None:
+        """Begin with ids that no earlier run of this instance used."""
+        self._query_id = first_id
+
+    def tick(self, now: float) -> list[typing.Any]:
+        """Ask when it is time."""
+        if not self._may_form():
+            return []
+        if self._query_at is not None:
+            if now - self._query_at < FORMATION_EVERY_S:
+                return []
+        self._query_id += 1
+        self._query_at = now
+        self._reports_by_id = {}
+        query = messages.DiskQuery(query_id=self._query_id)
+        return [
+            parts.Send(to=instance_id, message=query)
+            for instance_id in self._initial_voters
+        ]
+
+    def on_report(
+        self, sender: str, message: messages.DiskReport, now: float
+    ) -> list[typing.Any]:
+        """Note a disk; form when all are known and empty."""
+        if message.query_id != self._query_id or not self._may_form():
+            return []
+        self._reports_by_id[sender] = message
+        disks_by_id = self._empty_disks_by_id()
+        if len(disks_by_id) < len(self._initial_voters):
+            return []
+        # Neither an id of a query nor a disk id ever comes back with another
+        # meaning, so this nonce never meets another value.
+        entropy = configurations.digest(self._query_id, *disks_by_id.values())
+        job = proposers.Job(
+            change=changes.WriteBack(),
+            entropy=int.from_bytes(entropy[:8], 'big'),
+            deadline=now + proposers.ATTEMPT_LIMIT_S,
+            forming_by_id=disks_by_id,
+        )
+        return self._proposer.add_first(job, now)
+
+    def _empty_disks_by_id(self) -> dict[str, str]:
+        return {
+            instance_id: report.disk_id
+            for instance_id, report in self._reports_by_id.items()
+            if report.disk_id is not None
+            and not report.holds_version
+            and instance_id in self._initial_voters
+        }
+
+    def _may_form(self) -> bool:
+        knowledge = self._knowledge
+        if any(job.forming_by_id for job in self._proposer.jobs):
+            return False
+        return (
+            knowledge.known.current is None
+            and knowledge.acceptor is not None
+            and knowledge.instance_id == min(self._initial_voters)
+        )
--- /dev/null
+++ b/dandeliongw/coordination/proposer.py
@@ -0,0 +1,251 @@
+"""Carries requests through as many attempts as they need."""
+
+from collections import abc
+import typing
+
+from . import attempt as attempts
+from . import ballot as ballots
+from . import changes
+from . import configuration as configurations
+from . import knowledge as knowledges
+from . import parts
+from . import register_messages as messages
+
+#: Unanswered messages of an attempt are sent again this often, in seconds.
+RESEND_EVERY_S = 0.25
+#: An attempt that can't go on is given up for a new one after this long.
+ATTEMPT_LIMIT_S = 1.0
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 0.8
+
+
+class Job:
+    """A request that waits for its attempts to succeed.
+
+    :param change: ``None`` while something has to be asked for first.
+    :param ticket: of the local request; ``None`` for work of our own.
+    :param deadline: when to give up.
+    :param forming_by_id: the first voters' disks, to form the register.
+    """
+
+    def __init__(
+        self,
+        *,
+        change: changes.Change | None,
+        entropy: int,
+        deadline: float,
+        ticket: str | None = None,
+        forming_by_id: dict[str, str] | None = None,
+    ) -> None:
+        self.change = change
+        self.ticket = ticket
+        self.deadline = deadline
+        self.forming_by_id = forming_by_id or {}
+        self.tries = 0
+        self._entropy = entropy
+
+    def draw(self, purpose: str) -> int:
+        """Return 64 bits that differ by try and purpose."""
+        drawn = configurations.digest(self._entropy, self.tries, purpose)
+        return int.from_bytes(drawn[:8], 'big')
+
+    def backoff_s(self) -> float:
+        """Return a jittered wait, so that rivals don't meet again."""
+        longest = FIRST_BACKOFF_S * 2 ** min(self.tries, 10)
+        share = 0.5 + self.draw('backoff') / 2**64
+        return min(longest, LONGEST_BACKOFF_S) * share
+
+    def why_unanswered(self) -> str:
+        """Say why there is no answer, and what a resend does."""
+        if getattr(self.change, 'was_tried', False):
+            effect = 'may still take effect'
+        else:
+            effect = 'did not take effect'
+        return (
+            f'no majority of the voters answered in time; the change {effect}'
+            ': resend it with the same change id'
+        )
+
+
+class Proposer:
+    """Runs one attempt at a time, for the first of the waiting jobs.
+
+    :param on_chosen: called with a finished attempt and the time; returns
+        effects.
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: knowledges.Knowledge,
+        on_chosen: abc.Callable[[attempts.Attempt, float], list],
+    ) -> None:
+        self.jobs: list[Job] = []
+        self._knowledge = knowledge
+        self._on_chosen = on_chosen
+        self._attempt: attempts.Attempt | None = None
+        self._attempt_started_at = 0.0
+        self._resend_at = 0.0
+        self._retry_at = 0.0
+        self._highest_number = 0
+
+    def add(self, job: Job, now: float) -> list[typing.Any]:
+        """Queue a job, and start it if it is the only one."""
+        self.jobs.append(job)
+        if len(self.jobs) > 1:
+            return []
+        self._retry_at = now
+        return self.start(now)
+
+    def add_later(self, job: Job, now: float) -> None:
+        """Queue work of our own after a jittered wait.
+
+        All voters see the same need at the same time.
+        """
+        self.jobs.append(job)
+        self._retry_at = now + job.backoff_s()
+
+    def add_first(self, job: Job, now: float) -> list[typing.Any]:
+        """Put a job before all others."""
+        self._attempt = None
+        self.jobs.insert(0, job)
+        self._retry_at = now
+        return self.start(now)
+
+    def remove(self, job: Job, now: float) -> None:
+        """Drop a job, with its attempt if it has one."""
+        if job is self.jobs[0]:
+            self._attempt = None
+            self._retry_at = now
+        self.jobs.remove(job)
+
+    def start(self, now: float) -> list[typing.Any]:
+        """Start an attempt for the first job, if that is possible now."""
+        if not self.jobs or self._attempt is not None or now < self._retry_at:
+            return []
+        job = self.jobs[0]
+        if job.change is None:
+            return []
+        if self._knowledge.known.current is None and not job.forming_by_id:
+            return []
+        job.tries += 1
+        confirmed = self._knowledge.confirmed
+        self._attempt = attempts.Attempt(
+            ballot=self._next_ballot(job),
+            change=job.change,
+            known=self._knowledge.known,
+            chosen=None if confirmed is None else confirmed.ballot,
+            forming_by_id=job.forming_by_id,
+        )
+        self._attempt_started_at = now
+        self._resend_at = now + RESEND_EVERY_S
+        return list(self._attempt.start())
+
+    def tick(self, now: float) -> list[typing.Any]:
+        """Expire jobs, send again, or try again."""
+        effects = self._expire(now)
+        if self._attempt is None:
+            return [*effects, *self.start(now)]
+        if now - self._attempt_started_at >= ATTEMPT_LIMIT_S:
+            self._give_up(now)
+        elif now >= self._resend_at:
+            self._resend_at = now + RESEND_EVERY_S
+            effects.extend(self._attempt.resend(now))
+        return [*effects, *self._settle(now)]
+
+    def on_promised(
+        self, message: messages.BallotPromised, now: float
+    ) -> list[typing.Any]:
+        """Count a promise."""
+        if not self._is_current(message.ballot):
+            return []
+        sends = self._attempt.on_promised(message, now)
+        return [*sends, *self._settle(now)]
+
+    def on_refused(
+        self, message: messages.BallotRefused, now: float
+    ) -> list[typing.Any]:
+        """Give the attempt up."""
+        if not self._is_current(message.ballot):
+            return []
+        self._attempt.on_refused(message)
+        return self._settle(now)
+
+    def on_accepted(
+        self, message: messages.VersionAccepted, now: float
+    ) -> list[typing.Any]:
+        """Count an acceptance."""
+        if not self._is_current(message.ballot):
+            return []
+        self._attempt.on_accepted(message)
+        return self._settle(now)
+
+    def on_full_needed(
+        self, message: messages.FullVersionNeeded
+    ) -> list[typing.Any]:
+        """Send the whole value."""
+        if not self._is_current(message.ballot):
+            return []
+        return list(self._attempt.on_full_needed(message))
+
+    def on_version_known(self, now: float) -> list[typing.Any]:
+        """Go on after a version was fetched or learnt."""
+        if self._attempt is None:
+            return self.start(now)
+        sends = self._attempt.on_version_known(now)
+        return [*sends, *self._settle(now)]
+
+    def _is_current(self, ballot: ballots.Ballot) -> bool:
+        return self._attempt is not None and self._attempt.ballot == ballot
+
+    def _next_ballot(self, job: Job) -> ballots.Ballot:
+        heard = [self._knowledge.known.ballot]
+        if self._knowledge.acceptor is not None:
+            heard.append(self._knowledge.acceptor.promised)
+        numbers = [ballot.number for ballot in heard if ballot is not None]
+        self._highest_number = max(self._highest_number, *numbers, 0) + 1
+        return ballots.Ballot(
+            number=self._highest_number,
+            proposer=self._knowledge.instance_id,
+            nonce=job.draw('nonce'),
+        )
+
+    def _expire(self, now: float) -> list[typing.Any]:
+        effects: list[typing.Any] = []
+        for job in [job for job in self.jobs if now >= job.deadline]:
+            self.remove(job, now)
+            if job.ticket is not None:
+                result = changes.Unavailable(message=job.why_unanswered())
+                effects.append(
+                    parts.Complete(ticket=job.ticket, result=result)
+                )
+        return effects
+
+    def _give_up(self, now: float) -> None:
+        highest = self._attempt.highest.number
+        self._highest_number = max(self._highest_number, highest)
+        self._attempt = None
+        self._retry_at = now + self.jobs[0].backoff_s()
+
+    def _settle(self, now: float) -> list[typing.Any]:
+        """Act on an attempt that has come to its end."""
+        attempt = self._attempt
+        if attempt is None:
+            return []
+        if attempt.phase is attempts.Phase.REFUSED:
+            self._give_up(now)
+            return []
+        if attempt.phase is not attempts.Phase.CHOSEN:
+            return []
+        self._attempt = None
+        self._retry_at = now
+        effects = list(self._on_chosen(attempt, now))
+        if not attempt.decision.again:
+            effects.extend(self._complete(attempt.decision))
+        return [*effects, *self.start(now)]
+
+    def _complete(self, decision: changes.Decision) -> list[typing.Any]:
+        job = self.jobs.pop(0)
+        if job.ticket is None:
+            return []
+        return [parts.Complete(ticket=job.ticket, result=decision.result)]
