--- a/tests/claims_network.py
+++ b/tests/claims_network.py
@@ -119,7 +119,7 @@
         self.add_disk(holder, disk_id)
         self.change(current, {holder: disk_id})
         self.run()
-        self.tick(GIVE_UP_S)
+        self.tick(2 * ROUND_TRIP_S)
         if self.caught_up and self.caught_up[-1].epoch == self.epoch:
             self.change({**current, holder: disk_id})
             self.run()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,5 +1,6 @@
 """Claims over a fake network: each trap once, and all of them at random."""
 
+import dataclasses
 import unittest
 
 from hypothesis import settings
@@ -8,6 +9,7 @@
 from nose2.tools import params
 
 from dandeliongw.coordination import claim_messages as messages
+from dandeliongw.coordination import claim_slots
 from dandeliongw.coordination import claims
 from dandeliongw.coordination import parts
 from tests import claims_network
@@ -74,6 +76,153 @@
         self.network.cut.clear()
 
 
+def is_put(packet, *, to, round):
+    message = packet.message
+    is_round = isinstance(message, messages.ClaimPut) and (
+        message.round == round
+    )
+    return is_round and packet.to in to
+
+
+def slot(attempt, state='claimed', round=0):
+    return messages.ClaimSlot(
+        key='key',
+        round=round,
+        state=messages.SlotState(state),
+        digest=DIGEST,
+        attempt_id=attempt,
+    )
+
+
+class RulesTest(unittest.TestCase):
+    @params(
+        ('a', 'claimed', 'b', 'claimed', ('', 'contested')),
+        ('a', 'withdrawn', 'b', 'claimed', ('', 'contested')),
+        ('a', 'withdrawn', 'a', 'claimed', ('a', 'withdrawn')),
+        ('a', 'recorded', 'b', 'claimed', ('a', 'recorded')),
+        ('', 'contested', 'b', 'claimed', ('', 'contested')),
+        ('', 'contested', 'b', 'recorded', ('b', 'recorded')),
+    )
+    def test_a_joining_holder_takes_no_side(self, one, how, other, as_, kept):
+        """Symptom: a booking is made twice after a repair.
+
+        Sequence: two holders that are copied differ. Cause: one is picked.
+        """
+        for pair in ((slot(one, how), slot(other, as_)),):
+            for first, second in (pair, pair[::-1]):
+                merged = claim_slots.merge(first, second)
+                self.assertEqual(kept, (merged.attempt_id, merged.state))
+
+    def test_a_later_round_wins_a_merge(self):
+        later = slot('b', round=1)
+        self.assertEqual(later, claim_slots.merge(later, slot('a')))
+        self.assertEqual(later, claim_slots.merge(slot('a'), later))
+
+    @params(
+        ({}, {''}),
+        ({'A': slot('a'), 'B': slot('me')}, {'a'}),
+        ({'A': slot('a'), 'B': slot('a'), 'C': slot('me')}, {'a'}),
+        ({'A': slot('a'), 'B': slot('b'), 'C': slot('me')}, set()),
+        ({'A': slot('a', 'withdrawn'), 'B': slot('me')}, set()),
+        ({'A': slot('', 'contested'), 'B': slot('b')}, {'', 'b'}),
+    )
+    def test_a_round_is_dead_when_nobody_can_have_won(self, shown, rivals):
+        """Symptom: a booking is made twice.
+
+        Sequence: the next round starts while an unreachable holder, or a
+        contested slot, may make a majority. Cause: it counts for nobody.
+        """
+        holder_set = claim_slots.HolderSet(
+            epoch=1,
+            disk_ids_by_holder=dict.fromkeys('ABC', 'disk'),
+            joining={},
+            leaving=frozenset(),
+        )
+        found = claim_slots.rivals(
+            attempt_id='me',
+            round=0,
+            seen_by_holder={
+                holder: claim_slots.SeenSlot(
+                    slot=one, age_s=1.0, is_older=True
+                )
+                for holder, one in shown.items()
+            },
+            holder_set=holder_set,
+        )
+        self.assertEqual(rivals, found)
+
+
+class HolderTest(ClaimsTest):
+    def test_nothing_is_told_of_an_unsynced_slot(self):
+        """Symptom: a booking is made twice after a crash.
+
+        Sequence: A shows F that E has the slot; A crashes before its sync
+        and gives the slot to another. Cause: a refusal proves as much as a
+        grant, and was told before the sync.
+        """
+        self.network.begin('E', 'e1')
+        self.network.begin('F', 'f1')
+        self.network.run(
+            lambda packet: isinstance(packet.message, messages.ClaimPut)
+        )
+        told = [p for p in self.network.packets if p.sender != p.to]
+        self.assertEqual([], told)
+
+    def test_a_withdrawal_touches_no_other_attempt(self):
+        """Symptom: a booking is made twice.
+
+        Sequence: F's withdrawal reaches holders that granted E. Cause: they
+        take it for E's.
+        """
+        self.network.claim('E', 'e1')
+        withdraw = messages.ClaimWithdraw(
+            key='key', round=0, digest=DIGEST, attempt_id='f1', disk_id=''
+        )
+        for holder in 'ABC':
+            message = dataclasses.replace(withdraw, disk_id=f'disk-{holder}')
+            event = parts.Received(now=0.0, sender='F', message=message)
+            self.network.handle(holder, event)
+        self.network.tick(GIVE_UP_S)
+        result = self.network.claim('F', 'f2')
+        self.assertIsInstance(result, messages.InProgress)
+
+    def test_a_put_of_an_old_epoch_is_not_taken(self):
+        """Symptom: a booking is made twice after a repair.
+
+        Sequence: a put from before the repair arrives behind the copy.
+        Cause: the holder grants what the joining one can't have copied.
+        """
+        self.network.begin('E', 'e1')
+        late, self.network.packets = self.network.packets, []
+        self.network.cut.add('E')
+        self.network.replace('A', 'disk-A2')
+        self.network.cut.clear()
+        self.network.packets = late
+        self.network.run()
+        self.assertEqual(1, len(self.network.parts_by_id['B'].snapshot()))
+
+    def test_a_restarted_holder_remembers_its_epoch(self):
+        """Symptom: as above, after a crash.
+
+        Sequence: B restarts and hears of the set from before the repair.
+        Cause: the epoch that it acted under was never synced.
+        """
+        old = self.network.news()
+        self.network.replace('A', 'disk-A2')
+        self.network.crash('B')
+        self.network.epoch = 0
+        self.network.start('B')
+        self.network.handle('B', old)
+        self.network.begin('E', 'e1')
+        put = self.network.packets[1].message
+        event = parts.Received(
+            now=0.0, sender='E', message=dataclasses.replace(put, epoch=1)
+        )
+        self.network.handle('B', event)
+        self.network.run()
+        self.assertEqual(1, len(self.network.parts_by_id['B'].snapshot()))
+
+
 class ResendTest(ClaimsTest):
     def test_a_resend_while_the_first_works_is_told_to_come_back(self):
         """Symptom: a booking is made twice.
@@ -149,6 +298,29 @@
             self.network.results_by_ticket['e1'], messages.InProgress
         )
 
+    def test_a_later_round_is_no_way_round_that(self):
+        """Symptom: as above.
+
+        Sequence: as above, but another send after "not run" has taken a
+        slot of the next round before E's puts arrive. Cause: E joins it.
+        """
+        self.network.begin('E', 'e1')
+        self.network.now += 0.001
+        slow, self.network.packets = self.network.packets, []
+        self.network.claim('F', 'f1')
+        self.network.abandon('F', 'f1')
+        self.network.run()
+        self.network.now += 0.001
+        self.network.begin('F', 'f2')
+        self.network.run(lambda packet: not is_put(packet, to='BC', round=1))
+        self.network.crash('F')
+        self.network.packets = slow
+        self.network.run()
+        self.network.tick(GIVE_UP_S)
+        self.assertIsInstance(
+            self.network.results_by_ticket['e1'], messages.InProgress
+        )
+
     def test_an_abandoned_begin_frees_the_key_and_never_runs(self):
         """Symptom: a caller who left has its booking made later.
 
@@ -238,6 +410,80 @@
         result = self.network.claim('F', 'f1')
         self.assertIsInstance(result, messages.InProgress)
 
+    def test_a_joining_holder_grants_nothing(self):
+        """Symptom: a booking is made twice.
+
+        Sequence: A and B grant E; A's disk is lost; while A joins, B is cut
+        off. Cause: A has no slot yet and grants anew.
+        """
+        self.granted_while_cut('C')
+        self.network.add_disk('A', 'disk-A2')
+        current = self.network.sets[0]
+        self.network.change(current, {'A': 'disk-A2'})
+        self.network.run(lambda packet: packet.sender == packet.to)
+        self.network.cut.add('B')
+        result = self.network.claim('F', 'f1')
+        self.assertNotEqual(messages.Granted(), result)
+
+    @params('cut off', 'behind')
+    def test_a_copy_needs_a_majority_under_the_new_epoch(self, how):
+        """Symptom: a booking is made twice after a repair.
+
+        Sequence: A joins; B can't be copied, or hasn't heard of the change
+        and may still grant as before. Cause: A counts as caught up.
+        """
+        self.granted_while_cut('C')
+        self.network.add_disk('A', 'disk-A2')
+        if how == 'cut off':
+            self.network.cut.add('B')
+        self.network.tells_by_packet = True
+        self.network.change(self.network.sets[0], {'A': 'disk-A2'})
+        self.network.packets = [
+            packet for packet in self.network.packets if packet.to != 'B'
+        ]
+        self.network.run()
+        self.network.tick(GIVE_UP_S)
+        self.assertEqual([], self.network.caught_up)
+
+    def test_caught_up_waits_for_the_sync(self):
+        """Symptom: an outcome is gone after a repair and a crash.
+
+        Sequence: A has copied, tells so, crashes before its sync. Cause: it
+        counts for what it has lost.
+        """
+        self.granted_while_cut('C')
+        self.network.add_disk('A', 'disk-A2')
+        self.network.change(self.network.sets[0], {'A': 'disk-A2'})
+        self.network.run()
+        self.network.now += GIVE_UP_S
+        self.network.handle('A', parts.Ticked(now=self.network.now, entropy=0))
+        self.network.run(
+            lambda packet: (
+                packet.to != 'A'
+                or not isinstance(packet.message, parts.Persist)
+            )
+        )
+        self.assertEqual([], self.network.caught_up)
+        self.network.run()
+        self.assertNotEqual([], self.network.caught_up)
+
+    def test_a_working_attempt_gains_nothing_from_a_repair(self):
+        """Symptom: a booking is made twice after a repair.
+
+        Sequence: A and B grant E, C has granted F, which still asks; A's
+        disk is lost and repaired. Cause: the repaired A takes F's side.
+        """
+        self.network.begin('F', 'f1')
+        self.network.run(lambda packet: packet.to in 'CF')
+        self.network.packets.clear()
+        self.network.cut.add('C')
+        self.network.begin('E', 'e1')
+        self.network.run()
+        self.network.cut.clear()
+        self.network.replace('A', 'disk-A2')
+        self.network.run()
+        self.assertEqual({'e1'}, self.network.granted())
+
     def test_many_claims_are_copied_in_pages(self):
         """Symptom: after two repairs some outcomes are gone.
 
@@ -270,6 +516,7 @@
         self.network.packets = slow
         self.network.run()
         self.network.tell_set('E')
+        self.network.run()
         self.network.tick(GIVE_UP_S)
         self.assertNotEqual(
             messages.Granted(), self.network.results_by_ticket['e1']
