--- /dev/null
+++ b/tests/test_embedding.py
@@ -0,0 +1,80 @@
+"""The coordination subpackage stands alone, and its example runs."""
+
+import ast
+import contextlib
+import io
+import pathlib
+import runpy
+import unittest
+
+from nose2.tools import params
+
+PACKAGE = pathlib.Path('dandeliongw/coordination')
+MODULES = sorted(path.name for path in PACKAGE.glob('*.py'))
+#: What the parts may use besides each other: nothing that does I/O, reads a
+#: clock or draws a random number.
+ALLOWED = {
+    'bisect',
+    'collections',
+    'dataclasses',
+    'enum',
+    'functools',
+    'hashlib',
+    'heapq',
+    'itertools',
+    'math',
+    'operator',
+    'types',
+    'typing',
+    'xxhash',
+}
+FORBIDDEN_CALLS = {'open', 'print', 'input', 'exec', 'eval', '__import__'}
+
+
+def find_faults(source: str) -> list[str]:
+    """Return what a coordination module must not import or call."""
+    faults = []
+    for node in ast.walk(ast.parse(source)):
+        match node:
+            case ast.Import(names=names):
+                roots = [name.name.partition('.')[0] for name in names]
+                faults += [root for root in roots if root not in ALLOWED]
+            case ast.ImportFrom(level=0, module=module):
+                root = (module or '').partition('.')[0]
+                faults += [root] if root not in ALLOWED else []
+            case ast.ImportFrom(level=level) if level > 1:
+                faults.append('.' * level + (node.module or ''))
+            case ast.Call(func=ast.Name(id=name)) if name in FORBIDDEN_CALLS:
+                faults.append(name)
+    return faults
+
+
+class EmbeddingTest(unittest.TestCase):
+    @params(*MODULES)
+    def test_a_module_needs_nothing_of_the_daemon(self, name):
+        source = (PACKAGE / name).read_text(encoding='utf-8')
+        self.assertEqual([], find_faults(source))
+
+    @params(
+        ('import time', 'time'),
+        ('from random import random', 'random'),
+        ('from .. import reducer', '..'),
+        ('from ..verdict import Verdict', '..verdict'),
+        ('from dandeliongw import reducer', 'dandeliongw'),
+        ("open('journal')", 'open'),
+    )
+    def test_the_check_sees(self, source, fault):
+        self.assertEqual([fault], find_faults(source))
+
+    def test_the_example_tells_what_happened(self):
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            runpy.run_path('examples/embedding.py', run_name='__main__')
+        lines = output.getvalue().splitlines()
+        replayed = "Replayed(outcome=b'booked: lesson 4')"
+        self.assertEqual('entry-1 begins: Granted()', lines[0])
+        self.assertIn('InProgress(retry_after_s=', lines[1])
+        self.assertEqual('entry-1 finishes: Recorded()', lines[2])
+        self.assertEqual(f'a resend to entry-2: {replayed}', lines[3])
+        self.assertEqual(f'after a restart: {replayed}', lines[4])
+        self.assertEqual(5, len(lines))
