--- a/dandeliongw/coordination/claim_attempts.py
+++ b/dandeliongw/coordination/claim_attempts.py
@@ -115,6 +115,8 @@
         self._attempts_by_id: dict[str, _Attempt] = {}
         self._granted_by_id: dict[str, _Attempt] = {}
         self._recordings_by_ticket: dict[str, _Recording] = {}
+        #: Several callers may wait for one outcome to be written back.
+        self._tickets_by_attempt_id: dict[str, set[str]] = {}
         self._withdrawals_by_id: dict[str, _Withdrawal] = {}
 
     # Local requests.
@@ -451,6 +453,10 @@
             resend_at=now + self._resend_s,
         )
         self._recordings_by_ticket[ticket] = recording
+        tickets = self._tickets_by_attempt_id.setdefault(
+            slot.attempt_id, set()
+        )
+        tickets.add(ticket)
         return self._outcomes(recording)
 
     def outcome_answered(
@@ -462,28 +468,26 @@
         if not self._is_current(sender, reply.epoch, reply.disk_id):
             return []
         effects: Effects = []
-        for recording in list(self._recordings_by_ticket.values()):
-            if recording.slot.attempt_id == reply.attempt_id:
-                recording.stored.add(sender)
-                effects += self._end_recording(recording)
+        tickets = self._tickets_by_attempt_id.get(reply.attempt_id, ())
+        for ticket in sorted(tickets):
+            recording = self._recordings_by_ticket[ticket]
+            recording.stored.add(sender)
+            if self._set.is_majority(recording.stored):
+                effects += self._end_recording(recording, recording.result)
         return effects
 
-    def _end_recording(self, recording: _Recording) -> Effects:
-        if not self._set.is_majority(recording.stored):
-            return []
+    def _end_recording(self, recording: _Recording, result: Result) -> Effects:
+        attempt_id = recording.slot.attempt_id
+        tickets = self._tickets_by_attempt_id[attempt_id]
+        tickets.discard(recording.ticket)
+        if not tickets:
+            del self._tickets_by_attempt_id[attempt_id]
         del self._recordings_by_ticket[recording.ticket]
-        return [
-            parts.Complete(ticket=recording.ticket, result=recording.result)
-        ]
+        return [parts.Complete(ticket=recording.ticket, result=result)]
 
     def _recording_ticked(self, now: float, recording: _Recording) -> Effects:
         if now >= recording.give_up_at:
-            del self._recordings_by_ticket[recording.ticket]
-            return [
-                parts.Complete(
-                    ticket=recording.ticket, result=recording.failure
-                )
-            ]
+            return self._end_recording(recording, recording.failure)
         if now < recording.resend_at:
             return []
         recording.resend_at = now + self._resend_s
--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -1,7 +1,8 @@
 """Embeds claims in a program of one's own, with a network in memory.
 
-Run it from the repository: ``PYTHONPATH=. python examples/embedding.py``. Three holders and two entries
-live in this process. ``docs/EMBEDDING.md`` explains each step.
+Run it from the repository: ``PYTHONPATH=. python examples/embedding.py``.
+Three holders and two entries live in this process. ``docs/EMBEDDING.md``
+explains each step.
 """
 
 import collections
