--- a/dandeliongw/coordination/claim_attempts.py
+++ b/dandeliongw/coordination/claim_attempts.py
@@ -9,15 +9,16 @@
 import typing
 
 from . import claim_messages as messages
+from . import claim_outcomes
+from . import claim_patience
 from . import claim_slots
+from . import claim_withdrawals
 from . import parts
 
-#: A ``Begin``, ``Finish`` or withdrawal is given up after so many.
-GIVE_UP_ROUND_TRIPS = 10
-#: Unanswered messages are sent again after so many.
-RESEND_ROUND_TRIPS = 2
 #: Callers are not asked to stay away for longer than this at a time.
 MAX_RETRY_AFTER_S = 5.0
+#: A granted attempt may be finished for so many times its deadline.
+KEEP_DEADLINES = 2
 
 Effects = list[typing.Any]
 Result = typing.Any
@@ -51,7 +52,10 @@
         self.advance_at = None
 
     def slot(
-        self, state: messages.SlotState, outcome: bytes, kept: bool
+        self,
+        state: messages.SlotState,
+        outcome: bytes = b'',
+        kept: bool = True,
     ) -> messages.ClaimSlot:
         """Return the slot of this attempt in another state."""
         return messages.ClaimSlot(
@@ -66,58 +70,29 @@
         )
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Recording:
-    """An outcome on its way to a majority; then the ticket is answered."""
-
-    ticket: str
-    slot: messages.ClaimSlot
-    result: typing.Any
-    failure: typing.Any
-    give_up_at: float
-    resend_at: float
-    stored: set[str] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Withdrawal:
-    """The word that an attempt never runs, until each holder has it."""
-
-    key: str
-    round: int
-    digest: bytes
-    attempt_id: str
-    pending: set[str]
-    give_up_at: float
-    resend_at: float
-
-
 class Attempts:
     """Takes claims for the callers of this instance.
 
-    :param round_trip_s: expected time to a holder and back, with its sync.
+    :param patience: how long to wait for holders.
     :param max_outcome_bytes: larger outcomes are noted but not kept.
-    :param retention_s: a granted attempt that is never finished or abandoned
-        is dropped after this.
+    :param retention_s: no attempt may take more than half of it.
     """
 
     def __init__(
         self,
         *,
-        round_trip_s: float,
+        patience: claim_patience.Patience,
         max_outcome_bytes: int,
         retention_s: float,
     ) -> None:
-        self.round_trip_s = round_trip_s
+        self.patience = patience
         self.max_outcome_bytes = max_outcome_bytes
         self.retention_s = retention_s
-        self._holder_set: claim_slots.HolderSet | None = None
+        self._holder_set = claim_slots.NO_HOLDERS
         self._attempts_by_id: dict[str, _Attempt] = {}
         self._granted_by_id: dict[str, _Attempt] = {}
-        self._recordings_by_ticket: dict[str, _Recording] = {}
-        #: Several callers may wait for one outcome to be written back.
-        self._tickets_by_attempt_id: dict[str, set[str]] = {}
-        self._withdrawals_by_id: dict[str, _Withdrawal] = {}
+        self._outcomes = claim_outcomes.Outcomes(patience=patience)
+        self._withdrawals = claim_withdrawals.Withdrawals(patience=patience)
 
     # Local requests.
 
@@ -128,15 +103,15 @@
                 f'deadline_s of {begin.deadline_s} is more than half of'
                 f' retention_s, {self.retention_s}'
             )
-        if self._holder_set is None:
+        if not self._holder_set.holders:
             refused = messages.ClaimsUnavailable(
-                retry_after_s=self._resend_s, reason=_Reason.NO_HOLDERS
+                retry_after_s=self.patience.resend_s, reason=_Reason.NO_HOLDERS
             )
             return [parts.Complete(ticket=begin.ticket, result=refused)]
         attempt = _Attempt(
             begin=begin,
-            give_up_at=begin.now + self._give_up_s,
-            resend_at=begin.now + self._resend_s,
+            give_up_at=begin.now + self.patience.give_up_s,
+            resend_at=begin.now + self.patience.resend_s,
         )
         self._attempts_by_id[begin.attempt_id] = attempt
         return self._puts(attempt)
@@ -149,7 +124,7 @@
             return [parts.Complete(ticket=finish.ticket, result=failed)]
         kept = len(finish.outcome) <= self.max_outcome_bytes
         outcome = finish.outcome if kept else b''
-        return self._start_recording(
+        return self._outcomes.record(
             finish.now,
             finish.ticket,
             attempt.slot(_State.RECORDED, outcome, kept),
@@ -167,34 +142,45 @@
             attempt = self._attempts_by_id.pop(abandon.attempt_id, None)
         if attempt is None:
             return []
-        return self._withdraw(abandon.now, attempt, self._holders)
+        return self._withdrawals.withdraw(
+            abandon.now,
+            attempt.slot(_State.WITHDRAWN),
+            self._holder_set.holders,
+        )
 
     def holders_changed(
         self, now: float, holder_set: claim_slots.HolderSet
     ) -> Effects:
         """Ask anew: grants of two epochs never add up to a majority."""
-        known = self._holder_set
-        if known is not None and holder_set.epoch <= known.epoch:
+        if holder_set.epoch <= self._holder_set.epoch:
             return []
         self._holder_set = holder_set
         effects: Effects = []
         for attempt in self._attempts_by_id.values():
             attempt.forget_answers()
             effects += self._puts(attempt)
-        for recording in self._recordings_by_ticket.values():
-            recording.stored.clear()
-            effects += self._outcomes(recording)
-        return effects
+        self._withdrawals.holders_changed(holder_set)
+        return effects + self._outcomes.holders_changed(holder_set)
+
+    def outcome_answered(
+        self, sender: str, reply: messages.ClaimOutcomeReply
+    ) -> Effects:
+        """Count a holder that keeps an outcome."""
+        return self._outcomes.answered(sender, reply)
+
+    def withdrawal_answered(
+        self, sender: str, reply: messages.ClaimWithdrawReply
+    ) -> Effects:
+        """Stop telling a holder that has understood."""
+        return self._withdrawals.answered(sender, reply)
 
     def ticked(self, now: float) -> Effects:
         """Send again what has no answer; give up what had its time."""
         effects: Effects = []
         for attempt in list(self._attempts_by_id.values()):
             effects += self._attempt_ticked(now, attempt)
-        for recording in list(self._recordings_by_ticket.values()):
-            effects += self._recording_ticked(now, recording)
-        for withdrawal in list(self._withdrawals_by_id.values()):
-            effects += self._withdrawal_ticked(now, withdrawal)
+        effects += self._outcomes.ticked(now)
+        effects += self._withdrawals.ticked(now)
         self._drop_old(now)
         return effects
 
@@ -207,7 +193,7 @@
         attempt = self._attempts_by_id.get(reply.attempt_id)
         if attempt is None or reply.round != attempt.round:
             return []
-        if not self._is_current(sender, reply.epoch, reply.disk_id):
+        if not self._holder_set.speaks(sender, reply.epoch, reply.disk_id):
             return []
         if reply.answer is _Answer.GRANTED:
             attempt.granted.add(sender)
@@ -230,7 +216,7 @@
         effects = self._settle(now, attempt, final=False)
         is_open = attempt.begin.attempt_id in self._attempts_by_id
         if is_open and now >= attempt.resend_at:
-            attempt.resend_at = now + self._resend_s
+            attempt.resend_at = now + self.patience.resend_s
             effects += self._puts(attempt)
         return effects
 
@@ -238,14 +224,16 @@
         self, now: float, attempt: _Attempt, *, final: bool
     ) -> Effects:
         """Decide what the answers so far allow; often: wait for more."""
-        if self._set.is_majority(attempt.granted):
+        if self._holder_set.is_majority(attempt.granted):
             return self._grant(attempt)
         recorded = self._recorded(attempt)
         if recorded is not None:
             return self._replay(now, attempt, recorded)
         if self._later_rounds(attempt):
             return self._join_round(now, attempt)
-        if self._set.is_majority(attempt.granted | self._silent(attempt)):
+        if self._holder_set.is_majority(
+            attempt.granted | self._silent(attempt)
+        ):
             return self._lose(now, attempt) if final else []
         rivals = self._rivals(attempt)
         if rivals:
@@ -285,15 +273,15 @@
             for holder, other in attempt.seen_by_holder.items()
             if other.slot.state is _State.RECORDED
         }
-        if self._set.is_majority(having):
+        if self._holder_set.is_majority(having):
             return self._end(now, attempt, replayed)
-        return self._close(now, attempt) + self._start_recording(
+        return self._close(now, attempt) + self._outcomes.record(
             now,
             attempt.begin.ticket,
             seen.slot,
             result=replayed,
             failure=messages.ClaimsUnavailable(
-                retry_after_s=self._resend_s,
+                retry_after_s=self.patience.resend_s,
                 reason=_Reason.HOLDERS_UNREACHABLE,
             ),
         )
@@ -322,11 +310,11 @@
                 **attempt.seen_by_holder,
                 **self._own_slots(attempt),
             },
-            holder_set=self._set,
+            holder_set=self._holder_set,
         )
 
     def _own_slots(self, attempt: _Attempt) -> dict[str, claim_slots.SeenSlot]:
-        slot = attempt.slot(_State.CLAIMED, b'', True)
+        slot = attempt.slot(_State.CLAIMED)
         return {
             holder: claim_slots.SeenSlot(slot=slot, age_s=0.0, is_older=False)
             for holder in attempt.granted
@@ -340,7 +328,8 @@
         for holder, seen in attempt.seen_by_holder.items():
             counts.setdefault(seen.slot.attempt_id, set()).add(holder)
         return any(
-            self._set.is_majority(counts.get(rival, set())) for rival in rivals
+            self._holder_set.is_majority(counts.get(rival, set()))
+            for rival in rivals
         )
 
     def _is_other_call(self, attempt: _Attempt) -> bool:
@@ -350,7 +339,7 @@
             for holder, seen in attempt.seen_by_holder.items()
             if _is_of_other_call(attempt, seen)
         }
-        return self._set.may_be_majority(others)
+        return self._holder_set.may_be_majority(others)
 
     def _advance(self, now: float, attempt: _Attempt) -> Effects:
         """Start the next round; the lowest attempt id gets a head start."""
@@ -361,7 +350,7 @@
         ]
         if min(live, default='~') < attempt.begin.attempt_id:
             if attempt.advance_at is None:
-                attempt.advance_at = now + self.round_trip_s
+                attempt.advance_at = now + self.patience.round_trip_s
             if now < attempt.advance_at:
                 return []
         return self._enter_round(attempt, attempt.round + 1)
@@ -399,7 +388,7 @@
 
     def _unavailable(self, attempt: _Attempt) -> messages.ClaimsUnavailable:
         return messages.ClaimsUnavailable(
-            retry_after_s=self._resend_s,
+            retry_after_s=self.patience.resend_s,
             reason=self._unavailable_reason(attempt),
         )
 
@@ -415,10 +404,10 @@
     def _remaining_s(self, seen: claim_slots.SeenSlot) -> float:
         """Return how long the attempt's entry may still be at work."""
         if seen.slot.state is _State.WITHDRAWN:
-            return self.round_trip_s
+            return self.patience.round_trip_s
         if seen.slot.state is _State.CONTESTED:
             return 0.0
-        return seen.slot.deadline_s + self._give_up_s - seen.age_s
+        return seen.slot.deadline_s + self.patience.give_up_s - seen.age_s
 
     def _end(
         self, now: float, attempt: _Attempt, result: typing.Any
@@ -429,167 +418,18 @@
     def _close(self, now: float, attempt: _Attempt) -> Effects:
         """Forget an attempt and take back what it may have been given."""
         del self._attempts_by_id[attempt.begin.attempt_id]
-        return self._withdraw(
-            now, attempt, attempt.granted | self._silent(attempt)
-        )
-
-    # Recording outcomes.
-
-    def _start_recording(
-        self,
-        now: float,
-        ticket: str,
-        slot: messages.ClaimSlot,
-        *,
-        result: typing.Any,
-        failure: typing.Any,
-    ) -> Effects:
-        recording = _Recording(
-            ticket=ticket,
-            slot=slot,
-            result=result,
-            failure=failure,
-            give_up_at=now + self._give_up_s,
-            resend_at=now + self._resend_s,
-        )
-        self._recordings_by_ticket[ticket] = recording
-        tickets = self._tickets_by_attempt_id.setdefault(
-            slot.attempt_id, set()
-        )
-        tickets.add(ticket)
-        return self._outcomes(recording)
-
-    def outcome_answered(
-        self, now: float, sender: str, reply: messages.ClaimOutcomeReply
-    ) -> Effects:
-        """Count a holder that keeps an outcome."""
-        if not reply.stored:
-            return []
-        if not self._is_current(sender, reply.epoch, reply.disk_id):
-            return []
-        effects: Effects = []
-        tickets = self._tickets_by_attempt_id.get(reply.attempt_id, ())
-        for ticket in sorted(tickets):
-            recording = self._recordings_by_ticket[ticket]
-            recording.stored.add(sender)
-            if self._set.is_majority(recording.stored):
-                effects += self._end_recording(recording, recording.result)
-        return effects
-
-    def _end_recording(self, recording: _Recording, result: Result) -> Effects:
-        attempt_id = recording.slot.attempt_id
-        tickets = self._tickets_by_attempt_id[attempt_id]
-        tickets.discard(recording.ticket)
-        if not tickets:
-            del self._tickets_by_attempt_id[attempt_id]
-        del self._recordings_by_ticket[recording.ticket]
-        return [parts.Complete(ticket=recording.ticket, result=result)]
-
-    def _recording_ticked(self, now: float, recording: _Recording) -> Effects:
-        if now >= recording.give_up_at:
-            return self._end_recording(recording, recording.failure)
-        if now < recording.resend_at:
-            return []
-        recording.resend_at = now + self._resend_s
-        return self._outcomes(recording)
-
-    def _outcomes(self, recording: _Recording) -> Effects:
-        return [
-            parts.Send(
-                to=holder,
-                message=messages.ClaimOutcome(
-                    slot=recording.slot,
-                    epoch=self._set.epoch,
-                    disk_id=self._set.disk_id_of(holder),
-                ),
-            )
-            for holder in sorted(self._holders - recording.stored)
-        ]
-
-    # Withdrawing.
-
-    def _withdraw(
-        self, now: float, attempt: _Attempt, holders: frozenset[str] | set[str]
-    ) -> Effects:
-        if not holders:
-            return []
-        withdrawal = _Withdrawal(
-            key=attempt.begin.key,
-            round=attempt.round,
-            digest=attempt.begin.digest,
-            attempt_id=attempt.begin.attempt_id,
-            pending=set(holders),
-            give_up_at=now + self._give_up_s,
-            resend_at=now + self._resend_s,
+        return self._withdrawals.withdraw(
+            now,
+            attempt.slot(_State.WITHDRAWN),
+            attempt.granted | self._silent(attempt),
         )
-        self._withdrawals_by_id[withdrawal.attempt_id] = withdrawal
-        return self._withdraws(withdrawal)
-
-    def withdrawal_answered(
-        self, sender: str, reply: messages.ClaimWithdrawReply
-    ) -> None:
-        """Stop telling a holder that has understood."""
-        withdrawal = self._withdrawals_by_id.get(reply.attempt_id)
-        if withdrawal is None:
-            return
-        withdrawal.pending.discard(sender)
-        if not withdrawal.pending:
-            del self._withdrawals_by_id[reply.attempt_id]
-
-    def _withdrawal_ticked(
-        self, now: float, withdrawal: _Withdrawal
-    ) -> Effects:
-        if now >= withdrawal.give_up_at:
-            del self._withdrawals_by_id[withdrawal.attempt_id]
-            return []
-        if now < withdrawal.resend_at:
-            return []
-        withdrawal.resend_at = now + self._resend_s
-        return self._withdraws(withdrawal)
-
-    def _withdraws(self, withdrawal: _Withdrawal) -> Effects:
-        return [
-            parts.Send(
-                to=holder,
-                message=messages.ClaimWithdraw(
-                    key=withdrawal.key,
-                    round=withdrawal.round,
-                    digest=withdrawal.digest,
-                    attempt_id=withdrawal.attempt_id,
-                    disk_id=self._set.disk_id_of(holder),
-                ),
-            )
-            for holder in sorted(withdrawal.pending)
-        ]
 
     # Helpers.
 
-    @property
-    def _set(self) -> claim_slots.HolderSet:
-        assert self._holder_set is not None
-        return self._holder_set
-
-    @property
-    def _holders(self) -> frozenset[str]:
-        return self._set.holders
-
-    @property
-    def _give_up_s(self) -> float:
-        return GIVE_UP_ROUND_TRIPS * self.round_trip_s
-
-    @property
-    def _resend_s(self) -> float:
-        return RESEND_ROUND_TRIPS * self.round_trip_s
-
-    def _is_current(self, holder: str, epoch: int, disk_id: str) -> bool:
-        if self._holder_set is None or epoch != self._holder_set.epoch:
-            return False
-        return disk_id == self._holder_set.disk_id_of(holder)
-
     def _silent(self, attempt: _Attempt) -> frozenset[str]:
         """Return the holders that have said nothing that counts."""
         told = attempt.granted | attempt.full | attempt.seen_by_holder.keys()
-        return self._holders - told
+        return self._holder_set.holders - told
 
     def _puts(self, attempt: _Attempt) -> Effects:
         begin = attempt.begin
@@ -602,8 +442,8 @@
                     digest=begin.digest,
                     attempt_id=begin.attempt_id,
                     deadline_s=begin.deadline_s,
-                    epoch=self._set.epoch,
-                    disk_id=self._set.disk_id_of(holder),
+                    epoch=self._holder_set.epoch,
+                    disk_id=self._holder_set.disk_id_of(holder),
                 ),
             )
             for holder in sorted(self._silent(attempt))
@@ -613,12 +453,23 @@
         return parts.Complete(ticket=attempt.begin.ticket, result=result)
 
     def _drop_old(self, now: float) -> None:
-        """Drop granted attempts that nobody finished or abandoned."""
-        for attempt_id, attempt in list(self._granted_by_id.items()):
-            if now - attempt.begin.now < self.retention_s:
-                break
+        """Drop granted attempts that nobody finished or abandoned.
+
+        Calls whose outcome is never known would else stay in memory. The
+        holders keep their slots; a later ``Finish`` is not recorded.
+        """
+        old = [
+            attempt_id
+            for attempt_id, attempt in self._granted_by_id.items()
+            if now - attempt.begin.now > self._keep_s(attempt)
+        ]
+        for attempt_id in old:
             del self._granted_by_id[attempt_id]
 
+    def _keep_s(self, attempt: _Attempt) -> float:
+        deadlines_s = KEEP_DEADLINES * attempt.begin.deadline_s
+        return deadlines_s + self.patience.give_up_s
+
 
 def _slots_of(
     attempt: _Attempt, rivals: abc.Set[str]
--- /dev/null
+++ b/dandeliongw/coordination/claim_outcomes.py
@@ -0,0 +1,124 @@
+"""Outcomes on their way to a majority of holders."""
+
+import dataclasses
+import typing
+
+from . import claim_messages as messages
+from . import claim_patience
+from . import claim_slots
+from . import parts
+
+Effects = list[typing.Any]
+Result = typing.Any
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Recording:
+    """An outcome that a ticket waits for."""
+
+    ticket: str
+    slot: messages.ClaimSlot
+    result: Result
+    failure: Result
+    give_up_at: float
+    resend_at: float
+    stored: set[str] = dataclasses.field(default_factory=set)
+
+
+class Outcomes:
+    """Sends outcomes to the holders until a majority has synced them."""
+
+    def __init__(self, *, patience: claim_patience.Patience) -> None:
+        self._patience = patience
+        self._holder_set = claim_slots.NO_HOLDERS
+        self._recordings_by_ticket: dict[str, _Recording] = {}
+        #: Several callers may wait for one outcome to be written back.
+        self._tickets_by_attempt_id: dict[str, set[str]] = {}
+
+    def record(
+        self,
+        now: float,
+        ticket: str,
+        slot: messages.ClaimSlot,
+        *,
+        result: Result,
+        failure: Result,
+    ) -> Effects:
+        """Send an outcome to every holder.
+
+        :param result: answers the ticket once a majority has the outcome.
+        :param failure: answers it if none has it in time.
+        """
+        recording = _Recording(
+            ticket=ticket,
+            slot=slot,
+            result=result,
+            failure=failure,
+            give_up_at=now + self._patience.give_up_s,
+            resend_at=now + self._patience.resend_s,
+        )
+        self._recordings_by_ticket[ticket] = recording
+        tickets = self._tickets_by_attempt_id.setdefault(
+            slot.attempt_id, set()
+        )
+        tickets.add(ticket)
+        return self._sends(recording)
+
+    def answered(
+        self, sender: str, reply: messages.ClaimOutcomeReply
+    ) -> Effects:
+        """Count a holder that keeps an outcome."""
+        if not reply.stored:
+            return []
+        if not self._holder_set.speaks(sender, reply.epoch, reply.disk_id):
+            return []
+        effects: Effects = []
+        tickets = self._tickets_by_attempt_id.get(reply.attempt_id, ())
+        for ticket in sorted(tickets):
+            recording = self._recordings_by_ticket[ticket]
+            recording.stored.add(sender)
+            if self._holder_set.is_majority(recording.stored):
+                effects += self._end(recording, recording.result)
+        return effects
+
+    def holders_changed(self, holder_set: claim_slots.HolderSet) -> Effects:
+        """Ask anew: what was stored in two epochs never adds up."""
+        self._holder_set = holder_set
+        effects: Effects = []
+        for recording in self._recordings_by_ticket.values():
+            recording.stored.clear()
+            effects += self._sends(recording)
+        return effects
+
+    def ticked(self, now: float) -> Effects:
+        """Send again what has no answer; give up what had its time."""
+        effects: Effects = []
+        for recording in list(self._recordings_by_ticket.values()):
+            if now >= recording.give_up_at:
+                effects += self._end(recording, recording.failure)
+            elif now >= recording.resend_at:
+                recording.resend_at = now + self._patience.resend_s
+                effects += self._sends(recording)
+        return effects
+
+    def _end(self, recording: _Recording, result: Result) -> Effects:
+        attempt_id = recording.slot.attempt_id
+        tickets = self._tickets_by_attempt_id[attempt_id]
+        tickets.discard(recording.ticket)
+        if not tickets:
+            del self._tickets_by_attempt_id[attempt_id]
+        del self._recordings_by_ticket[recording.ticket]
+        return [parts.Complete(ticket=recording.ticket, result=result)]
+
+    def _sends(self, recording: _Recording) -> Effects:
+        return [
+            parts.Send(
+                to=holder,
+                message=messages.ClaimOutcome(
+                    slot=recording.slot,
+                    epoch=self._holder_set.epoch,
+                    disk_id=self._holder_set.disk_id_of(holder),
+                ),
+            )
+            for holder in sorted(self._holder_set.holders - recording.stored)
+        ]
--- a/dandeliongw/coordination/claim_slots.py
+++ b/dandeliongw/coordination/claim_slots.py
@@ -50,6 +50,10 @@
         old = self.disk_ids_by_holder.get(holder)
         return self.joining.get(holder) or old or ''
 
+    def speaks(self, holder: str, epoch: int, disk_id: str) -> bool:
+        """Whether a reply comes from a disk of this set, in this epoch."""
+        return epoch == self.epoch and disk_id == self.disk_id_of(holder)
+
     def is_majority(self, holders: abc.Set[str]) -> bool:
         """Whether these are a majority of every set: enough to act on."""
         return all(_is_majority(holders, one) for one in self.sets)
@@ -63,6 +67,12 @@
     return len(holders & of) > len(of) // 2
 
 
+#: Before the register has said who the holders are.
+NO_HOLDERS = HolderSet(
+    epoch=0, disk_ids_by_holder={}, joining={}, leaving=frozenset()
+)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SeenSlot:
     """A slot as a holder showed it to an attempt.
--- /dev/null
+++ b/dandeliongw/coordination/claim_withdrawals.py
@@ -0,0 +1,93 @@
+"""The word that attempts never ran, on its way to the holders."""
+
+from collections import abc
+import dataclasses
+import typing
+
+from . import claim_messages as messages
+from . import claim_patience
+from . import claim_slots
+from . import parts
+
+Effects = list[typing.Any]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Withdrawal:
+    """An attempt that ended, and the holders that have not confirmed it."""
+
+    slot: messages.ClaimSlot
+    pending: set[str]
+    give_up_at: float
+    resend_at: float
+
+
+class Withdrawals:
+    """Tells holders of ended attempts; a holder that hears nothing is safe.
+
+    It then keeps a slot for an attempt that never runs, and resends of the
+    key may be told that the outcome is not known.
+    """
+
+    def __init__(self, *, patience: claim_patience.Patience) -> None:
+        self._patience = patience
+        self._holder_set = claim_slots.NO_HOLDERS
+        self._withdrawals_by_id: dict[str, _Withdrawal] = {}
+
+    def holders_changed(self, holder_set: claim_slots.HolderSet) -> None:
+        """Address the disks of this set from now on."""
+        self._holder_set = holder_set
+
+    def withdraw(
+        self, now: float, slot: messages.ClaimSlot, holders: abc.Set[str]
+    ) -> Effects:
+        """Tell these holders that the attempt of a slot never runs."""
+        if not holders:
+            return []
+        withdrawal = _Withdrawal(
+            slot=slot,
+            pending=set(holders),
+            give_up_at=now + self._patience.give_up_s,
+            resend_at=now + self._patience.resend_s,
+        )
+        self._withdrawals_by_id[slot.attempt_id] = withdrawal
+        return self._sends(withdrawal)
+
+    def answered(
+        self, sender: str, reply: messages.ClaimWithdrawReply
+    ) -> Effects:
+        """Stop telling a holder that has understood."""
+        withdrawal = self._withdrawals_by_id.get(reply.attempt_id)
+        if withdrawal is None:
+            return []
+        withdrawal.pending.discard(sender)
+        if not withdrawal.pending:
+            del self._withdrawals_by_id[reply.attempt_id]
+        return []
+
+    def ticked(self, now: float) -> Effects:
+        """Send again what has no answer; give up what had its time."""
+        effects: Effects = []
+        for withdrawal in list(self._withdrawals_by_id.values()):
+            if now >= withdrawal.give_up_at:
+                del self._withdrawals_by_id[withdrawal.slot.attempt_id]
+            elif now >= withdrawal.resend_at:
+                withdrawal.resend_at = now + self._patience.resend_s
+                effects += self._sends(withdrawal)
+        return effects
+
+    def _sends(self, withdrawal: _Withdrawal) -> Effects:
+        slot = withdrawal.slot
+        return [
+            parts.Send(
+                to=holder,
+                message=messages.ClaimWithdraw(
+                    key=slot.key,
+                    round=slot.round,
+                    digest=slot.digest,
+                    attempt_id=slot.attempt_id,
+                    disk_id=self._holder_set.disk_id_of(holder),
+                ),
+            )
+            for holder in sorted(withdrawal.pending)
+        ]
--- a/dandeliongw/coordination/claims.py
+++ b/dandeliongw/coordination/claims.py
@@ -11,6 +11,7 @@
 from . import claim_attempts
 from . import claim_holder
 from . import claim_messages as messages
+from . import claim_patience
 from . import claim_slots
 from . import parts
 from .claim_messages import Abandon
@@ -76,8 +77,9 @@
         max_outcome_bytes: int,
         round_trip_s: float,
     ) -> None:
+        patience = claim_patience.Patience(round_trip_s=round_trip_s)
         self._attempts = claim_attempts.Attempts(
-            round_trip_s=round_trip_s,
+            patience=patience,
             max_outcome_bytes=max_outcome_bytes,
             retention_s=retention_s,
         )
@@ -91,7 +93,7 @@
             disk_id=disk_id,
             retention_s=retention_s,
             max_records=max_records,
-            resend_s=claim_attempts.RESEND_ROUND_TRIPS * round_trip_s,
+            resend_s=patience.resend_s,
         )
 
     def handle(self, event: typing.Any) -> Effects:
@@ -139,12 +141,11 @@
                     event.now, event.sender, message
                 )
             case messages.ClaimOutcomeReply():
-                return self._attempts.outcome_answered(
-                    event.now, event.sender, message
-                )
+                return self._attempts.outcome_answered(event.sender, message)
             case messages.ClaimWithdrawReply():
-                self._attempts.withdrawal_answered(event.sender, message)
-                return []
+                return self._attempts.withdrawal_answered(
+                    event.sender, message
+                )
         if self._holder is None:
             return []
         return self._received_by_holder(event, self._holder)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -254,6 +254,18 @@
         late = self.network.claim('F', 'f2')
         self.assertEqual(messages.OutcomeUnknown(), late)
 
+    def test_a_grant_that_nobody_uses_is_dropped(self):
+        """Symptom: an entry's memory grows for a day.
+
+        Sequence: calls break off, and nobody knows whether they ran. Cause:
+        their attempts are neither finished nor abandoned.
+        """
+        self.network.claim('E', 'e1')
+        self.network.tick(3 * DEADLINE_S)
+        self.assertEqual(
+            messages.NotRecorded(), self.network.record('E', 'e1', b'done')
+        )
+
     def test_a_lost_put_is_sent_again(self):
         """Symptom: a call is refused though all holders work.
 
