--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -18,6 +18,7 @@
 from .policy import CellView
 from .policy import Decision
 from .policy import Decline
+from .policy import Health
 from .policy import Place
 from .policy import Policy
 from .policy import Role
@@ -29,6 +30,8 @@
 BOOKING_LEASE_S = 4.0
 #: How often an entry should send :class:`Progress`.
 PROGRESS_EVERY_S = 1.0
+#: How often an owner asks backend servers for what they hold.
+LIST_EVERY_S = 5.0
 #: How often an unconfirmed cancel is sent again.
 CANCEL_AGAIN_S = 1.0
 
@@ -100,6 +103,8 @@
 
     :param wasted_tokens: prefill tokens whose result was thrown away.
     :param backend_fault: id of the backend server at fault, or empty.
+    :param token_gap_s: mean gap between the tokens of a whole answer;
+        zero if not measured.
     """
 
     cell: str
@@ -108,6 +113,7 @@
     outcome: Outcome
     wasted_tokens: int = 0
     backend_fault: str = ''
+    token_gap_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -200,6 +206,14 @@
     attempt_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReclaimWanted:
+    """Owner to entry: a new owner; send ``Reclaim`` with all you hold."""
+
+    cell: str
+    epoch: int
+
+
 MESSAGES = (
     Book,
     PrefillDone,
@@ -211,6 +225,7 @@
     Declined,
     NotOwner,
     Cancelled,
+    ReclaimWanted,
 )
 
 
@@ -222,6 +237,14 @@
     backends: tuple[CellBackend, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TermsChanged:
+    """The document says something else about the service now."""
+
+    now: float
+    terms: CellTerms
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LoadReported:
     """A load report came in; it was true some time ago."""
@@ -270,6 +293,35 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ListStreams:
+    """Effect: ``GET /v1/streams``; post :class:`StreamsListed` on 200."""
+
+    backend_id: str
+    url: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HeldStream:
+    """A stream that a backend server holds memory for."""
+
+    stream_id: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamsListed:
+    """What a backend server holds, as it was at ``asked_at`` or later.
+
+    :param asked_at: when the effect was performed, on this instance's clock.
+    """
+
+    now: float
+    backend_id: str
+    asked_at: float
+    streams: tuple[HeldStream, ...]
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PendingCancel:
     """A cancel that its backend server hasn't confirmed."""
@@ -316,6 +368,10 @@
         self.view = CellView(terms=document_part)
         self.bookings_by_key: dict[tuple[str, str], Booking] = {}
         self.cancels_by_key: dict[tuple[str, str, str], PendingCancel] = {}
+        #: Left, or cut off, with work of ours that may still run there.
+        self.leaving_by_id: dict[str, BackendState] = {}
+        self._began_at: float | None = None
+        self._listed_at = 0.0
         self._handlers_by_type: dict[type, typing.Any] = {
             Book: self._book,
             PrefillDone: self._prefill_done,
@@ -326,6 +382,8 @@
 
     def handle(self, event: typing.Any) -> list[typing.Any]:
         """Take one event in; return what is to be done."""
+        if self._began_at is None:
+            self._began_at = self._listed_at = event.now
         effects = self._take(event)
         return effects + self._dispatch(event.now)
 
@@ -347,10 +405,16 @@
                 return handler(now, sender, message) if handler else []
             case parts.Ticked(now=now):
                 return self._tick(now)
+            case TermsChanged():
+                self.view.terms = event.terms
             case BackendsChanged():
                 return self._change_backends(event)
             case LoadReported():
                 return self._report_load(event)
+            case CacheHint():
+                return self._take_hint(event)
+            case StreamsListed():
+                return self._cancel_unknown(event)
             case StreamCancelled():
                 self._confirm_cancel(event)
         return []
@@ -373,6 +437,8 @@
             return []
         if known is not None:
             self._forget(known)
+            if known.decode_id in book.exclude:
+                self._blame(now, known.decode_id)
         booking = Booking(
             request_id=book.request_id,
             attempt_id=book.attempt_id,
@@ -415,6 +481,8 @@
                 booking.plain_id = decision.plain_id
                 booking.start_at = now + decision.start_in_s
                 self.view.plan(booking)
+                for state in self._states_of(booking):
+                    state.health.last_given_at = now
         self._remember(booking)
         return [self._answer(now, booking)]
 
@@ -455,13 +523,20 @@
         return parts.Send(to=booking.entry, message=booked)
 
     def _url(self, backend_id: str) -> str:
-        state = self.view.backends_by_id.get(backend_id)
+        state = self._state(backend_id)
         return state.backend.url if state else ''
 
+    def _state(self, backend_id: str) -> BackendState | None:
+        """Return a backend server, also one that is leaving."""
+        leaving = self.leaving_by_id.get(backend_id)
+        return self.view.backends_by_id.get(backend_id, leaving)
+
     def _remember(self, booking: Booking) -> None:
         self.bookings_by_key[booking.key] = booking
         for state in self._states_of(booking):
             state.bookings_by_key[booking.key] = booking
+            own = len(state.bookings_by_key) + state.cancelling
+            state.peak_used = max(state.peak_used, own)
 
     def _forget(self, booking: Booking) -> None:
         self.bookings_by_key.pop(booking.key, None)
@@ -472,15 +547,17 @@
 
     def _states_of(self, booking: Booking) -> list[BackendState]:
         ids = (booking.prefill_id, booking.decode_id, booking.plain_id)
-        by_id = self.view.backends_by_id
-        return [by_id[each] for each in ids if each in by_id]
+        states = [self._state(each) for each in ids]
+        return [state for state in states if state is not None]
 
     def _prefill_done(
         self, now: float, sender: str, done: PrefillDone
     ) -> list:
         booking = self.bookings_by_key.get((done.request_id, done.attempt_id))
         if booking is None:
-            return [self._gone(sender, done.request_id, done.attempt_id)]
+            return [
+                self._gone(now, sender, (done.request_id, done.attempt_id))
+            ]
         booking.renewed_at = now
         state = self.view.backends_by_id.get(booking.prefill_id)
         if state is not None:
@@ -490,9 +567,23 @@
         booking.prefill_done = True
         return []
 
+    def _is_reclaiming(self, now: float) -> bool:
+        """Return whether entries may still have to tell what they hold."""
+        return now < self._began_at + BOOKING_LEASE_S
+
     def _gone(
-        self, entry: str, request_id: str, attempt_id: str
+        self, now: float, entry: str, booking_key: tuple[str, str]
     ) -> parts.Send:
+        """Tell an entry that its booking isn't known.
+
+        A new owner knows none at first. Told that it is gone, entries
+        would stop every running stream; one would notice each change of
+        owner as a wave of attempts and of prefills computed twice.
+        """
+        if self._is_reclaiming(now):
+            wanted = ReclaimWanted(cell=self.cell_id, epoch=self.epoch)
+            return parts.Send(to=entry, message=wanted)
+        request_id, attempt_id = booking_key
         cancelled = Cancelled(
             cell=self.cell_id,
             epoch=self.epoch,
@@ -507,10 +598,10 @@
             key = (holding.request_id, holding.attempt_id)
             booking = self.bookings_by_key.get(key)
             if booking is None:
-                effects.append(self._gone(sender, *key))
+                effects.append(self._gone(now, sender, key))
             else:
                 booking.renewed_at = now
-        return effects
+        return list(dict.fromkeys(effects))
 
     def _release(self, now: float, sender: str, release: Release) -> list:
         key = (release.request_id, release.attempt_id)
@@ -518,36 +609,58 @@
         if booking is None:
             return []
         self._forget(booking)
+        self._blame(now, release.backend_fault)
         if release.outcome is Outcome.DONE:
             self.view.learn_answer(now, booking)
+            self._learn_gap(now, booking, release.token_gap_s)
             return []
         return self._cancel(now, booking)
 
+    def _learn_gap(
+        self, now: float, booking: Booking, token_gap_s: float
+    ) -> None:
+        state = self.view.backends_by_id.get(booking.decode_id)
+        if state is not None and token_gap_s > 0.0:
+            # The answer's own slot counts: it was in the batch.
+            streams = len(state.bookings_by_key) + 1
+            target_s = self.view.terms.token_gap_s
+            state.batch.learn(now, token_gap_s, target_s, streams)
+
+    def _blame(self, now: float, backend_id: str) -> None:
+        state = self.view.backends_by_id.get(backend_id)
+        if state is not None:
+            state.health.add_fault(now)
+
     def _cancel(self, now: float, booking: Booking) -> list:
-        effects = []
-        for state in self._states_of(booking):
-            if state.backend.role is Role.PLAIN:
-                continue
-            effect = CancelStream(
-                backend_id=state.backend.backend_id,
-                url=state.backend.url,
-                stream_id=booking.request_id,
-                attempt_id=booking.attempt_id,
-                epoch=self.epoch,
-            )
-            key = (effect.backend_id, effect.stream_id, effect.attempt_id)
-            again_at = now + CANCEL_AGAIN_S
-            if key not in self.cancels_by_key:
-                state.cancelling += 1
-            self.cancels_by_key[key] = PendingCancel(
-                effect=effect, again_at=again_at
-            )
-            effects.append(effect)
-        return effects
+        return [
+            self._cancel_at(now, state, booking.key)
+            for state in self._states_of(booking)
+            if state.backend.role is not Role.PLAIN
+        ]
+
+    def _cancel_at(
+        self, now: float, state: BackendState, booking_key: tuple[str, str]
+    ) -> CancelStream:
+        """Return a cancel, to be sent again until it is confirmed."""
+        stream_id, attempt_id = booking_key
+        effect = CancelStream(
+            backend_id=state.backend.backend_id,
+            url=state.backend.url,
+            stream_id=stream_id,
+            attempt_id=attempt_id,
+            epoch=self.epoch,
+        )
+        key = (effect.backend_id, stream_id, attempt_id)
+        if key not in self.cancels_by_key:
+            state.cancelling += 1
+        self.cancels_by_key[key] = PendingCancel(
+            effect=effect, again_at=now + CANCEL_AGAIN_S
+        )
+        return effect
 
     def _confirm_cancel(self, event: StreamCancelled) -> None:
         key = (event.backend_id, event.stream_id, event.attempt_id)
-        state = self.view.backends_by_id.get(event.backend_id)
+        state = self._state(event.backend_id)
         if self.cancels_by_key.pop(key, None) and state is not None:
             state.cancelling -= 1
 
@@ -581,10 +694,10 @@
         return []
 
     def _change_backends(self, event: BackendsChanged) -> list:
-        old = self.view.backends_by_id
+        old = self.leaving_by_id | self.view.backends_by_id
         new = {}
         for backend in event.backends:
-            state = old.get(backend.backend_id)
+            state = old.pop(backend.backend_id, None)
             same = state is not None and (
                 state.backend.incarnation == backend.incarnation
             )
@@ -592,10 +705,50 @@
                 state.backend = backend
                 new[backend.backend_id] = state
             else:
-                new[backend.backend_id] = BackendState(backend=backend)
+                self._forget_cancels(backend.backend_id)
+                new[backend.backend_id] = BackendState(
+                    backend=backend, health=self._first_health(event, backend)
+                )
         self.view.backends_by_id = new
+        for state in old.values():
+            if state.left_at is None:
+                state.left_at = event.now
+        for state in new.values():
+            state.left_at = None
+        self.leaving_by_id = old
         return []
 
+    def _forget_cancels(self, backend_id: str) -> None:
+        """Drop the cancels of an incarnation that is gone, memory and all."""
+        self.cancels_by_key = {
+            key: pending
+            for key, pending in self.cancels_by_key.items()
+            if key[0] != backend_id
+        }
+
+    def _drop_left(self, now: float) -> None:
+        """Drop what left long ago or holds nothing of ours.
+
+        A backend server that leaves finishes its streams. Dropped at once,
+        its cancels would have no address, and its memory would stay held
+        for callers who have gone.
+        """
+        for backend_id, state in list(self.leaving_by_id.items()):
+            idle = not state.bookings_by_key and not state.cancelling
+            if idle or now >= state.left_at + self.view.terms.timeout_s:
+                del self.leaving_by_id[backend_id]
+                self._forget_cancels(backend_id)
+
+    def _first_health(
+        self, event: BackendsChanged, backend: CellBackend
+    ) -> Health:
+        """Return the health of a backend server that the cell meets.
+
+        A new owner meets all at once, and none of them is new.
+        """
+        others = self.view.candidates(backend.role, ())
+        return Health(came_at=event.now if others else None)
+
     def _report_load(self, event: LoadReported) -> list:
         state = self.view.backends_by_id.get(event.backend_id)
         if state is not None:
@@ -603,10 +756,55 @@
             state.reported_waiting = event.waiting
             state.reported_queued_tokens = event.queued_tokens
             state.reported_at = event.now
+            state.count_foreign(event.slots_used)
         return []
 
-    def _tick(self, now: float) -> list:
+    def _take_hint(self, event: CacheHint) -> list:
+        state = self.view.backends_by_id.get(event.backend_id)
+        if state is not None:
+            if event.gap:
+                # Evictions may be among the lost events. One would notice
+                # prompts sent to a cache that has forgotten them, and a
+                # first token that comes late; what is dropped in vain is
+                # learned again with the next prompt.
+                state.blocks.clear()
+            state.add_blocks(event.stored)
+            state.drop_blocks(event.evicted)
+        return []
+
+    def _list_streams(self, now: float) -> list:
+        if now - self._listed_at < LIST_EVERY_S:
+            return []
+        self._listed_at = now
+        return [
+            ListStreams(
+                backend_id=state.backend.backend_id, url=state.backend.url
+            )
+            for state in self.view.backends_by_id.values()
+            if state.backend.role is not Role.PLAIN
+        ]
+
+    def _cancel_unknown(self, event: StreamsListed) -> list:
+        """Cancel the streams that no entry has claimed.
+
+        An owner and an entry that die together leave streams which the new
+        owner never hears of. One would notice engines with slots in use
+        and no booking for them. Entries have had a whole lease to reclaim
+        by then, and a stream begins only after its booking.
+        """
+        state = self.view.backends_by_id.get(event.backend_id)
+        if state is None or self._is_reclaiming(event.asked_at):
+            return []
         effects = []
+        for stream in event.streams:
+            key = (stream.stream_id, stream.attempt_id)
+            if key not in self.bookings_by_key:
+                effects.append(self._cancel_at(event.now, state, key))
+        return effects
+
+    def _tick(self, now: float) -> list:
+        self._drop_left(now)
+        effects = self._list_streams(now)
         for booking in list(self.bookings_by_key.values()):
             # An entry that died sends no release. One would notice slots
             # that stay taken with no stream behind them; the lease frees
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -22,7 +22,9 @@
 from . import effects
 from . import engine
 from . import metrics as metrics_module
+from . import orders
 from . import relay
+from . import verdict
 from .coordination import membership
 from .coordination import parts
 
@@ -30,6 +32,8 @@
 TICK_S = 0.1
 #: Threads that send cancels and orders to engines.
 CONTROL_THREADS = 8
+#: An engine's word for an order with an old fencing number.
+FENCED = 'fenced'
 #: The journal is compacted once it has grown by so much.
 COMPACT_BYTES = 8 << 20
 #: Seconds a handler waits for the reducer's answer to an operator.
@@ -73,6 +77,7 @@
     """The control thread and what works for it.
 
     :param engine_for: makes the adapter that cancels streams at a URL.
+    :param may_send: whether an order may leave at this moment.
     :param journal: ``None`` on an instance without a data folder.
     """
 
@@ -83,7 +88,9 @@
         metrics: metrics_module.Metrics,
         engine_for: abc.Callable[[str], engine.Engine],
         journal: Journal | None,
+        may_send: abc.Callable[[effects.GiveOrder, float], bool],
     ) -> None:
+        self._may_send = may_send
         self._reducer = reducer
         self._metrics = metrics
         self._engine_for = engine_for
@@ -99,6 +106,7 @@
         self._pool = concurrent.futures.ThreadPoolExecutor(
             CONTROL_THREADS, thread_name_prefix='orders'
         )
+        self._pools_shown: set[str] = set()
         self.drained = threading.Event()
         #: Why the instance can't go on, once it can't.
         self.broken: str | None = None
@@ -109,11 +117,16 @@
             parts.Persist: self._persist,
             parts.Complete: self._complete,
             cells.CancelStream: self._cancel_stream,
+            cells.ListStreams: self._list_streams,
             membership.Reconnect: self._reconnect,
             effects.CountRefusal: self._count_refusal,
             effects.CountRetry: self._count_retry,
             effects.CountWaste: self._count_waste,
+            effects.CountLate: self._count_late,
             effects.PeerAddress: self._set_address,
+            effects.Observed: self._observe,
+            effects.GiveOrder: self._give_order,
+            membership.Superseded: self._end_superseded,
             effects.Log: self._log,
             effects.Drained: self._note_drained,
         }
@@ -274,6 +287,67 @@
             )
         )
 
+    def _list_streams(self, effect: cells.ListStreams) -> None:
+        self._pool.submit(self._list_now, effect)
+
+    def _list_now(self, effect: cells.ListStreams) -> None:
+        asked_at = time.monotonic()
+        try:
+            streams = self._engine_for(effect.url).streams()
+        except engine.EngineError as error:
+            logger.warning(
+                f'an engine did not list its streams: {error}',
+                backend_id=effect.backend_id,
+            )
+            return
+        self.post(
+            lambda now: cells.StreamsListed(
+                now=now,
+                backend_id=effect.backend_id,
+                asked_at=asked_at,
+                streams=tuple(
+                    cells.HeldStream(
+                        stream_id=stream_id, attempt_id=attempt_id
+                    )
+                    for stream_id, attempt_id in streams
+                ),
+            )
+        )
+
+    def _give_order(self, effect: effects.GiveOrder) -> None:
+        self._pool.submit(self._order_now, effect)
+
+    def _order_now(self, effect: effects.GiveOrder) -> None:
+        order = effect.order
+        # Asked in this thread, with a fresh reading of the clock: the order
+        # may have waited, or the process may have been frozen, until
+        # another instance gives orders.
+        if not self._may_send(effect, time.monotonic()):
+            return
+        known, is_fenced = verdict.Verdict.RAN, False
+        try:
+            self._engine_for(effect.url).order(
+                order=order.kind.value,
+                value=order.value,
+                fence=order.fence,
+                timeout_s=effect.timeout_s,
+            )
+        except engine.EngineError as error:
+            known = error.known
+            is_fenced = error.reason == FENCED
+            logger.warning(
+                f'an order failed: {error}', backend_id=order.backend_id
+            )
+        self.post(
+            lambda now: orders.OrderAnswered(
+                now=now,
+                order_id=order.order_id,
+                attempt=order.attempt,
+                run=known,
+                is_fenced=is_fenced,
+            )
+        )
+
     def _count_refusal(self, effect: effects.CountRefusal) -> None:
         self._metrics.count_refusal(effect.refusal)
 
@@ -283,6 +357,34 @@
     def _count_waste(self, effect: effects.CountWaste) -> None:
         self._metrics.count_wasted_prefill(effect.reason, effect.tokens)
 
+    def _count_late(self, effect: effects.CountLate) -> None:
+        self._metrics.late_answers.labels(effect.what.value).inc()
+
+    def _observe(self, effect: effects.Observed) -> None:
+        gauges = self._metrics
+        gauges.configuration_revision.set(effect.revision)
+        if effect.confirmed_age_s is not None:
+            gauges.configuration_age.set(effect.confirmed_age_s)
+        gauges.members.set(effect.members)
+        pools = {pool.pool for pool in effect.pools}
+        for gone in self._pools_shown - pools:
+            gauges.forget_pool(gone)
+        self._pools_shown = pools
+        for pool in effect.pools:
+            gauges.set_pool(
+                pool.pool,
+                backends=pool.backends,
+                slots=pool.slots,
+                used=pool.used,
+                queue=pool.queue,
+            )
+
+    def _end_superseded(self, effect: membership.Superseded) -> None:
+        self.break_off(
+            'another process runs under this instance id, or the clock went '
+            f'back: incarnation {effect.incarnation} is known to the others'
+        )
+
     def _log(self, effect: effects.Log) -> None:
         logger.bind(**dict(effect.fields)).log(effect.level, effect.message)
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -5,6 +5,7 @@
 :data:`HOP_S`. This measures the policy's decisions, not the processes.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import heapq
@@ -15,6 +16,7 @@
 from dandeliongw import cells
 from dandeliongw.coordination import parts
 from dandeliongw import policy
+from dandeliongw import retries
 from dandeliongw.verdict import RefusalReason
 from dandeliongw.verdict import RetryReason
 from tools import engine_model
@@ -37,6 +39,10 @@
 MOVE_AGAIN_S = 0.05
 #: How often a refused caller comes back.
 MAX_COMEBACKS = 3
+#: A refusal that took longer than this was held back.
+HELD_BACK_S = 0.05
+#: Until entries have learned of a new owner and told it what they hold.
+RECLAIM_AFTER_S = 0.5
 CELL_ID = 'service/region/0'
 
 
@@ -119,12 +125,20 @@
     last_token_at: float | None = None
     made: int = 0
     streaming: bool = False
+    #: Between a failed attempt and the next.
+    pausing: bool = False
     over: bool = False
 
     @property
     def attempt_id(self) -> str:
         return f'a{self.attempt}'
 
+    @property
+    def token_gap_s(self) -> float:
+        """Mean gap between the tokens of a whole answer."""
+        gaps = max(1, self.made - 1)
+        return (self.last_token_at - self.first_token_at) / gaps
+
 
 class Run:
     """One run of one policy on one stream of requests."""
@@ -145,6 +159,8 @@
         self._draw = random.Random(seed)
         self._policy_factory = policy_factory
         self._epoch = 1
+        self._lost_entries: set[str] = set()
+        self._budgets_by_entry = collections.defaultdict(retries.RetryBudget)
         self._add_engines()
         self.cell = self._make_cell()
         self._tell_backends()
@@ -194,6 +210,10 @@
         self.clock.run(until)
         for engine in self.engines_by_id.values():
             self.tally.count_engine(engine.model)
+            if engine.alive:
+                self.tally.counts['streams_held'] += len(engine.model.held())
+        self.tally.counts['lost'] = len(self.jobs_by_name)
+        self.tally.counts['bookings_held'] = len(self.cell.bookings_by_key)
         return self.tally
 
     # The owner.
@@ -211,6 +231,8 @@
             later = self.clock.now + HOP_S
             if isinstance(effect, parts.Send):
                 self.clock.at(later, self._hear, effect.message)
+            elif isinstance(effect, cells.ListStreams):
+                self.clock.at(later, self._list_streams, effect)
             else:
                 self.clock.at(later, self._cancel_stream, effect)
 
@@ -255,6 +277,7 @@
         engine = self.engines_by_id[effect.backend_id]
         if not engine.alive:
             return
+        self.tally.counts['cancels'] += 1
         engine.wake()
         engine.model.cancel(
             self.clock.now,
@@ -271,26 +294,46 @@
             )
             self.clock.at(confirmed.now, self._own, confirmed)
 
+    def _list_streams(self, effect: cells.ListStreams) -> None:
+        engine = self.engines_by_id[effect.backend_id]
+        if not engine.alive:
+            return
+        engine.wake()
+        listed = cells.StreamsListed(
+            now=self.clock.now + HOP_S,
+            backend_id=effect.backend_id,
+            asked_at=self.clock.now - HOP_S,
+            streams=tuple(
+                cells.HeldStream(stream_id=stream_id, attempt_id=attempt_id)
+                for stream_id, attempt_id in engine.model.held()
+            ),
+        )
+        self.clock.at(listed.now, self._own, listed)
+
     # The callers.
 
     def _arrive(
         self, request: workloads.Request, name: str, comebacks: int
     ) -> None:
-        number = self._draw.randrange(self.deployment.entries)
         job = Job(
             request=request,
             name=name,
-            entry=f'entry-{number}',
+            entry=self._draw.choice(self._entries()),
             arrived_at=self.clock.now,
             comebacks=comebacks,
         )
         self.jobs_by_name[name] = job
+        self._budgets_by_entry[job.entry].earn()
         self.tally.arrived(job)
         if request.leaves_after_s is not None:
             leaves_at = self.clock.now + request.leaves_after_s
             self.clock.at(leaves_at, self._leave, job)
         self._book(job, policy.Stage.PAIR)
 
+    def _entries(self) -> list[str]:
+        names = [f'entry-{n}' for n in range(self.deployment.entries)]
+        return [name for name in names if name not in self._lost_entries]
+
     def _leave(self, job: Job) -> None:
         if not job.over:
             self._release(job, cells.Outcome.CANCELLED)
@@ -306,6 +349,9 @@
         self, job: Job, reason: RefusalReason, retry_after_s: float
     ) -> None:
         self._end(job)
+        held_s = self.clock.now - job.arrived_at
+        if held_s > HELD_BACK_S:
+            self.tally.counts['refused_late'] += 1
         again = job.comebacks < MAX_COMEBACKS
         self.tally.refused(job, reason, last=not again)
         if again:
@@ -319,6 +365,8 @@
     def _progress_all(self) -> None:
         holdings_by_entry: dict[str, list[cells.Holding]] = {}
         for job in self.jobs_by_name.values():
+            if job.pausing:
+                continue
             holding = cells.Holding(
                 request_id=job.name, attempt_id=job.attempt_id
             )
@@ -360,6 +408,8 @@
     def _hear(self, message: typing.Any) -> None:
         job = self.jobs_by_name.get(getattr(message, 'request_id', ''))
         if job is None or message.attempt_id != job.attempt_id:
+            return
+        if job.pausing:
             # The caller left while the owner answered.
             return
         match message:
@@ -430,7 +480,7 @@
                 later = self.clock.now + HOP_S
                 self.clock.at(later, self._prefilled, happened)
             case engine_model.Stepped():
-                self._count_tokens(happened)
+                self._count_tokens(engine, happened)
 
     def _prefilled(self, done: engine_model.Prefilled) -> None:
         job = self.jobs_by_name.get(done.stream_id)
@@ -534,25 +584,38 @@
         )
         engine.wake()
 
-    def _count_tokens(self, step: engine_model.Stepped) -> None:
+    def _reading(self, engine: SimulatedEngine, name: str) -> Job | None:
+        """Return the call that reads this stream from this engine.
+
+        An earlier attempt may still run on another one.
+        """
+        job = self.jobs_by_name.get(name)
+        if job is None or not job.streaming:
+            return None
+        here = job.booked.decode_id == engine.backend.backend_id
+        return job if here else None
+
+    def _count_tokens(
+        self, engine: SimulatedEngine, step: engine_model.Stepped
+    ) -> None:
         seen_at = step.at + HOP_S
         for stream_id in step.stream_ids:
-            job = self.jobs_by_name.get(stream_id)
-            if job is None or not job.streaming:
+            job = self._reading(engine, stream_id)
+            if job is None:
                 continue
             job.made += 1
             job.last_token_at = seen_at
             if job.first_token_at is None:
                 job.first_token_at = seen_at
         for stream_id in step.finished:
-            job = self.jobs_by_name.get(stream_id)
-            if job is not None and job.streaming:
+            job = self._reading(engine, stream_id)
+            if job is not None:
                 self._finish(job)
 
     def _finish(self, job: Job) -> None:
         engine = self.engines_by_id[job.booked.decode_id]
         engine.model.forget_stream(job.name)
-        self._release(job, cells.Outcome.DONE)
+        self._release(job, cells.Outcome.DONE, token_gap_s=job.token_gap_s)
         self._end(job)
         self.tally.finished(job)
 
@@ -562,6 +625,7 @@
         outcome: cells.Outcome,
         fault: str = '',
         wasted_tokens: int = 0,
+        token_gap_s: float = 0.0,
     ) -> None:
         message = cells.Release(
             cell=CELL_ID,
@@ -570,6 +634,7 @@
             outcome=outcome,
             wasted_tokens=wasted_tokens,
             backend_fault=fault,
+            token_gap_s=token_gap_s,
         )
         self._send(job, message)
 
@@ -592,10 +657,18 @@
         self._release(job, cells.Outcome.FAILED, fault, wasted_tokens)
         if fault:
             job.exclude = (*job.exclude, fault)
-        if job.attempt >= MAX_ATTEMPTS:
+        budget = self._budgets_by_entry[job.entry]
+        if job.attempt >= MAX_ATTEMPTS or not budget.spend():
             self._fail(job, RefusalReason.RETRIES_SPENT)
             return
-        self._book(job, policy.Stage.PAIR)
+        pause_s = retries.pause_s(job.attempt + 1, self._draw.getrandbits(64))
+        job.pausing = True
+        self.clock.at(self.clock.now + pause_s, self._try_again, job)
+
+    def _try_again(self, job: Job) -> None:
+        if not job.over:
+            job.pausing = False
+            self._book(job, policy.Stage.PAIR)
 
     def _fail(self, job: Job, reason: RefusalReason) -> None:
         if job.booked is not None or job.prefilled is not None:
@@ -622,6 +695,19 @@
                 self._retry(job, RetryReason.STREAM_BROKEN, backend_id)
         self.clock.at(self.clock.now + PRESENCE_S, self._tell_backends)
 
+    def lose_entry(self, entry: str) -> None:
+        """Kill an entry; its callers are cut off and it says no more."""
+        for job in list(self.jobs_by_name.values()):
+            if job.entry == entry:
+                self._end(job)
+                self.tally.left(job)
+        self._lost_entries.add(entry)
+
+    def join_engine(self, backend_id: str, role: policy.Role) -> None:
+        """Start an engine that the owner learns of at once."""
+        self.add_engine(backend_id, role)
+        self._tell_backends()
+
     def set_fault(self, backend_id: str, **switches: typing.Any) -> None:
         """Set fault switches of an engine."""
         engine = self.engines_by_id[backend_id]
@@ -634,8 +720,13 @@
         self._epoch += 1
         self.cell = self._make_cell()
         self._tell_backends()
+        self.clock.at(self.clock.now + RECLAIM_AFTER_S, self._reclaim_all)
+
+    def _reclaim_all(self) -> None:
         bookings_by_entry: dict[str, list[cells.ReclaimedBooking]] = {}
         for job in list(self.jobs_by_name.values()):
+            if job.pausing:
+                continue
             if job.booked is None:
                 self._book_again(job)
                 continue
