Presence: what is said after a leave is asked for again

Cause: a backend server that left, came back by an announcement in the same incarnation, and then met an instance that knew only the leave, was taken for gone: its renewals were answered as left, or dropped unasked. One would see a healthy server without work until its restart.

The order of sequence numbers decides now, so a renewal that was sent before the leave still brings nothing back.

--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -114,7 +114,7 @@
         """Take a renewal; ``None`` when its announcement is not known."""
         held = self.by_id.get(renewal.backend_id)
         if held is None or held.announcement.incarnation < renewal.incarnation:
-            has_left = renewal.incarnation <= self.left(renewal.backend_id)[0]
+            has_left = stamp(renewal) <= self.left(renewal.backend_id)
             return [] if has_left else None
         if stamp(renewal) <= held.renewed:
             return []
--- a/dandeliongw/coordination/_presence_messages.py
+++ b/dandeliongw/coordination/_presence_messages.py
@@ -30,9 +30,8 @@
     ANNOUNCE_AGAIN = 'announce_again'
     #: Something newer was said already, perhaps by a later process.
     OLD = 'old'
-    #: It has left, as far as this instance knows. A renewal that crosses a
-    #: leave must not bring it back; only an announcement with a higher
-    #: sequence or incarnation does, from a server that is not leaving.
+    #: It said this before it left. Only what has a higher sequence or
+    #: incarnation than the leave, an announcement first, brings it back.
     LEFT = 'left'
 
 
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -217,9 +217,9 @@
     def _judge_renewal(
         self, event: Renewed, front: _Front | None
     ) -> PresenceOutcome:
-        left = self._backends.left(event.backend_id)
         if front is None:
-            if event.incarnation <= left[0]:
+            said = (event.incarnation, event.sequence)
+            if said <= self._backends.left(event.backend_id):
                 return PresenceOutcome.LEFT
             return PresenceOutcome.ANNOUNCE_AGAIN
         if event.incarnation > front.announcement.incarnation:
