--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,8 +4,10 @@
 import collections
 from collections import abc
 import contextlib
+import doctest
 import heapq
 import itertools
+import pathlib
 import random
 import typing
 import unittest
@@ -601,3 +603,11 @@
             doubted = [m for m in one.changes if m.state.name != 'ALIVE']
             self.assertEqual([], doubted)
             self.assertEqual([1, 1], [one.reconnects, two.reconnects])
+
+
+class PageTest(unittest.TestCase):
+    def test_the_example_of_the_page_runs(self):
+        page = pathlib.Path(__file__).parents[1] / 'docs' / 'MEMBERSHIP.md'
+        failed, run = doctest.testfile(str(page), module_relative=False)
+        self.assertEqual(0, failed)
+        self.assertGreater(run, 0)
