--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -53,6 +53,8 @@
         self.now = 0.0
         self.part_by_id = part_by_id
         self.stopped: set[str] = set()
+        #: Those that are cut off from all others, and reach each other.
+        self.cut_off: set[str] = set()
         self.handle_s = 0.0
         self.sent: collections.Counter[str] = collections.Counter()
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -126,6 +128,8 @@
             self._count(sender, effect)
             if self._random.random() < self._loss:
                 return
+            if (sender in self.cut_off) != (effect.to in self.cut_off):
+                return
         item = (now + DELAY_S, next(self._order), sender, effect.to)
         heapq.heappush(self._wire, (*item, effect.message))
 
@@ -141,6 +145,58 @@
         self.received_bytes[sender] += TCP_ACK_BYTES
 
 
+def measure_partition(count: int, share: float, seconds: float) -> dict:
+    """Cut a part of the instances off, then let them come back."""
+    network = make_members(count)
+    network.run(110)
+    ids = sorted(network.part_by_id)
+    network.cut_off = set(ids[: round(count * share)])
+    parting = until_settled(
+        network,
+        lambda each: (
+            set(ids) - network.cut_off
+            if each not in network.cut_off
+            else network.cut_off
+        ),
+    )
+    network.run(seconds)
+    network.cut_off = set()
+    healing = until_settled(network, lambda each: set(ids))
+    return {
+        'instances': count,
+        'cut_off': round(count * share),
+        'seconds': seconds,
+        'parting': parting,
+        'healing': healing,
+    }
+
+
+def until_settled(
+    network: Network, expected: typing.Callable[[str], set[str]]
+) -> dict:
+    """Run until each instance holds the expected ones alive."""
+    seconds, peak, most = 0, 0.0, 0.0
+    handle_s = 0.0
+    while seconds < 300:
+        network.reset()
+        network.run(1)
+        seconds += 1
+        handle_s += network.handle_s
+        peak = max(peak, network.sent_bytes.total() / len(network.part_by_id))
+        most = max(most, *network.received_bytes.values())
+        if all(
+            set(part.alive_ids()) == expected(each)
+            for each, part in network.part_by_id.items()
+        ):
+            break
+    return {
+        'seconds': seconds,
+        'peak_bytes_sent': round(peak),
+        'most_bytes_received': round(most),
+        'handle_us': round(1e6 * handle_s / seconds / len(network.part_by_id)),
+    }
+
+
 def make_members(count: int, loss: float = 0.0, seed: int = 1) -> Network:
     """Return instances that have found each other."""
     infos = {
@@ -387,6 +443,11 @@
             for size, seconds in ((9, 3600), (100, 300), (350, 60))
             if size in sizes
         ],
+        'partition': [
+            measure_partition(size, share, 60)
+            for size, share in ((9, 0.34), (100, 0.5), (350, 0.25), (350, 0.5))
+            if size in sizes
+        ],
         'presence': [
             measure_presence(9, 100, 12),
             measure_presence(350, 1300, 30),
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -27,6 +27,13 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Envelope:
+    """A message that can be large."""
+
+    body: bytes
+
+
 class Node:
     """One end, with what it was given."""
 
@@ -48,16 +55,18 @@
             port=port,
             addresses_by_id=addresses_by_id,
             codec=codec.Codec(
-                data_classes=[Received], wire_modules=[envelope_pb2]
+                data_classes=[Received, Envelope], wire_modules=[envelope_pb2]
             ),
             secret=SECRET,
-            on_message=lambda sender, message: self.inbox.put_nowait(
-                (sender, message.count)
-            ),
+            on_message=self.receive,
             on_fault=lambda peer, text: self.faults.put_nowait(text),
             limits=limits,
         )
 
+    def receive(self, sender: str, message: typing.Any) -> None:
+        if isinstance(message, Received):
+            self.inbox.put_nowait((sender, message.count))
+
     async def next(self) -> tuple[str, int]:
         return await asyncio.wait_for(self.inbox.get(), LIMIT_S)
 
@@ -328,3 +337,21 @@
             await one.fault('reconnect_asked')
             one.peers.send('gw-2', Received(count=1))
             await one.fault('connect_failed')
+
+    async def test_a_peer_that_stops_reading_is_a_fault(self):
+        """Symptom: messages to one peer expire for minutes.
+
+        Sequence: the peer freezes; what it had allowed to be sent is used
+        up, and the next write waits.
+        Cause: a write without a limit of time.
+        """
+        async with relayed() as (one, _, between):
+            one.peers.limits = peers.Limits(
+                progress_s=0.05, max_queued_bytes=2**24
+            )
+            between.blackhole(relay.Way.BACK)
+            # More than the 4 MiB that grpclib lets a stream send unread.
+            large = Envelope(body=bytes(peers.MAX_ENVELOPE_BYTES - 100))
+            for _ in range(5):
+                one.peers.send('gw-2', large)
+            await one.fault('no_progress')
