Membership: the end of a partition no longer floods anyone

All instances compared at the same moment; the answers carried what both sides knew already; members to look at again were the same for all and probed by all at once; every suspected member was probed again each period.

Now: jitter, info only where it is lacked, looked at in random order, two suspects a period, no looking again on the word of one who doubts us.

Ruled out: comparing more seldom (a lost leave is then found later).

--- a/dandeliongw/coordination/_beliefs.py
+++ b/dandeliongw/coordination/_beliefs.py
@@ -45,6 +45,9 @@
         self.news.add(own, with_info=True, urgent=False)
         #: There is news that should not wait for the next probe.
         self.is_urgent = False
+        #: News came of a member that this instance can't reach without its
+        #: info; true at first, for it knows nobody.
+        self.lacks_info = True
         #: Members that this instance itself suspected.
         self.own_suspects: set[str] = set()
         self._period_s = period_s
@@ -196,6 +199,7 @@
         info = _known_info(item, held)
         if info is None:
             # Not enough to reach it; a comparison brings the rest.
+            self.lacks_info = True
             return []
         state = item.state
         if state is MemberState.DEAD and _is_alive(held):
--- a/dandeliongw/coordination/_comparison.py
+++ b/dandeliongw/coordination/_comparison.py
@@ -39,6 +39,7 @@
         message = ViewHashes(
             own=self._beliefs.own.news(with_info=True),
             hashes=tuple(self._roster.hashes),
+            full=self._beliefs.lacks_info,
         )
         return parts.Send(to=other, message=message)
 
@@ -58,7 +59,9 @@
         effects = self._beliefs.learn(now, (message.own,))
         # A group of which the sender holds nothing has nothing to answer.
         wanted = tuple(b for b in buckets if message.hashes[b])
-        return effects + self._parts_to(sender, buckets, wanted)
+        return effects + self._parts_to(
+            sender, buckets, wanted, full=message.full
+        )
 
     def on_part(
         self, now: float, sender: str, message: ViewPart
@@ -68,7 +71,12 @@
         # that it was doubted here.
         answer: list[typing.Any] = []
         if message.buckets:
-            answer = self._parts_to(sender, message.buckets, ())
+            answer = self._parts_to(
+                sender, message.buckets, (), full=message.full
+            )
+        if message.news:
+            # Set again below by news that is still not enough.
+            self._beliefs.lacks_info = False
         effects: list[typing.Any] = []
         for item in message.news:
             effects += self._compare(now, item, message)
@@ -89,25 +97,36 @@
             # Others doubt this instance: it was cut off or frozen, and its
             # verdicts of that time are worth nothing.
             return self._beliefs.acquit(now, item.instance_id)
-        if item.state is not held.state and held.state is MemberState.ALIVE:
+        is_alive = held.state is MemberState.ALIVE
+        if message.doubt is None and is_alive and item.state != held.state:
             # A comparison can bring a verdict that is an hour old. This
             # instance looks for itself instead of taking it over.
             self._probing.look_at(item.instance_id)
         return []
 
     def _parts_to(
-        self, other: str, buckets: abc.Sequence[int], wanted: tuple[int, ...]
+        self,
+        other: str,
+        buckets: abc.Sequence[int],
+        wanted: tuple[int, ...],
+        *,
+        full: bool,
     ) -> list[typing.Any]:
         """Return the messages, of bounded size, that carry some beliefs.
 
         :param wanted: groups of which an answer is wanted; the last message
             asks for it, so that it is given once.
+        :param full: the other knows too little of some. Without that, the
+            info is left out of many items: after a partition, that is three
+            quarters of the bytes, and known already.
         """
-        told = [
-            _told(member)
+        members = [
+            member
             for bucket in buckets
             for member in self._roster.in_bucket(bucket)
         ]
+        with_info = full or len(members) <= PART_ITEMS
+        told = [_told(member, with_info) for member in members]
         doubt = self._beliefs.doubt(other)
         effects = []
         for start in range(0, max(1, len(told)), PART_ITEMS):
@@ -116,6 +135,7 @@
                 news=tuple(told[start : start + PART_ITEMS]),
                 buckets=wanted if is_last else (),
                 doubt=doubt,
+                full=self._beliefs.lacks_info,
             )
             effects.append(parts.Send(to=other, message=message))
         return effects
@@ -127,5 +147,6 @@
     return differs or item.state is MemberState.LEFT
 
 
-def _told(member: Member) -> MemberNews:
-    return member.news(with_info=member.state is not MemberState.LEFT)
+def _told(member: Member, with_info: bool) -> MemberNews:
+    has_left = member.state is MemberState.LEFT
+    return member.news(with_info=with_info and not has_left)
--- a/dandeliongw/coordination/_membership_messages.py
+++ b/dandeliongw/coordination/_membership_messages.py
@@ -116,10 +116,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ViewHashes:
-    """Asks for what the receiver believes otherwise; also joins."""
+    """Asks for what the receiver believes otherwise; also joins.
+
+    :param full: the sender lacks the info of some members.
+    """
 
     own: MemberNews
     hashes: tuple[int, ...]
+    full: bool
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -128,11 +132,13 @@
 
     :param buckets: groups of which it wants to be told in return.
     :param doubt: what it believes of the receiver, unless that is alive.
+    :param full: as in :class:`ViewHashes`, for the answer.
     """
 
     news: tuple[MemberNews, ...]
     buckets: tuple[int, ...]
     doubt: MemberNews | None
+    full: bool
 
 
 #: For the codec of whoever embeds this part.
--- a/dandeliongw/coordination/_probing.py
+++ b/dandeliongw/coordination/_probing.py
@@ -10,6 +10,8 @@
 ACK_SHARE = 0.3
 #: Periods after which a helper gives a probe for another up.
 ERRAND_PERIODS = 2.0
+#: Members that wait to be looked at; the round gets to the others.
+MAX_SOON = 8
 _MAX_SEQUENCE = 2**32
 
 
@@ -49,6 +51,7 @@
         self._period_s = period_s
         self._sequence = 0
         self._round: list[str] = []
+        self._soon: set[str] = set()
         self._pending_by_sequence: dict[int, Pending] = {}
         self._errands_by_sequence: dict[int, Errand] = {}
 
@@ -60,6 +63,13 @@
         self, others: set[str], source: random.Random
     ) -> str | None:
         """Return the next of the round, ``None`` without others."""
+        self._soon &= others
+        if self._soon:
+            # Chosen at random: many instances may have the same to look at,
+            # and would all probe the same one at once.
+            target = source.choice(sorted(self._soon))
+            self._soon.discard(target)
+            return target
         while self._round:
             target = self._round.pop()
             if target in others:
@@ -69,8 +79,9 @@
         return self._round.pop() if self._round else None
 
     def look_at(self, target: str) -> None:
-        """Make a member the next of the round."""
-        self._round.append(target)
+        """Probe a member before the round goes on."""
+        if len(self._soon) < MAX_SOON:
+            self._soon.add(target)
 
     def begin(self, now: float, target: str) -> int:
         """Return the sequence number of a new probe."""
--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -75,6 +75,9 @@
 LEAVE_FANOUT = 8
 #: Seconds between two bursts of urgent news of one instance.
 URGENT_GAP_S = 0.2
+#: Suspected members that an instance probes again a period; without this
+#: bound the loss of a data centre would multiply everybody's messages.
+SUSPECT_PROBES = 2
 #: Periods between two tries to reach a dead member or an unseen seed.
 ABSENT_PERIODS = 10.0
 #: Periods between two comparisons of beliefs that an instance starts.
@@ -268,7 +271,7 @@
         # Not added up from the last time, or a late tick would be followed
         # by a burst of probes.
         self._probe_at = now + self.period_s
-        targets = sorted(self._beliefs.own_suspects)
+        targets = self._sample(self._beliefs.own_suspects, SUSPECT_PROBES)
         following = self._probing.next_target(
             self._beliefs.others, self._random
         )
@@ -398,6 +401,9 @@
             return []
         is_alone = not self._beliefs.others
         periods = 1.0 if is_alone else ABSENT_PERIODS
+        # Without the jitter all instances would compare at the same moment
+        # after a partition, whose end is the same moment for all.
+        periods *= self._random.uniform(0.5, 1.5)
         self._absent_at = now + periods * self.period_s
         absent = self._beliefs.dead_ids | self._seed_ids
         absent -= self._beliefs.roster.present_ids
