--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -106,6 +106,28 @@
         answer = engine_model.expected_answer(PROMPT, 5)
         self.assertEqual(answer, text_of(first + rest))
 
+    def test_a_stalled_stream_goes_on_over_a_new_connection(self):
+        """Symptom: tokens stop and the connection stays open."""
+        with engine_pair('--faults={"stall_after_tokens": 2}') as urls:
+            prefill_and_import(*urls)
+            body = ids(max_tokens=5, from_offset=0)
+            stalled = post(f'{urls[1]}/v1/decode', body, preload_content=False)
+            lines = [next(stalled) for _ in range(3)]
+            rest = decode(urls[1], 5, from_offset=2)
+            stalled.close()
+        first = [json.loads(line[6:]) for line in lines if line.strip()]
+        answer = engine_model.expected_answer(PROMPT, 5)
+        self.assertEqual(answer, text_of(first + rest))
+        self.assertEqual({'end': True, 'tokens': 5}, rest[-1])
+
+    def test_pieces_of_an_old_attempt_and_doubled_ones_can_be_told(self):
+        faults = {'old_attempt_id': True, 'duplicate_pieces': True}
+        with engine_pair(f'--faults={json.dumps(faults)}') as urls:
+            prefill_and_import(*urls)
+            pieces = decode(urls[1], 2)[:-1]
+        self.assertEqual([0, 0, 1, 1], [each['offset'] for each in pieces])
+        self.assertNotIn('a1', {each['attempt_id'] for each in pieces})
+
     def test_a_refused_import_and_an_old_fence_say_why(self):
         with engine_pair('--faults={"refuse_imports": true}') as urls:
             answer = prefill_and_import(*urls)
