--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -373,8 +373,6 @@
 
     #: Admitted work that has not been placed, in order of arrival.
     queue: list[Booking] = dataclasses.field(default_factory=list)
-    #: Measured part of prompts that no cache held.
-    computed_ratio: float = 1.0
     #: Measured length of answers over the longest they may be.
     answer_ratio: float = 1.0
 
@@ -442,8 +440,6 @@
             measured = min((now - began_at) / expected_s, MOST_SLOWNESS)
             state.slowness += SMOOTHING * (measured - state.slowness)
         state.last_prefill_at = now
-        measured = computed / max(1, booking.prompt_tokens)
-        self.computed_ratio += SMOOTHING * (measured - self.computed_ratio)
         at = now
         for each in state.bookings_by_key.values():
             if not each.prefill_done and each is not booking:
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/scheduler.py
@@ -72,7 +72,6 @@
     :param cap: hold the token gap by using fewer slots.
     :param weigh: let the document's weights say how long a KV cache may
         wait for a link.
-    :param cached: count on the usual part of prompts to be cached.
     :param fair: hold accounts to their share when the cell is full.
     :param spare: part of the longest wait that predictions must leave over.
     :param health: leave out what keeps failing; let new ones in slowly.
@@ -88,7 +87,6 @@
     spare: float = 0.1
     cap: bool = True
     weigh: bool = True
-    cached: bool = True
 
 
 class Scheduler:
@@ -226,8 +224,7 @@
     ) -> Decision:
         if self._options.fair and self._is_over_share(now, view, booking):
             return _refuse_share(booking)
-        ratio = view.computed_ratio if self._options.cached else 1.0
-        starts_at = expected_start(now, view, [*ahead, booking], ratio)
+        starts_at = expected_start(now, view, [*ahead, booking])
         if self._options.foresee:
             left = 1.0 - self._passing_part(now, view, booking)
             starts_at = now + (starts_at - now) / left
@@ -417,17 +414,12 @@
 
 
 def expected_start(
-    now: float,
-    view: CellView,
-    ordered: list[Booking],
-    computed_ratio: float,
+    now: float, view: CellView, ordered: list[Booking]
 ) -> float:
     """Return when the last of some queued work will start.
 
     Goes through the work in order, giving each the next slot and the next
     prefill engine to be free.
-
-    :param computed_ratio: part of the prompts that no cache holds.
     """
     slots = _slot_times(now, view)
     engines = [
@@ -442,7 +434,7 @@
     starts_at = now
     for booking in ordered:
         starts_at = max(heapq.heappop(slots), engines[0])
-        done_at = starts_at + prefill_s(view, booking) * computed_ratio
+        done_at = starts_at + prefill_s(view, booking)
         moved_at = done_at + view.transfer_s(booking)
         # Prefill and link of an engine work at the same time, each on
         # another prompt; the slower of the two sets the pace.
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -67,8 +67,7 @@
     'v9-fair': scheduler.Options(spare=0.0),
     'v10-spare': scheduler.Options(cap=False),
     'v11-cap': scheduler.Options(weigh=False),
-    'v12-weights': scheduler.Options(cached=False),
-    'v13-cached': scheduler.Options(),
+    'v12-weights': scheduler.Options(),
 }
 CURRENT = list(VERSIONS_BY_NAME)[-1]
 
