--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -6,6 +6,7 @@
 
 from nose2.tools import params
 
+from dandeliongw import scheduler
 from tools import faults
 from tools import measure
 from tools import plots
@@ -51,6 +52,18 @@
         self.assertGreater(ours, 1.2 * max(plain))
 
 
+class VersionsTest(unittest.TestCase):
+    def test_the_last_version_is_the_policy_in_force(self):
+        """Symptom: an old version's figures change with each new decision.
+
+        A version was named by what it lacked at its time, and so got all
+        decisions made after it.
+        """
+        versions = measure.versions()
+        self.assertEqual(scheduler.Options(), versions[measure.CURRENT])
+        self.assertFalse(versions['v1-slots'].links)
+
+
 class FaultTest(unittest.TestCase):
     """Symptom: a call is answered twice, cut short or never.
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import dataclasses
 import functools
 import json
 import math
@@ -54,33 +55,56 @@
     }
 
 
-#: The policy in force and the versions before it, the oldest first.
-VERSIONS_BY_NAME: dict[str, scheduler.Options] = {
-    'v1-slots': scheduler.Options(queue=False),
-    'v2-queue': scheduler.Options(order=scheduler.Order.ARRIVAL),
-    'v3-deadline': scheduler.Options(order=scheduler.Order.DEADLINE),
-    'v3-rank': scheduler.Options(foresee=False),
-    'v4-foresee': scheduler.Options(affinity=False),
-    'v5-affinity': scheduler.Options(links=False),
-    'v6-links': scheduler.Options(health=False),
-    'v8-health': scheduler.Options(fair=False),
-    'v9-fair': scheduler.Options(spare=0.0),
-    'v10-spare': scheduler.Options(cap=False),
-    'v11-cap': scheduler.Options(weigh=False),
-    'v12-weights': scheduler.Options(),
+FIRST_VERSION = scheduler.Options(
+    queue=False,
+    order=scheduler.Order.ARRIVAL,
+    foresee=False,
+    affinity=False,
+    links=False,
+    health=False,
+    fair=False,
+    spare=0.0,
+    cap=False,
+    weigh=False,
+)
+#: What each version added to the one before it; the last is in force.
+STEPS_BY_VERSION: dict[str, dict[str, typing.Any]] = {
+    'v1-slots': {},
+    'v2-queue': {'queue': True},
+    'v3-rank': {'order': scheduler.Order.RANK},
+    'v4-foresee': {'foresee': True},
+    'v5-affinity': {'affinity': True},
+    'v6-links': {'links': True},
+    'v8-health': {'health': True},
+    'v9-fair': {'fair': True},
+    'v10-spare': {'spare': 0.1},
+    'v11-cap': {'cap': True},
+    'v12-weights': {'weigh': True},
 }
-CURRENT = list(VERSIONS_BY_NAME)[-1]
+
+
+def versions() -> dict[str, scheduler.Options]:
+    """Return the options of every version, the oldest first."""
+    options = FIRST_VERSION
+    options_by_name = {}
+    for name, step in STEPS_BY_VERSION.items():
+        options = dataclasses.replace(options, **step)
+        options_by_name[name] = options
+    return options_by_name
+
+
+CURRENT = list(STEPS_BY_VERSION)[-1]
 
 
 def all_policies(
     deployment: workloads.Deployment,
 ) -> dict[str, PolicyFactory]:
     """Return the baselines and every version, by name."""
-    versions = {
+    ours = {
         name: functools.partial(scheduler.Scheduler, options=options)
-        for name, options in VERSIONS_BY_NAME.items()
+        for name, options in versions().items()
     }
-    return plain_routers(deployment) | versions
+    return plain_routers(deployment) | ours
 
 
 def measure(
