--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -7,9 +7,32 @@
 """
 
 import dataclasses
-import enum
 import typing
 
+from .cell_messages import BackendsChanged
+from .cell_messages import Book
+from .cell_messages import Booked
+from .cell_messages import CacheHint
+from .cell_messages import Cancelled
+from .cell_messages import CancelStream
+from .cell_messages import Declined
+from .cell_messages import HeldStream
+from .cell_messages import Holding
+from .cell_messages import ListStreams
+from .cell_messages import LoadReported
+from .cell_messages import MESSAGES
+from .cell_messages import NotOwner
+from .cell_messages import Outcome
+from .cell_messages import PrefillDone
+from .cell_messages import Progress
+from .cell_messages import Queued
+from .cell_messages import Reclaim
+from .cell_messages import ReclaimedBooking
+from .cell_messages import ReclaimWanted
+from .cell_messages import Release
+from .cell_messages import StreamCancelled
+from .cell_messages import StreamsListed
+from .cell_messages import TermsChanged
 from .coordination import parts
 from .policy import BackendState
 from .policy import Booking
@@ -24,7 +47,38 @@
 from .policy import Role
 from .policy import Stage
 from .policy import Wait
-from .verdict import RefusalReason
+
+__all__ = [
+    'BackendsChanged',
+    'Book',
+    'Booked',
+    'BOOKING_LEASE_S',
+    'CacheHint',
+    'Cancelled',
+    'CancelStream',
+    'Cell',
+    'CellBackend',
+    'CellTerms',
+    'Declined',
+    'HeldStream',
+    'Holding',
+    'ListStreams',
+    'LoadReported',
+    'MESSAGES',
+    'NotOwner',
+    'Outcome',
+    'PrefillDone',
+    'Progress',
+    'PROGRESS_EVERY_S',
+    'Queued',
+    'Reclaim',
+    'ReclaimedBooking',
+    'ReclaimWanted',
+    'Release',
+    'StreamCancelled',
+    'StreamsListed',
+    'TermsChanged',
+]
 
 #: A booking that its entry hasn't renewed for so long has lost its entry.
 BOOKING_LEASE_S = 4.0
@@ -36,292 +90,6 @@
 CANCEL_AGAIN_S = 1.0
 
 
-class Outcome(enum.StrEnum):
-    """How an attempt ended, told by its entry."""
-
-    DONE = 'done'
-    CANCELLED = 'cancelled'
-    FAILED = 'failed'
-    EXPIRED = 'expired'
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Book:
-    """Entry to owner: find backend servers for one attempt.
-
-    Sending it again with the same ids gives the same answer.
-
-    :param prefix: hashes of the prompt's blocks, see ``policy.hash_blocks``.
-    :param deadline_s: seconds that remain.
-    :param exclude: ids of backend servers that failed for this request.
-    """
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    account: str
-    priority: str
-    prompt_tokens: int
-    max_tokens: int
-    prefix: tuple[str, ...]
-    deadline_s: float
-    exclude: tuple[str, ...] = ()
-    stage: Stage = Stage.PAIR
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PrefillDone:
-    """Entry to owner: the prefill engine answered."""
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    tokens: int
-    cached_tokens: int
-    kv_bytes: int = 0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Holding:
-    """The ids of one booking."""
-
-    request_id: str
-    attempt_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Progress:
-    """Entry to owner: these bookings are still wanted."""
-
-    cell: str
-    bookings: tuple[Holding, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Release:
-    """Entry to owner: an attempt ended.
-
-    :param wasted_tokens: prefill tokens whose result was thrown away.
-    :param backend_fault: id of the backend server at fault, or empty.
-    :param token_gap_s: mean gap between the tokens of a whole answer;
-        zero if not measured.
-    """
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    outcome: Outcome
-    wasted_tokens: int = 0
-    backend_fault: str = ''
-    token_gap_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReclaimedBooking:
-    """What an entry holds, told to a new owner."""
-
-    request_id: str
-    attempt_id: str
-    account: str
-    priority: str
-    stage: Stage
-    prompt_tokens: int
-    max_tokens: int
-    deadline_s: float
-    prefill_id: str
-    decode_id: str
-    plain_id: str
-    prefill_done: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Reclaim:
-    """Entry to a new owner: all bookings of the cell that it holds."""
-
-    cell: str
-    epoch: int
-    bookings: tuple[ReclaimedBooking, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Booked:
-    """Owner to entry: start the attempt here, in ``start_in_s``."""
-
-    cell: str
-    epoch: int
-    request_id: str
-    attempt_id: str
-    prefill_id: str
-    prefill_url: str
-    decode_id: str
-    decode_url: str
-    plain_id: str
-    plain_url: str
-    start_in_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Queued:
-    """Owner to entry: admitted; ``Booked`` follows when it may start."""
-
-    cell: str
-    epoch: int
-    request_id: str
-    attempt_id: str
-    expected_in_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Declined:
-    """Owner to entry: refused, and nothing has run."""
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    reason: RefusalReason
-    retry_after_s: float
-    message: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NotOwner:
-    """Whoever got a ``Book`` doesn't own the cell.
-
-    :param holder: instance id of the owner, empty if unknown.
-    """
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    holder: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Cancelled:
-    """Owner to entry: this booking is gone; stop the attempt."""
-
-    cell: str
-    epoch: int
-    request_id: str
-    attempt_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReclaimWanted:
-    """Owner to entry: a new owner; send ``Reclaim`` with all you hold."""
-
-    cell: str
-    epoch: int
-
-
-MESSAGES = (
-    Book,
-    PrefillDone,
-    Progress,
-    Release,
-    Reclaim,
-    Booked,
-    Queued,
-    Declined,
-    NotOwner,
-    Cancelled,
-    ReclaimWanted,
-)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendsChanged:
-    """The backend servers of this cell that may get new work."""
-
-    now: float
-    backends: tuple[CellBackend, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TermsChanged:
-    """The document says something else about the service now."""
-
-    now: float
-    terms: CellTerms
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LoadReported:
-    """A load report came in; it was true some time ago."""
-
-    now: float
-    backend_id: str
-    running: int
-    waiting: int
-    queued_tokens: int
-    slots_used: int
-    kv_bytes: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CacheHint:
-    """Cache events came in, perhaps late.
-
-    :param gap: events before these were lost.
-    """
-
-    now: float
-    backend_id: str
-    stored: tuple[str, ...]
-    evicted: tuple[str, ...]
-    gap: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamCancelled:
-    """The backend server confirmed a cancel (or knew no such stream)."""
-
-    now: float
-    backend_id: str
-    stream_id: str
-    attempt_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelStream:
-    """Effect: ``POST /v1/cancel``; post :class:`StreamCancelled` on 200."""
-
-    backend_id: str
-    url: str
-    stream_id: str
-    attempt_id: str
-    epoch: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ListStreams:
-    """Effect: ``GET /v1/streams``; post :class:`StreamsListed` on 200."""
-
-    backend_id: str
-    url: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HeldStream:
-    """A stream that a backend server holds memory for."""
-
-    stream_id: str
-    attempt_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamsListed:
-    """What a backend server holds, as it was at ``asked_at`` or later.
-
-    :param asked_at: when the effect was performed, on this instance's clock.
-    """
-
-    now: float
-    backend_id: str
-    asked_at: float
-    streams: tuple[HeldStream, ...]
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PendingCancel:
     """A cancel that its backend server hasn't confirmed."""
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -14,6 +14,8 @@
 
 import xxhash
 
+from .health import Batch
+from .health import Health
 from .verdict import RefusalReason
 
 #: Words of a prompt that share one prefix hash.
@@ -22,21 +24,6 @@
 SMOOTHING = 0.1
 #: Blocks remembered for each backend server, about 100 bytes each.
 MOST_BLOCKS = 4_096
-#: So many faults within the window leave a backend server out.
-FAULTS_TO_EJECT = 3
-FAULT_WINDOW_S = 5.0
-#: How long it is left out the first time, and at most.
-EJECTED_S = 2.0
-MOST_EJECTED_S = 60.0
-#: Pause between the first pieces of work after it came back.
-PACE_S = 1.0
-#: Parts of the token gap's target above and below which the cap moves.
-GAP_HIGH = 0.95
-GAP_LOW = 0.90
-#: Pause between two moves of the cap.
-BATCH_RESTS_S = 1.0
-#: How long it takes from one slot to all of them.
-RAMP_S = 4.0
 #: A prefill that hung tells nothing about the next one beyond this.
 MOST_SLOWNESS = 10.0
 
@@ -172,101 +159,6 @@
         return self.request_id, self.attempt_id
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Health:
-    """Whether a backend server is trusted with new work.
-
-    One that keeps failing is left out for a while, longer each time, and
-    comes back slowly: without this each request would find out anew, and
-    one would notice a steady stream of retries against one backend server.
-    A new one comes in as slowly, as its caches are cold.
-    """
-
-    recent_faults: list[float] = dataclasses.field(default_factory=list)
-    ejected_until: float = 0.0
-    ejections: int = 0
-    #: When it came, or came back; ``None`` if it has always been there.
-    came_at: float | None = None
-    last_given_at: float = -math.inf
-
-    def is_ejected(self, now: float) -> bool:
-        return now < self.ejected_until
-
-    def is_new(self, now: float) -> bool:
-        """Return whether it came, or came back, a short while ago."""
-        return self.came_at is not None and now < self.came_at + RAMP_S
-
-    def open_part(self, now: float) -> float:
-        """Return which part of its slots may be used now."""
-        if not self.is_new(now):
-            return 1.0
-        return max(0.0, (now - self.came_at) / RAMP_S)
-
-    def may_get_work(self, now: float) -> bool:
-        """Return whether it may get new work now.
-
-        A fault may take seconds to show. Until the ramp is over the work
-        is spaced, so that little is lost if the fault is still there.
-        """
-        if self.is_ejected(now):
-            return False
-        pause_s = PACE_S * (1.0 - self.open_part(now))
-        return now >= self.last_given_at + pause_s
-
-    def add_fault(self, now: float) -> None:
-        """Count a fault; leave the backend server out if it is one of many.
-
-        The faults that come in while it is left out are of work from
-        before, and don't count again.
-        """
-        if self.is_ejected(now):
-            return
-        since = now - FAULT_WINDOW_S
-        self.recent_faults = [at for at in self.recent_faults if at > since]
-        self.recent_faults.append(now)
-        suspect = self.ejections > 0 and self.is_new(now)
-        if suspect or len(self.recent_faults) >= FAULTS_TO_EJECT:
-            self._eject(now)
-
-    def _eject(self, now: float) -> None:
-        ejected_s = min(EJECTED_S * 2**self.ejections, MOST_EJECTED_S)
-        self.ejected_until = now + ejected_s
-        self.came_at = self.ejected_until
-        self.ejections += 1
-        self.recent_faults.clear()
-
-
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Batch:
-    """How many streams a decode engine carries within the token gap.
-
-    A batch steps more slowly the fuller it is. With more slots than the
-    target bears, every answer of a full engine is too slow; one would
-    notice token gaps just above the target on all of them at once.
-    """
-
-    #: ``None`` until answers have been too slow.
-    cap: int | None = None
-    changed_at: float = -math.inf
-
-    def learn(
-        self, now: float, gap_s: float, target_s: float, streams: int
-    ) -> None:
-        """Take in the mean gap of a whole answer.
-
-        An answer tells of the batch as it was over seconds, so the cap
-        moves by one and then rests until answers tell of the new one.
-        """
-        if now < self.changed_at + BATCH_RESTS_S:
-            return
-        if gap_s > target_s * GAP_HIGH:
-            self.cap = max(1, min(self.cap or streams, streams) - 1)
-            self.changed_at = now
-        elif self.cap is not None and gap_s < target_s * GAP_LOW:
-            self.cap += 1
-            self.changed_at = now
-
-
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BackendState:
     """What the owner knows of one backend server."""
