Relay and engine adapter under tests; silence has its own time-out

Found by a test that took 20 s where 0.05 s were set: the HTTP library gives the socket the connect's time-out again for each call and each answer. With the settings' 1 s, a prefill or a booking of more than a second failed as stalled, a booking with 'may have run'. The time-out of silence is now in force. Also: an answer that is abandoned is closed at once, not when the garbage collector comes by.

Tests over real sockets: truncated streams, repeated and foreign pieces, resume at the first missing token, the prompt of a second prefill, resets after the last byte, stops at every step, deadlines after a freeze.

--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -143,6 +143,7 @@
         )
         self._read_s = read_s
         self._socket: socket.socket | None = None
+        self._response: typing.Any = None
         self._aborted = False
 
     def open(self) -> None:
@@ -157,7 +158,10 @@
                 reason=verdict.RetryReason.CONNECT_REFUSED,
             ) from error
         self._socket = self._connection.sock
-        self._socket.settimeout(self._read_s)
+        # The library gives the socket this time-out anew for each call and
+        # each answer. With that of the connect left in it, every prefill of
+        # more than a second would seem to have stalled.
+        self._connection.timeout = self._read_s
         if self._aborted:
             # The abort came before there was a socket to shut down.
             raise EngineError('aborted', known=verdict.Verdict.NOT_RUN)
@@ -179,7 +183,8 @@
                 preload_content=False,
                 decode_content=False,
             )
-            return self._connection.getresponse()
+            self._response = self._connection.getresponse()
+            return self._response
 
     def read(self, response: typing.Any, most: int) -> bytes:
         """Read a whole body; a cut-off one is an error, never an answer."""
@@ -221,7 +226,19 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def read_timeout_s(self) -> float | None:
+        """Seconds of silence that the socket allows just now."""
+        return None if self._socket is None else self._socket.gettimeout()
+
     def close(self) -> None:
+        """End the connection, also in the middle of an answer.
+
+        The answer has a hold of the socket of its own. Left to the garbage
+        collector, an engine would go on sending to nobody.
+        """
+        if self._response is not None:
+            self._response.close()
         self._connection.close()
 
     @contextlib.contextmanager
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,354 @@
+"""The hands of a request against engines that answer anything."""
+
+import queue
+import threading
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import effects
+from dandeliongw import engine
+from dandeliongw import events
+from dandeliongw import outcome
+from dandeliongw import relay
+from dandeliongw import verdict
+from tests import entry_fake
+from tests import raw_server
+from tests.raw_server import end
+from tests.raw_server import piece
+from tests.raw_server import STREAM_HEAD
+
+RETRY = verdict.RetryReason
+NOT_RUN = verdict.Verdict.NOT_RUN
+PATIENCE_S = 20
+IMPORTED = raw_server.answer({'bytes': 1})
+PREFILLED = raw_server.answer({'kv': 'k', 'tokens': 5})
+
+
+class Adapters:
+    def model_engine(self, url):
+        return engine.HttpEngine(
+            url=url, connect_s=20.0, first_byte_s=20.0, stall_s=20.0
+        )
+
+    def plain_service(self, url, timeout_s):
+        return engine.PlainService(
+            url=url, connect_s=20.0, timeout_s=timeout_s
+        )
+
+
+class Carried:
+    """A relay on a thread of its own; the test is its reducer."""
+
+    def __init__(self, kind='completion', clock=lambda: 0.0, **changes):
+        self.events = queue.Queue()
+        self.pieces = []
+        self.relay = relay.Relay(
+            request_id='r',
+            call=entry_fake.call(kind, **changes),
+            work=relay.Work(prompt='p', path='/bookings', body=b'{}'),
+            backends=Adapters(),
+            post=lambda make_event: self.events.put(make_event(now=0.0)),
+            clock=clock,
+        )
+        self.thread = threading.Thread(target=self._run)
+
+    def _run(self):
+        for item in self.relay.pieces():
+            self.pieces.append(item)
+
+    def __enter__(self):
+        self.thread.start()
+        self.next(events.RequestArrived)
+        return self
+
+    def __exit__(self, *_):
+        refusal = verdict.Refusal(
+            reason=verdict.RefusalReason.CALLER_GONE,
+            verdict=NOT_RUN,
+            message='over',
+        )
+        self.relay.give(effects.Refuse(request_id='r', refusal=refusal))
+        self.thread.join(PATIENCE_S)
+
+    def next(self, event_class=events.StepEnded):
+        event = self.events.get(timeout=PATIENCE_S)
+        assert isinstance(event, event_class), event
+        return event
+
+    def run(self, directive):
+        self.relay.give(directive)
+        return self.next()
+
+    @property
+    def text(self):
+        texts = [each for each in self.pieces if hasattr(each, 'text')]
+        return ''.join(each.text for each in texts)
+
+
+def run_decode(url, attempt='r.1', kv='k'):
+    return effects.RunDecode(
+        request_id='r',
+        attempt_id=attempt,
+        url=url,
+        source_url='http://p',
+        kv=kv,
+        fence=1,
+        deadline_in_s=9.0,
+    )
+
+
+def run_prefill(url, attempt='r.1', **changes):
+    fields = {'priority': 0, 'fence': 1, 'deadline_in_s': 9.0, **changes}
+    return effects.RunPrefill(
+        request_id='r', attempt_id=attempt, url=url, **fields
+    )
+
+
+def run_call(url, deadline_in_s=9.0):
+    return effects.RunCall(
+        request_id='r',
+        attempt_id='r.1',
+        url=url,
+        deadline_in_s=deadline_in_s,
+    )
+
+
+def stream(*parts):
+    return STREAM_HEAD + b''.join(parts) + b'0\r\n\r\n'
+
+
+class Streams(unittest.TestCase):
+    @params(
+        stream(piece('r.1', 0, 'a')),
+        STREAM_HEAD + piece('r.1', 0, 'a'),
+        STREAM_HEAD + piece('r.1', 0, 'a') + b'f\r\ndata: {"a',
+        stream(piece('r.1', 0, 'a'), piece('r.1', 2, 'c'), end('r.1', 3)),
+        stream(piece('r.1', 0, 'a'), end('r.1', 3)),
+        stream(piece('r.1', 0, 'a'), end('r.1', 0)),
+    )
+    def test_only_the_right_end_mark_ends_a_stream(self, broken):
+        """Symptom: half a summary is printed as if it were all.
+
+        Sequence: the engine's answer ends well formed, or loses a token.
+        Cause: the end of the connection would be the end of the answer.
+        """
+        with raw_server.serving(IMPORTED, broken) as server:
+            with Carried() as carried:
+                ended = carried.run(run_decode(server.url))
+        self.assertEqual(ended.failure, RETRY.STREAM_BROKEN)
+        self.assertEqual(ended.tokens, 1)
+        self.assertEqual(carried.text, 'a')
+
+    def test_a_stream_resumes_at_the_first_missing_token(self):
+        """Symptom: a token twice, or one lost, in the caller's text.
+
+        Sequence: the connection breaks; the resumed one repeats a piece.
+        Cause: a resume from where the engine was, not the caller.
+        """
+        first = stream(piece('r.1', 0, 'a'), piece('r.1', 1, 'b'))
+        again = stream(
+            piece('r.1', 1, 'b'), piece('r.1', 2, 'c'), end('r.1', 3)
+        )
+        with raw_server.serving(IMPORTED, first, again) as server:
+            with Carried() as carried:
+                carried.run(run_decode(server.url))
+                ended = carried.run(run_decode(server.url, kv=''))
+        self.assertIsNone(ended.failure)
+        self.assertEqual(carried.text, 'abc')
+        self.assertEqual(server.bodies()[-1]['from_offset'], 2)
+        self.assertEqual(outcome.from_bytes(ended.outcome).text, 'abc')
+        connections = [path for path, _, _ in server.calls]
+        self.assertEqual(connections.count('/v1/decode'), 2)
+
+    def test_pieces_of_another_attempt_are_dropped_and_counted(self):
+        """Symptom: another attempt's text in the middle of an answer.
+
+        Sequence: the first attempt answers after the second has begun.
+        Cause: the stream's id alone would be looked at.
+        """
+        mixed = stream(
+            piece('r.0', 0, 'x'),
+            piece('r.1', 0, 'a'),
+            end('r.0', 1),
+            end('r.1', 1),
+        )
+        with raw_server.serving(IMPORTED, mixed) as server:
+            with Carried() as carried:
+                ended = carried.run(run_decode(server.url))
+        self.assertEqual((carried.text, ended.late_pieces), ('a', 2))
+        self.assertIsNone(ended.failure)
+
+    def test_what_was_answered_is_part_of_the_next_prompt(self):
+        """Symptom: an answer with a hole where an engine died.
+
+        Sequence: two tokens; the engine dies; another one computes the
+        prompt with them and streams what follows.
+        Cause: the new engine would be asked to skip two tokens again.
+        """
+        first = stream(piece('r.1', 0, 'a'), piece('r.1', 1, 'b'))
+        again = stream(piece('r.2', 0, 'c'), end('r.2', 1))
+        with raw_server.serving(
+            IMPORTED, first, PREFILLED, IMPORTED, again
+        ) as server:
+            with Carried() as carried:
+                carried.run(run_decode(server.url))
+                carried.run(run_prefill(server.url, 'r.2'))
+                ended = carried.run(run_decode(server.url, 'r.2'))
+        self.assertIsNone(ended.failure)
+        self.assertEqual((carried.text, ended.tokens), ('abc', 3))
+        self.assertEqual(server.bodies()[2]['prompt'], 'pab')
+        last = server.bodies()[-1]
+        self.assertEqual((last['from_offset'], last['max_tokens']), (0, 8))
+        self.assertEqual(
+            [each.offset for each in carried.pieces[:3]], [0, 1, 2]
+        )
+
+    def test_a_whole_answer_without_its_end_mark_is_whole(self):
+        pieces = [piece('r.1', at, 'a') for at in range(10)]
+        with raw_server.serving(IMPORTED, stream(*pieces), stream()) as server:
+            with Carried(max_tokens=10) as carried:
+                ended = carried.run(run_decode(server.url))
+                self.assertEqual(ended.failure, RETRY.STREAM_BROKEN)
+                ended = carried.run(run_decode(server.url, kv=''))
+        self.assertIsNone(ended.failure)
+        self.assertEqual(ended.tokens, 10)
+
+    @params(
+        ({'reason': 'full'}, RETRY.IMPORT_REFUSED),
+        ({'reason': 'evicted'}, RETRY.KV_EVICTED),
+        ({'reason': 'stalled'}, RETRY.TRANSFER_STALLED),
+    )
+    def test_why_an_import_failed(self, body, failure):
+        reply = raw_server.answer(body, '409 Conflict')
+        with raw_server.serving(reply) as server, Carried() as carried:
+            ended = carried.run(run_decode(server.url))
+        self.assertEqual((ended.failure, ended.known), (failure, NOT_RUN))
+
+
+class Stops(unittest.TestCase):
+    @params('prefill', 'decode', 'call', 'waiting')
+    def test_a_stop_wakes_the_thread(self, step):
+        """Symptom: threads and engines work for a caller who left.
+
+        Sequence: the caller leaves while an engine says nothing.
+        Cause: the thread would wait for the engine's next byte.
+        """
+        with raw_server.serving(lambda c: server.hang()(c)) as server:
+            directive = {
+                'prefill': run_prefill(server.url),
+                'decode': run_decode(server.url, kv=''),
+                'call': run_call(server.url),
+                'waiting': run_prefill(server.url, start_in_s=60.0),
+            }[step]
+            kind = 'booking' if step == 'call' else 'completion'
+            with Carried(kind) as carried:
+                carried.relay.give(directive)
+                if step != 'waiting':
+                    server.served.acquire(timeout=PATIENCE_S)
+                carried.relay.give(
+                    effects.Abort(request_id='r', attempt_id='r.1')
+                )
+                ended = carried.next()
+        self.assertIsNotNone(ended.failure)
+        self.assertEqual(ended.known is NOT_RUN, step == 'waiting')
+
+    def test_a_stop_in_the_last_moment_is_not_lost(self):
+        """Symptom: an engine computes a prompt for a caller who left.
+
+        Sequence: the thread sees no stop; the stop comes; the thread makes
+        its adapter and calls.
+        Cause: a stop finds no adapter, the adapter finds no stop.
+        """
+        with raw_server.serving(lambda c: server.hang()(c)) as server:
+            carried = Carried()
+
+            class Late(Adapters):
+                def model_engine(self, url):
+                    carried.relay.give(
+                        effects.Abort(request_id='r', attempt_id='r.1')
+                    )
+                    return super().model_engine(url)
+
+            carried.relay._backends = Late()
+            with carried:
+                ended = carried.run(run_prefill(server.url))
+        self.assertEqual(ended.known, NOT_RUN)
+        self.assertEqual(server.calls, [])
+
+    def test_the_next_attempt_is_not_stopped_with_the_last(self):
+        with raw_server.serving(PREFILLED) as server, Carried() as carried:
+            carried.relay.give(effects.Abort(request_id='r', attempt_id='r.1'))
+            self.assertIsNotNone(carried.run(run_prefill(server.url)).failure)
+            ended = carried.run(run_prefill(server.url, 'r.2'))
+        self.assertEqual((ended.failure, ended.kv), (None, 'k'))
+
+    @params('prefill', 'decode', 'call')
+    def test_work_past_its_deadline_is_not_begun(self, step):
+        """Symptom: bookings are made that nobody waits for any more.
+
+        Sequence: the process is frozen between the decision and the call.
+        Cause: only the reducer, frozen as well, would know the deadline.
+        """
+        times = iter([0.0])
+        with raw_server.serving(PREFILLED) as server:
+            directive = {
+                'prefill': run_prefill(server.url),
+                'decode': run_decode(server.url),
+                'call': run_call(server.url),
+            }[step]
+            with Carried(clock=lambda: next(times, 99.0)) as carried:
+                ended = carried.run(directive)
+        self.assertEqual(ended.known, NOT_RUN)
+        self.assertIsNotNone(ended.failure)
+        self.assertEqual(server.calls, [])
+
+
+class Ends(unittest.TestCase):
+    def test_a_call_is_told_how_long_anybody_waits(self):
+        with raw_server.serving(raw_server.answer(b'ok')) as server:
+            with Carried('booking') as carried:
+                ended = carried.run(run_call(server.url, 2.5))
+        self.assertEqual(outcome.from_bytes(ended.outcome).body, b'ok')
+        self.assertEqual(server.calls[0][1]['x-deadline-s'], '2.500')
+        self.assertEqual(server.calls[0][1]['x-request-id'], 'r')
+
+    def test_an_error_that_nobody_foresaw_has_a_verdict(self):
+        """Symptom: a caller without an answer, a slot booked for seconds.
+
+        Sequence: an adapter raises what it should not.
+        Cause: the thread would end without a word to the reducer.
+        """
+
+        class Odd(Adapters):
+            def plain_service(self, url, timeout_s):
+                raise KeyError('odd')
+
+        with Carried('booking') as carried:
+            carried.relay._backends = Odd()
+            ended = carried.run(run_call('http://x'))
+        self.assertEqual(ended.known, verdict.Verdict.MAY_HAVE_RUN)
+        self.assertEqual(ended.failure, RETRY.STREAM_BROKEN)
+
+    @params(0, 1)
+    def test_a_caller_that_closes_early_is_told_as_gone(self, read):
+        told = []
+        carried = relay.Relay(
+            request_id='r',
+            call=entry_fake.call('completion'),
+            work=relay.Work(),
+            backends=Adapters(),
+            post=lambda make_event: told.append(make_event(now=0.0)),
+        )
+        with raw_server.serving(
+            IMPORTED,
+            lambda c: server.hang(STREAM_HEAD, piece('r.1', 0, 'a'))(c),
+        ) as server:
+            pieces = carried.pieces()
+            if read:
+                carried.give(run_decode(server.url))
+                next(pieces)
+            pieces.close()
+        kinds = [type(each) for each in told]
+        gone = [events.CallerGone, events.RequestClosed]
+        self.assertEqual(kinds, [events.RequestArrived, *gone] if read else [])
