Watch tells of a caller that left until the request is closed

The news of a caller that leaves at once could come before its request was known to the reducer; it was told once, and lost: the request ran to its end for nobody. Tests of the watch (close, reset, half-close, stop) and of admission.

--- a/dandeliongw/watch.py
+++ b/dandeliongw/watch.py
@@ -18,11 +18,17 @@
 
 #: Seconds between looks at a changed set of sockets.
 POLL_S = 0.1
+#: A caller that has gone is told of again in every so many looks.
+LOOKS_PER_TELLING = 10
 _GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
 class Watch:
-    """Calls ``on_gone`` once for each watched caller that has gone.
+    """Calls ``on_gone`` for each watched caller that has gone.
+
+    Once a second until the request is removed: told only once, the news of
+    a caller that leaves at once could come before the request itself, and
+    be lost.
 
     :param on_gone: gets the request id; called on the watch's thread.
     """
@@ -31,6 +37,7 @@
         self._on_gone = on_gone
         self._lock = threading.Lock()
         self._sockets_by_id: dict[str, socket.socket] = {}
+        self._looks_by_gone: dict[str, int] = {}
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name='watch', daemon=True
@@ -55,9 +62,10 @@
     def remove(self, request_id: str) -> None:
         with self._lock:
             self._sockets_by_id.pop(request_id, None)
+            self._looks_by_gone.pop(request_id, None)
 
     def look(self) -> list[str]:
-        """Return the ids of the callers that have gone since the last look."""
+        """Return the ids of callers that have gone and are to be told."""
         with self._lock:
             watched = dict(self._sockets_by_id)
         poller = select.poll()
@@ -73,9 +81,15 @@
         for fd, mask in poller.poll(0):
             if mask & _GONE:
                 gone.append(ids_by_fd[fd])
-        for request_id in gone:
-            self.remove(request_id)
-        return gone
+        return [each for each in gone if self._is_due(each)]
+
+    def _is_due(self, request_id: str) -> bool:
+        with self._lock:
+            if request_id not in self._sockets_by_id:
+                return False
+            looks = self._looks_by_gone.get(request_id, 0)
+            self._looks_by_gone[request_id] = looks + 1
+            return looks % LOOKS_PER_TELLING == 0
 
     def _run(self) -> None:
         while not self._stopped.wait(POLL_S):
