--- a/tools/tally.py
+++ b/tools/tally.py
@@ -101,8 +101,7 @@
         priority = job.request.priority
         first_token_s = job.first_token_at - job.arrived_at
         wait_s = job.started_at - job.arrived_at
-        gaps = max(1, job.made - 1)
-        gap_s = (job.last_token_at - job.first_token_at) / gaps
+        gap_s = job.token_gap_s
         self._record(self.first_token_by_priority, priority, first_token_s)
         self._record(self.wait_by_priority, priority, wait_s)
         self.gap.record_value(int(gap_s * 1e6) + 1)
@@ -167,6 +166,9 @@
         good = self.counts['good'] - self.good_by_account['account-0']
         return good / (self.until - self.since)
 
+    def _by_second(self, counter: collections.Counter[int]) -> list[int]:
+        return [counter[second] for second in range(int(self.until))]
+
     def figures(self) -> dict[str, typing.Any]:
         """Return all figures, ready for JSON."""
         seconds = self.until - self.since
@@ -186,7 +188,9 @@
             'short_answers': self.counts['short'],
             'lost_answers': self.counts['lost'],
             'wasted_prefill': self.wasted_share,
-            'slots_held_at_end': self.counts['slots_held'],
+            'arrived_by_second': self._by_second(self.arrived_by_second),
+            'good_by_second': self._by_second(self.good_by_second),
+            'streams_held_at_end': self.counts['streams_held'],
             'bookings_held_at_end': self.counts['bookings_held'],
             'prefill_tokens': self.prefill_tokens,
             'wasted_by_reason': {
