Capacity: held bookings measured by themselves; news has died out first

Cause: the price of a held booking came out negative. It was the small difference of two windows of different length, each with idle costs of ten times that. And at 60 instances the news of the start was counted as a cost of every second.

Now bookings are held through one window, none begins or ends; idle instances settle for 12 s more. A line that noise tilts downwards counts as flat at its highest point.

--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -59,7 +59,7 @@
 
     @property
     def held_s(self) -> float:
-        """Mean time that a request holds its slot."""
+        """Mean time that a request holds its slot, the prefill left out."""
         tokens = self.tokens_per_s / self.requests_per_s
         return tokens * self.token_gap_s
 
@@ -132,6 +132,14 @@
     def _at(self, name: str, size: float) -> float:
         return self._fits_by_name[name].at(size)
 
+    def _no_less(self, name: str, size: float) -> float:
+        """Return what the line gives, but no less than was measured.
+
+        Where nothing grows, noise can tilt a line downwards.
+        """
+        line = self._fits_by_name[name]
+        return max(line.at(size), *(value for _, value in line.points))
+
     def _slope(self, name: str) -> float:
         return self._fits_by_name[name].slope
 
@@ -150,9 +158,11 @@
                 role='every instance',
                 what='probes, news, asks for the configuration',
                 carried_by='membership, register',
-                bytes_per_s=self._at('entry idle bytes', aim.instances),
-                messages_per_s=self._at('entry idle messages', aim.instances),
-                cpu_us_per_s=self._at(
+                bytes_per_s=self._no_less('entry idle bytes', aim.instances),
+                messages_per_s=self._no_less(
+                    'entry idle messages', aim.instances
+                ),
+                cpu_us_per_s=self._no_less(
                     'entry idle processor time', aim.instances
                 ),
                 memory_bytes=self._at('memory of a reducer', aim.instances),
@@ -310,7 +320,7 @@
         by_voters = self._fits_by_name[f'voter idle {quantity}, by voters']
         by_askers = self._fits_by_name[f'voter idle {quantity}, by askers']
         sizes = [size for size, _ in by_voters.points]
-        own = self._at(f'entry idle {quantity}', sizes[-1] * ASKERS)
+        own = self._no_less(f'entry idle {quantity}', sizes[-1] * ASKERS)
         more = by_askers.slope * (askers - ASKERS)
         return max(0.0, by_voters.at(aim.voters) + more - own)
 
--- a/tools/capacity_runs.py
+++ b/tools/capacity_runs.py
@@ -26,6 +26,9 @@
 
 #: Cache events in one renewal of a model engine.
 CACHE_EVENTS = 4
+#: Tokens of a call that ends soon, and seconds until bookings are all held.
+_FEW_TOKENS = 10
+_BOOKED_S = 3.0
 #: Voters where the number of instances varies.
 _VOTERS = 5
 #: Instances to one voter where the number of voters varies.
@@ -47,12 +50,13 @@
     fronts: int = 27
     replicas: tuple[int, ...] = (25, 50, 100)
     rates: tuple[int, ...] = (10, 20, 40)
-    max_tokens: tuple[int, ...] = (30, 150, 300)
+    bookings: tuple[int, ...] = (0, 60, 120, 240)
     prompt_tokens: tuple[int, ...] = (64, 1024, 4096)
     accounts: tuple[int, ...] = (100, 600, 1200)
     slots: tuple[int, ...] = (1000, 5000)
     members: tuple[int, ...] = (4, 8, 16)
     records: tuple[int, ...] = (1000, 10_000)
+    settle_s: float = 12.0
     seconds: float = 5.0
 
 
@@ -63,12 +67,13 @@
     fronts=5,
     replicas=(5, 10),
     rates=(2, 4),
-    max_tokens=(10, 20),
+    bookings=(0, 5, 10),
     prompt_tokens=(64, 1024),
     accounts=(10, 50),
     slots=(50, 100),
     members=(3, 4),
     records=(10, 100),
+    settle_s=1.0,
     seconds=1.0,
 )
 
@@ -79,6 +84,7 @@
     yield from by_cells(sizes)
     yield from by_replicas(sizes)
     yield from by_requests(sizes)
+    yield from by_bookings(sizes)
     yield from by_prompt(sizes)
     yield from by_claims(sizes)
     yield from by_changes(sizes)
@@ -126,7 +132,7 @@
     points = collections.defaultdict(list)
     asked = collections.defaultdict(list)
     for count in sizes.instances:
-        by_role = _idle(count, _VOTERS, sizes.seconds)
+        by_role = _idle(count, _VOTERS, sizes)
         for (quantity, unit), value in by_role['entry'].items():
             points[f'entry {quantity}', unit].append((count, value))
         for (quantity, unit), value in by_role['voter'].items():
@@ -137,7 +143,7 @@
     yield from _lines(asked, 'instance that asks this voter')
     points.clear()
     for voters in sizes.voters:
-        by_role = _idle(voters * ASKERS, voters, sizes.seconds)
+        by_role = _idle(voters * ASKERS, voters, sizes)
         for (quantity, unit), value in by_role['voter'].items():
             points[f'voter {quantity}, by voters', unit].append(
                 (voters, value)
@@ -146,9 +152,12 @@
 
 
 def _idle(
-    instances: int, voters: int, seconds: float
+    instances: int, voters: int, sizes: Sizes
 ) -> dict[str, dict[tuple[str, str], float]]:
     network = _started(instances, voters, models=0)
+    # News of the start goes on for some rounds after all know all.
+    network.run(sizes.settle_s)
+    seconds = sizes.seconds
     _measured(network, seconds)
     return {
         role: {
@@ -385,34 +394,39 @@
             )
 
 
-def _run_calls(
-    *, rate: float, max_tokens: int, prompt_tokens: int, seconds: float
-) -> tuple[dict[tuple[str, str], float], int]:
-    """Return what the owner and the entries spent, and the answered calls.
-
-    Processor time that they spend anyway is taken off.
-    """
-    network = _started(9, 5, models=1)
+def _engines() -> tuple[networks.Network, networks.Node, list[networks.Node]]:
+    """Return a network with engines, the owner and entries of its region."""
+    network = _started(9, _VOTERS, models=1)
     _Replicas(network, 12, slots=400)
     network.run(3.0)
     _measured(network, IDLE_S)
     owner = _owner_of(network, 'model-0')
     entries = [
-        each.instance_id
+        each
         for each in network.nodes_by_id.values()
         if each.region == networks.REGIONS[0] and each is not owner
     ]
+    return network, owner, entries
+
+
+def _run_calls(
+    *, rate: float, prompt_tokens: int, seconds: float
+) -> tuple[dict[tuple[str, str], float], int]:
+    """Return what the owner and the entries spent, and the answered calls.
+
+    Processor time that they spend anyway is taken off.
+    """
+    network, owner, entries = _engines()
     _Calls(
         network=network,
-        entries=entries,
+        entries=[each.instance_id for each in entries],
         rate=rate,
         seconds=seconds,
-        make=lambda _: _call(max_tokens, prompt_tokens),
+        make=lambda _: _call(_FEW_TOKENS, prompt_tokens),
     )
     # To the end of the last, so that every call counts whole.
-    drain_s = networks.PREFILL_S + max_tokens * networks.TOKEN_S + 1.0
-    nodes = [network.nodes_by_id[each] for each in entries]
-    groups = {'the owner': [owner], 'the entries': nodes}
+    drain_s = networks.PREFILL_S + _FEW_TOKENS * networks.TOKEN_S + 1.0
+    groups = {'the owner': [owner], 'the entries': entries}
     idle = {name: _cpu(group) / IDLE_S for name, group in groups.items()}
     _measured(network, seconds + drain_s)
     if network.refusals or network.answered < int(rate * seconds):
@@ -438,32 +452,47 @@
 
 
 def by_requests(sizes: Sizes) -> abc.Iterator[fits.Fit]:
-    """Booking, progress and release, by requests and by their length."""
+    """Booking, start and release of requests that end soon."""
     points = collections.defaultdict(list)
-    short = sizes.max_tokens[0]
     for rate in sizes.rates:
         spent, answered = _run_calls(
-            rate=rate,
-            max_tokens=short,
-            prompt_tokens=64,
-            seconds=sizes.seconds,
+            rate=rate, prompt_tokens=64, seconds=sizes.seconds
         )
         for key, value in spent.items():
             points[key].append((answered, value))
     yield from _lines(points, 'request')
-    points.clear()
-    for tokens in sizes.max_tokens:
-        spent, answered = _run_calls(
-            rate=sizes.rates[0],
-            max_tokens=tokens,
-            prompt_tokens=64,
-            seconds=sizes.seconds,
+
+
+def by_bookings(sizes: Sizes) -> abc.Iterator[fits.Fit]:
+    """Bookings that are held all the time, and nothing else."""
+    points = collections.defaultdict(list)
+    for count in sizes.bookings:
+        network, owner, entries = _engines()
+        tokens = int((_BOOKED_S + sizes.seconds + 2) / networks.TOKEN_S)
+        _Calls(
+            network=network,
+            entries=[each.instance_id for each in entries],
+            rate=max(1, count),
+            seconds=count and 1.0,
+            make=lambda _, tokens=tokens: _call(tokens, 64),
         )
-        held_s = answered * tokens * networks.TOKEN_S
-        for (name, unit), value in spent.items():
-            held = name.replace('request', 'held booking')
-            points[held, unit].append((held_s, value))
-    yield from _lines(points, 'second of one booking')
+        network.run(_BOOKED_S)
+        _measured(network, sizes.seconds)
+        if network.refusals or network.answered:
+            raise RuntimeError('not all bookings were held all the time')
+        for name, group in (('the owner', [owner]), ('the entries', entries)):
+            for what, unit, value in (
+                ('bytes', 'B/s', _bytes_of_cells(group)),
+                ('processor time', 'us/s', _cpu(group) * _MICRO),
+            ):
+                points[f'held booking {what} at {name}', unit].append(
+                    (count, value / sizes.seconds)
+                )
+    yield from _lines(points, 'booking')
+
+
+def _bytes_of_cells(nodes: list[networks.Node]) -> float:
+    return sum(each.meter.bytes_by_part['cells'] for each in nodes)
 
 
 def by_prompt(sizes: Sizes) -> abc.Iterator[fits.Fit]:
@@ -472,7 +501,6 @@
     for tokens in sizes.prompt_tokens:
         spent, answered = _run_calls(
             rate=sizes.rates[0],
-            max_tokens=sizes.max_tokens[0],
             prompt_tokens=tokens,
             seconds=sizes.seconds / 2,
         )
