--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -10,6 +10,8 @@
 from tools import capacity_model as model
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
+#: Smaller values are what rounding left of a zero.
+_NOTHING = 1e-9
 Line = abc.Mapping[str, typing.Any]
 
 
@@ -157,7 +159,7 @@
 
 
 def _number(value: float) -> str:
-    if value == 0:
+    if abs(value) < _NOTHING:
         return '0'
     if abs(value) >= 1000:
         return f'{float(f"{value:.3g}"):,.0f}'
