--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -71,6 +71,7 @@
             process_us_per_s=1.0,
             message_us=2.0,
             process_bytes=3.0,
+            renewal_us=4.0,
         )
         bill = model.bill(capacity_model.Aim())
         self.assertEqual(3.0, bill[0].memory_bytes)
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import statistics
 import typing
 
 import defopt
@@ -28,14 +29,15 @@
     for each in runs.all_fits(runs.QUICK if quick else runs.Sizes()):
         found.append(each)
         yield each.as_line()
-    spent = []
+    spent, renewed = [], []
     for count in (1, 2) if quick else PROCESSES:
         for each in processes.measure(count, 0.5 if quick else 3.0):
-            spent.append(each)
+            is_renewed = isinstance(each, processes.Renewed)
+            (renewed if is_renewed else spent).append(each)
             yield each.as_line()
     outside = _outside_of_reducers(spent, 1.0 if quick else 4.0)
     yield outside.as_line()
-    yield from _bills(found, spent, outside)
+    yield from _bills(found, spent, renewed, outside)
 
 
 def _machine() -> dict[str, typing.Any]:
@@ -74,6 +76,7 @@
 def _bills(
     found: abc.Sequence[fits.Fit],
     spent: abc.Sequence[processes.Spent],
+    renewed: abc.Sequence[processes.Renewed],
     outside: fits.Fit,
 ) -> abc.Iterator[dict[str, typing.Any]]:
     calculated = model.Model(
@@ -81,6 +84,7 @@
         process_us_per_s=outside.intercept,
         message_us=outside.slope,
         process_bytes=max(each.rss_bytes for each in spent),
+        renewal_us=statistics.fmean(each.cpu_us for each in renewed),
     )
     for variant, aim in (
         ('whole', model.Aim()),
--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -105,6 +105,7 @@
     :param process_us_per_s: of an idle process beside its messages.
     :param message_us: of one message besides the reducer's part.
     :param process_bytes: resident memory of a process that knows little.
+    :param renewal_us: of one backend server's renewal over HTTP.
     """
 
     def __init__(
@@ -114,11 +115,13 @@
         process_us_per_s: float,
         message_us: float,
         process_bytes: float,
+        renewal_us: float,
     ) -> None:
         self._fits_by_name = fits_by_name
         self._process_us_per_s = process_us_per_s
         self._message_us = message_us
         self._process_bytes = process_bytes
+        self._renewal_us = renewal_us
 
     def bill(self, aim: Aim) -> list[Cost]:
         """Return every line, role by role."""
@@ -187,10 +190,11 @@
         return [
             Cost(
                 role='entry',
-                what='renewals of its backend servers, passed on',
+                what='renewals of backend servers, taken in and passed on',
                 carried_by='presence',
                 bytes_per_s=replicas * sent,
                 messages_per_s=replicas * 2,
+                cpu_us_per_s=replicas * self._renewal_us,
             ),
             self._requests('entry', 'the entries', rate, aim),
             self._bookings('entry', 'the entries', rate, aim),
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -29,6 +29,7 @@
         'today': _costs(lines, 'whole'),
         'split': _costs(lines, 'split'),
         'sums': _sums(lines),
+        'renewals': _renewals(lines),
     }
 
 
@@ -87,6 +88,19 @@
     return _table(head, rows)
 
 
+def _renewals(lines: abc.Sequence[Line]) -> str:
+    rows = [
+        (
+            str(each['renewals']),
+            f'{_number(each["cpu_us"])} us',
+            str(each['body_bytes']),
+        )
+        for each in lines
+        if 'renewals' in each
+    ]
+    return _table(('renewals', 'processor time of one', 'its body'), rows)
+
+
 def _costs(lines: abc.Sequence[Line], variant: str) -> str:
     costs = [each for each in lines if each.get('variant') == variant]
     rows = []
--- a/tools/capacity_processes.py
+++ b/tools/capacity_processes.py
@@ -7,6 +7,7 @@
 import collections
 from collections import abc
 import dataclasses
+import json
 import os
 import pathlib
 import re
@@ -22,6 +23,8 @@
 SETTLE_S = 2.0
 #: Seconds from one change to the next: far more than 1,000 a day.
 CHANGE_EVERY_S = 0.5
+#: Seconds from one renewal to the next.
+RENEW_EVERY_S = 0.02
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 _PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 _PID = re.compile(r'pid=(\d+)')
@@ -61,8 +64,26 @@
         }
 
 
-def measure(instances: int, seconds: float) -> abc.Iterator[Spent]:
-    """Start a local system; measure it idle, then with changes."""
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Renewed:
+    """What one renewal of a backend server costs the instance it calls.
+
+    :param cpu_us: HTTP included, what the instance spends anyway left out.
+    :param body_bytes: of the call, without the headers of HTTP.
+    """
+
+    renewals: int
+    cpu_us: float
+    body_bytes: int
+
+    def as_line(self) -> dict[str, object]:
+        """Return the fields of its JSON line."""
+        line = dataclasses.asdict(self)
+        return line | {'cpu_us': float(f'{self.cpu_us:.4g}')}
+
+
+def measure(instances: int, seconds: float) -> abc.Iterator[Spent | Renewed]:
+    """Start a local system; measure it idle, with changes, with renewals."""
     with (
         tempfile.TemporaryDirectory(prefix='dandeliongw-capacity-') as folder,
         local.running(
@@ -74,7 +95,9 @@
         document = local.example_document()
         system.wait_serving(system.apply('gw-1', document, 'first'))
         time.sleep(SETTLE_S)
-        yield _spent(system, seconds, changes=0)
+        idle = _spent(system, seconds, changes=0)
+        yield idle
+        yield _renewed(system, seconds, idle.cpu_us)
         yield _spent(system, seconds, int(seconds / CHANGE_EVERY_S))
 
 
@@ -110,6 +133,59 @@
     )
 
 
+def _renewed(
+    system: local.LocalSystem, seconds: float, idle_us: float
+) -> Renewed:
+    """Renew one backend server over and over, at one instance."""
+    url = system.instances_by_id['gw-1'].control_url
+    told = {'backend_id': 'engine-1', 'incarnation': 1, 'sequence': 1}
+    offered = {
+        'service': 'dieline-llm',
+        'role': 'decode',
+        'url': 'http://10.9.9.9:9000',
+        'data_centre': system.data_centres[0],
+    }
+    system.call('POST', f'{url}/v1/backends/announce', told | offered)
+    pid = system.instances_by_id['gw-1'].process.pid
+    renewals = int(seconds / RENEW_EVERY_S)
+    began, cpu_s = time.monotonic(), _cpu_s(pid)
+    for number in range(renewals):
+        told = _renewal(number)
+        status, answer = system.call('POST', f'{url}/v1/backends/renew', told)
+        if status != 200:
+            raise RuntimeError(f'a renewal was refused: {answer}')
+        _sleep_until(began + (number + 1) * RENEW_EVERY_S)
+    passed = time.monotonic() - began
+    spent_us = (_cpu_s(pid) - cpu_s) * 1e6 - idle_us * passed
+    return Renewed(
+        renewals=renewals,
+        cpu_us=spent_us / renewals,
+        body_bytes=len(json.dumps(_renewal(0))),
+    )
+
+
+def _renewal(number: int) -> dict[str, object]:
+    return {
+        'backend_id': 'engine-1',
+        'incarnation': 1,
+        'sequence': 2 + number,
+        'load': {
+            'running': 17,
+            'waiting': 2,
+            'queued_tokens': 9000 + number,
+            'slots_used': 17,
+            'kv_bytes': 2**34,
+        },
+        'cache_events': {
+            'first': 4 * number,
+            'events': [
+                {'kind': 'stored', 'prefix': f'{number:08x}{each:08x}'}
+                for each in range(4)
+            ],
+        },
+    }
+
+
 def _sleep_until(moment: float) -> None:
     time.sleep(max(0.0, moment - time.monotonic()))
 
--- a/tools/capacity_runs.py
+++ b/tools/capacity_runs.py
@@ -44,11 +44,11 @@
 class Sizes:
     """How large and how long the runs are."""
 
-    instances: tuple[int, ...] = (12, 30, 60)
+    instances: tuple[int, ...] = (10, 24, 45)
     voters: tuple[int, ...] = (3, 5, 7)
     models: tuple[int, ...] = (0, 4, 8)
-    fronts: int = 27
-    replicas: tuple[int, ...] = (25, 50, 100)
+    fronts: int = 18
+    replicas: tuple[int, ...] = (20, 40, 66)
     rates: tuple[int, ...] = (10, 20, 40)
     bookings: tuple[int, ...] = (0, 60, 120, 240)
     prompt_tokens: tuple[int, ...] = (64, 1024, 4096)
@@ -56,7 +56,7 @@
     slots: tuple[int, ...] = (1000, 5000)
     members: tuple[int, ...] = (4, 8, 16)
     records: tuple[int, ...] = (1000, 10_000)
-    settle_s: float = 12.0
+    settle_s: float = 10.0
     seconds: float = 5.0
 
 
