--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -3,6 +3,8 @@
 from collections import abc
 import dataclasses
 
+from dandeliongw import policy
+
 from tools import capacity_fits as fits
 
 KIB = 1024
@@ -257,7 +259,11 @@
                 ),
                 cpu_us_per_s=replicas
                 * self._slope('renewal processor time at the owner'),
-                memory_bytes=replicas * self._slope('memory of presence'),
+                memory_bytes=replicas
+                * (
+                    self._slope('memory of presence')
+                    + self._at('memory of known prefixes', policy.MOST_BLOCKS)
+                ),
             ),
             self._requests(role, 'the owner', rate, aim),
             self._bookings(role, 'the owner', rate, aim),
--- a/tools/capacity_runs.py
+++ b/tools/capacity_runs.py
@@ -19,6 +19,7 @@
 from dandeliongw.coordination import voters as voter_sets
 from dandeliongw import document
 from dandeliongw import events
+from dandeliongw import policy
 from dandeliongw import wire
 
 from tools import capacity_fits as fits
@@ -53,7 +54,7 @@
     bookings: tuple[int, ...] = (0, 60, 120, 240)
     prompt_tokens: tuple[int, ...] = (64, 1024, 4096)
     accounts: tuple[int, ...] = (100, 600, 1200)
-    slots: tuple[int, ...] = (1000, 5000)
+    slots: tuple[int, ...] = (1000, 4000)
     members: tuple[int, ...] = (4, 8, 16)
     records: tuple[int, ...] = (1000, 10_000)
     settle_s: float = 10.0
@@ -651,6 +652,7 @@
     for name, per, counts, make in (
         ('memory of claims', 'claimed call', sizes.slots, _claim_slots),
         ('memory of presence', 'replica', sizes.slots, _presences),
+        ('memory of known prefixes', 'block', sizes.slots, _blocks),
         ('memory of the document', 'client account', sizes.accounts, _parsed),
         ('memory of the history', 'change', sizes.records, _history),
         ('memory of a reducer', 'instance', sizes.members, _network),
@@ -775,6 +777,21 @@
     return part, 1
 
 
+def _blocks(count: int) -> tuple[typing.Any, float]:
+    state = policy.BackendState(
+        backend=policy.CellBackend(
+            backend_id='engine-1',
+            incarnation=1,
+            role=policy.Role.PREFILL,
+            url='http://10.9.9.9:9000',
+            slots=4,
+        )
+    )
+    wanted = min(count, policy.MOST_BLOCKS)
+    state.add_blocks([f'{block:016x}' for block in range(wanted)])
+    return state, 1
+
+
 def _history(count: int) -> tuple[typing.Any, float]:
     return tuple(_change(number) for number in range(count)), 1
 
