--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -3,6 +3,8 @@
 from collections import abc
 import dataclasses
 
+from dandeliongw import policy
+
 from tools import capacity_fits as fits
 
 KIB = 1024
@@ -59,7 +61,7 @@
 
     @property
     def held_s(self) -> float:
-        """Mean time that a request holds its slot."""
+        """Mean time that a request holds its slot, the prefill left out."""
         tokens = self.tokens_per_s / self.requests_per_s
         return tokens * self.token_gap_s
 
@@ -105,6 +107,7 @@
     :param process_us_per_s: of an idle process beside its messages.
     :param message_us: of one message besides the reducer's part.
     :param process_bytes: resident memory of a process that knows little.
+    :param renewal_us: of one backend server's renewal over HTTP.
     """
 
     def __init__(
@@ -114,11 +117,13 @@
         process_us_per_s: float,
         message_us: float,
         process_bytes: float,
+        renewal_us: float,
     ) -> None:
         self._fits_by_name = fits_by_name
         self._process_us_per_s = process_us_per_s
         self._message_us = message_us
         self._process_bytes = process_bytes
+        self._renewal_us = renewal_us
 
     def bill(self, aim: Aim) -> list[Cost]:
         """Return every line, role by role."""
@@ -132,6 +137,14 @@
     def _at(self, name: str, size: float) -> float:
         return self._fits_by_name[name].at(size)
 
+    def _no_less(self, name: str, size: float) -> float:
+        """Return what the line gives, but no less than was measured.
+
+        Where nothing grows, noise can tilt a line downwards.
+        """
+        line = self._fits_by_name[name]
+        return max(line.at(size), *(value for _, value in line.points))
+
     def _slope(self, name: str) -> float:
         return self._fits_by_name[name].slope
 
@@ -150,9 +163,11 @@
                 role='every instance',
                 what='probes, news, asks for the configuration',
                 carried_by='membership, register',
-                bytes_per_s=self._at('entry idle bytes', aim.instances),
-                messages_per_s=self._at('entry idle messages', aim.instances),
-                cpu_us_per_s=self._at(
+                bytes_per_s=self._no_less('entry idle bytes', aim.instances),
+                messages_per_s=self._no_less(
+                    'entry idle messages', aim.instances
+                ),
+                cpu_us_per_s=self._no_less(
                     'entry idle processor time', aim.instances
                 ),
                 memory_bytes=self._at('memory of a reducer', aim.instances),
@@ -177,10 +192,11 @@
         return [
             Cost(
                 role='entry',
-                what='renewals of its backend servers, passed on',
+                what='renewals of backend servers, taken in and passed on',
                 carried_by='presence',
                 bytes_per_s=replicas * sent,
                 messages_per_s=replicas * 2,
+                cpu_us_per_s=replicas * self._renewal_us,
             ),
             self._requests('entry', 'the entries', rate, aim),
             self._bookings('entry', 'the entries', rate, aim),
@@ -243,7 +259,11 @@
                 ),
                 cpu_us_per_s=replicas
                 * self._slope('renewal processor time at the owner'),
-                memory_bytes=replicas * self._slope('memory of presence'),
+                memory_bytes=replicas
+                * (
+                    self._slope('memory of presence')
+                    + self._at('memory of known prefixes', policy.MOST_BLOCKS)
+                ),
             ),
             self._requests(role, 'the owner', rate, aim),
             self._bookings(role, 'the owner', rate, aim),
@@ -310,7 +330,7 @@
         by_voters = self._fits_by_name[f'voter idle {quantity}, by voters']
         by_askers = self._fits_by_name[f'voter idle {quantity}, by askers']
         sizes = [size for size, _ in by_voters.points]
-        own = self._at(f'entry idle {quantity}', sizes[-1] * ASKERS)
+        own = self._no_less(f'entry idle {quantity}', sizes[-1] * ASKERS)
         more = by_askers.slope * (askers - ASKERS)
         return max(0.0, by_voters.at(aim.voters) + more - own)
 
--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -10,6 +10,8 @@
 from tools import capacity_model as model
 
 PAGE = pathlib.Path('docs/CAPACITY.md')
+#: Smaller values are what rounding left of a zero.
+_NOTHING = 1e-9
 Line = abc.Mapping[str, typing.Any]
 
 
@@ -27,6 +29,7 @@
         'today': _costs(lines, 'whole'),
         'split': _costs(lines, 'split'),
         'sums': _sums(lines),
+        'renewals': _renewals(lines),
     }
 
 
@@ -85,6 +88,19 @@
     return _table(head, rows)
 
 
+def _renewals(lines: abc.Sequence[Line]) -> str:
+    rows = [
+        (
+            str(each['renewals']),
+            f'{_number(each["cpu_us"])} us',
+            str(each['body_bytes']),
+        )
+        for each in lines
+        if 'renewals' in each
+    ]
+    return _table(('renewals', 'processor time of one', 'its body'), rows)
+
+
 def _costs(lines: abc.Sequence[Line], variant: str) -> str:
     costs = [each for each in lines if each.get('variant') == variant]
     rows = []
@@ -157,7 +173,7 @@
 
 
 def _number(value: float) -> str:
-    if value == 0:
+    if abs(value) < _NOTHING:
         return '0'
     if abs(value) >= 1000:
         return f'{float(f"{value:.3g}"):,.0f}'
