In force is told; claims are granted from the first voters on

Two faults that only reducers put together showed: - A voter that proposes knows the change from its own disk before it is chosen, so it hinted nobody: in force stayed 'on 1 of 3' and others heard of the change at their next confirmation. Hints are now begun by what was confirmed. The test that waits for 'stopped' sat on the very tick of the limit (6.0999 of 6.1 s) and passed because the ask left 50 ms later; it waits one tick more, and also asks that the others are told as confirmed. - Sets of voters count from 0, and claims take epoch 0 for no holders: every claimed call was refused. Claims' epochs now begin with 1. Orders carry their id, and one that was not sent is told as not run. The stand-in's end mark carries the attempt id in a second test as well.

--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -453,11 +453,15 @@
     def _on_chosen(
         self, attempt: attempts.Attempt, now: float
     ) -> list[typing.Any]:
+        # Compared with what was confirmed, not with what is known: a voter
+        # that proposes knows the version from its own disk before it is
+        # chosen, and would tell nobody of it. One would see "in force" stay
+        # at one instance, and changes that take a confirmation's time.
+        before = self.configuration
         known = self._knowledge.known
-        before = known.current
         self._knowledge.learn(attempt.update_from(known.ballot))
         revision = attempt.version.configuration.revision
-        if before is None or before.configuration.revision < revision:
+        if before is None or before.revision < revision:
             self._hints.begin(revision, now)
         return [
             *self._confirm(attempt.version, attempt.accept_sent_at, now),
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -377,15 +377,27 @@
         )
 
     def order(
-        self, *, order: str, value: str, fence: int, timeout_s: float
+        self,
+        *,
+        order_id: str,
+        order: str,
+        value: str,
+        fence: int,
+        timeout_s: float,
     ) -> None:
         """Load a model, adapter or version, or change role.
 
+        :param order_id: the same for each repeat of one order.
         :param timeout_s: longest silence of the engine.
         :raises EngineError: with reason ``fenced`` from an engine that has
             seen a higher fencing number.
         """
-        body = {'order': order, 'value': value, 'fence': fence}
+        body = {
+            'order_id': order_id,
+            'order': order,
+            'value': value,
+            'fence': fence,
+        }
         with self._exchange(timeout_s) as exchange:
             response = self._post(exchange, '/v1/order', body)
             self._raise_unless_ok(exchange, response)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -36,6 +36,8 @@
 MAX_CLAIMS = 200_000
 #: Expected seconds to a claim holder and back, its sync included.
 CLAIM_ROUND_TRIP_S = 0.05
+#: Claims know no holders under epoch 0; sets of voters count from 0.
+FIRST_CLAIMS_EPOCH = 1
 #: Seconds between two looks at who should own and dispatch what.
 REVIEW_S = 0.5
 
@@ -492,7 +494,7 @@
                 now=now,
                 disk_ids_by_holder=voters,
                 joining=coming,
-                epoch=effect.number,
+                epoch=effect.number + FIRST_CLAIMS_EPOCH,
                 leaving=frozenset(voters) - frozenset(joining or voters),
             )
         )
@@ -504,7 +506,8 @@
                 version=effect.number,
             )
         )
-        if self.register.disk_id in voters.values():
+        if effect.number == 0 and self.register.disk_id in voters.values():
+            # Only the first voters ever start with nothing to catch up with.
             out += self._in_leases(lease.GrantorsFormed(now=now))
         return out
 
@@ -516,7 +519,8 @@
     def _claims_caught_up(
         self, now: float, effect: claim_messages.CaughtUp
     ) -> list[typing.Any]:
-        return self._note_caught_up(now, 'claims', effect.epoch)
+        number = effect.epoch - FIRST_CLAIMS_EPOCH
+        return self._note_caught_up(now, 'claims', number)
 
     def _note_caught_up(
         self, now: float, part: str, number: int
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -323,21 +323,33 @@
         # may have waited, or the process may have been frozen, until
         # another instance gives orders.
         if not self._may_send(effect, time.monotonic()):
+            self._tell_order(order, verdict.Verdict.NOT_RUN)
             return
-        known, is_fenced = verdict.Verdict.RAN, False
         try:
             self._engine_for(effect.url).order(
+                order_id=order.order_id,
                 order=order.kind.value,
                 value=order.value,
                 fence=order.fence,
                 timeout_s=effect.timeout_s,
             )
         except engine.EngineError as error:
-            known = error.known
-            is_fenced = error.reason == FENCED
             logger.warning(
                 f'an order failed: {error}', backend_id=order.backend_id
             )
+            self._tell_order(
+                order, error.known, is_fenced=error.reason == FENCED
+            )
+            return
+        self._tell_order(order, verdict.Verdict.RAN)
+
+    def _tell_order(
+        self,
+        order: orders.SendOrder,
+        known: verdict.Verdict,
+        *,
+        is_fenced: bool = False,
+    ) -> None:
         self.post(
             lambda now: orders.OrderAnswered(
                 now=now,
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -12,6 +12,7 @@
 from dandeliongw.coordination import presence
 from dandeliongw import effects
 from dandeliongw import events
+from dandeliongw import reducer as reducer_module
 from tests import network
 from tools import local
 
@@ -99,6 +100,47 @@
             found = self.call(instance_id, f'r-{instance_id}')
             self.assertIsInstance(found[0], effects.RunCall)
 
+    @params('gw-1', 'gw-2', 'gw-3')
+    def test_a_change_is_told_to_be_in_force_everywhere(self, instance_id):
+        """Symptom: "in force on 1 of 3", for ever.
+
+        Sequence: an operator changes the document through a voter.
+        Cause: the voter knows the change from its own disk before it is
+        chosen, takes it for old news, and asks nobody about it.
+        """
+        described = local.example_document()
+        described['services'][1]['timeout_s'] = 11
+        self.net.apply(instance_id, described, 'change')
+        self.net.run(0.5)
+        told = self.net.reducers_by_id[instance_id].register.in_force(
+            2, self.net.now
+        )
+        self.assertEqual({'confirmed'}, {str(each) for each in told.values()})
+
+    def test_claims_are_granted_from_the_first_voters_on(self):
+        """Symptom: every booking is refused, claims are unavailable.
+
+        Sequence: the voters have formed and nothing has changed since.
+        Cause: their set counts as number 0, which claims take for none.
+        """
+        begin = claim_messages.Begin(
+            now=self.net.now,
+            ticket='begin',
+            key='key',
+            digest=b'digest',
+            attempt_id='attempt',
+            deadline_s=5.0,
+        )
+        self.net.post('gw-1', begin)
+        self.net.run(1.0)
+        done = self.net.effects_by_id['gw-1']
+        results = [
+            each.result
+            for each in done
+            if isinstance(each, parts.Complete) and each.ticket == 'begin'
+        ]
+        self.assertEqual([claim_messages.Granted()], results)
+
     def test_a_cut_off_instance_stops_admitting_within_the_ttl(self):
         """Symptom: an accepted change is not in force at one instance.
 
@@ -226,7 +268,10 @@
         """
         effects_by_part = {
             'leases': lease.GrantorCaughtUp(version=7),
-            'claims': claim_messages.CaughtUp(epoch=7, disk_id='disk-gw-1'),
+            'claims': claim_messages.CaughtUp(
+                epoch=7 + reducer_module.FIRST_CLAIMS_EPOCH,
+                disk_id='disk-gw-1',
+            ),
         }
         reducer = self.net.reducers_by_id['gw-1']
         told = []
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -690,9 +690,10 @@
             states = cluster.part('gw-2').in_force(1, cluster.now)
             self.assertEqual('waiting', states['gw-4'])
             cluster.run(TICK_S)
-        cluster.run(1)
+        cluster.run(1 + TICK_S)
         states = cluster.part('gw-2').in_force(1, cluster.now)
         self.assertEqual('stopped', states['gw-4'])
+        self.assertEqual('confirmed', states['gw-1'])
 
     @params('gw-1', 'gw-2', 'gw-3')
     def test_one_silent_voter_leaves_everyone_fresh(self, name):
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -163,6 +163,6 @@
         """
         self.may_send = False
         self.give_order()
-        self.reducer.wait_for(parts.Received)
-        self.runtime._pool.shutdown(wait=True)
+        answered = self.reducer.wait_for(orders.OrderAnswered)
+        self.assertEqual(verdict.Verdict.NOT_RUN, answered.run)
         self.assertEqual([], self.engine.orders)
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -120,7 +120,9 @@
         first = [json.loads(line[6:]) for line in lines if line.strip()]
         answer = engine_model.expected_answer(PROMPT, 5)
         self.assertEqual(answer, text_of(first + rest))
-        self.assertEqual({'end': True, 'tokens': 5}, rest[-1])
+        self.assertEqual(
+            {'attempt_id': 'a1', 'end': True, 'tokens': 5}, rest[-1]
+        )
 
     def test_pieces_of_an_old_attempt_and_doubled_ones_can_be_told(self):
         faults = {'old_attempt_id': True, 'duplicate_pieces': True}
