A lagging voter gets the value once; a silent newcomer blocks nothing

Cause: every voter that saw another one lag sent it the whole value, and it fetched the value from every voter ahead of it: five times with seven voters, a dozen with twelve, at 0.7 MB. Checks take turns, and a check fetches once. Cause: a replacement that waited for a silent newcomer's disk held up the changes behind it until they timed out; it waits beside the queue now. Ruled out: leaving it to the next change to bring a voter up to date: a second loss before then could meet a majority that misses changes.

--- a/dandeliongw/coordination/checker.py
+++ b/dandeliongw/coordination/checker.py
@@ -190,8 +190,11 @@
         self, sender: str, message: messages.AcceptedReport
     ) -> list[typing.Any]:
         known = self._knowledge.known.ballot
-        if message.accepted is None or message.accepted <= known:
+        latest = self._check.fetched or known
+        if message.accepted is None or message.accepted <= latest:
             return []
+        # Once a check: every voter would send the whole value otherwise.
+        self._check.fetched = message.accepted
         fetch = messages.FetchVersion(
             to_disk_id=message.from_disk_id, base=known
         )
@@ -219,6 +222,8 @@
         version = self._knowledge.confirmed
         if version is None or not _is_behind(report, version.ballot):
             return []
+        if not self._is_turn_to_catch_up():
+            return []
         disk_id = report.from_disk_id
         instance_by_disk = version.configuration.voters.instance_by_disk
         last = self._caught_up_at_by_disk.get(disk_id)
@@ -234,6 +239,15 @@
         )
         return [parts.Send(to=instance_by_disk[disk_id], message=message)]
 
+    def _is_turn_to_catch_up(self) -> bool:
+        # Every voter sees the one that lags. If all sent it what may be the
+        # whole value, it would get most of a megabyte a dozen times.
+        voter_ids = self._knowledge.voter_ids
+        if self._knowledge.instance_id not in voter_ids:
+            return False
+        place = voter_ids.index(self._knowledge.instance_id)
+        return self._check_id % len(voter_ids) == place
+
 
 def _is_behind(
     report: messages.AcceptedReport, ballot: ballots.Ballot
--- a/dandeliongw/coordination/confirmation.py
+++ b/dandeliongw/coordination/confirmation.py
@@ -158,6 +158,8 @@
         self.accepted_by_disk: dict[str, ballots.Ballot | None] = {}
         #: The disks that were sent a query.
         self.asked: set[str] = set()
+        #: The latest ballot whose version was asked for.
+        self.fetched: ballots.Ballot | None = None
 
     def disks_holding(self, ballot: ballots.Ballot) -> set[str]:
         """Return the disks that reported exactly this ballot."""
--- a/dandeliongw/coordination/proposer.py
+++ b/dandeliongw/coordination/proposer.py
@@ -22,7 +22,6 @@
 class Job:
     """A request that waits for its attempts to succeed.
 
-    :param change: ``None`` while something has to be asked for first.
     :param ticket: of the local request; ``None`` for work of our own.
     :param deadline: when to give up.
     :param forming_by_id: the first voters' disks, to form the register.
@@ -31,7 +30,7 @@
     def __init__(
         self,
         *,
-        change: changes.Change | None,
+        change: changes.Change,
         entropy: int,
         deadline: float,
         ticket: str | None = None,
@@ -124,8 +123,6 @@
         if not self.jobs or self._attempt is not None or now < self._retry_at:
             return []
         job = self.jobs[0]
-        if job.change is None:
-            return []
         if self._knowledge.known.current is None and not job.forming_by_id:
             return []
         job.tries += 1
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -465,21 +465,31 @@
     # Replacement of voters.
 
     def _on_replace_voter(self, event: ReplaceVoter) -> list[typing.Any]:
-        job = proposers.Job(
-            change=None,
-            entropy=event.entropy,
-            ticket=event.ticket,
-            deadline=event.now + self._propose_limit_s,
-        )
         if self._is_recorded(event.change_id):
             # A resend is answered from the records; the disk has no part.
-            job.change = _make_replacement(event, disk_id='')
-            return self._proposer.add(job, event.now)
+            return self._add_replacement(event, '', event.now)
         self._replacements_by_ticket[event.ticket] = event
         self._ask_for_disks_at = event.now
-        self._proposer.add(job, event.now)
         return self._ask_for_disks(event.now)
 
+    def _add_replacement(
+        self, request: ReplaceVoter, disk_id: str, now: float
+    ) -> list[typing.Any]:
+        change = changes.VoterReplacement(
+            change_id=request.change_id,
+            author='',
+            instance_id=request.instance_id,
+            by=request.by,
+            disk_id=disk_id,
+        )
+        job = proposers.Job(
+            change=change,
+            entropy=request.entropy,
+            ticket=request.ticket,
+            deadline=request.now + self._propose_limit_s,
+        )
+        return self._proposer.add(job, now)
+
     def _is_recorded(self, change_id: str) -> bool:
         known = self._knowledge.known.current
         if known is None:
@@ -488,21 +498,28 @@
 
     def _ask_for_disks(self, now: float) -> list[typing.Any]:
         """Ask the coming voters for their disks, until they have answered."""
-        waiting = {
-            job.ticket for job in self._proposer.jobs if job.change is None
-        }
-        for ticket in set(self._replacements_by_ticket) - waiting:
-            del self._replacements_by_ticket[ticket]
+        effects = self._expire_replacements(now)
         if now < self._ask_for_disks_at:
-            return []
+            return effects
         self._ask_for_disks_at = now + DISK_QUERY_EVERY_S
-        return [
-            parts.Send(
-                to=request.by,
-                message=messages.DiskQuery(query_id=_query_id(request)),
+        for request in self._replacements_by_ticket.values():
+            query = messages.DiskQuery(query_id=_query_id(request))
+            effects.append(parts.Send(to=request.by, message=query))
+        return effects
+
+    def _expire_replacements(self, now: float) -> list[typing.Any]:
+        effects: list[typing.Any] = []
+        for ticket, request in list(self._replacements_by_ticket.items()):
+            if now < request.now + self._propose_limit_s:
+                continue
+            del self._replacements_by_ticket[ticket]
+            message = (
+                f'{request.by!r} did not say in time which disk it has; the '
+                'change did not take effect: resend it with the same change id'
             )
-            for request in self._replacements_by_ticket.values()
-        ]
+            result = Unavailable(message=message)
+            effects.append(parts.Complete(ticket=ticket, result=result))
+        return effects
 
     def _on_disk_query(
         self, event: parts.Received, message: messages.DiskQuery
@@ -519,27 +536,19 @@
     def _on_disk_report(
         self, event: parts.Received, message: messages.DiskReport
     ) -> list[typing.Any]:
-        for job in self._proposer.jobs:
-            request = self._replacements_by_ticket.get(job.ticket)
-            if request is None or message.query_id != _query_id(request):
-                continue
-            del self._replacements_by_ticket[job.ticket]
-            return self._take_disk(job, request, event)
+        for ticket, request in self._replacements_by_ticket.items():
+            if message.query_id == _query_id(request):
+                del self._replacements_by_ticket[ticket]
+                return self._take_disk(request, message.disk_id, event.now)
         return self._formation.on_report(event.sender, message, event.now)
 
     def _take_disk(
-        self,
-        job: proposers.Job,
-        request: ReplaceVoter,
-        event: parts.Received,
+        self, request: ReplaceVoter, disk_id: str | None, now: float
     ) -> list[typing.Any]:
-        disk_id = event.message.disk_id
-        if disk_id is None:
-            self._proposer.remove(job, event.now)
-            refusal = VoterRefused(message=f'{request.by!r} has no disk')
-            return [parts.Complete(ticket=job.ticket, result=refusal)]
-        job.change = _make_replacement(request, disk_id=disk_id)
-        return self._proposer.start(event.now)
+        if disk_id is not None:
+            return self._add_replacement(request, disk_id, now)
+        refusal = VoterRefused(message=f'{request.by!r} has no disk')
+        return [parts.Complete(ticket=request.ticket, result=refusal)]
 
     def _on_caught_up(self, event: CaughtUp) -> list[typing.Any]:
         self._is_disk_caught_up = event.disk_id == self.disk_id
@@ -686,15 +695,3 @@
     # Its own for every request: a late answer to an earlier one may name a
     # disk that was lost since.
     return request.entropy % FIRST_ID_LIMIT
-
-
-def _make_replacement(
-    request: ReplaceVoter, *, disk_id: str
-) -> changes.VoterReplacement:
-    return changes.VoterReplacement(
-        change_id=request.change_id,
-        author='',
-        instance_id=request.instance_id,
-        by=request.by,
-        disk_id=disk_id,
-    )
--- a/dandeliongw/coordination/register_messages.py
+++ b/dandeliongw/coordination/register_messages.py
@@ -1,8 +1,9 @@
 """What the instances' registers say to each other, and what they keep.
 
-Every message to or from a voter names the disk it means: ``to_disk_id`` or
-``from_disk_id``. An instance drops what is meant for another disk than its
-own, so a disk that was lost can't be answered for by its successor.
+Every message that counts towards a quorum names the disk it means:
+``to_disk_id`` or ``from_disk_id``. An instance drops what is meant for another
+disk than its own, so a disk that was lost can't be answered for by its
+successor.
 """
 
 import dataclasses
