--- a/dandeliongw/cells.py
+++ b/dandeliongw/cells.py
@@ -7,268 +7,89 @@
 """
 
 import dataclasses
-import enum
 import typing
 
+from .cell_messages import BackendsChanged
+from .cell_messages import Book
+from .cell_messages import Booked
+from .cell_messages import CacheHint
+from .cell_messages import Cancelled
+from .cell_messages import CancelStream
+from .cell_messages import Declined
+from .cell_messages import HeldStream
+from .cell_messages import Holding
+from .cell_messages import ListStreams
+from .cell_messages import LoadReported
+from .cell_messages import MESSAGES
+from .cell_messages import NotOwner
+from .cell_messages import Outcome
+from .cell_messages import PrefillDone
+from .cell_messages import Progress
+from .cell_messages import Queued
+from .cell_messages import Reclaim
+from .cell_messages import ReclaimedBooking
+from .cell_messages import ReclaimWanted
+from .cell_messages import Release
+from .cell_messages import StreamCancelled
+from .cell_messages import StreamsListed
+from .cell_messages import TermsChanged
 from .coordination import parts
 from .policy import BackendState
 from .policy import Booking
 from .policy import CellBackend
 from .policy import CellTerms
 from .policy import CellView
+from .policy import Decision
 from .policy import Decline
+from .policy import Health
 from .policy import Place
 from .policy import Policy
 from .policy import Role
 from .policy import Stage
 from .policy import Wait
-from .verdict import RefusalReason
+
+__all__ = [
+    'BackendsChanged',
+    'Book',
+    'Booked',
+    'BOOKING_LEASE_S',
+    'CacheHint',
+    'Cancelled',
+    'CancelStream',
+    'Cell',
+    'CellBackend',
+    'CellTerms',
+    'Declined',
+    'HeldStream',
+    'Holding',
+    'ListStreams',
+    'LoadReported',
+    'MESSAGES',
+    'NotOwner',
+    'Outcome',
+    'PrefillDone',
+    'Progress',
+    'PROGRESS_EVERY_S',
+    'Queued',
+    'Reclaim',
+    'ReclaimedBooking',
+    'ReclaimWanted',
+    'Release',
+    'StreamCancelled',
+    'StreamsListed',
+    'TermsChanged',
+]
 
 #: A booking that its entry hasn't renewed for so long has lost its entry.
 BOOKING_LEASE_S = 4.0
 #: How often an entry should send :class:`Progress`.
 PROGRESS_EVERY_S = 1.0
+#: How often an owner asks backend servers for what they hold.
+LIST_EVERY_S = 5.0
 #: How often an unconfirmed cancel is sent again.
 CANCEL_AGAIN_S = 1.0
 
 
-class Outcome(enum.StrEnum):
-    """How an attempt ended, told by its entry."""
-
-    DONE = 'done'
-    CANCELLED = 'cancelled'
-    FAILED = 'failed'
-    EXPIRED = 'expired'
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Book:
-    """Entry to owner: find backend servers for one attempt.
-
-    Sending it again with the same ids gives the same answer.
-
-    :param prefix: hashes of the prompt's blocks, see ``policy.hash_blocks``.
-    :param deadline_s: seconds that remain.
-    :param exclude: ids of backend servers that failed for this request.
-    """
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    account: str
-    priority: str
-    prompt_tokens: int
-    max_tokens: int
-    prefix: tuple[str, ...]
-    deadline_s: float
-    exclude: tuple[str, ...] = ()
-    stage: Stage = Stage.PAIR
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PrefillDone:
-    """Entry to owner: the prefill engine answered."""
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    tokens: int
-    cached_tokens: int
-    kv_bytes: int = 0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Holding:
-    """The ids of one booking."""
-
-    request_id: str
-    attempt_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Progress:
-    """Entry to owner: these bookings are still wanted."""
-
-    cell: str
-    bookings: tuple[Holding, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Release:
-    """Entry to owner: an attempt ended.
-
-    :param wasted_tokens: prefill tokens whose result was thrown away.
-    :param backend_fault: id of the backend server at fault, or empty.
-    """
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    outcome: Outcome
-    wasted_tokens: int = 0
-    backend_fault: str = ''
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReclaimedBooking:
-    """What an entry holds, told to a new owner."""
-
-    request_id: str
-    attempt_id: str
-    account: str
-    priority: str
-    stage: Stage
-    prompt_tokens: int
-    max_tokens: int
-    deadline_s: float
-    prefill_id: str
-    decode_id: str
-    plain_id: str
-    prefill_done: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Reclaim:
-    """Entry to a new owner: all bookings of the cell that it holds."""
-
-    cell: str
-    epoch: int
-    bookings: tuple[ReclaimedBooking, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Booked:
-    """Owner to entry: start the attempt here, in ``start_in_s``."""
-
-    cell: str
-    epoch: int
-    request_id: str
-    attempt_id: str
-    prefill_id: str
-    prefill_url: str
-    decode_id: str
-    decode_url: str
-    plain_id: str
-    plain_url: str
-    start_in_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Queued:
-    """Owner to entry: admitted; ``Booked`` follows when it may start."""
-
-    cell: str
-    epoch: int
-    request_id: str
-    attempt_id: str
-    expected_in_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Declined:
-    """Owner to entry: refused, and nothing has run."""
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    reason: RefusalReason
-    retry_after_s: float
-    message: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NotOwner:
-    """Whoever got a ``Book`` doesn't own the cell.
-
-    :param holder: instance id of the owner, empty if unknown.
-    """
-
-    cell: str
-    request_id: str
-    attempt_id: str
-    holder: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Cancelled:
-    """Owner to entry: this booking is gone; stop the attempt."""
-
-    cell: str
-    epoch: int
-    request_id: str
-    attempt_id: str
-
-
-MESSAGES = (
-    Book,
-    PrefillDone,
-    Progress,
-    Release,
-    Reclaim,
-    Booked,
-    Queued,
-    Declined,
-    NotOwner,
-    Cancelled,
-)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendsChanged:
-    """The backend servers of this cell that may get new work."""
-
-    now: float
-    backends: tuple[CellBackend, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LoadReported:
-    """A load report came in; it was true some time ago."""
-
-    now: float
-    backend_id: str
-    running: int
-    waiting: int
-    queued_tokens: int
-    slots_used: int
-    kv_bytes: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CacheHint:
-    """Cache events came in, perhaps late.
-
-    :param gap: events before these were lost.
-    """
-
-    now: float
-    backend_id: str
-    stored: tuple[str, ...]
-    evicted: tuple[str, ...]
-    gap: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamCancelled:
-    """The backend server confirmed a cancel (or knew no such stream)."""
-
-    now: float
-    backend_id: str
-    stream_id: str
-    attempt_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelStream:
-    """Effect: ``POST /v1/cancel``; post :class:`StreamCancelled` on 200."""
-
-    backend_id: str
-    url: str
-    stream_id: str
-    attempt_id: str
-    epoch: int
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PendingCancel:
     """A cancel that its backend server hasn't confirmed."""
@@ -277,6 +98,20 @@
     again_at: float
 
 
+def _is_same(known: Booking, book: Book) -> bool:
+    """Return whether a ``Book`` is one that was answered already.
+
+    A second move of one KV cache has the same ids and stage as the first;
+    answered alike, it would go to the engine that has just refused it,
+    over and over. One would notice refused imports by the thousand. The
+    longer list of failed backend servers tells the two apart.
+    """
+    unplaced = known.stage is Stage.DECODE and not known.decode_id
+    if unplaced and known.start_at is not None:
+        return False
+    return known.stage is book.stage and known.exclude == book.exclude
+
+
 class Cell:
     """The state of one cell at its owner.
 
@@ -301,6 +136,10 @@
         self.view = CellView(terms=document_part)
         self.bookings_by_key: dict[tuple[str, str], Booking] = {}
         self.cancels_by_key: dict[tuple[str, str, str], PendingCancel] = {}
+        #: Left, or cut off, with work of ours that may still run there.
+        self.leaving_by_id: dict[str, BackendState] = {}
+        self._began_at: float | None = None
+        self._listed_at = 0.0
         self._handlers_by_type: dict[type, typing.Any] = {
             Book: self._book,
             PrefillDone: self._prefill_done,
@@ -311,20 +150,41 @@
 
     def handle(self, event: typing.Any) -> list[typing.Any]:
         """Take one event in; return what is to be done."""
+        if self._began_at is None:
+            self._began_at = self._listed_at = event.now
+        effects = self._take(event)
+        return effects + self._dispatch(event.now)
+
+    def _dispatch(self, now: float) -> list[typing.Any]:
+        effects = []
+        while self.view.queue:
+            decided = self.policy.dispatch(now=now, view=self.view)
+            if not decided:
+                break
+            for booking, decision in decided:
+                self._forget(booking)
+                effects.extend(self._apply(now, booking, decision))
+        return effects
+
+    def _take(self, event: typing.Any) -> list[typing.Any]:
         match event:
             case parts.Received(now=now, sender=sender, message=message):
                 handler = self._handlers_by_type.get(type(message))
                 return handler(now, sender, message) if handler else []
             case parts.Ticked(now=now):
                 return self._tick(now)
+            case TermsChanged():
+                self.view.terms = event.terms
             case BackendsChanged():
                 return self._change_backends(event)
             case LoadReported():
                 return self._report_load(event)
+            case CacheHint():
+                return self._take_hint(event)
+            case StreamsListed():
+                return self._cancel_unknown(event)
             case StreamCancelled():
-                key = (event.backend_id, event.stream_id, event.attempt_id)
-                self.cancels_by_key.pop(key, None)
-                return []
+                self._confirm_cancel(event)
         return []
 
     def restore(self, record: typing.Any) -> None:
@@ -337,11 +197,16 @@
     def _book(self, now: float, sender: str, book: Book) -> list:
         key = (book.request_id, book.attempt_id)
         known = self.bookings_by_key.get(key)
-        if known is not None and known.stage is book.stage:
+        if known is not None and _is_same(known, book):
             known.renewed_at = now
             return [self._answer(now, known)]
+        if known is not None and book.stage is Stage.PAIR:
+            # A late copy: this attempt has gone on to move its KV cache.
+            return []
         if known is not None:
             self._forget(known)
+            if known.decode_id in book.exclude:
+                self._blame(now, known.decode_id)
         booking = Booking(
             request_id=book.request_id,
             attempt_id=book.attempt_id,
@@ -358,20 +223,34 @@
             renewed_at=now,
             prefill_done=book.stage is Stage.DECODE,
         )
-        return self._decide(now, booking)
+        effects = self._decide(now, booking)
+        if known is not None and booking.key not in self.bookings_by_key:
+            # Declined, but the KV cache is still held and may yet move.
+            known.decode_id = ''
+            known.stage = Stage.DECODE
+            self._remember(known)
+        return effects
 
     def _decide(self, now: float, booking: Booking) -> list:
         decision = self.policy.decide(now=now, view=self.view, booking=booking)
+        return self._apply(now, booking, decision)
+
+    def _apply(self, now: float, booking: Booking, decision: Decision) -> list:
         match decision:
             case Decline():
                 return [self._decline(booking, decision)]
             case Wait():
                 booking.start_at = None
+                booking.expected_at = now + decision.expected_s
+                self.view.queue.append(booking)
             case Place():
                 booking.prefill_id = decision.prefill_id
                 booking.decode_id = decision.decode_id
                 booking.plain_id = decision.plain_id
                 booking.start_at = now + decision.start_in_s
+                self.view.plan(booking)
+                for state in self._states_of(booking):
+                    state.health.last_given_at = now
         self._remember(booking)
         return [self._answer(now, booking)]
 
@@ -393,7 +272,7 @@
                 epoch=self.epoch,
                 request_id=booking.request_id,
                 attempt_id=booking.attempt_id,
-                expected_in_s=0.0,
+                expected_in_s=max(0.0, booking.expected_at - now),
             )
             return parts.Send(to=booking.entry, message=queued)
         booked = Booked(
@@ -412,40 +291,67 @@
         return parts.Send(to=booking.entry, message=booked)
 
     def _url(self, backend_id: str) -> str:
-        state = self.view.backends_by_id.get(backend_id)
+        state = self._state(backend_id)
         return state.backend.url if state else ''
 
+    def _state(self, backend_id: str) -> BackendState | None:
+        """Return a backend server, also one that is leaving."""
+        leaving = self.leaving_by_id.get(backend_id)
+        return self.view.backends_by_id.get(backend_id, leaving)
+
     def _remember(self, booking: Booking) -> None:
         self.bookings_by_key[booking.key] = booking
         for state in self._states_of(booking):
             state.bookings_by_key[booking.key] = booking
+            own = len(state.bookings_by_key) + state.cancelling
+            state.peak_used = max(state.peak_used, own)
 
     def _forget(self, booking: Booking) -> None:
         self.bookings_by_key.pop(booking.key, None)
+        if booking in self.view.queue:
+            self.view.queue.remove(booking)
         for state in self._states_of(booking):
             state.bookings_by_key.pop(booking.key, None)
 
     def _states_of(self, booking: Booking) -> list[BackendState]:
         ids = (booking.prefill_id, booking.decode_id, booking.plain_id)
-        by_id = self.view.backends_by_id
-        return [by_id[each] for each in ids if each in by_id]
+        states = [self._state(each) for each in ids]
+        return [state for state in states if state is not None]
 
     def _prefill_done(
         self, now: float, sender: str, done: PrefillDone
     ) -> list:
         booking = self.bookings_by_key.get((done.request_id, done.attempt_id))
         if booking is None:
-            return [self._gone(sender, done.request_id, done.attempt_id)]
+            return [
+                self._gone(now, sender, (done.request_id, done.attempt_id))
+            ]
         booking.renewed_at = now
-        booking.prefill_done = True
         state = self.view.backends_by_id.get(booking.prefill_id)
         if state is not None:
+            computed = done.tokens - done.cached_tokens
+            self.view.learn_prefill(now, state, booking, computed)
             state.bookings_by_key.pop(booking.key, None)
+        booking.prefill_done = True
         return []
 
+    def _is_reclaiming(self, now: float) -> bool:
+        """Return whether entries may still have to tell what they hold."""
+        return now < self._began_at + BOOKING_LEASE_S
+
     def _gone(
-        self, entry: str, request_id: str, attempt_id: str
+        self, now: float, entry: str, booking_key: tuple[str, str]
     ) -> parts.Send:
+        """Tell an entry that its booking isn't known.
+
+        A new owner knows none at first. Told that it is gone, entries
+        would stop every running stream; one would notice each change of
+        owner as a wave of attempts and of prefills computed twice.
+        """
+        if self._is_reclaiming(now):
+            wanted = ReclaimWanted(cell=self.cell_id, epoch=self.epoch)
+            return parts.Send(to=entry, message=wanted)
+        request_id, attempt_id = booking_key
         cancelled = Cancelled(
             cell=self.cell_id,
             epoch=self.epoch,
@@ -460,10 +366,10 @@
             key = (holding.request_id, holding.attempt_id)
             booking = self.bookings_by_key.get(key)
             if booking is None:
-                effects.append(self._gone(sender, *key))
+                effects.append(self._gone(now, sender, key))
             else:
                 booking.renewed_at = now
-        return effects
+        return list(dict.fromkeys(effects))
 
     def _release(self, now: float, sender: str, release: Release) -> list:
         key = (release.request_id, release.attempt_id)
@@ -471,29 +377,60 @@
         if booking is None:
             return []
         self._forget(booking)
+        self._blame(now, release.backend_fault)
         if release.outcome is Outcome.DONE:
+            self.view.learn_answer(now, booking)
+            self._learn_gap(now, booking, release.token_gap_s)
             return []
         return self._cancel(now, booking)
 
+    def _learn_gap(
+        self, now: float, booking: Booking, token_gap_s: float
+    ) -> None:
+        state = self.view.backends_by_id.get(booking.decode_id)
+        if state is not None and token_gap_s > 0.0:
+            # The answer's own slot counts: it was in the batch.
+            streams = len(state.bookings_by_key) + 1
+            target_s = self.view.terms.token_gap_s
+            state.batch.learn(now, token_gap_s, target_s, streams)
+
+    def _blame(self, now: float, backend_id: str) -> None:
+        state = self.view.backends_by_id.get(backend_id)
+        if state is not None:
+            state.health.add_fault(now)
+
     def _cancel(self, now: float, booking: Booking) -> list:
-        effects = []
-        for state in self._states_of(booking):
-            if state.backend.role is Role.PLAIN:
-                continue
-            effect = CancelStream(
-                backend_id=state.backend.backend_id,
-                url=state.backend.url,
-                stream_id=booking.request_id,
-                attempt_id=booking.attempt_id,
-                epoch=self.epoch,
-            )
-            key = (effect.backend_id, effect.stream_id, effect.attempt_id)
-            again_at = now + CANCEL_AGAIN_S
-            self.cancels_by_key[key] = PendingCancel(
-                effect=effect, again_at=again_at
-            )
-            effects.append(effect)
-        return effects
+        return [
+            self._cancel_at(now, state, booking.key)
+            for state in self._states_of(booking)
+            if state.backend.role is not Role.PLAIN
+        ]
+
+    def _cancel_at(
+        self, now: float, state: BackendState, booking_key: tuple[str, str]
+    ) -> CancelStream:
+        """Return a cancel, to be sent again until it is confirmed."""
+        stream_id, attempt_id = booking_key
+        effect = CancelStream(
+            backend_id=state.backend.backend_id,
+            url=state.backend.url,
+            stream_id=stream_id,
+            attempt_id=attempt_id,
+            epoch=self.epoch,
+        )
+        key = (effect.backend_id, stream_id, attempt_id)
+        if key not in self.cancels_by_key:
+            state.cancelling += 1
+        self.cancels_by_key[key] = PendingCancel(
+            effect=effect, again_at=now + CANCEL_AGAIN_S
+        )
+        return effect
+
+    def _confirm_cancel(self, event: StreamCancelled) -> None:
+        key = (event.backend_id, event.stream_id, event.attempt_id)
+        state = self._state(event.backend_id)
+        if self.cancels_by_key.pop(key, None) and state is not None:
+            state.cancelling -= 1
 
     def _reclaim(self, now: float, sender: str, reclaim: Reclaim) -> list:
         for held in reclaim.bookings:
@@ -525,10 +462,10 @@
         return []
 
     def _change_backends(self, event: BackendsChanged) -> list:
-        old = self.view.backends_by_id
+        old = self.leaving_by_id | self.view.backends_by_id
         new = {}
         for backend in event.backends:
-            state = old.get(backend.backend_id)
+            state = old.pop(backend.backend_id, None)
             same = state is not None and (
                 state.backend.incarnation == backend.incarnation
             )
@@ -536,10 +473,50 @@
                 state.backend = backend
                 new[backend.backend_id] = state
             else:
-                new[backend.backend_id] = BackendState(backend=backend)
+                self._forget_cancels(backend.backend_id)
+                new[backend.backend_id] = BackendState(
+                    backend=backend, health=self._first_health(event, backend)
+                )
         self.view.backends_by_id = new
+        for state in old.values():
+            if state.left_at is None:
+                state.left_at = event.now
+        for state in new.values():
+            state.left_at = None
+        self.leaving_by_id = old
         return []
 
+    def _forget_cancels(self, backend_id: str) -> None:
+        """Drop the cancels of an incarnation that is gone, memory and all."""
+        self.cancels_by_key = {
+            key: pending
+            for key, pending in self.cancels_by_key.items()
+            if key[0] != backend_id
+        }
+
+    def _drop_left(self, now: float) -> None:
+        """Drop what left long ago or holds nothing of ours.
+
+        A backend server that leaves finishes its streams. Dropped at once,
+        its cancels would have no address, and its memory would stay held
+        for callers who have gone.
+        """
+        for backend_id, state in list(self.leaving_by_id.items()):
+            idle = not state.bookings_by_key and not state.cancelling
+            if idle or now >= state.left_at + self.view.terms.timeout_s:
+                del self.leaving_by_id[backend_id]
+                self._forget_cancels(backend_id)
+
+    def _first_health(
+        self, event: BackendsChanged, backend: CellBackend
+    ) -> Health:
+        """Return the health of a backend server that the cell meets.
+
+        A new owner meets all at once, and none of them is new.
+        """
+        others = self.view.candidates(backend.role, ())
+        return Health(came_at=event.now if others else None)
+
     def _report_load(self, event: LoadReported) -> list:
         state = self.view.backends_by_id.get(event.backend_id)
         if state is not None:
@@ -547,10 +524,55 @@
             state.reported_waiting = event.waiting
             state.reported_queued_tokens = event.queued_tokens
             state.reported_at = event.now
+            state.count_foreign(event.slots_used)
         return []
 
-    def _tick(self, now: float) -> list:
+    def _take_hint(self, event: CacheHint) -> list:
+        state = self.view.backends_by_id.get(event.backend_id)
+        if state is not None:
+            if event.gap:
+                # Evictions may be among the lost events. One would notice
+                # prompts sent to a cache that has forgotten them, and a
+                # first token that comes late; what is dropped in vain is
+                # learned again with the next prompt.
+                state.blocks.clear()
+            state.add_blocks(event.stored)
+            state.drop_blocks(event.evicted)
+        return []
+
+    def _list_streams(self, now: float) -> list:
+        if now - self._listed_at < LIST_EVERY_S:
+            return []
+        self._listed_at = now
+        return [
+            ListStreams(
+                backend_id=state.backend.backend_id, url=state.backend.url
+            )
+            for state in self.view.backends_by_id.values()
+            if state.backend.role is not Role.PLAIN
+        ]
+
+    def _cancel_unknown(self, event: StreamsListed) -> list:
+        """Cancel the streams that no entry has claimed.
+
+        An owner and an entry that die together leave streams which the new
+        owner never hears of. One would notice engines with slots in use
+        and no booking for them. Entries have had a whole lease to reclaim
+        by then, and a stream begins only after its booking.
+        """
+        state = self.view.backends_by_id.get(event.backend_id)
+        if state is None or self._is_reclaiming(event.asked_at):
+            return []
         effects = []
+        for stream in event.streams:
+            key = (stream.stream_id, stream.attempt_id)
+            if key not in self.bookings_by_key:
+                effects.append(self._cancel_at(event.now, state, key))
+        return effects
+
+    def _tick(self, now: float) -> list:
+        self._drop_left(now)
+        effects = self._list_streams(now)
         for booking in list(self.bookings_by_key.values()):
             # An entry that died sends no release. One would notice slots
             # that stay taken with no stream behind them; the lease frees
--- /dev/null
+++ b/dandeliongw/console.py
@@ -0,0 +1,108 @@
+"""The console: pages of forms that make the document and nothing else.
+
+Works without scripts. Every change goes through :mod:`dandeliongw.changes`,
+as it does for the API.
+"""
+
+import typing
+
+import cherrypy
+from loguru import logger
+
+from . import _browser
+from . import _console_editing
+from . import sessions
+from . import tokens
+from ._browser import error_page
+from ._console_base import action
+from ._console_base import page
+from ._console_base import show
+from ._console_base import SignedIn
+from .pages import editing
+from .pages import forms
+from .pages import layout
+from .pages import status as status_pages
+
+__all__ = ['Console', 'error_page']
+
+
+class Console(_console_editing.EditingPages):
+    """The pages under ``/console``."""
+
+    @cherrypy.expose
+    def style_css(self) -> bytes:
+        """Return the style sheet."""
+        cherrypy.response.headers['Content-Type'] = 'text/css;charset=utf-8'
+        return layout.STYLE.encode()
+
+    @cherrypy.expose
+    def sign_in(self, **form: typing.Any) -> bytes:
+        """Ask for the operator's token, and take it."""
+        _browser.allow('GET', 'HEAD', 'POST')
+        if cherrypy.request.method != 'POST':
+            return _sign_in_page()
+        _browser.check_origin()
+        operator = tokens.find_operator(
+            self._settings, forms.text(form, 'token')
+        )
+        if operator is None:
+            logger.warning('console sign-in refused')
+            cherrypy.response.status = 401
+            return _sign_in_page('That is not the token of an operator.')
+        logger.info('console sign-in', operator=operator.name)
+        _browser.set_cookie(
+            self._sessions.make_cookie(operator), sessions.LIFETIME_S
+        )
+        raise _browser.see_other('')
+
+    @cherrypy.expose
+    @action
+    def sign_out(self, who: SignedIn, form: forms.Form) -> bytes:
+        """Forget the cookie."""
+        _browser.set_cookie('', 0)
+        raise _browser.see_other('sign-in')
+
+    @cherrypy.expose
+    @page
+    def index(self, who: SignedIn, form: forms.Form) -> bytes:
+        """Show instances, leases and how far the last change has come."""
+        draft = self._drafts.find(who.operator)
+        content = status_pages.overview(self._control.status())
+        return show(who, 'Overview', editing.pending(draft), content)
+
+    @cherrypy.expose
+    @page
+    def backends(self, who: SignedIn, form: forms.Form) -> bytes:
+        """Show the backend servers."""
+        content = status_pages.backends(self._control.backends())
+        return show(who, 'Backend servers', content)
+
+    @cherrypy.expose
+    @page
+    def load(self, who: SignedIn, form: forms.Form) -> bytes:
+        """Show slots and queues."""
+        content = status_pages.load(self._control.status()['pools'])
+        return show(who, 'Slots and queues', content)
+
+    @cherrypy.expose
+    @page
+    def reasons(self, who: SignedIn, form: forms.Form) -> bytes:
+        """Show refusals, retries and wasted prefill by reason."""
+        title = f'Refusals and retries of {self._settings.instance_id}'
+        return show(who, title, status_pages.reasons(self._metrics))
+
+    @cherrypy.expose
+    @page
+    def history(self, who: SignedIn, form: forms.Form) -> bytes:
+        """Show who changed the document and when."""
+        content = status_pages.history(self._control.history())
+        return show(who, 'History', content)
+
+
+def _sign_in_page(problem: str | None = None) -> bytes:
+    cherrypy.response.headers.update(_browser.HEADERS)
+    return layout.page(
+        'Sign in',
+        layout.alert(problem) if problem else None,
+        layout.sign_in_form(),
+    )
--- a/dandeliongw/coordination/grantor.py
+++ b/dandeliongw/coordination/grantor.py
@@ -20,11 +20,17 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Grant:
-    """The last grant of one name."""
+    """The last grant of one name.
+
+    :param wait_until_by_candidate: who was refused and is told of a release.
+    """
 
     record: messages.LeaseGranted
     expires_at: float = float('-inf')
     released: bool = False
+    wait_until_by_candidate: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def stands(self, now: float) -> bool:
         return not self.released and now < self.expires_at
@@ -90,10 +96,18 @@
         return tuple(grant.record for grant in self._grants_by_name.values())
 
     def learn(self, record: messages.LeaseGranted) -> None:
-        """Remember an epoch, from the journal or from another grantor."""
+        """Remember an epoch, from the journal or from another grantor.
+
+        A grant of this grantor's own that still stands goes on standing.
+        """
         grant = self._grants_by_name.get(record.name)
-        if grant is None or grant.record.epoch < record.epoch:
+        if grant is None:
             self._grants_by_name[record.name] = _Grant(record=record)
+        elif grant.record.epoch < record.epoch:
+            grant.record = record
+            if grant.released:
+                grant.released = False
+                grant.expires_at = float('-inf')
 
     def start(self, now: float) -> None:
         """Begin the wait after a restart; does nothing the second time.
@@ -150,9 +164,13 @@
         return self._reply(sender, message, names, granted)
 
     def on_release(
-        self, sender: str, release: messages.LeaseRelease
+        self, now: float, sender: str, release: messages.LeaseRelease
     ) -> list[typing.Any]:
-        """Free a name at once, if it is the sender's own grant."""
+        """Free a name at once, if it is the sender's own grant.
+
+        The successor is told, or whoever was refused lately: candidates
+        need not poll often to notice a release.
+        """
         grant = self._grants_by_name.get(release.name)
         if grant is None or grant.released:
             return []
@@ -161,10 +179,17 @@
         if not grant.is_to(sender, release.life):
             return []
         grant.released = True
-        if not release.successor:
-            return []
+        told = (
+            [release.successor]
+            if release.successor
+            else [
+                candidate
+                for candidate, until in grant.wait_until_by_candidate.items()
+                if now < until
+            ]
+        )
         vacant = messages.LeaseVacant(name=release.name, epoch=release.epoch)
-        return [parts.Send(to=release.successor, message=vacant)]
+        return [parts.Send(to=name, message=vacant) for name in told]
 
     def on_persisted(self, token: str) -> list[typing.Any]:
         """Send the answers that waited for this sync alone."""
@@ -192,16 +217,19 @@
         """Let another grantor read the epochs, and fence older sets.
 
         A claim that counts on the replaced set must not get its majority
-        after this read, or the reader would miss its epoch.
+        after this read, or the reader would miss its epoch. The fence is
+        synced first, as a restart would else forget it.
         """
-        if self.ready:
-            self.version = max(self.version, wanted.version)
         epochs = messages.LeaseEpochs(
             reading=wanted.reading,
             ready=self.ready,
             records=self.records(),
         )
-        return [parts.Send(to=sender, message=epochs)]
+        if not self.ready or wanted.version <= self.version:
+            return self._reply(sender, epochs, {_VERSION}, {})
+        self.version = wanted.version
+        marker = messages.LeaseReady(version=self.version)
+        return self._reply(sender, epochs, {_VERSION}, {_VERSION: marker})
 
     def next_token(self) -> str:
         """Return a token for ``Persist`` that no other part uses."""
@@ -235,6 +263,8 @@
         # same life gives up the lower one.
         if grant.is_to(sender, claims.life):
             return Outcome.GRANTED
+        wait_s = self.duration_s + self.margin_s
+        grant.wait_until_by_candidate[sender] = now + wait_s
         return Outcome.HELD
 
     def _judge_renewal(
--- /dev/null
+++ b/dandeliongw/coordination/membership.py
@@ -0,0 +1,443 @@
+"""Which instances are members, and which of them are alive.
+
+Each instance probes one member a period, in rounds over all members in
+shuffled order. Without an acknowledgement it asks some others to probe and
+tries again over a *new* connection, and only then suspects the member. A
+suspected member has time to refute it; then it counts as dead. News of
+members travels with the probes and their acknowledgements, a bounded number
+of times each, so that an instance's cost does not grow with their number.
+
+What gossip missed is found by hashes: every probe carries one hash over the
+sender's beliefs, and instances that differ compare groups of members.
+
+Nothing here proves that a member is dead: it may be frozen or cut off. Work
+that must not run twice needs a lease, never this.
+"""
+
+import dataclasses
+import random
+import typing
+
+from . import parts
+from ._beliefs import Beliefs
+from ._comparison import Comparison
+from ._membership_messages import Gossip
+from ._membership_messages import IndirectAck
+from ._membership_messages import IndirectProbe
+from ._membership_messages import Leave
+from ._membership_messages import MemberChanged
+from ._membership_messages import MemberForgotten
+from ._membership_messages import MESSAGES
+from ._membership_messages import Probe
+from ._membership_messages import ProbeAck
+from ._membership_messages import Reconnect
+from ._membership_messages import SetDraining
+from ._membership_messages import SetServing
+from ._membership_messages import Superseded
+from ._membership_messages import ViewHashes
+from ._membership_messages import ViewPart
+from ._probing import HELPERS
+from ._probing import Probing
+from ._roster import InstanceInfo
+from ._roster import Member
+from ._roster import MemberNews
+from ._roster import MemberState
+
+__all__ = [
+    'Entry',
+    'Gossip',
+    'IndirectAck',
+    'IndirectProbe',
+    'InstanceInfo',
+    'Leave',
+    'MESSAGES',
+    'Member',
+    'MemberChanged',
+    'MemberForgotten',
+    'MemberNews',
+    'MemberState',
+    'Membership',
+    'Probe',
+    'ProbeAck',
+    'Reconnect',
+    'SetDraining',
+    'SetServing',
+    'Superseded',
+    'ViewHashes',
+    'ViewPart',
+]
+
+#: Seconds between two probes of an instance.
+PERIOD_S = 1.0
+#: Members that hear urgent news at once from each that learns of it.
+URGENT_FANOUT = 3
+#: Members that a leaver tells at once.
+LEAVE_FANOUT = 8
+#: Seconds between two bursts of urgent news of one instance.
+URGENT_GAP_S = 0.2
+#: Suspected members that an instance probes again a period; without this
+#: bound the loss of a data centre would multiply everybody's messages.
+SUSPECT_PROBES = 2
+#: Periods between two tries to reach a dead member or an unseen seed.
+ABSENT_PERIODS = 10.0
+#: Periods between two comparisons of beliefs that an instance starts.
+COMPARE_PERIODS = 5.0
+#: Seconds that dead and left members are remembered: longer than regions
+#: lose each other, because an instance cut off for that long still believes
+#: the leaver alive and says so when it is back.
+MEMORY_S = 24 * 3600.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Entry:
+    """An instance that callers may use."""
+
+    instance_id: str
+    callers_address: str
+    data_centre: str
+    region: str
+
+
+class Membership:
+    """The coordination part; see the module for the protocol.
+
+    It needs a tick at least five times a period: probes are tried again and
+    judged at ticks only.
+
+    :param instance_id: this instance.
+    :param incarnation: higher than that of any earlier process of it.
+    :param self_info: what this instance tells the others of itself.
+    :param seeds_by_id: instances to contact first; this one may be among
+        them.
+    :param period_s: seconds between probes.
+    :param memory_s: seconds that dead and left members are remembered.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        incarnation: int,
+        self_info: InstanceInfo,
+        seeds_by_id: dict[str, InstanceInfo],
+        period_s: float = PERIOD_S,
+        memory_s: float = MEMORY_S,
+    ) -> None:
+        own = Member(
+            instance_id=instance_id,
+            info=self_info,
+            state=MemberState.ALIVE,
+            incarnation=incarnation,
+            revision=0,
+        )
+        self.instance_id = instance_id
+        self.period_s = period_s
+        self._seed_ids = seeds_by_id.keys() - {instance_id}
+        self._beliefs = Beliefs(own=own, period_s=period_s, memory_s=memory_s)
+        self._probing = Probing(period_s=period_s)
+        self._comparison = Comparison(
+            beliefs=self._beliefs, probing=self._probing
+        )
+        self._random = random.Random(0)
+        self._ticked_at: float | None = None
+        self._probe_at = 0.0
+        self._absent_at = 0.0
+        self._compare_at = 0.0
+        self._urgent_at = 0.0
+
+    # Accessors.
+
+    @property
+    def members_by_id(self) -> dict[str, Member]:
+        """Every member that is remembered, this instance included."""
+        return self._beliefs.roster.members_by_id
+
+    @property
+    def suspicion_s(self) -> float:
+        """Seconds that a suspected member has to refute it."""
+        return self._beliefs.suspicion_s
+
+    def alive_ids(self) -> list[str]:
+        """Return who counts as alive, sorted; suspected members do not."""
+        return sorted(
+            instance_id
+            for instance_id in self._beliefs.roster.present_ids
+            if self.members_by_id[instance_id].state is MemberState.ALIVE
+        )
+
+    def entries(self, now: float) -> list[Entry]:
+        """Return the instances that callers may use.
+
+        A member is told alive by its acknowledgements, so one that is cut
+        off drops out after the time to detect it, with the last thing that
+        it said of itself. This instance answers only for itself when its
+        own ticks are late, for then all it knows is old.
+        """
+        stale = self._is_late(now)
+        return [
+            _entry(self.members_by_id[instance_id])
+            for instance_id in self.alive_ids()
+            if _may_serve(self.members_by_id[instance_id])
+            and not (stale and instance_id != self.instance_id)
+        ]
+
+    # The part.
+
+    def handle(self, event: typing.Any) -> list[typing.Any]:
+        """Change state by an event and return effects, to do in order."""
+        match event:
+            case parts.Ticked():
+                return self._tick(event)
+            case parts.Received():
+                return self._receive(event)
+            case SetServing():
+                return self._beliefs.state_own(
+                    event.now, serving=event.serving
+                )
+            case SetDraining():
+                return self._beliefs.state_own(
+                    event.now, draining=event.draining
+                )
+            case Leave():
+                return self._leave(event.now)
+        raise TypeError(f'membership does not know {type(event).__name__}')
+
+    def restore(self, record: typing.Any) -> None:
+        """Do nothing: members are learned again at each start."""
+
+    def snapshot(self) -> tuple[typing.Any, ...]:
+        """Return nothing to keep."""
+        return ()
+
+    def _leave(self, now: float) -> list[typing.Any]:
+        effects = self._beliefs.state_own(now, state=MemberState.LEFT)
+        # At once: the process may not live to its next tick.
+        message = Gossip(news=(self._beliefs.own.news(with_info=False),))
+        return effects + [
+            parts.Send(to=to, message=message)
+            for to in self._sample(self._beliefs.others, LEAVE_FANOUT)
+        ]
+
+    # Time.
+
+    def _tick(self, event: parts.Ticked) -> list[typing.Any]:
+        now = event.now
+        self._random.seed(event.entropy)
+        if self._ticked_at is None:
+            self._start(now)
+        elif self._is_late(now):
+            self._excuse(now, now - self._ticked_at)
+        self._ticked_at = now
+        if self._has_left:
+            return self._send_urgent(now)
+        effects = self._check_probes(now)
+        effects += self._beliefs.end_suspicions(now)
+        effects += self._probe_next(now)
+        effects += self._contact_absent(now)
+        effects += self._send_urgent(now)
+        effects += self._beliefs.forget(now)
+        return effects
+
+    @property
+    def _has_left(self) -> bool:
+        return self._beliefs.own.state is MemberState.LEFT
+
+    def _start(self, now: float) -> None:
+        self._probing.start(self._random)
+        self._probe_at = now + self._random.uniform(0, self.period_s)
+        self._absent_at = now
+        self._beliefs.hear(now)
+
+    def _is_late(self, now: float) -> bool:
+        last = self._ticked_at
+        return last is not None and now - last > self.period_s
+
+    def _excuse(self, now: float, gap_s: float) -> None:
+        """Give up verdicts that this instance's own pause would cause.
+
+        After a pause every acknowledgement is late, and suspicions that ran
+        during it had no chance to be refuted here. Without this, a process
+        that wakes suspects its peers, and one sees a burst of suspicions
+        with refutations right after.
+        """
+        self._probing.forgive()
+        self._beliefs.excuse(now, gap_s)
+
+    # Probing.
+
+    def _probe_next(self, now: float) -> list[typing.Any]:
+        if now < self._probe_at:
+            return []
+        # Not added up from the last time, or a late tick would be followed
+        # by a burst of probes.
+        self._probe_at = now + self.period_s
+        targets = self._sample(self._beliefs.own_suspects, SUSPECT_PROBES)
+        following = self._probing.next_target(
+            self._beliefs.others, self._random
+        )
+        if following is not None and following not in targets:
+            targets.append(following)
+        return [
+            self._probe(now, target, self._probing.begin(now, target))
+            for target in targets
+        ]
+
+    def _probe(self, now: float, target: str, sequence: int) -> parts.Send:
+        message = Probe(
+            sequence=sequence,
+            retry=False,
+            view_hash=self._beliefs.roster.view_hash,
+            news=self._beliefs.news_for(now, target),
+        )
+        return parts.Send(to=target, message=message)
+
+    def _check_probes(self, now: float) -> list[typing.Any]:
+        effects: list[typing.Any] = []
+        for target in self._probing.due_verdicts(now):
+            effects += self._beliefs.suspect(now, target)
+        for pending in self._probing.due_retries(now):
+            effects += self._retry(now, pending.target, pending.sequence)
+        return effects
+
+    def _retry(
+        self, now: float, target: str, sequence: int
+    ) -> list[typing.Any]:
+        """Probe over a new connection and through others.
+
+        A connection can go silent for good while new ones work. One would
+        see a healthy member declared dead by a single instance, again and
+        again, and no process restart nearby.
+        """
+        # The target can't answer one whose address it does not know.
+        own = self._beliefs.own.news(with_info=True)
+        probe = dataclasses.replace(
+            self._probe(now, target, sequence).message, retry=True
+        )
+        probe = dataclasses.replace(probe, news=(own, *probe.news))
+        effects: list[typing.Any] = [Reconnect(to=target)]
+        effects.append(parts.Send(to=target, message=probe))
+        message = IndirectProbe(sequence=sequence, target=target)
+        helpers = set(self.alive_ids()) - {self.instance_id, target}
+        for helper in self._sample(helpers, HELPERS):
+            effects.append(parts.Send(to=helper, message=message))
+        return effects
+
+    def _sample(self, ids: set[str], count: int) -> list[str]:
+        return self._random.sample(sorted(ids), min(count, len(ids)))
+
+    # Messages.
+
+    def _receive(self, event: parts.Received) -> list[typing.Any]:
+        if self._has_left:
+            return []
+        effects = self._beliefs.hear(event.now)
+        return effects + self._dispatch(event.now, event.sender, event.message)
+
+    def _dispatch(
+        self, now: float, sender: str, message: typing.Any
+    ) -> list[typing.Any]:
+        match message:
+            case Probe():
+                return self._on_probe(now, sender, message)
+            case ProbeAck():
+                return self._on_ack(now, sender, message)
+            case IndirectProbe():
+                return self._on_indirect_probe(now, sender, message)
+            case IndirectAck():
+                self._probing.acknowledge(message.sequence)
+                return []
+            case Gossip():
+                return self._beliefs.learn(now, message.news)
+            case ViewHashes():
+                return self._comparison.on_hashes(now, sender, message)
+            case ViewPart():
+                return self._comparison.on_part(now, sender, message)
+        raise TypeError(f'membership does not know {type(message).__name__}')
+
+    def _on_probe(
+        self, now: float, sender: str, message: Probe
+    ) -> list[typing.Any]:
+        effects = self._beliefs.learn(now, message.news)
+        if message.retry:
+            # Perhaps the acknowledgement went into a silent connection.
+            effects.append(Reconnect(to=sender))
+        ack = ProbeAck(
+            sequence=message.sequence,
+            view_hash=self._beliefs.roster.view_hash,
+            news=self._beliefs.news_for(now, sender),
+        )
+        effects.append(parts.Send(to=sender, message=ack))
+        return effects
+
+    def _on_ack(
+        self, now: float, sender: str, message: ProbeAck
+    ) -> list[typing.Any]:
+        effects = self._beliefs.learn(now, message.news)
+        errand = self._probing.acknowledge(message.sequence)
+        if errand is not None:
+            answer = IndirectAck(sequence=errand.sequence)
+            effects.append(parts.Send(to=errand.origin, message=answer))
+        if message.view_hash != self._beliefs.roster.view_hash:
+            effects += self._compare(now, sender)
+        return effects
+
+    def _on_indirect_probe(
+        self, now: float, sender: str, message: IndirectProbe
+    ) -> list[typing.Any]:
+        if message.target not in self._beliefs.others:
+            return []
+        sequence = self._probing.begin_errand(now, sender, message.sequence)
+        return [self._probe(now, message.target, sequence)]
+
+    # Finding what was missed.
+
+    def _contact_absent(self, now: float) -> list[typing.Any]:
+        """Try a member that is not there.
+
+        Without this, two halves of a partition that declared each other
+        dead would never meet again.
+        """
+        if now < self._absent_at:
+            return []
+        is_alone = not self._beliefs.others
+        periods = 1.0 if is_alone else ABSENT_PERIODS
+        # Without the jitter all instances would compare at the same moment
+        # after a partition, whose end is the same moment for all.
+        periods *= self._random.uniform(0.5, 1.5)
+        self._absent_at = now + periods * self.period_s
+        absent = self._beliefs.dead_ids | self._seed_ids
+        absent -= self._beliefs.roster.present_ids
+        chosen = self._sample(absent, HELPERS if is_alone else 1)
+        return [self._comparison.ask(instance_id) for instance_id in chosen]
+
+    def _compare(self, now: float, other: str) -> list[typing.Any]:
+        if now < self._compare_at:
+            return []
+        self._compare_at = now + COMPARE_PERIODS * self.period_s
+        return [self._comparison.ask(other)]
+
+    def _send_urgent(self, now: float) -> list[typing.Any]:
+        if not self._beliefs.is_urgent or now < self._urgent_at:
+            return []
+        self._beliefs.is_urgent = False
+        self._urgent_at = now + URGENT_GAP_S
+        effects: list[typing.Any] = []
+        # A suspected member has to hear it more than anyone, so the
+        # suspected ones are among those that are chosen from.
+        for to in self._sample(self._beliefs.others, URGENT_FANOUT):
+            message = Gossip(news=self._beliefs.news_for(now, to))
+            effects.append(parts.Send(to=to, message=message))
+        return effects
+
+
+def _entry(member: Member) -> Entry:
+    return Entry(
+        instance_id=member.instance_id,
+        callers_address=member.info.callers_address,
+        data_centre=member.info.data_centre,
+        region=member.info.region,
+    )
+
+
+def _may_serve(member: Member) -> bool:
+    return member.serving and not member.draining
--- /dev/null
+++ b/dandeliongw/coordination/register.py
@@ -0,0 +1,703 @@
+"""The one configuration document, agreed on by the voters.
+
+A :class:`Register` runs at every instance. Where the instance has a disk
+that the voters count, it also votes. Any instance can propose. See
+``docs/REGISTER.md`` for the protocol and what is proved of it.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from . import acceptor as acceptors
+from . import attempt as attempts
+from . import changes
+from . import checker as checkers
+from . import configuration as configurations
+from . import confirmation
+from . import enforcement
+from . import formation as formations
+from . import hints as hinting
+from . import knowledge as knowledges
+from . import parts
+from . import proposer as proposers
+from . import register_messages as messages
+from . import sync_gate
+from .changes import Applied
+from .changes import ChangeIdReused
+from .changes import Conflict
+from .changes import Unavailable
+from .changes import VoterRefused
+from .enforcement import Enforcement
+
+__all__ = [
+    'Applied',
+    'CaughtUp',
+    'ChangeIdReused',
+    'ConfigurationChanged',
+    'Conflict',
+    'Enforcement',
+    'InstancesChanged',
+    'Propose',
+    'Register',
+    'ReplaceVoter',
+    'Unavailable',
+    'VoterRefused',
+    'VotersChanged',
+]
+
+TOKEN_PREFIX = 'register'
+DEFAULT_CONFIRM_TTL_S = 5.0
+#: A propose ends with ``Unavailable`` after this many seconds.
+DEFAULT_PROPOSE_LIMIT_S = 4.0
+#: Ids of asks and checks start at a random number below this.
+FIRST_ID_LIMIT = 2**48
+#: A coming voter is asked for its disk this often, in seconds.
+DISK_QUERY_EVERY_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Propose:
+    """An operator wants to replace the document.
+
+    :param change_id: the same for every resend of one change.
+    :param expected_revision: the revision that the document was made from.
+    """
+
+    now: float
+    ticket: str
+    change_id: str
+    author: str
+    expected_revision: int
+    document: bytes
+    entropy: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReplaceVoter:
+    """An operator wants another disk to vote in place of a voter's.
+
+    :param instance_id: the voter that goes.
+    :param by: the instance that comes; the same one when only its disk was
+        lost.
+    """
+
+    now: float
+    ticket: str
+    change_id: str
+    instance_id: str
+    by: str
+    entropy: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InstancesChanged:
+    """The instances that are known to run, this one included."""
+
+    now: float
+    instance_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CaughtUp:
+    """Everything else that voters keep was copied to this disk as well.
+
+    The daemon posts it at an instance that joins the voters, when the parts
+    beside the register hold what a majority of the present voters held
+    *after* :class:`VotersChanged` named this instance as joining.
+
+    :param disk_id: the disk that was caught up.
+    """
+
+    now: float
+    disk_id: str
+    entropy: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationChanged:
+    """Effect: another configuration was confirmed by a majority."""
+
+    revision: int
+    document: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class VotersChanged:
+    """Effect: other voters were confirmed by a majority.
+
+    :param joining_by_id: the coming voters; empty when none are coming.
+    :param number: grows with every change, alike at every instance.
+    """
+
+    voters_by_id: dict[str, str]
+    joining_by_id: dict[str, str]
+    number: int
+
+
+class Register:
+    """The register part of one instance.
+
+    :param instance_id: this instance.
+    :param initial_voters: instance ids that form the register; the same at
+        every instance.
+    :param disk_id: the identity of this instance's disk, if it has one.
+    :param confirm_ttl_s: for how many seconds a confirmation lets work be
+        admitted; the same at every instance.
+    :param propose_limit_s: seconds after which a proposal is answered with
+        ``Unavailable``.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        initial_voters: tuple[str, ...],
+        disk_id: str | None,
+        confirm_ttl_s: float = DEFAULT_CONFIRM_TTL_S,
+        propose_limit_s: float = DEFAULT_PROPOSE_LIMIT_S,
+    ) -> None:
+        self.instance_id = instance_id
+        self.disk_id = disk_id
+        self._initial_voters = initial_voters
+        self._ttl_s = confirm_ttl_s
+        self._propose_limit_s = propose_limit_s
+        self._instance_ids: tuple[str, ...] = (instance_id,)
+        self._referred_ids: tuple[str, ...] = ()
+        self._is_started = False
+        self._is_disk_caught_up = False
+        self._replacements_by_ticket: dict[str, ReplaceVoter] = {}
+        self._ask_for_disks_at = 0.0
+        self._knowledge = knowledges.Knowledge(
+            instance_id=instance_id, disk_id=disk_id
+        )
+        self._gate = sync_gate.SyncGate(prefix=TOKEN_PREFIX)
+        self._proposer = proposers.Proposer(
+            knowledge=self._knowledge, on_chosen=self._on_chosen
+        )
+        self._formation = formations.Formation(
+            knowledge=self._knowledge,
+            proposer=self._proposer,
+            initial_voters=initial_voters,
+        )
+        self._checker = checkers.Checker(
+            knowledge=self._knowledge,
+            ttl_s=confirm_ttl_s,
+            confirm=self._confirm,
+        )
+        self._asker = confirmation.Asker(
+            instance_id=instance_id, ttl_s=confirm_ttl_s
+        )
+        self._tracker = enforcement.EnforcementTracker(ttl_s=confirm_ttl_s)
+        self._hints = hinting.Hints(
+            instance_id=instance_id, ttl_s=confirm_ttl_s
+        )
+        self._handlers: dict[type, abc.Callable] = {
+            parts.Ticked: self._on_ticked,
+            parts.Received: self._on_received,
+            parts.Persisted: self._on_persisted,
+            Propose: self._on_propose,
+            ReplaceVoter: self._on_replace_voter,
+            InstancesChanged: self._on_instances_changed,
+            CaughtUp: self._on_caught_up,
+        }
+        self._receivers: dict[type, abc.Callable] = {
+            messages.PrepareBallot: self._on_prepare,
+            messages.BallotPromised: self._on_promised,
+            messages.BallotRefused: self._on_refused,
+            messages.FetchVersion: self._on_fetch,
+            messages.VersionFetched: self._on_fetched,
+            messages.AcceptVersion: self._on_accept,
+            messages.VersionAccepted: self._on_accepted,
+            messages.FullVersionNeeded: self._on_full_needed,
+            messages.CheckAccepted: self._on_check,
+            messages.AcceptedReport: self._on_report,
+            messages.ConfirmConfiguration: self._on_confirm,
+            messages.ConfigurationConfirmed: self._on_confirmed,
+            messages.ConfirmRefused: self._on_confirm_refused,
+            messages.ConfigurationHint: self._on_hint,
+            messages.RevisionConfirmed: self._on_revision_confirmed,
+            messages.DiskQuery: self._on_disk_query,
+            messages.DiskReport: self._on_disk_report,
+        }
+
+    # What others may read.
+
+    @property
+    def configuration(self) -> configurations.Configuration | None:
+        """Return what was confirmed last; ``None`` before the first time."""
+        confirmed = self._knowledge.confirmed
+        return None if confirmed is None else confirmed.configuration
+
+    @property
+    def confirmed_at(self) -> float | None:
+        """Return when the ask left that confirmed it, by our clock."""
+        return self._knowledge.confirmed_at
+
+    @property
+    def revision(self) -> int | None:
+        """Return the confirmed revision; ``None`` before the first."""
+        configuration = self.configuration
+        return None if configuration is None else configuration.revision
+
+    @property
+    def document(self) -> bytes:
+        """Return the confirmed document; empty before the first."""
+        configuration = self.configuration
+        if configuration is None:
+            return b''
+        return configurations.unpack(configuration.document)
+
+    @property
+    def author(self) -> str:
+        """Return who made the confirmed document."""
+        configuration = self.configuration
+        return '' if configuration is None else configuration.author
+
+    def history(self) -> tuple[configurations.ChangeRecord, ...]:
+        """Return the confirmed changes that are kept, oldest first."""
+        configuration = self.configuration
+        return () if configuration is None else configuration.changes
+
+    @property
+    def voters_by_id(self) -> dict[str, str]:
+        """Return disk ids by voter, as confirmed."""
+        configuration = self.configuration
+        return (
+            {} if configuration is None else configuration.voters.voters_by_id
+        )
+
+    @property
+    def joining_by_id(self) -> dict[str, str]:
+        """Return the coming voters' disks; empty when none are coming."""
+        configuration = self.configuration
+        return (
+            {} if configuration is None else configuration.voters.joining_by_id
+        )
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether work may be admitted under the configuration."""
+        confirmed_at = self.confirmed_at
+        return confirmed_at is not None and now - confirmed_at < self._ttl_s
+
+    def in_force(
+        self, revision: int, now: float
+    ) -> dict[str, enforcement.Enforcement]:
+        """Return what is known of a revision, by instance id."""
+        return {
+            instance_id: self._enforcement_of(instance_id, revision, now)
+            for instance_id in self._instance_ids
+        }
+
+    def _enforcement_of(
+        self, instance_id: str, revision: int, now: float
+    ) -> enforcement.Enforcement:
+        confirmed = self.revision
+        if instance_id != self.instance_id or confirmed is None:
+            return self._tracker.state(instance_id, revision, now)
+        if confirmed >= revision:
+            return enforcement.Enforcement.CONFIRMED
+        if not self.is_fresh(now):
+            return enforcement.Enforcement.STOPPED
+        return enforcement.Enforcement.WAITING
+
+    # The part's contract.
+
+    def handle(self, event: typing.Any) -> list[typing.Any]:
+        """Change the state and return what is to be done.
+
+        Events that mean nothing to this part are passed over.
+        """
+        handler = self._handlers.get(type(event))
+        return [] if handler is None else handler(event)
+
+    def restore(self, record: typing.Any) -> None:
+        """Take in one journal record; others' records are passed over."""
+        acceptor = self._knowledge.acceptor
+        if acceptor is None or not isinstance(record, messages.RECORDS):
+            return
+        acceptor.restore(record)
+        self._knowledge.learn_from_disk()
+
+    def snapshot(self) -> list[typing.Any]:
+        """Return the records that rebuild this part."""
+        acceptor = self._knowledge.acceptor
+        return [] if acceptor is None else acceptor.snapshot()
+
+    def _on_ticked(self, event: parts.Ticked) -> list[typing.Any]:
+        if not self._is_started:
+            self._start(event.entropy)
+        self._add_own_work(event)
+        return [
+            *self._formation.tick(event.now),
+            *self._ask_for_disks(event.now),
+            *self._proposer.tick(event.now),
+            *self._checker.tick(event.now),
+            *self._tick_asker(event.now),
+            *self._hints.tick(event.now, self.in_force),
+        ]
+
+    def _start(self, entropy: int) -> None:
+        self._is_started = True
+        first_id = entropy % FIRST_ID_LIMIT
+        self._formation.start(first_id)
+        self._checker.start(first_id)
+        self._asker.start(first_id)
+
+    def _on_received(self, event: parts.Received) -> list[typing.Any]:
+        receiver = self._receivers.get(type(event.message))
+        if receiver is None:
+            return []
+        to_disk_id = getattr(event.message, 'to_disk_id', self.disk_id)
+        if to_disk_id != self.disk_id:
+            # Meant for a disk that is gone: this one can't speak for it.
+            return []
+        return receiver(event, event.message)
+
+    def _on_persisted(self, event: parts.Persisted) -> list[typing.Any]:
+        return list(self._gate.persisted(event.token))
+
+    def _on_instances_changed(
+        self, event: InstancesChanged
+    ) -> list[typing.Any]:
+        self._instance_ids = event.instance_ids
+        self._tracker.forget_others(event.instance_ids)
+        return []
+
+    # The voter: promises and acceptances of this disk.
+
+    def _on_prepare(
+        self, event: parts.Received, message: messages.PrepareBallot
+    ) -> list[typing.Any]:
+        answer = self._knowledge.acceptor.prepare(message)
+        return self._reply(event.sender, answer)
+
+    def _on_accept(
+        self, event: parts.Received, message: messages.AcceptVersion
+    ) -> list[typing.Any]:
+        answer = self._knowledge.acceptor.accept(message)
+        self._knowledge.learn_from_disk()
+        return self._reply(event.sender, answer)
+
+    def _on_fetch(
+        self, event: parts.Received, message: messages.FetchVersion
+    ) -> list[typing.Any]:
+        versions = self._knowledge.acceptor.versions
+        if versions.current is None:
+            return []
+        reply = messages.VersionFetched(
+            from_disk_id=self.disk_id, update=versions.update_for(message.base)
+        )
+        return self._reply(event.sender, acceptors.Answer(reply=reply))
+
+    def _on_check(
+        self, event: parts.Received, message: messages.CheckAccepted
+    ) -> list[typing.Any]:
+        reply = messages.AcceptedReport(
+            from_disk_id=self.disk_id,
+            check_id=message.check_id,
+            accepted=self._knowledge.acceptor.accepted,
+        )
+        return self._reply(event.sender, acceptors.Answer(reply=reply))
+
+    def _reply(self, to: str, answer: acceptors.Answer) -> list[typing.Any]:
+        send = parts.Send(to=to, message=answer.reply)
+        return self._gate.reply(answer.records, [send])
+
+    # Proposals.
+
+    def _on_propose(self, event: Propose) -> list[typing.Any]:
+        change = changes.DocumentChange(
+            change_id=event.change_id,
+            author=event.author,
+            expected_revision=event.expected_revision,
+            document=event.document,
+        )
+        job = proposers.Job(
+            change=change,
+            entropy=event.entropy,
+            ticket=event.ticket,
+            deadline=event.now + self._propose_limit_s,
+        )
+        return self._proposer.add(job, event.now)
+
+    def _on_promised(
+        self, event: parts.Received, message: messages.BallotPromised
+    ) -> list[typing.Any]:
+        return self._proposer.on_promised(message, event.now)
+
+    def _on_refused(
+        self, event: parts.Received, message: messages.BallotRefused
+    ) -> list[typing.Any]:
+        return self._proposer.on_refused(message, event.now)
+
+    def _on_accepted(
+        self, event: parts.Received, message: messages.VersionAccepted
+    ) -> list[typing.Any]:
+        return self._proposer.on_accepted(message, event.now)
+
+    def _on_full_needed(
+        self, event: parts.Received, message: messages.FullVersionNeeded
+    ) -> list[typing.Any]:
+        return self._proposer.on_full_needed(message)
+
+    def _on_fetched(
+        self, event: parts.Received, message: messages.VersionFetched
+    ) -> list[typing.Any]:
+        self._knowledge.learn(message.update)
+        return [
+            *self._proposer.on_version_known(event.now),
+            *self._checker.settle(event.now),
+        ]
+
+    def _on_chosen(
+        self, attempt: attempts.Attempt, now: float
+    ) -> list[typing.Any]:
+        known = self._knowledge.known
+        before = known.current
+        self._knowledge.learn(attempt.update_from(known.ballot))
+        revision = attempt.version.configuration.revision
+        if before is None or before.configuration.revision < revision:
+            self._hints.begin(revision, now)
+        return [
+            *self._confirm(attempt.version, attempt.accept_sent_at, now),
+            *self._hints.tick(now, self.in_force),
+        ]
+
+    # Replacement of voters.
+
+    def _on_replace_voter(self, event: ReplaceVoter) -> list[typing.Any]:
+        job = proposers.Job(
+            change=None,
+            entropy=event.entropy,
+            ticket=event.ticket,
+            deadline=event.now + self._propose_limit_s,
+        )
+        if self._is_recorded(event.change_id):
+            # A resend is answered from the records; the disk has no part.
+            job.change = _make_replacement(event, disk_id='')
+            return self._proposer.add(job, event.now)
+        self._replacements_by_ticket[event.ticket] = event
+        self._ask_for_disks_at = event.now
+        self._proposer.add(job, event.now)
+        return self._ask_for_disks(event.now)
+
+    def _is_recorded(self, change_id: str) -> bool:
+        known = self._knowledge.known.current
+        if known is None:
+            return False
+        return known.configuration.find_change(change_id) is not None
+
+    def _ask_for_disks(self, now: float) -> list[typing.Any]:
+        """Ask the coming voters for their disks, until they have answered."""
+        waiting = {
+            job.ticket for job in self._proposer.jobs if job.change is None
+        }
+        for ticket in set(self._replacements_by_ticket) - waiting:
+            del self._replacements_by_ticket[ticket]
+        if now < self._ask_for_disks_at:
+            return []
+        self._ask_for_disks_at = now + DISK_QUERY_EVERY_S
+        return [
+            parts.Send(
+                to=request.by,
+                message=messages.DiskQuery(query_id=_query_id(request)),
+            )
+            for request in self._replacements_by_ticket.values()
+        ]
+
+    def _on_disk_query(
+        self, event: parts.Received, message: messages.DiskQuery
+    ) -> list[typing.Any]:
+        acceptor = self._knowledge.acceptor
+        holds = acceptor is not None and acceptor.accepted is not None
+        report = messages.DiskReport(
+            query_id=message.query_id,
+            disk_id=self.disk_id,
+            holds_version=holds,
+        )
+        return self._reply(event.sender, acceptors.Answer(reply=report))
+
+    def _on_disk_report(
+        self, event: parts.Received, message: messages.DiskReport
+    ) -> list[typing.Any]:
+        for job in self._proposer.jobs:
+            request = self._replacements_by_ticket.get(job.ticket)
+            if request is None or message.query_id != _query_id(request):
+                continue
+            del self._replacements_by_ticket[job.ticket]
+            return self._take_disk(job, request, event)
+        return self._formation.on_report(event.sender, message, event.now)
+
+    def _take_disk(
+        self,
+        job: proposers.Job,
+        request: ReplaceVoter,
+        event: parts.Received,
+    ) -> list[typing.Any]:
+        disk_id = event.message.disk_id
+        if disk_id is None:
+            self._proposer.remove(job, event.now)
+            refusal = VoterRefused(message=f'{request.by!r} has no disk')
+            return [parts.Complete(ticket=job.ticket, result=refusal)]
+        job.change = _make_replacement(request, disk_id=disk_id)
+        return self._proposer.start(event.now)
+
+    def _on_caught_up(self, event: CaughtUp) -> list[typing.Any]:
+        self._is_disk_caught_up = event.disk_id == self.disk_id
+        return []
+
+    def _add_own_work(self, event: parts.Ticked) -> None:
+        """End our own joining, or repair what a proposer left half done."""
+        if self._knowledge.acceptor is None or self._proposer.jobs:
+            return
+        change: changes.Change
+        if self._is_ready_to_vote():
+            change = changes.ReplacementEnd(disk_id=self.disk_id)
+        elif self._checker.is_repair_wanted:
+            change = changes.WriteBack()
+        else:
+            return
+        self._checker.is_repair_wanted = False
+        job = proposers.Job(
+            change=change,
+            entropy=event.entropy,
+            deadline=event.now + self._propose_limit_s,
+        )
+        self._proposer.add_later(job, event.now)
+
+    def _is_ready_to_vote(self) -> bool:
+        version = self._knowledge.acceptor.versions.current
+        if version is None or not self._is_disk_caught_up:
+            return False
+        return version.configuration.voters.is_joining(self.disk_id)
+
+    # Confirmation.
+
+    def _on_confirm(
+        self, event: parts.Received, message: messages.ConfirmConfiguration
+    ) -> list[typing.Any]:
+        if self._knowledge.is_voter:
+            return self._checker.ask(event.sender, message, event.now)
+        refusal = messages.ConfirmRefused(
+            ask_id=message.ask_id, voter_ids=self._knowledge.voter_ids
+        )
+        return [parts.Send(to=event.sender, message=refusal)]
+
+    def _on_report(
+        self, event: parts.Received, message: messages.AcceptedReport
+    ) -> list[typing.Any]:
+        return self._checker.on_report(event.sender, message, event.now)
+
+    def _tick_asker(self, now: float) -> list[typing.Any]:
+        if self._knowledge.is_voter and not self._is_overdue(now):
+            return []
+        return list(
+            self._asker.tick(
+                now, self._candidates(), self._knowledge.known.ballot
+            )
+        )
+
+    def _is_overdue(self, now: float) -> bool:
+        # A voter that can't confirm by itself may remember voters that have
+        # all been replaced; the others know better.
+        if self.confirmed_at is None:
+            return True
+        age = now - self.confirmed_at
+        return age > 2 * confirmation.ASK_EVERY * self._ttl_s
+
+    def _candidates(self) -> list[str]:
+        ids = (
+            *self._knowledge.voter_ids,
+            *self._referred_ids,
+            *self._initial_voters,
+        )
+        return list(dict.fromkeys(i for i in ids if i != self.instance_id))
+
+    def _on_confirmed(
+        self, event: parts.Received, message: messages.ConfigurationConfirmed
+    ) -> list[typing.Any]:
+        sent_at = self._asker.answered(message.ask_id)
+        if sent_at is None:
+            return []
+        known = self._knowledge.known.current
+        version = configurations.resolve(message.update, known)
+        if version is None:
+            self._asker.hurry()
+            return []
+        self._knowledge.learn(message.update)
+        effects = self._confirm(version, sent_at, event.now)
+        effects.extend(self._tick_asker(event.now))
+        effects.extend(self._proposer.on_version_known(event.now))
+        return effects
+
+    def _on_confirm_refused(
+        self, event: parts.Received, message: messages.ConfirmRefused
+    ) -> list[typing.Any]:
+        self._referred_ids = message.voter_ids
+        self._asker.refused(event.sender, message.ask_id, event.now)
+        return []
+
+    def _confirm(
+        self, version: configurations.Version, at: float, now: float
+    ) -> list[typing.Any]:
+        """Take a version that a majority held at ``at``, by our clock."""
+        before = self.configuration
+        if not self._knowledge.confirm(version, at):
+            return []
+        after = version.configuration
+        self._tracker.note_chosen(after.revision, now)
+        effects: list[typing.Any] = []
+        if before is None or before.revision != after.revision:
+            changed = ConfigurationChanged(
+                revision=after.revision, document=self.document
+            )
+            effects.append(changed)
+            effects.extend(self._hints.confirmed(after.revision))
+        if before is None or before.voters != after.voters:
+            changed_voters = VotersChanged(
+                voters_by_id=after.voters.voters_by_id,
+                joining_by_id=after.voters.joining_by_id,
+                number=after.voters.number,
+            )
+            effects.append(changed_voters)
+        return effects
+
+    # Hints.
+
+    def _on_hint(
+        self, event: parts.Received, message: messages.ConfigurationHint
+    ) -> list[typing.Any]:
+        confirmed = self.revision
+        if confirmed is not None and confirmed >= message.revision:
+            reply = messages.RevisionConfirmed(revision=confirmed)
+            return [parts.Send(to=event.sender, message=reply)]
+        self._hints.note_hinter(event.sender)
+        if self._knowledge.is_voter:
+            return self._checker.hurry(event.now)
+        self._asker.hurry()
+        return self._tick_asker(event.now)
+
+    def _on_revision_confirmed(
+        self, event: parts.Received, message: messages.RevisionConfirmed
+    ) -> list[typing.Any]:
+        self._tracker.note_confirmed(event.sender, message.revision)
+        return []
+
+
+def _query_id(request: ReplaceVoter) -> int:
+    # Its own for every request: a late answer to an earlier one may name a
+    # disk that was lost since.
+    return request.entropy % FIRST_ID_LIMIT
+
+
+def _make_replacement(
+    request: ReplaceVoter, *, disk_id: str
+) -> changes.VoterReplacement:
+    return changes.VoterReplacement(
+        change_id=request.change_id,
+        author='',
+        instance_id=request.instance_id,
+        by=request.by,
+        disk_id=disk_id,
+    )
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -9,6 +9,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import http.client
 import json
 import socket
 import typing
@@ -21,6 +22,13 @@
 
 #: The end mark and the pieces of a stream are short lines.
 MAX_LINE_BYTES = 1 << 20
+#: An engine's own words for what it did not do. Any other error, a plain
+#: 500 or one of a box in between, proves nothing.
+NOT_RUN_REASONS = frozenset(
+    ('busy', 'full', 'evicted', 'stalled', 'fenced', 'unknown')
+)
+#: How a plain service says, with status 503, that it did not run a call.
+NOT_RUN_HEADER = 'X-Not-Run'
 
 
 class EngineError(Exception):
@@ -75,7 +83,10 @@
 
 
 class Engine(typing.Protocol):
-    """A model engine, in either role."""
+    """A model engine, in either role.
+
+    ``deadline_s`` is how long anybody waits for the result.
+    """
 
     def prefill(
         self,
@@ -85,6 +96,7 @@
         prompt: str,
         priority: int,
         fence: int,
+        deadline_s: float,
     ) -> Prefilled: ...
 
     def import_kv(
@@ -95,6 +107,7 @@
         kv: str,
         source_url: str,
         fence: int,
+        deadline_s: float,
     ) -> None: ...
 
     def decode(
@@ -104,10 +117,13 @@
         attempt_id: str,
         max_tokens: int,
         from_offset: int,
-    ) -> abc.Iterator[Piece]: ...
+        deadline_s: float,
+    ) -> abc.Generator[Piece, None, None]: ...
 
     def cancel(self, *, stream_id: str, attempt_id: str) -> None: ...
 
+    def streams(self) -> tuple[tuple[str, str], ...]: ...
+
     def abort(self) -> None:
         """Break off the call in progress, from any thread."""
         ...
@@ -127,6 +143,7 @@
         )
         self._read_s = read_s
         self._socket: socket.socket | None = None
+        self._response: typing.Any = None
         self._aborted = False
 
     def open(self) -> None:
@@ -141,7 +158,10 @@
                 reason=verdict.RetryReason.CONNECT_REFUSED,
             ) from error
         self._socket = self._connection.sock
-        self._socket.settimeout(self._read_s)
+        # The library gives the socket this time-out anew for each call and
+        # each answer. With that of the connect left in it, every prefill of
+        # more than a second would seem to have stalled.
+        self._connection.timeout = self._read_s
         if self._aborted:
             # The abort came before there was a socket to shut down.
             raise EngineError('aborted', known=verdict.Verdict.NOT_RUN)
@@ -163,7 +183,8 @@
                 preload_content=False,
                 decode_content=False,
             )
-            return self._connection.getresponse()
+            self._response = self._connection.getresponse()
+            return self._response
 
     def read(self, response: typing.Any, most: int) -> bytes:
         """Read a whole body; a cut-off one is an error, never an answer."""
@@ -205,7 +226,19 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def read_timeout_s(self) -> float | None:
+        """Seconds of silence that the socket allows just now."""
+        return None if self._socket is None else self._socket.gettimeout()
+
     def close(self) -> None:
+        """End the connection, also in the middle of an answer.
+
+        The answer has a hold of the socket of its own. Left to the garbage
+        collector, an engine would go on sending to nobody.
+        """
+        if self._response is not None:
+            self._response.close()
         self._connection.close()
 
     @contextlib.contextmanager
@@ -221,6 +254,8 @@
         except (
             OSError,
             urllib3.exceptions.HTTPError,
+            # Of an answer that is no HTTP at all, or of an odd path.
+            http.client.HTTPException,
             ValueError,
             AttributeError,
         ) as error:
@@ -261,6 +296,7 @@
         prompt: str,
         priority: int,
         fence: int,
+        deadline_s: float,
     ) -> Prefilled:
         answer = self._ask(
             '/v1/prefill',
@@ -271,12 +307,14 @@
                 'priority': priority,
                 'fence': fence,
             },
+            deadline_s,
         )
-        return Prefilled(
-            kv=str(answer['kv']),
-            tokens=int(answer['tokens']),
-            cached_tokens=int(answer.get('cached_tokens', 0)),
-        )
+        with _understood(answer):
+            return Prefilled(
+                kv=str(answer['kv']),
+                tokens=int(answer['tokens']),
+                cached_tokens=int(answer.get('cached_tokens', 0)),
+            )
 
     def import_kv(
         self,
@@ -286,6 +324,7 @@
         kv: str,
         source_url: str,
         fence: int,
+        deadline_s: float,
     ) -> None:
         self._ask(
             '/v1/import',
@@ -296,6 +335,7 @@
                 'source_url': source_url,
                 'fence': fence,
             },
+            deadline_s,
         )
 
     def decode(
@@ -305,7 +345,8 @@
         attempt_id: str,
         max_tokens: int,
         from_offset: int,
-    ) -> abc.Iterator[Piece]:
+        deadline_s: float,
+    ) -> abc.Generator[Piece, None, None]:
         body = {
             'stream_id': stream_id,
             'attempt_id': attempt_id,
@@ -313,7 +354,7 @@
             'from_offset': from_offset,
         }
         with self._exchange(self._stall_s) as exchange:
-            response = self._post(exchange, '/v1/decode', body)
+            response = self._post(exchange, '/v1/decode', body, deadline_s)
             self._raise_unless_ok(exchange, response)
             for line in exchange.lines(response):
                 if line.startswith(b'data:'):
@@ -324,15 +365,31 @@
             '/v1/cancel', {'stream_id': stream_id, 'attempt_id': attempt_id}
         )
 
-    def order(self, *, order: str, value: str, fence: int) -> None:
+    def streams(self) -> tuple[tuple[str, str], ...]:
+        """Return stream id and attempt id of all that the engine holds."""
+        with self._exchange(self._first_byte_s) as exchange:
+            response = exchange.send('GET', '/v1/streams', b'', {})
+            self._raise_unless_ok(exchange, response)
+            answer = _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+        return tuple(
+            (str(each['stream_id']), str(each['attempt_id']))
+            for each in answer['streams']
+        )
+
+    def order(
+        self, *, order: str, value: str, fence: int, timeout_s: float
+    ) -> None:
         """Load a model, adapter or version, or change role.
 
+        :param timeout_s: longest silence of the engine.
         :raises EngineError: with reason ``fenced`` from an engine that has
             seen a higher fencing number.
         """
-        self._ask(
-            '/v1/order', {'order': order, 'value': value, 'fence': fence}
-        )
+        body = {'order': order, 'value': value, 'fence': fence}
+        with self._exchange(timeout_s) as exchange:
+            response = self._post(exchange, '/v1/order', body)
+            self._raise_unless_ok(exchange, response)
+            exchange.read(response, self.MAX_ANSWER_BYTES)
 
     def abort(self) -> None:
         self._aborted = True
@@ -354,19 +411,25 @@
             self._current = None
             exchange.close()
 
-    def _ask(self, path: str, body: dict) -> dict:
+    def _ask(
+        self, path: str, body: dict, deadline_s: float | None = None
+    ) -> dict:
         with self._exchange(self._first_byte_s) as exchange:
-            response = self._post(exchange, path, body)
+            response = self._post(exchange, path, body, deadline_s)
             self._raise_unless_ok(exchange, response)
             return _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
 
-    def _post(self, exchange: Exchange, path: str, body: dict) -> typing.Any:
-        return exchange.send(
-            'POST',
-            path,
-            json.dumps(body).encode(),
-            {'Content-Type': 'application/json'},
-        )
+    def _post(
+        self,
+        exchange: Exchange,
+        path: str,
+        body: dict,
+        deadline_s: float | None,
+    ) -> typing.Any:
+        headers = {'Content-Type': 'application/json'}
+        if deadline_s is not None:
+            headers['X-Deadline-S'] = f'{deadline_s:.3f}'
+        return exchange.send('POST', path, json.dumps(body).encode(), headers)
 
     def _raise_unless_ok(
         self, exchange: Exchange, response: typing.Any
@@ -374,11 +437,15 @@
         if response.status == 200:
             return
         answer = _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+        reason = str(answer.get('reason', ''))
         raise EngineError(
             f'{self.url} answered {response.status}: {answer}',
-            # An engine that answers an error says that it did not run it.
-            known=verdict.Verdict.NOT_RUN,
-            reason=str(answer.get('reason', '')),
+            known=(
+                verdict.Verdict.NOT_RUN
+                if reason in NOT_RUN_REASONS
+                else verdict.Verdict.MAY_HAVE_RUN
+            ),
+            reason=reason,
         )
 
 
@@ -398,12 +465,26 @@
 def _read_piece(data: bytes) -> Piece:
     answer = _read_json(data)
     is_end = bool(answer.get('end'))
-    return Piece(
-        attempt_id=str(answer.get('attempt_id', '')),
-        offset=int(answer['tokens'] if is_end else answer['offset']),
-        text=str(answer.get('text', '')),
-        is_end=is_end,
-    )
+    with _understood(answer):
+        return Piece(
+            attempt_id=str(answer.get('attempt_id', '')),
+            offset=int(answer['tokens'] if is_end else answer['offset']),
+            text=str(answer.get('text', '')),
+            is_end=is_end,
+        )
+
+
+@contextlib.contextmanager
+def _understood(answer: dict) -> abc.Iterator[None]:
+    """Fail as any other call does where a field is missing or odd."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError) as error:
+        raise EngineError(
+            f'an answer that is not understood, {error!r} in '
+            f'{str(answer)[:80]}',
+            known=verdict.Verdict.MAY_HAVE_RUN,
+        ) from error
 
 
 class PlainService:
@@ -430,7 +511,7 @@
 
         :raises EngineError: its ``known`` is ``NOT_RUN`` only when the
             connection was never made, or the service says so with 503 and
-            ``X-Not-Run: true``.
+            ``X-Not-Run: true``. One whose answer is too long has ``RAN``.
         """
         try:
             self._exchange.open()
@@ -438,7 +519,8 @@
             content = self._exchange.read(response, most_bytes)
         finally:
             self._exchange.close()
-        if response.status == 503 and response.headers.get('X-Not-Run'):
+        says_not_run = response.headers.get(NOT_RUN_HEADER, '') == 'true'
+        if response.status == 503 and says_not_run:
             raise EngineError(
                 f'{self.url} is busy',
                 known=verdict.Verdict.NOT_RUN,
--- /dev/null
+++ b/dandeliongw/owner.py
@@ -0,0 +1,431 @@
+"""The cells that this instance owns, for as long as it holds their leases."""
+
+import typing
+
+from . import cells
+from . import directory as directory_module
+from . import document as document_module
+from . import effects
+from . import orders
+from . import policy
+from . import scheduler
+from . import takeover
+from .coordination import lease
+from .coordination import parts
+from .coordination import presence
+
+#: Loads from the weight store that an instance may save up.
+STORE_BURST = 2.0
+#: Every message that goes to the owner of ``message.cell``.
+TO_OWNER = (
+    cells.Book,
+    cells.PrefillDone,
+    cells.Progress,
+    cells.Release,
+    cells.Reclaim,
+)
+
+
+class Owner:
+    """Makes a cell when its lease is gained, drops it when it is lost.
+
+    A cell's state is not handed over: entries tell a new owner what they
+    hold, see ``takeover.py``, and backend servers renew within a second.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: directory_module.Directory,
+        leases: lease.Leases,
+        backends: presence.Presence,
+        store_loads_per_s: float = 1.0,
+        longest_order_s: float = 5.0,
+        lease_wait_s: float = 2.25,
+    ) -> None:
+        self._directory = directory
+        self._leases = leases
+        self._presence = backends
+        self._budget = orders.StoreBudget(
+            loads_per_s=store_loads_per_s, burst=STORE_BURST
+        )
+        self._longest_order_s = longest_order_s
+        self._lease_wait_s = lease_wait_s
+        self._orders_by_cell: dict[str, orders.Orders] = {}
+        self._order_revision = 0
+        self._loads_told_by_id: dict[str, float] = {}
+        self._takeovers_by_cell: dict[str, takeover.Takeover] = {}
+        self.cells_by_id: dict[str, cells.Cell] = {}
+
+    def gain(
+        self, now: float, cell: str, epoch: int, instance_ids: frozenset[str]
+    ) -> list[typing.Any]:
+        """Start owning a cell.
+
+        :param instance_ids: all that may hold bookings of it.
+        """
+        service = cell.split('/')[0]
+        terms = self._terms(service)
+        if terms is None:
+            return []
+        self.cells_by_id[cell] = cells.Cell(
+            cell_id=cell,
+            service=service,
+            epoch=epoch,
+            document_part=terms,
+            policy=self.make_policy(),
+        )
+        begun = takeover.Takeover(
+            now=now, cell=cell, epoch=epoch, awaited=instance_ids
+        )
+        self._takeovers_by_cell[cell] = begun
+        self._orders_by_cell[cell] = orders.Orders(
+            cell=cell,
+            epoch=epoch,
+            guard=self._leases,
+            budget=self._budget,
+            longest_order_s=self._longest_order_s,
+            lease_wait_s=self._lease_wait_s,
+        )
+        return [*self._tell_backends(now, cell), *begun.announce()]
+
+    def make_policy(self) -> policy.Policy:
+        """Return the policy of a new cell; a hook."""
+        return scheduler.Scheduler()
+
+    def lose(self, cell: str) -> None:
+        """Stop owning a cell; the next owner starts from what it is told."""
+        self.cells_by_id.pop(cell, None)
+        self._takeovers_by_cell.pop(cell, None)
+        self._orders_by_cell.pop(cell, None)
+
+    def change_document(self, now: float) -> None:
+        """Take the document's new terms; drop cells whose service is gone."""
+        for cell_id, cell in list(self.cells_by_id.items()):
+            terms = self._terms(cell.service)
+            if terms is None:
+                self.lose(cell_id)
+            else:
+                cell.handle(cells.TermsChanged(now=now, terms=terms))
+                self._tell_orders(now, cell_id)
+
+    def receive(self, event: parts.Received) -> list[typing.Any]:
+        """Take a message for a cell, or say that it isn't owned here."""
+        message = event.message
+        cell = self._held_cell(event.now, message.cell)
+        if cell is None:
+            return self._not_owner(event)
+        begun = self._takeovers_by_cell.get(message.cell)
+        if begun is None:
+            return cell.handle(event)
+        if isinstance(message, cells.Book):
+            return begun.hold_back(event)
+        if isinstance(message, cells.Reclaim):
+            begun.note_reclaim(event.sender)
+        return [*cell.handle(event), *self._end_takeovers(event.now)]
+
+    def _end_takeovers(self, now: float) -> list[typing.Any]:
+        out = []
+        for cell_id, begun in list(self._takeovers_by_cell.items()):
+            if not begun.is_over(now):
+                continue
+            del self._takeovers_by_cell[cell_id]
+            for held_back in begun.release(now):
+                out.extend(self.receive(held_back))
+        return out
+
+    def _held_cell(self, now: float, cell_id: str) -> cells.Cell | None:
+        """Return the cell if its lease is held at this very moment.
+
+        A process that was frozen past its lease wakes up with its cells
+        still in memory and messages waiting in its sockets. Asking the
+        clock before each message keeps it from spending slots that the
+        next owner has already given away.
+        """
+        cell = self.cells_by_id.get(cell_id)
+        if cell is None:
+            return None
+        if self._leases.epoch_if_held(cell_id, now) != cell.epoch:
+            return None
+        return cell
+
+    def _not_owner(self, event: parts.Received) -> list[typing.Any]:
+        message = event.message
+        if isinstance(message, cells.Book):
+            about = message
+        elif isinstance(message, cells.Progress) and message.bookings:
+            about = message.bookings[0]
+        else:
+            return []
+        reply = cells.NotOwner(
+            cell=message.cell,
+            request_id=about.request_id,
+            attempt_id=about.attempt_id,
+            holder=self._leases.known_holder(message.cell) or '',
+        )
+        return [parts.Send(to=event.sender, message=reply)]
+
+    def handle_in_all(self, event: typing.Any) -> list[typing.Any]:
+        """Give an event to every cell that is held."""
+        out = []
+        for cell_id in list(self.cells_by_id):
+            cell = self._held_cell(event.now, cell_id)
+            if cell is not None:
+                out.extend(cell.handle(event))
+        return out
+
+    def tick(self, event: parts.Ticked) -> list[typing.Any]:
+        """Let time pass and pass on the load reports that came since."""
+        return [
+            *self._tell_loads(event.now),
+            *self.handle_in_all(event),
+            *self._end_takeovers(event.now),
+            *self._give_orders(event),
+        ]
+
+    def change_backend(self, now: float, backend_id: str) -> list[typing.Any]:
+        """Tell the backend server's cell that its presence changed."""
+        backend = self._presence.backends_by_id.get(backend_id)
+        if backend is None:
+            return []
+        announcement = backend.announcement
+        cell = self._directory.cell_of_backend(
+            announcement.service, announcement.data_centre
+        )
+        return [] if cell is None else self._tell_backends(now, cell)
+
+    def hint(self, now: float, hints: presence.CacheHints) -> list[typing.Any]:
+        """Pass cache events on; they are late and may have gaps."""
+        kind = presence.CacheEventKind
+        return self.handle_in_all(
+            cells.CacheHint(
+                now=now,
+                backend_id=hints.backend_id,
+                stored=_prefixes(hints, kind.STORED),
+                evicted=_prefixes(hints, kind.EVICTED),
+                gap=hints.after_gap,
+            )
+        )
+
+    def may_send(self, wanted: effects.GiveOrder, now: float) -> bool:
+        """Whether an order may leave at this very moment; any thread."""
+        held = self._orders_by_cell.get(wanted.cell)
+        return held is not None and held.may_send(wanted.order, now)
+
+    def answer_order(self, event: orders.OrderAnswered) -> list[typing.Any]:
+        """Take the end of one send of an order."""
+        for held in self._orders_by_cell.values():
+            held.handle(event)
+        return []
+
+    def _give_orders(self, event: parts.Ticked) -> list[typing.Any]:
+        out = []
+        for cell_id, held in self._orders_by_cell.items():
+            backends = self.cells_by_id[cell_id].view.backends_by_id
+            for order in held.handle(event):
+                state = backends.get(order.backend_id)
+                if state is not None:
+                    out.append(
+                        effects.GiveOrder(
+                            cell=cell_id,
+                            url=state.backend.url,
+                            order=order,
+                            timeout_s=self._longest_order_s,
+                        )
+                    )
+        return out
+
+    def _tell_orders(self, now: float, cell_id: str) -> None:
+        """Say which engines there are and what the document wants of them."""
+        held = self._orders_by_cell.get(cell_id)
+        if held is None:
+            return
+        values_by_role = wanted_of(
+            self._directory.document, self.cells_by_id[cell_id].service
+        )
+        present = self.cells_by_id[cell_id].view.backends_by_id
+        for backend_id, state in present.items():
+            said = self._presence.backends_by_id[backend_id].announcement
+            held.handle(
+                orders.EngineSeen(
+                    now=now,
+                    backend_id=backend_id,
+                    incarnation=state.backend.incarnation,
+                    checks_fence=said.checks_fence,
+                )
+            )
+        held.handle(
+            orders.DesiredChanged(
+                now=now,
+                revision=self._next_order_revision(),
+                values_by_backend={
+                    backend_id: values_by_role.get(state.backend.role, {})
+                    for backend_id, state in present.items()
+                },
+            )
+        )
+
+    def _next_order_revision(self) -> int:
+        """Number what is desired; it changes with the engines as well."""
+        self._order_revision += 1
+        return self._order_revision
+
+    def pool_loads(self) -> tuple[effects.PoolLoad, ...]:
+        """Return slots and queues of every pool, as far as owned here."""
+        return tuple(
+            self._pool_load(pool) for pool in self._directory.document.pools
+        )
+
+    def _pool_load(self, pool: document_module.Pool) -> effects.PoolLoad:
+        owned = [
+            cell
+            for cell in self.cells_by_id.values()
+            if cell.service == pool.service
+        ]
+        states = [
+            state
+            for cell in owned
+            for state in cell.view.backends_by_id.values()
+            if state.backend.role.value == pool.role
+        ]
+        return effects.PoolLoad(
+            pool=pool.name,
+            backends=len(states),
+            slots=sum(state.backend.slots for state in states),
+            used=sum(len(state.bookings_by_key) for state in states),
+            queue=sum(_waiting(cell) for cell in owned),
+        )
+
+    def _tell_loads(self, now: float) -> list[typing.Any]:
+        out = []
+        if not self.cells_by_id:
+            return out
+        for backend_id, backend in self._presence.backends_by_id.items():
+            load, load_at = backend.load, backend.load_at
+            if load is None or (
+                self._loads_told_by_id.get(backend_id) == load_at
+            ):
+                continue
+            self._loads_told_by_id[backend_id] = load_at
+            reported = cells.LoadReported(
+                now=now,
+                backend_id=backend_id,
+                running=load.running,
+                waiting=load.waiting,
+                queued_tokens=load.queued_tokens,
+                slots_used=load.slots_used,
+                kv_bytes=load.kv_bytes,
+            )
+            out.extend(self.handle_in_all(reported))
+        return out
+
+    def _tell_backends(self, now: float, cell_id: str) -> list[typing.Any]:
+        cell = self.cells_by_id.get(cell_id)
+        if cell is None:
+            return []
+        slots_by_role = cell.view.terms.slots_by_role
+        backends = tuple(
+            _cell_backend(each.announcement, slots_by_role)
+            for each in self._presence.usable(cell.service, now)
+            if self._directory.cell_of_backend(
+                cell.service, each.announcement.data_centre
+            )
+            == cell_id
+        )
+        out = cell.handle(cells.BackendsChanged(now=now, backends=backends))
+        self._tell_orders(now, cell_id)
+        return out
+
+    def _terms(self, service: str) -> policy.CellTerms | None:
+        return terms_of(self._directory.document, service)
+
+
+def _waiting(cell: cells.Cell) -> int:
+    return sum(
+        booking.start_at is None for booking in cell.bookings_by_key.values()
+    )
+
+
+def terms_of(
+    described: document_module.Document, service_name: str
+) -> policy.CellTerms | None:
+    """Return what the document says about a service, for its cells."""
+    service = described.services_by_name.get(service_name)
+    if service is None:
+        return None
+    fields: dict[str, typing.Any] = {}
+    slots_by_role: dict[str, int] = {}
+    for pool in described.pools_of(service_name):
+        slots_by_role[pool.role] = pool.slots
+        _add_rates(fields, pool)
+    return policy.CellTerms(
+        first_token_s=service.first_token_s or service.timeout_s,
+        token_gap_s=service.token_gap_s or service.timeout_s,
+        timeout_s=service.timeout_s,
+        weights=policy.Weights(
+            goodput=service.weights.goodput,
+            wasted_prefill=service.weights.wasted_prefill,
+        ),
+        slots_by_role=slots_by_role,
+        max_wait_s_by_priority={
+            each.name: each.max_wait_s for each in described.priorities
+        },
+        rank_by_priority={
+            each.name: each.rank for each in described.priorities
+        },
+        share_by_account={
+            each.name: each.share for each in described.accounts
+        },
+        **fields,
+    )
+
+
+def wanted_of(
+    described: document_module.Document, service_name: str
+) -> dict[policy.Role, dict[orders.OrderKind, str]]:
+    """Return what the engines of each role should have loaded."""
+    wanted = {}
+    for pool in described.pools_of(service_name):
+        values = {
+            orders.OrderKind.LOAD_MODEL: pool.model,
+            orders.OrderKind.LOAD_VERSION: pool.version,
+            orders.OrderKind.LOAD_ADAPTER: pool.adapter,
+        }
+        wanted[policy.Role(pool.role)] = {
+            kind: value for kind, value in values.items() if value
+        }
+    return wanted
+
+
+def _add_rates(
+    fields: dict[str, typing.Any], pool: document_module.Pool
+) -> None:
+    if pool.role == 'prefill':
+        fields['prefill_tokens_per_s'] = pool.prefill_tokens_per_s
+        fields['kv_bytes_per_token'] = pool.kv_bytes_per_token
+        fields['link_bytes_per_s'] = pool.link_bytes_per_s
+    if pool.role == 'decode':
+        # The document has the rate of a backend server, the policy that of
+        # one of its streams.
+        fields['decode_tokens_per_s'] = pool.decode_tokens_per_s / pool.slots
+
+
+def _cell_backend(
+    announcement: presence.BackendAnnouncement,
+    slots_by_role: dict[str, int],
+) -> policy.CellBackend:
+    role = policy.Role(announcement.role)
+    return policy.CellBackend(
+        backend_id=announcement.backend_id,
+        incarnation=announcement.incarnation,
+        role=role,
+        url=announcement.url,
+        slots=announcement.slots or slots_by_role.get(role, 1),
+        data_centre=announcement.data_centre,
+    )
+
+
+def _prefixes(
+    hints: presence.CacheHints, kind: presence.CacheEventKind
+) -> tuple[str, ...]:
+    return tuple(each.prefix for each in hints.events if each.kind is kind)
--- a/dandeliongw/policy.py
+++ b/dandeliongw/policy.py
@@ -5,20 +5,32 @@
 why not. Times are monotonic seconds of the owner's instance.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import enum
+import math
 import typing
 
 import xxhash
 
+from .health import Batch
+from .health import Health
 from .verdict import RefusalReason
 
 #: Words of a prompt that share one prefix hash.
 BLOCK_TOKENS = 64
+#: Weight of a new measurement in a moving average.
+SMOOTHING = 0.1
+#: Blocks remembered for each backend server, about 100 bytes each.
+MOST_BLOCKS = 4_096
+#: A prefill that hung tells nothing about the next one beyond this.
+MOST_SLOWNESS = 10.0
 
 
-def hash_blocks(prompt: str, block_tokens: int = BLOCK_TOKENS) -> tuple:
+def hash_blocks(
+    prompt: str, block_tokens: int = BLOCK_TOKENS
+) -> tuple[str, ...]:
     """Return a hash for each whole block of a prompt.
 
     Each hash covers the prompt up to the end of its block, so that equal
@@ -28,7 +40,8 @@
     hashes = []
     chain = xxhash.xxh64()
     for end in range(block_tokens, len(words) + 1, block_tokens):
-        chain.update(' '.join(words[end - block_tokens : end]) + ' ')
+        block = ' '.join(words[end - block_tokens : end])
+        chain.update(f'{block} '.encode())
         hashes.append(chain.hexdigest())
     return tuple(hashes)
 
@@ -108,7 +121,7 @@
     data_centre: str = ''
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class Booking:
     """One reservation: a lease that the entry renews."""
 
@@ -130,14 +143,23 @@
     plain_id: str = ''
     #: When the booked work starts; ``None`` while it waits in the queue.
     start_at: float | None = None
+    #: When the queue is expected to let it start.
+    expected_at: float = 0.0
+    #: Until when it may wait, by the terms it was admitted under.
+    latest_start_at: float = math.inf
     prefill_done: bool = False
+    #: Predictions, made anew as facts come in; zero where none is made.
+    prefill_work_s: float = 0.0
+    prefill_ends_at: float = 0.0
+    transfer_ends_at: float = 0.0
+    decode_ends_at: float = 0.0
 
     @property
     def key(self) -> tuple[str, str]:
         return self.request_id, self.attempt_id
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class BackendState:
     """What the owner knows of one backend server."""
 
@@ -150,6 +172,86 @@
     reported_waiting: int = 0
     reported_queued_tokens: int = 0
     reported_at: float | None = None
+    #: When it left; ``None`` while it may get work.
+    left_at: float | None = None
+    #: Most slots that the owner counted since the report before the last,
+    #: and since the last.
+    peak_used_before: int = 0
+    peak_used: int = 0
+    #: Slots in use that the owner knows nothing of.
+    foreign: int = 0
+    #: Streams that were cancelled; each holds its slot until confirmed.
+    cancelling: int = 0
+    #: Measured prefill time over predicted; above one is slow.
+    slowness: float = 1.0
+    last_prefill_at: float = 0.0
+    #: When the transfers booked on this link will be over.
+    link_free_at: float = 0.0
+    batch: Batch = dataclasses.field(default_factory=Batch)
+    health: Health = dataclasses.field(default_factory=lambda: Health())
+    #: Blocks that its prefix cache may hold, the last used at the end. A
+    #: guess: cache events come late and with gaps, and blocks count from
+    #: the moment a prompt is sent, long before an event tells.
+    blocks: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+    @property
+    def slots_open(self) -> int:
+        """Slots that may be used without slowing the batch too much."""
+        if self.batch.cap is None:
+            return self.backend.slots
+        return min(self.backend.slots, self.batch.cap)
+
+    @property
+    def slots_used(self) -> int:
+        """Slots that are booked, used or not yet given back."""
+        return len(self.bookings_by_key) + self.cancelling + self.foreign
+
+    def count_foreign(self, reported_used: int) -> None:
+        """Take in how many slots a report says are used.
+
+        A report is old, and the owner's own count newer; but a new owner
+        doesn't know yet what runs. What is reported above the most that the
+        owner counted lately is not its own: without this a new owner would
+        fill full engines, and one would notice refused imports after each
+        change of owner.
+        """
+        own = max(self.peak_used_before, self.peak_used)
+        self.foreign = max(0, reported_used - own)
+        self.peak_used_before = self.peak_used
+        self.peak_used = len(self.bookings_by_key) + self.cancelling
+
+    def cached_tokens(self, prefix: abc.Sequence[str]) -> int:
+        """Return how many leading tokens are probably cached here."""
+        count = 0
+        for block in prefix:
+            if block not in self.blocks:
+                break
+            count += 1
+        return count * BLOCK_TOKENS
+
+    def add_blocks(self, prefix: abc.Iterable[str]) -> None:
+        """Take in that these blocks are, or soon will be, cached here."""
+        for block in prefix:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        while len(self.blocks) > MOST_BLOCKS:
+            self.blocks.popitem(last=False)
+
+    def drop_blocks(self, prefix: abc.Iterable[str]) -> None:
+        """Take in that these blocks are no longer cached here."""
+        for block in prefix:
+            self.blocks.pop(block, None)
+
+    def prefill_free_at(self, now: float) -> float:
+        """Return when the prompts that were sent here will be done."""
+        ends = [
+            booking.prefill_ends_at
+            for booking in self.bookings_by_key.values()
+            if not booking.prefill_done
+        ]
+        return max(ends, default=now)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -161,6 +263,11 @@
         default_factory=dict
     )
 
+    #: Admitted work that has not been placed, in order of arrival.
+    queue: list[Booking] = dataclasses.field(default_factory=list)
+    #: Measured length of answers over the longest they may be.
+    answer_ratio: float = 1.0
+
     def candidates(
         self, role: Role, exclude: abc.Container[str]
     ) -> list[BackendState]:
@@ -171,6 +278,79 @@
             if state.backend.role is role and backend_id not in exclude
         ]
 
+    def prefill_work_s(self, state: BackendState, booking: Booking) -> float:
+        """Return how long an engine takes to compute a prompt."""
+        tokens = booking.prompt_tokens - state.cached_tokens(booking.prefix)
+        rate = self.terms.prefill_tokens_per_s
+        return max(0, tokens) / rate * state.slowness
+
+    def transfer_s(self, booking: Booking) -> float:
+        """Return how long the KV cache of a prompt takes to move."""
+        kv_bytes = booking.prompt_tokens * self.terms.kv_bytes_per_token
+        return kv_bytes / self.terms.link_bytes_per_s
+
+    def decode_s(self, booking: Booking) -> float:
+        """Return how long an answer is expected to take."""
+        tokens = booking.max_tokens * self.answer_ratio
+        return tokens / self.terms.decode_tokens_per_s
+
+    def plan(self, booking: Booking) -> None:
+        """Predict the times of a booking that has just been placed."""
+        state = self.backends_by_id.get(booking.prefill_id)
+        ends_at = booking.start_at
+        if state is not None and not booking.prefill_done:
+            starts_at = max(ends_at, state.prefill_free_at(ends_at))
+            booking.prefill_work_s = self.prefill_work_s(state, booking)
+            state.add_blocks(booking.prefix)
+            ends_at = starts_at + booking.prefill_work_s
+            booking.prefill_ends_at = ends_at
+        if booking.stage is not Stage.PLAIN:
+            self._plan_decode(booking, ends_at)
+
+    def _plan_decode(self, booking: Booking, ends_at: float) -> None:
+        ends = [
+            self.backends_by_id[each]
+            for each in (booking.prefill_id, booking.decode_id)
+            if each in self.backends_by_id
+        ]
+        starts_at = max([ends_at, *(state.link_free_at for state in ends)])
+        booking.transfer_ends_at = starts_at + self.transfer_s(booking)
+        for state in ends:
+            state.link_free_at = max(
+                state.link_free_at, booking.transfer_ends_at
+            )
+        decode_s = self.decode_s(booking)
+        booking.decode_ends_at = booking.transfer_ends_at + decode_s
+
+    def learn_prefill(
+        self, now: float, state: BackendState, booking: Booking, computed: int
+    ) -> None:
+        """Take in that a prefill is done; ``state`` still counts it."""
+        began_at = max(booking.start_at or now, state.last_prefill_at)
+        expected_s = computed / self.terms.prefill_tokens_per_s
+        if expected_s > 0.0 and now > began_at:
+            measured = min((now - began_at) / expected_s, MOST_SLOWNESS)
+            state.slowness += SMOOTHING * (measured - state.slowness)
+        state.last_prefill_at = now
+        at = now
+        for each in state.bookings_by_key.values():
+            if not each.prefill_done and each is not booking:
+                at = max(at, each.start_at or at) + each.prefill_work_s
+                each.prefill_ends_at = at
+        # The links were booked with the pair; only a late prefill needs
+        # them for longer.
+        transfer_ends_at = now + self.transfer_s(booking)
+        if transfer_ends_at > booking.transfer_ends_at:
+            self._plan_decode(booking, now)
+
+    def learn_answer(self, now: float, booking: Booking) -> None:
+        """Take in that an answer is complete."""
+        longest_s = booking.max_tokens / self.terms.decode_tokens_per_s
+        took_s = now - booking.transfer_ends_at
+        if longest_s > 0.0 and took_s > 0.0:
+            measured = min(1.0, took_s / longest_s)
+            self.answer_ratio += SMOOTHING * (measured - self.answer_ratio)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Place:
@@ -210,6 +390,16 @@
         """Say where a new piece of work goes."""
         ...
 
+    def dispatch(
+        self, *, now: float, view: CellView
+    ) -> list[tuple[Booking, Decision]]:
+        """Say which of ``view.queue`` start now, or are refused after all.
+
+        The caller applies the decisions and asks again until there are
+        none, so an implementation may return one at a time.
+        """
+        ...
+
 
 #: Retry-After where nothing better is known.
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -236,6 +426,12 @@
             ids_by_role[role] = chosen.backend.backend_id
         return place(ids_by_role, start_in_s=0.0)
 
+    def dispatch(
+        self, *, now: float, view: CellView
+    ) -> list[tuple[Booking, Decision]]:
+        """Return nothing: no work is ever queued."""
+        return []
+
 
 ROLES_BY_STAGE = {
     Stage.PAIR: (Role.PREFILL, Role.DECODE),
--- a/dandeliongw/web.py
+++ b/dandeliongw/web.py
@@ -19,6 +19,10 @@
 
 #: Where a handler finds its caller's socket.
 SOCKET_KEY = 'dandeliongw.socket'
+#: Where it finds the server's own view of the call, to end the connection.
+REQUEST_KEY = 'dandeliongw.request'
+#: Request line and headers; more is refused while it comes in.
+MAX_HEADER_BYTES = 65536
 #: Seconds an idle keep-alive connection is kept.
 IDLE_S = 30
 
@@ -33,6 +37,7 @@
     def get_environ(self) -> dict[str, typing.Any]:
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.req.conn.socket
+        environ[REQUEST_KEY] = self.req
         return environ
 
 
@@ -46,9 +51,11 @@
 
 
 class Port:
-    """One listening HTTP port.
+    """One HTTP port: bound first, serving later.
+
+    Between the two its number is known, also when the system chose it, and
+    can be told to others before the first call is taken.
 
-    :param application: a WSGI application.
     :param field: the settings' field, for the message of a port in use.
     :param shutdown_s: seconds that a stop waits for handlers.
     """
@@ -56,7 +63,6 @@
     def __init__(
         self,
         *,
-        application: abc.Callable,
         listen: settings_module.Listen,
         field: str,
         shutdown_s: float,
@@ -65,7 +71,7 @@
         self._field = field
         self._server = _Server(
             (listen.host, listen.port),
-            application,
+            None,
             numthreads=listen.threads,
             max=listen.threads,
             request_queue_size=listen.queue,
@@ -79,17 +85,18 @@
             accepted_queue_timeout=1,
         )
         self._server.gateway = _SocketGateway
+        self._server.max_request_header_size = MAX_HEADER_BYTES
         self._thread = threading.Thread(
             target=self._server.serve, name=f'http-{field}', daemon=True
         )
 
     @property
-    def port(self) -> int:
-        """The port number, also when the system chose it."""
+    def number(self) -> int:
+        """The port number that callers connect to."""
         return self._server.bind_addr[1]
 
-    def open(self) -> None:
-        """Bind and serve.
+    def bind(self) -> None:
+        """Take the address.
 
         :raises PortInUse: naming the settings' field.
         """
@@ -99,17 +106,25 @@
             raise exceptions.PortInUse(
                 address=self._listen.show(), field=self._field
             ) from error
+
+    def serve(self, application: abc.Callable) -> None:
+        """Answer with a WSGI application, in threads."""
+        self._server.wsgi_app = application
         self._thread.start()
 
     def close(self) -> None:
         self._server.stop()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
 
 
 @contextlib.contextmanager
-def opened(port: Port) -> abc.Iterator[Port]:
-    """Serve while the context lasts."""
-    port.open()
+def bound(
+    listen: settings_module.Listen, field: str, shutdown_s: float
+) -> abc.Iterator[Port]:
+    """Hold a port while the context lasts."""
+    port = Port(listen=listen, field=field, shutdown_s=shutdown_s)
+    port.bind()
     try:
         yield port
     finally:
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,272 @@
+"""The parts of instances together, on a virtual clock."""
+
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import cells
+from dandeliongw.coordination import claim_messages
+from dandeliongw.coordination import lease
+from dandeliongw.coordination import lease_messages
+from dandeliongw.coordination import parts
+from dandeliongw.coordination import presence
+from dandeliongw import effects
+from dandeliongw import events
+from tests import network
+from tools import local
+
+CELL = 'studio-portal/local/0'
+
+
+def lookup(request_id, now):
+    call = events.Call(
+        service='studio-portal',
+        method='GET',
+        path='/lookup',
+        streamed=False,
+        key_sha256=local.sha256(local.ACCOUNT_KEY),
+        idempotency_key=None,
+        digest=b'',
+    )
+    return events.RequestArrived(
+        now=now, request_id=request_id, call=call, entropy=1
+    )
+
+
+def book(request_id):
+    return cells.Book(
+        cell=CELL,
+        request_id=request_id,
+        attempt_id=f'{request_id}.1',
+        account='studio-1',
+        priority='urgent',
+        prompt_tokens=0,
+        max_tokens=0,
+        prefix=(),
+        deadline_s=5.0,
+        stage='plain',
+    )
+
+
+class ReducerTest(unittest.TestCase):
+    def setUp(self):
+        self.sequence = 1
+        self.net = network.Network()
+        self.net.apply_example()
+        for instance_id in self.net.reducers_by_id:
+            self.net.announce(instance_id, 'portal-1', 'plain')
+        self.net.run_until(lambda: self.net.owner_of(CELL), 10)
+        self.net.run(1.0)
+        self.owner = self.net.owner_of(CELL)
+        self.others = [
+            each for each in self.net.reducers_by_id if each != self.owner
+        ]
+
+    def call(self, instance_id, request_id, renew=True):
+        """Return the directives that a lookup leads to within a second."""
+        done = self.net.effects_by_id[instance_id]
+        before = len(done)
+        self.net.post(instance_id, lookup(request_id, self.net.now))
+        self.keep_present(1.0) if renew else self.net.run(1.0)
+        return [
+            effect
+            for effect in done[before:]
+            if isinstance(effect, effects.Directive)
+            and effect.request_id == request_id
+        ]
+
+    def keep_present(self, seconds, backend_id='portal-1'):
+        """Let time pass while a backend server renews everywhere."""
+        for _ in range(round(seconds / network.TICK_S)):
+            self.sequence += 1
+            for instance_id in self.net.reducers_by_id:
+                self.net.post(instance_id, self.renewal(backend_id))
+            self.net.run(network.TICK_S)
+
+    def renewal(self, backend_id):
+        return presence.Renewed(
+            now=self.net.now,
+            backend_id=backend_id,
+            incarnation=1,
+            sequence=self.sequence,
+            load=None,
+            cache_events=None,
+            ticket='renew',
+        )
+
+    def test_a_call_through_any_instance_is_dispatched(self):
+        for instance_id in self.net.reducers_by_id:
+            found = self.call(instance_id, f'r-{instance_id}')
+            self.assertIsInstance(found[0], effects.RunCall)
+
+    def test_a_cut_off_instance_stops_admitting_within_the_ttl(self):
+        """Symptom: an accepted change is not in force at one instance.
+
+        Sequence: the instance is cut off from the voters and goes on with
+        the document that it remembers, while the others change theirs.
+        Cause: work admitted on an old confirmation.
+        """
+        cut = self.others[0]
+        self.net.cut.add(cut)
+        ttl_s = 5.0
+        self.net.run(ttl_s)
+        found = self.call(cut, 'late')
+        self.assertEqual('configuration_stale', found[0].refusal.reason.value)
+        self.assertEqual('not_run', found[0].refusal.verdict.value)
+
+    def test_a_frozen_owner_books_nothing_when_it_wakes(self):
+        """Symptom: slots are booked twice.
+
+        Sequence: the owner freezes past its lease; another gets it; the
+        first wakes with its cells in memory and a booking in its socket.
+        Cause: the cell is used without asking the clock for the lease.
+        """
+        self.net.frozen.add(self.owner)
+        self.net.run(3.0)
+        self.net.frozen.discard(self.owner)
+        woken = self.net.reducers_by_id[self.owner]
+        self.assertIn(CELL, woken.owner.cells_by_id)
+        out = woken.handle(
+            parts.Received(
+                now=self.net.now, sender=self.others[0], message=book('r')
+            )
+        )
+        sent = [each.message for each in out if isinstance(each, parts.Send)]
+        self.assertEqual(
+            [cells.NotOwner],
+            [type(each) for each in sent if hasattr(each, 'request_id')],
+        )
+
+    def test_a_deputy_takes_over_from_an_owner_without_a_lease(self):
+        """Symptom: a service answers nothing, though nobody is dead.
+
+        Sequence: the owner can't reach the voters for its lease, but still
+        answers the probes of all others; entries ask the deputy.
+        Cause: only the instance that is ranked first tries for the lease.
+        """
+        self.net.loses = lambda sender, to, message: (
+            sender == self.owner
+            and isinstance(message, lease_messages.LeaseClaims)
+            and to != sender
+        )
+        entry = self.others[0]
+        self.number = 0
+
+        def is_served():
+            self.number += 1
+            found = self.call(entry, f'n-{self.number}')
+            moved = self.net.owner_of(CELL) not in (None, self.owner)
+            return moved and isinstance(found[0], effects.RunCall)
+
+        self.net.run_until(is_served, 10)
+
+    def test_a_new_owner_counts_what_entries_hold(self):
+        """Symptom: batches are larger than their slots after a failover.
+
+        Sequence: calls fill all slots, the owner dies, one more call comes
+        in the moment when the next owner gets the lease.
+        Cause: a new owner that starts to book with an empty table.
+        """
+        entry, other = self.others
+        for number in range(4):
+            found = self.call(entry, f'held-{number}')
+            self.assertIsInstance(found[0], effects.RunCall)
+        self.net.crash(self.owner)
+        before = len(self.net.effects_by_id[other])
+        for number in range(30):
+            self.net.post(other, lookup(f'more-{number}', self.net.now))
+            self.keep_present(0.1)
+        self.assertIsNotNone(self.net.owner_of(CELL))
+        started = [
+            effect.request_id
+            for effect in self.net.effects_by_id[other][before:]
+            if isinstance(effect, effects.RunCall)
+        ]
+        self.assertEqual([], started)
+
+    def test_an_engine_that_ignores_numbers_is_ordered_late(self):
+        """Symptom: an engine loads what an earlier holder ordered.
+
+        Sequence: a cell gets a new owner, which orders at once; an order of
+        the one before it arrives after that.
+        Cause: the engine ignores fencing numbers, and the new owner didn't
+        wait until its predecessor's orders could take effect no more.
+        """
+        described = local.example_document()
+        described['pools'][1]['model'] = 'dieline-70b'
+        self.net.apply('gw-1', described, 'order')
+        for instance_id in self.net.reducers_by_id:
+            self.net.announce(instance_id, 'decode-1', 'decode')
+        self.keep_present(12.0, 'decode-1')
+        (holder, order), *more = self.orders()
+        self.assertEqual([], more)
+        cell = 'dieline-llm/local/0'
+        self.assertEqual(self.net.owner_of(cell), holder)
+        self.assertEqual('dieline-70b', order.order.value)
+        held = self.net.reducers_by_id[holder].leases
+        self.assertIsNotNone(held.may_order(cell, self.net.now, 5.0))
+
+    def orders(self):
+        return [
+            (instance_id, effect)
+            for instance_id, done in self.net.effects_by_id.items()
+            for effect in done
+            if isinstance(effect, effects.GiveOrder)
+        ]
+
+    @params(('leases', 'claims'), ('claims', 'leases'))
+    def test_a_new_disk_counts_only_when_all_parts_are_whole(
+        self, first, second
+    ):
+        """Symptom: a booking runs twice after two lost disks.
+
+        Sequence: a disk is replaced; one part is copied, the other not yet;
+        the replacement is finished; a second disk is lost.
+        Cause: the register hears of the first part only.
+        """
+        effects_by_part = {
+            'leases': lease.GrantorCaughtUp(version=7),
+            'claims': claim_messages.CaughtUp(epoch=7, disk_id='disk-gw-1'),
+        }
+        reducer = self.net.reducers_by_id['gw-1']
+        told = []
+        reducer._in_register = lambda event: told.append(event) or []
+        for part, count in ((first, 0), (second, 1)):
+            effect = effects_by_part[part]
+            reducer._absorbers_by_type[type(effect)](self.net.now, effect)
+            self.assertEqual(count, len(told))
+
+    def test_a_lost_disk_is_replaced_by_itself(self):
+        """Symptom: after a second loss there is no majority any more.
+
+        Sequence: an instance comes back with an empty data folder.
+        Cause: nobody brings the new disk among the voters.
+        """
+        self.net.crash('gw-3')
+        self.net.run(1.0)
+        self.net.start('gw-3', disk_id='disk-new')
+        register = self.net.reducers_by_id['gw-1'].register
+        self.net.run_until(
+            lambda: (
+                register.voters_by_id['gw-3'] == 'disk-new'
+                and not register.joining_by_id
+            ),
+            30,
+        )
+        self.net.crash('gw-2')
+        self.net.run(6.0)
+        for instance_id in ('gw-1', 'gw-3'):
+            reducer = self.net.reducers_by_id[instance_id]
+            self.assertTrue(reducer.register.is_fresh(self.net.now))
+            self.assertEqual(1, reducer.register.revision)
+
+    def test_a_backend_server_that_falls_silent_gets_no_work(self):
+        """Symptom: calls go to a backend server that has left or died.
+
+        Sequence: its leave is lost, and it renews no more.
+        Cause: a presence that doesn't end by itself.
+        """
+        self.net.run(4.0)
+        found = self.call(self.others[0], 'after', renew=False)
+        self.assertIsInstance(found[0], effects.Refuse)
+        self.assertEqual('not_run', found[0].refusal.verdict.value)
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,247 @@
+"""Measures each policy on the same work; see docs/POLICY.md.
+
+Prints one line of JSON for each deployment, policy and load. The last line
+sums up the current policy against the best plain router.
+"""
+
+from collections import abc
+import dataclasses
+import functools
+import json
+import math
+import typing
+
+import defopt
+
+from dandeliongw import policy
+from dandeliongw import scheduler
+from tools import baselines
+from tools import faults
+from tools import load
+from tools import tally
+from tools import workloads
+
+WARM_UP_S = 10.0
+#: Arrivals of a quick run, in virtual seconds.
+QUICK_S = 45.0
+#: Part of the calls that are good again once a fault is overcome.
+RECOVERED = 0.9
+NAMED_BASELINES = ('round-robin', 'least-reported')
+#: After the last arrival, for what still runs to end.
+DRAIN_S = 70.0
+
+PolicyFactory = abc.Callable[[], policy.Policy]
+
+#: Limits of waiting prompts that are tried for the plain routers.
+WAITING_LIMITS = (2, 3, 8, 16)
+
+
+def plain_routers(
+    deployment: workloads.Deployment,
+) -> dict[str, PolicyFactory]:
+    """Return the baselines by name."""
+    divided = functools.partial(
+        baselines.LeastConnections, entries=deployment.entries
+    )
+    factories_by_name = {
+        'round-robin': baselines.RoundRobin,
+        'least-reported': baselines.LeastReported,
+        'least-connections': divided,
+    }
+    return {
+        f'{name}-{limit}': functools.partial(factory, waiting_limit=limit)
+        for name, factory in factories_by_name.items()
+        for limit in WAITING_LIMITS
+    }
+
+
+FIRST_VERSION = scheduler.Options(
+    queue=False,
+    order=scheduler.Order.ARRIVAL,
+    foresee=False,
+    affinity=False,
+    links=False,
+    health=False,
+    fair=False,
+    spare=0.0,
+    cap=False,
+    weigh=False,
+)
+#: What each version added to the one before it; the last is in force.
+STEPS_BY_VERSION: dict[str, dict[str, typing.Any]] = {
+    'v1-slots': {},
+    'v2-queue': {'queue': True},
+    'v3-rank': {'order': scheduler.Order.RANK},
+    'v4-foresee': {'foresee': True},
+    'v5-affinity': {'affinity': True},
+    'v6-links': {'links': True},
+    'v8-health': {'health': True},
+    'v9-fair': {'fair': True},
+    'v10-spare': {'spare': 0.1},
+    'v11-cap': {'cap': True},
+    'v12-weights': {'weigh': True},
+}
+
+
+def versions() -> dict[str, scheduler.Options]:
+    """Return the options of every version, the oldest first."""
+    options = FIRST_VERSION
+    options_by_name = {}
+    for name, step in STEPS_BY_VERSION.items():
+        options = dataclasses.replace(options, **step)
+        options_by_name[name] = options
+    return options_by_name
+
+
+CURRENT = list(STEPS_BY_VERSION)[-1]
+
+
+def all_policies(
+    deployment: workloads.Deployment,
+) -> dict[str, PolicyFactory]:
+    """Return the baselines and every version, by name."""
+    ours = {
+        name: functools.partial(scheduler.Scheduler, options=options)
+        for name, options in versions().items()
+    }
+    return plain_routers(deployment) | ours
+
+
+def measure(
+    deployment: workloads.Deployment,
+    factory: PolicyFactory,
+    *,
+    at_load: float,
+    duration_s: float,
+    seed: int = 1,
+    disturb: abc.Callable[[load.Run], None] | None = None,
+    **mix: typing.Any,
+) -> tally.Tally:
+    """Return the figures of one run.
+
+    :param disturb: plans faults on the run's clock before it starts.
+    :param mix: further arguments of ``workloads.make_requests``.
+    """
+    requests = workloads.make_requests(
+        deployment, load=at_load, duration_s=duration_s, seed=seed, **mix
+    )
+    run = load.Run(
+        deployment=deployment,
+        policy_factory=factory,
+        requests=requests,
+        seed=seed,
+    )
+    run.tally.since = WARM_UP_S
+    run.tally.until = duration_s
+    if disturb is not None:
+        disturb(run)
+    return run.run(duration_s + DRAIN_S)
+
+
+def summarize(duration_s: float, seed: int) -> dict[str, typing.Any]:
+    """Return the current policy against the best plain router.
+
+    The best of round robin and least reported load, each with every limit
+    of waiting prompts, at 1.2 of capacity; the worse deployment counts.
+    Answers are also counted in runs with a killed engine and a lost owner.
+    """
+    summary: dict[str, typing.Any] = {
+        'goodput_ratio': math.inf,
+        'wasted_prefill_ratio': 0.0,
+        'double_answers': 0,
+        'lost_answers': 0,
+        'recovery_s': 0,
+    }
+    options = {'duration_s': duration_s, 'seed': seed}
+    for deployment in workloads.DEPLOYMENTS_BY_NAME.values():
+        factories_by_name = all_policies(deployment)
+        current = factories_by_name[CURRENT]
+        ours = measure(deployment, current, at_load=1.2, **options)
+        plain = [
+            measure(deployment, factory, at_load=1.2, **options)
+            for name, factory in factories_by_name.items()
+            if name.startswith(NAMED_BASELINES)
+        ]
+        best = max(plain, key=lambda result: result.goodput)
+        ratio = ours.goodput / best.goodput
+        summary['goodput_ratio'] = min(summary['goodput_ratio'], ratio)
+        if best.wasted_share > 0.0:
+            wasted = ours.wasted_share / best.wasted_share
+            summary['wasted_prefill_ratio'] = max(
+                summary['wasted_prefill_ratio'], wasted
+            )
+        disturbed = [
+            measure(deployment, current, at_load=0.7, disturb=each, **options)
+            for each in (faults.kill_decode, faults.lose_owner)
+        ]
+        recovery_s = disturbed[0].seconds_below(
+            RECOVERED, faults.BEGINS_AT, faults.ENDS_AT
+        )
+        summary['recovery_s'] = max(summary['recovery_s'], recovery_s)
+        for result in (ours, *disturbed):
+            summary['double_answers'] += result.counts['double']
+            summary['lost_answers'] += result.counts['lost']
+    return summary
+
+
+def main(
+    *,
+    quick: bool = False,
+    policies: list[str] | None = None,
+    loads: list[float] | None = None,
+    duration_s: float = 60.0,
+    seeds: list[int] | None = None,
+    mixes: list[str] | None = None,
+    fault: str = '',
+    leaving: float = 0.0,
+    flood: float = 0.0,
+    burst: bool = False,
+) -> None:
+    """Measure policies and print JSON lines.
+
+    :param quick: a short run that ends within 50 s.
+    :param policies: names to measure; all if none are given.
+    :param loads: in parts of the capacity.
+    :param duration_s: virtual seconds of arrivals.
+    :param mixes: brazos, khangai, brazos-shared, khangai-shared,
+        brazos-deep, khangai-deep.
+    :param fault: a name in tools.faults; none if empty.
+    :param leaving: part of the callers that leave early.
+    :param flood: part of all calls that come from a single account.
+    :param burst: let the load swing between 0.4 and 1.6 of itself.
+    :param seeds: of the arrivals; three if none are given.
+    """
+    deployments = workloads.DEPLOYMENTS_BY_NAME | workloads.VARIANTS_BY_NAME
+    if quick:
+        print(json.dumps(summarize(QUICK_S, 1)))
+        return
+    names = mixes or list(workloads.DEPLOYMENTS_BY_NAME)
+    for deployment in (deployments[name] for name in names):
+        factories_by_name = all_policies(deployment)
+        for name in policies or factories_by_name:
+            for at_load in loads or (0.5, 0.75, 1.0, 1.2, 1.5):
+                for seed in seeds or (1, 2, 3):
+                    result = measure(
+                        deployment,
+                        factories_by_name[name],
+                        at_load=at_load,
+                        duration_s=duration_s,
+                        seed=seed,
+                        disturb=faults.FAULTS_BY_NAME.get(fault),
+                        leaving=leaving,
+                        flood=flood,
+                        burst=burst,
+                    )
+                    line = {
+                        'deployment': deployment.name,
+                        'policy': name,
+                        'load': at_load,
+                        'seed': seed,
+                        'fault': fault,
+                        'capacity': workloads.capacity(deployment),
+                    }
+                    print(json.dumps(line | result.figures()), flush=True)
+
+
+if __name__ == '__main__':
+    defopt.run(main, cli_options='all')
