--- a/dandeliongw/coordination/_beliefs.py
+++ b/dandeliongw/coordination/_beliefs.py
@@ -48,6 +48,8 @@
         #: News came of a member that this instance can't reach without its
         #: info; true at first, for it knows nobody.
         self.lacks_info = True
+        #: Members that are doubted here and alive for another instance.
+        self.contested: set[str] = set()
         #: Members that this instance itself suspected.
         self.own_suspects: set[str] = set()
         self._period_s = period_s
@@ -262,6 +264,8 @@
         else:
             self._suspicion_ends_by_id.pop(instance_id, None)
             self.own_suspects.discard(instance_id)
+        if not _is_doubted(member):
+            self.contested.discard(instance_id)
         if member.state in (MemberState.DEAD, MemberState.LEFT):
             self._forget_at_by_id[instance_id] = now + self._memory_s
         else:
--- a/dandeliongw/coordination/_comparison.py
+++ b/dandeliongw/coordination/_comparison.py
@@ -97,6 +97,9 @@
             # Others doubt this instance: it was cut off or frozen, and its
             # verdicts of that time are worth nothing.
             return self._beliefs.acquit(now, item.instance_id)
+        if item.state is MemberState.ALIVE and held.state is not item.state:
+            # It can refute only what it hears, so it is to be told.
+            self._beliefs.contested.add(item.instance_id)
         is_alive = held.state is MemberState.ALIVE
         if message.doubt is None and is_alive and item.state != held.state:
             # A comparison can bring a verdict that is an hour old. This
--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -78,6 +78,8 @@
 #: Suspected members that an instance probes again a period; without this
 #: bound the loss of a data centre would multiply everybody's messages.
 SUSPECT_PROBES = 2
+#: Members that are dead here and alive elsewhere, to be told of it a period.
+CONTESTED_PROBES = 2
 #: Periods between two tries to reach a dead member or an unseen seed.
 ABSENT_PERIODS = 10.0
 #: Periods between two comparisons of beliefs that an instance starts.
@@ -272,6 +274,11 @@
         # by a burst of probes.
         self._probe_at = now + self.period_s
         targets = self._sample(self._beliefs.own_suspects, SUSPECT_PROBES)
+        contested = self._sample(
+            self._beliefs.contested - set(targets), CONTESTED_PROBES
+        )
+        self._beliefs.contested.difference_update(contested)
+        targets += contested
         following = self._probing.next_target(
             self._beliefs.others, self._random
         )
