Graceful shutdown: bounded, told apart, and the lease goes to another

Found by real processes told to end at the worst moment: - the leaving instance ranked itself first from a cache, and handed the leases of its cells to itself: lookups got 'no owner' until they ran out - the last instance gave its leases up with nobody to take them - ports were closed after the runtime that answers them; a backend server's renewal held the exit for 15 s - a shutdown had no end: now it breaks off what is left after shutdown_s, says in the log what, tells callers what may have run, and exits with 8 - kept connections lived to the last moment; every answer after SIGTERM ends its connection, so that no call is on its way over one that closes

--- a/dandeliongw/callers.py
+++ b/dandeliongw/callers.py
@@ -82,6 +82,11 @@
 
     def close_relay(self, request_id: str) -> None: ...
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the instance is about to end."""
+        ...
+
     def entries(self) -> dict[str, typing.Any]: ...
 
 
@@ -223,6 +228,16 @@
             _REASON.TOO_LARGE,
         )
 
+    def end_connection_if_due(self) -> None:
+        """Let the next call come over another connection if it must.
+
+        A kept connection is closed when the process ends, perhaps just as
+        a call comes over it: its caller could not tell whether it ran. And
+        callers that keep one would not look for another instance.
+        """
+        if self._gate.is_leaving or not _is_read_to_its_end():
+            _close_connection()
+
     def refuse_call(self, error: BadCall) -> bytes:
         """Refuse a call whose request line is not understood."""
         return self._refuse(_new_request_id(), error.refusal())
@@ -234,9 +249,6 @@
         cherrypy.response.status = STATUS_BY_REASON.get(
             refusal.reason, DEFAULT_STATUS
         )
-        if refusal.reason is _REASON.DRAINING:
-            # Callers that keep their connection would keep the instance.
-            _close_connection()
         if refusal.retry_after_s is not None:
             # The header takes whole seconds; the body has the exact value.
             whole_s = max(1, int(refusal.retry_after_s + 0.999))
@@ -667,8 +679,7 @@
 
     def _handle(self) -> typing.Any:
         answer = self._answer()
-        if not _is_read_to_its_end():
-            _close_connection()
+        self._callers.end_connection_if_due()
         return answer
 
     def _answer(self) -> typing.Any:
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -192,4 +192,9 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Drained:
-    """Nothing is left that a shutdown would interrupt."""
+    """A shutdown has come to its end.
+
+    :param cut_off: requests that it broke off, as its time was over.
+    """
+
+    cut_off: int = 0
--- a/dandeliongw/exceptions.py
+++ b/dandeliongw/exceptions.py
@@ -22,6 +22,7 @@
     UNAUTHORIZED = 5
     PORT_IN_USE = 6
     DATA_FOLDER = 7
+    CUT_OFF = 8
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -138,6 +139,22 @@
     exit_code = ExitCode.UNAVAILABLE
 
 
+class ShutdownCutOff(DandeliongwError):
+    """A graceful shutdown ran out of time.
+
+    :param requests: how many were broken off; the log names them.
+    """
+
+    exit_code = ExitCode.CUT_OFF
+
+    def __init__(self, *, requests: int) -> None:
+        self.requests = requests
+        super().__init__(
+            message=f'the shutdown broke off {requests} requests that were '
+            'in flight after timeouts.shutdown_s'
+        )
+
+
 class InstanceUnreachable(DandeliongwError):
     """No answer from an instance.
 
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -89,6 +89,10 @@
         self._watch.remove(request_id)
         self._runtime.remove_relay(request_id)
 
+    @property
+    def is_leaving(self) -> bool:
+        return self._reducer.is_leaving
+
     def entries(self) -> dict[str, typing.Any]:
         found = self._runtime.look(self._reducer.membership.entries)
         return {
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -48,6 +48,9 @@
 #: Ticket prefix of those tries.
 REPAIR_TICKET = 'repair:'
 
+#: Seconds that a shutdown gives to what it broke off.
+CUT_OFF_S = 2.0
+
 Handler = abc.Callable[[typing.Any], list[typing.Any]]
 
 
@@ -140,7 +143,11 @@
         self._instance_ids: tuple[str, ...] = ()
         self._is_serving = False
         self._shutdown_at: float | None = None
+        #: Requests that a shutdown broke off, once its time was over.
+        self._cut_off: int | None = None
         self._has_left = False
+        #: Set once a shutdown has begun; read by other threads.
+        self.is_leaving = False
         self._fronts_by_id: dict[str, tuple[str, str]] = {}
         self._forwards_by_id: dict[str, tuple[str, ...]] = {}
         self._asked_by_cell: dict[str, _Asked] = {}
@@ -673,7 +680,8 @@
         own = self.settings.instance_id
         ranked = self.directory.ranked_owners(cell)
         if own not in ranked:
-            return False
+            is_last = self.is_leaving and not ranked
+            return is_last and cell in self.owner.cells_by_id
         place = ranked.index(own)
         if place == 0:
             return True
@@ -706,11 +714,15 @@
         if self._shutdown_at is not None:
             return []
         self._shutdown_at = event.now
+        self.is_leaving = True
+        told = self.membership.handle(
+            membership.SetDraining(now=event.now, draining=True)
+        )
+        # Ranked before, this instance would be its own successor.
+        self.directory.forget_ranks()
         return [
             _log('shutdown begins'),
-            *self.membership.handle(
-                membership.SetDraining(now=event.now, draining=True)
-            ),
+            *told,
             *self._hand_over(event.now),
         ]
 
@@ -718,25 +730,34 @@
         out = []
         for cell in list(self.owner.cells_by_id):
             successors = self.directory.ranked_owners(cell)
+            if not successors:
+                # The last instance serves its callers to the end.
+                continue
             release = lease.Release(
-                now=now,
-                name=cell,
-                successor=successors[0] if successors else None,
+                now=now, name=cell, successor=successors[0]
             )
             out += self._in_leases(release)
         return [*out, *self._review_cells(now)]
 
     def _drain(self, now: float) -> list[typing.Any]:
-        if now - self._shutdown_at < self._entries_ttl_s:
+        past_ttl_s = now - self._shutdown_at - self._entries_ttl_s
+        if past_ttl_s < 0 or self._has_left:
             return []
         self.directory.is_draining = True
-        if self.admission.in_flight or self._has_left:
-            return []
+        bound_s = self.settings.timeouts.shutdown_s
+        out: list[typing.Any] = []
+        if past_ttl_s >= bound_s and self._cut_off is None:
+            # A caller that never reads would keep the process for good.
+            self._cut_off = self.admission.in_flight
+            out = self.requests.cut_off(now)
+        if self.admission.in_flight and past_ttl_s < bound_s + CUT_OFF_S:
+            return out
         self._has_left = True
         return [
+            *out,
             *self.membership.handle(membership.Leave(now=now)),
-            _log('nothing in flight is left'),
-            effects.Drained(),
+            _log(f'leaves with {self.admission.in_flight} in flight'),
+            effects.Drained(cut_off=self._cut_off or 0),
         ]
 
 
--- a/dandeliongw/refusals.py
+++ b/dandeliongw/refusals.py
@@ -18,6 +18,7 @@
 
 #: Reasons that waste a prefill under another name.
 _WASTE_BY_REASON = {
+    _REASON.DRAINING: waste.WasteReason.DEADLINE_PASSED,
     _REASON.NO_OWNER: waste.WasteReason.OWNER_CHANGED,
     _REASON.BACKEND_FAILED: waste.WasteReason.STREAM_BROKEN,
     _RETRY.CONNECT_REFUSED: waste.WasteReason.IMPORT_REFUSED,
@@ -70,6 +71,30 @@
     )
 
 
+def cut_off(request: request_module.Request) -> verdict.Refusal:
+    """The instance ends before the request does."""
+    return verdict.Refusal(
+        reason=_REASON.DRAINING,
+        verdict=request.known_when_stopped(),
+        message='this instance had to end before the request did; use '
+        'another entry',
+        retry_after_s=admission.SOON_S,
+    )
+
+
+def log_cut_off(request: request_module.Request) -> effects.Log:
+    """Return the log line of a request that a shutdown broke off."""
+    return effects.Log(
+        message=f'the shutdown cuts off a request in phase '
+        f'{request.phase.value}',
+        fields=(
+            ('request_id', request.request_id),
+            ('service', request.service),
+        ),
+        level='WARNING',
+    )
+
+
 def no_owner(request: request_module.Request) -> verdict.Refusal:
     """Nobody books slots for the service just now."""
     return verdict.Refusal(
--- a/dandeliongw/request.py
+++ b/dandeliongw/request.py
@@ -114,6 +114,8 @@
 
     def known_when_stopped(self) -> verdict.Verdict:
         """Return what is proved if it is broken off just now."""
+        if self.phase is Phase.RECORDING:
+            return verdict.Verdict.RAN
         if self.phase in WORKING:
             return verdict.Verdict.MAY_HAVE_RUN
         return self.known
--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -683,6 +683,17 @@
         refusal = refusals.caller_gone(request)
         return self._stop(now, request, refusal, cells.Outcome.CANCELLED)
 
+    def cut_off(self, now: float) -> Effects:
+        """Break off all that is left when a shutdown's time is over."""
+        out: Effects = []
+        for request in list(self.requests_by_id.values()):
+            if request.is_ended:
+                continue
+            refusal = refusals.cut_off(request)
+            out.append(refusals.log_cut_off(request))
+            out += self._stop(now, request, refusal, cells.Outcome.CANCELLED)
+        return out
+
     def _stop(
         self,
         now: float,
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -108,6 +108,8 @@
         )
         self._pools_shown: set[str] = set()
         self.drained = threading.Event()
+        #: Requests that a shutdown broke off.
+        self.cut_off = 0
         #: Why the instance can't go on, once it can't.
         self.broken: str | None = None
         self._performers_by_type: dict[
@@ -389,6 +391,7 @@
         logger.bind(**dict(effect.fields)).log(effect.level, effect.message)
 
     def _note_drained(self, effect: effects.Drained) -> None:
+        self.cut_off = effect.cut_off
         self.drained.set()
 
     def snapshot_soon(self) -> None:
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -58,10 +58,13 @@
         """Return when a shutdown has come to its end.
 
         :raises InstanceBroken: when the instance can't go on.
+        :raises ShutdownCutOff: when requests were broken off.
         """
         while not self._runtime.drained.wait(WAIT_S):
             if self._runtime.broken is not None:
                 raise exceptions.InstanceBroken(message=self._runtime.broken)
+        if self._runtime.cut_off:
+            raise exceptions.ShutdownCutOff(requests=self._runtime.cut_off)
 
 
 @contextlib.contextmanager
@@ -102,6 +105,10 @@
         )
         stack.callback(runtime.stop)
         _start(runtime, _make_wire(settings, incarnation, codec, runtime))
+        # Ports end before what answers them: a handler that asks a runtime
+        # which has stopped would hold the process for its whole patience.
+        stack.callback(control_port.close)
+        stack.callback(callers_port.close)
         watch = stack.enter_context(_watching(runtime))
         _mount(
             settings,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -40,6 +40,7 @@
 
     def __init__(self, refusal=None):
         self.refusal = refusal
+        self.is_leaving = False
         self.opened = []
         self.open_ids = set()
         self.closed = threading.Semaphore(0)
@@ -414,12 +415,16 @@
         self.assertIn(b'"text": "a b"', answer.body)
         self.assertTrue(answer.body.endswith(b'data: [DONE]\n\n'))
 
-    def test_a_draining_instance_ends_the_connection(self):
-        draining = verdict.Refusal(
-            reason=verdict.RefusalReason.DRAINING,
-            verdict=verdict.Verdict.NOT_RUN,
-            message='leaving',
-            retry_after_s=1.0,
-        )
-        with border(draining) as served:
-            self.assertTrue(served.send(raw(BOOKING)).closes)
+    def test_an_instance_that_leaves_ends_its_connections(self):
+        """Symptom: a booking without an answer at each shutdown.
+
+        Sequence: SIGTERM; a kept connection is closed at the process's end,
+        just as its caller sends.
+        Cause: connections would be kept to the last moment.
+        """
+        with border() as served:
+            served.gate.is_leaving = True
+            for call in (raw(BOOKING), completion(stream=True)):
+                answer = served.send(call)
+                self.assertEqual(answer.status // 100, 2)
+                self.assertTrue(answer.closes)
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,159 @@
+"""Graceful shutdown: real processes are told to end at the worst moment."""
+
+import http.client
+import json
+import pathlib
+import shutil
+import signal
+import tempfile
+import unittest
+
+from dandeliongw import exceptions
+from tools import local
+
+LOOKUP = '/services/studio-portal/lookup'
+TOKENS = 40
+#: Slow enough for a stream to outlast the entries' time to live.
+SLOW = ('--step-s=0.05', '--prefill-tokens-per-s=1e6')
+
+
+class Stream:
+    """A completion that is read piece by piece."""
+
+    def __init__(self, instance, tokens=TOKENS):
+        self._connection = http.client.HTTPConnection(
+            local.HOST, instance.callers_port, timeout=local.PATIENCE_S
+        )
+        body = {
+            'model': 'dieline-llm',
+            'prompt': 'fold the carton',
+            'max_tokens': tokens,
+            'stream': True,
+        }
+        self._connection.request(
+            'POST',
+            '/v1/completions',
+            json.dumps(body),
+            {'Authorization': f'Bearer {local.ACCOUNT_KEY}'},
+        )
+        self.response = self._connection.getresponse()
+
+    def events(self):
+        """Return the texts, then what else came."""
+        texts, others = [], []
+        for line in self.response:
+            data = line.decode().strip().removeprefix('data: ')
+            if data.startswith('{"id"'):
+                texts.append(json.loads(data)['choices'][0]['text'])
+            elif data:
+                others.append(data)
+        return [each for each in texts if each], others
+
+
+class ShutdownTest(unittest.TestCase):
+    """One instance: it holds the lease and is the only voter as well."""
+
+    def start(self, **timeouts):
+        folder = tempfile.mkdtemp(prefix='dandeliongw-')
+        self.addCleanup(shutil.rmtree, folder)
+        system = self.enterContext(
+            local.running(
+                folder=pathlib.Path(folder),
+                instances=1,
+                timeouts={'entries_ttl_s': 0.5, **timeouts},
+                data_centres=('dc-a',),
+            )
+        )
+        revision = system.apply('gw-1', local.example_document(), 'first')
+        system.wait_serving(revision)
+        for role in ('prefill', 'decode'):
+            system.start_stand_in(
+                'standin_engine',
+                f'{role}-1',
+                *('--role', role, '--service', 'dieline-llm'),
+                *('--data-centre', 'dc-a', *SLOW),
+            )
+        system.start_stand_in(
+            'standin_service',
+            'portal-1',
+            *('--service', 'studio-portal', '--data-centre', 'dc-a'),
+        )
+        system.wait_backends(3)
+        self.system = system
+        self.instance = system.instances_by_id['gw-1']
+        return system
+
+    def exit_code(self):
+        return self.instance.process.wait(local.PATIENCE_S)
+
+    def test_nothing_in_flight_is_interrupted(self):
+        """Symptom: half a summary at every deployment.
+
+        Sequence: a long stream and a kept connection; SIGTERM; SIGTERM
+        again; the connection sends again; the time to live passes.
+        Cause: a process that ends at its signal, or at the second one.
+        """
+        self.start()
+        kept = http.client.HTTPConnection(
+            local.HOST, self.instance.callers_port, timeout=local.PATIENCE_S
+        )
+        headers = {'Authorization': f'Bearer {local.ACCOUNT_KEY}'}
+        kept.request('GET', LOOKUP, headers=headers)
+        self.assertEqual(_read(kept).status, 200)
+        stream = Stream(self.instance)
+        for _ in range(2):
+            self.instance.process.send_signal(signal.SIGTERM)
+        local.wait_until('the shutdown has begun', self.has_begun)
+        kept.request('GET', LOOKUP, headers=headers)
+        answer = _read(kept)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers['Connection'], 'close')
+        local.wait_until('new calls are refused', self.is_refusing)
+        texts, others = stream.events()
+        self.assertEqual((len(texts), others), (TOKENS, ['[DONE]']))
+        self.assertEqual(self.exit_code(), 0)
+
+    def has_begun(self):
+        return 'shutdown begins' in self.instance.log_file.read_text()
+
+    def is_refusing(self):
+        status, answer = self.system.caller('gw-1', 'GET', LOOKUP)
+        if status == 200:
+            return False
+        error = answer['error']
+        self.assertEqual((status, error['reason']), (503, 'draining'))
+        self.assertEqual(error['verdict'], 'not_run')
+        self.assertIsNotNone(error['retry_after_s'])
+        return True
+
+    def test_a_shutdown_ends_when_its_time_is_over(self):
+        """Symptom: a deployment hangs on one caller.
+
+        Sequence: a stream that lasts longer than ``shutdown_s``; SIGTERM.
+        Cause: a shutdown that waits for everybody without an end.
+        """
+        self.start(shutdown_s=0.3)
+        stream = Stream(self.instance, tokens=2000)
+        self.instance.process.send_signal(signal.SIGTERM)
+        texts, others = stream.events()
+        self.assertGreater(len(texts), 0)
+        self.assertNotIn('[DONE]', others)
+        error = json.loads(others[-1])['error']
+        self.assertEqual(error['reason'], 'draining')
+        self.assertEqual(error['verdict'], 'may_have_run')
+        self.assertEqual(self.exit_code(), exceptions.ExitCode.CUT_OFF)
+        self.assertIn('cuts off', self.instance.log_file.read_text())
+        decode = self.system.stand_ins_by_id['decode-1']
+        local.wait_until(
+            'the engine holds nothing',
+            lambda: (
+                self.system.call('GET', f'{decode.url}/v1/streams')[1]
+                == {'streams': []}
+            ),
+        )
+
+
+def _read(connection):
+    answer = connection.getresponse()
+    answer.read()
+    return answer
