--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -36,6 +36,9 @@
 MAX_CLAIMS = 200_000
 #: Expected seconds to a claim holder and back, its sync included.
 CLAIM_ROUND_TRIP_S = 0.05
+#: The register counts sets of voters from 0, claims count theirs from 1:
+#: the first set would count as the one before, and no claim be granted.
+CLAIM_EPOCH_OFFSET = 1
 #: Seconds between two looks at who should own and dispatch what.
 REVIEW_S = 0.5
 
@@ -499,7 +502,7 @@
                 now=now,
                 disk_ids_by_holder=voters,
                 joining=coming,
-                epoch=effect.number,
+                epoch=effect.number + CLAIM_EPOCH_OFFSET,
                 leaving=frozenset(voters) - frozenset(joining or voters),
             )
         )
@@ -523,7 +526,8 @@
     def _claims_caught_up(
         self, now: float, effect: claim_messages.CaughtUp
     ) -> list[typing.Any]:
-        return self._note_caught_up(now, 'claims', effect.epoch)
+        number = effect.epoch - CLAIM_EPOCH_OFFSET
+        return self._note_caught_up(now, 'claims', number)
 
     def _note_caught_up(
         self, now: float, part: str, number: int
