--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,11 +1,13 @@
-"""Measures membership and presence on a virtual clock; prints JSON.
+"""Measures membership and presence on a virtual clock; prints JSON lines.
 
-Run: ``python -m benchmarks.membership [quick]``. Only the reducers run, in
+Run: ``python -m benchmarks.membership [section ...]``; all sections take some
+ten minutes. Only the reducers run, in
 one process: figures of bytes are of real sealed envelopes plus the headers
 below, and processor time is that of ``handle`` alone, without the transport.
 """
 
 import collections
+import functools
 import heapq
 import itertools
 import json
@@ -53,6 +55,8 @@
         self.now = 0.0
         self.part_by_id = part_by_id
         self.stopped: set[str] = set()
+        #: Those that are cut off from all others, and reach each other.
+        self.cut_off: set[str] = set()
         self.handle_s = 0.0
         self.sent: collections.Counter[str] = collections.Counter()
         self.sent_bytes: collections.Counter[str] = collections.Counter()
@@ -126,6 +130,8 @@
             self._count(sender, effect)
             if self._random.random() < self._loss:
                 return
+            if (sender in self.cut_off) != (effect.to in self.cut_off):
+                return
         item = (now + DELAY_S, next(self._order), sender, effect.to)
         heapq.heappush(self._wire, (*item, effect.message))
 
@@ -141,6 +147,58 @@
         self.received_bytes[sender] += TCP_ACK_BYTES
 
 
+def measure_partition(count: int, share: float, seconds: float) -> dict:
+    """Cut a part of the instances off, then let them come back."""
+    network = make_members(count)
+    network.run(110)
+    ids = sorted(network.part_by_id)
+    network.cut_off = set(ids[: round(count * share)])
+    parting = until_settled(
+        network,
+        lambda each: (
+            set(ids) - network.cut_off
+            if each not in network.cut_off
+            else network.cut_off
+        ),
+    )
+    network.run(seconds)
+    network.cut_off = set()
+    healing = until_settled(network, lambda each: set(ids))
+    return {
+        'instances': count,
+        'cut_off': round(count * share),
+        'seconds': seconds,
+        'parting': parting,
+        'healing': healing,
+    }
+
+
+def until_settled(
+    network: Network, expected: typing.Callable[[str], set[str]]
+) -> dict:
+    """Run until each instance holds the expected ones alive."""
+    seconds, peak, most = 0, 0.0, 0.0
+    handle_s = 0.0
+    while seconds < 300:
+        network.reset()
+        network.run(1)
+        seconds += 1
+        handle_s += network.handle_s
+        peak = max(peak, network.sent_bytes.total() / len(network.part_by_id))
+        most = max(most, *network.received_bytes.values())
+        if all(
+            set(part.alive_ids()) == expected(each)
+            for each, part in network.part_by_id.items()
+        ):
+            break
+    return {
+        'seconds': seconds,
+        'peak_bytes_sent': round(peak),
+        'most_bytes_received': round(most),
+        'handle_us': round(1e6 * handle_s / seconds / len(network.part_by_id)),
+    }
+
+
 def make_members(count: int, loss: float = 0.0, seed: int = 1) -> Network:
     """Return instances that have found each other."""
     infos = {
@@ -368,32 +426,34 @@
     )
 
 
+#: What each section measures, in order.
+SECTIONS_BY_NAME: dict[str, list[typing.Callable[[], dict]]] = {
+    'quiet': [
+        functools.partial(measure_quiet, count, 60) for count in (9, 100, 350)
+    ],
+    'deaths': [
+        functools.partial(measure_deaths, *sizes)
+        for sizes in ((9, 10, 3), (100, 2, 10), (350, 1, 8))
+    ],
+    'loss': [
+        functools.partial(measure_loss, count, seconds, 0.05)
+        for count, seconds in ((9, 3600), (100, 300), (350, 60))
+    ],
+    'presence': [
+        functools.partial(measure_presence, *sizes)
+        for sizes in ((9, 100, 12), (350, 1300, 30), (350, 1300, 4))
+    ],
+    'partition': [
+        functools.partial(measure_partition, count, share, 60)
+        for count, share in ((9, 0.34), (100, 0.25), (350, 0.25), (350, 0.5))
+    ],
+}
+
+
 def main() -> None:
-    quick = sys.argv[1:] == ['quick']
-    sizes = (9, 100) if quick else (9, 100, 350)
-    results = {
-        'quiet': [measure_quiet(size, 60) for size in sizes],
-        'deaths': [
-            measure_deaths(size, networks, deaths)
-            for size, networks, deaths in (
-                (9, 10, 3),
-                (100, 2, 10),
-                (350, 1, 8),
-            )
-            if size in sizes
-        ],
-        'loss': [
-            measure_loss(size, seconds, 0.05)
-            for size, seconds in ((9, 3600), (100, 300), (350, 60))
-            if size in sizes
-        ],
-        'presence': [
-            measure_presence(9, 100, 12),
-            measure_presence(350, 1300, 30),
-            measure_presence(350, 1300, 4),
-        ],
-    }
-    print(json.dumps(results, indent=1))
+    for name in sys.argv[1:] or SECTIONS_BY_NAME:
+        for measure in SECTIONS_BY_NAME[name]:
+            print(json.dumps({'section': name, **measure()}), flush=True)
 
 
 if __name__ == '__main__':
