A voter that lags itself sends nobody the version it has confirmed

Three whole values instead of two in test_a_voter_that_lags_is_not_sent_the_value_by_everyone; after: two.

--- a/dandeliongw/coordination/checker.py
+++ b/dandeliongw/coordination/checker.py
@@ -224,6 +224,10 @@
             return []
         if not self._is_turn_to_catch_up():
             return []
+        if self._knowledge.known.ballot != version.ballot:
+            # A later version is known here and waits for its check. Sent
+            # now, this one would soon be followed by that one, whole again.
+            return []
         disk_id = report.from_disk_id
         instance_by_disk = version.configuration.voters.instance_by_disk
         last = self._caught_up_at_by_disk.get(disk_id)
