--- a/dandeliongw/backends.py
+++ b/dandeliongw/backends.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import enum
 import hashlib
 import hmac
 import json
@@ -81,14 +82,30 @@
     """The backend server will take no new work."""
 
 
+class RenewalAnswer(enum.StrEnum):
+    """What became of a renewal."""
+
+    ACCEPTED = 'accepted'
+    ANNOUNCE_AGAIN = 'announce_again'
+    OLD = 'old'
+    LEFT = 'left'
+
+
+MESSAGES_BY_ANSWER = {
+    RenewalAnswer.ANNOUNCE_AGAIN: 'this instance does not know that backend '
+    'server: it has to announce itself here',
+    RenewalAnswer.OLD: 'something newer was said already, perhaps by a later '
+    'process with the same backend_id',
+    RenewalAnswer.LEFT: 'it has left; only a new announcement brings it back',
+}
+
+
 class Desk(typing.Protocol):
     """What the border needs of the server around it."""
 
     def announce(self, announcement: Announcement) -> None: ...
 
-    def renew(self, renewal: Renewal) -> bool:
-        """Return ``False`` when the backend server must announce again."""
-        ...
+    def renew(self, renewal: Renewal) -> RenewalAnswer: ...
 
     def leave(self, leaving: Leaving) -> None: ...
 
@@ -154,15 +171,17 @@
         )
 
     def _renew(self, body: bytes) -> bytes:
-        if self._desk.renew(_models.parse(Renewal, body, '')):
+        answer = self._desk.renew(_models.parse(Renewal, body, ''))
+        if answer is RenewalAnswer.ACCEPTED:
             return _answer(
                 200, {'lease_s': self._lease_s, 'renew_s': self._renew_s}
             )
+        status = 404 if answer is RenewalAnswer.ANNOUNCE_AGAIN else 409
         return _answer(
-            404,
+            status,
             {
-                'reason': 'announce_again',
-                'message': 'this instance does not know that backend server',
+                'reason': answer.value,
+                'message': MESSAGES_BY_ANSWER[answer],
             },
         )
 
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -190,6 +190,13 @@
     port: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerForgotten:
+    """An instance is gone for good; its connection can be closed."""
+
+    instance_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Drained:
     """A shutdown has come to its end.
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -140,7 +140,9 @@
             functools.partial(presence.Announced, announcement=said)
         )
 
-    def renew(self, renewal: backends_module.Renewal) -> bool:
+    def renew(
+        self, renewal: backends_module.Renewal
+    ) -> backends_module.RenewalAnswer:
         kinds = presence.CacheEventKind
         cache_events = presence.CacheEvents(
             first=renewal.cache_events.first,
@@ -159,7 +161,7 @@
                 cache_events=cache_events if cache_events.events else None,
             )
         )
-        return outcome is not presence.PresenceOutcome.ANNOUNCE_AGAIN
+        return backends_module.RenewalAnswer(outcome.value)
 
     def leave(self, leaving: backends_module.Leaving) -> None:
         self._runtime.ask(
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -143,6 +143,8 @@
         self._review_at = 0.0
         self._wanted: frozenset[str] | None = None
         self._instance_ids: tuple[str, ...] = ()
+        #: Those and the suspected ones, who may still act.
+        self._present_ids: tuple[str, ...] = ()
         self._is_serving = False
         self._shutdown_at: float | None = None
         #: Requests that a shutdown broke off, once its time was over.
@@ -579,7 +581,7 @@
         self._review_at = now
         self.directory.forget_ranks()
         if isinstance(effect, membership.MemberForgotten):
-            return []
+            return [effects.PeerForgotten(instance_id=effect.instance_id)]
         info = effect.member.info
         if not info.host or effect.member.instance_id == (
             self.settings.instance_id
@@ -640,15 +642,20 @@
 
     def _review_instances(self, now: float) -> list[typing.Any]:
         alive = tuple(self.membership.alive_ids())
-        if alive == self._instance_ids:
+        present = tuple(
+            instance_id
+            for instance_id, member in self.membership.members_by_id.items()
+            if member.state <= membership.MemberState.SUSPECT
+        )
+        if (alive, present) == (self._instance_ids, self._present_ids):
             return []
-        self._instance_ids = alive
+        self._instance_ids, self._present_ids = alive, present
         return [
             *self.presence.handle(
-                presence.SetInstances(now=now, instance_ids=alive)
+                presence.SetInstances(now=now, instance_ids=present)
             ),
             *self._in_register(
-                register.InstancesChanged(now=now, instance_ids=alive)
+                register.InstancesChanged(now=now, instance_ids=present)
             ),
         ]
 
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -72,6 +72,8 @@
 
     def set_address(self, to: str, address: tuple[str, int]) -> None: ...
 
+    async def forget(self, to: str) -> None: ...
+
 
 class Runtime:
     """The control thread and what works for it.
@@ -126,6 +128,7 @@
             effects.CountWaste: self._count_waste,
             effects.CountLate: self._count_late,
             effects.PeerAddress: self._set_address,
+            effects.PeerForgotten: self._forget_peer,
             effects.Observed: self._observe,
             effects.GiveOrder: self._give_order,
             membership.Superseded: self._end_superseded,
@@ -259,6 +262,10 @@
                 effect.instance_id, (effect.host, effect.port)
             )
 
+    def _forget_peer(self, effect: effects.PeerForgotten) -> None:
+        if self._wire is not None:
+            self._loop.create_task(self._wire.forget(effect.instance_id))
+
     def _persist(self, effect: parts.Persist) -> None:
         self._writer.put(effect)
 
