--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -34,8 +34,9 @@
 
 #: Claims that one holder keeps at most.
 MAX_CLAIMS = 200_000
-#: Expected seconds to a claim holder and back, its sync included.
-CLAIM_ROUND_TRIP_S = 0.05
+#: Seconds to a claim holder and back, its sync included, on a busy machine;
+#: several ticks fit in it, and a claim is given up after ten of it.
+CLAIM_ROUND_TRIP_S = 0.3
 #: Claims know no holders under epoch 0; sets of voters count from 0.
 FIRST_CLAIMS_EPOCH = 1
 #: Seconds between two looks at who should own and dispatch what.
