--- a/tools/measure.py
+++ b/tools/measure.py
@@ -23,7 +23,7 @@
 
 WARM_UP_S = 10.0
 #: Arrivals of a quick run, in virtual seconds.
-QUICK_S = 45.0
+QUICK_S = 60.0
 #: Part of the calls that are good again once a fault is overcome.
 RECOVERED = 0.9
 NAMED_BASELINES = ('round-robin', 'least-reported')
