--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import pathlib
 import socket
 import threading
 import unittest
@@ -44,6 +45,10 @@
         self.opened = []
         self.open_ids = set()
         self.closed = threading.Semaphore(0)
+        #: How many calls to leave without an answer, and those that are.
+        self.holds = 0
+        self.carriers = []
+        self.held = threading.Semaphore(0)
 
     def open_relay(self, *, call, work, request_id):
         self.opened.append((call, work))
@@ -63,17 +68,23 @@
             self.closed.release()
         if not isinstance(event, events.RequestArrived):
             return
+        if self.holds:
+            self.holds -= 1
+            self.carriers.append(carrier)
+            self.held.release()
+            return
         if self.refusal is not None:
-            carrier.give(
-                effects.Refuse(
-                    request_id=event.request_id, refusal=self.refusal
-                )
-            )
+            self.refuse(carrier)
             return
         carrier.give(
             effects.Replay(request_id=event.request_id, outcome=RECORDED)
         )
 
+    def refuse(self, carrier):
+        carrier.give(
+            effects.Refuse(request_id=carrier.request_id, refusal=self.refusal)
+        )
+
     def close_relay(self, request_id):
         self.open_ids.discard(request_id)
 
@@ -428,3 +439,30 @@
                 answer = served.send(call)
                 self.assertEqual(answer.status // 100, 2)
                 self.assertTrue(answer.closes)
+
+    def test_a_full_instance_refuses_while_all_its_work_goes_on(self):
+        """Symptom: callers hang at an instance that has no room.
+
+        Sequence: as many calls as are allowed are at work; one more comes.
+        Cause: with no thread left, it would wait in the port's queue.
+        """
+        with border(REFUSED) as served, contextlib.ExitStack() as stack:
+            served.gate.holds = 3
+            for _ in range(3):
+                caller = stack.enter_context(served.connect())
+                caller.sendall(raw(BOOKING))
+                self.assertTrue(served.gate.held.acquire(timeout=PATIENCE_S))
+            answer = served.send(raw(BOOKING))
+            self.assertEqual(answer.error['reason'], 'instance_full')
+            for carrier in served.gate.carriers:
+                served.gate.refuse(carrier)
+
+
+class Pages(unittest.TestCase):
+    def test_the_page_lists_every_reason_with_its_status(self):
+        page = pathlib.Path('docs/CALLERS.md').read_text()
+        for reason in verdict.RefusalReason:
+            status = callers.STATUS_BY_REASON.get(
+                reason, callers.DEFAULT_STATUS
+            )
+            self.assertIn(f'| `{reason.value}` | {status} |', page)
