--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -69,6 +69,7 @@
     document = local.example_document()
     for number in range(CHANGES):
         document['services'][0]['first_token_s'] = 2.0 + number / 1000
+        document['accounts'][0]['requests_per_s'] = 100_000
         began = time.perf_counter()
         revision = system.apply('gw-1', document, f'measure-{number}')
         while not is_in_force(system, revision):
