--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,6 +5,7 @@
 
 from nose2.tools import params
 
+from tools import capacity_common
 from tools import capacity_fits
 from tools import capacity_model
 from tools import capacity_page
@@ -48,7 +49,7 @@
 
     @classmethod
     def setUpClass(cls) -> None:
-        found = capacity_runs.all_fits(capacity_runs.QUICK)
+        found = capacity_runs.all_fits(capacity_common.QUICK)
         cls.fits_by_name = {each.name: each for each in found}
 
     def test_a_request_costs_its_owner_four_messages(self) -> None:
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -9,6 +9,7 @@
 
 import defopt
 
+from tools import capacity_common as common
 from tools import capacity_fits as fits
 from tools import capacity_model as model
 from tools import capacity_network as networks
@@ -26,7 +27,7 @@
     """Yield the JSON lines of one run."""
     yield _machine()
     found = []
-    for each in runs.all_fits(runs.QUICK if quick else runs.Sizes()):
+    for each in runs.all_fits(common.QUICK if quick else common.Sizes()):
         found.append(each)
         yield each.as_line()
     spent, renewed = [], []
--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -6,6 +6,7 @@
 from dandeliongw import policy
 
 from tools import capacity_fits as fits
+from tools import capacity_idle as idle
 
 KIB = 1024
 DAY_S = 86400.0
@@ -330,14 +331,10 @@
         by_voters = self._fits_by_name[f'voter idle {quantity}, by voters']
         by_askers = self._fits_by_name[f'voter idle {quantity}, by askers']
         sizes = [size for size, _ in by_voters.points]
-        own = self._no_less(f'entry idle {quantity}', sizes[-1] * ASKERS)
-        more = by_askers.slope * (askers - ASKERS)
+        own = self._no_less(f'entry idle {quantity}', sizes[-1] * idle.ASKERS)
+        more = by_askers.slope * (askers - idle.ASKERS)
         return max(0.0, by_voters.at(aim.voters) + more - own)
 
     def cpu_of_messages(self, cost: Cost) -> float:
         """Return what the messages of a line cost outside the reducer."""
         return cost.messages_per_s * self._message_us
-
-
-#: Instances to one voter in the runs that vary the voters.
-ASKERS = 4
