--- a/tools/outcomes.py
+++ b/tools/outcomes.py
@@ -18,7 +18,11 @@
         self.started.append(event.test.id())
 
     def testOutcome(self, event: nose2.events.TestOutcomeEvent) -> None:
-        if event.outcome == 'skipped':
+        if event.outcome == 'subtest':
+            # Passing ones are told too; a test counts once in any case.
+            if event.exc_info is not None:
+                self.failed.append(event.test.test_case.id())
+        elif event.outcome == 'skipped':
             self.skipped.append(event.test.id())
         elif not event.expected or event.outcome == 'error':
             self.failed.append(event.test.id())
