--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -29,7 +29,7 @@
 from .coordination import parts
 
 #: Seconds between ticks.
-TICK_S = 0.1
+TICK_S = 0.05
 #: Threads that send cancels and orders to engines.
 CONTROL_THREADS = 8
 #: An engine's word for an order with an old fencing number.
