Orders reach engines; a service that comes back is owned again

Causes, both seen to fail first: - HttpEngine.order called _post without its deadline: every order failed with a TypeError. No test called it; two do now. - A change that drops a service drops its cell, not its lease. When the next change brought the service back within the review's half second, the lease was held already and no cell was made. What a cell wants done after new terms was thrown away as well.

--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -399,7 +399,7 @@
             'fence': fence,
         }
         with self._exchange(timeout_s) as exchange:
-            response = self._post(exchange, '/v1/order', body)
+            response = self._post(exchange, '/v1/order', body, None)
             self._raise_unless_ok(exchange, response)
             exchange.read(response, self.MAX_ANSWER_BYTES)
 
--- a/dandeliongw/owner.py
+++ b/dandeliongw/owner.py
@@ -53,6 +53,7 @@
         self._lease_wait_s = lease_wait_s
         self._orders_by_cell: dict[str, orders.Orders] = {}
         self._order_revision = 0
+        self._epochs_by_cell: dict[str, int] = {}
         self._loads_told_by_id: dict[str, float] = {}
         self._takeovers_by_cell: dict[str, takeover.Takeover] = {}
         self.cells_by_id: dict[str, cells.Cell] = {}
@@ -64,6 +65,7 @@
 
         :param instance_ids: all that may hold bookings of it.
         """
+        self._epochs_by_cell[cell] = epoch
         service = cell.split('/')[0]
         terms = self._terms(service)
         if terms is None:
@@ -95,19 +97,34 @@
 
     def lose(self, cell: str) -> None:
         """Stop owning a cell; the next owner starts from what it is told."""
+        self._epochs_by_cell.pop(cell, None)
+        self._drop(cell)
+
+    def _drop(self, cell: str) -> None:
         self.cells_by_id.pop(cell, None)
         self._takeovers_by_cell.pop(cell, None)
         self._orders_by_cell.pop(cell, None)
 
-    def change_document(self, now: float) -> None:
-        """Take the document's new terms; drop cells whose service is gone."""
+    def change_document(
+        self, now: float, instance_ids: frozenset[str]
+    ) -> list[typing.Any]:
+        """Take the document's new terms; drop cells whose service is gone.
+
+        A service can be back before the lease of its cell is released. The
+        lease is then held already, and no news of gaining it will come.
+        """
+        out = []
         for cell_id, cell in list(self.cells_by_id.items()):
             terms = self._terms(cell.service)
             if terms is None:
-                self.lose(cell_id)
-            else:
-                cell.handle(cells.TermsChanged(now=now, terms=terms))
-                self._tell_orders(now, cell_id)
+                self._drop(cell_id)
+                continue
+            out.extend(cell.handle(cells.TermsChanged(now=now, terms=terms)))
+            self._tell_orders(now, cell_id)
+        for cell_id, epoch in list(self._epochs_by_cell.items()):
+            if cell_id not in self.cells_by_id:
+                out.extend(self.gain(now, cell_id, epoch, instance_ids))
+        return out
 
     def receive(self, event: parts.Received) -> list[typing.Any]:
         """Take a message for a cell, or say that it isn't owned here."""
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -486,9 +486,13 @@
             ]
         self.directory.is_unreadable = False
         self.directory.document = described
-        self.owner.change_document(now)
         self._review_at = now
-        return [_log('configuration in force', revision=str(effect.revision))]
+        return [
+            _log('configuration in force', revision=str(effect.revision)),
+            *self.owner.change_document(
+                now, frozenset(self.membership.alive_ids())
+            ),
+        ]
 
     def _change_voters(
         self, now: float, effect: register.VotersChanged
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -209,3 +209,25 @@
                 list(decode(adapter))
         self.assertEqual(caught.exception.known, NOT_RUN)
         self.assertEqual([each for each in server.calls if each[2]], [])
+
+
+class Orders(unittest.TestCase):
+    def order(self, reply):
+        with raw_server.serving(reply) as server:
+            model_engine(server.url).order(
+                order_id='o',
+                order='load_model',
+                value='m',
+                fence=3,
+                timeout_s=20.0,
+            )
+
+    def test_an_order_is_answered(self):
+        self.order(raw_server.answer(b'{}'))
+
+    def test_an_old_fencing_number_is_told(self):
+        refused = raw_server.answer(b'{"reason": "fenced"}', '409 Conflict')
+        with self.assertRaises(engine.EngineError) as caught:
+            self.order(refused)
+        self.assertEqual('fenced', caught.exception.reason)
+        self.assertIs(NOT_RUN, caught.exception.known)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,5 +1,6 @@
 """The parts of instances together, on a virtual clock."""
 
+import json
 import unittest
 
 from nose2.tools import params
@@ -10,6 +11,7 @@
 from dandeliongw.coordination import lease_messages
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
+from dandeliongw.coordination import register
 from dandeliongw import effects
 from dandeliongw import events
 from dandeliongw import reducer as reducer_module
@@ -226,6 +228,32 @@
         ]
         self.assertEqual([], started)
 
+    def test_a_service_that_comes_back_is_owned_again(self):
+        """Symptom: a service that was put back answers nothing.
+
+        Sequence: a change drops the service, the next one brings it back
+        before the lease of its cell is released.
+        Cause: the lease is held still, so it is never gained again.
+        """
+        described = local.example_document()
+        without = {
+            **described,
+            'services': described['services'][:1],
+            'pools': described['pools'][:2],
+            'routes': described['routes'][:1],
+            'accounts': [
+                {**described['accounts'][0], 'services': ['dieline-llm']}
+            ],
+        }
+        owner = self.net.reducers_by_id[self.owner]
+        for document in (without, described):
+            body = json.dumps(document).encode()
+            owner._change_configuration(
+                self.net.now,
+                register.ConfigurationChanged(revision=9, document=body),
+            )
+        self.assertIn(CELL, owner.owner.cells_by_id)
+
     def test_an_engine_that_ignores_numbers_is_ordered_late(self):
         """Symptom: an engine loads what an earlier holder ordered.
 
