Reducer split by job: succession, repair, fronts, shutdown

Was 844 lines with five jobs; now 632 that route events, and four small modules that hand their decisions back as events.

--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -205,3 +205,8 @@
     """
 
     cut_off: int = 0
+
+
+def log(message: str, level: str = 'INFO', **fields: str) -> Log:
+    """Return a log line with these JSON fields."""
+    return Log(message=message, fields=tuple(fields.items()), level=level)
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -91,7 +91,7 @@
 
     @property
     def is_leaving(self) -> bool:
-        return self._reducer.is_leaving
+        return self._reducer.shutdown.is_leaving
 
     def entries(self) -> dict[str, typing.Any]:
         found = self._runtime.look(self._reducer.membership.entries)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -8,7 +8,6 @@
 
 import collections
 from collections import abc
-import dataclasses
 import typing
 
 from . import admission
@@ -18,10 +17,14 @@
 from . import effects
 from . import events
 from . import exceptions
+from . import fronts
 from . import orders
 from . import owner as owner_module
+from . import repair
 from . import requests
 from . import settings as settings_module
+from . import shutdown
+from . import succession
 from .coordination import claim_messages
 from .coordination import claims
 from .coordination import lease
@@ -37,34 +40,12 @@
 #: Seconds to a claim holder and back, its sync included, on a busy machine;
 #: several ticks fit in it, and a claim is given up after ten of it.
 CLAIM_ROUND_TRIP_S = 0.3
-#: Claims know no holders under epoch 0; sets of voters count from 0.
-FIRST_CLAIMS_EPOCH = 1
 #: Seconds between two looks at who should own and dispatch what.
 REVIEW_S = 0.5
 
-#: Seconds for which a deputy that was asked keeps trying for a lease.
-DEPUTY_S = 10.0
-#: Seconds that each further deputy gives the one before it.
-DEPUTY_TURN_S = 3.0
-#: Seconds between two tries to bring a new disk among the voters.
-REPAIR_S = 5.0
-#: Ticket prefix of those tries.
-REPAIR_TICKET = 'repair:'
-
-#: Seconds that a shutdown gives to what it broke off.
-CUT_OFF_S = 2.0
-
 Handler = abc.Callable[[typing.Any], list[typing.Any]]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Asked:
-    """When entries asked for a cell that this instance doesn't own."""
-
-    first_at: float
-    last_at: float
-
-
 class Reducer:
     """All parts of one instance, and what passes between them.
 
@@ -83,7 +64,6 @@
     ) -> None:
         self.settings = settings
         self._is_voter = disk_id is not None
-        self._entries_ttl_s = settings.timeouts.entries_ttl_s
         self.membership = _make_membership(settings, incarnation, callers_url)
         self.register = register.Register(
             instance_id=settings.instance_id,
@@ -136,30 +116,33 @@
             lease_wait_s=settings.timeouts.lease_s
             + settings.timeouts.lease_margin_s,
         )
+        self.succession = succession.Succession(
+            instance_id=settings.instance_id,
+            directory=self.directory,
+            owner=self.owner,
+        )
+        self.repair = repair.Repair(
+            instance_id=settings.instance_id, configuration=self.register
+        )
+        self.fronts = fronts.Fronts(directory=self.directory)
+        self.shutdown = shutdown.Shutdown(
+            timeouts=settings.timeouts,
+            directory=self.directory,
+            gate=self.admission,
+            running=self.requests,
+            succession=self.succession,
+        )
         self._parts_by_name: dict[str, parts.Part] = {
             'register': self.register,
             'claims': self.claims,
             'leases': self.leases,
         }
         self._review_at = 0.0
-        self._wanted: frozenset[str] | None = None
         self._instance_ids: tuple[str, ...] = ()
         #: Those and the suspected ones, who may still act.
         self._present_ids: tuple[str, ...] = ()
         self._is_serving = False
-        self._shutdown_at: float | None = None
-        #: Requests that a shutdown broke off, once its time was over.
-        self._cut_off: int | None = None
-        self._has_left = False
-        #: Set once a shutdown has begun; read by other threads.
-        self.is_leaving = False
-        self._fronts_by_id: dict[str, tuple[str, str]] = {}
-        self._forwards_by_id: dict[str, tuple[str, ...]] = {}
-        self._asked_by_cell: dict[str, _Asked] = {}
         self._entropy = incarnation
-        self._repair_at = 0.0
-        #: Parts that hold all of the coming voters' state, by set number.
-        self._caught_up: set[tuple[str, int]] = set()
         self._handlers_by_type = self._make_handlers()
         self._receivers_by_type = self._make_receivers()
         self._absorbers_by_type = self._make_absorbers()
@@ -256,7 +239,12 @@
             (self._tick, (parts.Ticked,)),
             (self._receive, (parts.Received,)),
             (self._persisted, (parts.Persisted,)),
-            (self._begin_shutdown, (events.ShutdownBegun,)),
+            (
+                lambda event: self.shutdown.begin(event.now),
+                (events.ShutdownBegun,),
+            ),
+            (self.shutdown.hand_over, (shutdown.HandOver,)),
+            (self.shutdown.left, (shutdown.Left,)),
         ]
         return {
             event_type: handler
@@ -348,8 +336,8 @@
                 for further in answer(now, request_id, effect.result):
                     self._absorb(now, further, pending, out)
                 return
-        if effect.ticket.startswith(REPAIR_TICKET):
-            out.append(_log(f'replacing the disk: {effect.result}'))
+        if effect.ticket.startswith(repair.TICKET):
+            out.append(effects.log(f'replacing the disk: {effect.result}'))
             return
         out.append(effect)
 
@@ -381,7 +369,8 @@
         if isinstance(message, cells.Book) and (
             message.cell not in self.owner.cells_by_id
         ):
-            self._note_asked(event.now, message.cell)
+            self.succession.note_asked(event.now, message.cell)
+            self._review_at = event.now
         return self.owner.receive(event)
 
     def _to_entry(self, event: parts.Received) -> list[typing.Any]:
@@ -410,7 +399,9 @@
         self, now: float, effect: lease.LeaseGained
     ) -> list[typing.Any]:
         return [
-            _log('owns a cell', cell=effect.name, epoch=str(effect.epoch)),
+            effects.log(
+                'owns a cell', cell=effect.name, epoch=str(effect.epoch)
+            ),
             *self.owner.gain(
                 now,
                 effect.name,
@@ -423,38 +414,28 @@
         self, now: float, effect: lease.LeaseLost
     ) -> list[typing.Any]:
         self.owner.lose(effect.name)
-        return [_log('owns a cell no more', cell=effect.name, level='WARNING')]
+        return [
+            effects.log(
+                'owns a cell no more', cell=effect.name, level='WARNING'
+            )
+        ]
 
     # Backend servers
 
     def _announce(self, event: presence.Announced) -> list[typing.Any]:
-        announcement = event.announcement
-        self._fronts_by_id[announcement.backend_id] = (
-            announcement.service,
-            announcement.data_centre,
-        )
-        out = self.presence.handle(event)
-        self._forwards_by_id.pop(announcement.backend_id, None)
-        return [*out, *self._forward(event.now, announcement.backend_id)]
-
-    def _forward(self, now: float, backend_id: str) -> list[typing.Any]:
-        """Say who dispatches to a backend server, when that has changed."""
-        service, data_centre = self._fronts_by_id[backend_id]
-        cell = self.directory.cell_of_backend(service, data_centre)
-        owners = self.directory.owners_of(cell) if cell else ()
-        to = owners[:2]
-        if self._forwards_by_id.get(backend_id) == to:
-            return []
-        self._forwards_by_id[backend_id] = to
-        forward = presence.Forward(now=now, backend_id=backend_id, to=to)
-        return self.presence.handle(forward)
+        return [
+            *self.presence.handle(event),
+            *self.fronts.announced(event.now, event.announcement),
+        ]
 
     def _change_backend(
         self, now: float, effect: presence.BackendChanged
     ) -> list[typing.Any]:
         state = 'present' if effect.present else 'gone'
         return [
-            _log(f'backend server is {state}', backend_id=effect.backend_id),
+            effects.log(
+                f'backend server is {state}', backend_id=effect.backend_id
+            ),
             *self.owner.change_backend(now, effect.backend_id),
         ]
 
@@ -479,7 +460,7 @@
             # would serve by a configuration that is no longer accepted.
             self.directory.is_unreadable = True
             return [
-                _log(
+                effects.log(
                     f'can not read the accepted document: {error}',
                     level='ERROR',
                 )
@@ -488,7 +469,9 @@
         self.directory.document = described
         self._review_at = now
         return [
-            _log('configuration in force', revision=str(effect.revision)),
+            effects.log(
+                'configuration in force', revision=str(effect.revision)
+            ),
             *self.owner.change_document(
                 now, frozenset(self.membership.alive_ids())
             ),
@@ -497,86 +480,20 @@
     def _change_voters(
         self, now: float, effect: register.VotersChanged
     ) -> list[typing.Any]:
-        voters, joining = effect.voters_by_id, effect.joining_by_id
-        coming = {
-            instance_id: disk_id
-            for instance_id, disk_id in joining.items()
-            if voters.get(instance_id) != disk_id
-        }
-        out = self._in_claims(
-            claim_messages.HoldersChanged(
-                now=now,
-                disk_ids_by_holder=voters,
-                joining=coming,
-                epoch=effect.number + FIRST_CLAIMS_EPOCH,
-                leaving=frozenset(voters) - frozenset(joining or voters),
-            )
-        )
-        out += self._in_leases(
-            lease.GrantorsChanged(
-                now=now,
-                grantors=tuple(sorted(voters)),
-                joining=tuple(sorted(joining)),
-                version=effect.number,
-            )
-        )
-        if effect.number == 0 and self.register.disk_id in voters.values():
-            # Only the first voters ever start with nothing to catch up with.
-            out += self._in_leases(lease.GrantorsFormed(now=now))
-        return out
+        return self.repair.change_voters(now, effect)
 
     def _leases_caught_up(
         self, now: float, effect: lease.GrantorCaughtUp
     ) -> list[typing.Any]:
-        return self._note_caught_up(now, 'leases', effect.version)
+        return self.repair.note_whole(
+            now, 'leases', effect.version, self._entropy
+        )
 
     def _claims_caught_up(
         self, now: float, effect: claim_messages.CaughtUp
     ) -> list[typing.Any]:
-        number = effect.epoch - FIRST_CLAIMS_EPOCH
-        return self._note_caught_up(now, 'claims', number)
-
-    def _note_caught_up(
-        self, now: float, part: str, number: int
-    ) -> list[typing.Any]:
-        """Let the register finish a replacement once all parts are whole.
-
-        Counting the new disk earlier would leave claims or epochs on fewer
-        disks than a majority: one would see nothing, until a second disk is
-        lost right after and a booking runs twice.
-        """
-        self._caught_up.add((part, number))
-        wanted = {('leases', number), ('claims', number)}
-        if not wanted <= self._caught_up:
-            return []
-        return self._in_register(
-            register.CaughtUp(
-                now=now, disk_id=self.register.disk_id, entropy=self._entropy
-            )
-        )
-
-    def _review_disk(self, now: float) -> list[typing.Any]:
-        """Ask for this disk to vote in place of the one that was lost."""
-        own = self.settings.instance_id
-        held = self.register
-        counted = held.voters_by_id.get(own)
-        is_known = counted in (None, held.disk_id)
-        if is_known or held.joining_by_id or now < self._repair_at:
-            return []
-        self._repair_at = now + REPAIR_S
-        return [
-            _log('a new disk asks to vote in place of a lost one'),
-            *self._in_register(
-                register.ReplaceVoter(
-                    now=now,
-                    ticket=f'{REPAIR_TICKET}{held.disk_id}',
-                    change_id=f'disk-{held.disk_id}',
-                    instance_id=own,
-                    by=own,
-                    entropy=self._entropy,
-                )
-            ),
-        ]
+        number = effect.epoch - repair.FIRST_CLAIMS_EPOCH
+        return self.repair.note_whole(now, 'claims', number, self._entropy)
 
     # Membership
 
@@ -616,9 +533,7 @@
         if event.now >= self._review_at:
             self._review_at = event.now + REVIEW_S
             out += self._review(event.now)
-        if self._shutdown_at is not None:
-            out += self._drain(event.now)
-        return out
+        return [*out, *self.shutdown.tick(event.now)]
 
     def _review(self, now: float) -> list[typing.Any]:
         """Look again at who is there and who should do what."""
@@ -626,13 +541,9 @@
             *self._review_instances(now),
             *self._review_serving(now),
             self._observe(now),
-            *self._review_cells(now),
-            *self._review_disk(now),
-            *(
-                effect
-                for backend_id in list(self._fronts_by_id)
-                for effect in self._forward(now, backend_id)
-            ),
+            *self.succession.review(now),
+            *self.repair.review(now, self._entropy),
+            *self.fronts.review(now),
         ]
 
     def _observe(self, now: float) -> effects.Observed:
@@ -675,107 +586,6 @@
             membership.SetServing(now=now, serving=serving)
         )
 
-    def _review_cells(self, now: float) -> list[typing.Any]:
-        wanted = frozenset(
-            cell
-            for cell in self.directory.all_cells()
-            if self._should_own(now, cell)
-        )
-        if wanted == self._wanted:
-            return []
-        self._wanted = wanted
-        return self._in_leases(lease.Wanted(now=now, names=wanted))
-
-    def _should_own(self, now: float, cell: str) -> bool:
-        """Whether to try for a cell's lease.
-
-        Deputies that are asked for it try one after the other: when several
-        try at once, none gets a majority, and the cell has no owner for
-        seconds longer than it need be.
-        """
-        own = self.settings.instance_id
-        ranked = self.directory.ranked_owners(cell)
-        if own not in ranked:
-            is_last = self.is_leaving and not ranked
-            return is_last and cell in self.owner.cells_by_id
-        place = ranked.index(own)
-        if place == 0:
-            return True
-        asked = self._asked_by_cell.get(cell)
-        if asked is None or now - asked.last_at >= DEPUTY_S:
-            return False
-        return now - asked.first_at >= (place - 1) * DEPUTY_TURN_S
-
-    def _note_asked(self, now: float, cell: str) -> None:
-        """Note that an entry asks this instance for a cell it doesn't own.
-
-        Entries ask a deputy when the owner doesn't answer them. Its lease
-        may be free long before its death is certain.
-        """
-        asked = self._asked_by_cell.get(cell)
-        if asked is None or now - asked.last_at >= DEPUTY_S:
-            asked = _Asked(first_at=now, last_at=now)
-            self._asked_by_cell[cell] = asked
-        asked.last_at = now
-        self._review_at = now
-
-    # Shutdown
-
-    def _begin_shutdown(self, event: events.ShutdownBegun) -> list[typing.Any]:
-        """Leave the entries, but serve those who still hold the address.
-
-        Callers keep an answer of ``GET /v1/entries`` for its time to live.
-        Refusing at once would fail calls of callers who did nothing wrong.
-        """
-        if self._shutdown_at is not None:
-            return []
-        self._shutdown_at = event.now
-        self.is_leaving = True
-        told = self.membership.handle(
-            membership.SetDraining(now=event.now, draining=True)
-        )
-        # Ranked before, this instance would be its own successor.
-        self.directory.forget_ranks()
-        return [
-            _log('shutdown begins'),
-            *told,
-            *self._hand_over(event.now),
-        ]
-
-    def _hand_over(self, now: float) -> list[typing.Any]:
-        out = []
-        for cell in list(self.owner.cells_by_id):
-            successors = self.directory.ranked_owners(cell)
-            if not successors:
-                # The last instance serves its callers to the end.
-                continue
-            release = lease.Release(
-                now=now, name=cell, successor=successors[0]
-            )
-            out += self._in_leases(release)
-        return [*out, *self._review_cells(now)]
-
-    def _drain(self, now: float) -> list[typing.Any]:
-        past_ttl_s = now - self._shutdown_at - self._entries_ttl_s
-        if past_ttl_s < 0 or self._has_left:
-            return []
-        self.directory.is_draining = True
-        bound_s = self.settings.timeouts.shutdown_s
-        out: list[typing.Any] = []
-        if past_ttl_s >= bound_s and self._cut_off is None:
-            # A caller that never reads would keep the process for good.
-            self._cut_off = self.admission.in_flight
-            out = self.requests.cut_off(now)
-        if self.admission.in_flight and past_ttl_s < bound_s + CUT_OFF_S:
-            return out
-        self._has_left = True
-        return [
-            *out,
-            *self.membership.handle(membership.Leave(now=now)),
-            _log(f'leaves with {self.admission.in_flight} in flight'),
-            effects.Drained(cut_off=self._cut_off or 0),
-        ]
-
 
 def _make_membership(
     settings: settings_module.Settings,
@@ -820,9 +630,3 @@
         else effect
         for effect in wanted
     ]
-
-
-def _log(message: str, level: str = 'INFO', **fields: str) -> effects.Log:
-    return effects.Log(
-        message=message, fields=tuple(fields.items()), level=level
-    )
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -7,14 +7,12 @@
 
 from dandeliongw import cells
 from dandeliongw.coordination import claim_messages
-from dandeliongw.coordination import lease
 from dandeliongw.coordination import lease_messages
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
 from dandeliongw.coordination import register
 from dandeliongw import effects
 from dandeliongw import events
-from dandeliongw import reducer as reducer_module
 from tests import network
 from tools import local
 
@@ -294,20 +292,10 @@
         the replacement is finished; a second disk is lost.
         Cause: the register hears of the first part only.
         """
-        effects_by_part = {
-            'leases': lease.GrantorCaughtUp(version=7),
-            'claims': claim_messages.CaughtUp(
-                epoch=7 + reducer_module.FIRST_CLAIMS_EPOCH,
-                disk_id='disk-gw-1',
-            ),
-        }
-        reducer = self.net.reducers_by_id['gw-1']
-        told = []
-        reducer._in_register = lambda event: told.append(event) or []
-        for part, count in ((first, 0), (second, 1)):
-            effect = effects_by_part[part]
-            reducer._absorbers_by_type[type(effect)](self.net.now, effect)
-            self.assertEqual(count, len(told))
+        made = self.net.reducers_by_id['gw-1'].repair
+        for part, expected in ((first, []), (second, [register.CaughtUp])):
+            told = made.note_whole(self.net.now, part, 7, 1)
+            self.assertEqual(expected, [type(each.event) for each in told])
 
     def test_a_lost_disk_is_replaced_by_itself(self):
         """Symptom: after a second loss there is no majority any more.
