--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -1,5 +1,6 @@
 """Failures of whole instances, with real processes on loopback addresses."""
 
+import json
 import pathlib
 import shutil
 import signal
@@ -160,3 +161,87 @@
         self.assertEqual(1, self.runs()['{"horse": "once"}'])
         _, held = self.system.operator('gw-3', 'GET', '/v1/document')
         self.assertEqual(self.revision, held['revision'])
+
+
+class EngineMemoryTest(unittest.TestCase):
+    """No engine memory stays held for a caller who has gone."""
+
+    def setUp(self):
+        folder = tempfile.mkdtemp(prefix='dandeliongw-')
+        self.addCleanup(shutil.rmtree, folder)
+        running = local.running(folder=pathlib.Path(folder), timeouts=TIMEOUTS)
+        self.system = self.enterContext(running)
+        revision = self.system.apply('gw-1', local.example_document(), 'first')
+        self.system.wait_serving(revision)
+        common = ('--service', 'dieline-llm', '--data-centre', 'dc-a')
+        for role in ('prefill', 'decode'):
+            self.system.start_stand_in(
+                'standin_engine', role, '--role', role, *common
+            )
+        self.system.wait_backends(2)
+
+    def open_stream(self, instance_id):
+        """Return an answer of which the first bytes have come."""
+        body = {
+            'model': 'dieline-llm',
+            'prompt': 'fold and glue ' * 50,
+            'max_tokens': 20_000,
+            'stream': True,
+        }
+
+        def start():
+            answer = self.system.http.request(
+                'POST',
+                self.system.instances_by_id[instance_id].callers_url
+                + '/v1/completions',
+                body=json.dumps(body).encode(),
+                headers={'Authorization': f'Bearer {local.ACCOUNT_KEY}'},
+                preload_content=False,
+            )
+            if answer.status == 200:
+                answer.read1(1)
+                return answer
+            answer.close()
+            return None
+
+        return local.wait_until('a stream has begun', start)
+
+    def held(self):
+        streams = []
+        for stand_in in self.system.stand_ins_by_id.values():
+            _, answer = self.system.call('GET', f'{stand_in.url}/v1/streams')
+            streams += answer['streams']
+        return streams
+
+    def owner(self):
+        for instance_id in self.system.instances_by_id:
+            _, answer = self.system.operator(instance_id, 'GET', '/v1/status')
+            leases = answer.get('leases', [])
+            if any('dieline-llm' in each['name'] for each in leases):
+                return instance_id
+        return None
+
+    def test_a_caller_who_leaves_frees_the_engines(self):
+        """Symptom: slots are taken by answers that nobody reads.
+
+        Sequence: a caller closes its connection in the middle of a stream.
+        Cause: the entry goes on reading, or forgets the engine's stream.
+        """
+        answer = self.open_stream('gw-1')
+        self.assertNotEqual([], self.held())
+        answer.close()
+        local.wait_until('the engines hold nothing', lambda: not self.held())
+
+    def test_owner_and_entry_lost_together_leave_nothing_behind(self):
+        """Symptom: an engine's slots stay taken for minutes.
+
+        Sequence: the instance that carries a stream also owns its cell, and
+        is killed; the engine goes on with a stream of 20,000 tokens.
+        Cause: nobody who is left knows of the stream.
+        """
+        self.open_stream('gw-1').close()
+        owner = local.wait_until('the cell has an owner', self.owner)
+        answer = self.open_stream(owner)
+        self.addCleanup(answer.close)
+        self.system.kill(self.system.instances_by_id[owner].process)
+        local.wait_until('the engines hold nothing', lambda: not self.held())
