Owners are told the token gap of whole answers

Cause: no entry set Release.token_gap_s, so a decode engine's batch was never capped in the daemon, only in the load model, which sets it itself.

The relay takes the time at each token it passes on, by the clock it is given; StepEnded and the release of a DONE attempt carry the mean. Nothing is told (zero) where the figure would not be the engine's: - fewer than two tokens; - a resumed stream, which brings the tokens of the break at once; - a caller that held the tokens up for more than a tenth of the time. Ruled out: the time waited in the engine's iterator alone. With a slow caller, tokens gather in the socket and the waits come near zero.

Before: the three new tests of relay and requests failed (no such field). Not run: how the cap behaves in a daemon under load.

--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -67,6 +67,8 @@
         offset of the stream (decode).
     :param cached_tokens: prompt tokens that the prefix cache saved.
     :param outcome: what a resend would be told; recorded under a claim.
+    :param token_gap_s: mean seconds between the tokens of a whole answer,
+        by the relay's clock; zero if not measured.
     :param late_pieces: pieces of other attempts that were dropped.
     :param entropy: 64 random bits, for the jitter of a retry.
     """
@@ -82,6 +84,7 @@
     tokens: int = 0
     cached_tokens: int = 0
     outcome: bytes = b''
+    token_gap_s: float = 0.0
     late_pieces: int = 0
     entropy: int = 0
 
--- a/dandeliongw/relay.py
+++ b/dandeliongw/relay.py
@@ -21,6 +21,7 @@
 from . import engine
 from . import events
 from . import outcome
+from . import spacing
 from . import verdict
 
 #: Headers of a caller's call that a plain service gets to see.
@@ -225,11 +226,12 @@
         self, directive: effects.RunDecode, left_s: float
     ) -> abc.Generator[engine.Piece, None, '_Done']:
         adapter = self._backends.model_engine(directive.url)
+        measure = spacing.Spacing()
         with self._stops.watching(directive.attempt_id, adapter):
             if directive.kv:
                 self._import(adapter, directive, left_s)
             try:
-                yield from self._stream(adapter, directive, left_s)
+                yield from self._stream(adapter, directive, left_s, measure)
             except engine.EngineError as error:
                 # A whole answer that lacks only its end mark is whole.
                 if directive.kv or self._offset < self.call.max_tokens:
@@ -240,7 +242,11 @@
             text=''.join(self._text),
             tokens=self._offset,
         )
-        return _Done(outcome=self._outcome.to_bytes())
+        return _Done(
+            outcome=self._outcome.to_bytes(),
+            # A resumed stream brings at once what came during the break.
+            token_gap_s=measure.mean_s() if directive.kv else 0.0,
+        )
 
     def _import(
         self,
@@ -262,6 +268,7 @@
         adapter: engine.Engine,
         directive: effects.RunDecode,
         left_s: float,
+        measure: spacing.Spacing,
     ) -> abc.Iterator[engine.Piece]:
         """Pass on what is missing; only the end mark ends a stream.
 
@@ -289,9 +296,11 @@
                     raise _broken(f'token {self._offset} is missing')
                 if piece.is_end:
                     return
+                measure.arrived(self._clock())
                 self._text.append(piece.text)
                 self._offset += 1
                 yield dataclasses.replace(piece, offset=offset)
+                measure.taken(self._clock())
         raise _broken(f'the stream stopped at token {self._offset}')
 
     def _call(self, directive: effects.RunCall, left_s: float) -> '_Done':
@@ -393,6 +402,7 @@
     tokens: int = 0
     cached_tokens: int = 0
     outcome: bytes = b''
+    token_gap_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -510,7 +510,9 @@
         return [send, *self._run_decode(event.now, request)]
 
     def _answered(self, event: events.StepEnded, request: Request) -> Effects:
-        release = self._reservations.release(request, cells.Outcome.DONE)
+        release = self._reservations.release(
+            request, cells.Outcome.DONE, token_gap_s=event.token_gap_s
+        )
         request.booked = None
         if not request.claim_key:
             complete = effects.Complete(request_id=request.request_id)
--- a/dandeliongw/reservations.py
+++ b/dandeliongw/reservations.py
@@ -133,6 +133,7 @@
         *,
         fault: str = '',
         wasted: int = 0,
+        token_gap_s: float = 0.0,
     ) -> Effects:
         """Give the reservation back; nothing if none can be held."""
         if not request.is_held:
@@ -145,6 +146,7 @@
             outcome=outcome,
             wasted_tokens=wasted,
             backend_fault=fault,
+            token_gap_s=token_gap_s,
         )
         return [parts.Send(to=request.owner, message=release)]
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -352,3 +352,69 @@
         kinds = [type(each) for each in told]
         gone = [events.CallerGone, events.RequestClosed]
         self.assertEqual(kinds, [events.RequestArrived, *gone] if read else [])
+
+
+class PacedEngine:
+    """An engine whose tokens come at given times on the test's clock."""
+
+    def __init__(self, *arrivals):
+        self.now = 0.0
+        self.arrivals = arrivals
+
+    def model_engine(self, url):
+        return self
+
+    def import_kv(self, **_):
+        pass
+
+    def abort(self):
+        pass
+
+    def decode(self, *, attempt_id, from_offset, **_):
+        offset = from_offset
+        for self.now in self.arrivals:
+            yield engine.Piece(attempt_id=attempt_id, offset=offset, text='a')
+            offset += 1
+        yield engine.Piece(
+            attempt_id=attempt_id, offset=offset, text='', is_end=True
+        )
+
+
+def paced(paced_engine, directive):
+    """Return the end of one decode; all on the test's own thread."""
+    told = []
+    carried = relay.Relay(
+        request_id='r',
+        call=entry_fake.call('completion'),
+        work=relay.Work(),
+        backends=paced_engine,
+        post=lambda make_event: told.append(make_event(now=0.0)),
+        clock=lambda: paced_engine.now,
+    )
+    carried.give(directive)
+    carried.give(effects.Complete(request_id='r'))
+    for _ in carried.pieces():
+        pass
+    (ended,) = [each for each in told if isinstance(each, events.StepEnded)]
+    return ended
+
+
+class TokenGaps(unittest.TestCase):
+    def test_a_whole_answer_tells_its_mean_gap(self):
+        """Symptom: decode batches grow until all tokens come too late.
+
+        Sequence: answers end well, but with wide gaps between their tokens.
+        Cause: nobody would tell the owner how wide the gaps are.
+        """
+        ended = paced(PacedEngine(1.0, 1.1, 1.4), run_decode('http://d'))
+        self.assertAlmostEqual(ended.token_gap_s, 0.2)
+
+    def test_a_resumed_stream_tells_no_gap(self):
+        """Symptom: a slow engine's batch is allowed to grow.
+
+        Sequence: a stream is resumed; the tokens of the break come at once.
+        Cause: what was buffered meanwhile would count as quick.
+        """
+        resume = run_decode('http://d', kv='')
+        ended = paced(PacedEngine(1.0, 1.0, 1.0, 1.3), resume)
+        self.assertEqual(ended.token_gap_s, 0.0)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -37,6 +37,17 @@
         ((to, release),) = entry.sent(cells.Release)
         self.assertEqual((to, release.outcome), (OWNER, cells.Outcome.DONE))
 
+    def test_the_release_of_a_whole_answer_tells_its_token_gap(self):
+        """Symptom: the cap of a decode batch never comes on.
+
+        Sequence: answers end well, with gaps far above the target.
+        Cause: the owner learns from the release only, which told no gap.
+        """
+        entry = Entry()
+        entry.decode(entry.decoding(), token_gap_s=0.125)
+        ((_, release),) = entry.sent(cells.Release)
+        self.assertEqual(release.token_gap_s, 0.125)
+
     def test_a_claim_is_recorded_before_the_end_is_given(self):
         entry = Entry()
         request_id = entry.calling()
--- /dev/null
+++ b/tests/test_spacing.py
@@ -0,0 +1,38 @@
+"""The measure of an answer's token spacing, with made-up times."""
+
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import spacing
+
+
+def measured(*times):
+    """Return the mean gap for (arrived, taken) times in seconds."""
+    measure = spacing.Spacing()
+    for arrived_at, taken_at in times:
+        measure.arrived(arrived_at)
+        measure.taken(taken_at)
+    return measure.mean_s()
+
+
+class MeanGap(unittest.TestCase):
+    def test_it_is_the_mean_of_the_times_between_arrivals(self):
+        times = ((5.0, 5.0), (5.1, 5.1), (5.4, 5.4))
+        self.assertAlmostEqual(measured(*times), 0.2)
+
+    @params((), ((5.0, 5.0),))
+    def test_fewer_than_two_tokens_have_no_gap(self, *times):
+        self.assertEqual(measured(*times), 0.0)
+
+    def test_a_caller_that_takes_tokens_slowly_is_not_the_engines_fault(self):
+        """Symptom: a decode engine's batch is capped though it is in time.
+
+        Sequence: a caller on a bad line takes each token a second late.
+        Cause: the wait for the caller would count as the engine's gap.
+        """
+        self.assertEqual(measured((0.0, 1.0), (1.0, 2.0), (2.0, 3.0)), 0.0)
+
+    def test_a_caller_that_is_quick_enough_does_not_hide_the_gap(self):
+        times = ((0.0, 0.001), (0.1, 0.101), (0.2, 9.0))
+        self.assertAlmostEqual(measured(*times), 0.1)
