requests.py is split by job

Methods moved as they were; only names and receivers differ.

Ruled out: mixins. They would keep one class that knows everything.

--- /dev/null
+++ b/dandeliongw/attempts.py
@@ -0,0 +1,126 @@
+"""The attempts of a request: when one begins, and when it is the last."""
+
+import typing
+
+from . import admission
+from . import cells
+from . import effects
+from . import endings
+from . import policy
+from . import refusals
+from . import reservations
+from . import verdict
+from .request import Phase
+from .request import Request
+
+#: Attempts of one request, the first included.
+MAX_ATTEMPTS = 4
+#: Mean wait before the third attempt; twice as long before each further
+#: one. The second goes at once: it goes to another backend server.
+BACKOFF_S = 0.1
+
+Effects = list[typing.Any]
+
+
+class Attempts:
+    """Begins attempts, and gives them up.
+
+    :param budgets: bound the attempts after the first, by service.
+    """
+
+    def __init__(
+        self,
+        *,
+        reservations: reservations.Reservations,
+        endings: endings.Endings,
+        budgets: admission.RetryBudgets,
+    ) -> None:
+        self._reservations = reservations
+        self._endings = endings
+        self._budgets = budgets
+
+    def begin(self, now: float, request: Request) -> Effects:
+        """Begin another attempt, with an id of its own."""
+        request.attempts += 1
+        request.owner = ''
+        return self.search(now, request)
+
+    def search(self, now: float, request: Request) -> Effects:
+        """Ask for a booking of the present attempt."""
+        asked = self._reservations.search(now, request)
+        return self.unless_ownerless(now, request, asked)
+
+    def unless_ownerless(
+        self, now: float, request: Request, asked: Effects | None
+    ) -> Effects:
+        """Return what was asked; end or wait when nobody could be asked."""
+        if asked is not None:
+            return asked
+        if now - request.phase_at < request.search_s and request.attempts > 1:
+            # What has been computed is worth a little patience.
+            request.asked_at = now
+            return []
+        return self._endings.give_up(now, request, refusals.no_owner(request))
+
+    def again(
+        self,
+        now: float,
+        request: Request,
+        *,
+        failure: verdict.RetryReason,
+        message: str,
+        failed_id: str = '',
+        entropy: int = 0,
+    ) -> Effects:
+        """Give the attempt up, and begin another one if that may help."""
+        out = self._give_back(request, failure, failed_id)
+        if request.caller_gone:
+            refusal = refusals.caller_gone(request)
+            return [*out, *self._endings.refuse(now, request, refusal)]
+        if not request.may_run_again:
+            refusal = refusals.backend_failed(message)
+            return [*out, *self._endings.refuse(now, request, refusal)]
+        wait_s = self._backoff_s(request, entropy)
+        if not self._is_worth_it(now + wait_s, request):
+            refusal = refusals.retries_spent(request, message)
+            return [*out, *self._endings.refuse(now, request, refusal)]
+        count = effects.CountRetry(reason=failure)
+        if not wait_s:
+            return [*out, count, *self.begin(now, request)]
+        request.retry_at = now + wait_s
+        return [*out, count]
+
+    def _give_back(
+        self,
+        request: Request,
+        failure: verdict.RetryReason,
+        failed_id: str,
+    ) -> Effects:
+        wasted = request.prefilled_tokens
+        release = self._reservations.release(
+            request, cells.Outcome.FAILED, fault=failed_id, wasted=wasted
+        )
+        request.phase = Phase.BACKOFF
+        request.booked = None
+        request.forget_kv()
+        request.resumes_from = -1
+        if failed_id:
+            request.exclude += (failed_id,)
+        if request.stage is policy.Stage.DECODE:
+            request.stage = policy.Stage.PAIR
+        return [*release, *refusals.count_waste(failure, wasted)]
+
+    def _backoff_s(self, request: Request, entropy: int) -> float:
+        """Return how long to wait, jittered so that no wave comes back."""
+        if request.attempts < 2:
+            return 0.0
+        jitter = 0.5 + entropy / 2**64
+        return BACKOFF_S * 2 ** (request.attempts - 2) * jitter
+
+    def _is_worth_it(self, start_at: float, request: Request) -> bool:
+        """Whether another attempt may still meet the deadline."""
+        return (
+            request.attempts < MAX_ATTEMPTS
+            and start_at + request.prefill_s < request.deadline_at
+            and self._budgets.spend(request.service)
+        )
--- /dev/null
+++ b/dandeliongw/endings.py
@@ -0,0 +1,113 @@
+"""How requests end before their answer is whole, and what that frees.
+
+Whatever ends a request gives back its slot, settles its claim, counts what
+was wasted, and refuses it with the verdict that is proved.
+"""
+
+import typing
+
+from . import cells
+from . import effects
+from . import refusals
+from . import resends
+from . import reservations
+from . import verdict
+from .request import Phase
+from .request import Request
+from .request import WORKING
+
+_MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+
+Effects = list[typing.Any]
+
+
+def turn_away(request_id: str, refusal: verdict.Refusal) -> Effects:
+    """Refuse a request that was not admitted."""
+    return [
+        effects.CountRefusal(refusal=refusal),
+        effects.Refuse(request_id=request_id, refusal=refusal),
+    ]
+
+
+class Endings:
+    """Ends the requests of one entry."""
+
+    def __init__(self, *, reservations: reservations.Reservations) -> None:
+        self._reservations = reservations
+
+    def leave(self, now: float, request: Request) -> Effects:
+        """The caller has gone: free what it held."""
+        request.caller_gone = True
+        if request.phase is Phase.CALL and request.claim_key:
+            # A claimed call is left to end, so that its outcome is known
+            # when the caller asks again. It holds no engine memory.
+            return []
+        if request.phase is Phase.RECORDING:
+            return []
+        refusal = refusals.caller_gone(request)
+        return self.stop(now, request, refusal, cells.Outcome.CANCELLED)
+
+    def cut_off(self, now: float, request: Request) -> Effects:
+        """A shutdown's time is over before the request is."""
+        refusal = refusals.cut_off(request)
+        return [
+            refusals.log_cut_off(request),
+            *self.stop(now, request, refusal, cells.Outcome.CANCELLED),
+        ]
+
+    def stop(
+        self,
+        now: float,
+        request: Request,
+        refusal: verdict.Refusal,
+        outcome: cells.Outcome,
+    ) -> Effects:
+        """Break off whatever is under way, then refuse."""
+        wasted = request.prefilled_tokens
+        return [
+            *self.break_off(request),
+            *self._reservations.release(request, outcome, wasted=wasted),
+            *refusals.count_waste(refusal.reason, wasted),
+            *self.refuse(now, request, refusal),
+        ]
+
+    def break_off(self, request: Request) -> Effects:
+        """Stop the thread's step and free the engines' memory."""
+        cancels = self._reservations.cancels(request)
+        if request.phase in WORKING:
+            request.known = _MAY_HAVE_RUN
+            request.cancels_by_attempt[request.attempt_id] = cancels
+        abort = effects.Abort(
+            request_id=request.request_id, attempt_id=request.attempt_id
+        )
+        return [abort, *cancels]
+
+    def give_up(
+        self, now: float, request: Request, refusal: verdict.Refusal
+    ) -> Effects:
+        """Refuse a request of which nothing is under way any more."""
+        wasted = request.prefilled_tokens
+        release = self._reservations.release(
+            request, cells.Outcome.FAILED, wasted=wasted
+        )
+        return [
+            *release,
+            *refusals.count_waste(refusal.reason, wasted),
+            *self.refuse(now, request, refusal),
+        ]
+
+    def refuse(
+        self, now: float, request: Request, refusal: verdict.Refusal
+    ) -> Effects:
+        """Refuse a request that holds nothing but, perhaps, its claim."""
+        claim = resends.settle(now, request, refusal)
+        last = effects.Refuse(request_id=request.request_id, refusal=refusal)
+        return [*claim, *self.end(request, last)]
+
+    def end(self, request: Request, last: effects.Directive) -> Effects:
+        """Give the last directive; nothing follows it."""
+        request.is_ended = True
+        request.booked = None
+        if isinstance(last, effects.Refuse):
+            return [effects.CountRefusal(refusal=last.refusal), last]
+        return [last]
--- /dev/null
+++ b/dandeliongw/recovery.py
@@ -0,0 +1,116 @@
+"""After a step failed: the cheapest next step that meets the deadline.
+
+In this order: resume the stream, move the KV cache, begin another attempt,
+give up. ``docs/REQUEST-LIFE.md`` says when each is tried.
+"""
+
+import typing
+
+from . import attempts
+from . import effects
+from . import endings
+from . import events
+from . import policy
+from . import refusals
+from . import reservations
+from . import steps
+from . import verdict
+from .request import Phase
+from .request import Request
+
+#: How long a prefill's result can be counted on (evicted in under 1 s).
+KV_LIFE_S = 0.7
+
+_RETRY = verdict.RetryReason
+
+Effects = list[typing.Any]
+
+
+class Recovery:
+    """Chooses what follows a step that failed."""
+
+    def __init__(
+        self, *, attempts: attempts.Attempts, endings: endings.Endings
+    ) -> None:
+        self._attempts = attempts
+        self._endings = endings
+
+    def after(self, event: events.StepEnded, request: Request) -> Effects:
+        """Take in that a step of the present attempt failed."""
+        log = refusals.log_failure(event)
+        return [log, *self._choose(event, request)]
+
+    def _choose(self, event: events.StepEnded, request: Request) -> Effects:
+        if event.now >= request.deadline_at:
+            request.phase = Phase.BACKOFF
+            return self._endings.give_up(
+                event.now, request, refusals.past_deadline(request)
+            )
+        if event.step is events.Step.DECODE:
+            if self._may_resume(event, request):
+                return self._resume(event, request)
+            if self._may_move(event, request):
+                return self._move(event, request)
+        if event.step is events.Step.CALL and (
+            event.known is verdict.Verdict.RAN
+        ):
+            return self._endings.give_up(
+                event.now, request, refusals.answer_unusable(event.message)
+            )
+        return self._attempts.again(
+            event.now,
+            request,
+            failure=event.failure,
+            message=event.message,
+            failed_id=_failed_id(event.step, request),
+            entropy=event.entropy,
+        )
+
+    def _may_resume(self, event: events.StepEnded, request: Request) -> bool:
+        """Whether the engine may hold the stream still.
+
+        It does when only the connection died. A second break at the same
+        token means that the engine itself is at fault.
+        """
+        broke = event.failure in (_RETRY.STREAM_BROKEN, _RETRY.STREAM_STALLED)
+        return broke and request.resumes_from < event.tokens
+
+    def _resume(self, event: events.StepEnded, request: Request) -> Effects:
+        """Take the stream up where it broke, over a new connection."""
+        request.resumes_from = event.tokens
+        request.kv = ''
+        count = effects.CountRetry(reason=event.failure)
+        return [count, *steps.run_decode(event.now, request)]
+
+    def _may_move(self, event: events.StepEnded, request: Request) -> bool:
+        return (
+            bool(request.kv)
+            and event.failure is not _RETRY.KV_EVICTED
+            and event.now - request.kv_at < KV_LIFE_S
+            and request.attempts < attempts.MAX_ATTEMPTS
+        )
+
+    def _move(self, event: events.StepEnded, request: Request) -> Effects:
+        """Bring the KV cache to another decode engine before it is evicted.
+
+        The booking is changed, not given back: giving it back would cancel
+        the prefill's result, which is all that there is to move.
+        """
+        booked = request.booked
+        cancel = reservations.cancel_of(
+            request, booked.decode_id, booked.decode_url
+        )
+        request.exclude += (booked.decode_id,)
+        request.stage = policy.Stage.DECODE
+        request.attempts += 1
+        count = effects.CountRetry(reason=event.failure)
+        return [count, cancel, *self._attempts.search(event.now, request)]
+
+
+def _failed_id(step: events.Step, request: Request) -> str:
+    match step:
+        case events.Step.PREFILL:
+            return request.booked.prefill_id
+        case events.Step.DECODE:
+            return request.booked.decode_id
+    return request.booked.plain_id
--- /dev/null
+++ b/dandeliongw/replies.py
@@ -0,0 +1,197 @@
+"""What the owners of cells answer, and what an entry makes of it."""
+
+from collections import abc
+import typing
+
+from . import attempts
+from . import cells
+from . import effects
+from . import endings
+from . import policy
+from . import reservations
+from . import steps
+from . import verdict
+from .coordination import parts
+from .request import Phase
+from .request import Request
+from .request import UNPLACED
+
+_RETRY = verdict.RetryReason
+
+Effects = list[typing.Any]
+
+
+class Replies:
+    """Takes in the owners' messages for the requests of one entry."""
+
+    def __init__(
+        self,
+        *,
+        reservations: reservations.Reservations,
+        attempts: attempts.Attempts,
+        endings: endings.Endings,
+    ) -> None:
+        self._reservations = reservations
+        self._attempts = attempts
+        self._endings = endings
+
+    def take(self, event: parts.Received, request: Request | None) -> Effects:
+        """Take in an owner's message.
+
+        :param request: the one that it is about, or ``None`` if forgotten.
+        """
+        message = event.message
+        is_current = (
+            request is not None
+            and not request.is_ended
+            and message.attempt_id == request.attempt_id
+        )
+        if not is_current:
+            return self._drop_late(event)
+        request.heard_at = event.now
+        match message:
+            case cells.Booked():
+                return self._start(event, request)
+            case cells.Queued():
+                return self._wait(event, request)
+            case cells.Declined():
+                return self._declined(event, request)
+            case cells.NotOwner():
+                return self._not_owner(event, request)
+            case cells.Cancelled():
+                return self._cancelled(event, request)
+        return []
+
+    def _drop_late(self, event: parts.Received) -> Effects:
+        """Give back what was booked for an attempt that is over.
+
+        A reply can cross the end of its attempt. Taking it for the current
+        one would run the request twice; keeping silent would leave a slot
+        booked until its lease runs out.
+        """
+        message = event.message
+        late: Effects = [effects.CountLate(what=effects.Late.OWNER)]
+        if not isinstance(message, cells.Booked | cells.Queued):
+            return late
+        release = cells.Release(
+            cell=message.cell,
+            request_id=message.request_id,
+            attempt_id=message.attempt_id,
+            outcome=cells.Outcome.CANCELLED,
+        )
+        return [*late, parts.Send(to=event.sender, message=release)]
+
+    def _start(self, event: parts.Received, request: Request) -> Effects:
+        booked = event.message
+        is_expected = (
+            request.phase in UNPLACED and event.sender == request.owner
+        )
+        if not is_expected or booked.decode_id in request.exclude:
+            # Told twice, or the pair that a KV cache is moving away from.
+            return []
+        now = event.now
+        request.booked = booked
+        request.phase_at = now
+        request.search_s = reservations.OWNER_LOST_S
+        if request.stage is policy.Stage.PLAIN:
+            return steps.run_call(now, request)
+        if request.stage is policy.Stage.DECODE:
+            return steps.run_decode(now, request)
+        return steps.run_prefill(now, request)
+
+    def _wait(self, event: parts.Received, request: Request) -> Effects:
+        if request.phase is Phase.BOOKING and event.sender == request.owner:
+            request.phase = Phase.QUEUED
+            request.phase_at = request.asked_at = event.now
+            request.search_s = reservations.OWNER_LOST_S
+        return []
+
+    def _declined(self, event: parts.Received, request: Request) -> Effects:
+        if request.phase not in UNPLACED or event.sender != request.owner:
+            return []
+        declined = event.message
+        if request.stage is policy.Stage.DECODE:
+            return self._attempts.again(
+                event.now,
+                request,
+                failure=_RETRY.IMPORT_REFUSED,
+                message=declined.message,
+            )
+        request.is_held = False
+        refusal = verdict.Refusal(
+            reason=verdict.RefusalReason(declined.reason),
+            verdict=request.known,
+            message=declined.message,
+            retry_after_s=declined.retry_after_s,
+        )
+        return self._endings.refuse(event.now, request, refusal)
+
+    def _not_owner(self, event: parts.Received, request: Request) -> Effects:
+        holder = event.message.holder
+        if event.sender != request.owner:
+            return []
+        if request.phase is Phase.BOOKING:
+            return self._reservations.follow(event.now, request, holder)
+        # For placed work, the next renewal goes to whoever is known then.
+        # Telling the named instance at once would go round for ever when
+        # two that don't own the cell name each other.
+        return []
+
+    def _cancelled(self, event: parts.Received, request: Request) -> Effects:
+        """An owner doesn't know this booking (any more)."""
+        if request.phase is Phase.QUEUED:
+            return self._attempts.search(event.now, request)
+        if not request.is_placed:
+            return []
+        is_owner = event.sender == request.owner
+        if not is_owner and event.message.epoch <= request.booked.epoch:
+            # From before the present owner's time.
+            return []
+        if self._reservations.is_lost(request, event):
+            return self._lose_slot(event, request)
+        return self._reservations.reclaim(
+            event.now,
+            request.cell,
+            [request],
+            event.sender,
+            event.message.epoch,
+        )
+
+    def reclaim_all(
+        self,
+        now: float,
+        here: abc.Sequence[Request],
+        cell: str,
+        holder: str,
+        epoch: int,
+    ) -> Effects:
+        """Tell a cell's new owner all that this entry holds of it.
+
+        It waits for this also when there is nothing. What the old owner had
+        queued is booked anew with the new one.
+
+        :param here: requests of the cell that have not ended.
+        """
+        placed = [each for each in here if each.is_placed]
+        out = self._reservations.reclaim(now, cell, placed, holder, epoch)
+        for request in here:
+            if request.phase in UNPLACED:
+                out += self._reservations.move_search(now, request, holder)
+        return out
+
+    def _lose_slot(self, event: parts.Received, request: Request) -> Effects:
+        """Stop working on a slot that belongs to another request by now."""
+        request.is_held = False
+        if request.phase is Phase.CALL:
+            # Calls of plain services are never broken off for a slot:
+            # whether they ran could not be told any more.
+            return []
+        return [
+            *self._endings.break_off(request),
+            *self._attempts.again(
+                event.now,
+                request,
+                failure=_RETRY.OWNER_CHANGED,
+                message='the slot was given to another request',
+            ),
+        ]
--- a/dandeliongw/reservations.py
+++ b/dandeliongw/reservations.py
@@ -1,7 +1,7 @@
 """What an entry says to the owners of cells, and when it says it again.
 
 Every function changes the request and returns the messages to send. None of
-them ends a request: that is for :mod:`.requests`.
+them ends a request: that is for :mod:`.endings`.
 """
 
 from collections import abc
--- /dev/null
+++ b/dandeliongw/steps.py
@@ -0,0 +1,58 @@
+"""The steps that a request's thread is directed to do.
+
+Each function changes the request's phase and returns the directive.
+"""
+
+import typing
+
+from . import effects
+from .request import Phase
+from .request import Request
+
+Effects = list[typing.Any]
+
+
+def run_call(now: float, request: Request) -> Effects:
+    """Send the call to the plain service that was booked."""
+    request.phase = Phase.CALL
+    return [
+        effects.RunCall(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            url=request.booked.plain_url,
+            deadline_in_s=request.left_s(now),
+        )
+    ]
+
+
+def run_prefill(now: float, request: Request) -> Effects:
+    """Compute the prompt's KV cache on the booked prefill engine."""
+    request.phase = Phase.PREFILL
+    return [
+        effects.RunPrefill(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            url=request.booked.prefill_url,
+            priority=request.admitted.priority.rank,
+            fence=request.booked.epoch,
+            start_in_s=request.booked.start_in_s,
+            deadline_in_s=request.left_s(now),
+        )
+    ]
+
+
+def run_decode(now: float, request: Request) -> Effects:
+    """Stream tokens; a request without ``kv`` resumes its stream."""
+    request.phase = Phase.DECODE
+    request.phase_at = now
+    return [
+        effects.RunDecode(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            url=request.booked.decode_url,
+            source_url=request.kv_source,
+            kv=request.kv,
+            fence=request.booked.epoch,
+            deadline_in_s=request.left_s(now),
+        )
+    ]
