The callers' page is run and checked like the others

Cause: docs/CALLERS.md has commands marked to run, but was not in PAGES, so nothing ran them. Now its commands, links and unmarked commands are checked.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -27,6 +27,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 PAGES = (
     'README.md',
+    'docs/CALLERS.md',
     'docs/INTERFACES.md',
     'docs/BACKENDS.md',
     'docs/OPERATIONS.md',
