--- a/dandeliongw/reservations.py
+++ b/dandeliongw/reservations.py
@@ -1,7 +1,7 @@
 """What an entry says to the owners of cells, and when it says it again.
 
 Every function changes the request and returns the messages to send. None of
-them ends a request: that is for :mod:`.requests`.
+them ends a request: that is for :mod:`.endings`.
 """
 
 from collections import abc
@@ -133,6 +133,7 @@
         *,
         fault: str = '',
         wasted: int = 0,
+        token_gap_s: float = 0.0,
     ) -> Effects:
         """Give the reservation back; nothing if none can be held."""
         if not request.is_held:
@@ -145,6 +146,7 @@
             outcome=outcome,
             wasted_tokens=wasted,
             backend_fault=fault,
+            token_gap_s=token_gap_s,
         )
         return [parts.Send(to=request.owner, message=release)]
 
