Settings: max_requests leaves a thread that refuses

Cause: with max_requests equal to callers.threads, requests in hand may take every thread. None is left to refuse and count the next one: the HTTP server holds it in its queue and then answers a 503 that no counter sees. Ruled out: refusing in the accept loop, which cheroot does without a hook; clamping silently, as a setting that is not followed misleads. Before: 200 of 200 was accepted (the new tests failed). After: refused with the field, what was given and what is allowed; 199 is accepted. The default of 192 of 200 and the examples need no change.

--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -101,7 +101,7 @@
     max_body_bytes: _models.PositiveInt = 8 * MIB
     """The longest request body."""
     max_requests: _models.PositiveInt = 192
-    """Requests in hand at one time, streams and lookups together."""
+    """Requests in hand at one time; less than ``callers.threads``."""
     max_streams: _models.PositiveInt = 160
     """Streams from model engines at one time."""
     reserved_lookups: _models.NotNegativeInt = 32
@@ -282,11 +282,16 @@
                 given=f'{wanted} together with limits.reserved_lookups',
                 allowed=f'must fit in callers.threads, which is {threads}',
             )
-        if self.limits.max_requests > threads:
+        # With every thread busy, nobody is left to refuse and to count:
+        # the HTTP server holds further connections without a word.
+        if self.limits.max_requests >= threads:
             yield exceptions.Problem(
                 path='limits.max_requests',
                 given=f'given {self.limits.max_requests}',
-                allowed=f'must fit in callers.threads, which is {threads}',
+                allowed=(
+                    f'must be less than callers.threads, which is {threads}: '
+                    'a thread has to be left that refuses what is too much'
+                ),
             )
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -85,6 +85,7 @@
         ('callers.port', 7101, 'peer.port'),
         ('callers.threads', '200', 'callers.threads'),
         ('limits.reserved_lookups', 41, 'limits.max_streams'),
+        ('limits.max_requests', 200, 'limits.max_requests'),
         ('timeouts.lease_margin_s', 2, 'timeouts.lease_margin_s'),
         ('timeouts.renew_s', 0, 'timeouts.renew_s'),
         ('log_level', 'LOUD', 'log_level'),
@@ -93,6 +94,19 @@
         problems = problems_of(changed(path, value))
         self.assertIn(told, [problem.path for problem in problems])
 
+    def test_a_thread_is_left_to_refuse_what_is_too_much(self):
+        """Symptom: under load, callers wait and get 503s nobody counted.
+
+        Sequence: requests in hand take every thread, further ones arrive.
+        Cause: the refusal of an instance that is full needs a thread too.
+        """
+        (problem,) = problems_of(changed('limits.max_requests', 200))
+        self.assertEqual('given 200', problem.given)
+        self.assertIn('less than callers.threads', problem.allowed)
+        self.assertIn('200', problem.allowed)
+        found = settings.parse_settings(changed('limits.max_requests', 199))
+        self.assertEqual(199, found.limits.max_requests)
+
     def test_every_problem_is_told(self):
         tree = VALID | {'log_level': 'LOUD', 'region': 5, 'colour': 'red'}
         problems = problems_of(json.dumps(tree).encode())
