Settings: limits.max_claims in place of a constant

Cause: how many keys a voter keeps was a constant of the reducer; a place with more memory, or more bookings, could not set it. Before: holders whose settings allow one key granted a second one (the new test failed). After: it is refused as holders_full. The default is the old constant, 200000.

--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -32,8 +32,6 @@
 from .coordination import register
 from .coordination import register_messages
 
-#: Claims that one holder keeps at most.
-MAX_CLAIMS = 200_000
 #: Seconds to a claim holder and back, its sync included, on a busy machine;
 #: several ticks fit in it, and a claim is given up after ten of it.
 CLAIM_ROUND_TRIP_S = 0.3
@@ -96,7 +94,7 @@
             is_holder=self._is_voter,
             disk_id=disk_id,
             retention_s=settings.timeouts.claim_retention_s,
-            max_records=MAX_CLAIMS,
+            max_records=settings.limits.max_claims,
             max_outcome_bytes=settings.limits.max_outcome_bytes,
             round_trip_s=CLAIM_ROUND_TRIP_S,
         )
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -110,6 +110,8 @@
     """This instance's share of the weight store's rate."""
     max_outcome_bytes: _models.PositiveInt = 65536
     """The longest recorded answer of a non-idempotent call."""
+    max_claims: _models.PositiveInt = 200_000
+    """Keys of non-idempotent calls that a voter keeps; no more are taken."""
 
 
 class Timeouts(_models.Model):
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -49,6 +49,26 @@
     )
 
 
+def begin_claim(now, key):
+    return claim_messages.Begin(
+        now=now,
+        ticket=key,
+        key=key,
+        digest=b'digest',
+        attempt_id=f'attempt-{key}',
+        deadline_s=5.0,
+    )
+
+
+class OneClaimNetwork(network.Network):
+    """Instances whose settings let a holder keep one claim."""
+
+    def _settings(self, instance_id):
+        made = super()._settings(instance_id)
+        limits = made.limits.model_copy(update={'max_claims': 1})
+        return made.model_copy(update={'limits': limits})
+
+
 class ReducerTest(unittest.TestCase):
     def setUp(self):
         self.sequence = 1
@@ -141,6 +161,28 @@
         ]
         self.assertEqual([claim_messages.Granted()], results)
 
+    def test_holders_keep_as_many_claims_as_the_settings_say(self):
+        """Symptom: ``limits.max_claims`` is set and changes nothing.
+
+        Sequence: holders that may keep one key are asked for two.
+        Cause: a bound that is a constant of the code.
+        """
+        net = OneClaimNetwork()
+        net.run(2.0)
+        for key in ('first', 'second'):
+            net.post('gw-1', begin_claim(net.now, key))
+            net.run(5.0)
+        results = {
+            each.ticket: each.result
+            for each in net.effects_by_id['gw-1']
+            if isinstance(each, parts.Complete)
+        }
+        self.assertEqual(claim_messages.Granted(), results['first'])
+        self.assertEqual(
+            claim_messages.UnavailableReason.HOLDERS_FULL,
+            results['second'].reason,
+        )
+
     def test_a_cut_off_instance_stops_admitting_within_the_ttl(self):
         """Symptom: an accepted change is not in force at one instance.
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -69,6 +69,7 @@
         self.assertEqual(200, found.callers.threads)
         self.assertEqual(16, found.control.threads)
         self.assertEqual(8 * 1024 * 1024, found.limits.max_body_bytes)
+        self.assertEqual(200_000, found.limits.max_claims)
         self.assertEqual(0.25, found.timeouts.lease_margin_s)
         self.assertTrue(found.peers_by_id['gw-1'].voter)
 
@@ -84,6 +85,7 @@
         ('control.port', 65536, 'control.port'),
         ('callers.port', 7101, 'peer.port'),
         ('callers.threads', '200', 'callers.threads'),
+        ('limits.max_claims', 0, 'limits.max_claims'),
         ('limits.reserved_lookups', 41, 'limits.max_streams'),
         ('limits.max_requests', 200, 'limits.max_requests'),
         ('timeouts.lease_margin_s', 2, 'timeouts.lease_margin_s'),
