Backend servers: announcements answer 409 old or left; 413

Cause: the outcome of an announcement was thrown away, so a backend server whose announcement came too late was told 200 and believed that it was there. A body over 1 MiB was cut there and parsed: "not JSON" for one that is, or 200 for one with white space at its end. A bad URL was answered with a regular expression. After: 409 with the reason, as renewals; 413 too_large; the URL told in words. What is left of a body, also after 401 and 404, is thrown away in pieces up to 8 MiB, else the connection ends: the HTTP server would keep it in memory.

--- a/dandeliongw/backends.py
+++ b/dandeliongw/backends.py
@@ -9,6 +9,7 @@
 import hashlib
 import hmac
 import json
+import re
 import typing
 
 import cherrypy
@@ -17,11 +18,23 @@
 from . import _application
 from . import _models
 from . import exceptions
+from . import web
 
 Role = typing.Literal['prefill', 'decode', 'plain']
 MAX_BODY_BYTES = 1 << 20
 
 
+#: The longest rest of a body that is read and thrown away.
+MAX_DISCARDED_BYTES = 8 << 20
+_PIECE_BYTES = 1 << 16
+
+
+def _check_url(url: str) -> str:
+    if not re.fullmatch(r'http://[^/]+', url):
+        raise ValueError('must be http://HOST:PORT, without a path')
+    return url
+
+
 class Identity(_models.Model):
     """What every message of a backend server carries.
 
@@ -43,9 +56,7 @@
 
     service: _models.Name
     role: Role
-    url: typing.Annotated[
-        str, pydantic.StringConstraints(pattern=r'^http://[^/]+$')
-    ]
+    url: typing.Annotated[str, pydantic.AfterValidator(_check_url)]
     data_centre: _models.Name
     slots: _models.NotNegativeInt = 0
     checks_fence: bool = False
@@ -82,8 +93,8 @@
     """The backend server will take no new work."""
 
 
-class RenewalAnswer(enum.StrEnum):
-    """What became of a renewal."""
+class PresenceAnswer(enum.StrEnum):
+    """What became of an announcement or a renewal."""
 
     ACCEPTED = 'accepted'
     ANNOUNCE_AGAIN = 'announce_again'
@@ -91,21 +102,31 @@
     LEFT = 'left'
 
 
+STATUS_BY_ANSWER = {
+    PresenceAnswer.ACCEPTED: 200,
+    PresenceAnswer.ANNOUNCE_AGAIN: 404,
+    PresenceAnswer.OLD: 409,
+    PresenceAnswer.LEFT: 409,
+}
 MESSAGES_BY_ANSWER = {
-    RenewalAnswer.ANNOUNCE_AGAIN: 'this instance does not know that backend '
+    PresenceAnswer.ANNOUNCE_AGAIN: 'this instance does not know that backend '
     'server: it has to announce itself here',
-    RenewalAnswer.OLD: 'something newer was said already, perhaps by a later '
+    PresenceAnswer.OLD: 'something newer was said already, perhaps by a later '
     'process with the same backend_id',
-    RenewalAnswer.LEFT: 'it has left; only a new announcement brings it back',
+    PresenceAnswer.LEFT: 'it has left; only a new announcement brings it back',
 }
 
 
+class BodyTooLarge(Exception):
+    """A body has more than ``MAX_BODY_BYTES``; nothing of it was used."""
+
+
 class Desk(typing.Protocol):
     """What the border needs of the server around it."""
 
-    def announce(self, announcement: Announcement) -> None: ...
+    def announce(self, announcement: Announcement) -> PresenceAnswer: ...
 
-    def renew(self, renewal: Renewal) -> RenewalAnswer: ...
+    def renew(self, renewal: Renewal) -> PresenceAnswer: ...
 
     def leave(self, leaving: Leaving) -> None: ...
 
@@ -134,6 +155,12 @@
     @cherrypy.expose
     def default(self, *path: str, **query: str) -> bytes:
         """Dispatch ``announce``, ``renew`` and ``leave``."""
+        try:
+            return self._dispatch(path)
+        finally:
+            _finish_reading()
+
+    def _dispatch(self, path: tuple[str, ...]) -> bytes:
         handlers = {
             ('announce',): self._announce,
             ('renew',): self._renew,
@@ -157,7 +184,16 @@
                 },
             )
         try:
-            return handler(cherrypy.request.rfile.read(MAX_BODY_BYTES))
+            return handler(_read_body())
+        except BodyTooLarge:
+            return _answer(
+                413,
+                {
+                    'reason': 'too_large',
+                    'message': 'the body is too long; at most '
+                    f'{MAX_BODY_BYTES} bytes are read',
+                },
+            )
         except exceptions.InvalidInput as error:
             return _answer(
                 400,
@@ -165,18 +201,19 @@
             )
 
     def _announce(self, body: bytes) -> bytes:
-        self._desk.announce(_models.parse(Announcement, body, ''))
-        return _answer(
-            200, {'lease_s': self._lease_s, 'renew_s': self._renew_s}
+        return self._tell(
+            self._desk.announce(_models.parse(Announcement, body, ''))
         )
 
     def _renew(self, body: bytes) -> bytes:
-        answer = self._desk.renew(_models.parse(Renewal, body, ''))
-        if answer is RenewalAnswer.ACCEPTED:
+        return self._tell(self._desk.renew(_models.parse(Renewal, body, '')))
+
+    def _tell(self, answer: PresenceAnswer) -> bytes:
+        status = STATUS_BY_ANSWER[answer]
+        if answer is PresenceAnswer.ACCEPTED:
             return _answer(
-                200, {'lease_s': self._lease_s, 'renew_s': self._renew_s}
+                status, {'lease_s': self._lease_s, 'renew_s': self._renew_s}
             )
-        status = 404 if answer is RenewalAnswer.ANNOUNCE_AGAIN else 409
         return _answer(
             status,
             {
@@ -198,6 +235,46 @@
         return hmac.compare_digest(digest, self._key_sha256)
 
 
+def _read_body() -> bytes:
+    """Return the whole body.
+
+    :raises BodyTooLarge: rather than return a part of it.
+    :raises InvalidInput: when it does not arrive whole.
+    """
+    try:
+        body = cherrypy.request.rfile.read(MAX_BODY_BYTES + 1)
+    except (ValueError, OSError) as error:
+        problem = exceptions.Problem(
+            path='', given=f'did not arrive: {error}', allowed='send it whole'
+        )
+        raise exceptions.InvalidInput(problems=(problem,)) from error
+    if len(body) > MAX_BODY_BYTES:
+        raise BodyTooLarge
+    return body
+
+
+def _finish_reading() -> None:
+    """Throw away what is left of a body, or else end the connection.
+
+    The rest would be kept in memory by the HTTP server, however long it is;
+    a connection that ends with bytes unread may lose the answer.
+    """
+    if not _discard_rest():
+        web.close_connection()
+
+
+def _discard_rest() -> bool:
+    """Return whether the body came to its end within the bound."""
+    for _ in range(MAX_DISCARDED_BYTES // _PIECE_BYTES):
+        try:
+            if not cherrypy.request.rfile.read(_PIECE_BYTES):
+                # After a chunked body there may be trailers.
+                return 'Transfer-Encoding' not in cherrypy.request.headers
+        except (ValueError, OSError):
+            return False
+    return False
+
+
 def _answer(status: int, fields: abc.Mapping[str, typing.Any]) -> bytes:
     cherrypy.response.status = status
     cherrypy.response.headers['Content-Type'] = 'application/json'
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -121,7 +121,9 @@
         self._reducer = reducer
         self._runtime = runtime
 
-    def announce(self, announcement: backends_module.Announcement) -> None:
+    def announce(
+        self, announcement: backends_module.Announcement
+    ) -> backends_module.PresenceAnswer:
         known = self._reducer.directory.data_centres
         if announcement.data_centre not in known:
             problem = exceptions.Problem(
@@ -136,13 +138,14 @@
                 'role': presence.BackendRole(announcement.role),
             }
         )
-        self._runtime.ask(
+        outcome = self._runtime.ask(
             functools.partial(presence.Announced, announcement=said)
         )
+        return backends_module.PresenceAnswer(outcome.value)
 
     def renew(
         self, renewal: backends_module.Renewal
-    ) -> backends_module.RenewalAnswer:
+    ) -> backends_module.PresenceAnswer:
         kinds = presence.CacheEventKind
         cache_events = presence.CacheEvents(
             first=renewal.cache_events.first,
@@ -161,7 +164,7 @@
                 cache_events=cache_events if cache_events.events else None,
             )
         )
-        return backends_module.RenewalAnswer(outcome.value)
+        return backends_module.PresenceAnswer(outcome.value)
 
     def leave(self, leaving: backends_module.Leaving) -> None:
         self._runtime.ask(
--- a/dandeliongw/web.py
+++ b/dandeliongw/web.py
@@ -131,6 +131,14 @@
         port.close()
 
 
+def close_connection() -> None:
+    """Let no other call come over the connection of the present one."""
+    cherrypy.response.headers['Connection'] = 'close'
+    carried = cherrypy.request.wsgi_environ.get(REQUEST_KEY)
+    if carried is not None:
+        carried.close_connection = True
+
+
 def quiet_cherrypy() -> None:
     """Keep CherryPy from writing lines of its own beside the JSON ones."""
     cherrypy.log.screen = False
