--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -1,18 +1,18 @@
 """The parts of instances together, on a virtual clock."""
 
+import json
 import unittest
 
 from nose2.tools import params
 
 from dandeliongw import cells
 from dandeliongw.coordination import claim_messages
-from dandeliongw.coordination import lease
 from dandeliongw.coordination import lease_messages
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
+from dandeliongw.coordination import register
 from dandeliongw import effects
 from dandeliongw import events
-from dandeliongw import reducer as reducer_module
 from tests import network
 from tools import local
 
@@ -268,6 +268,32 @@
         ]
         self.assertEqual([], started)
 
+    def test_a_service_that_comes_back_is_owned_again(self):
+        """Symptom: a service that was put back answers nothing.
+
+        Sequence: a change drops the service, the next one brings it back
+        before the lease of its cell is released.
+        Cause: the lease is held still, so it is never gained again.
+        """
+        described = local.example_document()
+        without = {
+            **described,
+            'services': described['services'][:1],
+            'pools': described['pools'][:2],
+            'routes': described['routes'][:1],
+            'accounts': [
+                {**described['accounts'][0], 'services': ['dieline-llm']}
+            ],
+        }
+        owner = self.net.reducers_by_id[self.owner]
+        for document in (without, described):
+            body = json.dumps(document).encode()
+            owner._change_configuration(
+                self.net.now,
+                register.ConfigurationChanged(revision=9, document=body),
+            )
+        self.assertIn(CELL, owner.owner.cells_by_id)
+
     def test_an_engine_that_ignores_numbers_is_ordered_late(self):
         """Symptom: an engine loads what an earlier holder ordered.
 
@@ -308,20 +334,10 @@
         the replacement is finished; a second disk is lost.
         Cause: the register hears of the first part only.
         """
-        effects_by_part = {
-            'leases': lease.GrantorCaughtUp(version=7),
-            'claims': claim_messages.CaughtUp(
-                epoch=7 + reducer_module.FIRST_CLAIMS_EPOCH,
-                disk_id='disk-gw-1',
-            ),
-        }
-        reducer = self.net.reducers_by_id['gw-1']
-        told = []
-        reducer._in_register = lambda event: told.append(event) or []
-        for part, count in ((first, 0), (second, 1)):
-            effect = effects_by_part[part]
-            reducer._absorbers_by_type[type(effect)](self.net.now, effect)
-            self.assertEqual(count, len(told))
+        made = self.net.reducers_by_id['gw-1'].repair
+        for part, expected in ((first, []), (second, [register.CaughtUp])):
+            told = made.note_whole(self.net.now, part, 7, 1)
+            self.assertEqual(expected, [type(each.event) for each in told])
 
     def test_a_lost_disk_is_replaced_by_itself(self):
         """Symptom: after a second loss there is no majority any more.
