Metrics: peers, lease answers and held-back orders

Cause: what connections drop, what a grantor answers and why orders wait was counted by the parts and shown nowhere. Five counters read the counts of the parts when the page is asked for; every value of their labels is there at 0 from the start, and METRICS.md comes from the same enums. Orders count into one object of the instance: a count that ended with its cell would have made the counter fall. Ruled out: counters set from differences at effects.Observed, which need a memory of the last reading, another field for each part, and are late.

--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -4,16 +4,25 @@
 over a counter that has never moved is zero and not missing.
 """
 
+from collections import abc
 import enum
 import typing
 
 import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry as registry_module
 
 from . import effects
+from . import envelopes
+from . import orders
+from . import peers
 from . import verdict as verdicts
 from . import waste
+from .coordination import lease_messages
 
 NAMESPACE = 'dandeliongw'
+#: The key of a watched counter's only count when it has no label.
+UNLABELLED = ''
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
 #: Seconds, close together around the target of 0.55 s.
@@ -35,6 +44,50 @@
     MISSED = 'missed'
 
 
+class WatchedCounter(registry_module.Collector):
+    """A counter over counts that a part keeps, read when it is shown.
+
+    The part stays free of metrics, and nothing can be counted twice or left
+    out between two readings. Reading one count needs no lock.
+
+    :param name: without ``_total``, which is added.
+    :param label: its only label, or ``None``.
+    :param values: every value of the label.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        text: str,
+        label: str | None,
+        values: abc.Sequence[str],
+    ) -> None:
+        self._name = name
+        self._text = text
+        self._labels = (label,) if label else ()
+        self._values = values
+        self._read: abc.Callable[[], abc.Mapping[str, int]] = dict
+
+    def watch(self, read: abc.Callable[[], abc.Mapping[str, int]]) -> None:
+        """Show from now on what ``read`` returns by value of the label.
+
+        Values that it leaves out are 0; it may be called in any thread.
+        """
+        self._read = read
+
+    def collect(self) -> abc.Iterator[core.CounterMetricFamily]:
+        """Yield the counter; called for each page of metrics."""
+        family = core.CounterMetricFamily(
+            self._name, self._text, labels=self._labels
+        )
+        counts = self._read()
+        for value in self._values:
+            labels = [value] if self._labels else []
+            family.add_metric(labels, counts.get(value, 0))
+        yield family
+
+
 class Metrics:
     """All metrics of one instance, in a registry of their own.
 
@@ -50,6 +103,7 @@
         #: Names of the labels of every metric, for the reference page.
         self.labels_by_name: dict[str, tuple[str, ...]] = {}
         self._make_counters()
+        self._make_watched()
         self._make_gauges()
         self._make_histograms()
 
@@ -91,6 +145,38 @@
         _start_at_zero(self.retries, verdicts.RetryReason)
         _start_at_zero(self.wasted_prefill, waste.WasteReason)
 
+    def _make_watched(self) -> None:
+        self.peer_drops = self._watched(
+            'peer_drops',
+            'Messages between instances that were not delivered.',
+            'reason',
+            list(envelopes.DropReason),
+        )
+        self.peer_faults = self._watched(
+            'peer_faults',
+            'Connections to other instances that ended badly.',
+            'reason',
+            list(peers.FaultReason),
+        )
+        self.lease_answers = self._watched(
+            'lease_answers',
+            'Answers of this voter to claims of leases.',
+            'outcome',
+            [each.name.lower() for each in lease_messages.LeaseOutcome],
+        )
+        self.orders_held_back = self._watched(
+            'orders_held_back',
+            'Times that an order was due and not given; one may count often.',
+            'reason',
+            list(orders.HoldReason),
+        )
+        self.order_repeats = self._watched(
+            'order_repeats',
+            'Orders sent again, as the answer was lost or a failure.',
+            None,
+            [UNLABELLED],
+        )
+
     def _make_gauges(self) -> None:
         self.configuration_revision = self._gauge(
             'configuration_revision', 'The revision that is in force here.'
@@ -193,6 +279,20 @@
             name, text, labels, namespace=NAMESPACE, registry=self.registry
         )
 
+    def _watched(
+        self,
+        name: str,
+        text: str,
+        label: str | None,
+        values: abc.Sequence[str],
+    ) -> WatchedCounter:
+        self._remember(name, (label,) if label else ())
+        counter = WatchedCounter(
+            name=f'{NAMESPACE}_{name}', text=text, label=label, values=values
+        )
+        self.registry.register(counter)
+        return counter
+
     def _gauge(
         self, name: str, text: str, *labels: str
     ) -> prometheus_client.Gauge:
--- a/dandeliongw/orders.py
+++ b/dandeliongw/orders.py
@@ -193,6 +193,22 @@
     )
 
 
+class OrderCounts:
+    """What an instance's orders count for the metrics, over all cells.
+
+    They outlive the cells: a counter that falls when a cell is lost looks
+    like a restart of the process.
+    """
+
+    def __init__(self) -> None:
+        #: How often an order that was due was held back.
+        self.holds_by_reason: collections.Counter[HoldReason] = (
+            collections.Counter()
+        )
+        #: Attempts after the first.
+        self.repeats = 0
+
+
 class Orders:
     """Orders of one holder under one epoch; a new epoch gets a new object.
 
@@ -202,6 +218,7 @@
     :param budget: of the weight store.
     :param longest_order_s: an order takes effect within this time of the
         check before its send, or never; the sender's timeout.
+    :param counts: where to count; shared by an instance's cells.
     :param lease_wait_s: lease and margin. A sender that freezes between the
         check and the send for longer than this has lost its lease.
     :param send_within_s: patience until an order leaves the queue.
@@ -215,18 +232,14 @@
         guard: Guard,
         budget: StoreBudget,
         longest_order_s: float,
+        counts: OrderCounts,
         lease_wait_s: float = 2.25,
         send_within_s: float = 0.5,
     ) -> None:
         self.cell = cell
         self.epoch = epoch
         self.longest_order_s = longest_order_s
-        #: How often an order that was due was held back, for the metrics.
-        self.holds_by_reason: collections.Counter[HoldReason] = (
-            collections.Counter()
-        )
-        #: Attempts after the first, for the metrics.
-        self.repeats = 0
+        self.counts = counts
         self._guard = guard
         self._budget = budget
         self._settle_s = lease_wait_s + longest_order_s
@@ -357,7 +370,7 @@
             if not self._budget.take(now):
                 reason = HoldReason.STORE_BUDGET
         if reason is not None:
-            self.holds_by_reason[reason] += 1
+            self.counts.holds_by_reason[reason] += 1
             return None
         return self._send(now, backend_id, engine, order)
 
@@ -416,7 +429,7 @@
             self._order_count += 1
             engine.order = order
         else:
-            self.repeats += 1
+            self.counts.repeats += 1
         order.attempts += 1
         send_by = now + self._send_within_s
         attempt = (order.order_id, order.attempts)
--- a/dandeliongw/owner.py
+++ b/dandeliongw/owner.py
@@ -52,6 +52,7 @@
         self._longest_order_s = longest_order_s
         self._lease_wait_s = lease_wait_s
         self._orders_by_cell: dict[str, orders.Orders] = {}
+        self.order_counts = orders.OrderCounts()
         self._order_revision = 0
         self._epochs_by_cell: dict[str, int] = {}
         self._loads_told_by_id: dict[str, float] = {}
@@ -88,6 +89,7 @@
             budget=self._budget,
             longest_order_s=self._longest_order_s,
             lease_wait_s=self._lease_wait_s,
+            counts=self.order_counts,
         )
         return [*self._tell_backends(now, cell), *begun.announce()]
 
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -5,6 +5,7 @@
 import functools
 import signal
 import time
+import typing
 
 import cherrypy
 from loguru import logger
@@ -104,7 +105,17 @@
             may_send=reducer.owner.may_send,
         )
         stack.callback(runtime.stop)
-        _start(runtime, _make_wire(settings, incarnation, codec, runtime))
+        watch_counts(metrics, reducer)
+        _start(
+            runtime,
+            make_wire(
+                settings,
+                incarnation=incarnation,
+                codec=codec,
+                on_message=runtime.receive,
+                metrics=metrics,
+            ),
+        )
         # Ports end before what answers them: a handler that asks a runtime
         # which has stopped would hold the process for its whole patience.
         stack.callback(control_port.close)
@@ -176,14 +187,31 @@
     return f'http://{shown}:{port}'
 
 
-def _make_wire(
+def watch_counts(
+    metrics: metrics_module.Metrics, reducer: reducer_module.Reducer
+) -> None:
+    """Show what the reducer's parts count."""
+    counts = reducer.owner.order_counts
+    unlabelled = metrics_module.UNLABELLED
+    metrics.lease_answers.watch(lambda: reducer.leases.outcomes_by_label)
+    metrics.orders_held_back.watch(lambda: counts.holds_by_reason)
+    metrics.order_repeats.watch(lambda: {unlabelled: counts.repeats})
+
+
+def make_wire(
     settings: settings_module.Settings,
+    *,
     incarnation: int,
     codec: wire.Codec,
-    runtime: runtime_module.Runtime,
+    on_message: abc.Callable[[str, typing.Any], None],
+    metrics: metrics_module.Metrics,
 ) -> abc.Callable[[], peers_module.Peers]:
+    """Return what makes the connections to the other instances.
+
+    Call it on the thread of the event loop; their counts are shown then.
+    """
     secret = settings.peer_secret
-    return functools.partial(
+    make = functools.partial(
         peers_module.Peers,
         instance_id=settings.instance_id,
         incarnation=incarnation,
@@ -196,10 +224,18 @@
         },
         codec=codec,
         secret=secret.encode() if secret else None,
-        on_message=runtime.receive,
+        on_message=on_message,
         on_fault=_log_fault,
     )
 
+    def make_watched() -> peers_module.Peers:
+        made = make()
+        metrics.peer_drops.watch(lambda: made.counters.drops_by_reason)
+        metrics.peer_faults.watch(lambda: made.counters.faults_by_reason)
+        return made
+
+    return make_watched
+
 
 def _start(
     runtime: runtime_module.Runtime,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,12 +1,22 @@
 """Every reason has a counter from the start; registries are separate."""
 
+import asyncio
+import collections
 import unittest
 
 from nose2.tools import params
 
+from dandeliongw.coordination import lease_messages
+from dandeliongw import envelopes
 from dandeliongw import metrics
+from dandeliongw import orders
+from dandeliongw import peers
+from dandeliongw import server
 from dandeliongw import verdict
 from dandeliongw import waste
+from dandeliongw import wire
+from tests import network
+from tests import operators_fake
 
 
 class MetricsTest(unittest.TestCase):
@@ -18,6 +28,9 @@
         ('refusals', 'reason', verdict.RefusalReason),
         ('retries', 'reason', verdict.RetryReason),
         ('wasted_prefill_tokens', 'reason', waste.WasteReason),
+        ('peer_drops', 'reason', envelopes.DropReason),
+        ('peer_faults', 'reason', peers.FaultReason),
+        ('orders_held_back', 'reason', orders.HoldReason),
     )
     def test_every_value_is_there_at_zero(self, name, label, values):
         text = self.metrics.render().decode()
@@ -37,6 +50,25 @@
         self.assertEqual(1, value('refusals_total', reason='no_capacity'))
         self.assertEqual(1, value('answers_total', verdict='not_run'))
 
+    def test_every_lease_answer_is_there_at_zero(self):
+        text = self.metrics.render().decode().splitlines()
+        for outcome in lease_messages.LeaseOutcome:
+            label = f'outcome="{outcome.name.lower()}"'
+            sample = f'dandeliongw_lease_answers_total{{{label}}} 0.0'
+            self.assertIn(sample, text)
+        self.assertIn('dandeliongw_order_repeats_total 0.0', text)
+
+    def test_a_watched_count_is_shown_as_it_is_now(self):
+        counts = collections.Counter()
+        self.metrics.peer_drops.watch(lambda: counts)
+        counts[envelopes.DropReason.QUEUE_FULL] += 2
+        value = self.metrics.value
+        self.assertEqual(2, value('peer_drops_total', reason='queue_full'))
+        counts[envelopes.DropReason.QUEUE_FULL] += 1
+        self.assertEqual(3, value('peer_drops_total', reason='queue_full'))
+        self.assertEqual(0, value('peer_drops_total', reason='expired'))
+        self.assertEqual(0, counts[envelopes.DropReason.EXPIRED])
+
     def test_two_instances_in_one_process_count_apart(self):
         self.metrics.count_retry(verdict.RetryReason.KV_EVICTED)
         other = metrics.Metrics()
@@ -58,3 +90,44 @@
         service = 'service="dieline-llm"'
         self.assertIn(f'{{le="0.55",{service}}} 1.0', text)
         self.assertIn(f'{{le="0.034",{service}}} 0.0', text)
+
+
+class WatchedPartsTest(unittest.TestCase):
+    """The parts' own counts reach the page of metrics."""
+
+    def setUp(self):
+        self.metrics = metrics.Metrics()
+
+    def test_answers_to_claims_of_leases(self):
+        net = network.Network()
+        server.watch_counts(self.metrics, net.reducers_by_id['gw-1'])
+        net.apply_example()
+        net.run(5.0)
+        name = 'lease_answers_total'
+        self.assertGreater(self.metrics.value(name, outcome='granted'), 0)
+
+    def test_orders_that_are_held_back(self):
+        reducer = network.Network().reducers_by_id['gw-1']
+        server.watch_counts(self.metrics, reducer)
+        counts = reducer.owner.order_counts
+        counts.holds_by_reason[orders.HoldReason.STORE_BUDGET] += 1
+        counts.repeats += 4
+        name = 'orders_held_back_total'
+        self.assertEqual(1, self.metrics.value(name, reason='store_budget'))
+        self.assertEqual(4, self.metrics.value('order_repeats_total'))
+
+    def test_messages_to_peers_that_were_dropped(self):
+        make_wire = server.make_wire(
+            operators_fake.make_settings(),
+            incarnation=1,
+            codec=wire.make_codec(),
+            on_message=lambda sender, message: None,
+            metrics=self.metrics,
+        )
+
+        async def send_to_a_stranger():
+            make_wire().send('gw-9', None)
+
+        asyncio.run(send_to_a_stranger())
+        name = 'peer_drops_total'
+        self.assertEqual(1, self.metrics.value(name, reason='unknown_peer'))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -29,13 +29,18 @@
 
 class OrdersTest(unittest.TestCase):
     def setUp(self):
+        self.counts = orders.OrderCounts()
         self.guard = FakeGuard()
+        self.make_orders()
+
+    def make_orders(self):
         self.orders = orders.Orders(
             cell='c',
             epoch=7,
             guard=self.guard,
             budget=orders.StoreBudget(loads_per_s=1000.0, burst=2.0),
             longest_order_s=LONGEST_S,
+            counts=self.counts,
         )
         self.see(1, checks_fence=True)
         self.want(1, {MODEL: 'm1'})
@@ -161,9 +166,23 @@
         (sent,) = self.tick(1.0)
         self.answer(sent, NOT_RUN, is_fenced=True)
         self.assertEqual([], self.tick(60.0))
-        fenced = self.orders.holds_by_reason[orders.HoldReason.FENCED]
+        fenced = self.counts.holds_by_reason[orders.HoldReason.FENCED]
         self.assertEqual(1, fenced)
 
+    def test_counts_stay_when_a_cell_is_lost(self):
+        """Symptom: a counter falls, as if the process had restarted.
+
+        Sequence: an order is repeated, the cell is lost and gained again.
+        Cause: counts that are kept by the cell's orders.
+        """
+        self.tick(1.0)
+        self.assertEqual(1, len(self.tick(30.0)))
+        self.assertEqual(1, self.counts.repeats)
+        self.make_orders()
+        self.tick(1.0)
+        self.assertEqual(1, len(self.tick(30.0)))
+        self.assertEqual(2, self.counts.repeats)
+
     def test_a_restarted_engine_is_ordered_again(self):
         (sent,) = self.tick(1.0)
         self.answer(sent, RAN)
