HTTP ports: the accept loop never waits for room

Cause: with accepted_queue_timeout=1 a connection that finds threads and queue full holds the one thread that accepts connections and reads the kept ones, for up to a second each. By the source of cheroot, process_conn puts with that timeout, and on queue.Full hands the connection to a thread that answers 503; the put of queue.Queue with a timeout of 0 raises Full without waiting. Ruled out: a larger queue, which only moves the moment.

--- a/dandeliongw/web.py
+++ b/dandeliongw/web.py
@@ -82,7 +82,10 @@
             # only a bound.
             shutdown_timeout=shutdown_s,
             accepted_queue_size=listen.queue,
-            accepted_queue_timeout=1,
+            # The accept loop also reads what kept connections send: while
+            # it waited for room, all of them would stand still. With 0 what
+            # doesn't fit gets its 503 at once, from a thread of its own.
+            accepted_queue_timeout=0,
         )
         self._server.gateway = _SocketGateway
         self._server.max_request_header_size = MAX_HEADER_BYTES
