--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -101,7 +101,7 @@
     max_body_bytes: _models.PositiveInt = 8 * MIB
     """The longest request body."""
     max_requests: _models.PositiveInt = 192
-    """Requests in hand at one time, streams and lookups together."""
+    """Requests in hand at one time; less than ``callers.threads``."""
     max_streams: _models.PositiveInt = 160
     """Streams from model engines at one time."""
     reserved_lookups: _models.NotNegativeInt = 32
@@ -110,6 +110,8 @@
     """This instance's share of the weight store's rate."""
     max_outcome_bytes: _models.PositiveInt = 65536
     """The longest recorded answer of a non-idempotent call."""
+    max_claims: _models.PositiveInt = 200_000
+    """Keys of non-idempotent calls that a voter keeps; no more are taken."""
 
 
 class Timeouts(_models.Model):
@@ -282,11 +284,16 @@
                 given=f'{wanted} together with limits.reserved_lookups',
                 allowed=f'must fit in callers.threads, which is {threads}',
             )
-        if self.limits.max_requests > threads:
+        # With every thread busy, nobody is left to refuse and to count:
+        # the HTTP server holds further connections without a word.
+        if self.limits.max_requests >= threads:
             yield exceptions.Problem(
                 path='limits.max_requests',
                 given=f'given {self.limits.max_requests}',
-                allowed=f'must fit in callers.threads, which is {threads}',
+                allowed=(
+                    f'must be less than callers.threads, which is {threads}: '
+                    'a thread has to be left that refuses what is too much'
+                ),
             )
 
 
--- a/dandeliongw/web.py
+++ b/dandeliongw/web.py
@@ -82,7 +82,10 @@
             # only a bound.
             shutdown_timeout=shutdown_s,
             accepted_queue_size=listen.queue,
-            accepted_queue_timeout=1,
+            # The accept loop also reads what kept connections send: while
+            # it waited for room, all of them would stand still. With 0 what
+            # doesn't fit gets its 503 at once, from a thread of its own.
+            accepted_queue_timeout=0,
         )
         self._server.gateway = _SocketGateway
         self._server.max_request_header_size = MAX_HEADER_BYTES
@@ -131,6 +134,14 @@
         port.close()
 
 
+def close_connection() -> None:
+    """Let no other call come over the connection of the present one."""
+    cherrypy.response.headers['Connection'] = 'close'
+    carried = cherrypy.request.wsgi_environ.get(REQUEST_KEY)
+    if carried is not None:
+        carried.close_connection = True
+
+
 def quiet_cherrypy() -> None:
     """Keep CherryPy from writing lines of its own beside the JSON ones."""
     cherrypy.log.screen = False
