The stand-in service says that a refused call did not run

Cause: its refusal was a bare 503, which counts as run, so the switch never showed the retry that it is meant to show. It now sends X-Not-Run: true; json_server.Answer can carry further headers for it.

--- a/tools/json_server.py
+++ b/tools/json_server.py
@@ -41,12 +41,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
-    """A JSON answer, or a stream of bytes that the handler yields."""
+    """A JSON answer, or a stream of bytes that the handler yields.
+
+    :param headers: sent beside the type and length of a JSON answer.
+    """
 
     status: int = 200
     body: typing.Any = None
     stream: abc.Iterator[bytes] | None = None
     content_type: str = 'application/json'
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 Handler = abc.Callable[[Request], Answer]
@@ -142,6 +146,7 @@
         headers = [
             ('Content-Type', answer.content_type),
             ('Content-Length', str(len(body))),
+            *answer.headers,
         ]
         start(status, headers)
         return [body]
--- a/tools/standin_service.py
+++ b/tools/standin_service.py
@@ -14,6 +14,7 @@
 
 import defopt
 
+from dandeliongw import engine
 from tools import announcer
 from tools import json_server
 from tools import standin_engine
@@ -25,7 +26,7 @@
 
     :param delay_s: before a call runs.
     :param delay_after_s: after it ran, before the answer.
-    :param refuse: answer 503 and do not run.
+    :param refuse: answer 503, say that nothing ran, and do not run.
     :param cut_before_run: close the connection and do not run.
     :param cut_after_run: run, then close the connection in the answer.
     """
@@ -79,7 +80,12 @@
         faults = self.faults
         self._never.wait(faults.delay_s)
         if faults.refuse:
-            return json_server.Answer(status=503, body={'reason': 'busy'})
+            # A bare 503 counts as run: a proxy may have made it.
+            return json_server.Answer(
+                status=503,
+                body={'reason': 'busy'},
+                headers=((engine.NOT_RUN_HEADER, 'true'),),
+            )
         if faults.cut_before_run:
             return json_server.Answer(stream=cut())
         run = self._count(request)
