Local system: an ended instance is told at once; lost ports

Cause: wait_serving passed over an instance whose process had ended, so the failure came later and told nothing, or the others waited a minute for its vote. A port found free may be taken before its instance starts (exit code 6), and two probes in a row can be given the same port. After: InstanceEnded names the instance, its exit code and the last 10 lines of its log, as soon as any awaited process has ended; after exit code 6 the whole system starts anew with other ports and empty data folders, five times at most. Ports of one system are held until all are found. Only instances that LocalSystem.kill ended are passed over. Ruled out: keeping the ports open until the start, as cheroot and grpclib would then find them taken; port 0 for instances, as the peers need numbers.

--- a/tools/local.py
+++ b/tools/local.py
@@ -10,6 +10,7 @@
 import hashlib
 import json
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -19,6 +20,8 @@
 
 import urllib3
 
+from dandeliongw import exceptions
+
 HOST = '127.0.0.1'
 OPERATOR_TOKEN = 'demo-operator-token'
 ACCOUNT_KEY = 'demo-account-key'
@@ -26,17 +29,46 @@
 PATIENCE_S = 60.0
 POLL_S = 0.05
 STOP_S = 40.0
+#: Starts of a system before a port that is taken each time is told.
+MOST_STARTS = 5
+#: Lines of an instance's log in the message that it ended.
+SHOWN_LINES = 10
 
 
 def sha256(text: str) -> str:
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def free_port() -> int:
-    """Return a port that the system chose and that is free just now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+def free_ports(count: int) -> list[int]:
+    """Return different ports that are free just now.
+
+    All are held until the last one is found: the system may choose a port
+    again as soon as it is let go.
+    """
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((HOST, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+class InstanceEnded(Exception):
+    """An instance's process ended by itself.
+
+    :param code: its exit code; negative for the signal that ended it.
+    :param log_file: its last lines are shown.
+    """
+
+    def __init__(
+        self, *, instance_id: str, code: int, log_file: pathlib.Path
+    ) -> None:
+        lines = log_file.read_text(errors='replace').splitlines()
+        shown = '\n'.join(lines[-SHOWN_LINES:])
+        super().__init__(
+            f'{instance_id} ended with exit code {code}; the last lines of '
+            f'{log_file}:\n{shown}'
+        )
+        self.code = code
 
 
 def wait_until(
@@ -111,21 +143,26 @@
         self._timeouts = timeouts or {}
         self.http = urllib3.PoolManager(retries=False, timeout=30.0)
         self.stand_ins_by_id: dict[str, StandIn] = {}
+        #: Processes that were to end, by their process id.
+        self._killed: set[int] = set()
+        ports = iter(free_ports(3 * instances))
         self.instances_by_id = {
-            f'gw-{number}': self._plan_instance(number)
+            f'gw-{number}': self._plan_instance(number, ports)
             for number in range(1, instances + 1)
         }
         self._write_settings()
 
-    def _plan_instance(self, number: int) -> Instance:
+    def _plan_instance(
+        self, number: int, ports: abc.Iterator[int]
+    ) -> Instance:
         name = f'gw-{number}'
         centre = self.data_centres[(number - 1) % len(self.data_centres)]
         return Instance(
             instance_id=name,
             data_centre=centre,
-            callers_port=free_port(),
-            control_port=free_port(),
-            peer_port=free_port(),
+            callers_port=next(ports),
+            control_port=next(ports),
+            peer_port=next(ports),
             settings_file=self.folder / f'{name}.json',
             log_file=self.folder / f'{name}.log',
         )
@@ -206,9 +243,17 @@
 
     def kill(self, process: subprocess.Popen) -> None:
         """End a process at once, as kill -9 does."""
+        self._killed.add(process.pid)
         process.kill()
         process.wait()
 
+    def discard(self) -> None:
+        """End all instances at once and delete what they kept."""
+        for instance_id, instance in self.instances_by_id.items():
+            if instance.process is not None:
+                self.kill(instance.process)
+            shutil.rmtree(self.folder / instance_id, ignore_errors=True)
+
     def stop(self) -> None:
         """End everything that was started here, politely, then firmly."""
         processes = [each.process for each in self.stand_ins_by_id.values()]
@@ -287,10 +332,13 @@
             return answer.status, answer.data.decode(errors='replace')
 
     def wait_serving(self, revision: int = 0) -> None:
-        """Wait until every running instance serves under a revision."""
-        for instance_id, instance in self.instances_by_id.items():
-            if instance.process is None or instance.process.poll() is not None:
-                continue
+        """Wait until every instance that wasn't killed serves a revision.
+
+        :raises InstanceEnded: as soon as the process of one has ended.
+        :raises TimeoutError: when one never does.
+        """
+        for instance in self._awaited():
+            instance_id = instance.instance_id
             wait_until(
                 f'{instance_id} serves revision {revision}, see '
                 f'{instance.log_file}',
@@ -299,7 +347,24 @@
                 ),
             )
 
+    def _awaited(self) -> list[Instance]:
+        return [
+            each
+            for each in self.instances_by_id.values()
+            if each.process is not None
+            and each.process.pid not in self._killed
+        ]
+
     def _serves(self, instance_id: str, revision: int) -> bool:
+        # Any of them: one that waits for the others' votes serves never.
+        for instance in self._awaited():
+            code = instance.process.poll()
+            if code is not None:
+                raise InstanceEnded(
+                    instance_id=instance.instance_id,
+                    code=code,
+                    log_file=instance.log_file,
+                )
         status, answer = self.operator(instance_id, 'GET', '/v1/document')
         return status == 200 and answer['revision'] >= revision
 
@@ -342,17 +407,39 @@
 
 @contextlib.contextmanager
 def running(**options: typing.Any) -> abc.Iterator[LocalSystem]:
-    """Start all instances; end whatever was started when done."""
-    system = LocalSystem(**options)
+    """Start all instances; end whatever was started when done.
+
+    A port that was free when it was chosen may be another process's when
+    the instance wants it: then everything starts anew with other ports.
+
+    :raises InstanceEnded: also when that happens ``MOST_STARTS`` times.
+    """
+    for starts_left in reversed(range(MOST_STARTS)):
+        system = LocalSystem(**options)
+        try:
+            _start_all(system)
+        except InstanceEnded as error:
+            is_port_lost = error.code == exceptions.ExitCode.PORT_IN_USE
+            system.discard()
+            if not is_port_lost or not starts_left:
+                raise
+        except BaseException:
+            system.stop()
+            raise
+        else:
+            break
     try:
-        for instance_id in system.instances_by_id:
-            system.start_instance(instance_id)
-        system.wait_serving()
         yield system
     finally:
         system.stop()
 
 
+def _start_all(system: LocalSystem) -> None:
+    for instance_id in system.instances_by_id:
+        system.start_instance(instance_id)
+    system.wait_serving()
+
+
 def example_document() -> dict[str, typing.Any]:
     """Return a document for the stand-ins of :func:`start_stand_ins`."""
     return {
