One retry budget, the measured one; the callers' border in three modules

The entry uses the measured one. test_a_service_has_a_retry_budget_of_its_own counted to the old burst by number; it counts by the budget's own constants. callers.py (736 lines) is split: calls.py reads calls, answers.py carries answers.

--- a/dandeliongw/admission.py
+++ b/dandeliongw/admission.py
@@ -214,50 +214,6 @@
         return (1.0 - self._level) / self.rate
 
 
-class RetryBudget:
-    """Bounds retries to a share of the requests of the last while.
-
-    Without it, a pool that fails gets every request several times, which
-    shows as load that grows while goodput falls, and keeps it failing.
-    """
-
-    SHARE = 0.1
-    MOST = 10.0
-
-    def __init__(self) -> None:
-        self._level = self.MOST
-
-    def earn(self) -> None:
-        self._level = min(self.MOST, self._level + self.SHARE)
-
-    def spend(self) -> bool:
-        """Return whether one more retry is within the budget."""
-        if self._level < 1.0:
-            return False
-        self._level -= 1.0
-        return True
-
-
-class RetryBudgets:
-    """A budget for each service.
-
-    With one for all, a pool that fails spends the retries of the others,
-    whose callers then see errors that one more attempt would have spared.
-    """
-
-    def __init__(self) -> None:
-        self._budgets_by_service: dict[str, RetryBudget] = {}
-
-    def earn(self, service: str) -> None:
-        self._budget(service).earn()
-
-    def spend(self, service: str) -> bool:
-        return self._budget(service).spend()
-
-    def _budget(self, service: str) -> RetryBudget:
-        return self._budgets_by_service.setdefault(service, RetryBudget())
-
-
 def not_run(
     reason: verdict.RefusalReason,
     message: str,
--- a/dandeliongw/attempts.py
+++ b/dandeliongw/attempts.py
@@ -2,13 +2,13 @@
 
 import typing
 
-from . import admission
 from . import cells
 from . import effects
 from . import endings
 from . import policy
 from . import refusals
 from . import reservations
+from . import retries
 from . import verdict
 from .request import Phase
 from .request import Request
@@ -33,7 +33,7 @@
         *,
         reservations: reservations.Reservations,
         endings: endings.Endings,
-        budgets: admission.RetryBudgets,
+        budgets: retries.RetryBudgets,
     ) -> None:
         self._reservations = reservations
         self._endings = endings
--- a/dandeliongw/callers.py
+++ b/dandeliongw/callers.py
@@ -5,23 +5,18 @@
 """
 
 from collections import abc
-import dataclasses
-import hashlib
 import json
 import re
-import time
 import typing
-import urllib.parse
 import uuid
 
 import cherrypy
-from loguru import logger
 
 from . import _application
-from . import engine
+from . import answers
+from . import calls
 from . import events
 from . import metrics as metrics_module
-from . import policy
 from . import relay
 from . import verdict
 from . import web
@@ -47,28 +42,6 @@
 }
 #: For the reasons above that aren't listed: come back later.
 DEFAULT_STATUS = 503
-MAX_KEY_CHARACTERS = 255
-DEFAULT_MAX_TOKENS = 256
-MOST_MAX_TOKENS = 65536
-_TARGET_PATTERN = re.compile(r'[\x21-\x7e]{1,8192}')
-_KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,255}')
-
-
-class BadCall(Exception):
-    """A call that can't be understood; becomes a refusal."""
-
-    def __init__(
-        self, message: str, reason: verdict.RefusalReason = _REASON.BAD_REQUEST
-    ) -> None:
-        super().__init__(message)
-        self.reason = reason
-
-    def refusal(self) -> verdict.Refusal:
-        return verdict.Refusal(
-            reason=self.reason,
-            verdict=verdict.Verdict.NOT_RUN,
-            message=str(self),
-        )
 
 
 class Gate(typing.Protocol):
@@ -90,15 +63,6 @@
     def entries(self) -> dict[str, typing.Any]: ...
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Completion:
-    """A checked completions call."""
-
-    call: events.Call
-    prompt: str
-    stream: bool
-
-
 class Callers:
     """The handlers.
 
@@ -126,11 +90,11 @@
         request_id = _new_request_id()
         try:
             body = self._read_body()
-            completion = read_completion(body, cherrypy.request.headers)
-        except BadCall as error:
+            completion = calls.read_completion(body, cherrypy.request.headers)
+        except calls.BadCall as error:
             return self._refuse(request_id, error.refusal())
         work = relay.Work(prompt=completion.prompt)
-        answer = Answer(
+        answer = answers.Answer(
             gate=self._gate,
             metrics=self._metrics,
             request_id=request_id,
@@ -144,10 +108,12 @@
         if completion.stream:
             cherrypy.response.headers['Content-Type'] = 'text/event-stream'
             cherrypy.response.headers['Cache-Control'] = 'no-store'
-            return EventStream(answer)
+            return answers.EventStream(answer)
         return self._whole_completion(request_id, answer)
 
-    def _whole_completion(self, request_id: str, answer: 'Answer') -> bytes:
+    def _whole_completion(
+        self, request_id: str, answer: answers.Answer
+    ) -> bytes:
         last = answer.last()
         if isinstance(last, verdict.Refusal):
             return self._refuse(request_id, last)
@@ -167,15 +133,15 @@
             }
         )
 
-    def services(self, target: 'Target') -> bytes:
+    def services(self, target: calls.Target) -> bytes:
         """Any call below ``/services/<service>/``."""
         request_id = _new_request_id()
         try:
             body = self._read_body()
-            call, work = read_plain_call(target, body, cherrypy.request)
-        except BadCall as error:
+            call, work = calls.read_plain_call(target, body, cherrypy.request)
+        except calls.BadCall as error:
             return self._refuse(request_id, error.refusal())
-        answer = Answer(
+        answer = answers.Answer(
             gate=self._gate,
             metrics=self._metrics,
             request_id=request_id,
@@ -202,11 +168,11 @@
         headers = cherrypy.request.headers
         length = headers.get('Content-Length')
         if length is not None and 'Transfer-Encoding' in headers:
-            raise BadCall(
+            raise calls.BadCall(
                 'Content-Length: must not be given with Transfer-Encoding'
             )
         if length is not None and not re.fullmatch('[0-9]{1,18}', length):
-            raise BadCall(
+            raise calls.BadCall(
                 f'Content-Length: given {length!r}; must be a whole number, '
                 'not negative'
             )
@@ -216,13 +182,13 @@
         if len(body) > self._max_body_bytes:
             raise self._too_large(f'more than {self._max_body_bytes}')
         if length is not None and len(body) < int(length):
-            raise BadCall(
+            raise calls.BadCall(
                 f'the body has {len(body)} bytes; Content-Length says {length}'
             )
         return body
 
-    def _too_large(self, size: str) -> BadCall:
-        return BadCall(
+    def _too_large(self, size: str) -> calls.BadCall:
+        return calls.BadCall(
             f'the body has {size} bytes; at most {self._max_body_bytes} are '
             'read',
             _REASON.TOO_LARGE,
@@ -238,7 +204,7 @@
         if self._gate.is_leaving or not _is_read_to_its_end():
             _close_connection()
 
-    def refuse_call(self, error: BadCall) -> bytes:
+    def refuse_call(self, error: calls.BadCall) -> bytes:
         """Refuse a call whose request line is not understood."""
         return self._refuse(_new_request_id(), error.refusal())
 
@@ -253,336 +219,7 @@
             # The header takes whole seconds; the body has the exact value.
             whole_s = max(1, int(refusal.retry_after_s + 0.999))
             cherrypy.response.headers['Retry-After'] = str(whole_s)
-        return _json_body(refusal_fields(request_id, refusal))
-
-
-class Answer:
-    """An answer on its way to the caller, measured."""
-
-    def __init__(
-        self,
-        *,
-        gate: Gate,
-        metrics: metrics_module.Metrics,
-        request_id: str,
-        carrier: relay.Relay,
-    ) -> None:
-        self._gate = gate
-        self._metrics = metrics
-        self._request_id = request_id
-        self._service = carrier.call.service
-        self._began_at = time.monotonic()
-        self._last_at = self._began_at
-        self._pieces = carrier.pieces()
-        self._first: typing.Any = None
-
-    def first(self) -> typing.Any:
-        """Wait for the first item, which decides the HTTP status.
-
-        A refusal ends the answer.
-        """
-        try:
-            self._first = self._next()
-        except BaseException:
-            self.close()
-            raise
-        if isinstance(self._first, verdict.Refusal):
-            self.close()
-        return self._first
-
-    def last(self) -> relay.Finished | verdict.Refusal:
-        """Wait for the end, dropping pieces that come before it."""
-        try:
-            item = self._first or self._next()
-            while isinstance(item, engine.Piece):
-                item = self._next()
-            return item
-        finally:
-            self.close()
-
-    def as_events(self) -> abc.Iterator[bytes]:
-        """Yield the answer as server-sent events.
-
-        Only ``[DONE]`` ends a whole answer. An error after the first token
-        can't change the status any more, so it is an event of its own, and
-        no ``[DONE]`` follows it.
-        """
-        item = self._first
-        while isinstance(item, engine.Piece):
-            yield _event(self._chunk(item.text, None))
-            item = self._next()
-        if isinstance(item, verdict.Refusal):
-            fields = refusal_fields(self._request_id, item)
-            yield b'event: error\n' + _event(fields)
-            return
-        text = item.outcome.text if item.replayed else ''
-        yield _event(self._chunk(text, 'stop'))
-        yield b'data: [DONE]\n\n'
-
-    def close(self) -> None:
-        """Tell the reducer that this thread is done with the request."""
-        self._pieces.close()
-        self._gate.close_relay(self._request_id)
-
-    def _chunk(self, text: str, finish_reason: str | None) -> dict:
-        return {
-            'id': self._request_id,
-            'object': 'text_completion',
-            'choices': [
-                {'index': 0, 'text': text, 'finish_reason': finish_reason}
-            ],
-        }
-
-    def _next(self) -> typing.Any:
-        item = next(self._pieces)
-        if isinstance(item, engine.Piece):
-            self._measure(item)
-        elif isinstance(item, relay.Finished):
-            self._metrics.count_answer(verdict.Verdict.RAN)
-            logger.bind(request_id=self._request_id).info(
-                'answered', service=self._service
-            )
-        return item
-
-    def _measure(self, piece: engine.Piece) -> None:
-        now = time.monotonic()
-        if piece.offset == 0:
-            self._metrics.observe_first_token(
-                self._service, now - self._began_at
-            )
-        else:
-            self._metrics.observe_token_gap(self._service, now - self._last_at)
-        self._last_at = now
-
-
-class EventStream:
-    """The events of an answer, closed whether or not they were begun.
-
-    A generator that was never begun runs no ``finally``. When the caller
-    leaves between the first token and the headers, one would see a request
-    that never ends, and its slot with it.
-    """
-
-    def __init__(self, answer: Answer) -> None:
-        self._answer = answer
-        self._events = answer.as_events()
-
-    def __iter__(self) -> 'EventStream':
-        return self
-
-    def __next__(self) -> bytes:
-        try:
-            return next(self._events)
-        except BaseException:
-            self.close()
-            raise
-
-    def close(self) -> None:
-        self._answer.close()
-
-
-def refusal_fields(
-    request_id: str, refusal: verdict.Refusal
-) -> dict[str, typing.Any]:
-    """Return the JSON error that a caller gets."""
-    return {
-        'error': {
-            'request_id': request_id,
-            'reason': refusal.reason.value,
-            'verdict': refusal.verdict.value,
-            'message': refusal.message,
-            'retry_after_s': refusal.retry_after_s,
-        }
-    }
-
-
-def read_completion(body: bytes, headers: abc.Mapping[str, str]) -> Completion:
-    """Check an OpenAI-style completions call.
-
-    :raises BadCall: naming the field, what was given and what is allowed.
-    """
-    fields = _read_object(body)
-    prompt = fields.get('prompt')
-    if not isinstance(prompt, str) or not prompt:
-        raise BadCall(
-            f'prompt: given {_shown(prompt)}; must be a string that is not '
-            'empty (lists and token numbers are not taken)'
-        )
-    if not _is_unicode(prompt):
-        raise BadCall('prompt: has half of a surrogate pair')
-    max_tokens = fields.get('max_tokens', DEFAULT_MAX_TOKENS)
-    is_count = isinstance(max_tokens, int) and max_tokens is not True
-    if not is_count or not 1 <= max_tokens <= MOST_MAX_TOKENS:
-        raise BadCall(
-            f'max_tokens: given {_shown(max_tokens)}; must be a whole number '
-            f'from 1 to {MOST_MAX_TOKENS}'
-        )
-    stream = fields.get('stream', False)
-    if not isinstance(stream, bool):
-        raise BadCall(f'stream: given {_shown(stream)}; must be true or false')
-    model = fields.get('model')
-    if not isinstance(model, str) or not _is_unicode(model):
-        raise BadCall(
-            f'model: given {_shown(model)}; must be the name of a service'
-        )
-    call = events.Call(
-        service=model,
-        method='POST',
-        path='/v1/completions',
-        streamed=True,
-        key_sha256=_account_key(headers),
-        idempotency_key=_idempotency_key(headers),
-        digest=_digest('POST', '/v1/completions', body),
-        prompt_tokens=len(prompt.split()),
-        max_tokens=max_tokens,
-        prefix=policy.hash_blocks(prompt),
-        priority=headers.get('X-Priority'),
-        deadline_s=_deadline(headers),
-    )
-    return Completion(call=call, prompt=prompt, stream=stream)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Target:
-    """Where a call goes, by the request line.
-
-    :param segments: of the path, decoded; the first three at most.
-    :param rest: what follows them, as it was sent, with the query.
-    :param path: ``rest`` without the query, decoded; for the routes.
-    """
-
-    segments: tuple[str, ...]
-    rest: str
-    path: str
-
-
-def read_target(uri: str) -> Target:
-    """Take the request line's URI apart.
-
-    The framework's own view of it has lost slashes at the end, doubled ones
-    and what was encoded. A plain service must get what its caller sent, and
-    the document's routes must mean the same path as the service does.
-
-    :raises BadCall: for paths that two readers may take for two.
-    """
-    if not _TARGET_PATTERN.fullmatch(uri):
-        raise BadCall(
-            f'the path is {uri[:80]!r}; it must be visible ASCII, all else '
-            'percent-encoded'
-        )
-    parts = urllib.parse.urlsplit(uri)
-    _, first, *others = [*parts.path.split('/', 3), '', '', ''][:4]
-    rest = '/' + others[1]
-    path = _decode_path(rest)
-    query = f'?{parts.query}' if parts.query else ''
-    return Target(
-        segments=tuple(_decode_path(each) for each in (first, others[0])),
-        rest=rest + query,
-        path=path,
-    )
-
-
-def _decode_path(raw: str) -> str:
-    try:
-        path = urllib.parse.unquote(raw, errors='strict')
-    except UnicodeDecodeError as error:
-        raise BadCall(f'the path is not UTF-8: {raw[:80]!r}') from error
-    # A service that resolves ".." would run another call than the one whose
-    # route, idempotent or not, was looked up here.
-    if {'.', '..'} & set(re.split(r'[/\\]', path)) or '%2f' in raw.lower():
-        raise BadCall(
-            f'the path is {path[:80]!r}; it must not have "." or ".." '
-            'as a part, nor an encoded slash'
-        )
-    if not path.isprintable():
-        raise BadCall(f'the path has control characters: {path[:80]!r}')
-    return path
-
-
-def read_plain_call(
-    target: Target, body: bytes, request: typing.Any
-) -> tuple[events.Call, relay.Work]:
-    """Check a call for a plain service."""
-    headers = request.headers
-    call = events.Call(
-        service=target.segments[1],
-        method=request.method,
-        path=target.path,
-        streamed=False,
-        key_sha256=_account_key(headers),
-        idempotency_key=_idempotency_key(headers),
-        digest=_digest(request.method, target.rest, body),
-        priority=headers.get('X-Priority'),
-        deadline_s=_deadline(headers),
-    )
-    passed = tuple(
-        (name, headers[name])
-        for name in relay.PASSED_HEADERS
-        if name in headers
-    )
-    return call, relay.Work(path=target.rest, body=body, headers=passed)
-
-
-def _read_object(body: bytes) -> dict[str, typing.Any]:
-    try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise BadCall(f'the body is not JSON: {error}') from error
-    if not isinstance(fields, dict):
-        raise BadCall('the body must be a JSON object')
-    return fields
-
-
-def _shown(value: typing.Any) -> str:
-    """Return a value as JSON, shortened."""
-    return json.dumps(value)[:80]
-
-
-def _is_unicode(text: str) -> bool:
-    try:
-        text.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
-
-
-def _account_key(headers: abc.Mapping[str, str]) -> str:
-    value = headers.get('Authorization', '')
-    scheme, _, key = value.partition(' ')
-    if scheme.lower() != 'bearer' or not key:
-        return ''
-    return hashlib.sha256(key.strip().encode()).hexdigest()
-
-
-def _idempotency_key(headers: abc.Mapping[str, str]) -> str | None:
-    key = headers.get('Idempotency-Key')
-    if key is not None and not _KEY_PATTERN.fullmatch(key):
-        raise BadCall(
-            f'Idempotency-Key: given {key!r}; must be 1 to '
-            f'{MAX_KEY_CHARACTERS} visible ASCII characters'
-        )
-    return key
-
-
-def _deadline(headers: abc.Mapping[str, str]) -> float | None:
-    text = headers.get('X-Deadline-S')
-    if text is None:
-        return None
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = -1.0
-    if not 0 < seconds < float('inf'):
-        raise BadCall(
-            f'X-Deadline-S: given {text!r}; must be seconds, more than 0'
-        )
-    return seconds
-
-
-def _digest(method: str, target: str, body: bytes) -> bytes:
-    digest = hashlib.sha256(f'{method} {target}\n'.encode())
-    digest.update(body)
-    return digest.digest()
+        return _json_body(answers.refusal_fields(request_id, refusal))
 
 
 def _read_some(most: int) -> bytes:
@@ -590,7 +227,9 @@
         return cherrypy.request.rfile.read(most)
     except (ValueError, OSError) as error:
         # A chunk that is none, or a caller that sends nothing more.
-        raise BadCall(f'the body did not arrive whole: {error}') from error
+        raise calls.BadCall(
+            f'the body did not arrive whole: {error}'
+        ) from error
 
 
 def _is_read_to_its_end() -> bool:
@@ -623,10 +262,6 @@
         cherrypy.response.headers['Idempotent-Replay'] = 'true'
 
 
-def _event(fields: dict[str, typing.Any]) -> bytes:
-    return b'data: ' + json.dumps(fields).encode() + b'\n\n'
-
-
 def _json_body(fields: dict[str, typing.Any]) -> bytes:
     cherrypy.response.headers['Content-Type'] = 'application/json'
     return _whole(json.dumps(fields).encode() + b'\n')
@@ -685,8 +320,8 @@
     def _answer(self) -> typing.Any:
         uri = cherrypy.request.wsgi_environ['REQUEST_URI']
         try:
-            target = read_target(uri)
-        except BadCall as error:
+            target = calls.read_target(uri)
+        except calls.BadCall as error:
             return self._callers.refuse_call(error)
         match target.segments, cherrypy.request.method:
             case ('v1', 'entries'), 'GET':
--- /dev/null
+++ b/dandeliongw/calls.py
@@ -0,0 +1,241 @@
+"""What a caller's call must look like, and what is taken from it.
+
+Pure checks: each failure names the field, what was given and what is
+allowed, as a :class:`BadCall`.
+"""
+
+from collections import abc
+import dataclasses
+import hashlib
+import json
+import re
+import typing
+import urllib.parse
+
+from . import events
+from . import policy
+from . import relay
+from . import verdict
+
+_REASON = verdict.RefusalReason
+
+MAX_KEY_CHARACTERS = 255
+DEFAULT_MAX_TOKENS = 256
+MOST_MAX_TOKENS = 65536
+_TARGET_PATTERN = re.compile(r'[\x21-\x7e]{1,8192}')
+_KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,255}')
+
+
+class BadCall(Exception):
+    """A call that can't be understood; becomes a refusal."""
+
+    def __init__(
+        self, message: str, reason: verdict.RefusalReason = _REASON.BAD_REQUEST
+    ) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+    def refusal(self) -> verdict.Refusal:
+        return verdict.Refusal(
+            reason=self.reason,
+            verdict=verdict.Verdict.NOT_RUN,
+            message=str(self),
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Completion:
+    """A checked completions call."""
+
+    call: events.Call
+    prompt: str
+    stream: bool
+
+
+def read_completion(body: bytes, headers: abc.Mapping[str, str]) -> Completion:
+    """Check an OpenAI-style completions call.
+
+    :raises BadCall: naming the field, what was given and what is allowed.
+    """
+    fields = _read_object(body)
+    prompt = fields.get('prompt')
+    if not isinstance(prompt, str) or not prompt:
+        raise BadCall(
+            f'prompt: given {_shown(prompt)}; must be a string that is not '
+            'empty (lists and token numbers are not taken)'
+        )
+    if not _is_unicode(prompt):
+        raise BadCall('prompt: has half of a surrogate pair')
+    max_tokens = fields.get('max_tokens', DEFAULT_MAX_TOKENS)
+    is_count = isinstance(max_tokens, int) and max_tokens is not True
+    if not is_count or not 1 <= max_tokens <= MOST_MAX_TOKENS:
+        raise BadCall(
+            f'max_tokens: given {_shown(max_tokens)}; must be a whole number '
+            f'from 1 to {MOST_MAX_TOKENS}'
+        )
+    stream = fields.get('stream', False)
+    if not isinstance(stream, bool):
+        raise BadCall(f'stream: given {_shown(stream)}; must be true or false')
+    model = fields.get('model')
+    if not isinstance(model, str) or not _is_unicode(model):
+        raise BadCall(
+            f'model: given {_shown(model)}; must be the name of a service'
+        )
+    call = events.Call(
+        service=model,
+        method='POST',
+        path='/v1/completions',
+        streamed=True,
+        key_sha256=_account_key(headers),
+        idempotency_key=_idempotency_key(headers),
+        digest=_digest('POST', '/v1/completions', body),
+        prompt_tokens=len(prompt.split()),
+        max_tokens=max_tokens,
+        prefix=policy.hash_blocks(prompt),
+        priority=headers.get('X-Priority'),
+        deadline_s=_deadline(headers),
+    )
+    return Completion(call=call, prompt=prompt, stream=stream)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Target:
+    """Where a call goes, by the request line.
+
+    :param segments: of the path, decoded; the first three at most.
+    :param rest: what follows them, as it was sent, with the query.
+    :param path: ``rest`` without the query, decoded; for the routes.
+    """
+
+    segments: tuple[str, ...]
+    rest: str
+    path: str
+
+
+def read_target(uri: str) -> Target:
+    """Take the request line's URI apart.
+
+    The framework's own view of it has lost slashes at the end, doubled ones
+    and what was encoded. A plain service must get what its caller sent, and
+    the document's routes must mean the same path as the service does.
+
+    :raises BadCall: for paths that two readers may take for two.
+    """
+    if not _TARGET_PATTERN.fullmatch(uri):
+        raise BadCall(
+            f'the path is {uri[:80]!r}; it must be visible ASCII, all else '
+            'percent-encoded'
+        )
+    parts = urllib.parse.urlsplit(uri)
+    _, first, *others = [*parts.path.split('/', 3), '', '', ''][:4]
+    rest = '/' + others[1]
+    path = _decode_path(rest)
+    query = f'?{parts.query}' if parts.query else ''
+    return Target(
+        segments=tuple(_decode_path(each) for each in (first, others[0])),
+        rest=rest + query,
+        path=path,
+    )
+
+
+def _decode_path(raw: str) -> str:
+    try:
+        path = urllib.parse.unquote(raw, errors='strict')
+    except UnicodeDecodeError as error:
+        raise BadCall(f'the path is not UTF-8: {raw[:80]!r}') from error
+    # A service that resolves ".." would run another call than the one whose
+    # route, idempotent or not, was looked up here.
+    if {'.', '..'} & set(re.split(r'[/\\]', path)) or '%2f' in raw.lower():
+        raise BadCall(
+            f'the path is {path[:80]!r}; it must not have "." or ".." '
+            'as a part, nor an encoded slash'
+        )
+    if not path.isprintable():
+        raise BadCall(f'the path has control characters: {path[:80]!r}')
+    return path
+
+
+def read_plain_call(
+    target: Target, body: bytes, request: typing.Any
+) -> tuple[events.Call, relay.Work]:
+    """Check a call for a plain service."""
+    headers = request.headers
+    call = events.Call(
+        service=target.segments[1],
+        method=request.method,
+        path=target.path,
+        streamed=False,
+        key_sha256=_account_key(headers),
+        idempotency_key=_idempotency_key(headers),
+        digest=_digest(request.method, target.rest, body),
+        priority=headers.get('X-Priority'),
+        deadline_s=_deadline(headers),
+    )
+    passed = tuple(
+        (name, headers[name])
+        for name in relay.PASSED_HEADERS
+        if name in headers
+    )
+    return call, relay.Work(path=target.rest, body=body, headers=passed)
+
+
+def _read_object(body: bytes) -> dict[str, typing.Any]:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise BadCall(f'the body is not JSON: {error}') from error
+    if not isinstance(fields, dict):
+        raise BadCall('the body must be a JSON object')
+    return fields
+
+
+def _shown(value: typing.Any) -> str:
+    """Return a value as JSON, shortened."""
+    return json.dumps(value)[:80]
+
+
+def _is_unicode(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _account_key(headers: abc.Mapping[str, str]) -> str:
+    value = headers.get('Authorization', '')
+    scheme, _, key = value.partition(' ')
+    if scheme.lower() != 'bearer' or not key:
+        return ''
+    return hashlib.sha256(key.strip().encode()).hexdigest()
+
+
+def _idempotency_key(headers: abc.Mapping[str, str]) -> str | None:
+    key = headers.get('Idempotency-Key')
+    if key is not None and not _KEY_PATTERN.fullmatch(key):
+        raise BadCall(
+            f'Idempotency-Key: given {key!r}; must be 1 to '
+            f'{MAX_KEY_CHARACTERS} visible ASCII characters'
+        )
+    return key
+
+
+def _deadline(headers: abc.Mapping[str, str]) -> float | None:
+    text = headers.get('X-Deadline-S')
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 < seconds < float('inf'):
+        raise BadCall(
+            f'X-Deadline-S: given {text!r}; must be seconds, more than 0'
+        )
+    return seconds
+
+
+def _digest(method: str, target: str, body: bytes) -> bytes:
+    digest = hashlib.sha256(f'{method} {target}\n'.encode())
+    digest.update(body)
+    return digest.digest()
--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -21,6 +21,7 @@
 from . import replies
 from . import resends
 from . import reservations
+from . import retries
 from . import steps
 from . import verdict
 from .coordination import claim_messages as claims
@@ -60,7 +61,7 @@
         self._directory = directory
         self._gate = gate
         self._most_claimed_s = most_claimed_s
-        self._budgets = admission.RetryBudgets()
+        self._budgets = retries.RetryBudgets()
         self._reservations = reservations.Reservations(directory=directory)
         self._endings = endings.Endings(reservations=self._reservations)
         self._attempts = attempts.Attempts(
--- a/dandeliongw/retries.py
+++ b/dandeliongw/retries.py
@@ -39,6 +39,28 @@
         return True
 
 
+class RetryBudgets:
+    """A budget for each service.
+
+    With one for all, a pool that fails spends the retries of the others,
+    whose callers then see errors that one more attempt would have spared.
+    """
+
+    def __init__(self) -> None:
+        self._budgets_by_service: dict[str, RetryBudget] = {}
+
+    def earn(self, service: str) -> None:
+        """Count a new request for a service."""
+        self._budget(service).earn()
+
+    def spend(self, service: str) -> bool:
+        """Return whether one more attempt may be made, and count it."""
+        return self._budget(service).spend()
+
+    def _budget(self, service: str) -> RetryBudget:
+        return self._budgets_by_service.setdefault(service, RetryBudget())
+
+
 def pause_s(attempt: int, entropy: int) -> float:
     """Return how long to wait before an attempt, in seconds.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -56,16 +56,3 @@
         self.assertEqual(refused.reason, REASON.ACCOUNT_LIMIT)
         self.assertAlmostEqual(refused.retry_after_s, 0.01)
         self.assertIsNone(self.check(now=100.0 + refused.retry_after_s))
-
-
-class Budgets(unittest.TestCase):
-    def test_a_budget_is_a_share_of_the_requests(self):
-        budget = admission.RetryBudget()
-        while budget.spend():
-            pass
-        for _ in range(9):
-            budget.earn()
-        self.assertFalse(budget.spend())
-        for _ in range(2):
-            budget.earn()
-        self.assertTrue(budget.spend())
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -9,7 +9,9 @@
 
 from nose2.tools import params
 
+from dandeliongw import answers
 from dandeliongw import callers
+from dandeliongw import calls
 from dandeliongw import effects
 from dandeliongw import events
 from dandeliongw import metrics
@@ -207,8 +209,8 @@
         Sequence: a body of nothing but brackets.
         Cause: only what a JSON reader says itself would be expected.
         """
-        with self.assertRaises(callers.BadCall):
-            callers.read_completion(b'[' * 100_000, {})
+        with self.assertRaises(calls.BadCall):
+            calls.read_completion(b'[' * 100_000, {})
 
     @params(b'', b'{', b'[]', b'\xff')
     def test_a_body_that_is_no_json_object(self, body):
@@ -413,7 +415,7 @@
             idempotency_key=None,
             digest=b'',
         )
-        answer = callers.Answer(
+        answer = answers.Answer(
             gate=gate,
             metrics=metrics.Metrics(),
             request_id='r',
@@ -422,7 +424,7 @@
             ),
         )
         answer.first()
-        callers.EventStream(answer).close()
+        answers.EventStream(answer).close()
         self.assertEqual(gate.open_ids, set())
         self.assertTrue(gate.closed.acquire(blocking=False))
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -11,6 +11,7 @@
 from dandeliongw import events
 from dandeliongw import requests
 from dandeliongw import reservations
+from dandeliongw import retries
 from dandeliongw import verdict
 from dandeliongw import waste
 from tests import entry_fake
@@ -465,7 +466,8 @@
 
     def test_a_service_has_a_retry_budget_of_its_own(self):
         entry = Entry()
-        for _ in range(12):
+        spent_after = retries.RETRY_BURST / (1 - retries.RETRY_PART)
+        for _ in range(round(spent_after)):
             request_id = entry.prefilling()
             entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
             entry.leave(request_id)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -19,3 +19,16 @@
     @params((2, 0, 0.01), (2, 2**64 - 1, 0.02), (60, 2**64 - 1, 1.0))
     def test_pauses_grow_to_a_bound_and_are_spread(self, attempt, bits, s):
         self.assertAlmostEqual(s, retries.pause_s(attempt, bits))
+
+
+class Budgets(unittest.TestCase):
+    def test_a_budget_is_a_share_of_the_requests(self):
+        budget = retries.RetryBudget(part=0.1, burst=10.0, left=10.0)
+        while budget.spend():
+            pass
+        for _ in range(9):
+            budget.earn()
+        self.assertFalse(budget.spend())
+        for _ in range(2):
+            budget.earn()
+        self.assertTrue(budget.spend())
