A refused announcement redirects nothing; a budget test counts by the budget

The front noted an announcement that presence had refused; the new test in test_reducer failed first. The test of the retry budgets drains the service's own budget, and fails when all services share one.

--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -421,10 +421,15 @@
     # Backend servers
 
     def _announce(self, event: presence.Announced) -> list[typing.Any]:
-        return [
-            *self.presence.handle(event),
-            *self.fronts.announced(event.now, event.announcement),
-        ]
+        out = self.presence.handle(event)
+        accepted = parts.Complete(
+            ticket=event.ticket, result=presence.PresenceOutcome.ACCEPTED
+        )
+        if accepted not in out:
+            # A late word of an earlier process must not redirect a later
+            # one's renewals to the cell of another service.
+            return out
+        return [*out, *self.fronts.announced(event.now, event.announcement)]
 
     def _change_backend(
         self, now: float, effect: presence.BackendChanged
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -268,6 +268,18 @@
         ]
         self.assertEqual([], started)
 
+    def test_a_late_announcement_redirects_nothing(self):
+        """Symptom: a backend server that renews gets no work any more.
+
+        Sequence: it announces itself, then an older announcement with the
+        same id comes late, for another service.
+        Cause: the refused announcement still decides who hears renewals.
+        """
+        fronts = self.net.reducers_by_id['gw-1'].fronts
+        before = dict(fronts._announcements_by_id)
+        self.net.announce('gw-1', 'portal-1', 'decode', sequence=0)
+        self.assertEqual(before, fronts._announcements_by_id)
+
     def test_a_service_that_comes_back_is_owned_again(self):
         """Symptom: a service that was put back answers nothing.
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -11,7 +11,6 @@
 from dandeliongw import events
 from dandeliongw import requests
 from dandeliongw import reservations
-from dandeliongw import retries
 from dandeliongw import verdict
 from dandeliongw import waste
 from tests import entry_fake
@@ -466,12 +465,8 @@
 
     def test_a_service_has_a_retry_budget_of_its_own(self):
         entry = Entry()
-        spent_after = retries.RETRY_BURST / (1 - retries.RETRY_PART)
-        for _ in range(round(spent_after)):
-            request_id = entry.prefilling()
-            entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
-            entry.leave(request_id)
-            entry.close(request_id)
+        while entry.requests._budgets.spend('dieline-llm'):
+            pass
         request_id = entry.prefilling()
         entry.prefill(request_id, failure=RETRY.PREFILL_FAILED)
         self.assertEqual(entry.refusal.reason, REASON.RETRIES_SPENT)
