A test named for what it shows; one way to close a connection

Read again: the system test of a frozen owner passed with the check before each booking taken out, so it never showed what its name said. It is named for what it asserts; the booking itself is proved in test_reducer, which does fail.

--- a/dandeliongw/callers.py
+++ b/dandeliongw/callers.py
@@ -202,7 +202,7 @@
         callers that keep one would not look for another instance.
         """
         if self._gate.is_leaving or not _is_read_to_its_end():
-            _close_connection()
+            web.close_connection()
 
     def refuse_call(self, error: calls.BadCall) -> bytes:
         """Refuse a call whose request line is not understood."""
@@ -243,14 +243,6 @@
     return not getattr(cherrypy.request.rfile, 'remaining', 0)
 
 
-def _close_connection() -> None:
-    """Let no other call come over this connection."""
-    cherrypy.response.headers['Connection'] = 'close'
-    carried = cherrypy.request.wsgi_environ.get(web.REQUEST_KEY)
-    if carried is not None:
-        carried.close_connection = True
-
-
 def _new_request_id() -> str:
     request_id = uuid.uuid4().hex
     cherrypy.response.headers['X-Request-Id'] = request_id
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -83,12 +83,13 @@
             self.wait_lookup(instance_id)
         self.assertNotEqual(owner, self.owner())
 
-    def test_a_frozen_owner_spends_nothing_when_it_wakes(self):
-        """Symptom: slots are booked twice, batches are larger than allowed.
+    def test_a_frozen_owner_is_one_of_two_no_longer_when_it_wakes(self):
+        """Symptom: two instances say that they own the same cell.
 
         Sequence: the owner is stopped past its lease, another instance gets
         the lease, the first one goes on with its cells still in memory.
-        Cause: the owner believes in a lease that has run out.
+        Cause: a lease that has run out is not given up on waking. That it
+        books nothing in between is for test_reducer, on a virtual clock.
         """
         owner = local.wait_until('the cell has an owner', self.owner)
         process = self.system.instances_by_id[owner].process
