Parts: numbered changes, contacts found while running, addresses by arrival

An operator who numbers changes needs no revision to compare with: the highest number wins, a resend is answered as overtaken. Instances that are found while running are contacted at once, and may be the first voters of a new system; never those of one that has run. Backend servers that count no incarnations: the id heard of last holds the address.

--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -63,14 +63,10 @@
 class _Holder:
     """The process that was the last to start at an address."""
 
-    incarnation: int
+    rank: tuple[int, int]
     backend_id: str
     until: float
 
-    @property
-    def rank(self) -> tuple[int, str]:
-        return self.incarnation, self.backend_id
-
 
 class Backends:
     """The table of backend servers, their leases and the leaves.
@@ -86,6 +82,8 @@
         self._left_by_id: dict[str, Stamp] = {}
         self._forget_left_by_id: dict[str, float] = {}
         self._holders_by_url: dict[str, _Holder] = {}
+        self._arrivals_by_id: dict[str, int] = {}
+        self._arrivals = 0
         self._forget_at = 0.0
 
     def left(self, backend_id: str) -> Stamp:
@@ -170,7 +168,7 @@
             stamp(announcement) > self.left(announcement.backend_id)
             and now < backend.lease_until
             and self._holders_by_url[announcement.url].rank
-            == _rank(announcement)
+            == self._rank(announcement)
         )
 
     def _put(
@@ -206,20 +204,33 @@
         """
         holder = self._holders_by_url.get(announcement.url)
         is_held = holder is not None and now < holder.until
-        if is_held and holder.rank >= _rank(announcement):
+        if is_held and holder.rank >= self._rank(announcement):
             return []
         self._holders_by_url[announcement.url] = _Holder(
-            incarnation=announcement.incarnation,
+            rank=self._rank(announcement),
             backend_id=announcement.backend_id,
             until=now + self._lease_s + URL_MEMORY_S,
         )
         former = self.by_id.get(holder.backend_id) if holder else None
         return [] if former is None else self._refresh(now, former)
 
+    def _rank(self, announcement: BackendAnnouncement) -> tuple[int, int]:
+        """Return who started later, as far as that can be told.
+
+        Some backend servers get a new id at each start and count no
+        incarnations: of these the one that was heard of last started last.
+        A late announcement of the one before it is no news of that id.
+        """
+        backend_id = announcement.backend_id
+        if backend_id not in self._arrivals_by_id:
+            self._arrivals += 1
+            self._arrivals_by_id[backend_id] = self._arrivals
+        return announcement.incarnation, self._arrivals_by_id[backend_id]
+
     def _keep_url(self, backend: Backend) -> None:
         announcement = backend.announcement
         holder = self._holders_by_url[announcement.url]
-        if holder.rank == _rank(announcement):
+        if holder.rank == self._rank(announcement):
             holder.until = backend.lease_until + URL_MEMORY_S
 
     def _refresh(self, now: float, backend: Backend) -> list[typing.Any]:
@@ -241,10 +252,9 @@
         for url in self._holders_by_url.keys() - used:
             if now >= self._holders_by_url[url].until:
                 del self._holders_by_url[url]
-
-
-def _rank(announcement: BackendAnnouncement) -> tuple[int, str]:
-    return announcement.incarnation, announcement.backend_id
+        known = self.by_id.keys() | self._left_by_id.keys()
+        for backend_id in self._arrivals_by_id.keys() - known:
+            del self._arrivals_by_id[backend_id]
 
 
 def _is_other(held: Backend, announcement: BackendAnnouncement) -> bool:
--- a/dandeliongw/coordination/_membership_messages.py
+++ b/dandeliongw/coordination/_membership_messages.py
@@ -12,6 +12,14 @@
 # Events.
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Discovered:
+    """Event: instances that can be contacted, whoever told of them."""
+
+    now: float
+    instance_ids: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SetServing:
     """This instance may or may not admit work now."""
--- a/dandeliongw/coordination/changes.py
+++ b/dandeliongw/coordination/changes.py
@@ -49,6 +49,19 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Overtaken:
+    """A change with this number or a higher one is held; nothing changed.
+
+    A resend whose first send took effect gets this answer too: what it asked
+    for has happened, or has been replaced since.
+
+    :param order: the number that is held.
+    """
+
+    order: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class VoterRefused:
     """The replacement makes no sense for the present voters."""
@@ -63,7 +76,14 @@
     message: str
 
 
-Result = Applied | Conflict | ChangeIdReused | VoterRefused | Unavailable
+Result = (
+    Applied
+    | Conflict
+    | ChangeIdReused
+    | Overtaken
+    | VoterRefused
+    | Unavailable
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -173,6 +193,50 @@
         )
 
 
+class OrderedChange:
+    """Replaces the document if its number is above the one that is held.
+
+    Operators who number their changes themselves need no revision to compare
+    with: the highest number wins, in whatever order the changes arrive and
+    however often each is sent.
+
+    :param order: the operator's number, above 0.
+    """
+
+    def __init__(self, *, order: int, author: str, document: bytes) -> None:
+        self.order = order
+        self.author = author
+        self.document = configurations.pack(document)
+        self._digest = configurations.digest('ordered', order, document)
+        #: Whether some voter may have been asked to accept the change.
+        self.was_tried = False
+
+    def decide(
+        self, version: configurations.Version, *, is_chosen: bool
+    ) -> Decision:
+        """Apply the change unless a later one is there."""
+        configuration = version.configuration
+        if self.order <= configuration.order:
+            return Decision(result=Overtaken(order=configuration.order))
+        self.was_tried = True
+        revision = configuration.revision + 1
+        record = configurations.ChangeRecord(
+            change_id=f'order-{self.order}',
+            revision=revision,
+            digest=self._digest,
+            author=self.author,
+        )
+        step = configurations.ConfigurationStep(
+            document=self.document,
+            author=self.author,
+            added=(record,),
+            order=self.order,
+        )
+        return Decision(
+            step=step, result=Applied(revision=revision, repeated=False)
+        )
+
+
 class VoterReplacement(RecordedChange):
     """Starts to replace a voter by another disk.
 
--- a/dandeliongw/coordination/configuration.py
+++ b/dandeliongw/coordination/configuration.py
@@ -34,12 +34,14 @@
     :param document: the new packed document; ``None`` when it is the same.
     :param added: the records of changes that came with this step.
     :param voters: the new voters; ``None`` when they are the same.
+    :param order: the number of an ordered change; ``None`` otherwise.
     """
 
     document: bytes | None = None
     author: str | None = None
     added: tuple[ChangeRecord, ...] = ()
     voters: voter_sets.Voters | None = None
+    order: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,6 +53,7 @@
     :param document: the document, packed by :func:`pack`.
     :param author: who changed the document last.
     :param changes: the latest changes, oldest first.
+    :param order: the highest number of an ordered change so far.
     """
 
     revision: int
@@ -58,6 +61,7 @@
     author: str
     changes: tuple[ChangeRecord, ...]
     voters: voter_sets.Voters
+    order: int = 0
 
     def apply(self, step: ConfigurationStep) -> 'Configuration':
         """Return the configuration that comes of a step from this one."""
@@ -68,6 +72,7 @@
             author=step.author if changed else self.author,
             changes=(self.changes + step.added)[-CHANGES_KEPT:],
             voters=self.voters if step.voters is None else step.voters,
+            order=self.order if step.order is None else step.order,
         )
 
     def find_change(self, change_id: str) -> ChangeRecord | None:
--- a/dandeliongw/coordination/formation.py
+++ b/dandeliongw/coordination/formation.py
@@ -36,6 +36,10 @@
         self._query_at: float | None = None
         self._reports_by_id: dict[str, messages.DiskReport] = {}
 
+    def set_first_voters(self, instance_ids: tuple[str, ...]) -> None:
+        """Name the first voters; the same at every instance."""
+        self._initial_voters = instance_ids
+
     def start(self, first_id: int) -> None:
         """Begin with ids that no earlier run of this instance used."""
         self._query_id = first_id
@@ -88,6 +92,8 @@
 
     def _may_form(self) -> bool:
         knowledge = self._knowledge
+        if not self._initial_voters:
+            return False
         if any(job.forming_by_id for job in self._proposer.jobs):
             return False
         return (
--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -21,6 +21,7 @@
 from . import parts
 from ._beliefs import Beliefs
 from ._comparison import Comparison
+from ._membership_messages import Discovered
 from ._membership_messages import Gossip
 from ._membership_messages import IndirectAck
 from ._membership_messages import IndirectProbe
@@ -44,6 +45,7 @@
 from ._roster import MemberState
 
 __all__ = [
+    'Discovered',
     'Entry',
     'Gossip',
     'IndirectAck',
@@ -202,6 +204,8 @@
                 )
             case Leave():
                 return self._leave(event.now)
+            case Discovered():
+                return self._discover(event)
         raise TypeError(f'membership does not know {type(event).__name__}')
 
     def restore(self, record: typing.Any) -> None:
@@ -211,6 +215,13 @@
         """Return nothing to keep."""
         return ()
 
+    def _discover(self, event: Discovered) -> list[typing.Any]:
+        """Contact instances that were found while running, at once."""
+        found = set(event.instance_ids) - {self.instance_id}
+        new = found - self._seed_ids - self.members_by_id.keys()
+        self._seed_ids = self._seed_ids | found
+        return [self._comparison.ask(each) for each in sorted(new)]
+
     def _leave(self, now: float) -> list[typing.Any]:
         effects = self._beliefs.state_own(now, state=MemberState.LEFT)
         # At once: the process may not live to its next tick.
@@ -447,4 +458,8 @@
 
 
 def _may_serve(member: Member) -> bool:
-    return member.serving and not member.draining
+    return (
+        member.serving
+        and not member.draining
+        and bool(member.info.callers_address)
+    )
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -26,6 +26,7 @@
 from .changes import Applied
 from .changes import ChangeIdReused
 from .changes import Conflict
+from .changes import Overtaken
 from .changes import Unavailable
 from .changes import VoterRefused
 from .enforcement import Enforcement
@@ -36,9 +37,12 @@
     'ChangeIdReused',
     'ConfigurationChanged',
     'Conflict',
+    'ContactsFound',
     'Enforcement',
     'InstancesChanged',
+    'Overtaken',
     'Propose',
+    'ProposeOrdered',
     'Register',
     'ReplaceVoter',
     'Unavailable',
@@ -73,6 +77,36 @@
     entropy: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ProposeOrdered:
+    """An operator wants to replace the document by a numbered one.
+
+    :param order: takes effect if it is above the number that is held.
+    """
+
+    now: float
+    ticket: str
+    order: int
+    author: str
+    document: bytes
+    entropy: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ContactsFound:
+    """Instances that may know the voters, or may be the first ones.
+
+    :param instance_ids: the same at every instance where ``may_form``.
+    :param may_form: whether these are the first voters of a system that has
+        never run. Never set it at a restart: instances whose disks were
+        lost would form a second register beside the one that is held.
+    """
+
+    now: float
+    instance_ids: tuple[str, ...]
+    may_form: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ReplaceVoter:
     """An operator wants another disk to vote in place of a voter's.
@@ -140,7 +174,7 @@
 
     :param instance_id: this instance.
     :param initial_voters: instance ids that form the register; the same at
-        every instance.
+        every instance. Empty until :class:`ContactsFound` names them.
     :param disk_id: the identity of this instance's disk, if it has one.
     :param confirm_ttl_s: for how many seconds a confirmation lets work be
         admitted; the same at every instance.
@@ -159,7 +193,7 @@
     ) -> None:
         self.instance_id = instance_id
         self.disk_id = disk_id
-        self._initial_voters = initial_voters
+        self._contact_ids = initial_voters
         self._ttl_s = confirm_ttl_s
         self._propose_limit_s = propose_limit_s
         self._instance_ids: tuple[str, ...] = (instance_id,)
@@ -197,6 +231,8 @@
             parts.Received: self._on_received,
             parts.Persisted: self._on_persisted,
             Propose: self._on_propose,
+            ProposeOrdered: self._on_propose_ordered,
+            ContactsFound: self._on_contacts_found,
             ReplaceVoter: self._on_replace_voter,
             InstancesChanged: self._on_instances_changed,
             CaughtUp: self._on_caught_up,
@@ -364,6 +400,12 @@
         self._tracker.forget_others(event.instance_ids)
         return []
 
+    def _on_contacts_found(self, event: ContactsFound) -> list[typing.Any]:
+        self._contact_ids = event.instance_ids
+        if event.may_form:
+            self._formation.set_first_voters(event.instance_ids)
+        return []
+
     # The voter: promises and acceptances of this disk.
 
     def _on_prepare(
@@ -413,6 +455,17 @@
             expected_revision=event.expected_revision,
             document=event.document,
         )
+        return self._add_change(event, change)
+
+    def _on_propose_ordered(self, event: ProposeOrdered) -> list[typing.Any]:
+        change = changes.OrderedChange(
+            order=event.order, author=event.author, document=event.document
+        )
+        return self._add_change(event, change)
+
+    def _add_change(
+        self, event: Propose | ProposeOrdered, change: changes.Change
+    ) -> list[typing.Any]:
         job = proposers.Job(
             change=change,
             entropy=event.entropy,
@@ -623,7 +676,7 @@
         ids = (
             *self._knowledge.voter_ids,
             *self._referred_ids,
-            *self._initial_voters,
+            *self._contact_ids,
         )
         return list(dict.fromkeys(i for i in ids if i != self.instance_id))
 
