Settings: seeds in place of the list of peers; a clock that counts suspensions

models.py is public, as adapters outside the package check their input with it. The command test named a field that is no longer required by itself; it names another one, and a file with neither peers nor seeds is refused.

--- a/dandeliongw/backends.py
+++ b/dandeliongw/backends.py
@@ -16,8 +16,8 @@
 import pydantic
 
 from . import _application
-from . import _models
 from . import exceptions
+from . import models
 from . import web
 
 Role = typing.Literal['prefill', 'decode', 'plain']
@@ -35,16 +35,16 @@
     return url
 
 
-class Identity(_models.Model):
+class Identity(models.Model):
     """What every message of a backend server carries.
 
     :param incarnation: grows at every start of the backend server.
     :param sequence: grows with every message of one incarnation.
     """
 
-    backend_id: _models.Name
-    incarnation: _models.NotNegativeInt
-    sequence: _models.NotNegativeInt
+    backend_id: models.Name
+    incarnation: models.NotNegativeInt
+    sequence: models.NotNegativeInt
 
 
 class Announcement(Identity):
@@ -54,33 +54,33 @@
         number; one that says nothing counts as one that ignores them.
     """
 
-    service: _models.Name
+    service: models.Name
     role: Role
     url: typing.Annotated[str, pydantic.AfterValidator(_check_url)]
-    data_centre: _models.Name
-    slots: _models.NotNegativeInt = 0
+    data_centre: models.Name
+    slots: models.NotNegativeInt = 0
     checks_fence: bool = False
 
 
-class Load(_models.Model):
+class Load(models.Model):
     """A load report; it was true some time before it was sent."""
 
-    running: _models.NotNegativeInt = 0
-    waiting: _models.NotNegativeInt = 0
-    queued_tokens: _models.NotNegativeInt = 0
-    slots_used: _models.NotNegativeInt = 0
-    kv_bytes: _models.NotNegativeInt = 0
+    running: models.NotNegativeInt = 0
+    waiting: models.NotNegativeInt = 0
+    queued_tokens: models.NotNegativeInt = 0
+    slots_used: models.NotNegativeInt = 0
+    kv_bytes: models.NotNegativeInt = 0
 
 
-class CacheEvent(_models.Model):
+class CacheEvent(models.Model):
     kind: typing.Literal['stored', 'evicted']
     prefix: str
 
 
-class CacheEvents(_models.Model):
+class CacheEvents(models.Model):
     """Cache events in a row; ``first`` is the number of the first."""
 
-    first: _models.NotNegativeInt = 0
+    first: models.NotNegativeInt = 0
     events: tuple[CacheEvent, ...] = ()
 
 
@@ -202,11 +202,11 @@
 
     def _announce(self, body: bytes) -> bytes:
         return self._tell(
-            self._desk.announce(_models.parse(Announcement, body, ''))
+            self._desk.announce(models.parse(Announcement, body, ''))
         )
 
     def _renew(self, body: bytes) -> bytes:
-        return self._tell(self._desk.renew(_models.parse(Renewal, body, '')))
+        return self._tell(self._desk.renew(models.parse(Renewal, body, '')))
 
     def _tell(self, answer: PresenceAnswer) -> bytes:
         status = STATUS_BY_ANSWER[answer]
@@ -223,7 +223,7 @@
         )
 
     def _leave(self, body: bytes) -> bytes:
-        self._desk.leave(_models.parse(Leaving, body, ''))
+        self._desk.leave(models.parse(Leaving, body, ''))
         return _answer(200, {})
 
     def _is_allowed(self) -> bool:
--- a/dandeliongw/command.py
+++ b/dandeliongw/command.py
@@ -14,10 +14,10 @@
 import defopt
 
 from . import __version__
-from . import _models
 from . import client
 from . import document as documents
 from . import exceptions
+from . import models
 from . import settings as settings_module
 
 
@@ -41,7 +41,7 @@
     :param file: path of a settings file or a document
     """
     body = _read(file)
-    tree = _models.load_json(body, file)
+    tree = models.load_json(body, file)
     if isinstance(tree, dict) and 'instance_id' in tree:
         found = settings_module.parse_settings(body, file)
         _show({'kind': 'settings', 'instance_id': found.instance_id})
--- a/dandeliongw/control.py
+++ b/dandeliongw/control.py
@@ -44,6 +44,16 @@
     current: Configuration
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Overtaken:
+    """A change with this number or a higher one is held.
+
+    :param order: the number that is held.
+    """
+
+    order: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ChangeIdReused:
     """The change id names another change; nothing was applied."""
--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -27,9 +27,8 @@
         #: Set when the accepted document can't be read by this release.
         self.is_unreadable = False
         self._own_region = settings.region
-        self._regions_by_data_centre = {
-            peer.data_centre: peer.region for peer in settings.peers
-        }
+        self._regions_by_data_centre = settings.all_regions_by_data_centre
+        self._serves_unconfirmed = settings.unconfirmed == 'serve'
         self._members = members
         self._configuration = configuration
         self._leases = leases
@@ -43,8 +42,18 @@
         return tuple(sorted(self._regions_by_data_centre))
 
     def is_fresh(self, now: float) -> bool:
-        """Whether work may be admitted under the document."""
-        return self._configuration.is_fresh(now) and not self.is_unreadable
+        """Whether work may be admitted under the document.
+
+        With ``unconfirmed`` set to ``serve`` the last one counts while no
+        majority can be asked. Otherwise a system whose voters are all down
+        would turn away every caller; the price is that a change may be in
+        force elsewhere meanwhile.
+        """
+        if self.is_unreadable:
+            return False
+        if self._serves_unconfirmed and self._configuration.revision:
+            return True
+        return self._configuration.is_fresh(now)
 
     def cell_of(self, service: str, request_id: str) -> str:
         """Return the cell that serves this instance's callers."""
--- a/dandeliongw/operators.py
+++ b/dandeliongw/operators.py
@@ -13,13 +13,13 @@
 import pydantic
 
 from . import _application
-from . import _models
 from . import changes
 from . import console
 from . import control as controls
 from . import document as documents
 from . import exceptions
 from . import metrics as metrics_module
+from . import models
 from . import settings as settings_module
 from . import tokens
 
@@ -65,11 +65,11 @@
         }
 
 
-class Change(_models.Model):
+class Change(models.Model):
     """The body of ``PUT /v1/document``."""
 
     document: dict[str, typing.Any]
-    expected_revision: _models.NotNegativeInt
+    expected_revision: models.NotNegativeInt
     """The revision that the change was made from."""
     change_id: typing.Annotated[
         str, pydantic.StringConstraints(pattern=changes.CHANGE_ID_PATTERN)
@@ -232,7 +232,7 @@
         )
     body = cherrypy.request.body.fp.read()
     try:
-        return _models.parse(Change, body)
+        return models.parse(Change, body)
     except exceptions.InvalidInput as error:
         raise _invalid(ApiReason.BAD_REQUEST, error)
 
--- a/dandeliongw/pages/forms.py
+++ b/dandeliongw/pages/forms.py
@@ -11,13 +11,13 @@
 import types
 import typing
 
-from .. import _models
 from .. import differences
 from .. import document
 from .. import exceptions
+from .. import models
 from . import markup
 
-MODELS_BY_SECTION: dict[str, type[_models.Model]] = {
+MODELS_BY_SECTION: dict[str, type[models.Model]] = {
     'services': document.Service,
     'pools': document.Pool,
     'priorities': document.Priority,
@@ -104,7 +104,7 @@
     """Return the problems of one item by itself."""
     body = json.dumps(item).encode()
     try:
-        _models.parse(MODELS_BY_SECTION[section], body)
+        models.parse(MODELS_BY_SECTION[section], body)
     except exceptions.InvalidInput as error:
         return error.problems
     return ()
@@ -145,13 +145,13 @@
 
 def _add_fields(
     found: list[Field],
-    model: type[_models.Model],
+    model: type[models.Model],
     section: str,
     prefix: str,
     tree: differences.Tree,
 ) -> None:
     for name, info in model.model_fields.items():
-        inner = _models.find_model(info.annotation)
+        inner = models.find_model(info.annotation)
         if inner is not None:
             _add_fields(found, inner, section, f'{prefix}{name}.', tree)
             continue
--- a/dandeliongw/reference.py
+++ b/dandeliongw/reference.py
@@ -9,9 +9,9 @@
 import sys
 import typing
 
-from . import _models
 from . import document
 from . import metrics
+from . import models
 from . import settings
 
 _DIALECT = 'https://json-schema.org/draft/2020-12/schema'
@@ -45,30 +45,30 @@
         path.write_text(text)
 
 
-def _schema(model: type[_models.Model]) -> str:
+def _schema(model: type[models.Model]) -> str:
     schema = {'$schema': _DIALECT, **model.model_json_schema()}
     return json.dumps(schema, indent=2, ensure_ascii=False) + '\n'
 
 
-def _with_fields(page: str, model: type[_models.Model]) -> str:
+def _with_fields(page: str, model: type[models.Model]) -> str:
     before, _, rest = page.partition(_START)
     _, _, after = rest.partition(_END)
     tables = '\n'.join(_field_table(part) for part in _parts(model))
     return before + _START + '\n' + tables + '\n' + _END + after
 
 
-def _parts(model: type[_models.Model]) -> list[type[_models.Model]]:
+def _parts(model: type[models.Model]) -> list[type[models.Model]]:
     """Return a model and all that it is made of, each once."""
     found = [model]
     for part in found:
         for field in part.model_fields.values():
-            inner = _models.find_model(field.annotation)
+            inner = models.find_model(field.annotation)
             if inner is not None and inner not in found:
                 found.append(inner)
     return found
 
 
-def _field_table(model: type[_models.Model]) -> str:
+def _field_table(model: type[models.Model]) -> str:
     title = (model.__doc__ or '').strip().partition('\n')[0]
     lines = [
         f'### {model.__name__}',
@@ -90,7 +90,7 @@
         return 'required'
     if field.default is None or field.default == ():
         return 'none'
-    if isinstance(field.default, _models.Model):
+    if isinstance(field.default, models.Model):
         return 'as below'
     return f'`{json.dumps(field.default)}`'
 
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -12,13 +12,13 @@
 import queue
 import secrets
 import threading
-import time
 import typing
 import uuid
 
 from loguru import logger
 
 from . import cells
+from . import clock
 from . import effects
 from . import engine
 from . import metrics as metrics_module
@@ -190,7 +190,7 @@
         """Run ``read(now)`` on the control thread and return its result."""
 
         async def run() -> typing.Any:
-            return read(time.monotonic())
+            return read(clock.now())
 
         return asyncio.run_coroutine_threadsafe(run(), self._loop).result(
             timeout=ASK_S
@@ -206,13 +206,11 @@
 
     def receive(self, sender: str, message: typing.Any) -> None:
         """Take a message in from the wire."""
-        event = parts.Received(
-            now=time.monotonic(), sender=sender, message=message
-        )
+        event = parts.Received(now=clock.now(), sender=sender, message=message)
         self.apply(event)
 
     def handle_soon(self, make_event: abc.Callable[..., typing.Any]) -> None:
-        self.apply(make_event(now=time.monotonic()))
+        self.apply(make_event(now=clock.now()))
 
     def apply(self, event: typing.Any) -> None:
         """Let the reducer handle an event; perform what it wants done."""
@@ -244,9 +242,7 @@
 
     def _tick(self) -> None:
         self._loop.call_later(TICK_S, self._tick)
-        self.apply(
-            parts.Ticked(now=time.monotonic(), entropy=secrets.randbits(64))
-        )
+        self.apply(parts.Ticked(now=clock.now(), entropy=secrets.randbits(64)))
 
     def _send(self, effect: parts.Send) -> None:
         if self._wire is not None:
@@ -300,7 +296,7 @@
         self._pool.submit(self._list_now, effect)
 
     def _list_now(self, effect: cells.ListStreams) -> None:
-        asked_at = time.monotonic()
+        asked_at = clock.now()
         try:
             streams = self._engine_for(effect.url).streams()
         except engine.EngineError as error:
@@ -331,7 +327,7 @@
         # Asked in this thread, with a fresh reading of the clock: the order
         # may have waited, or the process may have been frozen, until
         # another instance gives orders.
-        if not self._may_send(effect, time.monotonic()):
+        if not self._may_send(effect, clock.now()):
             self._tell_order(order, verdict.Verdict.NOT_RUN)
             return
         try:
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -13,14 +13,16 @@
 
 import pydantic
 
-from . import _models
 from . import exceptions
+from . import models
 
 MIB = 1024 * 1024
 MAX_PORT = 65535
 #: More would cost every change more messages than they add in safety.
 MAX_VOTERS = 12
 
+#: ``serve``: go on with the last document that was confirmed.
+Unconfirmed = typing.Literal['refuse', 'serve']
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
 LogLevel = typing.Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
 
@@ -37,7 +39,7 @@
 IpNumber = typing.Annotated[str, pydantic.AfterValidator(_check_ip)]
 
 
-class Address(_models.Model):
+class Address(models.Model):
     """Where to listen; port 0 lets the system choose one."""
 
     host: IpNumber
@@ -54,9 +56,9 @@
 class Listen(Address):
     """An HTTP port with its threads."""
 
-    threads: _models.PositiveInt = 200
+    threads: models.PositiveInt = 200
     """Requests and streams that are served at one time."""
-    queue: _models.PositiveInt = 64
+    queue: models.PositiveInt = 64
     """Connections that wait for a thread; more are refused."""
     advertised: IpNumber | None = None
     """The number that others are told, where it isn't ``host``."""
@@ -65,81 +67,81 @@
 class ControlListen(Listen):
     """The port for backend servers and operators."""
 
-    threads: _models.PositiveInt = 16
+    threads: models.PositiveInt = 16
     """Calls that are served at one time."""
 
 
-class PeerSettings(_models.Model):
+class PeerSettings(models.Model):
     """One instance as all the others find it."""
 
-    instance_id: _models.Name
+    instance_id: models.Name
     """The same as in its own settings."""
     host: IpNumber
     """The IP number that others connect to."""
     port: Port
     """Its ``peer`` port."""
-    data_centre: _models.Name
+    data_centre: models.Name
     """Where it stands."""
-    region: _models.Name
+    region: models.Name
     """The region of that data centre."""
     voter: bool = False
     """Holds a copy of the register and of claims; needs a data folder."""
 
 
-class Operator(_models.Model):
+class Operator(models.Model):
     """Who may read and change the document."""
 
-    name: _models.Name
+    name: models.Name
     """Goes into the history of changes."""
-    token_sha256: _models.Sha256
+    token_sha256: models.Sha256
     """SHA-256 of the operator's token; the token itself is kept nowhere."""
 
 
-class Limits(_models.Model):
+class Limits(models.Model):
     """What one instance takes on; what is more is refused at once."""
 
-    max_body_bytes: _models.PositiveInt = 8 * MIB
+    max_body_bytes: models.PositiveInt = 8 * MIB
     """The longest request body."""
-    max_requests: _models.PositiveInt = 192
+    max_requests: models.PositiveInt = 192
     """Requests in hand at one time; less than ``callers.threads``."""
-    max_streams: _models.PositiveInt = 160
+    max_streams: models.PositiveInt = 160
     """Streams from model engines at one time."""
-    reserved_lookups: _models.NotNegativeInt = 32
+    reserved_lookups: models.NotNegativeInt = 32
     """Threads that streams never take, so that lookups stay quick."""
-    store_loads_per_s: _models.Positive = 1.0
+    store_loads_per_s: models.Positive = 1.0
     """This instance's share of the weight store's rate."""
-    max_outcome_bytes: _models.PositiveInt = 65536
+    max_outcome_bytes: models.PositiveInt = 65536
     """The longest recorded answer of a non-idempotent call."""
-    max_claims: _models.PositiveInt = 200_000
+    max_claims: models.PositiveInt = 200_000
     """Keys of non-idempotent calls that a voter keeps; no more are taken."""
 
 
-class Timeouts(_models.Model):
+class Timeouts(models.Model):
     """All in seconds."""
 
-    connect_s: _models.Positive = 1.0
+    connect_s: models.Positive = 1.0
     """To open a connection."""
-    first_byte_s: _models.Positive = 10.0
+    first_byte_s: models.Positive = 10.0
     """From the end of sending to the first byte back."""
-    stall_s: _models.Positive = 3.0
+    stall_s: models.Positive = 3.0
     """Silence on an open connection before a new one is tried."""
-    confirm_ttl_s: _models.Positive = 5.0
+    confirm_ttl_s: models.Positive = 5.0
     """How long a majority's word on the revision lets work in."""
-    entries_ttl_s: _models.Positive = 10.0
+    entries_ttl_s: models.Positive = 10.0
     """How long callers may keep the list of entries."""
-    lease_s: _models.Positive = 2.0
+    lease_s: models.Positive = 2.0
     """How long an owner of slots holds them without renewal."""
-    lease_margin_s: _models.Positive = 0.25
+    lease_margin_s: models.Positive = 0.25
     """The holder stops this long before the lease's end."""
-    presence_s: _models.Positive = 3.0
+    presence_s: models.Positive = 3.0
     """A backend server that hasn't renewed for so long gets no work."""
-    renew_s: _models.Positive = 1.0
+    renew_s: models.Positive = 1.0
     """How often backend servers renew."""
-    longest_order_s: _models.Positive = 5.0
+    longest_order_s: models.Positive = 5.0
     """How long an engine may take to answer an order."""
-    claim_retention_s: _models.Positive = 86400.0
+    claim_retention_s: models.Positive = 86400.0
     """How long a resend gets the recorded outcome."""
-    shutdown_s: _models.Positive = 60.0
+    shutdown_s: models.Positive = 60.0
     """How long a graceful shutdown waits for requests in flight."""
 
     def find_problems(self) -> abc.Iterator[exceptions.Problem]:
@@ -156,14 +158,14 @@
                 )
 
 
-class Settings(_models.Model):
+class Settings(models.Model):
     """The whole settings file of one instance."""
 
-    instance_id: _models.Name
+    instance_id: models.Name
     """Unique over all instances, and never given to another one."""
-    data_centre: _models.Name
+    data_centre: models.Name
     """Where this instance stands."""
-    region: _models.Name
+    region: models.Name
     """The region of that data centre."""
     data_folder: str | None = None
     """Where a voter keeps what must survive; nothing else is written."""
@@ -173,15 +175,25 @@
     """The port for backend servers and operators."""
     peer: Address
     """Where the other instances connect to."""
-    peers: tuple[PeerSettings, ...]
-    """Every instance, this one included; the same list on all of them."""
+    peers: tuple[PeerSettings, ...] = ()
+    """Every instance, this one included, where none are found by seeds."""
+    seeds: tuple[Address, ...] = ()
+    """Control addresses of instances that tell who the others are."""
+    bootstrap: bool = False
+    """The system starts for the first time: the seeds form its register."""
+    regions_by_data_centre: dict[models.Name, models.Name] = {}
+    """Every data centre, where instances are found by seeds."""
+    takes_callers: bool = True
+    """Whether callers are told of this instance."""
+    unconfirmed: Unconfirmed = 'refuse'
+    """What happens to calls while no majority confirms the document."""
     peer_secret: str | None = pydantic.Field(
         default=None, min_length=16, repr=False
     )
     """What instances prove themselves to each other with."""
     operators: tuple[Operator, ...] = ()
     """Who may read and change the document."""
-    backend_key_sha256: _models.Sha256 | None = None
+    backend_key_sha256: models.Sha256 | None = None
     """SHA-256 of the key that backend servers announce themselves with."""
     limits: Limits = Limits()
     """What this instance takes on."""
@@ -200,16 +212,40 @@
         """Every operator by the digest of the token."""
         return {entry.token_sha256: entry for entry in self.operators}
 
+    @functools.cached_property
+    def own_peer(self) -> Address:
+        """Where the other instances connect to this one."""
+        listed = self.peers_by_id.get(self.instance_id)
+        if listed is None:
+            return self.peer
+        return Address(host=listed.host, port=listed.port)
+
+    @functools.cached_property
+    def all_regions_by_data_centre(self) -> abc.Mapping[str, str]:
+        """The region of every data centre that is known."""
+        listed = {peer.data_centre: peer.region for peer in self.peers}
+        own = {self.data_centre: self.region}
+        return {**self.regions_by_data_centre, **listed, **own}
+
     def find_problems(self) -> abc.Iterator[exceptions.Problem]:
         yield from self._find_duplicates()
-        yield from self._check_own_entry()
-        yield from self._check_voters()
+        if self.seeds:
+            yield from self._check_seeds()
+        elif not self.peers:
+            yield exceptions.Problem(
+                path='peers',
+                given='not given, nor seeds',
+                allowed='give either, or the others are never found',
+            )
+        else:
+            yield from self._check_own_entry()
+            yield from self._check_voters()
         yield from self._check_addresses()
         yield from self._check_limits()
 
     def _find_duplicates(self) -> abc.Iterator[exceptions.Problem]:
         ids = [peer.instance_id for peer in self.peers]
-        yield from _models.duplicates(ids, 'peers', 'instance_id')
+        yield from models.duplicates(ids, 'peers', 'instance_id')
         # Port 0 is no address yet, so each of them counts as its own.
         addresses = [
             Address(host=peer.host, port=peer.port).show()
@@ -217,16 +253,31 @@
             else object()
             for peer in self.peers
         ]
-        yield from _models.duplicates(addresses, 'peers', 'port')
+        yield from models.duplicates(addresses, 'peers', 'port')
         names = [entry.name for entry in self.operators]
-        yield from _models.duplicates(names, 'operators', 'name')
+        yield from models.duplicates(names, 'operators', 'name')
         digests = [entry.token_sha256 for entry in self.operators]
-        yield from _models.duplicates(digests, 'operators', 'token_sha256')
+        yield from models.duplicates(digests, 'operators', 'token_sha256')
+
+    def _check_seeds(self) -> abc.Iterator[exceptions.Problem]:
+        if self.peers:
+            yield exceptions.Problem(
+                path='peers',
+                given='given together with seeds',
+                allowed='give either: instances that are found need no list',
+            )
+        region = self.regions_by_data_centre.get(self.data_centre)
+        if region != self.region:
+            yield exceptions.Problem(
+                path='regions_by_data_centre',
+                given=f'"{self.data_centre}" is in {region!r} there',
+                allowed=f'must be in "{self.region}", as in region',
+            )
 
     def _check_own_entry(self) -> abc.Iterator[exceptions.Problem]:
         own = self.peers_by_id.get(self.instance_id)
         if own is None:
-            yield from _models.missing(
+            yield from models.missing(
                 self.instance_id, self.peers_by_id.keys(), 'instance_id'
             )
             return
@@ -302,7 +353,7 @@
 
     :raises InvalidInput: with every problem.
     """
-    return _models.parse(Settings, body, source)
+    return models.parse(Settings, body, source)
 
 
 def load_settings(path: str | pathlib.Path) -> Settings:
