--- a/dandeliongw/admission.py
+++ b/dandeliongw/admission.py
@@ -41,6 +41,14 @@
     route: document.Route
     account: document.Account
     priority: document.Priority
+    streamed: bool
+    timeout_s: float
+    #: Backend servers that it may run on; ``None`` where only the limit of
+    #: attempts counts.
+    max_runs: int | None = None
+    #: Passed on unchanged: reading the prompt alone runs nothing, and every
+    #: send to a decode engine is a run of its own.
+    is_passed_on: bool = False
 
 
 class Admission:
@@ -63,9 +71,12 @@
         self._buckets_by_account: dict[str, RateBucket] = {}
 
     def check(
-        self, now: float, call: events.Call
+        self, now: float, call: events.Call, entropy: int = 0
     ) -> Admitted | verdict.Refusal:
-        """Return what the call is, or why it is refused; counts nothing."""
+        """Return what the call is, or why it is refused; counts nothing.
+
+        :param entropy: 64 random bits, to choose a service by weight.
+        """
         if self._directory.is_draining:
             return not_run(
                 _REASON.DRAINING,
@@ -81,8 +92,54 @@
                 'use another entry',
                 SOON_S,
             )
+        if call.host:
+            return self._check_host(call, entropy)
         return self._check_document(now, call)
 
+    def _check_host(
+        self, call: events.Call, entropy: int
+    ) -> Admitted | verdict.Refusal:
+        """Find the route of a call that is passed on; it has no account."""
+        described = self._directory.document
+        if not described.host_routes:
+            # Nothing was accepted yet, or this instance hasn't heard of it.
+            # "No such route" would be final for the caller, and false.
+            return not_run(
+                _REASON.CONFIGURATION_STALE,
+                'this instance knows no routes yet; use another entry',
+                SOON_S,
+            )
+        found = described.route_table.find(call.host, call.path)
+        if found is None:
+            return not_run(
+                _REASON.UNKNOWN_ROUTE,
+                f'no route of host {call.host!r} matches {call.path!r}',
+            )
+        service = described.services_by_name[found.choose(entropy)]
+        streamed = service.kind == 'model'
+        if self._is_full(streamed):
+            return _instance_full()
+        return Admitted(
+            service=service,
+            route=document.Route(
+                service=service.name,
+                method='POST',
+                path=found.path_prefix,
+                idempotent=found.repeat != 'never',
+            ),
+            account=_ANYBODY,
+            priority=described.priorities_by_name[found.priority],
+            streamed=streamed,
+            timeout_s=found.timeout_s,
+            max_runs=found.max_runs,
+            is_passed_on=True,
+        )
+
+    def _is_full(self, streamed: bool) -> bool:
+        return self._requests >= self._max_requests or (
+            streamed and self._streams >= self._max_streams
+        )
+
     def _check_document(
         self, now: float, call: events.Call
     ) -> Admitted | verdict.Refusal:
@@ -131,15 +188,8 @@
                 _REASON.BAD_REQUEST,
                 f'no priority {name!r}; there are: {known}',
             )
-        if self._requests >= self._max_requests or (
-            call.streamed and self._streams >= self._max_streams
-        ):
-            return not_run(
-                _REASON.INSTANCE_FULL,
-                'this instance serves as many requests as it may; '
-                'use another entry',
-                SOON_S,
-            )
+        if self._is_full(call.streamed):
+            return _instance_full()
         in_flight = self._in_flight_by_account.get(account.name, 0)
         if account.max_in_flight and in_flight >= account.max_in_flight:
             return not_run(
@@ -157,7 +207,12 @@
                 wait_s,
             )
         return Admitted(
-            service=service, route=route, account=account, priority=priority
+            service=service,
+            route=route,
+            account=account,
+            priority=priority,
+            streamed=call.streamed,
+            timeout_s=service.timeout_s,
         )
 
     def _wait_for_rate(self, now: float, account: document.Account) -> float:
@@ -214,6 +269,25 @@
         return (1.0 - self._level) / self.rate
 
 
+#: Whom calls by host and path are counted for.
+_ANYBODY = document.Account(
+    name='anybody',
+    key_sha256='0' * 64,
+    services=(),
+    max_in_flight=1,
+    requests_per_s=1.0,
+    priority='none',
+)
+
+
+def _instance_full() -> verdict.Refusal:
+    return not_run(
+        _REASON.INSTANCE_FULL,
+        'this instance serves as many requests as it may; use another entry',
+        SOON_S,
+    )
+
+
 def not_run(
     reason: verdict.RefusalReason,
     message: str,
--- a/dandeliongw/attempts.py
+++ b/dandeliongw/attempts.py
@@ -121,6 +121,7 @@
         """Whether another attempt may still meet the deadline."""
         return (
             request.attempts < MAX_ATTEMPTS
+            and not request.has_run_enough
             and start_at + request.prefill_s < request.deadline_at
             and self._budgets.spend(request.service)
         )
--- a/dandeliongw/document.py
+++ b/dandeliongw/document.py
@@ -11,8 +11,9 @@
 
 import pydantic
 
-from . import _models
 from . import exceptions
+from . import hosts
+from . import models
 
 #: The only version that this release reads and writes.
 VERSION = 1
@@ -46,12 +47,13 @@
     'model',
     'version',
     'adapter',
+    'kv_tokens',
 )
 _ROLES_BY_KIND = {'model': ('prefill', 'decode'), 'plain': ('plain',)}
 _TARGETS = ('first_token_s', 'token_gap_s')
 
 
-class Weights(_models.Model):
+class Weights(models.Model):
     """What a loss of each measure counts when the policy must choose."""
 
     goodput: NotNegative = 1.0
@@ -60,65 +62,70 @@
     """Against a prefill that is thrown away or done again."""
 
 
-class Service(_models.Model):
+class Service(models.Model):
     """Something that callers ask for by name."""
 
-    name: _models.Name
+    name: models.Name
     """What callers put into the URL."""
     kind: ServiceKind
     """``model``: prefill and decode pools; ``plain``: neither."""
-    first_token_s: _models.Positive | None = None
+    first_token_s: models.Positive | None = None
     """Target for the time to the first token; model services only."""
-    token_gap_s: _models.Positive | None = None
+    token_gap_s: models.Positive | None = None
     """Target for the time between tokens; model services only."""
-    timeout_s: _models.Positive
+    timeout_s: models.Positive
     """The longest that a request may take in all."""
     weights: Weights = Weights()
     """How the policy weighs the two measures."""
+    kv_life_s: models.Positive | None = None
+    """How long an engine keeps a prefill's result that nobody takes."""
 
 
-class Pool(_models.Model):
+class Pool(models.Model):
     """Backend servers of one role for one service, by their nominal rates."""
 
-    name: _models.Name
+    name: models.Name
     """Its label in metrics."""
-    service: _models.Name
+    service: models.Name
     """The service that it serves."""
     role: PoolRole
     """What its backend servers announce themselves as."""
-    slots: _models.PositiveInt
+    slots: models.PositiveInt
     """Requests that one backend server works on at a time."""
-    link_bytes_per_s: _models.Positive | None = None
+    link_bytes_per_s: models.Positive | None = None
     """Of one backend server's link to the other pool; not for plain pools."""
-    kv_bytes_per_token: _models.Positive | None = None
+    kv_bytes_per_token: models.Positive | None = None
     """Size of the KV cache of one prompt token; prefill pools need it."""
-    prefill_tokens_per_s: _models.Positive | None = None
+    prefill_tokens_per_s: models.Positive | None = None
     """Of one backend server, all slots together; prefill pools need it."""
-    decode_tokens_per_s: _models.Positive | None = None
+    decode_tokens_per_s: models.Positive | None = None
     """Of one backend server, all slots together; decode pools need it."""
-    model: _models.Name | None = None
+    model: models.Name | None = None
     """What its engines are ordered to load; model pools only."""
-    version: _models.Name | None = None
-    adapter: _models.Name | None = None
-    cell_size: _models.PositiveInt = 32
+    version: models.Name | None = None
+    adapter: models.Name | None = None
+    kv_tokens: models.PositiveInt | None = None
+    """Tokens that one backend server's KV cache holds; all that fit its
+    slots where none is given."""
+    cell_size: models.PositiveInt = 32
     """Backend servers to one cell, and so to one owner of their slots."""
 
 
-class Priority(_models.Model):
+class Priority(models.Model):
     """A class of work."""
 
-    name: _models.Name
+    name: models.Name
     """What routes and accounts refer to."""
-    rank: _models.NotNegativeInt
+    rank: models.NotNegativeInt
     """0 is the most urgent."""
-    max_wait_s: _models.Positive
+    max_wait_s: models.Positive
     """Work that has waited so long goes ahead of more urgent work."""
 
 
-class Route(_models.Model):
+class Route(models.Model):
     """Which calls a service takes, and whether one may be repeated."""
 
-    service: _models.Name
+    service: models.Name
     """The service that takes the call."""
     method: Method
     """The HTTP method."""
@@ -126,7 +133,7 @@
     """A trailing ``*`` matches whatever follows."""
     idempotent: bool
     """``false``: such a call runs at most once."""
-    priority: _models.Name | None = None
+    priority: models.Name | None = None
     """Goes before the account's own."""
 
     def matches(self, method: str, path: str) -> bool:
@@ -138,26 +145,26 @@
         return path == self.path
 
 
-class Account(_models.Model):
+class Account(models.Model):
     """A caller."""
 
-    name: _models.Name
+    name: models.Name
     """The caller, as operators know it."""
-    key_sha256: _models.Sha256
+    key_sha256: models.Sha256
     """SHA-256 of the caller's key; the key itself is kept nowhere."""
-    services: tuple[_models.Name, ...]
+    services: tuple[models.Name, ...]
     """What the caller may ask for."""
-    share: _models.Positive = 1.0
+    share: models.Positive = 1.0
     """Weight against the other accounts where work has to wait."""
-    max_in_flight: _models.PositiveInt
+    max_in_flight: models.PositiveInt
     """Requests at one time; more are refused."""
-    requests_per_s: _models.Positive
+    requests_per_s: models.Positive
     """Lasting rate; what is more is refused."""
-    priority: _models.Name
+    priority: models.Name
     """Of calls whose route names none."""
 
 
-class Document(_models.Model):
+class Document(models.Model):
     """The whole description; without any service it is the first state."""
 
     version: typing.Literal[1]
@@ -172,6 +179,12 @@
     """Which calls there are, and which may be repeated."""
     accounts: tuple[Account, ...] = ()
     """The callers."""
+    host_routes: tuple[hosts.HostRoute, ...] = ()
+    """Calls that are passed on unchanged, for callers without an account."""
+    border: hosts.BorderLimits = hosts.BorderLimits()
+    """What callers of host routes may send."""
+    source: str | None = None
+    """The text that this was translated from, to be read back unchanged."""
 
     @functools.cached_property
     def services_by_name(self) -> abc.Mapping[str, Service]:
@@ -201,6 +214,11 @@
             routes.setdefault(route.service, []).append(route)
         return routes
 
+    @functools.cached_property
+    def route_table(self) -> hosts.RouteTable:
+        """Finds the route of a call by host and path."""
+        return hosts.RouteTable(routes=self.host_routes)
+
     def pools_of(self, service: str) -> tuple[Pool, ...]:
         """Return the pools of a service, in the document's order."""
         return tuple(pool for pool in self.pools if pool.service == service)
@@ -220,6 +238,11 @@
     def find_problems(self) -> abc.Iterator[exceptions.Problem]:
         yield from self._find_duplicates()
         yield from self._find_dangling()
+        yield from hosts.find_problems(
+            self.host_routes,
+            self.services_by_name.keys(),
+            self.priorities_by_name.keys(),
+        )
         for index, service in enumerate(self.services):
             yield from self._check_service(service, f'services[{index}]')
         for index, pool in enumerate(self.pools):
@@ -228,39 +251,39 @@
     def _find_duplicates(self) -> abc.Iterator[exceptions.Problem]:
         for path in ('services', 'pools', 'priorities', 'accounts'):
             names = [entry.name for entry in getattr(self, path)]
-            yield from _models.duplicates(names, path, 'name')
+            yield from models.duplicates(names, path, 'name')
         ranks = [priority.rank for priority in self.priorities]
-        yield from _models.duplicates(ranks, 'priorities', 'rank')
+        yield from models.duplicates(ranks, 'priorities', 'rank')
         calls = [
             f'{route.service} {route.method} {route.path}'
             for route in self.routes
         ]
-        yield from _models.duplicates(calls, 'routes', 'path')
+        yield from models.duplicates(calls, 'routes', 'path')
         digests = [account.key_sha256 for account in self.accounts]
-        yield from _models.duplicates(digests, 'accounts', 'key_sha256')
+        yield from models.duplicates(digests, 'accounts', 'key_sha256')
 
     def _find_dangling(self) -> abc.Iterator[exceptions.Problem]:
         services = self.services_by_name.keys()
         priorities = self.priorities_by_name.keys()
         for index, pool in enumerate(self.pools):
             path = f'pools[{index}].service'
-            yield from _models.missing(pool.service, services, path)
+            yield from models.missing(pool.service, services, path)
         for index, route in enumerate(self.routes):
             path = f'routes[{index}]'
-            yield from _models.missing(
+            yield from models.missing(
                 route.service, services, f'{path}.service'
             )
             if route.priority is not None:
-                yield from _models.missing(
+                yield from models.missing(
                     route.priority, priorities, f'{path}.priority'
                 )
         for index, account in enumerate(self.accounts):
             path = f'accounts[{index}]'
             for place, service in enumerate(account.services):
-                yield from _models.missing(
+                yield from models.missing(
                     service, services, f'{path}.services[{place}]'
                 )
-            yield from _models.missing(
+            yield from models.missing(
                 account.priority, priorities, f'{path}.priority'
             )
 
@@ -326,10 +349,10 @@
     :raises InvalidInput: with every problem; a document of another version
         is told only that.
     """
-    value = _models.load_json(body, source)
+    value = models.load_json(body, source)
     if isinstance(value, dict):
         _check_version(value, source)
-    return _models.parse(Document, body, source)
+    return models.parse(Document, body, source)
 
 
 def document_bytes(document: Document) -> bytes:
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -30,6 +30,7 @@
     """
 
     attempt_id: str
+    backend_id: str
     url: str
     priority: int
     fence: int
@@ -48,6 +49,7 @@
     """
 
     attempt_id: str
+    backend_id: str
     url: str
     source_url: str
     kv: str
@@ -63,6 +65,7 @@
     """
 
     attempt_id: str
+    backend_id: str
     url: str
     deadline_in_s: float
 
--- a/dandeliongw/endings.py
+++ b/dandeliongw/endings.py
@@ -74,8 +74,9 @@
     def break_off(self, request: Request) -> Effects:
         """Stop the thread's step and free the engines' memory."""
         cancels = self._reservations.cancels(request)
-        if request.phase in WORKING:
+        if request.is_running:
             request.known = _MAY_HAVE_RUN
+        if request.phase in WORKING:
             request.cancels_by_attempt[request.attempt_id] = cancels
         abort = effects.Abort(
             request_id=request.request_id, attempt_id=request.attempt_id
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -1,9 +1,11 @@
 """What a backend server can be asked, and how to ask it over HTTP.
 
-Every call opens a connection of its own and closes it after. That costs
-half a millisecond and buys three things: a refused connect proves that
-nothing ran; a reply that was not read to its end can never be taken for the
-next call's; and no idle connection can have gone silent in the meantime.
+A call opens a connection of its own and closes it after, unless there is a
+pool. That costs half a millisecond and buys three things: a refused connect
+proves that nothing ran; a reply that was not read to its end can never be
+taken for the next call's; and no idle connection can have gone silent in the
+meantime. With a pool, only connections whose last answer was read to its end
+are kept, and an answer has to name the call that it is for.
 """
 
 from collections import abc
@@ -18,6 +20,7 @@
 import urllib3
 import urllib3.connection
 
+from . import pool as pool_module
 from . import verdict
 
 #: The end mark and the pieces of a stream are short lines.
@@ -52,11 +55,24 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Prefilled:
-    """:param kv: handle of the result, which the engine soon evicts."""
+    """A prompt that was computed.
+
+    :param kv: handle of the result, which the engine soon evicts.
+    :param known: whether the call has begun to run by that.
+    """
 
     kv: str
     tokens: int
     cached_tokens: int
+    known: verdict.Verdict = verdict.Verdict.RAN
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Head:
+    """Status and headers of an answer that is passed on as it comes."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -65,12 +81,14 @@
 
     :param offset: number of tokens before this piece; for the end mark,
         the number of tokens of the whole answer.
+    :param data: the piece as its engine sent it, where it is passed on.
     """
 
     attempt_id: str
     offset: int
     text: str
     is_end: bool = False
+    data: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -80,6 +98,7 @@
     status: int
     content_type: str
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class Engine(typing.Protocol):
@@ -118,7 +137,7 @@
         max_tokens: int,
         from_offset: int,
         deadline_s: float,
-    ) -> abc.Generator[Piece, None, None]: ...
+    ) -> abc.Generator[Piece | Head, None, None]: ...
 
     def cancel(self, *, stream_id: str, attempt_id: str) -> None: ...
 
@@ -130,14 +149,25 @@
 
 
 class Exchange:
-    """One HTTP call on a connection of its own.
+    """One HTTP call.
 
     :param connect_s: seconds to wait for the connection.
     :param read_s: seconds without a byte after which the call has stalled.
+    :param pool: where a connection comes from and goes to; without one it
+        serves this call only.
     """
 
-    def __init__(self, *, url: str, connect_s: float, read_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        url: str,
+        connect_s: float,
+        read_s: float,
+        pool: pool_module.Pool | None = None,
+    ) -> None:
         parts = urllib.parse.urlsplit(url)
+        self._pool = pool
+        self._is_read = False
         self._connection = urllib3.connection.HTTPConnection(
             parts.hostname or '', parts.port or 80, timeout=connect_s
         )
@@ -148,6 +178,11 @@
 
     def open(self) -> None:
         """Connect; a failure here proves that nothing was sent."""
+        kept = self._take_kept()
+        if kept is not None:
+            self._connection = kept
+            self._use_connection()
+            return
         try:
             self._connection.connect()
         except (OSError, urllib3.exceptions.HTTPError) as error:
@@ -157,11 +192,20 @@
                 known=verdict.Verdict.NOT_RUN,
                 reason=verdict.RetryReason.CONNECT_REFUSED,
             ) from error
+        self._use_connection()
+
+    def _take_kept(self) -> urllib3.connection.HTTPConnection | None:
+        if self._pool is None:
+            return None
+        return self._pool.take(self._connection.host, self._connection.port)
+
+    def _use_connection(self) -> None:
         self._socket = self._connection.sock
         # The library gives the socket this time-out anew for each call and
         # each answer. With that of the connect left in it, every prefill of
         # more than a second would seem to have stalled.
         self._connection.timeout = self._read_s
+        self._socket.settimeout(self._read_s)
         if self._aborted:
             # The abort came before there was a socket to shut down.
             raise EngineError('aborted', known=verdict.Verdict.NOT_RUN)
@@ -179,7 +223,9 @@
                 method,
                 path,
                 body=body,
-                headers={**headers, 'Connection': 'close'},
+                headers=headers
+                if self._pool is not None
+                else {**headers, 'Connection': 'close'},
                 preload_content=False,
                 decode_content=False,
             )
@@ -193,6 +239,7 @@
             while len(body) <= most:
                 more = response.read(most + 1 - len(body))
                 if not more:
+                    self._is_read = True
                     break
                 body += more
         if len(body) > most:
@@ -202,14 +249,20 @@
             )
         return body
 
-    def lines(self, response: typing.Any) -> abc.Iterator[bytes]:
-        """Yield the lines of a body as they arrive, without their ends."""
-        rest = b''
+    def chunks(self, response: typing.Any) -> abc.Iterator[bytes]:
+        """Yield a body as it arrives, up to its proper end."""
         while True:
             with self._as_engine_error():
                 data = response.read1(65536)
             if not data:
+                self._is_read = True
                 return
+            yield data
+
+    def lines(self, response: typing.Any) -> abc.Iterator[bytes]:
+        """Yield the lines of a body as they arrive, without their ends."""
+        rest = b''
+        for data in self.chunks(response):
             rest += data
             *whole, rest = rest.split(b'\n')
             yield from whole
@@ -237,10 +290,31 @@
         The answer has a hold of the socket of its own. Left to the garbage
         collector, an engine would go on sending to nobody.
         """
+        if self._may_keep():
+            self._pool.give(
+                self._connection,
+                self._response.headers.get('Keep-Alive', ''),
+            )
+            return
         if self._response is not None:
             self._response.close()
         self._connection.close()
 
+    def _may_keep(self) -> bool:
+        """Whether the next answer on this connection can be told apart."""
+        if self._pool is None or not self._is_read or self._aborted:
+            return False
+        headers = self._response.headers
+        closes = 'close' in headers.get('Connection', '').lower()
+        has_end = 'Content-Length' in headers or (
+            headers.get('Transfer-Encoding', '').lower() == 'chunked'
+        )
+        return has_end and not closes and self._connection.sock is not None
+
+    def disown(self) -> None:
+        """Don't keep the connection: its answers are not for its calls."""
+        self._is_read = False
+
     @contextlib.contextmanager
     def _as_engine_error(self) -> abc.Iterator[None]:
         """Name what broke; from the first byte on, the call may have run."""
@@ -499,6 +573,24 @@
         ) from error
 
 
+class PlainCaller(typing.Protocol):
+    """Sends one call to a plain service."""
+
+    def call(
+        self,
+        *,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: abc.Mapping[str, str],
+        most_bytes: int,
+    ) -> Reply: ...
+
+    def abort(self) -> None:
+        """Break off the call in progress, from any thread."""
+        ...
+
+
 class PlainService:
     """One call to a plain service, passed on as the caller sent it."""
 
--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -28,9 +28,13 @@
     :param idempotency_key: the caller's own key, or ``None``.
     :param digest: of method, path and body; tells two bodies apart.
     :param prompt_tokens: an estimate, for admission.
+    :param expected_tokens: the caller's guess of the answer's length; 0 for
+        none.
     :param prefix: digests of the prompt's leading blocks, for cache hints.
     :param priority: a name in the document, or ``None`` for the route's.
     :param deadline_s: seconds the caller is willing to wait, from arrival.
+    :param host: set for a call that is passed on by host and path; its
+        service is the route's to choose.
     """
 
     service: str
@@ -42,9 +46,11 @@
     digest: bytes
     prompt_tokens: int = 0
     max_tokens: int = 0
+    expected_tokens: int = 0
     prefix: tuple[str, ...] = ()
     priority: str | None = None
     deadline_s: float | None = None
+    host: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -105,6 +111,28 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FoundInstance:
+    """Where an instance can be reached by others."""
+
+    instance_id: str
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InstancesFound:
+    """Seeds told which instances there are.
+
+    :param first_voters: the ids of all seeds, once each has told its own
+        and only at the first start of a system; else empty.
+    """
+
+    now: float
+    instances: tuple[FoundInstance, ...]
+    first_voters: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ShutdownBegun:
     """The process was asked to end (SIGTERM)."""
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -7,16 +7,22 @@
 
 import functools
 import os
+import socket
 import typing
+import uuid
 
 import cherrypy
 
+from . import adapter as adapter_module
 from . import backends as backends_module
 from . import control
 from . import document as document_module
 from . import engine
 from . import events
 from . import exceptions
+from . import gateway
+from . import hosts
+from . import joining
 from . import reducer as reducer_module
 from . import relay
 from . import runtime as runtime_module
@@ -36,7 +42,11 @@
     def __init__(self, *, timeouts: settings_module.Timeouts) -> None:
         self._timeouts = timeouts
 
-    def model_engine(self, url: str) -> engine.HttpEngine:
+    def model_engine(self, url: str, backend_id: str) -> engine.HttpEngine:
+        return self.engine_at(url)
+
+    def engine_at(self, url: str) -> engine.HttpEngine:
+        """Return the adapter that sends cancels and orders."""
         return engine.HttpEngine(
             url=url,
             connect_s=self._timeouts.connect_s,
@@ -44,7 +54,9 @@
             stall_s=self._timeouts.stall_s,
         )
 
-    def plain_service(self, url: str, timeout_s: float) -> engine.PlainService:
+    def plain_service(
+        self, url: str, backend_id: str, timeout_s: float
+    ) -> engine.PlainService:
         return engine.PlainService(
             url=url,
             connect_s=self._timeouts.connect_s,
@@ -71,16 +83,32 @@
 
     def open_relay(
         self, *, call: events.Call, work: relay.Work, request_id: str
+    ) -> relay.Relay:
+        return self._open(
+            call=call,
+            work=work,
+            request_id=request_id,
+            backends=self._backends,
+            caller=cherrypy.request.wsgi_environ.get(web.SOCKET_KEY),
+        )
+
+    def _open(
+        self,
+        *,
+        call: events.Call,
+        work: relay.Work,
+        request_id: str,
+        backends: relay.Backends,
+        caller: socket.socket | None,
     ) -> relay.Relay:
         carrier = relay.Relay(
             request_id=request_id,
             call=call,
             work=work,
-            backends=self._backends,
+            backends=backends,
             post=self._runtime.post,
         )
         self._runtime.add_relay(carrier)
-        caller = cherrypy.request.wsgi_environ.get(web.SOCKET_KEY)
         if caller is not None:
             self._watch.add(request_id, caller)
         return carrier
@@ -109,6 +137,104 @@
         }
 
 
+class PassingGate(CallersGate):
+    """Opens relays for calls that are passed on; a ``gateway.Gate``."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        reducer: reducer_module.Reducer,
+        runtime: runtime_module.Runtime,
+        watch: watch_module.Watch,
+        adapter: adapter_module.Adapter,
+    ) -> None:
+        super().__init__(
+            settings=settings, reducer=reducer, runtime=runtime, watch=watch
+        )
+        self._adapter = adapter
+
+    def open_passing(
+        self,
+        *,
+        call: events.Call,
+        work: relay.Work,
+        facts: gateway.Facts,
+        caller: socket.socket,
+    ) -> relay.Relay:
+        # Callers choose their names freely, and may choose one twice.
+        request_id = f'{facts.request_id}.{uuid.uuid4().hex[:8]}'
+        return self._open(
+            call=call,
+            work=work,
+            request_id=request_id,
+            backends=self._adapter.backends(work=work, facts=facts),
+            caller=caller,
+        )
+
+    @property
+    def border(self) -> hosts.BorderLimits:
+        return self._reducer.directory.document.border
+
+
+class MembersDesk:
+    """Tells instances that join who there is."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        reducer: reducer_module.Reducer,
+        runtime: runtime_module.Runtime,
+    ) -> None:
+        self._settings = settings
+        self._reducer = reducer
+        self._runtime = runtime
+
+    def read(self) -> joining.Members:
+        """Return who runs, this instance included."""
+        return self._runtime.look(self._read)
+
+    def _read(self, now: float) -> joining.Members:
+        by_id = self._reducer.membership.members_by_id
+        return joining.Members(
+            instance_id=self._settings.instance_id,
+            instances=tuple(
+                joining.FoundInstance(
+                    instance_id=each,
+                    host=by_id[each].info.host,
+                    port=by_id[each].info.port,
+                )
+                for each in self._reducer.membership.alive_ids()
+                if by_id[each].info.host
+            ),
+        )
+
+
+class State:
+    """What an adapter's ports may ask; an ``adapter.State``."""
+
+    def __init__(
+        self,
+        *,
+        reducer: reducer_module.Reducer,
+        runtime: runtime_module.Runtime,
+    ) -> None:
+        self._reducer = reducer
+        self._runtime = runtime
+
+    @property
+    def is_ready(self) -> bool:
+        return self._runtime.look(self._read_ready)
+
+    def _read_ready(self, now: float) -> bool:
+        is_leaving = self._reducer.shutdown.is_leaving
+        return self._reducer.directory.is_fresh(now) and not is_leaving
+
+    def entries(self) -> list[membership.Entry]:
+        return self._runtime.look(self._reducer.membership.entries)
+
+
 class BackendsDesk:
     """Takes in what backend servers say of themselves."""
 
@@ -240,6 +366,28 @@
                 return control.ChangeIdReused(change_id=change_id)
         return control.Unavailable(message=result.message)
 
+    def propose_ordered(
+        self, *, order: int, author: str, document: bytes
+    ) -> control.Applied | control.Overtaken | control.Unavailable:
+        """Make a document the current one if its number is the highest."""
+        result = self._runtime.ask(
+            functools.partial(
+                register.ProposeOrdered,
+                order=order,
+                author=author,
+                document=document,
+                entropy=int.from_bytes(os.urandom(8), 'big'),
+            )
+        )
+        match result:
+            case register.Applied():
+                return control.Applied(
+                    revision=result.revision, repeated=result.repeated
+                )
+            case register.Overtaken():
+                return control.Overtaken(order=result.order)
+        return control.Unavailable(message=result.message)
+
     def in_force(self, revision: int) -> control.InForce:
         return self._runtime.look(
             lambda now: self._read_in_force(revision, now)
--- /dev/null
+++ b/dandeliongw/gateway.py
@@ -0,0 +1,370 @@
+"""The border for callers of host routes: calls pass through unchanged.
+
+One WSGI application for one port. What a platform calls its headers is the
+business of a :class:`Dialect`; the document's host routes say where calls
+go. A handler's thread belongs to its call until the answer has ended.
+"""
+
+from collections import abc
+import dataclasses
+import errno
+import hashlib
+import http
+import re
+import socket
+import typing
+
+from loguru import logger
+
+from . import _body
+from . import calls
+from . import clock
+from . import engine
+from . import events
+from . import hosts
+from . import metrics as metrics_module
+from . import relay
+from . import verdict
+from . import web
+
+_REASON = verdict.RefusalReason
+
+#: Headers that concern one connection only, and those that are set anew.
+_HOP_HEADERS = frozenset(
+    (
+        *('connection', 'keep-alive', 'proxy-connection', 'te', 'trailer'),
+        *('proxy-authenticate', 'proxy-authorization', 'upgrade'),
+        *('transfer-encoding', 'content-length', 'expect'),
+    )
+)
+_TARGET = re.compile(r'/[\x21\x22\x24-\x7e]{0,8191}')
+_HOST = re.compile(r'([a-z0-9.-]{1,253})(:[0-9]{1,5})?')
+#: Status where a call is refused and has not run; the others are 503.
+_STATUS_BY_REASON = {
+    _REASON.BAD_REQUEST: 400,
+    _REASON.TOO_LARGE: 413,
+    _REASON.UNKNOWN_ROUTE: 404,
+}
+#: Seconds after which a caller should come back where nothing better is
+#: known: about the time in which a dead owner's cell gets another one.
+RETRY_AFTER_S = 1.0
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Facts:
+    """What a call's headers tell of it.
+
+    :param request_id: the caller's own name of this send.
+    :param deadline_s: seconds that the caller will wait, or ``None``.
+    :param prompt_tokens: of a call for a model, else 0.
+    :param max_tokens: longest answer, else 0.
+    :param expected_tokens: the caller's guess of the answer's length, or 0.
+    :param prefix: names of the prompt's leading parts, which calls share.
+    :param headers: to be passed on.
+    """
+
+    request_id: str
+    deadline_s: float | None
+    prompt_tokens: int
+    max_tokens: int
+    expected_tokens: int
+    prefix: tuple[str, ...]
+    headers: Headers
+
+
+class Dialect(typing.Protocol):
+    """How a platform writes what its callers say of a call."""
+
+    def read_call(self, headers: Headers) -> Facts:
+        """Return what the headers tell.
+
+        :raises BadCall: naming the header, what was given and what may be.
+        """
+        ...
+
+
+class Gate(typing.Protocol):
+    """What the border needs of the server around it."""
+
+    def open_passing(
+        self,
+        *,
+        call: events.Call,
+        work: relay.Work,
+        facts: Facts,
+        caller: socket.socket,
+    ) -> relay.Relay:
+        """Start to carry a call, watching the caller's socket."""
+        ...
+
+    def close_relay(self, request_id: str) -> None: ...
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the instance is about to end."""
+        ...
+
+    @property
+    def border(self) -> hosts.BorderLimits: ...
+
+
+class Gateway:
+    """The WSGI application; see the module."""
+
+    def __init__(
+        self, *, gate: Gate, dialect: Dialect, metrics: metrics_module.Metrics
+    ) -> None:
+        self._gate = gate
+        self._dialect = dialect
+        self._metrics = metrics
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: abc.Callable
+    ) -> abc.Iterable[bytes]:
+        incoming = environ[web.REQUEST_KEY]
+        reply = _Reply(
+            start_response=start_response,
+            incoming=incoming,
+            closes=self._gate.is_leaving,
+        )
+        headers = _decode(incoming.inheaders)
+        try:
+            call, work, facts = self._read(incoming, headers)
+        except calls.BadCall as error:
+            # What is left of the body would be read as another call.
+            reply.close_connection()
+            refusal = error.refusal()
+            self._metrics.count_refusal(refusal)
+            logger.info('call refused', reason=refusal.message)
+            return reply.refuse(refusal)
+        carrier = self._gate.open_passing(
+            call=call, work=work, facts=facts, caller=incoming.conn.socket
+        )
+        passing = _Passing(
+            carrier=carrier, gate=self._gate, reply=reply, facts=facts
+        )
+        return passing.answer()
+
+    def _read(
+        self, incoming: typing.Any, headers: Headers
+    ) -> tuple[events.Call, relay.Work, Facts]:
+        target = incoming.uri.decode('latin-1')
+        if not _TARGET.fullmatch(target):
+            raise calls.BadCall(
+                f'the path is {target[:80]!r}; it must begin with a slash '
+                'and be visible ASCII'
+            )
+        method = incoming.method.decode('latin-1')
+        host = _read_host(headers)
+        body = self._read_body(incoming)
+        facts = self._dialect.read_call(headers)
+        path = target.partition('?')[0]
+        call = events.Call(
+            service='',
+            method=method,
+            path=path,
+            streamed=False,
+            key_sha256='',
+            idempotency_key=None,
+            digest=hashlib.sha256(body).digest(),
+            prompt_tokens=facts.prompt_tokens,
+            max_tokens=facts.max_tokens,
+            expected_tokens=facts.expected_tokens,
+            prefix=facts.prefix,
+            deadline_s=facts.deadline_s,
+            host=host,
+        )
+        work = relay.Work(
+            method=method,
+            path=target,
+            body=body,
+            headers=_without_hop_headers(facts.headers),
+            is_passed_on=True,
+        )
+        return call, work, facts
+
+    def _read_body(self, incoming: typing.Any) -> bytes:
+        most = self._gate.border.max_body_bytes
+        reader = incoming.conn.rfile
+        try:
+            if b'Transfer-Encoding' in incoming.inheaders:
+                return _body.read_chunked(reader, most)
+            length = int(incoming.inheaders.get(b'Content-Length', b'0'))
+            body = _body.read_known(reader, length, most)
+            # The server would wait for the same bytes once more.
+            incoming.rfile.remaining = 0
+            return body
+        except OSError as error:
+            raise calls.BadCall(f'the body did not arrive: {error}') from error
+
+
+class _Reply:
+    """The HTTP answer to one call."""
+
+    def __init__(
+        self,
+        *,
+        start_response: abc.Callable,
+        incoming: typing.Any,
+        closes: bool,
+    ) -> None:
+        self._start_response = start_response
+        self._incoming = incoming
+        if closes:
+            self.close_connection()
+
+    def close_connection(self) -> None:
+        """Let no other call come over this connection."""
+        self._incoming.close_connection = True
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers with the first bytes of the body."""
+        self._start_response(_status_line(status), list(headers))
+
+    def whole(self, status: int, headers: Headers, body: bytes) -> list[bytes]:
+        """Return the body of an answer that is complete."""
+        length = ('Content-Length', str(len(body)))
+        self.start(status, (*_without_hop_headers(headers), length))
+        return [body]
+
+    def refuse(self, refusal: verdict.Refusal) -> list[bytes]:
+        """Return the body of a refusal; its status tells whether it ran."""
+        status = _status_of(refusal)
+        headers: Headers = (('Content-Type', 'text/plain'),)
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            wait_s = refusal.retry_after_s or RETRY_AFTER_S
+            headers += (('Retry-After', f'{wait_s:.2f}'),)
+        body = f'{refusal.reason}: {refusal.message}\n'.encode()
+        return self.whole(status, headers, body)
+
+
+class _Passing:
+    """One call on its way through; iterates over the answer's body."""
+
+    def __init__(
+        self,
+        *,
+        carrier: relay.Relay,
+        gate: Gate,
+        reply: _Reply,
+        facts: Facts,
+    ) -> None:
+        self._gate = gate
+        self._reply = reply
+        self._request_id = carrier.request_id
+        self._items = carrier.pieces()
+        self._began_at = clock.now()
+        self._first_at: float | None = None
+        self._pieces = 0
+        self._call = carrier.call
+        self._log = logger.bind(
+            request_id=facts.request_id, host=carrier.call.host
+        )
+
+    def answer(self) -> abc.Iterable[bytes]:
+        """Return the body, whole or as a stream."""
+        try:
+            first = next(self._items)
+        except BaseException:
+            self.close()
+            raise
+        if isinstance(first, engine.Head):
+            headers = _without_hop_headers(first.headers)
+            self._reply.start(first.status, headers)
+            return self
+        self.close()
+        if isinstance(first, verdict.Refusal):
+            self._tell('refused', reason=first.reason, run=first.verdict)
+            self._log.info(first.message)
+            return self._reply.refuse(first)
+        outcome = first.outcome
+        self._tell('answered', status=outcome.status)
+        return self._reply.whole(outcome.status, first.headers, outcome.body)
+
+    def __iter__(self) -> '_Passing':
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            item = next(self._items)
+        except BaseException:
+            self.close()
+            raise
+        if isinstance(item, engine.Piece):
+            self._pieces += 1
+            if self._first_at is None:
+                self._first_at = clock.now()
+            return item.data
+        self.close()
+        if isinstance(item, verdict.Refusal):
+            self._tell('broken off', reason=item.reason, message=item.message)
+            # Ends the connection without the mark of a whole body. The
+            # server takes this error as that of a caller who has left.
+            raise BrokenPipeError(errno.EPIPE, item.message)
+        self._tell(
+            'streamed',
+            first_ms=self._since_begin_ms(self._first_at),
+            pieces=self._pieces,
+            prompt_tokens=self._call.prompt_tokens,
+            max_tokens=self._call.max_tokens,
+        )
+        raise StopIteration
+
+    def close(self) -> None:
+        """Tell the reducer that this thread is done with the call."""
+        self._items.close()
+        self._gate.close_relay(self._request_id)
+
+    def _tell(self, how: str, **fields: typing.Any) -> None:
+        took_ms = self._since_begin_ms(clock.now())
+        self._log.info(f'call {how}', took_ms=took_ms, **fields)
+
+    def _since_begin_ms(self, at: float | None) -> int | None:
+        return None if at is None else round((at - self._began_at) * 1000)
+
+
+def _status_of(refusal: verdict.Refusal) -> int:
+    """Return a status that promises "not run" only where that is proved."""
+    if refusal.verdict is verdict.Verdict.NOT_RUN:
+        return _STATUS_BY_REASON.get(refusal.reason, 503)
+    return 504 if refusal.reason is _REASON.DEADLINE_PASSED else 502
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f'{status} {http.HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Unknown'
+
+
+def _decode(headers: abc.Mapping[bytes, bytes]) -> Headers:
+    return tuple(
+        (name.decode('latin-1'), value.decode('latin-1'))
+        for name, value in headers.items()
+    )
+
+
+def _read_host(headers: Headers) -> str:
+    given = dict(headers).get('Host', '')
+    found = _HOST.fullmatch(given.lower())
+    if found is None:
+        raise calls.BadCall(
+            f'Host: given {given[:80]!r}; must be a name, with a port or not'
+        )
+    return found[1]
+
+
+def _without_hop_headers(headers: Headers) -> Headers:
+    """Drop what concerns one connection, also what it names itself."""
+    named = {
+        each.strip().lower()
+        for name, value in headers
+        if name.lower() == 'connection'
+        for each in value.split(',')
+    }
+    dropped = _HOP_HEADERS | named
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in dropped
+    )
--- a/dandeliongw/recovery.py
+++ b/dandeliongw/recovery.py
@@ -18,9 +18,6 @@
 from .request import Phase
 from .request import Request
 
-#: How long a prefill's result can be counted on (evicted in under 1 s).
-KV_LIFE_S = 0.7
-
 _RETRY = verdict.RetryReason
 
 Effects = list[typing.Any]
@@ -73,7 +70,11 @@
         token means that the engine itself is at fault.
         """
         broke = event.failure in (_RETRY.STREAM_BROKEN, _RETRY.STREAM_STALLED)
-        return broke and request.resumes_from < event.tokens
+        return (
+            broke
+            and request.resumes_from < event.tokens
+            and request.may_run_elsewhere
+        )
 
     def _resume(self, event: events.StepEnded, request: Request) -> Effects:
         """Take the stream up where it broke, over a new connection."""
@@ -86,7 +87,9 @@
         return (
             bool(request.kv)
             and event.failure is not _RETRY.KV_EVICTED
-            and event.now - request.kv_at < KV_LIFE_S
+            and event.now - request.kv_at < request.kv_life_s
+            and request.may_run_elsewhere
+            and not request.has_run_enough
             and request.attempts < attempts.MAX_ATTEMPTS
         )
 
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -188,6 +188,8 @@
                 self._in_register,
                 (
                     register.Propose,
+                    register.ProposeOrdered,
+                    register.ContactsFound,
                     register.ReplaceVoter,
                     register.InstancesChanged,
                     register.CaughtUp,
@@ -217,6 +219,7 @@
                     membership.SetServing,
                     membership.SetDraining,
                     membership.Leave,
+                    membership.Discovered,
                 ),
             ),
             (
@@ -241,6 +244,7 @@
                 lambda event: self.shutdown.begin(event.now),
                 (events.ShutdownBegun,),
             ),
+            (self._contact, (events.InstancesFound,)),
             (self.shutdown.hand_over, (shutdown.HandOver,)),
             (self.shutdown.left, (shutdown.Left,)),
         ]
@@ -435,9 +439,14 @@
         self, now: float, effect: presence.BackendChanged
     ) -> list[typing.Any]:
         state = 'present' if effect.present else 'gone'
+        said = self.presence.backends_by_id[effect.backend_id].announcement
         return [
             effects.log(
-                f'backend server is {state}', backend_id=effect.backend_id
+                f'backend server is {state}',
+                backend_id=effect.backend_id,
+                service=said.service,
+                role=said.role.value,
+                url=said.url,
             ),
             *self.owner.change_backend(now, effect.backend_id),
         ]
@@ -500,6 +509,29 @@
 
     # Membership
 
+    def _contact(self, event: events.InstancesFound) -> list[typing.Any]:
+        """Take in what a seed told of the instances."""
+        found = {each.instance_id: each for each in event.instances}
+        out: list[typing.Any] = [
+            effects.PeerAddress(
+                instance_id=each.instance_id, host=each.host, port=each.port
+            )
+            for each in found.values()
+            if each.instance_id not in self.membership.members_by_id
+        ]
+        ids = tuple(sorted(found))
+        discovered = membership.Discovered(now=event.now, instance_ids=ids)
+        contacts = register.ContactsFound(
+            now=event.now,
+            instance_ids=event.first_voters or ids,
+            may_form=bool(event.first_voters),
+        )
+        return [
+            *out,
+            effects.Dispatch(event=discovered),
+            effects.Dispatch(event=contacts),
+        ]
+
     def _member_changed(
         self, now: float, effect: typing.Any
     ) -> list[typing.Any]:
@@ -599,8 +631,8 @@
         instance_id=settings.instance_id,
         incarnation=incarnation,
         self_info=membership.InstanceInfo(
-            host=settings.peers_by_id[settings.instance_id].host,
-            port=settings.peers_by_id[settings.instance_id].port,
+            host=settings.own_peer.host,
+            port=settings.own_peer.port,
             data_centre=settings.data_centre,
             region=settings.region,
             callers_address=callers_url,
--- a/dandeliongw/relay.py
+++ b/dandeliongw/relay.py
@@ -12,11 +12,11 @@
 import queue
 import secrets
 import threading
-import time
 import typing
 
 from loguru import logger
 
+from . import clock as clock_module
 from . import effects
 from . import engine
 from . import events
@@ -24,19 +24,28 @@
 from . import spacing
 from . import verdict
 
+#: From here on a status tells that the backend server failed; another one
+#: may do better if the call may be repeated.
+FIRST_FAILURE_STATUS = 500
 #: Headers of a caller's call that a plain service gets to see.
 PASSED_HEADERS = ('Content-Type', 'Accept', 'Accept-Language')
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Work:
-    """The parts of a caller's request that the reducer has no need of."""
+    """The parts of a caller's request that the reducer has no need of.
+
+    :param is_passed_on: the answer goes back as it comes, and engines number
+        the pieces of a resumed stream on from where it broke.
+    """
 
     prompt: str = ''
+    method: str = 'POST'
     path: str = ''
     body: bytes = b''
     headers: tuple[tuple[str, str], ...] = ()
     most_bytes: int = 8 << 20
+    is_passed_on: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,20 +53,22 @@
     """The end of an answer that is whole.
 
     :param replayed: whether it was recorded by an earlier send.
+    :param headers: of a plain service's answer.
     """
 
     outcome: outcome.Outcome
     replayed: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class Backends(typing.Protocol):
     """Makes the adapters that a relay talks through."""
 
-    def model_engine(self, url: str) -> engine.Engine: ...
+    def model_engine(self, url: str, backend_id: str) -> engine.Engine: ...
 
     def plain_service(
-        self, url: str, timeout_s: float
-    ) -> engine.PlainService: ...
+        self, url: str, backend_id: str, timeout_s: float
+    ) -> engine.PlainCaller: ...
 
 
 class Post(typing.Protocol):
@@ -81,7 +92,7 @@
         work: Work,
         backends: Backends,
         post: Post,
-        clock: abc.Callable[[], float] = time.monotonic,
+        clock: abc.Callable[[], float] = clock_module.now,
     ) -> None:
         self.request_id = request_id
         self.call = call
@@ -99,6 +110,9 @@
         self._base = 0
         self._late_pieces = 0
         self._outcome: outcome.Outcome | None = None
+        self._headers: tuple[tuple[str, str], ...] = ()
+        self._has_head = False
+        self._failed: engine.Reply | None = None
 
     def give(self, directive: effects.Directive) -> None:
         """Take a directive; called by the runtime, never blocks."""
@@ -109,10 +123,11 @@
 
     def pieces(
         self,
-    ) -> abc.Iterator[engine.Piece | Finished | verdict.Refusal]:
+    ) -> abc.Iterator[engine.Head | engine.Piece | Finished | verdict.Refusal]:
         """Yield the answer's text as it arrives, then how it ended.
 
-        The last item is a :class:`Finished` or a ``Refusal``. Closing the
+        A stream that is passed on begins with its head. The last item is a
+        :class:`Finished` or a ``Refusal``. Closing the
         iterator early tells the reducer that the caller has gone.
         """
         ended = False
@@ -137,7 +152,7 @@
             given_at, directive = self._directives.get()
             match directive:
                 case effects.Refuse(refusal=refusal):
-                    yield refusal
+                    yield self._last_failure(refusal)
                     return
                 case effects.Replay(outcome=recorded):
                     yield Finished(
@@ -146,11 +161,27 @@
                     return
                 case effects.Complete():
                     assert self._outcome is not None
-                    yield Finished(outcome=self._outcome)
+                    yield Finished(
+                        outcome=self._outcome, headers=self._headers
+                    )
                     return
                 case _:
                     yield from self._run(given_at, directive)
 
+    def _last_failure(
+        self, refusal: verdict.Refusal
+    ) -> Finished | verdict.Refusal:
+        """Return a backend server's own failure in place of ours.
+
+        Its caller is told more by it, and nothing that a backend server
+        answered is thrown away. A refusal that says "not run" stays.
+        """
+        if self._failed is None or refusal.verdict is verdict.Verdict.NOT_RUN:
+            return refusal
+        return Finished(
+            outcome=_outcome_of(self._failed), headers=self._failed.headers
+        )
+
     # Steps
 
     def _run(
@@ -204,12 +235,14 @@
     def _prefill(
         self, directive: effects.RunPrefill, left_s: float
     ) -> '_Done':
-        adapter = self._backends.model_engine(directive.url)
+        adapter = self._backends.model_engine(
+            directive.url, directive.backend_id
+        )
         with self._stops.watching(directive.attempt_id, adapter):
             # After a decode engine died mid-stream, the text that the
             # caller already has is part of the prompt, and the engine's
             # count of tokens begins after it.
-            self._base = self._offset
+            self._base = 0 if self._work.is_passed_on else self._offset
             done = adapter.prefill(
                 stream_id=self.request_id,
                 attempt_id=directive.attempt_id,
@@ -219,13 +252,18 @@
                 deadline_s=left_s,
             )
         return _Done(
-            kv=done.kv, tokens=done.tokens, cached_tokens=done.cached_tokens
+            known=done.known,
+            kv=done.kv,
+            tokens=done.tokens,
+            cached_tokens=done.cached_tokens,
         )
 
     def _decode(
         self, directive: effects.RunDecode, left_s: float
     ) -> abc.Generator[engine.Piece, None, '_Done']:
-        adapter = self._backends.model_engine(directive.url)
+        adapter = self._backends.model_engine(
+            directive.url, directive.backend_id
+        )
         measure = spacing.Spacing()
         with self._stops.watching(directive.attempt_id, adapter):
             if directive.kv:
@@ -234,7 +272,11 @@
                 yield from self._stream(adapter, directive, left_s, measure)
             except engine.EngineError as error:
                 # A whole answer that lacks only its end mark is whole.
-                if directive.kv or self._offset < self.call.max_tokens:
+                lacks_more = (
+                    self._work.is_passed_on
+                    or self._offset < self.call.max_tokens
+                )
+                if directive.kv or lacks_more:
                     raise _StreamError(error) from error
         self._outcome = outcome.Outcome(
             status=200,
@@ -285,6 +327,9 @@
         )
         with contextlib.closing(pieces):
             for piece in pieces:
+                if isinstance(piece, engine.Head):
+                    yield from self._first_head(piece)
+                    continue
                 if piece.attempt_id != directive.attempt_id:
                     self._late_pieces += 1
                     continue
@@ -297,14 +342,23 @@
                 if piece.is_end:
                     return
                 measure.arrived(self._clock())
-                self._text.append(piece.text)
+                if not self._work.is_passed_on:
+                    self._text.append(piece.text)
                 self._offset += 1
                 yield dataclasses.replace(piece, offset=offset)
                 measure.taken(self._clock())
         raise _broken(f'the stream stopped at token {self._offset}')
 
+    def _first_head(self, head: engine.Head) -> abc.Iterator[engine.Head]:
+        """Pass on the head of the first run; a later one's is not wanted."""
+        if not self._has_head:
+            self._has_head = True
+            yield head
+
     def _call(self, directive: effects.RunCall, left_s: float) -> '_Done':
-        adapter = self._backends.plain_service(directive.url, left_s)
+        adapter = self._backends.plain_service(
+            directive.url, directive.backend_id, left_s
+        )
         with self._stops.watching(directive.attempt_id, adapter):
             reply = adapter.call(
                 method=self.call.method,
@@ -318,11 +372,14 @@
                 },
                 most_bytes=self._work.most_bytes,
             )
-        self._outcome = outcome.Outcome(
-            status=reply.status,
-            content_type=reply.content_type,
-            body=reply.body,
-        )
+        if self._work.is_passed_on and reply.status >= FIRST_FAILURE_STATUS:
+            self._failed = reply
+            raise engine.EngineError(
+                f'the backend server answered {reply.status}',
+                known=verdict.Verdict.MAY_HAVE_RUN,
+            )
+        self._headers = reply.headers
+        self._outcome = _outcome_of(reply)
         return _Done(outcome=self._outcome.to_bytes())
 
     def _end_step(
@@ -349,6 +406,14 @@
         self._post(functools.partial(event_class, **fields))
 
 
+def _outcome_of(reply: engine.Reply) -> outcome.Outcome:
+    return outcome.Outcome(
+        status=reply.status,
+        content_type=reply.content_type,
+        body=reply.body,
+    )
+
+
 class _Stops:
     """Which attempts are to stop, and the adapter that may block in one."""
 
--- a/dandeliongw/request.py
+++ b/dandeliongw/request.py
@@ -29,6 +29,9 @@
 
 #: Phases in which a backend server may be working on the request.
 WORKING = (Phase.PREFILL, Phase.DECODE, Phase.CALL)
+#: How long a prefill's result is kept where the document says nothing: the
+#: engines evict it in under 1 s.
+DEFAULT_KV_LIFE_S = 0.7
 #: Phases in which the owner has yet to place the request.
 UNPLACED = (Phase.BOOKING, Phase.QUEUED)
 
@@ -82,6 +85,8 @@
     kv_at: float = 0.0
     prefill_s: float = 0.0
     prefilled_tokens: int = 0
+    #: Attempts that a backend server may have run.
+    runs: int = 0
     resumes_from: int = -1
     caller_gone: bool = False
     is_ended: bool = False
@@ -99,6 +104,33 @@
         """Whether another attempt can do no harm."""
         return self.admitted.route.idempotent or self.known is _NOT_RUN
 
+    @property
+    def may_run_elsewhere(self) -> bool:
+        """Whether its stream may go to another engine after a failure.
+
+        A call that is passed on runs anew at each engine it is sent to; the
+        others run once, wherever their KV cache goes.
+        """
+        return not self.admitted.is_passed_on or self.may_run_again
+
+    @property
+    def has_run_enough(self) -> bool:
+        """Whether no further backend server may run it."""
+        most = self.admitted.max_runs
+        return most is not None and self.runs >= most
+
+    @property
+    def kv_life_s(self) -> float:
+        """Seconds that a prefill's result can be counted on."""
+        return self.admitted.service.kv_life_s or DEFAULT_KV_LIFE_S
+
+    @property
+    def is_running(self) -> bool:
+        """Whether a backend server may be running it just now."""
+        if self.phase is Phase.PREFILL and self.admitted.is_passed_on:
+            return False
+        return self.phase in WORKING
+
     @property
     def is_placed(self) -> bool:
         """Whether it works in a slot that an owner counts as its own."""
@@ -116,7 +148,7 @@
         """Return what is proved if it is broken off just now."""
         if self.phase is Phase.RECORDING:
             return verdict.Verdict.RAN
-        if self.phase in WORKING:
+        if self.is_running:
             return verdict.Verdict.MAY_HAVE_RUN
         return self.known
 
--- a/dandeliongw/requests.py
+++ b/dandeliongw/requests.py
@@ -19,6 +19,7 @@
 from . import recovery
 from . import refusals
 from . import replies
+from . import request as request_module
 from . import resends
 from . import reservations
 from . import retries
@@ -31,7 +32,7 @@
 from .request import WORKING
 
 # What others need to know of a request's life, by one name.
-KV_LIFE_S = recovery.KV_LIFE_S
+KV_LIFE_S = request_module.DEFAULT_KV_LIFE_S
 MAX_ATTEMPTS = attempts.MAX_ATTEMPTS
 CLAIM_TICKET = resends.CLAIM_TICKET
 FINISH_TICKET = resends.FINISH_TICKET
@@ -100,7 +101,7 @@
 
     def _arrive(self, event: events.RequestArrived) -> Effects:
         call = event.call
-        admitted = self._gate.check(event.now, call)
+        admitted = self._gate.check(event.now, call, event.entropy)
         if isinstance(admitted, verdict.Refusal):
             refusal = admitted
             if call.idempotency_key is not None:
@@ -108,7 +109,7 @@
             return endings.turn_away(event.request_id, refusal)
         request = self._make_request(event, admitted)
         self.requests_by_id[event.request_id] = request
-        self._gate.enter(admitted.account.name, call.streamed)
+        self._gate.enter(admitted.account.name, admitted.streamed)
         self._budgets.earn(request.service)
         if call.idempotency_key is None:
             return self._attempts.begin(event.now, request)
@@ -118,7 +119,7 @@
         self, event: events.RequestArrived, admitted: admission.Admitted
     ) -> Request:
         call = event.call
-        limit_s = admitted.service.timeout_s
+        limit_s = admitted.timeout_s
         if call.idempotency_key is not None:
             limit_s = min(limit_s, self._most_claimed_s)
         if call.deadline_s is not None:
@@ -127,12 +128,16 @@
             request_id=event.request_id,
             call=call,
             admitted=admitted,
-            cell=self._directory.cell_of(call.service, event.request_id),
+            cell=self._directory.cell_of(
+                admitted.service.name, event.request_id
+            ),
             arrived_at=event.now,
             deadline_at=event.now + limit_s,
             phase=Phase.BOOKING,
             phase_at=event.now,
-            stage=policy.Stage.PAIR if call.streamed else policy.Stage.PLAIN,
+            stage=policy.Stage.PAIR
+            if admitted.streamed
+            else policy.Stage.PLAIN,
             search_s=reservations.OWNER_SEARCH_S,
         )
 
@@ -158,7 +163,9 @@
             out += self._reservations.release(request, cells.Outcome.FAILED)
         for again in request.cancels_by_attempt.values():
             out += again
-        self._gate.leave(request.admitted.account.name, request.call.streamed)
+        self._gate.leave(
+            request.admitted.account.name, request.admitted.streamed
+        )
         return out
 
     def cut_off(self, now: float) -> Effects:
@@ -248,6 +255,7 @@
         if event.known is not _NOT_RUN:
             # Part of it ran; only a whole answer is told as having run.
             request.known = _MAY_HAVE_RUN
+            request.runs += 1
         if event.failure is not None:
             return [*out, *self._recovery.after(event, request)]
         if event.step is events.Step.PREFILL:
@@ -320,7 +328,7 @@
 
     def _tick_booking(self, now: float, request: Request) -> Effects:
         is_move = request.stage is policy.Stage.DECODE
-        if is_move and now - request.kv_at >= KV_LIFE_S:
+        if is_move and now - request.kv_at >= request.kv_life_s:
             return self._attempts.again(
                 now,
                 request,
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -4,17 +4,21 @@
 import contextlib
 import functools
 import signal
+import sys
 import time
 import typing
 
 import cherrypy
 from loguru import logger
 
+from . import adapter as adapter_module
 from . import backends as backends_module
 from . import callers as callers_module
 from . import events
 from . import exceptions
 from . import gates
+from . import gateway
+from . import joining
 from . import journal as journal_module
 from . import logs
 from . import metrics as metrics_module
@@ -45,7 +49,9 @@
         runtime: runtime_module.Runtime,
         callers_port: int,
         control_port: int,
+        joiner: joining.Joiner | None = None,
     ) -> None:
+        self._joiner = joiner
         self.callers_port = callers_port
         self.control_port = control_port
         self._settings = settings
@@ -55,6 +61,12 @@
         """Start to leave; a second call changes nothing."""
         self._runtime.post(events.ShutdownBegun)
 
+    def reload(self) -> None:
+        """Read the seeds again; nothing else changes while running."""
+        logger.info('reads its seeds again')
+        if self._joiner is not None:
+            self._joiner.hurry()
+
     def wait(self) -> None:
         """Return when a shutdown has come to its end.
 
@@ -69,9 +81,13 @@
 
 
 @contextlib.contextmanager
-def opened(settings: settings_module.Settings) -> abc.Iterator[Server]:
+def opened(
+    settings: settings_module.Settings,
+    adapter: adapter_module.Adapter | None = None,
+) -> abc.Iterator[Server]:
     """Run an instance while the context lasts.
 
+    :param adapter: of the platform that it runs on, if any.
     :raises DataFolderUnusable: when the data folder can't be used.
     :raises PortInUse: naming the settings' field.
     """
@@ -96,11 +112,11 @@
         )
         if journal is not None:
             reducer.restore(journal.records)
-        backends = gates.HttpBackends(timeouts=settings.timeouts)
+        backends = adapter or gates.HttpBackends(timeouts=settings.timeouts)
         runtime = runtime_module.Runtime(
             reducer=reducer,
             metrics=metrics,
-            engine_for=backends.model_engine,
+            engine_for=backends.engine_at,
             journal=journal,
             may_send=reducer.owner.may_send,
         )
@@ -121,15 +137,26 @@
         stack.callback(control_port.close)
         stack.callback(callers_port.close)
         watch = stack.enter_context(_watching(runtime))
-        _mount(
-            settings,
-            reducer,
-            runtime,
-            watch,
-            metrics,
-            callers_port,
-            control_port,
+        borders = _Borders(
+            settings=settings,
+            reducer=reducer,
+            runtime=runtime,
+            watch=watch,
+            metrics=metrics,
+            adapter=adapter,
         )
+        control_port.serve(borders.control())
+        callers_port.serve(borders.callers())
+        for extra in borders.extra_ports():
+            port = stack.enter_context(
+                web.bound(extra.listen, extra.name, shutdown_s)
+            )
+            port.serve(extra.application)
+        joiner = None
+        if settings.seeds:
+            joiner = stack.enter_context(
+                _joining(settings, runtime, adapter, control_port.number)
+            )
         logger.info(
             'serving',
             callers=callers_port.number,
@@ -141,20 +168,29 @@
             runtime=runtime,
             callers_port=callers_port.number,
             control_port=control_port.number,
+            joiner=joiner,
         )
 
 
-def serve(settings: settings_module.Settings) -> None:
-    """Run an instance until SIGTERM or SIGINT, then end it gracefully."""
+def serve(
+    settings: settings_module.Settings,
+    adapter: adapter_module.Adapter | None = None,
+) -> None:
+    """Run an instance until SIGTERM or SIGINT, then end it gracefully.
+
+    :param adapter: of the platform that it runs on, if any.
+    """
     logs.configure(
         instance_id=settings.instance_id,
         data_centre=settings.data_centre,
         level=settings.log_level,
         secrets=[settings.peer_secret] if settings.peer_secret else [],
+        stream=sys.stdout,
     )
-    with opened(settings) as server:
+    with opened(settings, adapter) as server:
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: server.begin_shutdown())
+        signal.signal(signal.SIGHUP, lambda *_: server.reload())
         server.wait()
     logger.info('ended')
 
@@ -182,6 +218,8 @@
 
 
 def _callers_url(settings: settings_module.Settings, port: int) -> str:
+    if not settings.takes_callers:
+        return ''
     host = settings.callers.advertised or settings.callers.host
     shown = f'[{host}]' if ':' in host else host
     return f'http://{shown}:{port}'
@@ -269,59 +307,126 @@
         watch.stop()
 
 
-def _mount(
+@contextlib.contextmanager
+def _joining(
     settings: settings_module.Settings,
-    reducer: reducer_module.Reducer,
     runtime: runtime_module.Runtime,
-    watch: watch_module.Watch,
-    metrics: metrics_module.Metrics,
-    callers_port: web.Port,
-    control_port: web.Port,
-) -> None:
-    """Give each port its application and let it serve."""
-    gate = gates.CallersGate(
-        settings=settings, reducer=reducer, runtime=runtime, watch=watch
-    )
-    callers = callers_module.Callers(
-        gate=gate,
-        metrics=metrics,
-        max_body_bytes=settings.limits.max_body_bytes,
+    adapter: adapter_module.Adapter | None,
+    control_port: int,
+) -> abc.Iterator[joining.Joiner]:
+    own = settings_module.Address(
+        host=settings.control.host, port=control_port
     )
-    backends = backends_module.Backends(
-        desk=gates.BackendsDesk(reducer=reducer, runtime=runtime),
-        key_sha256=settings.backend_key_sha256,
-        lease_s=settings.timeouts.presence_s,
-        renew_s=settings.timeouts.renew_s,
+    joiner = joining.Joiner(
+        read_seeds=adapter.read_seeds if adapter else lambda: settings.seeds,
+        forms=settings.bootstrap,
+        own_address=own.show(),
+        post=runtime.post,
     )
-    control = gates.OperatorsControl(
-        settings=settings, reducer=reducer, runtime=runtime
-    )
-    control_port.serve(
-        _ControlPort(
+    joiner.start()
+    try:
+        yield joiner
+    finally:
+        joiner.stop()
+
+
+class _Borders:
+    """The applications of an instance's ports."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        reducer: reducer_module.Reducer,
+        runtime: runtime_module.Runtime,
+        watch: watch_module.Watch,
+        metrics: metrics_module.Metrics,
+        adapter: adapter_module.Adapter | None,
+    ) -> None:
+        self._settings = settings
+        self._reducer = reducer
+        self._runtime = runtime
+        self._watch = watch
+        self._metrics = metrics
+        self._adapter = adapter
+
+    def callers(self) -> adapter_module.Application:
+        """Return what answers callers."""
+        parts = {
+            'settings': self._settings,
+            'reducer': self._reducer,
+            'runtime': self._runtime,
+            'watch': self._watch,
+        }
+        if self._adapter is not None:
+            return gateway.Gateway(
+                gate=gates.PassingGate(**parts, adapter=self._adapter),
+                dialect=self._adapter.dialect,
+                metrics=self._metrics,
+            )
+        callers = callers_module.Callers(
+            gate=gates.CallersGate(**parts),
+            metrics=self._metrics,
+            max_body_bytes=self._settings.limits.max_body_bytes,
+        )
+        return callers_module.make_application(callers)
+
+    def control(self) -> adapter_module.Application:
+        """Return what answers backend servers, operators and joiners."""
+        settings = self._settings
+        parts = {'reducer': self._reducer, 'runtime': self._runtime}
+        desk = gates.BackendsDesk(**parts)
+        control = gates.OperatorsControl(settings=settings, **parts)
+        members = gates.MembersDesk(settings=settings, **parts)
+        backends = backends_module.Backends(
+            desk=desk,
+            key_sha256=settings.backend_key_sha256,
+            lease_s=settings.timeouts.presence_s,
+            renew_s=settings.timeouts.renew_s,
+        )
+        inner = _ControlPort(
             backends=backends_module.make_application(backends),
-            operators=operators.make_application(control, settings, metrics),
+            members=joining.make_application(members.read),
+            operators=operators.make_application(
+                control, settings, self._metrics
+            ),
         )
-    )
-    callers_port.serve(callers_module.make_application(callers))
+        if self._adapter is None:
+            return inner
+        return self._adapter.control(inner=inner, desk=desk, operators=control)
+
+    def extra_ports(self) -> abc.Sequence[adapter_module.ExtraPort]:
+        """Return the ports that only the platform wants."""
+        if self._adapter is None:
+            return ()
+        state = gates.State(reducer=self._reducer, runtime=self._runtime)
+        return self._adapter.ports(state)
 
 
 class _ControlPort:
-    """Sends what backend servers post to their border, the rest on."""
+    """Sends what backend servers and joiners ask on, the rest to operators."""
 
     def __init__(
         self,
         *,
         backends: cherrypy.Application,
+        members: cherrypy.Application,
         operators: cherrypy.Application,
     ) -> None:
         self._backends = backends
+        self._members = members
         self._operators = operators
 
     def __call__(
         self, environ: dict, start_response: abc.Callable
     ) -> abc.Iterable[bytes]:
-        is_backend = environ['REQUEST_METHOD'] == 'POST' and environ[
-            'PATH_INFO'
-        ].startswith('/v1/backends/')
-        chosen = self._backends if is_backend else self._operators
-        return chosen(environ, start_response)
+        return self._choose(environ)(environ, start_response)
+
+    def _choose(self, environ: dict) -> cherrypy.Application:
+        path = environ['PATH_INFO']
+        if path == joining.PATH:
+            return self._members
+        is_post = environ['REQUEST_METHOD'] == 'POST'
+        if is_post and path.startswith('/v1/backends/'):
+            return self._backends
+        return self._operators
--- a/dandeliongw/steps.py
+++ b/dandeliongw/steps.py
@@ -19,6 +19,7 @@
         effects.RunCall(
             request_id=request.request_id,
             attempt_id=request.attempt_id,
+            backend_id=request.booked.plain_id,
             url=request.booked.plain_url,
             deadline_in_s=request.left_s(now),
         )
@@ -32,6 +33,7 @@
         effects.RunPrefill(
             request_id=request.request_id,
             attempt_id=request.attempt_id,
+            backend_id=request.booked.prefill_id,
             url=request.booked.prefill_url,
             priority=request.admitted.priority.rank,
             fence=request.booked.epoch,
@@ -49,6 +51,7 @@
         effects.RunDecode(
             request_id=request.request_id,
             attempt_id=request.attempt_id,
+            backend_id=request.booked.decode_id,
             url=request.booked.decode_url,
             source_url=request.kv_source,
             kv=request.kv,
--- a/dandeliongw/web.py
+++ b/dandeliongw/web.py
@@ -10,13 +10,18 @@
 import threading
 import typing
 
+import cheroot.server
 import cheroot.wsgi
 import cherrypy
 from loguru import logger
 
+from . import _application
+from . import _headers
 from . import exceptions
 from . import settings as settings_module
 
+#: Makes the CherryPy applications that ports serve.
+make_application = _application.make_application
 #: Where a handler finds its caller's socket.
 SOCKET_KEY = 'dandeliongw.socket'
 #: Where it finds the server's own view of the call, to end the connection.
@@ -41,7 +46,35 @@
         return environ
 
 
+class _Request(cheroot.server.HTTPRequest):
+    """Refuses doubtful calls, and says so on a connection that it ends."""
+
+    header_reader = _headers.StrictHeaderReader()
+
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Answer a call that no application gets to see.
+
+        The library closes the connection without a word of it; a caller
+        that sends its next call over it could not tell whether it ran.
+        """
+        body = msg.encode('latin-1', 'replace')
+        head = (
+            f'{self.server.protocol} {status}\r\n'
+            f'Content-Length: {len(body)}\r\n'
+            'Content-Type: text/plain\r\n'
+            'Connection: close\r\n\r\n'
+        )
+        self.close_connection = True
+        self.conn.wfile.write(head.encode('latin-1') + body)
+
+
+class _Connection(cheroot.server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
 class _Server(cheroot.wsgi.Server):
+    ConnectionClass = _Connection
+
     def error_log(
         self, msg: str = '', level: int = 20, traceback: bool = False
     ) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -26,12 +26,12 @@
 
 
 class Adapters:
-    def model_engine(self, url):
+    def model_engine(self, url, backend_id):
         return engine.HttpEngine(
             url=url, connect_s=20.0, first_byte_s=20.0, stall_s=20.0
         )
 
-    def plain_service(self, url, timeout_s):
+    def plain_service(self, url, backend_id, timeout_s):
         return engine.PlainService(
             url=url, connect_s=20.0, timeout_s=timeout_s
         )
@@ -90,6 +90,7 @@
     return effects.RunDecode(
         request_id='r',
         attempt_id=attempt,
+        backend_id='d',
         url=url,
         source_url='http://p',
         kv=kv,
@@ -101,7 +102,7 @@
 def run_prefill(url, attempt='r.1', **changes):
     fields = {'priority': 0, 'fence': 1, 'deadline_in_s': 9.0, **changes}
     return effects.RunPrefill(
-        request_id='r', attempt_id=attempt, url=url, **fields
+        request_id='r', attempt_id=attempt, backend_id='p', url=url, **fields
     )
 
 
@@ -109,6 +110,7 @@
     return effects.RunCall(
         request_id='r',
         attempt_id='r.1',
+        backend_id='s',
         url=url,
         deadline_in_s=deadline_in_s,
     )
@@ -264,11 +266,11 @@
             carried = Carried()
 
             class Late(Adapters):
-                def model_engine(self, url):
+                def model_engine(self, url, backend_id):
                     carried.relay.give(
                         effects.Abort(request_id='r', attempt_id='r.1')
                     )
-                    return super().model_engine(url)
+                    return super().model_engine(url, backend_id)
 
             carried.relay._backends = Late()
             with carried:
@@ -321,7 +323,7 @@
         """
 
         class Odd(Adapters):
-            def plain_service(self, url, timeout_s):
+            def plain_service(self, url, backend_id, timeout_s):
                 raise KeyError('odd')
 
         with Carried('booking') as carried:
@@ -361,7 +363,7 @@
         self.now = 0.0
         self.arrivals = arrivals
 
-    def model_engine(self, url):
+    def model_engine(self, url, backend_id):
         return self
 
     def import_kv(self, **_):
