--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,316 @@
+"""Calls that are passed on: real sockets, in front of a scripted entry."""
+
+import contextlib
+import socket
+import threading
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import calls
+from dandeliongw import effects
+from dandeliongw import engine
+from dandeliongw import events
+from dandeliongw import gateway
+from dandeliongw import hosts
+from dandeliongw import metrics
+from dandeliongw import relay
+from dandeliongw import settings
+from dandeliongw import verdict
+from dandeliongw import web
+from tests import test_callers
+
+NOT_RUN = verdict.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+REASON = verdict.RefusalReason
+EVENTS = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n')
+
+
+class Dialect:
+    """Knows one header: who names the call."""
+
+    def read_call(self, headers):
+        by_name = dict(headers)
+        if 'X-Name' not in by_name:
+            raise calls.BadCall('X-Name: not given')
+        return gateway.Facts(
+            request_id=by_name['X-Name'],
+            deadline_s=None,
+            prompt_tokens=0,
+            max_tokens=0,
+            expected_tokens=0,
+            prefix=(),
+            headers=tuple(each for each in headers if each[0] != 'X-Secret'),
+        )
+
+
+class Engine:
+    """Streams the events that it is given, then what comes last."""
+
+    def __init__(self, last):
+        self._last = last
+
+    def import_kv(self, **asked):
+        pass
+
+    def decode(self, *, attempt_id, **asked):
+        head = (('X-Seal', 's'), ('Connection', 'keep-alive'))
+        yield engine.Head(status=200, headers=head)
+        for offset, data in enumerate(EVENTS):
+            yield engine.Piece(
+                attempt_id=attempt_id, offset=offset, text='', data=data
+            )
+        if isinstance(self._last, Exception):
+            raise self._last
+        yield engine.Piece(
+            attempt_id=attempt_id, offset=len(EVENTS), text='', is_end=True
+        )
+
+    def abort(self):
+        pass
+
+
+class Plain:
+    def __init__(self, reply):
+        self._reply = reply
+
+    def call(self, **asked):
+        return self._reply
+
+    def abort(self):
+        pass
+
+
+class Gate:
+    """The reducer and the backend servers, both scripted.
+
+    :param script: the directives of each call, one after each step.
+    """
+
+    def __init__(self, *script, last=None, reply=None):
+        self.script = script
+        self.is_leaving = False
+        self.border = hosts.BorderLimits(max_body_bytes=100)
+        self.opened = []
+        self.closed = threading.Semaphore(0)
+        self._engine = Engine(last)
+        self._reply = reply
+
+    def open_passing(self, *, call, work, facts, caller):
+        self.opened.append((call, work))
+        script = iter(self.script)
+        carrier = relay.Relay(
+            request_id='r',
+            call=call,
+            work=work,
+            backends=self,
+            post=lambda make: self._post(carrier, script, make(now=0.0)),
+        )
+        return carrier
+
+    def _post(self, carrier, script, event):
+        if isinstance(event, events.RequestArrived | events.StepEnded):
+            carrier.give(next(script))
+        if isinstance(event, events.RequestClosed):
+            self.closed.release()
+
+    def close_relay(self, request_id):
+        pass
+
+    def model_engine(self, url, backend_id):
+        return self._engine
+
+    def plain_service(self, url, backend_id, timeout_s):
+        return Plain(self._reply)
+
+
+DECODE = effects.RunDecode(
+    request_id='r',
+    attempt_id='r.1',
+    backend_id='d',
+    url='http://d',
+    source_url='http://p',
+    kv='k',
+    fence=1,
+    deadline_in_s=9.0,
+)
+CALL = effects.RunCall(
+    request_id='r',
+    attempt_id='r.1',
+    backend_id='s',
+    url='http://s',
+    deadline_in_s=9.0,
+)
+COMPLETE = effects.Complete(request_id='r')
+
+
+def refuse(reason, known, retry_after_s=None):
+    return effects.Refuse(
+        request_id='r',
+        refusal=verdict.Refusal(
+            reason=reason,
+            verdict=known,
+            message='why',
+            retry_after_s=retry_after_s,
+        ),
+    )
+
+
+@contextlib.contextmanager
+def border(gate):
+    listen = settings.Listen(host='127.0.0.1', port=0, threads=4, queue=4)
+    application = gateway.Gateway(
+        gate=gate, dialect=Dialect(), metrics=metrics.Metrics()
+    )
+    with web.bound(listen, 'callers', 1.0) as port:
+        port.serve(application)
+        yield port.number
+
+
+def connect(port):
+    return socket.create_connection(
+        ('127.0.0.1', port), timeout=test_callers.PATIENCE_S
+    )
+
+
+def raw(line='GET /a/b?c=%2F', body=b'', *headers):
+    return test_callers.raw(line, body, 'X-Name: n1', *headers)
+
+
+def ask(gate, sent):
+    with border(gate) as port, connect(port) as caller:
+        caller.sendall(sent)
+        return test_callers.read_answer(caller)
+
+
+class PassingTest(unittest.TestCase):
+    def test_a_call_goes_on_as_it_came(self):
+        gate = Gate(refuse(REASON.NO_BACKEND, NOT_RUN))
+        sent = test_callers.raw(
+            'POST /a//b/?x=1&y=%2f',
+            b'body',
+            'X-Name: n1',
+            'X-Other: o',
+            'X-Secret: s',
+            'Connection: close, X-Hop',
+            'X-Hop: h',
+            'Keep-Alive: timeout=3',
+        )
+        ask(gate, sent)
+        ((call, work),) = gate.opened
+        self.assertEqual((call.host, call.path), ('here', '/a//b/'))
+        self.assertEqual(
+            (work.method, work.path, work.body),
+            ('POST', '/a//b/?x=1&y=%2f', b'body'),
+        )
+        self.assertEqual(
+            dict(work.headers),
+            {'Host': 'here', 'X-Name': 'n1', 'X-Other': 'o'},
+        )
+
+    def test_a_stream_comes_as_it_was_made(self):
+        answer = ask(Gate(DECODE, COMPLETE), raw())
+        self.assertEqual((answer.status, answer.body), (200, b''.join(EVENTS)))
+        self.assertEqual(answer.headers['x-seal'], 's')
+        self.assertNotIn('connection', answer.headers)
+
+    def test_a_stream_that_breaks_does_not_look_whole(self):
+        """Symptom: a caller takes half an answer for all of it.
+
+        Sequence: an engine dies within a stream, and nothing may be tried.
+        Cause: the end mark of a body would be written all the same.
+        """
+        broken = engine.EngineError('gone', known=MAY_HAVE_RUN)
+        gate = Gate(
+            DECODE, refuse(REASON.BACKEND_FAILED, MAY_HAVE_RUN), last=broken
+        )
+        with border(gate) as port, connect(port) as caller:
+            caller.sendall(raw())
+            got = b''
+            while more := caller.recv(65536):
+                got += more
+        self.assertIn(EVENTS[1], got)
+        self.assertNotIn(b'\r\n0\r\n', got)
+        self.assertTrue(gate.closed.acquire(timeout=test_callers.PATIENCE_S))
+
+    def test_a_backend_servers_own_failure_is_passed_on(self):
+        """Symptom: callers get an error of ours for one that isn't."""
+        reply = engine.Reply(
+            status=500,
+            content_type='',
+            body=b'sorry',
+            headers=(('X-Seal', 's'), ('Content-Length', '99')),
+        )
+        answer = ask(
+            Gate(
+                CALL, refuse(REASON.BACKEND_FAILED, MAY_HAVE_RUN), reply=reply
+            ),
+            raw(),
+        )
+        self.assertEqual((answer.status, answer.body), (500, b'sorry'))
+        self.assertEqual(answer.headers['x-seal'], 's')
+
+    def test_what_has_not_run_is_told_so_also_after_a_failure(self):
+        reply = engine.Reply(status=500, content_type='', body=b'')
+        answer = ask(
+            Gate(CALL, refuse(REASON.NO_BACKEND, NOT_RUN), reply=reply), raw()
+        )
+        self.assertEqual(answer.status, 503)
+
+    @params(
+        (REASON.UNKNOWN_ROUTE, NOT_RUN, 404),
+        (REASON.TOO_LARGE, NOT_RUN, 413),
+        (REASON.NO_OWNER, NOT_RUN, 503),
+        (REASON.DEADLINE_PASSED, NOT_RUN, 503),
+        (REASON.DEADLINE_PASSED, MAY_HAVE_RUN, 504),
+        (REASON.NO_OWNER, MAY_HAVE_RUN, 502),
+        (REASON.DRAINING, verdict.Verdict.RAN, 502),
+    )
+    def test_only_what_is_proved_is_told_as_not_run(
+        self, reason, known, status
+    ):
+        """Symptom: a booking that was made is sent once more."""
+        answer = ask(Gate(refuse(reason, known, 0.25)), raw())
+        self.assertEqual(answer.status, status)
+        wait = answer.headers.get('retry-after')
+        self.assertEqual(wait, '0.25' if status == 503 else None)
+
+    def test_an_instance_that_leaves_keeps_no_connection(self):
+        gate = Gate(refuse(REASON.NO_BACKEND, NOT_RUN))
+        gate.is_leaving = True
+        self.assertTrue(ask(gate, raw()).closes)
+
+
+class BadInputTest(unittest.TestCase):
+    @params(
+        raw('GET a/b'),
+        raw('GET /a#b'),
+        raw('GET http://here/a'),
+        raw('POST /a', b'3\r\nabcd', 'Transfer-Encoding: chunked'),
+        raw('POST /a', b'abc', 'Content-Length: 3', 'Content-Length: 3'),
+        raw('POST /a', b'x' * 101),
+        test_callers.raw('GET /a'),
+        b'GET /a HTTP/1.1\r\nX-Name: n\r\nHost: a b\r\n\r\n',
+    )
+    def test_a_doubtful_call_ends_its_connection(self, sent):
+        """Symptom: what is left of a call is run as another one."""
+        gate = Gate()
+        with border(gate) as port, connect(port) as caller:
+            caller.sendall(sent + raw())
+            answer = test_callers.read_answer(caller)
+            self.assertIn(answer.status, (400, 413))
+            with contextlib.suppress(ConnectionResetError):
+                self.assertEqual(caller.recv(1), b'')
+        self.assertEqual(gate.opened, [])
+
+    def test_a_body_in_chunks_leaves_the_next_call_alone(self):
+        gate = Gate(refuse(REASON.NO_BACKEND, NOT_RUN))
+        chunked = raw(
+            'POST /a', b'3\r\nabc\r\n0\r\n\r\n', 'Transfer-Encoding: chunked'
+        )
+        with border(gate) as port, connect(port) as caller:
+            for sent in (chunked, raw('GET /second')):
+                caller.sendall(sent)
+                test_callers.read_answer(caller)
+        bodies = [(work.path, work.body) for _, work in gate.opened]
+        self.assertEqual(bodies, [('/a', b'abc'), ('/second', b'')])
--- /dev/null
+++ b/tests/test_headers.py
@@ -0,0 +1,45 @@
+"""Request headers that two programs could read as two different calls."""
+
+import io
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import _headers
+
+
+def read(text):
+    reader = _headers.StrictHeaderReader()
+    return reader(io.BytesIO(text.encode('latin-1')))
+
+
+class StrictHeaderReaderTest(unittest.TestCase):
+    def test_names_are_alike_however_they_are_written(self):
+        found = read('content-LENGTH: 3\r\nX-one:  a \r\n\r\n')
+        self.assertEqual(found, {b'Content-Length': b'3', b'X-One': b'a'})
+
+    def test_repeated_ones_are_joined(self):
+        found = read('X-A: 1\r\nX-A: 2\r\n\r\n')
+        self.assertEqual(found, {b'X-A': b'1, 2'})
+
+    @params(
+        'Content-Length: 3\r\nContent-Length: 4\r\n\r\n',
+        'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n',
+        'Transfer-Encoding: gzip, chunked\r\n\r\n',
+        'Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n',
+        'Content-Length: +3\r\n\r\n',
+        'Content-Length: 1_0\r\n\r\n',
+        'Content-Length : 3\r\n\r\n',
+        ' Content-Length: 3\r\n\r\n',
+        'X-A: 1\r\n folded\r\n\r\n',
+        'X-A: 1\n\r\n',
+        'X-A: 1\rX-B: 2\r\n\r\n',
+        'X-A: \x00\r\n\r\n',
+        'Host: a\r\nHost: b\r\n\r\n',
+        'no colon\r\n\r\n',
+        'X-A: 1\r\n',
+    )
+    def test_doubtful_headers_are_refused(self, text):
+        """Symptom: a call inside another call's body is run."""
+        with self.assertRaises(ValueError):
+            read(text)
--- /dev/null
+++ b/tests/test_joining.py
@@ -0,0 +1,94 @@
+"""Seeds: who may form a system, and who only joins one."""
+
+import queue
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import joining
+from dandeliongw import settings
+from dandeliongw import web
+
+OWN = '127.0.0.1:1'
+PATIENCE_S = 20
+
+
+def make_members(instance_id, *others):
+    return joining.Members(
+        instance_id=instance_id,
+        instances=tuple(
+            joining.FoundInstance(
+                instance_id=each, host='10.0.0.1', port=place + 1
+            )
+            for place, each in enumerate((instance_id, *others))
+        ),
+    )
+
+
+class JoinerTest(unittest.TestCase):
+    """Real seeds on ports that the system chose."""
+
+    def setUp(self):
+        self.events = queue.Queue()
+        self.seeds = []
+
+    def seed(self, members):
+        """Start an instance's control port; return its address."""
+        listen = settings.Listen(host='127.0.0.1', port=0, threads=2)
+        port = web.Port(listen=listen, field='control', shutdown_s=1.0)
+        port.bind()
+        port.serve(joining.make_application(lambda: members))
+        self.addCleanup(port.close)
+        return settings.Address(host='127.0.0.1', port=port.number)
+
+    def join(self, *seeds, forms):
+        self.seeds = list(seeds)
+        joiner = joining.Joiner(
+            read_seeds=lambda: tuple(self.seeds),
+            forms=forms,
+            own_address=OWN,
+            post=lambda make: self.events.put(make(now=0.0)),
+        )
+        joiner.start()
+        self.addCleanup(joiner.stop)
+        return joiner
+
+    def next_event(self):
+        return self.events.get(timeout=PATIENCE_S)
+
+    def test_a_joiner_learns_of_all_that_a_seed_knows(self):
+        seed = self.seed(make_members('gw-1', 'gw-7'))
+        self.join(seed, forms=False)
+        event = self.next_event()
+        self.assertEqual(
+            ['gw-1', 'gw-7'], [each.instance_id for each in event.instances]
+        )
+        self.assertEqual((), event.first_voters)
+
+    def test_the_first_voters_are_all_seeds_or_none(self):
+        """Symptom: two systems run, each with a configuration of its own.
+
+        Sequence: at the first start some instances hear of two seeds, some
+        of all three; each set forms a register.
+        Cause: the first voters would differ between instances.
+        """
+        seeds = [self.seed(make_members(name)) for name in ('c', 'a', 'b')]
+        self.join(*seeds, forms=True)
+        told = [self.next_event().first_voters for _ in seeds]
+        self.assertEqual(told, [(), (), ('a', 'b', 'c')])
+
+    @params(True, False)
+    def test_a_seed_that_is_gone_keeps_nobody_waiting(self, forms):
+        """Symptom: an instance that restarts never finds the others."""
+        gone = settings.Address(host='127.0.0.1', port=1)
+        there = self.seed(make_members('gw-2'))
+        self.join(gone, there, forms=forms)
+        self.assertEqual('gw-2', self.next_event().instances[0].instance_id)
+
+    def test_other_seeds_are_asked_after_a_reload(self):
+        joiner = self.join(self.seed(make_members('old')), forms=False)
+        self.next_event()
+        self.seeds = [self.seed(make_members('new'))]
+        joiner.hurry()
+        while self.next_event().instances[0].instance_id != 'new':
+            pass
