Moves only: entry/, cell/ and borders/ beside coordination/

The life of a request at its entry, the cell with its policy, and the borders have folders of their own; nothing else changes.

--- a/dandeliongw/adapter.py
+++ b/dandeliongw/adapter.py
@@ -8,13 +8,13 @@
 import dataclasses
 import typing
 
-from . import backends
-from . import control
 from . import engine
-from . import gateway
-from . import relay
 from . import settings as settings_module
+from .borders import backends
+from .borders import control
+from .borders import gateway
 from .coordination import membership
+from .entry import relay
 
 Application = abc.Callable[
     [dict[str, typing.Any], abc.Callable], abc.Iterable[bytes]
--- /dev/null
+++ b/dandeliongw/borders/__init__.py
@@ -0,0 +1,1 @@
+"""What callers, backend servers and operators talk to, over HTTP."""
--- a/dandeliongw/_body.py
+++ b/dandeliongw/borders/_body.py
@@ -3,8 +3,8 @@
 import re
 import typing
 
+from .. import verdict
 from . import calls
-from . import verdict
 
 #: Size line of a chunk; what follows a semicolon means nothing to us.
 _SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,8})[ \t]*(;[^\r\n]*)?\r\n')
--- a/dandeliongw/_browser.py
+++ b/dandeliongw/borders/_browser.py
@@ -6,10 +6,10 @@
 
 import cherrypy
 
+from .. import differences
+from .. import document as documents
+from .. import exceptions
 from . import changes
-from . import differences
-from . import document as documents
-from . import exceptions
 from . import sessions
 from .pages import forms
 from .pages import layout
--- a/dandeliongw/_console_base.py
+++ b/dandeliongw/borders/_console_base.py
@@ -9,13 +9,13 @@
 
 import cherrypy
 
+from .. import differences
+from .. import metrics as metrics_module
+from .. import settings as settings_module
 from . import _browser
 from . import control as controls
-from . import differences
 from . import drafts
-from . import metrics as metrics_module
 from . import sessions
-from . import settings as settings_module
 from .pages import forms
 from .pages import layout
 
--- a/dandeliongw/_console_editing.py
+++ b/dandeliongw/borders/_console_editing.py
@@ -6,14 +6,14 @@
 
 import cherrypy
 
+from .. import differences
+from .. import document as documents
+from .. import exceptions
 from . import _browser
 from . import _console_base
 from . import changes
 from . import control as controls
-from . import differences
-from . import document as documents
 from . import drafts
-from . import exceptions
 from ._console_base import action
 from ._console_base import page
 from ._console_base import show
--- a/dandeliongw/answers.py
+++ b/dandeliongw/borders/answers.py
@@ -7,10 +7,10 @@
 
 from loguru import logger
 
-from . import engine
-from . import metrics as metrics_module
-from . import relay
-from . import verdict
+from .. import engine
+from .. import metrics as metrics_module
+from .. import verdict
+from ..entry import relay
 
 
 class Gate(typing.Protocol):
--- a/dandeliongw/backends.py
+++ b/dandeliongw/borders/backends.py
@@ -15,9 +15,9 @@
 import cherrypy
 import pydantic
 
+from .. import exceptions
+from .. import models
 from . import _application
-from . import exceptions
-from . import models
 from . import web
 
 Role = typing.Literal['prefill', 'decode', 'plain']
--- a/dandeliongw/callers.py
+++ b/dandeliongw/borders/callers.py
@@ -12,13 +12,13 @@
 
 import cherrypy
 
+from .. import events
+from .. import metrics as metrics_module
+from .. import verdict
 from . import _application
 from . import answers
 from . import calls
-from . import events
-from . import metrics as metrics_module
-from . import relay
-from . import verdict
+from ..entry import relay
 from . import web
 
 _REASON = verdict.RefusalReason
--- a/dandeliongw/calls.py
+++ b/dandeliongw/borders/calls.py
@@ -12,10 +12,10 @@
 import typing
 import urllib.parse
 
-from . import events
-from . import policy
-from . import relay
-from . import verdict
+from .. import events
+from .. import verdict
+from ..cell import policy
+from ..entry import relay
 
 _REASON = verdict.RefusalReason
 
--- a/dandeliongw/changes.py
+++ b/dandeliongw/borders/changes.py
@@ -4,8 +4,8 @@
 
 from loguru import logger
 
+from .. import document as documents
 from . import control as controls
-from . import document as documents
 
 #: Chosen by whoever makes a change; a resend carries the same one.
 CHANGE_ID_PATTERN = r'^[A-Za-z0-9._-]{1,64}$'
--- a/dandeliongw/drafts.py
+++ b/dandeliongw/borders/drafts.py
@@ -14,8 +14,8 @@
 import threading
 import typing
 
+from .. import differences
 from . import control as controls
-from . import differences
 
 _NONCE_BYTES = 8
 _DIGEST_LENGTH = 32
--- a/dandeliongw/gateway.py
+++ b/dandeliongw/borders/gateway.py
@@ -16,15 +16,15 @@
 
 from loguru import logger
 
+from .. import clock
+from .. import engine
+from .. import events
+from .. import hosts
+from .. import metrics as metrics_module
+from .. import verdict
 from . import _body
 from . import calls
-from . import clock
-from . import engine
-from . import events
-from . import hosts
-from . import metrics as metrics_module
-from . import relay
-from . import verdict
+from ..entry import relay
 from . import web
 
 _REASON = verdict.RefusalReason
--- a/dandeliongw/operators.py
+++ b/dandeliongw/borders/operators.py
@@ -12,15 +12,15 @@
 import cherrypy
 import pydantic
 
+from .. import document as documents
+from .. import exceptions
+from .. import metrics as metrics_module
+from .. import models
+from .. import settings as settings_module
 from . import _application
 from . import changes
 from . import console
 from . import control as controls
-from . import document as documents
-from . import exceptions
-from . import metrics as metrics_module
-from . import models
-from . import settings as settings_module
 from . import tokens
 
 MAX_BODY_BYTES = 4 * settings_module.MIB
--- a/dandeliongw/pages/editing.py
+++ b/dandeliongw/borders/pages/editing.py
@@ -5,10 +5,10 @@
 import typing
 import urllib.parse
 
+from ... import differences
+from ... import exceptions
 from .. import control as controls
-from .. import differences
 from .. import drafts
-from .. import exceptions
 from . import forms
 from . import layout
 from . import markup
--- a/dandeliongw/pages/forms.py
+++ b/dandeliongw/borders/pages/forms.py
@@ -11,10 +11,10 @@
 import types
 import typing
 
-from .. import differences
-from .. import document
-from .. import exceptions
-from .. import models
+from ... import differences
+from ... import document
+from ... import exceptions
+from ... import models
 from . import markup
 
 MODELS_BY_SECTION: dict[str, type[models.Model]] = {
--- a/dandeliongw/pages/layout.py
+++ b/dandeliongw/borders/pages/layout.py
@@ -3,7 +3,7 @@
 from collections import abc
 import typing
 
-from .. import differences
+from ... import differences
 from . import markup
 
 ROOT = '/console'
--- a/dandeliongw/pages/status.py
+++ b/dandeliongw/borders/pages/status.py
@@ -3,10 +3,10 @@
 from collections import abc
 import typing
 
+from ... import metrics as metrics_module
+from ... import verdict as verdicts
 from .. import control as controls
-from .. import metrics as metrics_module
-from .. import verdict as verdicts
-from .. import waste
+from ...entry import waste
 from . import layout
 from . import markup
 
--- a/dandeliongw/sessions.py
+++ b/dandeliongw/borders/sessions.py
@@ -12,7 +12,7 @@
 import secrets
 import time
 
-from . import settings as settings_module
+from .. import settings as settings_module
 
 LIFETIME_S = 8 * 3600
 COOKIE_NAME = 'dandeliongw_session'
--- a/dandeliongw/tokens.py
+++ b/dandeliongw/borders/tokens.py
@@ -3,7 +3,7 @@
 import hashlib
 import hmac
 
-from . import settings as settings_module
+from .. import settings as settings_module
 
 
 def digest(token: str) -> str:
--- a/dandeliongw/web.py
+++ b/dandeliongw/borders/web.py
@@ -15,10 +15,10 @@
 import cherrypy
 from loguru import logger
 
+from .. import exceptions
+from .. import settings as settings_module
 from . import _application
 from . import _headers
-from . import exceptions
-from . import settings as settings_module
 
 #: Makes the CherryPy applications that ports serve.
 make_application = _application.make_application
--- a/dandeliongw/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -8,10 +8,10 @@
 import dataclasses
 import enum
 
+from ..verdict import RefusalReason
 from .policy import CellBackend
 from .policy import CellTerms
 from .policy import Stage
-from .verdict import RefusalReason
 
 
 class Outcome(enum.StrEnum):
--- a/dandeliongw/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from ..coordination import parts
 from .cell_messages import BackendsChanged
 from .cell_messages import Book
 from .cell_messages import Booked
@@ -33,7 +34,6 @@
 from .cell_messages import StreamCancelled
 from .cell_messages import StreamsListed
 from .cell_messages import TermsChanged
-from .coordination import parts
 from .policy import BackendState
 from .policy import Booking
 from .policy import CellBackend
--- a/dandeliongw/orders.py
+++ b/dandeliongw/cell/orders.py
@@ -14,8 +14,8 @@
 import enum
 import typing
 
-from . import verdict
-from .coordination import parts
+from .. import verdict
+from ..coordination import parts
 
 
 class OrderKind(enum.StrEnum):
--- a/dandeliongw/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -2,17 +2,17 @@
 
 import typing
 
+from .. import directory as directory_module
+from .. import document as document_module
+from .. import effects
 from . import cells
-from . import directory as directory_module
-from . import document as document_module
-from . import effects
+from ..coordination import lease
+from ..coordination import parts
+from ..coordination import presence
 from . import orders
 from . import policy
 from . import scheduler
 from . import takeover
-from .coordination import lease
-from .coordination import parts
-from .coordination import presence
 
 #: Loads from the weight store that an instance may save up.
 STORE_BURST = 2.0
--- a/dandeliongw/policy.py
+++ b/dandeliongw/cell/policy.py
@@ -15,9 +15,9 @@
 import xxhash
 
 from . import forecast
+from ..verdict import RefusalReason
 from .health import Batch
 from .health import Health
-from .verdict import RefusalReason
 
 #: Words of a prompt that share one prefix hash.
 BLOCK_TOKENS = 64
--- a/dandeliongw/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from ..verdict import RefusalReason
 from .policy import BackendState
 from .policy import Booking
 from .policy import CellView
@@ -22,7 +23,6 @@
 from .policy import Weights
 from .shares import FairShares
 from .shares import Flow
-from .verdict import RefusalReason
 
 #: A prompt goes to its engine so long before the one ahead of it is done,
 #: to cover the hops between; more would let engines reorder what is sent.
--- a/dandeliongw/succession.py
+++ b/dandeliongw/cell/succession.py
@@ -3,10 +3,10 @@
 import dataclasses
 import typing
 
-from . import directory as directory_module
-from . import effects
+from .. import directory as directory_module
+from .. import effects
+from ..coordination import lease
 from . import owner as owner_module
-from .coordination import lease
 
 #: Seconds for which a deputy that was asked keeps trying for a lease.
 DEPUTY_S = 10.0
--- a/dandeliongw/takeover.py
+++ b/dandeliongw/cell/takeover.py
@@ -11,7 +11,7 @@
 import typing
 
 from . import cells
-from .coordination import parts
+from ..coordination import parts
 
 #: Seconds after which instances that haven't answered are given up on.
 LONGEST_S = 0.5
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -8,9 +8,9 @@
 import enum
 import typing
 
-from . import orders
 from . import verdict
-from . import waste
+from .cell import orders
+from .entry import waste
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/dandeliongw/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request at the instance that its caller chose."""
--- a/dandeliongw/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -3,9 +3,9 @@
 import dataclasses
 import typing
 
-from . import document
-from . import events
-from . import verdict
+from .. import document
+from .. import events
+from .. import verdict
 
 _REASON = verdict.RefusalReason
 
--- a/dandeliongw/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -2,14 +2,14 @@
 
 import typing
 
-from . import cells
-from . import effects
+from .. import effects
+from .. import verdict
+from ..cell import cells
+from ..cell import policy
 from . import endings
-from . import policy
 from . import refusals
 from . import reservations
 from . import retries
-from . import verdict
 from .request import Phase
 from .request import Request
 
--- a/dandeliongw/endings.py
+++ b/dandeliongw/entry/endings.py
@@ -6,12 +6,12 @@
 
 import typing
 
-from . import cells
-from . import effects
+from .. import effects
+from .. import verdict
+from ..cell import cells
 from . import refusals
 from . import resends
 from . import reservations
-from . import verdict
 from .request import Phase
 from .request import Request
 from .request import WORKING
--- a/dandeliongw/recovery.py
+++ b/dandeliongw/entry/recovery.py
@@ -6,15 +6,15 @@
 
 import typing
 
+from .. import effects
+from .. import events
+from .. import verdict
 from . import attempts
-from . import effects
+from ..cell import policy
 from . import endings
-from . import events
-from . import policy
 from . import refusals
 from . import reservations
 from . import steps
-from . import verdict
 from .request import Phase
 from .request import Request
 
--- a/dandeliongw/refusals.py
+++ b/dandeliongw/entry/refusals.py
@@ -4,13 +4,13 @@
 import enum
 import typing
 
+from .. import effects
+from .. import events
+from .. import verdict
 from . import admission
-from . import effects
-from . import events
+from ..coordination import claim_messages as claims
 from . import request as request_module
-from . import verdict
 from . import waste
-from .coordination import claim_messages as claims
 
 _REASON = verdict.RefusalReason
 _RETRY = verdict.RetryReason
--- a/dandeliongw/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -16,13 +16,13 @@
 
 from loguru import logger
 
-from . import clock as clock_module
-from . import effects
-from . import engine
-from . import events
+from .. import clock as clock_module
+from .. import effects
+from .. import engine
+from .. import events
+from .. import verdict
 from . import outcome
 from . import spacing
-from . import verdict
 
 #: From here on a status tells that the backend server failed; another one
 #: may do better if the call may be repeated.
--- a/dandeliongw/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -3,15 +3,15 @@
 from collections import abc
 import typing
 
+from .. import effects
+from .. import verdict
 from . import attempts
-from . import cells
-from . import effects
+from ..cell import cells
+from ..cell import policy
+from ..coordination import parts
 from . import endings
-from . import policy
 from . import reservations
 from . import steps
-from . import verdict
-from .coordination import parts
 from .request import Phase
 from .request import Request
 from .request import UNPLACED
--- a/dandeliongw/request.py
+++ b/dandeliongw/entry/request.py
@@ -4,11 +4,11 @@
 import enum
 import hashlib
 
+from .. import events
+from .. import verdict
 from . import admission
-from . import cells
-from . import events
-from . import policy
-from . import verdict
+from ..cell import cells
+from ..cell import policy
 
 _NOT_RUN = verdict.Verdict.NOT_RUN
 
--- a/dandeliongw/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -9,13 +9,16 @@
 
 import typing
 
+from .. import effects
+from .. import events
+from .. import verdict
 from . import admission
 from . import attempts
-from . import cells
-from . import effects
+from ..cell import cells
+from ..cell import policy
+from ..coordination import claim_messages as claims
+from ..coordination import parts
 from . import endings
-from . import events
-from . import policy
 from . import recovery
 from . import refusals
 from . import replies
@@ -24,9 +27,6 @@
 from . import reservations
 from . import retries
 from . import steps
-from . import verdict
-from .coordination import claim_messages as claims
-from .coordination import parts
 from .request import Phase
 from .request import Request
 from .request import WORKING
--- a/dandeliongw/resends.py
+++ b/dandeliongw/entry/resends.py
@@ -7,10 +7,10 @@
 
 import typing
 
-from . import effects
-from . import events
-from . import verdict
-from .coordination import claim_messages as claims
+from .. import effects
+from .. import events
+from .. import verdict
+from ..coordination import claim_messages as claims
 from .request import claim_key
 from .request import Phase
 from .request import Request
--- a/dandeliongw/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -8,10 +8,10 @@
 import typing
 
 from . import admission
-from . import cells
-from . import policy
+from ..cell import cells
+from ..cell import policy
+from ..coordination import parts
 from . import request as request_module
-from .coordination import parts
 
 #: An owner that hasn't answered a booking for so long is asked again.
 OWNER_ANSWER_S = 0.25
--- a/dandeliongw/steps.py
+++ b/dandeliongw/entry/steps.py
@@ -5,7 +5,7 @@
 
 import typing
 
-from . import effects
+from .. import effects
 from .request import Phase
 from .request import Request
 
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -14,24 +14,24 @@
 import cherrypy
 
 from . import adapter as adapter_module
-from . import backends as backends_module
-from . import control
 from . import document as document_module
 from . import engine
 from . import events
 from . import exceptions
-from . import gateway
 from . import hosts
 from . import joining
 from . import reducer as reducer_module
-from . import relay
 from . import runtime as runtime_module
 from . import settings as settings_module
-from . import watch as watch_module
-from . import web
+from .borders import backends as backends_module
+from .borders import control
+from .borders import gateway
+from .borders import watch as watch_module
+from .borders import web
 from .coordination import membership
 from .coordination import presence
 from .coordination import register
+from .entry import relay
 
 _EMPTY = document_module.document_bytes(document_module.EMPTY)
 
--- a/dandeliongw/joining.py
+++ b/dandeliongw/joining.py
@@ -17,10 +17,10 @@
 import pydantic
 import urllib3
 
-from . import _application
 from . import events
 from . import models
 from . import settings as settings_module
+from .borders import _application
 
 PATH = '/v1/members'
 #: Seconds between rounds until the seeds are known: a start is not to wait
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -14,11 +14,11 @@
 
 from . import effects
 from . import envelopes
-from . import orders
 from . import peers
 from . import verdict as verdicts
-from . import waste
+from .cell import orders
 from .coordination import lease_messages
+from .entry import waste
 
 NAMESPACE = 'dandeliongw'
 #: The key of a watched counter's only count when it has no label.
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -10,21 +10,19 @@
 from collections import abc
 import typing
 
-from . import admission
-from . import cells
 from . import directory as directory_module
 from . import document as document_module
 from . import effects
 from . import events
 from . import exceptions
 from . import fronts
-from . import orders
-from . import owner as owner_module
 from . import repair
-from . import requests
 from . import settings as settings_module
 from . import shutdown
-from . import succession
+from .cell import cells
+from .cell import orders
+from .cell import owner as owner_module
+from .cell import succession
 from .coordination import claim_messages
 from .coordination import claims
 from .coordination import lease
@@ -34,6 +32,8 @@
 from .coordination import presence
 from .coordination import register
 from .coordination import register_messages
+from .entry import admission
+from .entry import requests
 
 #: Seconds to a claim holder and back, its sync included, on a busy machine;
 #: several ticks fit in it, and a claim is given up after ten of it.
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -17,16 +17,16 @@
 
 from loguru import logger
 
-from . import cells
 from . import clock
 from . import effects
 from . import engine
 from . import metrics as metrics_module
-from . import orders
-from . import relay
 from . import verdict
+from .cell import cells
+from .cell import orders
 from .coordination import membership
 from .coordination import parts
+from .entry import relay
 
 #: Seconds between ticks.
 TICK_S = 0.05
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -12,24 +12,24 @@
 from loguru import logger
 
 from . import adapter as adapter_module
-from . import backends as backends_module
-from . import callers as callers_module
 from . import events
 from . import exceptions
 from . import gates
-from . import gateway
 from . import joining
 from . import journal as journal_module
 from . import logs
 from . import metrics as metrics_module
-from . import operators
 from . import peers as peers_module
 from . import reducer as reducer_module
 from . import runtime as runtime_module
 from . import settings as settings_module
-from . import watch as watch_module
-from . import web
 from . import wire
+from .borders import backends as backends_module
+from .borders import callers as callers_module
+from .borders import gateway
+from .borders import operators
+from .borders import watch as watch_module
+from .borders import web
 
 #: Seconds between two looks at whether a shutdown has come to its end.
 WAIT_S = 0.2
--- a/dandeliongw/shutdown.py
+++ b/dandeliongw/shutdown.py
@@ -8,13 +8,13 @@
 import dataclasses
 import typing
 
-from . import admission
 from . import directory as directory_module
 from . import effects
-from . import requests
 from . import settings as settings_module
-from . import succession as succession_module
+from .cell import succession as succession_module
 from .coordination import membership
+from .entry import admission
+from .entry import requests
 
 #: Seconds that requests get to tell their callers that they are cut off.
 CUT_OFF_S = 2.0
--- a/dandeliongw/wire.py
+++ b/dandeliongw/wire.py
@@ -1,6 +1,6 @@
 """The codec of everything that instances send and journals keep."""
 
-from . import cells
+from .cell import cells
 from .codec import Codec
 from .coordination import claim_messages
 from .coordination import lease_messages
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -3,14 +3,14 @@
 import itertools
 import json
 
-from dandeliongw import admission
-from dandeliongw import cells
+from dandeliongw.cell import cells
 from dandeliongw.coordination import claim_messages as claims
 from dandeliongw.coordination import parts
 from dandeliongw import document
 from dandeliongw import effects
+from dandeliongw.entry import admission
+from dandeliongw.entry import requests
 from dandeliongw import events
-from dandeliongw import requests
 from dandeliongw import verdict
 from tools import local
 
--- a/tests/operators_fake.py
+++ b/tests/operators_fake.py
@@ -8,12 +8,12 @@
 from cheroot import wsgi
 import urllib3
 
-from dandeliongw import control
+from dandeliongw.borders import control
+from dandeliongw.borders import operators
+from dandeliongw.borders import tokens
 from dandeliongw import document
 from dandeliongw import metrics
-from dandeliongw import operators
 from dandeliongw import settings
-from dandeliongw import tokens
 
 TOKENS_BY_NAME = {'ana': 'token-of-ana', 'bat': 'token-of-bat'}
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from dandeliongw import admission
+from dandeliongw.entry import admission
 from dandeliongw import verdict
 from tests import entry_fake
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -9,11 +9,11 @@
 from nose2.tools import params
 import urllib3
 
-from dandeliongw import backends
+from dandeliongw.borders import backends
+from dandeliongw.borders import web
 from dandeliongw.coordination import parts
 from dandeliongw import gates
 from dandeliongw import settings
-from dandeliongw import web
 from tests import network
 
 KEY = 'the-key-of-backend-servers'
--- a/tests/test_body.py
+++ b/tests/test_body.py
@@ -5,8 +5,8 @@
 
 from nose2.tools import params
 
-from dandeliongw import _body
-from dandeliongw import calls
+from dandeliongw.borders import _body
+from dandeliongw.borders import calls
 from dandeliongw import verdict
 
 MOST = 100
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -9,17 +9,17 @@
 
 from nose2.tools import params
 
-from dandeliongw import answers
-from dandeliongw import callers
-from dandeliongw import calls
+from dandeliongw.borders import answers
+from dandeliongw.borders import callers
+from dandeliongw.borders import calls
+from dandeliongw.borders import web
 from dandeliongw import effects
+from dandeliongw.entry import outcome
+from dandeliongw.entry import relay
 from dandeliongw import events
 from dandeliongw import metrics
-from dandeliongw import outcome
-from dandeliongw import relay
 from dandeliongw import settings
 from dandeliongw import verdict
-from dandeliongw import web
 
 #: Generous: only a failing test waits so long.
 PATIENCE_S = 20
--- a/tests/test_cell_properties.py
+++ b/tests/test_cell_properties.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from dandeliongw import cells
-from dandeliongw import policy
+from dandeliongw.cell import cells
+from dandeliongw.cell import policy
 from tests import test_cells
 from tests import test_scheduler
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -4,10 +4,10 @@
 import typing
 import unittest
 
-from dandeliongw import cells
+from dandeliongw.cell import cells
+from dandeliongw.cell import policy
 from dandeliongw import codec
 from dandeliongw.coordination import parts
-from dandeliongw import policy
 from dandeliongw.protocol import cells_pb2
 from dandeliongw.verdict import RefusalReason
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -11,11 +11,11 @@
 from loguru import logger
 from nose2.tools import params
 
-from dandeliongw import control
+from dandeliongw.borders import control
+from dandeliongw.borders import drafts
+from dandeliongw.borders import sessions
 from dandeliongw import differences
 from dandeliongw import document
-from dandeliongw import drafts
-from dandeliongw import sessions
 from tests import operators_fake
 
 BRAZOS = json.loads(pathlib.Path('examples/brazos.document.json').read_bytes())
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from dandeliongw import forecast
+from dandeliongw.cell import forecast
 
 RATE = 10.0
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,17 +7,17 @@
 
 from nose2.tools import params
 
-from dandeliongw import calls
+from dandeliongw.borders import calls
+from dandeliongw.borders import gateway
+from dandeliongw.borders import web
 from dandeliongw import effects
 from dandeliongw import engine
+from dandeliongw.entry import relay
 from dandeliongw import events
-from dandeliongw import gateway
 from dandeliongw import hosts
 from dandeliongw import metrics
-from dandeliongw import relay
 from dandeliongw import settings
 from dandeliongw import verdict
-from dandeliongw import web
 from tests import test_callers
 
 NOT_RUN = verdict.Verdict.NOT_RUN
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -5,7 +5,7 @@
 
 from nose2.tools import params
 
-from dandeliongw import _headers
+from dandeliongw.borders import _headers
 
 
 def read(text):
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from dandeliongw import health
+from dandeliongw.cell import health
 
 
 class HealthTest(unittest.TestCase):
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -5,9 +5,9 @@
 
 from nose2.tools import params
 
+from dandeliongw.borders import web
 from dandeliongw import joining
 from dandeliongw import settings
-from dandeliongw import web
 
 OWN = '127.0.0.1:1'
 PATIENCE_S = 20
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from dandeliongw import scheduler
+from dandeliongw.cell import scheduler
 from tools import faults
 from tools import measure
 from tools import plots
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,14 +6,14 @@
 
 from nose2.tools import params
 
+from dandeliongw.cell import orders
 from dandeliongw.coordination import lease_messages
+from dandeliongw.entry import waste
 from dandeliongw import envelopes
 from dandeliongw import metrics
-from dandeliongw import orders
 from dandeliongw import peers
 from dandeliongw import server
 from dandeliongw import verdict
-from dandeliongw import waste
 from dandeliongw import wire
 from tests import network
 from tests import operators_fake
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -4,8 +4,8 @@
 
 from nose2.tools import params
 
+from dandeliongw.cell import orders
 from dandeliongw.coordination import parts
-from dandeliongw import orders
 from dandeliongw import verdict
 
 MODEL = orders.OrderKind.LOAD_MODEL
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from dandeliongw import policy
+from dandeliongw.cell import policy
 
 
 class HashBlocksTest(unittest.TestCase):
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -5,7 +5,7 @@
 
 from nose2.tools import params
 
-from dandeliongw import cells
+from dandeliongw.cell import cells
 from dandeliongw.coordination import claim_messages
 from dandeliongw.coordination import lease_messages
 from dandeliongw.coordination import parts
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,9 +8,9 @@
 
 from dandeliongw import effects
 from dandeliongw import engine
+from dandeliongw.entry import outcome
+from dandeliongw.entry import relay
 from dandeliongw import events
-from dandeliongw import outcome
-from dandeliongw import relay
 from dandeliongw import verdict
 from tests import entry_fake
 from tests import raw_server
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -4,15 +4,15 @@
 
 from nose2.tools import params
 
-from dandeliongw import admission
-from dandeliongw import cells
+from dandeliongw.cell import cells
 from dandeliongw.coordination import claim_messages as claims
 from dandeliongw import effects
+from dandeliongw.entry import admission
+from dandeliongw.entry import requests
+from dandeliongw.entry import reservations
+from dandeliongw.entry import waste
 from dandeliongw import events
-from dandeliongw import requests
-from dandeliongw import reservations
 from dandeliongw import verdict
-from dandeliongw import waste
 from tests import entry_fake
 from tests.entry_fake import Entry
 from tests.entry_fake import NEXT_OWNER
--- a/tests/test_requests_machine.py
+++ b/tests/test_requests_machine.py
@@ -7,7 +7,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from dandeliongw import cells
+from dandeliongw.cell import cells
 from dandeliongw.coordination import claim_messages as claims
 from dandeliongw.coordination import parts
 from dandeliongw import effects
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from dandeliongw import retries
+from dandeliongw.entry import retries
 
 
 class RetryBudgetTest(unittest.TestCase):
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -3,10 +3,10 @@
 import threading
 import unittest
 
+from dandeliongw.cell import orders
 from dandeliongw.coordination import parts
 from dandeliongw import effects
 from dandeliongw import metrics
-from dandeliongw import orders
 from dandeliongw import runtime
 from dandeliongw import verdict
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -4,9 +4,9 @@
 
 from nose2.tools import params
 
-from dandeliongw import cells
-from dandeliongw import policy
-from dandeliongw import scheduler
+from dandeliongw.cell import cells
+from dandeliongw.cell import policy
+from dandeliongw.cell import scheduler
 from dandeliongw.verdict import RefusalReason
 from tests import test_cells
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,7 +5,7 @@
 
 from nose2.tools import params
 
-from dandeliongw import shares
+from dandeliongw.cell import shares
 
 
 class FairLevelTest(unittest.TestCase):
--- a/tests/test_spacing.py
+++ b/tests/test_spacing.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from dandeliongw import spacing
+from dandeliongw.entry import spacing
 
 
 def measured(*times):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,7 +8,7 @@
 
 from nose2.tools import params
 
-from dandeliongw import watch
+from dandeliongw.borders import watch
 
 PATIENCE_S = 20
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -5,8 +5,8 @@
 import unittest
 from unittest import mock
 
+from dandeliongw.borders import web
 from dandeliongw import settings
-from dandeliongw import web
 from tools import local
 
 PATIENCE_S = 60
--- a/tools/baselines.py
+++ b/tools/baselines.py
@@ -12,7 +12,7 @@
 import dataclasses
 import math
 
-from dandeliongw import policy
+from dandeliongw.cell import policy
 from dandeliongw.verdict import RefusalReason
 
 #: Prompts waiting at an engine from which a plain router calls it full.
--- a/tools/capacity_memory.py
+++ b/tools/capacity_memory.py
@@ -6,11 +6,11 @@
 import tracemalloc
 import typing
 
+from dandeliongw.cell import policy
 from dandeliongw.coordination import claim_messages
 from dandeliongw.coordination import claims
 from dandeliongw.coordination import presence
 from dandeliongw import document
-from dandeliongw import policy
 from dandeliongw import wire
 
 from tools import capacity_changes as changes
--- a/tools/capacity_model.py
+++ b/tools/capacity_model.py
@@ -3,7 +3,7 @@
 from collections import abc
 import dataclasses
 
-from dandeliongw import policy
+from dandeliongw.cell import policy
 
 from tools import capacity_fits as fits
 from tools import capacity_idle as idle
--- a/tools/capacity_network.py
+++ b/tools/capacity_network.py
@@ -16,7 +16,7 @@
 import time
 import typing
 
-from dandeliongw import cells
+from dandeliongw.cell import cells
 from dandeliongw.coordination import claim_messages
 from dandeliongw.coordination import lease_messages
 from dandeliongw.coordination import membership
--- a/tools/cost.py
+++ b/tools/cost.py
@@ -10,10 +10,10 @@
 
 import defopt
 
-from dandeliongw import cells
+from dandeliongw.cell import cells
+from dandeliongw.cell import policy
+from dandeliongw.cell import scheduler
 from dandeliongw.coordination import parts
-from dandeliongw import policy
-from dandeliongw import scheduler
 from tools import workloads
 
 
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from dandeliongw import policy
+from dandeliongw.cell import policy
 from tools import load
 
 #: When each fault begins and ends, in virtual seconds.
--- a/tools/load.py
+++ b/tools/load.py
@@ -13,10 +13,10 @@
 import random
 import typing
 
-from dandeliongw import cells
+from dandeliongw.cell import cells
+from dandeliongw.cell import policy
 from dandeliongw.coordination import parts
-from dandeliongw import policy
-from dandeliongw import retries
+from dandeliongw.entry import retries
 from dandeliongw.verdict import RefusalReason
 from dandeliongw.verdict import RetryReason
 from tools import engine_model
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -13,8 +13,8 @@
 
 import defopt
 
-from dandeliongw import policy
-from dandeliongw import scheduler
+from dandeliongw.cell import policy
+from dandeliongw.cell import scheduler
 from tools import baselines
 from tools import faults
 from tools import load
--- a/tools/standin_engine.py
+++ b/tools/standin_engine.py
@@ -18,7 +18,7 @@
 import defopt
 import urllib3
 
-from dandeliongw import policy
+from dandeliongw.cell import policy
 from tools import announcer
 from tools import engine_model
 from tools import json_server
--- a/tools/tally.py
+++ b/tools/tally.py
@@ -5,7 +5,7 @@
 
 from hdrh import histogram
 
-from dandeliongw import policy
+from dandeliongw.cell import policy
 from dandeliongw.verdict import RefusalReason
 from dandeliongw.verdict import RetryReason
 from tools import engine_model
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-from dandeliongw import policy
+from dandeliongw.cell import policy
 from tools import engine_model
 
 
