--- a/dandeliongw/borders/gateway.py
+++ b/dandeliongw/borders/gateway.py
@@ -61,6 +61,7 @@
     :param prompt_tokens: of a call for a model, else 0.
     :param max_tokens: longest answer, else 0.
     :param expected_tokens: the caller's guess of the answer's length, or 0.
+    :param pieces_held: of the stream, which the caller got before it broke.
     :param prefix: names of the prompt's leading parts, which calls share.
     :param headers: to be passed on.
     """
@@ -70,6 +71,7 @@
     prompt_tokens: int
     max_tokens: int
     expected_tokens: int
+    pieces_held: int
     prefix: tuple[str, ...]
     headers: Headers
 
@@ -182,6 +184,7 @@
             body=body,
             headers=_without_hop_headers(facts.headers),
             is_passed_on=True,
+            pieces_held=facts.pieces_held,
         )
         return call, work, facts
 
--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -34,6 +34,7 @@
     :param exclude: ids of backend servers that failed for this request.
     :param expected_tokens: the caller's guess of the answer's length; 0 for
         none.
+    :param unowned: an entry asks itself, as the owner is silent.
     """
 
     cell: str
@@ -48,6 +49,7 @@
     exclude: tuple[str, ...] = ()
     stage: Stage = Stage.PAIR
     expected_tokens: int = 0
+    unowned: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -12,6 +12,7 @@
 from . import orders
 from . import policy
 from . import scheduler
+from . import stand_in
 from . import takeover
 
 #: Loads from the weight store that an instance may save up.
@@ -58,6 +59,12 @@
         self._loads_told_by_id: dict[str, float] = {}
         self._takeovers_by_cell: dict[str, takeover.Takeover] = {}
         self.cells_by_id: dict[str, cells.Cell] = {}
+        self.stand_ins = stand_in.StandIns(
+            terms_of=lambda cell: self._terms(cell.split('/')[0]),
+            backends_of=self._backends_of,
+            entries=directory.count_entries,
+            make_policy=self.make_policy,
+        )
 
     def gain(
         self, now: float, cell: str, epoch: int, instance_ids: frozenset[str]
@@ -131,6 +138,8 @@
     def receive(self, event: parts.Received) -> list[typing.Any]:
         """Take a message for a cell, or say that it isn't owned here."""
         message = event.message
+        if self._is_for_stand_in(event):
+            return self.stand_ins.receive(event)
         cell = self._held_cell(event.now, message.cell)
         if cell is None:
             return self._not_owner(event)
@@ -143,6 +152,16 @@
             begun.note_reclaim(event.sender)
         return [*cell.handle(event), *self._end_takeovers(event.now)]
 
+    def _is_for_stand_in(self, event: parts.Received) -> bool:
+        """Whether it is about work that an entry here places by itself."""
+        message = event.message
+        if isinstance(message, cells.Book):
+            return message.unowned
+        if isinstance(message, (cells.Release, cells.PrefillDone)):
+            key = (message.request_id, message.attempt_id)
+            return self.stand_ins.holds(message.cell, key)
+        return False
+
     def _end_takeovers(self, now: float) -> list[typing.Any]:
         out = []
         for cell_id, begun in list(self._takeovers_by_cell.items()):
@@ -199,6 +218,7 @@
             *self._tell_loads(event.now),
             *self.handle_in_all(event),
             *self._end_takeovers(event.now),
+            *self.stand_ins.tick(event),
             *self._give_orders(event),
         ]
 
@@ -342,18 +362,26 @@
         cell = self.cells_by_id.get(cell_id)
         if cell is None:
             return []
-        slots_by_role = cell.view.terms.slots_by_role
-        backends = tuple(
+        backends = self._backends_of(now, cell_id)
+        out = cell.handle(cells.BackendsChanged(now=now, backends=backends))
+        self._tell_orders(now, cell_id)
+        return out
+
+    def _backends_of(
+        self, now: float, cell_id: str
+    ) -> tuple[policy.CellBackend, ...]:
+        """Return the backend servers of a cell that may get work."""
+        service = cell_id.split('/')[0]
+        terms = self._terms(service)
+        slots_by_role = {} if terms is None else terms.slots_by_role
+        return tuple(
             _cell_backend(each.announcement, slots_by_role)
-            for each in self._presence.usable(cell.service, now)
+            for each in self._presence.usable(service, now)
             if self._directory.cell_of_backend(
-                cell.service, each.announcement.data_centre
+                service, each.announcement.data_centre
             )
             == cell_id
         )
-        out = cell.handle(cells.BackendsChanged(now=now, backends=backends))
-        self._tell_orders(now, cell_id)
-        return out
 
     def _terms(self, service: str) -> policy.CellTerms | None:
         return terms_of(self._directory.document, service)
--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -26,6 +26,8 @@
         self.is_draining = False
         #: Set when the accepted document can't be read by this release.
         self.is_unreadable = False
+        self._own_id = settings.instance_id
+        self._places_alone = settings.silent_owner == 'place'
         self._own_region = settings.region
         self._regions_by_data_centre = settings.all_regions_by_data_centre
         self._serves_unconfirmed = settings.unconfirmed == 'serve'
@@ -124,6 +126,29 @@
         else:
             del self._holders_by_cell[cell]
 
+    @property
+    def own_id(self) -> str:
+        """This instance."""
+        return self._own_id
+
+    @property
+    def places_alone(self) -> bool:
+        """Whether work is placed here while a cell's owner is silent."""
+        return self._places_alone
+
+    def all_ids(self) -> tuple[str, ...]:
+        """Return every instance that counts as alive."""
+        return tuple(self._members.alive_ids())
+
+    def count_entries(self) -> int:
+        """Return how many instances place callers' work, at least one."""
+        entries = [
+            member
+            for _, member in self._alive_members()
+            if member.info.callers_address
+        ]
+        return max(1, len(entries))
+
     def _alive_members(self) -> list[tuple[str, membership.Member]]:
         by_id = self._members.members_by_id
         return [(each, by_id[each]) for each in self._members.alive_ids()]
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -28,6 +28,16 @@
 
     def cell_of(self, service: str, request_id: str) -> str: ...
 
+    @property
+    def own_id(self) -> str:
+        """This instance."""
+        ...
+
+    @property
+    def places_alone(self) -> bool:
+        """Whether it places by itself while a cell's owner is silent."""
+        ...
+
     def owners_of(self, cell: str) -> tuple[str, ...]:
         """Return instance ids to ask, the likeliest owner first."""
         ...
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -37,6 +37,7 @@
 
     :param is_passed_on: the answer goes back as it comes, and engines number
         the pieces of a resumed stream on from where it broke.
+    :param pieces_held: of the stream, which the caller has already.
     """
 
     prompt: str = ''
@@ -46,6 +47,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     most_bytes: int = 8 << 20
     is_passed_on: bool = False
+    pieces_held: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,7 +66,14 @@
 class Backends(typing.Protocol):
     """Makes the adapters that a relay talks through."""
 
-    def model_engine(self, url: str, backend_id: str) -> engine.Engine: ...
+    def model_engine(
+        self, url: str, backend_id: str, pieces_held: int
+    ) -> engine.Engine:
+        """Return what sends the call to an engine.
+
+        :param pieces_held: of the stream, which the caller has already.
+        """
+        ...
 
     def plain_service(
         self, url: str, backend_id: str, timeout_s: float
@@ -105,7 +114,7 @@
         ] = queue.SimpleQueue()
         self._stops = _Stops()
         self._text: list[str] = []
-        self._offset = 0
+        self._offset = work.pieces_held
         # Where the present engine's count of tokens begins.
         self._base = 0
         self._late_pieces = 0
@@ -236,7 +245,7 @@
         self, directive: effects.RunPrefill, left_s: float
     ) -> '_Done':
         adapter = self._backends.model_engine(
-            directive.url, directive.backend_id
+            directive.url, directive.backend_id, self._offset
         )
         with self._stops.watching(directive.attempt_id, adapter):
             # After a decode engine died mid-stream, the text that the
@@ -262,7 +271,7 @@
         self, directive: effects.RunDecode, left_s: float
     ) -> abc.Generator[engine.Piece, None, '_Done']:
         adapter = self._backends.model_engine(
-            directive.url, directive.backend_id
+            directive.url, directive.backend_id, self._offset
         )
         measure = spacing.Spacing()
         with self._stops.watching(directive.attempt_id, adapter):
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -49,6 +49,8 @@
         if not is_current:
             return self._drop_late(event)
         request.heard_at = event.now
+        if not request.is_unowned and not isinstance(message, cells.NotOwner):
+            self._reservations.note_owner_heard(request.cell)
         match message:
             case cells.Booked():
                 return self._start(event, request)
@@ -131,7 +133,11 @@
         if event.sender != request.owner:
             return []
         if request.phase is Phase.BOOKING:
-            return self._reservations.follow(event.now, request, holder)
+            followed = self._reservations.follow(event.now, request, holder)
+            if followed or not self._reservations.may_stand_in:
+                return followed
+            # Nobody owns the cell just now.
+            return self._reservations.stand_in(event.now, request)
         # For placed work, the next renewal goes to whoever is known then.
         # Telling the named instance at once would go round for ever when
         # two that don't own the cell name each other.
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -71,6 +71,8 @@
     serial: int = 0
     owner: str = ''
     asked_at: float = 0.0
+    #: Whether this entry asked itself, as the owner is silent.
+    is_unowned: bool = False
     asked: int = 0
     hops: int = 0
     heard_at: float = 0.0
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -339,19 +339,25 @@
             return self._endings.give_up(
                 now, request, refusals.no_owner(request)
             )
-        if now - request.asked_at < reservations.OWNER_ANSWER_S:
+        waited_s = now - request.asked_at
+        is_silent = waited_s >= reservations.OWNER_SILENT_S
+        if is_silent and self._reservations.may_stand_in:
+            return self._reservations.stand_in(now, request)
+        if waited_s < reservations.OWNER_ANSWER_S:
             return []
         asked = self._reservations.ask(now, request)
         return self._attempts.unless_ownerless(now, request, asked)
 
     def _tick_queued(self, now: float, request: Request) -> Effects:
-        """Ask again once a second, which also renews the place in the queue.
+        """Ask again now and then, which also renews the place in the queue.
 
         The owner says only once that a slot is free. With that lost, the
         owner would hold the slot, and the request wait, until its deadline.
         """
-        if now - request.heard_at >= reservations.OWNER_SILENT_S:
+        if now - request.heard_at >= reservations.QUEUE_SILENT_S:
+            if self._reservations.may_stand_in:
+                return self._reservations.stand_in(now, request)
             return self._attempts.search(now, request)
-        if now - request.asked_at < cells.PROGRESS_EVERY_S:
+        if now - request.asked_at < reservations.QUEUE_ASK_S:
             return []
         return self._reservations.ask_again(now, request)
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -15,13 +15,21 @@
 
 #: An owner that hasn't answered a booking for so long is asked again.
 OWNER_ANSWER_S = 0.25
+#: One that hasn't answered for so long is silent: the entry places by
+#: itself. An answer takes some 5 ms; this is many times that on a busy
+#: machine, and a small part of any target.
+OWNER_SILENT_S = 0.15
+#: While an entry places by itself, one request so often tries the owner.
+PROBE_S = 0.5
+#: A queued request asks its owner so often whether it is there still.
+QUEUE_ASK_S = 0.3
 #: Longest search for an owner; then the caller is told at once.
 OWNER_SEARCH_S = 1.5
 #: The same for a request that an owner had taken: its successor needs a
 #: lease first, and what has been computed would be lost.
 OWNER_LOST_S = 5.0
-#: A queued request hears from its owner about once a second.
-OWNER_SILENT_S = 2.5
+#: A queued request whose owner said nothing for so long looks for another.
+QUEUE_SILENT_S = 0.75
 #: Hints of instances that aren't the owner, followed in one search. Two
 #: that point at each other would keep a request going round without end.
 MOST_HOPS = 3
@@ -37,6 +45,8 @@
     def __init__(self, *, directory: admission.Directory) -> None:
         self._directory = directory
         self._progress_at = 0.0
+        #: When to try the owner next, by cell that this entry stands in for.
+        self._probe_at_by_cell: dict[str, float] = {}
 
     # Asking
 
@@ -55,13 +65,47 @@
     def ask(
         self, now: float, request: request_module.Request
     ) -> Effects | None:
-        """Ask the next owner; ``None`` if there is none."""
+        """Ask the next owner; ``None`` if there is none.
+
+        While it is silent this entry asks itself.
+        """
+        if self._stands_in(now, request.cell):
+            own_id = self._directory.own_id
+            return self._ask(now, request, own_id, unowned=True)
         owners = self._directory.owners_of(request.cell)
         if not owners:
             return None
         turn = request.asked // ASKS_PER_OWNER
         return self._ask(now, request, owners[turn % len(owners)])
 
+    @property
+    def may_stand_in(self) -> bool:
+        """Whether this entry may place work without its owner."""
+        return self._directory.places_alone
+
+    def stand_in(self, now: float, request: request_module.Request) -> Effects:
+        """Ask this instance itself, for this request and those that follow."""
+        self._probe_at_by_cell[request.cell] = now + PROBE_S
+        return self._ask(now, request, self._directory.own_id, unowned=True)
+
+    def note_owner_heard(self, cell: str) -> None:
+        """An owner answers: it places the work again."""
+        self._probe_at_by_cell.pop(cell, None)
+
+    def _stands_in(self, now: float, cell: str) -> bool:
+        """Whether to ask this instance itself, without asking the owner.
+
+        One request in a while tries the owner, and waits for it in vain if
+        it is silent still; the others don't.
+        """
+        probe_at = self._probe_at_by_cell.get(cell)
+        if probe_at is None:
+            return False
+        if now < probe_at:
+            return True
+        self._probe_at_by_cell[cell] = now + PROBE_S
+        return False
+
     def follow(
         self, now: float, request: request_module.Request, holder: str
     ) -> Effects:
@@ -75,11 +119,18 @@
         return self._ask(now, request, holder)
 
     def _ask(
-        self, now: float, request: request_module.Request, holder: str
+        self,
+        now: float,
+        request: request_module.Request,
+        holder: str,
+        *,
+        unowned: bool = False,
     ) -> Effects:
         out: Effects = []
         if request.stage is not policy.Stage.DECODE and (
-            not request.serial or holder != request.owner
+            not request.serial
+            or holder != request.owner
+            or unowned != request.is_unowned
         ):
             # An attempt id for each owner that is asked. With one for all,
             # an owner that answers late, when its successor has booked too,
@@ -87,6 +138,7 @@
             out = self.release(request, cells.Outcome.CANCELLED)
             request.serial += 1
         request.owner = holder
+        request.is_unowned = unowned
         request.asked_at = now
         request.asked += 1
         request.is_held = True
@@ -107,6 +159,7 @@
             exclude=request.exclude,
             stage=request.stage,
             expected_tokens=call.expected_tokens,
+            unowned=request.is_unowned,
         )
         return parts.Send(to=request.owner, message=book)
 
@@ -149,7 +202,12 @@
             backend_fault=fault,
             token_gap_s=token_gap_s,
         )
-        return [parts.Send(to=request.owner, message=release)]
+        out: Effects = [parts.Send(to=request.owner, message=release)]
+        if request.is_unowned and request.owner != self._directory.own_id:
+            # An owner has taken it over; this instance's own share of the
+            # backend servers counts it as well.
+            out.append(parts.Send(to=self._directory.own_id, message=release))
+        return out
 
     def cancels(
         self, request: request_module.Request
--- a/dandeliongw/fronts.py
+++ b/dandeliongw/fronts.py
@@ -8,6 +8,10 @@
 
 #: The owner of a backend server's cell, and the deputy next to it.
 DISPATCHERS = 2
+#: Up to so many instances all of them hear of every backend server, so that
+#: each can place by itself when an owner is silent: 30 bytes a second and
+#: backend server each.
+MOST_TO_TELL_ALL = 20
 
 
 class Fronts:
@@ -42,8 +46,7 @@
         cell = self._directory.cell_of_backend(
             announcement.service, announcement.data_centre
         )
-        owners = self._directory.owners_of(cell) if cell else ()
-        dispatchers = owners[:DISPATCHERS]
+        dispatchers = self._dispatchers_of(cell) if cell else ()
         if self._dispatchers_by_id.get(backend_id) == dispatchers:
             return []
         self._dispatchers_by_id[backend_id] = dispatchers
@@ -51,3 +54,9 @@
             now=now, backend_id=backend_id, to=dispatchers
         )
         return [effects.Dispatch(event=forward)]
+
+    def _dispatchers_of(self, cell: str) -> tuple[str, ...]:
+        everyone = self._directory.all_ids()
+        if len(everyone) <= MOST_TO_TELL_ALL:
+            return everyone
+        return self._directory.owners_of(cell)[:DISPATCHERS]
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -42,7 +42,9 @@
     def __init__(self, *, timeouts: settings_module.Timeouts) -> None:
         self._timeouts = timeouts
 
-    def model_engine(self, url: str, backend_id: str) -> engine.HttpEngine:
+    def model_engine(
+        self, url: str, backend_id: str, pieces_held: int
+    ) -> engine.HttpEngine:
         return self.engine_at(url)
 
     def engine_at(self, url: str) -> engine.HttpEngine:
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -23,6 +23,9 @@
 
 #: ``serve``: go on with the last document that was confirmed.
 Unconfirmed = typing.Literal['refuse', 'serve']
+#: ``place``: place its own work within its share of the backend servers,
+#: which have to refuse honestly what they have no room for.
+SilentOwner = typing.Literal['wait', 'place']
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
 LogLevel = typing.Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
 
@@ -185,6 +188,8 @@
     """Every data centre, where instances are found by seeds."""
     takes_callers: bool = True
     """Whether callers are told of this instance."""
+    silent_owner: SilentOwner = 'wait'
+    """What an entry does while the owner of a cell doesn't answer."""
     unconfirmed: Unconfirmed = 'refuse'
     """What happens to calls while no majority confirms the document."""
     peer_secret: str | None = pydantic.Field(
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -44,6 +44,8 @@
         self.is_draining = False
         self.fresh = True
         self.owners = (OWNER, NEXT_OWNER)
+        self.own_id = 'gw-0'
+        self.places_alone = False
 
     def is_fresh(self, now):
         return self.fresh
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -39,6 +39,7 @@
             prompt_tokens=0,
             max_tokens=0,
             expected_tokens=0,
+            pieces_held=0,
             prefix=(),
             headers=tuple(each for each in headers if each[0] != 'X-Secret'),
         )
@@ -117,7 +118,7 @@
     def close_relay(self, request_id):
         pass
 
-    def model_engine(self, url, backend_id):
+    def model_engine(self, url, backend_id, pieces_held):
         return self._engine
 
     def plain_service(self, url, backend_id, timeout_s):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -26,7 +26,7 @@
 
 
 class Adapters:
-    def model_engine(self, url, backend_id):
+    def model_engine(self, url, backend_id, pieces_held):
         return engine.HttpEngine(
             url=url, connect_s=20.0, first_byte_s=20.0, stall_s=20.0
         )
@@ -266,11 +266,11 @@
             carried = Carried()
 
             class Late(Adapters):
-                def model_engine(self, url, backend_id):
+                def model_engine(self, url, backend_id, pieces_held):
                     carried.relay.give(
                         effects.Abort(request_id='r', attempt_id='r.1')
                     )
-                    return super().model_engine(url, backend_id)
+                    return super().model_engine(url, backend_id, pieces_held)
 
             carried.relay._backends = Late()
             with carried:
@@ -363,7 +363,7 @@
         self.now = 0.0
         self.arrivals = arrivals
 
-    def model_engine(self, url, backend_id):
+    def model_engine(self, url, backend_id, pieces_held):
         return self
 
     def import_kv(self, **_):
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -581,7 +581,7 @@
         _queue(entry, request_id)
         old = entry.ids_of(request_id)['attempt_id']
         entry.directory.owners = (NEXT_OWNER,)
-        entry.tick(reservations.OWNER_SILENT_S)
+        entry.tick(reservations.QUEUE_SILENT_S)
         ((to, book),) = entry.sent(cells.Book)
         self.assertEqual(to, NEXT_OWNER)
         self.assertNotEqual(book.attempt_id, old)
