--- a/dandeliongw/adapter.py
+++ b/dandeliongw/adapter.py
@@ -78,7 +78,7 @@
         """Return what sends one call to backend servers."""
         ...
 
-    def engine_at(self, url: str) -> engine.Engine:
+    def engine_at(self, url: str, backend_id: str) -> engine.Engine:
         """Return what sends cancels and orders to an engine."""
         ...
 
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -47,6 +47,7 @@
 from .policy import Role
 from .policy import Stage
 from .policy import Wait
+from .roles import RoleBalance
 
 __all__ = [
     'BackendsChanged',
@@ -134,6 +135,7 @@
         self.epoch = epoch
         self.policy = policy
         self.view = CellView(terms=document_part)
+        self.roles = RoleBalance()
         self.bookings_by_key: dict[tuple[str, str], Booking] = {}
         self.cancels_by_key: dict[tuple[str, str, str], PendingCancel] = {}
         #: Left, or cut off, with work of ours that may still run there.
@@ -232,7 +234,18 @@
             self._remember(known)
         return effects
 
+    def review_roles(self, now: float) -> bool:
+        """Move an engine between the pools; return whether that changed."""
+        if self._began_at is None or self._is_reclaiming(now):
+            return False
+        changed = self.roles.review(now, self.view)
+        switch = self.roles.switch
+        self.view.switching_id = switch.backend_id if switch else ''
+        return changed
+
     def _decide(self, now: float, booking: Booking) -> list:
+        if booking.stage is Stage.PAIR:
+            self.roles.note(self.view, booking)
         decision = self.policy.decide(now=now, view=self.view, booking=booking)
         return self._apply(now, booking, decision)
 
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -11,10 +11,13 @@
 from ..coordination import presence
 from . import orders
 from . import policy
+from . import roles
 from . import scheduler
 from . import stand_in
 from . import takeover
 
+#: Seconds between two looks at the pools' sizes.
+ROLES_EVERY_S = 0.5
 #: Loads from the weight store that an instance may save up.
 STORE_BURST = 2.0
 #: Every message that goes to the owner of ``message.cell``.
@@ -43,6 +46,7 @@
         store_loads_per_s: float = 1.0,
         longest_order_s: float = 5.0,
         lease_wait_s: float = 2.25,
+        moves_engines: bool = False,
     ) -> None:
         self._directory = directory
         self._leases = leases
@@ -51,6 +55,8 @@
             loads_per_s=store_loads_per_s, burst=STORE_BURST
         )
         self._longest_order_s = longest_order_s
+        self._moves_engines = moves_engines
+        self._roles_at = 0.0
         self._lease_wait_s = lease_wait_s
         self._orders_by_cell: dict[str, orders.Orders] = {}
         self.order_counts = orders.OrderCounts()
@@ -219,6 +225,7 @@
             *self.handle_in_all(event),
             *self._end_takeovers(event.now),
             *self.stand_ins.tick(event),
+            *self._review_roles(event.now),
             *self._give_orders(event),
         ]
 
@@ -257,6 +264,28 @@
             held.handle(event)
         return []
 
+    def _review_roles(self, now: float) -> list[typing.Any]:
+        """Move engines between the pools of cells where that gains much."""
+        if now < self._roles_at or not self._moves_engines:
+            return []
+        self._roles_at = now + ROLES_EVERY_S
+        out: list[typing.Any] = []
+        for cell_id, cell in self.cells_by_id.items():
+            if not cell.review_roles(now):
+                continue
+            self._tell_orders(now, cell_id)
+            switch = cell.roles.switch
+            if switch is not None:
+                out.append(
+                    effects.log(
+                        'an engine is moved to another pool',
+                        cell=cell_id,
+                        backend_id=switch.backend_id,
+                        role=switch.role.value,
+                    )
+                )
+        return out
+
     def _give_orders(self, event: parts.Ticked) -> list[typing.Any]:
         out = []
         for cell_id, held in self._orders_by_cell.items():
@@ -282,6 +311,7 @@
         values_by_role = wanted_of(
             self._directory.document, self.cells_by_id[cell_id].service
         )
+        switch = self.cells_by_id[cell_id].roles.switch
         present = self.cells_by_id[cell_id].view.backends_by_id
         for backend_id, state in present.items():
             said = self._presence.backends_by_id[backend_id].announcement
@@ -298,7 +328,10 @@
                 now=now,
                 revision=self._next_order_revision(),
                 values_by_backend={
-                    backend_id: values_by_role.get(state.backend.role, {})
+                    backend_id: {
+                        **values_by_role.get(state.backend.role, {}),
+                        **_role_order(switch, backend_id),
+                    }
                     for backend_id, state in present.items()
                 },
             )
@@ -387,6 +420,14 @@
         return terms_of(self._directory.document, service)
 
 
+def _role_order(
+    switch: roles.Switch | None, backend_id: str
+) -> dict[orders.OrderKind, str]:
+    if switch is None or switch.backend_id != backend_id:
+        return {}
+    return {orders.OrderKind.CHANGE_ROLE: switch.role.value}
+
+
 def _waiting(cell: cells.Cell) -> int:
     return sum(
         booking.start_at is None for booking in cell.bookings_by_key.values()
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -59,6 +59,8 @@
     #: Passed on unchanged: reading the prompt alone runs nothing, and every
     #: send to a decode engine is a run of its own.
     is_passed_on: bool = False
+    #: Seconds without a piece after which its caller leaves, if that is known.
+    patience_s: float | None = None
 
 
 class Admission:
@@ -143,6 +145,7 @@
             timeout_s=found.timeout_s,
             max_runs=found.max_runs,
             is_passed_on=True,
+            patience_s=found.patience_s if streamed else None,
         )
 
     def _is_full(self, streamed: bool) -> bool:
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -89,6 +89,8 @@
     prefilled_tokens: int = 0
     #: Attempts that a backend server may have run.
     runs: int = 0
+    #: When the caller got a piece last, or came.
+    served_at: float = 0.0
     resumes_from: int = -1
     caller_gone: bool = False
     is_ended: bool = False
@@ -146,6 +148,16 @@
         """Return the seconds until the deadline, never less than none."""
         return max(0.0, self.deadline_at - now)
 
+    def patient_s(self, now: float) -> float:
+        """Return the seconds until the next piece has to come.
+
+        Work that is placed later is done for a caller who has left.
+        """
+        if self.admitted.patience_s is None:
+            return self.left_s(now)
+        until = self.served_at + self.admitted.patience_s
+        return max(0.0, min(self.deadline_at, until) - now)
+
     def known_when_stopped(self) -> verdict.Verdict:
         """Return what is proved if it is broken off just now."""
         if self.phase is Phase.RECORDING:
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -135,6 +135,7 @@
             deadline_at=event.now + limit_s,
             phase=Phase.BOOKING,
             phase_at=event.now,
+            served_at=event.now,
             stage=policy.Stage.PAIR
             if admitted.streamed
             else policy.Stage.PLAIN,
@@ -256,6 +257,7 @@
             # Part of it ran; only a whole answer is told as having run.
             request.known = _MAY_HAVE_RUN
             request.runs += 1
+            request.served_at = event.now
         if event.failure is not None:
             return [*out, *self._recovery.after(event, request)]
         if event.step is events.Step.PREFILL:
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -45,9 +45,9 @@
     def model_engine(
         self, url: str, backend_id: str, pieces_held: int
     ) -> engine.HttpEngine:
-        return self.engine_at(url)
+        return self.engine_at(url, backend_id)
 
-    def engine_at(self, url: str) -> engine.HttpEngine:
+    def engine_at(self, url: str, backend_id: str) -> engine.HttpEngine:
         """Return the adapter that sends cancels and orders."""
         return engine.HttpEngine(
             url=url,
--- a/dandeliongw/hosts.py
+++ b/dandeliongw/hosts.py
@@ -56,6 +56,8 @@
     """The time to the answer, or its first piece, that is aimed at."""
     priority: models.Name
     """One of the document's priorities."""
+    patience_s: models.Positive | None = None
+    """Callers leave a stream on which nothing came for so long."""
 
     @functools.cached_property
     def total_weight(self) -> int:
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -111,6 +111,7 @@
             backends=self.presence,
             store_loads_per_s=settings.limits.store_loads_per_s,
             longest_order_s=settings.timeouts.longest_order_s,
+            moves_engines=settings.moves_engines,
             lease_wait_s=settings.timeouts.lease_s
             + settings.timeouts.lease_margin_s,
         )
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -78,7 +78,8 @@
 class Runtime:
     """The control thread and what works for it.
 
-    :param engine_for: makes the adapter that cancels streams at a URL.
+    :param engine_for: makes the adapter that sends cancels and orders to a
+        backend server, by its URL and id.
     :param may_send: whether an order may leave at this moment.
     :param journal: ``None`` on an instance without a data folder.
     """
@@ -88,7 +89,7 @@
         *,
         reducer: Reducer,
         metrics: metrics_module.Metrics,
-        engine_for: abc.Callable[[str], engine.Engine],
+        engine_for: abc.Callable[[str, str], engine.Engine],
         journal: Journal | None,
         may_send: abc.Callable[[effects.GiveOrder, float], bool],
     ) -> None:
@@ -275,7 +276,7 @@
 
     def _cancel_now(self, effect: cells.CancelStream) -> None:
         try:
-            self._engine_for(effect.url).cancel(
+            self._engine_for(effect.url, effect.backend_id).cancel(
                 stream_id=effect.stream_id, attempt_id=effect.attempt_id
             )
         except engine.EngineError as error:
@@ -298,7 +299,8 @@
     def _list_now(self, effect: cells.ListStreams) -> None:
         asked_at = clock.now()
         try:
-            streams = self._engine_for(effect.url).streams()
+            adapter = self._engine_for(effect.url, effect.backend_id)
+            streams = adapter.streams()
         except engine.EngineError as error:
             logger.warning(
                 f'an engine did not list its streams: {error}',
@@ -331,7 +333,7 @@
             self._tell_order(order, verdict.Verdict.NOT_RUN)
             return
         try:
-            self._engine_for(effect.url).order(
+            self._engine_for(effect.url, order.backend_id).order(
                 order_id=order.order_id,
                 order=order.kind.value,
                 value=order.value,
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -188,6 +188,8 @@
     """Every data centre, where instances are found by seeds."""
     takes_callers: bool = True
     """Whether callers are told of this instance."""
+    moves_engines: bool = False
+    """Whether owners order engines from one pool into the other."""
     silent_owner: SilentOwner = 'wait'
     """What an entry does while the owner of a cell doesn't answer."""
     unconfirmed: Unconfirmed = 'refuse'
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -79,7 +79,7 @@
         self.runtime = runtime.Runtime(
             reducer=self.reducer,
             metrics=metrics.Metrics(),
-            engine_for=lambda url: self.engine,
+            engine_for=lambda url, backend_id: self.engine,
             journal=self.journal,
             may_send=lambda wanted, now: self.may_send,
         )
