Presence tells another role under the same id

Cause: an engine that took a new role on stayed in its old pool, as only coming and going was told to its cell; the order was given again and again.

--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -104,7 +104,12 @@
         if held is not None and held.present and _is_other(held, announcement):
             effects.append(self._changed(held, present=False))
         backend = self._put(now, announcement, age_s, held)
-        return effects + replaced + self._refresh(now, backend)
+        refreshed = self._refresh(now, backend)
+        if not refreshed and backend.present and _is_altered(held, backend):
+            # It goes on under its id in another role, or with other slots.
+            # Without news of that its cell would send it the wrong work.
+            refreshed = [self._changed(backend, present=True)]
+        return effects + replaced + refreshed
 
     def renew(
         self, now: float, renewal: BackendRenewal
@@ -261,6 +266,13 @@
     return held.announcement.incarnation != announcement.incarnation
 
 
+def _is_altered(held: Backend | None, backend: Backend) -> bool:
+    if held is None:
+        return False
+    before, after = held.announcement, backend.announcement
+    return dataclasses.replace(after, sequence=before.sequence) != before
+
+
 def _hints(backend: Backend, batch: CacheEvents) -> list[CacheHints]:
     """Return the new events; a gap makes old hints stale, it is no error."""
     expected = backend.next_cache_event
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -1,5 +1,6 @@
 """Which backend servers may get work: leaves, leases, old announcements."""
 
+import dataclasses
 import itertools
 import typing
 import unittest
@@ -413,6 +414,48 @@
         self.assertEqual(expected, lan.outcomes)
 
 
+class SameIdTest(unittest.TestCase):
+    """Backend servers that count no incarnations, one id for each start."""
+
+    def setUp(self):
+        self.part = presence.Presence(instance_id='gw-1')
+        self.now = 0.0
+
+    def hear(self, **changes):
+        """Take an announcement; return ids and presence that changed."""
+        said = dataclasses.replace(make_announcement(incarnation=0), **changes)
+        message = presence.Presented(announcement=said, age_s=0.0)
+        out = self.part.handle(
+            parts.Received(now=self.now, sender='gw-2', message=message)
+        )
+        return [(each.backend_id, each.present) for each in out]
+
+    def test_another_role_under_the_same_id_is_news(self):
+        """Symptom: an engine that was ordered to decode never gets work.
+
+        Sequence: it takes the new role on and says so in its heartbeat.
+        Cause: only coming and going would be told to its cell.
+        """
+        self.assertEqual(self.hear(), [('be-1', True)])
+        self.assertEqual(self.hear(sequence=2), [])
+        prefill = presence.BackendRole.PREFILL
+        changed = self.hear(sequence=3, role=prefill)
+        self.assertEqual(changed, [('be-1', True)])
+
+    def test_an_address_belongs_to_the_id_that_came_last(self):
+        """Symptom: a service's calls reach another service's backend server.
+
+        Sequence: one dies, another starts at its address; an announcement
+        of the first one arrives late.
+        Cause: without incarnations the last message would win.
+        """
+        self.hear(backend_id='be-2')
+        self.assertEqual(
+            self.hear(backend_id='be-1'), [('be-2', False), ('be-1', True)]
+        )
+        self.assertEqual(self.hear(backend_id='be-2', sequence=9), [])
+
+
 class CacheHintTest(unittest.TestCase):
     """Symptom: requests follow a prefix that was evicted long ago.
 
