--- /dev/null
+++ b/tests/test_platform_control.py
@@ -0,0 +1,222 @@
+"""Heartbeats, configurations, the directory and readiness, over HTTP."""
+
+import contextlib
+import json
+import unittest
+
+from nose2.tools import params
+import urllib3
+
+from dandeliongw.borders import backends
+from dandeliongw.borders import control as operators_control
+from dandeliongw.borders import web
+from dandeliongw.coordination import membership
+from dandeliongw import document
+from dandeliongw import settings
+from tests import on_platform
+
+from adapter import control
+from adapter import ports
+
+PATIENCE_S = 20.0
+
+
+class Desk:
+    def __init__(self):
+        self.said = []
+
+    def announce(self, announcement):
+        self.said.append(announcement)
+        return backends.PresenceAnswer.ACCEPTED
+
+    def leave(self, leaving):
+        self.said.append(leaving)
+
+
+class Operators:
+    """Holds one document, as the register would."""
+
+    def __init__(self):
+        self.order = 0
+        self.document = document.document_bytes(document.EMPTY)
+        self.is_available = True
+
+    def current(self):
+        if not self.is_available:
+            return operators_control.Unavailable(message='no majority')
+        return operators_control.Configuration(
+            revision=1, document=self.document, author=''
+        )
+
+    def propose_ordered(self, *, order, author, document):
+        if not self.is_available:
+            return operators_control.Unavailable(message='no majority')
+        if order <= self.order:
+            return operators_control.Overtaken(order=self.order)
+        self.order, self.document = order, document
+        return operators_control.Applied(revision=1, repeated=False)
+
+
+class State:
+    def __init__(self):
+        self.is_ready = True
+        self.found = []
+
+    def entries(self):
+        return self.found
+
+
+@contextlib.contextmanager
+def serving(application):
+    listen = settings.Listen(host='127.0.0.1', port=0, threads=2)
+    with web.bound(listen, 'control', 1.0) as port:
+        port.serve(application)
+        yield f'http://127.0.0.1:{port.number}'
+
+
+def ask(application, method, path, body=None):
+    """Return status and body of one call."""
+    encoded = body
+    if body is not None and not isinstance(body, bytes):
+        encoded = json.dumps(body).encode()
+    with serving(application) as url, urllib3.PoolManager() as http:
+        answer = http.request(
+            method,
+            url + path,
+            body=encoded,
+            headers={'Content-Type': 'application/json'},
+            retries=False,
+            timeout=PATIENCE_S,
+        )
+        return answer.status, answer.data
+
+
+def inner(environ, start_response):
+    start_response('200 OK', [('Content-Length', '5')])
+    return [b'inner']
+
+
+class ControlTest(unittest.TestCase):
+    def setUp(self):
+        self.desk = Desk()
+        self.operators = Operators()
+        self.application = control.make_application(
+            inner=inner, desk=self.desk, operators=self.operators
+        )
+
+    def ask(self, method, path, body=None):
+        return ask(self.application, method, path, body)
+
+    def test_a_heartbeat_announces_a_backend_server(self):
+        status, _ = self.ask('PUT', '/instances/i-1', on_platform.BEAT)
+        self.assertEqual(status, 200)
+        (said,) = self.desk.said
+        self.assertEqual(
+            (said.backend_id, said.role, said.url, said.sequence),
+            ('i-1', 'decode', 'http://10.128.0.9:8080', 4),
+        )
+
+    def test_a_service_without_engines_says_no_stage(self):
+        beat = on_platform.changed(on_platform.BEAT, ['stage'], None)
+        self.ask('PUT', '/instances/i-1', beat)
+        self.assertEqual(self.desk.said[0].role, 'plain')
+
+    @params(
+        ('PUT', on_platform.changed(on_platform.BEAT, ['state'], 'draining')),
+        ('DELETE', None),
+    )
+    def test_a_leave_is_final_for_its_id(self, method, body):
+        """Symptom: a backend server that left gets work again.
+
+        Sequence: it leaves; a heartbeat from before arrives seconds later.
+        Cause: the heartbeat's number would be above that of the leave.
+        """
+        status, _ = self.ask(method, '/instances/i-1', body)
+        self.assertEqual(status, 200)
+        (said,) = self.desk.said
+        self.assertIsInstance(said, backends.Leaving)
+        self.assertGreater(said.sequence, 10**12)
+
+    @params(['address'], ['service'], ['sequence'], ['slots'], ['state'])
+    def test_a_heartbeat_that_lacks_a_field_is_refused(self, path):
+        beat = on_platform.changed(on_platform.BEAT, path, None)
+        status, body = self.ask('PUT', '/instances/i-1', beat)
+        self.assertEqual(status, 400)
+        self.assertIn(path[0], body.decode())
+        self.assertEqual(self.desk.said, [])
+
+    def test_a_configuration_is_read_back_as_it_was_sent(self):
+        sent = json.dumps(on_platform.CONFIGURATION, indent=3).encode()
+        self.assertEqual(self.ask('PUT', '/config', sent)[0], 200)
+        self.assertEqual(self.ask('GET', '/config'), (200, sent))
+
+    def test_one_that_is_overtaken_is_acknowledged_without_effect(self):
+        self.ask('PUT', '/config', on_platform.CONFIGURATION)
+        older = {**on_platform.CONFIGURATION, 'version': 6, 'routes': []}
+        same = {**on_platform.CONFIGURATION, 'routes': []}
+        for message in (older, same):
+            self.assertEqual(self.ask('PUT', '/config', message)[0], 200)
+        _, body = self.ask('GET', '/config')
+        self.assertEqual(json.loads(body), on_platform.CONFIGURATION)
+
+    def test_a_bad_one_is_refused_and_not_stored(self):
+        bad = on_platform.changed(
+            on_platform.CONFIGURATION, ['routes', 0, 'timeoutMs'], 0
+        )
+        status, body = self.ask('PUT', '/config', bad)
+        self.assertEqual(status, 400)
+        self.assertIn('timeoutMs', body.decode())
+        self.assertEqual(self.operators.order, 0)
+
+    @params(('PUT', on_platform.CONFIGURATION), ('GET', None))
+    def test_without_a_majority_nothing_is_said_of_it(self, method, body):
+        self.operators.is_available = False
+        self.assertEqual(self.ask(method, '/config', body)[0], 503)
+
+    def test_before_the_first_one_there_is_none_to_read(self):
+        self.assertEqual(self.ask('GET', '/config')[0], 503)
+
+    def test_the_products_own_calls_go_on(self):
+        self.assertEqual(self.ask('GET', '/v1/members'), (200, b'inner'))
+
+
+def make_entry(name, region):
+    return membership.Entry(
+        instance_id=name,
+        callers_address=f'http://{name}:8149',
+        data_centre=region,
+        region=region,
+    )
+
+
+class PortsTest(unittest.TestCase):
+    def setUp(self):
+        self.state = State()
+
+    def resolve(self, region='here'):
+        application = ports.make_directory(self.state, 2.0)
+        path = f'/resolve?name=a.example&region={region}&zone=z'
+        status, body = ask(application, 'GET', path)
+        return status, json.loads(body)
+
+    def test_callers_are_told_the_entries_of_their_region(self):
+        self.state.found = [
+            make_entry('one', 'here'),
+            make_entry('two', 'there'),
+        ]
+        self.assertEqual(
+            self.resolve(), (200, {'addresses': ['one:8149'], 'ttlS': 2.0})
+        )
+
+    def test_others_are_better_than_none(self):
+        self.state.found = [make_entry('two', 'there')]
+        self.assertEqual(self.resolve()[1]['addresses'], ['two:8149'])
+
+    def test_an_empty_list_is_no_answer(self):
+        self.assertEqual(self.resolve()[0], 503)
+
+    @params((True, 200), (False, 503))
+    def test_readiness(self, is_ready, status):
+        self.state.is_ready = is_ready
+        application = ports.make_readiness(self.state)
+        self.assertEqual(ask(application, 'GET', '/readiness')[0], status)
--- /dev/null
+++ b/tests/test_platform_machine.py
@@ -0,0 +1,100 @@
+"""The platform's settings file becomes the product's settings."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw import exceptions
+from tests import on_platform
+
+from adapter import machine
+
+
+def load(message):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder, 'settings.json')
+        path.write_text(json.dumps(message))
+        return machine.load(path)
+
+
+def translate(**changes):
+    return machine.translate(load({**on_platform.MACHINE, **changes}))
+
+
+class TranslateTest(unittest.TestCase):
+    def test_an_entry(self):
+        made = translate()
+        self.assertTrue(made.takes_callers)
+        self.assertEqual(made.callers.show(), '10.1.0.38:8149')
+        self.assertEqual(made.peer.show(), '10.1.0.38:7380')
+        self.assertEqual(
+            [each.show() for each in made.seeds], on_platform.MACHINE['seeds']
+        )
+        self.assertEqual((made.data_centre, made.region), ('hall-a', 'here'))
+        self.assertEqual(made.unconfirmed, 'serve')
+        self.assertLess(made.timeouts.confirm_ttl_s, 2.0)
+        self.assertLess(
+            made.timeouts.entries_ttl_s + made.timeouts.shutdown_s, 8.0
+        )
+
+    def test_a_voter_keeps_its_name_and_takes_no_callers(self):
+        made = translate(
+            nodeName='core-a-1',
+            dataDir='/data/voter',
+            listen={'control': '10.1.0.40:8144', 'directory': '10.1.0.40:1'},
+        )
+        self.assertEqual(made.instance_id, 'core-a-1')
+        self.assertEqual(made.data_folder, '/data/voter')
+        self.assertEqual(made.control.show(), '10.1.0.40:8144')
+        self.assertFalse(made.takes_callers)
+
+    def test_two_starts_of_an_entry_are_two_instances(self):
+        """Symptom: an entry that restarts is ended, again and again.
+
+        Sequence: the time of day steps back; an entry restarts.
+        Cause: under its old name it would have the lower incarnation.
+        """
+        first, second = translate(), translate()
+        self.assertNotEqual(first.instance_id, second.instance_id)
+        self.assertTrue(first.instance_id.startswith('front-a-1-'))
+
+    @params(
+        *(
+            ([name], None, name)
+            for name in on_platform.MACHINE
+            if name != 'somethingNew'
+        ),
+        (['bounds', 'graceS'], None, 'bounds.graceS'),
+        (['bounds', 'graceS'], 0, 'bounds.graceS'),
+        (['heartbeatMs'], 'soon', 'heartbeatMs'),
+        (['limits', 'maxFds'], -1, 'limits.maxFds'),
+        (['zones'], ['hall-a'], 'zones'),
+    )
+    def test_a_field_that_is_missing_or_wrong_is_named(
+        self, path, value, named
+    ):
+        with self.assertRaises(exceptions.InvalidInput) as caught:
+            load(on_platform.changed(on_platform.MACHINE, path, value))
+        paths = [each.path for each in caught.exception.problems]
+        self.assertIn(named, paths)
+
+    @params(
+        (['seeds'], ['10.1.0.40'], 'seeds[0]'),
+        (['seeds'], ['10.1.0.40:x'], 'seeds[0]'),
+        (['listen', 'front'], 'front', 'listen'),
+    )
+    def test_an_address_that_is_none_is_named(self, path, value, named):
+        message = on_platform.changed(on_platform.MACHINE, path, value)
+        with self.assertRaises(exceptions.InvalidInput) as caught:
+            machine.translate(load(message))
+        (problem,) = caught.exception.problems
+        self.assertEqual(problem.path, named)
+
+    def test_a_file_that_is_not_there_is_told(self):
+        with self.assertRaises(exceptions.InvalidInput) as caught:
+            machine.load(pathlib.Path('/nowhere/settings.json'))
+        told = caught.exception.format_message()
+        self.assertIn('/nowhere/settings.json', told)
--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,68 @@
+"""The platform's names stand in its adapter and nowhere else."""
+
+import pathlib
+import re
+import unittest
+
+from tests import on_platform
+
+from adapter import headers
+from adapter import wire
+
+#: Of the platform and of many others: these are no one's in particular.
+COMMON = {'X-Request-Id', 'Last-Event-Id'}
+#: Where they may stand: the adapter, its tests and its pages.
+ALLOWED = re.compile(
+    r'platform/|deploy/|journal/|tests/test_platform|tests/on_platform'
+    r'|tests/days/|docs/(PLATFORM-DESIGN|FINDINGS|OPERATIONS)|docs/incidents'
+)
+SUFFIXES = ('.py', '.md', '.json', '.toml', '.proto')
+
+
+def names():
+    """Return the headers and the fields that are like nothing of ours."""
+    found = {
+        value
+        for name, value in vars(headers).items()
+        if name.isupper() and isinstance(value, str) and '-' in value
+    }
+    for model in vars(wire).values():
+        if isinstance(model, type) and issubclass(model, wire.Message):
+            found |= {each.alias for each in model.model_fields.values()}
+    return {
+        name
+        for name in found - COMMON
+        if name and ('-' in name or re.search('[A-Z]', name))
+    }
+
+
+def files():
+    for path in on_platform.ROOT.rglob('*'):
+        place = path.relative_to(on_platform.ROOT).as_posix()
+        hidden = place.startswith(('.', 'target/', 'dist/', 'build/'))
+        if path.suffix in SUFFIXES and not hidden:
+            yield place, path
+
+
+class NamesTest(unittest.TestCase):
+    def test_there_are_names_to_look_for(self):
+        self.assertLessEqual({'X-Kv-Source', 'pathPrefix'}, names())
+
+    def test_they_stand_nowhere_else(self):
+        """Symptom: a change of the platform's is a change all over.
+
+        Cause: a name of its own that was used inside, where it means less
+        than the project's.
+        """
+        pattern = re.compile('|'.join(rf'\b{each}\b' for each in names()))
+        found = [
+            f'{place}: {match[0]}'
+            for place, path in files()
+            if not ALLOWED.match(place)
+            for match in pattern.finditer(path.read_text(errors='replace'))
+        ]
+        self.assertEqual(found, [])
+
+    def test_the_folder_hides_no_module_of_the_language(self):
+        folder = pathlib.Path(on_platform.FOLDER)
+        self.assertFalse((folder / '__init__.py').exists())
--- /dev/null
+++ b/tests/test_platform_replicas.py
@@ -0,0 +1,284 @@
+"""Calls and orders to the platform's backend servers, right and wrong ones."""
+
+import json
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw.borders import gateway
+from dandeliongw import engine
+from dandeliongw.entry import relay
+from dandeliongw import pool
+from dandeliongw import settings
+from dandeliongw import verdict
+from tests import on_platform
+from tests import raw_server
+
+from adapter import orders
+from adapter import replicas
+
+assert on_platform.FOLDER.exists()
+
+NOT_RUN = verdict.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+TIMEOUTS = settings.Timeouts(connect_s=20.0, stall_s=20.0)
+FACTS = gateway.Facts(
+    request_id='c1',
+    deadline_s=9.0,
+    prompt_tokens=10,
+    max_tokens=10,
+    expected_tokens=0,
+    pieces_held=0,
+    prefix=(),
+    headers=(),
+)
+WORK = relay.Work(
+    method='POST',
+    path='/a?b',
+    body=b'prompt',
+    headers=(('X-Request-Id', 'c1'), ('X-Other', 'o')),
+    is_passed_on=True,
+)
+EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+
+
+def answer(status=200, body=b'', **headers):
+    """Return the bytes of an answer with its length."""
+    named = {name.replace('_', '-'): value for name, value in headers.items()}
+    named.setdefault('Content-Length', str(len(body)))
+    named.setdefault('X-Request-Id', 'c1')
+    named.setdefault('Connection', 'close')
+    lines = [f'HTTP/1.1 {status} .']
+    lines += [f'{name}: {value}' for name, value in named.items()]
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+NOT_EXECUTED = answer(503, b'full', X_Not_Executed='true')
+
+
+def backends(shared=None):
+    return replicas.Replicas(
+        work=WORK,
+        facts=FACTS,
+        pool=shared or pool.Pool(),
+        timeouts=TIMEOUTS,
+    )
+
+
+def model_engine(url, pieces_held=0):
+    return backends().model_engine(url, 'i-1', pieces_held)
+
+
+def prefill(url, **changes):
+    return model_engine(url, **changes).prefill(
+        stream_id='r',
+        attempt_id='r.1',
+        prompt='',
+        priority=0,
+        fence=1,
+        deadline_s=2.5,
+    )
+
+
+def stream(url, pieces_held=0):
+    """Return all that a decode engine sends, head and end included."""
+    made = model_engine(url, pieces_held)
+    made.import_kv(
+        stream_id='r',
+        attempt_id='r.1',
+        kv='h1',
+        source_url='http://10.0.0.1:80',
+        fence=1,
+        deadline_s=2.5,
+    )
+    return list(
+        made.decode(
+            stream_id='r',
+            attempt_id='r.1',
+            max_tokens=10,
+            from_offset=0,
+            deadline_s=2.5,
+        )
+    )
+
+
+def call(url, shared=None):
+    return (
+        backends(shared)
+        .plain_service(url, 'i-1', 2.5)
+        .call(method='', path='', body=b'', headers={}, most_bytes=1000)
+    )
+
+
+class PrefillTest(unittest.TestCase):
+    def test_the_call_goes_with_its_stage(self):
+        body = json.dumps({'handle': 'h1', 'tokens': 10}).encode()
+        with raw_server.serving(answer(body=body)) as made:
+            found = prefill(made.url)
+            ((path, headers, sent),) = made.calls
+        self.assertEqual((found.kv, found.tokens), ('h1', 10))
+        self.assertIs(found.known, NOT_RUN)
+        self.assertEqual((path, sent), ('/a?b', b'prompt'))
+        self.assertEqual(headers['x-stage'], 'prefill')
+        self.assertEqual(headers['x-expect-instance'], 'i-1')
+        self.assertEqual(headers['x-deadline-ms'], '2500')
+        self.assertEqual(headers['x-other'], 'o')
+        self.assertNotIn('last-event-id', headers)
+
+    def test_a_stream_that_broke_is_read_on_from_there(self):
+        body = json.dumps({'handle': 'h1', 'tokens': 10}).encode()
+        with raw_server.serving(answer(body=body)) as made:
+            prefill(made.url, pieces_held=7)
+            ((_, headers, _),) = made.calls
+        self.assertEqual(headers['last-event-id'], '7')
+
+    @params(
+        NOT_EXECUTED,
+        answer(421),
+        answer(500),
+        answer(body=b'{}'),
+        answer(body=b'no'),
+        b'',
+        b'garbage\r\n\r\n',
+    )
+    def test_a_failure_has_run_nothing(self, reply):
+        with raw_server.serving(reply) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                prefill(made.url)
+        self.assertIs(caught.exception.known, NOT_RUN)
+
+
+class StreamTest(unittest.TestCase):
+    def test_events_pass_as_they_came(self):
+        reply = answer(body=EVENTS, X_Seal='s')
+        with raw_server.serving(reply) as made:
+            head, *pieces, end = stream(made.url)
+            ((_, headers, _),) = made.calls
+        self.assertEqual(headers['x-kv-source'], '10.0.0.1:80/h1')
+        self.assertEqual(dict(head.headers)['X-Seal'], 's')
+        self.assertEqual(b''.join(each.data for each in pieces), EVENTS)
+        self.assertEqual([each.offset for each in pieces], [0, 1])
+        self.assertTrue(end.is_end)
+        self.assertEqual(end.offset, 2)
+
+    def test_one_that_refuses_has_not_run(self):
+        with raw_server.serving(NOT_EXECUTED) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                stream(made.url)
+        self.assertIs(caught.exception.known, NOT_RUN)
+        self.assertEqual(caught.exception.reason, 'busy')
+
+    @params(
+        answer(body=EVENTS[:-3], Content_Length=str(len(EVENTS))),
+        answer(body=EVENTS[:-1]),
+        answer(body=b'data: no number\n\n'),
+        answer(500, b'sorry'),
+        answer(
+            body=b'1d\r\n' + EVENTS[:20],
+            Transfer_Encoding='chunked',
+            Content_Length='',
+        ).replace(b'Content-Length: \r\n', b''),
+    )
+    def test_a_stream_that_breaks_has_no_end(self, reply):
+        """Symptom: a caller takes half a stream for all of it."""
+        with raw_server.serving(reply) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                stream(made.url)
+        self.assertIs(caught.exception.known, MAY_HAVE_RUN)
+
+
+class PlainTest(unittest.TestCase):
+    def test_the_answer_comes_back_as_it_was(self):
+        with raw_server.serving(answer(500, b'sorry', X_Seal='s')) as made:
+            reply = call(made.url)
+        self.assertEqual((reply.status, reply.body), (500, b'sorry'))
+        self.assertEqual(dict(reply.headers)['X-Seal'], 's')
+
+    def test_an_answer_to_another_call_is_none(self):
+        """Symptom: a caller gets what somebody else asked for.
+
+        Sequence: a backend server answers an earlier call late, on a kept
+        connection.
+        Cause: answers would be told apart by their order only.
+        """
+        with raw_server.serving(
+            answer(body=b'theirs', **{'X-Request-Id': 'c0'})
+        ) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                call(made.url)
+        self.assertIs(caught.exception.known, MAY_HAVE_RUN)
+
+    @params(
+        (answer(body=b'half', Content_Length='9'), MAY_HAVE_RUN),
+        (b'', MAY_HAVE_RUN),
+        (NOT_EXECUTED, NOT_RUN),
+        (answer(421), NOT_RUN),
+    )
+    def test_what_is_proved_of_a_failure(self, reply, known):
+        with raw_server.serving(reply) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                call(made.url)
+        self.assertIs(caught.exception.known, known)
+
+    def test_a_connection_serves_the_next_call(self):
+        """Gain: no connection for each call, which backend servers price."""
+
+        def twice(connection):
+            for _ in range(2):
+                connection.sendall(answer(body=b'ok', Connection='keep-alive'))
+                connection.recv(65536)
+
+        shared = pool.Pool()
+        with raw_server.serving(twice, answer(body=b'new')) as made:
+            bodies = [call(made.url, shared).body for _ in range(2)]
+        self.assertEqual(bodies, [b'ok', b'ok'])
+
+
+class OrderTest(unittest.TestCase):
+    def order(self, url, kind='change_role'):
+        made = orders.OrderedEngine(
+            url=url, backend_id='i-1', holder='core-1', timeouts=TIMEOUTS
+        )
+        made.order(
+            order_id='o1',
+            order=kind,
+            value='decode',
+            fence=41,
+            timeout_s=20.0,
+        )
+
+    @params(200, 202)
+    def test_an_engine_is_told_its_stage(self, status):
+        with raw_server.serving(answer(status)) as made:
+            self.order(made.url)
+            ((path, headers, body),) = made.calls
+        self.assertEqual(path, '/order')
+        self.assertEqual(headers['x-expect-instance'], 'i-1')
+        self.assertEqual(
+            json.loads(body),
+            {
+                'op': 'stage',
+                'stage': 'decode',
+                'holder': 'core-1',
+                'fence': 41,
+            },
+        )
+
+    @params(
+        (answer(409), NOT_RUN, ''),
+        (answer(412), NOT_RUN, 'fenced'),
+        (answer(421), NOT_RUN, ''),
+        (answer(500), MAY_HAVE_RUN, ''),
+        (b'', MAY_HAVE_RUN, ''),
+    )
+    def test_whether_it_was_carried_out(self, reply, known, reason):
+        with raw_server.serving(reply) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                self.order(made.url)
+        self.assertIs(caught.exception.known, known)
+        self.assertEqual(caught.exception.reason, reason)
+
+    def test_no_other_order_is_given(self):
+        with self.assertRaises(engine.EngineError) as caught:
+            self.order('http://127.0.0.1:1', 'load_model')
+        self.assertIs(caught.exception.known, NOT_RUN)
