Voters keep themselves whole: every disk votes, one step at a time

Cause: with three voters of five machines the loss of two stops changes, though more than half of the machines run. A disk that comes is added beside the others, or takes the place of one that is gone; a step whose newcomer died is given up.

--- a/dandeliongw/coordination/changes.py
+++ b/dandeliongw/coordination/changes.py
@@ -294,6 +294,65 @@
         return None
 
 
+class VoterAddition(RecordedChange):
+    """Starts to take one more disk among the voters.
+
+    :param by: the instance that comes.
+    :param disk_id: its disk.
+    """
+
+    def __init__(
+        self, *, change_id: str, author: str, by: str, disk_id: str
+    ) -> None:
+        super().__init__(
+            change_id=change_id,
+            author=author,
+            request=configurations.digest('addition', by, disk_id),
+        )
+        self.by = by
+        self.disk_id = disk_id
+
+    def apply(self, configuration: configurations.Configuration) -> Decision:
+        """Set the larger set beside the present one."""
+        voters = configuration.voters
+        if voters.joining_by_id:
+            message = 'another change of the voters is not finished'
+            return Decision(result=VoterRefused(message=message))
+        if self.by in voters.voters_by_id:
+            message = f'{self.by!r} is a voter'
+            return Decision(result=VoterRefused(message=message))
+        step = configurations.ConfigurationStep(
+            voters=voters.add(self.by, self.disk_id),
+            added=(self.record(configuration.revision),),
+        )
+        result = Applied(revision=configuration.revision, repeated=False)
+        return Decision(step=step, result=result)
+
+
+class JoiningWithdrawal:
+    """Gives up a change of the voters that can't be finished.
+
+    While a disk that is gone is in the coming set, a quorum needs more of
+    the others than before; the next loss would stop every change.
+
+    :param number: of the sets that are meant; another change stays.
+    """
+
+    def __init__(self, *, number: int) -> None:
+        self.number = number
+
+    def decide(
+        self, version: configurations.Version, *, is_chosen: bool
+    ) -> Decision:
+        """Drop the coming set."""
+        voters = version.configuration.voters
+        if voters.number != self.number or not voters.joining_by_id:
+            return Decision()
+        return Decision(
+            step=configurations.ConfigurationStep(voters=voters.withdraw())
+        )
+
+
 class ReplacementEnd:
     """Makes the coming voters the only ones.
 
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -48,6 +48,7 @@
     'Unavailable',
     'VoterRefused',
     'VotersChanged',
+    'WithdrawJoining',
 ]
 
 TOKEN_PREFIX = 'register'
@@ -111,7 +112,7 @@
 class ReplaceVoter:
     """An operator wants another disk to vote in place of a voter's.
 
-    :param instance_id: the voter that goes.
+    :param instance_id: the voter that goes; ``''`` when one more comes.
     :param by: the instance that comes; the same one when only its disk was
         lost.
     """
@@ -124,6 +125,18 @@
     entropy: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WithdrawJoining:
+    """The disk that is to become a voter is gone.
+
+    :param number: of the sets of voters that are meant.
+    """
+
+    now: float
+    number: int
+    entropy: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class InstancesChanged:
     """The instances that are known to run, this one included."""
@@ -234,6 +247,7 @@
             ProposeOrdered: self._on_propose_ordered,
             ContactsFound: self._on_contacts_found,
             ReplaceVoter: self._on_replace_voter,
+            WithdrawJoining: self._on_withdraw_joining,
             InstancesChanged: self._on_instances_changed,
             CaughtUp: self._on_caught_up,
         }
@@ -311,6 +325,12 @@
             {} if configuration is None else configuration.voters.joining_by_id
         )
 
+    @property
+    def voters_number(self) -> int:
+        """Return which sets of voters are confirmed; grows with each."""
+        configuration = self.configuration
+        return 0 if configuration is None else configuration.voters.number
+
     def is_fresh(self, now: float) -> bool:
         """Tell whether work may be admitted under the configuration."""
         confirmed_at = self.confirmed_at
@@ -534,13 +554,22 @@
     def _add_replacement(
         self, request: ReplaceVoter, disk_id: str, now: float
     ) -> list[typing.Any]:
-        change = changes.VoterReplacement(
-            change_id=request.change_id,
-            author='',
-            instance_id=request.instance_id,
-            by=request.by,
-            disk_id=disk_id,
-        )
+        change: changes.Change
+        if request.instance_id:
+            change = changes.VoterReplacement(
+                change_id=request.change_id,
+                author='',
+                instance_id=request.instance_id,
+                by=request.by,
+                disk_id=disk_id,
+            )
+        else:
+            change = changes.VoterAddition(
+                change_id=request.change_id,
+                author='',
+                by=request.by,
+                disk_id=disk_id,
+            )
         job = proposers.Job(
             change=change,
             entropy=request.entropy,
@@ -549,6 +578,14 @@
         )
         return self._proposer.add(job, now)
 
+    def _on_withdraw_joining(self, event: WithdrawJoining) -> list[typing.Any]:
+        job = proposers.Job(
+            change=changes.JoiningWithdrawal(number=event.number),
+            entropy=event.entropy,
+            deadline=event.now + self._propose_limit_s,
+        )
+        return self._proposer.add(job, event.now)
+
     def _is_recorded(self, change_id: str) -> bool:
         known = self._knowledge.known.current
         if known is None:
--- a/dandeliongw/coordination/voters.py
+++ b/dandeliongw/coordination/voters.py
@@ -67,6 +67,18 @@
             number=self.number + 1,
         )
 
+    def add(self, instance_id: str, disk_id: str) -> 'Voters':
+        """Start to take one more voter in; as safe as a replacement."""
+        return Voters(
+            voters_by_id=self.voters_by_id,
+            joining_by_id={**self.voters_by_id, instance_id: disk_id},
+            number=self.number + 1,
+        )
+
+    def withdraw(self) -> 'Voters':
+        """Give up the coming set; the present voters never stopped voting."""
+        return Voters(voters_by_id=self.voters_by_id, number=self.number + 1)
+
     def finish(self) -> 'Voters':
         """Make the coming set the only one."""
         return Voters(voters_by_id=self.joining_by_id, number=self.number + 1)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -121,7 +121,10 @@
             owner=self.owner,
         )
         self.repair = repair.Repair(
-            instance_id=settings.instance_id, configuration=self.register
+            instance_id=settings.instance_id,
+            configuration=self.register,
+            members=self.membership,
+            most_voters=settings.most_voters,
         )
         self.fronts = fronts.Fronts(directory=self.directory)
         self.shutdown = shutdown.Shutdown(
@@ -192,6 +195,7 @@
                     register.ProposeOrdered,
                     register.ContactsFound,
                     register.ReplaceVoter,
+                    register.WithdrawJoining,
                     register.InstancesChanged,
                     register.CaughtUp,
                 ),
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -26,6 +26,7 @@
 #: ``place``: place its own work within its share of the backend servers,
 #: which have to refuse honestly what they have no room for.
 SilentOwner = typing.Literal['wait', 'place']
+VoterCount = typing.Annotated[int, pydantic.Field(ge=1, le=MAX_VOTERS)]
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
 LogLevel = typing.Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
 
@@ -188,6 +189,9 @@
     """Every data centre, where instances are found by seeds."""
     takes_callers: bool = True
     """Whether callers are told of this instance."""
+    most_voters: VoterCount | None = None
+    """Instances with a data folder become voters by themselves, up to so
+    many; without it the voters stay as they were formed."""
     moves_engines: bool = False
     """Whether owners order engines from one pool into the other."""
     silent_owner: SilentOwner = 'wait'
--- a/tests/network.py
+++ b/tests/network.py
@@ -25,10 +25,21 @@
 class Network:
     """Instances named ``gw-1`` and on, all of them voters.
 
+    :param voters: the first so many form the register; all by default.
+    :param most_voters: as in the settings.
     :param timeouts: overrides of the settings' time-outs.
     """
 
-    def __init__(self, *, count: int = 3, **timeouts: float) -> None:
+    def __init__(
+        self,
+        *,
+        count: int = 3,
+        voters: int | None = None,
+        most_voters: int | None = None,
+        **timeouts: float,
+    ) -> None:
+        self._voters = count if voters is None else voters
+        self._most_voters = most_voters
         self.now = 1000.0
         self.cut: set[str] = set()
         self.frozen: set[str] = set()
@@ -70,7 +81,7 @@
                 'port': 1 + place,
                 'data_centre': f'dc-{place}',
                 'region': 'local',
-                'voter': True,
+                'voter': place < self._voters,
             }
             for place, each in enumerate(self._ids)
         ]
@@ -85,6 +96,7 @@
             'peer': {'host': '127.0.0.1', 'port': 0},
             'peers': peers,
             'timeouts': self._timeouts,
+            'most_voters': self._most_voters,
         }
         return settings.parse_settings(json.dumps(body).encode())
 
