--- /dev/null
+++ b/dandeliongw/decisions.py
@@ -0,0 +1,138 @@
+"""What is decided for a request, or believed of the system, as log lines.
+
+Each class is one kind of line: its ``message`` is the line's text, its
+fields are the line's fields. ``docs/OPERATIONS.md`` reads them back.
+"""
+
+import dataclasses
+import typing
+
+from . import effects
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Decision:
+    """The base of all lines; ``message`` and ``level`` are the class's."""
+
+    message: typing.ClassVar[str] = ''
+    level: typing.ClassVar[str] = 'INFO'
+
+    def log(self) -> effects.Log:
+        """Return the line, for the runtime to write."""
+        fields = tuple(
+            (field.name, _shown(getattr(self, field.name)))
+            for field in dataclasses.fields(self)
+        )
+        return effects.Log(
+            message=self.message, fields=fields, level=self.level
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OfRequest(Decision):
+    """A line about one request.
+
+    :param attempt_id: of the attempt that it is about.
+    """
+
+    request_id: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Placed(OfRequest):
+    """A request got its backend servers.
+
+    :param epoch: of the owner that booked them; 0 where this entry did.
+    :param waited_ms: since the request came.
+    """
+
+    message: typing.ClassVar[str] = 'request placed'
+    owner: str
+    epoch: int
+    prefill_id: str
+    decode_id: str
+    plain_id: str
+    waited_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Declined(OfRequest):
+    """A cell's owner turned a request away.
+
+    :param why: what the owner believed.
+    """
+
+    message: typing.ClassVar[str] = 'request declined'
+    owner: str
+    reason: str
+    why: str
+    retry_after_s: float
+    waited_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OwnerSilent(OfRequest):
+    """An owner didn't answer; this entry places the request by itself."""
+
+    message: typing.ClassVar[str] = 'owner silent, placing here'
+    level: typing.ClassVar[str] = 'WARNING'
+    cell: str
+    owner: str
+    silent_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamResumed(OfRequest):
+    """A stream goes on at its engine, over another connection."""
+
+    message: typing.ClassVar[str] = 'stream resumed'
+    decode_id: str
+    pieces: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CacheMoved(OfRequest):
+    """The prompt's KV cache goes to another decode engine."""
+
+    message: typing.ClassVar[str] = 'cache moves to another engine'
+    from_id: str
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TriedAgain(OfRequest):
+    """Another attempt begins, or none does.
+
+    :param again: whether one does.
+    :param known: what is proved about the request having run.
+    :param attempts: so far.
+    :param runs: of these, that a backend server may have run.
+    :param why: what decided.
+    """
+
+    message: typing.ClassVar[str] = 'attempt failed'
+    again: bool
+    failure: str
+    known: str
+    attempts: int
+    runs: int
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MemberBelieved(Decision):
+    """This instance believes something else of another one."""
+
+    message: typing.ClassVar[str] = 'member believed'
+    peer: str
+    state: str
+    was: str
+    incarnation: int
+    draining: bool
+
+
+def _shown(value: typing.Any) -> str:
+    if isinstance(value, float):
+        return f'{value:.3f}'
+    return str(value)
--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from .. import decisions
 from .. import effects
 from .. import verdict
 from ..cell import cells
@@ -79,11 +80,15 @@
             return [*out, *self._endings.refuse(now, request, refusal)]
         if not request.may_run_again:
             refusal = refusals.backend_failed(message)
-            return [*out, *self._endings.refuse(now, request, refusal)]
+            told = _tried(request, failure, 'it may have run', again=False)
+            return [*out, told, *self._endings.refuse(now, request, refusal)]
         wait_s = self._backoff_s(request, entropy)
-        if not self._is_worth_it(now + wait_s, request):
+        hindrance = self._hindrance(now + wait_s, request)
+        if hindrance:
             refusal = refusals.retries_spent(request, message)
-            return [*out, *self._endings.refuse(now, request, refusal)]
+            told = _tried(request, failure, hindrance, again=False)
+            return [*out, told, *self._endings.refuse(now, request, refusal)]
+        out.append(_tried(request, failure, 'it may help', again=True))
         count = effects.CountRetry(reason=failure)
         if not wait_s:
             return [*out, count, *self.begin(now, request)]
@@ -117,11 +122,33 @@
         jitter = 0.5 + entropy / 2**64
         return BACKOFF_S * 2 ** (request.attempts - 2) * jitter
 
-    def _is_worth_it(self, start_at: float, request: Request) -> bool:
-        """Whether another attempt may still meet the deadline."""
-        return (
-            request.attempts < MAX_ATTEMPTS
-            and not request.has_run_enough
-            and start_at + request.prefill_s < request.deadline_at
-            and self._budgets.spend(request.service)
-        )
+    def _hindrance(self, start_at: float, request: Request) -> str:
+        """Return why no other attempt should begin; ``''`` if one should."""
+        if request.attempts >= MAX_ATTEMPTS:
+            return f'it had {request.attempts} attempts'
+        if request.has_run_enough:
+            return f'it may have run on {request.runs} backend servers'
+        if start_at + request.prefill_s >= request.deadline_at:
+            return 'no time is left'
+        if not self._budgets.spend(request.service):
+            return 'the retry budget is spent'
+        return ''
+
+
+def _tried(
+    request: Request,
+    failure: verdict.RetryReason,
+    why: str,
+    *,
+    again: bool,
+) -> effects.Log:
+    return decisions.TriedAgain(
+        request_id=request.request_id,
+        attempt_id=request.attempt_id,
+        again=again,
+        failure=failure.value,
+        known=request.known.value,
+        attempts=request.attempts,
+        runs=request.runs,
+        why=why,
+    ).log()
--- a/dandeliongw/entry/recovery.py
+++ b/dandeliongw/entry/recovery.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from .. import decisions
 from .. import effects
 from .. import events
 from .. import verdict
@@ -81,7 +82,13 @@
         request.resumes_from = event.tokens
         request.kv = ''
         count = effects.CountRetry(reason=event.failure)
-        return [count, *steps.run_decode(event.now, request)]
+        resumed = decisions.StreamResumed(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            decode_id=request.booked.decode_id,
+            pieces=event.tokens,
+        )
+        return [count, resumed.log(), *steps.run_decode(event.now, request)]
 
     def _may_move(self, event: events.StepEnded, request: Request) -> bool:
         return (
@@ -107,7 +114,18 @@
         request.stage = policy.Stage.DECODE
         request.attempts += 1
         count = effects.CountRetry(reason=event.failure)
-        return [count, cancel, *self._attempts.search(event.now, request)]
+        moved = decisions.CacheMoved(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            from_id=booked.decode_id,
+            age_ms=round((event.now - request.kv_at) * 1000),
+        )
+        return [
+            count,
+            moved.log(),
+            cancel,
+            *self._attempts.search(event.now, request),
+        ]
 
 
 def _failed_id(step: events.Step, request: Request) -> str:
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -3,6 +3,7 @@
 from collections import abc
 import typing
 
+from .. import decisions
 from .. import effects
 from .. import verdict
 from . import attempts
@@ -94,6 +95,23 @@
         now = event.now
         request.booked = booked
         request.phase_at = now
+        return [self._placed(now, request), *self._begin(now, request)]
+
+    def _placed(self, now: float, request: Request) -> effects.Log:
+        booked = request.booked
+        return decisions.Placed(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            owner=request.owner,
+            epoch=booked.epoch,
+            prefill_id=booked.prefill_id,
+            decode_id=booked.decode_id,
+            plain_id=booked.plain_id,
+            waited_ms=request.age_ms(now),
+        ).log()
+
+    def _begin(self, now: float, request: Request) -> Effects:
+        """Direct the request's thread to the work that was booked."""
         request.search_s = reservations.OWNER_LOST_S
         if request.stage is policy.Stage.PLAIN:
             return steps.run_call(now, request)
@@ -126,7 +144,19 @@
             message=declined.message,
             retry_after_s=declined.retry_after_s,
         )
-        return self._endings.refuse(event.now, request, refusal)
+        told = decisions.Declined(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            owner=request.owner,
+            reason=declined.reason,
+            why=declined.message,
+            retry_after_s=declined.retry_after_s,
+            waited_ms=request.age_ms(event.now),
+        )
+        return [
+            told.log(),
+            *self._endings.refuse(event.now, request, refusal),
+        ]
 
     def _not_owner(self, event: parts.Received, request: Request) -> Effects:
         holder = event.message.holder
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -148,6 +148,10 @@
         """Return the seconds until the deadline, never less than none."""
         return max(0.0, self.deadline_at - now)
 
+    def age_ms(self, now: float) -> int:
+        """Return the milliseconds since it came."""
+        return round((now - self.arrived_at) * 1000)
+
     def patient_s(self, now: float) -> float:
         """Return the seconds until the next piece has to come.
 
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -7,6 +7,7 @@
 from collections import abc
 import typing
 
+from .. import decisions
 from . import admission
 from ..cell import cells
 from ..cell import policy
@@ -86,7 +87,16 @@
     def stand_in(self, now: float, request: request_module.Request) -> Effects:
         """Ask this instance itself, for this request and those that follow."""
         self._probe_at_by_cell[request.cell] = now + PROBE_S
-        return self._ask(now, request, self._directory.own_id, unowned=True)
+        silent = decisions.OwnerSilent(
+            request_id=request.request_id,
+            attempt_id=request.attempt_id,
+            cell=request.cell,
+            owner=request.owner,
+            silent_ms=round((now - request.asked_at) * 1000),
+        )
+        own_id = self._directory.own_id
+        asked = self._ask(now, request, own_id, unowned=True)
+        return [silent.log(), *asked]
 
     def note_owner_heard(self, cell: str) -> None:
         """An owner answers: it places the work again."""
--- a/dandeliongw/logs.py
+++ b/dandeliongw/logs.py
@@ -1,4 +1,4 @@
-"""JSON lines on standard error, one event a line, without secrets."""
+"""JSON lines, one event a line, without secrets."""
 
 from collections import abc
 import contextlib
@@ -9,10 +9,13 @@
 
 from loguru import logger
 
+from . import _lines
 from . import _secrets
 
 HIDDEN = _secrets.HIDDEN
 
+writing = _lines.writing
+
 #: A shorter one would blank out innocent text.
 _SHORTEST_SECRET = 8
 
@@ -24,18 +27,20 @@
     level: str = 'INFO',
     secrets: abc.Iterable[str] = (),
     stream: typing.TextIO | None = None,
+    lines: _lines.LineWriter | None = None,
 ) -> None:
-    """Send all logs of this process to one stream, as JSON lines.
+    """Send all logs of this process to one place, as JSON lines.
 
     :param secrets: texts that are blanked out wherever they turn up, such
         as in the message of somebody else's exception.
-    :param stream: standard error by default.
+    :param stream: standard error by default; who logs waits for it.
+    :param lines: takes the lines in place of a stream, without a wait.
     """
     output = sys.stderr if stream is None else stream
     writer = _Writer(
         common={'instance': instance_id, 'data_centre': data_centre},
         secrets=secrets,
-        stream=output,
+        put=lines.put if lines is not None else _direct(output),
     )
     logger.remove()
     # Loguru's own tracebacks show the values of variables, which may be
@@ -66,6 +71,14 @@
     return value
 
 
+def _direct(stream: typing.TextIO) -> abc.Callable[[str, str], None]:
+    def put(kind: str, line: str) -> None:
+        stream.write(line + '\n')
+        stream.flush()
+
+    return put
+
+
 class _Writer:
     """Turns loguru's records into lines."""
 
@@ -74,7 +87,7 @@
         *,
         common: dict[str, str],
         secrets: abc.Iterable[str],
-        stream: typing.TextIO,
+        put: abc.Callable[[str, str], None],
     ) -> None:
         self._common = common
         # As they look inside JSON: a quote in a secret would be escaped.
@@ -83,15 +96,15 @@
             for secret in secrets
             if len(secret) >= _SHORTEST_SECRET
         ]
-        self._stream = stream
+        self._put = put
 
     def write(self, message: typing.Any) -> None:
         fields = self._fields(message.record)
         line = json.dumps(fields, ensure_ascii=False, default=str)
         for secret in self._secrets:
             line = line.replace(secret, HIDDEN)
-        self._stream.write(line + '\n')
-        self._stream.flush()
+        # Lines from one place are of one kind, whatever they name.
+        self._put(f'{fields["module"]}:{fields["line"]}', line)
 
     def _fields(self, record: typing.Any) -> dict[str, typing.Any]:
         fields = {
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -177,6 +177,13 @@
             [UNLABELLED],
         )
 
+        self.log_lines_left_out = self._watched(
+            'log_lines_left_out',
+            'Log lines that were left out, as they were too many.',
+            None,
+            [UNLABELLED],
+        )
+
     def _make_gauges(self) -> None:
         self.configuration_revision = self._gauge(
             'configuration_revision', 'The revision that is in force here.'
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -10,6 +10,7 @@
 from collections import abc
 import typing
 
+from . import decisions
 from . import directory as directory_module
 from . import document as document_module
 from . import effects
@@ -140,6 +141,10 @@
             'leases': self.leases,
         }
         self._review_at = 0.0
+        #: What was believed of each member when that was last logged.
+        self._states_by_member: dict[
+            str, tuple[membership.MemberState, int, bool]
+        ] = {}
         self._instance_ids: tuple[str, ...] = ()
         #: Those and the suspected ones, who may still act.
         self._present_ids: tuple[str, ...] = ()
@@ -543,18 +548,38 @@
         self._review_at = now
         self.directory.forget_ranks()
         if isinstance(effect, membership.MemberForgotten):
+            self._states_by_member.pop(effect.instance_id, None)
             return [effects.PeerForgotten(instance_id=effect.instance_id)]
+        told = self._tell_member(effect.member)
         info = effect.member.info
         if not info.host or effect.member.instance_id == (
             self.settings.instance_id
         ):
-            return []
+            return told
         return [
+            *told,
             effects.PeerAddress(
                 instance_id=effect.member.instance_id,
                 host=info.host,
                 port=info.port,
-            )
+            ),
+        ]
+
+    def _tell_member(self, member: membership.Member) -> list[typing.Any]:
+        """Log a belief that is another one than before."""
+        state = (member.state, member.incarnation, member.draining)
+        was = self._states_by_member.get(member.instance_id)
+        if state == was:
+            return []
+        self._states_by_member[member.instance_id] = state
+        return [
+            decisions.MemberBelieved(
+                peer=member.instance_id,
+                state=member.state.name.lower(),
+                was=was[0].name.lower() if was else 'unknown',
+                incarnation=member.incarnation,
+                draining=member.draining,
+            ).log()
         ]
 
     # Time
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -11,6 +11,7 @@
 import cherrypy
 from loguru import logger
 
+from . import __version__
 from . import adapter as adapter_module
 from . import events
 from . import exceptions
@@ -50,7 +51,9 @@
         callers_port: int,
         control_port: int,
         joiner: joining.Joiner | None = None,
+        metrics: metrics_module.Metrics | None = None,
     ) -> None:
+        self._metrics = metrics
         self._joiner = joiner
         self.callers_port = callers_port
         self.control_port = control_port
@@ -61,6 +64,13 @@
         """Start to leave; a second call changes nothing."""
         self._runtime.post(events.ShutdownBegun)
 
+    def watch_lines(self, lines: typing.Any) -> None:
+        """Show how many log lines are left out."""
+        if self._metrics is not None:
+            self._metrics.log_lines_left_out.watch(
+                lambda: {metrics_module.UNLABELLED: lines.left_out}
+            )
+
     def reload(self) -> None:
         """Read the seeds again; nothing else changes while running."""
         logger.info('reads its seeds again')
@@ -169,6 +179,7 @@
             callers_port=callers_port.number,
             control_port=control_port.number,
             joiner=joiner,
+            metrics=metrics,
         )
 
 
@@ -180,19 +191,39 @@
 
     :param adapter: of the platform that it runs on, if any.
     """
+    common = {
+        'instance': settings.instance_id,
+        'data_centre': settings.data_centre,
+    }
+    with (
+        logs.writing(sys.stdout, common) as lines,
+        _logged(settings, lines),
+        opened(settings, adapter) as server,
+    ):
+        server.watch_lines(lines)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: server.begin_shutdown())
+        signal.signal(signal.SIGHUP, lambda *_: server.reload())
+        server.wait()
+
+
+@contextlib.contextmanager
+def _logged(
+    settings: settings_module.Settings, lines: typing.Any
+) -> abc.Iterator[None]:
+    """Log the start and the end of a process, and all between, to lines."""
     logs.configure(
         instance_id=settings.instance_id,
         data_centre=settings.data_centre,
         level=settings.log_level,
         secrets=[settings.peer_secret] if settings.peer_secret else [],
-        stream=sys.stdout,
+        lines=lines,
     )
-    with opened(settings, adapter) as server:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: server.begin_shutdown())
-        signal.signal(signal.SIGHUP, lambda *_: server.reload())
-        server.wait()
-    logger.info('ended')
+    logger.info('starts', version=__version__)
+    try:
+        yield
+    finally:
+        logger.info('ended')
 
 
 def _open_journal(
