--- a/dandeliongw/adapter.py
+++ b/dandeliongw/adapter.py
@@ -33,6 +33,10 @@
         """Return the instances that callers may use."""
         ...
 
+    def metrics(self) -> bytes:
+        """Return the text that Prometheus reads."""
+        ...
+
 
 class Desk(typing.Protocol):
     """Takes in what backend servers say of themselves."""
--- a/dandeliongw/command.py
+++ b/dandeliongw/command.py
@@ -17,6 +17,7 @@
 from . import client
 from . import document as documents
 from . import exceptions
+from . import explain as explain_module
 from . import models
 from . import settings as settings_module
 
@@ -127,7 +128,16 @@
     _show(client.Client(url=url).get('/v1/entries'))
 
 
-COMMANDS = (serve, check, apply, show, status, backends, entries)
+def explain(request_id: str, /, *logs: str) -> None:
+    """Tell what became of one request, from the logs of the instances.
+
+    :param request_id: as its caller named it, or as a log line does
+    :param logs: paths of log files, of as many instances as there are
+    """
+    _show(explain_module.explain(request_id, logs))
+
+
+COMMANDS = (serve, check, apply, show, status, backends, entries, explain)
 
 
 def main(argv: abc.Sequence[str] | None = None) -> int:
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -20,6 +20,7 @@
 from . import exceptions
 from . import hosts
 from . import joining
+from . import metrics as metrics_module
 from . import reducer as reducer_module
 from . import runtime as runtime_module
 from . import settings as settings_module
@@ -221,9 +222,14 @@
         *,
         reducer: reducer_module.Reducer,
         runtime: runtime_module.Runtime,
+        metrics: metrics_module.Metrics,
     ) -> None:
         self._reducer = reducer
         self._runtime = runtime
+        self._metrics = metrics
+
+    def metrics(self) -> bytes:
+        return self._metrics.render()
 
     @property
     def is_ready(self) -> bool:
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -430,7 +430,11 @@
         """Return the ports that only the platform wants."""
         if self._adapter is None:
             return ()
-        state = gates.State(reducer=self._reducer, runtime=self._runtime)
+        state = gates.State(
+            reducer=self._reducer,
+            runtime=self._runtime,
+            metrics=self._metrics,
+        )
         return self._adapter.ports(state)
 
 
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -65,6 +65,9 @@
     def entries(self):
         return self.found
 
+    def metrics(self):
+        return b'up 1\n'
+
 
 @contextlib.contextmanager
 def serving(application):
@@ -215,6 +218,10 @@
     def test_an_empty_list_is_no_answer(self):
         self.assertEqual(self.resolve()[0], 503)
 
+    def test_metrics(self):
+        application = ports.make_metrics(self.state)
+        self.assertEqual(ask(application, 'GET', '/metrics'), (200, b'up 1\n'))
+
     @params((True, 200), (False, 503))
     def test_readiness(self, is_ready, status):
         self.state.is_ready = is_ready
--- a/tools/local.py
+++ b/tools/local.py
@@ -29,6 +29,8 @@
 PATIENCE_S = 60.0
 POLL_S = 0.05
 STOP_S = 40.0
+#: Instances that tell the others who there is, and vote first.
+SEEDS = 3
 #: Starts of a system before a port that is taken each time is told.
 MOST_STARTS = 5
 #: Lines of an instance's log in the message that it ended.
@@ -123,7 +125,7 @@
     """Instances and stand-ins on loopback addresses.
 
     :param folder: settings, data folders and logs are kept below it.
-    :param instances: number of instances; all of them are voters.
+    :param instances: number of instances; all of them become voters.
     :param timeouts: overrides of the settings' time-outs.
     :param command: how to run the program.
     """
@@ -168,40 +170,44 @@
         )
 
     def _write_settings(self) -> None:
-        peers = [
-            {
-                'instance_id': each.instance_id,
-                'host': HOST,
-                'port': each.peer_port,
-                'data_centre': each.data_centre,
-                'region': 'local',
-                'voter': True,
-            }
-            for each in self.instances_by_id.values()
-        ]
         for each in self.instances_by_id.values():
-            fields = {
-                'instance_id': each.instance_id,
-                'data_centre': each.data_centre,
-                'region': 'local',
-                'data_folder': str(self.folder / each.instance_id),
-                'callers': {'host': HOST, 'port': each.callers_port},
-                'control': {'host': HOST, 'port': each.control_port},
-                'peer': {'host': HOST, 'port': each.peer_port},
-                'peers': peers,
-                'peer_secret': 'a secret of the local system',
-                'operators': [
-                    {'name': 'demo', 'token_sha256': sha256(OPERATOR_TOKEN)}
-                ],
-                'timeouts': self._timeouts,
-            }
-            each.settings_file.write_text(json.dumps(fields, indent=1))
+            self._write_settings_of(each, bootstrap=True)
+
+    def _write_settings_of(
+        self, instance: Instance, *, bootstrap: bool
+    ) -> None:
+        seeds = list(self.instances_by_id.values())[:SEEDS]
+        fields = {
+            'instance_id': instance.instance_id,
+            'data_centre': instance.data_centre,
+            'region': 'local',
+            'data_folder': str(self.folder / instance.instance_id),
+            'callers': {'host': HOST, 'port': instance.callers_port},
+            'control': {'host': HOST, 'port': instance.control_port},
+            'peer': {'host': HOST, 'port': instance.peer_port},
+            'seeds': [
+                {'host': HOST, 'port': each.control_port} for each in seeds
+            ],
+            'bootstrap': bootstrap,
+            'regions_by_data_centre': dict.fromkeys(
+                self.data_centres, 'local'
+            ),
+            'most_voters': 11,
+            'peer_secret': 'a secret of the local system',
+            'operators': [
+                {'name': 'demo', 'token_sha256': sha256(OPERATOR_TOKEN)}
+            ],
+            'timeouts': self._timeouts,
+        }
+        instance.settings_file.write_text(json.dumps(fields, indent=1))
 
     # Processes
 
     def start_instance(self, instance_id: str) -> None:
         """Start an instance; see :meth:`wait_serving`."""
         instance = self.instances_by_id[instance_id]
+        is_first = instance.process is None
+        self._write_settings_of(instance, bootstrap=is_first)
         with instance.log_file.open('ab') as log:
             instance.process = subprocess.Popen(
                 [*self._command, 'serve', str(instance.settings_file)],
