--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -35,6 +35,7 @@
     :param expected_tokens: the caller's guess of the answer's length; 0 for
         none.
     :param unowned: an entry asks itself, as the owner is silent.
+    :param resent: the caller was turned away before; it won't come again.
     """
 
     cell: str
@@ -50,6 +51,7 @@
     stage: Stage = Stage.PAIR
     expected_tokens: int = 0
     unowned: bool = False
+    resent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -225,6 +225,7 @@
             renewed_at=now,
             prefill_done=book.stage is Stage.DECODE,
             expected_tokens=book.expected_tokens,
+            resent=book.resent,
         )
         effects = self._decide(now, booking)
         if known is not None and booking.key not in self.bookings_by_key:
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -42,8 +42,9 @@
 MOST_PASSING = 0.9
 #: Part of its time that a call of a plain service waits for a slot.
 PLAIN_WAIT_PART = 0.25
-#: Shortest Retry-After; a resend sooner than this costs more than it gains.
-LEAST_RETRY_AFTER_S = 0.25
+#: Shortest Retry-After. Bunches of work last for seconds; who comes back
+#: within one is turned away again, for good.
+LEAST_RETRY_AFTER_S = 1.5
 #: Longest, also where no end can be foreseen.
 MOST_RETRY_AFTER_S = 30.0
 #: Retry-After is stretched by up to this part, so that those who were
@@ -230,7 +231,8 @@
         rank = rank_of(view, booking)
         if not self._options.timely:
             return rank, booking.arrived_at
-        is_late = now > timely_start(view, booking)
+        # Whoever is late and comes for the first time can come again.
+        is_late = not booking.resent and now > timely_start(view, booking)
         return rank, is_late, booking.arrived_at
 
     def _ahead_of(
@@ -256,6 +258,11 @@
             left = 1.0 - self._passing_part(now, view, booking)
             starts_at = now + (starts_at - now) / left
         latest = latest_start(view, booking)
+        if booking.resent:
+            # Turned away once more, its caller would be lost.
+            latest = max(
+                latest, booking.deadline_at - first_token_s(view, booking)
+            )
         spare_s = self._options.spare * (latest - booking.arrived_at)
         late_s = starts_at - (latest - spare_s)
         if late_s > 0.0:
@@ -534,9 +541,10 @@
 
 
 def _retry_after(booking: Booking, late_s: float) -> float:
+    """Return when to come back: once what is ahead now should be done."""
     # The identity stands in for a random number, which a reducer must not
     # draw; callers who were refused together have different ones.
     digest = xxhash.xxh32_intdigest(booking.request_id.encode())
     stretch = 1.0 + RETRY_JITTER * digest / 2**32
-    wanted_s = max(late_s, LEAST_RETRY_AFTER_S) * stretch
+    wanted_s = (late_s + LEAST_RETRY_AFTER_S) * stretch
     return min(wanted_s, MOST_RETRY_AFTER_S)
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -9,6 +9,8 @@
 
 _REASON = verdict.RefusalReason
 
+#: A caller that gives less than this part of the route's time came before.
+RESENT_PART = 0.95
 #: Seconds after which a caller may find a transient refusal gone.
 SOON_S = 1.0
 
@@ -61,6 +63,8 @@
     is_passed_on: bool = False
     #: Seconds without a piece after which its caller leaves, if that is known.
     patience_s: float | None = None
+    #: Part of its caller's time is spent: it was turned away before.
+    is_resent: bool = False
 
 
 class Admission:
@@ -146,6 +150,10 @@
             max_runs=found.max_runs,
             is_passed_on=True,
             patience_s=found.patience_s if streamed else None,
+            is_resent=(
+                call.deadline_s is not None
+                and call.deadline_s < found.timeout_s * RESENT_PART
+            ),
         )
 
     def _is_full(self, streamed: bool) -> bool:
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -170,6 +170,7 @@
             stage=request.stage,
             expected_tokens=call.expected_tokens,
             unowned=request.is_unowned,
+            resent=request.admitted.is_resent,
         )
         return parts.Send(to=request.owner, message=book)
 
