--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -86,15 +86,28 @@
         self._ranks_by_cell.clear()
 
     def _rank(self, cell: str) -> tuple[str, ...]:
+        """Rank the entries, or all where a region has none.
+
+        A voter that owned cells would take them down with it: its disk can
+        stall, and it is the first to feel a change of the voters.
+        """
         region = cell.split('/')[1]
         members = [
-            placement.Member(
-                instance_id=instance_id, data_centre=member.info.data_centre
-            )
+            (instance_id, member)
             for instance_id, member in self._alive_members()
             if member.info.region == region and not member.draining
         ]
-        return placement.ranked_owners(cell, members)
+        entries = [each for each in members if each[1].info.callers_address]
+        return placement.ranked_owners(
+            cell,
+            [
+                placement.Member(
+                    instance_id=instance_id,
+                    data_centre=member.info.data_centre,
+                )
+                for instance_id, member in entries or members
+            ],
+        )
 
     def owners_of(self, cell: str) -> tuple[str, ...]:
         """Return instances to ask, the likeliest owner first."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -30,6 +30,35 @@
         again_s = self.health.ejected_until - (back_at + 1.0)
         self.assertAlmostEqual(2 * health.EJECTED_S, again_s)
 
+    def test_faults_that_are_few_of_many_eject_nothing(self):
+        """Symptom: calls are refused with most places free.
+
+        Sequence: a service fails one call in ten on all its backend servers.
+        Cause: three faults would count alike, whatever went well.
+        """
+        for number in range(60):
+            now = number / 10
+            if number % 10:
+                self.health.add_success(now)
+            else:
+                self.fail(now)
+            self.assertFalse(self.health.is_ejected(now))
+
+    def test_faults_that_are_a_third_eject(self):
+        for number in range(9):
+            self.health.add_success(number / 10)
+        self.fail(1.0, 1.1, 1.2, 1.3)
+        self.assertFalse(self.health.is_ejected(1.3))
+        self.fail(1.4)
+        self.assertTrue(self.health.is_ejected(1.4))
+
+    def test_one_that_refuses_a_connection_goes_at_once(self):
+        self.health.add_refusal(1.0)
+        self.assertTrue(self.health.is_ejected(1.0))
+        self.health.add_refusal(1.1)
+        until = 1.0 + health.EJECTED_S
+        self.assertEqual(self.health.ejected_until, until)
+
 
 class BatchTest(unittest.TestCase):
     """Symptom: every answer of a full engine is a little too slow."""
--- /dev/null
+++ b/tests/test_passed_on.py
@@ -0,0 +1,192 @@
+"""The life of calls that are passed on: what counts as a run, and what not."""
+
+import json
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw.cell import cells
+from dandeliongw import document
+from dandeliongw import effects
+from dandeliongw.entry import attempts
+from dandeliongw import verdict
+from tests import entry_fake
+from tests import test_hosts
+from tools import local
+
+REASON = verdict.RefusalReason
+RETRY = verdict.RetryReason
+NOT_RUN = verdict.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+
+
+def described(**changes):
+    """Return the example document with a plain and a model host route."""
+    fields = local.example_document()
+    priority = fields['priorities'][0]['name']
+    services = {'/plain/': 'studio-portal', '/model/': 'dieline-llm'}
+    fields['host_routes'] = [
+        test_hosts.make_route(
+            name=prefix.strip('/'),
+            prefix=prefix,
+            targets=[{'service': service}],
+            priority=priority,
+            timeout_s=14.0,
+            patience_s=3.6,
+            **changes,
+        )
+        for prefix, service in services.items()
+    ]
+    return document.parse_document(json.dumps(fields).encode())
+
+
+class PassedOn(unittest.TestCase):
+    """The base: an entry whose document has host routes.
+
+    :cvar route: what is particular to the routes.
+    """
+
+    route: dict = {}
+
+    def setUp(self):
+        self.entry = entry_fake.Entry()
+        self.entry.directory.document = described(**self.route)
+
+    def arrive(self, path, **changes):
+        fields = {
+            'host': 'a.example',
+            'path': path,
+            'deadline_s': 14.0,
+            **changes,
+        }
+        return self.entry.arrive('completion', **fields)
+
+    def prefilled(self, **changes):
+        """Return the id of a call whose prompt was read."""
+        request_id = self.arrive('/model/x', **changes)
+        self.entry.book(request_id)
+        self.entry.prefill(request_id, known=NOT_RUN)
+        return request_id
+
+
+class RouteTest(PassedOn):
+    def test_the_path_chooses_the_service(self):
+        self.arrive('/plain/x')
+        ((_, book),) = self.entry.sent(cells.Book)
+        self.assertEqual(book.stage.value, 'plain')
+        self.arrive('/model/x')
+        ((_, book),) = self.entry.sent(cells.Book)
+        self.assertEqual(book.stage.value, 'pair')
+        self.assertAlmostEqual(book.deadline_s, 3.6)
+
+    @params(('a.example', '/other/'), ('b.example', '/model/'))
+    def test_no_route(self, host, path):
+        self.arrive(path, host=host)
+        self.assertEqual(self.entry.refusal.reason, REASON.UNKNOWN_ROUTE)
+
+    def test_an_instance_that_knows_no_routes_says_come_back(self):
+        """Symptom: callers are told for good that there is no such route.
+
+        Sequence: an instance starts; a call arrives before it has heard of
+        any configuration.
+        Cause: nothing known would be taken for nothing there.
+        """
+        self.entry.directory.document = document.EMPTY
+        self.arrive('/model/x')
+        refusal = self.entry.refusal
+        self.assertEqual(refusal.reason, REASON.CONFIGURATION_STALE)
+        self.assertIsNotNone(refusal.retry_after_s)
+
+    @params((14.0, False), (9.0, True), (None, False))
+    def test_who_came_before(self, deadline_s, resent):
+        self.arrive('/model/x', deadline_s=deadline_s)
+        ((_, book),) = self.entry.sent(cells.Book)
+        self.assertEqual(book.resent, resent)
+
+
+class OnceTest(PassedOn):
+    """A call that may run once at most."""
+
+    route = {'repeat': 'never', 'max_runs': 3}
+
+    def test_reading_the_prompt_runs_nothing(self):
+        """Symptom: callers are told "may have run" of what has not.
+
+        Sequence: the prompt is read; the decode engine refuses; no other
+        engine is found.
+        Cause: a prompt that was read would count as a run.
+        """
+        request_id = self.prefilled()
+        self.entry.decode(
+            request_id, failure=RETRY.BACKEND_BUSY, known=NOT_RUN
+        )
+        ((_, book),) = self.entry.sent(cells.Book)
+        self.assertEqual(book.stage.value, 'decode')
+        self.entry.tick(3.7)
+        self.entry.tick(20.0)
+        self.assertEqual(self.entry.refusal.verdict, NOT_RUN)
+
+    def test_a_caller_who_leaves_while_it_is_read(self):
+        request_id = self.arrive('/model/x')
+        self.entry.book(request_id)
+        self.entry.leave(request_id)
+        self.assertEqual(self.entry.refusal.verdict, NOT_RUN)
+
+    @params(RETRY.STREAM_BROKEN, RETRY.STREAM_STALLED, RETRY.IMPORT_REFUSED)
+    def test_a_stream_that_may_have_run_goes_nowhere_else(self, failure):
+        """Symptom: a quote is billed twice.
+
+        Sequence: a decode engine takes the call and falls silent.
+        Cause: a stream of ours may resume anywhere, since it runs once;
+        each send of a call that is passed on is a run.
+        """
+        request_id = self.prefilled()
+        self.entry.decode(request_id, failure=failure, known=MAY_HAVE_RUN)
+        self.assertEqual(self.entry.found(effects.RunDecode), [])
+        self.assertEqual(self.entry.sent(cells.Book), [])
+        self.assertEqual(self.entry.refusal.verdict, MAY_HAVE_RUN)
+
+
+class ResumeTest(PassedOn):
+    """A stream that may go on elsewhere."""
+
+    route = {'repeat': 'resume', 'max_runs': 2}
+
+    def test_it_runs_on_no_more_backend_servers_than_it_may(self):
+        request_id = self.prefilled()
+        broken = {'failure': RETRY.CONNECT_REFUSED, 'known': MAY_HAVE_RUN}
+        self.entry.decode(request_id, **broken)
+        self.entry.book(request_id, decode_id='d2')
+        self.entry.decode(request_id, **broken)
+        self.assertEqual(self.entry.sent(cells.Book), [])
+        self.assertEqual(self.entry.refusal.reason, REASON.RETRIES_SPENT)
+
+    def test_refusals_are_no_runs(self):
+        request_id = self.prefilled()
+        for _ in range(attempts.MAX_ATTEMPTS - 1):
+            self.entry.decode(
+                request_id, failure=RETRY.BACKEND_BUSY, known=NOT_RUN
+            )
+            self.assertEqual(len(self.entry.sent(cells.Book)), 1)
+            self.entry.book(request_id, decode_id=f'd{self.entry.now}')
+            self.entry.now += 0.01
+
+    def test_without_a_reader_the_decode_engine_reads(self):
+        request_id = self.arrive('/model/x')
+        self.entry.book(request_id, prefill_id='', prefill_url='')
+        run = self.entry.one(effects.RunDecode)
+        self.assertTrue(run.reads)
+        self.assertEqual(run.kv, '')
+        self.entry.decode(request_id)
+        self.assertEqual(len(self.entry.found(effects.Complete)), 1)
+
+    def test_an_engine_that_is_down_is_told_to_its_owner(self):
+        request_id = self.arrive('/model/x')
+        self.entry.book(request_id)
+        self.entry.prefill(
+            request_id, failure=RETRY.CONNECT_REFUSED, known=NOT_RUN
+        )
+        ((_, release),) = self.entry.sent(cells.Release)
+        self.assertEqual(
+            (release.backend_fault, release.is_down), ('p1', True)
+        )
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,159 @@
+"""Engines move between the pools where that gains much, and not otherwise."""
+
+import dataclasses
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw.cell import cells
+from dandeliongw.cell import policy
+from dandeliongw.cell import roles
+from tests import test_cells
+
+TERMS = policy.CellTerms(
+    first_token_s=0.9,
+    token_gap_s=0.3,
+    timeout_s=14.0,
+    prefill_tokens_per_s=33_000.0,
+    decode_tokens_per_s=320.0,
+    kv_bytes_per_token=327_680.0,
+    link_bytes_per_s=4e11,
+    slots_by_role={'prefill': 64, 'decode': 64},
+    kv_tokens_by_role={'prefill': 39_418, 'decode': 39_418},
+)
+
+
+def make_view(prefill, decode):
+    view = policy.CellView(terms=TERMS, answer_ratio=0.4)
+    names = [(f'p{n}', 'prefill') for n in range(prefill)]
+    names += [(f'd{n}', 'decode') for n in range(decode)]
+    for name, role in names:
+        backend = test_cells.make_backend(name, role, slots=64)
+        view.backends_by_id[name] = policy.BackendState(backend=backend)
+    return view
+
+
+def make_booking(prompt_tokens=3200, max_tokens=2720):
+    return policy.Booking(
+        request_id='r',
+        attempt_id='a',
+        entry='gw-1',
+        account='x',
+        priority='y',
+        stage=policy.Stage.PAIR,
+        prompt_tokens=prompt_tokens,
+        max_tokens=max_tokens,
+        prefix=(),
+        exclude=(),
+        arrived_at=0.0,
+        deadline_at=14.0,
+        renewed_at=0.0,
+    )
+
+
+def watched(view, requests=roles.LEAST_SEEN, **changes):
+    balance = roles.RoleBalance()
+    for _ in range(requests):
+        balance.note(view, make_booking(**changes))
+    return balance
+
+
+class RoleBalanceTest(unittest.TestCase):
+    @params(
+        (3, 3, 'decode'),
+        (2, 4, None),
+        (1, 5, None),
+        (5, 1, 'decode'),
+        (0, 6, 'prefill'),
+        (6, 0, 'decode'),
+        (1, 1, None),
+        (0, 1, None),
+    )
+    def test_the_fuller_pool_gets_an_engine(self, prefill, decode, role):
+        """Symptom: callers are turned away while engines stand idle.
+
+        Sequence: half of the engines read prompts, which takes a fifth of
+        all work; a burst fills the others' memory.
+        Cause: the pools stay as they were set up.
+        """
+        view = make_view(prefill, decode)
+        balance = watched(view)
+        self.assertEqual(balance.review(0.0, view), role is not None)
+        switch = balance.switch
+        self.assertEqual(switch and switch.role.value, role)
+
+    def test_long_prompts_with_short_answers_want_readers(self):
+        view = make_view(1, 5)
+        balance = watched(view, prompt_tokens=30_000, max_tokens=20)
+        balance.review(0.0, view)
+        self.assertEqual(balance.switch.role, policy.Role.PREFILL)
+
+    def test_a_few_requests_prove_nothing(self):
+        view = make_view(5, 1)
+        balance = watched(view, requests=roles.LEAST_SEEN - 1)
+        self.assertFalse(balance.review(0.0, view))
+
+    def test_the_idlest_engine_goes(self):
+        view = make_view(3, 3)
+        for name in ('p0', 'p2'):
+            state = view.backends_by_id[name]
+            state.bookings_by_key['r', 'a'] = make_booking()
+        balance = watched(view)
+        balance.review(0.0, view)
+        self.assertEqual(balance.switch.backend_id, 'p1')
+
+    def test_engines_that_fail_count_for_nothing(self):
+        view = make_view(2, 4)
+        for name in ('p0', 'p1'):
+            view.backends_by_id[name].health.add_refusal(0.0)
+        balance = watched(view)
+        balance.review(0.0, view)
+        self.assertEqual(balance.switch.role, policy.Role.PREFILL)
+
+    def test_one_move_at_a_time_and_then_a_rest(self):
+        """Symptom: engines swing between the pools, out of work each time."""
+        view = make_view(5, 1)
+        balance = watched(view)
+        balance.review(0.0, view)
+        self.assertFalse(balance.review(1.0, view))
+        moved = balance.switch.backend_id
+        state = view.backends_by_id[moved]
+        state.backend = dataclasses.replace(
+            state.backend, role=policy.Role.DECODE
+        )
+        self.assertTrue(balance.review(6.0, view))
+        self.assertIsNone(balance.switch)
+        self.assertFalse(balance.review(roles.REST_S - 0.1, view))
+        self.assertTrue(balance.review(roles.REST_S, view))
+
+    def test_a_move_that_nobody_carries_out_is_given_up(self):
+        view = make_view(5, 1)
+        balance = watched(view)
+        balance.review(0.0, view)
+        self.assertTrue(balance.review(roles.MOST_SWITCH_S, view))
+        self.assertIsNone(balance.switch)
+
+
+class CellTest(unittest.TestCase):
+    def test_an_engine_on_its_way_gets_no_work(self):
+        backends = [
+            test_cells.make_backend(f'p{n}', 'prefill') for n in range(5)
+        ]
+        cell = test_cells.make_cell(
+            *backends,
+            test_cells.make_backend('d0', 'decode'),
+            document_part=TERMS,
+        )
+        for _ in range(roles.LEAST_SEEN):
+            cell.roles.note(cell.view, make_booking())
+        cell.handle(cells.TermsChanged(now=0.0, terms=TERMS))
+        later = cells.BOOKING_LEASE_S + 1.0
+        self.assertTrue(cell.review_roles(later))
+        moved = cell.view.switching_id
+        role = policy.Role.PREFILL
+        ids = [
+            state.backend.backend_id
+            for state in cell.view.candidates(role, ())
+        ]
+        self.assertNotIn(moved, ids)
+        self.assertEqual(len(ids), 4)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """The policy in force, on a small cell of its own."""
 
+import dataclasses
 import unittest
 
 from nose2.tools import params
@@ -252,3 +253,117 @@
         )
         cell.handle(report)
         self.assertEqual(0, cell.view.backends_by_id['d1'].slots_used)
+
+
+def make_burst(*, slots=1, **terms):
+    """Return a cell with one engine of each role."""
+    return test_cells.make_cell(
+        test_cells.make_backend('p1', 'prefill', slots=slots),
+        test_cells.make_backend('d1', 'decode', slots=slots),
+        document_part=dataclasses.replace(TERMS, **terms),
+        policy=scheduler.Scheduler(),
+    )
+
+
+class BurstTest(unittest.TestCase):
+    """More work than there is room for, for a while."""
+
+    def book(self, cell, request_id, now, **changes):
+        fields = {'priority': 'patient', 'deadline_s': 20.0, **changes}
+        book = test_cells.make_book(request_id, **fields)
+        return test_cells.send(cell, book, now=now)[0].message
+
+    def finish(self, cell, request_id, now):
+        release = cells.Release(
+            cell=cell.cell_id,
+            request_id=request_id,
+            attempt_id='a1',
+            outcome=cells.Outcome.DONE,
+        )
+        out = test_cells.send(cell, release, now=now)
+        return [each.message.request_id for each in out]
+
+    def test_what_can_be_in_time_passes_what_can_not(self):
+        """Symptom: after a burst every answer is late, not the surplus only.
+
+        Sequence: work waits past its target; more arrives.
+        Cause: first come, first served.
+        """
+        cell = make_burst()
+        self.book(cell, 'runs', 0.0, max_tokens=60)
+        self.book(cell, 'late', 0.1, max_tokens=20)
+        self.book(cell, 'timely', 2.0, max_tokens=20)
+        self.assertEqual(self.finish(cell, 'runs', 2.1), ['timely'])
+        self.assertEqual(self.finish(cell, 'timely', 2.2), ['late'])
+
+    def test_who_was_turned_away_before_is_not_passed(self):
+        cell = make_burst()
+        self.book(cell, 'runs', 0.0, max_tokens=60)
+        self.book(cell, 'again', 0.1, max_tokens=20, resent=True)
+        self.book(cell, 'timely', 2.0, max_tokens=20)
+        self.assertEqual(self.finish(cell, 'runs', 2.1), ['again'])
+
+    def test_memory_that_is_full_keeps_a_prompt_waiting(self):
+        """Symptom: prompts are read, and their decode engine refuses them.
+
+        Cause: slots are counted, and memory isn't.
+        """
+        cell = make_burst(
+            slots=20, kv_tokens_by_role={policy.Role.DECODE: 2000}
+        )
+        first = self.book(cell, 'r1', 0.0)
+        second = self.book(cell, 'r2', 1.0)
+        self.assertIsInstance(first, cells.Booked)
+        self.assertIsInstance(second, cells.Queued)
+
+    def test_work_that_no_memory_holds_is_the_engines_to_refuse(self):
+        cell = make_burst(kv_tokens_by_role={policy.Role.DECODE: 500})
+        self.assertIsInstance(self.book(cell, 'r1', 0.0), cells.Booked)
+
+    def test_calls_of_a_plain_service_wait_for_a_slot(self):
+        cell = test_cells.make_cell(
+            test_cells.make_backend('s1', 'plain', slots=1),
+            document_part=TERMS,
+            policy=scheduler.Scheduler(),
+        )
+        plain = {'stage': policy.Stage.PLAIN, 'deadline_s': 2.0}
+        self.book(cell, 'r1', 0.0, **plain)
+        queued = self.book(cell, 'r2', 0.0, **plain)
+        refused = self.book(cell, 'r3', 0.0, **plain)
+        self.assertIsInstance(queued, cells.Queued)
+        self.assertEqual(refused.reason, RefusalReason.NO_CAPACITY)
+        self.assertEqual(self.finish(cell, 'r1', 0.1), ['r2'])
+
+
+class NoReaderTest(unittest.TestCase):
+    """Symptom: nothing is served though decode engines are free."""
+
+    def book(self, cell, **changes):
+        fields = {'may_read_there': True, **changes}
+        out = test_cells.send(cell, test_cells.make_book('r1', **fields))
+        return out[0].message
+
+    def make(self, *readers):
+        return test_cells.make_cell(
+            *readers,
+            test_cells.make_backend('d1', 'decode', slots=4),
+            document_part=TERMS,
+            policy=scheduler.Scheduler(),
+        )
+
+    def test_a_decode_engine_reads_where_nobody_else_does(self):
+        booked = self.book(self.make())
+        self.assertEqual((booked.prefill_id, booked.decode_id), ('', 'd1'))
+
+    def test_or_where_all_readers_are_left_out(self):
+        cell = self.make(test_cells.make_backend('p1', 'prefill'))
+        cell.view.backends_by_id['p1'].health.add_refusal(0.0)
+        self.assertEqual(self.book(cell).prefill_id, '')
+
+    def test_not_where_a_reader_is_free(self):
+        cell = self.make(test_cells.make_backend('p1', 'prefill'))
+        self.assertEqual(self.book(cell).prefill_id, 'p1')
+
+    def test_nor_for_calls_whose_engines_can_not(self):
+        declined = self.book(self.make(), may_read_there=False)
+        self.assertEqual(declined.reason, RefusalReason.NO_BACKEND)
