--- a/dandeliongw/borders/gateway.py
+++ b/dandeliongw/borders/gateway.py
@@ -279,8 +279,13 @@
             return self
         self.close()
         if isinstance(first, verdict.Refusal):
-            self._tell('refused', reason=first.reason, run=first.verdict)
-            self._log.info(first.message)
+            self._tell(
+                'refused',
+                reason=first.reason,
+                run=first.verdict,
+                why=first.message,
+                retry_after_s=first.retry_after_s,
+            )
             return self._reply.refuse(first)
         outcome = first.outcome
         self._tell('answered', status=outcome.status)
@@ -302,7 +307,13 @@
             return item.data
         self.close()
         if isinstance(item, verdict.Refusal):
-            self._tell('broken off', reason=item.reason, message=item.message)
+            self._tell(
+                'broken off',
+                reason=item.reason,
+                run=item.verdict,
+                why=item.message,
+                pieces=self._pieces,
+            )
             # Ends the connection without the mark of a whole body. The
             # server takes this error as that of a caller who has left.
             raise BrokenPipeError(errno.EPIPE, item.message)
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -48,7 +48,7 @@
 #: Shortest Retry-After. Bunches of work last for seconds; who comes back
 #: within one is turned away again, for good.
 LEAST_RETRY_AFTER_S = 1.5
-#: Longest, also where no end can be foreseen.
+#: Longest, however much is ahead.
 MOST_RETRY_AFTER_S = 30.0
 #: Retry-After is stretched by up to this part, so that those who were
 #: refused together don't come back together.
@@ -510,6 +510,13 @@
         for state in view.candidates(Role.PREFILL, ())
         if not state.health.is_ejected(now)
     ]
+    if not engines and ordered[-1].may_read_there:
+        # Decode engines read then, each one prompt at a time.
+        engines = [
+            now
+            for state in view.candidates(Role.DECODE, ())
+            if not state.health.is_ejected(now)
+        ]
     if not slots or not engines:
         return math.inf
     heapq.heapify(slots)
@@ -577,5 +584,9 @@
     # draw; callers who were refused together have different ones.
     digest = xxhash.xxh32_intdigest(booking.request_id.encode())
     stretch = 1.0 + RETRY_JITTER * digest / 2**32
+    if math.isinf(late_s):
+        # No end can be foreseen; backend servers that are left out are tried
+        # again within seconds.
+        late_s = LEAST_RETRY_AFTER_S
     wanted_s = (late_s + LEAST_RETRY_AFTER_S) * stretch
     return min(wanted_s, MOST_RETRY_AFTER_S)
