--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -40,6 +40,11 @@
 LAST_RANK = 1_000
 #: Patient work keeps at least a tenth in every prediction.
 MOST_PASSING = 0.9
+#: Seconds that work goes back in the queue for each second that its answer
+#: will take. Memory is held for as long, and answers differ by a factor of
+#: eight: with the short ones first more are in time. An answer of 8 s, the
+#: longest, goes back by 2 s, so that none waits without end.
+LENGTH_HANDICAP = 0.25
 #: Seconds for which all readers of prompts must be busy before a decode
 #: engine reads one by itself, which takes it some 0.2 s for 3,000 tokens.
 READ_THERE_AFTER_S = 0.4
@@ -237,7 +242,10 @@
             return rank, booking.arrived_at
         # Whoever is late and comes for the first time can come again.
         is_late = not booking.resent and now > timely_start(view, booking)
-        return rank, is_late, booking.arrived_at
+        handicap_s = 0.0
+        if not booking.resent:
+            handicap_s = LENGTH_HANDICAP * view.decode_s(booking)
+        return rank, is_late, booking.arrived_at + handicap_s
 
     def _ahead_of(
         self, now: float, view: CellView, booking: Booking
