--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -60,6 +60,15 @@
 RETRY_JITTER = 0.5
 
 
+class _Hope(enum.IntEnum):
+    """Whom a start now helps most; lower goes first."""
+
+    IN_TIME = 0
+    LAST_CHANCE = 1
+    #: Late, and not yet turned away once.
+    MAY_COME_AGAIN = 2
+
+
 class Order(enum.Enum):
     """Who goes first among those who wait."""
 
@@ -240,12 +249,9 @@
         rank = rank_of(view, booking)
         if not self._options.timely:
             return rank, booking.arrived_at
-        # Whoever is late and comes for the first time can come again.
-        is_late = not booking.resent and now > timely_start(view, booking)
-        handicap_s = 0.0
-        if not booking.resent:
-            handicap_s = LENGTH_HANDICAP * view.decode_s(booking)
-        return rank, is_late, booking.arrived_at + handicap_s
+        handicap_s = LENGTH_HANDICAP * view.decode_s(booking)
+        hope = _hope(now, view, booking)
+        return rank, hope, booking.arrived_at + handicap_s
 
     def _ahead_of(
         self, now: float, view: CellView, booking: Booking
@@ -432,6 +438,20 @@
         return link_wait_s(view.terms.weights)
 
 
+def _hope(now: float, view: CellView, booking: Booking) -> _Hope:
+    """Return what a start now is worth to its caller.
+
+    With those who came before in front, one overload would make all that
+    follows late; one would see a queue in which nothing is in time for
+    minutes after its cause.
+    """
+    if booking.resent:
+        return _Hope.LAST_CHANCE
+    if now <= timely_start(view, booking):
+        return _Hope.IN_TIME
+    return _Hope.MAY_COME_AGAIN
+
+
 def _plain_slots(view: CellView) -> int:
     """Return how many calls of a plain service run at one time."""
     return sum(
