--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -40,6 +40,8 @@
 LAST_RANK = 1_000
 #: Patient work keeps at least a tenth in every prediction.
 MOST_PASSING = 0.9
+#: Part of its caller's time for which a last chance may wait.
+LAST_CHANCE_PART = 0.75
 #: Seconds that work goes back in the queue for each second that its answer
 #: will take. Memory is held for as long, and answers differ by a factor of
 #: eight: with the short ones first more are in time. An answer of 8 s, the
@@ -277,10 +279,10 @@
             starts_at = now + (starts_at - now) / left
         latest = latest_start(view, booking)
         if booking.resent:
-            # Turned away once more, its caller would be lost.
-            latest = max(
-                latest, booking.deadline_at - first_token_s(view, booking)
-            )
+            # Turned away once more, its caller would be lost; but it is told
+            # before it leaves by itself.
+            patience_s = booking.deadline_at - booking.arrived_at
+            latest = booking.arrived_at + LAST_CHANCE_PART * patience_s
         spare_s = self._options.spare * (latest - booking.arrived_at)
         late_s = starts_at - (latest - spare_s)
         if late_s > 0.0:
