--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -41,7 +41,7 @@
 #: Patient work keeps at least a tenth in every prediction.
 MOST_PASSING = 0.9
 #: Part of its caller's time for which a last chance may wait.
-LAST_CHANCE_PART = 0.75
+LAST_CHANCE_PART = 0.85
 #: Seconds that work goes back in the queue for each second that its answer
 #: will take. Memory is held for as long, and answers differ by a factor of
 #: eight: with the short ones first more are in time. An answer of 8 s, the
