--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from ._presence_messages import BackendAnnouncement
@@ -73,9 +74,15 @@
 
     :param lease_s: seconds without renewal after which one gets no work.
     :param memory_s: seconds that leaves and expired ones are remembered.
+    :param outlasts_silence: whether leases stand still while no backend
+        server at all is heard of.
     """
 
-    def __init__(self, *, lease_s: float, memory_s: float) -> None:
+    def __init__(
+        self, *, lease_s: float, memory_s: float, outlasts_silence: bool
+    ) -> None:
+        self._quiet_s = lease_s / 2 if outlasts_silence else math.inf
+        self._heard_at: float | None = None
         self._lease_s = lease_s
         self._memory_s = memory_s
         self.by_id: dict[str, Backend] = {}
@@ -145,6 +152,26 @@
         held = self.by_id.get(backend_id)
         return [] if held is None else self._refresh(now, held)
 
+    def hear(self, now: float) -> None:
+        """Note that news of some backend server came.
+
+        Before this all may have been silent, for what carries their
+        heartbeats was down. Nothing is known to have ended meanwhile: the
+        leases go on from where they stood, or all that is there would look
+        gone until each has been heard of again.
+        """
+        silent_s = self._silent_s(now)
+        self._heard_at = now
+        if silent_s > 0.0:
+            for backend in self.by_id.values():
+                backend.lease_until += silent_s
+
+    def _silent_s(self, now: float) -> float:
+        """Return for how long leases have been standing still."""
+        if self._heard_at is None:
+            return 0.0
+        return max(0.0, now - self._heard_at - self._quiet_s)
+
     def expire(self, now: float) -> list[typing.Any]:
         """End the leases that have run out; forget what is old enough."""
         effects = []
@@ -171,7 +198,7 @@
         announcement = backend.announcement
         return (
             stamp(announcement) > self.left(announcement.backend_id)
-            and now < backend.lease_until
+            and now - self._silent_s(now) < backend.lease_until
             and self._holders_by_url[announcement.url].rank
             == self._rank(announcement)
         )
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -120,6 +120,8 @@
     :param instance_id: this instance.
     :param lease_s: seconds of a presence without renewal.
     :param memory_s: seconds that leaves are remembered.
+    :param outlasts_silence: whether leases stand still while nothing is
+        heard of any backend server, as the path of all heartbeats is down.
     """
 
     def __init__(
@@ -128,11 +130,16 @@
         instance_id: str,
         lease_s: float = LEASE_S,
         memory_s: float = MEMORY_S,
+        outlasts_silence: bool = False,
     ) -> None:
         self.instance_id = instance_id
         self.lease_s = lease_s
         self._memory_s = memory_s
-        self._backends = Backends(lease_s=lease_s, memory_s=memory_s)
+        self._backends = Backends(
+            lease_s=lease_s,
+            memory_s=memory_s,
+            outlasts_silence=outlasts_silence,
+        )
         self._fronts_by_id: dict[str, _Front] = {}
         self._instance_ids: tuple[str, ...] = (instance_id,)
         self._waiting_by_dispatcher: dict[str, list[_Renewal]] = {}
@@ -333,6 +340,7 @@
         now, message = event.now, event.message
         match message:
             case Presented():
+                self._backends.hear(now)
                 return self._backends.announce(
                     now, message.announcement, message.age_s
                 )
@@ -349,6 +357,8 @@
         for departure in message.departures:
             if stamp(departure) > self._backends.left(departure.backend_id):
                 effects += self._depart(now, departure, ())
+        if message.renewals:
+            self._backends.hear(now)
         unknown = []
         for renewal in message.renewals:
             renewed = self._backends.renew(now, renewal)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -88,6 +88,7 @@
         self.presence = presence.Presence(
             instance_id=settings.instance_id,
             lease_s=settings.timeouts.presence_s,
+            outlasts_silence=settings.unconfirmed == 'serve',
         )
         self.directory = directory_module.Directory(
             settings=settings,
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -456,6 +456,61 @@
         self.assertEqual(self.hear(backend_id='be-2', sequence=9), [])
 
 
+class SilenceTest(unittest.TestCase):
+    """Symptom: everything is refused though all backend servers serve.
+
+    Sequence: all instances that take heartbeats are down for 14 s; they come
+    back, and heartbeats one after the other.
+    Cause: a lease ends without a renewal, whoever failed to pass it on.
+    """
+
+    LEASE_S = 4.0
+
+    def setUp(self):
+        self.now = 0.0
+        self.part = presence.Presence(
+            instance_id='gw-1', lease_s=self.LEASE_S, outlasts_silence=True
+        )
+        for name in ('be-1', 'be-2'):
+            self.hear(name, sequence=1)
+
+    def hear(self, backend_id, sequence):
+        said = make_announcement(
+            backend_id=backend_id,
+            sequence=sequence,
+            url=f'http://{backend_id}',
+        )
+        message = presence.Presented(announcement=said, age_s=0.0)
+        self.part.handle(
+            parts.Received(now=self.now, sender='gw-2', message=message)
+        )
+
+    def usable(self, after_s):
+        self.now += after_s
+        self.part.handle(parts.Ticked(now=self.now, entropy=0))
+        return [
+            each.announcement.backend_id
+            for each in self.part.usable('dieline-llm', self.now)
+        ]
+
+    def test_all_stay_while_nothing_is_heard_of_any(self):
+        for _ in range(7):
+            self.assertEqual(self.usable(2.0), ['be-1', 'be-2'])
+
+    def test_and_go_on_from_there_once_one_is_heard(self):
+        self.usable(14.0)
+        self.hear('be-1', sequence=2)
+        self.assertEqual(self.usable(1.0), ['be-1', 'be-2'])
+        self.hear('be-1', sequence=3)
+        self.assertEqual(self.usable(self.LEASE_S), ['be-1'])
+
+    def test_one_that_dies_alone_is_gone_as_before(self):
+        for sequence in range(2, 6):
+            self.now += 1.0
+            self.hear('be-1', sequence)
+        self.assertEqual(self.usable(0.1), ['be-1'])
+
+
 class CacheHintTest(unittest.TestCase):
     """Symptom: requests follow a prefix that was evicted long ago.
 
