--- a/dandeliongw/journal.py
+++ b/dandeliongw/journal.py
@@ -15,6 +15,7 @@
 from collections import abc
 import contextlib
 import dataclasses
+import errno
 import fcntl
 import os
 import pathlib
@@ -38,6 +39,8 @@
 LENGTHS = struct.Struct('>HI')
 #: Longest body a frame may have; a longer one is a mistake of the caller.
 LONGEST_BODY = 256 * 1024 * 1024
+#: How the system says that there is no room.
+NO_ROOM = frozenset((errno.ENOSPC, errno.EDQUOT))
 
 
 class JournalError(Exception):
@@ -57,6 +60,10 @@
     """The folder can't be written or made."""
 
 
+class DiskFull(JournalError):
+    """There was no room; nothing was added, and a later try may succeed."""
+
+
 class FolderLocked(JournalError):
     """Another process uses the folder."""
 
@@ -133,9 +140,9 @@
 class Journal:
     """An open journal; made by :func:`open_journal`.
 
-    After any ``OSError`` the journal refuses further writes: it is unknown
-    then which bytes the disk holds, and a second sync may claim success for
-    pages that the first one dropped.
+    After any ``OSError`` but for a lack of room the journal refuses further
+    writes: it is unknown then which bytes the disk holds, and a second sync
+    may claim success for pages that the first one dropped.
 
     :param disk_id: the identity of this disk, made at its first start.
     :param records: what was restored, oldest first.
@@ -170,13 +177,29 @@
     def append(self, records: abc.Iterable[typing.Any]) -> None:
         """Write a batch of records and sync them once.
 
+        :raises DiskFull: when nothing was written for lack of room.
         :raises JournalError: when the disk failed, now or before.
         """
         data = b''.join(_frame(self._codec, record) for record in records)
         with self._guarded():
-            self._storage.write(self._descriptor, data)
+            size = self.size
+            try:
+                self._storage.write(self._descriptor, data)
+            except OSError as error:
+                self._take_back(size, error)
             self._storage.sync(self._descriptor)
 
+    def _take_back(self, size: int, error: OSError) -> typing.NoReturn:
+        """Cut off what a write without room has left.
+
+        A voter that ended for it would start again and again until there is
+        room, and each start costs the others more than a silent voter.
+        """
+        if error.errno not in NO_ROOM:
+            raise error
+        self._storage.truncate(self._descriptor, size)
+        raise DiskFull(folder=self._folder, reason=_describe(error))
+
     def compact(self, records: abc.Iterable[typing.Any]) -> None:
         """Replace everything by these records.
 
@@ -185,15 +208,23 @@
         last; until then a power loss brings back the old file, which is why
         appends wait for it.
 
+        :raises DiskFull: when there is no room; the old file goes on.
         :raises JournalError: when the disk failed, now or before.
         """
         with self._guarded():
-            descriptor = _write_file(
-                self._storage,
-                self._folder,
-                self.disk_id,
-                [_frame(self._codec, record) for record in records],
-            )
+            try:
+                descriptor = _write_file(
+                    self._storage,
+                    self._folder,
+                    self.disk_id,
+                    [_frame(self._codec, record) for record in records],
+                )
+            except OSError as error:
+                if error.errno not in NO_ROOM:
+                    raise
+                raise DiskFull(
+                    folder=self._folder, reason=_describe(error)
+                ) from error
             os.close(self._descriptor)
             self._descriptor = descriptor
 
@@ -208,6 +239,9 @@
         self._has_failed = True
         try:
             yield
+        except DiskFull:
+            self._has_failed = False
+            raise
         except OSError as error:
             raise FolderUnusable(
                 folder=self._folder, reason=_describe(error)
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -20,6 +20,7 @@
 from . import clock
 from . import effects
 from . import engine
+from . import journal as journal_module
 from . import metrics as metrics_module
 from . import verdict
 from .cell import cells
@@ -36,6 +37,8 @@
 FENCED = 'fenced'
 #: The journal is compacted once it has grown by so much.
 COMPACT_BYTES = 8 << 20
+#: Seconds between two tries to write to a disk that is full.
+FULL_DISK_S = 0.25
 #: Seconds a handler waits for the reducer's answer to an operator.
 ASK_S = 15.0
 
@@ -443,6 +446,7 @@
         self._queue: queue.SimpleQueue = queue.SimpleQueue()
         self._compacted_size = 0
         self._is_compacting = False
+        self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name='journal', daemon=True
         )
@@ -452,6 +456,7 @@
 
     def stop(self) -> None:
         self._queue.put(self._STOP)
+        self._stopping.set()
         self._thread.join()
 
     def put(self, item: parts.Persist | _Compact) -> None:
@@ -492,8 +497,8 @@
         if not waiting:
             return
         records = [record for each in waiting for record in each.records]
-        if self._journal is not None:
-            self._journal.append(records)
+        if self._journal is not None and not self._write_records(records):
+            return
         for each in waiting:
             token = each.token
             self._runtime.post(
@@ -501,6 +506,26 @@
             )
         self._compact_if_large()
 
+    def _write_records(self, records: list[typing.Any]) -> bool:
+        """Write, and wait out a full disk; nothing is promised meanwhile.
+
+        :returns: ``False`` when a stop came before there was room.
+        """
+        is_told = False
+        while True:
+            try:
+                self._journal.append(records)
+            except journal_module.DiskFull as error:
+                if not is_told:
+                    logger.warning(f'the disk takes nothing: {error}')
+                is_told = True
+            else:
+                if is_told:
+                    logger.info('the disk takes records again')
+                return True
+            if self._stopping.wait(FULL_DISK_S):
+                return False
+
     def _compact_if_large(self) -> None:
         if self._journal is None or self._is_compacting:
             return
@@ -510,6 +535,9 @@
 
     def _compact(self, item: _Compact) -> None:
         if self._journal is not None:
-            self._journal.compact(item.records)
+            try:
+                self._journal.compact(item.records)
+            except journal_module.DiskFull as error:
+                logger.warning(f'the journal is not compacted: {error}')
             self._compacted_size = self._journal.size
         self._is_compacting = False
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import errno
 import itertools
 import os
 import pathlib
@@ -200,6 +201,35 @@
             with self.assertRaisesRegex(journals.JournalError, 'earlier'):
                 journal.append([Received(count=1)])
 
+    def test_a_full_disk_leaves_the_journal_as_it_was(self):
+        """Symptom: records are lost, or their voter ends, for lack of room.
+
+        Sequence: a write gets half of its bytes down before the disk is
+        full; later there is room again.
+        Cause: half a frame would stay before the next one.
+        """
+
+        class FullStorage(journals.Storage):
+            def write(self, descriptor, data):
+                if is_full:
+                    super().write(descriptor, data[: len(data) // 2])
+                    raise OSError(errno.ENOSPC, 'No space left on device')
+                super().write(descriptor, data)
+
+        is_full = False
+        with self.open(FullStorage()) as journal:
+            journal.append([Received(count=1)])
+            is_full = True
+            with self.assertRaises(journals.DiskFull):
+                journal.append([Received(count=2)])
+            with self.assertRaises(journals.DiskFull):
+                journal.compact([Received(count=2)])
+            is_full = False
+            journal.append([Received(count=3)])
+        with self.open() as journal:
+            self.assertEqual([1, 3], numbers(journal))
+            self.assertIsNone(journal.damage)
+
     def test_a_second_process_is_kept_out(self):
         with self.open():
             with self.assertRaisesRegex(journals.FolderLocked, "data'"):
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,11 +1,13 @@
 """The runtime performs effects, each at its time and in its thread."""
 
+import pathlib
 import threading
 import unittest
 
 from dandeliongw.cell import orders
 from dandeliongw.coordination import parts
 from dandeliongw import effects
+from dandeliongw import journal
 from dandeliongw import metrics
 from dandeliongw import runtime
 from dandeliongw import verdict
@@ -132,6 +134,37 @@
         seen = [type(event) for event in self.reducer.seen]
         self.assertNotIn(parts.Persisted, seen)
 
+    def test_a_full_disk_is_waited_out(self):
+        """Symptom: a voter ends again and again while its disk is full.
+
+        Sequence: the disk takes no more bytes for some seconds.
+        Cause: a lack of room would count as a disk that failed.
+        """
+        full = journal.DiskFull(folder=pathlib.Path('data'), reason='no room')
+        failures = [full, full]
+
+        def append(records):
+            if failures:
+                raise failures.pop()
+            self.journal.batches.append(list(records))
+
+        self.journal.append = append
+        self.perform(parts.Persist(token='a', records=(1,)))
+        self.assertEqual('a', self.reducer.wait_for(parts.Persisted).token)
+        self.assertEqual(self.journal.batches, [[1]])
+        self.assertIsNone(self.runtime.broken)
+
+    def test_a_stop_on_a_full_disk_promises_nothing(self):
+        self.journal.failure = journal.DiskFull(
+            folder=pathlib.Path('data'), reason='no room'
+        )
+        self.journal.may_go_on.set()
+        self.perform(parts.Persist(token='a', records=(1,)))
+        self.reducer.wait_for(parts.Received)
+        self.runtime._writer.stop()
+        seen = [type(event) for event in self.reducer.seen]
+        self.assertNotIn(parts.Persisted, seen)
+
     def give_order(self):
         order = orders.SendOrder(
             order_id='o',
