--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -359,9 +359,7 @@
         )
         match result:
             case register.Applied():
-                return control.Applied(
-                    revision=result.revision, repeated=result.repeated
-                )
+                return _applied(result)
             case register.Conflict():
                 return control.Conflict(
                     current=control.Configuration(
@@ -389,9 +387,7 @@
         )
         match result:
             case register.Applied():
-                return control.Applied(
-                    revision=result.revision, repeated=result.repeated
-                )
+                return _applied(result)
             case register.Overtaken():
                 return control.Overtaken(order=result.order)
         return control.Unavailable(message=result.message)
@@ -511,3 +507,7 @@
             )
             for record in reversed(records)
         ]
+
+
+def _applied(result: register.Applied) -> control.Applied:
+    return control.Applied(revision=result.revision, repeated=result.repeated)
