Every refusal leaves a line with its caller's id

Cause: a call refused at a border before it was read whole left no line that its id leads to (unknown service, wrong header, body too large); seen with the logs of real processes. Test: every failed call of three instances with killed backend servers is explained; 27 calls and more.

--- a/dandeliongw/borders/callers.py
+++ b/dandeliongw/borders/callers.py
@@ -11,6 +11,7 @@
 import uuid
 
 import cherrypy
+from loguru import logger
 
 from .. import events
 from .. import metrics as metrics_module
@@ -212,6 +213,12 @@
         if refusal.reason in (_REASON.BAD_REQUEST, _REASON.TOO_LARGE):
             # These never reach the reducer, which counts all the others.
             self._metrics.count_refusal(refusal)
+        logger.bind(request_id=request_id).info(
+            'call refused',
+            reason=refusal.reason,
+            run=refusal.verdict,
+            why=refusal.message,
+        )
         cherrypy.response.status = STATUS_BY_REASON.get(
             refusal.reason, DEFAULT_STATUS
         )
--- a/dandeliongw/borders/gateway.py
+++ b/dandeliongw/borders/gateway.py
@@ -86,6 +86,10 @@
         """
         ...
 
+    def read_request_id(self, headers: Headers) -> str:
+        """Return the caller's own name of this send; "" if none is usable."""
+        ...
+
 
 class Gate(typing.Protocol):
     """What the border needs of the server around it."""
@@ -139,7 +143,14 @@
             reply.close_connection()
             refusal = error.refusal()
             self._metrics.count_refusal(refusal)
-            logger.info('call refused', reason=refusal.message)
+            logger.bind(
+                request_id=self._dialect.read_request_id(headers)
+            ).info(
+                'call refused',
+                reason=refusal.reason,
+                run=refusal.verdict,
+                why=refusal.message,
+            )
             return reply.refuse(refusal)
         carrier = self._gate.open_passing(
             call=call, work=work, facts=facts, caller=incoming.conn.socket
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -7,6 +7,7 @@
 
 from dandeliongw import exceptions
 from dandeliongw import explain
+from tools import local
 
 
 def line(second, message, instance='gw-1', **fields):
@@ -62,3 +63,79 @@
         with self.assertRaises(exceptions.UsageError) as caught:
             explain.explain('c1', ['/nowhere/log'])
         self.assertIn('/nowhere/log', caught.exception.message)
+
+
+class RealLogsTest(unittest.TestCase):
+    """Real processes, whose backend servers fail in several ways."""
+
+    BOOKINGS = '/services/studio-portal/bookings'
+    LOOKUP = '/services/studio-portal/lookup'
+
+    def setUp(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.system = self.enterContext(
+            local.running(folder=pathlib.Path(folder))
+        )
+        revision = self.system.apply('gw-1', local.example_document(), 'first')
+        self.system.wait_serving(revision)
+
+    def start(self, module, backend_id, *options):
+        self.system.start_stand_in(
+            module, backend_id, *options, '--data-centre', 'dc-a'
+        )
+
+    def end(self, backend_id):
+        self.system.kill(self.system.stand_ins_by_id[backend_id].process)
+
+    def call_all(self):
+        """Call through each instance in each way; return what failed."""
+        prompt = {
+            'model': 'dieline-llm',
+            'prompt': 'Check carton 4711',
+            'max_tokens': 4,
+        }
+        calls = [
+            ('GET', self.LOOKUP, None),
+            ('POST', self.BOOKINGS, {'horse': 'x'}),
+            ('POST', '/v1/completions', prompt),
+            ('POST', '/v1/completions', {**prompt, 'max_tokens': -1}),
+            ('GET', '/services/nothing/at-all', None),
+        ]
+        answers = [
+            self.system.caller(instance_id, *call)
+            for instance_id in self.system.instances_by_id
+            for call in calls
+        ]
+        return [body['error'] for status, body in answers if status >= 400]
+
+    def test_every_call_that_failed_has_a_line_that_says_why(self):
+        """Symptom: a call failed, and no log line leads to the reason.
+
+        Sequence: calls while no backend server is there, while they have
+        been killed and are not known to be gone, and calls that are wrong.
+        Cause: a refusal that only its caller was told of.
+        """
+        failed = self.call_all()
+        self.start('standin_service', 'portal-1', '--service', 'studio-portal')
+        for role in ('prefill', 'decode'):
+            self.start(
+                'standin_engine',
+                f'{role}-1',
+                *('--service', 'dieline-llm', '--role', role),
+            )
+        self.system.wait_backends(3)
+        for backend_id in ('portal-1', 'decode-1'):
+            self.end(backend_id)
+        failed += self.call_all()
+        files = [
+            str(each.log_file) for each in self.system.instances_by_id.values()
+        ]
+        self.assertGreaterEqual(len(failed), 3 * 9)
+        for error in failed:
+            found = explain.explain(error['request_id'], files)
+            self.assertEqual(
+                found['end'], f'call refused: {error["reason"]}', error
+            )
+            last = found['lines'][-1]
+            self.assertEqual(last['run'], error['verdict'])
+            self.assertTrue(last['why'])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -44,6 +44,9 @@
             headers=tuple(each for each in headers if each[0] != 'X-Secret'),
         )
 
+    def read_request_id(self, headers):
+        return dict(headers).get('X-Name', '')
+
 
 class Engine:
     """Streams the events that it is given, then what comes last."""
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -39,6 +39,20 @@
         self.assertEqual(facts.prefix, ('5c1e07a2', '91bd3f06'))
         self.assertEqual(facts.pieces_held, 0)
 
+    @params(
+        ((('X-REQUEST-ID', '9c41d07b'),), '9c41d07b'),
+        ((('X-Request-Id', 'a b'),), ''),
+        ((), ''),
+    )
+    def test_a_refusal_is_told_with_the_callers_id(self, given, request_id):
+        """Symptom: a refused call leaves no line that its id leads to.
+
+        Sequence: a call with an id comes with a header that can't be read.
+        Cause: the id was known only of calls that were read whole.
+        """
+        dialect = headers.Dialect()
+        self.assertEqual(dialect.read_request_id(given), request_id)
+
     def test_a_caller_that_resumes_a_stream(self):
         self.assertEqual(read(('Last-Event-Id', '17')).pieces_held, 17)
 
