--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -231,7 +231,7 @@
         late = [each for each in view.queue if now > each.latest_start_at]
         if late:
             first = self._first(now, view, late)
-            return [(first, _refuse_late(first, 0.0))]
+            return [(first, _refuse_waited(first))]
         first = self._first(now, view, view.queue)
         placed = self._place(now, view, first)
         return [] if placed is None else [(first, placed)]
@@ -608,6 +608,14 @@
     )
 
 
+def _refuse_waited(booking: Booking) -> Decline:
+    return Decline(
+        reason=RefusalReason.TARGET_UNREACHABLE,
+        message='no backend server had room while it could still wait',
+        retry_after_s=_retry_after(booking, 0.0),
+    )
+
+
 def _retry_after(booking: Booking, late_s: float) -> float:
     """Return when to come back: once what is ahead now should be done."""
     # The identity stands in for a random number, which a reducer must not
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -109,6 +109,8 @@
             test_cells.tick(self.cell, 6.01)
         )
         self.assertIsInstance(effect.message, cells.Declined)
+        # "0.0 s late" would send whoever reads it after a late engine.
+        self.assertIn('no backend server had room', effect.message.message)
 
     def test_a_caller_who_left_the_queue_gets_no_slot(self):
         self.fill(ends_at=0.7)
