--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -377,3 +377,41 @@
     def test_nor_for_calls_whose_engines_can_not(self):
         declined = self.book(self.make(), may_read_there=False)
         self.assertEqual(declined.reason, RefusalReason.NO_BACKEND)
+
+
+class DistrustTest(unittest.TestCase):
+    def test_the_places_of_distrusted_ones_are_used_if_there_are_no_others(
+        self,
+    ):
+        """Symptom: a fifth of the calls of a plain service is refused.
+
+        Sequence: one of three backend servers leaves; the other two lose
+        some answers, are left out, and come back with one slot each, which
+        a call without an answer holds for a second.
+        Cause: trust is taken from all of them as if others could do the
+        work; each further fault doubles the time.
+        """
+        cell = make_cell(
+            test_cells.make_backend('s1', 'plain', slots=6),
+            test_cells.make_backend('s2', 'plain', slots=6),
+        )
+        for state in cell.view.backends_by_id.values():
+            for now in (0.0, 0.1, 0.2):
+                state.health.add_fault(now)
+        answers = [
+            test_cells.send(
+                cell,
+                test_cells.make_book(
+                    f'r{number}', stage=policy.Stage.PLAIN, deadline_s=2.0
+                ),
+                0.5,
+            )
+            for number in range(12)
+        ]
+        booked = [
+            effect
+            for effects in answers
+            for effect in effects
+            if isinstance(effect.message, cells.Booked)
+        ]
+        self.assertEqual(12, len(booked))
