--- a/dandeliongw/hosts.py
+++ b/dandeliongw/hosts.py
@@ -81,13 +81,13 @@
     """What callers of host routes may send, and how slowly."""
 
     max_header_bytes: models.PositiveInt = 65536
-    """Request line and headers."""
+    """Request line and headers. Kept, not applied yet: 65536 holds."""
     max_body_bytes: models.PositiveInt = 8 << 20
     """The longest body."""
     header_timeout_s: models.Positive = 10.0
-    """From the first byte of a call to the end of its headers."""
+    """From a call's first byte to its headers' end. Not applied yet."""
     idle_timeout_s: models.Positive = 30.0
-    """Silence on a kept connection after which it is closed."""
+    """Silence until a kept connection is closed. Not applied yet."""
 
 
 class RouteTable:
