Where most servers of a role are distrusted, their places are used again

Cause: health takes trust from a backend server as if others could carry its work. Where one of three has left and the other two lose some answers, each carries one call at a time for seconds, a call without an answer holds that slot, and each further fault doubles the time.

Change: with under half of a role's places trusted, those that take connections get work up to their slots, once the trusted ones are full. A fault after the return counts by its part of what ended, as before; the doubling begins anew after 15 s without trouble.

Ruled out: using the dead ones as well (a server that refuses connections is marked and left out); the prefill engines, as decode engines read without them.

--- a/dandeliongw/cell/health.py
+++ b/dandeliongw/cell/health.py
@@ -21,6 +21,9 @@
 BATCH_RESTS_S = 1.0
 #: How long it takes from one slot to all of them.
 RAMP_S = 4.0
+#: So long after it came back its earlier faults no longer lengthen the time
+#: for which it is left out. Estimate: a few windows without a new reason.
+FORGIVEN_AFTER_S = 15.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -40,6 +43,8 @@
     #: When it came, or came back; ``None`` if it has always been there.
     came_at: float | None = None
     last_given_at: float = -math.inf
+    #: Whether the last that was heard of it is that it took no connection.
+    refuses_connections: bool = False
 
     def is_ejected(self, now: float) -> bool:
         return now < self.ejected_until
@@ -75,8 +80,8 @@
             return
         self._forget_old(now)
         self.recent_faults.append(now)
-        suspect = self.ejections > 0 and self.is_new(now)
-        if suspect or self._fails_too_often():
+        needed = 1 if self._is_suspect(now) else FAULTS_TO_EJECT
+        if len(self.recent_faults) >= needed and self._fails_a_large_part():
             self._eject(now)
 
     def add_refusal(self, now: float) -> None:
@@ -85,11 +90,13 @@
         One that has died refuses every one, and each costs its caller an
         attempt: waiting for more of them tells nothing new.
         """
+        self.refuses_connections = True
         if not self.is_ejected(now):
             self._eject(now)
 
     def add_success(self, now: float) -> None:
         """Count work that ended well."""
+        self.refuses_connections = False
         self._forget_old(now)
         self.recent_successes.append(now)
 
@@ -100,18 +107,26 @@
             at for at in self.recent_successes if at > since
         ]
 
-    def _fails_too_often(self) -> bool:
-        """Whether faults are many, and a large part of all.
+    def _is_suspect(self, now: float) -> bool:
+        """Whether it came back a short while ago; one fault may be enough."""
+        return self.ejections > 0 and self.is_new(now)
 
-        With the number alone, a busy pool whose calls fail now and then
+    def _fails_a_large_part(self) -> bool:
+        """Whether the faults are a large part of all that ended.
+
+        With their number alone, a busy pool whose calls fail now and then
         would leave out all its backend servers in turn; one would see calls
         refused with most places free.
         """
         faults = len(self.recent_faults)
         ended = faults + len(self.recent_successes)
-        return faults >= FAULTS_TO_EJECT and faults >= FAULT_PART * ended
+        return faults >= FAULT_PART * ended
 
     def _eject(self, now: float) -> None:
+        if self.came_at is not None and (
+            now > self.came_at + FORGIVEN_AFTER_S
+        ):
+            self.ejections = 0
         ejected_s = min(EJECTED_S * 2**self.ejections, MOST_EJECTED_S)
         self.ejected_until = now + ejected_s
         self.came_at = self.ejected_until
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -50,6 +50,9 @@
 #: Seconds for which all readers of prompts must be busy before a decode
 #: engine reads one by itself, which takes it some 0.2 s for 3,000 tokens.
 READ_THERE_AFTER_S = 0.4
+#: With less than half of a role's places trusted, the rest is used, too.
+#: Estimate: up to then others can carry what a distrusted one would.
+LEAST_TRUSTED_PART = 0.5
 #: Part of its time that a call of a plain service waits for a slot.
 PLAIN_WAIT_PART = 0.25
 #: Shortest Retry-After. Bunches of work last for seconds; who comes back
@@ -62,6 +65,14 @@
 RETRY_JITTER = 0.5
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Room:
+    """A backend server with slots that may be booked now."""
+
+    state: BackendState
+    free: int
+
+
 class _Hope(enum.IntEnum):
     """Whom a start now helps most; lower goes first."""
 
@@ -293,52 +304,74 @@
     def _usable(
         self, now: float, view: CellView, role: Role, booking: Booking
     ) -> list[BackendState]:
-        """Return those that may get work; all if every one is left out."""
+        """Return those that may get work.
+
+        If every one is left out, these are those that take connections; if
+        none does, all.
+        """
         candidates = candidates_for(view, role, booking)
         if not self._options.health:
             return candidates
         if all(state.health.is_ejected(now) for state in candidates):
-            return candidates
+            reachable = [
+                state
+                for state in candidates
+                if not state.health.refuses_connections
+            ]
+            return reachable or candidates
         return [
             state for state in candidates if state.health.may_get_work(now)
         ]
 
-    def _free_slots(self, now: float, state: BackendState) -> int:
-        slots = state.backend.slots
-        if self._options.cap:
-            slots = state.slots_open
+    def _rooms(
+        self, now: float, view: CellView, role: Role, booking: Booking
+    ) -> list[_Room]:
+        """Return the backend servers with free slots.
+
+        Where faults take trust from most of a role at once, the rest can't
+        do their work. Of two servers that lose some answers each would
+        carry one call instead of all it has slots for; one would see calls
+        refused while places are free. Their slots are used then, once those
+        of trusted ones are full; but none of one that is dead.
+        """
+        rooms = [
+            _Room(state=state, free=self._trusted_slots(now, state))
+            for state in self._usable(now, view, role, booking)
+            if view.has_kv_room(now, state, booking)
+        ]
+        rooms = [room for room in rooms if room.free > 0]
+        if rooms or not self._options.health:
+            return rooms
+        if not _is_most_distrusted(now, view, role):
+            return rooms
+        rooms = [
+            _Room(state=state, free=self._slots(state) - state.slots_used)
+            for state in candidates_for(view, role, booking)
+            if not state.health.refuses_connections
+            and view.has_kv_room(now, state, booking)
+        ]
+        return [room for room in rooms if room.free > 0]
+
+    def _slots(self, state: BackendState) -> int:
+        return state.slots_open if self._options.cap else state.backend.slots
+
+    def _trusted_slots(self, now: float, state: BackendState) -> int:
+        """Return how many slots are free of those open to new work now."""
+        slots = self._slots(state)
         if self._options.health:
-            part = state.health.open_part(now)
-            slots = max(1, math.floor(slots * part))
+            slots = max(1, math.floor(slots * state.health.open_part(now)))
         return slots - state.slots_used
 
-    def _most_free(
-        self, now: float, candidates: list[BackendState]
-    ) -> BackendState | None:
-        chosen = max(
-            candidates,
-            key=lambda each: self._free_slots(now, each),
-            default=None,
-        )
-        if chosen is None or self._free_slots(now, chosen) <= 0:
-            return None
-        return chosen
-
     def _place(
         self, now: float, view: CellView, booking: Booking
     ) -> Place | None:
         if booking.stage is Stage.PAIR:
             return self._place_pair(now, view, booking)
         role = ROLES_BY_STAGE[booking.stage][0]
-        usable = [
-            state
-            for state in self._usable(now, view, role, booking)
-            if view.has_kv_room(now, state, booking)
-        ]
-        chosen = self._most_free(now, usable)
-        if chosen is None:
+        rooms = self._rooms(now, view, role, booking)
+        if not rooms:
             return None
-        backend_id = chosen.backend.backend_id
+        backend_id = _freest(rooms).backend.backend_id
         if role is Role.PLAIN:
             return Place(plain_id=backend_id)
         return Place(decode_id=backend_id)
@@ -362,11 +395,10 @@
         ]
         if min(frees_at, default=math.inf) - now < READ_THERE_AFTER_S:
             return None
-        rooms = self._rooms(now, view, booking)
+        rooms = self._rooms(now, view, Role.DECODE, booking)
         if not rooms:
             return None
-        state, _ = max(rooms, key=lambda room: room[1])
-        return Place(decode_id=state.backend.backend_id)
+        return Place(decode_id=_freest(rooms).backend.backend_id)
 
     def _choose_pair(
         self, now: float, view: CellView, booking: Booking
@@ -376,7 +408,7 @@
         What an engine has cached shortens its work, so prompts go back to
         the cache they know unless it is busier by more than it saves.
         """
-        rooms = self._rooms(now, view, booking)
+        rooms = self._rooms(now, view, Role.DECODE, booking)
         if not rooms:
             return None
         best: tuple[tuple[float, ...], Place] | None = None
@@ -398,23 +430,12 @@
                 best = cost, chosen
         return best[1] if best else None
 
-    def _rooms(
-        self, now: float, view: CellView, booking: Booking
-    ) -> list[tuple[BackendState, int]]:
-        """Return the decode engines with free slots, and how many."""
-        rooms = [
-            (state, self._free_slots(now, state))
-            for state in self._usable(now, view, Role.DECODE, booking)
-            if view.has_kv_room(now, state, booking)
-        ]
-        return [(state, free) for state, free in rooms if free > 0]
-
     def _choose_room(
         self,
         view: CellView,
         done_at: float,
         prefill: BackendState,
-        rooms: list[tuple[BackendState, int]],
+        rooms: list[_Room],
     ) -> tuple[tuple[float, ...], BackendState] | None:
         """Return the least cost and its decode engine.
 
@@ -423,14 +444,15 @@
         twice; a prefill that would wait long is not started yet.
         """
         if not self._options.links:
-            state, free = max(rooms, key=lambda room: room[1])
-            return (done_at, -free), state
+            room = max(rooms, key=lambda each: each.free)
+            return (done_at, -room.free), room.state
         latest_at = done_at + self._longest_link_wait_s(view)
         source_at = max(done_at, prefill.link_free_at)
         costs = [
-            ((round(moves_at, LINK_DIGITS), -free), state)
-            for state, free in rooms
-            if (moves_at := max(source_at, state.link_free_at)) <= latest_at
+            ((round(moves_at, LINK_DIGITS), -room.free), room.state)
+            for room in rooms
+            if (moves_at := max(source_at, room.state.link_free_at))
+            <= latest_at
         ]
         return min(costs, key=lambda each: each[0], default=None)
 
@@ -440,6 +462,30 @@
         return link_wait_s(view.terms.weights)
 
 
+def _freest(rooms: list[_Room]) -> BackendState:
+    return max(rooms, key=lambda room: room.free).state
+
+
+def _is_most_distrusted(now: float, view: CellView, role: Role) -> bool:
+    """Return whether over half of a role's places are held back."""
+    parts = [
+        state.health.open_part(now) for state in view.candidates(role, ())
+    ]
+    return sum(parts) < LEAST_TRUSTED_PART * len(parts)
+
+
+def _serving(now: float, view: CellView, role: Role) -> list[BackendState]:
+    """Return those that get work now, whether or not they have room."""
+    candidates = view.candidates(role, ())
+    if _is_most_distrusted(now, view, role):
+        return [
+            state
+            for state in candidates
+            if not state.health.refuses_connections
+        ]
+    return [state for state in candidates if not state.health.is_ejected(now)]
+
+
 def _hope(now: float, view: CellView, booking: Booking) -> _Hope:
     """Return what a start now is worth to its caller.
 
@@ -542,11 +588,7 @@
     ]
     if not engines and ordered[-1].may_read_there:
         # Decode engines read then, each one prompt at a time.
-        engines = [
-            now
-            for state in view.candidates(Role.DECODE, ())
-            if not state.health.is_ejected(now)
-        ]
+        engines = [now for _ in _serving(now, view, Role.DECODE)]
     if not slots or not engines:
         return math.inf
     heapq.heapify(slots)
@@ -567,9 +609,7 @@
 def _slot_times(now: float, view: CellView, booking: Booking) -> list[float]:
     """Return when each decode slot is free that such work fits in."""
     times = []
-    for state in view.candidates(Role.DECODE, ()):
-        if state.health.is_ejected(now):
-            continue
+    for state in _serving(now, view, Role.DECODE):
         free = view.slots_for(state, booking) - state.slots_used
         times.extend([now] * max(0, free))
         ends = sorted(
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -44,6 +44,33 @@
                 self.fail(now)
             self.assertFalse(self.health.is_ejected(now))
 
+    def test_one_fault_of_many_calls_after_it_came_back_ejects_nothing(self):
+        """Symptom: a pool whose calls fail now and then is left out for long.
+
+        Sequence: three faults by chance; back, it answers well but for one
+        call in ten.
+        Cause: any fault within the ramp counted as a sign that the old
+        trouble was still there, and doubled the time.
+        """
+        self.fail(0.0, 0.1, 0.2)
+        back_at = 0.2 + health.EJECTED_S
+        for number in range(9):
+            self.health.add_success(back_at + number / 10)
+        self.fail(back_at + 1.0)
+        self.assertFalse(self.health.is_ejected(back_at + 1.0))
+
+    def test_faults_of_long_ago_lengthen_nothing(self):
+        """Symptom: late in a day a short fault costs a server for a minute.
+
+        Sequence: it is left out five times with long rests between.
+        Cause: each time doubled the next, however long it was well before.
+        """
+        for number in range(5):
+            start = 100.0 * number
+            self.fail(start, start + 0.1, start + 0.2)
+            left_out_s = self.health.ejected_until - (start + 0.2)
+            self.assertAlmostEqual(health.EJECTED_S, left_out_s)
+
     def test_faults_that_are_a_third_eject(self):
         for number in range(9):
             self.health.add_success(number / 10)
@@ -58,6 +85,9 @@
         self.health.add_refusal(1.1)
         until = 1.0 + health.EJECTED_S
         self.assertEqual(self.health.ejected_until, until)
+        self.assertTrue(self.health.refuses_connections)
+        self.health.add_success(2.0)
+        self.assertFalse(self.health.refuses_connections)
 
 
 class BatchTest(unittest.TestCase):
