Callers are held to the document's limits on headers and idleness

Cause: max_header_bytes, header_timeout_s and idle_timeout_s were kept in the document and not applied; the port's constants held (65536 bytes, 30 s), and a caller that sent a byte now and then kept its thread for good.

Change: a port asks for the limits in force at each call. Headers have one deadline from the first byte; a time-out of the socket alone begins anew with each byte. Calls that the HTTP library refuses leave a line.

--- a/dandeliongw/borders/web.py
+++ b/dandeliongw/borders/web.py
@@ -7,17 +7,21 @@
 from collections import abc
 import contextlib
 import logging
+import socket
 import threading
 import typing
 
+import cheroot.makefile
 import cheroot.server
 import cheroot.wsgi
 import cherrypy
 from loguru import logger
 
 from .. import exceptions
+from .. import hosts
 from .. import settings as settings_module
 from . import _application
+from . import _deadlines
 from . import _headers
 
 #: Makes the CherryPy applications that ports serve.
@@ -26,10 +30,8 @@
 SOCKET_KEY = 'dandeliongw.socket'
 #: Where it finds the server's own view of the call, to end the connection.
 REQUEST_KEY = 'dandeliongw.request'
-#: Request line and headers; more is refused while it comes in.
-MAX_HEADER_BYTES = 65536
-#: Seconds an idle keep-alive connection is kept.
-IDLE_S = 30
+#: Tells what callers may send at present, and how slowly.
+ReadLimits = abc.Callable[[], hosts.BorderLimits]
 
 
 class _SocketGateway(cheroot.wsgi.Gateway_10):
@@ -51,6 +53,13 @@
 
     header_reader = _headers.StrictHeaderReader()
 
+    def parse_request(self) -> None:
+        # A new connection may stay idle before its first call, too.
+        self.conn.rfile.peek(1)
+        limits = self.server.apply_limits()
+        with self.conn.reads.ending_in(limits.header_timeout_s):
+            super().parse_request()
+
     def simple_response(self, status: str, msg: str = '') -> None:
         """Answer a call that no application gets to see.
 
@@ -65,15 +74,40 @@
             'Connection: close\r\n\r\n'
         )
         self.close_connection = True
+        logger.info('call refused', status=status, why=msg)
         self.conn.wfile.write(head.encode('latin-1') + body)
 
 
 class _Connection(cheroot.server.HTTPConnection):
     RequestHandlerClass = _Request
 
+    def __init__(
+        self,
+        server: '_Server',
+        sock: socket.socket,
+        makefile: abc.Callable = cheroot.makefile.MakeFile,
+    ) -> None:
+        self.reads = _deadlines.DeadlineSocket(sock=sock)
+
+        def make_file(_: socket.socket, *args: typing.Any) -> typing.Any:
+            return makefile(self.reads, *args)
+
+        super().__init__(server, sock, make_file)
+
 
 class _Server(cheroot.wsgi.Server):
     ConnectionClass = _Connection
+    read_limits: ReadLimits = hosts.BorderLimits
+
+    def apply_limits(self) -> hosts.BorderLimits:
+        """Take over the limits in force; a document may have changed them.
+
+        :return: those that the library has no place for, too.
+        """
+        limits = self.read_limits()
+        self.max_request_header_size = limits.max_header_bytes
+        self.timeout = limits.idle_timeout_s
+        return limits
 
     def error_log(
         self, msg: str = '', level: int = 20, traceback: bool = False
@@ -108,7 +142,7 @@
             numthreads=listen.threads,
             max=listen.threads,
             request_queue_size=listen.queue,
-            timeout=IDLE_S,
+            timeout=hosts.BorderLimits().idle_timeout_s,
             # At its end cheroot shuts down the reading side of connections
             # that are still busy, which looks as if their callers had left.
             # The server waits for its requests before it stops; this is
@@ -121,7 +155,6 @@
             accepted_queue_timeout=0,
         )
         self._server.gateway = _SocketGateway
-        self._server.max_request_header_size = MAX_HEADER_BYTES
         self._thread = threading.Thread(
             target=self._server.serve, name=f'http-{field}', daemon=True
         )
@@ -143,9 +176,17 @@
                 address=self._listen.show(), field=self._field
             ) from error
 
-    def serve(self, application: abc.Callable) -> None:
-        """Answer with a WSGI application, in threads."""
+    def serve(
+        self,
+        application: abc.Callable,
+        read_limits: ReadLimits = hosts.BorderLimits,
+    ) -> None:
+        """Answer with a WSGI application, in threads.
+
+        :param read_limits: asked at each call; without it the defaults hold.
+        """
         self._server.wsgi_app = application
+        self._server.read_limits = read_limits
         self._thread.start()
 
     def close(self) -> None:
--- a/dandeliongw/hosts.py
+++ b/dandeliongw/hosts.py
@@ -78,16 +78,16 @@
 
 
 class BorderLimits(models.Model):
-    """What callers of host routes may send, and how slowly."""
+    """What callers may send, and how slowly."""
 
     max_header_bytes: models.PositiveInt = 65536
-    """Request line and headers. Kept, not applied yet: 65536 holds."""
+    """Request line and headers."""
     max_body_bytes: models.PositiveInt = 8 << 20
     """The longest body."""
     header_timeout_s: models.Positive = 10.0
-    """From a call's first byte to its headers' end. Not applied yet."""
+    """From a call's first byte to its headers' end, however slowly."""
     idle_timeout_s: models.Positive = 30.0
-    """Silence until a kept connection is closed. Not applied yet."""
+    """Silence until a kept connection is closed."""
 
 
 class RouteTable:
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -16,6 +16,7 @@
 from . import events
 from . import exceptions
 from . import gates
+from . import hosts
 from . import joining
 from . import journal as journal_module
 from . import logs
@@ -156,7 +157,7 @@
             adapter=adapter,
         )
         control_port.serve(borders.control())
-        callers_port.serve(borders.callers())
+        callers_port.serve(borders.callers(), borders.read_limits)
         for extra in borders.extra_ports():
             port = stack.enter_context(
                 web.bound(extra.listen, extra.name, shutdown_s)
@@ -381,6 +382,10 @@
         self._metrics = metrics
         self._adapter = adapter
 
+    def read_limits(self) -> hosts.BorderLimits:
+        """Return what callers may send by the document in force."""
+        return self._reducer.directory.document.border
+
     def callers(self) -> adapter_module.Application:
         """Return what answers callers."""
         parts = {
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,11 +1,13 @@
 """An HTTP port that has all it can take answers at once."""
 
 import http.client
+import socket
 import threading
 import unittest
 from unittest import mock
 
 from dandeliongw.borders import web
+from dandeliongw import hosts
 from dandeliongw import settings
 from tools import local
 
@@ -61,3 +63,57 @@
         self.application.may_answer.set()
         for connection in (busy, queued):
             self.assertEqual(200, connection.getresponse().status)
+
+
+class LimitsTest(unittest.TestCase):
+    """Callers are held to the limits of the document in force."""
+
+    def setUp(self):
+        self.limits = hosts.BorderLimits()
+        listen = settings.Listen(host='127.0.0.1', port=0, threads=2, queue=2)
+        self.port = self.enterContext(web.bound(listen, 'callers', 1.0))
+        application = HeldApplication()
+        application.may_answer.set()
+        # Else the library's own time-out would pass for the document's.
+        self.port._server.timeout = 10 * PATIENCE_S
+        self.port.serve(application, lambda: self.limits)
+
+    def connect(self):
+        address = ('127.0.0.1', self.port.number)
+        caller = socket.create_connection(address, timeout=PATIENCE_S)
+        self.addCleanup(caller.close)
+        return caller
+
+    def first_line(self, caller):
+        with caller.makefile('rb') as answer:
+            return answer.readline()
+
+    def test_headers_that_are_too_long_are_refused(self):
+        sent = b'GET / HTTP/1.1\r\nHost: a\r\nX-A: %s\r\n\r\n' % (b'x' * 500)
+        caller = self.connect()
+        caller.sendall(sent)
+        self.assertIn(b'200', self.first_line(caller))
+        self.limits = hosts.BorderLimits(max_header_bytes=200)
+        caller = self.connect()
+        caller.sendall(sent)
+        self.assertIn(b'413', self.first_line(caller))
+
+    def test_headers_that_do_not_end_are_not_waited_for(self):
+        """Symptom: all threads of a port are busy, nearly no calls come.
+
+        Sequence: a caller sends part of a call's headers, and no more.
+        Cause: only the time-out of an idle connection held for it.
+        """
+        self.limits = hosts.BorderLimits(
+            header_timeout_s=0.01, idle_timeout_s=10 * PATIENCE_S
+        )
+        caller = self.connect()
+        caller.sendall(b'GET / HTTP/1.1\r\nHost: ')
+        self.assertIn(b'408', self.first_line(caller))
+
+    def test_a_kept_connection_is_closed_when_it_was_idle_for_long(self):
+        self.limits = hosts.BorderLimits(idle_timeout_s=0.01)
+        caller = self.connect()
+        caller.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        with caller.makefile('rb') as answer:
+            self.assertTrue(answer.read().endswith(b'ok'))
