Metrics of each part of a request's way, and lines on whom an owner distrusts

Cause: where a request's time went could not be seen (histograms of booking, queue, prefill, transfer, decode were missing, and calls that are passed on had no first-token time and no count of answers); no line told that a backend server got no work any more.

Change: part_seconds by service and part, gauges of voters, lease epochs and the retry budget, first-token times of passed streams, answers counted at the gateway; 'backend server distrusted' and 'trusted again' with what decided. explain shows both.

--- /dev/null
+++ b/benchmarks/logs.py
@@ -0,0 +1,141 @@
+"""What the log lines of a request cost in bytes and processor time.
+
+JSON lines. "off" drops every line at the logger, as a level above them does;
+"on" writes them to a null device by the queue and the thread of a process::
+
+    python -m benchmarks.logs
+"""
+
+from collections import abc
+import contextlib
+import dataclasses
+import io
+import json
+import os
+import statistics
+import time
+
+from loguru import logger
+
+from dandeliongw import _lines
+from dandeliongw import decisions
+from dandeliongw import logs
+
+#: Requests a run, and runs whose median is told.
+REQUESTS = 3000
+RUNS = 5
+#: Lines are dropped beyond a budget a second; this benchmark has to write
+#: them all to tell what one costs.
+NO_BUDGET = REQUESTS * 10
+
+PLACED = decisions.Placed(
+    request_id='0123456789abcdef.01234567',
+    attempt_id='0123456789abcdef.01234567.1',
+    owner='core-north-1',
+    epoch=3,
+    prefill_id='10.11.12.13:8000',
+    decode_id='10.11.12.14:8000',
+    plain_id='',
+    waited_ms=12,
+)
+FAILED = decisions.TriedAgain(
+    request_id=PLACED.request_id,
+    attempt_id=PLACED.attempt_id,
+    again=True,
+    failure='decode_failed',
+    known='may_have_run',
+    attempts=1,
+    runs=1,
+    why='the stream stopped at token 17',
+)
+
+
+def write_good() -> None:
+    """Log what a stream that goes well leaves behind."""
+    _write(PLACED)
+    logger.bind(request_id='0123456789abcdef', host='some.example').info(
+        'call streamed',
+        took_ms=2345,
+        first_ms=456,
+        pieces=120,
+        prompt_tokens=2345,
+        max_tokens=256,
+    )
+
+
+def write_retried() -> None:
+    """Log what a stream leaves behind that needed a second engine."""
+    _write(PLACED)
+    _write(FAILED)
+    write_good()
+
+
+def _write(decision: decisions.Decision) -> None:
+    told = decision.log()
+    logger.bind(**dict(told.fields)).log(told.level, told.message)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Cost:
+    """Processor time of all threads, and bytes written, for each request."""
+
+    microseconds: float
+    bytes_written: float
+
+
+def cost_of(write: abc.Callable[[], None], level: str) -> Cost:
+    """Return what the lines of one request cost."""
+    written = io.StringIO()
+    with _writing_all(written) as lines:
+        _configure(lines, level)
+        write()
+    with open(os.devnull, 'w') as stream, _writing_all(stream) as lines:
+        _configure(lines, level)
+        began_s = time.process_time()
+        for _ in range(REQUESTS):
+            write()
+        lines.stop()
+        used_s = time.process_time() - began_s
+    return Cost(
+        microseconds=used_s / REQUESTS * 1e6,
+        bytes_written=len(written.getvalue()),
+    )
+
+
+def _writing_all(stream: io.TextIOBase) -> contextlib.AbstractContextManager:
+    return _lines.writing(stream, {})
+
+
+def _configure(lines: _lines.LineWriter, level: str) -> None:
+    logs.configure(
+        instance_id='front-north-1',
+        data_centre='north',
+        level=level,
+        lines=lines,
+    )
+
+
+def main() -> None:
+    _lines.MOST_A_SECOND = _lines.MOST_WAITING = NO_BUDGET
+    for write in (write_good, write_retried):
+        for name, level in (('off', 'CRITICAL'), ('on', 'INFO')):
+            found = [cost_of(write, level) for _ in range(RUNS)]
+            print(
+                json.dumps(
+                    {
+                        'request': write.__name__.removeprefix('write_'),
+                        'lines': name,
+                        'microseconds': round(
+                            statistics.median(
+                                each.microseconds for each in found
+                            ),
+                            1,
+                        ),
+                        'bytes': found[0].bytes_written,
+                    }
+                )
+            )
+
+
+if __name__ == '__main__':
+    main()
--- a/dandeliongw/borders/gateway.py
+++ b/dandeliongw/borders/gateway.py
@@ -156,7 +156,11 @@
             call=call, work=work, facts=facts, caller=incoming.conn.socket
         )
         passing = _Passing(
-            carrier=carrier, gate=self._gate, reply=reply, facts=facts
+            carrier=carrier,
+            gate=self._gate,
+            reply=reply,
+            facts=facts,
+            metrics=self._metrics,
         )
         return passing.answer()
 
@@ -264,8 +268,10 @@
         gate: Gate,
         reply: _Reply,
         facts: Facts,
+        metrics: metrics_module.Metrics,
     ) -> None:
         self._gate = gate
+        self._metrics = metrics
         self._reply = reply
         self._request_id = carrier.request_id
         self._items = carrier.pieces()
@@ -299,6 +305,7 @@
             )
             return self._reply.refuse(first)
         outcome = first.outcome
+        self._metrics.count_answer(verdict.Verdict.RAN)
         self._tell('answered', status=outcome.status)
         return self._reply.whole(outcome.status, first.headers, outcome.body)
 
@@ -328,6 +335,7 @@
             # Ends the connection without the mark of a whole body. The
             # server takes this error as that of a caller who has left.
             raise BrokenPipeError(errno.EPIPE, item.message)
+        self._metrics.count_answer(verdict.Verdict.RAN)
         self._tell(
             'streamed',
             first_ms=self._since_begin_ms(self._first_at),
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from .. import decisions
 from ..coordination import parts
 from .cell_messages import BackendsChanged
 from .cell_messages import Book
@@ -205,10 +206,11 @@
         if known is not None and book.stage is Stage.PAIR:
             # A late copy: this attempt has gone on to move its KV cache.
             return []
+        told = []
         if known is not None:
             self._forget(known)
             if known.decode_id in book.exclude:
-                self._blame(now, known.decode_id)
+                told = self._blame(now, known.decode_id)
         booking = Booking(
             request_id=book.request_id,
             attempt_id=book.attempt_id,
@@ -234,7 +236,7 @@
             known.decode_id = ''
             known.stage = Stage.DECODE
             self._remember(known)
-        return effects
+        return [*told, *effects]
 
     def review_roles(self, now: float) -> bool:
         """Move engines between the pools; return whether that changed."""
@@ -392,14 +394,14 @@
         if booking is None:
             return []
         self._forget(booking)
-        self._blame(now, release.backend_fault, is_down=release.is_down)
+        told = self._blame(now, release.backend_fault, is_down=release.is_down)
         if release.outcome is Outcome.DONE:
             for state in self._states_of(booking):
                 state.health.add_success(now)
             self.view.learn_answer(now, booking)
             self._learn_gap(now, booking, release.token_gap_s)
-            return []
-        return self._cancel(now, booking)
+            return told
+        return [*told, *self._cancel(now, booking)]
 
     def _learn_gap(
         self, now: float, booking: Booking, token_gap_s: float
@@ -413,14 +415,48 @@
 
     def _blame(
         self, now: float, backend_id: str, *, is_down: bool = False
-    ) -> None:
+    ) -> list:
+        """Count a fault; return the line that tells what it changed."""
         state = self.view.backends_by_id.get(backend_id)
         if state is None:
-            return
+            return []
+        health = state.health
+        was_ejected = health.is_ejected(now)
+        faults, ended = health.count_lately(now)
         if is_down:
-            state.health.add_refusal(now)
+            health.add_refusal(now)
         else:
-            state.health.add_fault(now)
+            health.add_fault(now)
+        if was_ejected or not health.is_ejected(now):
+            return []
+        health.is_told_distrusted = True
+        distrusted = decisions.BackendDistrusted(
+            backend_id=backend_id,
+            cell=self.cell_id,
+            epoch=self.epoch,
+            why='it took no connection' if is_down else 'its work failed',
+            faults=0 if is_down else faults + 1,
+            ended=ended if is_down else ended + 1,
+            times=health.ejections,
+            left_out_s=health.ejected_until - now,
+        )
+        return [distrusted.log()]
+
+    def _tell_trusted(self, now: float) -> list:
+        """Return a line for each that has all its slots open again."""
+        back = [
+            (backend_id, state.health)
+            for backend_id, state in self.view.backends_by_id.items()
+            if state.health.is_told_distrusted and not state.health.is_new(now)
+        ]
+        for _, health in back:
+            health.is_told_distrusted = False
+        return [
+            decisions.BackendTrusted(
+                backend_id=backend_id, cell=self.cell_id, epoch=self.epoch
+            ).log()
+            for backend_id, _ in back
+        ]
 
     def _cancel(self, now: float, booking: Booking) -> list:
         return [
@@ -596,7 +632,7 @@
 
     def _tick(self, now: float) -> list:
         self._drop_left(now)
-        effects = self._list_streams(now)
+        effects = [*self._list_streams(now), *self._tell_trusted(now)]
         for booking in list(self.bookings_by_key.values()):
             # An entry that died sends no release. One would notice slots
             # that stay taken with no stream behind them; the lease frees
--- a/dandeliongw/cell/health.py
+++ b/dandeliongw/cell/health.py
@@ -43,6 +43,8 @@
     #: When it came, or came back; ``None`` if it has always been there.
     came_at: float | None = None
     last_given_at: float = -math.inf
+    #: Whether a line told that it is left out, and none that it is back.
+    is_told_distrusted: bool = False
     #: Whether the last that was heard of it is that it took no connection.
     refuses_connections: bool = False
 
@@ -100,6 +102,12 @@
         self._forget_old(now)
         self.recent_successes.append(now)
 
+    def count_lately(self, now: float) -> tuple[int, int]:
+        """Return how many pieces of work failed lately, and how many ended."""
+        self._forget_old(now)
+        faults = len(self.recent_faults)
+        return faults, faults + len(self.recent_successes)
+
     def _forget_old(self, now: float) -> None:
         since = now - FAULT_WINDOW_S
         self.recent_faults = [at for at in self.recent_faults if at > since]
@@ -118,9 +126,8 @@
         would leave out all its backend servers in turn; one would see calls
         refused with most places free.
         """
-        faults = len(self.recent_faults)
-        ended = faults + len(self.recent_successes)
-        return faults >= FAULT_PART * ended
+        ended = len(self.recent_faults) + len(self.recent_successes)
+        return len(self.recent_faults) >= FAULT_PART * ended
 
     def _eject(self, now: float) -> None:
         if self.came_at is not None and (
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -342,6 +342,10 @@
         self._order_revision += 1
         return self._order_revision
 
+    def epochs_by_cell(self) -> dict[str, int]:
+        """Return the epochs of cells owned here; callable in any thread."""
+        return self._epochs_by_cell.copy()
+
     def pool_loads(self) -> tuple[effects.PoolLoad, ...]:
         """Return slots and queues of every pool, as far as owned here."""
         return tuple(
--- a/dandeliongw/cell/stand_in.py
+++ b/dandeliongw/cell/stand_in.py
@@ -12,6 +12,7 @@
 import dataclasses
 import typing
 
+from .. import effects
 from . import cells
 from ..coordination import parts
 from . import policy
@@ -107,4 +108,5 @@
 
 def _messages(wanted: list[typing.Any]) -> list[typing.Any]:
     """Drop orders to engines: only the owner of a cell gives any."""
-    return [each for each in wanted if isinstance(each, parts.Send)]
+    kept = parts.Send | effects.Log
+    return [each for each in wanted if isinstance(each, kept)]
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -132,6 +132,37 @@
     draining: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackendDistrusted(Decision):
+    """A backend server gets no new work for a while.
+
+    :param faults: that count against it; 0 if it took no connection.
+    :param ended: how many pieces of work ended in the same time.
+    :param times: that it was left out lately, this one included.
+    """
+
+    message: typing.ClassVar[str] = 'backend server distrusted'
+    level: typing.ClassVar[str] = 'WARNING'
+    backend_id: str
+    cell: str
+    epoch: int
+    why: str
+    faults: int
+    ended: int
+    times: int
+    left_out_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackendTrusted(Decision):
+    """A backend server that was left out has all its slots open again."""
+
+    message: typing.ClassVar[str] = 'backend server trusted again'
+    backend_id: str
+    cell: str
+    epoch: int
+
+
 def _shown(value: typing.Any) -> str:
     if isinstance(value, float):
         return f'{value:.3f}'
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -132,6 +132,46 @@
     PIECE = 'piece'
 
 
+class Part(enum.StrEnum):
+    """A part of a request's way to its answer (a histogram's label)."""
+
+    #: From asking a cell's owner until it answers.
+    BOOKING = 'booking'
+    #: From being queued at the owner until a place is found, or refused.
+    QUEUE = 'queue'
+    #: From being placed until the prompt was read.
+    PREFILL = 'prefill'
+    #: From then until the first token of the decode engine, which takes the
+    #: KV cache over for it.
+    TRANSFER = 'transfer'
+    #: From the first token to the end of a whole answer.
+    DECODE = 'decode'
+    #: A call of a plain service.
+    CALL = 'call'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Took:
+    """A part of a request's way is over."""
+
+    part: Part
+    service: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PassedStream:
+    """A stream that was passed on is whole; its tokens are not seen here.
+
+    :param first_token_s: from the request's arrival.
+    :param token_gap_s: mean of the answer; zero if not measured.
+    """
+
+    service: str
+    first_token_s: float
+    token_gap_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CountLate:
     """Something late or crossed was dropped."""
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -121,6 +121,7 @@
         self._outcome: outcome.Outcome | None = None
         self._headers: tuple[tuple[str, str], ...] = ()
         self._has_head = False
+        self._first_token_at: float | None = None
         self._failed: engine.Reply | None = None
 
     def give(self, directive: effects.Directive) -> None:
@@ -297,6 +298,8 @@
             outcome=self._outcome.to_bytes(),
             # A resumed stream brings at once what came during the break.
             token_gap_s=measure.mean_s() if directive.kv else 0.0,
+            first_piece_at=measure.first_at,
+            first_token_at=self._first_token_at,
         )
 
     def _import(
@@ -351,6 +354,8 @@
                 if piece.is_end:
                     return
                 measure.arrived(self._clock())
+                if self._offset == 0:
+                    self._first_token_at = measure.first_at
                 if not self._work.is_passed_on:
                     self._text.append(piece.text)
                 self._offset += 1
@@ -477,6 +482,8 @@
     cached_tokens: int = 0
     outcome: bytes = b''
     token_gap_s: float = 0.0
+    first_piece_at: float | None = None
+    first_token_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -93,9 +93,14 @@
             # Told twice, or the pair that a KV cache is moving away from.
             return []
         now = event.now
+        waited = _waited(now, request)
         request.booked = booked
         request.phase_at = now
-        return [self._placed(now, request), *self._begin(now, request)]
+        return [
+            waited,
+            self._placed(now, request),
+            *self._begin(now, request),
+        ]
 
     def _placed(self, now: float, request: Request) -> effects.Log:
         booked = request.booked
@@ -123,9 +128,11 @@
 
     def _wait(self, event: parts.Received, request: Request) -> Effects:
         if request.phase is Phase.BOOKING and event.sender == request.owner:
+            waited = _waited(event.now, request)
             request.phase = Phase.QUEUED
             request.phase_at = request.asked_at = event.now
             request.search_s = reservations.OWNER_LOST_S
+            return [waited]
         return []
 
     def _declined(self, event: parts.Received, request: Request) -> Effects:
@@ -156,6 +163,7 @@
             waited_ms=request.age_ms(event.now),
         )
         return [
+            _waited(event.now, request),
             told.log(),
             *self._endings.refuse(event.now, request, refusal),
         ]
@@ -233,3 +241,10 @@
                 message='the slot was given to another request',
             ),
         ]
+
+
+def _waited(now: float, request: Request) -> effects.Took:
+    """Return how long the owner took to answer, or to find a place."""
+    if request.phase is Phase.QUEUED:
+        return request.took(effects.Part.QUEUE, now - request.phase_at)
+    return request.took(effects.Part.BOOKING, now - request.asked_at)
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -4,6 +4,7 @@
 import enum
 import hashlib
 
+from .. import effects
 from .. import events
 from .. import verdict
 from . import admission
@@ -144,6 +145,10 @@
     def service(self) -> str:
         return self.admitted.service.name
 
+    def took(self, part: effects.Part, seconds: float) -> effects.Took:
+        """Return the effect that records how long a part took."""
+        return effects.Took(part=part, service=self.service, seconds=seconds)
+
     def left_s(self, now: float) -> float:
         """Return the seconds until the deadline, never less than none."""
         return max(0.0, self.deadline_at - now)
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -169,6 +169,10 @@
         )
         return out
 
+    def retries_left_by_service(self) -> dict[str, float]:
+        """Return what is left of the budgets; callable in any thread."""
+        return self._budgets.left_by_service()
+
     def cut_off(self, now: float) -> Effects:
         """Break off all that is left when a shutdown's time is over."""
         out: Effects = []
@@ -289,12 +293,16 @@
             cached_tokens=event.cached_tokens,
         )
         send = parts.Send(to=request.owner, message=done)
-        return [send, *steps.run_decode(event.now, request)]
+        took = request.took(effects.Part.PREFILL, request.prefill_s)
+        return [send, took, *steps.run_decode(event.now, request)]
 
     def _answered(self, event: events.StepEnded, request: Request) -> Effects:
-        release = self._reservations.release(
-            request, cells.Outcome.DONE, token_gap_s=event.token_gap_s
-        )
+        release = [
+            *_times(event, request),
+            *self._reservations.release(
+                request, cells.Outcome.DONE, token_gap_s=event.token_gap_s
+            ),
+        ]
         request.booked = None
         if not request.claim_key:
             complete = effects.Complete(request_id=request.request_id)
@@ -363,3 +371,25 @@
         if now - request.asked_at < reservations.QUEUE_ASK_S:
             return []
         return self._reservations.ask_again(now, request)
+
+
+def _times(event: events.StepEnded, request: Request) -> Effects:
+    """Return how long the parts of a whole answer took."""
+    began_at, first_at = request.phase_at, event.first_piece_at
+    if event.step is events.Step.CALL:
+        return [request.took(effects.Part.CALL, event.now - began_at)]
+    if first_at is None:
+        # Nothing was missing but the end.
+        return []
+    out: Effects = [request.took(effects.Part.DECODE, event.now - first_at)]
+    if request.booked.prefill_id:
+        out.append(request.took(effects.Part.TRANSFER, first_at - began_at))
+    if request.admitted.is_passed_on and event.first_token_at is not None:
+        out.append(
+            effects.PassedStream(
+                service=request.service,
+                first_token_s=event.first_token_at - request.arrived_at,
+                token_gap_s=event.token_gap_s,
+            )
+        )
+    return out
--- a/dandeliongw/entry/retries.py
+++ b/dandeliongw/entry/retries.py
@@ -57,6 +57,11 @@
         """Return whether one more attempt may be made, and count it."""
         return self._budget(service).spend()
 
+    def left_by_service(self) -> dict[str, float]:
+        """Return the attempts that are left; callable in any thread."""
+        budgets = self._budgets_by_service.copy()
+        return {service: each.left for service, each in budgets.items()}
+
     def _budget(self, service: str) -> RetryBudget:
         return self._budgets_by_service.setdefault(service, RetryBudget())
 
--- a/dandeliongw/entry/spacing.py
+++ b/dandeliongw/entry/spacing.py
@@ -35,6 +35,11 @@
         """Take in that the caller has the token that arrived last."""
         self._taken_at = now
 
+    @property
+    def first_at(self) -> float | None:
+        """When the first token came; ``None`` if none did."""
+        return None if self._gaps < 0 else self._first_at
+
     def mean_s(self) -> float:
         """Return the mean gap in seconds; zero if it can't be told."""
         whole_s = self._last_at - self._first_at
--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -75,6 +75,10 @@
     :param outcome: what a resend would be told; recorded under a claim.
     :param token_gap_s: mean seconds between the tokens of a whole answer,
         by the relay's clock; zero if not measured.
+    :param first_piece_at: when this step's first piece came, by the relay's
+        clock, which is the reducer's.
+    :param first_token_at: when the first piece of any attempt came; ``None``
+        if the caller had pieces before.
     :param late_pieces: pieces of other attempts that were dropped.
     :param entropy: 64 random bits, for the jitter of a retry.
     """
@@ -91,6 +95,8 @@
     cached_tokens: int = 0
     outcome: bytes = b''
     token_gap_s: float = 0.0
+    first_piece_at: float | None = None
+    first_token_at: float | None = None
     late_pieces: int = 0
     entropy: int = 0
 
--- a/dandeliongw/explain.py
+++ b/dandeliongw/explain.py
@@ -14,6 +14,8 @@
     'member believed',
     'backend server is present',
     'backend server is gone',
+    'backend server distrusted',
+    'backend server trusted again',
     'configuration in force',
     'owns a cell',
     'owns a cell no more',
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -35,6 +35,11 @@
     *(0.005, 0.01, 0.02, 0.025, 0.03, 0.034, 0.04, 0.05),
     *(0.075, 0.1, 0.2, 0.5, 1.0, 3.0),
 )
+#: Seconds: a booking takes some milliseconds, an answer up to its time-out.
+PART_BUCKETS = (
+    *(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5),
+    *(1.0, 2.0, 5.0, 10.0, 30.0),
+)
 
 
 class Targets(enum.StrEnum):
@@ -44,6 +49,35 @@
     MISSED = 'missed'
 
 
+class WatchedGauge(registry_module.Collector):
+    """A gauge over values that a part keeps, read when it is shown.
+
+    :param label: its only label, or ``None``; its values are the keys.
+    """
+
+    def __init__(self, *, name: str, text: str, label: str | None) -> None:
+        self._name = name
+        self._text = text
+        self._labels = (label,) if label else ()
+        self._read: abc.Callable[[], abc.Mapping[str, float]] = dict
+
+    def watch(self, read: abc.Callable[[], abc.Mapping[str, float]]) -> None:
+        """Show from now on what ``read`` returns by value of the label.
+
+        It is called in any thread, so it returns a copy.
+        """
+        self._read = read
+
+    def collect(self) -> abc.Iterator[core.GaugeMetricFamily]:
+        """Yield the gauge; called for each page of metrics."""
+        family = core.GaugeMetricFamily(
+            self._name, self._text, labels=self._labels
+        )
+        for value, number in sorted(self._read().items()):
+            family.add_metric([value] if self._labels else [], number)
+        yield family
+
+
 class WatchedCounter(registry_module.Collector):
     """A counter over counts that a part keeps, read when it is shown.
 
@@ -195,6 +229,19 @@
         self.members = self._gauge(
             'members', 'Instances that are heard of, this one included.'
         )
+        self.voters = self._watched_gauge(
+            'voters', 'Voters of the set that is confirmed here.', None
+        )
+        self.lease_epoch = self._watched_gauge(
+            'lease_epoch',
+            "Epochs of this instance's leases on cells.",
+            'cell',
+        )
+        self.retry_budget = self._watched_gauge(
+            'retry_budget',
+            'Attempts after the first that may still be made here.',
+            'service',
+        )
         self.backends = self._gauge(
             'backends', 'Backend servers that may get work.', 'pool'
         )
@@ -219,6 +266,13 @@
             'Time between tokens sent to a caller.',
             TOKEN_GAP_BUCKETS,
         )
+        self.parts = self._histogram(
+            'part_seconds',
+            "Parts of a request's way: booking, queue, prefill, transfer, "
+            'decode, call.',
+            PART_BUCKETS,
+            'part',
+        )
 
     def count_answer(self, verdict: verdicts.Verdict) -> None:
         """Count one answer of any kind to a caller."""
@@ -247,6 +301,10 @@
         """Record the time from a request's arrival to its first token."""
         self.first_token.labels(service).observe(seconds)
 
+    def observe_part(self, took: effects.Took) -> None:
+        """Record how long a part of a request's way took."""
+        self.parts.labels(took.service, took.part.value).observe(took.seconds)
+
     def observe_token_gap(self, service: str, seconds: float) -> None:
         """Record the time between two tokens of one stream."""
         self.token_gap.labels(service).observe(seconds)
@@ -300,6 +358,16 @@
         self.registry.register(counter)
         return counter
 
+    def _watched_gauge(
+        self, name: str, text: str, label: str | None
+    ) -> WatchedGauge:
+        self._remember(name, (label,) if label else ())
+        gauge = WatchedGauge(
+            name=f'{NAMESPACE}_{name}', text=text, label=label
+        )
+        self.registry.register(gauge)
+        return gauge
+
     def _gauge(
         self, name: str, text: str, *labels: str
     ) -> prometheus_client.Gauge:
@@ -309,13 +377,18 @@
         )
 
     def _histogram(
-        self, name: str, text: str, buckets: typing.Sequence[float]
+        self,
+        name: str,
+        text: str,
+        buckets: typing.Sequence[float],
+        *labels: str,
     ) -> prometheus_client.Histogram:
-        self._remember(name, ('service',))
+        labels = ('service', *labels)
+        self._remember(name, labels)
         return prometheus_client.Histogram(
             name,
             text,
-            ['service'],
+            labels,
             namespace=NAMESPACE,
             registry=self.registry,
             buckets=buckets,
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -131,6 +131,8 @@
             effects.CountRetry: self._count_retry,
             effects.CountWaste: self._count_waste,
             effects.CountLate: self._count_late,
+            effects.Took: self._observe_part,
+            effects.PassedStream: self._observe_stream,
             effects.PeerAddress: self._set_address,
             effects.PeerForgotten: self._forget_peer,
             effects.Observed: self._observe,
@@ -382,6 +384,15 @@
     def _count_late(self, effect: effects.CountLate) -> None:
         self._metrics.late_answers.labels(effect.what.value).inc()
 
+    def _observe_part(self, effect: effects.Took) -> None:
+        self._metrics.observe_part(effect)
+
+    def _observe_stream(self, effect: effects.PassedStream) -> None:
+        metrics = self._metrics
+        metrics.observe_first_token(effect.service, effect.first_token_s)
+        if effect.token_gap_s > 0.0:
+            metrics.observe_token_gap(effect.service, effect.token_gap_s)
+
     def _observe(self, effect: effects.Observed) -> None:
         gauges = self._metrics
         gauges.configuration_revision.set(effect.revision)
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -265,6 +265,11 @@
     unlabelled = metrics_module.UNLABELLED
     metrics.lease_answers.watch(lambda: reducer.leases.outcomes_by_label)
     metrics.orders_held_back.watch(lambda: counts.holds_by_reason)
+    metrics.voters.watch(
+        lambda: {unlabelled: len(reducer.register.voters_by_id)}
+    )
+    metrics.lease_epoch.watch(reducer.owner.epochs_by_cell)
+    metrics.retry_budget.watch(reducer.requests.retries_left_by_service)
     metrics.order_repeats.watch(lambda: {unlabelled: counts.repeats})
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -161,10 +161,10 @@
 
 
 @contextlib.contextmanager
-def border(gate):
+def border(gate, counts=None):
     listen = settings.Listen(host='127.0.0.1', port=0, threads=4, queue=4)
     application = gateway.Gateway(
-        gate=gate, dialect=Dialect(), metrics=metrics.Metrics()
+        gate=gate, dialect=Dialect(), metrics=counts or metrics.Metrics()
     )
     with web.bound(listen, 'callers', 1.0) as port:
         port.serve(application)
@@ -218,6 +218,17 @@
         self.assertEqual(answer.headers['x-seal'], 's')
         self.assertNotIn('connection', answer.headers)
 
+    def test_answers_are_counted(self):
+        counts = metrics.Metrics()
+        reply = engine.Reply(status=200, content_type='', body=b'')
+        called = Gate(CALL, COMPLETE, reply=reply)
+        for gate in (Gate(DECODE, COMPLETE), called):
+            with border(gate, counts) as port, connect(port) as caller:
+                caller.sendall(raw())
+                test_callers.read_answer(caller)
+                gate.closed.acquire(timeout=test_callers.PATIENCE_S)
+        self.assertEqual(2, counts.value('answers_total', verdict='ran'))
+
     def test_a_stream_that_breaks_does_not_look_whole(self):
         """Symptom: a caller takes half an answer for all of it.
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,6 +8,7 @@
 
 from dandeliongw.cell import orders
 from dandeliongw.coordination import lease_messages
+from dandeliongw import effects
 from dandeliongw.entry import waste
 from dandeliongw import envelopes
 from dandeliongw import metrics
@@ -83,6 +84,23 @@
         self.metrics.forget_pool('never-set')
         self.assertNotIn('pool="a"', self.metrics.render().decode())
 
+    def test_parts_of_the_way_are_told_apart(self):
+        took = effects.Took(
+            part=effects.Part.QUEUE, service='dieline-llm', seconds=0.3
+        )
+        self.metrics.observe_part(took)
+        value = self.metrics.value
+        labels = {'service': 'dieline-llm', 'part': 'queue'}
+        self.assertEqual(1, value('part_seconds_count', **labels))
+        self.assertEqual(0.3, value('part_seconds_sum', **labels))
+
+    def test_a_watched_gauge_forgets_what_is_not_there(self):
+        epochs = {'a/x/0': 3}
+        self.metrics.lease_epoch.watch(lambda: epochs)
+        self.assertEqual(3, self.metrics.value('lease_epoch', cell='a/x/0'))
+        del epochs['a/x/0']
+        self.assertNotIn('a/x/0', self.metrics.render().decode())
+
     def test_histograms_hold_the_targets_as_bounds(self):
         self.metrics.observe_first_token('dieline-llm', 0.55)
         self.metrics.observe_token_gap('dieline-llm', 0.035)
@@ -106,6 +124,19 @@
         name = 'lease_answers_total'
         self.assertGreater(self.metrics.value(name, outcome='granted'), 0)
 
+    def test_what_an_owner_holds(self):
+        net = network.Network()
+        reducer = net.reducers_by_id['gw-1']
+        server.watch_counts(self.metrics, reducer)
+        net.apply_example()
+        net.run(5.0)
+        self.assertEqual(3, self.metrics.value('voters'))
+        epochs = reducer.owner.epochs_by_cell()
+        self.assertGreater(len(epochs), 0)
+        for cell, epoch in epochs.items():
+            value = self.metrics.value('lease_epoch', cell=cell)
+            self.assertEqual(epoch, value)
+
     def test_orders_that_are_held_back(self):
         reducer = network.Network().reducers_by_id['gw-1']
         server.watch_counts(self.metrics, reducer)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,5 +1,6 @@
 """The life of a request at its entry, failure by failure."""
 
+import dataclasses
 import unittest
 
 from nose2.tools import params
@@ -25,6 +26,10 @@
 RAN = verdict.Verdict.RAN
 
 
+def queued(entry, request_id):
+    return cells.Queued(**entry.ids_of(request_id), epoch=1, expected_in_s=0.5)
+
+
 class WholeWay(unittest.TestCase):
     def test_a_completion_books_prefills_decodes_and_completes(self):
         entry = Entry()
@@ -48,6 +53,69 @@
         ((_, release),) = entry.sent(cells.Release)
         self.assertEqual(release.token_gap_s, 0.125)
 
+    def test_each_part_of_the_way_is_measured(self):
+        entry = Entry()
+        request_id = entry.arrive('completion')
+        entry.now += 0.25
+        entry.receive(queued(entry, request_id))
+        entry.now += 0.5
+        entry.book(request_id)
+        entry.now += 1.0
+        entry.prefill(request_id)
+        began_at = entry.now
+        entry.now += 4.0
+        entry.decode(request_id, first_piece_at=began_at + 0.125)
+        took = [each for each in entry.all if isinstance(each, effects.Took)]
+        self.assertEqual(
+            {each.part: each.seconds for each in took},
+            {
+                effects.Part.BOOKING: 0.25,
+                effects.Part.QUEUE: 0.5,
+                effects.Part.PREFILL: 1.0,
+                effects.Part.TRANSFER: 0.125,
+                effects.Part.DECODE: 3.875,
+            },
+        )
+        self.assertEqual({'dieline-llm'}, {each.service for each in took})
+
+    def test_a_refused_request_tells_how_long_it_was_queued(self):
+        entry = Entry()
+        request_id = entry.arrive('completion')
+        entry.receive(queued(entry, request_id))
+        entry.now += 2.0
+        declined = cells.Declined(
+            **entry.ids_of(request_id),
+            reason=REASON.NO_CAPACITY.value,
+            message='full',
+            retry_after_s=1.0,
+        )
+        entry.receive(declined)
+        took = entry.one(effects.Took)
+        self.assertEqual((effects.Part.QUEUE, 2.0), (took.part, took.seconds))
+
+    def test_a_stream_that_is_passed_on_tells_its_times(self):
+        """Symptom: no time to the first token of calls passed on.
+
+        Sequence: the border passes pieces on without a look at them.
+        Cause: only answers that are made here would be measured.
+        """
+        entry = Entry()
+        request_id = entry.decoding()
+        request = entry.requests.requests_by_id[request_id]
+        request.admitted = dataclasses.replace(
+            request.admitted, is_passed_on=True
+        )
+        entry.decode(
+            request_id,
+            first_piece_at=entry.now,
+            first_token_at=request.arrived_at + 0.75,
+            token_gap_s=0.125,
+        )
+        stream = entry.one(effects.PassedStream)
+        self.assertEqual(
+            (0.75, 0.125), (stream.first_token_s, stream.token_gap_s)
+        )
+
     def test_a_claim_is_recorded_before_the_end_is_given(self):
         entry = Entry()
         request_id = entry.calling()
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -32,3 +32,10 @@
         for _ in range(2):
             budget.earn()
         self.assertTrue(budget.spend())
+
+    def test_what_is_left_is_told_by_service(self):
+        budgets = retries.RetryBudgets()
+        budgets.spend('a')
+        budgets.earn('b')
+        full = retries.RETRY_BURST
+        self.assertEqual({'a': full - 1, 'b': full}, budgets.left_by_service())
--- a/tests/test_spacing.py
+++ b/tests/test_spacing.py
@@ -25,6 +25,13 @@
     def test_fewer_than_two_tokens_have_no_gap(self, *times):
         self.assertEqual(measured(*times), 0.0)
 
+    def test_the_first_arrival_is_known_once_there_is_one(self):
+        measure = spacing.Spacing()
+        self.assertIsNone(measure.first_at)
+        measure.arrived(5.0)
+        measure.arrived(6.0)
+        self.assertEqual(5.0, measure.first_at)
+
     def test_a_caller_that_takes_tokens_slowly_is_not_the_engines_fault(self):
         """Symptom: a decode engine's batch is capped though it is in time.
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -16,6 +16,7 @@
 from dandeliongw.cell import cells
 from dandeliongw.cell import policy
 from dandeliongw.coordination import parts
+from dandeliongw import effects
 from dandeliongw.entry import retries
 from dandeliongw.verdict import RefusalReason
 from dandeliongw.verdict import RetryReason
@@ -233,8 +234,11 @@
                 self.clock.at(later, self._hear, effect.message)
             elif isinstance(effect, cells.ListStreams):
                 self.clock.at(later, self._list_streams, effect)
-            else:
+            elif isinstance(effect, cells.CancelStream):
                 self.clock.at(later, self._cancel_stream, effect)
+            else:
+                # Nobody reads the lines of a measurement.
+                assert isinstance(effect, effects.Log), effect
 
     def _send(self, job: Job, message: typing.Any) -> None:
         self.clock.at(
