Calls wait for the first configuration of an instance that starts; shorter overruns

Cause 1: an instance takes calls some 0.7 s before it knows its configuration. After a loss of power that is so on all at once; each call was refused (configuration_stale), its caller came back a second later, past its target. Change: for 2 s after the start such calls are kept and admitted with the configuration (first_configuration_s); later ones are refused at once as before.

--- a/dandeliongw/cell/policy.py
+++ b/dandeliongw/cell/policy.py
@@ -30,7 +30,7 @@
 #: gets 0.62; by logarithms, since it may be off by a factor either way.
 GUESS_PART = 0.6
 #: An answer that has passed its expected length goes on for this part of it.
-OVERRUN_PART = 0.25
+OVERRUN_PART = 0.1
 #: A prefill that hung tells nothing about the next one beyond this.
 MOST_SLOWNESS = 10.0
 
--- a/dandeliongw/entry/refusals.py
+++ b/dandeliongw/entry/refusals.py
@@ -71,6 +71,15 @@
     )
 
 
+def left_early() -> verdict.Refusal:
+    """Nobody reads this one; its call was not admitted yet."""
+    return verdict.Refusal(
+        reason=_REASON.CALLER_GONE,
+        verdict=verdict.Verdict.NOT_RUN,
+        message='the caller closed its connection',
+    )
+
+
 def cut_off(request: request_module.Request) -> verdict.Refusal:
     """The instance ends before the request does."""
     return verdict.Refusal(
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -18,6 +18,7 @@
 from ..cell import policy
 from ..coordination import claim_messages as claims
 from ..coordination import parts
+from . import early
 from . import endings
 from . import recovery
 from . import refusals
@@ -50,6 +51,8 @@
     :param directory: what is known of the system, see ``admission``.
     :param most_claimed_s: longest time that a call with a claim may take;
         claims are kept for a limited time only.
+    :param early_s: seconds after the start in which calls wait for the first
+        configuration; by default they are refused at once.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         directory: admission.Directory,
         gate: admission.Admission,
         most_claimed_s: float = float('inf'),
+        early_s: float = 0.0,
     ) -> None:
         self._directory = directory
         self._gate = gate
@@ -79,6 +83,7 @@
             endings=self._endings,
         )
         self.requests_by_id: dict[str, Request] = {}
+        self._early = early.EarlyCalls(directory=directory, most_s=early_s)
 
     # Events
 
@@ -100,8 +105,15 @@
         return []
 
     def _arrive(self, event: events.RequestArrived) -> Effects:
+        self._early.begin(event.now)
+        if self._early.must_wait(event):
+            self._early.add(event)
+            return []
+        return self._admit(event.now, event)
+
+    def _admit(self, now: float, event: events.RequestArrived) -> Effects:
         call = event.call
-        admitted = self._gate.check(event.now, call, event.entropy)
+        admitted = self._gate.check(now, call, event.entropy)
         if isinstance(admitted, verdict.Refusal):
             refusal = admitted
             if call.idempotency_key is not None:
@@ -112,8 +124,8 @@
         self._gate.enter(admitted.account.name, admitted.streamed)
         self._budgets.earn(request.service)
         if call.idempotency_key is None:
-            return self._attempts.begin(event.now, request)
-        return resends.begin(event.now, request)
+            return self._attempts.begin(now, request)
+        return resends.begin(now, request)
 
     def _make_request(
         self, event: events.RequestArrived, admitted: admission.Admitted
@@ -143,6 +155,8 @@
         )
 
     def _leave(self, now: float, request_id: str) -> Effects:
+        if self._early.forget(request_id):
+            return endings.turn_away(request_id, refusals.left_early())
         request = self.requests_by_id.get(request_id)
         if request is None or request.is_ended:
             return []
@@ -314,7 +328,10 @@
     # Time
 
     def _tick(self, now: float) -> Effects:
+        self._early.begin(now)
         out: Effects = []
+        for event in self._early.take(now):
+            out += self._admit(now, event)
         for request in list(self.requests_by_id.values()):
             if not request.is_ended:
                 out.extend(self._tick_request(now, request))
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -106,6 +106,7 @@
             gate=self.admission,
             # The claims part takes no attempt that may outlive its record.
             most_claimed_s=settings.timeouts.claim_retention_s / 2,
+            early_s=settings.timeouts.first_configuration_s,
         )
         self.owner = owner_module.Owner(
             directory=self.directory,
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -145,6 +145,8 @@
     """How long an engine may take to answer an order."""
     claim_retention_s: models.Positive = 86400.0
     """How long a resend gets the recorded outcome."""
+    first_configuration_s: models.Positive = 2.0
+    """How long after the start calls wait for the first configuration."""
     shutdown_s: models.Positive = 60.0
     """How long a graceful shutdown waits for requests in flight."""
 
--- /dev/null
+++ b/tests/test_early.py
@@ -0,0 +1,74 @@
+"""Calls that come before the first configuration are not turned away."""
+
+import unittest
+
+from dandeliongw.cell import cells
+from dandeliongw import effects
+from dandeliongw import verdict
+from tests.entry_fake import Entry
+
+REASON = verdict.RefusalReason
+
+
+class EarlyCallsTest(unittest.TestCase):
+    """Symptom: after a loss of power every caller is late or turned away.
+
+    Sequence: all instances start at once; their ports are open, and the
+    voters need some tenths of a second more.
+    Cause: each call was refused for the lack of a configuration, and came
+    back a second later, past its target.
+    """
+
+    def setUp(self):
+        self.entry = Entry(early_s=2.0)
+        self.entry.directory.fresh = False
+        self.entry.tick()
+
+    def refusal(self):
+        return self.entry.one(effects.Refuse).refusal
+
+    def test_they_start_with_the_configuration(self):
+        self.entry.arrive()
+        self.assertEqual([], self.entry.out)
+        self.entry.tick(0.5)
+        self.assertEqual([], self.entry.sent(cells.Book))
+        self.entry.directory.fresh = True
+        self.entry.tick(0.1)
+        ((_, book),) = self.entry.sent(cells.Book)
+        request = self.entry.requests.requests_by_id[book.request_id]
+        self.assertAlmostEqual(0.6, self.entry.now - request.arrived_at)
+        # The search for an owner has its whole time.
+        self.assertEqual(self.entry.now, request.phase_at)
+
+    def test_they_are_refused_when_the_start_takes_too_long(self):
+        self.entry.arrive()
+        self.entry.tick(1.0)
+        self.assertEqual([], self.entry.found(effects.Refuse))
+        self.entry.tick(1.0)
+        self.assertIs(REASON.CONFIGURATION_STALE, self.refusal().reason)
+        self.assertIs(verdict.Verdict.NOT_RUN, self.refusal().verdict)
+
+    def test_one_that_has_no_time_left_is_refused_sooner(self):
+        self.entry.arrive(deadline_s=0.25)
+        self.entry.tick(0.3)
+        self.assertIs(REASON.CONFIGURATION_STALE, self.refusal().reason)
+
+    def test_later_calls_are_refused_at_once(self):
+        self.entry.tick(2.0)
+        self.entry.arrive()
+        self.assertIs(REASON.CONFIGURATION_STALE, self.refusal().reason)
+
+    def test_a_shutdown_does_not_wait_for_them(self):
+        self.entry.arrive()
+        self.entry.directory.is_draining = True
+        self.entry.tick(0.1)
+        self.assertIs(REASON.DRAINING, self.refusal().reason)
+
+    def test_a_caller_who_left_is_forgotten(self):
+        request_id = self.entry.arrive()
+        self.entry.leave(request_id)
+        self.assertIs(REASON.CALLER_GONE, self.refusal().reason)
+        self.entry.close(request_id)
+        self.entry.directory.fresh = True
+        self.entry.tick(0.1)
+        self.assertEqual([], self.entry.out)
