Calls of plain services queue up to four a slot

Cause: after a loss of power the callers of all instances come back together while entries place by themselves, each with one slot of most servers; what went beyond one waiting call a slot was refused (25 and 37 times in the seconds after it), though a call takes a tenth of a second. Change: four may wait for each slot, for at most a quarter of their time. Ruled out: larger shares of the entries; the sum of the shares is above the slots already, and servers reject what is beyond them.

--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -55,6 +55,9 @@
 LEAST_TRUSTED_PART = 0.5
 #: Part of its time that a call of a plain service waits for a slot.
 PLAIN_WAIT_PART = 0.25
+#: Calls that may wait for each slot. They take about a tenth of a second, so
+#: the last is served within half a second, a quarter of what callers wait.
+PLAIN_QUEUE_PER_SLOT = 4
 #: Shortest Retry-After. Bunches of work last for seconds; who comes back
 #: within one is turned away again, for good.
 LEAST_RETRY_AFTER_S = 1.5
@@ -169,7 +172,7 @@
         placed = None if view.queue else self._place(now, view, booking)
         if placed is not None:
             return placed
-        if len(view.queue) >= _plain_slots(view):
+        if len(view.queue) >= PLAIN_QUEUE_PER_SLOT * _plain_slots(view):
             return _refuse_full(booking)
         left_s = booking.deadline_at - now
         booking.latest_start_at = now + left_s * PLAIN_WAIT_PART
