A KV cache waits for an engine while it is kept; an engine that refused one rests

Change: a move waits before all others in the owner's queue, as long as the engine keeps the cache (0.5 s there); an engine that refused one gets no work for half a second.

Ruled out: declining because of the excluded engine (others were full, too).

Tests: the three of MoveTest; with no rest one fails.

--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -88,6 +88,9 @@
 PROGRESS_EVERY_S = 1.0
 #: How often an owner asks backend servers for what they hold.
 LIST_EVERY_S = 5.0
+#: How long an engine that refused a KV cache gets no work. Estimate: some ten
+#: streams of a few seconds each end about as often.
+REFUSED_REST_S = 0.5
 #: How often an unconfirmed cancel is sent again.
 CANCEL_AGAIN_S = 1.0
 
@@ -167,6 +170,9 @@
             for booking, decision in decided:
                 self._forget(booking)
                 effects.extend(self._apply(now, booking, decision))
+                if booking.stage is Stage.DECODE and booking.start_at is None:
+                    # Its KV cache is still held, until the entry gives it up.
+                    self._remember(booking)
         return effects
 
     def _take(self, event: typing.Any) -> list[typing.Any]:
@@ -211,6 +217,7 @@
             self._forget(known)
             if known.decode_id in book.exclude:
                 told = self._blame(now, known.decode_id)
+                self._rest(now, known.decode_id)
         booking = Booking(
             request_id=book.request_id,
             attempt_id=book.attempt_id,
@@ -230,6 +237,9 @@
             resent=book.resent,
             may_read_there=book.may_read_there,
         )
+        if known is not None:
+            # Where the KV cache is, for as long as it waits for an engine.
+            booking.prefill_id = known.prefill_id
         effects = self._decide(now, booking)
         if known is not None and booking.key not in self.bookings_by_key:
             # Declined, but the KV cache is still held and may yet move.
@@ -442,6 +452,17 @@
         )
         return [distrusted.log()]
 
+    def _rest(self, now: float, backend_id: str) -> None:
+        """Send no work for a moment to an engine that refused some.
+
+        Its streams fill its memory whether or not the owner knows of all of
+        them. Sent on at once, one prompt after the other would be read and
+        refused there; one would see five refused imports in a second.
+        """
+        state = self.view.backends_by_id.get(backend_id)
+        if state is not None:
+            state.full_until = now + REFUSED_REST_S
+
     def _tell_trusted(self, now: float) -> list:
         """Return a line for each that has all its slots open again."""
         back = [
--- a/dandeliongw/cell/policy.py
+++ b/dandeliongw/cell/policy.py
@@ -203,6 +203,9 @@
     last_prefill_at: float = 0.0
     #: When the transfers booked on this link will be over.
     link_free_at: float = 0.0
+    #: Until when it is taken for full, as it refused work it had room for by
+    #: our own count.
+    full_until: float = -math.inf
     batch: Batch = dataclasses.field(default_factory=Batch)
     health: Health = dataclasses.field(default_factory=lambda: Health())
     #: Blocks that its prefix cache may hold, the last used at the end. A
@@ -296,6 +299,8 @@
         turns them away, and the prefill thrown away each time. Counting the
         longest answers, a third of the memory would stay empty.
         """
+        if now < state.full_until:
+            return False
         capacity = self.terms.kv_tokens_by_role.get(state.backend.role)
         if capacity is None:
             return True
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -36,6 +36,8 @@
 MOST_LINK_WAIT_S = 0.7
 #: Of the versions that didn't look at the weights.
 FIXED_LINK_WAIT_S = 0.25
+#: Of a KV cache that waits for an engine: before all others.
+MOVE_RANK = -1
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
 #: Patient work keeps at least a tenth in every prediction.
@@ -151,6 +153,8 @@
                 return no_backend(role)
         if booking.stage is Stage.PLAIN and self._options.queue:
             return self._decide_plain(now, view, booking)
+        if booking.stage is Stage.DECODE and self._options.queue:
+            return self._decide_move(now, view, booking)
         if booking.stage is not Stage.PAIR or not self._options.queue:
             return self._place(now, view, booking) or _refuse_full(booking)
         slot_s = view.transfer_s(booking) + view.decode_s(booking)
@@ -178,6 +182,21 @@
         booking.latest_start_at = now + left_s * PLAIN_WAIT_PART
         return Wait(expected_s=0.0)
 
+    def _decide_move(
+        self, now: float, view: CellView, booking: Booking
+    ) -> Decision:
+        """Let a KV cache wait for an engine as long as it is kept.
+
+        Where memory is short, an engine with room right now is rare: what
+        becomes free goes to the queue at once. Refused at once, one would
+        see each prompt read again whose first engine refused it.
+        """
+        placed = self._place(now, view, booking)
+        if placed is not None:
+            return placed
+        booking.latest_start_at = booking.deadline_at
+        return Wait(expected_s=0.0)
+
     def _count(self, now: float, view: CellView, booking: Booking) -> None:
         rank = rank_of(view, booking)
         slot_s = view.transfer_s(booking) + view.decode_s(booking)
@@ -258,6 +277,9 @@
     def _order(
         self, now: float, view: CellView, booking: Booking
     ) -> tuple[float, ...]:
+        if booking.stage is Stage.DECODE:
+            # A KV cache is kept for half a second only.
+            return MOVE_RANK, booking.arrived_at
         if self._options.order is Order.ARRIVAL:
             return (booking.arrived_at,)
         if self._options.order is Order.DEADLINE:
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -167,6 +167,13 @@
         until = self.served_at + self.admitted.patience_s
         return max(0.0, min(self.deadline_at, until) - now)
 
+    def useful_s(self, now: float) -> float:
+        """Return the seconds for which a place found for it is of use."""
+        if self.stage is not policy.Stage.DECODE or not self.kv:
+            return self.patient_s(now)
+        kept_until = self.kv_at + self.kv_life_s
+        return max(0.0, min(self.patient_s(now), kept_until - now))
+
     def known_when_stopped(self) -> verdict.Verdict:
         """Return what is proved if it is broken off just now."""
         if self.phase is Phase.RECORDING:
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -165,7 +165,7 @@
             prompt_tokens=call.prompt_tokens,
             max_tokens=call.max_tokens,
             prefix=call.prefix,
-            deadline_s=request.patient_s(now),
+            deadline_s=request.useful_s(now),
             exclude=request.exclude,
             stage=request.stage,
             expected_tokens=call.expected_tokens,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,6 +8,7 @@
 from dandeliongw.cell import cells
 from dandeliongw.cell import policy
 from dandeliongw.cell import scheduler
+from dandeliongw.coordination import parts
 from dandeliongw.verdict import RefusalReason
 from tests import test_cells
 
@@ -475,3 +476,102 @@
         ]
         self.assertEqual(['s1', 's1'], plain_ids[:2])
         self.assertIn(plain_ids[2], ('s2', 's3'))
+
+
+class MoveTest(unittest.TestCase):
+    """Symptom: each prompt whose first engine refuses it is read again.
+
+    Sequence: a decode engine refuses a KV cache; the others are full, and
+    one has room a tenth of a second later.
+    Cause: the move was declined at once, and the room went to the queue.
+    """
+
+    def setUp(self):
+        self.cell = make_cell(
+            test_cells.make_backend('p1', 'prefill', slots=4),
+            test_cells.make_backend('d1', 'decode', slots=1),
+            test_cells.make_backend('d2', 'decode', slots=1),
+        )
+        by_id = {}
+        for request_id in ('r1', 'r2'):
+            booked = self.book(request_id)
+            by_id[booked.decode_id] = request_id
+            self.tell_read(request_id)
+        self.moving, self.staying = by_id['d1'], by_id['d2']
+
+    def send(self, message, now):
+        return [
+            effect.message
+            for effect in test_cells.send(self.cell, message, now)
+            if isinstance(effect, parts.Send)
+        ]
+
+    def book(self, request_id, now=0.0, **changes):
+        return self.send(test_cells.make_book(request_id, **changes), now)[0]
+
+    def tell_read(self, request_id):
+        done = cells.PrefillDone(
+            cell=self.cell.cell_id,
+            request_id=request_id,
+            attempt_id='a1',
+            tokens=1000,
+            cached_tokens=0,
+        )
+        self.send(done, 0.0)
+        for state in self.cell.view.backends_by_id.values():
+            state.link_free_at = 0.0
+
+    def move(self, now):
+        return self.book(
+            self.moving,
+            now,
+            stage=policy.Stage.DECODE,
+            exclude=('d1',),
+            deadline_s=0.4,
+        )
+
+    def free(self, now):
+        release = cells.Release(
+            cell=self.cell.cell_id,
+            request_id=self.staying,
+            attempt_id='a1',
+            outcome=cells.Outcome.DONE,
+        )
+        return self.send(release, now)
+
+    def test_it_gets_the_next_room_before_all_others(self):
+        self.book('r3', 0.1, priority='patient')
+        self.assertIsInstance(self.move(0.2), cells.Queued)
+        (booked,) = self.free(0.3)
+        self.assertEqual(self.moving, booked.request_id)
+        self.assertEqual('d2', booked.decode_id)
+
+    def test_it_is_declined_when_the_cache_is_gone(self):
+        self.move(0.2)
+        self.assertEqual([], self.cell_ticks(0.5))
+        (declined,) = self.cell_ticks(0.7)
+        self.assertIsInstance(declined, cells.Declined)
+        # Until the entry gives it up, its cache may still have to be freed.
+        holding = cells.Holding(request_id=self.moving, attempt_id='a1')
+        progress = cells.Progress(cell=self.cell.cell_id, bookings=(holding,))
+        self.assertEqual([], self.send(progress, 0.8))
+
+    def test_the_engine_that_refused_it_rests(self):
+        """Symptom: five prompts in a second are read and refused.
+
+        Sequence: an engine holds streams that its owner doesn't know of.
+        Cause: by the owner's count it has room, so the next goes there.
+        """
+        self.move(0.2)
+        waiting = self.book('r3', 0.3, priority='patient')
+        self.assertIsInstance(waiting, cells.Queued)
+        ready_at = 0.2 + cells.REFUSED_REST_S
+        booked = [each.request_id for each in self.cell_ticks(ready_at)]
+        self.assertIn('r3', booked)
+
+    def cell_ticks(self, now):
+        return [
+            effect.message
+            for effect in test_cells.tick(self.cell, now)
+            if isinstance(effect, parts.Send)
+        ]
