A queued move ends with its KV cache, also if its owner is silent

Cause (from the code, not played): only a move that had no answer yet looked at the cache's life; one that an owner had queued waited for that owner's word. Tests: the queued case of test_a_move_that_finds_no_engine, and test_the_owner_is_told_how_long_a_cache_is_kept.

--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -30,6 +30,7 @@
 from . import steps
 from .request import Phase
 from .request import Request
+from .request import UNPLACED
 from .request import WORKING
 
 # What others need to know of a request's life, by one name.
@@ -344,6 +345,13 @@
             return self._endings.stop(
                 now, request, refusal, cells.Outcome.EXPIRED
             )
+        if _has_lost_cache(now, request):
+            return self._attempts.again(
+                now,
+                request,
+                failure=_RETRY.KV_EVICTED,
+                message='no decode engine was found in time',
+            )
         match request.phase:
             case Phase.BOOKING:
                 return self._tick_booking(now, request)
@@ -354,14 +362,6 @@
         return []
 
     def _tick_booking(self, now: float, request: Request) -> Effects:
-        is_move = request.stage is policy.Stage.DECODE
-        if is_move and now - request.kv_at >= request.kv_life_s:
-            return self._attempts.again(
-                now,
-                request,
-                failure=_RETRY.KV_EVICTED,
-                message='no decode engine was found in time',
-            )
         if now - request.phase_at >= request.search_s:
             return self._endings.give_up(
                 now, request, refusals.no_owner(request)
@@ -390,6 +390,18 @@
         return self._reservations.ask_again(now, request)
 
 
+def _has_lost_cache(now: float, request: Request) -> bool:
+    """Whether a KV cache that looks for an engine is kept no longer.
+
+    Its owner may have died while it was queued there.
+    """
+    return (
+        request.stage is policy.Stage.DECODE
+        and request.phase in UNPLACED
+        and now - request.kv_at >= request.kv_life_s
+    )
+
+
 def _times(event: events.StepEnded, request: Request) -> Effects:
     """Return how long the parts of a whole answer took."""
     began_at, first_at = request.phase_at, event.first_piece_at
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -462,7 +462,7 @@
         engines = {each.backend_id for each in entry.found(cells.CancelStream)}
         self.assertEqual(engines, {'p1', 'd2'})
 
-    @params('declined', 'late')
+    @params('declined', 'late', 'queued')
     def test_a_move_that_finds_no_engine_is_computed_again(self, why):
         """Symptom: a request fails although its prompt could be run again.
 
@@ -475,6 +475,8 @@
         if why == 'declined':
             entry.receive(_declined(entry, request_id))
         else:
+            if why == 'queued':
+                entry.receive(queued(entry, request_id))
             entry.tick(requests.KV_LIFE_S + 0.1)
         self.assertEqual(len(entry.sent(cells.Release)), 1)
         self.assertEqual([tokens for _, tokens in entry.wastes], [100])
@@ -482,6 +484,14 @@
         ((_, book),) = entry.sent(cells.Book)
         self.assertEqual(book.stage, 'pair')
 
+    def test_the_owner_is_told_how_long_a_cache_is_kept(self):
+        entry = Entry()
+        request_id = entry.decoding()
+        entry.now += 0.25
+        entry.decode(request_id, RETRY.IMPORT_REFUSED, tokens=0, known=NOT_RUN)
+        ((_, book),) = entry.sent(cells.Book)
+        self.assertAlmostEqual(requests.KV_LIFE_S - 0.25, book.deadline_s)
+
     @params(
         (RETRY.KV_EVICTED, 0.0), (RETRY.TRANSFER_STALLED, requests.KV_LIFE_S)
     )
