--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -9,7 +9,6 @@
 import dataclasses
 import typing
 
-from .. import decisions
 from ..coordination import parts
 from .cell_messages import BackendsChanged
 from .cell_messages import Book
@@ -49,6 +48,7 @@
 from .policy import Stage
 from .policy import Wait
 from .roles import RoleBalance
+from .trust import Trust
 
 __all__ = [
     'BackendsChanged',
@@ -88,9 +88,6 @@
 PROGRESS_EVERY_S = 1.0
 #: How often an owner asks backend servers for what they hold.
 LIST_EVERY_S = 5.0
-#: How long an engine that refused a KV cache gets no work. Estimate: some ten
-#: streams of a few seconds each end about as often.
-REFUSED_REST_S = 0.5
 #: How often an unconfirmed cancel is sent again.
 CANCEL_AGAIN_S = 1.0
 
@@ -139,6 +136,7 @@
         self.epoch = epoch
         self.policy = policy
         self.view = CellView(terms=document_part)
+        self._trust = Trust(cell_id=cell_id, epoch=epoch, view=self.view)
         self.roles = RoleBalance()
         self.bookings_by_key: dict[tuple[str, str], Booking] = {}
         self.cancels_by_key: dict[tuple[str, str, str], PendingCancel] = {}
@@ -216,8 +214,8 @@
         if known is not None:
             self._forget(known)
             if known.decode_id in book.exclude:
-                told = self._blame(now, known.decode_id)
-                self._rest(now, known.decode_id)
+                told = self._trust.blame(now, known.decode_id)
+                self._trust.rest(now, known.decode_id)
         booking = Booking(
             request_id=book.request_id,
             attempt_id=book.attempt_id,
@@ -404,7 +402,9 @@
         if booking is None:
             return []
         self._forget(booking)
-        told = self._blame(now, release.backend_fault, is_down=release.is_down)
+        told = self._trust.blame(
+            now, release.backend_fault, is_down=release.is_down
+        )
         if release.outcome is Outcome.DONE:
             for state in self._states_of(booking):
                 state.health.add_success(now)
@@ -423,62 +423,6 @@
             target_s = self.view.terms.token_gap_s
             state.batch.learn(now, token_gap_s, target_s, streams)
 
-    def _blame(
-        self, now: float, backend_id: str, *, is_down: bool = False
-    ) -> list:
-        """Count a fault; return the line that tells what it changed."""
-        state = self.view.backends_by_id.get(backend_id)
-        if state is None:
-            return []
-        health = state.health
-        was_ejected = health.is_ejected(now)
-        faults, ended = health.count_lately(now)
-        if is_down:
-            health.add_refusal(now)
-        else:
-            health.add_fault(now)
-        if was_ejected or not health.is_ejected(now):
-            return []
-        health.is_told_distrusted = True
-        distrusted = decisions.BackendDistrusted(
-            backend_id=backend_id,
-            cell=self.cell_id,
-            epoch=self.epoch,
-            why='it took no connection' if is_down else 'its work failed',
-            faults=0 if is_down else faults + 1,
-            ended=ended if is_down else ended + 1,
-            times=health.ejections,
-            left_out_s=health.ejected_until - now,
-        )
-        return [distrusted.log()]
-
-    def _rest(self, now: float, backend_id: str) -> None:
-        """Send no work for a moment to an engine that refused some.
-
-        Its streams fill its memory whether or not the owner knows of all of
-        them. Sent on at once, one prompt after the other would be read and
-        refused there; one would see five refused imports in a second.
-        """
-        state = self.view.backends_by_id.get(backend_id)
-        if state is not None:
-            state.full_until = now + REFUSED_REST_S
-
-    def _tell_trusted(self, now: float) -> list:
-        """Return a line for each that has all its slots open again."""
-        back = [
-            (backend_id, state.health)
-            for backend_id, state in self.view.backends_by_id.items()
-            if state.health.is_told_distrusted and not state.health.is_new(now)
-        ]
-        for _, health in back:
-            health.is_told_distrusted = False
-        return [
-            decisions.BackendTrusted(
-                backend_id=backend_id, cell=self.cell_id, epoch=self.epoch
-            ).log()
-            for backend_id, _ in back
-        ]
-
     def _cancel(self, now: float, booking: Booking) -> list:
         return [
             self._cancel_at(now, state, booking.key)
@@ -653,7 +597,7 @@
 
     def _tick(self, now: float) -> list:
         self._drop_left(now)
-        effects = [*self._list_streams(now), *self._tell_trusted(now)]
+        effects = [*self._list_streams(now), *self._trust.tell_regained(now)]
         for booking in list(self.bookings_by_key.values()):
             # An entry that died sends no release. One would notice slots
             # that stay taken with no stream behind them; the lease frees
--- /dev/null
+++ b/dandeliongw/cell/prediction.py
@@ -0,0 +1,100 @@
+"""When work would start, and until when it may."""
+
+import heapq
+import math
+
+from . import rooms
+from .policy import Booking
+from .policy import CellView
+from .policy import Role
+
+#: Of a priority that the document doesn't know.
+LAST_RANK = 1_000
+
+
+def rank_of(view: CellView, booking: Booking) -> int:
+    """Return the rank of work; lower goes first."""
+    return view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
+
+
+def prefill_s(view: CellView, booking: Booking) -> float:
+    """Return how long a prompt takes on an engine of usual speed."""
+    return booking.prompt_tokens / view.terms.prefill_tokens_per_s
+
+
+def latest_start(view: CellView, booking: Booking) -> float:
+    """Return until when work may start and isn't refused after all.
+
+    Work that would miss it on idle engines may start only at once.
+    """
+    terms = view.terms
+    patience_s = terms.max_wait_s_by_priority.get(booking.priority, 0.0)
+    target_s = terms.first_token_s + patience_s
+    target_at = min(booking.arrived_at + target_s, booking.deadline_at)
+    start_at = target_at - first_token_s(view, booking)
+    bound_s = patience_s or terms.first_token_s
+    start_at = min(start_at, booking.arrived_at + bound_s)
+    return max(booking.arrived_at, start_at)
+
+
+def timely_start(view: CellView, booking: Booking) -> float:
+    """Return until when work may start and still meet its target."""
+    target_at = booking.arrived_at + view.terms.first_token_s
+    return target_at - first_token_s(view, booking)
+
+
+def first_token_s(view: CellView, booking: Booking) -> float:
+    """Return how long from the start to the first token."""
+    work_s = prefill_s(view, booking)
+    gap_s = 1.0 / view.terms.decode_tokens_per_s
+    # The first step may have to wait for the end of the one that runs.
+    return work_s + view.transfer_s(booking) + 2 * gap_s
+
+
+def expected_start(
+    now: float, view: CellView, ordered: list[Booking]
+) -> float:
+    """Return when the last of some queued work will start.
+
+    Goes through the work in order, giving each the next slot and the next
+    prefill engine to be free.
+    """
+    slots = _slot_times(now, view, ordered[-1])
+    engines = [
+        state.prefill_free_at(now)
+        for state in view.candidates(Role.PREFILL, ())
+        if not state.health.is_ejected(now)
+    ]
+    if not engines and ordered[-1].may_read_there:
+        # Decode engines read then, each one prompt at a time.
+        engines = [now for _ in rooms.serving(now, view, Role.DECODE)]
+    if not slots or not engines:
+        return math.inf
+    heapq.heapify(slots)
+    heapq.heapify(engines)
+    starts_at = now
+    for booking in ordered:
+        starts_at = max(heapq.heappop(slots), engines[0])
+        done_at = starts_at + prefill_s(view, booking)
+        moved_at = done_at + view.transfer_s(booking)
+        # Prefill and link of an engine work at the same time, each on
+        # another prompt; the slower of the two sets the pace.
+        paced_at = max(done_at, starts_at + view.transfer_s(booking))
+        heapq.heapreplace(engines, paced_at)
+        heapq.heappush(slots, moved_at + view.decode_s(booking))
+    return starts_at
+
+
+def _slot_times(now: float, view: CellView, booking: Booking) -> list[float]:
+    """Return when each decode slot is free that such work fits in."""
+    times = []
+    for state in rooms.serving(now, view, Role.DECODE):
+        free = view.slots_for(state, booking) - state.slots_used
+        times.extend([now] * max(0, free))
+        ends = sorted(
+            max(now, booking.decode_ends_at)
+            for booking in state.bookings_by_key.values()
+        )
+        # Above the cap the first to end give no slot back.
+        times.extend(ends[max(0, -free) :])
+    return times
--- /dev/null
+++ b/dandeliongw/cell/rooms.py
@@ -0,0 +1,133 @@
+"""Which backend servers may get new work, and how much."""
+
+import dataclasses
+import math
+
+from .policy import BackendState
+from .policy import Booking
+from .policy import CellView
+from .policy import Role
+from .policy import Stage
+
+#: With less than half of a role's places trusted, the rest is used, too.
+#: Estimate: up to then others can carry what a distrusted one would.
+LEAST_TRUSTED_PART = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Room:
+    """A backend server with slots that may be booked now."""
+
+    state: BackendState
+    free: int
+
+
+class Rooms:
+    """Finds the backend servers of a role that have room for a booking.
+
+    :param heeds_health: leave out what keeps failing.
+    :param heeds_cap: use no more slots than the token gap's target bears.
+    """
+
+    def __init__(self, *, heeds_health: bool, heeds_cap: bool) -> None:
+        self._heeds_health = heeds_health
+        self._heeds_cap = heeds_cap
+
+    def usable(
+        self, now: float, view: CellView, role: Role, booking: Booking
+    ) -> list[BackendState]:
+        """Return those that may get work.
+
+        If every one is left out, these are those that take connections; if
+        none does, all.
+        """
+        candidates = candidates_for(view, role, booking)
+        if not self._heeds_health:
+            return candidates
+        if all(state.health.is_ejected(now) for state in candidates):
+            reachable = [
+                state
+                for state in candidates
+                if not state.health.refuses_connections
+            ]
+            return reachable or candidates
+        return [
+            state for state in candidates if state.health.may_get_work(now)
+        ]
+
+    def find(
+        self, now: float, view: CellView, role: Role, booking: Booking
+    ) -> list[Room]:
+        """Return the backend servers with free slots.
+
+        Where faults take trust from most of a role at once, the rest can't
+        do their work. Of two servers that lose some answers each would
+        carry one call instead of all it has slots for; one would see calls
+        refused while places are free. Their slots are used then, once those
+        of trusted ones are full; but none of one that is dead.
+        """
+        rooms = [
+            Room(state=state, free=self._trusted_slots(now, state))
+            for state in self.usable(now, view, role, booking)
+            if view.has_kv_room(now, state, booking)
+        ]
+        rooms = [room for room in rooms if room.free > 0]
+        if rooms or not self._heeds_health:
+            return rooms
+        if not is_most_distrusted(now, view, role):
+            return rooms
+        rooms = [
+            Room(state=state, free=self._slots(state) - state.slots_used)
+            for state in candidates_for(view, role, booking)
+            if not state.health.refuses_connections
+            and view.has_kv_room(now, state, booking)
+        ]
+        return [room for room in rooms if room.free > 0]
+
+    def _slots(self, state: BackendState) -> int:
+        return state.slots_open if self._heeds_cap else state.backend.slots
+
+    def _trusted_slots(self, now: float, state: BackendState) -> int:
+        """Return how many slots are free of those open to new work now."""
+        slots = self._slots(state)
+        if self._heeds_health:
+            slots = max(1, math.floor(slots * state.health.open_part(now)))
+        return slots - state.slots_used
+
+
+def freest(rooms: list[Room]) -> BackendState:
+    return max(rooms, key=lambda room: room.free).state
+
+
+def is_most_distrusted(now: float, view: CellView, role: Role) -> bool:
+    """Return whether over half of a role's places are held back."""
+    parts = [
+        state.health.open_part(now) for state in view.candidates(role, ())
+    ]
+    return sum(parts) < LEAST_TRUSTED_PART * len(parts)
+
+
+def serving(now: float, view: CellView, role: Role) -> list[BackendState]:
+    """Return those that get work now, whether or not they have room."""
+    candidates = view.candidates(role, ())
+    if is_most_distrusted(now, view, role):
+        return [
+            state
+            for state in candidates
+            if not state.health.refuses_connections
+        ]
+    return [state for state in candidates if not state.health.is_ejected(now)]
+
+
+def candidates_for(
+    view: CellView, role: Role, booking: Booking
+) -> list[BackendState]:
+    """Return the backend servers that this work may go to.
+
+    A whole new attempt may go where one failed, if there is nowhere else;
+    a KV cache that was refused everywhere may not, at once.
+    """
+    candidates = view.candidates(role, booking.exclude)
+    if not candidates and booking.stage is Stage.PAIR:
+        return view.candidates(role, ())
+    return candidates
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -2,18 +2,16 @@
 
 import dataclasses
 import enum
-import heapq
 import math
 
-import xxhash
-
-from ..verdict import RefusalReason
+from . import declines
+from . import prediction
+from . import rooms as rooms_module
 from .policy import BackendState
 from .policy import Booking
 from .policy import CellView
 from .policy import Decision
 from .policy import Decline
-from .policy import DEFAULT_RETRY_AFTER_S
 from .policy import no_backend
 from .policy import Place
 from .policy import Role
@@ -38,8 +36,6 @@
 FIXED_LINK_WAIT_S = 0.25
 #: Of a KV cache that waits for an engine: before all others.
 MOVE_RANK = -1
-#: Of a priority that the document doesn't know.
-LAST_RANK = 1_000
 #: Patient work keeps at least a tenth in every prediction.
 MOST_PASSING = 0.9
 #: Part of its caller's time for which a last chance may wait.
@@ -52,30 +48,11 @@
 #: Seconds for which all readers of prompts must be busy before a decode
 #: engine reads one by itself, which takes it some 0.2 s for 3,000 tokens.
 READ_THERE_AFTER_S = 0.4
-#: With less than half of a role's places trusted, the rest is used, too.
-#: Estimate: up to then others can carry what a distrusted one would.
-LEAST_TRUSTED_PART = 0.5
 #: Part of its time that a call of a plain service waits for a slot.
 PLAIN_WAIT_PART = 0.25
 #: Calls that may wait for each slot. They take about a tenth of a second, so
 #: the last is served within half a second, a quarter of what callers wait.
 PLAIN_QUEUE_PER_SLOT = 4
-#: Shortest Retry-After. Bunches of work last for seconds; who comes back
-#: within one is turned away again, for good.
-LEAST_RETRY_AFTER_S = 1.5
-#: Longest, however much is ahead.
-MOST_RETRY_AFTER_S = 30.0
-#: Retry-After is stretched by up to this part, so that those who were
-#: refused together don't come back together.
-RETRY_JITTER = 0.5
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Room:
-    """A backend server with slots that may be booked now."""
-
-    state: BackendState
-    free: int
 
 
 class _Hope(enum.IntEnum):
@@ -139,6 +116,9 @@
 
     def __init__(self, *, options: Options = Options()) -> None:
         self._options = options
+        self._rooms = rooms_module.Rooms(
+            heeds_health=options.health, heeds_cap=options.cap
+        )
         #: Slot seconds and prefill seconds that were let in, by rank.
         self._slot_flow_by_rank: dict[int, Flow] = {}
         self._prefill_flow_by_rank: dict[int, Flow] = {}
@@ -149,14 +129,16 @@
     ) -> Decision:
         for role in ROLES_BY_STAGE[booking.stage]:
             is_needed = role is not Role.PREFILL or not booking.may_read_there
-            if is_needed and not candidates_for(view, role, booking):
+            if is_needed and not rooms_module.candidates_for(
+                view, role, booking
+            ):
                 return no_backend(role)
         if booking.stage is Stage.PLAIN and self._options.queue:
             return self._decide_plain(now, view, booking)
         if booking.stage is Stage.DECODE and self._options.queue:
             return self._decide_move(now, view, booking)
         if booking.stage is not Stage.PAIR or not self._options.queue:
-            return self._place(now, view, booking) or _refuse_full(booking)
+            return self._place(now, view, booking) or declines.full(booking)
         slot_s = view.transfer_s(booking) + view.decode_s(booking)
         self._shares(view, booking).want(now, booking.account, slot_s)
         ahead = self._ahead_of(now, view, booking)
@@ -177,7 +159,7 @@
         if placed is not None:
             return placed
         if len(view.queue) >= PLAIN_QUEUE_PER_SLOT * _plain_slots(view):
-            return _refuse_full(booking)
+            return declines.full(booking)
         left_s = booking.deadline_at - now
         booking.latest_start_at = now + left_s * PLAIN_WAIT_PART
         return Wait(expected_s=0.0)
@@ -198,16 +180,16 @@
         return Wait(expected_s=0.0)
 
     def _count(self, now: float, view: CellView, booking: Booking) -> None:
-        rank = rank_of(view, booking)
+        rank = prediction.rank_of(view, booking)
         slot_s = view.transfer_s(booking) + view.decode_s(booking)
         self._shares(view, booking).give(now, booking.account, slot_s)
         slots = self._slot_flow_by_rank.setdefault(rank, Flow())
         slots.add(now, slot_s)
         prefills = self._prefill_flow_by_rank.setdefault(rank, Flow())
-        prefills.add(now, prefill_s(view, booking))
+        prefills.add(now, prediction.prefill_s(view, booking))
 
     def _shares(self, view: CellView, booking: Booking) -> FairShares:
-        rank = rank_of(view, booking)
+        rank = prediction.rank_of(view, booking)
         return self._shares_by_rank.setdefault(rank, FairShares())
 
     def _is_over_share(
@@ -218,7 +200,7 @@
         Ranks are held apart: an account's many patient calls say nothing
         against its urgent ones.
         """
-        rank = rank_of(view, booking)
+        rank = prediction.rank_of(view, booking)
         slots = sum(
             state.backend.slots for state in view.candidates(Role.DECODE, ())
         )
@@ -242,7 +224,7 @@
         Such work keeps coming while this waits, and passes it. One would
         notice work that was admitted, waited to its bound and was refused.
         """
-        rank = rank_of(view, booking)
+        rank = prediction.rank_of(view, booking)
         parts = []
         for role, flows in (
             (Role.DECODE, self._slot_flow_by_rank),
@@ -264,7 +246,7 @@
         late = [each for each in view.queue if now > each.latest_start_at]
         if late:
             first = self._first(now, view, late)
-            return [(first, _refuse_waited(first))]
+            return [(first, declines.waited(first))]
         first = self._first(now, view, view.queue)
         placed = self._place(now, view, first)
         return [] if placed is None else [(first, placed)]
@@ -283,8 +265,8 @@
         if self._options.order is Order.ARRIVAL:
             return (booking.arrived_at,)
         if self._options.order is Order.DEADLINE:
-            return latest_start(view, booking), booking.arrived_at
-        rank = rank_of(view, booking)
+            return prediction.latest_start(view, booking), booking.arrived_at
+        rank = prediction.rank_of(view, booking)
         if not self._options.timely:
             return rank, booking.arrived_at
         handicap_s = LENGTH_HANDICAP * view.decode_s(booking)
@@ -308,12 +290,12 @@
         ahead: list[Booking],
     ) -> Decision:
         if self._options.fair and self._is_over_share(now, view, booking):
-            return _refuse_share(booking)
-        starts_at = expected_start(now, view, [*ahead, booking])
+            return declines.over_share(booking)
+        starts_at = prediction.expected_start(now, view, [*ahead, booking])
         if self._options.foresee:
             left = 1.0 - self._passing_part(now, view, booking)
             starts_at = now + (starts_at - now) / left
-        latest = latest_start(view, booking)
+        latest = prediction.latest_start(view, booking)
         if booking.resent:
             # Turned away once more, its caller would be lost; but it is told
             # before it leaves by itself.
@@ -322,81 +304,20 @@
         spare_s = self._options.spare * (latest - booking.arrived_at)
         late_s = starts_at - (latest - spare_s)
         if late_s > 0.0:
-            return _refuse_late(booking, late_s)
+            return declines.late(booking, late_s)
         booking.latest_start_at = latest
         return Wait(expected_s=starts_at - now)
 
-    def _usable(
-        self, now: float, view: CellView, role: Role, booking: Booking
-    ) -> list[BackendState]:
-        """Return those that may get work.
-
-        If every one is left out, these are those that take connections; if
-        none does, all.
-        """
-        candidates = candidates_for(view, role, booking)
-        if not self._options.health:
-            return candidates
-        if all(state.health.is_ejected(now) for state in candidates):
-            reachable = [
-                state
-                for state in candidates
-                if not state.health.refuses_connections
-            ]
-            return reachable or candidates
-        return [
-            state for state in candidates if state.health.may_get_work(now)
-        ]
-
-    def _rooms(
-        self, now: float, view: CellView, role: Role, booking: Booking
-    ) -> list[_Room]:
-        """Return the backend servers with free slots.
-
-        Where faults take trust from most of a role at once, the rest can't
-        do their work. Of two servers that lose some answers each would
-        carry one call instead of all it has slots for; one would see calls
-        refused while places are free. Their slots are used then, once those
-        of trusted ones are full; but none of one that is dead.
-        """
-        rooms = [
-            _Room(state=state, free=self._trusted_slots(now, state))
-            for state in self._usable(now, view, role, booking)
-            if view.has_kv_room(now, state, booking)
-        ]
-        rooms = [room for room in rooms if room.free > 0]
-        if rooms or not self._options.health:
-            return rooms
-        if not _is_most_distrusted(now, view, role):
-            return rooms
-        rooms = [
-            _Room(state=state, free=self._slots(state) - state.slots_used)
-            for state in candidates_for(view, role, booking)
-            if not state.health.refuses_connections
-            and view.has_kv_room(now, state, booking)
-        ]
-        return [room for room in rooms if room.free > 0]
-
-    def _slots(self, state: BackendState) -> int:
-        return state.slots_open if self._options.cap else state.backend.slots
-
-    def _trusted_slots(self, now: float, state: BackendState) -> int:
-        """Return how many slots are free of those open to new work now."""
-        slots = self._slots(state)
-        if self._options.health:
-            slots = max(1, math.floor(slots * state.health.open_part(now)))
-        return slots - state.slots_used
-
     def _place(
         self, now: float, view: CellView, booking: Booking
     ) -> Place | None:
         if booking.stage is Stage.PAIR:
             return self._place_pair(now, view, booking)
         role = ROLES_BY_STAGE[booking.stage][0]
-        rooms = self._rooms(now, view, role, booking)
+        rooms = self._rooms.find(now, view, role, booking)
         if not rooms:
             return None
-        backend_id = _freest(rooms).backend.backend_id
+        backend_id = rooms_module.freest(rooms).backend.backend_id
         if role is Role.PLAIN:
             return Place(plain_id=backend_id)
         return Place(decode_id=backend_id)
@@ -415,15 +336,15 @@
             return placed
         frees_at = [
             state.prefill_free_at(now)
-            for state in self._usable(now, view, Role.PREFILL, booking)
+            for state in self._rooms.usable(now, view, Role.PREFILL, booking)
             if not state.health.is_ejected(now)
         ]
         if min(frees_at, default=math.inf) - now < READ_THERE_AFTER_S:
             return None
-        rooms = self._rooms(now, view, Role.DECODE, booking)
+        rooms = self._rooms.find(now, view, Role.DECODE, booking)
         if not rooms:
             return None
-        return Place(decode_id=_freest(rooms).backend.backend_id)
+        return Place(decode_id=rooms_module.freest(rooms).backend.backend_id)
 
     def _choose_pair(
         self, now: float, view: CellView, booking: Booking
@@ -433,11 +354,11 @@
         What an engine has cached shortens its work, so prompts go back to
         the cache they know unless it is busier by more than it saves.
         """
-        rooms = self._rooms(now, view, Role.DECODE, booking)
+        rooms = self._rooms.find(now, view, Role.DECODE, booking)
         if not rooms:
             return None
         best: tuple[tuple[float, ...], Place] | None = None
-        for prefill in self._usable(now, view, Role.PREFILL, booking):
+        for prefill in self._rooms.usable(now, view, Role.PREFILL, booking):
             if booking.may_read_there and prefill.health.is_ejected(now):
                 continue
             done_at = prefill.prefill_free_at(now)
@@ -460,7 +381,7 @@
         view: CellView,
         done_at: float,
         prefill: BackendState,
-        rooms: list[_Room],
+        rooms: list[rooms_module.Room],
     ) -> tuple[tuple[float, ...], BackendState] | None:
         """Return the least cost and its decode engine.
 
@@ -487,30 +408,6 @@
         return link_wait_s(view.terms.weights)
 
 
-def _freest(rooms: list[_Room]) -> BackendState:
-    return max(rooms, key=lambda room: room.free).state
-
-
-def _is_most_distrusted(now: float, view: CellView, role: Role) -> bool:
-    """Return whether over half of a role's places are held back."""
-    parts = [
-        state.health.open_part(now) for state in view.candidates(role, ())
-    ]
-    return sum(parts) < LEAST_TRUSTED_PART * len(parts)
-
-
-def _serving(now: float, view: CellView, role: Role) -> list[BackendState]:
-    """Return those that get work now, whether or not they have room."""
-    candidates = view.candidates(role, ())
-    if _is_most_distrusted(now, view, role):
-        return [
-            state
-            for state in candidates
-            if not state.health.refuses_connections
-        ]
-    return [state for state in candidates if not state.health.is_ejected(now)]
-
-
 def _hope(now: float, view: CellView, booking: Booking) -> _Hope:
     """Return what a start now is worth to its caller.
 
@@ -520,7 +417,7 @@
     """
     if booking.resent:
         return _Hope.LAST_CHANCE
-    if now <= timely_start(view, booking):
+    if now <= prediction.timely_start(view, booking):
         return _Hope.IN_TIME
     return _Hope.MAY_COME_AGAIN
 
@@ -542,154 +439,3 @@
     part = weights.goodput / total if total > 0.0 else 0.5
     span_s = MOST_LINK_WAIT_S - LEAST_LINK_WAIT_S
     return LEAST_LINK_WAIT_S + span_s * part
-
-
-def candidates_for(
-    view: CellView, role: Role, booking: Booking
-) -> list[BackendState]:
-    """Return the backend servers that this work may go to.
-
-    A whole new attempt may go where one failed, if there is nowhere else;
-    a KV cache that was refused everywhere may not, at once.
-    """
-    candidates = view.candidates(role, booking.exclude)
-    if not candidates and booking.stage is Stage.PAIR:
-        return view.candidates(role, ())
-    return candidates
-
-
-def rank_of(view: CellView, booking: Booking) -> int:
-    """Return the rank of work; lower goes first."""
-    return view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
-
-
-def prefill_s(view: CellView, booking: Booking) -> float:
-    """Return how long a prompt takes on an engine of usual speed."""
-    return booking.prompt_tokens / view.terms.prefill_tokens_per_s
-
-
-def latest_start(view: CellView, booking: Booking) -> float:
-    """Return until when work may start and isn't refused after all.
-
-    Work that would miss it on idle engines may start only at once.
-    """
-    terms = view.terms
-    patience_s = terms.max_wait_s_by_priority.get(booking.priority, 0.0)
-    target_s = terms.first_token_s + patience_s
-    target_at = min(booking.arrived_at + target_s, booking.deadline_at)
-    start_at = target_at - first_token_s(view, booking)
-    bound_s = patience_s or terms.first_token_s
-    start_at = min(start_at, booking.arrived_at + bound_s)
-    return max(booking.arrived_at, start_at)
-
-
-def timely_start(view: CellView, booking: Booking) -> float:
-    """Return until when work may start and still meet its target."""
-    target_at = booking.arrived_at + view.terms.first_token_s
-    return target_at - first_token_s(view, booking)
-
-
-def first_token_s(view: CellView, booking: Booking) -> float:
-    """Return how long from the start to the first token."""
-    work_s = prefill_s(view, booking)
-    gap_s = 1.0 / view.terms.decode_tokens_per_s
-    # The first step may have to wait for the end of the one that runs.
-    return work_s + view.transfer_s(booking) + 2 * gap_s
-
-
-def expected_start(
-    now: float, view: CellView, ordered: list[Booking]
-) -> float:
-    """Return when the last of some queued work will start.
-
-    Goes through the work in order, giving each the next slot and the next
-    prefill engine to be free.
-    """
-    slots = _slot_times(now, view, ordered[-1])
-    engines = [
-        state.prefill_free_at(now)
-        for state in view.candidates(Role.PREFILL, ())
-        if not state.health.is_ejected(now)
-    ]
-    if not engines and ordered[-1].may_read_there:
-        # Decode engines read then, each one prompt at a time.
-        engines = [now for _ in _serving(now, view, Role.DECODE)]
-    if not slots or not engines:
-        return math.inf
-    heapq.heapify(slots)
-    heapq.heapify(engines)
-    starts_at = now
-    for booking in ordered:
-        starts_at = max(heapq.heappop(slots), engines[0])
-        done_at = starts_at + prefill_s(view, booking)
-        moved_at = done_at + view.transfer_s(booking)
-        # Prefill and link of an engine work at the same time, each on
-        # another prompt; the slower of the two sets the pace.
-        paced_at = max(done_at, starts_at + view.transfer_s(booking))
-        heapq.heapreplace(engines, paced_at)
-        heapq.heappush(slots, moved_at + view.decode_s(booking))
-    return starts_at
-
-
-def _slot_times(now: float, view: CellView, booking: Booking) -> list[float]:
-    """Return when each decode slot is free that such work fits in."""
-    times = []
-    for state in _serving(now, view, Role.DECODE):
-        free = view.slots_for(state, booking) - state.slots_used
-        times.extend([now] * max(0, free))
-        ends = sorted(
-            max(now, booking.decode_ends_at)
-            for booking in state.bookings_by_key.values()
-        )
-        # Above the cap the first to end give no slot back.
-        times.extend(ends[max(0, -free) :])
-    return times
-
-
-def _refuse_full(booking: Booking) -> Decline:
-    role = 'plain' if booking.stage is Stage.PLAIN else 'decode'
-    return Decline(
-        reason=RefusalReason.NO_CAPACITY,
-        message=f'every slot of the {role} backend servers is taken',
-        retry_after_s=DEFAULT_RETRY_AFTER_S,
-    )
-
-
-def _refuse_share(booking: Booking) -> Decline:
-    return Decline(
-        reason=RefusalReason.ACCOUNT_LIMIT,
-        message=(
-            f'account {booking.account!r} has its share of a full service'
-        ),
-        retry_after_s=_retry_after(booking, DEFAULT_RETRY_AFTER_S),
-    )
-
-
-def _refuse_late(booking: Booking, late_s: float) -> Decline:
-    return Decline(
-        reason=RefusalReason.TARGET_UNREACHABLE,
-        message=f'the first token would be {late_s:.1f} s late',
-        retry_after_s=_retry_after(booking, late_s),
-    )
-
-
-def _refuse_waited(booking: Booking) -> Decline:
-    return Decline(
-        reason=RefusalReason.TARGET_UNREACHABLE,
-        message='no backend server had room while it could still wait',
-        retry_after_s=_retry_after(booking, 0.0),
-    )
-
-
-def _retry_after(booking: Booking, late_s: float) -> float:
-    """Return when to come back: once what is ahead now should be done."""
-    # The identity stands in for a random number, which a reducer must not
-    # draw; callers who were refused together have different ones.
-    digest = xxhash.xxh32_intdigest(booking.request_id.encode())
-    stretch = 1.0 + RETRY_JITTER * digest / 2**32
-    if math.isinf(late_s):
-        # No end can be foreseen; backend servers that are left out are tried
-        # again within seconds.
-        late_s = LEAST_RETRY_AFTER_S
-    wanted_s = (late_s + LEAST_RETRY_AFTER_S) * stretch
-    return min(wanted_s, MOST_RETRY_AFTER_S)
