A backend server may start again under its id; other writers change nothing

Cause, by reading: every heartbeat of the platform had incarnation 0 and every leave the last sequence there can be, so one that came back under its id was ignored, after a leave for good. Now the time of its start is the incarnation. A leave that names no start is of the newest one known, or of the one before in the first 5 s; a lower start counts after a minute's silence. A cell ends the work of the former start and tells its entries.

Found by a property-based test over all parsers, each with its case: slots above 64 bits raised in the control loop; an unknown word from another instance raised ValueError, not the declared error; a deeply nested answer of an engine raised RecursionError; a heartbeat without a stage took a known engine out of its pool; an address that is none was taken.

--- a/dandeliongw/borders/backends.py
+++ b/dandeliongw/borders/backends.py
@@ -18,15 +18,9 @@
 from .. import exceptions
 from .. import models
 from . import _application
-from . import web
+from . import bodies
 
 Role = typing.Literal['prefill', 'decode', 'plain']
-MAX_BODY_BYTES = 1 << 20
-
-
-#: The longest rest of a body that is read and thrown away.
-MAX_DISCARDED_BYTES = 8 << 20
-_PIECE_BYTES = 1 << 16
 
 
 def _check_url(url: str) -> str:
@@ -90,7 +84,13 @@
 
 
 class Leaving(Identity):
-    """The backend server will take no new work."""
+    """The backend server will take no new work.
+
+    :param incarnation: the start that leaves; ``None`` for the one that is
+        known.
+    """
+
+    incarnation: models.NotNegativeInt | None
 
 
 class PresenceAnswer(enum.StrEnum):
@@ -117,10 +117,6 @@
 }
 
 
-class BodyTooLarge(Exception):
-    """A body has more than ``MAX_BODY_BYTES``; nothing of it was used."""
-
-
 class Desk(typing.Protocol):
     """What the border needs of the server around it."""
 
@@ -158,7 +154,7 @@
         try:
             return self._dispatch(path)
         finally:
-            _finish_reading()
+            bodies.finish()
 
     def _dispatch(self, path: tuple[str, ...]) -> bytes:
         handlers = {
@@ -184,14 +180,14 @@
                 },
             )
         try:
-            return handler(_read_body())
-        except BodyTooLarge:
+            return handler(bodies.read())
+        except bodies.TooLarge:
             return _answer(
                 413,
                 {
                     'reason': 'too_large',
                     'message': 'the body is too long; at most '
-                    f'{MAX_BODY_BYTES} bytes are read',
+                    f'{bodies.MOST_BYTES} bytes are read',
                 },
             )
         except exceptions.InvalidInput as error:
@@ -235,46 +231,6 @@
         return hmac.compare_digest(digest, self._key_sha256)
 
 
-def _read_body() -> bytes:
-    """Return the whole body.
-
-    :raises BodyTooLarge: rather than return a part of it.
-    :raises InvalidInput: when it does not arrive whole.
-    """
-    try:
-        body = cherrypy.request.rfile.read(MAX_BODY_BYTES + 1)
-    except (ValueError, OSError) as error:
-        problem = exceptions.Problem(
-            path='', given=f'did not arrive: {error}', allowed='send it whole'
-        )
-        raise exceptions.InvalidInput(problems=(problem,)) from error
-    if len(body) > MAX_BODY_BYTES:
-        raise BodyTooLarge
-    return body
-
-
-def _finish_reading() -> None:
-    """Throw away what is left of a body, or else end the connection.
-
-    The rest would be kept in memory by the HTTP server, however long it is;
-    a connection that ends with bytes unread may lose the answer.
-    """
-    if not _discard_rest():
-        web.close_connection()
-
-
-def _discard_rest() -> bool:
-    """Return whether the body came to its end within the bound."""
-    for _ in range(MAX_DISCARDED_BYTES // _PIECE_BYTES):
-        try:
-            if not cherrypy.request.rfile.read(_PIECE_BYTES):
-                # After a chunked body there may be trailers.
-                return 'Transfer-Encoding' not in cherrypy.request.headers
-        except (ValueError, OSError):
-            return False
-    return False
-
-
 def _answer(status: int, fields: abc.Mapping[str, typing.Any]) -> bytes:
     cherrypy.response.status = status
     cherrypy.response.headers['Content-Type'] = 'application/json'
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -489,6 +489,7 @@
     def _change_backends(self, event: BackendsChanged) -> list:
         old = self.leaving_by_id | self.view.backends_by_id
         new = {}
+        effects = []
         for backend in event.backends:
             state = old.pop(backend.backend_id, None)
             same = state is not None and (
@@ -499,6 +500,9 @@
                 new[backend.backend_id] = state
             else:
                 self._forget_cancels(backend.backend_id)
+                self.roles.forget(backend.backend_id)
+                if state is not None:
+                    effects += self._end_work_of(state)
                 new[backend.backend_id] = BackendState(
                     backend=backend, health=self._first_health(event, backend)
                 )
@@ -509,7 +513,26 @@
         for state in new.values():
             state.left_at = None
         self.leaving_by_id = old
-        return []
+        return effects
+
+    def _end_work_of(self, former: BackendState) -> list:
+        """End the bookings of a start that another one has followed.
+
+        Nothing of it is left: no stream, no KV cache. Kept, its bookings
+        would hold slots of the new start, and entries behind a silent
+        connection would wait for streams that no longer exist.
+        """
+        effects = []
+        for booking in list(former.bookings_by_key.values()):
+            self._forget(booking)
+            cancelled = Cancelled(
+                cell=self.cell_id,
+                epoch=self.epoch,
+                request_id=booking.request_id,
+                attempt_id=booking.attempt_id,
+            )
+            effects.append(parts.Send(to=booking.entry, message=cancelled))
+        return effects
 
     def _forget_cancels(self, backend_id: str) -> None:
         """Drop the cancels of an incarnation that is gone, memory and all."""
--- a/dandeliongw/cell/roles.py
+++ b/dandeliongw/cell/roles.py
@@ -75,6 +75,10 @@
             mean_s = self._work_by_role[role]
             self._work_by_role[role] = mean_s + part * (work_s - mean_s)
 
+    def forget(self, backend_id: str) -> None:
+        """End the move of an engine that has started again meanwhile."""
+        self.switches_by_id.pop(backend_id, None)
+
     def review(self, now: float, view: policy.CellView) -> bool:
         """Begin or end moves; return whether anything changed."""
         if self.switches_by_id:
--- a/dandeliongw/codec.py
+++ b/dandeliongw/codec.py
@@ -71,7 +71,11 @@
             wire = pairing.wire_class.FromString(body)
         except protobuf_message.DecodeError as error:
             raise CodecError(f'{kind} does not parse: {error}') from error
-        return _read(pairing.data_class, wire)
+        try:
+            return _read(pairing.data_class, wire)
+        except ValueError as error:
+            # A newer release may know more words than this one.
+            raise CodecError(f'{kind} does not parse: {error}') from error
 
     def _pairing(self, kind: str) -> Pairing:
         if kind not in self.pairings_by_kind:
--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -29,6 +29,10 @@
 #: Seconds after the end of a lease in which its address is not given to a
 #: process with a lower incarnation.
 URL_MEMORY_S = 60.0
+#: Seconds after the end of a lease from which a lower incarnation counts as a
+#: new start: longer than heartbeats are late by. Incarnations may come from a
+#: clock that is put back while a backend server is down.
+LOWER_START_AFTER_S = 60.0
 #: Seconds between two looks for what may be forgotten.
 FORGET_PERIOD_S = 30.0
 
@@ -97,10 +101,35 @@
         """Return the highest leave of a backend server."""
         return self._left_by_id.get(backend_id, NEVER)
 
+    def forget_former(
+        self, now: float, announcement: BackendAnnouncement
+    ) -> None:
+        """Forget a start that has long been silent, if a lower one comes.
+
+        The clock of a backend server may be put back between two starts.
+        Held against the former start, the new one would be taken for an old
+        word of it and get no work for an hour.
+        """
+        backend_id = announcement.backend_id
+        since = now - LOWER_START_AFTER_S
+        left, _ = self.left(backend_id)
+        if left > announcement.incarnation and (
+            self._forget_left_by_id[backend_id] - self._memory_s <= since
+        ):
+            del self._left_by_id[backend_id]
+            del self._forget_left_by_id[backend_id]
+        held = self.by_id.get(backend_id)
+        if held is None or held.lease_until > since:
+            return
+        if held.announcement.incarnation > announcement.incarnation:
+            del self.by_id[backend_id]
+            self._give_up_url(held)
+
     def announce(
         self, now: float, announcement: BackendAnnouncement, age_s: float
     ) -> list[typing.Any]:
         """Take an announcement, unless something newer is known."""
+        self.forget_former(now, announcement)
         replaced = self._claim_url(now, announcement)
         held = self.by_id.get(announcement.backend_id)
         if held is not None and stamp(announcement) <= stamp(
@@ -246,6 +275,15 @@
         former = self.by_id.get(holder.backend_id) if holder else None
         return [] if former is None else self._refresh(now, former)
 
+    def _give_up_url(self, backend: Backend) -> None:
+        """Free the address of one that is forgotten, if it still has it."""
+        url = backend.announcement.url
+        holder = self._holders_by_url.get(url)
+        if holder is not None and holder.backend_id == (
+            backend.announcement.backend_id
+        ):
+            del self._holders_by_url[url]
+
     def _rank(self, announcement: BackendAnnouncement) -> tuple[int, int]:
         """Return who started later, as far as that can be told.
 
--- a/dandeliongw/coordination/_presence_messages.py
+++ b/dandeliongw/coordination/_presence_messages.py
@@ -143,11 +143,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Left:
-    """A backend server told this instance over HTTP that it leaves."""
+    """A backend server told this instance over HTTP that it leaves.
+
+    :param incarnation: the start that leaves; ``None`` if it did not say.
+    """
 
     now: float
     backend_id: str
-    incarnation: int
+    incarnation: int | None
     sequence: int
     ticket: str
 
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -74,6 +74,12 @@
 BATCH_S = 0.2
 #: Seconds after which a silent backend server has to announce itself again.
 FRONT_MEMORY_S = 60.0
+#: Seconds from the first word of a new start in which a leave that names none
+#: is taken for a late one of the start before. A message between a backend
+#: server and an instance may be seconds late; none was seen later than 5 s.
+LATE_LEAVE_S = 5.0
+#: Of a leave of a backend server that is not known here and names no start.
+_ONLY_INCARNATION = 0
 #: Seconds after a leave in which every batch repeats it.
 REPEAT_S = 10.0
 #: Seconds after a leave at which all instances are told again.
@@ -93,6 +99,19 @@
     to: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Successor:
+    """A start of a backend server that came after another of the same id.
+
+    :param former: incarnation of the start before.
+    :param since: when this instance first heard of the new one.
+    """
+
+    incarnation: int
+    former: int
+    since: float
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Renewal:
     """A renewal that waits for its batch."""
@@ -145,6 +164,7 @@
         self._waiting_by_dispatcher: dict[str, list[_Renewal]] = {}
         self._batch_at = 0.0
         self._departures_by_id: dict[str, _Departure] = {}
+        self._successors_by_id: dict[str, _Successor] = {}
 
     # Accessors.
 
@@ -195,11 +215,13 @@
 
     def _on_announced(self, event: Announced) -> list[typing.Any]:
         announcement = event.announcement
+        self._backends.forget_former(event.now, announcement)
         outcome = self._judge(announcement.backend_id, stamp(announcement))
         front = self._fronts_by_id.get(announcement.backend_id)
         is_repeated = front is not None and front.last == stamp(announcement)
         if outcome is not PresenceOutcome.ACCEPTED or is_repeated:
             return [_complete(event.ticket, outcome)]
+        self._note_start(event.now, announcement)
         self._fronts_by_id[announcement.backend_id] = _Front(
             announcement=announcement,
             heard_at=event.now,
@@ -249,7 +271,7 @@
     def _on_left(self, event: Left) -> list[typing.Any]:
         departure = BackendDeparture(
             backend_id=event.backend_id,
-            incarnation=event.incarnation,
+            incarnation=self._leaver(event),
             sequence=event.sequence,
         )
         effects: list[typing.Any] = [
@@ -260,6 +282,48 @@
         effects += self._depart(event.now, departure, TELL_AGAIN_S)
         return effects + self._tell_all(departure)
 
+    def _note_start(
+        self, now: float, announcement: BackendAnnouncement
+    ) -> None:
+        """Note when a backend server starts again under its id."""
+        backend_id = announcement.backend_id
+        former = self._newest_start(backend_id)
+        if former is not None and former < announcement.incarnation:
+            self._successors_by_id[backend_id] = _Successor(
+                incarnation=announcement.incarnation, former=former, since=now
+            )
+
+    def _newest_start(self, backend_id: str) -> int | None:
+        held = [
+            each.announcement.incarnation
+            for each in (
+                self._fronts_by_id.get(backend_id),
+                self.backends_by_id.get(backend_id),
+            )
+            if each is not None
+        ]
+        return max(held, default=None)
+
+    def _leaver(self, event: Left) -> int:
+        """Return which start a leave is of.
+
+        A leave that names none may be a late one of the start before. Taken
+        for the newest start's, it would shut out a backend server that has
+        just come back, for as long as it runs.
+        """
+        if event.incarnation is not None:
+            return event.incarnation
+        newest = self._newest_start(event.backend_id)
+        if newest is None:
+            return _ONLY_INCARNATION
+        successor = self._successors_by_id.get(event.backend_id)
+        is_young = (
+            successor is not None
+            and successor.incarnation == newest
+            and event.now < successor.since + LATE_LEAVE_S
+        )
+        return successor.former if is_young else newest
+
     def _on_forward(self, event: Forward) -> list[typing.Any]:
         front = self._fronts_by_id.get(event.backend_id)
         if front is None:
@@ -300,6 +364,7 @@
         for backend_id, front in list(self._fronts_by_id.items()):
             if now >= front.heard_at + FRONT_MEMORY_S:
                 del self._fronts_by_id[backend_id]
+                self._successors_by_id.pop(backend_id, None)
         return effects
 
     def _send_batches(self, now: float) -> list[typing.Any]:
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -444,7 +444,7 @@
         with self._exchange(self._first_byte_s) as exchange:
             response = exchange.send('GET', '/v1/streams', b'', {})
             self._raise_unless_ok(exchange, response)
-            answer = _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+            answer = read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
         return tuple(
             (str(each['stream_id']), str(each['attempt_id']))
             for each in answer['streams']
@@ -503,7 +503,7 @@
         with self._exchange(self._first_byte_s) as exchange:
             response = self._post(exchange, path, body, deadline_s)
             self._raise_unless_ok(exchange, response)
-            return _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+            return read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
 
     def _post(
         self,
@@ -522,7 +522,7 @@
     ) -> None:
         if response.status == 200:
             return
-        answer = _read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+        answer = read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
         reason = str(answer.get('reason', ''))
         raise EngineError(
             f'{self.url} answered {response.status}: {answer}',
@@ -535,10 +535,14 @@
         )
 
 
-def _read_json(body: bytes) -> dict:
+def read_json(body: bytes) -> dict:
+    """Return the object in an answer.
+
+    :raises EngineError: for anything else.
+    """
     try:
         answer = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         answer = None
     if not isinstance(answer, dict):
         raise EngineError(
@@ -549,7 +553,7 @@
 
 
 def _read_piece(data: bytes) -> Piece:
-    answer = _read_json(data)
+    answer = read_json(data)
     is_end = bool(answer.get('end'))
     with _understood(answer):
         return Piece(
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -266,6 +266,7 @@
                 allowed=f'there are: {", ".join(known)}',
             )
             raise exceptions.InvalidInput(problems=(problem,))
+        self._check_role(announcement)
         said = presence.BackendAnnouncement(
             **{
                 **announcement.model_dump(),
@@ -277,6 +278,28 @@
         )
         return backends_module.PresenceAnswer(outcome.value)
 
+    def _check_role(self, announcement: backends_module.Announcement) -> None:
+        """Refuse a role that the document has no pool for.
+
+        Taken in, an announcement that lacks a field or comes from another
+        writer would take a known engine out of its pool. A service that the
+        document doesn't have is let through: it may come with the next one,
+        and until then nobody is told.
+
+        :raises InvalidInput: with the roles that there are.
+        """
+        described = self._reducer.directory.document
+        roles = {
+            pool.role for pool in described.pools_of(announcement.service)
+        }
+        if roles and announcement.role not in roles:
+            problem = exceptions.Problem(
+                path='role',
+                given=f'given "{announcement.role}"',
+                allowed=f'there are: {", ".join(sorted(roles))}',
+            )
+            raise exceptions.InvalidInput(problems=(problem,))
+
     def renew(
         self, renewal: backends_module.Renewal
     ) -> backends_module.PresenceAnswer:
--- a/dandeliongw/models.py
+++ b/dandeliongw/models.py
@@ -21,8 +21,10 @@
     str, pydantic.StringConstraints(pattern=r'^[0-9a-f]{64}$')
 ]
 Positive = typing.Annotated[float, pydantic.Field(gt=0)]
-PositiveInt = typing.Annotated[int, pydantic.Field(gt=0)]
-NotNegativeInt = typing.Annotated[int, pydantic.Field(ge=0)]
+#: Messages between instances carry whole numbers in 64 bits with a sign.
+END_OF_INTS = 1 << 63
+PositiveInt = typing.Annotated[int, pydantic.Field(gt=0, lt=END_OF_INTS)]
+NotNegativeInt = typing.Annotated[int, pydantic.Field(ge=0, lt=END_OF_INTS)]
 
 _MEANINGS_BY_PATTERN = {
     r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$': (
@@ -77,12 +79,21 @@
         load_json(body, source)
         return model.model_validate_json(body)
     except pydantic.ValidationError as error:
-        problems = _problems(model, error)
+        raise invalid(model, error, source) from error
     except exceptions.InvalidInput as error:
         problems = error.problems
     raise exceptions.InvalidInput(problems=problems, source=source)
 
 
+def invalid(
+    model: type[Model], error: pydantic.ValidationError, source: str = ''
+) -> exceptions.InvalidInput:
+    """Return the declared error for what a model refused."""
+    return exceptions.InvalidInput(
+        problems=_problems(model, error), source=source
+    )
+
+
 def load_json(body: bytes, source: str = '') -> typing.Any:
     """Return plain JSON values; refuse a name given twice in one object.
 
--- a/tests/network.py
+++ b/tests/network.py
@@ -197,7 +197,12 @@
         self.apply('gw-1', local.example_document(), 'example')
 
     def announce(
-        self, instance_id: str, backend_id: str, role: str, sequence: int = 1
+        self,
+        instance_id: str,
+        backend_id: str,
+        role: str,
+        sequence: int = 1,
+        incarnation: int = 1,
     ) -> None:
         """Announce a backend server through an instance."""
         service = 'studio-portal' if role == 'plain' else 'dieline-llm'
@@ -208,7 +213,7 @@
                 ticket=f'announce-{backend_id}',
                 announcement=presence.BackendAnnouncement(
                     backend_id=backend_id,
-                    incarnation=1,
+                    incarnation=incarnation,
                     sequence=sequence,
                     service=service,
                     role=presence.BackendRole(role),
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from dandeliongw.borders import backends
+from dandeliongw.borders import bodies
 from dandeliongw.borders import web
 from dandeliongw.coordination import parts
 from dandeliongw import gates
@@ -187,17 +188,17 @@
         Cause: the body was read up to the limit and parsed as if whole.
         """
         body = json.dumps(ANNOUNCEMENT).encode()
-        body += b' ' * (backends.MAX_BODY_BYTES + 1 - len(body))
+        body += b' ' * (bodies.MOST_BYTES + 1 - len(body))
         if way == 'chunked':
             body = [body[:100], body[100:]]
         status, answer = self.border.send('announce', body)
         self.assertEqual((413, 'too_large'), (status, answer['reason']))
-        self.assertIn(str(backends.MAX_BODY_BYTES), answer['message'])
+        self.assertIn(str(bodies.MOST_BYTES), answer['message'])
         self.assertEqual(404, self.border.say('renew')[0])
 
     def test_a_body_at_the_limit_is_taken(self):
         body = json.dumps(ANNOUNCEMENT).encode()
-        body += b' ' * (backends.MAX_BODY_BYTES - len(body))
+        body += b' ' * (bodies.MOST_BYTES - len(body))
         self.assertEqual((200, TERMS), self.border.send('announce', body))
 
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -6,6 +6,7 @@
 
 from dandeliongw.cell import cells
 from dandeliongw.cell import policy
+from dandeliongw.cell import roles
 from dandeliongw import codec
 from dandeliongw.coordination import parts
 from dandeliongw.protocol import cells_pb2
@@ -203,6 +204,54 @@
         self.assertEqual({'p1', 'd1'}, {each.backend_id for each in cancels})
 
 
+class StartedAgainTest(unittest.TestCase):
+    """Symptom: slots of an engine that came back look taken for seconds.
+
+    Sequence: a decode engine crashes behind a connection that stays silent,
+    and starts again under its id.
+    Cause: work of the start before would count as running on the new one;
+    its entry would wait for a stream that no longer exists.
+    """
+
+    def setUp(self):
+        self.prefill = make_backend('p1', 'prefill')
+        self.decode = make_backend('d1', 'decode')
+        self.cell = make_cell(self.prefill, self.decode)
+        send(self.cell, make_book())
+        state = self.cell.view.backends_by_id['d1']
+        state.slowness, state.full_until = 3.0, 60.0
+        state.add_blocks(('a', 'b'))
+
+    def start_again(self):
+        again = dataclasses.replace(self.decode, incarnation=2)
+        return self.cell.handle(
+            cells.BackendsChanged(now=1.0, backends=(self.prefill, again))
+        )
+
+    def test_its_work_is_told_to_have_ended(self):
+        (told,) = without_listing(self.start_again())
+        self.assertEqual('gw-1', told.to)
+        self.assertIsInstance(told.message, cells.Cancelled)
+        self.assertEqual('r1', told.message.request_id)
+        self.assertEqual({}, self.cell.bookings_by_key)
+
+    def test_nothing_that_was_learned_of_it_holds(self):
+        self.start_again()
+        state = self.cell.view.backends_by_id['d1']
+        self.assertEqual(0, state.slots_used)
+        self.assertEqual(1.0, state.slowness)
+        self.assertFalse(state.blocks)
+        self.assertLess(state.full_until, 1.0)
+
+    def test_a_move_to_another_pool_ends(self):
+        switch = roles.Switch(
+            backend_id='d1', role=policy.Role.PREFILL, since=0.5
+        )
+        self.cell.roles.switches_by_id['d1'] = switch
+        self.start_again()
+        self.assertEqual({}, self.cell.roles.switches_by_id)
+
+
 class LostTogetherTest(unittest.TestCase):
     """Symptom: an engine's slots are in use and no booking tells of them.
 
--- /dev/null
+++ b/tests/test_foreign.py
@@ -0,0 +1,298 @@
+"""What other writers say: refused by one declared error, and without effect.
+
+Anything may arrive where backend servers, operators, callers and instances
+speak: fields that are missing or of another type, states that nobody named,
+numbers out of range, bytes that are no text. Each parser either returns or
+raises its declared error; what was known before stays.
+"""
+
+import json
+import types
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from dandeliongw.borders import backends
+from dandeliongw.borders import calls
+from dandeliongw import codec
+from dandeliongw.coordination import parts
+from dandeliongw.coordination import presence
+from dandeliongw import document
+from dandeliongw import engine
+from dandeliongw import exceptions
+from dandeliongw import gates
+from dandeliongw import joining
+from dandeliongw import models
+from dandeliongw import settings
+from dandeliongw import wire as instance_wire
+from tests import on_platform
+
+from adapter import configuration
+from adapter import control
+from adapter import headers
+from adapter import wire
+
+DEEP = b'[' * 200_000
+#: Bytes that are no text, no JSON, or no JSON that anyone may take.
+BYTES = (
+    b'',
+    b'\xff\xfe\x00',
+    b'{',
+    b'null',
+    b'[]',
+    b'"text"',
+    b'NaN',
+    b'{"a": 1, "a": 2}',
+    '{"sequence": 1}'.encode('utf-16'),
+    b'{"service": "\\ud800"}',
+    b'{"sequence": ' + b'9' * 5000 + b'}',
+    DEEP,
+    b'{"service": ' + DEEP,
+)
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([-1, 2**31, 2**53, 2**62, 2**63, 2**64, 10**30])
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(['ready', 'prefill', 'plain', '1.2.3.4:99999', '\ud800'])
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def paths_of(value: typing.Any, path: tuple = ()) -> list[tuple]:
+    """Return the path of every part of a message."""
+    found = [path] if path else []
+    items: typing.Iterable = ()
+    if isinstance(value, dict):
+        items = value.items()
+    elif isinstance(value, list):
+        items = enumerate(value)
+    for key, inner in items:
+        found += paths_of(inner, (*path, key))
+    return found
+
+
+@st.composite
+def spoilt(draw: st.DrawFn, message: dict[str, typing.Any]) -> bytes:
+    """Draw a message with one or two parts changed, left out or cut off."""
+    made = message
+    for _ in range(draw(st.integers(1, 2))):
+        path = draw(st.sampled_from(paths_of(made) or [('more',)]))
+        value = draw(VALUES) if path[0] in made else 1
+        made = on_platform.changed(made, path, value)
+    body = json.dumps(made).encode()
+    if draw(st.integers(0, 4)) == 0:
+        body = body[: draw(st.integers(0, len(body)))]
+    return body
+
+
+def bodies_of(message: dict[str, typing.Any]) -> st.SearchStrategy[bytes]:
+    return spoilt(message) | st.sampled_from(BYTES) | st.binary(max_size=40)
+
+
+OWN_ANNOUNCEMENT = {
+    'backend_id': 'be-1',
+    'incarnation': 1,
+    'sequence': 1,
+    'service': 'dieline-llm',
+    'role': 'decode',
+    'url': 'http://10.1.0.1:9000',
+    'data_centre': 'austin-a',
+    'slots': 20,
+}
+
+
+def announce(body: bytes) -> None:
+    """Go all the way of a heartbeat, up to what other instances are sent."""
+    said = control.announcement('i-2', models.parse(wire.Beat, body))
+    pass_on(said)
+
+
+def announce_to_own_interface(body: bytes) -> None:
+    pass_on(models.parse(backends.Announcement, body))
+
+
+def pass_on(said: backends.Announcement) -> None:
+    fields = {
+        **said.model_dump(),
+        'role': presence.BackendRole(said.role),
+    }
+    message = presence.Presented(
+        announcement=presence.BackendAnnouncement(**fields), age_s=0.0
+    )
+    CODEC.encode(message)
+
+
+def configure(body: bytes) -> None:
+    found = configuration.parse(body)
+    made = configuration.translate(found, body.decode())
+    document.parse_document(document.document_bytes(made))
+
+
+CODEC = instance_wire.make_codec()
+PARSERS_AND_EXAMPLES = (
+    (announce, on_platform.BEAT),
+    (announce, {**on_platform.BEAT, 'born': 1_790_000_000_000}),
+    (announce_to_own_interface, OWN_ANNOUNCEMENT),
+    (lambda body: models.parse(wire.Start, body), {'born': 1}),
+    (configure, on_platform.CONFIGURATION),
+    (
+        lambda body: models.parse(wire.MachineSettings, body),
+        on_platform.MACHINE,
+    ),
+    (
+        lambda body: models.parse(wire.PrefillResult, body),
+        {'handle': 'h', 'tokens': 3},
+    ),
+    (document.parse_document, {'version': document.VERSION, 'services': []}),
+    (settings.parse_settings, {'instance_id': 'gw-1', 'peers': []}),
+    (
+        lambda body: models.parse(joining.Members, body),
+        {'instance_id': 'gw-1', 'instances': []},
+    ),
+)
+
+
+class ParserTest(unittest.TestCase):
+    @params(*PARSERS_AND_EXAMPLES)
+    def test_only_the_declared_error_is_raised(self, parse, example):
+        @hypothesis.settings(
+            max_examples=150, deadline=None, derandomize=True, database=None
+        )
+        @hypothesis.given(bodies_of(example))
+        def check(body):
+            try:
+                parse(body)
+            except exceptions.InvalidInput as error:
+                self.assertTrue(error.problems)
+
+        check()
+
+    @params(*BYTES)
+    def test_an_engines_answer(self, body):
+        try:
+            answer = engine.read_json(body)
+        except engine.EngineError:
+            return
+        self.assertIsInstance(answer, dict)
+
+    @params(*BYTES)
+    def test_bytes_between_instances(self, body):
+        for kind in (*CODEC.pairings_by_kind, 'unheard-of'):
+            try:
+                CODEC.decode(kind, body)
+            except codec.CodecError:
+                continue
+
+    def test_what_callers_say_in_headers(self):
+        @hypothesis.settings(
+            max_examples=300, deadline=None, derandomize=True, database=None
+        )
+        @hypothesis.given(
+            st.dictionaries(
+                st.sampled_from(headers.READ_FROM_CALLERS),
+                st.text(max_size=12)
+                | st.sampled_from(['9' * 400, '1e999', '-1', '1,2,3', ',']),
+            )
+        )
+        def check(given):
+            try:
+                headers.Dialect().read_call(tuple(given.items()))
+            except calls.BadCall as error:
+                self.assertTrue(str(error))
+
+        check()
+
+
+class NothingForgottenTest(unittest.TestCase):
+    """Symptom: a working backend server gets no work any more.
+
+    Sequence: another writer sends a heartbeat under its id, or under its
+    address, with a field missing or of another type.
+    Cause: what was refused only in part had already replaced what was known.
+    """
+
+    @params(
+        {'address': 7},
+        {'address': '10.128.0.9'},
+        {'address': 'localhost:80'},
+        {'address': '10.128.0.300:80'},
+        {'address': '10.128.0.9:0'},
+        {'service': ['model-a']},
+        {'state': 'resting'},
+        {'stage': 'both'},
+        {'sequence': '5'},
+        {'sequence': -1},
+        {'sequence': 2**62},
+        {'slots': 0},
+        {'slots': 2**64},
+        {'born': 1.5},
+        {'born': 'now'},
+        {'zone': None},
+        {'state': None},
+    )
+    def test_a_spoilt_heartbeat_is_refused_whole(self, change):
+        ((name, value),) = change.items()
+        beat = {**on_platform.BEAT, 'sequence': 9}
+        body = json.dumps({**beat, name: value}).encode()
+        part = presence.Presence(instance_id='gw-1')
+        part.handle(
+            parts.Received(
+                now=0.0, sender='gw-2', message=presented(on_platform.BEAT)
+            )
+        )
+        before = part.usable('model-a', 0.0)
+        with self.assertRaises(exceptions.InvalidInput):
+            announce(body)
+        self.assertEqual(before, part.usable('model-a', 0.0))
+        self.assertEqual(1, len(before))
+
+
+class WrongRoleTest(unittest.TestCase):
+    def test_a_role_without_a_pool_is_refused(self):
+        """Symptom: an engine leaves its pool though it serves.
+
+        Sequence: a heartbeat under its id lacks the stage.
+        Cause: what has none would count as a plain backend server.
+        """
+        described = configuration.translate(
+            configuration.parse(
+                json.dumps(on_platform.CONFIGURATION).encode()
+            ),
+            '{}',
+        )
+        directory = types.SimpleNamespace(
+            data_centres=('hall-a',), document=described
+        )
+        desk = gates.BackendsDesk(
+            reducer=types.SimpleNamespace(directory=directory), runtime=None
+        )
+        beat = on_platform.changed(on_platform.BEAT, ['stage'], None)
+        said = control.announcement(
+            'i-1', models.parse(wire.Beat, json.dumps(beat).encode())
+        )
+        with self.assertRaises(exceptions.InvalidInput) as caught:
+            desk.announce(said)
+        self.assertIn('decode, prefill', str(caught.exception.problems[0]))
+
+
+def presented(beat: dict[str, typing.Any]) -> presence.Presented:
+    said = control.announcement(
+        'i-1', models.parse(wire.Beat, json.dumps(beat).encode())
+    )
+    fields = {**said.model_dump(), 'role': presence.BackendRole(said.role)}
+    return presence.Presented(
+        announcement=presence.BackendAnnouncement(**fields), age_s=0.0
+    )
--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -140,6 +140,32 @@
         self.assertIsInstance(said, backends.Leaving)
         self.assertGreater(said.sequence, 10**12)
 
+    @params(
+        ('PUT', {**on_platform.BEAT, 'state': 'draining', 'born': 1790}, 1790),
+        ('DELETE', {'born': 1790}, 1790),
+        ('DELETE', None, None),
+    )
+    def test_a_leave_is_of_one_start(self, method, body, incarnation):
+        self.ask(method, '/instances/i-1', body)
+        self.assertEqual(self.desk.said[0].incarnation, incarnation)
+
+    def test_a_start_time_is_the_incarnation(self):
+        beat = {**on_platform.BEAT, 'born': 1_790_000_000_000}
+        self.ask('PUT', '/instances/i-1', beat)
+        self.assertEqual(self.desk.said[0].incarnation, 1_790_000_000_000)
+
+    @params(
+        ('PUT', b'\xff\xfe'),
+        ('PUT', b'[' * 100_000),
+        ('PUT', b' ' * (1 << 20) + b'{}'),
+        ('DELETE', b'\xff'),
+        ('DELETE', {'born': 'now'}),
+    )
+    def test_what_can_not_be_read_says_nothing(self, method, body):
+        status, _ = self.ask(method, '/instances/i-1', body)
+        self.assertIn(status, (400, 413))
+        self.assertEqual(self.desk.said, [])
+
     @params(['address'], ['service'], ['sequence'], ['slots'], ['state'])
     def test_a_heartbeat_that_lacks_a_field_is_refused(self, path):
         beat = on_platform.changed(on_platform.BEAT, path, None)
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -14,7 +14,7 @@
 #: Where they may stand: the adapter, its tests and its pages.
 ALLOWED = re.compile(
     r'platform/|deploy/|journal/|tests/test_platform|tests/on_platform'
-    r'|tests/days/|docs/(PLATFORM-DESIGN|FINDINGS|OPERATIONS)|docs/incidents'
+    r'|docs/(PLATFORM-DESIGN|FINDINGS|OPERATIONS)|docs/incidents'
 )
 SUFFIXES = ('.py', '.md', '.json', '.toml', '.proto')
 
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -456,6 +456,91 @@
         self.assertEqual(self.hear(backend_id='be-2', sequence=9), [])
 
 
+class SameIdAgainTest(unittest.TestCase):
+    """A backend server starts again under its id, and counts from 1 anew."""
+
+    FIRST_BORN = 1_790_000_000_000
+    THEN_BORN = FIRST_BORN + 30_000
+    FINAL = 2**62
+
+    def setUp(self):
+        self.lan = Lan('gw-1', 'gw-2')
+
+    def announce(self, born, sequence=1):
+        self.lan.announce(
+            'gw-1', to=('gw-2',), incarnation=born, sequence=sequence
+        )
+        self.lan.deliver()
+
+    def leave(self, born):
+        self.lan.leave('gw-1', self.FINAL, incarnation=born)
+        self.lan.deliver()
+
+    def is_usable(self):
+        part = self.lan.parts['gw-2']
+        return bool(part.usable('dieline-llm', self.lan.now))
+
+    @params(None, FIRST_BORN)
+    def test_one_that_left_comes_back(self, leaver):
+        """Symptom: a backend server that came back never gets work.
+
+        Sequence: it leaves, and starts again under its id a moment later.
+        Cause: the leave, which no heartbeat of its may follow, would hold
+        for the id and not for the start.
+        """
+        self.announce(self.FIRST_BORN, sequence=40)
+        self.leave(leaver)
+        self.assertFalse(self.is_usable())
+        self.announce(self.THEN_BORN)
+        self.assertTrue(self.is_usable())
+
+    def test_late_words_of_the_start_before_change_nothing(self):
+        """Symptom: one that has just come back is taken for gone.
+
+        Sequence: it crashes and starts again; a heartbeat and the leave of
+        the start before arrive after its first heartbeat.
+        Cause: by their counts they would be the newer ones.
+        """
+        self.announce(self.FIRST_BORN, sequence=40)
+        self.announce(self.THEN_BORN)
+        self.announce(self.FIRST_BORN, sequence=41)
+        self.leave(self.FIRST_BORN)
+        self.assertTrue(self.is_usable())
+        held = self.lan.parts['gw-2'].backends_by_id['be-1']
+        self.assertEqual(self.THEN_BORN, held.announcement.incarnation)
+
+    def test_a_late_leave_that_names_no_start_is_of_the_one_before(self):
+        self.announce(self.FIRST_BORN, sequence=40)
+        self.announce(self.THEN_BORN)
+        self.lan.now += presence.LATE_LEAVE_S - 0.5
+        self.announce(self.THEN_BORN, sequence=4)
+        self.leave(None)
+        self.assertTrue(self.is_usable())
+
+    def test_a_leave_that_names_no_start_is_of_the_newest_later_on(self):
+        self.announce(self.FIRST_BORN, sequence=40)
+        self.announce(self.THEN_BORN)
+        self.lan.now += presence.LATE_LEAVE_S + 0.5
+        self.announce(self.THEN_BORN, sequence=9)
+        self.leave(None)
+        self.assertFalse(self.is_usable())
+
+    def test_a_clock_that_was_put_back_shuts_nobody_out_for_good(self):
+        """Symptom: a backend server that came back gets no work for an hour.
+
+        Sequence: its clock is put back while it is down; its new start looks
+        older than the one before.
+        Cause: the lower start would be taken for an old word of the other.
+        """
+        self.announce(self.THEN_BORN, sequence=40)
+        self.leave(self.THEN_BORN)
+        self.announce(self.FIRST_BORN)
+        self.assertFalse(self.is_usable())
+        self.lan.pass_time(70.0)
+        self.announce(self.FIRST_BORN, sequence=50)
+        self.assertTrue(self.is_usable())
+
+
 class SilenceTest(unittest.TestCase):
     """Symptom: everything is refused though all backend servers serve.
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -115,6 +115,37 @@
             ticket='renew',
         )
 
+    def test_a_backend_server_that_starts_again_is_used_at_once(self):
+        """Symptom: one that came back under its id is never used again.
+
+        Sequence: it leaves, starts again at once and counts from 1 anew;
+        then the leave and a heartbeat of the start before come late, by
+        another instance.
+        Cause: counts of two starts were compared with each other.
+        """
+        self.sequence = 30
+        self.keep_present(0.5)
+        self.leave('gw-1', incarnation=1)
+        self.net.run(0.5)
+        refused = self.call('gw-2', 'r-gone', renew=False)
+        self.assertFalse(any(isinstance(e, effects.RunCall) for e in refused))
+        for instance_id in self.net.reducers_by_id:
+            self.net.announce(instance_id, 'portal-1', 'plain', incarnation=2)
+        self.net.announce('gw-3', 'portal-1', 'plain', sequence=99)
+        self.leave('gw-3', incarnation=1)
+        found = self.call('gw-2', 'r-back', renew=False)
+        self.assertIsInstance(found[0], effects.RunCall)
+
+    def leave(self, instance_id, incarnation):
+        left = presence.Left(
+            now=self.net.now,
+            backend_id='portal-1',
+            incarnation=incarnation,
+            sequence=2**62,
+            ticket='leave',
+        )
+        self.net.post(instance_id, left)
+
     def test_a_call_through_any_instance_is_dispatched(self):
         for instance_id in self.net.reducers_by_id:
             found = self.call(instance_id, f'r-{instance_id}')
