The pace and the length of answers are learned from their pieces

Change: entries tell how many pieces an answer had; the owner learns tokens a second of a stream and the length of answers in tokens, with a prior that fades at once.

--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -93,6 +93,7 @@
     :param is_down: no connection could be made to it.
     :param token_gap_s: mean gap between the tokens of a whole answer;
         zero if not measured.
+    :param answer_pieces: pieces of a whole answer; zero if not counted.
     """
 
     cell: str
@@ -103,6 +104,7 @@
     backend_fault: str = ''
     is_down: bool = False
     token_gap_s: float = 0.0
+    answer_pieces: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -408,7 +408,12 @@
         if release.outcome is Outcome.DONE:
             for state in self._states_of(booking):
                 state.health.add_success(now)
-            self.view.learn_answer(now, booking)
+            self.view.learn_answer(
+                now,
+                booking,
+                pieces=release.answer_pieces,
+                piece_gap_s=release.token_gap_s,
+            )
             self._learn_gap(now, booking, release.token_gap_s)
             return told
         return [*told, *self._cancel(now, booking)]
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -504,6 +504,7 @@
         # The document has the rate of a backend server, the policy that of
         # one of its streams.
         fields['decode_tokens_per_s'] = pool.decode_tokens_per_s / pool.slots
+        fields['tokens_per_piece'] = pool.tokens_per_piece
 
 
 def _cell_backend(
--- a/dandeliongw/cell/policy.py
+++ b/dandeliongw/cell/policy.py
@@ -88,7 +88,9 @@
     :param token_gap_s: target between tokens.
     :param timeout_s: longest life of a request.
     :param prefill_tokens_per_s: of one prefill engine.
-    :param decode_tokens_per_s: of one stream in a full batch.
+    :param decode_tokens_per_s: of one stream in a full batch, until the
+        engines' own pace is learned.
+    :param tokens_per_piece: that one piece of an answer brings.
     :param kv_bytes_per_token: size of the KV cache that moves.
     :param link_bytes_per_s: of the link out of one prefill engine.
     :param slots_by_role: used where an announcement says none.
@@ -106,6 +108,7 @@
     weights: Weights = Weights()
     prefill_tokens_per_s: float = 10_000.0
     decode_tokens_per_s: float = 30.0
+    tokens_per_piece: int = 1
     kv_bytes_per_token: float = 100_000.0
     link_bytes_per_s: float = 10e9
     slots_by_role: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -286,6 +289,10 @@
     queue: list[Booking] = dataclasses.field(default_factory=list)
     #: Measured length of answers over the longest they may be.
     answer_ratio: float = 1.0
+    #: Measured tokens a second of one stream; ``None`` until one has ended.
+    measured_tokens_per_s: float | None = None
+    #: Answers that were measured.
+    answers_seen: int = 0
     #: Engines that change their roles, and take no work meanwhile.
     switching_ids: frozenset[str] = frozenset()
 
@@ -309,12 +316,12 @@
         if not held:
             return True
         growths = [self._growth(now, each) for each in (*held, booking)]
-        rate = self.terms.decode_tokens_per_s
+        rate = self.stream_tokens_per_s
         peak = forecast.peak_tokens(growths, rate)
         return peak <= capacity * forecast.FILL_PART
 
     def _growth(self, now: float, booking: Booking) -> forecast.Growth:
-        rate = self.terms.decode_tokens_per_s
+        rate = self.stream_tokens_per_s
         answer = self.answer_tokens(booking)
         began_at = booking.transfer_ends_at or now
         done = min(max(0.0, now - began_at) * rate, booking.max_tokens)
@@ -325,6 +332,11 @@
             ends_in_s=max(0.0, began_at - now) + left / rate,
         )
 
+    @property
+    def stream_tokens_per_s(self) -> float:
+        """Tokens a second of one stream, as measured or as nominal."""
+        return self.measured_tokens_per_s or self.terms.decode_tokens_per_s
+
     def answer_tokens(self, booking: Booking) -> float:
         """Return how long an answer will probably be."""
         typical = booking.max_tokens * self.answer_ratio
@@ -368,7 +380,7 @@
 
     def decode_s(self, booking: Booking) -> float:
         """Return how long an answer is expected to take."""
-        return self.answer_tokens(booking) / self.terms.decode_tokens_per_s
+        return self.answer_tokens(booking) / self.stream_tokens_per_s
 
     def plan(self, booking: Booking) -> None:
         """Predict the times of a booking that has just been placed."""
@@ -419,16 +431,33 @@
         if transfer_ends_at > booking.transfer_ends_at:
             self._plan_decode(booking, now)
 
-    def learn_answer(self, now: float, booking: Booking) -> None:
+    def learn_answer(
+        self, now: float, booking: Booking, *, pieces: int, piece_gap_s: float
+    ) -> None:
         """Take in that an answer is complete.
 
-        Its length is told by its time: the entry counts pieces, not tokens.
+        The document's rate is nominal. With one that was twice the engines'
+        own, an answer seemed to hold half as much again as it did, work
+        waited for seconds beside engines whose memory was half empty, and
+        engines were moved away from the pool that was short of them.
+
+        :param pieces: of the answer; zero if they were not counted.
+        :param piece_gap_s: between its pieces; zero if not measured.
         """
-        longest_s = booking.max_tokens / self.terms.decode_tokens_per_s
-        took_s = now - booking.transfer_ends_at
-        if longest_s > 0.0 and took_s > 0.0:
-            measured = min(1.0, took_s / longest_s)
-            self.answer_ratio += SMOOTHING * (measured - self.answer_ratio)
+        self.answers_seen += 1
+        part = max(SMOOTHING, 1.0 / self.answers_seen)
+        if piece_gap_s > 0.0:
+            measured = self.terms.tokens_per_piece / piece_gap_s
+            known = self.stream_tokens_per_s
+            self.measured_tokens_per_s = known + part * (measured - known)
+        if pieces:
+            tokens = float(pieces * self.terms.tokens_per_piece)
+        else:
+            took_s = max(0.0, now - booking.transfer_ends_at)
+            tokens = took_s * self.stream_tokens_per_s
+        if booking.max_tokens and tokens > 0.0:
+            ratio = min(1.0, tokens / booking.max_tokens)
+            self.answer_ratio += part * (ratio - self.answer_ratio)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -46,7 +46,7 @@
 def first_token_s(view: CellView, booking: Booking) -> float:
     """Return how long from the start to the first token."""
     work_s = prefill_s(view, booking)
-    gap_s = 1.0 / view.terms.decode_tokens_per_s
+    gap_s = view.terms.tokens_per_piece / view.stream_tokens_per_s
     # The first step may have to wait for the end of the one that runs.
     return work_s + view.transfer_s(booking) + 2 * gap_s
 
--- a/dandeliongw/document.py
+++ b/dandeliongw/document.py
@@ -104,6 +104,8 @@
     """What its engines are ordered to load; model pools only."""
     version: models.Name | None = None
     adapter: models.Name | None = None
+    tokens_per_piece: models.PositiveInt = 1
+    """Tokens that one piece of an answer brings; decode pools only."""
     kv_tokens: models.PositiveInt | None = None
     """Tokens that one backend server's KV cache holds; all that fit its
     slots where none is given."""
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -296,6 +296,7 @@
         )
         return _Done(
             outcome=self._outcome.to_bytes(),
+            tokens=self._offset,
             # A resumed stream brings at once what came during the break.
             token_gap_s=measure.mean_s() if directive.kv else 0.0,
             first_piece_at=measure.first_at,
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -315,7 +315,10 @@
         release = [
             *_times(event, request),
             *self._reservations.release(
-                request, cells.Outcome.DONE, token_gap_s=event.token_gap_s
+                request,
+                cells.Outcome.DONE,
+                token_gap_s=event.token_gap_s,
+                answer_pieces=event.tokens,
             ),
         ]
         request.booked = None
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -208,6 +208,7 @@
         is_down: bool = False,
         wasted: int = 0,
         token_gap_s: float = 0.0,
+        answer_pieces: int = 0,
     ) -> Effects:
         """Give the reservation back; nothing if none can be held."""
         if not request.is_held:
@@ -222,6 +223,7 @@
             backend_fault=fault,
             is_down=is_down,
             token_gap_s=token_gap_s,
+            answer_pieces=answer_pieces,
         )
         out: Effects = [parts.Send(to=request.owner, message=release)]
         if request.is_unowned and request.owner != self._directory.own_id:
