Trust: peers are compared, and what works in part is used when others are full

Hypothesis: one of two engines is left out for what all lose, or for one refused connection, while the other one is full. Change: a part of faults counts against a server only if it is 1.5 times that of its peers; after a refused connection there is no ramp; a decode engine some of whose work goes well is used where no trusted one has room.

--- a/dandeliongw/cell/health.py
+++ b/dandeliongw/cell/health.py
@@ -9,6 +9,13 @@
 #: ... if they are this part of what it was given and ended in the window.
 #: Some services fail one call in ten all the time, on every backend server.
 FAULT_PART = 0.34
+#: ... and so many times the part that fails on its peers. What all share, such
+#: as answers that are lost on a network, says nothing of one of them.
+FAULT_PARTS_OF_PEERS = 1.5
+#: No part of faults above this is put down to what is shared.
+MOST_SHARED_PART = 0.8
+#: Pieces of work that have to end on a server before it counts as a peer.
+LEAST_ENDED = 3
 #: How long it is left out the first time, and at most.
 EJECTED_S = 2.0
 MOST_EJECTED_S = 60.0
@@ -49,6 +56,8 @@
     refuses_connections: bool = False
     #: Whether some work went well lately, or did when it was left out.
     works_in_part: bool = True
+    #: Part of its work that had failed when it was left out the last time.
+    part_when_left_out: float = 0.0
 
     def is_ejected(self, now: float) -> bool:
         return now < self.ejected_until
@@ -74,18 +83,22 @@
         pause_s = PACE_S * (1.0 - self.open_part(now))
         return now >= self.last_given_at + pause_s
 
-    def add_fault(self, now: float) -> None:
+    def add_fault(self, now: float, shared_part: float = 0.0) -> None:
         """Count a fault; leave the backend server out if it is one of many.
 
         The faults that come in while it is left out are of work from
         before, and don't count again.
+
+        :param shared_part: of the work of its peers that fails just now.
         """
         if self.is_ejected(now):
             return
         self._forget_old(now)
         self.recent_faults.append(now)
         needed = 1 if self._is_suspect(now) else FAULTS_TO_EJECT
-        if len(self.recent_faults) >= needed and self._fails_a_large_part():
+        is_one_of_many = len(self.recent_faults) >= needed
+        if is_one_of_many and self._fails_a_large_part(shared_part):
+            self.part_when_left_out = self._failed_part()
             self._eject(now)
 
     def add_refusal(self, now: float) -> None:
@@ -96,8 +109,12 @@
         """
         self.refuses_connections = True
         self.works_in_part = False
-        if not self.is_ejected(now):
-            self._eject(now)
+        if self.is_ejected(now):
+            return
+        self._eject(now)
+        # Whether connections are made shows at the first of them, and costs
+        # little; a ramp would leave its places empty for seconds.
+        self.came_at = self.ejected_until - RAMP_S
 
     def add_success(self, now: float) -> None:
         """Count work that ended well."""
@@ -106,6 +123,15 @@
         self._forget_old(now)
         self.recent_successes.append(now)
 
+    def failed_part(self, now: float) -> float | None:
+        """Return the part of its work that fails; ``None`` if unknown."""
+        if self.is_ejected(now):
+            return (
+                None if self.refuses_connections else self.part_when_left_out
+            )
+        faults, ended = self.count_lately(now)
+        return faults / ended if ended >= LEAST_ENDED else None
+
     def count_lately(self, now: float) -> tuple[int, int]:
         """Return how many pieces of work failed lately, and how many ended."""
         self._forget_old(now)
@@ -123,15 +149,19 @@
         """Whether it came back a short while ago; one fault may be enough."""
         return self.ejections > 0 and self.is_new(now)
 
-    def _fails_a_large_part(self) -> bool:
+    def _failed_part(self) -> float:
+        ended = len(self.recent_faults) + len(self.recent_successes)
+        return len(self.recent_faults) / max(1, ended)
+
+    def _fails_a_large_part(self, shared_part: float) -> bool:
         """Whether the faults are a large part of all that ended.
 
         With their number alone, a busy pool whose calls fail now and then
         would leave out all its backend servers in turn; one would see calls
         refused with most places free.
         """
-        ended = len(self.recent_faults) + len(self.recent_successes)
-        return len(self.recent_faults) >= FAULT_PART * ended
+        bound = max(FAULT_PART, FAULT_PARTS_OF_PEERS * shared_part)
+        return self._failed_part() >= min(bound, MOST_SHARED_PART)
 
     def _eject(self, now: float) -> None:
         if self.came_at is not None and (
--- a/dandeliongw/cell/rooms.py
+++ b/dandeliongw/cell/rooms.py
@@ -65,6 +65,9 @@
         carry one call instead of all it has slots for; one would see calls
         refused while places are free. Their slots are used then, once those
         of trusted ones are full; but none of one that is dead.
+
+        A decode engine some of whose work goes well is used even before
+        that: six in ten of its streams served are more than none.
         """
         rooms = [
             Room(state=state, free=self._trusted_slots(now, state))
@@ -74,12 +77,15 @@
         rooms = [room for room in rooms if room.free > 0]
         if rooms or not self._heeds_health:
             return rooms
+        is_of_use = _is_of_use
         if not is_most_distrusted(now, view, role):
-            return rooms
+            if role is not Role.DECODE:
+                return rooms
+            is_of_use = _works_in_part
         rooms = [
             Room(state=state, free=self._slots(state) - state.slots_used)
             for state in candidates_for(view, role, booking)
-            if _is_of_use(state) and view.has_kv_room(now, state, booking)
+            if is_of_use(state) and view.has_kv_room(now, state, booking)
         ]
         return [room for room in rooms if room.free > 0]
 
@@ -143,6 +149,11 @@
     return not state.health.refuses_connections
 
 
+def _works_in_part(state: BackendState) -> bool:
+    health = state.health
+    return health.works_in_part and not health.refuses_connections
+
+
 def serving(now: float, view: CellView, role: Role) -> list[BackendState]:
     """Return those that get work now, whether or not they have room."""
     candidates = view.candidates(role, ())
--- a/dandeliongw/cell/trust.py
+++ b/dandeliongw/cell/trust.py
@@ -2,6 +2,7 @@
 
 from .. import decisions
 from .. import effects
+from .policy import BackendState
 from .policy import CellView
 
 #: How long an engine that refused a KV cache gets no work. Estimate: some ten
@@ -33,7 +34,7 @@
         if is_down:
             health.add_refusal(now)
         else:
-            health.add_fault(now)
+            health.add_fault(now, self._shared_part(now, state))
         if was_ejected or not health.is_ejected(now):
             return []
         health.is_told_distrusted = True
@@ -49,6 +50,21 @@
         )
         return [distrusted.log()]
 
+    def _shared_part(self, now: float, state: BackendState) -> float:
+        """Return the part of work that fails on the peers of a server.
+
+        Answers that are lost on their way are lost for all. Judged alone,
+        one of two engines was left out for six seconds while the other one,
+        which lost as much, was full and calls were turned away.
+        """
+        found = [
+            part
+            for peer in self._view.backends_by_id.values()
+            if peer is not state and peer.backend.role is state.backend.role
+            if (part := peer.health.failed_part(now)) is not None
+        ]
+        return sum(found) / len(found) if found else 0.0
+
     def rest(self, now: float, backend_id: str) -> None:
         """Send no work for a moment to an engine that refused some.
 
