--- a/dandeliongw/cell/rooms.py
+++ b/dandeliongw/cell/rooms.py
@@ -159,7 +159,12 @@
     candidates = view.candidates(role, ())
     if is_most_distrusted(now, view, role):
         return [state for state in candidates if _is_of_use(state)]
-    return [state for state in candidates if not state.health.is_ejected(now)]
+    return [
+        state
+        for state in candidates
+        if not state.health.is_ejected(now)
+        or (role is Role.DECODE and _works_in_part(state))
+    ]
 
 
 def candidates_for(
