--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -55,6 +55,14 @@
 PLAIN_QUEUE_PER_SLOT = 4
 
 
+#: Seconds that work may be passed by work that needs less room. Memory is
+#: freed some thousand tokens at a time; so long a large prompt lets smaller
+#: ones use what it has no use for, and then what is freed is kept for it.
+PASSED_FOR_S = 0.25
+#: Of the queue that is looked through for work that fits, at each change.
+MOST_TRIED = 8
+
+
 class _Hope(enum.IntEnum):
     """Whom a start now helps most; lower goes first."""
 
@@ -247,9 +255,16 @@
         if late:
             first = self._first(now, view, late)
             return [(first, declines.waited(first))]
-        first = self._first(now, view, view.queue)
-        placed = self._place(now, view, first)
-        return [] if placed is None else [(first, placed)]
+        ordered = sorted(
+            view.queue, key=lambda each: self._order(now, view, each)
+        )
+        for booking in ordered[:MOST_TRIED]:
+            placed = self._place(now, view, booking)
+            if placed is not None:
+                return [(booking, placed)]
+            if _keeps_its_turn(now, booking):
+                break
+        return []
 
     def _first(
         self, now: float, view: CellView, bookings: list[Booking]
@@ -419,6 +434,18 @@
     return _Hope.MAY_COME_AGAIN
 
 
+def _keeps_its_turn(now: float, booking: Booking) -> bool:
+    """Return whether nothing behind it in the queue may start before it.
+
+    With all kept in order, a prompt that needs six times the room of others
+    held them up until all were late, beside engines with room for them; with
+    none kept, it would never start.
+    """
+    if booking.stage is not Stage.PAIR:
+        return True
+    return now >= booking.arrived_at + PASSED_FOR_S
+
+
 def _plain_slots(view: CellView) -> int:
     """Return how many calls of a plain service run at one time."""
     return sum(
