--- a/dandeliongw/cell/roles.py
+++ b/dandeliongw/cell/roles.py
@@ -83,6 +83,27 @@
             mean_s = self._work_by_role[role]
             self._work_by_role[role] = mean_s + part * (work_s - mean_s)
 
+    def carried_per_s(self, now: float, view: policy.CellView) -> float | None:
+        """Return the requests a second that all engines carry as they are."""
+        if self._seen < LEAST_SEEN:
+            return None
+        well_by_role = self._well_by_role(now, view)
+        return self._rate(
+            {role: len(well) for role, well in well_by_role.items()}
+        )
+
+    def _well_by_role(
+        self, now: float, view: policy.CellView
+    ) -> dict[policy.Role, list[policy.BackendState]]:
+        return {
+            role: [
+                state
+                for state in view.candidates(role, ())
+                if not state.health.is_ejected(now)
+            ]
+            for role in self._work_by_role
+        }
+
     def forget(self, backend_id: str) -> None:
         """End the move of an engine that has started again meanwhile."""
         self.switches_by_id.pop(backend_id, None)
@@ -122,14 +143,7 @@
 
     def _choose(self, now: float, view: policy.CellView) -> dict[str, Switch]:
         """Return the moves to begin, by engine; mostly none."""
-        well_by_role = {
-            role: [
-                state
-                for state in view.candidates(role, ())
-                if not state.health.is_ejected(now)
-            ]
-            for role in self._work_by_role
-        }
+        well_by_role = self._well_by_role(now, view)
         counts = {role: len(well) for role, well in well_by_role.items()}
         splits = [
             split
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -5,6 +5,7 @@
 import math
 
 from . import declines
+from . import demand
 from . import prediction
 from . import rooms as rooms_module
 from .policy import BackendState
@@ -100,6 +101,8 @@
     :param health: leave out what keeps failing; let new ones in slowly.
     :param timely: within a rank, work that can still meet its target passes
         work that can't; after a burst only the surplus is late, not all.
+    :param demand: turn away at once what can't be in time while more comes
+        than the engines carry.
     """
 
     queue: bool = True
@@ -113,6 +116,7 @@
     cap: bool = True
     timely: bool = True
     weigh: bool = True
+    demand: bool = True
 
 
 class Scheduler:
@@ -131,6 +135,7 @@
         self._slot_flow_by_rank: dict[int, Flow] = {}
         self._prefill_flow_by_rank: dict[int, Flow] = {}
         self._shares_by_rank: dict[int, FairShares] = {}
+        self._demand = demand.Demand()
 
     def decide(
         self, *, now: float, view: CellView, booking: Booking
@@ -147,6 +152,8 @@
             return self._decide_move(now, view, booking)
         if booking.stage is not Stage.PAIR or not self._options.queue:
             return self._place(now, view, booking) or declines.full(booking)
+        if not booking.resent:
+            self._demand.note(now)
         slot_s = view.transfer_s(booking) + view.decode_s(booking)
         self._shares(view, booking).want(now, booking.account, slot_s)
         ahead = self._ahead_of(now, view, booking)
@@ -255,6 +262,14 @@
         if late:
             first = self._first(now, view, late)
             return [(first, declines.waited(first))]
+        hopeless = [
+            each
+            for each in view.queue
+            if self._is_hopeless(now, view, each, now)
+        ]
+        if hopeless:
+            first = self._first(now, view, hopeless)
+            return [(first, declines.too_much(first))]
         ordered = sorted(
             view.queue, key=lambda each: self._order(now, view, each)
         )
@@ -310,6 +325,8 @@
         if self._options.foresee:
             left = 1.0 - self._passing_part(now, view, booking)
             starts_at = now + (starts_at - now) / left
+        if self._is_hopeless(now, view, booking, starts_at):
+            return declines.too_much(booking)
         latest = prediction.latest_start(view, booking)
         if booking.resent:
             # Turned away once more, its caller would be lost; but it is told
@@ -323,6 +340,17 @@
         booking.latest_start_at = latest
         return Wait(expected_s=starts_at - now)
 
+    def _is_hopeless(
+        self, now: float, view: CellView, booking: Booking, starts_at: float
+    ) -> bool:
+        """Whether work would be late, and passed by all that comes."""
+        may_wait = booking.resent or booking.stage is not Stage.PAIR
+        if may_wait or not self._options.demand:
+            return False
+        if starts_at <= prediction.timely_start(view, booking):
+            return False
+        return self._demand.is_too_much(now, view.carried_per_s)
+
     def _place(
         self, now: float, view: CellView, booking: Booking
     ) -> Place | None:
