--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -56,17 +56,11 @@
 PLAIN_QUEUE_PER_SLOT = 4
 
 
-#: Seconds that work may be passed by work that needs less room. Memory is
-#: freed some thousand tokens at a time; so long a large prompt lets smaller
-#: ones use what it has no use for, and then what is freed is kept for it.
-PASSED_FOR_S = 0.25
 #: Factor by which a predicted wait may be too long: room comes sooner than
 #: the mean answer tells. With predictions taken as they are, 28 streams of a
 #: simulated bunch were in time instead of 32. Who is let in is told once it
 #: is too late.
 PREDICTION_ERROR = 2.0
-#: Of the queue that is looked through for work that fits, at each change.
-MOST_TRIED = 8
 
 
 class _Hope(enum.IntEnum):
@@ -275,16 +269,9 @@
         if hopeless:
             first = self._first(now, view, hopeless)
             return [(first, declines.too_much(first))]
-        ordered = sorted(
-            view.queue, key=lambda each: self._order(now, view, each)
-        )
-        for booking in ordered[:MOST_TRIED]:
-            placed = self._place(now, view, booking)
-            if placed is not None:
-                return [(booking, placed)]
-            if _keeps_its_turn(now, booking):
-                break
-        return []
+        first = self._first(now, view, view.queue)
+        placed = self._place(now, view, first)
+        return [] if placed is None else [(first, placed)]
 
     def _first(
         self, now: float, view: CellView, bookings: list[Booking]
@@ -468,18 +455,6 @@
     return _Hope.MAY_COME_AGAIN
 
 
-def _keeps_its_turn(now: float, booking: Booking) -> bool:
-    """Return whether nothing behind it in the queue may start before it.
-
-    With all kept in order, a prompt that needs six times the room of others
-    held them up until all were late, beside engines with room for them; with
-    none kept, it would never start.
-    """
-    if booking.stage is not Stage.PAIR:
-        return True
-    return now >= booking.arrived_at + PASSED_FOR_S
-
-
 def _plain_slots(view: CellView) -> int:
     """Return how many calls of a plain service run at one time."""
     return sum(
