A reader gets its next prompt while it reads; engines left out for 2 s count

Hypothesis: one reader passes 5.5 prompts a second where each takes 0.09 s, as it idles for 60 ms between two; and engines that are left out for two seconds look gone to the split, which then moves another for ten.

--- a/dandeliongw/cell/roles.py
+++ b/dandeliongw/cell/roles.py
@@ -99,7 +99,7 @@
             role: [
                 state
                 for state in view.candidates(role, ())
-                if not state.health.is_ejected(now)
+                if _carries_work(now, state)
             ]
             for role in self._work_by_role
         }
@@ -193,6 +193,19 @@
         )
 
 
+def _carries_work(now: float, state: policy.BackendState) -> bool:
+    """Whether an engine counts, though it may be left out for the moment.
+
+    A move takes an engine out of work for ten seconds; one that loses some
+    of its work is left out for two. With those counted for nothing, a pool
+    whose engines were all left out at once got one from the other pool.
+    """
+    health = state.health
+    if not health.is_ejected(now):
+        return True
+    return health.works_in_part and not health.refuses_connections
+
+
 def _has_ended(now: float, view: policy.CellView, switch: Switch) -> bool:
     state = view.backends_by_id.get(switch.backend_id)
     if state is None or state.backend.role is switch.role:
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -23,9 +23,10 @@
 from .shares import FairShares
 from .shares import Flow
 
-#: A prompt goes to its engine so long before the one ahead of it is done,
-#: to cover the hops between; more would let engines reorder what is sent.
-SEND_AHEAD_S = 0.02
+#: A prompt goes to its engine so long before the one ahead of it is done: the
+#: answer to one, its news to the owner and the way of the next one take some
+#: 60 ms, in which an engine that reads a prompt in 90 ms has nothing to do.
+SEND_AHEAD_S = 0.1
 #: Times that differ by less than 10 ms count as equal.
 LINK_DIGITS = 2
 #: Planned wait of a KV cache for a link, the longest where wasted prefill
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -156,6 +156,22 @@
         balance.review(0.0, view)
         self.assertEqual(only_switch(balance).role, policy.Role.PREFILL)
 
+    def test_engines_that_lose_some_work_still_count(self):
+        """Symptom: a reader is moved though all decode engines are there.
+
+        Sequence: for a moment, four in ten answers of all are lost.
+        Cause: engines that were left out for two seconds counted as gone.
+        """
+        view = make_view(2, 3)
+        for name in ('d0', 'd1', 'd2'):
+            health = view.backends_by_id[name].health
+            health.add_success(0.0)
+            for _ in range(3):
+                health.add_fault(0.0)
+            self.assertTrue(health.is_ejected(0.0))
+        balance = watched(view)
+        self.assertFalse(balance.review(0.0, view))
+
     def test_one_move_at_a_time_and_then_a_rest(self):
         """Symptom: engines swing between the pools, out of work each time."""
         view = make_view(5, 1)
