--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -47,7 +47,7 @@
 #: eight: with the short ones first more are in time. An answer of 8 s, the
 #: longest, goes back by 2 s, so that none waits without end.
 LENGTH_HANDICAP = 0.25
-#: Seconds for which all readers of prompts must be busy before a decode
+#: Seconds of work that all readers of prompts must have before a decode
 #: engine reads one by itself, which takes it some 0.2 s for 3,000 tokens.
 READ_THERE_AFTER_S = 0.4
 #: Part of its time that a call of a plain service waits for a slot.
@@ -371,17 +371,33 @@
         placed = self._choose_pair(now, view, booking)
         if placed is not None or not booking.may_read_there:
             return placed
-        frees_at = [
-            state.prefill_free_at(now)
-            for state in self._rooms.readers(now, view, booking)
-        ]
-        if min(frees_at, default=math.inf) - now < READ_THERE_AFTER_S:
+        if self._reader_wait_s(now, view, booking) < READ_THERE_AFTER_S:
             return None
         rooms = self._rooms.find(now, view, Role.DECODE, booking)
         if not rooms:
             return None
         return Place(decode_id=rooms_module.freest(rooms).backend.backend_id)
 
+    def _reader_wait_s(
+        self, now: float, view: CellView, booking: Booking
+    ) -> float:
+        """Return after how long readers are done with all that waits.
+
+        The reader alone tells little: it gets its next prompt when it is
+        nearly done. One would see a queue of two seconds before one reader
+        while the decode engines, which could read, are half empty.
+        """
+        readers = self._rooms.readers(now, view, booking)
+        if not readers:
+            return math.inf
+        free_at = min(state.prefill_free_at(now) for state in readers)
+        queued_s = sum(
+            prediction.prefill_s(view, each)
+            for each in view.queue
+            if each.stage is Stage.PAIR
+        )
+        return free_at - now + queued_s / len(readers)
+
     def _choose_pair(
         self, now: float, view: CellView, booking: Booking
     ) -> Place | None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -374,6 +374,31 @@
         cell.view.backends_by_id['p1'].health.add_refusal(0.0)
         self.assertEqual(self.book(cell).prefill_id, '')
 
+    def test_what_one_reader_has_no_time_for_is_read_elsewhere(self):
+        """Symptom: a queue of two seconds beside half empty decode engines.
+
+        Sequence: one of two readers is lost; more prompts come than the
+        other one reads.
+        Cause: the reader that was nearly done looked as good as free,
+        however many prompts waited for it.
+        """
+        cell = self.make(test_cells.make_backend('p1', 'prefill'))
+        booked = []
+        for number in range(9):
+            out = test_cells.send(
+                cell,
+                test_cells.make_book(
+                    f'r{number}', may_read_there=True, prompt_tokens=2000
+                ),
+            )
+            booked += [
+                each.message
+                for each in out
+                if isinstance(each.message, cells.Booked)
+            ]
+        self.assertEqual('p1', booked[0].prefill_id)
+        self.assertIn('', [each.prefill_id for each in booked])
+
     def test_not_where_a_reader_is_free(self):
         cell = self.make(test_cells.make_backend('p1', 'prefill'))
         self.assertEqual(self.book(cell).prefill_id, 'p1')
