--- a/dandeliongw/cell/roles.py
+++ b/dandeliongw/cell/roles.py
@@ -41,6 +41,8 @@
 #: Seconds that a pool must have been empty before the rest is cut short;
 #: longer than all engines take to show up again after a power loss.
 EMPTY_S = 3.0
+#: Times in a row that a dead engine has been left out, as it refused.
+EJECTIONS_OF_DEAD = 2
 #: Weight of a new request in the means.
 SMOOTHING = 0.05
 
@@ -197,13 +199,16 @@
     """Whether an engine counts, though it may be left out for the moment.
 
     A move takes an engine out of work for ten seconds; one that loses some
-    of its work is left out for two. With those counted for nothing, a pool
-    whose engines were all left out at once got one from the other pool.
+    of its work, or a connection, is left out for two. With those counted for
+    nothing, a pool whose engines were all left out at once got one from the
+    other pool. One that is dead fails again, or is told gone.
     """
     health = state.health
     if not health.is_ejected(now):
         return True
-    return health.works_in_part and not health.refuses_connections
+    if health.refuses_connections:
+        return health.ejections < EJECTIONS_OF_DEAD
+    return health.works_in_part
 
 
 def _has_ended(now: float, view: policy.CellView, switch: Switch) -> bool:
