Decode engines read for a queue only what their streams can bear

Cause of the fall on the first two sites: a piece of 16 tokens waits for up to 16 parts of a prompt read beside it, 0.55 s where 0.3 s is in time.

--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -8,6 +8,12 @@
 from .policy import CellView
 from .policy import Role
 
+#: Engine seconds of a decode engine for each second that a reader needs for
+#: the same prompt: it reads at half of a reader's pace.
+READ_THERE_SLOWER = 2.0
+#: Tokens of a prompt that a decode engine reads between two tokens of its
+#: streams: a quarter of the 2,048 of a reader, by the engines' description.
+READ_PART_TOKENS = 512
 #: Of a priority that the document doesn't know.
 LAST_RANK = 1_000
 
@@ -22,6 +28,17 @@
     return booking.prompt_tokens / view.terms.prefill_tokens_per_s
 
 
+def reading_pause_s(view: CellView, prompt_tokens: float) -> float:
+    """Return the longest pause in streams beside a prompt that is read there.
+
+    A decode engine reads between the tokens of its streams, so a piece of
+    many tokens waits for many parts of the prompt.
+    """
+    read_s = READ_THERE_SLOWER / view.terms.prefill_tokens_per_s
+    part_s = READ_PART_TOKENS * read_s
+    return min(part_s * view.terms.tokens_per_piece, prompt_tokens * read_s)
+
+
 def latest_start(view: CellView, booking: Booking) -> float:
     """Return until when work may start and isn't refused after all.
 
--- a/dandeliongw/cell/roles.py
+++ b/dandeliongw/cell/roles.py
@@ -2,11 +2,11 @@
 
 Both pools work on every request. With too many engines in one of them the
 other is full first, and callers are turned away while engines stand idle.
-Where decode engines can read prompts, they are the reserve: what the readers
-have no time for is read there, more slowly, and at the cost of the streams
-beside it. An engine that changes its role takes no work for some seconds, so
-engines are moved only where that gains much, a few at a time, and the next
-ones not before a good while.
+Where decode engines can read prompts without pauses that make the streams
+beside them late, they are the reserve: what the readers have no time for is
+read there, more slowly. An engine that changes its role takes no work for some
+seconds, so engines are moved only where that gains much, a few at a time, and
+the next ones not before a good while.
 """
 
 from collections import abc
@@ -14,13 +14,11 @@
 import math
 
 from . import policy
+from . import prediction
 from .forecast import FILL_PART
 
 #: Requests seen before their mean counts for anything.
 LEAST_SEEN = 12
-#: Engine seconds of a decode engine for each second that a reader needs for
-#: the same prompt: it reads at half of a reader's pace.
-READ_THERE_SLOWER = 2.0
 #: Smallest gain in the requests a second that all engines carry together,
 #: between what is and the best split, that is worth a move. Weighing a single
 #: move instead would leave a large cell as it is: with 11 and 19 engines one
@@ -74,7 +72,10 @@
     def note(self, view: policy.CellView, booking: policy.Booking) -> None:
         """Take a request into the means."""
         self._seen += 1
-        self._may_read_there = booking.may_read_there
+        pause_s = prediction.reading_pause_s(view, math.inf)
+        self._may_read_there = (
+            booking.may_read_there and pause_s <= view.terms.token_gap_s
+        )
         part = max(SMOOTHING, 1.0 / self._seen)
         work_by_role = {
             policy.Role.PREFILL: booking.prompt_tokens
@@ -189,10 +190,8 @@
             return min(read, decoded)
         # Of each request beyond what the readers carry, a decode engine has
         # the prompt to read as well.
-        read_there_s = READ_THERE_SLOWER * read_s
-        return (decoders + readers * READ_THERE_SLOWER) / (
-            decode_s + read_there_s
-        )
+        slower = prediction.READ_THERE_SLOWER
+        return (decoders + readers * slower) / (decode_s + slower * read_s)
 
 
 def _carries_work(now: float, state: policy.BackendState) -> bool:
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -384,7 +384,7 @@
             rooms = [
                 room
                 for room in rooms
-                if view.kv_part(now, room.state, booking) <= READ_THERE_FILL
+                if _may_read(now, view, room.state, booking)
             ]
         if not rooms:
             return None
@@ -484,6 +484,26 @@
     return _Hope.MAY_COME_AGAIN
 
 
+def _may_read(
+    now: float, view: CellView, state: BackendState, booking: Booking
+) -> bool:
+    """Whether an engine may read a prompt though readers go on.
+
+    It has to be half empty, and the streams beside it have to stay in time:
+    one prompt at a time, and none that takes longer than they may pause.
+    """
+    pause_s = view.terms.token_gap_s
+    has_just_read = any(
+        not each.prefill_id and now < (each.start_at or now) + pause_s
+        for each in state.bookings_by_key.values()
+    )
+    return (
+        not has_just_read
+        and prediction.reading_pause_s(view, booking.prompt_tokens) <= pause_s
+        and view.kv_part(now, state, booking) <= READ_THERE_FILL
+    )
+
+
 def _plain_slots(view: CellView) -> int:
     """Return how many calls of a plain service run at one time."""
     return sum(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -357,11 +357,11 @@
         out = test_cells.send(cell, test_cells.make_book('r1', **fields))
         return out[0].message
 
-    def make(self, *readers):
+    def make(self, *readers, terms=TERMS):
         return test_cells.make_cell(
             *readers,
             test_cells.make_backend('d1', 'decode', slots=4),
-            document_part=TERMS,
+            document_part=terms,
             policy=scheduler.Scheduler(),
         )
 
@@ -382,22 +382,39 @@
         Cause: the reader that was nearly done looked as good as free,
         however many prompts waited for it.
         """
-        cell = self.make(test_cells.make_backend('p1', 'prefill'))
-        booked = []
-        for number in range(9):
-            out = test_cells.send(
+        booked = self.book_nine(token_gap_s=0.5)
+        self.assertEqual('p1', booked[0].prefill_id)
+        self.assertEqual(1, [each.prefill_id for each in booked].count(''))
+
+    def test_but_not_where_streams_would_pause_for_too_long(self):
+        booked = self.book_nine(token_gap_s=0.3)
+        self.assertEqual({'p1'}, {each.prefill_id for each in booked})
+
+    def book_nine(self, token_gap_s):
+        """Return what is booked for nine prompts of 2,000 tokens.
+
+        An engine reads 10,000 tokens a second, so one that decodes takes
+        0.4 s for each.
+        """
+        terms = dataclasses.replace(
+            TERMS,
+            token_gap_s=token_gap_s,
+            prefill_tokens_per_s=10_000.0,
+            decode_tokens_per_s=3_300.0,
+            tokens_per_piece=100,
+        )
+        cell = self.make(test_cells.make_backend('p1', 'prefill'), terms=terms)
+        return [
+            each.message
+            for number in range(9)
+            for each in test_cells.send(
                 cell,
                 test_cells.make_book(
                     f'r{number}', may_read_there=True, prompt_tokens=2000
                 ),
             )
-            booked += [
-                each.message
-                for each in out
-                if isinstance(each.message, cells.Booked)
-            ]
-        self.assertEqual('p1', booked[0].prefill_id)
-        self.assertIn('', [each.prefill_id for each in booked])
+            if isinstance(each.message, cells.Booked)
+        ]
 
     def test_not_where_a_reader_is_free(self):
         cell = self.make(test_cells.make_backend('p1', 'prefill'))
