--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -416,6 +416,27 @@
             if isinstance(each.message, cells.Booked)
         ]
 
+    def test_a_reader_gets_its_next_prompt_while_it_reads(self):
+        """Symptom: one reader passes half of the prompts that it could.
+
+        Sequence: prompts of 90 ms come faster than one reader reads.
+        Cause: the next one left when the one before was done; the answer,
+        its news and the way take two thirds of that time.
+        """
+        cell = self.make(test_cells.make_backend('p1', 'prefill'))
+        for name in ('r0', 'r1'):
+            test_cells.send(
+                cell, test_cells.make_book(name, prompt_tokens=900), 0.0
+            )
+        sent = [
+            effect.message.request_id
+            for effect in test_cells.tick(cell, 0.01)
+            if isinstance(getattr(effect, 'message', None), cells.Booked)
+        ]
+        held = cell.view.backends_by_id['p1'].bookings_by_key
+        self.assertEqual(['r0', 'r1'], sorted(key for key, _ in held))
+        self.assertLessEqual(len(sent), 1)
+
     def test_not_where_a_reader_is_free(self):
         cell = self.make(test_cells.make_backend('p1', 'prefill'))
         self.assertEqual(self.book(cell).prefill_id, 'p1')
