--- a/dandeliongw/coordination/_probing.py
+++ b/dandeliongw/coordination/_probing.py
@@ -17,8 +17,8 @@
 #: Members that each instance probes in every period, besides the round. With
 #: rounds alone a member may go unprobed for several periods: of 100 simulated
 #: losses among 12 instances the slowest was known to all after 5.5 s, with
-#: one watcher after 2.7 s, with two after 2.4 s. Each costs some 310 bytes a
-#: second, at 12 instances and at 350, and the second is not worth that.
+#: one watcher after 2.7 s, with two after 2.4 s. Each costs an instance 310 to
+#: 420 bytes a second, and the second is not worth that.
 WATCHED = 1
 #: Members that wait to be looked at; the round gets to the others.
 MAX_SOON = 8
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -75,8 +75,8 @@
 #: Seconds after which a silent backend server has to announce itself again.
 FRONT_MEMORY_S = 60.0
 #: Seconds from the first word of a new start in which a leave that names none
-#: is taken for a late one of the start before. A message between a backend
-#: server and an instance may be seconds late; none was seen later than 5 s.
+#: is taken for a late one of the start before. Estimate: what a backend server
+#: says may arrive some seconds late.
 LATE_LEAVE_S = 5.0
 #: Of a leave of a backend server that is not known here and names no start.
 _ONLY_INCARNATION = 0
