--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -22,9 +22,9 @@
 from .shares import FairShares
 from .shares import Flow
 
-#: A prompt goes to its engine so long before the one ahead of it is done: the
-#: answer to one, its news to the owner and the way of the next one take some
-#: 60 ms, in which an engine that reads a prompt in 90 ms has nothing to do.
+#: A prompt goes to its engine so long before the one ahead of it is done. Sent
+#: 0.02 s before, an only reader passed 5.5 prompts a second where it reads one
+#: in 0.09 s: the hops from its answer to the next prompt left it idle.
 SEND_AHEAD_S = 0.1
 #: Times that differ by less than 10 ms count as equal.
 LINK_DIGITS = 2
