Starts: no docstrings of models, collections only of what is new, threads as there is work

Cause: an instance read the docstrings of its models from their source at import, collected its imports again and again, and started all threads that its ports may ever need (144 at an entry). Ruled out: pure Python protobuf (upb is in use); compiling at each start (the byte code is there).

--- a/dandeliongw/borders/pages/forms.py
+++ b/dandeliongw/borders/pages/forms.py
@@ -150,6 +150,7 @@
     prefix: str,
     tree: differences.Tree,
 ) -> None:
+    texts_by_field = models.describe(model)
     for name, info in model.model_fields.items():
         inner = models.find_model(info.annotation)
         if inner is not None:
@@ -163,7 +164,7 @@
         found.append(
             Field(
                 name=prefix + name,
-                help=(info.description or '').replace('``', ''),
+                help=texts_by_field.get(name, '').replace('``', ''),
                 required=info.is_required(),
                 annotation=annotation,
                 choices=choices,
--- a/dandeliongw/borders/web.py
+++ b/dandeliongw/borders/web.py
@@ -23,6 +23,7 @@
 from . import _application
 from . import _deadlines
 from . import _headers
+from . import _workers
 
 #: Makes the CherryPy applications that ports serve.
 make_application = _application.make_application
@@ -139,8 +140,6 @@
         self._server = _Server(
             (listen.host, listen.port),
             None,
-            numthreads=listen.threads,
-            max=listen.threads,
             request_queue_size=listen.queue,
             timeout=hosts.BorderLimits().idle_timeout_s,
             # At its end cheroot shuts down the reading side of connections
@@ -148,11 +147,9 @@
             # The server waits for its requests before it stops; this is
             # only a bound.
             shutdown_timeout=shutdown_s,
-            accepted_queue_size=listen.queue,
-            # The accept loop also reads what kept connections send: while
-            # it waited for room, all of them would stand still. With 0 what
-            # doesn't fit gets its 503 at once, from a thread of its own.
-            accepted_queue_timeout=0,
+        )
+        self._server.requests = _workers.WorkerPool(
+            server=self._server, most=listen.threads, queued=listen.queue
         )
         self._server.gateway = _SocketGateway
         self._thread = threading.Thread(
--- a/dandeliongw/models.py
+++ b/dandeliongw/models.py
@@ -1,8 +1,13 @@
 """The base of the validated models, and their errors in plain words."""
 
+import ast
 from collections import abc
 import difflib
+import functools
+import inspect
+import itertools
 import json
+import textwrap
 import typing
 
 import pydantic
@@ -54,13 +59,24 @@
         extra='forbid',
         strict=True,
         allow_inf_nan=False,
-        use_attribute_docstrings=True,
     )
 
     def find_problems(self) -> abc.Iterator[exceptions.Problem]:
         """Yield what is wrong between fields; a hook for subclasses."""
         return iter(())
 
+    @classmethod
+    def __get_pydantic_json_schema__(
+        cls,
+        core_schema: typing.Any,
+        handler: pydantic.GetJsonSchemaHandler,
+    ) -> dict[str, typing.Any]:
+        """Put the fields' docstrings into a JSON Schema of the model."""
+        schema = handler.resolve_ref_schema(handler(core_schema))
+        for name, text in describe(cls).items():
+            schema['properties'][name]['description'] = text
+        return schema
+
     @pydantic.model_validator(mode='after')
     def _refuse_problems(self) -> typing.Self:
         problems = tuple(self.find_problems())
@@ -85,6 +101,33 @@
     raise exceptions.InvalidInput(problems=problems, source=source)
 
 
+@functools.cache
+def describe(model: type[Model]) -> dict[str, str]:
+    """Return the docstring of each field of a model that has one.
+
+    Read from the source when a page or a schema first wants them. When each
+    model read its own as it was made, a starting process spent 90 ms of 600
+    on text that only a console or a generated page shows.
+    """
+    texts: dict[str, str] = {}
+    for base in reversed(model.__mro__):
+        if issubclass(base, Model) and base is not Model:
+            texts.update(_field_docstrings(base))
+    return texts
+
+
+def _field_docstrings(model: type[Model]) -> abc.Iterator[tuple[str, str]]:
+    source = textwrap.dedent(inspect.getsource(model))
+    body = ast.parse(source).body[0].body
+    for field, following in itertools.pairwise(body):
+        match field, following:
+            case (
+                ast.AnnAssign(target=ast.Name(id=name)),
+                ast.Expr(value=ast.Constant(value=str() as text)),
+            ):
+                yield name, inspect.cleandoc(text)
+
+
 def invalid(
     model: type[Model], error: pydantic.ValidationError, source: str = ''
 ) -> exceptions.InvalidInput:
--- a/dandeliongw/reference.py
+++ b/dandeliongw/reference.py
@@ -78,8 +78,9 @@
         '| field | default | meaning |',
         '|---|---|---|',
     ]
+    texts_by_field = models.describe(model)
     for name, field in model.model_fields.items():
-        meaning = ' '.join((field.description or '').split())
+        meaning = ' '.join(texts_by_field.get(name, '').split())
         meaning = meaning.replace('``', '`')
         lines.append(f'| `{name}` | {_default(field)} | {meaning} |')
     return '\n'.join(lines) + '\n'
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -16,6 +16,7 @@
 from . import events
 from . import exceptions
 from . import gates
+from . import heap
 from . import hosts
 from . import joining
 from . import journal as journal_module
@@ -201,6 +202,7 @@
         _logged(settings, lines),
         opened(settings, adapter) as server,
     ):
+        heap.settle()
         server.watch_lines(lines)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: server.begin_shutdown())
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+from dandeliongw.borders import _workers
 from dandeliongw.borders import web
 from dandeliongw import hosts
 from dandeliongw import settings
@@ -117,3 +118,82 @@
         caller.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
         with caller.makefile('rb') as answer:
             self.assertTrue(answer.read().endswith(b'ok'))
+
+
+class ThreadsTest(unittest.TestCase):
+    """A port has as many threads as it has work for."""
+
+    MOST = 5
+
+    def setUp(self):
+        listen = settings.Listen(
+            host='127.0.0.1', port=0, threads=self.MOST, queue=self.MOST
+        )
+        self.port = self.enterContext(web.bound(listen, 'callers', 1.0))
+        self.application = HeldApplication()
+        self.addCleanup(self.application.may_answer.set)
+
+    def serve(self):
+        self.port.serve(self.application)
+        self.pool = self.port._server.requests
+
+    def call(self):
+        connection = http.client.HTTPConnection(
+            '127.0.0.1', self.port.number, timeout=PATIENCE_S
+        )
+        self.addCleanup(connection.close)
+        connection.request('GET', '/', headers={'Connection': 'close'})
+        return connection
+
+    def hold(self, count):
+        """Let some calls be in hand at one time."""
+        calls = [self.call() for _ in range(count)]
+        for _ in calls:
+            self.assertTrue(self.application.entered.acquire(timeout=60))
+        return calls
+
+    def test_an_idle_port_has_few_threads(self):
+        """Symptom: two hundred idle instances fill a machine's memory.
+
+        Sequence: they start, and no call comes.
+        Cause: a port starts all threads that it may ever need.
+        """
+        self.serve()
+        self.assertEqual(_workers.FEWEST, self.pool.size)
+
+    def test_threads_come_with_the_calls_up_to_the_bound(self):
+        self.serve()
+        calls = self.hold(self.MOST)
+        self.assertEqual(self.MOST, self.pool.size)
+        calls.append(self.call())
+        local.wait_until('one more call waits', lambda: self.pool.qsize == 1)
+        self.assertEqual(self.MOST, self.pool.size)
+        self.application.may_answer.set()
+        for connection in calls:
+            self.assertEqual(200, connection.getresponse().status)
+
+    def test_a_thread_is_used_again(self):
+        self.serve()
+        self.application.may_answer.set()
+        for _ in range(3 * self.MOST):
+            self.assertEqual(200, self.call().getresponse().status)
+            local.wait_until(
+                'all threads are idle',
+                lambda: self.pool.idle == self.pool.size,
+            )
+        self.assertEqual(_workers.FEWEST, self.pool.size)
+
+    def test_threads_that_stay_idle_end(self):
+        with mock.patch.object(_workers, 'LINGER_S', 0.01):
+            self.serve()
+            calls = self.hold(self.MOST)
+            self.application.may_answer.set()
+            for connection in calls:
+                self.assertEqual(200, connection.getresponse().status)
+            local.wait_until(
+                'the threads have ended',
+                lambda: self.pool.size == _workers.FEWEST,
+            )
+            statistics = self.port._server.stats['Worker Threads']
+            self.assertLessEqual(len(statistics), _workers.FEWEST)
+            self.assertEqual(200, self.call().getresponse().status)
