Probes go as datagrams; idle connections close; pings find the silent ones

Cause: each instance probes all others in turn, and the first message to a peer opened a connection that stayed for ten minutes: 40,000 connections among 200 instances for two messages a second each. Ruled out: keeping probes on the streams to test these. Of 200 members one is probed in 200 s by a given other, so a silent stream would stay unseen; pings find it in 3.5 s and cost nothing where there is no stream.

--- /dev/null
+++ b/dandeliongw/_link.py
@@ -0,0 +1,311 @@
+"""One peer: its queue, the connection towards it, and what bounds both."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import enum
+import random
+import typing
+
+import grpclib.client
+import grpclib.config
+
+from .envelopes import DropReason
+from .envelopes import Sealer
+from .protocol import envelope_grpc
+
+#: Bytes of one serialized envelope; a configuration document fits.
+MAX_ENVELOPE_BYTES = 1024 * 1024
+#: Messages that wait for one peer.
+MAX_QUEUED = 1_000
+#: Bytes that wait for one peer.
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+#: Seconds after which a waiting message is of no use to its part.
+MAX_AGE_S = 5.0
+#: Seconds without a message after which a connection is closed. Members meet
+#: each other only now and then; with ten minutes each of 200 instances held
+#: connections to all others in the end, some 100 KB each.
+IDLE_S = 15.0
+#: Seconds between two pings of a connection, and seconds that it may stay
+#: silent after one. A connection that carries nothing any more is replaced
+#: within both together; a ping is a frame of 17 bytes and its answer.
+PING_S = 2.0
+PING_ANSWER_S = 1.5
+#: Seconds between two pings of a connection by the end that receives. It only
+#: finds connections whose other end is gone without a word, and frees them.
+RECEIVER_PING_S = 30.0
+#: Seconds a connect or one write may take before the connection is broken.
+PROGRESS_S = 5.0
+#: Seconds before the first and before every later new try.
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 5.0
+#: Seconds that a stop waits for what is queued, such as a leave message.
+FLUSH_S = 1.0
+
+
+class FaultReason(enum.StrEnum):
+    """Why a connection to a peer ended badly (a counter label)."""
+
+    CONNECT_FAILED = 'connect_failed'
+    STREAM_BROKEN = 'stream_broken'
+    NO_PROGRESS = 'no_progress'
+    RECONNECT_ASKED = 'reconnect_asked'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Queued:
+    kind: str
+    body: bytes
+    expires_at: float
+
+
+class Counters:
+    """What was sent, received, dropped and broken, for the metrics."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.received = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.connects = 0
+        self.drops_by_reason: collections.Counter[DropReason] = (
+            collections.Counter()
+        )
+        self.faults_by_reason: collections.Counter[FaultReason] = (
+            collections.Counter()
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Limits:
+    """Bounds of the connections; the defaults are the constants above."""
+
+    max_envelope_bytes: int = MAX_ENVELOPE_BYTES
+    max_queued: int = MAX_QUEUED
+    max_queued_bytes: int = MAX_QUEUED_BYTES
+    max_age_s: float = MAX_AGE_S
+    idle_s: float = IDLE_S
+    ping_s: float = PING_S
+    ping_answer_s: float = PING_ANSWER_S
+    progress_s: float = PROGRESS_S
+    min_backoff_s: float = MIN_BACKOFF_S
+    max_backoff_s: float = MAX_BACKOFF_S
+    flush_s: float = FLUSH_S
+
+
+def pinging(ping_s: float, answer_s: float) -> grpclib.config.Configuration:
+    """Return what lets a connection end that carries nothing any more.
+
+    Something between two instances can lose track of a connection: it stays
+    open at both ends, and what is sent over it is gone. One would see
+    bookings that nobody answers while all members are well. The underscores
+    are the library's, which calls these options experimental.
+    """
+    return grpclib.config.Configuration(
+        _keepalive_time=ping_s,
+        _keepalive_timeout=answer_s,
+        _http2_max_pings_without_data=0,
+        # A bound, not the interval; less, for timers are never exact.
+        _http2_min_sent_ping_interval_without_data=ping_s / 2,
+    )
+
+
+class Owner(typing.Protocol):
+    """The link's view of the connections to all peers."""
+
+    addresses_by_id: dict[str, tuple[str, int]]
+    counters: Counters
+    limits: Limits
+    sealer: Sealer
+
+    def drop(self, reason: DropReason) -> None: ...
+
+    def tell(self, peer: str, sentence: str) -> None: ...
+
+
+class Link:
+    """The queue and the connection towards one peer.
+
+    :param peers: whom this link belongs to.
+    :param to: the peer.
+    """
+
+    def __init__(self, *, peers: Owner, to: str) -> None:
+        self._peers = peers
+        self._to = to
+        self._queue: collections.deque[_Queued] = collections.deque()
+        self._queued_bytes = 0
+        self._wake = asyncio.Event()
+        self._drained = asyncio.Event()
+        self._reconnect = asyncio.Event()
+        self._failures = 0
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def put(self, kind: str, body: bytes) -> None:
+        """Queue a message or drop it."""
+        limits = self._peers.limits
+        full = (
+            len(self._queue) >= limits.max_queued
+            or self._queued_bytes + len(body) > limits.max_queued_bytes
+        )
+        if full:
+            self._peers.drop(DropReason.QUEUE_FULL)
+            return
+        expires_at = asyncio.get_running_loop().time() + limits.max_age_s
+        queued = _Queued(kind=kind, body=body, expires_at=expires_at)
+        self._queue.append(queued)
+        self._queued_bytes += len(body)
+        self._drained.clear()
+        self._wake.set()
+
+    def reconnect(self) -> None:
+        """Break the connection or the wait before the next one."""
+        self._reconnect.set()
+
+    async def close(self) -> None:
+        """Send what is queued, within ``flush_s``, and close."""
+        if self._queue:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._peers.limits.flush_s):
+                    await self._drained.wait()
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        for _ in self._queue:
+            self._peers.drop(DropReason.STOPPED)
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._reconnect.clear()
+            fault = await self._carry_until_reconnect()
+            if fault is None:
+                continue
+            self._peers.counters.faults_by_reason[fault] += 1
+            self._peers.tell(self._to, f'connection ended: {fault.value}')
+            if fault is not FaultReason.RECONNECT_ASKED:
+                await self._back_off()
+
+    async def _carry_until_reconnect(self) -> FaultReason | None:
+        carry = asyncio.ensure_future(self._carry())
+        asked = asyncio.ensure_future(self._reconnect.wait())
+        try:
+            await asyncio.wait(
+                {carry, asked}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if carry.done():
+                return carry.result()
+            return FaultReason.RECONNECT_ASKED
+        finally:
+            asked.cancel()
+            carry.cancel()
+            await asyncio.gather(carry, asked, return_exceptions=True)
+
+    async def _carry(self) -> FaultReason | None:
+        """Connect and send; return why it ended, ``None`` when idle."""
+        progress_s = self._peers.limits.progress_s
+        address = self._peers.addresses_by_id.get(self._to)
+        if address is None:
+            return FaultReason.CONNECT_FAILED
+        limits = self._peers.limits
+        channel = grpclib.client.Channel(
+            *address, config=pinging(limits.ping_s, limits.ping_answer_s)
+        )
+        connected = False
+        try:
+            exchange = envelope_grpc.PeerStub(channel).Exchange
+            async with exchange.open() as stream:
+                async with asyncio.timeout(progress_s):
+                    await stream.send_request()
+                    await stream.recv_initial_metadata()
+                connected = True
+                self._failures = 0
+                self._peers.counters.connects += 1
+                return await self._send_queued(stream)
+        except Exception as error:
+            # Any, for a link that ended by an error nobody foresaw would be
+            # silent for good; one would see only messages that expire.
+            self._peers.tell(self._to, f'connection failed: {error!r}')
+            if not connected:
+                return FaultReason.CONNECT_FAILED
+            if isinstance(error, TimeoutError):
+                return FaultReason.NO_PROGRESS
+            return FaultReason.STREAM_BROKEN
+        finally:
+            channel.close()
+
+    async def _send_queued(
+        self, stream: grpclib.client.Stream
+    ) -> FaultReason | None:
+        # Without this watch a broken stream would be noticed only by the
+        # next message, which would be lost with it.
+        ended = asyncio.ensure_future(stream.recv_message())
+        try:
+            while True:
+                if not await self._wait_for_queued(ended):
+                    break
+                await self._send_first(stream)
+            if ended.done():
+                return FaultReason.STREAM_BROKEN
+            if self._reconnect.is_set():
+                return FaultReason.RECONNECT_ASKED
+            async with asyncio.timeout(self._peers.limits.progress_s):
+                await stream.end()
+                await ended
+            return None
+        finally:
+            ended.cancel()
+            await asyncio.gather(ended, return_exceptions=True)
+
+    async def _wait_for_queued(self, ended: asyncio.Future) -> bool:
+        """Return whether there is a message and a stream to send it."""
+        if ended.done() or self._reconnect.is_set():
+            # What is sent after a reconnect was asked for must not go into
+            # the old connection, which may be silent.
+            return False
+        if self._queue:
+            return True
+        self._drained.set()
+        self._wake.clear()
+        woken = asyncio.ensure_future(self._wake.wait())
+        try:
+            await asyncio.wait(
+                {woken, ended},
+                timeout=self._peers.limits.idle_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            return woken.done() and not ended.done()
+        finally:
+            woken.cancel()
+
+    async def _send_first(self, stream: grpclib.client.Stream) -> None:
+        queued = self._queue.popleft()
+        self._queued_bytes -= len(queued.body)
+        if asyncio.get_running_loop().time() > queued.expires_at:
+            self._peers.drop(DropReason.EXPIRED)
+            return
+        envelope = self._peers.sealer.seal(self._to, queued.kind, queued.body)
+        try:
+            async with asyncio.timeout(self._peers.limits.progress_s):
+                await stream.send_message(envelope)
+        except BaseException:
+            self._peers.drop(DropReason.CONNECTION_LOST)
+            raise
+        self._peers.counters.sent += 1
+        self._peers.counters.sent_bytes += envelope.ByteSize()
+
+    async def _back_off(self) -> None:
+        """Wait before the next try; a reconnect ends the wait.
+
+        Without jitter, all instances would connect to a restarted one at
+        the same moments, again and again.
+        """
+        limits = self._peers.limits
+        longest = min(
+            limits.max_backoff_s, limits.min_backoff_s * 2**self._failures
+        )
+        self._failures = min(self._failures + 1, 16)
+        delay = random.uniform(longest / 2, longest)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay):
+                await self._reconnect.wait()
--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -1,8 +1,9 @@
 """Which instances are members, and which of them are alive.
 
 Each instance probes one member a period, in rounds over all members in
-shuffled order. Without an acknowledgement it asks some others to probe and
-tries again over a *new* connection, and only then suspects the member. A
+shuffled order, by datagrams. Without an acknowledgement it asks some others
+to probe and tries again over a *new* connection, and only then suspects the
+member. A
 suspected member has time to refute it; then it counts as dead. News of
 members travels with the probes and their acknowledgements, a bounded number
 of times each, so that an instance's cost does not grow with their number.
@@ -233,7 +234,7 @@
         # At once: the process may not live to its next tick.
         message = Gossip(news=(self._beliefs.own.news(with_info=False),))
         return effects + [
-            parts.Send(to=to, message=message)
+            parts.Send(to=to, message=message, by_datagram=True)
             for to in self._sample(self._beliefs.others, LEAVE_FANOUT)
         ]
 
@@ -320,7 +321,7 @@
             view_hash=self._beliefs.roster.view_hash,
             news=self._beliefs.news_for(now, target),
         )
-        return parts.Send(to=target, message=message)
+        return parts.Send(to=target, message=message, by_datagram=True)
 
     def _check_probes(self, now: float) -> list[typing.Any]:
         effects: list[typing.Any] = []
@@ -350,7 +351,9 @@
         message = IndirectProbe(sequence=sequence, target=target)
         helpers = set(self.alive_ids()) - {self.instance_id, target}
         for helper in self._sample(helpers, HELPERS):
-            effects.append(parts.Send(to=helper, message=message))
+            effects.append(
+                parts.Send(to=helper, message=message, by_datagram=True)
+            )
         return effects
 
     def _sample(self, ids: set[str], count: int) -> list[str]:
@@ -397,7 +400,11 @@
             view_hash=self._beliefs.roster.view_hash,
             news=self._beliefs.news_for(now, sender),
         )
-        effects.append(parts.Send(to=sender, message=ack))
+        # A second try came over a stream: where datagrams don't get through,
+        # its acknowledgement must not be one.
+        effects.append(
+            parts.Send(to=sender, message=ack, by_datagram=not message.retry)
+        )
         return effects
 
     def _on_ack(
@@ -407,7 +414,9 @@
         errand = self._probing.acknowledge(message.sequence)
         if errand is not None:
             answer = IndirectAck(sequence=errand.sequence)
-            effects.append(parts.Send(to=errand.origin, message=answer))
+            effects.append(
+                parts.Send(to=errand.origin, message=answer, by_datagram=True)
+            )
         if message.view_hash != self._beliefs.roster.view_hash:
             effects += self._compare(now, sender)
         return effects
@@ -457,7 +466,9 @@
         # suspected ones are among those that are chosen from.
         for to in self._sample(self._beliefs.others, URGENT_FANOUT):
             message = Gossip(news=self._beliefs.news_for(now, to))
-            effects.append(parts.Send(to=to, message=message))
+            effects.append(
+                parts.Send(to=to, message=message, by_datagram=True)
+            )
         return effects
 
 
--- a/dandeliongw/coordination/parts.py
+++ b/dandeliongw/coordination/parts.py
@@ -54,10 +54,14 @@
     """Send a message once, at most; it may be lost, late or doubled.
 
     :param to: an instance id; one's own id is delivered locally.
+    :param by_datagram: it is small, and its sender bears a loss better than
+        a connection to each receiver; a transport without datagrams may send
+        it as any other.
     """
 
     to: str
     message: typing.Any
+    by_datagram: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dandeliongw/peers.py
+++ b/dandeliongw/peers.py
@@ -1,53 +1,49 @@
 """Messages between instances: one grpclib stream a direction and peer.
 
-:class:`Peers` belongs to one event loop. ``send`` never blocks and never
-raises: what can't be sent is dropped and counted by reason, because every
-coordination part already bears a lost message, and a sender that waited for
-one silent peer would starve all the others.
+What is small and bears a loss may go as a datagram, which needs no
+connection. :class:`Peers` belongs to one event loop. ``send`` never blocks
+and never raises: what can't be sent is dropped and counted by reason, because
+every coordination part already bears a lost message, and a sender that waited
+for one silent peer would starve all the others.
 """
 
 import asyncio
-import collections
 from collections import abc
 import contextlib
-import dataclasses
-import enum
 import errno
-import random
 import typing
 
-import grpclib
-import grpclib.client
-import grpclib.const
 import grpclib.exceptions
 import grpclib.server
 
 from . import codec as codec_module
+from . import datagrams
+from ._link import Counters
+from ._link import FaultReason
+from ._link import Limits
+from ._link import Link
+from ._link import MAX_ENVELOPE_BYTES
+from ._link import PING_ANSWER_S
+from ._link import pinging
+from ._link import RECEIVER_PING_S
 from .envelopes import DropReason
 from .envelopes import Opener
 from .envelopes import Sealer
 from .protocol import envelope_grpc
 from .protocol import envelope_pb2
 
-#: Bytes of one serialized envelope; a configuration document fits.
-MAX_ENVELOPE_BYTES = 1024 * 1024
-#: Messages that wait for one peer.
-MAX_QUEUED = 1_000
-#: Bytes that wait for one peer.
-MAX_QUEUED_BYTES = 4 * 1024 * 1024
-#: Seconds after which a waiting message is of no use to its part.
-MAX_AGE_S = 5.0
-#: Seconds without a message after which a connection is closed.
-IDLE_S = 600.0
-#: Seconds a connect or one write may take before the connection is broken.
-PROGRESS_S = 5.0
-#: Seconds before the first and before every later new try.
-MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 5.0
-#: Seconds that a stop waits for what is queued, such as a leave message.
-FLUSH_S = 1.0
-
-
+__all__ = [
+    'AddressInUse',
+    'Counters',
+    'FaultReason',
+    'Limits',
+    'MAX_ENVELOPE_BYTES',
+    'Peers',
+]
+
+#: Ports that are tried until one is free for streams and for datagrams, when
+#: the system chooses.
+_PORT_TRIES = 20
 #: What grpclib raises when the other end or the connection goes away; the
 #: assertion is its answer to a message that was cut off in the middle.
 _BROKEN = (
@@ -57,15 +53,6 @@
 )
 
 
-class FaultReason(enum.StrEnum):
-    """Why a connection to a peer ended badly (a counter label)."""
-
-    CONNECT_FAILED = 'connect_failed'
-    STREAM_BROKEN = 'stream_broken'
-    NO_PROGRESS = 'no_progress'
-    RECONNECT_ASKED = 'reconnect_asked'
-
-
 class AddressInUse(Exception):
     """Another process listens where this instance should.
 
@@ -82,45 +69,6 @@
         self.port = port
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Queued:
-    kind: str
-    body: bytes
-    expires_at: float
-
-
-class Counters:
-    """What was sent, received, dropped and broken, for the metrics."""
-
-    def __init__(self) -> None:
-        self.sent = 0
-        self.received = 0
-        self.sent_bytes = 0
-        self.received_bytes = 0
-        self.connects = 0
-        self.drops_by_reason: collections.Counter[DropReason] = (
-            collections.Counter()
-        )
-        self.faults_by_reason: collections.Counter[FaultReason] = (
-            collections.Counter()
-        )
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Limits:
-    """Bounds of the connections; the defaults are the constants above."""
-
-    max_envelope_bytes: int = MAX_ENVELOPE_BYTES
-    max_queued: int = MAX_QUEUED
-    max_queued_bytes: int = MAX_QUEUED_BYTES
-    max_age_s: float = MAX_AGE_S
-    idle_s: float = IDLE_S
-    progress_s: float = PROGRESS_S
-    min_backoff_s: float = MIN_BACKOFF_S
-    max_backoff_s: float = MAX_BACKOFF_S
-    flush_s: float = FLUSH_S
-
-
 class Peers(envelope_grpc.PeerBase):
     """Sends and receives the messages of one instance.
 
@@ -163,7 +111,19 @@
         self._codec = codec
         self._on_message = on_message
         self._on_fault = on_fault
-        self._links_by_id: dict[str, _Link] = {}
+        self._links_by_id: dict[str, Link] = {}
+        self._datagrams = datagrams.Datagrams(
+            sealer=Sealer(
+                sender=instance_id,
+                incarnation=incarnation,
+                secret=datagrams.derive_secret(secret),
+            ),
+            opener=Opener(
+                recipient=instance_id, secret=datagrams.derive_secret(secret)
+            ),
+            on_envelope=self._receive_datagram,
+            on_drop=self.drop,
+        )
         self._server: grpclib.server.Server | None = None
         self._takings_by_exchange: dict[asyncio.Task, asyncio.Future] = {}
         self._stopping = False
@@ -173,20 +133,39 @@
 
         :raises AddressInUse: when another process holds the address.
         """
-        self._server = grpclib.server.Server([self])
+        tries = 1 if self.port else _PORT_TRIES
+        for left in reversed(range(tries)):
+            try:
+                await self._listen()
+                return
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                if not left:
+                    raise AddressInUse(
+                        host=self.host, port=self.port
+                    ) from error
+
+    async def _listen(self) -> None:
+        """Take one port for streams and for datagrams, or neither."""
+        server = grpclib.server.Server(
+            [self], config=pinging(RECEIVER_PING_S, PING_ANSWER_S)
+        )
+        await server.start(self.host, self.port)
+        port = server._server.sockets[0].getsockname()[1]
         try:
-            await self._server.start(self.host, self.port)
-        except OSError as error:
-            self._server = None
-            if error.errno == errno.EADDRINUSE:
-                raise AddressInUse(host=self.host, port=self.port) from error
+            await self._datagrams.start(self.host, port)
+        except OSError:
+            server.close()
+            await server.wait_closed()
             raise
-        listener = self._server._server
-        self.port = listener.sockets[0].getsockname()[1]
+        self._server = server
+        self.port = port
 
     async def stop(self) -> None:
         """Send what is queued, within ``flush_s``, and close everything."""
         self._stopping = True
+        self._datagrams.stop()
         links = list(self._links_by_id.values())
         await asyncio.gather(*(link.close() for link in links))
         self._links_by_id.clear()
@@ -204,8 +183,14 @@
         server.close()
         await server.wait_closed()
 
-    def send(self, to: str, message: typing.Any) -> None:
-        """Queue a message; it may be lost, and then it is counted."""
+    def send(
+        self, to: str, message: typing.Any, *, by_datagram: bool = False
+    ) -> None:
+        """Queue a message; it may be lost, and then it is counted.
+
+        :param by_datagram: send it at once and without a connection, if it
+            is small enough. Then a loss is not noticed.
+        """
         if self._stopping:
             self.drop(DropReason.STOPPED)
             return
@@ -224,8 +209,16 @@
             return
         if self._too_large(to, kind, len(body)):
             return
+        if by_datagram and self._sent_as_datagram(to, kind, body):
+            return
         self._link(to).put(kind, body)
 
+    def _sent_as_datagram(self, to: str, kind: str, body: bytes) -> bool:
+        size = self._datagrams.send(to, self.addresses_by_id[to], kind, body)
+        self.counters.sent += bool(size)
+        self.counters.sent_bytes += size
+        return bool(size)
+
     def reconnect(self, to: str) -> None:
         """Throw the connection to a peer away and use a new one.
 
@@ -286,9 +279,9 @@
         with contextlib.suppress(Exception):
             self._on_fault(peer, sentence)
 
-    def _link(self, to: str) -> '_Link':
+    def _link(self, to: str) -> Link:
         if to not in self._links_by_id:
-            self._links_by_id[to] = _Link(peers=self, to=to)
+            self._links_by_id[to] = Link(peers=self, to=to)
         return self._links_by_id[to]
 
     def _too_large(self, peer: str, kind: str, size: int) -> bool:
@@ -309,6 +302,16 @@
         if reason is not None:
             self.drop(reason)
             return
+        self._open(envelope)
+
+    def _receive_datagram(
+        self, envelope: envelope_pb2.Envelope, size: int
+    ) -> None:
+        self.counters.received_bytes += size
+        self._open(envelope)
+
+    def _open(self, envelope: envelope_pb2.Envelope) -> None:
+        """Deliver what is in an envelope whose proof was checked."""
         sender, kind = envelope.sender, envelope.kind
         if self._too_large(sender, kind, len(envelope.body)):
             return
@@ -329,183 +332,3 @@
             self.drop(DropReason.HANDLER_FAILED)
             kind = type(message).__name__
             self.tell(sender, f'{kind} failed in its handler: {error!r}')
-
-
-class _Link:
-    """The queue and the connection towards one peer."""
-
-    def __init__(self, *, peers: Peers, to: str) -> None:
-        self._peers = peers
-        self._to = to
-        self._queue: collections.deque[_Queued] = collections.deque()
-        self._queued_bytes = 0
-        self._wake = asyncio.Event()
-        self._drained = asyncio.Event()
-        self._reconnect = asyncio.Event()
-        self._failures = 0
-        self._task = asyncio.get_running_loop().create_task(self._run())
-
-    def put(self, kind: str, body: bytes) -> None:
-        """Queue a message or drop it."""
-        limits = self._peers.limits
-        full = (
-            len(self._queue) >= limits.max_queued
-            or self._queued_bytes + len(body) > limits.max_queued_bytes
-        )
-        if full:
-            self._peers.drop(DropReason.QUEUE_FULL)
-            return
-        expires_at = asyncio.get_running_loop().time() + limits.max_age_s
-        queued = _Queued(kind=kind, body=body, expires_at=expires_at)
-        self._queue.append(queued)
-        self._queued_bytes += len(body)
-        self._drained.clear()
-        self._wake.set()
-
-    def reconnect(self) -> None:
-        """Break the connection or the wait before the next one."""
-        self._reconnect.set()
-
-    async def close(self) -> None:
-        """Send what is queued, within ``flush_s``, and close."""
-        if self._queue:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._peers.limits.flush_s):
-                    await self._drained.wait()
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
-        for _ in self._queue:
-            self._peers.drop(DropReason.STOPPED)
-
-    async def _run(self) -> None:
-        while True:
-            await self._wake.wait()
-            self._reconnect.clear()
-            fault = await self._carry_until_reconnect()
-            if fault is None:
-                continue
-            self._peers.counters.faults_by_reason[fault] += 1
-            self._peers.tell(self._to, f'connection ended: {fault.value}')
-            if fault is not FaultReason.RECONNECT_ASKED:
-                await self._back_off()
-
-    async def _carry_until_reconnect(self) -> FaultReason | None:
-        carry = asyncio.ensure_future(self._carry())
-        asked = asyncio.ensure_future(self._reconnect.wait())
-        try:
-            await asyncio.wait(
-                {carry, asked}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if carry.done():
-                return carry.result()
-            return FaultReason.RECONNECT_ASKED
-        finally:
-            asked.cancel()
-            carry.cancel()
-            await asyncio.gather(carry, asked, return_exceptions=True)
-
-    async def _carry(self) -> FaultReason | None:
-        """Connect and send; return why it ended, ``None`` when idle."""
-        progress_s = self._peers.limits.progress_s
-        address = self._peers.addresses_by_id.get(self._to)
-        if address is None:
-            return FaultReason.CONNECT_FAILED
-        channel = grpclib.client.Channel(*address)
-        connected = False
-        try:
-            exchange = envelope_grpc.PeerStub(channel).Exchange
-            async with exchange.open() as stream:
-                async with asyncio.timeout(progress_s):
-                    await stream.send_request()
-                    await stream.recv_initial_metadata()
-                connected = True
-                self._failures = 0
-                self._peers.counters.connects += 1
-                return await self._send_queued(stream)
-        except Exception as error:
-            # Any, for a link that ended by an error nobody foresaw would be
-            # silent for good; one would see only messages that expire.
-            self._peers.tell(self._to, f'connection failed: {error!r}')
-            if not connected:
-                return FaultReason.CONNECT_FAILED
-            if isinstance(error, TimeoutError):
-                return FaultReason.NO_PROGRESS
-            return FaultReason.STREAM_BROKEN
-        finally:
-            channel.close()
-
-    async def _send_queued(
-        self, stream: grpclib.client.Stream
-    ) -> FaultReason | None:
-        # Without this watch a broken stream would be noticed only by the
-        # next message, which would be lost with it.
-        ended = asyncio.ensure_future(stream.recv_message())
-        try:
-            while True:
-                if not await self._wait_for_queued(ended):
-                    break
-                await self._send_first(stream)
-            if ended.done():
-                return FaultReason.STREAM_BROKEN
-            if self._reconnect.is_set():
-                return FaultReason.RECONNECT_ASKED
-            async with asyncio.timeout(self._peers.limits.progress_s):
-                await stream.end()
-                await ended
-            return None
-        finally:
-            ended.cancel()
-            await asyncio.gather(ended, return_exceptions=True)
-
-    async def _wait_for_queued(self, ended: asyncio.Future) -> bool:
-        """Return whether there is a message and a stream to send it."""
-        if ended.done() or self._reconnect.is_set():
-            # What is sent after a reconnect was asked for must not go into
-            # the old connection, which may be silent.
-            return False
-        if self._queue:
-            return True
-        self._drained.set()
-        self._wake.clear()
-        woken = asyncio.ensure_future(self._wake.wait())
-        try:
-            await asyncio.wait(
-                {woken, ended},
-                timeout=self._peers.limits.idle_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            return woken.done() and not ended.done()
-        finally:
-            woken.cancel()
-
-    async def _send_first(self, stream: grpclib.client.Stream) -> None:
-        queued = self._queue.popleft()
-        self._queued_bytes -= len(queued.body)
-        if asyncio.get_running_loop().time() > queued.expires_at:
-            self._peers.drop(DropReason.EXPIRED)
-            return
-        envelope = self._peers.sealer.seal(self._to, queued.kind, queued.body)
-        try:
-            async with asyncio.timeout(self._peers.limits.progress_s):
-                await stream.send_message(envelope)
-        except BaseException:
-            self._peers.drop(DropReason.CONNECTION_LOST)
-            raise
-        self._peers.counters.sent += 1
-        self._peers.counters.sent_bytes += envelope.ByteSize()
-
-    async def _back_off(self) -> None:
-        """Wait before the next try; a reconnect ends the wait.
-
-        Without jitter, all instances would connect to a restarted one at
-        the same moments, again and again.
-        """
-        limits = self._peers.limits
-        longest = min(
-            limits.max_backoff_s, limits.min_backoff_s * 2**self._failures
-        )
-        self._failures = min(self._failures + 1, 16)
-        delay = random.uniform(longest / 2, longest)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(delay):
-                await self._reconnect.wait()
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -69,7 +69,9 @@
 
     async def stop(self) -> None: ...
 
-    def send(self, to: str, message: typing.Any) -> None: ...
+    def send(
+        self, to: str, message: typing.Any, *, by_datagram: bool = False
+    ) -> None: ...
 
     def reconnect(self, to: str) -> None: ...
 
@@ -252,7 +254,9 @@
 
     def _send(self, effect: parts.Send) -> None:
         if self._wire is not None:
-            self._wire.send(effect.to, effect.message)
+            self._wire.send(
+                effect.to, effect.message, by_datagram=effect.by_datagram
+            )
 
     def _reconnect(self, effect: membership.Reconnect) -> None:
         if self._wire is not None:
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -33,6 +33,8 @@
     cut: set[Way] = dataclasses.field(default_factory=set)
     #: Bytes that were swallowed; a test waits on it, see :meth:`Relay.until`.
     swallowed: int = 0
+    #: Bytes that were passed on.
+    passed: int = 0
 
 
 class Relay:
@@ -108,6 +110,7 @@
             if way in connection.cut:
                 connection.swallowed += len(data)
             else:
+                connection.passed += len(data)
                 writer.write(data)
             async with self._changed:
                 self._changed.notify_all()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -214,6 +214,57 @@
     return lambda sender, to, message: (sender in ids) != (to in ids)
 
 
+class DatagramTest(unittest.TestCase):
+    """Which messages may be lost without a word."""
+
+    def sends(self, member: membership.Membership, event) -> dict[type, bool]:
+        return {
+            type(effect.message): effect.by_datagram
+            for effect in member.handle(event)
+            if isinstance(effect, parts.Send)
+        }
+
+    def test_a_second_try_needs_no_datagrams(self):
+        """Symptom: all members suspect each other at a new site.
+
+        Sequence: what stands between them passes no datagrams.
+        Cause: neither the second try nor its answer goes another way.
+        """
+        lan = joined()
+        lan.lost = cut(('gw-1', 'gw-2'))
+        one, two = lan.members['gw-1'], lan.members['gw-2']
+        tries: list[parts.Send] = []
+        while len(tries) < 2:
+            lan.now += TICK_S
+            event = parts.Ticked(now=lan.now, entropy=7)
+            tries += [
+                effect
+                for effect in one.handle(event)
+                if isinstance(effect, parts.Send)
+                and effect.to == 'gw-2'
+                and isinstance(effect.message, membership.Probe)
+            ]
+        self.assertEqual([True, False], [each.by_datagram for each in tries])
+        for each in tries:
+            probe = parts.Received(
+                now=lan.now, sender='gw-1', message=each.message
+            )
+            answer = self.sends(two, probe)[membership.ProbeAck]
+            self.assertEqual(each.by_datagram, answer)
+
+    def test_comparisons_go_over_streams(self):
+        """They are large, and nobody asks for a lost part again."""
+        lan = joined()
+        two = lan.members['gw-2']
+        hashes = membership.ViewHashes(
+            own=make_news('ALIVE', 1, 0),
+            hashes=(1,) * len(two._beliefs.roster.hashes),
+            full=True,
+        )
+        event = parts.Received(now=lan.now, sender='gw-1', message=hashes)
+        self.assertFalse(self.sends(two, event)[membership.ViewPart])
+
+
 class LinkFaultTest(unittest.TestCase):
     """Symptom: a healthy member is declared dead, again and again.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,12 +4,14 @@
 from collections import abc
 import contextlib
 import dataclasses
+import socket
 import typing
 import unittest
 
 from nose2.tools import params
 
 from dandeliongw import codec
+from dandeliongw import datagrams
 from dandeliongw import envelopes
 from dandeliongw import peers
 from dandeliongw.protocol import envelope_pb2
@@ -181,6 +183,71 @@
             self.assertEqual({}, dict(one.peers.counters.faults_by_reason))
 
 
+class DatagramTest(unittest.IsolatedAsyncioTestCase):
+    """Symptom: each of 200 instances holds connections to all others.
+
+    Sequence: each probes the others in turn, once a second.
+    Cause: the first message to a peer opens a connection, which stays.
+    """
+
+    async def test_a_datagram_opens_no_connection(self):
+        async with running_pair() as (one, two):
+            one.peers.send('gw-2', Received(count=1), by_datagram=True)
+            self.assertEqual(('gw-1', 1), await two.next())
+            self.assertEqual(0, one.peers.counters.connects)
+            self.assertEqual(1, one.peers.counters.sent)
+            self.assertEqual(
+                one.peers.counters.sent_bytes,
+                two.peers.counters.received_bytes,
+            )
+
+    async def test_datagrams_and_streams_do_not_outrun_each_other(self):
+        """Symptom: messages are dropped as replayed.
+
+        Sequence: one that was sent later, as a datagram, comes first.
+        Cause: one counter for both.
+        """
+        async with running_pair() as (one, two):
+            one.peers.send('gw-2', Received(count=1))
+            one.peers.send('gw-2', Received(count=2), by_datagram=True)
+            got = {await two.next(), await two.next()}
+            self.assertEqual({('gw-1', 1), ('gw-1', 2)}, got)
+
+    async def test_what_is_large_goes_over_a_stream(self):
+        async with running_pair() as (one, two):
+            large = Envelope(body=bytes(datagrams.MAX_BYTES))
+            one.peers.send('gw-2', large, by_datagram=True)
+            one.peers.send('gw-2', Received(count=1))
+            self.assertEqual(('gw-1', 1), await two.next())
+            self.assertEqual(2, two.peers.counters.received)
+            self.assertEqual(1, one.peers.counters.connects)
+
+    async def test_a_name_is_not_looked_up_on_the_loop(self):
+        """Symptom: an instance stands still while a name server is slow.
+
+        Sequence: a member is probed whose address is a name.
+        Cause: a datagram to a name is looked up by who sends it.
+        """
+        async with running_pair() as (one, two):
+            port = one.peers.addresses_by_id['gw-2'][1]
+            one.peers.set_address('gw-2', ('localhost', port))
+            one.peers.send('gw-2', Received(count=1), by_datagram=True)
+            self.assertEqual(('gw-1', 1), await two.next())
+            self.assertEqual(1, one.peers.counters.connects)
+
+    async def test_strangers_are_not_heard(self):
+        async with running_pair() as (one, two):
+            address = one.peers.addresses_by_id['gw-2']
+            stream_envelope = seal().SerializeToString()
+            with socket.socket(type=socket.SOCK_DGRAM) as stranger:
+                for sent in (b'\xff', stream_envelope):
+                    stranger.sendto(sent, address)
+            one.peers.send('gw-2', Received(count=1), by_datagram=True)
+            self.assertEqual(('gw-1', 1), await two.next())
+            self.assertEqual(1, two.drops(envelopes.DropReason.NOT_DECODED))
+            self.assertEqual(1, two.drops(envelopes.DropReason.BAD_PROOF))
+
+
 class RefusalTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_port_in_use_names_host_and_port(self):
         async with running_pair() as (one, _):
@@ -266,7 +333,9 @@
 
 
 @contextlib.asynccontextmanager
-async def relayed() -> abc.AsyncIterator[tuple[Node, Node, relay.Relay]]:
+async def relayed(
+    limits: peers.Limits = peers.Limits(),
+) -> abc.AsyncIterator[tuple[Node, Node, relay.Relay]]:
     """Two ends; gw-1 reaches gw-2 through the relay."""
     two = {'instance_id': 'gw-2', 'addresses_by_id': {}}
     async with running(**two) as far:
@@ -274,7 +343,7 @@
         async with between.running():
             addresses = {'gw-2': ('127.0.0.1', between.port)}
             one = {'instance_id': 'gw-1', 'addresses_by_id': addresses}
-            async with running(**one) as near:
+            async with running(**one, limits=limits) as near:
                 near.peers.send('gw-2', Received(count=0))
                 await far.next()
                 yield near, far, between
@@ -323,6 +392,31 @@
             self.assertTrue(two.inbox.empty())
             self.assertEqual({}, dict(one.peers.counters.faults_by_reason))
 
+    async def test_pings_find_a_silent_connection(self):
+        """Symptom: bookings of one entry go unanswered for minutes.
+
+        Sequence: its connection to the owner goes silent; members are well,
+        as they are probed in other ways.
+        Cause: nobody asks the connection itself.
+        """
+        limits = peers.Limits(ping_s=0.05, ping_answer_s=0.05)
+        async with relayed(limits=limits) as (one, two, between):
+            between.blackhole()
+            await one.fault('stream_broken')
+            one.peers.send('gw-2', Received(count=1))
+            self.assertEqual(('gw-1', 1), await two.next())
+
+    async def test_a_connection_that_answers_pings_stays(self):
+        limits = peers.Limits(ping_s=0.01, ping_answer_s=LIMIT_S)
+        async with relayed(limits=limits) as (one, two, between):
+            passed = between.connections[0].passed
+            await between.until(
+                lambda: between.connections[0].passed > passed + 200
+            )
+            one.peers.send('gw-2', Received(count=1))
+            await two.next()
+            self.assertEqual(1, one.peers.counters.connects)
+
     async def test_a_peer_that_accepts_and_says_nothing_is_a_fault(self):
         """A frozen process accepts connections: its kernel does it.
 
