A peer that is heard is reached at once; connects end after two seconds

All voters had lost power; in a play with logs they spoke 5.4 s after the loss and entries had the version 0.4 to 1.3 s after them. Pauses between tries grow to 5 s, and a connect to a host without power hangs for as long. Ruled out: a lost change; the register held it when it was back.

--- a/dandeliongw/_link.py
+++ b/dandeliongw/_link.py
@@ -35,8 +35,11 @@
 #: Seconds between two pings of a connection by the end that receives. It only
 #: finds connections whose other end is gone without a word, and frees them.
 RECEIVER_PING_S = 30.0
-#: Seconds a connect or one write may take before the connection is broken.
+#: Seconds that one write may take before the connection is broken.
 PROGRESS_S = 5.0
+#: Seconds that a connect may take. A host without power does not refuse it;
+#: the try would outlast the host's return. Ten round trips between regions.
+CONNECT_S = 2.0
 #: Seconds before the first and before every later new try.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 5.0
@@ -89,6 +92,7 @@
     ping_s: float = PING_S
     ping_answer_s: float = PING_ANSWER_S
     progress_s: float = PROGRESS_S
+    connect_s: float = CONNECT_S
     min_backoff_s: float = MIN_BACKOFF_S
     max_backoff_s: float = MAX_BACKOFF_S
     flush_s: float = FLUSH_S
@@ -140,6 +144,7 @@
         self._drained = asyncio.Event()
         self._reconnect = asyncio.Event()
         self._failures = 0
+        self._is_backing_off = False
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def put(self, kind: str, body: bytes) -> None:
@@ -163,6 +168,17 @@
         """Break the connection or the wait before the next one."""
         self._reconnect.set()
 
+    def hurry(self) -> None:
+        """End the wait before the next try: the peer was heard.
+
+        After an outage of all voters each entry would wait for up to five
+        seconds more, though they are back and answer others; one would see
+        an old configuration at single entries.
+        """
+        if self._is_backing_off:
+            self._failures = 0
+            self._reconnect.set()
+
     async def close(self) -> None:
         """Send what is queued, within ``flush_s``, and close."""
         if self._queue:
@@ -203,7 +219,6 @@
 
     async def _carry(self) -> FaultReason | None:
         """Connect and send; return why it ended, ``None`` when idle."""
-        progress_s = self._peers.limits.progress_s
         address = self._peers.addresses_by_id.get(self._to)
         if address is None:
             return FaultReason.CONNECT_FAILED
@@ -215,7 +230,7 @@
         try:
             exchange = envelope_grpc.PeerStub(channel).Exchange
             async with exchange.open() as stream:
-                async with asyncio.timeout(progress_s):
+                async with asyncio.timeout(limits.connect_s):
                     await stream.send_request()
                     await stream.recv_initial_metadata()
                 connected = True
@@ -306,6 +321,8 @@
         )
         self._failures = min(self._failures + 1, 16)
         delay = random.uniform(longest / 2, longest)
+        self._is_backing_off = True
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(delay):
                 await self._reconnect.wait()
+        self._is_backing_off = False
--- a/dandeliongw/peers.py
+++ b/dandeliongw/peers.py
@@ -313,6 +313,9 @@
     def _open(self, envelope: envelope_pb2.Envelope) -> None:
         """Deliver what is in an envelope whose proof was checked."""
         sender, kind = envelope.sender, envelope.kind
+        link = self._links_by_id.get(sender)
+        if link is not None:
+            link.hurry()
         if self._too_large(sender, kind, len(envelope.body)):
             return
         try:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -147,6 +147,33 @@
                 a.peers.send('gw-2', Received(count=2))
                 self.assertEqual(('gw-1', 2), await two.next())
 
+    async def test_a_peer_that_is_heard_again_is_reached_at_once(self):
+        """Symptom: after a loss of all voters, single entries keep an old
+        configuration for seconds longer than the others.
+
+        Sequence: the voters are away, tries to connect fail, the pause
+        between them grows; a voter is back and speaks.
+        Cause: the pause goes on, whatever is heard.
+        """
+        limits = peers.Limits(
+            min_backoff_s=100 * LIMIT_S,
+            max_backoff_s=100 * LIMIT_S,
+            max_age_s=100 * LIMIT_S,
+        )
+        addresses: dict[str, tuple[str, int]] = {}
+        near = {'instance_id': 'gw-1', 'addresses_by_id': addresses}
+        far = {'instance_id': 'gw-2', 'addresses_by_id': addresses}
+        async with running(**near, limits=limits) as one:
+            async with running(**far):
+                pass
+            one.peers.send('gw-2', Received(count=1))
+            await one.fault('ended: connect_failed')
+            port = addresses['gw-2'][1]
+            async with running(**far, port=port, incarnation=2) as two:
+                two.peers.send('gw-1', Received(count=2), by_datagram=True)
+                self.assertEqual(('gw-2', 2), await one.next())
+                self.assertEqual(('gw-1', 1), await two.next())
+
     async def test_a_wrong_address_does_not_end_the_tries(self):
         """Symptom: a peer stays unreached after its address was mended.
 
@@ -426,7 +453,7 @@
         """
         async with relayed() as (one, _, between):
             between.cut_all(relay.Way.BACK)
-            one.peers.limits = peers.Limits(progress_s=0.05)
+            one.peers.limits = peers.Limits(connect_s=0.05)
             one.peers.reconnect('gw-2')
             await one.fault('reconnect_asked')
             one.peers.send('gw-2', Received(count=1))
