Entries learn a confirmed configuration from each other while no voter answers

Ruled out: the pauses between connects (shorter, the same requests fail); a lost write. Hints at a change go as datagrams: with 200 instances a voter opened a connection to each.

--- a/dandeliongw/coordination/hints.py
+++ b/dandeliongw/coordination/hints.py
@@ -43,7 +43,9 @@
         self._next_at = now + HINT_EVERY_S
         message = messages.ConfigurationHint(revision=self._revision)
         return [
-            parts.Send(to=instance_id, message=message)
+            # To all there are, and told again: a connection to each would be
+            # the larger cost.
+            parts.Send(to=instance_id, message=message, by_datagram=True)
             for instance_id, state in in_force(self._revision, now).items()
             if state is enforcement.Enforcement.WAITING
             and instance_id != self._instance_id
@@ -58,4 +60,7 @@
         message = messages.RevisionConfirmed(revision=revision)
         hinters = sorted(self._hinters)
         self._hinters.clear()
-        return [parts.Send(to=to, message=message) for to in hinters]
+        return [
+            parts.Send(to=to, message=message, by_datagram=True)
+            for to in hinters
+        ]
--- a/dandeliongw/coordination/knowledge.py
+++ b/dandeliongw/coordination/knowledge.py
@@ -79,6 +79,23 @@
         self.confirmed_at = max(at, self.confirmed_at or at)
         return True
 
+    def adopt(self, update: configurations.VersionUpdate) -> bool:
+        """Take a version that another instance has confirmed.
+
+        When it was the latest is not known; so ``confirmed_at`` stays.
+
+        :returns: whether it is later than the one confirmed here.
+        """
+        held = self.confirmed
+        if held is not None and update.ballot <= held.ballot:
+            return False
+        version = configurations.resolve(update, self.known.current)
+        if version is None:
+            return False
+        self.learn(update)
+        self.confirmed = version
+        return True
+
     def update_to_confirmed(
         self, base: ballots.Ballot | None
     ) -> configurations.VersionUpdate:
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -19,6 +19,7 @@
 from . import formation as formations
 from . import hints as hinting
 from . import knowledge as knowledges
+from . import learners as learning
 from . import parts
 from . import proposer as proposers
 from . import register_messages as messages
@@ -236,6 +237,9 @@
             instance_id=instance_id, ttl_s=confirm_ttl_s
         )
         self._tracker = enforcement.EnforcementTracker(ttl_s=confirm_ttl_s)
+        self._learners = learning.Learners(
+            instance_id=instance_id, ttl_s=confirm_ttl_s
+        )
         self._hints = hinting.Hints(
             instance_id=instance_id, ttl_s=confirm_ttl_s
         )
@@ -265,6 +269,8 @@
             messages.ConfirmConfiguration: self._on_confirm,
             messages.ConfigurationConfirmed: self._on_confirmed,
             messages.ConfirmRefused: self._on_confirm_refused,
+            messages.LearnerQuery: self._on_learner_query,
+            messages.LearnerReport: self._on_learner_report,
             messages.ConfigurationHint: self._on_hint,
             messages.RevisionConfirmed: self._on_revision_confirmed,
             messages.DiskQuery: self._on_disk_query,
@@ -390,6 +396,9 @@
             *self._proposer.tick(event.now),
             *self._checker.tick(event.now),
             *self._tick_asker(event.now),
+            *self._learners.tick(
+                event.now, self._instance_ids, self._knowledge.known.ballot
+            ),
             *self._hints.tick(event.now, self.in_force),
         ]
 
@@ -748,7 +757,14 @@
         before = self.configuration
         if not self._knowledge.confirm(version, at):
             return []
-        after = version.configuration
+        self._learners.heard(now)
+        return self._put_in_force(before, now)
+
+    def _put_in_force(
+        self, before: configurations.Configuration | None, now: float
+    ) -> list[typing.Any]:
+        """Tell what has changed with the version confirmed now."""
+        after = self._knowledge.confirmed.configuration
         self._tracker.note_chosen(after.revision, now)
         effects: list[typing.Any] = []
         if before is None or before.revision != after.revision:
@@ -766,6 +782,32 @@
             effects.append(changed_voters)
         return effects
 
+    # Other instances, while no voter answers.
+
+    def _on_learner_query(
+        self, event: parts.Received, message: messages.LearnerQuery
+    ) -> list[typing.Any]:
+        confirmed = self._knowledge.confirmed
+        if confirmed is None:
+            return []
+        if message.base is not None and message.base >= confirmed.ballot:
+            return []
+        report = messages.LearnerReport(
+            update=self._knowledge.update_to_confirmed(message.base)
+        )
+        return [parts.Send(to=event.sender, message=report)]
+
+    def _on_learner_report(
+        self, event: parts.Received, message: messages.LearnerReport
+    ) -> list[typing.Any]:
+        before = self.configuration
+        if not self._knowledge.adopt(message.update):
+            return []
+        return [
+            *self._put_in_force(before, event.now),
+            *self._proposer.on_version_known(event.now),
+        ]
+
     # Hints.
 
     def _on_hint(
--- a/dandeliongw/coordination/register_messages.py
+++ b/dandeliongw/coordination/register_messages.py
@@ -140,6 +140,23 @@
     voter_ids: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LearnerQuery:
+    """Asks anybody for a later confirmed version, as no voter answers.
+
+    :param base: the version that the sender holds.
+    """
+
+    base: ballots.Ballot | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LearnerReport:
+    """A version that was confirmed; maybe not the latest one any more."""
+
+    update: configurations.VersionUpdate
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigurationHint:
     """A later revision was accepted; worth asking now. Proves nothing."""
@@ -203,6 +220,8 @@
     ConfirmConfiguration,
     ConfigurationConfirmed,
     ConfirmRefused,
+    LearnerQuery,
+    LearnerReport,
     ConfigurationHint,
     RevisionConfirmed,
     DiskQuery,
