--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -132,6 +132,24 @@
     draining: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MembersBelieved(Decision):
+    """The same of many in a short time, beside those with their own lines.
+
+    :param peers: some of them by name.
+    :param not_named: how many more there are.
+    :param alive: how many of all are believed so now; as the others.
+    """
+
+    message: typing.ClassVar[str] = 'many members believed'
+    peers: str
+    not_named: int
+    alive: int
+    suspect: int
+    dead: int
+    left: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class BackendDistrusted(Decision):
     """A backend server gets no new work for a while.
--- a/dandeliongw/explain.py
+++ b/dandeliongw/explain.py
@@ -12,6 +12,7 @@
 #: What says what an instance believed, whatever request it served.
 BELIEFS = (
     'member believed',
+    'many members believed',
     'backend server is present',
     'backend server is gone',
     'backend server distrusted',
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -11,7 +11,6 @@
 import math
 import typing
 
-from . import decisions
 from . import directory as directory_module
 from . import document as document_module
 from . import effects
@@ -21,6 +20,7 @@
 from . import repair
 from . import settings as settings_module
 from . import shutdown
+from . import sightings
 from .cell import cells
 from .cell import orders
 from .cell import owner as owner_module
@@ -181,10 +181,7 @@
             _Paced(handle=self.presence.handle, every_s=TICK_S),
         )
         self._review_at = 0.0
-        #: What was believed of each member when that was last logged.
-        self._states_by_member: dict[
-            str, tuple[membership.MemberState, int, bool]
-        ] = {}
+        self._sightings = sightings.Sightings()
         self._instance_ids: tuple[str, ...] = ()
         #: Those and the suspected ones, who may still act.
         self._present_ids: tuple[str, ...] = ()
@@ -588,9 +585,9 @@
         self._review_at = now
         self.directory.forget_ranks()
         if isinstance(effect, membership.MemberForgotten):
-            self._states_by_member.pop(effect.instance_id, None)
+            self._sightings.forget(effect.instance_id)
             return [effects.PeerForgotten(instance_id=effect.instance_id)]
-        told = self._tell_member(effect.member)
+        told = self._sightings.note(now, effect.member)
         info = effect.member.info
         if not info.host or effect.member.instance_id == (
             self.settings.instance_id
@@ -605,23 +602,6 @@
             ),
         ]
 
-    def _tell_member(self, member: membership.Member) -> list[typing.Any]:
-        """Log a belief that is another one than before."""
-        state = (member.state, member.incarnation, member.draining)
-        was = self._states_by_member.get(member.instance_id)
-        if state == was:
-            return []
-        self._states_by_member[member.instance_id] = state
-        return [
-            decisions.MemberBelieved(
-                peer=member.instance_id,
-                state=member.state.name.lower(),
-                was=was[0].name.lower() if was else 'unknown',
-                incarnation=member.incarnation,
-                draining=member.draining,
-            ).log()
-        ]
-
     # Time
 
     def _tick(self, event: parts.Ticked) -> list[typing.Any]:
@@ -643,6 +623,7 @@
             *self.succession.review(now),
             *self.repair.review(now, self._entropy),
             *self.fronts.review(now),
+            *self._sightings.tick(now),
         ]
 
     def _observe(self, now: float) -> effects.Observed:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,5 +1,6 @@
 """From a request's id to its cause, with nothing but logs."""
 
+import contextlib
 import itertools
 import json
 import pathlib
@@ -66,6 +67,22 @@
         self.assertIn('/nowhere/log', caught.exception.message)
 
 
+@contextlib.contextmanager
+def shown_if_failed(found, files):
+    """Show a call's lines and the whole logs when a check of it fails.
+
+    Which line was the wrong one can't be told from the failure alone, and
+    the logs are gone with the test's folder.
+    """
+    try:
+        yield
+    except Exception:
+        print('the lines of the call:', json.dumps(found, indent=1))
+        for path in files:
+            print(f'all of {path}:', pathlib.Path(path).read_text(), sep='\n')
+        raise
+
+
 class RealLogsTest(unittest.TestCase):
     """Real processes, whose backend servers fail in several ways."""
 
@@ -134,16 +151,21 @@
         self.assertGreaterEqual(len(failed), 3 * 9)
         for error in failed:
             found = explain.explain(error['request_id'], files)
-            self.assertEqual(
-                found['end'], f'call refused: {error["reason"]}', error
-            )
-            told, *after = itertools.dropwhile(
-                lambda line: line['message'] not in explain.ENDS,
-                found['lines'],
-            )
-            self.assertEqual(told['run'], error['verdict'])
-            self.assertTrue(told['why'])
-            # A dead engine is asked to drop what it held for the call; that
-            # this fails may be known only after the caller was told.
-            for line in after:
-                self.assertIn('a cancel was not confirmed', line['message'])
+            with shown_if_failed(found, files):
+                self.check(error, found)
+
+    def check(self, error, found):
+        """Compare what a caller was told with the lines on its call."""
+        self.assertEqual(
+            found['end'], f'call refused: {error["reason"]}', error
+        )
+        told, *after = itertools.dropwhile(
+            lambda line: line['message'] not in explain.ENDS,
+            found['lines'],
+        )
+        self.assertEqual(told['run'], error['verdict'])
+        self.assertTrue(told['why'])
+        # A dead engine is asked to drop what it held for the call; that
+        # this fails may be known only after the caller was told.
+        for line in after:
+            self.assertIn('a cancel was not confirmed', line['message'])
