The last owner of a cell goes on while no voter is heard

Ruled out: backend servers that are gone (they answered their heartbeats' retries all the while). It needs silence of all voters, a process that did not stand still, and ends with the next lease.

--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -64,6 +64,8 @@
         self._epochs_by_cell: dict[str, int] = {}
         self._loads_told_by_id: dict[str, float] = {}
         self._takeovers_by_cell: dict[str, takeover.Takeover] = {}
+        #: Cells without a lease, see :meth:`keep`.
+        self._kept_cells: set[str] = set()
         self.cells_by_id: dict[str, cells.Cell] = {}
         self.stand_ins = stand_in.StandIns(
             terms_of=lambda cell: self._terms(cell.split('/')[0]),
@@ -80,6 +82,7 @@
         :param instance_ids: all that may hold bookings of it.
         """
         self._epochs_by_cell[cell] = epoch
+        self._kept_cells.discard(cell)
         service = cell.split('/')[0]
         terms = self._terms(service)
         if terms is None:
@@ -115,7 +118,33 @@
         self._epochs_by_cell.pop(cell, None)
         self._drop(cell)
 
+    def keep(self, cell: str) -> bool:
+        """Go on with a cell whose lease ran out while no voter was heard.
+
+        Nobody can get the lease meanwhile. If the cell were dropped, each
+        entry would place into its own part of every backend server: among
+        200 that part is smaller than one request, and among more than 20 the
+        entries aren't told of backend servers at all. One would see "no
+        backend server is ready" from all entries until the voters are back.
+        No orders are given, for that takes a lease.
+
+        :returns: whether there was a cell to keep.
+        """
+        if cell not in self.cells_by_id or cell in self._takeovers_by_cell:
+            return False
+        self._epochs_by_cell.pop(cell, None)
+        self._orders_by_cell.pop(cell, None)
+        self._kept_cells.add(cell)
+        return True
+
+    def yield_to(self, cell: str, epoch: int) -> None:
+        """Drop a kept cell, as it has an owner with a lease again."""
+        held = self.cells_by_id.get(cell)
+        if cell in self._kept_cells and held.epoch < epoch:
+            self._drop(cell)
+
     def _drop(self, cell: str) -> None:
+        self._kept_cells.discard(cell)
         self.cells_by_id.pop(cell, None)
         self._takeovers_by_cell.pop(cell, None)
         self._orders_by_cell.pop(cell, None)
@@ -187,8 +216,8 @@
         next owner has already given away.
         """
         cell = self.cells_by_id.get(cell_id)
-        if cell is None:
-            return None
+        if cell is None or cell_id in self._kept_cells:
+            return cell
         if self._leases.epoch_if_held(cell_id, now) != cell.epoch:
             return None
         return cell
@@ -271,7 +300,7 @@
         self._roles_at = now + ROLES_EVERY_S
         out: list[typing.Any] = []
         for cell_id, cell in self.cells_by_id.items():
-            if not cell.review_roles(now):
+            if cell_id in self._kept_cells or not cell.review_roles(now):
                 continue
             self._tell_orders(now, cell_id)
             out += [
--- a/dandeliongw/coordination/holder.py
+++ b/dandeliongw/coordination/holder.py
@@ -21,6 +21,9 @@
 SHORTEST_RETRY_S = 0.02
 #: Part of the usual patience with a try that was refused by some grantor.
 SHORT_PATIENCE = 1 / 8
+#: Part of a lease's time without a word of any grantor after which they count
+#: as silent; several renewals fall into it.
+UNHEARD_PART = 0.5
 #: The pause doubles with each split ask in a row, up to this many times.
 LONGEST_BACKOFF = 4
 
@@ -178,7 +181,8 @@
         effects: list[typing.Any] = []
         for lease in self._leases_by_name.values():
             if lease.phase is Phase.HELD and now >= lease.valid_until:
-                effects.append(self._lose(lease))
+                is_unheard = self._is_unheard(now, lease)
+                effects.append(self._lose(lease, is_unheard=is_unheard))
                 lease.next_try_at = now + self._backoff_s(lease)
         return effects
 
@@ -378,10 +382,21 @@
         lease.gained_at = now
         return messages.LeaseGained(name=lease.name, epoch=lease.epoch)
 
-    def _lose(self, lease: _Lease) -> messages.LeaseLost:
+    def _lose(
+        self, lease: _Lease, *, is_unheard: bool = False
+    ) -> messages.LeaseLost:
         lease.phase = Phase.IDLE
         lease.valid_until = _NEVER
-        return messages.LeaseLost(name=lease.name, epoch=lease.epoch)
+        return messages.LeaseLost(
+            name=lease.name, epoch=lease.epoch, is_unheard=is_unheard
+        )
+
+    def _is_unheard(self, now: float, lease: _Lease) -> bool:
+        """Return whether no grantor confirmed the latest renewals."""
+        if lease.refusals_by_grantor:
+            return False
+        last = max(lease.confirmed_at_by_grantor.values(), default=_NEVER)
+        return last <= now - UNHEARD_PART * self.duration_s
 
     def _give_up(self, lease: _Lease, successor: str) -> list[typing.Any]:
         effects: list[typing.Any] = []
--- a/dandeliongw/coordination/lease_messages.py
+++ b/dandeliongw/coordination/lease_messages.py
@@ -213,10 +213,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaseLost:
-    """Effect: this instance stopped holding the lease, for any cause."""
+    """Effect: this instance stopped holding the lease, for any cause.
+
+    :param is_unheard: it ran out while no grantor at all was heard, so that
+        nobody else is likely to hold it.
+    """
 
     name: str
     epoch: int
+    is_unheard: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -49,6 +49,9 @@
 #: Seconds between two ticks of parts that count in tenths of one: the asks and
 #: checks of the register, leases, batches of renewals.
 TICK_S = 0.1
+#: Seconds between two ticks after which this process counts as having stood
+#: still: ten ticks of the runtime, and less than half of a lease.
+PAUSE_S = 0.5
 #: Seconds by which a tick may be early: timers are never exact, and one that
 #: is just early must not cost the part a whole tick more.
 EARLY_S = 0.02
@@ -180,6 +183,10 @@
             _Paced(handle=self._in_leases, every_s=TICK_S),
             _Paced(handle=self.presence.handle, every_s=TICK_S),
         )
+        self._ticked_at = -math.inf
+        #: The last tick came late: this process stood still, and what it
+        #: holds may have been given to another one.
+        self._has_paused = False
         self._review_at = 0.0
         self._sightings = sightings.Sightings()
         self._instance_ids: tuple[str, ...] = ()
@@ -440,6 +447,7 @@
             message.cell, event.sender, message.epoch
         ):
             return []
+        self.owner.yield_to(message.cell, message.epoch)
         return self.requests.reclaim_all(
             event.now, message.cell, event.sender, message.epoch
         )
@@ -462,6 +470,20 @@
     def _lose_lease(
         self, now: float, effect: lease.LeaseLost
     ) -> list[typing.Any]:
+        has_paused = self._has_paused or now - self._ticked_at > PAUSE_S
+        may_keep = (
+            effect.is_unheard
+            and self.directory.places_alone
+            and not has_paused
+        )
+        if may_keep and self.owner.keep(effect.name):
+            return [
+                effects.log(
+                    'goes on with a cell without a lease: no voter is heard',
+                    cell=effect.name,
+                    level='WARNING',
+                )
+            ]
         self.owner.lose(effect.name)
         return [
             effects.log(
@@ -606,6 +628,8 @@
 
     def _tick(self, event: parts.Ticked) -> list[typing.Any]:
         self._entropy = event.entropy
+        self._has_paused = event.now - self._ticked_at > PAUSE_S
+        self._ticked_at = event.now
         out = [effect for paced in self._paced for effect in paced.tick(event)]
         out += self.owner.tick(event)
         out += self.requests.handle(event)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -69,6 +69,137 @@
         return made.model_copy(update={'limits': limits})
 
 
+class PlacingNetwork(network.Network):
+    """Instances that go on while no voter can be asked."""
+
+    def _settings(self, instance_id):
+        made = super()._settings(instance_id)
+        return made.model_copy(
+            update={'unconfirmed': 'serve', 'silent_owner': 'place'}
+        )
+
+
+class SilentVotersTest(unittest.TestCase):
+    """Symptom: all calls are refused, "no backend server is ready".
+
+    Sequence: all voters lose power; the lease of a cell can't be renewed and
+    runs out; its owner, the entries and the backend servers are well.
+    Cause: the owner drops its cell, and an entry's own part of a backend
+    server holds less than the calls that come.
+    """
+
+    VOTERS = ('gw-1', 'gw-2', 'gw-3')
+    #: So many that the owner and its deputies are none of the voters.
+    COUNT = 19
+
+    def setUp(self):
+        self.sequence = 1
+        self.net = PlacingNetwork(count=self.COUNT, voters=3)
+        self.net.apply_example()
+        self.keep_present(0.1, announce=True)
+        self.net.run_until(self.is_owned, 20)
+        self.keep_present(1.0)
+        self.owner = self.net.owner_of(CELL)
+        self.assertNotIn(self.owner, self.VOTERS)
+        self.entry = next(
+            each
+            for each in self.net.reducers_by_id
+            if each not in (*self.VOTERS, self.owner)
+        )
+
+    def is_owned(self):
+        self.keep_present(0.1)
+        return self.net.owner_of(CELL) is not None
+
+    def keep_present(self, seconds, announce=False):
+        for _ in range(round(seconds / network.TICK_S)):
+            self.sequence += 1
+            for instance_id in self.net.reducers_by_id:
+                if announce:
+                    self.net.announce(instance_id, 'portal-1', 'plain')
+                else:
+                    self.net.post(instance_id, self.renewal())
+            self.net.run(network.TICK_S)
+
+    def renewal(self):
+        return presence.Renewed(
+            now=self.net.now,
+            backend_id='portal-1',
+            incarnation=1,
+            sequence=self.sequence,
+            load=None,
+            cache_events=None,
+            ticket='renew',
+        )
+
+    def lose_voters(self, seconds=4.0):
+        for instance_id in self.VOTERS:
+            self.net.crash(instance_id)
+        self.keep_present(seconds)
+        self.assertIsNone(self.net.owner_of(CELL))
+
+    def started(self, *request_ids):
+        """Return how many of some calls through one entry are started."""
+        done = self.net.effects_by_id[self.entry]
+        before = len(done)
+        for request_id in request_ids:
+            self.net.post(self.entry, lookup(request_id, self.net.now))
+        self.keep_present(0.3)
+        return sum(isinstance(e, effects.RunCall) for e in done[before:])
+
+    def test_the_last_owner_goes_on(self):
+        self.lose_voters()
+        # An entry's own part of the four slots is one.
+        self.assertEqual(3, self.started('r-1', 'r-2', 'r-3'))
+
+    def test_it_gives_no_order_without_a_lease(self):
+        self.lose_voters()
+        held = self.net.reducers_by_id[self.owner].owner
+        self.assertEqual({}, held._orders_by_cell)
+        self.assertEqual({}, held.epochs_by_cell())
+
+    def test_it_yields_to_the_next_owner(self):
+        """Otherwise both give the same slots away."""
+        self.lose_voters()
+        self.net.cut.add(self.owner)
+        for instance_id in self.VOTERS:
+            self.net.frozen.discard(instance_id)
+        self.net.run_until(self.is_owned, 20)
+        following = self.net.owner_of(CELL)
+        self.assertNotEqual(self.owner, following)
+        former = self.net.reducers_by_id[self.owner].owner
+        self.assertIn(CELL, former.cells_by_id)
+        epoch = self.net.reducers_by_id[following].owner.epochs_by_cell()[CELL]
+        self.net.cut.clear()
+        self.net.reducers_by_id[self.owner].handle(
+            parts.Received(
+                now=self.net.now,
+                sender=following,
+                message=cells.ReclaimWanted(cell=CELL, epoch=epoch),
+            )
+        )
+        self.assertNotIn(CELL, former.cells_by_id)
+
+    def test_one_that_was_frozen_past_its_lease_does_not_go_on(self):
+        """It can't know who has been given its slots meanwhile."""
+        self.net.frozen.add(self.owner)
+        for instance_id in self.VOTERS:
+            self.net.crash(instance_id)
+        self.net.run(4.0)
+        self.net.frozen.discard(self.owner)
+        self.net.run(1.0)
+        woken = self.net.reducers_by_id[self.owner].owner
+        self.assertNotIn(CELL, woken.cells_by_id)
+
+    def test_one_that_hears_some_voters_does_not_go_on(self):
+        """A majority that it can't reach may give the cell to another."""
+        for instance_id in self.VOTERS[:2]:
+            self.net.crash(instance_id)
+        self.keep_present(4.0)
+        held = self.net.reducers_by_id[self.owner].owner
+        self.assertNotIn(CELL, held.cells_by_id)
+
+
 class ReducerTest(unittest.TestCase):
     def setUp(self):
         self.sequence = 1
