Entries place by themselves only where they hear of backend servers

Above 20 instances they hear of no backend server. They ask the owner again instead, and its deputies.

--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -180,6 +180,10 @@
         """Return who counts as alive, sorted; suspected members do not."""
         return list(self._beliefs.roster.alive_ids)
 
+    def count_alive(self) -> int:
+        """Return how many count as alive."""
+        return len(self._beliefs.roster.alive_ids)
+
     def is_alive(self, instance_id: str) -> bool:
         """Return whether a member counts as alive."""
         return self._beliefs.roster.is_alive(instance_id)
--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -8,6 +8,13 @@
 from .coordination import register
 
 
+#: Up to so many instances all of them hear of every backend server, at 30
+#: bytes a second and backend server each, and may place by themselves. Among
+#: more, an entry's part of an engine holds less than one request: 27,000
+#: tokens of KV cache among 24 entries are 1,100, a prompt has 3,000.
+MOST_TO_TELL_ALL = 20
+
+
 class Directory:
     """Answers whom to ask for what.
 
@@ -149,8 +156,18 @@
 
     @property
     def places_alone(self) -> bool:
-        """Whether work is placed here while a cell's owner is silent."""
-        return self._places_alone
+        """Whether work is placed here while a cell's owner is silent.
+
+        Among many entries that only turns callers away: it ends in "no
+        backend server is ready" where the owner would have answered a moment
+        later. There the owner is asked again, and then its deputies.
+        """
+        return self._places_alone and self.tells_all
+
+    @property
+    def tells_all(self) -> bool:
+        """Whether every instance hears of every backend server."""
+        return self._members.count_alive() <= MOST_TO_TELL_ALL
 
     def all_ids(self) -> tuple[str, ...]:
         """Return every instance that counts as alive."""
--- a/dandeliongw/fronts.py
+++ b/dandeliongw/fronts.py
@@ -8,10 +8,6 @@
 
 #: The owner of a backend server's cell, and the deputy next to it.
 DISPATCHERS = 2
-#: Up to so many instances all of them hear of every backend server, so that
-#: each can place by itself when an owner is silent: 30 bytes a second and
-#: backend server each.
-MOST_TO_TELL_ALL = 20
 
 
 class Fronts:
@@ -56,7 +52,6 @@
         return [effects.Dispatch(event=forward)]
 
     def _dispatchers_of(self, cell: str) -> tuple[str, ...]:
-        everyone = self._directory.all_ids()
-        if len(everyone) <= MOST_TO_TELL_ALL:
-            return everyone
+        if self._directory.tells_all:
+            return self._directory.all_ids()
         return self._directory.owners_of(cell)[:DISPATCHERS]
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -473,7 +473,7 @@
         has_paused = self._has_paused or now - self._ticked_at > PAUSE_S
         may_keep = (
             effect.is_unheard
-            and self.directory.places_alone
+            and self.settings.silent_owner == 'place'
             and not has_paused
         )
         if may_keep and self.owner.keep(effect.name):
