A new owner asks all entries by datagrams, and once more over streams; so do leaves

Cause: an entry of the large site had 406 files at its peak: whatever is told to all opened a connection to each. A takeover has 0.5 s; 191 connections at some 3 ms of processor time each take longer on half a core (estimate; the price of one comes from the profile of 78 that join).

--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -201,6 +201,7 @@
         out = []
         for cell_id, begun in list(self._takeovers_by_cell.items()):
             if not begun.is_over(now):
+                out.extend(begun.remind(now))
                 continue
             del self._takeovers_by_cell[cell_id]
             for held_back in begun.release(now):
--- a/dandeliongw/cell/takeover.py
+++ b/dandeliongw/cell/takeover.py
@@ -15,6 +15,9 @@
 
 #: Seconds after which instances that haven't answered are given up on.
 LONGEST_S = 0.5
+#: Seconds after which they are asked again, over a stream: a datagram may be
+#: lost, and there is time for one more answer.
+REMIND_S = 0.2
 
 
 class Takeover:
@@ -29,14 +32,31 @@
         self._cell = cell
         self._epoch = epoch
         self._ends_at = now + LONGEST_S
+        self._remind_at = now + REMIND_S
         self._awaited = set(awaited)
         self._held_back: list[parts.Received] = []
 
     def announce(self) -> list[typing.Any]:
-        """Return the question to all."""
+        """Return the question to all.
+
+        As datagrams: connections to 200 instances take longer to open than
+        the answers are waited for.
+        """
+        return self._ask(by_datagram=True)
+
+    def remind(self, now: float) -> list[typing.Any]:
+        """Return the question to those that haven't answered, once."""
+        if now < self._remind_at:
+            return []
+        self._remind_at = self._ends_at
+        return self._ask(by_datagram=False)
+
+    def _ask(self, *, by_datagram: bool) -> list[typing.Any]:
         message = cells.ReclaimWanted(cell=self._cell, epoch=self._epoch)
         return [
-            parts.Send(to=instance_id, message=message)
+            parts.Send(
+                to=instance_id, message=message, by_datagram=by_datagram
+            )
             for instance_id in sorted(self._awaited)
         ]
 
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -392,9 +392,11 @@
         return effects
 
     def _tell_all(self, departure: BackendDeparture) -> list[typing.Any]:
+        # Told three times, so that one may be lost: to all there are, a
+        # connection to each would be the larger cost.
         message = PresenceBatch(renewals=(), departures=(departure,))
         return [
-            parts.Send(to=to, message=message)
+            parts.Send(to=to, message=message, by_datagram=True)
             for to in self._instance_ids
             if to != self.instance_id
         ]
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -318,7 +318,8 @@
             epoch=epoch,
             bookings=tuple(_reclaimed(now, each) for each in held),
         )
-        return [parts.Send(to=holder, message=reclaim)]
+        # Asked for once more if it is lost; a new owner hears it from all.
+        return [parts.Send(to=holder, message=reclaim, by_datagram=True)]
 
     def is_lost(
         self,
