--- a/specs/register_reads.py
+++ b/specs/register_reads.py
@@ -80,6 +80,7 @@
         steps += self.asks(state)
         steps += self.checks(state)
         steps += self.answers(state)
+        steps += self.adopts(state)
         steps += self.restarts(state)
         return [(label, _sort_voters(after)) for label, after in steps]
 
@@ -200,6 +201,37 @@
                 ),
             )
 
+    def adopts(self, state: State) -> abc.Iterator[tuple[str, State]]:
+        """Knowledge.adopt: another instance tells what it has confirmed.
+
+        That other one may have confirmed any ballot that was ever chosen,
+        however long ago.
+        """
+        confirmed = state.confirmed
+        for ballot, chosen_age in zip(
+            self.ballots, state.chosen_ages, strict=True
+        ):
+            is_held = ballot in state.accepted
+            is_chosen = chosen_age != NEVER
+            if not is_chosen and not (
+                is_held and self.without == 'adopts_chosen'
+            ):
+                continue
+            is_older = confirmed is not None and ballot <= confirmed.ballot
+            if is_older and self.without != 'no_older_adopted':
+                continue
+            # It tells nothing of whether a later one was chosen since.
+            age = TTL if confirmed is None else confirmed.age
+            if self.without == 'adopted_keeps_age':
+                age = 0
+            yield (
+                f'the instance adopts ballot {ballot}',
+                state._replace(
+                    confirmed=Ask(age=age, ballot=ballot),
+                    told=max(state.told, ballot),
+                ),
+            )
+
     def restarts(self, state: State) -> abc.Iterator[tuple[str, State]]:
         """The instance starts anew and knows what its disk remembers."""
         if state.confirmed is None:
@@ -210,9 +242,15 @@
         # Answers to asks from before have ids that no ask after has.
         keeps = self.without == 'unique_ask_ids'
         answers = state.answers if keeps else ()
+        check = state.check
+        if check is not None and not keeps:
+            # So has the answer that a check under way will give.
+            check = check._replace(ask_age=NEVER)
         yield (
             'the instance restarts',
-            state._replace(confirmed=confirmed, ask=None, answers=answers),
+            state._replace(
+                confirmed=confirmed, ask=None, answers=answers, check=check
+            ),
         )
 
     # What must hold
--- a/specs/register_spec.py
+++ b/specs/register_spec.py
@@ -48,6 +48,9 @@
     'unique_ask_ids': 'an answer from before a restart counts after it',
     'confirmation_runs_out': 'an isolated instance goes on for ever',
     'stopped_after_time_to_live': 'an instance that acts is called stopped',
+    'adopts_chosen': 'another instance passes on a value that may vanish',
+    'no_older_adopted': 'another instance brings an earlier revision back',
+    'adopted_keeps_age': 'what others tell keeps an isolated instance going',
 }
 _FORMATION_SAFEGUARDS = {
     'all_disks_form': 'voters that took no part form another register',
@@ -181,7 +184,13 @@
 
 
 def _reads(without: str | None) -> list[specs.BoundedModel]:
-    model = register_reads.ReadsModel(changes=1, answers=2, without=without)
+    # What is adopted can be old only if there is a later one.
+    has_two = without in ('adopted_keeps_age', 'no_older_adopted')
+    model = register_reads.ReadsModel(
+        changes=2 if has_two else 1,
+        answers=1 if has_two else 2,
+        without=without,
+    )
     return [model.build(_READS_REACHED)]
 
 
