--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -3,10 +3,10 @@
 Each instance probes one member a period, in rounds over all members in
 shuffled order, by datagrams. Without an acknowledgement it asks some others
 to probe and tries again over a *new* connection, and only then suspects the
-member. A
-suspected member has time to refute it; then it counts as dead. News of
-members travels with the probes and their acknowledgements, a bounded number
-of times each, so that an instance's cost does not grow with their number.
+member. A suspected member has time to refute it; then it counts as dead.
+News of members travels with the probes and their acknowledgements, a bounded
+number of times each, so that an instance's cost does not grow with their
+number.
 
 What gossip missed is found by hashes: every probe carries one hash over the
 sender's beliefs, and instances that differ compare groups of members.
--- a/dandeliongw/datagrams.py
+++ b/dandeliongw/datagrams.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import abc
+import functools
 import hmac
 import ipaddress
 import typing
@@ -22,6 +23,9 @@
 #: Bytes of a datagram. Of more than some 1,400 a network makes several
 #: packets, and the loss of one of them loses all.
 MAX_BYTES = 1_200
+#: Bytes that wait for a link that is full; later datagrams are dropped. The
+#: event loop keeps what the system doesn't take, without a bound of its own.
+MAX_WAITING_BYTES = 64 * 1024
 
 
 def derive_secret(secret: bytes | None) -> bytes | None:
@@ -81,8 +85,9 @@
     ) -> int:
         """Send a message at once.
 
-        :returns: the bytes sent; 0 when it has to go another way: it is too
-            large, or the address is a name, which would have to be looked up.
+        :returns: its bytes, also if it is dropped as the link is full; 0 when
+            it has to go another way: it is too large, or the address is a
+            name, which would have to be looked up.
         """
         if self._transport is None or not _is_literal(address[0]):
             return 0
@@ -91,7 +96,10 @@
         sealed = self._sealer.seal(to, kind, body).SerializeToString()
         if len(sealed) > MAX_BYTES:
             return 0
-        self._transport.sendto(sealed, address)
+        if self._transport.get_write_buffer_size() > MAX_WAITING_BYTES:
+            self._on_drop(DropReason.QUEUE_FULL)
+        else:
+            self._transport.sendto(sealed, address)
         return len(sealed)
 
     def datagram_received(self, data: bytes, addr: typing.Any) -> None:
@@ -112,6 +120,7 @@
         self._on_drop(DropReason.CONNECTION_LOST)
 
 
+@functools.lru_cache(maxsize=4096)
 def _is_literal(host: str) -> bool:
     try:
         ipaddress.ip_address(host)
