--- a/dandeliongw/cell/takeover.py
+++ b/dandeliongw/cell/takeover.py
@@ -39,8 +39,8 @@
     def announce(self) -> list[typing.Any]:
         """Return the question to all.
 
-        As datagrams: connections to 200 instances take longer to open than
-        the answers are waited for.
+        As datagrams: connections to 200 instances would take longer to open
+        than the answers are waited for (estimate).
         """
         return self._ask(by_datagram=True)
 
--- a/dandeliongw/codec.py
+++ b/dandeliongw/codec.py
@@ -113,8 +113,9 @@
 def _plan(data_class: type) -> tuple['_Field', ...]:
     """Return how each field of a data class is carried.
 
-    Worked out once a class. Looked up again for every value, it was two
-    thirds of the time to encode a message, and half of that to decode it.
+    Worked out once a class. Looked up again for every value, it was three
+    quarters of the time to encode or decode a message: 69 and 110 us for a
+    probe with six items of news, 17 and 25 us without.
     """
     optional = _optional_fields(data_class)
     return tuple(
--- a/dandeliongw/coordination/_roster.py
+++ b/dandeliongw/coordination/_roster.py
@@ -180,8 +180,8 @@
     def alive_ids(self) -> tuple[str, ...]:
         """Who counts as alive, sorted; suspected members do not.
 
-        Kept between two changes. Sorted anew for every question, it was what
-        most of the time of a booking went to among 200 members.
+        Kept between two changes. Sorted anew for every question, each booking
+        would cost more the more members there are.
         """
         if self._alive_ids is None:
             self._alive_ids = tuple(
--- a/dandeliongw/heap.py
+++ b/dandeliongw/heap.py
@@ -12,8 +12,8 @@
 def pause() -> None:
     """Let a starting process collect nothing.
 
-    Call it before the imports: an instance is serving 60 to 80 ms of
-    processor time sooner then, of 390 ms (medians of five).
+    Call it before the imports: they take 0.37 s of processor time then, and
+    0.41 s without it (medians of five).
     """
     gc.disable()
 
--- a/dandeliongw/models.py
+++ b/dandeliongw/models.py
@@ -106,8 +106,9 @@
     """Return the docstring of each field of a model that has one.
 
     Read from the source when a page or a schema first wants them. When each
-    model read its own as it was made, a starting process spent 90 ms of 600
-    on text that only a console or a generated page shows.
+    model read its own as it was made, imports took 0.62 s of processor time
+    instead of 0.39 s (medians of five), for text that only a console or a
+    generated page shows.
     """
     texts: dict[str, str] = {}
     for base in reversed(model.__mro__):
