Logs tell how current the configuration is that an instance acts on

Callers got 404 for a route that an operator had added 2.5 s before. From the logs nobody could tell whether the entry had heard no voter, had heard one too late, or had confirmed something older: the refusal's line names neither the document nor its age, and no line tells that a confirmation ran out.

Now a refusal for want of a route names revision, number and age of the document; a line tells when the time to live ran out, with the asks since and how many of them were answered too late; another one when it is back.

--- a/dandeliongw/coordination/confirmation.py
+++ b/dandeliongw/coordination/confirmation.py
@@ -43,6 +43,10 @@
         self._next_at: float | None = None
         self._is_hurried = False
         self._avoid_until_by_id: dict[str, float] = {}
+        #: Asks since the last one that was answered in time, and answers to
+        #: those that had been given up.
+        self.asks = 0
+        self.late_answers = 0
 
     def start(self, first_id: int) -> None:
         """Begin to ask, with ids that no earlier run of this instance used.
@@ -88,9 +92,12 @@
     def answered(self, ask_id: int) -> float | None:
         """Return when the ask left, if this answers the latest one."""
         if ask_id != self._ask_id or not self._targets:
+            self.late_answers += 1
             return None
         self._targets = []
         self._unanswered = 0
+        self.asks = 0
+        self.late_answers = 0
         self._next_at = self._sent_at + ASK_EVERY * self._ttl_s
         return self._sent_at
 
@@ -118,6 +125,7 @@
         if not self._targets:
             return []
         self._is_hurried = False
+        self.asks += 1
         self._ask_id += 1
         self._sent_at = now
         message = messages.ConfirmConfiguration(ask_id=self._ask_id, base=base)
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -23,6 +23,7 @@
 from . import parts
 from . import proposer as proposers
 from . import register_messages as messages
+from . import standing as standings
 from . import sync_gate
 from .changes import Applied
 from .changes import ChangeIdReused
@@ -236,6 +237,7 @@
         self._asker = confirmation.Asker(
             instance_id=instance_id, ttl_s=confirm_ttl_s
         )
+        self._watch = standings.Watch()
         self._tracker = enforcement.EnforcementTracker(ttl_s=confirm_ttl_s)
         self._learners = learning.Learners(
             instance_id=instance_id, ttl_s=confirm_ttl_s
@@ -342,6 +344,19 @@
         confirmed_at = self.confirmed_at
         return confirmed_at is not None and now - confirmed_at < self._ttl_s
 
+    def standing(self, now: float) -> standings.Standing:
+        """Return how current the configuration is."""
+        configuration = self.configuration
+        if configuration is None:
+            return standings.Standing(revision=None)
+        at = self.confirmed_at
+        return standings.Standing(
+            revision=configuration.revision,
+            order=configuration.order,
+            confirmed_age_s=None if at is None else now - at,
+            is_confirmed=self.is_fresh(now),
+        )
+
     def in_force(
         self, revision: int, now: float
     ) -> dict[str, enforcement.Enforcement]:
@@ -400,6 +415,9 @@
                 event.now, self._instance_ids, self._knowledge.known.ballot
             ),
             *self._hints.tick(event.now, self.in_force),
+            *self._watch.tick(
+                event.now, self.standing(event.now), self._asker
+            ),
         ]
 
     def _start(self, entropy: int) -> None:
--- /dev/null
+++ b/dandeliongw/coordination/standing.py
@@ -0,0 +1,97 @@
+"""How current the configuration is that an instance acts on."""
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Standing:
+    """A configuration and the age of its last confirmation.
+
+    :param revision: ``None`` before the first configuration.
+    :param order: the highest number of an ordered change in it.
+    :param confirmed_age_s: seconds since the ask left that confirmed it last;
+        ``None`` if it was only learned from another instance.
+    :param is_confirmed: whether that is within the time to live.
+    """
+
+    revision: int | None
+    order: int = 0
+    confirmed_age_s: float | None = None
+    is_confirmed: bool = False
+
+    def __str__(self) -> str:
+        if self.revision is None:
+            return 'no configuration'
+        held = f'revision {self.revision}, number {self.order}'
+        if self.confirmed_age_s is None:
+            return f'{held}, never confirmed here'
+        return f'{held}, confirmed {self.confirmed_age_s:.2f} s ago'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfirmationLapsed:
+    """Effect: the time to live ran out without a confirmation.
+
+    :param standing: at that moment.
+    :param asks: that left since the one which was answered in time.
+    :param late_answers: to asks that had been given up; with many of them
+        the voters are well and the way to them is slow.
+    """
+
+    standing: Standing
+    asks: int
+    late_answers: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfirmationRegained:
+    """Effect: the configuration is confirmed again.
+
+    :param lapsed_s: how long it was not.
+    """
+
+    standing: Standing
+    lapsed_s: float
+
+
+class Answers(typing.Protocol):
+    """What the asks of this instance have come to."""
+
+    @property
+    def asks(self) -> int: ...
+
+    @property
+    def late_answers(self) -> int: ...
+
+
+class Watch:
+    """Tells when the confirmation lapses and when it is back."""
+
+    def __init__(self) -> None:
+        self._lapsed_at: float | None = None
+
+    def tick(
+        self, now: float, standing: Standing, answers: Answers
+    ) -> list[typing.Any]:
+        """Return the effect of a change; nothing before the first one."""
+        if standing.revision is None:
+            return []
+        if standing.is_confirmed:
+            return self._regained(now, standing)
+        if self._lapsed_at is not None:
+            return []
+        self._lapsed_at = now
+        return [
+            ConfirmationLapsed(
+                standing=standing,
+                asks=answers.asks,
+                late_answers=answers.late_answers,
+            )
+        ]
+
+    def _regained(self, now: float, standing: Standing) -> list[typing.Any]:
+        if self._lapsed_at is None:
+            return []
+        lapsed_s, self._lapsed_at = now - self._lapsed_at, None
+        return [ConfirmationRegained(standing=standing, lapsed_s=lapsed_s)]
--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -6,6 +6,7 @@
 from .coordination import membership
 from .coordination import placement
 from .coordination import register
+from .coordination import standing
 
 
 #: Up to so many instances all of them hear of every backend server, at 30
@@ -66,6 +67,10 @@
             return True
         return self._configuration.is_fresh(now)
 
+    def standing(self, now: float) -> standing.Standing:
+        """Return how current the document is."""
+        return self._configuration.standing(now)
+
     def cell_of(self, service: str, request_id: str) -> str:
         """Return the cell that serves this instance's callers."""
         return cell_id(service, self._own_region)
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -6,6 +6,7 @@
 from .. import document
 from .. import events
 from .. import verdict
+from ..coordination import standing
 
 _REASON = verdict.RefusalReason
 
@@ -28,6 +29,10 @@
         """Whether the document was confirmed by a majority lately."""
         ...
 
+    def standing(self, now: float) -> standing.Standing:
+        """How current the document is."""
+        ...
+
     def cell_of(self, service: str, request_id: str) -> str: ...
 
     @property
@@ -109,11 +114,11 @@
                 SOON_S,
             )
         if call.host:
-            return self._check_host(call, entropy)
+            return self._check_host(now, call, entropy)
         return self._check_document(now, call)
 
     def _check_host(
-        self, call: events.Call, entropy: int
+        self, now: float, call: events.Call, entropy: int
     ) -> Admitted | verdict.Refusal:
         """Find the route of a call that is passed on; it has no account."""
         described = self._directory.document
@@ -129,7 +134,8 @@
         if found is None:
             return not_run(
                 _REASON.UNKNOWN_ROUTE,
-                f'no route of host {call.host!r} matches {call.path!r}',
+                f'no route of host {call.host!r} matches {call.path!r} in '
+                f'the configuration: {self._directory.standing(now)}',
             )
         service = described.services_by_name[found.choose(entropy)]
         streamed = service.kind == 'model'
--- a/dandeliongw/explain.py
+++ b/dandeliongw/explain.py
@@ -18,6 +18,8 @@
     'backend server distrusted',
     'backend server trusted again',
     'configuration in force',
+    'configuration not confirmed in time',
+    'configuration confirmed again',
     'owns a cell',
     'owns a cell no more',
     'an engine is moved to another pool',
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -34,6 +34,7 @@
 from .coordination import presence
 from .coordination import register
 from .coordination import register_messages
+from .coordination import standing as standings
 from .entry import admission
 from .entry import requests
 
@@ -332,6 +333,8 @@
         return {
             register.ConfigurationChanged: self._change_configuration,
             register.VotersChanged: self._change_voters,
+            standings.ConfirmationLapsed: self._confirmation_lapsed,
+            standings.ConfirmationRegained: self._confirmation_regained,
             lease.LeaseGained: self._gain_lease,
             lease.LeaseLost: self._lose_lease,
             lease.GrantorCaughtUp: self._leases_caught_up,
@@ -550,13 +553,38 @@
         self._review_at = now
         return [
             effects.log(
-                'configuration in force', revision=str(effect.revision)
+                'configuration in force',
+                **_told(self.register.standing(now)),
             ),
             *self.owner.change_document(
                 now, frozenset(self.membership.alive_ids())
             ),
         ]
 
+    def _confirmation_lapsed(
+        self, now: float, effect: standings.ConfirmationLapsed
+    ) -> list[typing.Any]:
+        return [
+            effects.log(
+                'configuration not confirmed in time',
+                **_told(effect.standing),
+                asks=str(effect.asks),
+                late_answers=str(effect.late_answers),
+                level='WARNING',
+            )
+        ]
+
+    def _confirmation_regained(
+        self, now: float, effect: standings.ConfirmationRegained
+    ) -> list[typing.Any]:
+        return [
+            effects.log(
+                'configuration confirmed again',
+                **_told(effect.standing),
+                lapsed_s=f'{effect.lapsed_s:.2f}',
+            )
+        ]
+
     def _change_voters(
         self, now: float, effect: register.VotersChanged
     ) -> list[typing.Any]:
@@ -724,6 +752,16 @@
     )
 
 
+def _told(standing: standings.Standing) -> dict[str, str]:
+    """Return the fields of a log line on a configuration."""
+    age_s = standing.confirmed_age_s
+    return {
+        'revision': str(standing.revision),
+        'order': str(standing.order),
+        'confirmed_age_s': 'never' if age_s is None else f'{age_s:.2f}',
+    }
+
+
 def _name_tokens(
     name: str, wanted: abc.Iterable[typing.Any]
 ) -> list[typing.Any]:
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -6,6 +6,7 @@
 from dandeliongw.cell import cells
 from dandeliongw.coordination import claim_messages as claims
 from dandeliongw.coordination import parts
+from dandeliongw.coordination import standing
 from dandeliongw import document
 from dandeliongw import effects
 from dandeliongw.entry import admission
@@ -43,6 +44,8 @@
         self.document = described()
         self.is_draining = False
         self.fresh = True
+        #: Whether a majority has confirmed the document lately.
+        self.confirmed = True
         self.owners = (OWNER, NEXT_OWNER)
         self.own_id = 'gw-0'
         self.places_alone = False
@@ -50,6 +53,14 @@
     def is_fresh(self, now):
         return self.fresh
 
+    def standing(self, now):
+        return standing.Standing(
+            revision=1,
+            order=1,
+            confirmed_age_s=0.5 if self.confirmed else 9.0,
+            is_confirmed=self.confirmed,
+        )
+
     def cell_of(self, service, request_id):
         return CELL
 
