--- /dev/null
+++ b/tests/register_network.py
@@ -0,0 +1,173 @@
+"""Registers on a virtual clock, over links that delay and lose messages.
+
+:class:`tests.test_register.Cluster` delivers at once. Here each message
+takes its time, each instance ticks at its own moment, and entries end and
+start again, as on machines with slow links.
+"""
+
+from collections import abc
+import heapq
+import itertools
+import random
+import typing
+
+from dandeliongw.coordination import parts
+from dandeliongw.coordination import register
+
+#: Between two ticks of a register, as the reducer paces it.
+TICK_S = 0.1
+HOP_S = 0.0015
+SYNC_S = 0.005
+
+Delay = abc.Callable[[str, str, typing.Any], float]
+
+
+class Node:
+    """One instance: its register, and what its disk holds."""
+
+    def __init__(self, *, instance_id: str, is_voter: bool) -> None:
+        self.instance_id = instance_id
+        self.disk_id = f'disk-{instance_id}' if is_voter else None
+        self.records: list[typing.Any] = []
+        self.results: list[typing.Any] = []
+        self.starts = 0
+        self.is_down = False
+        self.started_at = 0.0
+        self.part: register.Register
+
+
+class Network:
+    """Voters ``voter-1`` and on, entries ``entry-1`` and on.
+
+    :param ttl_s: how long a confirmation lasts, in seconds.
+    """
+
+    def __init__(
+        self, *, voters: int, entries: int, ttl_s: float, seed: int = 1
+    ) -> None:
+        self.now = 0.0
+        self.random = random.Random(seed)
+        #: Seconds that a message takes, by sender, receiver and message.
+        self.delay_s: Delay = lambda sender, to, message: HOP_S
+        self.loses: abc.Callable[[str, str, typing.Any], bool] = (
+            lambda sender, to, message: False
+        )
+        self.voters = tuple(f'voter-{n + 1}' for n in range(voters))
+        self.entries = tuple(f'entry-{n + 1}' for n in range(entries))
+        self.by_id = {
+            each: Node(instance_id=each, is_voter=each in self.voters)
+            for each in (*self.voters, *self.entries)
+        }
+        self._ttl_s = ttl_s
+        self._order = itertools.count()
+        self._queue: list[typing.Any] = []
+        for instance_id in self.by_id:
+            self.start(instance_id)
+
+    def part(self, instance_id: str) -> register.Register:
+        return self.by_id[instance_id].part
+
+    def start(self, instance_id: str) -> None:
+        """Start an instance, or start it again, with its disk."""
+        node = self.by_id[instance_id]
+        node.starts += 1
+        node.is_down = False
+        node.started_at = self.now
+        node.part = register.Register(
+            instance_id=instance_id,
+            initial_voters=self.voters,
+            disk_id=node.disk_id,
+            confirm_ttl_s=self._ttl_s,
+        )
+        for record in node.records:
+            node.part.restore(record)
+        self._post(node, self._introduction())
+        self._later(
+            self.random.random() * TICK_S, self._tick, node, node.starts
+        )
+
+    def stop(self, instance_id: str) -> None:
+        self.by_id[instance_id].is_down = True
+
+    def propose(self, instance_id: str, order: int) -> None:
+        """Let an instance propose a numbered document."""
+        event = register.ProposeOrdered(
+            now=self.now,
+            ticket=f'order-{order}',
+            order=order,
+            author='ana',
+            document=b'{"order": %d}' % order,
+            entropy=self.random.getrandbits(64),
+        )
+        self._post(self.by_id[instance_id], event)
+
+    def change(self, instance_id: str, order: int) -> float:
+        """Propose, wait for the acknowledgement, return its time."""
+        results = self.by_id[instance_id].results
+        before = len(results)
+        self.propose(instance_id, order)
+        for _ in range(1_000):
+            if len(results) > before:
+                assert isinstance(results[-1], register.Applied), results[-1]
+                return self.now
+            self.run(0.01)
+        raise AssertionError('not acknowledged within 10 virtual seconds')
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, call, arguments = heapq.heappop(self._queue)
+            call(*arguments)
+        self.now = end
+
+    def order(self, instance_id: str) -> int:
+        """Return the number of the document in force; -1 without one."""
+        configuration = self.part(instance_id).configuration
+        return -1 if configuration is None else configuration.order
+
+    def _introduction(self) -> register.InstancesChanged:
+        return register.InstancesChanged(
+            now=self.now, instance_ids=tuple(self.by_id)
+        )
+
+    def _later(
+        self, delay: float, call: abc.Callable, *arguments: typing.Any
+    ) -> None:
+        entry = (self.now + delay, next(self._order), call, arguments)
+        heapq.heappush(self._queue, entry)
+
+    def _tick(self, node: Node, start: int) -> None:
+        if node.starts != start or node.is_down:
+            return
+        self._later(TICK_S, self._tick, node, start)
+        entropy = self.random.getrandbits(64)
+        self._post(node, parts.Ticked(now=self.now, entropy=entropy))
+
+    def _post(self, node: Node, event: typing.Any) -> None:
+        if node.is_down:
+            return
+        for effect in node.part.handle(event):
+            self._perform(node, effect)
+
+    def _perform(self, node: Node, effect: typing.Any) -> None:
+        if isinstance(effect, parts.Persist):
+            self._later(SYNC_S, self._synced, node, node.starts, effect)
+        elif isinstance(effect, parts.Send):
+            self._send(node.instance_id, effect)
+        elif isinstance(effect, parts.Complete):
+            node.results.append(effect.result)
+
+    def _send(self, sender: str, effect: parts.Send) -> None:
+        sent = (sender, effect.to, effect.message)
+        if not self.loses(*sent):
+            self._later(self.delay_s(*sent), self._deliver, *sent)
+
+    def _synced(self, node: Node, start: int, effect: parts.Persist) -> None:
+        if node.starts != start or node.is_down:
+            return
+        node.records += effect.records
+        self._post(node, parts.Persisted(now=self.now, token=effect.token))
+
+    def _deliver(self, sender: str, to: str, message: typing.Any) -> None:
+        received = parts.Received(now=self.now, sender=sender, message=message)
+        self._post(self.by_id[to], received)
