Test, red: an unconfirmed document refuses calls for good

An entry that goes on with its last document while it hears no majority answers 404 for a route that a later document has, and 401, 403 and 400 for accounts, services and priorities. Callers don't come back after these.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,8 +7,10 @@
 from dandeliongw.entry import admission
 from dandeliongw import verdict
 from tests import entry_fake
+from tests import test_passed_on
 
 REASON = verdict.RefusalReason
+NOT_RUN = verdict.Verdict.NOT_RUN
 
 
 class Limits(unittest.TestCase):
@@ -56,3 +58,56 @@
         self.assertEqual(refused.reason, REASON.ACCOUNT_LIMIT)
         self.assertAlmostEqual(refused.retry_after_s, 0.01)
         self.assertIsNone(self.check(now=100.0 + refused.retry_after_s))
+
+
+class UnconfirmedTest(unittest.TestCase):
+    """Symptom: callers get 404 for a route that an operator added long ago.
+
+    An entry that hears no majority goes on with its last document, so that
+    calls are served while all voters are away. It refused what that document
+    doesn't have as if it were the latest one. A caller takes "no such route"
+    or "no such account" as final and does not come back.
+    """
+
+    def setUp(self):
+        self.directory = entry_fake.Directory()
+        self.directory.document = test_passed_on.described()
+        self.directory.confirmed = False
+        self.gate = admission.Admission(
+            directory=self.directory, max_requests=5, max_streams=3
+        )
+
+    def check(self, **changes):
+        return self.gate.check(100.0, entry_fake.call(**changes))
+
+    def test_what_a_later_document_may_have_is_not_refused_for_good(self):
+        """Each of these was final: 404, 401, 403 or 400."""
+        refusals = [
+            self.check(**changes)
+            for changes in (
+                {'host': 'a.example', 'path': '/new/x'},
+                {'key_sha256': ''},
+                {'service': 'nothing'},
+                {'service': 'dieline-llm'},
+                {'path': '/nothing'},
+                {'priority': 'no such'},
+            )
+        ]
+        stale = (REASON.CONFIGURATION_STALE, NOT_RUN, admission.SOON_S)
+        self.assertEqual(
+            [stale] * 6,
+            [
+                (each.reason, each.verdict, each.retry_after_s)
+                for each in refusals
+            ],
+        )
+
+    def test_what_the_document_has_is_served(self):
+        admitted = self.check(host='a.example', path='/plain/x')
+        self.assertIsInstance(admitted, admission.Admitted)
+
+    def test_the_refusal_tells_how_old_the_document_is(self):
+        self.assertIn(
+            'revision 1, number 1, confirmed 9.00 s ago',
+            self.check(host='a.example', path='/new/x').message,
+        )
