What an unconfirmed document lacks is no longer refused for good

Callers got 404 for a route that an operator had added 2.5 s before, at entries that had heard no voter in time; a caller doesn't come back after it.

Cause: with `unconfirmed` set to `serve` an entry goes on with its last document however old, so that calls are served while all voters are away, and it also refused by that document. Only an empty one was excepted.

Why the mend holds: such a refusal is given only under a document that a majority confirmed within the time to live, which is shorter than the time in which a change must be in force; else the call is refused as not run, with a time to come back. What the old document does have is still served. Left: a route that was dropped or goes elsewhere is served as before by an entry that hears no voter; it learns the change from other entries.

--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -14,6 +14,16 @@
 RESENT_PART = 0.95
 #: Seconds after which a caller may find a transient refusal gone.
 SOON_S = 1.0
+#: Refusals that the document gives the reason for, and after which a caller
+#: doesn't come back.
+_FINAL_REASONS = frozenset(
+    (
+        _REASON.UNKNOWN_ROUTE,
+        _REASON.UNKNOWN_ACCOUNT,
+        _REASON.UNKNOWN_SERVICE,
+        _REASON.BAD_REQUEST,
+    )
+)
 
 
 class Directory(typing.Protocol):
@@ -113,12 +123,39 @@
                 'use another entry',
                 SOON_S,
             )
-        if call.host:
-            return self._check_host(now, call, entropy)
-        return self._check_document(now, call)
+        found = (
+            self._check_host(call, entropy)
+            if call.host
+            else self._check_document(now, call)
+        )
+        if isinstance(found, verdict.Refusal):
+            return self._unless_outdated(now, found)
+        return found
+
+    def _unless_outdated(
+        self, now: float, refusal: verdict.Refusal
+    ) -> verdict.Refusal:
+        """Let a caller come again where a later document may have its call.
+
+        With ``unconfirmed`` set to ``serve`` work goes on under a document
+        that may be an old one. "No such route" from that is final for the
+        caller, and false once the route was added; one sees 404 at single
+        entries after a change that was acknowledged seconds ago.
+        """
+        if refusal.reason not in _FINAL_REASONS:
+            return refusal
+        standing = self._directory.standing(now)
+        message = f'{refusal.message} ({standing})'
+        if standing.is_confirmed:
+            return dataclasses.replace(refusal, message=message)
+        return not_run(
+            _REASON.CONFIGURATION_STALE,
+            f'{message}, and a later one may be in force; use another entry',
+            SOON_S,
+        )
 
     def _check_host(
-        self, now: float, call: events.Call, entropy: int
+        self, call: events.Call, entropy: int
     ) -> Admitted | verdict.Refusal:
         """Find the route of a call that is passed on; it has no account."""
         described = self._directory.document
@@ -134,8 +171,7 @@
         if found is None:
             return not_run(
                 _REASON.UNKNOWN_ROUTE,
-                f'no route of host {call.host!r} matches {call.path!r} in '
-                f'the configuration: {self._directory.standing(now)}',
+                f'no route of host {call.host!r} matches {call.path!r}',
             )
         service = described.services_by_name[found.choose(entropy)]
         streamed = service.kind == 'model'
