Test, red: voters behind slow links confirm nothing

The same cause as that of the answers that were thrown away, found by looking for it elsewhere: a voter takes reports to its latest check only, and gives each check 0.1 of the time to live. With 0.15 s between voters no entry is confirmed. Leases were looked at too: there each answer counts from when its own claim left, as it should.

The network of the tests can be cut now, with connections that come back as the product's do.

--- a/tests/register_network.py
+++ b/tests/register_network.py
@@ -11,6 +11,7 @@
 import random
 import typing
 
+from dandeliongw import _link
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import register
 
@@ -171,3 +172,89 @@
     def _deliver(self, sender: str, to: str, message: typing.Any) -> None:
         received = parts.Received(now=self.now, sender=sender, message=message)
         self._post(self.by_id[to], received)
+
+
+class _Connection:
+    """The way from one instance to another that streams take."""
+
+    def __init__(self) -> None:
+        self.is_up = True
+        self.failures = 0
+        self.is_backing_off = False
+        self.tries = 0
+        #: What waits for it, and until when it is of use.
+        self.queue: list[tuple[float, typing.Any]] = []
+
+
+class CutNetwork(Network):
+    """A network that can be cut; connections come back as the product's do.
+
+    Across a cut nothing arrives. A connection that is used meanwhile breaks;
+    a try to connect fails after its timeout, and the next one waits, longer
+    each time. A peer that is heard is tried at once.
+
+    :param hears: whether that last sentence holds.
+    """
+
+    def __init__(self, *, hears: bool = True, **options: typing.Any) -> None:
+        self.cut: frozenset[str] = frozenset()
+        self._hears = hears
+        self._connections: dict[tuple[str, str], _Connection] = {}
+        super().__init__(**options)
+
+    def is_cut(self, sender: str, to: str) -> bool:
+        """Whether a cut is between them: some are alone, each by itself."""
+        return bool({sender, to} & self.cut)
+
+    def _send(self, sender: str, effect: parts.Send) -> None:
+        if effect.by_datagram:
+            if not self.is_cut(sender, effect.to):
+                super()._send(sender, effect)
+            return
+        link = self._connections.setdefault((sender, effect.to), _Connection())
+        link.queue.append((self.now + _link.MAX_AGE_S, effect))
+        if link.is_up:
+            self._flush(sender, effect.to, link)
+
+    def _flush(self, sender: str, to: str, link: _Connection) -> None:
+        if self.is_cut(sender, to):
+            link.is_up = False
+            self._connect(sender, to, link, link.tries)
+            return
+        queue, link.queue = link.queue, []
+        for expires_at, effect in queue:
+            if self.now <= expires_at:
+                super()._send(sender, effect)
+
+    def _connect(
+        self, sender: str, to: str, link: _Connection, number: int
+    ) -> None:
+        if link.is_up or number != link.tries:
+            return
+        link.tries += 1
+        link.is_backing_off = False
+        if not self.is_cut(sender, to):
+            link.is_up, link.failures = True, 0
+            self._flush(sender, to, link)
+            return
+        longest = min(
+            _link.MAX_BACKOFF_S, _link.MIN_BACKOFF_S * 2**link.failures
+        )
+        link.failures += 1
+        pause = self.random.uniform(longest / 2, longest)
+        self._later(_link.CONNECT_S, self._back_off, link)
+        self._later(
+            _link.CONNECT_S + pause,
+            self._connect,
+            *(sender, to, link, link.tries),
+        )
+
+    def _back_off(self, link: _Connection) -> None:
+        link.is_backing_off = not link.is_up
+
+    def _deliver(self, sender: str, to: str, message: typing.Any) -> None:
+        link = self._connections.get((to, sender))
+        if self._hears and link is not None and link.is_backing_off:
+            link.failures = 0
+            self._connect(to, sender, link, link.tries)
+        super()._deliver(sender, to, message)
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -93,6 +93,33 @@
         self.assertLess(len(asks), 45)
 
 
+class SlowVotersTest(unittest.TestCase):
+    """Symptom: no entry is confirmed, though all voters are well.
+
+    Messages between voters take 0.15 s. A voter gave each of its checks
+    0.19 s, began the next one and took reports to the latest only. They came
+    after 0.3 s, so no check of any voter ended well.
+    """
+
+    def setUp(self):
+        self.network = make_network()
+        voters = frozenset(self.network.voters)
+        self.network.delay_s = lambda sender, to, message: (
+            register_network.HOP_S + 0.15 * (voters >= {sender, to})
+        )
+        self.network.run(3.0)
+
+    def test_reports_that_come_late_count(self):
+        for _ in range(100):
+            self.network.run(0.05)
+            fresh = [
+                entry
+                for entry in self.network.entries
+                if self.network.part(entry).is_fresh(self.network.now)
+            ]
+            self.assertEqual(len(self.network.entries), len(fresh))
+
+
 class AskerTest(unittest.TestCase):
     def setUp(self):
         self.asker = confirmation.Asker(instance_id='entry-1', ttl_s=TTL_S)
