Reports of voters count also after the next check has begun

With 0.15 s between voters no entry was confirmed, though all voters were well: callers would be refused, or served by an old document.

A voter gave a check 0.19 s, forgot it, and took reports to the next one only, which came too late for that as well.

Why the mend holds: each check is judged by its own reports, which count for 0.4 of the time to live; an ask is answered by any check that began after it came, told by the check's number, and from its own time. Nothing is proved by two checks together. What had to change with it: a check that meets a change half done wanted a repair, whose ballot the next checks met half done; with checks that live longer that went on without end. A repair is now wanted only of what was there for 0.1 of the time to live when the check began, and not after a check that ended well.

--- a/dandeliongw/coordination/checker.py
+++ b/dandeliongw/coordination/checker.py
@@ -21,7 +21,12 @@
 
 
 class Checker:
-    """Runs one check at a time; whoever asks meanwhile waits for the next.
+    """Runs checks; whoever asks is answered by one that begins later.
+
+    A check that gets its reports late still counts, also when the next one
+    has begun. If only the latest did, voters whose messages take 0.1 of the
+    time to live would confirm nothing for as long as they do, and one would
+    see all entries without a confirmation while all voters are well.
 
     :param ttl_s: how long a confirmation lasts, in seconds.
     :param confirm: takes a version, when the check began and the time;
@@ -41,12 +46,16 @@
         self._ttl_s = ttl_s
         self._confirm = confirm
         self._waiting_by_id: dict[str, confirmation.WaitingAsk] = {}
-        self._check: confirmation.Check | None = None
+        #: Checks that may still end well, the oldest first.
+        self._checks_by_id: dict[int, confirmation.Check] = {}
         #: ``None`` before the first tick has brought entropy.
         self._check_id: int | None = None
         self._last_at: float | None = None
         self._is_wanted = False
         self._caught_up_at_by_disk: dict[str, float] = {}
+        #: The latest ballot that any disk has reported, and since when.
+        self._latest: ballots.Ballot | None = None
+        self._latest_at = 0.0
 
     def start(self, first_id: int) -> None:
         """Begin to check, with ids that no earlier run of ours used.
@@ -65,7 +74,10 @@
         answer to it is worth more.
         """
         self._waiting_by_id[sender] = confirmation.WaitingAsk(
-            instance_id=sender, arrived_at=now, ask=ask
+            instance_id=sender,
+            arrived_at=now,
+            after_check=self._check_id or 0,
+            ask=ask,
         )
         return self._begin_if_due(now)
 
@@ -75,15 +87,19 @@
         return self._begin_if_due(now)
 
     def tick(self, now: float) -> list[typing.Any]:
-        """End a check that takes too long; begin one when it is time."""
-        check = self._check
-        timeout = confirmation.CHECK_TIMEOUT * self._ttl_s
-        if check is not None:
+        """Ask spared disks, drop what is too old, begin when it is time."""
+        effects: list[typing.Any] = []
+        timeout_s = confirmation.CHECK_TIMEOUT * self._ttl_s
+        for check in list(self._checks_by_id.values()):
             age = now - check.started_at
-            if age < timeout:
-                return self._ask_others(check) if age >= timeout / 2 else []
-            self._give_up(check, now)
-        return self._begin_if_due(now)
+            if age >= confirmation.CHECK_LIFE * self._ttl_s:
+                del self._checks_by_id[check.check_id]
+            elif age >= timeout_s / 2:
+                effects += self._ask_others(check)
+            if age >= timeout_s:
+                self._note_half_done_work(check)
+        self._forget_old_asks(now)
+        return [*effects, *self._begin_if_due(now)]
 
     def on_report(
         self, sender: str, message: messages.AcceptedReport, now: float
@@ -92,43 +108,84 @@
         # Reports that come after the quorum's are looked at as well, or a
         # voter that always comes late would never be brought up to date.
         effects = self._catch_up(message, now)
-        check = self._check
-        if check is None or check.check_id != message.check_id:
+        check = self._checks_by_id.get(message.check_id)
+        if check is None:
             return effects
         check.accepted_by_disk[message.from_disk_id] = message.accepted
+        self._note_ballot(message.accepted, now)
         return [
             *effects,
-            *self._fetch_if_behind(sender, message),
+            *self._fetch_if_behind(sender, check, message),
             *self.settle(now),
         ]
 
     def settle(self, now: float) -> list[typing.Any]:
-        """End the check if it confirms a version that is known."""
-        check = self._check
-        if check is None:
-            return []
-        for versions in self._knowledge.histories:
-            version = versions.current
-            if version is not None and check.confirms(version):
-                self._check = None
-                return self._answer(check, versions, now)
+        """End the latest check that confirms a version that is known."""
+        for check in reversed(self._checks_by_id.values()):
+            for versions in self._knowledge.histories:
+                version = versions.current
+                if version is not None and check.confirms(version):
+                    return self._end(check, versions, now)
         return []
 
+    def _end(
+        self,
+        check: confirmation.Check,
+        versions: configurations.VersionHistory,
+        now: float,
+    ) -> list[typing.Any]:
+        """Forget a check and those before it, and answer who waits."""
+        self.is_repair_wanted = False
+        for check_id in list(self._checks_by_id):
+            if check_id <= check.check_id:
+                del self._checks_by_id[check_id]
+        return self._answer(check, versions, now)
+
     def _begin_if_due(self, now: float) -> list[typing.Any]:
-        if not self._knowledge.is_voter or self._check is not None:
+        if not self._knowledge.is_voter or self._check_id is None:
             return []
-        if self._check_id is None or not self._is_due(now):
+        if self._is_under_way(now) or not self._is_due(now):
             return []
         self._check_id += 1
         self._last_at = now
         self._is_wanted = False
-        self._check = confirmation.Check(
-            check_id=self._check_id,
-            started_at=now,
-            asks=tuple(self._waiting_by_id.values()),
-        )
-        self._waiting_by_id = {}
-        return self._query(self._check, self._first_disks())
+        check = confirmation.Check(check_id=self._check_id, started_at=now)
+        self._checks_by_id[check.check_id] = check
+        return self._query(check, self._first_disks())
+
+    def _is_under_way(self, now: float) -> bool:
+        """Return whether the latest check may yet end in time."""
+        check = self._checks_by_id.get(self._check_id)
+        if check is None:
+            return False
+        age = now - check.started_at
+        return age < confirmation.CHECK_TIMEOUT * self._ttl_s
+
+    def _note_ballot(self, ballot: ballots.Ballot | None, now: float) -> None:
+        if ballot is None:
+            return
+        if self._latest is None or ballot > self._latest:
+            self._latest, self._latest_at = ballot, now
+
+    def _note_half_done_work(self, check: confirmation.Check) -> None:
+        """Want a repair where a quorum holds no common version.
+
+        A proposer has left its work half done, unless it was still at work
+        when the check began. A repair is a ballot of its own, which checks
+        of the other voters meet half done: each would be repaired in turn,
+        one sees ballots without end and nobody confirmed.
+        """
+        timeout_s = confirmation.CHECK_TIMEOUT * self._ttl_s
+        if check.started_at < self._latest_at + timeout_s:
+            return
+        if self._knowledge.voters.has_quorum(set(check.accepted_by_disk)):
+            self.is_repair_wanted = True
+
+    def _forget_old_asks(self, now: float) -> None:
+        oldest = now - confirmation.LONGEST_ASK_TIMEOUT * self._ttl_s
+        for instance_id, waiting in list(self._waiting_by_id.items()):
+            if waiting.arrived_at <= oldest:
+                del self._waiting_by_id[instance_id]
 
     def _first_disks(self) -> list[str]:
         """Return the disks to ask first: a majority and a spare.
@@ -176,27 +233,18 @@
             gap = confirmation.CHECK_GAP
         return now - self._last_at >= gap * self._ttl_s
 
-    def _give_up(self, check: confirmation.Check, now: float) -> None:
-        oldest = now - confirmation.LONGEST_ASK_TIMEOUT * self._ttl_s
-        for ask in check.asks:
-            if ask.arrived_at > oldest:
-                self._waiting_by_id.setdefault(ask.instance_id, ask)
-        self._check = None
-        # A quorum answers, but does not hold one and the same version: a
-        # proposer has left its work half done.
-        answered = set(check.accepted_by_disk)
-        if self._knowledge.voters.has_quorum(answered):
-            self.is_repair_wanted = True
-
     def _fetch_if_behind(
-        self, sender: str, message: messages.AcceptedReport
+        self,
+        sender: str,
+        check: confirmation.Check,
+        message: messages.AcceptedReport,
     ) -> list[typing.Any]:
         known = self._knowledge.known.ballot
-        latest = self._check.fetched or known
+        latest = check.fetched or known
         if message.accepted is None or message.accepted <= latest:
             return []
         # Once a check: every voter would send the whole value otherwise.
-        self._check.fetched = message.accepted
+        check.fetched = message.accepted
         fetch = messages.FetchVersion(
             to_disk_id=message.from_disk_id, base=known
         )
@@ -209,7 +257,10 @@
         now: float,
     ) -> list[typing.Any]:
         effects = self._confirm(versions.current, check.started_at, now)
-        for waiting in check.asks:
+        for instance_id, waiting in list(self._waiting_by_id.items()):
+            if waiting.after_check >= check.check_id:
+                continue
+            del self._waiting_by_id[instance_id]
             answer = messages.ConfigurationConfirmed(
                 ask_id=waiting.ask.ask_id,
                 update=versions.update_for(waiting.ask.base),
--- a/dandeliongw/coordination/confirmation.py
+++ b/dandeliongw/coordination/confirmation.py
@@ -28,6 +28,8 @@
 LONGEST_ASK_TIMEOUT = 0.4
 CHECK_GAP = 0.15
 CHECK_TIMEOUT = 0.1
+#: How long the reports of a check count. A later one may have begun by then.
+CHECK_LIFE = 0.4
 MOST_DOUBLINGS = 2
 #: A silent voter is asked last for this many times to live.
 AVOID_FOR = 4.0
@@ -175,30 +177,25 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WaitingAsk:
-    """An instance that waits for the outcome of a check."""
+    """An instance that waits for the outcome of a check.
+
+    :param after_check: id of the last check that had begun when it came.
+        None up to that one answers it, as it may have read before the ask
+        was sent.
+    """
 
     instance_id: str
     arrived_at: float
+    after_check: int
     ask: messages.ConfirmConfiguration
 
 
 class Check:
-    """One majority check of a voter.
+    """One majority check of a voter."""
 
-    :param asks: whoever asked before the check began; a check never
-        answers later ones, as it may have read before they were sent.
-    """
-
-    def __init__(
-        self,
-        *,
-        check_id: int,
-        started_at: float,
-        asks: abc.Sequence[WaitingAsk],
-    ) -> None:
+    def __init__(self, *, check_id: int, started_at: float) -> None:
         self.check_id = check_id
         self.started_at = started_at
-        self.asks = tuple(asks)
         self.accepted_by_disk: dict[str, ballots.Ballot | None] = {}
         #: The disks that were sent a query.
         self.asked: set[str] = set()
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -6,6 +6,7 @@
 
 from dandeliongw.coordination import configuration
 from dandeliongw.coordination import confirmation
+from dandeliongw.coordination import parts
 from dandeliongw.coordination import register_messages as messages
 from tests import register_network
 
@@ -120,6 +121,116 @@
             self.assertEqual(len(self.network.entries), len(fresh))
 
 
+class RepairTest(unittest.TestCase):
+    def test_a_change_at_work_is_not_repaired(self):
+        """Symptom: ballots without end after a single change.
+
+        A check that meets a change half done finds no common version. Taken
+        for the work of a proposer that is gone it is repaired by a ballot,
+        which the checks of other voters meet half done in turn.
+        """
+        network = make_network()
+        voters = frozenset(network.voters)
+        network.delay_s = lambda sender, to, message: (
+            register_network.HOP_S + 0.03 * (voters >= {sender, to})
+        )
+        network.run(4.0)
+        network.change('voter-1', 2)
+        prepares = []
+        network.loses = lambda sender, to, message: (
+            prepares.append(message)
+            if isinstance(message, messages.PrepareBallot)
+            else None
+        )
+        network.run(10.0)
+        self.assertEqual([], prepares)
+
+
+class CheckerTest(unittest.TestCase):
+    """One voter of three, whose messages are looked at by hand."""
+
+    def setUp(self):
+        self.network = register_network.Network(
+            voters=3, entries=0, ttl_s=TTL_S
+        )
+        self.network.run(2.0)
+        self.network.change('voter-1', 1)
+        self.network.run(2.0)
+        self.voter = self.network.part('voter-1')
+        self.now = self.network.now + TTL_S
+
+    def receive(self, sender, message):
+        event = parts.Received(now=self.now, sender=sender, message=message)
+        return [
+            effect.message
+            for effect in self.voter.handle(event)
+            if isinstance(effect, parts.Send)
+        ]
+
+    def ask(self, ask_id, sender='entry-1'):
+        ask = messages.ConfirmConfiguration(ask_id=ask_id, base=None)
+        return self.receive(sender, ask)
+
+    def report(self, check, voter):
+        return self.receive(
+            voter,
+            messages.AcceptedReport(
+                from_disk_id=f'disk-{voter}',
+                check_id=check.check_id,
+                accepted=self.voter._knowledge.known.ballot,
+            ),
+        )
+
+    def end(self, check):
+        """Return the ids of the asks that the check answers."""
+        answers = self.report(check, 'voter-2') + self.report(check, 'voter-3')
+        return [each.ask_id for each in answers]
+
+    def test_a_check_answers_who_asked_before_it_began(self):
+        check = self.ask(1)[0]
+        self.now += 0.01
+        self.ask(2, 'entry-2')
+        self.assertEqual([1], self.end(check))
+
+    def test_the_later_ask_of_one_instance_is_answered(self):
+        check = self.ask(1)[0]
+        self.ask(2)
+        self.assertEqual([], self.end(check))
+
+    def test_a_later_check_answers_what_an_earlier_one_left(self):
+        self.ask(1)
+        self.now += 0.3
+        check = self.ask(2, 'entry-2')[0]
+        self.assertEqual([1, 2], self.end(check))
+
+    def test_an_earlier_check_that_ends_late_answers_its_own(self):
+        first = self.ask(1)[0]
+        self.now += 0.3
+        second = self.ask(2, 'entry-2')[0]
+        self.assertNotEqual(first.check_id, second.check_id)
+        self.assertEqual([1], self.end(first))
+        self.assertEqual([2], self.end(second))
+
+
+class CutTest(unittest.TestCase):
+    @params(1, 2)
+    def test_a_core_that_was_apart_is_heard_again(self, seed):
+        """All voters are cut off for 8 s; connections come back by and by."""
+        network = register_network.CutNetwork(
+            voters=9, entries=80, ttl_s=TTL_S, seed=seed
+        )
+        network.run(3.0)
+        network.change('voter-1', 1)
+        network.cut = frozenset(network.voters)
+        network.run(8.0)
+        network.cut = frozenset()
+        network.run(2.0)
+        acknowledged_at = network.change('voter-1', 2)
+        network.run(acknowledged_at + IN_FORCE_S - network.now)
+        late = [each for each in network.entries if network.order(each) < 2]
+        self.assertEqual([], late)
+
+
 class AskerTest(unittest.TestCase):
     def setUp(self):
         self.asker = confirmation.Asker(instance_id='entry-1', ttl_s=TTL_S)
