Voters repair half-done work one after the other

Symptom: where a message between voters takes 0.1 s, 414 messages of proposers in the 10 s after a single change, each with a sync of a disk, and entries that are confirmed late.

Cause: all voters see half-done work in the same moment, and each begins a repair; they refuse each other's ballots and leave it half done again.

Why the mend holds: each voter waits its turn, by a digest of the ballot, half a check's timeout apart; a newer ballot that it hears of meanwhile ends the wait. A turn comes for some live voter within the life of a check: fewer than half are away. After it no message of a proposer follows the change with 0.03 and 0.1 s.

--- a/dandeliongw/coordination/checker.py
+++ b/dandeliongw/coordination/checker.py
@@ -17,6 +17,11 @@
 #: More disks than a majority are asked at first, so that one may be silent.
 SPARE_DISKS = 1
 
+#: Voters see half-done work at the same moment. One after the other repairs
+#: it, so many times the timeout of a check apart: all at once would refuse
+#: each other's ballots, and what they leave is half done again.
+REPAIR_GAP = 0.5
+
 Confirm = abc.Callable[[configurations.Version, float, float], list]
 
 
@@ -97,7 +102,7 @@
             elif age >= timeout_s / 2:
                 effects += self._ask_others(check)
             if age >= timeout_s:
-                self._note_half_done_work(check)
+                self._note_half_done_work(check, age)
         self._forget_old_asks(now)
         return [*effects, *self._begin_if_due(now)]
 
@@ -167,7 +172,9 @@
         if self._latest is None or ballot > self._latest:
             self._latest, self._latest_at = ballot, now
 
-    def _note_half_done_work(self, check: confirmation.Check) -> None:
+    def _note_half_done_work(
+        self, check: confirmation.Check, age: float
+    ) -> None:
         """Want a repair where a quorum holds no common version.
 
         A proposer has left its work half done, unless it was still at work
@@ -178,8 +185,20 @@
         timeout_s = confirmation.CHECK_TIMEOUT * self._ttl_s
         if check.started_at < self._latest_at + timeout_s:
             return
-        if self._knowledge.voters.has_quorum(set(check.accepted_by_disk)):
-            self.is_repair_wanted = True
+        if not self._knowledge.voters.has_quorum(set(check.accepted_by_disk)):
+            return
+        turn_s = timeout_s * (1 + REPAIR_GAP * self._repair_rank())
+        self.is_repair_wanted = self.is_repair_wanted or age >= turn_s
+
+    def _repair_rank(self) -> int:
+        """Return which voter this is to repair the latest ballot."""
+
+        def place(voter_id: str) -> bytes:
+            return configurations.digest(str(self._latest), voter_id)
+
+        ranked = sorted(self._knowledge.voter_ids, key=place)
+        own_id = self._knowledge.instance_id
+        return ranked.index(own_id) if own_id in ranked else len(ranked)
 
     def _forget_old_asks(self, now: float) -> None:
         oldest = now - confirmation.LONGEST_ASK_TIMEOUT * self._ttl_s
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -122,7 +122,8 @@
 
 
 class RepairTest(unittest.TestCase):
-    def test_a_change_at_work_is_not_repaired(self):
+    @params(0.03, 0.1)
+    def test_a_change_at_work_is_not_repaired(self, hop_s):
         """Symptom: ballots without end after a single change.
 
         A check that meets a change half done finds no common version. Taken
@@ -132,7 +133,7 @@
         network = make_network()
         voters = frozenset(network.voters)
         network.delay_s = lambda sender, to, message: (
-            register_network.HOP_S + 0.03 * (voters >= {sender, to})
+            register_network.HOP_S + hop_s * (voters >= {sender, to})
         )
         network.run(4.0)
         network.change('voter-1', 2)
@@ -145,6 +146,29 @@
         network.run(10.0)
         self.assertEqual([], prepares)
 
+    @params(1, 2, 3, 4)
+    def test_what_a_proposer_left_is_repaired_soon(self, seed):
+        """Nobody is confirmed until then, so a time to live is the bound."""
+        network = make_network(seed=seed)
+        network.stop('voter-9')
+        holders = ('voter-1', 'voter-2', 'voter-3', 'voter-4')
+        network.loses = lambda sender, to, message: (
+            isinstance(message, messages.AcceptVersion) and to not in holders
+        )
+        network.propose('voter-1', 2)
+        network.run(0.1)
+        network.loses = lambda sender, to, message: False
+        # Four of nine hold the change, four don't, one is away.
+        network.start('voter-1')
+        network.run(TTL_S)
+        fresh = [
+            each
+            for each in network.entries
+            if network.part(each).is_fresh(network.now)
+        ]
+        self.assertEqual(len(network.entries), len(fresh))
+        self.assertEqual({2}, {network.order(each) for each in fresh})
+
 
 class CheckerTest(unittest.TestCase):
     """One voter of three, whose messages are looked at by hand."""
