--- a/dandeliongw/_link.py
+++ b/dandeliongw/_link.py
@@ -3,13 +3,13 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 import enum
 import random
 import typing
 
 import grpclib.client
 import grpclib.config
+import msgspec
 
 from .envelopes import DropReason
 from .envelopes import Sealer
@@ -57,8 +57,7 @@
     RECONNECT_ASKED = 'reconnect_asked'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Queued:
+class _Queued(msgspec.Struct, frozen=True, kw_only=True):
     kind: str
     body: bytes
     expires_at: float
@@ -81,8 +80,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Limits:
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds of the connections; the defaults are the constants above."""
 
     max_envelope_bytes: int = MAX_ENVELOPE_BYTES
--- a/dandeliongw/adapter.py
+++ b/dandeliongw/adapter.py
@@ -5,9 +5,10 @@
 """
 
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from . import engine
 from . import settings as settings_module
 from .borders import backends
@@ -58,8 +59,7 @@
     ) -> control.Applied | control.Overtaken | control.Unavailable: ...
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ExtraPort:
+class ExtraPort(msgspec.Struct, frozen=True, kw_only=True):
     """A port that the platform wants beside those of the product.
 
     :param name: for messages.
--- a/dandeliongw/borders/_console_base.py
+++ b/dandeliongw/borders/_console_base.py
@@ -1,13 +1,13 @@
 """What all pages of the console share: sessions, drafts and the frame."""
 
 from collections import abc
-import dataclasses
 import functools
 import json
 import time
 import typing
 
 import cherrypy
+import msgspec
 
 from .. import differences
 from .. import metrics as metrics_module
@@ -22,8 +22,7 @@
 Handler = abc.Callable[..., bytes]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SignedIn:
+class SignedIn(msgspec.Struct, frozen=True, kw_only=True):
     """Who asks, and the token that this session's forms carry."""
 
     operator: str
--- a/dandeliongw/borders/calls.py
+++ b/dandeliongw/borders/calls.py
@@ -5,13 +5,14 @@
 """
 
 from collections import abc
-import dataclasses
 import hashlib
 import json
 import re
 import typing
 import urllib.parse
 
+import msgspec
+
 from .. import events
 from .. import verdict
 from ..cell import policy
@@ -43,8 +44,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Completion:
+class Completion(msgspec.Struct, frozen=True, kw_only=True):
     """A checked completions call."""
 
     call: events.Call
@@ -98,8 +98,7 @@
     return Completion(call=call, prompt=prompt, stream=stream)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True, kw_only=True):
     """Where a call goes, by the request line.
 
     :param segments: of the path, decoded; the first three at most.
--- a/dandeliongw/borders/control.py
+++ b/dandeliongw/borders/control.py
@@ -4,12 +4,12 @@
 implements it over the register, and tests over a dictionary.
 """
 
-import dataclasses
 import typing
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Configuration:
+
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
     """A revision of the document, as a majority of voters confirmed it.
 
     :param revision: 0 before the first change; each change adds one.
@@ -22,8 +22,7 @@
     author: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Applied:
+class Applied(msgspec.Struct, frozen=True, kw_only=True):
     """The change was accepted, now or when it was sent before.
 
     :param revision: the revision that the change made.
@@ -34,8 +33,7 @@
     repeated: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True, kw_only=True):
     """Another change came first; nothing was applied.
 
     :param current: what is accepted now.
@@ -44,8 +42,7 @@
     current: Configuration
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Overtaken:
+class Overtaken(msgspec.Struct, frozen=True, kw_only=True):
     """A change with this number or a higher one is held.
 
     :param order: the number that is held.
@@ -54,15 +51,13 @@
     order: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ChangeIdReused:
+class ChangeIdReused(msgspec.Struct, frozen=True, kw_only=True):
     """The change id names another change; nothing was applied."""
 
     change_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Unavailable:
+class Unavailable(msgspec.Struct, frozen=True, kw_only=True):
     """No majority answered in time; a change may still take effect.
 
     :param message: one sentence for a person.
--- a/dandeliongw/borders/drafts.py
+++ b/dandeliongw/borders/drafts.py
@@ -7,13 +7,14 @@
 """
 
 from collections import abc
-import dataclasses
 import hashlib
 import json
 import secrets
 import threading
 import typing
 
+import msgspec
+
 from .. import differences
 from . import control as controls
 
@@ -21,8 +22,7 @@
 _DIGEST_LENGTH = 32
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Draft:
+class Draft(msgspec.Struct, frozen=True, kw_only=True):
     """A document that may not be valid yet.
 
     :param base: what the operator began from.
@@ -98,7 +98,7 @@
                 draft = self._begin(current)
             if draft.base.revision != revision:
                 return False
-            self._drafts_by_operator[operator] = dataclasses.replace(
+            self._drafts_by_operator[operator] = msgspec.structs.replace(
                 draft, tree=change(draft.tree)
             )
             return True
@@ -115,7 +115,7 @@
             carried = differences.carry_over(
                 base=draft.base_tree, mine=draft.tree, theirs=begun.tree
             )
-            self._drafts_by_operator[operator] = dataclasses.replace(
+            self._drafts_by_operator[operator] = msgspec.structs.replace(
                 begun, tree=carried.tree
             )
             return carried.left_out
--- a/dandeliongw/borders/gateway.py
+++ b/dandeliongw/borders/gateway.py
@@ -6,7 +6,6 @@
 """
 
 from collections import abc
-import dataclasses
 import errno
 import hashlib
 import http
@@ -15,6 +14,7 @@
 import typing
 
 from loguru import logger
+import msgspec
 
 from .. import clock
 from .. import engine
@@ -52,8 +52,7 @@
 Headers = tuple[tuple[str, str], ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Facts:
+class Facts(msgspec.Struct, frozen=True, kw_only=True):
     """What a call's headers tell of it.
 
     :param request_id: the caller's own name of this send.
--- a/dandeliongw/borders/pages/forms.py
+++ b/dandeliongw/borders/pages/forms.py
@@ -5,12 +5,13 @@
 """
 
 from collections import abc
-import dataclasses
 import json
 import math
 import types
 import typing
 
+import msgspec
+
 from ... import differences
 from ... import document
 from ... import exceptions
@@ -46,8 +47,7 @@
 Form = abc.Mapping[str, typing.Any]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Field:
+class Field(msgspec.Struct, frozen=True, kw_only=True):
     """One input of a form.
 
     :param name: dotted for a field inside another model.
--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -5,9 +5,10 @@
 instance.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 from ..verdict import RefusalReason
 from .policy import CellBackend
 from .policy import CellTerms
@@ -23,8 +24,7 @@
     EXPIRED = 'expired'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Book:
+class Book(msgspec.Struct, frozen=True, kw_only=True):
     """Entry to owner: find backend servers for one attempt.
 
     Sending it again with the same ids gives the same answer.
@@ -56,8 +56,7 @@
     may_read_there: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PrefillDone:
+class PrefillDone(msgspec.Struct, frozen=True, kw_only=True):
     """Entry to owner: the prefill engine answered."""
 
     cell: str
@@ -68,24 +67,21 @@
     kv_bytes: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Holding:
+class Holding(msgspec.Struct, frozen=True, kw_only=True):
     """The ids of one booking."""
 
     request_id: str
     attempt_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Progress:
+class Progress(msgspec.Struct, frozen=True, kw_only=True):
     """Entry to owner: these bookings are still wanted."""
 
     cell: str
     bookings: tuple[Holding, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Release:
+class Release(msgspec.Struct, frozen=True, kw_only=True):
     """Entry to owner: an attempt ended.
 
     :param wasted_tokens: prefill tokens whose result was thrown away.
@@ -107,8 +103,7 @@
     answer_pieces: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReclaimedBooking:
+class ReclaimedBooking(msgspec.Struct, frozen=True, kw_only=True):
     """What an entry holds, told to a new owner."""
 
     request_id: str
@@ -126,8 +121,7 @@
     expected_tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Reclaim:
+class Reclaim(msgspec.Struct, frozen=True, kw_only=True):
     """Entry to a new owner: all bookings of the cell that it holds."""
 
     cell: str
@@ -135,8 +129,7 @@
     bookings: tuple[ReclaimedBooking, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Booked:
+class Booked(msgspec.Struct, frozen=True, kw_only=True):
     """Owner to entry: start the attempt here, in ``start_in_s``."""
 
     cell: str
@@ -152,8 +145,7 @@
     start_in_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Queued:
+class Queued(msgspec.Struct, frozen=True, kw_only=True):
     """Owner to entry: admitted; ``Booked`` follows when it may start."""
 
     cell: str
@@ -163,8 +155,7 @@
     expected_in_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Declined:
+class Declined(msgspec.Struct, frozen=True, kw_only=True):
     """Owner to entry: refused, and nothing has run."""
 
     cell: str
@@ -175,8 +166,7 @@
     message: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NotOwner:
+class NotOwner(msgspec.Struct, frozen=True, kw_only=True):
     """Whoever got a ``Book`` doesn't own the cell.
 
     :param holder: instance id of the owner, empty if unknown.
@@ -188,8 +178,7 @@
     holder: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Cancelled:
+class Cancelled(msgspec.Struct, frozen=True, kw_only=True):
     """Owner to entry: this booking is gone; stop the attempt."""
 
     cell: str
@@ -198,8 +187,7 @@
     attempt_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReclaimWanted:
+class ReclaimWanted(msgspec.Struct, frozen=True, kw_only=True):
     """Owner to entry: a new owner; send ``Reclaim`` with all you hold."""
 
     cell: str
@@ -221,24 +209,21 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendsChanged:
+class BackendsChanged(msgspec.Struct, frozen=True, kw_only=True):
     """The backend servers of this cell that may get new work."""
 
     now: float
     backends: tuple[CellBackend, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TermsChanged:
+class TermsChanged(msgspec.Struct, frozen=True, kw_only=True):
     """The document says something else about the service now."""
 
     now: float
     terms: CellTerms
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LoadReported:
+class LoadReported(msgspec.Struct, frozen=True, kw_only=True):
     """A load report came in; it was true some time ago."""
 
     now: float
@@ -250,8 +235,7 @@
     kv_bytes: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CacheHint:
+class CacheHint(msgspec.Struct, frozen=True, kw_only=True):
     """Cache events came in, perhaps late.
 
     :param gap: events before these were lost.
@@ -264,8 +248,7 @@
     gap: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamCancelled:
+class StreamCancelled(msgspec.Struct, frozen=True, kw_only=True):
     """The backend server confirmed a cancel (or knew no such stream)."""
 
     now: float
@@ -274,8 +257,7 @@
     attempt_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelStream:
+class CancelStream(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: ``POST /v1/cancel``; post :class:`StreamCancelled` on 200."""
 
     backend_id: str
@@ -285,24 +267,21 @@
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ListStreams:
+class ListStreams(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: ``GET /v1/streams``; post :class:`StreamsListed` on 200."""
 
     backend_id: str
     url: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HeldStream:
+class HeldStream(msgspec.Struct, frozen=True, kw_only=True):
     """A stream that a backend server holds memory for."""
 
     stream_id: str
     attempt_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamsListed:
+class StreamsListed(msgspec.Struct, frozen=True, kw_only=True):
     """What a backend server holds, as it was at ``asked_at`` or later.
 
     :param asked_at: when the effect was performed, on this instance's clock.
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -6,9 +6,10 @@
 all time comes in events, all work leaves as effects.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from ..coordination import parts
 from .cell_messages import BackendsChanged
 from .cell_messages import Book
@@ -92,8 +93,7 @@
 CANCEL_AGAIN_S = 1.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PendingCancel:
+class PendingCancel(msgspec.Struct, kw_only=True):
     """A cancel that its backend server hasn't confirmed."""
 
     effect: CancelStream
--- a/dandeliongw/cell/forecast.py
+++ b/dandeliongw/cell/forecast.py
@@ -7,15 +7,15 @@
 """
 
 from collections import abc
-import dataclasses
+
+import msgspec
 
 #: Part of the cache that forecasts may fill. Lengths of answers are guesses;
 #: the sum over some ten of them errs by about 4 in 100.
 FILL_PART = 0.95
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Growth:
+class Growth(msgspec.Struct, frozen=True, kw_only=True):
     """One piece of work in an engine's cache.
 
     :param held: tokens that it holds now.
--- a/dandeliongw/cell/health.py
+++ b/dandeliongw/cell/health.py
@@ -1,8 +1,9 @@
 """How far the owner of a cell trusts a backend server with new work."""
 
-import dataclasses
 import math
 
+import msgspec
+
 #: So many faults within the window leave a backend server out.
 FAULTS_TO_EJECT = 3
 FAULT_WINDOW_S = 5.0
@@ -33,8 +34,7 @@
 FORGIVEN_AFTER_S = 15.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Health:
+class Health(msgspec.Struct, kw_only=True, eq=False):
     """Whether a backend server is trusted with new work.
 
     One that keeps failing is left out for a while, longer each time, and
@@ -43,8 +43,8 @@
     A new one comes in as slowly, as its caches are cold.
     """
 
-    recent_faults: list[float] = dataclasses.field(default_factory=list)
-    recent_successes: list[float] = dataclasses.field(default_factory=list)
+    recent_faults: list[float] = msgspec.field(default_factory=list)
+    recent_successes: list[float] = msgspec.field(default_factory=list)
     ejected_until: float = 0.0
     ejections: int = 0
     #: When it came, or came back; ``None`` if it has always been there.
@@ -179,8 +179,7 @@
         self.recent_successes.clear()
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Batch:
+class Batch(msgspec.Struct, kw_only=True, eq=False):
     """How many streams a decode engine carries within the token gap.
 
     A batch steps more slowly the fuller it is. With more slots than the
--- a/dandeliongw/cell/orders.py
+++ b/dandeliongw/cell/orders.py
@@ -10,10 +10,11 @@
 
 import collections
 from collections import abc
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 from .. import verdict
 from ..coordination import parts
 
@@ -91,8 +92,7 @@
         return True
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EngineSeen:
+class EngineSeen(msgspec.Struct, frozen=True, kw_only=True):
     """Event: a backend server announced itself.
 
     :param incarnation: a new one has nothing that the last one had loaded.
@@ -105,16 +105,14 @@
     checks_fence: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EngineGone:
+class EngineGone(msgspec.Struct, frozen=True, kw_only=True):
     """Event: a backend server left or fell silent."""
 
     now: float
     backend_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DesiredChanged:
+class DesiredChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Event: the configuration in force says what engines should run.
 
     :param revision: of the document; an older one is ignored.
@@ -127,8 +125,7 @@
     values_by_backend: abc.Mapping[str, abc.Mapping[OrderKind, str]]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OrderAnswered:
+class OrderAnswered(msgspec.Struct, frozen=True, kw_only=True):
     """Event: one send of an order ended.
 
     :param attempt: of the :class:`SendOrder` that it answers.
@@ -144,8 +141,7 @@
     is_fenced: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SendOrder:
+class SendOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: send an order, if :meth:`Orders.may_send` still says so.
 
     :param order_id: the same for each attempt, so that the engine can tell
@@ -162,8 +158,7 @@
     send_by: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Order:
+class _Order(msgspec.Struct, kw_only=True):
     """The order that an engine was last given, until it is confirmed."""
 
     order_id: str
@@ -173,8 +168,7 @@
     next_try_at: float = float('-inf')
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Engine:
+class _Engine(msgspec.Struct, kw_only=True):
     """One backend server.
 
     :param settled_at_by_attempt: when each attempt without a definite answer
@@ -184,11 +178,11 @@
     incarnation: int
     checks_fence: bool
     is_fenced: bool = False
-    confirmed_by_kind: dict[OrderKind, str] = dataclasses.field(
+    confirmed_by_kind: dict[OrderKind, str] = msgspec.field(
         default_factory=dict
     )
     order: _Order | None = None
-    settled_at_by_attempt: dict[tuple[str, int], float] = dataclasses.field(
+    settled_at_by_attempt: dict[tuple[str, int], float] = msgspec.field(
         default_factory=dict
     )
 
--- a/dandeliongw/cell/policy.py
+++ b/dandeliongw/cell/policy.py
@@ -7,11 +7,11 @@
 
 import collections
 from collections import abc
-import dataclasses
 import enum
 import math
 import typing
 
+import msgspec
 import xxhash
 
 from . import forecast
@@ -77,16 +77,14 @@
     PLAIN = 'plain'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Weights:
+class Weights(msgspec.Struct, frozen=True, kw_only=True):
     """How much each of the two measures counts for this service."""
 
     goodput: float = 1.0
     wasted_prefill: float = 1.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CellTerms:
+class CellTerms(msgspec.Struct, frozen=True, kw_only=True):
     """What the document says about the service of a cell.
 
     :param first_token_s: target from arrival to first token.
@@ -116,19 +114,16 @@
     tokens_per_piece: int = 1
     kv_bytes_per_token: float = 100_000.0
     link_bytes_per_s: float = 10e9
-    slots_by_role: dict[str, int] = dataclasses.field(default_factory=dict)
-    kv_tokens_by_role: dict[str, int] = dataclasses.field(default_factory=dict)
-    max_wait_s_by_priority: dict[str, float] = dataclasses.field(
-        default_factory=dict
-    )
-    rank_by_priority: dict[str, int] = dataclasses.field(default_factory=dict)
-    share_by_account: dict[str, float] = dataclasses.field(
+    slots_by_role: dict[str, int] = msgspec.field(default_factory=dict)
+    kv_tokens_by_role: dict[str, int] = msgspec.field(default_factory=dict)
+    max_wait_s_by_priority: dict[str, float] = msgspec.field(
         default_factory=dict
     )
+    rank_by_priority: dict[str, int] = msgspec.field(default_factory=dict)
+    share_by_account: dict[str, float] = msgspec.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CellBackend:
+class CellBackend(msgspec.Struct, frozen=True, kw_only=True):
     """A backend server that may get work now."""
 
     backend_id: str
@@ -139,8 +134,7 @@
     data_centre: str = ''
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class Booking:
+class Booking(msgspec.Struct, kw_only=True, eq=False):
     """One reservation: a lease that the entry renews."""
 
     request_id: str
@@ -183,8 +177,7 @@
         return self.request_id, self.attempt_id
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NoRoom:
+class NoRoom(msgspec.Struct, frozen=True, kw_only=True):
     """A forecast that an engine's memory has no room, kept for a moment.
 
     :param until: when it has to be made again.
@@ -203,13 +196,12 @@
         return now < self.until and tokens >= self.tokens and pace == self.pace
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class BackendState:
+class BackendState(msgspec.Struct, kw_only=True, eq=False):
     """What the owner knows of one backend server."""
 
     backend: CellBackend
     #: Live bookings here, by (request id, attempt id).
-    bookings_by_key: dict[tuple[str, str], Booking] = dataclasses.field(
+    bookings_by_key: dict[tuple[str, str], Booking] = msgspec.field(
         default_factory=dict
     )
     reported_running: int = 0
@@ -237,12 +229,12 @@
     #: The last forecast that its memory has no room; see
     #: :meth:`forget_forecast`.
     no_room: 'NoRoom | None' = None
-    batch: Batch = dataclasses.field(default_factory=Batch)
-    health: Health = dataclasses.field(default_factory=lambda: Health())
+    batch: Batch = msgspec.field(default_factory=Batch)
+    health: Health = msgspec.field(default_factory=lambda: Health())
     #: Blocks that its prefix cache may hold, the last used at the end. A
     #: guess: cache events come late and with gaps, and blocks count from
     #: the moment a prompt is sent, long before an event tells.
-    blocks: collections.OrderedDict[str, None] = dataclasses.field(
+    blocks: collections.OrderedDict[str, None] = msgspec.field(
         default_factory=collections.OrderedDict
     )
 
@@ -308,17 +300,16 @@
         return max(ends, default=now)
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class CellView:
+class CellView(msgspec.Struct, kw_only=True):
     """All that a policy may look at."""
 
     terms: CellTerms
-    backends_by_id: dict[str, BackendState] = dataclasses.field(
+    backends_by_id: dict[str, BackendState] = msgspec.field(
         default_factory=dict
     )
 
     #: Admitted work that has not been placed, in order of arrival.
-    queue: list[Booking] = dataclasses.field(default_factory=list)
+    queue: list[Booking] = msgspec.field(default_factory=list)
     #: Measured length of answers over the longest they may be.
     answer_ratio: float = 1.0
     #: Measured tokens a second of one stream; ``None`` until one has ended.
@@ -540,8 +531,7 @@
             self.answer_ratio += part * (ratio - self.answer_ratio)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Place:
+class Place(msgspec.Struct, frozen=True, kw_only=True):
     """Start the work on these backend servers in ``start_in_s``."""
 
     prefill_id: str = ''
@@ -550,15 +540,13 @@
     start_in_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Wait:
+class Wait(msgspec.Struct, frozen=True, kw_only=True):
     """Keep the work in the queue; it starts in about ``expected_s``."""
 
     expected_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Decline:
+class Decline(msgspec.Struct, frozen=True, kw_only=True):
     """Refuse at once."""
 
     reason: RefusalReason
--- a/dandeliongw/cell/roles.py
+++ b/dandeliongw/cell/roles.py
@@ -10,9 +10,10 @@
 """
 
 from collections import abc
-import dataclasses
 import math
 
+import msgspec
+
 from . import policy
 from . import prediction
 from .forecast import FILL_PART
@@ -45,8 +46,7 @@
 SMOOTHING = 0.05
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Switch:
+class Switch(msgspec.Struct, frozen=True, kw_only=True):
     """An engine on its way to another role."""
 
     backend_id: str
--- a/dandeliongw/cell/rooms.py
+++ b/dandeliongw/cell/rooms.py
@@ -1,8 +1,9 @@
 """Which backend servers may get new work, and how much."""
 
-import dataclasses
 import math
 
+import msgspec
+
 from .policy import BackendState
 from .policy import Booking
 from .policy import CellView
@@ -14,8 +15,7 @@
 LEAST_TRUSTED_PART = 0.5
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Room:
+class Room(msgspec.Struct, frozen=True, kw_only=True):
     """A backend server with slots that may be booked now."""
 
     state: BackendState
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -1,9 +1,10 @@
 """The policy in force: exact slots, booked before a prefill starts."""
 
-import dataclasses
 import enum
 import math
 
+import msgspec
+
 from . import declines
 from . import prediction
 from . import rooms as rooms_module
@@ -80,8 +81,7 @@
     RANK = 'rank'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Options:
+class Options(msgspec.Struct, frozen=True, kw_only=True):
     """Which decisions are made; earlier versions lack the later ones.
 
     :param queue: let admitted work wait at the owner for a slot; refuse
--- a/dandeliongw/cell/stand_in.py
+++ b/dandeliongw/cell/stand_in.py
@@ -9,9 +9,10 @@
 """
 
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from .. import effects
 from . import cells
 from ..coordination import parts
@@ -87,7 +88,7 @@
             self.cells_by_id[cell_id] = cell
         cell.handle(cells.TermsChanged(now=now, terms=shared))
         backends = tuple(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 each, slots=max(1, each.slots // self._entries())
             )
             for each in self._backends_of(now, cell_id)
@@ -97,7 +98,7 @@
 
 
 def _share(terms: policy.CellTerms, entries: int) -> policy.CellTerms:
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         terms,
         kv_tokens_by_role={
             role: tokens // entries
--- a/dandeliongw/cell/succession.py
+++ b/dandeliongw/cell/succession.py
@@ -1,8 +1,9 @@
 """Which cells this instance should own, and who gets them when it leaves."""
 
-import dataclasses
 import typing
 
+import msgspec
+
 from .. import directory as directory_module
 from .. import effects
 from ..coordination import lease
@@ -14,8 +15,7 @@
 DEPUTY_TURN_S = 3.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Asked:
+class _Asked(msgspec.Struct, kw_only=True):
     """When entries asked for a cell that this instance doesn't own."""
 
     first_at: float
--- a/dandeliongw/cell/takeover.py
+++ b/dandeliongw/cell/takeover.py
@@ -7,9 +7,10 @@
 it holds, or a short time is over.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import cells
 from ..coordination import parts
 
@@ -82,5 +83,6 @@
     def release(self, now: float) -> list[parts.Received]:
         """Return the kept bookings, to be decided now."""
         return [
-            dataclasses.replace(event, now=now) for event in self._held_back
+            msgspec.structs.replace(event, now=now)
+            for event in self._held_back
         ]
--- a/dandeliongw/codec.py
+++ b/dandeliongw/codec.py
@@ -7,21 +7,20 @@
 """
 
 from collections import abc
-import dataclasses
 import enum
 import functools
 import types
 import typing
 
 from google.protobuf import message as protobuf_message
+import msgspec
 
 
 class CodecError(Exception):
     """Bytes or a message that this version can't map; names the kind."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Pairing:
+class Pairing(msgspec.Struct, frozen=True, kw_only=True):
     """A data class and the generated class that carries it."""
 
     data_class: type
@@ -98,7 +97,7 @@
     hints = typing.get_type_hints(data_class)
     return {
         field.name: _without_none(hints[field.name])
-        for field in dataclasses.fields(data_class)
+        for field in msgspec.structs.fields(data_class)
     }
 
 
@@ -144,8 +143,7 @@
     MAP = enum.auto()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Field:
+class _Field(msgspec.Struct, frozen=True, kw_only=True):
     """How one field is carried.
 
     :param hint: its type; for a repeated field and a map, of the items.
@@ -183,7 +181,7 @@
 
 
 def _shape(hint: typing.Any) -> _Shape:
-    if dataclasses.is_dataclass(hint):
+    if isinstance(hint, type) and issubclass(hint, msgspec.Struct):
         return _Shape.MESSAGE
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return _Shape.ENUM
--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -11,10 +11,11 @@
 last renewal has run out.
 """
 
-import dataclasses
 import math
 import typing
 
+import msgspec
+
 from ._presence_messages import BackendAnnouncement
 from ._presence_messages import BackendChanged
 from ._presence_messages import BackendDeparture
@@ -44,8 +45,7 @@
     return said.incarnation, said.sequence
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Backend:
+class Backend(msgspec.Struct, kw_only=True):
     """A backend server that was announced to this instance.
 
     :param lease_until: seconds of this instance's own clock.
@@ -64,8 +64,7 @@
     cache_gaps: int = 0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Holder:
+class _Holder(msgspec.Struct, kw_only=True):
     """The process that was the last to start at an address."""
 
     rank: tuple[int, int]
@@ -352,7 +351,7 @@
     if held is None:
         return False
     before, after = held.announcement, backend.announcement
-    return dataclasses.replace(after, sequence=before.sequence) != before
+    return msgspec.structs.replace(after, sequence=before.sequence) != before
 
 
 def _hints(backend: Backend, batch: CacheEvents) -> list[CacheHints]:
--- a/dandeliongw/coordination/_beliefs.py
+++ b/dandeliongw/coordination/_beliefs.py
@@ -4,9 +4,10 @@
 both counts, starts the time to refute, and queues what others should hear.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from ._membership_messages import MemberChanged
 from ._membership_messages import MemberForgotten
 from ._membership_messages import Superseded
@@ -163,7 +164,7 @@
         held = self.roster.members_by_id.get(instance_id)
         if held is None or not _is_doubted(held):
             return []
-        alive = dataclasses.replace(held, state=MemberState.ALIVE)
+        alive = msgspec.structs.replace(held, state=MemberState.ALIVE)
         return self._believe(now, alive, spread=False)
 
     def _judge(
@@ -171,7 +172,7 @@
     ) -> list[typing.Any]:
         self._unheard_verdicts.add(instance_id)
         held = self.roster.members_by_id[instance_id]
-        judged = dataclasses.replace(held, state=state)
+        judged = msgspec.structs.replace(held, state=state)
         return self._believe(now, judged, spread=not self.is_cut_off(now))
 
     # News.
@@ -231,7 +232,7 @@
 
     def state_own(self, now: float, **changes: typing.Any) -> list[typing.Any]:
         """Change what this instance says of itself."""
-        changed = dataclasses.replace(self.own, **changes)
+        changed = msgspec.structs.replace(self.own, **changes)
         if changed == self.own or self.own.state is MemberState.LEFT:
             return []
         revision = self.own.revision + 1
@@ -240,7 +241,7 @@
     def _believe_own(
         self, now: float, **changes: typing.Any
     ) -> list[typing.Any]:
-        self.own = dataclasses.replace(self.own, **changes)
+        self.own = msgspec.structs.replace(self.own, **changes)
         return self._believe(now, self.own, spread=True)
 
     def _believe(
--- a/dandeliongw/coordination/_membership_messages.py
+++ b/dandeliongw/coordination/_membership_messages.py
@@ -3,7 +3,7 @@
 All of it is re-exported by :mod:`.membership`, which tells the protocol.
 """
 
-import dataclasses
+import msgspec
 
 from ._roster import Member
 from ._roster import MemberNews
@@ -12,32 +12,28 @@
 # Events.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Discovered:
+class Discovered(msgspec.Struct, frozen=True, kw_only=True):
     """Event: instances that can be contacted, whoever told of them."""
 
     now: float
     instance_ids: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SetServing:
+class SetServing(msgspec.Struct, frozen=True, kw_only=True):
     """This instance may or may not admit work now."""
 
     now: float
     serving: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SetDraining:
+class SetDraining(msgspec.Struct, frozen=True, kw_only=True):
     """This instance takes no new callers from now on, or does again."""
 
     now: float
     draining: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Leave:
+class Leave(msgspec.Struct, frozen=True, kw_only=True):
     """This process ends soon and won't be back with this incarnation."""
 
     now: float
@@ -46,29 +42,25 @@
 # Effects.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MemberChanged:
+class MemberChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Something about a member changed; perform this before later sends."""
 
     member: Member
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MemberForgotten:
+class MemberForgotten(msgspec.Struct, frozen=True, kw_only=True):
     """Nothing is remembered of a member that died or left long ago."""
 
     instance_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Reconnect:
+class Reconnect(msgspec.Struct, frozen=True, kw_only=True):
     """Throw the connection to an instance away and use a new one."""
 
     to: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Superseded:
+class Superseded(msgspec.Struct, frozen=True, kw_only=True):
     """Another process runs with this instance's id and more right to it.
 
     Two settings files share an id, or the clock that incarnations come from
@@ -81,8 +73,7 @@
 # Messages.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Probe:
+class Probe(msgspec.Struct, frozen=True, kw_only=True):
     """Asks for a :class:`ProbeAck` with the same sequence number."""
 
     sequence: int
@@ -91,8 +82,7 @@
     news: tuple[MemberNews, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ProbeAck:
+class ProbeAck(msgspec.Struct, frozen=True, kw_only=True):
     """The sender of this was alive when the probe reached it."""
 
     sequence: int
@@ -100,30 +90,26 @@
     news: tuple[MemberNews, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class IndirectProbe:
+class IndirectProbe(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a helper to probe ``target``."""
 
     sequence: int
     target: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class IndirectAck:
+class IndirectAck(msgspec.Struct, frozen=True, kw_only=True):
     """A helper got the acknowledgement that the sender did not."""
 
     sequence: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Gossip:
+class Gossip(msgspec.Struct, frozen=True, kw_only=True):
     """News that does not wait for the next probe."""
 
     news: tuple[MemberNews, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ViewHashes:
+class ViewHashes(msgspec.Struct, frozen=True, kw_only=True):
     """Asks for what the receiver believes otherwise; also joins.
 
     :param full: the sender lacks the info of some members.
@@ -134,8 +120,7 @@
     full: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ViewPart:
+class ViewPart(msgspec.Struct, frozen=True, kw_only=True):
     """What the sender believes of some members.
 
     :param buckets: groups of which it wants to be told in return.
--- a/dandeliongw/coordination/_presence_messages.py
+++ b/dandeliongw/coordination/_presence_messages.py
@@ -3,9 +3,10 @@
 All of it is re-exported by :mod:`.presence`, which tells the protocol.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class BackendRole(enum.StrEnum):
     """What a backend server does."""
@@ -38,8 +39,7 @@
 # Parts of events and messages.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendAnnouncement:
+class BackendAnnouncement(msgspec.Struct, frozen=True, kw_only=True):
     """What a backend server says of itself.
 
     :param incarnation: grows at every start of it.
@@ -59,8 +59,7 @@
     checks_fence: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendLoad:
+class BackendLoad(msgspec.Struct, frozen=True, kw_only=True):
     """A load report; it lags."""
 
     running: int
@@ -70,16 +69,14 @@
     kv_bytes: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CacheEvent:
+class CacheEvent(msgspec.Struct, frozen=True, kw_only=True):
     """One change in an engine's prefix cache."""
 
     kind: CacheEventKind
     prefix: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CacheEvents:
+class CacheEvents(msgspec.Struct, frozen=True, kw_only=True):
     """Changes in order.
 
     :param first: number of the first of them; numbers grow by one.
@@ -89,8 +86,7 @@
     events: tuple[CacheEvent, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendRenewal:
+class BackendRenewal(msgspec.Struct, frozen=True, kw_only=True):
     """A renewal on its way.
 
     :param age_s: seconds since an instance received it, when it was sent on.
@@ -104,8 +100,7 @@
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendDeparture:
+class BackendDeparture(msgspec.Struct, frozen=True, kw_only=True):
     """A leave on its way."""
 
     backend_id: str
@@ -116,8 +111,7 @@
 # Events.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Announced:
+class Announced(msgspec.Struct, frozen=True, kw_only=True):
     """A backend server announced itself to this instance over HTTP.
 
     :param ticket: of the :class:`.parts.Complete` with the outcome.
@@ -128,8 +122,7 @@
     ticket: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Renewed:
+class Renewed(msgspec.Struct, frozen=True, kw_only=True):
     """A backend server renewed its lease at this instance over HTTP."""
 
     now: float
@@ -141,8 +134,7 @@
     ticket: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Left:
+class Left(msgspec.Struct, frozen=True, kw_only=True):
     """A backend server told this instance over HTTP that it leaves.
 
     :param incarnation: the start that leaves; ``None`` if it did not say.
@@ -155,8 +147,7 @@
     ticket: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Forward:
+class Forward(msgspec.Struct, frozen=True, kw_only=True):
     """What a backend server says here goes to these instances from now on.
 
     To be given after each accepted announcement and whenever the instances
@@ -168,8 +159,7 @@
     to: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SetInstances:
+class SetInstances(msgspec.Struct, frozen=True, kw_only=True):
     """These instances are alive; each is told of every leave."""
 
     now: float
@@ -179,8 +169,7 @@
 # Effects.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendChanged:
+class BackendChanged(msgspec.Struct, frozen=True, kw_only=True):
     """A backend server may get work from now on, or may not any more."""
 
     backend_id: str
@@ -188,8 +177,7 @@
     present: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CacheHints:
+class CacheHints(msgspec.Struct, frozen=True, kw_only=True):
     """What a backend server's cache holds, as a hint.
 
     :param after_gap: events before these were lost, so that what was known
@@ -205,24 +193,21 @@
 # Messages.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Presented:
+class Presented(msgspec.Struct, frozen=True, kw_only=True):
     """An announcement, to an instance that dispatches."""
 
     announcement: BackendAnnouncement
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PresenceBatch:
+class PresenceBatch(msgspec.Struct, frozen=True, kw_only=True):
     """Renewals, and leaves that the receiver must know before any of them."""
 
     renewals: tuple[BackendRenewal, ...]
     departures: tuple[BackendDeparture, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PresenceUnknown:
+class PresenceUnknown(msgspec.Struct, frozen=True, kw_only=True):
     """Renewals of these came, but never an announcement."""
 
     backend_ids: tuple[str, ...]
--- a/dandeliongw/coordination/_probing.py
+++ b/dandeliongw/coordination/_probing.py
@@ -1,10 +1,10 @@
 """Whom to probe next, and which probes still wait."""
 
 from collections import abc
-import dataclasses
 import heapq
 import random
 
+import msgspec
 import xxhash
 
 #: Others that are asked to probe a silent member.
@@ -27,8 +27,7 @@
 _RING = 2**32
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Pending:
+class Pending(msgspec.Struct, kw_only=True):
     """A probe without an acknowledgement yet."""
 
     sequence: int
@@ -38,8 +37,7 @@
     retried: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Errand:
+class Errand(msgspec.Struct, frozen=True, kw_only=True):
     """A probe on behalf of another instance.
 
     :param sequence: of the probe that the other sent.
--- a/dandeliongw/coordination/_roster.py
+++ b/dandeliongw/coordination/_roster.py
@@ -11,12 +11,13 @@
 """
 
 import collections
-import dataclasses
 import enum
 import functools
 import hashlib
 import operator
 
+import msgspec
+
 #: Groups of members that two instances compare by one hash each.
 BUCKETS = 32
 
@@ -30,8 +31,7 @@
     LEFT = 3
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class InstanceInfo:
+class InstanceInfo(msgspec.Struct, frozen=True, kw_only=True):
     """What a member says of itself once a start.
 
     :param host: where its peers connect, with ``port``.
@@ -50,8 +50,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MemberNews:
+class MemberNews(msgspec.Struct, frozen=True, kw_only=True):
     """A belief on its way; ``info`` is left out where it is known."""
 
     instance_id: str
@@ -63,8 +62,7 @@
     info: InstanceInfo | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True, kw_only=True):
     """What this instance believes of a member.
 
     :param draining: it accepts no new callers.
--- a/dandeliongw/coordination/acceptor.py
+++ b/dandeliongw/coordination/acceptor.py
@@ -1,15 +1,15 @@
 """A voter's disk: what it promised and what it accepted."""
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import ballot as ballots
 from . import configuration as configurations
 from . import register_messages as messages
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
     """A reply, and the records that must be synced before it leaves."""
 
     reply: typing.Any
--- a/dandeliongw/coordination/ballot.py
+++ b/dandeliongw/coordination/ballot.py
@@ -1,10 +1,9 @@
 """Numbers that order the attempts to write the register."""
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True, order=True)
-class Ballot:
+class Ballot(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """The identity of one attempt; no two attempts ever share one.
 
     A proposer without a disk forgets its numbers at a restart. If it came
--- a/dandeliongw/coordination/catchup.py
+++ b/dandeliongw/coordination/catchup.py
@@ -6,10 +6,11 @@
 """
 
 import collections
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 from . import grantor
 from . import lease_messages as messages
 from . import parts
@@ -122,7 +123,7 @@
         needed = quorum.majority(len(self._sources))
         for record, count in reports.most_common():
             if count < needed:
-                record = dataclasses.replace(record, holder='', life=0)
+                record = msgspec.structs.replace(record, holder='', life=0)
             self._grantor.learn(record)
 
     def _wait(self, now: float, phase: Phase) -> None:
--- a/dandeliongw/coordination/changes.py
+++ b/dandeliongw/coordination/changes.py
@@ -7,15 +7,15 @@
 based on it would tell of something that can still vanish.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import configuration as configurations
 from . import voters as voter_sets
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Applied:
+class Applied(msgspec.Struct, frozen=True, kw_only=True):
     """The change took effect.
 
     :param revision: the revision that it got.
@@ -26,8 +26,7 @@
     repeated: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True, kw_only=True):
     """The expected revision is not the current one; nothing was changed.
 
     :param document: the current document.
@@ -39,8 +38,7 @@
     author: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ChangeIdReused:
+class ChangeIdReused(msgspec.Struct, frozen=True, kw_only=True):
     """The change id belongs to another change; nothing was changed.
 
     :param revision: the revision that the other change got.
@@ -49,8 +47,7 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Overtaken:
+class Overtaken(msgspec.Struct, frozen=True, kw_only=True):
     """A change with this number or a higher one is held; nothing changed.
 
     A resend whose first send took effect gets this answer too: what it asked
@@ -62,15 +59,13 @@
     order: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class VoterRefused:
+class VoterRefused(msgspec.Struct, frozen=True, kw_only=True):
     """The replacement makes no sense for the present voters."""
 
     message: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Unavailable:
+class Unavailable(msgspec.Struct, frozen=True, kw_only=True):
     """No answer in time. Resend under the same change id."""
 
     message: str
@@ -86,8 +81,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Decision:
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
     """The step to write and the result to give once it is written.
 
     :param again: the value had to be written as it was first; the change
--- a/dandeliongw/coordination/claim_attempts.py
+++ b/dandeliongw/coordination/claim_attempts.py
@@ -5,9 +5,10 @@
 """
 
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from . import claim_messages as messages
 from . import claim_outcomes
 from . import claim_patience
@@ -28,8 +29,7 @@
 _Reason = messages.UnavailableReason
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Attempt:
+class _Attempt(msgspec.Struct, kw_only=True):
     """A ``Begin`` that has no answer yet."""
 
     begin: messages.Begin
@@ -38,9 +38,9 @@
     resend_at: float
     #: When it may go to the next round, once that was put off.
     advance_at: float | None = None
-    granted: set[str] = dataclasses.field(default_factory=set)
-    full: set[str] = dataclasses.field(default_factory=set)
-    seen_by_holder: dict[str, claim_slots.SeenSlot] = dataclasses.field(
+    granted: set[str] = msgspec.field(default_factory=set)
+    full: set[str] = msgspec.field(default_factory=set)
+    seen_by_holder: dict[str, claim_slots.SeenSlot] = msgspec.field(
         default_factory=dict
     )
 
--- a/dandeliongw/coordination/claim_holder.py
+++ b/dandeliongw/coordination/claim_holder.py
@@ -6,9 +6,10 @@
 
 import bisect
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from . import claim_messages as messages
 from . import claim_slots
 from . import parts
@@ -22,32 +23,29 @@
 _Answer = messages.PutAnswer
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Held:
+class _Held(msgspec.Struct, kw_only=True):
     """A slot and when it last changed (monotonic seconds)."""
 
     slot: messages.ClaimSlot
     since: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Batch:
+class _Batch(msgspec.Struct, kw_only=True):
     """Records for one sync, and what may be told after it."""
 
-    records: list[typing.Any] = dataclasses.field(default_factory=list)
-    keys: set[str] = dataclasses.field(default_factory=set)
-    effects: Effects = dataclasses.field(default_factory=list)
+    records: list[typing.Any] = msgspec.field(default_factory=list)
+    keys: set[str] = msgspec.field(default_factory=set)
+    effects: Effects = msgspec.field(default_factory=list)
     epoch: int | None = None
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Copy:
+class _Copy(msgspec.Struct, kw_only=True):
     """What a joining holder has asked for and got."""
 
     holder_set: claim_slots.HolderSet
     resend_at: float
     cursors_by_source: dict[str, str]
-    done: set[str] = dataclasses.field(default_factory=set)
+    done: set[str] = msgspec.field(default_factory=set)
 
     def has_majority(self) -> bool:
         """Whether a majority of the set that counts was read to the end."""
--- a/dandeliongw/coordination/claim_messages.py
+++ b/dandeliongw/coordination/claim_messages.py
@@ -5,9 +5,10 @@
 """
 
 from collections import abc
-import dataclasses
 import enum
 
+import msgspec
+
 
 class SlotState(enum.StrEnum):
     """What a holder knows of the attempt that its slot was given to."""
@@ -47,8 +48,7 @@
 # Events.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Begin:
+class Begin(msgspec.Struct, frozen=True, kw_only=True):
     """Claim a key for one attempt at a non-idempotent call.
 
     :param ticket: comes back in the ``Complete`` that ends this.
@@ -66,8 +66,7 @@
     deadline_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Finish:
+class Finish(msgspec.Struct, frozen=True, kw_only=True):
     """The granted attempt ran; record its outcome before telling it."""
 
     now: float
@@ -77,8 +76,7 @@
     outcome: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Abandon:
+class Abandon(msgspec.Struct, frozen=True, kw_only=True):
     """The attempt is proved not to have run, and will not run now.
 
     Also for a ``Begin`` whose caller has gone; its ticket gets no answer.
@@ -89,8 +87,7 @@
     attempt_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HoldersChanged:
+class HoldersChanged(msgspec.Struct, frozen=True, kw_only=True):
     """The register holds another set of claim holders.
 
     :param disk_ids_by_holder: the set that counts now.
@@ -110,13 +107,11 @@
 # Results, carried by ``parts.Complete``.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Granted:
+class Granted(msgspec.Struct, frozen=True, kw_only=True):
     """This attempt, and no other, may run now."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Replayed:
+class Replayed(msgspec.Struct, frozen=True, kw_only=True):
     """An earlier attempt ran.
 
     :param outcome: what it gave, or ``None`` if that was too large to keep.
@@ -125,46 +120,39 @@
     outcome: bytes | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class InProgress:
+class InProgress(msgspec.Struct, frozen=True, kw_only=True):
     """Another attempt may be running; this one never will."""
 
     retry_after_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DigestMismatch:
+class DigestMismatch(msgspec.Struct, frozen=True, kw_only=True):
     """The key stands for another call; this one was not run."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OutcomeUnknown:
+class OutcomeUnknown(msgspec.Struct, frozen=True, kw_only=True):
     """An earlier attempt may have run and nobody can say; none runs again."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimsUnavailable:
+class ClaimsUnavailable(msgspec.Struct, frozen=True, kw_only=True):
     """Too few holders answered. This attempt never runs; an earlier may."""
 
     retry_after_s: float
     reason: UnavailableReason
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Recorded:
+class Recorded(msgspec.Struct, frozen=True, kw_only=True):
     """A majority keeps the outcome; the caller may have it."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NotRecorded:
+class NotRecorded(msgspec.Struct, frozen=True, kw_only=True):
     """No majority confirmed in time; a resend may not find the outcome."""
 
 
 # An effect besides those of ``parts``.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CaughtUp:
+class CaughtUp(msgspec.Struct, frozen=True, kw_only=True):
     """This joining holder has synced all that a majority of others holds."""
 
     epoch: int
@@ -174,8 +162,7 @@
 # What holders keep, journal and send.
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimSlot:
+class ClaimSlot(msgspec.Struct, frozen=True, kw_only=True):
     """What one holder keeps for one key; in a round it changes hands never.
 
     :param round: a new one starts when no attempt can win the one before.
@@ -194,29 +181,25 @@
     kept: bool = True
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimEpoch:
+class ClaimEpoch(msgspec.Struct, frozen=True, kw_only=True):
     """Journal: this holder acts under this epoch and under none before."""
 
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimCopyStarted:
+class ClaimCopyStarted(msgspec.Struct, frozen=True, kw_only=True):
     """Journal: all that was held before is void; a copy starts."""
 
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimsForgotten:
+class ClaimsForgotten(msgspec.Struct, frozen=True, kw_only=True):
     """Journal: the retention of these keys is over."""
 
     keys: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimPut:
+class ClaimPut(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a holder to give its slot of a key and round to an attempt.
 
     :param disk_id: of the recipient, as the sender knows it.
@@ -231,8 +214,7 @@
     disk_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimPutReply:
+class ClaimPutReply(msgspec.Struct, frozen=True, kw_only=True):
     """Answers a :class:`ClaimPut`; nothing in it is less than synced.
 
     :param round: of the put that is answered.
@@ -250,8 +232,7 @@
     age_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimWithdraw:
+class ClaimWithdraw(msgspec.Struct, frozen=True, kw_only=True):
     """An entry's word that its attempt never ran and never will."""
 
     key: str
@@ -261,15 +242,13 @@
     disk_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimWithdrawReply:
+class ClaimWithdrawReply(msgspec.Struct, frozen=True, kw_only=True):
     """The withdrawal is synced, or changes nothing here."""
 
     attempt_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimOutcome:
+class ClaimOutcome(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a holder to keep the outcome of an attempt that ran."""
 
     slot: ClaimSlot
@@ -277,8 +256,7 @@
     disk_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimOutcomeReply:
+class ClaimOutcomeReply(msgspec.Struct, frozen=True, kw_only=True):
     """Answers a :class:`ClaimOutcome`, after the sync if it is stored."""
 
     attempt_id: str
@@ -287,24 +265,21 @@
     stored: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimCopyRequest:
+class ClaimCopyRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A joining holder asks for the slots after a key, in key order."""
 
     epoch: int
     after_key: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimCopied:
+class ClaimCopied(msgspec.Struct, frozen=True, kw_only=True):
     """A slot on its way to a joining holder."""
 
     slot: ClaimSlot
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClaimCopyPage:
+class ClaimCopyPage(msgspec.Struct, frozen=True, kw_only=True):
     """Answers a :class:`ClaimCopyRequest`; ``last`` ends the copy."""
 
     epoch: int
--- a/dandeliongw/coordination/claim_outcomes.py
+++ b/dandeliongw/coordination/claim_outcomes.py
@@ -1,8 +1,9 @@
 """Outcomes on their way to a majority of holders."""
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import claim_messages as messages
 from . import claim_patience
 from . import claim_slots
@@ -12,8 +13,7 @@
 Result = typing.Any
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Recording:
+class _Recording(msgspec.Struct, kw_only=True):
     """An outcome that a ticket waits for."""
 
     ticket: str
@@ -22,7 +22,7 @@
     failure: Result
     give_up_at: float
     resend_at: float
-    stored: set[str] = dataclasses.field(default_factory=set)
+    stored: set[str] = msgspec.field(default_factory=set)
 
 
 class Outcomes:
--- a/dandeliongw/coordination/claim_patience.py
+++ b/dandeliongw/coordination/claim_patience.py
@@ -1,6 +1,7 @@
 """How long an entry's work on claims waits, resends, and gives up."""
 
-import dataclasses
+import msgspec
+
 
 #: A ``Begin``, ``Finish`` or withdrawal is given up after so many.
 GIVE_UP_ROUND_TRIPS = 10
@@ -8,8 +9,7 @@
 RESEND_ROUND_TRIPS = 2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Patience:
+class Patience(msgspec.Struct, frozen=True, kw_only=True):
     """Durations in seconds.
 
     :param round_trip_s: expected time to a holder and back, with its sync.
--- a/dandeliongw/coordination/claim_slots.py
+++ b/dandeliongw/coordination/claim_slots.py
@@ -5,7 +5,8 @@
 """
 
 from collections import abc
-import dataclasses
+
+import msgspec
 
 from . import claim_messages as messages
 
@@ -18,8 +19,7 @@
 _State = messages.SlotState
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HolderSet:
+class HolderSet(msgspec.Struct, frozen=True, kw_only=True):
     """The holders of one epoch: the set that counts and the one to come.
 
     :param disk_ids_by_holder: of the set that counts now.
@@ -73,8 +73,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SeenSlot:
+class SeenSlot(msgspec.Struct, frozen=True, kw_only=True):
     """A slot as a holder showed it to an attempt.
 
     :param age_s: seconds since it last changed, or fewer.
@@ -172,6 +171,6 @@
         return max(one, other, key=lambda slot: slot.round)
     if one.attempt_id == other.attempt_id:
         return one if one.state is _State.WITHDRAWN else other
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         one, state=_State.CONTESTED, attempt_id='', digest=b''
     )
--- a/dandeliongw/coordination/claim_withdrawals.py
+++ b/dandeliongw/coordination/claim_withdrawals.py
@@ -1,9 +1,10 @@
 """The word that attempts never ran, on its way to the holders."""
 
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from . import claim_messages as messages
 from . import claim_patience
 from . import claim_slots
@@ -12,8 +13,7 @@
 Effects = list[typing.Any]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Withdrawal:
+class _Withdrawal(msgspec.Struct, kw_only=True):
     """An attempt that ended, and the holders that have not confirmed it."""
 
     slot: messages.ClaimSlot
--- a/dandeliongw/coordination/configuration.py
+++ b/dandeliongw/coordination/configuration.py
@@ -1,9 +1,10 @@
 """The value that the register holds, and the steps between two values."""
 
-import dataclasses
 import hashlib
 import zlib
 
+import msgspec
+
 from . import ballot as ballots
 from . import voters as voter_sets
 
@@ -13,8 +14,7 @@
 DIGEST_BYTES = 16
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ChangeRecord:
+class ChangeRecord(msgspec.Struct, frozen=True, kw_only=True):
     """What became of one change, so that a resend gets the same answer.
 
     :param revision: the revision that the change got.
@@ -27,8 +27,7 @@
     author: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationStep:
+class ConfigurationStep(msgspec.Struct, frozen=True, kw_only=True):
     """How one configuration differs from the one it was made from.
 
     :param document: the new packed document; ``None`` when it is the same.
@@ -44,8 +43,7 @@
     order: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
     """One value of the register.
 
     :param revision: counts the changes of the document; a change of voters
@@ -83,16 +81,14 @@
         return None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Version:
+class Version(msgspec.Struct, frozen=True, kw_only=True):
     """A configuration and the ballot under which it was written."""
 
     ballot: ballots.Ballot
     configuration: Configuration
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class VersionUpdate:
+class VersionUpdate(msgspec.Struct, frozen=True, kw_only=True):
     """A version on its way to someone who may hold an earlier one.
 
     Ten thousand change records make a value of most of a megabyte, while
--- a/dandeliongw/coordination/confirmation.py
+++ b/dandeliongw/coordination/confirmation.py
@@ -6,7 +6,8 @@
 """
 
 from collections import abc
-import dataclasses
+
+import msgspec
 
 from . import ballot as ballots
 from . import configuration as configurations
@@ -175,8 +176,7 @@
         return max(avoided_until, now), spread
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class WaitingAsk:
+class WaitingAsk(msgspec.Struct, frozen=True, kw_only=True):
     """An instance that waits for the outcome of a check.
 
     :param after_check: id of the last check that had begun when it came.
--- a/dandeliongw/coordination/grantor.py
+++ b/dandeliongw/coordination/grantor.py
@@ -6,9 +6,10 @@
 
 import collections
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from . import lease_messages as messages
 from . import parts
 
@@ -18,8 +19,7 @@
 _VERSION = '\0version'
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Grant:
+class _Grant(msgspec.Struct, kw_only=True):
     """The last grant of one name.
 
     :param wait_until_by_candidate: who was refused and is told of a release.
@@ -28,7 +28,7 @@
     record: messages.LeaseGranted
     expires_at: float = float('-inf')
     released: bool = False
-    wait_until_by_candidate: dict[str, float] = dataclasses.field(
+    wait_until_by_candidate: dict[str, float] = msgspec.field(
         default_factory=dict
     )
 
@@ -39,8 +39,7 @@
         return (self.record.holder, self.record.life) == (holder, life)
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Withheld:
+class _Withheld(msgspec.Struct, kw_only=True):
     """An answer that waits until all that it promises is synced."""
 
     to: str
--- a/dandeliongw/coordination/holder.py
+++ b/dandeliongw/coordination/holder.py
@@ -6,10 +6,11 @@
 holder's renewals would be refused there.
 """
 
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 from . import lease_messages as messages
 from . import parts
 from . import quorum
@@ -37,8 +38,7 @@
     HELD = 'held'
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Lease:
+class _Lease(msgspec.Struct, kw_only=True):
     """One name, as this instance sees it.
 
     :param highest: highest epoch heard of; the next ask is above it.
@@ -58,13 +58,13 @@
     failures: int = 0
     valid_until: float = _NEVER
     gained_at: float = _NEVER
-    confirmed_at_by_grantor: dict[str, float] = dataclasses.field(
+    confirmed_at_by_grantor: dict[str, float] = msgspec.field(
         default_factory=dict
     )
-    refusals_by_grantor: dict[str, messages.LeaseAnswer] = dataclasses.field(
+    refusals_by_grantor: dict[str, messages.LeaseAnswer] = msgspec.field(
         default_factory=dict
     )
-    vacated_by: set[str] = dataclasses.field(default_factory=set)
+    vacated_by: set[str] = msgspec.field(default_factory=set)
 
 
 class Holder:
--- a/dandeliongw/coordination/lease_messages.py
+++ b/dandeliongw/coordination/lease_messages.py
@@ -4,9 +4,10 @@
 echoes another instance's time; it never compares it with its own.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class LeaseOutcome(enum.IntEnum):
     """A grantor's answer to a claim; all but the first are refusals.
@@ -32,16 +33,14 @@
     RELEASED = 7
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseClaim:
+class LeaseClaim(msgspec.Struct, frozen=True, kw_only=True):
     """An ask, a renewal, or with epoch 0 a probe that changes nothing."""
 
     name: str
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseClaims:
+class LeaseClaims(msgspec.Struct, frozen=True, kw_only=True):
     """All that one instance claims from one grantor at one time.
 
     :param version: of the set of grantors whose majority the sender counts.
@@ -57,8 +56,7 @@
     claims: tuple[LeaseClaim, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseAnswer:
+class LeaseAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of one claim.
 
     :param highest: highest epoch granted; 0 in an answer to a renewal.
@@ -74,8 +72,7 @@
     remaining_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseAnswers:
+class LeaseAnswers(msgspec.Struct, frozen=True, kw_only=True):
     """The outcomes of one :class:`LeaseClaims`."""
 
     version: int
@@ -84,8 +81,7 @@
     answers: tuple[LeaseAnswer, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseRelease:
+class LeaseRelease(msgspec.Struct, frozen=True, kw_only=True):
     """The sender no longer uses this epoch and never will again.
 
     :param successor: instance to tell, or empty.
@@ -97,16 +93,14 @@
     successor: str = ''
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseVacant:
+class LeaseVacant(msgspec.Struct, frozen=True, kw_only=True):
     """A grantor tells a named successor that ``epoch`` was released."""
 
     name: str
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseEpochsWanted:
+class LeaseEpochsWanted(msgspec.Struct, frozen=True, kw_only=True):
     """A grantor without memory reads another's epochs.
 
     :param version: the receiver refuses claims under an older one from now
@@ -117,8 +111,7 @@
     reading: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseGranted:
+class LeaseGranted(msgspec.Struct, frozen=True, kw_only=True):
     """Journal record: the highest epoch granted for a name, and to whom.
 
     :param duration_s: longest time that the grant may be renewed for.
@@ -131,8 +124,7 @@
     duration_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseReady:
+class LeaseReady(msgspec.Struct, frozen=True, kw_only=True):
     """Journal record: this journal's epochs are complete.
 
     A journal without it is new or was lost, and grants nothing.
@@ -141,8 +133,7 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseEpochs:
+class LeaseEpochs(msgspec.Struct, frozen=True, kw_only=True):
     """A grantor's records, read by one that catches up.
 
     :param ready: whether the sender's own records are complete.
@@ -153,8 +144,7 @@
     records: tuple[LeaseGranted, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Wanted:
+class Wanted(msgspec.Struct, frozen=True, kw_only=True):
     """Event: the names that this instance should hold or try to hold.
 
     A held name that is missing is released.
@@ -164,8 +154,7 @@
     names: frozenset[str]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Release:
+class Release(msgspec.Struct, frozen=True, kw_only=True):
     """Event: give a lease up, quickly, to ``successor`` if one is named.
 
     The name is no longer wanted until a :class:`Wanted` says so again.
@@ -176,8 +165,7 @@
     successor: str | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class GrantorsChanged:
+class GrantorsChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Event: the voters that grant leases.
 
     :param grantors: instance ids of the set in force.
@@ -192,8 +180,7 @@
     version: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class GrantorsFormed:
+class GrantorsFormed(msgspec.Struct, frozen=True, kw_only=True):
     """Event: the first voters of a new system start with empty journals.
 
     Only for a set that has never granted anything. Telling it to a grantor
@@ -203,16 +190,14 @@
     now: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseGained:
+class LeaseGained(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: this instance holds the lease from now on."""
 
     name: str
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseLost:
+class LeaseLost(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: this instance stopped holding the lease, for any cause.
 
     :param is_unheard: it ran out while no grantor at all was heard, so that
@@ -224,8 +209,7 @@
     is_unheard: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class GrantorCaughtUp:
+class GrantorCaughtUp(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: this grantor is ready under the set of this version.
 
     A change of voters may finish only when a majority of the new set has
--- a/dandeliongw/coordination/membership.py
+++ b/dandeliongw/coordination/membership.py
@@ -15,10 +15,11 @@
 that must not run twice needs a lease, never this.
 """
 
-import dataclasses
 import random
 import typing
 
+import msgspec
+
 from . import parts
 from ._beliefs import Beliefs
 from ._comparison import Comparison
@@ -107,8 +108,7 @@
 MEMORY_S = 24 * 3600.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True, kw_only=True):
     """An instance that callers may use."""
 
     instance_id: str
@@ -356,10 +356,10 @@
         """
         # The target can't answer one whose address it does not know.
         own = self._beliefs.own.news(with_info=True)
-        probe = dataclasses.replace(
+        probe = msgspec.structs.replace(
             self._probe(now, target, sequence).message, retry=True
         )
-        probe = dataclasses.replace(probe, news=(own, *probe.news))
+        probe = msgspec.structs.replace(probe, news=(own, *probe.news))
         effects: list[typing.Any] = [Reconnect(to=target)]
         effects.append(parts.Send(to=target, message=probe))
         message = IndirectProbe(sequence=sequence, target=target)
--- a/dandeliongw/coordination/parts.py
+++ b/dandeliongw/coordination/parts.py
@@ -12,12 +12,12 @@
 """
 
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Ticked:
+
+class Ticked(msgspec.Struct, frozen=True, kw_only=True):
     """Time has passed.
 
     :param now: monotonic seconds.
@@ -28,8 +28,7 @@
     entropy: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Received:
+class Received(msgspec.Struct, frozen=True, kw_only=True):
     """A message came from another instance (or from this one to itself).
 
     :param sender: the instance id that the sender proved.
@@ -41,16 +40,14 @@
     message: typing.Any
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Persisted:
+class Persisted(msgspec.Struct, frozen=True, kw_only=True):
     """The records of the :class:`Persist` with this token are synced."""
 
     now: float
     token: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True, kw_only=True):
     """Send a message once, at most; it may be lost, late or doubled.
 
     :param to: an instance id; one's own id is delivered locally.
@@ -64,8 +61,7 @@
     by_datagram: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Persist:
+class Persist(msgspec.Struct, frozen=True, kw_only=True):
     """Append records to the journal and sync it, then post ``Persisted``.
 
     Nothing that tells others of these records may be sent before then.
@@ -75,8 +71,7 @@
     records: tuple[typing.Any, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Complete:
+class Complete(msgspec.Struct, frozen=True, kw_only=True):
     """The answer to a local request that carried ``ticket``."""
 
     ticket: str
--- a/dandeliongw/coordination/placement.py
+++ b/dandeliongw/coordination/placement.py
@@ -7,13 +7,12 @@
 """
 
 from collections import abc
-import dataclasses
 
+import msgspec
 import xxhash
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True, kw_only=True):
     """An instance that could own cells.
 
     :param data_centre: its failure domain.
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -12,9 +12,10 @@
 """
 
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from . import parts
 from ._backends import Backend
 from ._backends import Backends
@@ -86,8 +87,7 @@
 TELL_AGAIN_S = (1.0, 3.0)
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Front:
+class _Front(msgspec.Struct, kw_only=True):
     """A backend server that talks to this instance.
 
     :param last: stamp of what it said last.
@@ -99,8 +99,7 @@
     to: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Successor:
+class _Successor(msgspec.Struct, frozen=True, kw_only=True):
     """A start of a backend server that came after another of the same id.
 
     :param former: incarnation of the start before.
@@ -112,16 +111,14 @@
     since: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Renewal:
+class _Renewal(msgspec.Struct, kw_only=True):
     """A renewal that waits for its batch."""
 
     renewal: BackendRenewal
     received_at: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Departure:
+class _Departure(msgspec.Struct, kw_only=True):
     """A leave that is still repeated.
 
     :param tell_at: when to tell all instances again; empty where another
@@ -470,4 +467,4 @@
 
 
 def _aged(item: _Renewal, now: float) -> BackendRenewal:
-    return dataclasses.replace(item.renewal, age_s=now - item.received_at)
+    return msgspec.structs.replace(item.renewal, age_s=now - item.received_at)
--- a/dandeliongw/coordination/quorum.py
+++ b/dandeliongw/coordination/quorum.py
@@ -1,11 +1,11 @@
 """Majorities of the set of grantors, and of both sets during a change."""
 
 from collections import abc
-import dataclasses
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Quorum:
+
+class Quorum(msgspec.Struct, frozen=True, kw_only=True):
     """Who grants, and what counts as enough of them.
 
     :param grantors: the set in force.
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -6,9 +6,10 @@
 """
 
 from collections import abc
-import dataclasses
 import typing
 
+import msgspec
+
 from . import acceptor as acceptors
 from . import attempt as attempts
 from . import changes
@@ -63,8 +64,7 @@
 DISK_QUERY_EVERY_S = 0.25
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Propose:
+class Propose(msgspec.Struct, frozen=True, kw_only=True):
     """An operator wants to replace the document.
 
     :param change_id: the same for every resend of one change.
@@ -80,8 +80,7 @@
     entropy: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ProposeOrdered:
+class ProposeOrdered(msgspec.Struct, frozen=True, kw_only=True):
     """An operator wants to replace the document by a numbered one.
 
     :param order: takes effect if it is above the number that is held.
@@ -95,8 +94,7 @@
     entropy: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ContactsFound:
+class ContactsFound(msgspec.Struct, frozen=True, kw_only=True):
     """Instances that may know the voters, or may be the first ones.
 
     :param instance_ids: the same at every instance where ``may_form``.
@@ -110,8 +108,7 @@
     may_form: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReplaceVoter:
+class ReplaceVoter(msgspec.Struct, frozen=True, kw_only=True):
     """An operator wants another disk to vote in place of a voter's.
 
     :param instance_id: the voter that goes; ``''`` when one more comes.
@@ -127,8 +124,7 @@
     entropy: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class WithdrawJoining:
+class WithdrawJoining(msgspec.Struct, frozen=True, kw_only=True):
     """The disk that is to become a voter is gone.
 
     :param number: of the sets of voters that are meant.
@@ -139,16 +135,14 @@
     entropy: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class InstancesChanged:
+class InstancesChanged(msgspec.Struct, frozen=True, kw_only=True):
     """The instances that are known to run, this one included."""
 
     now: float
     instance_ids: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CaughtUp:
+class CaughtUp(msgspec.Struct, frozen=True, kw_only=True):
     """Everything else that voters keep was copied to this disk as well.
 
     The daemon posts it at an instance that joins the voters, when the parts
@@ -163,16 +157,14 @@
     entropy: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationChanged:
+class ConfigurationChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: another configuration was confirmed by a majority."""
 
     revision: int
     document: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class VotersChanged:
+class VotersChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: other voters were confirmed by a majority.
 
     :param joining_by_id: the coming voters; empty when none are coming.
--- a/dandeliongw/coordination/register_messages.py
+++ b/dandeliongw/coordination/register_messages.py
@@ -6,14 +6,13 @@
 successor.
 """
 
-import dataclasses
+import msgspec
 
 from . import ballot as ballots
 from . import configuration as configurations
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PrepareBallot:
+class PrepareBallot(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a voter to take part in no earlier ballot than this one.
 
     :param forming_by_id: the first voters' disks, when the register is
@@ -22,11 +21,10 @@
 
     to_disk_id: str
     ballot: ballots.Ballot
-    forming_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
+    forming_by_id: dict[str, str] = msgspec.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BallotPromised:
+class BallotPromised(msgspec.Struct, frozen=True, kw_only=True):
     """The promise, synced, with the ballot of the value that is held.
 
     The value itself is fetched from one voter, when it isn't known already.
@@ -37,8 +35,7 @@
     accepted: ballots.Ballot | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BallotRefused:
+class BallotRefused(msgspec.Struct, frozen=True, kw_only=True):
     """A later ballot was promised, or other disks are forming a register."""
 
     from_disk_id: str
@@ -46,8 +43,7 @@
     promised: ballots.Ballot | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class FetchVersion:
+class FetchVersion(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a voter for the version it accepted.
 
     :param base: the ballot of the version that the asker holds.
@@ -57,40 +53,35 @@
     base: ballots.Ballot | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class VersionFetched:
+class VersionFetched(msgspec.Struct, frozen=True, kw_only=True):
     """The version that a voter has accepted."""
 
     from_disk_id: str
     update: configurations.VersionUpdate
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AcceptVersion:
+class AcceptVersion(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a voter to accept a version under the version's ballot."""
 
     to_disk_id: str
     update: configurations.VersionUpdate
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class VersionAccepted:
+class VersionAccepted(msgspec.Struct, frozen=True, kw_only=True):
     """The version is synced on this disk."""
 
     from_disk_id: str
     ballot: ballots.Ballot
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class FullVersionNeeded:
+class FullVersionNeeded(msgspec.Struct, frozen=True, kw_only=True):
     """The update's base isn't what this voter holds."""
 
     from_disk_id: str
     ballot: ballots.Ballot
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CheckAccepted:
+class CheckAccepted(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a voter which ballot it accepted last.
 
     :param check_id: grows with every check of the sender.
@@ -100,8 +91,7 @@
     check_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AcceptedReport:
+class AcceptedReport(msgspec.Struct, frozen=True, kw_only=True):
     """The ballot of the version that is synced on this disk."""
 
     from_disk_id: str
@@ -109,8 +99,7 @@
     accepted: ballots.Ballot | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfirmConfiguration:
+class ConfirmConfiguration(msgspec.Struct, frozen=True, kw_only=True):
     """Asks a voter for the configuration that a majority holds.
 
     :param ask_id: grows with every ask of the sender.
@@ -121,16 +110,14 @@
     base: ballots.Ballot | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationConfirmed:
+class ConfigurationConfirmed(msgspec.Struct, frozen=True, kw_only=True):
     """A majority held this version after the ask had arrived."""
 
     ask_id: int
     update: configurations.VersionUpdate
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfirmRefused:
+class ConfirmRefused(msgspec.Struct, frozen=True, kw_only=True):
     """The instance that was asked is no voter.
 
     :param voter_ids: the voters that it knows of.
@@ -140,8 +127,7 @@
     voter_ids: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LearnerQuery:
+class LearnerQuery(msgspec.Struct, frozen=True, kw_only=True):
     """Asks anybody for a later confirmed version, as no voter answers.
 
     :param base: the version that the sender holds.
@@ -150,36 +136,31 @@
     base: ballots.Ballot | None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LearnerReport:
+class LearnerReport(msgspec.Struct, frozen=True, kw_only=True):
     """A version that was confirmed; maybe not the latest one any more."""
 
     update: configurations.VersionUpdate
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationHint:
+class ConfigurationHint(msgspec.Struct, frozen=True, kw_only=True):
     """A later revision was accepted; worth asking now. Proves nothing."""
 
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RevisionConfirmed:
+class RevisionConfirmed(msgspec.Struct, frozen=True, kw_only=True):
     """The sender has confirmed this revision and acts on no earlier one."""
 
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DiskQuery:
+class DiskQuery(msgspec.Struct, frozen=True, kw_only=True):
     """Asks which disk an instance has."""
 
     query_id: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DiskReport:
+class DiskReport(msgspec.Struct, frozen=True, kw_only=True):
     """Which disk an instance has.
 
     :param disk_id: ``None`` for an instance without a data folder.
@@ -191,16 +172,14 @@
     holds_version: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PromiseRecord:
+class PromiseRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Journal: the latest promise of this disk."""
 
     ballot: ballots.Ballot
     forming_by_id: dict[str, str]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AcceptanceRecord:
+class AcceptanceRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Journal: an accepted version, in full or as steps from the last."""
 
     update: configurations.VersionUpdate
--- a/dandeliongw/coordination/standing.py
+++ b/dandeliongw/coordination/standing.py
@@ -1,11 +1,11 @@
 """How current the configuration is that an instance acts on."""
 
-import dataclasses
 import typing
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Standing:
+
+class Standing(msgspec.Struct, frozen=True, kw_only=True):
     """A configuration and the age of its last confirmation.
 
     :param revision: ``None`` before the first configuration.
@@ -29,8 +29,7 @@
         return f'{held}, confirmed {self.confirmed_age_s:.2f} s ago'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfirmationLapsed:
+class ConfirmationLapsed(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: the time to live ran out without a confirmation.
 
     :param standing: at that moment.
@@ -44,8 +43,7 @@
     late_answers: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfirmationRegained:
+class ConfirmationRegained(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: the configuration is confirmed again.
 
     :param lapsed_s: how long it was not.
--- a/dandeliongw/coordination/voters.py
+++ b/dandeliongw/coordination/voters.py
@@ -1,7 +1,8 @@
 """Who votes on the register, and which sets of voters are a quorum."""
 
 from collections import abc
-import dataclasses
+
+import msgspec
 
 
 def is_majority(
@@ -12,8 +13,7 @@
     return 2 * len(present) > len(voters_by_id)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Voters:
+class Voters(msgspec.Struct, frozen=True, kw_only=True):
     """Disk ids by instance id, of the present and of the coming voters.
 
     A voter is its disk: an instance whose disk was lost comes back under a
@@ -28,7 +28,7 @@
     """
 
     voters_by_id: dict[str, str]
-    joining_by_id: dict[str, str] = dataclasses.field(default_factory=dict)
+    joining_by_id: dict[str, str] = msgspec.field(default_factory=dict)
     number: int = 0
 
     def has_quorum(self, disk_ids: abc.Set[str]) -> bool:
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -4,14 +4,14 @@
 fields are the line's fields. ``docs/OPERATIONS.md`` reads them back.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import effects
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Decision:
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
     """The base of all lines; ``message`` and ``level`` are the class's."""
 
     message: typing.ClassVar[str] = ''
@@ -21,15 +21,14 @@
         """Return the line, for the runtime to write."""
         fields = tuple(
             (field.name, _shown(getattr(self, field.name)))
-            for field in dataclasses.fields(self)
+            for field in msgspec.structs.fields(self)
         )
         return effects.Log(
             message=self.message, fields=fields, level=self.level
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OfRequest(Decision):
+class OfRequest(Decision, frozen=True, kw_only=True):
     """A line about one request.
 
     :param attempt_id: of the attempt that it is about.
@@ -39,8 +38,7 @@
     attempt_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Placed(OfRequest):
+class Placed(OfRequest, frozen=True, kw_only=True):
     """A request got its backend servers.
 
     :param epoch: of the owner that booked them; 0 where this entry did.
@@ -56,8 +54,7 @@
     waited_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Declined(OfRequest):
+class Declined(OfRequest, frozen=True, kw_only=True):
     """A cell's owner turned a request away.
 
     :param why: what the owner believed.
@@ -71,8 +68,7 @@
     waited_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OwnerSilent(OfRequest):
+class OwnerSilent(OfRequest, frozen=True, kw_only=True):
     """An owner didn't answer; this entry places the request by itself."""
 
     message: typing.ClassVar[str] = 'owner silent, placing here'
@@ -82,8 +78,7 @@
     silent_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamResumed(OfRequest):
+class StreamResumed(OfRequest, frozen=True, kw_only=True):
     """A stream goes on at its engine, over another connection."""
 
     message: typing.ClassVar[str] = 'stream resumed'
@@ -91,8 +86,7 @@
     pieces: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CacheMoved(OfRequest):
+class CacheMoved(OfRequest, frozen=True, kw_only=True):
     """The prompt's KV cache goes to another decode engine."""
 
     message: typing.ClassVar[str] = 'cache moves to another engine'
@@ -100,8 +94,7 @@
     age_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TriedAgain(OfRequest):
+class TriedAgain(OfRequest, frozen=True, kw_only=True):
     """Another attempt begins, or none does.
 
     :param again: whether one does.
@@ -120,8 +113,7 @@
     why: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MemberBelieved(Decision):
+class MemberBelieved(Decision, frozen=True, kw_only=True):
     """This instance believes something else of another one."""
 
     message: typing.ClassVar[str] = 'member believed'
@@ -132,8 +124,7 @@
     draining: bool
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class MembersBelieved(Decision):
+class MembersBelieved(Decision, frozen=True, kw_only=True):
     """The same of many in a short time, beside those with their own lines.
 
     :param peers: some of them by name.
@@ -150,8 +141,7 @@
     left: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendDistrusted(Decision):
+class BackendDistrusted(Decision, frozen=True, kw_only=True):
     """A backend server gets no new work for a while.
 
     :param faults: that count against it; 0 if it took no connection.
@@ -171,8 +161,7 @@
     left_out_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendTrusted(Decision):
+class BackendTrusted(Decision, frozen=True, kw_only=True):
     """A backend server that was left out has all its slots open again."""
 
     message: typing.ClassVar[str] = 'backend server trusted again'
--- a/dandeliongw/differences.py
+++ b/dandeliongw/differences.py
@@ -4,10 +4,11 @@
 """
 
 from collections import abc
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 #: The lists of a document, in the order that they are shown.
 SECTIONS = ('services', 'pools', 'priorities', 'routes', 'accounts')
 
@@ -23,8 +24,7 @@
     CHANGED = 'changed'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Difference:
+class Difference(msgspec.Struct, frozen=True, kw_only=True):
     """One item that isn't the same in both documents.
 
     :param key: the item's name, see :func:`key_of`.
@@ -38,8 +38,7 @@
     fields: dict[str, tuple[typing.Any, typing.Any]]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CarriedOver:
+class CarriedOver(msgspec.Struct, frozen=True, kw_only=True):
     """The outcome of :func:`carry_over`.
 
     :param tree: the document with the changes that could be carried.
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -4,24 +4,23 @@
 runtime's own. Coordination parts have more in ``coordination/parts.py``.
 """
 
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 from . import verdict
 from .cell import orders
 from .entry import waste
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Directive:
+class Directive(msgspec.Struct, frozen=True, kw_only=True):
     """For the thread of ``request_id``; dropped when that has ended."""
 
     request_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunPrefill(Directive):
+class RunPrefill(Directive, frozen=True, kw_only=True):
     """Compute the prompt, and the text answered so far, on an engine.
 
     :param start_in_s: seconds to wait first, so that the decode slot is
@@ -38,8 +37,7 @@
     start_in_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunDecode(Directive):
+class RunDecode(Directive, frozen=True, kw_only=True):
     """Import the KV cache unless ``kv`` is empty, then stream tokens.
 
     Without ``kv`` the stream is one that broke: it resumes at the first
@@ -59,8 +57,7 @@
     reads: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunCall(Directive):
+class RunCall(Directive, frozen=True, kw_only=True):
     """Pass the caller's call to a plain service.
 
     :param deadline_in_s: seconds that are left for all of it.
@@ -72,49 +69,41 @@
     deadline_in_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Refuse(Directive):
+class Refuse(Directive, frozen=True, kw_only=True):
     refusal: verdict.Refusal
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Replay(Directive):
+class Replay(Directive, frozen=True, kw_only=True):
     """Answer with the outcome recorded for an earlier send of this call."""
 
     outcome: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Complete(Directive):
+class Complete(Directive, frozen=True, kw_only=True):
     """Everything that must be durable is: give the end of the answer."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Abort(Directive):
+class Abort(Directive, frozen=True, kw_only=True):
     """Stop work on one attempt at once, also inside a blocking read."""
 
     attempt_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Dispatch:
+class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
     """Let the reducer handle this event next, before any other."""
 
     event: typing.Any
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CountRefusal:
+class CountRefusal(msgspec.Struct, frozen=True, kw_only=True):
     refusal: verdict.Refusal
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CountRetry:
+class CountRetry(msgspec.Struct, frozen=True, kw_only=True):
     reason: verdict.RetryReason
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CountWaste:
+class CountWaste(msgspec.Struct, frozen=True, kw_only=True):
     """Prompt tokens computed for nothing."""
 
     reason: waste.WasteReason
@@ -150,8 +139,7 @@
     CALL = 'call'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Took:
+class Took(msgspec.Struct, frozen=True, kw_only=True):
     """A part of a request's way is over."""
 
     part: Part
@@ -159,8 +147,7 @@
     seconds: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PassedStream:
+class PassedStream(msgspec.Struct, frozen=True, kw_only=True):
     """A stream that was passed on is whole; its tokens are not seen here.
 
     :param first_token_s: from the request's arrival.
@@ -172,15 +159,13 @@
     token_gap_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CountLate:
+class CountLate(msgspec.Struct, frozen=True, kw_only=True):
     """Something late or crossed was dropped."""
 
     what: Late
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Log:
+class Log(msgspec.Struct, frozen=True, kw_only=True):
     """One log line; ``fields`` become its JSON fields."""
 
     message: str
@@ -188,8 +173,7 @@
     level: str = 'INFO'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class GiveOrder:
+class GiveOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Send an order to an engine, unless it may no longer be sent."""
 
     cell: str
@@ -198,8 +182,7 @@
     timeout_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PoolLoad:
+class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
     """A pool over the cells that this instance owns.
 
     :param queue: requests that wait for a slot.
@@ -212,8 +195,7 @@
     queue: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Observed:
+class Observed(msgspec.Struct, frozen=True, kw_only=True):
     """What the gauges show.
 
     :param confirmed_age_s: since a majority confirmed the revision;
@@ -226,8 +208,7 @@
     pools: tuple[PoolLoad, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PeerAddress:
+class PeerAddress(msgspec.Struct, frozen=True, kw_only=True):
     """Where another instance listens; before any message to it."""
 
     instance_id: str
@@ -235,15 +216,13 @@
     port: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PeerForgotten:
+class PeerForgotten(msgspec.Struct, frozen=True, kw_only=True):
     """An instance is gone for good; its connection can be closed."""
 
     instance_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Drained:
+class Drained(msgspec.Struct, frozen=True, kw_only=True):
     """A shutdown has come to its end.
 
     :param cut_off: requests that it broke off, as its time was over.
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -10,13 +10,13 @@
 
 from collections import abc
 import contextlib
-import dataclasses
 import http.client
 import json
 import socket
 import typing
 import urllib.parse
 
+import msgspec
 import urllib3
 import urllib3.connection
 
@@ -53,8 +53,7 @@
     """Nothing came for longer than the time-out; the link may be dead."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Prefilled:
+class Prefilled(msgspec.Struct, frozen=True, kw_only=True):
     """A prompt that was computed.
 
     :param kv: handle of the result, which the engine soon evicts.
@@ -67,16 +66,14 @@
     known: verdict.Verdict = verdict.Verdict.RAN
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Head:
+class Head(msgspec.Struct, frozen=True, kw_only=True):
     """Status and headers of an answer that is passed on as it comes."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Piece:
+class Piece(msgspec.Struct, frozen=True, kw_only=True):
     """Some text of a stream, or its end mark.
 
     :param offset: number of tokens before this piece; for the end mark,
@@ -91,8 +88,7 @@
     data: bytes = b''
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Reply:
+class Reply(msgspec.Struct, frozen=True, kw_only=True):
     """A plain service's answer, read to its end."""
 
     status: int
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -1,8 +1,9 @@
 """Who may have what served at this entry, before any owner is asked."""
 
-import dataclasses
 import typing
 
+import msgspec
+
 from .. import document
 from .. import events
 from .. import verdict
@@ -60,8 +61,7 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Admitted:
+class Admitted(msgspec.Struct, frozen=True, kw_only=True):
     """A call that is allowed, with what the document says of it."""
 
     service: document.Service
@@ -147,7 +147,7 @@
         standing = self._directory.standing(now)
         message = f'{refusal.message} ({standing})'
         if standing.is_confirmed:
-            return dataclasses.replace(refusal, message=message)
+            return msgspec.structs.replace(refusal, message=message)
         return not_run(
             _REASON.CONFIGURATION_STALE,
             f'{message}, and a later one may be in force; use another entry',
--- a/dandeliongw/entry/early.py
+++ b/dandeliongw/entry/early.py
@@ -1,13 +1,12 @@
 """Calls that come before an instance knows its first configuration."""
 
-import dataclasses
+import msgspec
 
 from .. import events
 from . import admission
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class EarlyCalls:
+class EarlyCalls(msgspec.Struct, kw_only=True):
     """Keeps calls until there is a configuration to admit them under.
 
     An instance takes calls as soon as its port is open, and hears of the
@@ -24,7 +23,7 @@
     most_s: float
     #: When the instance began; ``None`` before its first event.
     began_at: float | None = None
-    calls_by_id: dict[str, events.RequestArrived] = dataclasses.field(
+    calls_by_id: dict[str, events.RequestArrived] = msgspec.field(
         default_factory=dict
     )
 
--- a/dandeliongw/entry/outcome.py
+++ b/dandeliongw/entry/outcome.py
@@ -1,12 +1,12 @@
 """What is recorded under a claim: enough to give a resend its answer."""
 
 import base64
-import dataclasses
 import json
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Outcome:
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
     """An answer as the first caller got it.
 
     :param text: the completion of a model service, else ``''``.
@@ -20,7 +20,7 @@
     tokens: int = 0
 
     def to_bytes(self) -> bytes:
-        fields = dataclasses.asdict(self)
+        fields = msgspec.structs.asdict(self)
         fields['body'] = base64.b64encode(self.body).decode()
         return json.dumps(fields).encode()
 
--- a/dandeliongw/entry/refusals.py
+++ b/dandeliongw/entry/refusals.py
@@ -1,9 +1,10 @@
 """The refusals that a request can end with, and how its waste is counted."""
 
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 from .. import effects
 from .. import events
 from .. import verdict
@@ -44,7 +45,7 @@
     """
     if refusal.retry_after_s is None:
         return refusal
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         refusal,
         verdict=_MAY_HAVE_RUN,
         message=f'{refusal.message}; this send did not run, an earlier one '
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -7,7 +7,6 @@
 
 from collections import abc
 import contextlib
-import dataclasses
 import functools
 import queue
 import secrets
@@ -15,6 +14,7 @@
 import typing
 
 from loguru import logger
+import msgspec
 
 from .. import clock as clock_module
 from .. import effects
@@ -31,8 +31,7 @@
 PASSED_HEADERS = ('Content-Type', 'Accept', 'Accept-Language')
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Work:
+class Work(msgspec.Struct, frozen=True, kw_only=True):
     """The parts of a caller's request that the reducer has no need of.
 
     :param is_passed_on: the answer goes back as it comes, and engines number
@@ -50,8 +49,7 @@
     pieces_held: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Finished:
+class Finished(msgspec.Struct, frozen=True, kw_only=True):
     """The end of an answer that is whole.
 
     :param replayed: whether it was recorded by an earlier send.
@@ -360,7 +358,7 @@
                 if not self._work.is_passed_on:
                     self._text.append(piece.text)
                 self._offset += 1
-                yield dataclasses.replace(piece, offset=offset)
+                yield msgspec.structs.replace(piece, offset=offset)
                 measure.taken(self._clock())
         raise _broken(f'the stream stopped at token {self._offset}')
 
@@ -403,7 +401,7 @@
         late_pieces, self._late_pieces = self._late_pieces, 0
         fields = {
             field.name: getattr(end, field.name)
-            for field in dataclasses.fields(end)
+            for field in msgspec.structs.fields(end)
         }
         if step is events.Step.DECODE:
             fields['tokens'] = self._offset
@@ -473,8 +471,7 @@
             self.forget(attempt_id)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Done:
+class _Done(msgspec.Struct, frozen=True, kw_only=True):
     """A step that did what it should."""
 
     known: verdict.Verdict = verdict.Verdict.RAN
@@ -487,8 +484,7 @@
     first_token_at: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Failed:
+class _Failed(msgspec.Struct, frozen=True, kw_only=True):
     """A step that did not."""
 
     known: verdict.Verdict
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -1,9 +1,10 @@
 """One request in flight at its entry: what is known and held for it."""
 
-import dataclasses
 import enum
 import hashlib
 
+import msgspec
+
 from .. import effects
 from .. import events
 from .. import verdict
@@ -37,8 +38,7 @@
 UNPLACED = (Phase.BOOKING, Phase.QUEUED)
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Request:
+class Request(msgspec.Struct, kw_only=True):
     """One request in flight.
 
     :param known: what is proved about the whole request having run, its
@@ -96,7 +96,7 @@
     caller_gone: bool = False
     is_ended: bool = False
     cancels_by_attempt: dict[str, tuple[cells.CancelStream, ...]] = (
-        dataclasses.field(default_factory=dict)
+        msgspec.field(default_factory=dict)
     )
 
     @property
--- a/dandeliongw/entry/retries.py
+++ b/dandeliongw/entry/retries.py
@@ -1,6 +1,7 @@
 """How often an entry tries again, and after which pause."""
 
-import dataclasses
+import msgspec
+
 
 #: Retries allowed for each request that comes in.
 RETRY_PART = 0.2
@@ -10,8 +11,7 @@
 MOST_PAUSE_S = 1.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class RetryBudget:
+class RetryBudget(msgspec.Struct, kw_only=True):
     """Bounds retries to a part of the requests.
 
     Without it, an outage multiplies the load just when least of it can be
--- a/dandeliongw/envelopes.py
+++ b/dandeliongw/envelopes.py
@@ -16,10 +16,11 @@
 """
 
 import collections
-import dataclasses
 import enum
 import hmac
 
+import msgspec
+
 from .protocol import envelope_pb2
 
 COUNTER_BYTES = 8
@@ -47,8 +48,7 @@
     HANDLER_FAILED = 'handler_failed'
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Seen:
+class _Seen(msgspec.Struct, kw_only=True):
     incarnation: int
     counter: int
 
--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -4,9 +4,10 @@
 carry ``now``, the instance's monotonic clock in seconds.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 from . import verdict
 
 
@@ -18,8 +19,7 @@
     CALL = 'call'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Call:
+class Call(msgspec.Struct, frozen=True, kw_only=True):
     """A caller's request, checked for form but not yet admitted.
 
     :param service: name in the document.
@@ -53,16 +53,14 @@
     host: str = ''
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RequestArrived:
+class RequestArrived(msgspec.Struct, frozen=True, kw_only=True):
     now: float
     request_id: str
     call: Call
     entropy: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StepEnded:
+class StepEnded(msgspec.Struct, frozen=True, kw_only=True):
     """A request's thread finished, or failed at, one step.
 
     :param known: what the step proves about the request having run; only
@@ -101,24 +99,21 @@
     entropy: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CallerGone:
+class CallerGone(msgspec.Struct, frozen=True, kw_only=True):
     """The caller closed its connection before it had the whole answer."""
 
     now: float
     request_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RequestClosed:
+class RequestClosed(msgspec.Struct, frozen=True, kw_only=True):
     """The request's thread is done with it, however it ended."""
 
     now: float
     request_id: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class FoundInstance:
+class FoundInstance(msgspec.Struct, frozen=True, kw_only=True):
     """Where an instance can be reached by others."""
 
     instance_id: str
@@ -126,8 +121,7 @@
     port: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class InstancesFound:
+class InstancesFound(msgspec.Struct, frozen=True, kw_only=True):
     """Seeds told which instances there are.
 
     :param first_voters: the ids of all seeds, once each has told its own
@@ -139,8 +133,7 @@
     first_voters: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ShutdownBegun:
+class ShutdownBegun(msgspec.Struct, frozen=True, kw_only=True):
     """The process was asked to end (SIGTERM)."""
 
     now: float
--- a/dandeliongw/exceptions.py
+++ b/dandeliongw/exceptions.py
@@ -5,11 +5,12 @@
 """
 
 from collections import abc
-import dataclasses
 import enum
 import sys
 import typing
 
+import msgspec
+
 
 class ExitCode(enum.IntEnum):
     """What the process tells its parent; listed in docs/COMMANDS.md."""
@@ -25,8 +26,7 @@
     CUT_OFF = 8
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Problem:
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
     """One fault in a settings file or a document.
 
     :param path: where the field is, such as ``pools[2].service``; empty for
--- a/dandeliongw/journal.py
+++ b/dandeliongw/journal.py
@@ -14,7 +14,6 @@
 
 from collections import abc
 import contextlib
-import dataclasses
 import errno
 import fcntl
 import os
@@ -23,6 +22,7 @@
 import struct
 import typing
 
+import msgspec
 import xxhash
 
 from . import codec as codecs
@@ -68,8 +68,7 @@
     """Another process uses the folder."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TornTail:
+class TornTail(msgspec.Struct, frozen=True, kw_only=True):
     """The last write was cut short and has been removed.
 
     :param offset: where the file ends now.
@@ -80,8 +79,7 @@
     length: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DiskReplaced:
+class DiskReplaced(msgspec.Struct, frozen=True, kw_only=True):
     """The journal can't be trusted; the disk goes on under a new id.
 
     :param reason: what was wrong, and where.
--- a/dandeliongw/pool.py
+++ b/dandeliongw/pool.py
@@ -1,12 +1,12 @@
 """Connections to backend servers that are kept for the next call."""
 
 import collections
-import dataclasses
 import re
 import select
 import socket
 import threading
 
+import msgspec
 import urllib3.connection
 
 from . import clock
@@ -21,8 +21,7 @@
 _TIMEOUT = re.compile(r'timeout=([0-9]{1,6})')
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Idle:
+class _Idle(msgspec.Struct, frozen=True, kw_only=True):
     connection: urllib3.connection.HTTPConnection
     until: float
 
--- a/dandeliongw/shutdown.py
+++ b/dandeliongw/shutdown.py
@@ -5,9 +5,10 @@
 and is then gone.
 """
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import directory as directory_module
 from . import effects
 from . import settings as settings_module
@@ -20,15 +21,13 @@
 CUT_OFF_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HandOver:
+class HandOver(msgspec.Struct, frozen=True, kw_only=True):
     """Event: this instance is draining; its cells need other owners."""
 
     now: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Left:
+class Left(msgspec.Struct, frozen=True, kw_only=True):
     """Event: the leave of this instance is on its way to the others."""
 
     now: float
--- a/dandeliongw/verdict.py
+++ b/dandeliongw/verdict.py
@@ -5,9 +5,10 @@
 docs table can never disagree: all four are made from the same members.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class Verdict(enum.StrEnum):
     """What is known about a request's effect on a backend server."""
@@ -62,8 +63,7 @@
     OWNER_CHANGED = 'owner_changed'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Refusal:
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
     """A sentinel returned in place of a result.
 
     :param reason: why, from the closed set that metrics and docs list.
--- a/tests/claims_network.py
+++ b/tests/claims_network.py
@@ -8,6 +8,8 @@
 import dataclasses
 import typing
 
+import msgspec
+
 from dandeliongw import codec
 from dandeliongw.coordination import claim_messages as messages
 from dandeliongw.coordination import claims
@@ -163,7 +165,7 @@
             journal += [CODEC.encode(record) for record in message.records]
             event = parts.Persisted(now=self.now, token=message.token)
         elif isinstance(message, messages.HoldersChanged):
-            event = dataclasses.replace(message, now=self.now)
+            event = msgspec.structs.replace(message, now=self.now)
         elif self.cut & {packet.sender, packet.to}:
             return
         else:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -1,9 +1,10 @@
 """The owner of a cell books exactly, and leaks nothing."""
 
-import dataclasses
 import typing
 import unittest
 
+import msgspec
+
 from dandeliongw.cell import cells
 from dandeliongw.cell import policy
 from dandeliongw.cell import roles
@@ -223,7 +224,7 @@
         state.add_blocks(('a', 'b'))
 
     def start_again(self):
-        again = dataclasses.replace(self.decode, incarnation=2)
+        again = msgspec.structs.replace(self.decode, incarnation=2)
         return self.cell.handle(
             cells.BackendsChanged(now=1.0, backends=(self.prefill, again))
         )
@@ -316,7 +317,7 @@
         nested = (cells.Holding, cells.ReclaimedBooking)
         for message in cells.MESSAGES + nested:
             wire = getattr(cells_pb2, message.__name__)
-            names = {each.name for each in dataclasses.fields(message)}
+            names = {each.name for each in msgspec.structs.fields(message)}
             self.assertEqual(names, set(wire.DESCRIPTOR.fields_by_name))
 
     def test_a_book_survives_the_wire(self):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,11 +1,11 @@
 """Claims over a fake network: each trap once, and all of them at random."""
 
-import dataclasses
 import unittest
 
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
+import msgspec
 from nose2.tools import params
 
 from dandeliongw.coordination import claim_messages as messages
@@ -188,7 +188,9 @@
             key='key', round=0, digest=DIGEST, attempt_id='f1', disk_id=''
         )
         for holder in 'ABC':
-            message = dataclasses.replace(withdraw, disk_id=f'disk-{holder}')
+            message = msgspec.structs.replace(
+                withdraw, disk_id=f'disk-{holder}'
+            )
             event = parts.Received(now=0.0, sender='F', message=message)
             self.network.handle(holder, event)
         self.network.tick(GIVE_UP_S)
@@ -225,7 +227,7 @@
         self.network.begin('E', 'e1')
         put = self.network.packets[1].message
         event = parts.Received(
-            now=0.0, sender='E', message=dataclasses.replace(put, epoch=1)
+            now=0.0, sender='E', message=msgspec.structs.replace(put, epoch=1)
         )
         self.network.handle('B', event)
         self.network.run()
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,16 +1,16 @@
 """The codec keeps every field, and says what it can't map."""
 
-import dataclasses
 import typing
 import unittest
 from unittest import mock
 
+import msgspec
+
 from dandeliongw import codec
 from dandeliongw.protocol import envelope_pb2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Envelope:
+class Envelope(msgspec.Struct, frozen=True, kw_only=True):
     sender: str
     incarnation: int
     recipient: str
@@ -64,7 +64,7 @@
         )
         made.decode(*made.encode(message))
         with (
-            mock.patch.object(dataclasses, 'is_dataclass') as looked_at,
+            mock.patch.object(msgspec.structs, 'fields') as looked_at,
             mock.patch.object(typing, 'get_origin') as taken_apart,
         ):
             made.decode(*made.encode(message))
--- a/tests/test_embedding.py
+++ b/tests/test_embedding.py
@@ -23,6 +23,7 @@
     'heapq',
     'itertools',
     'math',
+    'msgspec',
     'operator',
     'types',
     'typing',
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,7 +1,6 @@
 """What was synced stays, and what can't be trusted is said to be lost."""
 
 import contextlib
-import dataclasses
 import errno
 import itertools
 import os
@@ -9,6 +8,7 @@
 import tempfile
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from dandeliongw import codec as codecs
@@ -16,8 +16,7 @@
 from dandeliongw.protocol import envelope_pb2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Received:
+class Received(msgspec.Struct, frozen=True, kw_only=True):
     count: int
 
 
--- a/tests/test_kv_room.py
+++ b/tests/test_kv_room.py
@@ -1,6 +1,5 @@
 """Whether an engine's memory has room, asked as often as a burst asks."""
 
-import dataclasses
 import heapq
 import random
 import unittest
@@ -8,6 +7,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 
 from dandeliongw.cell import cells
 from dandeliongw.cell import forecast
@@ -17,7 +17,7 @@
 from tests import test_scheduler
 
 CAPACITY = 27_389
-TERMS = dataclasses.replace(
+TERMS = msgspec.structs.replace(
     test_scheduler.TERMS,
     prefill_tokens_per_s=33_333.0,
     decode_tokens_per_s=300.0,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,6 @@
 import collections
 from collections import abc
 import contextlib
-import dataclasses
 import doctest
 import heapq
 import itertools
@@ -13,6 +12,7 @@
 import typing
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from dandeliongw import codec
@@ -255,7 +255,7 @@
         Cause: the last message takes back what the first one found lacking.
         """
         lan = joined()
-        lacking = dataclasses.replace(
+        lacking = msgspec.structs.replace(
             make_news('ALIVE', 1, 0), instance_id='gw-77', info=None
         )
         known = lan.members['gw-1'].members_by_id['gw-3']
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections import abc
 import contextlib
-import dataclasses
 import socket
 import typing
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from dandeliongw import codec
@@ -22,15 +22,13 @@
 LIMIT_S = 30.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Received:
+class Received(msgspec.Struct, frozen=True, kw_only=True):
     """Any message will do; this one is in the envelope's own protocol."""
 
     count: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Envelope:
+class Envelope(msgspec.Struct, frozen=True, kw_only=True):
     """A message that can be large."""
 
     body: bytes
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -1,6 +1,5 @@
 """Which backend servers may get work: leaves, leases, old announcements."""
 
-import dataclasses
 import itertools
 import typing
 import unittest
@@ -8,6 +7,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import msgspec
 from nose2.tools import params
 
 from dandeliongw import codec
@@ -423,7 +423,9 @@
 
     def hear(self, **changes):
         """Take an announcement; return ids and presence that changed."""
-        said = dataclasses.replace(make_announcement(incarnation=0), **changes)
+        said = msgspec.structs.replace(
+            make_announcement(incarnation=0), **changes
+        )
         message = presence.Presented(announcement=said, age_s=0.0)
         out = self.part.handle(
             parts.Received(now=self.now, sender='gw-2', message=message)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,8 +1,8 @@
 """The life of a request at its entry, failure by failure."""
 
-import dataclasses
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from dandeliongw.cell import cells
@@ -102,7 +102,7 @@
         entry = Entry()
         request_id = entry.decoding()
         request = entry.requests.requests_by_id[request_id]
-        request.admitted = dataclasses.replace(
+        request.admitted = msgspec.structs.replace(
             request.admitted, is_passed_on=True
         )
         entry.decode(
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -1,8 +1,8 @@
 """Engines move between the pools where that gains much, and not otherwise."""
 
-import dataclasses
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from dandeliongw.cell import cells
@@ -184,7 +184,7 @@
         self.assertFalse(balance.review(1.0, view))
         moved = only_switch(balance).backend_id
         state = view.backends_by_id[moved]
-        state.backend = dataclasses.replace(
+        state.backend = msgspec.structs.replace(
             state.backend, role=policy.Role.DECODE
         )
         self.assertTrue(balance.review(6.0, view))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,8 +1,8 @@
 """The policy in force, on a small cell of its own."""
 
-import dataclasses
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from dandeliongw.cell import cells
@@ -264,7 +264,7 @@
     return test_cells.make_cell(
         test_cells.make_backend('p1', 'prefill', slots=slots),
         test_cells.make_backend('d1', 'decode', slots=slots),
-        document_part=dataclasses.replace(TERMS, **terms),
+        document_part=msgspec.structs.replace(TERMS, **terms),
         policy=scheduler.Scheduler(),
     )
 
@@ -396,7 +396,7 @@
         An engine reads 10,000 tokens a second, so one that decodes takes
         0.4 s for each.
         """
-        terms = dataclasses.replace(
+        terms = msgspec.structs.replace(
             TERMS,
             token_gap_s=token_gap_s,
             prefill_tokens_per_s=10_000.0,
--- a/tests/test_stand_in.py
+++ b/tests/test_stand_in.py
@@ -1,8 +1,8 @@
 """Work goes on while a cell's owner is silent: reducers, time passed in."""
 
-import dataclasses
 import unittest
 
+import msgspec
 from nose2.tools import params
 
 from dandeliongw.cell import cells
@@ -19,7 +19,7 @@
 
 OWN = 'gw-0'
 CELL = 'dieline-llm/tx-central/0'
-TERMS = dataclasses.replace(
+TERMS = msgspec.structs.replace(
     test_scheduler.TERMS, kv_tokens_by_role={policy.Role.DECODE: 80_000}
 )
 
--- a/tools/baselines.py
+++ b/tools/baselines.py
@@ -9,9 +9,10 @@
 load, so each router is measured with several and the best one counts.
 """
 
-import dataclasses
 import math
 
+import msgspec
+
 from dandeliongw.cell import policy
 from dandeliongw.verdict import RefusalReason
 
@@ -46,7 +47,7 @@
             open_ids = view.candidates(role, (*booking.exclude, *full))
             if not open_ids:
                 return refuse_full(role)
-        open_to = dataclasses.replace(
+        open_to = msgspec.structs.replace(
             booking, exclude=(*booking.exclude, *full)
         )
         return super().decide(now=now, view=view, booking=open_to)
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -5,13 +5,13 @@
 """
 
 from collections import abc
-import dataclasses
 import functools
 import json
 import math
 import typing
 
 import defopt
+import msgspec
 
 from dandeliongw.cell import policy
 from dandeliongw.cell import scheduler
@@ -88,7 +88,7 @@
     options = FIRST_VERSION
     options_by_name = {}
     for name, step in STEPS_BY_VERSION.items():
-        options = dataclasses.replace(options, **step)
+        options = msgspec.structs.replace(options, **step)
         options_by_name[name] = options
     return options_by_name
 
--- a/tools/workloads.py
+++ b/tools/workloads.py
@@ -4,6 +4,8 @@
 import dataclasses
 import random
 
+import msgspec
+
 from dandeliongw.cell import policy
 from tools import engine_model
 
@@ -169,7 +171,7 @@
     speeds = dataclasses.replace(
         deployment.speeds, slots=32, prefill_tokens_per_s=15_000.0
     )
-    terms = dataclasses.replace(
+    terms = msgspec.structs.replace(
         deployment.terms, prefill_tokens_per_s=15_000.0
     )
     return dataclasses.replace(
