The first kilobyte of the metrics tells the state

A monitor that keeps the first 4 KB of each reading could not tell how old the configuration of an entry was when it refused a route: half of the page were the times at which series began, and the gauges came after all counters.

--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -20,6 +20,10 @@
 from .coordination import lease_messages
 from .entry import waste
 
+# The time at which each series began would be half of all lines. All of them
+# begin with the process.
+prometheus_client.disable_created_metrics()
+
 NAMESPACE = 'dandeliongw'
 #: The key of a watched counter's only count when it has no label.
 UNLABELLED = ''
@@ -136,9 +140,11 @@
         self.registry = registry or prometheus_client.CollectorRegistry()
         #: Names of the labels of every metric, for the reference page.
         self.labels_by_name: dict[str, tuple[str, ...]] = {}
+        # The state comes first: whoever keeps the first kilobytes of each
+        # reading can still tell how old the configuration was.
+        self._make_gauges()
         self._make_counters()
         self._make_watched()
-        self._make_gauges()
         self._make_histograms()
 
     def _make_counters(self) -> None:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -109,6 +109,16 @@
         self.assertIn(f'{{le="0.55",{service}}} 1.0', text)
         self.assertIn(f'{{le="0.034",{service}}} 0.0', text)
 
+    def test_the_state_is_in_the_first_kilobyte(self):
+        """Symptom: no kept reading tells how old a configuration was.
+
+        A monitor kept the first 4 KB of each; half of them were the times
+        at which series began, and the gauges came after all counters.
+        """
+        page = self.metrics.render().decode()
+        self.assertLess(page.index('configuration_age_seconds '), 1024)
+        self.assertNotIn('_created', page)
+
 
 class WatchedPartsTest(unittest.TestCase):
     """The parts' own counts reach the page of metrics."""
