A queued call is turned away soon after its owner went

Cause: an entry that was told "queued" looked for another owner for 5 s when that one fell silent, the bound for prompts that were read and would be lost. For a call in a queue nothing was computed, and callers leave after 3.65 s.

Such a call is searched for as long as one that nobody has queued, 1.5 s, and refused as not run with a time to come back, 2.3 s after its owner's last word. The test failed first.

--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -133,7 +133,6 @@
             waited = _waited(event.now, request)
             request.phase = Phase.QUEUED
             request.phase_at = request.asked_at = event.now
-            request.search_s = reservations.OWNER_LOST_S
             return [waited]
         return []
 
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -24,9 +24,11 @@
 PROBE_S = 0.5
 #: A queued request asks its owner so often whether it is there still.
 QUEUE_ASK_S = 0.3
-#: Longest search for an owner; then the caller is told at once.
+#: Longest search for an owner; then the caller is told at once. It is the
+#: same for a call that waits in an owner's queue: nothing is lost with it,
+#: and its caller would leave without an answer.
 OWNER_SEARCH_S = 1.5
-#: The same for a request that an owner had taken: its successor needs a
+#: The same for a request that an owner had placed: its successor needs a
 #: lease first, and what has been computed would be lost.
 OWNER_LOST_S = 5.0
 #: A queued request whose owner said nothing for so long looks for another.
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -630,6 +630,25 @@
         self.assertEqual(entry.refusal.verdict, NOT_RUN)
         self.assertEqual(len(entry.sent(cells.Release)), 1)
 
+    def test_a_queued_call_is_turned_away_soon_after_its_owner_went(self):
+        """Symptom: 2,502 calls of a day got no answer before callers left.
+
+        An owner queues a call and falls silent. Nothing was computed for it,
+        yet its entry looked for another owner for as long as for a prompt
+        that was read, 5 s; callers leave after less than four.
+        """
+        entry = Entry()
+        request_id = entry.arrive('completion')
+        entry.receive(queued(entry, request_id))
+        began_at = entry.now
+        while not entry.found(effects.Refuse):
+            entry.tick()
+        most_s = reservations.QUEUE_SILENT_S + reservations.OWNER_SEARCH_S
+        self.assertLess(entry.now - began_at, most_s + 0.25)
+        self.assertEqual(entry.refusal.reason, REASON.NO_OWNER)
+        self.assertEqual(entry.refusal.verdict, NOT_RUN)
+        self.assertEqual(entry.refusal.retry_after_s, 1.0)
+
     def test_a_slot_told_once_and_lost_is_heard_of(self):
         """Symptom: a request waits out its deadline beside a free slot.
 
