The specification of reads has checks that overlap

A voter's checks may overlap now, and an ask waits for any check that began after it came. The specification had one check, which took its ask along.

--- a/specs/register_reads.py
+++ b/specs/register_reads.py
@@ -1,9 +1,9 @@
 """How an instance learns that its configuration is still the current one.
 
 Changes are written one after the other on three voters. One instance
-asks, one voter checks; asks, checks and answers may be late or lost. Times
-are ages in steps, kept up to the time to live, so that a sweep covers any
-length of time.
+asks, one voter checks; asks, checks and answers may be late or lost, and
+checks may overlap. Times are ages in steps, kept up to the time to live, so
+that a sweep covers any length of time.
 """
 
 from collections import abc
@@ -26,17 +26,16 @@
 
     age: int
     ballot: int = 0
-    has_arrived: bool = False
 
 
 class Check(typing.NamedTuple):
     """A voter's majority check.
 
-    :param ask_age: of the ask that it answers; ``NEVER`` when it has none.
+    :param answers: whether it began after the ask that waits had come.
     :param reports: the ballot that each voter reported.
     """
 
-    ask_age: int
+    answers: bool
     reports: tuple[int, ...]
 
 
@@ -45,6 +44,9 @@
 
     :param accepted: the ballot that each voter holds.
     :param chosen_ages: how long ago each ballot was chosen.
+    :param ask: the latest one, on its way to the voter.
+    :param waiting: the ask that waits at the voter.
+    :param checks: those under way, the oldest first.
     :param answers: answers under way: the ballot and the age of the ask.
     :param confirmed: what the instance acts on.
     :param told: the latest ballot that it said it had confirmed.
@@ -53,7 +55,8 @@
     accepted: tuple[int, ...]
     chosen_ages: tuple[int, ...]
     ask: Ask | None
-    check: Check | None
+    waiting: Ask | None
+    checks: tuple[Check, ...]
     answers: tuple[Ask, ...]
     confirmed: Ask | None
     told: int
@@ -64,13 +67,20 @@
 
     :param changes: how many are written.
     :param answers: how many answers may be under way at once.
+    :param checks: the same of checks.
     """
 
     def __init__(
-        self, *, changes: int, answers: int, without: str | None
+        self,
+        *,
+        changes: int,
+        answers: int,
+        without: str | None,
+        checks: int = 1,
     ) -> None:
         self.ballots = range(1, changes + 1)
         self.most_answers = answers
+        self.most_checks = checks
         self.without = without
 
     def transitions(self, state: State) -> list[tuple[str, State]]:
@@ -85,14 +95,11 @@
         return [(label, _sort_voters(after)) for label, after in steps]
 
     def pass_time(self, state: State) -> State:
-        check = state.check
-        if check is not None:
-            check = check._replace(ask_age=_older(check.ask_age))
         answers = map(_older_ask, state.answers)
         return state._replace(
             chosen_ages=tuple(map(_older, state.chosen_ages)),
             ask=_older_ask(state.ask),
-            check=check,
+            waiting=_older_ask(state.waiting),
             # An answer as old as that lets nothing be admitted any more.
             answers=tuple(a for a in answers if a.age < TTL),
             confirmed=_older_ask(state.confirmed),
@@ -119,35 +126,42 @@
                 )
 
     def asks(self, state: State) -> abc.Iterator[tuple[str, State]]:
-        """Asker.tick and Register._on_confirm."""
+        """Asker.tick and Checker.ask: the latest ask takes the place."""
         yield 'an ask leaves', state._replace(ask=Ask(age=0))
-        if state.ask is not None and not state.ask.has_arrived:
-            arrived = state.ask._replace(has_arrived=True)
-            yield 'the ask arrives', state._replace(ask=arrived)
+        if state.ask is not None:
+            # What has begun may have read before the ask was sent.
+            checks = tuple(c._replace(answers=False) for c in state.checks)
+            yield (
+                'the ask arrives',
+                state._replace(ask=None, waiting=state.ask, checks=checks),
+            )
 
     def checks(self, state: State) -> abc.Iterator[tuple[str, State]]:
-        """Register._start_check, _on_report and _settle_check."""
-        waiting = state.ask is not None and state.ask.has_arrived
-        if state.check is None:
+        """Checker._begin_if_due, on_report and settle."""
+        if len(state.checks) < self.most_checks:
             check = Check(
-                ask_age=state.ask.age if waiting else NEVER,
-                reports=(NEVER,) * VOTERS,
+                answers=state.waiting is not None, reports=(NEVER,) * VOTERS
             )
-            ask = None if waiting else state.ask
-            yield 'a check begins', state._replace(check=check, ask=ask)
-            return
-        check = state.check
-        if check.ask_age == TTL:
-            yield 'the check is given up', state._replace(check=None)
-        for number, report in enumerate(check.reports):
-            if report == NEVER:
-                reports = _set(check.reports, number, state.accepted[number])
-                yield (
-                    f'voter {number} reports {state.accepted[number]}',
-                    state._replace(check=check._replace(reports=reports)),
-                )
-        for ballot in self.confirmable(check):
-            yield from self.end_check(state, ballot, waiting)
+            checks = (*state.checks, check)
+            yield 'a check begins', state._replace(checks=checks)
+        for place, check in enumerate(state.checks):
+            yield (
+                f'check {place} is given up',
+                state._replace(checks=_without(state.checks, place)),
+            )
+            for number, report in enumerate(check.reports):
+                if report == NEVER:
+                    held = state.accepted[number]
+                    reports = _set(check.reports, number, held)
+                    after = check._replace(reports=reports)
+                    yield (
+                        f'voter {number} reports {held} to check {place}',
+                        state._replace(
+                            checks=_set(state.checks, place, after)
+                        ),
+                    )
+            for ballot in self.confirmable(check):
+                yield from self.end_check(state, place, ballot)
 
     def confirmable(self, check: Check) -> list[int]:
         """Check.confirms: a quorum holds exactly this ballot."""
@@ -159,20 +173,23 @@
         return [b for b in set(reports) if reports.count(b) >= QUORUM]
 
     def end_check(
-        self, state: State, ballot: int, waiting: bool
+        self, state: State, place: int, ballot: int
     ) -> abc.Iterator[tuple[str, State]]:
-        """Register._end_check: answer whoever asked before it began."""
-        age = state.check.ask_age
-        if self.without == 'check_after_ask' and waiting:
-            age = state.ask.age
-        done = state._replace(check=None)
-        if age == NEVER:
+        """Checker._end: answer whoever asked before it began."""
+        answers = state.checks[place].answers
+        if self.without == 'check_after_ask':
+            answers = True
+        # With it those end that had begun before it.
+        done = state._replace(checks=state.checks[place + 1 :])
+        if state.waiting is None or not answers:
+            yield f'check {place} ends', done
             return
-        answers = (*state.answers, Ask(age=age, ballot=ballot))
-        if len(answers) <= self.most_answers:
+        answer = state.waiting._replace(ballot=ballot)
+        under_way = (*state.answers, answer)
+        if len(under_way) <= self.most_answers:
             yield (
-                f'the check answers with ballot {ballot}',
-                done._replace(answers=tuple(sorted(answers))),
+                f'check {place} answers with ballot {ballot}',
+                done._replace(waiting=None, answers=tuple(sorted(under_way))),
             )
 
     def answers(self, state: State) -> abc.Iterator[tuple[str, State]]:
@@ -183,8 +200,9 @@
                 *state.answers[number + 1 :],
             )
             age = 0 if self.without == 'time_from_send' else answer.age
-            if self.without == 'unique_ask_ids' and state.ask is not None:
-                age = state.ask.age
+            latest = state.ask or state.waiting
+            if self.without == 'unique_ask_ids' and latest is not None:
+                age = latest.age
             confirmed = state.confirmed
             if confirmed is not None and self.without != 'no_older_ballot':
                 if answer.ballot < confirmed.ballot:
@@ -242,14 +260,15 @@
         # Answers to asks from before have ids that no ask after has.
         keeps = self.without == 'unique_ask_ids'
         answers = state.answers if keeps else ()
-        check = state.check
-        if check is not None and not keeps:
-            # So has the answer that a check under way will give.
-            check = check._replace(ask_age=NEVER)
+        # So has the answer that the ask which waits will get.
+        waiting = state.waiting if keeps else None
         yield (
             'the instance restarts',
             state._replace(
-                confirmed=confirmed, ask=None, answers=answers, check=check
+                confirmed=confirmed,
+                ask=None,
+                answers=answers,
+                waiting=waiting,
             ),
         )
 
@@ -304,7 +323,8 @@
             accepted=(0,) * VOTERS,
             chosen_ages=(NEVER,) * len(self.ballots),
             ask=None,
-            check=None,
+            waiting=None,
+            checks=(),
             answers=(),
             confirmed=None,
             told=0,
@@ -326,7 +346,8 @@
         return specs.BoundedModel(
             bounds=(
                 f'{VOTERS} voters, {len(self.ballots)} changes, time to live '
-                f'{TTL} steps, {self.most_answers} answers under way, any time'
+                f'{TTL} steps, {self.most_answers} answers and '
+                f'{self.most_checks} checks under way, any time'
             ),
             protocol=protocol,
             reached=reached,
@@ -343,15 +364,18 @@
 
 def _sort_voters(state: State) -> State:
     """Return the state that stands for all that differ by voters' names."""
-    check = state.check
-    if check is None:
-        return state._replace(accepted=tuple(sorted(state.accepted)))
-    pairs = sorted(zip(state.accepted, check.reports, strict=True))
-    accepted, reports = zip(*pairs, strict=True)
-    return state._replace(
-        accepted=accepted, check=check._replace(reports=reports)
+    rows = zip(state.accepted, *(c.reports for c in state.checks), strict=True)
+    accepted, *reports = zip(*sorted(rows), strict=True)
+    checks = tuple(
+        check._replace(reports=sorted_reports)
+        for check, sorted_reports in zip(state.checks, reports, strict=True)
     )
+    return state._replace(accepted=accepted, checks=checks)
 
 
 def _set(items: tuple, index: int, item: typing.Any) -> tuple:
     return (*items[:index], item, *items[index + 1 :])
+
+
+def _without(items: tuple, index: int) -> tuple:
+    return (*items[:index], *items[index + 1 :])
--- a/specs/register_spec.py
+++ b/specs/register_spec.py
@@ -191,7 +191,13 @@
         answers=1 if has_two else 2,
         without=without,
     )
-    return [model.build(_READS_REACHED)]
+    models = [model.build(_READS_REACHED)]
+    if without in (None, 'check_after_ask'):
+        overlapping = register_reads.ReadsModel(
+            changes=1, answers=1, checks=2, without=without
+        )
+        models.append(overlapping.build(_READS_REACHED))
+    return models
 
 
 def _formation(without: str | None) -> list[specs.BoundedModel]:
