--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -6,7 +6,7 @@
 from .coordination import membership
 from .coordination import placement
 from .coordination import register
-from .coordination import standing
+from .coordination import standing as standings
 
 
 #: Up to so many instances all of them hear of every backend server, at 30
@@ -67,7 +67,7 @@
             return True
         return self._configuration.is_fresh(now)
 
-    def standing(self, now: float) -> standing.Standing:
+    def standing(self, now: float) -> standings.Standing:
         """Return how current the document is."""
         return self._configuration.standing(now)
 
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -7,7 +7,7 @@
 from .. import document
 from .. import events
 from .. import verdict
-from ..coordination import standing
+from ..coordination import standing as standings
 
 _REASON = verdict.RefusalReason
 
@@ -40,7 +40,7 @@
         """Whether the document was confirmed by a majority lately."""
         ...
 
-    def standing(self, now: float) -> standing.Standing:
+    def standing(self, now: float) -> standings.Standing:
         """How current the document is."""
         ...
 
