A pair of engines is found without a look at each of them

In bursts on a site with 45 engines calls waited for an owner that was well: its process used all of its half core for 11 of 20 seconds, and it lost its lease and took it again within 1.5 s.

Cause: for each prompt every reader was weighed against every decode engine. Readers that are ready at the same time cost the same with any engine, and one that is ready later than the best pair can't be part of a better one. Now the readers go by the time at which they are ready.

--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -1,5 +1,6 @@
 """The policy in force: exact slots, booked before a prefill starts."""
 
+from collections import abc
 import enum
 import math
 
@@ -71,6 +72,25 @@
     MAY_COME_AGAIN = 2
 
 
+class _Source(msgspec.Struct, frozen=True, kw_only=True):
+    """A reader that a prompt may be sent to.
+
+    :param number: its place among all of them; the first wins a tie.
+    :param done_at: when it would have read the prompt.
+    :param ready_at: when its link could then carry the KV cache.
+    """
+
+    state: BackendState
+    number: int
+    done_at: float
+    ready_at: float
+
+    @property
+    def times(self) -> tuple[float, float]:
+        """What its cost depends on, with any decode engine."""
+        return self.ready_at, self.done_at
+
+
 class Order(enum.Enum):
     """Who goes first among those who wait."""
 
@@ -385,28 +405,64 @@
         rooms = self._rooms.find(now, view, Role.DECODE, booking)
         if not rooms:
             return None
-        best: tuple[tuple[float, ...], Place] | None = None
-        for prefill in self._rooms.readers(now, view, booking):
-            done_at = prefill.prefill_free_at(now)
-            if self._options.queue and done_at - now > SEND_AHEAD_S:
+        sources = sorted(
+            self._sources(now, view, booking),
+            key=lambda each: (each.times, each.number),
+        )
+        best: tuple[tuple[float, ...], int, Place] | None = None
+        times: tuple[float, float] | None = None
+        for source in sources:
+            # Most readers are ready too late to cost less than one that was
+            # looked at, or exactly when it is. To look at each pair of 20
+            # readers and 39 decode engines was most of an owner's time.
+            if best is not None and self._earliest(source) > best[0][0]:
+                break
+            if source.times == times:
                 continue
-            if self._options.affinity:
-                done_at += view.prefill_work_s(prefill, booking)
-            found = self._choose_room(view, done_at, prefill, rooms)
-            if found is not None and (best is None or found[0] < best[0]):
-                cost, decode = found
-                chosen = Place(
-                    prefill_id=prefill.backend.backend_id,
+            times = source.times
+            found = self._choose_room(view, source, rooms)
+            if found is None:
+                continue
+            cost, decode = found
+            if best is None or (cost, source.number) < best[:2]:
+                place = Place(
+                    prefill_id=source.state.backend.backend_id,
                     decode_id=decode.backend.backend_id,
                 )
-                best = cost, chosen
-        return best[1] if best else None
+                best = cost, source.number, place
+        return best[2] if best else None
+
+    def _sources(
+        self, now: float, view: CellView, booking: Booking
+    ) -> abc.Iterator[_Source]:
+        """Yield the readers that a prompt may be sent to now."""
+        readers = self._rooms.readers(now, view, booking)
+        for number, state in enumerate(readers):
+            done_at = state.prefill_free_at(now)
+            if self._options.queue and done_at - now > SEND_AHEAD_S:
+                continue
+            if self._options.affinity:
+                done_at += view.prefill_work_s(state, booking)
+            ready_at = done_at
+            if self._options.links:
+                ready_at = max(done_at, state.link_free_at)
+            yield _Source(
+                state=state,
+                number=number,
+                done_at=done_at,
+                ready_at=ready_at,
+            )
+
+    def _earliest(self, source: _Source) -> float:
+        """Return the least first part of a cost with this reader."""
+        if not self._options.links:
+            return source.done_at
+        return round(source.ready_at, LINK_DIGITS)
 
     def _choose_room(
         self,
         view: CellView,
-        done_at: float,
-        prefill: BackendState,
+        source: _Source,
         rooms: list[rooms_module.Room],
     ) -> tuple[tuple[float, ...], BackendState] | None:
         """Return the least cost and its decode engine.
@@ -417,9 +473,9 @@
         """
         if not self._options.links:
             room = max(rooms, key=lambda each: each.free)
-            return (done_at, -room.free), room.state
-        latest_at = done_at + self._longest_link_wait_s(view)
-        source_at = max(done_at, prefill.link_free_at)
+            return (source.done_at, -room.free), room.state
+        latest_at = source.done_at + self._longest_link_wait_s(view)
+        source_at = source.ready_at
         costs = [
             ((round(moves_at, LINK_DIGITS), -room.free), room.state)
             for room in rooms
--- a/tests/test_kv_room.py
+++ b/tests/test_kv_room.py
@@ -12,6 +12,7 @@
 from dandeliongw.cell import cells
 from dandeliongw.cell import forecast
 from dandeliongw.cell import policy
+from dandeliongw.cell import scheduler
 from dandeliongw.coordination import parts
 from tests import test_cells
 from tests import test_scheduler
@@ -202,6 +203,70 @@
         # Made for each engine each time, they are many times as many.
         self.assertLess(forecasts.call_count / self.handled, 4.0)
 
+    def test_readers_that_are_ready_alike_are_looked_at_once(self):
+        """Each pair of 20 readers and 39 decode engines was looked at."""
+        with mock.patch.object(
+            scheduler.Scheduler,
+            '_choose_room',
+            autospec=True,
+            side_effect=scheduler.Scheduler._choose_room,
+        ) as looks:
+            self.run_load()
+        self.assertGreater(self.booked, 300)
+        self.assertLess(looks.call_count / self.booked, 4.0)
+
+
+class PairTest(unittest.TestCase):
+    """The pair is the one that a look at all of them finds."""
+
+    @hypothesis.given(
+        readers=st.lists(
+            st.tuples(
+                st.sampled_from((1.0, 1.03, 3.0)),
+                st.sampled_from((0.0, 0.5, 1.0, 1.004, 1.3)),
+            ),
+            min_size=1,
+            max_size=6,
+        ),
+        links=st.lists(
+            st.sampled_from((0.0, 0.9, 1.1, 1.104, 1.6)),
+            min_size=1,
+            max_size=5,
+        ),
+    )
+    def test_nothing_better_is_passed_over(self, readers, links):
+        view = policy.CellView(terms=TERMS)
+        for number, (slowness, link) in enumerate(readers):
+            state = self.add(view, f'p{number}', 'prefill')
+            state.link_free_at = link
+            state.slowness = slowness
+        for number, link in enumerate(links):
+            self.add(view, f'd{number}', 'decode').link_free_at = link
+        booking = make_booking(1, 3_200, 70, 0.0)
+        decider = scheduler.Scheduler()
+        rooms = decider._rooms.find(1.0, view, policy.Role.DECODE, booking)
+        found = [
+            (cost, source.number, source.state.backend.backend_id, decode)
+            for source in decider._sources(1.0, view, booking)
+            for cost, decode in [
+                decider._choose_room(view, source, rooms) or (None, None)
+            ]
+            if cost is not None
+        ]
+        placed = decider._choose_pair(1.0, view, booking)
+        if not found:
+            self.assertIsNone(placed)
+            return
+        _, _, prefill_id, decode = min(found, key=lambda each: each[:2])
+        self.assertEqual(prefill_id, placed.prefill_id)
+        self.assertEqual(decode.backend.backend_id, placed.decode_id)
+
+    def add(self, view, backend_id, role):
+        backend = test_cells.make_backend(backend_id, role, slots=12)
+        state = policy.BackendState(backend=backend)
+        view.backends_by_id[backend_id] = state
+        return state
+
 
 class TickTest(unittest.TestCase):
     def test_a_tick_of_an_idle_cell_looks_at_no_engine(self):
