--- a/dandeliongw/codec.py
+++ b/dandeliongw/codec.py
@@ -92,15 +92,6 @@
     raise CodecError(f'no protobuf message is named {kind!r}')
 
 
-@functools.cache
-def _field_types(data_class: type) -> dict[str, typing.Any]:
-    hints = typing.get_type_hints(data_class)
-    return {
-        field.name: _without_none(hints[field.name])
-        for field in msgspec.structs.fields(data_class)
-    }
-
-
 def _without_none(hint: typing.Any) -> typing.Any:
     if typing.get_origin(hint) not in (typing.Union, types.UnionType):
         return hint
@@ -116,20 +107,14 @@
     quarters of the time to encode or decode a message: 69 and 110 us for a
     probe with six items of news, 17 and 25 us without.
     """
-    optional = _optional_fields(data_class)
-    return tuple(
-        _make_field(name, hint, is_optional=name in optional)
-        for name, hint in _field_types(data_class).items()
-    )
-
-
-@functools.cache
-def _optional_fields(data_class: type) -> frozenset[str]:
     hints = typing.get_type_hints(data_class)
-    return frozenset(
-        name
-        for name, hint in hints.items()
-        if type(None) in typing.get_args(hint)
+    return tuple(
+        _make_field(
+            field.name,
+            _without_none(hints[field.name]),
+            is_optional=type(None) in typing.get_args(hints[field.name]),
+        )
+        for field in msgspec.structs.fields(data_class)
     )
 
 
