--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -56,6 +56,21 @@
         found = explain.explain('c1', [self.write(*LINES)])
         self.assertEqual(found['beliefs'], [LINES[1]])
 
+    def test_a_cancel_that_fails_late_is_not_the_end(self):
+        """A test took the last line of a failed call for its refusal, once
+        in vain.
+
+        The refusal frees what the call held at an engine that is dead; a
+        thread of its own finds that out. Of 653 failed calls while an engine
+        was killed, 10 had this line after the refusal, and no other one.
+        """
+        warning = line(
+            10.3, 'a cancel was not confirmed: no connection', request_id='c1'
+        )
+        found = explain.explain('c1', [self.write(*LINES, warning)])
+        self.assertEqual(warning, found['lines'][-1])
+        self.assertEqual(found['end'], 'call refused: no_capacity')
+
     def test_a_request_that_nobody_knows(self):
         with self.assertRaises(exceptions.UsageError) as caught:
             explain.explain('c2', [self.write(*LINES)])
