--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -57,8 +57,7 @@
         self.assertEqual(found['beliefs'], [LINES[1]])
 
     def test_a_cancel_that_fails_late_is_not_the_end(self):
-        """A test took the last line of a failed call for its refusal, once
-        in vain.
+        """A failed call's last line was taken for its refusal.
 
         The refusal frees what the call held at an engine that is dead; a
         thread of its own finds that out. Of 653 failed calls while an engine
