Cancels, orders of owned cells and the document's terms leave cells.py and owner.py

cells.py also kept cancels until they are confirmed; owner.py also gave orders to engines and turned the document into a cell's terms. Tests follow their modules.

--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -8,10 +8,9 @@
 
 import typing
 
-import msgspec
-
 from ..coordination import parts
 from .backend_state import BackendState
+from .cancels import Cancels
 from .cell_messages import BackendsChanged
 from .cell_messages import Book
 from .cell_messages import Booked
@@ -94,8 +93,6 @@
 #: looked at the memory of every engine once more: an owner of 59 engines took
 #: 0.99 of a core at 160 requests a second, and 0.70 since, on a busy machine.
 LOOK_AGAIN_S = 0.025
-#: How often an unconfirmed cancel is sent again.
-CANCEL_AGAIN_S = 1.0
 
 
 def _frees(event: typing.Any) -> bool:
@@ -105,13 +102,6 @@
     return not isinstance(event, parts.Ticked)
 
 
-class PendingCancel(msgspec.Struct, kw_only=True):
-    """A cancel that its backend server hasn't confirmed."""
-
-    effect: CancelStream
-    again_at: float
-
-
 def _is_same(known: Booking, book: Book) -> bool:
     """Return whether a ``Book`` is one that was answered already.
 
@@ -151,7 +141,7 @@
         self._trust = Trust(cell_id=cell_id, epoch=epoch, view=self.view)
         self.roles = RoleBalance()
         self.bookings_by_key: dict[tuple[str, str], Booking] = {}
-        self.cancels_by_key: dict[tuple[str, str, str], PendingCancel] = {}
+        self.cancels = Cancels(epoch=epoch)
         #: Left, or cut off, with work of ours that may still run there.
         self.leaving_by_id: dict[str, BackendState] = {}
         self._began_at: float | None = None
@@ -207,7 +197,7 @@
             case StreamsListed():
                 return self._cancel_unknown(event)
             case StreamCancelled():
-                self._confirm_cancel(event)
+                self.cancels.confirm(event, self._state(event.backend_id))
         return []
 
     def restore(self, record: typing.Any) -> None:
@@ -394,6 +384,11 @@
         if self._is_reclaiming(now):
             wanted = ReclaimWanted(cell=self.cell_id, epoch=self.epoch)
             return parts.Send(to=entry, message=wanted)
+        return self._cancelled(entry, booking_key)
+
+    def _cancelled(
+        self, entry: str, booking_key: tuple[str, str]
+    ) -> parts.Send:
         request_id, attempt_id = booking_key
         cancelled = Cancelled(
             cell=self.cell_id,
@@ -448,37 +443,11 @@
 
     def _cancel(self, now: float, booking: Booking) -> list:
         return [
-            self._cancel_at(now, state, booking.key)
+            self.cancels.send(now, state, booking.key)
             for state in self._states_of(booking)
             if state.backend.role is not Role.PLAIN
         ]
 
-    def _cancel_at(
-        self, now: float, state: BackendState, booking_key: tuple[str, str]
-    ) -> CancelStream:
-        """Return a cancel, to be sent again until it is confirmed."""
-        stream_id, attempt_id = booking_key
-        effect = CancelStream(
-            backend_id=state.backend.backend_id,
-            url=state.backend.url,
-            stream_id=stream_id,
-            attempt_id=attempt_id,
-            epoch=self.epoch,
-        )
-        key = (effect.backend_id, stream_id, attempt_id)
-        if key not in self.cancels_by_key:
-            state.cancelling += 1
-        self.cancels_by_key[key] = PendingCancel(
-            effect=effect, again_at=now + CANCEL_AGAIN_S
-        )
-        return effect
-
-    def _confirm_cancel(self, event: StreamCancelled) -> None:
-        key = (event.backend_id, event.stream_id, event.attempt_id)
-        state = self._state(event.backend_id)
-        if self.cancels_by_key.pop(key, None) and state is not None:
-            state.cancelling -= 1
-
     def _reclaim(self, now: float, sender: str, reclaim: Reclaim) -> list:
         for held in reclaim.bookings:
             key = (held.request_id, held.attempt_id)
@@ -522,7 +491,7 @@
                 state.backend = backend
                 new[backend.backend_id] = state
             else:
-                self._forget_cancels(backend.backend_id)
+                self.cancels.forget(backend.backend_id)
                 self.roles.forget(backend.backend_id)
                 if state is not None:
                     effects += self._end_work_of(state)
@@ -548,23 +517,9 @@
         effects = []
         for booking in list(former.bookings_by_key.values()):
             self._forget(booking)
-            cancelled = Cancelled(
-                cell=self.cell_id,
-                epoch=self.epoch,
-                request_id=booking.request_id,
-                attempt_id=booking.attempt_id,
-            )
-            effects.append(parts.Send(to=booking.entry, message=cancelled))
+            effects.append(self._cancelled(booking.entry, booking.key))
         return effects
 
-    def _forget_cancels(self, backend_id: str) -> None:
-        """Drop the cancels of an incarnation that is gone, memory and all."""
-        self.cancels_by_key = {
-            key: pending
-            for key, pending in self.cancels_by_key.items()
-            if key[0] != backend_id
-        }
-
     def _drop_left(self, now: float) -> None:
         """Drop what left long ago or holds nothing of ours.
 
@@ -576,7 +531,7 @@
             idle = not state.bookings_by_key and not state.cancelling
             if idle or now >= state.left_at + self.view.terms.timeout_s:
                 del self.leaving_by_id[backend_id]
-                self._forget_cancels(backend_id)
+                self.cancels.forget(backend_id)
 
     def _first_health(
         self, event: BackendsChanged, backend: CellBackend
@@ -638,7 +593,7 @@
         for stream in event.streams:
             key = (stream.stream_id, stream.attempt_id)
             if key not in self.bookings_by_key:
-                effects.append(self._cancel_at(event.now, state, key))
+                effects.append(self.cancels.send(event.now, state, key))
         return effects
 
     def _tick(self, now: float) -> list:
@@ -651,8 +606,4 @@
             if now - booking.renewed_at >= BOOKING_LEASE_S:
                 self._forget(booking)
                 effects.extend(self._cancel(now, booking))
-        for pending in self.cancels_by_key.values():
-            if now >= pending.again_at:
-                pending.again_at = now + CANCEL_AGAIN_S
-                effects.append(pending.effect)
-        return effects
+        return effects + self.cancels.due(now)
--- /dev/null
+++ b/dandeliongw/cell/document_terms.py
@@ -0,0 +1,96 @@
+"""What the document and announcements say of a cell, in its own words."""
+
+import typing
+
+from .. import document as document_module
+from ..coordination import presence
+from . import orders
+from . import vocabulary
+
+
+def terms_of(
+    described: document_module.Document, service_name: str
+) -> vocabulary.CellTerms | None:
+    """Return what the document says about a service, for its cells."""
+    service = described.services_by_name.get(service_name)
+    if service is None:
+        return None
+    fields: dict[str, typing.Any] = {}
+    slots_by_role: dict[str, int] = {}
+    kv_tokens_by_role: dict[str, int] = {}
+    for pool in described.pools_of(service_name):
+        slots_by_role[pool.role] = pool.slots
+        if pool.kv_tokens is not None:
+            kv_tokens_by_role[pool.role] = pool.kv_tokens
+        _add_rates(fields, pool)
+    return vocabulary.CellTerms(
+        first_token_s=service.first_token_s or service.timeout_s,
+        token_gap_s=service.token_gap_s or service.timeout_s,
+        timeout_s=service.timeout_s,
+        weights=vocabulary.Weights(
+            goodput=service.weights.goodput,
+            wasted_prefill=service.weights.wasted_prefill,
+        ),
+        slots_by_role=slots_by_role,
+        kv_tokens_by_role=kv_tokens_by_role,
+        max_wait_s_by_priority={
+            each.name: each.max_wait_s for each in described.priorities
+        },
+        rank_by_priority={
+            each.name: each.rank for each in described.priorities
+        },
+        share_by_account={
+            each.name: each.share for each in described.accounts
+        },
+        **fields,
+    )
+
+
+def wanted_of(
+    described: document_module.Document, service_name: str
+) -> dict[vocabulary.Role, dict[orders.OrderKind, str]]:
+    """Return what the engines of each role should have loaded."""
+    wanted = {}
+    for pool in described.pools_of(service_name):
+        values = {
+            orders.OrderKind.LOAD_MODEL: pool.model,
+            orders.OrderKind.LOAD_VERSION: pool.version,
+            orders.OrderKind.LOAD_ADAPTER: pool.adapter,
+        }
+        wanted[vocabulary.Role(pool.role)] = {
+            kind: value for kind, value in values.items() if value
+        }
+    return wanted
+
+
+def _add_rates(
+    fields: dict[str, typing.Any], pool: document_module.Pool
+) -> None:
+    if pool.role == 'prefill':
+        fields['prefill_tokens_per_s'] = pool.prefill_tokens_per_s
+        fields['kv_bytes_per_token'] = pool.kv_bytes_per_token
+        fields['link_bytes_per_s'] = pool.link_bytes_per_s
+    if pool.role == 'decode':
+        # The document has the rate of a backend server, the policy that of
+        # one of its streams.
+        fields['decode_tokens_per_s'] = pool.decode_tokens_per_s / pool.slots
+        fields['tokens_per_piece'] = pool.tokens_per_piece
+
+
+def cell_backend(
+    announcement: presence.BackendAnnouncement,
+    slots_by_role: dict[str, int],
+) -> vocabulary.CellBackend:
+    """Return an announced backend server.
+
+    :param slots_by_role: used where the announcement says none.
+    """
+    role = vocabulary.Role(announcement.role)
+    return vocabulary.CellBackend(
+        backend_id=announcement.backend_id,
+        incarnation=announcement.incarnation,
+        role=role,
+        url=announcement.url,
+        slots=announcement.slots or slots_by_role.get(role, 1),
+        data_centre=announcement.data_centre,
+    )
--- /dev/null
+++ b/dandeliongw/cell/ordering.py
@@ -0,0 +1,144 @@
+"""The orders that an instance gives to the engines of the cells it owns."""
+
+from collections import abc
+import typing
+
+from .. import directory as directory_module
+from .. import effects
+from . import cells
+from ..coordination import lease
+from ..coordination import parts
+from ..coordination import presence
+from . import document_terms
+from . import orders
+from . import roles
+
+#: Loads from the weight store that an instance may save up.
+STORE_BURST = 2.0
+
+
+class Ordering:
+    """Says what is wanted of engines, and hands on what may be ordered.
+
+    Only a cell that is owned under a lease has orders.
+
+    :param store_loads_per_s: loads from the weight store, all cells together.
+    :param longest_order_s: after which an order can take no effect any more.
+    :param lease_wait_s: until the orders of a former owner are over.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: directory_module.Directory,
+        leases: lease.Leases,
+        backends: presence.Presence,
+        store_loads_per_s: float,
+        longest_order_s: float,
+        lease_wait_s: float,
+    ) -> None:
+        self._directory = directory
+        self._leases = leases
+        self._presence = backends
+        self._budget = orders.StoreBudget(
+            loads_per_s=store_loads_per_s, burst=STORE_BURST
+        )
+        self._longest_order_s = longest_order_s
+        self._lease_wait_s = lease_wait_s
+        self._revision = 0
+        self.orders_by_cell: dict[str, orders.Orders] = {}
+        self.counts = orders.OrderCounts()
+
+    def gain(self, cell: str, epoch: int) -> None:
+        """Give orders for a cell whose lease was gained."""
+        self.orders_by_cell[cell] = orders.Orders(
+            cell=cell,
+            epoch=epoch,
+            guard=self._leases,
+            budget=self._budget,
+            longest_order_s=self._longest_order_s,
+            lease_wait_s=self._lease_wait_s,
+            counts=self.counts,
+        )
+
+    def drop(self, cell: str) -> None:
+        """Give no orders for a cell any more."""
+        self.orders_by_cell.pop(cell, None)
+
+    def may_send(self, wanted: effects.GiveOrder, now: float) -> bool:
+        """Whether an order may leave at this very moment; any thread."""
+        held = self.orders_by_cell.get(wanted.cell)
+        return held is not None and held.may_send(wanted.order, now)
+
+    def answer(self, event: orders.OrderAnswered) -> list[typing.Any]:
+        """Take the end of one send of an order."""
+        for held in self.orders_by_cell.values():
+            held.handle(event)
+        return []
+
+    def give(
+        self, event: parts.Ticked, cells_by_id: abc.Mapping[str, cells.Cell]
+    ) -> list[typing.Any]:
+        """Return the orders that are due."""
+        out = []
+        for cell_id, held in self.orders_by_cell.items():
+            backends = cells_by_id[cell_id].view.backends_by_id
+            for order in held.handle(event):
+                state = backends.get(order.backend_id)
+                if state is not None:
+                    out.append(
+                        effects.GiveOrder(
+                            cell=cell_id,
+                            url=state.backend.url,
+                            order=order,
+                            timeout_s=self._longest_order_s,
+                        )
+                    )
+        return out
+
+    def tell(self, now: float, cell: cells.Cell) -> None:
+        """Say which engines there are and what the document wants of them."""
+        held = self.orders_by_cell.get(cell.cell_id)
+        if held is None:
+            return
+        values_by_role = document_terms.wanted_of(
+            self._directory.document, cell.service
+        )
+        switches_by_id = cell.roles.switches_by_id
+        present = cell.view.backends_by_id
+        for backend_id, state in present.items():
+            said = self._presence.backends_by_id[backend_id].announcement
+            held.handle(
+                orders.EngineSeen(
+                    now=now,
+                    backend_id=backend_id,
+                    incarnation=state.backend.incarnation,
+                    checks_fence=said.checks_fence,
+                )
+            )
+        held.handle(
+            orders.DesiredChanged(
+                now=now,
+                revision=self._next_revision(),
+                values_by_backend={
+                    backend_id: {
+                        **values_by_role.get(state.backend.role, {}),
+                        **_role_order(switches_by_id.get(backend_id)),
+                    }
+                    for backend_id, state in present.items()
+                },
+            )
+        )
+
+    def _next_revision(self) -> int:
+        """Number what is desired; it changes with the engines as well."""
+        self._revision += 1
+        return self._revision
+
+
+def _role_order(
+    switch: roles.Switch | None,
+) -> dict[orders.OrderKind, str]:
+    if switch is None:
+        return {}
+    return {orders.OrderKind.CHANGE_ROLE: switch.role.value}
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -9,9 +9,9 @@
 from ..coordination import lease
 from ..coordination import parts
 from ..coordination import presence
-from . import orders
+from . import document_terms
+from . import ordering
 from . import policy
-from . import roles
 from . import scheduler
 from . import stand_in
 from . import takeover
@@ -19,8 +19,6 @@
 
 #: Seconds between two looks at the pools' sizes.
 ROLES_EVERY_S = 0.5
-#: Loads from the weight store that an instance may save up.
-STORE_BURST = 2.0
 #: Every message that goes to the owner of ``message.cell``.
 TO_OWNER = (
     cells.Book,
@@ -52,16 +50,16 @@
         self._directory = directory
         self._leases = leases
         self._presence = backends
-        self._budget = orders.StoreBudget(
-            loads_per_s=store_loads_per_s, burst=STORE_BURST
-        )
-        self._longest_order_s = longest_order_s
         self._moves_engines = moves_engines
         self._roles_at = 0.0
-        self._lease_wait_s = lease_wait_s
-        self._orders_by_cell: dict[str, orders.Orders] = {}
-        self.order_counts = orders.OrderCounts()
-        self._order_revision = 0
+        self.ordering = ordering.Ordering(
+            directory=directory,
+            leases=leases,
+            backends=backends,
+            store_loads_per_s=store_loads_per_s,
+            longest_order_s=longest_order_s,
+            lease_wait_s=lease_wait_s,
+        )
         self._epochs_by_cell: dict[str, int] = {}
         self._loads_told_by_id: dict[str, float] = {}
         self._takeovers_by_cell: dict[str, takeover.Takeover] = {}
@@ -99,15 +97,7 @@
             now=now, cell=cell, epoch=epoch, awaited=instance_ids
         )
         self._takeovers_by_cell[cell] = begun
-        self._orders_by_cell[cell] = orders.Orders(
-            cell=cell,
-            epoch=epoch,
-            guard=self._leases,
-            budget=self._budget,
-            longest_order_s=self._longest_order_s,
-            lease_wait_s=self._lease_wait_s,
-            counts=self.order_counts,
-        )
+        self.ordering.gain(cell, epoch)
         return [*self._tell_backends(now, cell), *begun.announce()]
 
     def make_policy(self) -> policy.Policy:
@@ -134,7 +124,7 @@
         if cell not in self.cells_by_id or cell in self._takeovers_by_cell:
             return False
         self._epochs_by_cell.pop(cell, None)
-        self._orders_by_cell.pop(cell, None)
+        self.ordering.drop(cell)
         self._kept_cells.add(cell)
         return True
 
@@ -148,7 +138,7 @@
         self._kept_cells.discard(cell)
         self.cells_by_id.pop(cell, None)
         self._takeovers_by_cell.pop(cell, None)
-        self._orders_by_cell.pop(cell, None)
+        self.ordering.drop(cell)
 
     def change_document(
         self, now: float, instance_ids: frozenset[str]
@@ -165,7 +155,7 @@
                 self._drop(cell_id)
                 continue
             out.extend(cell.handle(cells.TermsChanged(now=now, terms=terms)))
-            self._tell_orders(now, cell_id)
+            self.ordering.tell(now, cell)
         for cell_id, epoch in list(self._epochs_by_cell.items()):
             if cell_id not in self.cells_by_id:
                 out.extend(self.gain(now, cell_id, epoch, instance_ids))
@@ -257,7 +247,7 @@
             *self._end_takeovers(event.now),
             *self.stand_ins.tick(event),
             *self._review_roles(event.now),
-            *self._give_orders(event),
+            *self.ordering.give(event, self.cells_by_id),
         ]
 
     def change_backend(self, now: float, backend_id: str) -> list[typing.Any]:
@@ -284,17 +274,6 @@
             )
         )
 
-    def may_send(self, wanted: effects.GiveOrder, now: float) -> bool:
-        """Whether an order may leave at this very moment; any thread."""
-        held = self._orders_by_cell.get(wanted.cell)
-        return held is not None and held.may_send(wanted.order, now)
-
-    def answer_order(self, event: orders.OrderAnswered) -> list[typing.Any]:
-        """Take the end of one send of an order."""
-        for held in self._orders_by_cell.values():
-            held.handle(event)
-        return []
-
     def _review_roles(self, now: float) -> list[typing.Any]:
         """Move engines between the pools of cells where that gains much."""
         if now < self._roles_at or not self._moves_engines:
@@ -304,7 +283,7 @@
         for cell_id, cell in self.cells_by_id.items():
             if cell_id in self._kept_cells or not cell.review_roles(now):
                 continue
-            self._tell_orders(now, cell_id)
+            self.ordering.tell(now, cell)
             out += [
                 effects.log(
                     'an engine is moved to another pool',
@@ -317,62 +296,6 @@
             ]
         return out
 
-    def _give_orders(self, event: parts.Ticked) -> list[typing.Any]:
-        out = []
-        for cell_id, held in self._orders_by_cell.items():
-            backends = self.cells_by_id[cell_id].view.backends_by_id
-            for order in held.handle(event):
-                state = backends.get(order.backend_id)
-                if state is not None:
-                    out.append(
-                        effects.GiveOrder(
-                            cell=cell_id,
-                            url=state.backend.url,
-                            order=order,
-                            timeout_s=self._longest_order_s,
-                        )
-                    )
-        return out
-
-    def _tell_orders(self, now: float, cell_id: str) -> None:
-        """Say which engines there are and what the document wants of them."""
-        held = self._orders_by_cell.get(cell_id)
-        if held is None:
-            return
-        values_by_role = wanted_of(
-            self._directory.document, self.cells_by_id[cell_id].service
-        )
-        switches_by_id = self.cells_by_id[cell_id].roles.switches_by_id
-        present = self.cells_by_id[cell_id].view.backends_by_id
-        for backend_id, state in present.items():
-            said = self._presence.backends_by_id[backend_id].announcement
-            held.handle(
-                orders.EngineSeen(
-                    now=now,
-                    backend_id=backend_id,
-                    incarnation=state.backend.incarnation,
-                    checks_fence=said.checks_fence,
-                )
-            )
-        held.handle(
-            orders.DesiredChanged(
-                now=now,
-                revision=self._next_order_revision(),
-                values_by_backend={
-                    backend_id: {
-                        **values_by_role.get(state.backend.role, {}),
-                        **_role_order(switches_by_id.get(backend_id)),
-                    }
-                    for backend_id, state in present.items()
-                },
-            )
-        )
-
-    def _next_order_revision(self) -> int:
-        """Number what is desired; it changes with the engines as well."""
-        self._order_revision += 1
-        return self._order_revision
-
     def epochs_by_cell(self) -> dict[str, int]:
         """Return the epochs of cells owned here; callable in any thread."""
         return self._epochs_by_cell.copy()
@@ -432,7 +355,7 @@
             return []
         backends = self._backends_of(now, cell_id)
         out = cell.handle(cells.BackendsChanged(now=now, backends=backends))
-        self._tell_orders(now, cell_id)
+        self.ordering.tell(now, cell)
         return out
 
     def _backends_of(
@@ -443,7 +366,7 @@
         terms = self._terms(service)
         slots_by_role = {} if terms is None else terms.slots_by_role
         return tuple(
-            _cell_backend(each.announcement, slots_by_role)
+            document_terms.cell_backend(each.announcement, slots_by_role)
             for each in self._presence.usable(service, now)
             if self._directory.cell_of_backend(
                 service, each.announcement.data_centre
@@ -452,15 +375,7 @@
         )
 
     def _terms(self, service: str) -> vocabulary.CellTerms | None:
-        return terms_of(self._directory.document, service)
-
-
-def _role_order(
-    switch: roles.Switch | None,
-) -> dict[orders.OrderKind, str]:
-    if switch is None:
-        return {}
-    return {orders.OrderKind.CHANGE_ROLE: switch.role.value}
+        return document_terms.terms_of(self._directory.document, service)
 
 
 def _waiting(cell: cells.Cell) -> int:
@@ -469,90 +384,6 @@
     )
 
 
-def terms_of(
-    described: document_module.Document, service_name: str
-) -> vocabulary.CellTerms | None:
-    """Return what the document says about a service, for its cells."""
-    service = described.services_by_name.get(service_name)
-    if service is None:
-        return None
-    fields: dict[str, typing.Any] = {}
-    slots_by_role: dict[str, int] = {}
-    kv_tokens_by_role: dict[str, int] = {}
-    for pool in described.pools_of(service_name):
-        slots_by_role[pool.role] = pool.slots
-        if pool.kv_tokens is not None:
-            kv_tokens_by_role[pool.role] = pool.kv_tokens
-        _add_rates(fields, pool)
-    return vocabulary.CellTerms(
-        first_token_s=service.first_token_s or service.timeout_s,
-        token_gap_s=service.token_gap_s or service.timeout_s,
-        timeout_s=service.timeout_s,
-        weights=vocabulary.Weights(
-            goodput=service.weights.goodput,
-            wasted_prefill=service.weights.wasted_prefill,
-        ),
-        slots_by_role=slots_by_role,
-        kv_tokens_by_role=kv_tokens_by_role,
-        max_wait_s_by_priority={
-            each.name: each.max_wait_s for each in described.priorities
-        },
-        rank_by_priority={
-            each.name: each.rank for each in described.priorities
-        },
-        share_by_account={
-            each.name: each.share for each in described.accounts
-        },
-        **fields,
-    )
-
-
-def wanted_of(
-    described: document_module.Document, service_name: str
-) -> dict[vocabulary.Role, dict[orders.OrderKind, str]]:
-    """Return what the engines of each role should have loaded."""
-    wanted = {}
-    for pool in described.pools_of(service_name):
-        values = {
-            orders.OrderKind.LOAD_MODEL: pool.model,
-            orders.OrderKind.LOAD_VERSION: pool.version,
-            orders.OrderKind.LOAD_ADAPTER: pool.adapter,
-        }
-        wanted[vocabulary.Role(pool.role)] = {
-            kind: value for kind, value in values.items() if value
-        }
-    return wanted
-
-
-def _add_rates(
-    fields: dict[str, typing.Any], pool: document_module.Pool
-) -> None:
-    if pool.role == 'prefill':
-        fields['prefill_tokens_per_s'] = pool.prefill_tokens_per_s
-        fields['kv_bytes_per_token'] = pool.kv_bytes_per_token
-        fields['link_bytes_per_s'] = pool.link_bytes_per_s
-    if pool.role == 'decode':
-        # The document has the rate of a backend server, the policy that of
-        # one of its streams.
-        fields['decode_tokens_per_s'] = pool.decode_tokens_per_s / pool.slots
-        fields['tokens_per_piece'] = pool.tokens_per_piece
-
-
-def _cell_backend(
-    announcement: presence.BackendAnnouncement,
-    slots_by_role: dict[str, int],
-) -> vocabulary.CellBackend:
-    role = vocabulary.Role(announcement.role)
-    return vocabulary.CellBackend(
-        backend_id=announcement.backend_id,
-        incarnation=announcement.incarnation,
-        role=role,
-        url=announcement.url,
-        slots=announcement.slots or slots_by_role.get(role, 1),
-        data_centre=announcement.data_centre,
-    )
-
-
 def _prefixes(
     hints: presence.CacheHints, kind: presence.CacheEventKind
 ) -> tuple[str, ...]:
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -290,7 +290,7 @@
                 self.owner.handle_in_all,
                 (cells.StreamCancelled, cells.StreamsListed),
             ),
-            (self.owner.answer_order, (orders.OrderAnswered,)),
+            (self.owner.ordering.answer, (orders.OrderAnswered,)),
             (self._tick, (parts.Ticked,)),
             (self._receive, (parts.Received,)),
             (self._persisted, (parts.Persisted,)),
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -130,7 +130,7 @@
             metrics=metrics,
             engine_for=backends.engine_at,
             journal=journal,
-            may_send=reducer.owner.may_send,
+            may_send=reducer.owner.ordering.may_send,
         )
         stack.callback(runtime.stop)
         watch_counts(metrics, reducer)
@@ -263,7 +263,7 @@
     metrics: metrics_module.Metrics, reducer: reducer_module.Reducer
 ) -> None:
     """Show what the reducer's parts count."""
-    counts = reducer.owner.order_counts
+    counts = reducer.owner.ordering.counts
     unlabelled = metrics_module.UNLABELLED
     metrics.lease_answers.watch(lambda: reducer.leases.outcomes_by_label)
     metrics.orders_held_back.watch(lambda: counts.holds_by_reason)
--- /dev/null
+++ b/tests/test_backend_state.py
@@ -0,0 +1,27 @@
+"""What a cell's owner knows of one backend server."""
+
+import unittest
+
+from dandeliongw.cell import backend_state
+from dandeliongw.cell import prefixes
+from dandeliongw.cell import vocabulary
+
+
+class BlocksTest(unittest.TestCase):
+    def test_hints_are_bounded_and_forget_the_oldest(self):
+        backend = vocabulary.CellBackend(
+            backend_id='p1',
+            incarnation=1,
+            role=vocabulary.Role.PREFILL,
+            url='',
+            slots=1,
+        )
+        state = backend_state.BackendState(backend=backend)
+        state.add_blocks(('first', 'second'))
+        self.assertEqual(
+            2 * prefixes.BLOCK_TOKENS,
+            state.cached_tokens(('first', 'second', 'third')),
+        )
+        state.add_blocks(str(n) for n in range(backend_state.MOST_BLOCKS))
+        self.assertEqual(0, state.cached_tokens(('first',)))
+        self.assertEqual(backend_state.MOST_BLOCKS, len(state.blocks))
--- a/tests/test_cell_properties.py
+++ b/tests/test_cell_properties.py
@@ -118,7 +118,7 @@
         for _ in range(80):
             world.tick(1.0)
         self.assertEqual({}, world.cell.bookings_by_key)
-        self.assertEqual({}, world.cell.cancels_by_key)
+        self.assertEqual({}, world.cell.cancels.pending_by_key)
         self.assertEqual([], world.cell.view.queue)
         self.assertEqual({}, world.cell.leaving_by_id)
         for state in world.cell.view.backends_by_id.values():
--- a/tests/test_policy.py
+++ b/tests/test_cell_view.py
@@ -1,43 +1,13 @@
-"""The decisions of the load policy, each on a small view."""
+"""What a cell's owner learns of answers and their pace."""
 
 import unittest
 
 from dandeliongw.cell import backend_state
 from dandeliongw.cell import cell_view
-from dandeliongw.cell import prefixes
 from dandeliongw.cell import vocabulary
 from tests import test_cells
 
 
-class HashBlocksTest(unittest.TestCase):
-    def test_equal_prefixes_share_hashes_and_others_do_not(self):
-        first = prefixes.hash_blocks('a b c d e', block_tokens=2)
-        second = prefixes.hash_blocks('a b x d', block_tokens=2)
-        self.assertEqual(2, len(first))
-        self.assertEqual(first[0], second[0])
-        self.assertNotEqual(first[1], second[1])
-
-
-class BlocksTest(unittest.TestCase):
-    def test_hints_are_bounded_and_forget_the_oldest(self):
-        backend = vocabulary.CellBackend(
-            backend_id='p1',
-            incarnation=1,
-            role=vocabulary.Role.PREFILL,
-            url='',
-            slots=1,
-        )
-        state = backend_state.BackendState(backend=backend)
-        state.add_blocks(('first', 'second'))
-        self.assertEqual(
-            2 * prefixes.BLOCK_TOKENS,
-            state.cached_tokens(('first', 'second', 'third')),
-        )
-        state.add_blocks(str(n) for n in range(backend_state.MOST_BLOCKS))
-        self.assertEqual(0, state.cached_tokens(('first',)))
-        self.assertEqual(backend_state.MOST_BLOCKS, len(state.blocks))
-
-
 class LearnedPaceTest(unittest.TestCase):
     """Symptom: work waits for seconds beside engines that are half empty.
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from dandeliongw.cell import cancels
 from dandeliongw.cell import cells
 from dandeliongw.cell import roles
 from dandeliongw.cell import vocabulary
@@ -146,7 +147,7 @@
         self.assertEqual([], tick(cell, cells.BOOKING_LEASE_S - 0.1))
         first = tick(cell, cells.BOOKING_LEASE_S)
         self.assertEqual({'p1', 'd1'}, {each.backend_id for each in first})
-        again = tick(cell, cells.BOOKING_LEASE_S + cells.CANCEL_AGAIN_S)
+        again = tick(cell, cells.BOOKING_LEASE_S + cancels.CANCEL_AGAIN_S)
         self.assertEqual(first, without_listing(again))
         for each in first:
             cell.handle(
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -150,7 +150,7 @@
     def test_orders_that_are_held_back(self):
         reducer = network.Network().reducers_by_id['gw-1']
         server.watch_counts(self.metrics, reducer)
-        counts = reducer.owner.order_counts
+        counts = reducer.owner.ordering.counts
         counts.holds_by_reason[orders.HoldReason.STORE_BUDGET] += 1
         counts.repeats += 4
         name = 'orders_held_back_total'
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -155,7 +155,7 @@
     def test_it_gives_no_order_without_a_lease(self):
         self.lose_voters()
         held = self.net.reducers_by_id[self.owner].owner
-        self.assertEqual({}, held._orders_by_cell)
+        self.assertEqual({}, held.ordering.orders_by_cell)
         self.assertEqual({}, held.epochs_by_cell())
 
     def test_it_yields_to_the_next_owner(self):
