--- a/tests/lease_network.py
+++ b/tests/lease_network.py
@@ -7,13 +7,12 @@
 
 from collections import abc
 import dataclasses
-import heapq
-import itertools
 import random
 import typing
 
 from dandeliongw.coordination import lease
 from dandeliongw.coordination import parts
+from tests import timeline
 
 CELL = 'cell-1'
 TICK_S = 0.02
@@ -47,7 +46,7 @@
             self.part.restore(record)
 
 
-class Network:
+class Network(timeline.Timeline):
     """Instances ``v1`` to ``v3``, which grant, and ``a`` and ``b``."""
 
     def __init__(
@@ -57,7 +56,7 @@
         others: abc.Sequence[str] = ('a', 'b'),
         seed: int = 1,
     ) -> None:
-        self.now = 0.0
+        super().__init__()
         self.random = random.Random(seed)
         #: Both are called with sender, receiver and message.
         self.loses: abc.Callable[..., bool] = lambda *sent: False
@@ -74,8 +73,6 @@
             for name in (*grantors, *others)
         }
         self._gained_by_epoch: dict[int, tuple[str, int]] = {}
-        self._order = itertools.count()
-        self._queue: list[typing.Any] = []
         for name in self.nodes_by_id:
             self.start(name)
         for name in grantors:
@@ -96,13 +93,6 @@
             self._perform(node, effect)
         self._check(node)
 
-    def run(self, seconds: float) -> None:
-        end = self.now + seconds
-        while self._queue and self._queue[0][0] <= end:
-            self.now, _, call, arguments = heapq.heappop(self._queue)
-            call(*arguments)
-        self.now = end
-
     def run_until(
         self, is_done: abc.Callable[[], bool], limit: float
     ) -> float:
@@ -182,12 +172,6 @@
             if first[0] != node.name:
                 self.violations.append(f'{first}, {owner}: {gained}')
 
-    def _later(
-        self, delay: float, call: abc.Callable, *arguments: typing.Any
-    ) -> None:
-        entry = (self.now + delay, next(self._order), call, arguments)
-        heapq.heappush(self._queue, entry)
-
     def _tick(self, node: Node, start: int) -> None:
         if node.starts != start:
             return
--- a/tests/register_network.py
+++ b/tests/register_network.py
@@ -6,14 +6,13 @@
 """
 
 from collections import abc
-import heapq
-import itertools
 import random
 import typing
 
 from dandeliongw import _link
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import register
+from tests import timeline
 
 #: Between two ticks of a register, as the reducer paces it.
 TICK_S = 0.1
@@ -37,7 +36,7 @@
         self.part: register.Register
 
 
-class Network:
+class Network(timeline.Timeline):
     """Voters ``voter-1`` and on, entries ``entry-1`` and on.
 
     :param ttl_s: how long a confirmation lasts, in seconds.
@@ -46,7 +45,7 @@
     def __init__(
         self, *, voters: int, entries: int, ttl_s: float, seed: int = 1
     ) -> None:
-        self.now = 0.0
+        super().__init__()
         self.random = random.Random(seed)
         #: Seconds that a message takes, by sender, receiver and message.
         self.delay_s: Delay = lambda sender, to, message: HOP_S
@@ -60,8 +59,6 @@
             for each in (*self.voters, *self.entries)
         }
         self._ttl_s = ttl_s
-        self._order = itertools.count()
-        self._queue: list[typing.Any] = []
         for instance_id in self.by_id:
             self.start(instance_id)
 
@@ -114,13 +111,6 @@
             self.run(0.01)
         raise AssertionError('not acknowledged within 10 virtual seconds')
 
-    def run(self, seconds: float) -> None:
-        end = self.now + seconds
-        while self._queue and self._queue[0][0] <= end:
-            self.now, _, call, arguments = heapq.heappop(self._queue)
-            call(*arguments)
-        self.now = end
-
     def order(self, instance_id: str) -> int:
         """Return the number of the document in force; -1 without one."""
         configuration = self.part(instance_id).configuration
@@ -131,12 +121,6 @@
             now=self.now, instance_ids=tuple(self.by_id)
         )
 
-    def _later(
-        self, delay: float, call: abc.Callable, *arguments: typing.Any
-    ) -> None:
-        entry = (self.now + delay, next(self._order), call, arguments)
-        heapq.heappush(self._queue, entry)
-
     def _tick(self, node: Node, start: int) -> None:
         if node.starts != start or node.is_down:
             return
--- /dev/null
+++ b/tests/timeline.py
@@ -0,0 +1,29 @@
+"""Virtual time, for networks of tests whose messages take some of it."""
+
+from collections import abc
+import heapq
+import itertools
+import typing
+
+
+class Timeline:
+    """Calls that come due one after the other."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._order = itertools.count()
+        self._queue: list[typing.Any] = []
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, call, arguments = heapq.heappop(self._queue)
+            call(*arguments)
+        self.now = end
+
+    def _later(
+        self, delay: float, call: abc.Callable, *arguments: typing.Any
+    ) -> None:
+        entry = (self.now + delay, next(self._order), call, arguments)
+        heapq.heappush(self._queue, entry)
