--- a/dandeliongw/cell/rooms.py
+++ b/dandeliongw/cell/rooms.py
@@ -98,7 +98,7 @@
         its streams with it. With readers left out for failing now and then,
         one would see streams late for seconds while readers are idle. Where
         all failed some of their calls, 0.96 of the calls of a day were
-        served instead of 0.81, one play each.
+        served instead of 0.81, one run each.
         """
         usable = self.usable(now, view, Role.PREFILL, booking)
         if not booking.may_read_there or not self._heeds_health:
