Test, red: a call that ends its backend servers ends them again at every send

Three instances and four stand-ins, each of which ends once it runs the call. Six are allowed: three that tell what it does, and one more for each entry that has not heard of the third.

--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -1,5 +1,6 @@
 """Failures of whole instances, with real processes on loopback addresses."""
 
+import itertools
 import json
 import pathlib
 import shutil
@@ -246,3 +247,75 @@
         self.addCleanup(answer.close)
         self.system.kill(self.system.instances_by_id[owner].process)
         local.wait_until('the engines hold nothing', lambda: not self.held())
+
+
+class EndingCallTest(unittest.TestCase):
+    """Symptom: one call takes the whole pool down, again and again.
+
+    Sequence: a call ends each backend server that begins to run it; the
+    backend server is started again, and the call is sent again, through
+    whichever entry.
+    Cause: what an entry learns of an attempt is gone with that send, and no
+    entry ever tells another one. Each send found the call unknown: nine
+    backend servers ended under one call, four of the sends that did it came
+    more than three seconds after the third end.
+    """
+
+    #: Three ends tell that the call is to blame. Each of the three entries
+    #: may have sent it once more before it heard of the third.
+    MOST_ENDS = 6
+    SENDS = 12
+    BACKENDS = 4
+    ENDING = LOOKUP + '?for=ending'
+
+    def setUp(self):
+        folder = tempfile.mkdtemp(prefix='dandeliongw-')
+        self.addCleanup(shutil.rmtree, folder)
+        running = local.running(folder=pathlib.Path(folder), timeouts=TIMEOUTS)
+        self.system = self.enterContext(running)
+        revision = self.system.apply('gw-1', local.example_document(), 'first')
+        self.system.wait_serving(revision)
+        self.ends = 0
+        for number, port in enumerate(local.free_ports(self.BACKENDS)):
+            self.start(f'portal-{number}', str(port))
+        self.wait_for_lookups()
+
+    def start(self, backend_id, port):
+        self.system.start_stand_in(
+            'standin_service',
+            backend_id,
+            *('--service', 'studio-portal', '--data-centre', 'dc-a'),
+            *('--faults', json.dumps({'end_on': 'ending'})),
+            *('--port', port),
+        )
+
+    def restart_ended(self):
+        for backend_id, held in list(self.system.stand_ins_by_id.items()):
+            if held.process.poll() is None:
+                continue
+            self.ends += 1
+            held.process.stdout.close()
+            self.start(backend_id, held.url.rpartition(':')[2])
+
+    def wait_for_lookups(self):
+        for instance_id in self.system.instances_by_id:
+            local.wait_until(
+                f'a lookup through {instance_id} is answered',
+                lambda each=instance_id: (
+                    self.system.caller(each, 'GET', LOOKUP)[0] == 200
+                ),
+            )
+
+    def test_the_entries_stop_it_together(self):
+        entries = itertools.cycle(self.system.instances_by_id)
+        for instance_id in itertools.islice(entries, self.SENDS):
+            answer = self.system.caller(instance_id, 'GET', self.ENDING)
+            self.restart_ended()
+            self.wait_for_lookups()
+        self.assertGreaterEqual(self.ends, 3)
+        self.assertLessEqual(self.ends, self.MOST_ENDS)
+        error = answer[1]['error']
+        self.assertEqual('quarantined', error['reason'])
+        # This send ran nowhere, and to come back soon is of no use.
+        self.assertEqual('not_run', error['verdict'])
+        self.assertGreater(error['retry_after_s'], 60.0)
--- a/tools/standin_service.py
+++ b/tools/standin_service.py
@@ -9,6 +9,7 @@
 from collections import abc
 import dataclasses
 import json
+import os
 import threading
 import typing
 
@@ -19,6 +20,9 @@
 from tools import json_server
 from tools import standin_engine
 
+#: Of a process that a call ended.
+EXIT_CODE = 70
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ServiceFaults:
@@ -29,6 +33,8 @@
     :param refuse: answer 503, say that nothing ran, and do not run.
     :param cut_before_run: close the connection and do not run.
     :param cut_after_run: run, then close the connection in the answer.
+    :param end_on: end this process once it runs a call whose path, query or
+        body holds this text; every connection to it breaks.
     """
 
     delay_s: float = 0.0
@@ -36,6 +42,7 @@
     refuse: bool = False
     cut_before_run: bool = False
     cut_after_run: bool = False
+    end_on: str = ''
 
 
 class Service:
@@ -90,6 +97,8 @@
             return json_server.Answer(stream=cut())
         run = self._count(request)
         self._never.wait(faults.delay_after_s)
+        if faults.end_on and _holds(request, faults.end_on):
+            os._exit(EXIT_CODE)
         if faults.cut_after_run:
             return json_server.Answer(stream=cut())
         answer = {
@@ -129,6 +138,14 @@
         return json_server.Answer(body=dataclasses.asdict(self.faults))
 
 
+def _holds(request: json_server.Request, text: str) -> bool:
+    return (
+        text in request.path
+        or text in request.query.values()
+        or text.encode() in request.body
+    )
+
+
 def cut() -> abc.Iterator[bytes]:
     """Close the connection where a body would begin."""
     raise json_server.CutConnection
