A line tells when a backend server ended under a call, and under which

Broken connections, resets and ends of processes were one thing in the logs: "the connection broke", without the call's identity or the backend server.

Now a cut connection is followed by a look at the address, off the call's own way; a refusal there proves the end of the process. The line names the call by a keyed fingerprint (caller, method, path with query, body), the server, its start and how long the run had lasted. The owner's booking carries the start.

Weighed: telling the end from the next attempt's refused connection (a call that may not be resumed makes none), and from heartbeats (1 to 3 s later, and only where they are dispatched). Frozen, dark and cut-off servers give no refusal and so no line.

--- a/dandeliongw/borders/gateway.py
+++ b/dandeliongw/borders/gateway.py
@@ -136,7 +136,7 @@
         )
         headers = _decode(incoming.inheaders)
         try:
-            call, work, facts = self._read(incoming, headers)
+            call, work, facts = self._read(environ, headers)
         except calls.BadCall as error:
             # What is left of the body would be read as another call.
             reply.close_connection()
@@ -164,8 +164,9 @@
         return passing.answer()
 
     def _read(
-        self, incoming: typing.Any, headers: Headers
+        self, environ: dict[str, typing.Any], headers: Headers
     ) -> tuple[events.Call, relay.Work, Facts]:
+        incoming = environ[web.REQUEST_KEY]
         target = incoming.uri.decode('latin-1')
         if not _TARGET.fullmatch(target):
             raise calls.BadCall(
@@ -184,13 +185,14 @@
             streamed=False,
             key_sha256='',
             idempotency_key=None,
-            digest=hashlib.sha256(body).digest(),
+            digest=_digest(method, target, body),
             prompt_tokens=facts.prompt_tokens,
             max_tokens=facts.max_tokens,
             expected_tokens=facts.expected_tokens,
             prefix=facts.prefix,
             deadline_s=facts.deadline_s,
             host=host,
+            caller=environ.get('REMOTE_ADDR', ''),
         )
         work = relay.Work(
             method=method,
@@ -378,6 +380,12 @@
     )
 
 
+def _digest(method: str, target: str, body: bytes) -> bytes:
+    digest = hashlib.sha256(f'{method} {target}\n'.encode())
+    digest.update(body)
+    return digest.digest()
+
+
 def _read_host(headers: Headers) -> str:
     given = dict(headers).get('Host', '')
     found = _HOST.fullmatch(given.lower())
--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -130,7 +130,11 @@
 
 
 class Booked(msgspec.Struct, frozen=True, kw_only=True):
-    """Owner to entry: start the attempt here, in ``start_in_s``."""
+    """Owner to entry: start the attempt here, in ``start_in_s``.
+
+    :param prefill_incarnation: which start of that engine is meant; so the
+        others.
+    """
 
     cell: str
     epoch: int
@@ -143,6 +147,9 @@
     plain_id: str
     plain_url: str
     start_in_s: float
+    prefill_incarnation: int = 0
+    decode_incarnation: int = 0
+    plain_incarnation: int = 0
 
 
 class Queued(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -318,6 +318,9 @@
             plain_id=booking.plain_id,
             plain_url=self._url(booking.plain_id),
             start_in_s=max(0.0, booking.start_at - now),
+            prefill_incarnation=self._incarnation(booking.prefill_id),
+            decode_incarnation=self._incarnation(booking.decode_id),
+            plain_incarnation=self._incarnation(booking.plain_id),
         )
         return parts.Send(to=booking.entry, message=booked)
 
@@ -325,6 +328,10 @@
         state = self._state(backend_id)
         return state.backend.url if state else ''
 
+    def _incarnation(self, backend_id: str) -> int:
+        state = self._state(backend_id)
+        return state.backend.incarnation if state else 0
+
     def _state(self, backend_id: str) -> BackendState | None:
         """Return a backend server, also one that is leaving."""
         leaving = self.leaving_by_id.get(backend_id)
--- a/dandeliongw/coordination/_presence_messages.py
+++ b/dandeliongw/coordination/_presence_messages.py
@@ -39,6 +39,16 @@
 # Parts of events and messages.
 
 
+class BackendStart(msgspec.Struct, frozen=True, kw_only=True):
+    """One start of a backend server.
+
+    :param incarnation: grows at every start.
+    """
+
+    backend_id: str
+    incarnation: int
+
+
 class BackendAnnouncement(msgspec.Struct, frozen=True, kw_only=True):
     """What a backend server says of itself.
 
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -27,6 +27,7 @@
 from ._presence_messages import BackendLoad
 from ._presence_messages import BackendRenewal
 from ._presence_messages import BackendRole
+from ._presence_messages import BackendStart
 from ._presence_messages import CacheEvent
 from ._presence_messages import CacheEventKind
 from ._presence_messages import CacheEvents
@@ -50,6 +51,7 @@
     'BackendLoad',
     'BackendRenewal',
     'BackendRole',
+    'BackendStart',
     'CacheEvent',
     'CacheEventKind',
     'CacheEvents',
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -113,6 +113,23 @@
     why: str
 
 
+class BackendEnded(Decision, frozen=True, kw_only=True):
+    """A backend server ended while it ran a call of this entry.
+
+    :param call: the call's fingerprint.
+    :param calls_beside: others of this entry that it ran just then.
+    """
+
+    message: typing.ClassVar[str] = 'backend server ended under a call'
+    level: typing.ClassVar[str] = 'WARNING'
+    request_id: str
+    call: str
+    backend_id: str
+    incarnation: int
+    ran_ms: int
+    calls_beside: int
+
+
 class MemberBelieved(Decision, frozen=True, kw_only=True):
     """This instance believes something else of another one."""
 
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -11,6 +11,7 @@
 
 from . import verdict
 from .cell import orders
+from .coordination import presence
 from .entry import waste
 
 
@@ -208,6 +209,16 @@
     pools: tuple[PoolLoad, ...]
 
 
+class ProbeBackend(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask whether any process listens at a backend server's address.
+
+    The answer is an ``events.BackendProbed``.
+    """
+
+    start: presence.BackendStart
+    url: str
+
+
 class PeerAddress(msgspec.Struct, frozen=True, kw_only=True):
     """Where another instance listens; before any message to it."""
 
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -39,14 +39,22 @@
 
     :param known: whether the call may have run there.
     :param reason: the backend server's own word, or ``''``.
+    :param is_cut: the connection ended, at its other end or on its way,
+        before the answer was whole.
     """
 
     def __init__(
-        self, message: str, *, known: verdict.Verdict, reason: str = ''
+        self,
+        message: str,
+        *,
+        known: verdict.Verdict,
+        reason: str = '',
+        is_cut: bool = False,
     ) -> None:
         super().__init__(message)
         self.known = known
         self.reason = reason
+        self.is_cut = is_cut
 
 
 class StalledError(EngineError):
@@ -334,6 +342,7 @@
             raise EngineError(
                 f'the connection broke: {error}',
                 known=verdict.Verdict.MAY_HAVE_RUN,
+                is_cut=not self._aborted,
             ) from error
 
 
--- /dev/null
+++ b/dandeliongw/entry/breaks.py
@@ -0,0 +1,112 @@
+"""Runs that broke off, until it is known whether their backend server ended.
+
+A reset, a cut link and the end of the process look alike to the one who
+waits for an answer. Right after the end of a process, its machine refuses
+connections to its address; so that is asked, away from the call's own way:
+its next attempt doesn't wait for it.
+"""
+
+import typing
+
+import msgspec
+
+from .. import decisions
+from .. import effects
+from .. import events
+from ..coordination import presence
+
+#: Seconds from the break to each look at the address. The listening socket
+#: may be closed a moment after the connection; a supervisor starts another
+#: process about a second later.
+LOOK_AFTER_S = (0.0, 0.1, 0.4)
+
+Effects = list[typing.Any]
+
+
+class BrokenRun(msgspec.Struct, frozen=True, kw_only=True):
+    """A run that ended with its connection.
+
+    :param fingerprint: of the call.
+    :param url: of the backend server.
+    :param ran_s: from the beginning of the run until it broke off.
+    """
+
+    request_id: str
+    fingerprint: str
+    start: presence.BackendStart
+    url: str
+    ran_s: float
+
+
+class _Break(msgspec.Struct, kw_only=True):
+    """One start of a backend server on which runs broke off.
+
+    :param looks: at its address, so far.
+    """
+
+    url: str
+    broke_at: float
+    runs_by_fingerprint: dict[str, BrokenRun]
+    looks: int = 0
+    is_looking: bool = False
+
+
+class Breaks:
+    """Finds out under which runs a backend server ended."""
+
+    def __init__(self) -> None:
+        self._breaks_by_start: dict[presence.BackendStart, _Break] = {}
+
+    def add(self, now: float, run: BrokenRun) -> Effects:
+        """Take in that a run broke off; return the look at its server."""
+        held = self._breaks_by_start.get(run.start)
+        if held is None:
+            held = _Break(url=run.url, broke_at=now, runs_by_fingerprint={})
+            self._breaks_by_start[run.start] = held
+        held.runs_by_fingerprint[run.fingerprint] = run
+        return self._look(now, run.start, held)
+
+    def tick(self, now: float) -> Effects:
+        """Return the looks that are due."""
+        out: Effects = []
+        for start, held in self._breaks_by_start.items():
+            out += self._look(now, start, held)
+        return out
+
+    def _look(
+        self, now: float, start: presence.BackendStart, held: _Break
+    ) -> Effects:
+        if held.is_looking or now < held.broke_at + LOOK_AFTER_S[held.looks]:
+            return []
+        held.is_looking = True
+        held.looks += 1
+        return [effects.ProbeBackend(start=start, url=held.url)]
+
+    def probed(self, event: events.BackendProbed) -> Effects:
+        """Take in whether anything listens at a server's address."""
+        held = self._breaks_by_start.get(event.start)
+        if held is None:
+            return []
+        held.is_looking = False
+        if event.is_refused:
+            del self._breaks_by_start[event.start]
+            return _tell(event, held)
+        if held.looks >= len(LOOK_AFTER_S):
+            # The connection broke, and the process did not end.
+            del self._breaks_by_start[event.start]
+        return []
+
+
+def _tell(event: events.BackendProbed, held: _Break) -> Effects:
+    out: Effects = []
+    for fingerprint, run in held.runs_by_fingerprint.items():
+        line = decisions.BackendEnded(
+            request_id=run.request_id,
+            call=fingerprint,
+            backend_id=event.start.backend_id,
+            incarnation=event.start.incarnation,
+            ran_ms=round(run.ran_s * 1000),
+            calls_beside=len(held.runs_by_fingerprint) - 1,
+        )
+        out.append(line.log())
+    return out
--- /dev/null
+++ b/dandeliongw/entry/fingerprints.py
@@ -0,0 +1,41 @@
+"""What makes two sends the same call, in a form that may be told others."""
+
+import hashlib
+import hmac
+
+from .. import events
+
+#: Of the keyed hash: so few never meet by chance, and they go into messages
+#: between instances and into log lines.
+FINGERPRINT_BYTES = 16
+
+
+class Fingerprints:
+    """Makes the fingerprints of calls.
+
+    The same caller, method, path with query and body give the same one,
+    whichever entry the call comes through; request id, deadline, place in a
+    stream and ``Idempotency-Key`` don't count. Nothing of a call can be read
+    from its fingerprint, and without the secret none can be made.
+
+    :param secret: shared by all instances; ``None`` if they have none.
+    """
+
+    def __init__(self, *, secret: bytes | None) -> None:
+        self._key = hashlib.sha256(secret or b'').digest()
+
+    def of(self, call: events.Call) -> str:
+        """Return the fingerprint of a call, in hexadecimal."""
+        fields = (
+            call.caller.encode(),
+            call.key_sha256.encode(),
+            call.host.encode(),
+            call.service.encode(),
+            call.digest,
+        )
+        # A length before each field keeps ('ab', 'c') and ('a', 'bc') apart.
+        joined = b''.join(
+            len(field).to_bytes(4, 'big') + field for field in fields
+        )
+        digest = hmac.digest(self._key, joined, 'sha256')
+        return digest[:FINGERPRINT_BYTES].hex()
--- a/dandeliongw/entry/recovery.py
+++ b/dandeliongw/entry/recovery.py
@@ -60,7 +60,7 @@
             request,
             failure=event.failure,
             message=event.message,
-            failed_id=_failed_id(event.step, request),
+            failed_id=request.place(event.step).start.backend_id,
             entropy=event.entropy,
         )
 
@@ -126,12 +126,3 @@
             cancel,
             *self._attempts.search(event.now, request),
         ]
-
-
-def _failed_id(step: events.Step, request: Request) -> str:
-    match step:
-        case events.Step.PREFILL:
-            return request.booked.prefill_id
-        case events.Step.DECODE:
-            return request.booked.decode_id
-    return request.booked.plain_id
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -209,6 +209,7 @@
                 known=error.known,
                 failure=_failure(step, error),
                 message=str(error),
+                is_cut=error.is_cut,
             )
         except (KeyError, TypeError, ValueError, LookupError) as error:
             logger.exception('a backend server was not understood')
@@ -360,7 +361,11 @@
                 self._offset += 1
                 yield msgspec.structs.replace(piece, offset=offset)
                 measure.taken(self._clock())
-        raise _broken(f'the stream stopped at token {self._offset}')
+        raise engine.EngineError(
+            f'the stream stopped at token {self._offset}',
+            known=verdict.Verdict.RAN,
+            is_cut=True,
+        )
 
     def _first_head(self, head: engine.Head) -> abc.Iterator[engine.Head]:
         """Pass on the head of the first run; a later one's is not wanted."""
@@ -490,6 +495,7 @@
     known: verdict.Verdict
     failure: verdict.RetryReason
     message: str
+    is_cut: bool = False
 
     @classmethod
     def unstarted(cls, message: str) -> '_Failed':
@@ -509,7 +515,10 @@
 
     def __init__(self, error: engine.EngineError) -> None:
         super().__init__(
-            str(error), known=verdict.Verdict.RAN, reason=error.reason
+            str(error),
+            known=verdict.Verdict.RAN,
+            reason=error.reason,
+            is_cut=error.is_cut,
         )
         self.is_stalled = isinstance(error, engine.StalledError)
 
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -11,6 +11,7 @@
 from . import admission
 from ..cell import cells
 from ..cell import vocabulary
+from ..coordination import presence
 
 _NOT_RUN = verdict.Verdict.NOT_RUN
 
@@ -38,6 +39,13 @@
 UNPLACED = (Phase.BOOKING, Phase.QUEUED)
 
 
+class Place(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a step of a request is done."""
+
+    start: presence.BackendStart
+    url: str
+
+
 class Request(msgspec.Struct, kw_only=True):
     """One request in flight.
 
@@ -145,6 +153,34 @@
     def service(self) -> str:
         return self.admitted.service.name
 
+    def place(self, step: events.Step) -> Place:
+        """Return the backend server that was booked for a step."""
+        booked = self.booked
+        match step:
+            case events.Step.PREFILL:
+                found = (
+                    booked.prefill_id,
+                    booked.prefill_incarnation,
+                    booked.prefill_url,
+                )
+            case events.Step.DECODE:
+                found = (
+                    booked.decode_id,
+                    booked.decode_incarnation,
+                    booked.decode_url,
+                )
+            case _:
+                found = (
+                    booked.plain_id,
+                    booked.plain_incarnation,
+                    booked.plain_url,
+                )
+        backend_id, incarnation, url = found
+        start = presence.BackendStart(
+            backend_id=backend_id, incarnation=incarnation
+        )
+        return Place(start=start, url=url)
+
     def took(self, part: effects.Part, seconds: float) -> effects.Took:
         """Return the effect that records how long a part took."""
         return effects.Took(part=part, service=self.service, seconds=seconds)
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -14,12 +14,14 @@
 from .. import verdict
 from . import admission
 from . import attempts
+from . import breaks
 from ..cell import cells
 from ..cell import vocabulary
 from ..coordination import claim_messages as claims
 from ..coordination import parts
 from . import early
 from . import endings
+from . import fingerprints as fingerprint_module
 from . import recovery
 from . import refusals
 from . import replies
@@ -50,6 +52,7 @@
     """All requests of this entry.
 
     :param directory: what is known of the system, see ``admission``.
+    :param fingerprints: tell whether two sends are the same call.
     :param most_claimed_s: longest time that a call with a claim may take;
         claims are kept for a limited time only.
     :param early_s: seconds after the start in which calls wait for the first
@@ -61,11 +64,14 @@
         *,
         directory: admission.Directory,
         gate: admission.Admission,
+        fingerprints: fingerprint_module.Fingerprints,
         most_claimed_s: float = float('inf'),
         early_s: float = 0.0,
     ) -> None:
         self._directory = directory
         self._gate = gate
+        self._fingerprints = fingerprints
+        self._breaks = breaks.Breaks()
         self._most_claimed_s = most_claimed_s
         self._budgets = retries.RetryBudgets()
         self._reservations = reservations.Reservations(directory=directory)
@@ -95,6 +101,8 @@
                 return self._arrive(event)
             case events.StepEnded():
                 return self._end_step(event)
+            case events.BackendProbed():
+                return self._breaks.probed(event)
             case events.CallerGone():
                 return self._leave(event.now, event.request_id)
             case events.RequestClosed():
@@ -277,12 +285,28 @@
             request.known = _MAY_HAVE_RUN
             request.runs += 1
             request.served_at = event.now
+        if event.is_cut:
+            out += self._breaks.add(
+                event.now, self._broken_run(event, request)
+            )
         if event.failure is not None:
             return [*out, *self._recovery.after(event, request)]
         if event.step is events.Step.PREFILL:
             return [*out, *self._prefilled(event, request)]
         return [*out, *self._answered(event, request)]
 
+    def _broken_run(
+        self, event: events.StepEnded, request: Request
+    ) -> breaks.BrokenRun:
+        place = request.place(event.step)
+        return breaks.BrokenRun(
+            request_id=request.request_id,
+            fingerprint=self._fingerprints.of(request.call),
+            start=place.start,
+            url=place.url,
+            ran_s=event.now - request.phase_at,
+        )
+
     def _let_go(self, event: events.StepEnded, request: Request) -> Effects:
         """The thread has left an attempt that was broken off.
 
@@ -339,6 +363,7 @@
         for request in list(self.requests_by_id.values()):
             if not request.is_ended:
                 out.extend(self._tick_request(now, request))
+        out.extend(self._breaks.tick(now))
         out.extend(self._reservations.renew(now, self.requests_by_id.values()))
         return out
 
--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from . import verdict
+from .coordination import presence
 
 
 class Step(enum.StrEnum):
@@ -35,6 +36,7 @@
     :param deadline_s: seconds the caller is willing to wait, from arrival.
     :param host: set for a call that is passed on by host and path; its
         service is the route's to choose.
+    :param caller: the address it came from, where it has no account.
     """
 
     service: str
@@ -51,6 +53,7 @@
     priority: str | None = None
     deadline_s: float | None = None
     host: str = ''
+    caller: str = ''
 
 
 class RequestArrived(msgspec.Struct, frozen=True, kw_only=True):
@@ -77,6 +80,7 @@
         clock, which is the reducer's.
     :param first_token_at: when the first piece of any attempt came; ``None``
         if the caller had pieces before.
+    :param is_cut: it failed as the connection ended before the answer.
     :param late_pieces: pieces of other attempts that were dropped.
     :param entropy: 64 random bits, for the jitter of a retry.
     """
@@ -95,10 +99,22 @@
     token_gap_s: float = 0.0
     first_piece_at: float | None = None
     first_token_at: float | None = None
+    is_cut: bool = False
     late_pieces: int = 0
     entropy: int = 0
 
 
+class BackendProbed(msgspec.Struct, frozen=True, kw_only=True):
+    """An address was asked whether any process listens there.
+
+    :param is_refused: its machine said that none does.
+    """
+
+    now: float
+    start: presence.BackendStart
+    is_refused: bool
+
+
 class CallerGone(msgspec.Struct, frozen=True, kw_only=True):
     """The caller closed its connection before it had the whole answer."""
 
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -36,6 +36,7 @@
 from .coordination import register_messages
 from .coordination import standing as standings
 from .entry import admission
+from .entry import fingerprints
 from .entry import requests
 
 #: Seconds to a claim holder and back, its sync included, on a busy machine;
@@ -138,6 +139,11 @@
         self.requests = requests.Requests(
             directory=self.directory,
             gate=self.admission,
+            fingerprints=fingerprints.Fingerprints(
+                secret=settings.peer_secret.encode()
+                if settings.peer_secret
+                else None
+            ),
             # The claims part takes no attempt that may outlive its record.
             most_claimed_s=settings.timeouts.claim_retention_s / 2,
             early_s=settings.timeouts.first_configuration_s,
@@ -233,6 +239,7 @@
                 (
                     events.RequestArrived,
                     events.StepEnded,
+                    events.BackendProbed,
                     events.CallerGone,
                     events.RequestClosed,
                 ),
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -20,8 +20,10 @@
 from . import clock
 from . import effects
 from . import engine
+from . import events
 from . import journal as journal_module
 from . import metrics as metrics_module
+from . import probe
 from . import verdict
 from .cell import cells
 from .cell import orders
@@ -128,6 +130,7 @@
             parts.Complete: self._complete,
             cells.CancelStream: self._cancel_stream,
             cells.ListStreams: self._list_streams,
+            effects.ProbeBackend: self._probe_backend,
             membership.Reconnect: self._reconnect,
             effects.CountRefusal: self._count_refusal,
             effects.CountRetry: self._count_retry,
@@ -330,6 +333,17 @@
             )
         )
 
+    def _probe_backend(self, effect: effects.ProbeBackend) -> None:
+        self._pool.submit(self._probe_now, effect)
+
+    def _probe_now(self, effect: effects.ProbeBackend) -> None:
+        is_refused = probe.is_refused(effect.url)
+        self.post(
+            lambda now: events.BackendProbed(
+                now=now, start=effect.start, is_refused=is_refused
+            )
+        )
+
     def _give_order(self, effect: effects.GiveOrder) -> None:
         self._pool.submit(self._order_now, effect)
 
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -10,6 +10,7 @@
 from dandeliongw import document
 from dandeliongw import effects
 from dandeliongw.entry import admission
+from dandeliongw.entry import fingerprints
 from dandeliongw.entry import requests
 from dandeliongw import events
 from dandeliongw import verdict
@@ -100,7 +101,10 @@
             directory=self.directory, max_requests=20, max_streams=10
         )
         self.requests = requests.Requests(
-            directory=self.directory, gate=self.gate, **options
+            directory=self.directory,
+            gate=self.gate,
+            fingerprints=fingerprints.Fingerprints(secret=None),
+            **options,
         )
         self.ids = (f'r{number}' for number in itertools.count(1))
         #: Everything that came out, and what came out last.
--- /dev/null
+++ b/tests/test_breaks.py
@@ -0,0 +1,73 @@
+"""Runs that broke off: which of them had their backend server end."""
+
+import unittest
+
+from nose2.tools import params
+
+from dandeliongw.coordination import presence
+from dandeliongw import effects
+from dandeliongw.entry import breaks
+from dandeliongw import events
+
+START = presence.BackendStart(backend_id='s1', incarnation=4)
+
+
+class BreaksTest(unittest.TestCase):
+    def setUp(self):
+        self.breaks = breaks.Breaks()
+        self.now = 100.0
+
+    def add(self, fingerprint='f1'):
+        run = breaks.BrokenRun(
+            request_id='r1',
+            fingerprint=fingerprint,
+            start=START,
+            url='http://10.0.0.1:80',
+            ran_s=0.25,
+        )
+        return self.breaks.add(self.now, run)
+
+    def probed(self, is_refused):
+        return self.breaks.probed(
+            events.BackendProbed(
+                now=self.now + 0.5, start=START, is_refused=is_refused
+            )
+        )
+
+    def tick(self, seconds):
+        self.now += seconds
+        return self.breaks.tick(self.now)
+
+    def test_a_refused_connection_tells_of_all_runs_there(self):
+        (look,) = self.add('f1')
+        self.assertIsInstance(look, effects.ProbeBackend)
+        # One look for all of them.
+        self.assertEqual([], self.add('f2'))
+        line, other = self.probed(is_refused=True)
+        self.assertEqual('f2', dict(other.fields)['call'])
+        fields = dict(line.fields)
+        self.assertEqual('250', fields['ran_ms'])
+        self.assertEqual('1', fields['calls_beside'])
+        self.assertEqual([], self.tick(10.0))
+
+    def test_a_server_that_listens_on_has_not_ended(self):
+        """Symptom: calls are held back after resets of connections.
+
+        Sequence: a network resets connections; the servers go on.
+        Cause: a connection that breaks is no proof of an end.
+        """
+        self.add()
+        for after_s in (0.2, 0.4):
+            self.assertEqual([], self.probed(is_refused=False))
+            (look,) = self.tick(after_s)
+            self.assertIsInstance(look, effects.ProbeBackend)
+        self.assertEqual([], self.probed(is_refused=False))
+        self.assertEqual([], self.tick(10.0))
+
+    @params(1, 2)
+    def test_the_listening_socket_may_close_last(self, open_looks):
+        self.add()
+        for _ in range(open_looks):
+            self.probed(is_refused=False)
+            self.tick(0.4)
+        self.assertEqual(1, len(self.probed(is_refused=True)))
--- /dev/null
+++ b/tests/test_fingerprints.py
@@ -0,0 +1,59 @@
+"""What makes two sends the same call."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+from nose2.tools import params
+
+from dandeliongw.entry import fingerprints
+from tests import entry_fake
+
+SECRET = b'a secret of all instances'
+
+
+class FingerprintsTest(unittest.TestCase):
+    def setUp(self):
+        self.fingerprints = fingerprints.Fingerprints(secret=SECRET)
+        self.call = entry_fake.call(caller='10.0.0.9', host='a.example')
+
+    def of(self, **changes):
+        call = msgspec.structs.replace(self.call, **changes)
+        return self.fingerprints.of(call)
+
+    @params(
+        {'deadline_s': 3.0},
+        {'idempotency_key': 'k2'},
+        {'priority': 'urgent'},
+        {'expected_tokens': 7},
+    )
+    def test_a_send_again_is_the_same_call(self, changes):
+        self.assertEqual(self.of(), self.of(**changes))
+
+    @params(
+        {'caller': '10.0.0.8'},
+        {'key_sha256': 'f' * 64},
+        {'host': 'b.example'},
+        {'service': 'other'},
+        {'digest': b'other'},
+    )
+    def test_what_differs_is_another_call(self, changes):
+        self.assertNotEqual(self.of(), self.of(**changes))
+
+    def test_without_the_secret_none_can_be_made(self):
+        for secret in (None, b'another'):
+            other = fingerprints.Fingerprints(secret=secret)
+            self.assertNotEqual(self.of(), other.of(self.call))
+
+    @hypothesis.given(
+        st.text(max_size=4),
+        st.text(max_size=4),
+        st.text(max_size=4),
+        st.text(max_size=4),
+    )
+    def test_no_two_calls_share_one(self, caller, host, caller_2, host_2):
+        same = (caller, host) == (caller_2, host_2)
+        first = self.of(caller=caller, host=host)
+        second = self.of(caller=caller_2, host=host_2)
+        self.assertEqual(same, first == second)
--- a/tools/engine_model.py
+++ b/tools/engine_model.py
@@ -46,8 +46,10 @@
 class Faults:
     """Switches for what may go wrong; all off at first.
 
-    The last five concern only the HTTP process around the model; token
+    The last six concern only the HTTP process around the model; token
     counts of ``-1`` mean never.
+
+    :param end_on: the prompt that ends the process which decodes for it.
     """
 
     refuse_imports: bool = False
@@ -59,6 +61,7 @@
     truncate_after_tokens: int = -1
     old_attempt_id: bool = False
     duplicate_pieces: bool = False
+    end_on: str = ''
 
 
 class Reason(enum.StrEnum):
--- a/tools/standin_engine.py
+++ b/tools/standin_engine.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import math
+import os
 import signal
 import threading
 import time
@@ -23,6 +24,8 @@
 from tools import engine_model
 from tools import json_server
 
+#: Of a process that a call ended.
+EXIT_CODE = 70
 #: Longest wait of any handler, so that no thread is held for good.
 LONGEST_WAIT_S = 120.0
 
@@ -289,6 +292,8 @@
         stream: engine_model.Stream,
         offset: int,
     ) -> bool:
+        if stream.seed == engine_model.seed_of(faults.end_on):
+            os._exit(EXIT_CODE)
         if offset == faults.cut_after_tokens:
             raise json_server.CutConnection
         if offset == faults.truncate_after_tokens:
--- a/tools/standin_service.py
+++ b/tools/standin_service.py
@@ -20,9 +20,6 @@
 from tools import json_server
 from tools import standin_engine
 
-#: Of a process that a call ended.
-EXIT_CODE = 70
-
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class ServiceFaults:
@@ -98,7 +95,7 @@
         run = self._count(request)
         self._never.wait(faults.delay_after_s)
         if faults.end_on and _holds(request, faults.end_on):
-            os._exit(EXIT_CODE)
+            os._exit(standin_engine.EXIT_CODE)
         if faults.cut_after_run:
             return json_server.Answer(stream=cut())
         answer = {
