Operators list the calls that are held back, and let one through

GET /v1/quarantine and POST /v1/quarantine/lift, the commands quarantine and lift, and a page of the console. A lift clears the ends that are known, is told to all instances, and is shown with the operator's name and reason for as long as the evidence is kept.

--- a/dandeliongw/borders/_browser.py
+++ b/dandeliongw/borders/_browser.py
@@ -1,6 +1,7 @@
 """What a browser sends to the console, and what it is told."""
 
 import html
+import re
 import typing
 import urllib.parse
 
@@ -10,6 +11,7 @@
 from .. import document as documents
 from .. import exceptions
 from . import changes
+from . import control as controls
 from . import sessions
 from .pages import forms
 from .pages import layout
@@ -100,6 +102,26 @@
     return given
 
 
+def read_call(form: forms.Form) -> str:
+    """Return the fingerprint of a call that a form holds."""
+    given = forms.text(form, 'call')
+    if not re.fullmatch(controls.CALL_PATTERN, given):
+        raise cherrypy.HTTPError(400, 'call: give that of the form.')
+    return given
+
+
+def read_reason(form: forms.Form) -> str:
+    """Return why something is asked for."""
+    given = forms.text(form, 'reason')
+    if not 0 < len(given) <= controls.MOST_REASON_CHARACTERS:
+        raise cherrypy.HTTPError(
+            400,
+            f'reason: {len(given)} characters given; must be 1 to '
+            f'{controls.MOST_REASON_CHARACTERS}.',
+        )
+    return given
+
+
 def read_revision(form: forms.Form, field: str = 'expected_revision') -> int:
     """Return the revision that a form or link holds."""
     given = forms.text(form, field)
--- a/dandeliongw/borders/console.py
+++ b/dandeliongw/borders/console.py
@@ -91,6 +91,29 @@
         title = f'Refusals and retries of {self._settings.instance_id}'
         return show(who, title, status_pages.reasons(self._metrics))
 
+    @cherrypy.expose
+    @page
+    def quarantine(self, who: SignedIn, form: forms.Form) -> bytes:
+        """Show the calls that are held back, and those suspected."""
+        content = status_pages.quarantine(
+            self._control.suspects(), who.form_token
+        )
+        return show(who, 'Quarantine', content)
+
+    @cherrypy.expose
+    @action
+    def lift(self, who: SignedIn, form: forms.Form) -> bytes:
+        """Let a call that is held back be sent again."""
+        call = _browser.read_call(form)
+        known = self._control.lift(
+            call=call,
+            operator=who.operator,
+            reason=_browser.read_reason(form),
+        )
+        if not known:
+            raise cherrypy.HTTPError(404, f'Nothing is known of call {call}.')
+        raise _browser.see_other('quarantine')
+
     @cherrypy.expose
     @page
     def history(self, who: SignedIn, form: forms.Form) -> bytes:
--- a/dandeliongw/borders/control.py
+++ b/dandeliongw/borders/control.py
@@ -150,6 +150,42 @@
     time: str | None
 
 
+#: Of a call's fingerprint.
+CALL_PATTERN = '^[0-9a-f]{32}$'
+#: Of the reason for which a call may be sent again.
+MOST_REASON_CHARACTERS = 200
+
+
+class EndEntry(typing.TypedDict):
+    """A backend server that ended under a call."""
+
+    backend_id: str
+    told_by: str
+    age_s: float
+
+
+class LiftEntry(typing.TypedDict):
+    """Who let a call through again, and why."""
+
+    operator: str
+    reason: str
+    age_s: float
+
+
+class SuspectEntry(typing.TypedDict):
+    """A call under which backend servers ended.
+
+    ``call`` is its fingerprint; ``held_s`` 0 where it may be sent; ``ends``
+    has those that count, ``cleared`` how many don't any more.
+    """
+
+    call: str
+    held_s: float
+    ends: list[EndEntry]
+    cleared: int
+    lifted: LiftEntry | None
+
+
 ProposeResult = Applied | Conflict | ChangeIdReused | Unavailable
 
 
@@ -185,4 +221,15 @@
         """Return the accepted changes that are still known, newest first."""
         ...
 
+    def suspects(self) -> list[SuspectEntry]:
+        """Return the calls under which backend servers ended."""
+        ...
+
+    def lift(self, *, call: str, operator: str, reason: str) -> bool:
+        """Let a call be sent again, at every instance.
+
+        :returns: whether anything is known of the call here.
+        """
+        ...
+
     def in_force(self, revision: int) -> InForce: ...
--- a/dandeliongw/borders/operators.py
+++ b/dandeliongw/borders/operators.py
@@ -27,6 +27,7 @@
 JSON_TYPE = 'application/json'
 
 Handler = typing.TypeVar('Handler', bound=typing.Callable)
+Body = typing.TypeVar('Body', bound=models.Model)
 
 
 class ApiReason(enum.StrEnum):
@@ -37,6 +38,7 @@
     UNAUTHORIZED = 'unauthorized'
     CONFLICT = 'conflict'
     CHANGE_ID_REUSED = 'change_id_reused'
+    UNKNOWN_CALL = 'unknown_call'
     UNAVAILABLE = 'unavailable'
     HTTP_ERROR = 'http_error'
 
@@ -77,6 +79,24 @@
     """Chosen by the operator; a resend carries the same one."""
 
 
+class Lift(models.Model):
+    """The body of ``POST /v1/quarantine/lift``."""
+
+    call: typing.Annotated[
+        str, pydantic.StringConstraints(pattern=controls.CALL_PATTERN)
+    ]
+    """The call's fingerprint, as logs and ``GET /v1/quarantine`` have it."""
+    reason: typing.Annotated[
+        str,
+        pydantic.StringConstraints(
+            strip_whitespace=True,
+            min_length=1,
+            max_length=controls.MOST_REASON_CHARACTERS,
+        ),
+    ]
+    """Why it may run again; shown with the operator's name."""
+
+
 def make_application(
     control: controls.Control,
     settings: settings_module.Settings,
@@ -173,7 +193,7 @@
     @_answers_json
     def PUT(self) -> dict[str, typing.Any]:
         operator = self._authorize()
-        change = _read_change()
+        change = _read(Change)
         result = changes.propose(
             self._control,
             change_id=change.change_id,
@@ -207,6 +227,31 @@
         return {'changes': self._control.history()}
 
 
+class _Quarantine(_Resource):
+    @_answers_json
+    def GET(self) -> dict[str, typing.Any]:
+        self._authorize()
+        return {'calls': self._control.suspects()}
+
+
+class _Lift(_Resource):
+    @_answers_json
+    def POST(self) -> dict[str, typing.Any]:
+        operator = self._authorize()
+        lift = _read(Lift)
+        known = self._control.lift(
+            call=lift.call, operator=operator.name, reason=lift.reason
+        )
+        if not known:
+            raise ApiError(
+                status=404,
+                reason=ApiReason.UNKNOWN_CALL,
+                message=f'nothing is known here of call {lift.call!r}; '
+                'GET /v1/quarantine lists the calls',
+            )
+        return {'call': lift.call}
+
+
 class _Version1:
     """The parts of the API, by path."""
 
@@ -220,9 +265,11 @@
         self.status = _Status(control=control, settings=settings)
         self.backends = _Backends(control=control, settings=settings)
         self.history = _History(control=control, settings=settings)
+        self.quarantine = _Quarantine(control=control, settings=settings)
+        self.quarantine.lift = _Lift(control=control, settings=settings)
 
 
-def _read_change() -> Change:
+def _read(model: type[Body]) -> Body:
     # Without its parameters, such as a charset.
     if cherrypy.request.body.content_type.value != JSON_TYPE:
         raise ApiError(
@@ -232,7 +279,7 @@
         )
     body = cherrypy.request.body.fp.read()
     try:
-        return models.parse(Change, body)
+        return models.parse(model, body)
     except exceptions.InvalidInput as error:
         raise _invalid(ApiReason.BAD_REQUEST, error)
 
--- a/dandeliongw/borders/pages/layout.py
+++ b/dandeliongw/borders/pages/layout.py
@@ -35,6 +35,7 @@
     ('backends', 'Backend servers'),
     ('load', 'Slots and queues'),
     ('reasons', 'Refusals and retries'),
+    ('quarantine', 'Quarantine'),
     ('history', 'History'),
 )
 
--- a/dandeliongw/borders/pages/status.py
+++ b/dandeliongw/borders/pages/status.py
@@ -151,6 +151,52 @@
     return [layout.table('Accepted changes', headings, rows)]
 
 
+def quarantine(
+    suspects: abc.Iterable[controls.SuspectEntry], form_token: str
+) -> list[markup.Markup]:
+    """Show the calls under which backend servers ended.
+
+    :param form_token: for the forms that let a call through again.
+    """
+    rows = [
+        (
+            each['call'],
+            f'{each["held_s"]:.0f} s more' if each['held_s'] else 'no',
+            ', '.join(end['backend_id'] for end in each['ends']) or NONE,
+            _lifted(each['lifted']),
+            _lift_form(each['call'], form_token) if each['held_s'] else NONE,
+        )
+        for each in suspects
+    ]
+    headings = ('Call', 'Held back', 'Servers that ended', 'Lifted', 'Lift')
+    return [layout.table('Calls that end servers', headings, rows)]
+
+
+def _lifted(lift: controls.LiftEntry | None) -> str:
+    if lift is None:
+        return NONE
+    return (
+        f'by {lift["operator"]}, {lift["age_s"]:.0f} s ago: {lift["reason"]}'
+    )
+
+
+def _lift_form(call: str, form_token: str) -> markup.Markup:
+    field = markup.tag(
+        'input',
+        type='text',
+        name='reason',
+        required=True,
+        maxlength=controls.MOST_REASON_CHARACTERS,
+    )
+    return layout.form(
+        'lift',
+        form_token,
+        layout.hidden('call', call),
+        markup.tag('label', 'Why it may run again', field),
+        markup.tag('button', 'Let it run'),
+    )
+
+
 def yes_or_no(value: bool) -> str:
     """Return a flag as a word."""
     return 'yes' if value else 'no'
--- a/dandeliongw/client.py
+++ b/dandeliongw/client.py
@@ -68,6 +68,14 @@
             raise exceptions.ChangeIdReused(change_id=change_id)
         return self._success(status, answer)
 
+    def lift(self, call: str, reason: str) -> dict[str, typing.Any]:
+        """Let a call that is held back be sent again.
+
+        :raises DandeliongwError: for every answer but a success.
+        """
+        body = {'call': call, 'reason': reason}
+        return self._success(*self._ask('POST', '/v1/quarantine/lift', body))
+
     def _ask(
         self, method: str, path: str, body: typing.Any
     ) -> tuple[int, dict[str, typing.Any]]:
--- a/dandeliongw/command.py
+++ b/dandeliongw/command.py
@@ -122,6 +122,26 @@
     _show(_make_client(url, token_file).get('/v1/backends'))
 
 
+def quarantine(*, url: str, token_file: str) -> None:
+    """Show the calls under which backend servers ended, held ones first.
+
+    :param url: the control address of any instance, as http://10.0.1.5:7001
+    :param token_file: path of a file that holds the operator's token
+    """
+    _show(_make_client(url, token_file).get('/v1/quarantine'))
+
+
+def lift(call: str, /, *, url: str, token_file: str, reason: str) -> None:
+    """Let a call that is held back be sent again, at every instance.
+
+    :param call: its fingerprint, as "quarantine" shows it
+    :param url: the control address of any instance, as http://10.0.1.5:7001
+    :param token_file: path of a file that holds the operator's token
+    :param reason: why it may run again; shown with your name
+    """
+    _show(_make_client(url, token_file).lift(call, reason))
+
+
 def entries(*, url: str) -> None:
     """Show which addresses callers are told to use.
 
@@ -139,7 +159,10 @@
     _show(explain_module.explain(request_id, logs))
 
 
-COMMANDS = (serve, check, apply, show, status, backends, entries, explain)
+COMMANDS = (
+    *(serve, check, apply, show, status, backends),
+    *(quarantine, lift, entries, explain),
+)
 
 
 def main(argv: abc.Sequence[str] | None = None) -> int:
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -31,6 +31,7 @@
 from .borders import web
 from .coordination import membership
 from .coordination import presence
+from .coordination import quarantine
 from .coordination import register
 from .entry import relay
 
@@ -517,6 +518,25 @@
             )
         return out
 
+    def suspects(self) -> list[control.SuspectEntry]:
+        return self._runtime.look(self._read_suspects)
+
+    def _read_suspects(self, now: float) -> list[control.SuspectEntry]:
+        found = [
+            _suspect(now, case) for case in self._reducer.quarantine.cases()
+        ]
+        return sorted(found, key=lambda each: (-each['held_s'], each['call']))
+
+    def lift(self, *, call: str, operator: str, reason: str) -> bool:
+        return self._runtime.ask(
+            functools.partial(
+                quarantine.Lift,
+                fingerprint=call,
+                operator=operator,
+                reason=reason,
+            )
+        )
+
     def history(self) -> list[control.HistoryEntry]:
         records = self._runtime.look(
             lambda now: self._reducer.register.history()
@@ -532,5 +552,31 @@
         ]
 
 
+def _suspect(now: float, case: quarantine.Case) -> control.SuspectEntry:
+    ends = case.counted
+    held_until = case.held_until or now
+    lifted = case.lifted
+    return control.SuspectEntry(
+        call=case.fingerprint,
+        held_s=round(max(0.0, held_until - now), 1),
+        ends=[
+            control.EndEntry(
+                backend_id=end.start.backend_id,
+                told_by=end.told_by,
+                age_s=round(now - end.ended_at, 1),
+            )
+            for end in ends
+        ],
+        cleared=len(case.cleared),
+        lifted=None
+        if lifted is None
+        else control.LiftEntry(
+            operator=lifted.operator,
+            reason=lifted.reason,
+            age_s=round(now - lifted.at, 1),
+        ),
+    )
+
+
 def _applied(result: register.Applied) -> control.Applied:
     return control.Applied(revision=result.revision, repeated=result.repeated)
--- a/tests/operators_fake.py
+++ b/tests/operators_fake.py
@@ -15,6 +15,8 @@
 from dandeliongw import metrics
 from dandeliongw import settings
 
+#: The one call that the fake control holds back.
+HELD_CALL = '3fa9' * 8
 TOKENS_BY_NAME = {'ana': 'token-of-ana', 'bat': 'token-of-bat'}
 
 
@@ -52,6 +54,8 @@
             )
         ]
         self.changes_by_id: dict[str, control.Configuration] = {}
+        #: Operator and reason of each lift.
+        self.lifts: list[tuple[str, str]] = []
         #: Whether proposals take effect while their answers are lost.
         self.answers_lost = False
         #: Whether no majority answers.
@@ -138,6 +142,26 @@
             for change_id, made in reversed(self.changes_by_id.items())
         ]
 
+    def suspects(self) -> list[control.SuspectEntry]:
+        lift = {'operator': '<i>ben</i>', 'reason': '<b>', 'age_s': 4.0}
+        return [
+            {
+                'call': HELD_CALL,
+                'held_s': 0.0 if self.lifts else 540.0,
+                'ends': [
+                    {'backend_id': 'd1', 'told_by': 'gw-1', 'age_s': 60.0}
+                ],
+                'cleared': 0,
+                'lifted': lift if self.lifts else None,
+            }
+        ]
+
+    def lift(self, *, call: str, operator: str, reason: str) -> bool:
+        if call != HELD_CALL:
+            return False
+        self.lifts.append((operator, reason))
+        return True
+
     def in_force(self, revision: int) -> control.InForce:
         return {
             'revision': revision,
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -125,11 +125,21 @@
             outcome = self.apply(border.url, priorities=[PRIORITY])
             self.assertEqual(1, json.loads(outcome.output)['revision'])
             shown = json.loads(Outcome('show', *rights).output)
-            for name in ('status', 'backends'):
+            for name in ('status', 'backends', 'quarantine'):
                 self.assertEqual(0, Outcome(name, *rights).code)
         self.assertEqual([PRIORITY], shown['document']['priorities'])
         self.assertEqual('ana', shown['author'])
 
+    def test_lift(self):
+        with operators_fake.border() as border:
+            rights = ('--url', border.url, '--token-file', self.token)
+            reason = ('--reason', 'mended')
+            held = operators_fake.HELD_CALL
+            self.assertEqual(0, Outcome('lift', held, *rights, *reason).code)
+            outcome = Outcome('lift', 'bogus', *rights, *reason)
+        self.assertEqual([('ana', 'mended')], border.control.lifts)
+        self.assertEqual(exceptions.ExitCode.BAD_INPUT, outcome.code)
+
     def test_apply_after_another_change(self):
         with operators_fake.border() as border:
             self.apply(border.url)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -21,9 +21,15 @@
 BRAZOS = json.loads(pathlib.Path('examples/brazos.document.json').read_bytes())
 URGENT = {'name': 'urgent', 'rank': 0, 'max_wait_s': 1.0}
 URGENT_LINK = 'item?section=priorities&key=urgent'
-STATUS_PAGES = ('', 'backends', 'load', 'reasons', 'history', 'draft')
+STATUS_PAGES = (
+    *('', 'backends', 'load', 'reasons', 'quarantine', 'history'),
+    'draft',
+)
 SECTION_PAGES = tuple(f'section?name={name}' for name in differences.SECTIONS)
-ACTIONS = ('item', 'remove', 'discard', 'carry-over', 'apply', 'sign-out')
+ACTIONS = (
+    *('item', 'remove', 'discard', 'carry-over', 'apply'),
+    *('lift', 'sign-out'),
+)
 
 
 class Browser:
@@ -187,6 +193,18 @@
             self.browser.get(action)
             self.assertEqual(405, self.browser.status)
 
+    def test_a_call_is_let_through_with_a_name_and_a_reason(self):
+        self.browser.get('quarantine')
+        self.assertIn(operators_fake.HELD_CALL, self.browser.text)
+        self.assertIn('540 s more', self.browser.text)
+        self.browser.send('lift', reason=' ')
+        self.assertEqual(400, self.browser.status)
+        self.browser.get('quarantine')
+        self.browser.send('lift', reason='mended')
+        self.assertEqual([('ana', 'mended')], self.border.control.lifts)
+        # What operators write is shown as they wrote it.
+        self.assertIn('by <i>ben</i>, 4 s ago: <b>', self.browser.text)
+
     def test_nothing_from_users_is_markup(self):
         for path in ('backends', 'load'):
             self.browser.get(path)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -37,7 +37,7 @@
             'PUT', '/v1/document', body=body, headers=headers
         )
 
-    @params('document', 'status', 'backends', 'history')
+    @params('document', 'status', 'backends', 'history', 'quarantine')
     def test_no_answer_without_a_token(self, path):
         headers = {'Authorization': 'Bearer token-of-nobody'}
         for given in ({}, headers, {'Authorization': 'Basic token-of-ana'}):
@@ -47,6 +47,37 @@
         answer = self.border.ask('GET', f'/v1/{path}', headers=BEARER_ANA)
         self.assertEqual(200, answer.status)
 
+    def lift(self, call=operators_fake.HELD_CALL, reason='mended', **changes):
+        body = {'call': call, 'reason': reason, **changes}
+        return self.border.ask(
+            'POST',
+            '/v1/quarantine/lift',
+            body=json.dumps(body).encode(),
+            headers=JSON_ANA,
+        )
+
+    def test_a_call_is_let_through_with_a_name_and_a_reason(self):
+        answer = self.lift()
+        self.assertEqual(200, answer.status)
+        self.assertEqual([('ana', 'mended')], self.border.control.lifts)
+        found = self.border.ask('GET', '/v1/quarantine', headers=BEARER_ANA)
+        (call,) = found.json()['calls']
+        self.assertEqual(0.0, call['held_s'])
+
+    def test_a_call_that_is_not_known_here(self):
+        answer = self.lift(call='0' * 32)
+        self.assertEqual(404, answer.status)
+        self.assertEqual('unknown_call', answer.json()['reason'])
+        self.assertIn('0' * 32, answer.json()['message'])
+
+    @params({'call': 'x'}, {'reason': ' '}, {'reason': 'x' * 201}, {'who': 1})
+    def test_a_lift_that_is_not_understood(self, changes):
+        answer = self.lift(**changes)
+        self.assertEqual(400, answer.status)
+        (problem,) = answer.json()['problems']
+        self.assertEqual(next(iter(changes)), problem['path'])
+        self.assertEqual([], self.border.control.lifts)
+
     def test_a_change_is_applied_and_read_back(self):
         answer = self.put(change())
         self.assertEqual({'revision': 1, 'repeated': False}, answer.json())
