Retries that are saved up are the whole system's, not each entry's

An outage could bring a service the saved retries of every entry: forty each, 280 at seven entries and 2,760 at 69, where a platform allows 54 and 178 in all beside a fifth of the requests. Found by looking for the incident's cause elsewhere: a bound promised for the system and kept by each entry for itself.

Now forty are shared by the entries that are alive (at least one each), and a platform's own figures take their place where it names them; three quarters of its slack, as resumed and moved streams count there and spend nothing here.

Test: seven entries, 280 before (by the constants; the class took no number of entries then), 35 to 40 after.

--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -53,6 +53,7 @@
 
     :param directory: what is known of the system, see ``admission``.
     :param holds: calls that are not to be sent to backend servers.
+    :param budgets: bound the attempts after the first, by service.
     :param most_claimed_s: longest time that a call with a claim may take;
         claims are kept for a limited time only.
     :param early_s: seconds after the start in which calls wait for the first
@@ -65,6 +66,7 @@
         directory: admission.Directory,
         gate: admission.Admission,
         holds: hold_module.Holds,
+        budgets: retries.RetryBudgets,
         most_claimed_s: float = float('inf'),
         early_s: float = 0.0,
     ) -> None:
@@ -73,7 +75,7 @@
         self.holds = holds
         self._breaks = breaks.Breaks()
         self._most_claimed_s = most_claimed_s
-        self._budgets = retries.RetryBudgets()
+        self._budgets = budgets
         self._reservations = reservations.Reservations(directory=directory)
         self._endings = endings.Endings(reservations=self._reservations)
         self._attempts = attempts.Attempts(
--- a/dandeliongw/entry/retries.py
+++ b/dandeliongw/entry/retries.py
@@ -1,11 +1,14 @@
 """How often an entry tries again, and after which pause."""
 
+from collections import abc
+
 import msgspec
 
 
 #: Retries allowed for each request that comes in.
 RETRY_PART = 0.2
-#: Retries that may be saved up, for an engine that dies with its streams.
+#: Retries that all entries together may save up for a service, for an engine
+#: that dies with its streams.
 RETRY_BURST = 40.0
 FIRST_PAUSE_S = 0.02
 MOST_PAUSE_S = 1.0
@@ -38,15 +41,35 @@
         self.left -= 1.0
         return True
 
+    def limit(self, burst: float) -> None:
+        """Change the most that is saved up."""
+        self.burst = burst
+        self.left = min(self.left, burst)
+
 
 class RetryBudgets:
-    """A budget for each service.
+    """This entry's share of a budget for each service.
 
     With one for all, a pool that fails spends the retries of the others,
     whose callers then see errors that one more attempt would have spared.
+    What may be saved up is the whole system's: if each entry saved as much,
+    an outage would bring it as many times as there are entries.
+
+    :param part: retries gained with each request.
+    :param burst: most that all entries together save up.
+    :param entries: returns how many there are.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        part: float = RETRY_PART,
+        burst: float = RETRY_BURST,
+        entries: abc.Callable[[], int],
+    ) -> None:
+        self._part = part
+        self._burst = burst
+        self._entries = entries
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     def earn(self, service: str) -> None:
@@ -63,7 +86,15 @@
         return {service: each.left for service, each in budgets.items()}
 
     def _budget(self, service: str) -> RetryBudget:
-        return self._budgets_by_service.setdefault(service, RetryBudget())
+        # A share below one could never be spent.
+        share = max(1.0, self._burst / self._entries())
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(part=self._part, burst=share, left=share)
+            self._budgets_by_service[service] = budget
+        elif budget.burst != share:
+            budget.limit(share)
+        return budget
 
 
 def pause_s(attempt: int, entropy: int) -> float:
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -41,6 +41,7 @@
 from .entry import fingerprints
 from .entry import holds
 from .entry import requests
+from .entry import retries
 
 #: Seconds to a claim holder and back, its sync included, on a busy machine;
 #: several ticks fit in it, and a claim is given up after ten of it.
@@ -153,6 +154,11 @@
                     else None
                 ),
             ),
+            budgets=retries.RetryBudgets(
+                part=settings.retries.part,
+                burst=settings.retries.saved,
+                entries=self.directory.count_entries,
+            ),
             # The claims part takes no attempt that may outlive its record.
             most_claimed_s=settings.timeouts.claim_retention_s / 2,
             early_s=settings.timeouts.first_configuration_s,
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -120,6 +120,15 @@
     """Keys of non-idempotent calls that a voter keeps; no more are taken."""
 
 
+class Retries(models.Model):
+    """Attempts after the first, of all instances together, for a service."""
+
+    part: models.Positive = 0.2
+    """Gained with each request."""
+    saved: models.Positive = 40.0
+    """Most that are saved up; each entry has an equal share."""
+
+
 class Timeouts(models.Model):
     """All in seconds."""
 
@@ -210,6 +219,8 @@
     """SHA-256 of the key that backend servers announce themselves with."""
     limits: Limits = Limits()
     """What this instance takes on."""
+    retries: Retries = Retries()
+    """How often the whole system tries again."""
     timeouts: Timeouts = Timeouts()
     """When waiting ends."""
     log_level: LogLevel = 'INFO'
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -14,6 +14,7 @@
 from dandeliongw.entry import fingerprints
 from dandeliongw.entry import holds
 from dandeliongw.entry import requests
+from dandeliongw.entry import retries
 from dandeliongw import events
 from dandeliongw import verdict
 from tools import local
@@ -111,6 +112,7 @@
             directory=self.directory,
             gate=self.gate,
             holds=self.holds,
+            budgets=retries.RetryBudgets(entries=lambda: 1),
             **options,
         )
         self.ids = (f'r{number}' for number in itertools.count(1))
--- a/tests/test_platform_machine.py
+++ b/tests/test_platform_machine.py
@@ -37,6 +37,12 @@
         self.assertEqual(made.unconfirmed, 'serve')
         self.assertLess(made.timeouts.confirm_ttl_s, 2.0)
 
+    def test_retries_are_the_systems(self):
+        bounds = {**on_platform.MACHINE['bounds'], 'budgetSlack': 400}
+        made = translate(bounds={**bounds, 'retryBudgetRatio': 0.1})
+        self.assertEqual((0.1, 300.0), (made.retries.part, made.retries.saved))
+        self.assertEqual(0.2, translate().retries.part)
+
     def test_a_shutdown_uses_its_grace(self):
         """Symptom: streams are cut off at each restart, seconds too early.
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -21,6 +21,42 @@
         self.assertAlmostEqual(s, retries.pause_s(attempt, bits))
 
 
+class TogetherTest(unittest.TestCase):
+    """Symptom: an outage brings a service many times its retries.
+
+    Sequence: an engine that carries streams of all entries ends; each entry
+    tries its own again, and what fails then once more.
+    Cause: the retries that may be saved up were promised for the system, and
+    each entry saved as many: 280 at seven entries, where 54 are allowed.
+    """
+
+    def spend_all(self, budgets):
+        spent = 0
+        while budgets.spend('a'):
+            spent += 1
+        return spent
+
+    @params(1, 2, 7, 40)
+    def test_all_entries_save_up_as_much_as_one(self, count):
+        entries = [
+            retries.RetryBudgets(entries=lambda: count) for _ in range(count)
+        ]
+        spent = sum(self.spend_all(each) for each in entries)
+        self.assertLessEqual(spent, retries.RETRY_BURST)
+        self.assertGreaterEqual(spent, retries.RETRY_BURST / 2)
+
+    def test_a_share_of_less_than_one_is_one(self):
+        budgets = retries.RetryBudgets(entries=lambda: 100)
+        self.assertEqual(1, self.spend_all(budgets))
+
+    def test_entries_that_come_take_their_share(self):
+        count = 1
+        budgets = retries.RetryBudgets(entries=lambda: count)
+        budgets.earn('a')
+        count = 4
+        self.assertEqual(10, self.spend_all(budgets))
+
+
 class Budgets(unittest.TestCase):
     def test_a_budget_is_a_share_of_the_requests(self):
         budget = retries.RetryBudget(part=0.1, burst=10.0, left=10.0)
@@ -34,7 +70,7 @@
         self.assertTrue(budget.spend())
 
     def test_what_is_left_is_told_by_service(self):
-        budgets = retries.RetryBudgets()
+        budgets = retries.RetryBudgets(entries=lambda: 1)
         budgets.spend('a')
         budgets.earn('b')
         full = retries.RETRY_BURST
--- a/tools/load.py
+++ b/tools/load.py
@@ -162,7 +162,10 @@
         self._policy_factory = policy_factory
         self._epoch = 1
         self._lost_entries: set[str] = set()
-        self._budgets_by_entry = collections.defaultdict(retries.RetryBudget)
+        share = max(1.0, retries.RETRY_BURST / deployment.entries)
+        self._budgets_by_entry = collections.defaultdict(
+            lambda: retries.RetryBudget(burst=share, left=share)
+        )
         self._add_engines()
         self.cell = self._make_cell()
         self._tell_backends()
