--- a/dandeliongw/coordination/_cases.py
+++ b/dandeliongw/coordination/_cases.py
@@ -29,8 +29,8 @@
 HELD_S = 600.0
 MOST_HELD_S = 3600.0
 #: Seconds for which evidence is kept on a call that isn't held. Callers come
-#: again for as long as they wait, which is seconds; a job, for a minute.
-KEPT_S = 120.0
+#: again for as long as they wait, which is seconds; jobs, every few minutes.
+KEPT_S = 600.0
 #: Calls of which evidence is kept, about 1 KB each.
 MOST_CASES = 2_000
 #: Parts in which two instances compare what they have: what is told again is
--- a/dandeliongw/coordination/quarantine.py
+++ b/dandeliongw/coordination/quarantine.py
@@ -272,7 +272,9 @@
 def _released(case: Case) -> Released:
     why = 'its time is over'
     if not case.counted:
-        why = 'a run ended well' if case.lifted is None else 'it was lifted'
+        why = 'a run ended well'
+        if case.lifted is not None:
+            why = f'lifted by {case.lifted.operator}: {case.lifted.reason}'
     return Released(fingerprint=case.fingerprint, why=why)
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -185,6 +185,7 @@
         known, released = self.lift(BAD)
         self.assertTrue(known.result)
         self.assertEqual(BAD, released.fingerprint)
+        self.assertEqual('lifted by ann: engines were mended', released.why)
         self.assertEqual(0.0, self.held_s())
         (case,) = self.part.cases()
         self.assertEqual('ann', case.lifted.operator)
@@ -323,11 +324,12 @@
         self.assertLess(sent, 500.0)
 
     def test_what_is_forgotten_does_not_go_round(self):
-        self.entries.end('gw-1', 'a')
-        self.entries.run(_cases.KEPT_S + 5.0)
+        entries = Entries(count=8, loss=0.1, seed=7)
+        entries.end('gw-1', 'a')
+        entries.run(_cases.KEPT_S + 5.0)
         left = [
             each
-            for each, part in self.entries.parts_by_id.items()
+            for each, part in entries.parts_by_id.items()
             if not part.is_empty
         ]
         self.assertEqual([], left)
