--- a/dandeliongw/document.py
+++ b/dandeliongw/document.py
@@ -159,9 +159,9 @@
     share: models.Positive = 1.0
     """Weight against the other accounts where work has to wait."""
     max_in_flight: models.PositiveInt
-    """Requests at one time; more are refused."""
+    """Requests at one time through one entry; more are refused."""
     requests_per_s: models.Positive
-    """Lasting rate; what is more is refused."""
+    """Lasting rate through one entry; what is more is refused."""
     priority: models.Name
     """Of calls whose route names none."""
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -51,6 +51,26 @@
     def test_what_is_not_in_the_document(self, changes, reason):
         self.assertEqual(self.check(**changes), reason)
 
+    def test_what_an_account_may_have_counts_at_each_entry(self):
+        """One entry keeps the limit; it knows nothing of the others'."""
+        account = entry_fake.Directory().document.accounts[0]
+        other = admission.Admission(
+            directory=entry_fake.Directory(),
+            max_requests=2 * account.max_in_flight,
+            max_streams=3,
+        )
+        self.gate = admission.Admission(
+            directory=entry_fake.Directory(),
+            max_requests=2 * account.max_in_flight,
+            max_streams=3,
+        )
+        for _ in range(account.max_in_flight):
+            self.assertIsNone(self.check())
+            self.gate.enter(account.name, False)
+        self.assertEqual(self.check(), REASON.ACCOUNT_LIMIT)
+        admitted = other.check(100.0, entry_fake.call())
+        self.assertIsInstance(admitted, admission.Admitted)
+
     def test_an_account_that_sends_too_fast_is_told_when(self):
         refused = None
         while refused is None or not isinstance(refused, verdict.Refusal):
