--- a/tools/capacity_network.py
+++ b/tools/capacity_network.py
@@ -22,6 +22,7 @@
 from dandeliongw.coordination import membership
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
+from dandeliongw.coordination import quarantine
 from dandeliongw.coordination import register
 from dandeliongw.coordination import register_messages
 from dandeliongw import document
@@ -53,6 +54,7 @@
     'claims': claim_messages.MESSAGES,
     'presence': presence.MESSAGES,
     'cells': cells.MESSAGES,
+    'quarantine': quarantine.MESSAGES,
 }
 _PART_BY_MESSAGE = {
     message: part
