--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -15,8 +15,8 @@
 TIMEOUTS = {'entries_ttl_s': 0.5, 'confirm_ttl_s': 2.0}
 
 
-class SystemTest(unittest.TestCase):
-    """A fresh system for each test: every one of them breaks it."""
+class Serving(unittest.TestCase):
+    """The base: three instances that serve the example document."""
 
     def setUp(self):
         folder = tempfile.mkdtemp(prefix='dandeliongw-')
@@ -27,6 +27,13 @@
             'gw-1', local.example_document(), 'first'
         )
         self.system.wait_serving(self.revision)
+
+
+class SystemTest(Serving):
+    """A fresh system for each test: every one of them breaks it."""
+
+    def setUp(self):
+        super().setUp()
         self.system.start_stand_in(
             'standin_service',
             'portal-1',
@@ -165,16 +172,11 @@
         self.assertEqual(self.revision, held['revision'])
 
 
-class EngineMemoryTest(unittest.TestCase):
+class EngineMemoryTest(Serving):
     """No engine memory stays held for a caller who has gone."""
 
     def setUp(self):
-        folder = tempfile.mkdtemp(prefix='dandeliongw-')
-        self.addCleanup(shutil.rmtree, folder)
-        running = local.running(folder=pathlib.Path(folder), timeouts=TIMEOUTS)
-        self.system = self.enterContext(running)
-        revision = self.system.apply('gw-1', local.example_document(), 'first')
-        self.system.wait_serving(revision)
+        super().setUp()
         common = ('--service', 'dieline-llm', '--data-centre', 'dc-a')
         for role in ('prefill', 'decode'):
             self.system.start_stand_in(
@@ -249,7 +251,7 @@
         local.wait_until('the engines hold nothing', lambda: not self.held())
 
 
-class EndingCall(unittest.TestCase):
+class EndingCall(Serving):
     """The base: one call ends each backend server that begins to run it.
 
     Such a call was sent again and again, with the same path, caller and body,
@@ -270,12 +272,7 @@
     SENDS = 12
 
     def setUp(self):
-        folder = tempfile.mkdtemp(prefix='dandeliongw-')
-        self.addCleanup(shutil.rmtree, folder)
-        running = local.running(folder=pathlib.Path(folder), timeouts=TIMEOUTS)
-        self.system = self.enterContext(running)
-        revision = self.system.apply('gw-1', local.example_document(), 'first')
-        self.system.wait_serving(revision)
+        super().setUp()
         self.ends = 0
         ports = local.free_ports(len(self.backends()))
         for backend_id, port in zip(self.backends(), ports):
