--- a/dandeliongw/coordination/quarantine.py
+++ b/dandeliongw/coordination/quarantine.py
@@ -25,6 +25,7 @@
 from ._cases import BUCKETS
 from ._cases import Case
 from ._cases import Cases
+from ._cases import End
 from ._quarantine_messages import CaseReport
 from ._quarantine_messages import Ended
 from ._quarantine_messages import Lift
@@ -41,6 +42,7 @@
 __all__ = [
     'Case',
     'CaseReport',
+    'End',
     'Ended',
     'Lift',
     'MESSAGES',
@@ -105,6 +107,11 @@
             return 0.0
         return max(0.0, case.held_until - now)
 
+    def ends(self, fingerprint: str) -> list[End]:
+        """Return the ends that count against a call, in order of time."""
+        case = self._cases.by_fingerprint.get(fingerprint)
+        return [] if case is None else case.counted
+
     def cases(self) -> list[Case]:
         """Return all evidence, for operators to read."""
         return list(self._cases.by_fingerprint.values())
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -146,6 +146,21 @@
     held_s: float
 
 
+class CallHeld(Decision, frozen=True, kw_only=True):
+    """A request is refused, as its call is quarantined.
+
+    :param call: the call's fingerprint; lines on the evidence have the same.
+    """
+
+    message: typing.ClassVar[str] = 'call held back'
+    request_id: str
+    call: str
+    backend_ids: str
+    told_by: str
+    last_ended_s: float
+    held_s: float
+
+
 class CallReleased(Decision, frozen=True, kw_only=True):
     """A call may be sent again."""
 
--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -49,7 +49,10 @@
         held_s = self._holds.held_s(now, request.call)
         if held_s:
             refusal = refusals.quarantined(request.known, held_s)
-            return self._endings.refuse(now, request, refusal)
+            return [
+                *self._holds.told(now, request.request_id, request.call),
+                *self._endings.refuse(now, request, refusal),
+            ]
         request.attempts += 1
         request.owner = ''
         return self.search(now, request)
@@ -94,7 +97,12 @@
         if held_s:
             refusal = refusals.quarantined(request.known, held_s)
             told = _tried(request, failure, 'it is held back', again=False)
-            return [*out, told, *self._endings.refuse(now, request, refusal)]
+            return [
+                *out,
+                told,
+                *self._holds.told(now, request.request_id, request.call),
+                *self._endings.refuse(now, request, refusal),
+            ]
         wait_s = self._backoff_s(request, entropy)
         hindrance = self._hindrance(now + wait_s, request)
         if hindrance:
--- a/dandeliongw/entry/holds.py
+++ b/dandeliongw/entry/holds.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from .. import decisions
 from .. import effects
 from .. import events
 from ..coordination import quarantine as quarantines
@@ -32,6 +33,20 @@
             return 0.0
         return self._quarantine.held_s(now, self.fingerprint(call))
 
+    def told(self, now: float, request_id: str, call: events.Call) -> Effects:
+        """Return the line that tells why a request is held back."""
+        fingerprint = self.fingerprint(call)
+        ends = self._quarantine.ends(fingerprint)
+        line = decisions.CallHeld(
+            request_id=request_id,
+            call=fingerprint,
+            backend_ids=' '.join(end.start.backend_id for end in ends),
+            told_by=' '.join(sorted({end.told_by for end in ends})),
+            last_ended_s=now - ends[-1].ended_at,
+            held_s=self._quarantine.held_s(now, fingerprint),
+        )
+        return [line.log()]
+
     def fingerprint(self, call: events.Call) -> str:
         """Return what tells a call from all others."""
         return self._fingerprints.of(call)
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -129,13 +129,15 @@
         # A call that ends the servers which run it would end more of them at
         # each send, with all that they run for others.
         held_s = self.holds.held_s(now, call)
+        out: Effects = []
         if held_s and not isinstance(admitted, verdict.Refusal):
             admitted = refusals.quarantined(_NOT_RUN, held_s)
+            out = self.holds.told(now, event.request_id, call)
         if isinstance(admitted, verdict.Refusal):
             refusal = admitted
             if call.idempotency_key is not None:
                 refusal = refusals.keyed(refusal)
-            return endings.turn_away(event.request_id, refusal)
+            return [*out, *endings.turn_away(event.request_id, refusal)]
         request = self._make_request(event, admitted)
         self.requests_by_id[event.request_id] = request
         self._gate.enter(admitted.account.name, admitted.streamed)
@@ -214,6 +216,7 @@
                 continue
             held_s = self.holds.held_s(now, request.call)
             refusal = refusals.quarantined(request.known, held_s)
+            out += self.holds.told(now, request.request_id, request.call)
             out += self._endings.stop(
                 now, request, refusal, cells.Outcome.CANCELLED
             )
--- a/dandeliongw/explain.py
+++ b/dandeliongw/explain.py
@@ -24,6 +24,12 @@
     'owns a cell no more',
     'an engine is moved to another pool',
 )
+#: What says of a call, by its fingerprint, why it is held back.
+EVIDENCE = (
+    'backend server ended under a call',
+    'call quarantined',
+    'call released',
+)
 #: Seconds before a request's first line in which beliefs are shown.
 BEFORE_S = 5.0
 
@@ -52,6 +58,7 @@
         'request_id': request_id,
         'end': _end(own),
         'lines': own,
+        'evidence': _evidence(every, own),
         'beliefs': _beliefs(every, instances, own[0], own[-1]),
     }
 
@@ -65,6 +72,19 @@
     return None
 
 
+def _evidence(
+    every: abc.Iterable[Line], own: abc.Sequence[Line]
+) -> list[Line]:
+    """Return what all instances said of the same call, whenever."""
+    calls = {line['call'] for line in own if 'call' in line}
+    found = [
+        line
+        for line in every
+        if line['message'] in EVIDENCE and line.get('call') in calls
+    ]
+    return sorted(found, key=lambda line: line['time'])
+
+
 def _beliefs(
     every: abc.Iterable[Line],
     instances: abc.Container[str],
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -56,6 +56,14 @@
         found = explain.explain('c1', [self.write(*LINES)])
         self.assertEqual(found['beliefs'], [LINES[1]])
 
+    def test_why_its_call_is_held_back(self):
+        held = line(10.0, 'call held back', request_id='c1.8f3a', call='f1')
+        ended = 'backend server ended under a call'
+        early = line(1.0, ended, instance='gw-3', request_id='c0', call='f1')
+        other = line(2.0, ended, request_id='c9', call='f2')
+        found = explain.explain('c1', [self.write(*LINES, other, held, early)])
+        self.assertEqual([early], found['evidence'])
+
     def test_a_cancel_that_fails_late_is_not_the_end(self):
         """A failed call's last line was taken for its refusal.
 
--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -59,6 +59,10 @@
         self.assertEqual(NOT_RUN, refusal.verdict)
         self.assertGreater(refusal.retry_after_s, 60.0)
         self.assertEqual([], self.entry.sent(cells.Book))
+        fields = dict(self.entry.one(effects.Log).fields)
+        self.assertEqual(self.fingerprint('lookup'), fields['call'])
+        self.assertEqual('a b c', fields['backend_ids'])
+        self.assertEqual('8.000', fields['last_ended_s'])
 
     def test_other_calls_go_on(self):
         self.hold('lookup')
