--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from dandeliongw.borders import web
 from dandeliongw import effects
 from dandeliongw import engine
+from dandeliongw.entry import fingerprints
 from dandeliongw.entry import relay
 from dandeliongw import events
 from dandeliongw import hosts
@@ -212,6 +213,28 @@
             {'Host': 'here', 'X-Name': 'n1', 'X-Other': 'o'},
         )
 
+    @params(
+        ('GET /a?x=1', b'body', True),
+        ('GET /a?x=2', b'body', False),
+        ('POST /a?x=1', b'body', False),
+        ('GET /a?x=1', b'other', False),
+    )
+    def test_what_makes_two_sends_the_same_call(self, line, body, is_same):
+        """Its caller has no account, and is known by its address."""
+        sent = [
+            test_callers.raw('GET /a?x=1', b'body', 'X-Name: n1'),
+            test_callers.raw(line, body, 'X-Name: n2', 'X-Deadline: 3'),
+        ]
+        refused = refuse(REASON.NO_BACKEND, NOT_RUN)
+        made = []
+        for each in sent:
+            gate = Gate(refused)
+            ask(gate, each)
+            ((call, _),) = gate.opened
+            self.assertEqual('127.0.0.1', call.caller)
+            made.append(fingerprints.Fingerprints(secret=None).of(call))
+        self.assertEqual(is_same, made[0] == made[1])
+
     def test_a_stream_comes_as_it_was_made(self):
         answer = ask(Gate(DECODE, COMPLETE), raw())
         self.assertEqual((answer.status, answer.body), (200, b''.join(EVENTS)))
@@ -279,6 +302,8 @@
         (REASON.DEADLINE_PASSED, NOT_RUN, 503),
         (REASON.DEADLINE_PASSED, MAY_HAVE_RUN, 504),
         (REASON.NO_OWNER, MAY_HAVE_RUN, 502),
+        (REASON.QUARANTINED, NOT_RUN, 503),
+        (REASON.QUARANTINED, MAY_HAVE_RUN, 502),
         (REASON.DRAINING, verdict.Verdict.RAN, 502),
     )
     def test_only_what_is_proved_is_told_as_not_run(
