--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -46,13 +46,10 @@
 
     def begin(self, now: float, request: Request) -> Effects:
         """Begin another attempt, with an id of its own."""
-        held_s = self._holds.held_s(now, request.call)
-        if held_s:
-            refusal = refusals.quarantined(request.known, held_s)
-            return [
-                *self._holds.told(now, request.request_id, request.call),
-                *self._endings.refuse(now, request, refusal),
-            ]
+        held = self._held(now, request)
+        if held is not None:
+            refused = self._endings.refuse(now, request, held.refusal)
+            return [held.line, *refused]
         request.attempts += 1
         request.owner = ''
         return self.search(now, request)
@@ -93,16 +90,11 @@
             refusal = refusals.backend_failed(message)
             told = _tried(request, failure, 'it may have run', again=False)
             return [*out, told, *self._endings.refuse(now, request, refusal)]
-        held_s = self._holds.held_s(now, request.call)
-        if held_s:
-            refusal = refusals.quarantined(request.known, held_s)
+        held = self._held(now, request)
+        if held is not None:
             told = _tried(request, failure, 'it is held back', again=False)
-            return [
-                *out,
-                told,
-                *self._holds.told(now, request.request_id, request.call),
-                *self._endings.refuse(now, request, refusal),
-            ]
+            refused = self._endings.refuse(now, request, held.refusal)
+            return [*out, told, held.line, *refused]
         wait_s = self._backoff_s(request, entropy)
         hindrance = self._hindrance(now + wait_s, request)
         if hindrance:
@@ -116,6 +108,11 @@
         request.retry_at = now + wait_s
         return [*out, count]
 
+    def _held(self, now: float, request: Request) -> hold_module.Held | None:
+        return self._holds.refusal(
+            now, request.request_id, request.call, request.known
+        )
+
     def _give_back(
         self,
         request: Request,
--- a/dandeliongw/entry/holds.py
+++ b/dandeliongw/entry/holds.py
@@ -2,16 +2,30 @@
 
 import typing
 
+import msgspec
+
 from .. import decisions
 from .. import effects
 from .. import events
+from .. import verdict
 from ..coordination import quarantine as quarantines
 from . import fingerprints as fingerprint_module
+from . import refusals
 from . import request as request_module
 
 Effects = list[typing.Any]
 
 
+class Held(msgspec.Struct, frozen=True, kw_only=True):
+    """A request whose call is held back.
+
+    :param line: tells the evidence.
+    """
+
+    refusal: verdict.Refusal
+    line: effects.Log
+
+
 class Holds:
     """What the quarantine says of the calls of this entry.
 
@@ -27,15 +41,23 @@
         self._quarantine = quarantine
         self._fingerprints = fingerprints
 
-    def held_s(self, now: float, call: events.Call) -> float:
-        """Return for how long a call is held back; 0 if it may be sent."""
-        if self._quarantine.is_empty:
-            return 0.0
-        return self._quarantine.held_s(now, self.fingerprint(call))
+    def refusal(
+        self,
+        now: float,
+        request_id: str,
+        call: events.Call,
+        known: verdict.Verdict = verdict.Verdict.NOT_RUN,
+    ) -> Held | None:
+        """Return why a request is refused; ``None`` if it may be sent.
 
-    def told(self, now: float, request_id: str, call: events.Call) -> Effects:
-        """Return the line that tells why a request is held back."""
+        :param known: what is proved about this send having run.
+        """
+        if self._quarantine.is_empty:
+            return None
         fingerprint = self.fingerprint(call)
+        held_s = self._quarantine.held_s(now, fingerprint)
+        if not held_s:
+            return None
         ends = self._quarantine.ends(fingerprint)
         line = decisions.CallHeld(
             request_id=request_id,
@@ -43,9 +65,11 @@
             backend_ids=' '.join(end.start.backend_id for end in ends),
             told_by=' '.join(sorted({end.told_by for end in ends})),
             last_ended_s=now - ends[-1].ended_at,
-            held_s=self._quarantine.held_s(now, fingerprint),
+            held_s=held_s,
+        )
+        return Held(
+            refusal=refusals.quarantined(known, held_s), line=line.log()
         )
-        return [line.log()]
 
     def fingerprint(self, call: events.Call) -> str:
         """Return what tells a call from all others."""
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -128,11 +128,11 @@
         admitted = self._gate.check(now, call, event.entropy)
         # A call that ends the servers which run it would end more of them at
         # each send, with all that they run for others.
-        held_s = self.holds.held_s(now, call)
+        held = self.holds.refusal(now, event.request_id, call)
         out: Effects = []
-        if held_s and not isinstance(admitted, verdict.Refusal):
-            admitted = refusals.quarantined(_NOT_RUN, held_s)
-            out = self.holds.told(now, event.request_id, call)
+        if held is not None and not isinstance(admitted, verdict.Refusal):
+            admitted = held.refusal
+            out = [held.line]
         if isinstance(admitted, verdict.Refusal):
             refusal = admitted
             if call.idempotency_key is not None:
@@ -214,11 +214,14 @@
                 continue
             if self.holds.fingerprint(request.call) != fingerprint:
                 continue
-            held_s = self.holds.held_s(now, request.call)
-            refusal = refusals.quarantined(request.known, held_s)
-            out += self.holds.told(now, request.request_id, request.call)
+            held = self.holds.refusal(
+                now, request.request_id, request.call, request.known
+            )
+            if held is None:
+                continue
+            out.append(held.line)
             out += self._endings.stop(
-                now, request, refusal, cells.Outcome.CANCELLED
+                now, request, held.refusal, cells.Outcome.CANCELLED
             )
         return out
 
