--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -1,5 +1,6 @@
 """Failures of whole instances, with real processes on loopback addresses."""
 
+from concurrent import futures
 import itertools
 import json
 import pathlib
@@ -339,6 +340,23 @@
     def test_the_entries_stop_it_together(self):
         self.check()
 
+    def test_a_wave_at_one_moment_is_the_only_one(self):
+        """Copies of the call come at once, and again when servers are back.
+
+        All backend servers ended at one moment under them. Taken for the
+        loss of a rack, that was held against nobody, and the next wave met
+        them as they came back: eleven ended under one call, five of them
+        more than three seconds after the third.
+        """
+        entries = list(self.system.instances_by_id) * 2
+        with futures.ThreadPoolExecutor(len(entries)) as pool:
+            for _ in range(2):
+                list(pool.map(self.send, entries, ['ending'] * len(entries)))
+                self.restart_ended()
+                self.wait_for_others()
+        self.assertGreaterEqual(self.ends, 3)
+        self.assertLessEqual(self.ends, len(self.backends()))
+
 
 class EndingStreamTest(EndingCall):
     """A stream that ends the decode engines which begin to run it."""
