Ends at one moment count, unless another call ran on all of these servers

Copies of a bad call that came at one moment ended all servers, and the next copies ended them again as they came back: for a moment's ends were held against nobody, as those of a rack that loses power would be.

Now a call is spared for that only where another call ran on each of these servers, which a rack's loss shows and a bad call's copies don't. A harmless call that was polled on three of them alone is held until a copy that runs elsewhere ends well.

--- a/dandeliongw/coordination/_cases.py
+++ b/dandeliongw/coordination/_cases.py
@@ -21,8 +21,8 @@
 ENDS_TO_HOLD = 3
 #: ... where another call ran on each of these backend servers as well.
 ENDS_TO_HOLD_IF_SHARED = 4
-#: Seconds between the first end and the last. A rack that loses power ends
-#: several backend servers at one moment, under calls that did nothing.
+#: ... and so many seconds between the first end and the last. A rack that
+#: loses power ends several servers at one moment, under all that they ran.
 SPREAD_S = 0.3
 #: Seconds after its last end for which a call is held, doubled with each end
 #: more: one that was held wrongly, or was mended, gets a try now and then.
@@ -216,11 +216,12 @@
     def _are_enough(self, case: Case, ends: abc.Sequence[End]) -> bool:
         if len(ends) < ENDS_TO_HOLD:
             return False
-        if ends[-1].ended_at - ends[0].ended_at < SPREAD_S:
-            return False
-        return len(ends) >= ENDS_TO_HOLD_IF_SHARED or not self._has_rival(
-            case, ends
-        )
+        if not self._has_rival(case, ends):
+            # Also at one moment: copies of a bad call may come at once, and
+            # the next ones would end the servers as they come back.
+            return True
+        spread_s = ends[-1].ended_at - ends[0].ended_at
+        return len(ends) >= ENDS_TO_HOLD_IF_SHARED and spread_s >= SPREAD_S
 
     def _has_rival(self, case: Case, ends: abc.Sequence[End]) -> bool:
         """Whether another call ran wherever this one did."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -98,6 +98,31 @@
             self.end(backend_id, *calls, after_s=0.05)
         self.assertFalse(any(self.held_s(each) for each in calls))
 
+    def test_copies_at_one_moment_are_held(self):
+        """Symptom: servers that come back end at once, again and again.
+
+        Sequence: copies of a bad call run on all servers at one moment; the
+        next copies wait until the servers are back.
+        Cause: what ends at one moment would pass for the loss of a rack,
+        though nothing else ran on all of these servers.
+        """
+        self.end('a', BAD, 'near')
+        for backend_id in ('b', 'c'):
+            self.end(backend_id, BAD, after_s=0.02)
+        self.assertGreater(self.held_s(), 0.0)
+
+    def test_a_copy_that_ends_well_clears_the_others(self):
+        """A harmless call that was polled everywhere when a rack was lost."""
+        self.end('a', BAD)
+        for backend_id in ('b', 'c'):
+            self.end(backend_id, BAD, after_s=0.02)
+        self.succeed(BAD)
+        (released,) = [
+            each for each in self.out if isinstance(each, quarantine.Released)
+        ]
+        self.assertEqual('a run ended well', released.why)
+        self.assertEqual(0.0, self.held_s())
+
     def test_neighbours_of_a_bad_call_go_on(self):
         """Symptom: streams that ran beside a bad call are refused, too.
 
@@ -295,6 +320,12 @@
         self.entries.run(SETTLE_S - 0.4)
         self.assertEqual([], self.entries.not_holding())
 
+    def test_copies_at_six_entries_add_up_before_servers_are_back(self):
+        for number in range(6):
+            self.entries.end(f'gw-{number * 9}', f'server-{number}')
+        self.entries.run(SETTLE_S)
+        self.assertEqual([], self.entries.not_holding())
+
     def test_nothing_is_sent_while_there_is_no_evidence(self):
         sent = self.entries.sent
         self.entries.run(10.0)
