What a held call explains puts off another one's hold by one end only

Now a call with four ends is held if one of them is its own, and one that only ran beside a held call never is.

The test of neighbours expected a fifth end of its own before a neighbour is held; it is held at the fourth in all now, which is what is written above.

Test: the bad call not held at its fourth end before, held after.

--- a/dandeliongw/coordination/_cases.py
+++ b/dandeliongw/coordination/_cases.py
@@ -19,7 +19,8 @@
 #: Ends that tell that a call is to blame. One may be chance, and of the calls
 #: that ran beside a bad one some run beside its next send, too.
 ENDS_TO_HOLD = 3
-#: ... where another call ran on each of these backend servers as well.
+#: ... where another call ran on each of these backend servers as well, or one
+#: that is held explains some of them.
 ENDS_TO_HOLD_IF_SHARED = 4
 #: ... and so many seconds between the first end and the last. A rack that
 #: loses power ends several servers at one moment, under all that they ran.
@@ -205,23 +206,27 @@
         """Return the call that was the first to end enough servers."""
         found = None
         for case in cases:
-            ends = [end for end in case.counted if end.start not in explained]
-            if not self._are_enough(case, ends):
+            ends = case.counted
+            if not self._are_enough(case, ends, explained):
                 continue
             rank = ends[ENDS_TO_HOLD - 1].ended_at, case.fingerprint
             if found is None or rank < found[0]:
                 found = rank, case, ends
         return None if found is None else found[1:]
 
-    def _are_enough(self, case: Case, ends: abc.Sequence[End]) -> bool:
-        if len(ends) < ENDS_TO_HOLD:
-            return False
-        if not self._has_rival(case, ends):
+    def _are_enough(
+        self, case: Case, ends: abc.Sequence[End], explained: set[BackendStart]
+    ) -> bool:
+        own = [end for end in ends if end.start not in explained]
+        if len(own) >= ENDS_TO_HOLD and not self._has_rival(case, own):
             # Also at one moment: copies of a bad call may come at once, and
             # the next ones would end the servers as they come back.
             return True
-        spread_s = ends[-1].ended_at - ends[0].ended_at
-        return len(ends) >= ENDS_TO_HOLD_IF_SHARED and spread_s >= SPREAD_S
+        if not own or len(ends) < ENDS_TO_HOLD_IF_SHARED:
+            return False
+        # What explains the others may itself be a neighbour of this one: it
+        # puts off the hold by one end, and not for as long as it explains.
+        return ends[-1].ended_at - ends[0].ended_at >= SPREAD_S
 
     def _has_rival(self, case: Case, ends: abc.Sequence[End]) -> bool:
         """Whether another call ran wherever this one did."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -136,10 +136,31 @@
         self.assertGreater(self.held_s(), 0.0)
         # Its first two ends are explained by the bad call.
         self.end('d', 'near')
-        self.end('e', 'near')
         self.assertEqual(0.0, self.held_s('near'))
-        self.end('f', 'near')
+        self.end('e', 'near')
+        self.assertGreater(self.held_s('near'), 0.0)
+
+    def test_a_neighbour_that_is_held_hides_no_bad_call(self):
+        """Symptom: a bad call ends five servers and more.
+
+        Sequence: two bad calls run at a time; a neighbour of both meets two
+        ends of one and one of the other, and so three before either.
+        Cause: once that is held, it explains the ends of the bad ones.
+        """
+        self.end('a', BAD, 'near')
+        self.end('b', BAD, 'near')
+        self.end('x', 'worse', 'near')
         self.assertGreater(self.held_s('near'), 0.0)
+        self.end('c', BAD)
+        self.end('d', BAD)
+        self.assertGreater(self.held_s(), 0.0)
+
+    def test_one_that_only_ran_beside_a_held_call_is_never_held(self):
+        for backend_id in ('a', 'b', 'c', 'd'):
+            self.end(backend_id, BAD)
+        for backend_id in ('a', 'b', 'c', 'd'):
+            self.end(backend_id, 'near', after_s=0.0)
+        self.assertEqual(0.0, self.held_s('near'))
 
     def test_two_that_ran_at_the_same_places_get_one_try_more(self):
         for backend_id in ('a', 'b', 'c'):
