--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -117,6 +117,7 @@
     """A backend server ended while it ran a call of this entry.
 
     :param call: the call's fingerprint.
+    :param caller: its account, or the address it came from.
     :param calls_beside: others of this entry that it ran just then.
     """
 
@@ -124,6 +125,7 @@
     level: typing.ClassVar[str] = 'WARNING'
     request_id: str
     call: str
+    caller: str
     backend_id: str
     incarnation: int
     ran_ms: int
--- a/dandeliongw/entry/breaks.py
+++ b/dandeliongw/entry/breaks.py
@@ -28,12 +28,14 @@
     """A run that ended with its connection.
 
     :param fingerprint: of the call.
+    :param caller: its account, or the address it came from.
     :param url: of the backend server.
     :param ran_s: from the beginning of the run until it broke off.
     """
 
     request_id: str
     fingerprint: str
+    caller: str
     start: presence.BackendStart
     url: str
     ran_s: float
@@ -104,6 +106,7 @@
         line = decisions.BackendEnded(
             request_id=run.request_id,
             call=fingerprint,
+            caller=run.caller,
             backend_id=event.start.backend_id,
             incarnation=event.start.incarnation,
             ran_ms=round(run.ran_s * 1000),
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -335,6 +335,7 @@
         return breaks.BrokenRun(
             request_id=request.request_id,
             fingerprint=self.holds.fingerprint(request.call),
+            caller=request.call.caller or request.admitted.account.name,
             start=place.start,
             url=place.url,
             ran_s=event.now - request.phase_at,
--- a/tests/test_breaks.py
+++ b/tests/test_breaks.py
@@ -22,6 +22,7 @@
         run = breaks.BrokenRun(
             request_id='r1',
             fingerprint=fingerprint,
+            caller='10.0.0.9',
             start=START,
             url='http://10.0.0.1:80',
             ran_s=0.25,
@@ -55,6 +56,7 @@
         self.assertEqual('f2', second.event.fingerprint)
         fields = dict(line.fields)
         self.assertEqual('250', fields['ran_ms'])
+        self.assertEqual('10.0.0.9', fields['caller'])
         self.assertEqual('1', fields['calls_beside'])
         self.assertEqual([], self.tick(10.0))
 
