After a reading of the whole change: one digest of a call, a line for what is not counted

The gateway had a digest of its own, the same as the callers' border's. An end that a server had announced was dropped without a line. What forget_old returned nobody read, and a cast hid two loops in one.

--- a/dandeliongw/borders/calls.py
+++ b/dandeliongw/borders/calls.py
@@ -88,7 +88,7 @@
         streamed=True,
         key_sha256=_account_key(headers),
         idempotency_key=_idempotency_key(headers),
-        digest=_digest('POST', '/v1/completions', body),
+        digest=digest('POST', '/v1/completions', body),
         prompt_tokens=len(prompt.split()),
         max_tokens=max_tokens,
         prefix=prefixes.hash_blocks(prompt),
@@ -166,7 +166,7 @@
         streamed=False,
         key_sha256=_account_key(headers),
         idempotency_key=_idempotency_key(headers),
-        digest=_digest(request.method, target.rest, body),
+        digest=digest(request.method, target.rest, body),
         priority=headers.get('X-Priority'),
         deadline_s=_deadline(headers),
     )
@@ -234,7 +234,11 @@
     return seconds
 
 
-def _digest(method: str, target: str, body: bytes) -> bytes:
-    digest = hashlib.sha256(f'{method} {target}\n'.encode())
-    digest.update(body)
-    return digest.digest()
+def digest(method: str, target: str, body: bytes) -> bytes:
+    """Return what tells two calls of one caller apart.
+
+    :param target: path and query, as they were sent.
+    """
+    found = hashlib.sha256(f'{method} {target}\n'.encode())
+    found.update(body)
+    return found.digest()
--- a/dandeliongw/borders/gateway.py
+++ b/dandeliongw/borders/gateway.py
@@ -7,7 +7,6 @@
 
 from collections import abc
 import errno
-import hashlib
 import http
 import re
 import socket
@@ -185,7 +184,7 @@
             streamed=False,
             key_sha256='',
             idempotency_key=None,
-            digest=_digest(method, target, body),
+            digest=calls.digest(method, target, body),
             prompt_tokens=facts.prompt_tokens,
             max_tokens=facts.max_tokens,
             expected_tokens=facts.expected_tokens,
@@ -380,12 +379,6 @@
     )
 
 
-def _digest(method: str, target: str, body: bytes) -> bytes:
-    digest = hashlib.sha256(f'{method} {target}\n'.encode())
-    digest.update(body)
-    return digest.digest()
-
-
 def _read_host(headers: Headers) -> str:
     given = dict(headers).get('Host', '')
     found = _HOST.fullmatch(given.lower())
--- a/dandeliongw/coordination/_cases.py
+++ b/dandeliongw/coordination/_cases.py
@@ -6,7 +6,6 @@
 """
 
 from collections import abc
-import typing
 
 import msgspec
 import xxhash
@@ -182,9 +181,9 @@
         """Return the calls that are to be held, and until when.
 
         An engine carries dozens of streams. Held against all of them alike,
-        a few sends of one bad call would get its neighbours refused. So
-        what ended three servers first explains their ends, and the others
-        are judged by what is left.
+        a few sends of one bad call would get its neighbours refused. So the
+        first call that is held explains its ends, and the others are judged
+        by what is left, see :meth:`_are_enough`.
         """
         until_by_fingerprint: dict[str, float] = {}
         explained: set[BackendStart] = set()
@@ -240,8 +239,8 @@
         ]
         return len(set.intersection(*with_each)) > 1
 
-    def forget_old(self, now: float) -> list[Case]:
-        """Drop what is old, or too much; return what was dropped."""
+    def forget_old(self, now: float) -> None:
+        """Drop what is old, or too much."""
         old = [
             case
             for case in self.by_fingerprint.values()
@@ -258,8 +257,6 @@
             )
             for case in ranked[:surplus]:
                 self._drop(case)
-                old.append(case)
-        return old
 
     def _drop(self, case: Case) -> None:
         self._checksums = None
@@ -305,12 +302,11 @@
 
 
 def _items(case: Case) -> abc.Iterator[str]:
-    for kind, starts in (
-        ('end', case.ends_by_start),
-        ('cleared', case.cleared),
-    ):
-        for start in typing.cast(abc.Iterable[BackendStart], starts):
-            yield (
-                f'{kind} {case.fingerprint} {start.incarnation} '
-                f'{start.backend_id}'
-            )
+    for start in case.ends_by_start:
+        yield _item('end', case, start)
+    for start in case.cleared:
+        yield _item('cleared', case, start)
+
+
+def _item(kind: str, case: Case, start: BackendStart) -> str:
+    return f'{kind} {case.fingerprint} {start.incarnation} {start.backend_id}'
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -570,7 +570,13 @@
         Of one that is taken away under its work, that work says nothing.
         """
         if self.presence.has_left(event.start):
-            return []
+            return [
+                effects.log(
+                    'an end that was announced is not held against a call',
+                    call=event.fingerprint,
+                    backend_id=event.start.backend_id,
+                )
+            ]
         return self.quarantine.handle(event)
 
     def _hold(
--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -221,7 +221,8 @@
                 ),
             )
             self.network.run(1.0)
-            self.end('gw-2', backend_id)
+            (line,) = self.end('gw-2', backend_id)
+            self.assertIn('announced', line.message)
         self.assertNotEqual(REASON.QUARANTINED, self.refusal_at('gw-2'))
 
     def test_a_lift_lets_it_through_everywhere(self):
