--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -96,6 +96,32 @@
         self.assertIs(RefusalReason.NO_BACKEND, effect.message.reason)
 
 
+class StartTest(unittest.TestCase):
+    """A booking names the start of each backend server that is meant."""
+
+    def test_each_of_a_pair_has_its_own(self):
+        backends = [
+            msgspec.structs.replace(each, incarnation=incarnation)
+            for each, incarnation in (
+                (make_backend('p1', 'prefill'), 3),
+                (make_backend('d1', 'decode'), 8),
+            )
+        ]
+        (booked,) = send(make_cell(*backends), make_book())
+        told = booked.message
+        self.assertEqual(3, told.prefill_incarnation)
+        self.assertEqual(8, told.decode_incarnation)
+        self.assertEqual(0, told.plain_incarnation)
+
+    def test_a_plain_one(self):
+        backend = msgspec.structs.replace(
+            make_backend('s1', 'plain'), incarnation=5
+        )
+        book = make_book(stage=vocabulary.Stage.PLAIN)
+        (booked,) = send(make_cell(backend), book)
+        self.assertEqual(5, booked.message.plain_incarnation)
+
+
 class MoveTest(unittest.TestCase):
     """Symptom: thousands of refused imports for a handful of requests.
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -99,6 +99,15 @@
         """
         self.assertEqual(self.fails(reply).known, MAY_HAVE_RUN)
 
+    @params(
+        (reset, True),
+        (b'', True),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf', True),
+        (raw_server.answer({}, '503 Busy', 'X-Not-Run: true'), False),
+    )
+    def test_a_connection_that_ends_is_told_from_an_answer(self, reply, cut):
+        self.assertEqual(cut, self.fails(reply).is_cut)
+
     def test_silence_may_have_run(self):
         """Symptom: every call of more than a second fails, as if stalled.
 
@@ -109,6 +118,7 @@
             with self.assertRaises(engine.StalledError) as caught:
                 book(server.url, timeout_s=0.05)
         self.assertEqual(caught.exception.known, MAY_HAVE_RUN)
+        self.assertFalse(caught.exception.is_cut)
 
     def test_an_answer_has_its_own_time_out_not_the_connects(self):
         """As above; a test that waited would tell it by its length only."""
@@ -197,9 +207,11 @@
                 )
             )
             aborter.start()
-            with self.assertRaises(engine.EngineError):
+            with self.assertRaises(engine.EngineError) as caught:
                 list(decode(adapter))
             aborter.join()
+        # It was this end that ended the connection.
+        self.assertFalse(caught.exception.is_cut)
 
     def test_an_abort_before_the_call_sends_nothing(self):
         with raw_server.serving(OK) as server:
--- a/tests/test_platform_replicas.py
+++ b/tests/test_platform_replicas.py
@@ -149,6 +149,13 @@
                 prefill(made.url)
         self.assertIs(caught.exception.known, NOT_RUN)
 
+    @params((b'', True), (answer(500), False), (answer(body=b'no'), False))
+    def test_a_connection_that_ends_is_told_from_an_answer(self, reply, cut):
+        with raw_server.serving(reply) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                prefill(made.url)
+        self.assertEqual(cut, caught.exception.is_cut)
+
 
 class StreamTest(unittest.TestCase):
     def test_events_pass_as_they_came(self):
@@ -170,6 +177,19 @@
         self.assertIs(caught.exception.known, NOT_RUN)
         self.assertEqual(caught.exception.reason, 'busy')
 
+    @params(
+        (answer(body=EVENTS[:-3], Content_Length=str(len(EVENTS))), True),
+        (answer(body=EVENTS[:-1]), True),
+        (answer(body=b'data: no number\n\n'), False),
+        (answer(500, b'sorry'), False),
+        (answer(421, b'another'), False),
+    )
+    def test_a_connection_that_ends_is_told_from_an_answer(self, reply, cut):
+        with raw_server.serving(reply) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                stream(made.url)
+        self.assertEqual(cut, caught.exception.is_cut)
+
     @params(
         answer(body=EVENTS[:-3], Content_Length=str(len(EVENTS))),
         answer(body=EVENTS[:-1]),
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -197,6 +197,23 @@
         self.handle(parts.Ticked(now=self.now, entropy=1))
         self.assertTrue(self.part.is_empty)
 
+    def test_what_is_old_elsewhere_is_not_taken_back(self):
+        """Symptom: evidence goes round for ever.
+
+        Sequence: two instances forget it a moment apart; the slower one tells
+        it to the quicker one, which tells it back later.
+        Cause: its age would begin anew with each telling.
+        """
+        end = quarantine.ReportedEnd(
+            start=start('a'), age_s=_cases.KEPT_S, told_by='gw-2'
+        )
+        report = quarantine.CaseReport(
+            fingerprint=BAD, ends=(end,), cleared=(), lift=None
+        )
+        news = quarantine.QuarantineNews(cases=(report,))
+        self.handle(parts.Received(now=self.now, sender='gw-2', message=news))
+        self.assertTrue(self.part.is_empty)
+
     def test_too_many_calls_push_out_those_with_the_fewest_ends(self):
         """Symptom: a bad call runs again, as others were made to look bad.
 
@@ -368,6 +385,21 @@
         self.entries.run(SETTLE_S)
         self.assertEqual([], self.entries.not_holding())
 
+    def test_an_entry_that_starts_asks_before_it_is_told(self):
+        """Symptom: an entry sends a held call in its first second.
+
+        Sequence: it starts; the others compare with two of them a second.
+        Cause: it would wait until one of them happens to pick it.
+        """
+        entries = Entries(count=80, loss=0.0, seed=7)
+        for number in range(3):
+            entries.end(f'gw-{number}', f'server-{number}')
+        entries.run(5.0)
+        entries.begin('gw-40')
+        # There and back, of 80 ms each at most.
+        entries.run(0.17)
+        self.assertEqual([], entries.not_holding())
+
     def test_entries_that_were_cut_off_learn_it(self):
         self.entries.cut = {'gw-50', 'gw-51'}
         self.end_three()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -228,6 +228,31 @@
         self.assertEqual((ended.failure, ended.known), (failure, NOT_RUN))
 
 
+class CutTest(unittest.TestCase):
+    """A step tells whether its connection ended before the answer."""
+
+    @params(
+        (run_prefill, b'', True),
+        (run_prefill, raw_server.answer({}, '503 Busy'), False),
+        (run_decode, STREAM_HEAD + piece('r.1', 0, 'a'), True),
+        (run_decode, stream(piece('r.1', 0, 'a')), True),
+        (run_decode, stream(piece('r.1', 0, 'a'), end('r.1', 3)), False),
+        (run_call, b'', True),
+        (
+            run_call,
+            raw_server.answer({}, '503 Busy', 'X-Not-Run: true'),
+            False,
+        ),
+    )
+    def test_which_failures_are_cuts(self, make, reply, cut):
+        replies = (IMPORTED, reply) if make is run_decode else (reply,)
+        kind = 'booking' if make is run_call else 'completion'
+        with raw_server.serving(*replies) as server, Carried(kind) as carried:
+            ended = carried.run(make(server.url))
+        self.assertIsNotNone(ended.failure)
+        self.assertEqual(cut, ended.is_cut)
+
+
 class Stops(unittest.TestCase):
     @params('prefill', 'decode', 'call', 'waiting')
     def test_a_stop_wakes_the_thread(self, step):
