engine.py and entry/relay.py have one job each again

engine.py (649 lines) held what a backend server can be asked, one HTTP call with its connection, and the backend servers that speak this project's HTTP: now engine.py (148), exchange.py and http_backends.py. entry/relay.py (568, now 450) gave away the stops of attempts and what a step's end is told as. Code was moved and renamed, and docstrings added; nothing else changed.

--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -10,7 +10,6 @@
 import functools
 import queue
 import secrets
-import threading
 import typing
 
 from loguru import logger
@@ -23,6 +22,8 @@
 from .. import verdict
 from . import outcome
 from . import spacing
+from . import step_ends
+from . import stops
 
 #: From here on a status tells that the backend server failed; another one
 #: may do better if the call may be repeated.
@@ -110,7 +111,7 @@
         self._directives: queue.SimpleQueue[
             tuple[float, effects.Directive]
         ] = queue.SimpleQueue()
-        self._stops = _Stops()
+        self._stops = stops.Stops()
         self._text: list[str] = []
         self._offset = work.pieces_held
         # Where the present engine's count of tokens begins.
@@ -205,17 +206,17 @@
         try:
             end = yield from self._do(given_at, directive)
         except engine.EngineError as error:
-            end = _Failed(
+            end = step_ends.Failed(
                 known=error.known,
-                failure=_failure(step, error),
+                failure=step_ends.failure_of(step, error),
                 message=str(error),
                 is_cut=error.is_cut,
             )
         except (KeyError, TypeError, ValueError, LookupError) as error:
             logger.exception('a backend server was not understood')
-            end = _Failed(
+            end = step_ends.Failed(
                 known=verdict.Verdict.MAY_HAVE_RUN,
-                failure=_GENERAL_FAILURES[step],
+                failure=step_ends.GENERAL_FAILURES[step],
                 message=f'the answer was not understood: {error!r}',
             )
         finally:
@@ -224,16 +225,20 @@
 
     def _do(
         self, given_at: float, directive: typing.Any
-    ) -> abc.Generator[engine.Piece, None, '_End']:
+    ) -> abc.Generator[engine.Piece, None, step_ends.End]:
         start_in_s = getattr(directive, 'start_in_s', 0.0)
         stop = self._stops.event(directive.attempt_id)
         if stop.wait(start_in_s) or stop.is_set():
-            return _Failed.unstarted('it was broken off before it started')
+            return step_ends.Failed.unstarted(
+                'it was broken off before it started'
+            )
         left_s = given_at + directive.deadline_in_s - self._clock()
         if left_s <= 0:
             # The process was frozen, or the machine is overloaded: nobody
             # waits for the result any more.
-            return _Failed.unstarted('its deadline passed before it started')
+            return step_ends.Failed.unstarted(
+                'its deadline passed before it started'
+            )
         match directive:
             case effects.RunPrefill():
                 return self._prefill(directive, left_s)
@@ -243,7 +248,7 @@
 
     def _prefill(
         self, directive: effects.RunPrefill, left_s: float
-    ) -> '_Done':
+    ) -> step_ends.Done:
         adapter = self._backends.model_engine(
             directive.url, directive.backend_id, self._offset
         )
@@ -260,7 +265,7 @@
                 fence=directive.fence,
                 deadline_s=left_s,
             )
-        return _Done(
+        return step_ends.Done(
             known=done.known,
             kv=done.kv,
             tokens=done.tokens,
@@ -269,7 +274,7 @@
 
     def _decode(
         self, directive: effects.RunDecode, left_s: float
-    ) -> abc.Generator[engine.Piece, None, '_Done']:
+    ) -> abc.Generator[engine.Piece, None, step_ends.Done]:
         adapter = self._backends.model_engine(
             directive.url, directive.backend_id, self._offset
         )
@@ -286,14 +291,14 @@
                     or self._offset < self.call.max_tokens
                 )
                 if directive.kv or lacks_more:
-                    raise _StreamError(error) from error
+                    raise step_ends.StreamError(error) from error
         self._outcome = outcome.Outcome(
             status=200,
             content_type='application/json',
             text=''.join(self._text),
             tokens=self._offset,
         )
-        return _Done(
+        return step_ends.Done(
             outcome=self._outcome.to_bytes(),
             tokens=self._offset,
             # A resumed stream brings at once what came during the break.
@@ -373,7 +378,9 @@
             self._has_head = True
             yield head
 
-    def _call(self, directive: effects.RunCall, left_s: float) -> '_Done':
+    def _call(
+        self, directive: effects.RunCall, left_s: float
+    ) -> step_ends.Done:
         adapter = self._backends.plain_service(
             directive.url, directive.backend_id, left_s
         )
@@ -398,10 +405,10 @@
             )
         self._headers = reply.headers
         self._outcome = _outcome_of(reply)
-        return _Done(outcome=self._outcome.to_bytes())
+        return step_ends.Done(outcome=self._outcome.to_bytes())
 
     def _end_step(
-        self, step: events.Step, attempt_id: str, end: '_End'
+        self, step: events.Step, attempt_id: str, end: step_ends.End
     ) -> None:
         late_pieces, self._late_pieces = self._late_pieces, 0
         fields = {
@@ -432,97 +439,6 @@
     )
 
 
-class _Stops:
-    """Which attempts are to stop, and the adapter that may block in one."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._events_by_attempt: dict[str, threading.Event] = {}
-        self._adapters_by_attempt: dict[str, typing.Any] = {}
-
-    def event(self, attempt_id: str) -> threading.Event:
-        with self._lock:
-            return self._events_by_attempt.setdefault(
-                attempt_id, threading.Event()
-            )
-
-    def stop(self, attempt_id: str) -> None:
-        self.event(attempt_id).set()
-        with self._lock:
-            adapter = self._adapters_by_attempt.get(attempt_id)
-        if adapter is not None:
-            adapter.abort()
-
-    def forget(self, attempt_id: str) -> None:
-        with self._lock:
-            self._adapters_by_attempt.pop(attempt_id, None)
-
-    @contextlib.contextmanager
-    def watching(
-        self, attempt_id: str, adapter: typing.Any
-    ) -> abc.Iterator[None]:
-        """Let a stop reach ``adapter``, also one that came just before.
-
-        A stop between the look at the event and the adapter's being known
-        would be lost, and the thread would work on for a caller who left.
-        """
-        with self._lock:
-            self._adapters_by_attempt[attempt_id] = adapter
-        if self.event(attempt_id).is_set():
-            adapter.abort()
-        try:
-            yield
-        finally:
-            self.forget(attempt_id)
-
-
-class _Done(msgspec.Struct, frozen=True, kw_only=True):
-    """A step that did what it should."""
-
-    known: verdict.Verdict = verdict.Verdict.RAN
-    kv: str = ''
-    tokens: int = 0
-    cached_tokens: int = 0
-    outcome: bytes = b''
-    token_gap_s: float = 0.0
-    first_piece_at: float | None = None
-    first_token_at: float | None = None
-
-
-class _Failed(msgspec.Struct, frozen=True, kw_only=True):
-    """A step that did not."""
-
-    known: verdict.Verdict
-    failure: verdict.RetryReason
-    message: str
-    is_cut: bool = False
-
-    @classmethod
-    def unstarted(cls, message: str) -> '_Failed':
-        """Nothing was sent."""
-        return cls(
-            known=verdict.Verdict.NOT_RUN,
-            failure=verdict.RetryReason.PREFILL_FAILED,
-            message=message,
-        )
-
-
-_End = _Done | _Failed
-
-
-class _StreamError(engine.EngineError):
-    """A decode engine's stream broke after its KV cache had arrived."""
-
-    def __init__(self, error: engine.EngineError) -> None:
-        super().__init__(
-            str(error),
-            known=verdict.Verdict.RAN,
-            reason=error.reason,
-            is_cut=error.is_cut,
-        )
-        self.is_stalled = isinstance(error, engine.StalledError)
-
-
 _STEP_BY_DIRECTIVE = {
     effects.RunPrefill: events.Step.PREFILL,
     effects.RunDecode: events.Step.DECODE,
@@ -530,39 +446,5 @@
 }
 
 
-_RETRY = verdict.RetryReason
-
-#: What a step failed by where nothing more is known.
-_GENERAL_FAILURES = {
-    events.Step.PREFILL: _RETRY.PREFILL_FAILED,
-    events.Step.DECODE: _RETRY.STREAM_BROKEN,
-    events.Step.CALL: _RETRY.STREAM_BROKEN,
-}
-
-
 def _broken(message: str) -> engine.EngineError:
     return engine.EngineError(message, known=verdict.Verdict.RAN)
-
-
-def _failure(
-    step: events.Step, error: engine.EngineError
-) -> verdict.RetryReason:
-    if isinstance(error, _StreamError):
-        if error.is_stalled:
-            return _RETRY.STREAM_STALLED
-        return _RETRY.STREAM_BROKEN
-    if error.reason == _RETRY.CONNECT_REFUSED:
-        return _RETRY.CONNECT_REFUSED
-    if error.reason == 'busy':
-        return _RETRY.BACKEND_BUSY
-    if step is events.Step.DECODE:
-        return _import_failure(error)
-    return _GENERAL_FAILURES[step]
-
-
-def _import_failure(error: engine.EngineError) -> verdict.RetryReason:
-    if isinstance(error, engine.StalledError) or error.reason == 'stalled':
-        return _RETRY.TRANSFER_STALLED
-    if error.reason == 'evicted':
-        return _RETRY.KV_EVICTED
-    return _RETRY.IMPORT_REFUSED
--- /dev/null
+++ b/dandeliongw/entry/step_ends.py
@@ -0,0 +1,88 @@
+"""How a step of a request ended, and what a failed one is told as."""
+
+import msgspec
+
+from .. import engine
+from .. import events
+from .. import verdict
+
+_RETRY = verdict.RetryReason
+
+#: What a step failed by where nothing more is known.
+GENERAL_FAILURES = {
+    events.Step.PREFILL: _RETRY.PREFILL_FAILED,
+    events.Step.DECODE: _RETRY.STREAM_BROKEN,
+    events.Step.CALL: _RETRY.STREAM_BROKEN,
+}
+
+
+class Done(msgspec.Struct, frozen=True, kw_only=True):
+    """A step that did what it should."""
+
+    known: verdict.Verdict = verdict.Verdict.RAN
+    kv: str = ''
+    tokens: int = 0
+    cached_tokens: int = 0
+    outcome: bytes = b''
+    token_gap_s: float = 0.0
+    first_piece_at: float | None = None
+    first_token_at: float | None = None
+
+
+class Failed(msgspec.Struct, frozen=True, kw_only=True):
+    """A step that did not."""
+
+    known: verdict.Verdict
+    failure: verdict.RetryReason
+    message: str
+    is_cut: bool = False
+
+    @classmethod
+    def unstarted(cls, message: str) -> 'Failed':
+        """Nothing was sent."""
+        return cls(
+            known=verdict.Verdict.NOT_RUN,
+            failure=verdict.RetryReason.PREFILL_FAILED,
+            message=message,
+        )
+
+
+End = Done | Failed
+
+
+class StreamError(engine.EngineError):
+    """A decode engine's stream broke after its KV cache had arrived."""
+
+    def __init__(self, error: engine.EngineError) -> None:
+        super().__init__(
+            str(error),
+            known=verdict.Verdict.RAN,
+            reason=error.reason,
+            is_cut=error.is_cut,
+        )
+        self.is_stalled = isinstance(error, engine.StalledError)
+
+
+def failure_of(
+    step: events.Step, error: engine.EngineError
+) -> verdict.RetryReason:
+    """Return why another attempt might help after an error of a step."""
+    if isinstance(error, StreamError):
+        if error.is_stalled:
+            return _RETRY.STREAM_STALLED
+        return _RETRY.STREAM_BROKEN
+    if error.reason == _RETRY.CONNECT_REFUSED:
+        return _RETRY.CONNECT_REFUSED
+    if error.reason == 'busy':
+        return _RETRY.BACKEND_BUSY
+    if step is events.Step.DECODE:
+        return _import_failure(error)
+    return GENERAL_FAILURES[step]
+
+
+def _import_failure(error: engine.EngineError) -> verdict.RetryReason:
+    if isinstance(error, engine.StalledError) or error.reason == 'stalled':
+        return _RETRY.TRANSFER_STALLED
+    if error.reason == 'evicted':
+        return _RETRY.KV_EVICTED
+    return _RETRY.IMPORT_REFUSED
--- a/dandeliongw/gates.py
+++ b/dandeliongw/gates.py
@@ -15,10 +15,10 @@
 
 from . import adapter as adapter_module
 from . import document as document_module
-from . import engine
 from . import events
 from . import exceptions
 from . import hosts
+from . import http_backends
 from . import joining
 from . import metrics as metrics_module
 from . import reducer as reducer_module
@@ -46,12 +46,12 @@
 
     def model_engine(
         self, url: str, backend_id: str, pieces_held: int
-    ) -> engine.HttpEngine:
+    ) -> http_backends.HttpEngine:
         return self.engine_at(url, backend_id)
 
-    def engine_at(self, url: str, backend_id: str) -> engine.HttpEngine:
+    def engine_at(self, url: str, backend_id: str) -> http_backends.HttpEngine:
         """Return the adapter that sends cancels and orders."""
-        return engine.HttpEngine(
+        return http_backends.HttpEngine(
             url=url,
             connect_s=self._timeouts.connect_s,
             first_byte_s=self._timeouts.first_byte_s,
@@ -60,8 +60,8 @@
 
     def plain_service(
         self, url: str, backend_id: str, timeout_s: float
-    ) -> engine.PlainService:
-        return engine.PlainService(
+    ) -> http_backends.PlainService:
+        return http_backends.PlainService(
             url=url,
             connect_s=self._timeouts.connect_s,
             timeout_s=timeout_s,
--- /dev/null
+++ b/dandeliongw/http_backends.py
@@ -0,0 +1,303 @@
+"""Backend servers that speak this project's own HTTP."""
+
+from collections import abc
+import contextlib
+import json
+import typing
+
+from . import engine
+from . import exchange as exchanges
+from . import verdict
+
+#: An engine's own words for what it did not do. Any other error, a plain
+#: 500 or one of a box in between, proves nothing.
+NOT_RUN_REASONS = frozenset(
+    ('busy', 'full', 'evicted', 'stalled', 'fenced', 'unknown')
+)
+#: How a plain service says, with status 503, that it did not run a call.
+NOT_RUN_HEADER = 'X-Not-Run'
+
+
+class HttpEngine:
+    """A model engine that speaks it; an :class:`.engine.Engine`."""
+
+    #: Longest JSON answer that is read.
+    MAX_ANSWER_BYTES = 1 << 20
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        connect_s: float,
+        first_byte_s: float,
+        stall_s: float,
+    ) -> None:
+        self.url = url
+        self._connect_s = connect_s
+        self._first_byte_s = first_byte_s
+        self._stall_s = stall_s
+        self._current: exchanges.Exchange | None = None
+        self._aborted = False
+
+    def prefill(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        prompt: str,
+        priority: int,
+        fence: int,
+        deadline_s: float,
+    ) -> engine.Prefilled:
+        answer = self._ask(
+            '/v1/prefill',
+            {
+                'stream_id': stream_id,
+                'attempt_id': attempt_id,
+                'prompt': prompt,
+                'priority': priority,
+                'fence': fence,
+            },
+            deadline_s,
+        )
+        with _understood(answer):
+            return engine.Prefilled(
+                kv=str(answer['kv']),
+                tokens=int(answer['tokens']),
+                cached_tokens=int(answer.get('cached_tokens', 0)),
+            )
+
+    def import_kv(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        kv: str,
+        source_url: str,
+        fence: int,
+        deadline_s: float,
+    ) -> None:
+        self._ask(
+            '/v1/import',
+            {
+                'stream_id': stream_id,
+                'attempt_id': attempt_id,
+                'kv': kv,
+                'source_url': source_url,
+                'fence': fence,
+            },
+            deadline_s,
+        )
+
+    def decode(
+        self,
+        *,
+        stream_id: str,
+        attempt_id: str,
+        max_tokens: int,
+        from_offset: int,
+        deadline_s: float,
+    ) -> abc.Generator[engine.Piece, None, None]:
+        body = {
+            'stream_id': stream_id,
+            'attempt_id': attempt_id,
+            'max_tokens': max_tokens,
+            'from_offset': from_offset,
+        }
+        with self._exchange(self._stall_s) as exchange:
+            response = self._post(exchange, '/v1/decode', body, deadline_s)
+            self._raise_unless_ok(exchange, response)
+            for line in exchange.lines(response):
+                if line.startswith(b'data:'):
+                    yield _read_piece(line[5:])
+
+    def cancel(self, *, stream_id: str, attempt_id: str) -> None:
+        self._ask(
+            '/v1/cancel', {'stream_id': stream_id, 'attempt_id': attempt_id}
+        )
+
+    def streams(self) -> tuple[tuple[str, str], ...]:
+        """Return stream id and attempt id of all that the engine holds."""
+        with self._exchange(self._first_byte_s) as exchange:
+            response = exchange.send('GET', '/v1/streams', b'', {})
+            self._raise_unless_ok(exchange, response)
+            answer = read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+        return tuple(
+            (str(each['stream_id']), str(each['attempt_id']))
+            for each in answer['streams']
+        )
+
+    def order(
+        self,
+        *,
+        order_id: str,
+        order: str,
+        value: str,
+        fence: int,
+        timeout_s: float,
+    ) -> None:
+        """Load a model, adapter or version, or change role.
+
+        :param order_id: the same for each repeat of one order.
+        :param timeout_s: longest silence of the engine.
+        :raises EngineError: with reason ``fenced`` from an engine that has
+            seen a higher fencing number.
+        """
+        body = {
+            'order_id': order_id,
+            'order': order,
+            'value': value,
+            'fence': fence,
+        }
+        with self._exchange(timeout_s) as exchange:
+            response = self._post(exchange, '/v1/order', body, None)
+            self._raise_unless_ok(exchange, response)
+            exchange.read(response, self.MAX_ANSWER_BYTES)
+
+    def abort(self) -> None:
+        self._aborted = True
+        if self._current is not None:
+            self._current.abort()
+
+    @contextlib.contextmanager
+    def _exchange(self, read_s: float) -> abc.Iterator[exchanges.Exchange]:
+        exchange = exchanges.Exchange(
+            url=self.url, connect_s=self._connect_s, read_s=read_s
+        )
+        self._current = exchange
+        if self._aborted:
+            exchange.abort()
+        try:
+            exchange.open()
+            yield exchange
+        finally:
+            self._current = None
+            exchange.close()
+
+    def _ask(
+        self, path: str, body: dict, deadline_s: float | None = None
+    ) -> dict:
+        with self._exchange(self._first_byte_s) as exchange:
+            response = self._post(exchange, path, body, deadline_s)
+            self._raise_unless_ok(exchange, response)
+            return read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+
+    def _post(
+        self,
+        exchange: exchanges.Exchange,
+        path: str,
+        body: dict,
+        deadline_s: float | None,
+    ) -> typing.Any:
+        headers = {'Content-Type': 'application/json'}
+        if deadline_s is not None:
+            headers['X-Deadline-S'] = f'{deadline_s:.3f}'
+        return exchange.send('POST', path, json.dumps(body).encode(), headers)
+
+    def _raise_unless_ok(
+        self, exchange: exchanges.Exchange, response: typing.Any
+    ) -> None:
+        if response.status == 200:
+            return
+        answer = read_json(exchange.read(response, self.MAX_ANSWER_BYTES))
+        reason = str(answer.get('reason', ''))
+        raise engine.EngineError(
+            f'{self.url} answered {response.status}: {answer}',
+            known=(
+                verdict.Verdict.NOT_RUN
+                if reason in NOT_RUN_REASONS
+                else verdict.Verdict.MAY_HAVE_RUN
+            ),
+            reason=reason,
+        )
+
+
+def read_json(body: bytes) -> dict:
+    """Return the object in an answer.
+
+    :raises EngineError: for anything else.
+    """
+    try:
+        answer = json.loads(body)
+    except (ValueError, RecursionError):
+        answer = None
+    if not isinstance(answer, dict):
+        raise engine.EngineError(
+            f'not a JSON object: {body[:80]!r}',
+            known=verdict.Verdict.MAY_HAVE_RUN,
+        )
+    return answer
+
+
+def _read_piece(data: bytes) -> engine.Piece:
+    answer = read_json(data)
+    is_end = bool(answer.get('end'))
+    with _understood(answer):
+        return engine.Piece(
+            attempt_id=str(answer.get('attempt_id', '')),
+            offset=int(answer['tokens'] if is_end else answer['offset']),
+            text=str(answer.get('text', '')),
+            is_end=is_end,
+        )
+
+
+@contextlib.contextmanager
+def _understood(answer: dict) -> abc.Iterator[None]:
+    """Fail as any other call does where a field is missing or odd."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError) as error:
+        raise engine.EngineError(
+            f'an answer that is not understood, {error!r} in '
+            f'{str(answer)[:80]}',
+            known=verdict.Verdict.MAY_HAVE_RUN,
+        ) from error
+
+
+class PlainService:
+    """One call to a plain service, passed on as the caller sent it."""
+
+    def __init__(
+        self, *, url: str, connect_s: float, timeout_s: float
+    ) -> None:
+        self.url = url
+        self._exchange = exchanges.Exchange(
+            url=url, connect_s=connect_s, read_s=timeout_s
+        )
+
+    def call(
+        self,
+        *,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: abc.Mapping[str, str],
+        most_bytes: int,
+    ) -> engine.Reply:
+        """Return the answer, whole.
+
+        :raises EngineError: its ``known`` is ``NOT_RUN`` only when the
+            connection was never made, or the service says so with 503 and
+            ``X-Not-Run: true``. One whose answer is too long has ``RAN``.
+        """
+        try:
+            self._exchange.open()
+            response = self._exchange.send(method, path, body, headers)
+            content = self._exchange.read(response, most_bytes)
+        finally:
+            self._exchange.close()
+        says_not_run = response.headers.get(NOT_RUN_HEADER, '') == 'true'
+        if response.status == 503 and says_not_run:
+            raise engine.EngineError(
+                f'{self.url} is busy',
+                known=verdict.Verdict.NOT_RUN,
+                reason='busy',
+            )
+        return engine.Reply(
+            status=response.status,
+            content_type=response.headers.get('Content-Type', ''),
+            body=content,
+        )
+
+    def abort(self) -> None:
+        self._exchange.abort()
--- a/tools/standin_service.py
+++ b/tools/standin_service.py
@@ -15,7 +15,7 @@
 
 import defopt
 
-from dandeliongw import engine
+from dandeliongw import http_backends
 from tools import announcer
 from tools import json_server
 from tools import standin_engine
@@ -88,7 +88,7 @@
             return json_server.Answer(
                 status=503,
                 body={'reason': 'busy'},
-                headers=((engine.NOT_RUN_HEADER, 'true'),),
+                headers=((http_backends.NOT_RUN_HEADER, 'true'),),
             )
         if faults.cut_before_run:
             return json_server.Answer(stream=cut())
