What may be saved of retries stands once, in the settings

The same two numbers stood as the settings' defaults and as constants beside the budgets. A comment still told that evidence goes to all at once.

--- a/dandeliongw/coordination/quarantine.py
+++ b/dandeliongw/coordination/quarantine.py
@@ -345,6 +345,5 @@
 
 
 def _send(to: str, message: typing.Any) -> parts.Send:
-    # Told to all there are, and again by comparison: a loss is borne better
-    # than a connection to each of them.
+    # What is lost is found by comparing; a connection to each would cost more.
     return parts.Send(to=to, message=message, by_datagram=True)
--- a/dandeliongw/entry/retries.py
+++ b/dandeliongw/entry/retries.py
@@ -5,11 +5,6 @@
 import msgspec
 
 
-#: Retries allowed for each request that comes in.
-RETRY_PART = 0.2
-#: Retries that all entries together may save up for a service, for an engine
-#: that dies with its streams.
-RETRY_BURST = 40.0
 FIRST_PAUSE_S = 0.02
 MOST_PAUSE_S = 1.0
 
@@ -23,12 +18,13 @@
     died together be tried again at once.
 
     :param part: gained with each request.
-    :param burst: most that is saved up, and what there is at first.
+    :param burst: most that is saved up.
+    :param left: saved up just now.
     """
 
-    part: float = RETRY_PART
-    burst: float = RETRY_BURST
-    left: float = RETRY_BURST
+    part: float
+    burst: float
+    left: float
 
     def earn(self) -> None:
         """Count a new request."""
@@ -63,8 +59,8 @@
     def __init__(
         self,
         *,
-        part: float = RETRY_PART,
-        burst: float = RETRY_BURST,
+        part: float,
+        burst: float,
         entries: abc.Callable[[], int],
     ) -> None:
         self._part = part
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -126,7 +126,8 @@
     part: models.Positive = 0.2
     """Gained with each request."""
     saved: models.Positive = 40.0
-    """Most that are saved up; each entry has an equal share."""
+    """Most that are saved up, for an engine that dies with its streams; each
+    entry has an equal share."""
 
 
 class Timeouts(models.Model):
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -16,6 +16,7 @@
 from dandeliongw.entry import requests
 from dandeliongw.entry import retries
 from dandeliongw import events
+from dandeliongw import settings
 from dandeliongw import verdict
 from tools import local
 
@@ -41,6 +42,14 @@
     return document.parse_document(json.dumps(fields).encode())
 
 
+def make_budgets(count):
+    """Return the retry budgets of one of so many entries."""
+    usual = settings.Retries()
+    return retries.RetryBudgets(
+        part=usual.part, burst=usual.saved, entries=lambda: count
+    )
+
+
 class Directory:
     """What a test says that the entry knows."""
 
@@ -112,7 +121,7 @@
             directory=self.directory,
             gate=self.gate,
             holds=self.holds,
-            budgets=retries.RetryBudgets(entries=lambda: 1),
+            budgets=make_budgets(1),
             **options,
         )
         self.ids = (f'r{number}' for number in itertools.count(1))
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -5,6 +5,8 @@
 from nose2.tools import params
 
 from dandeliongw.entry import retries
+from dandeliongw import settings
+from tests import entry_fake
 
 
 class RetryBudgetTest(unittest.TestCase):
@@ -38,20 +40,21 @@
 
     @params(1, 2, 7, 40)
     def test_all_entries_save_up_as_much_as_one(self, count):
-        entries = [
-            retries.RetryBudgets(entries=lambda: count) for _ in range(count)
-        ]
+        entries = [entry_fake.make_budgets(count) for _ in range(count)]
         spent = sum(self.spend_all(each) for each in entries)
-        self.assertLessEqual(spent, retries.RETRY_BURST)
-        self.assertGreaterEqual(spent, retries.RETRY_BURST / 2)
+        self.assertLessEqual(spent, settings.Retries().saved)
+        self.assertGreaterEqual(spent, settings.Retries().saved / 2)
 
     def test_a_share_of_less_than_one_is_one(self):
-        budgets = retries.RetryBudgets(entries=lambda: 100)
+        budgets = entry_fake.make_budgets(100)
         self.assertEqual(1, self.spend_all(budgets))
 
     def test_entries_that_come_take_their_share(self):
         count = 1
-        budgets = retries.RetryBudgets(entries=lambda: count)
+        usual = settings.Retries()
+        budgets = retries.RetryBudgets(
+            part=usual.part, burst=usual.saved, entries=lambda: count
+        )
         budgets.earn('a')
         count = 4
         self.assertEqual(10, self.spend_all(budgets))
@@ -70,8 +73,8 @@
         self.assertTrue(budget.spend())
 
     def test_what_is_left_is_told_by_service(self):
-        budgets = retries.RetryBudgets(entries=lambda: 1)
+        budgets = entry_fake.make_budgets(1)
         budgets.spend('a')
         budgets.earn('b')
-        full = retries.RETRY_BURST
+        full = settings.Retries().saved
         self.assertEqual({'a': full - 1, 'b': full}, budgets.left_by_service())
--- a/tools/load.py
+++ b/tools/load.py
@@ -19,6 +19,7 @@
 from dandeliongw.coordination import parts
 from dandeliongw import effects
 from dandeliongw.entry import retries
+from dandeliongw import settings
 from dandeliongw.verdict import RefusalReason
 from dandeliongw.verdict import RetryReason
 from tools import engine_model
@@ -162,9 +163,12 @@
         self._policy_factory = policy_factory
         self._epoch = 1
         self._lost_entries: set[str] = set()
-        share = max(1.0, retries.RETRY_BURST / deployment.entries)
+        usual = settings.Retries()
+        share = max(1.0, usual.saved / deployment.entries)
         self._budgets_by_entry = collections.defaultdict(
-            lambda: retries.RetryBudget(burst=share, left=share)
+            lambda: retries.RetryBudget(
+                part=usual.part, burst=share, left=share
+            )
         )
         self._add_engines()
         self.cell = self._make_cell()
