--- a/dandeliongw/wire.py
+++ b/dandeliongw/wire.py
@@ -7,6 +7,7 @@
 from .coordination import membership
 from .coordination import presence
 from .coordination import quarantine
+from .coordination import rates
 from .coordination import register_messages
 from .protocol import cells_pb2
 from .protocol import claims_pb2
@@ -14,6 +15,7 @@
 from .protocol import membership_pb2
 from .protocol import presence_pb2
 from .protocol import quarantine_pb2
+from .protocol import rates_pb2
 from .protocol import register_pb2
 
 MESSAGES = (
@@ -23,6 +25,7 @@
     *membership.MESSAGES,
     *presence.MESSAGES,
     *quarantine.MESSAGES,
+    *rates.MESSAGES,
     *cells.MESSAGES,
 )
 RECORDS = (
@@ -45,6 +48,7 @@
             membership_pb2,
             presence_pb2,
             quarantine_pb2,
+            rates_pb2,
             cells_pb2,
         ),
     )
--- a/tools/capacity_network.py
+++ b/tools/capacity_network.py
@@ -23,6 +23,7 @@
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
 from dandeliongw.coordination import quarantine
+from dandeliongw.coordination import rates
 from dandeliongw.coordination import register
 from dandeliongw.coordination import register_messages
 from dandeliongw import document
@@ -56,6 +57,7 @@
     'presence': presence.MESSAGES,
     'cells': cells.MESSAGES,
     'quarantine': quarantine.MESSAGES,
+    'rates': rates.MESSAGES,
 }
 _PART_BY_MESSAGE = {
     message: part
