Accounts of calls by host: keys, accounts told to backend servers, rates

Cause: calls by host and path ran under no account at all. The caller's key was forwarded to backend servers, keys that no configuration held were accepted, a key that was taken away went on working at an entry that was cut off, and an account's rate held at each entry by itself.

Change: - `accounts.py`: several keys (digests only), priority, rate with burst and unit; `host_calls_need_key` and `allows_anonymous` in the document. - `entry/account_check.py`: which account a call has, and whether the document was proved current lately enough (`timeouts.key_proof_s`). It is checked on admission and again before each send. `Admission` has one chain of checks for both kinds of calls. - `entry/charges.py` charges an admitted request; the refusal tells when the account may come back. - The adapter drops the key and sets the account's name; names with underscores are dropped as well.

Found by tests: a value without a scheme whose text is a key passed for that key; a refusal for a lapsed key after a prefill raised in the reducer.

--- a/dandeliongw/_secrets.py
+++ b/dandeliongw/_secrets.py
@@ -5,7 +5,7 @@
 _SECRET_ENDINGS = frozenset(
     {'secret', 'token', 'password', 'authorization', 'cookie'}
 )
-_KEY_NAMES = frozenset({'key', 'api_key', 'backend_key'})
+_KEY_NAMES = frozenset({'key', 'api_key', 'backend_key', 'apikeys'})
 _DIGEST_ENDING = 'sha256'
 
 
--- a/dandeliongw/api/calls.py
+++ b/dandeliongw/api/calls.py
@@ -90,7 +90,7 @@
         method='POST',
         path='/v1/completions',
         streamed=True,
-        key_sha256=_account_key_digest(headers),
+        key_sha256=hash_account_key(headers.get('Authorization', '')),
         idempotency_key=_idempotency_key(headers),
         digest=digest('POST', '/v1/completions', body),
         prompt_tokens=len(prompt.split()),
@@ -172,7 +172,7 @@
         method=request.method,
         path=target.path,
         streamed=False,
-        key_sha256=_account_key_digest(headers),
+        key_sha256=hash_account_key(headers.get('Authorization', '')),
         idempotency_key=_idempotency_key(headers),
         digest=digest(request.method, target.rest, body),
         priority=headers.get('X-Priority'),
@@ -211,12 +211,17 @@
     return True
 
 
-def _account_key_digest(headers: abc.Mapping[str, str]) -> str:
-    value = headers.get('Authorization', '')
-    scheme, _, key = value.partition(' ')
+def hash_account_key(authorization: str) -> str:
+    """Return the SHA-256 of the key in an ``Authorization`` header.
+
+    :returns: the hexadecimal digest; ``''`` without a key, also for another
+        scheme than ``Bearer``.
+    """
+    scheme, _, key = authorization.strip().partition(' ')
+    key = key.strip()
     if scheme.lower() != 'bearer' or not key:
         return ''
-    return hashlib.sha256(key.strip().encode()).hexdigest()
+    return hashlib.sha256(key.encode()).hexdigest()
 
 
 def _idempotency_key(headers: abc.Mapping[str, str]) -> str | None:
--- a/dandeliongw/api/gateway.py
+++ b/dandeliongw/api/gateway.py
@@ -44,8 +44,14 @@
 _STATUS_BY_REASON = {
     _REASON.BAD_REQUEST: 400,
     _REASON.TOO_LARGE: 413,
+    _REASON.UNKNOWN_ACCOUNT: 401,
     _REASON.UNKNOWN_ROUTE: 404,
+    _REASON.ACCOUNT_LIMIT: 429,
 }
+#: Statuses of refusals that say when to come back.
+_STATUSES_WITH_RETRY_AFTER = frozenset((429, 503))
+#: The scheme that a refusal for want of a known key asks for.
+_AUTHENTICATION_SCHEME = 'Bearer'
 #: Default of Retry-After in seconds, for refusals without a value of their
 #: own: about the time until the cell of a failed owner has a new owner.
 RETRY_AFTER_S = 1.0
@@ -196,7 +202,7 @@
             method=method,
             path=path,
             streamed=False,
-            key_sha256='',
+            key_sha256=_hash_key(headers),
             idempotency_key=None,
             digest=calls.digest(method, target, body),
             prompt_tokens=metadata.prompt_tokens,
@@ -274,9 +280,11 @@
         """
         status = _status_of(refusal)
         headers: Headers = (('Content-Type', 'text/plain'),)
-        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        if status in _STATUSES_WITH_RETRY_AFTER:
             wait_s = refusal.retry_after_s or RETRY_AFTER_S
             headers += (('Retry-After', f'{wait_s:.2f}'),)
+        if status == http.HTTPStatus.UNAUTHORIZED:
+            headers += (('WWW-Authenticate', _AUTHENTICATION_SCHEME),)
         body = f'{refusal.reason}: {refusal.message}\n'.encode()
         return self.complete(status, headers, body)
 
@@ -416,14 +424,32 @@
 
 
 def _hash_credentials(headers: Headers) -> str:
-    given = [
-        value for name, value in headers if name.lower() == 'authorization'
-    ]
+    given = _credentials(headers)
     if not given:
         return ''
     return hashlib.sha256('\n'.join(given).encode()).hexdigest()
 
 
+def _hash_key(headers: Headers) -> str:
+    """Return the digest of the caller's key, ``''`` if it gave nothing.
+
+    Anything else than one key yields a digest that no key has, so that such
+    a call passes neither for that of an account nor for an anonymous one. No
+    key contains a line feed.
+    """
+    given = _credentials(headers)
+    if not given:
+        return ''
+    key = calls.hash_account_key(given[0]) if len(given) == 1 else ''
+    return key or hashlib.sha256('\n'.join(['', *given]).encode()).hexdigest()
+
+
+def _credentials(headers: Headers) -> list[str]:
+    return [
+        value for name, value in headers if name.lower() == 'authorization'
+    ]
+
+
 def _without_hop_headers(headers: Headers) -> Headers:
     """Drop hop-by-hop headers, also those that ``Connection`` lists."""
     named = {
--- a/dandeliongw/cell/declines.py
+++ b/dandeliongw/cell/declines.py
@@ -33,7 +33,7 @@
 def over_share(booking: Booking) -> Decline:
     """Return the refusal if an account exceeds its share of a full cell."""
     return Decline(
-        reason=RefusalReason.ACCOUNT_LIMIT,
+        reason=RefusalReason.NO_CAPACITY,
         message=(
             f'account {booking.account!r} has its share of a full service'
         ),
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -114,6 +114,17 @@
     why: str
 
 
+class RateReached(Decision, frozen=True, kw_only=True):
+    """An account asked for more than its rate; told now and then only.
+
+    :param refused: requests refused by this instance since the last line.
+    """
+
+    message: typing.ClassVar[str] = 'account reached its rate'
+    account: str
+    refused: int
+
+
 class BackendEnded(Decision, frozen=True, kw_only=True):
     """The process of a backend server ended while it ran a call.
 
--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -41,6 +41,7 @@
         self._own_id = settings.instance_id
         #: Number of live entries; ``None`` after a change of the members.
         self._entries: int | None = None
+        self._entry_members: tuple[placement.Member, ...] | None = None
         self._places_alone = settings.silent_owner == 'place'
         self._own_region = settings.region
         self._regions_by_data_centre = settings.all_regions_by_data_centre
@@ -105,6 +106,7 @@
         """Drop cached rankings and counts after a change of the members."""
         self._ranks_by_cell.clear()
         self._entries = None
+        self._entry_members = None
 
     def _rank(self, cell: str) -> tuple[str, ...]:
         """Rank the entries of a region, or all its instances if it has none.
@@ -119,17 +121,22 @@
             for instance_id, member in self._alive_members()
             if member.info.region == region and not member.draining
         ]
-        entries = [each for each in members if each[1].info.callers_address]
-        return placement.ranked_owners(
-            cell,
-            [
-                placement.Member(
-                    instance_id=instance_id,
-                    data_centre=member.info.data_centre,
-                )
-                for instance_id, member in entries or members
-            ],
-        )
+        return placement.ranked_owners(cell, _entries_among(members))
+
+    def entries(self) -> tuple[placement.Member, ...]:
+        """Return the live entries of all regions that don't shut down.
+
+        Without any entry, all instances.
+        """
+        if self._entry_members is None:
+            self._entry_members = _entries_among(
+                [
+                    each
+                    for each in self._alive_members()
+                    if not each[1].draining
+                ]
+            )
+        return self._entry_members
 
     def owners_of(self, cell: str) -> tuple[str, ...]:
         """Return instances to send bookings to, the likeliest owner first."""
@@ -206,6 +213,19 @@
         return [(each, by_id[each]) for each in self._members.alive_ids()]
 
 
+def _entries_among(
+    members: list[tuple[str, membership.Member]],
+) -> tuple[placement.Member, ...]:
+    """Return the members that take callers; all, if none of them does."""
+    entries = [each for each in members if each[1].info.callers_address]
+    return tuple(
+        placement.Member(
+            instance_id=instance_id, data_centre=member.info.data_centre
+        )
+        for instance_id, member in entries or members
+    )
+
+
 def cell_id(service: str, region: str, part: int = 0) -> str:
     """Return the id of a cell: ``service/region/part``."""
     return f'{service}/{region}/{part}'
--- a/dandeliongw/document.py
+++ b/dandeliongw/document.py
@@ -12,10 +12,12 @@
 
 import pydantic
 
+from . import accounts as accounts_module
 from . import exceptions
 from . import hosts
 from . import models
 
+Account = accounts_module.Account
 #: The only version that this release reads and writes.
 VERSION = 1
 
@@ -28,7 +30,6 @@
 RoutePath = typing.Annotated[
     str, pydantic.StringConstraints(pattern=r'^/[!-)+->@-~]*\*?$')
 ]
-NotNegative = typing.Annotated[float, pydantic.Field(ge=0)]
 
 #: Fields that a pool must have, by its role; capacity is planned from them.
 _POOL_NEEDS_BY_ROLE = {
@@ -57,9 +58,9 @@
 class Weights(models.Model):
     """Relative costs that the scheduling policy weighs against each other."""
 
-    goodput: NotNegative = 1.0
+    goodput: models.NonNegative = 1.0
     """Cost of a request that misses a latency target."""
-    wasted_prefill: NotNegative = 1.0
+    wasted_prefill: models.NonNegative = 1.0
     """Cost of a prefill that is discarded or repeated."""
 
 
@@ -151,25 +152,6 @@
         return path == self.path
 
 
-class Account(models.Model):
-    """A client account."""
-
-    name: models.Name
-    """The name of the account, for operators."""
-    key_sha256: models.Sha256
-    """SHA-256 of the account's key; the key itself is never stored."""
-    services: tuple[models.Name, ...]
-    """The services that the account may use."""
-    share: models.Positive = 1.0
-    """Weight relative to other accounts when requests have to queue."""
-    max_in_flight: models.PositiveInt
-    """Concurrent requests through one entry; more are refused."""
-    requests_per_s: models.Positive
-    """Sustained request rate through one entry; more are refused."""
-    priority: models.Name
-    """Priority of calls whose route has none."""
-
-
 class Document(models.Model):
     """The whole configuration; a new system starts without any service."""
 
@@ -186,8 +168,10 @@
     accounts: tuple[Account, ...] = ()
     """Client accounts."""
     host_routes: tuple[hosts.HostRoute, ...] = ()
-    """Routes by host whose calls are forwarded unchanged, for clients
-    without an account."""
+    """Routes by host whose calls are forwarded unchanged."""
+    host_calls_need_key: bool = False
+    """Whether calls by host need the key of an account, unless their route
+    allows anonymous calls; a key is then not forwarded."""
     border: hosts.BorderLimits = hosts.BorderLimits()
     """Limits for clients of host routes."""
     source: str | None = None
@@ -211,8 +195,12 @@
 
     @functools.cached_property
     def accounts_by_key_sha256(self) -> abc.Mapping[str, Account]:
-        """All accounts by the digest of their key."""
-        return {account.key_sha256: account for account in self.accounts}
+        """All accounts by the digest of each of their keys."""
+        return {
+            digest: account
+            for account in self.accounts
+            for digest in account.keys_sha256
+        }
 
     @functools.cached_property
     def _routes_by_service(self) -> abc.Mapping[str, list[Route]]:
@@ -252,13 +240,18 @@
             self.services_by_name.keys(),
             self.priorities_by_name.keys(),
         )
+        yield from accounts_module.find_problems(
+            self.accounts,
+            self.services_by_name.keys(),
+            self.priorities_by_name.keys(),
+        )
         for index, service in enumerate(self.services):
             yield from self._check_service(service, f'services[{index}]')
         for index, pool in enumerate(self.pools):
             yield from self._check_pool(pool, f'pools[{index}]')
 
     def _find_duplicates(self) -> abc.Iterator[exceptions.Problem]:
-        for path in ('services', 'pools', 'priorities', 'accounts'):
+        for path in ('services', 'pools', 'priorities'):
             names = [entry.name for entry in getattr(self, path)]
             yield from models.find_duplicates(names, path, 'name')
         ranks = [priority.rank for priority in self.priorities]
@@ -268,8 +261,6 @@
             for route in self.routes
         ]
         yield from models.find_duplicates(calls, 'routes', 'path')
-        digests = [account.key_sha256 for account in self.accounts]
-        yield from models.find_duplicates(digests, 'accounts', 'key_sha256')
 
     def _find_dangling(self) -> abc.Iterator[exceptions.Problem]:
         services = self.services_by_name.keys()
@@ -286,15 +277,6 @@
                 yield from models.find_unknown(
                     route.priority, priorities, f'{path}.priority'
                 )
-        for index, account in enumerate(self.accounts):
-            path = f'accounts[{index}]'
-            for place, service in enumerate(account.services):
-                yield from models.find_unknown(
-                    service, services, f'{path}.services[{place}]'
-                )
-            yield from models.find_unknown(
-                account.priority, priorities, f'{path}.priority'
-            )
 
     def _check_service(
         self, service: Service, path: str
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -32,6 +32,7 @@
         free when the prefill ends; the engine evicts the prefill's result in
         under a second.
     :param deadline_in_s: seconds after which the step must not start.
+    :param told_account: see ``admission.Admitted``.
     """
 
     attempt_id: str
@@ -41,6 +42,7 @@
     fence: int
     deadline_in_s: float
     start_in_s: float = 0.0
+    told_account: str | None = None
 
 
 class RunDecode(Directive, frozen=True, kw_only=True):
@@ -53,6 +55,7 @@
     :param deadline_in_s: seconds after which the step must not start.
     :param reads: the decode engine processes the prompt itself, without a
         prefill engine.
+    :param told_account: see ``admission.Admitted``.
     """
 
     attempt_id: str
@@ -63,18 +66,21 @@
     fence: int
     deadline_in_s: float
     reads: bool = False
+    told_account: str | None = None
 
 
 class RunCall(Directive, frozen=True, kw_only=True):
     """Forward the caller's call to a plain service.
 
     :param deadline_in_s: seconds left for the whole call.
+    :param told_account: see ``admission.Admitted``.
     """
 
     attempt_id: str
     backend_id: str
     url: str
     deadline_in_s: float
+    told_account: str | None = None
 
 
 class Refuse(Directive, frozen=True, kw_only=True):
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -7,15 +7,16 @@
 from .. import document
 from .. import events
 from .. import verdict
+from . import account_check
 from ..coordination import confirmation_status as status_module
+from ._refusal import not_run
+from ._refusal import TRANSIENT_RETRY_S
 
 _REASON = verdict.RefusalReason
 
 #: A call whose deadline is less than this fraction of the route's timeout
 #: counts as a resend: an earlier send used up the rest.
 RESENT_FRACTION = 0.95
-#: ``Retry-After`` in seconds of refusals for a transient reason.
-TRANSIENT_RETRY_S = 1.0
 #: Reasons that follow from the document. Clients do not retry after them.
 _FINAL_REASONS = frozenset(
     (
@@ -84,6 +85,10 @@
     #: Whether part of its client's time is spent, because an earlier send was
     #: refused.
     is_resent: bool = False
+    #: Name that backend servers are told of the account, instead of the
+    #: caller's key; ``''`` for an anonymous call. ``None``: the call's headers
+    #: are forwarded, as no key is needed.
+    told_account: str | None = None
 
 
 class Admission:
@@ -95,21 +100,28 @@
     """
 
     def __init__(
-        self, *, directory: Directory, max_requests: int, max_streams: int
+        self,
+        *,
+        directory: Directory,
+        account_check: account_check.AccountCheck,
+        max_requests: int,
+        max_streams: int,
     ) -> None:
         self._directory = directory
+        self._account_check = account_check
         self._max_requests = max_requests
         self._max_streams = max_streams
         self._requests = 0
         self._streams = 0
         self._in_flight_by_account: dict[str, int] = {}
-        self._buckets_by_account: dict[str, RateBucket] = {}
 
     def check(
         self, now: float, call: events.Call, entropy: int = 0
     ) -> Admitted | verdict.Refusal:
         """Return the admitted call or its refusal, without counting it.
 
+        Whether the account's rate allows it is not checked here.
+
         :param entropy: 64 random bits, to choose a service by weight.
         """
         if self._directory.is_draining:
@@ -127,11 +139,7 @@
                 'use another entry',
                 TRANSIENT_RETRY_S,
             )
-        found = (
-            self._check_host(call, entropy)
-            if call.host
-            else self._check_document(now, call)
-        )
+        found = self._check_document(now, call, entropy)
         if isinstance(found, verdict.Refusal):
             return self._retryable_if_outdated(now, found)
         return found
@@ -158,10 +166,31 @@
             TRANSIENT_RETRY_S,
         )
 
-    def _check_host(
+    def _check_document(
+        self, now: float, call: events.Call, entropy: int
+    ) -> Admitted | verdict.Refusal:
+        """Check a call: route, account, freshness of its key, then room.
+
+        The account's rate is charged last, see :mod:`.charges`.
+        """
+        matched = (
+            self._match_host(call, entropy)
+            if call.host
+            else self._match_service(call)
+        )
+        if isinstance(matched, verdict.Refusal):
+            return matched
+        refusal = (
+            self._account_check.check_proof(now, matched.account)
+            or self._check_room(matched)
+            or self._check_in_flight(matched.account)
+        )
+        return matched if refusal is None else refusal
+
+    def _match_host(
         self, call: events.Call, entropy: int
     ) -> Admitted | verdict.Refusal:
-        """Check a call that is forwarded unchanged; it has no account."""
+        """Find route and account of a call that is forwarded unchanged."""
         described = self._directory.document
         if not described.host_routes:
             # No document was accepted yet, or this instance has not received
@@ -177,10 +206,13 @@
                 _REASON.UNKNOWN_ROUTE,
                 f'no route of host {call.host!r} matches {call.path!r}',
             )
+        account = self._account_check.account_of_host_call(
+            call, allows_anonymous=found.allows_anonymous
+        )
+        if isinstance(account, verdict.Refusal):
+            return account
         service = described.services_by_name[found.choose(entropy)]
         streamed = service.kind == 'model'
-        if self._is_full(streamed):
-            return _instance_full()
         return Admitted(
             service=service,
             route=document.Route(
@@ -189,8 +221,10 @@
                 path=found.path_prefix,
                 idempotent=found.repeat != 'never',
             ),
-            account=_ANONYMOUS,
-            priority=described.priorities_by_name[found.priority],
+            account=account,
+            priority=described.priorities_by_name[
+                account.priority or found.priority
+            ],
             streamed=streamed,
             timeout_s=found.timeout_s,
             max_runs=found.max_runs,
@@ -200,22 +234,15 @@
                 call.deadline_s is not None
                 and call.deadline_s < found.timeout_s * RESENT_FRACTION
             ),
+            told_account=_told_account(described, account),
         )
 
-    def _is_full(self, streamed: bool) -> bool:
-        return self._requests >= self._max_requests or (
-            streamed and self._streams >= self._max_streams
-        )
-
-    def _check_document(
-        self, now: float, call: events.Call
-    ) -> Admitted | verdict.Refusal:
+    def _match_service(self, call: events.Call) -> Admitted | verdict.Refusal:
+        """Find account and route of a call to a service by its name."""
         described = self._directory.document
-        account = described.accounts_by_key_sha256.get(call.key_sha256)
+        account = self._account_check.find(call)
         if account is None:
-            return not_run(
-                _REASON.UNKNOWN_ACCOUNT, 'the account key is not known'
-            )
+            return account_check.unknown_account()
         service = described.services_by_name.get(call.service)
         if service is None or service.name not in account.services:
             allowed = ', '.join(account.services)
@@ -237,42 +264,14 @@
                 f'no route of {call.service!r} matches '
                 f'{call.method} {call.path}',
             )
-        return self._check_limits(now, call, service, route, account)
-
-    def _check_limits(
-        self,
-        now: float,
-        call: events.Call,
-        service: document.Service,
-        route: document.Route,
-        account: document.Account,
-    ) -> Admitted | verdict.Refusal:
         name = call.priority or route.priority or account.priority
-        priority = self._directory.document.priorities_by_name.get(name)
+        priority = described.priorities_by_name.get(name)
         if priority is None:
-            known = ', '.join(self._directory.document.priorities_by_name)
+            known = ', '.join(described.priorities_by_name)
             return not_run(
                 _REASON.BAD_REQUEST,
                 f'no priority {name!r}; there are: {known}',
             )
-        if self._is_full(call.streamed):
-            return _instance_full()
-        in_flight = self._in_flight_by_account.get(account.name, 0)
-        if account.max_in_flight and in_flight >= account.max_in_flight:
-            return not_run(
-                _REASON.ACCOUNT_LIMIT,
-                f'account {account.name!r} has {in_flight} requests in '
-                'flight, as many as it may',
-                TRANSIENT_RETRY_S,
-            )
-        wait_s = self._wait_for_rate(now, account)
-        if wait_s > 0:
-            return not_run(
-                _REASON.ACCOUNT_LIMIT,
-                f'account {account.name!r} sends more than '
-                f'{account.requests_per_s} requests a second',
-                wait_s,
-            )
         return Admitted(
             service=service,
             route=route,
@@ -282,14 +281,31 @@
             timeout_s=service.timeout_s,
         )
 
-    def _wait_for_rate(self, now: float, account: document.Account) -> float:
-        if not account.requests_per_s:
-            return 0.0
-        bucket = self._buckets_by_account.get(account.name)
-        if bucket is None or bucket.rate != account.requests_per_s:
-            bucket = RateBucket(rate=account.requests_per_s, now=now)
-            self._buckets_by_account[account.name] = bucket
-        return bucket.take(now)
+    def _check_room(self, matched: Admitted) -> verdict.Refusal | None:
+        is_full = self._requests >= self._max_requests or (
+            matched.streamed and self._streams >= self._max_streams
+        )
+        if not is_full:
+            return None
+        return not_run(
+            _REASON.INSTANCE_FULL,
+            'this instance serves as many requests as it may; use another '
+            'entry',
+            TRANSIENT_RETRY_S,
+        )
+
+    def _check_in_flight(
+        self, account: document.Account
+    ) -> verdict.Refusal | None:
+        in_flight = self._in_flight_by_account.get(account.name, 0)
+        if account.max_in_flight is None or in_flight < account.max_in_flight:
+            return None
+        return not_run(
+            _REASON.ACCOUNT_LIMIT,
+            f'account {account.name!r} has {in_flight} requests in flight, '
+            'as many as it may',
+            TRANSIENT_RETRY_S,
+        )
 
     def enter(self, account: str, streamed: bool) -> None:
         """Add a request to the counts of those in flight."""
@@ -313,58 +329,9 @@
         return self._requests
 
 
-class RateBucket:
-    """A token bucket that holds one second's worth, at least one token.
-
-    :param rate: tokens per second.
-    :param now: current time in seconds.
-    """
-
-    def __init__(self, *, rate: float, now: float) -> None:
-        self.rate = rate
-        self._size = max(1.0, rate)
-        self._level = self._size
-        self._updated_at = now
-
-    def take(self, now: float) -> float:
-        """Take one token and return 0, or the seconds until there is one."""
-        gained = (now - self._updated_at) * self.rate
-        self._level = min(self._size, self._level + gained)
-        self._updated_at = now
-        if self._level >= 1.0:
-            self._level -= 1.0
-            return 0.0
-        return (1.0 - self._level) / self.rate
-
-
-#: The account under which calls by host and path are counted.
-_ANONYMOUS = document.Account(
-    name='anybody',
-    key_sha256='0' * 64,
-    services=(),
-    max_in_flight=1,
-    requests_per_s=1.0,
-    priority='none',
-)
-
-
-def _instance_full() -> verdict.Refusal:
-    return not_run(
-        _REASON.INSTANCE_FULL,
-        'this instance serves as many requests as it may; use another entry',
-        TRANSIENT_RETRY_S,
-    )
-
-
-def not_run(
-    reason: verdict.RefusalReason,
-    message: str,
-    retry_after_s: float | None = None,
-) -> verdict.Refusal:
-    """Return a refusal of a call that was sent to no backend server."""
-    return verdict.Refusal(
-        reason=reason,
-        verdict=verdict.Verdict.NOT_RUN,
-        message=message,
-        retry_after_s=retry_after_s,
-    )
+def _told_account(
+    described: document.Document, account: document.Account
+) -> str | None:
+    if not described.host_calls_need_key:
+        return None
+    return '' if account is account_check.ANONYMOUS else account.name
--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -2,9 +2,12 @@
 
 import typing
 
+import msgspec
+
 from .. import decisions
 from .. import effects
 from .. import verdict
+from . import account_check as account_check_module
 from ..cell import cell_types
 from ..cell import cells
 from . import endings
@@ -29,6 +32,8 @@
 
     :param budgets: retry budgets by service.
     :param quarantine_check: quarantined calls, which are not attempted.
+    :param account_check: keys that were taken away, whose calls are not
+        attempted.
     """
 
     def __init__(
@@ -38,8 +43,10 @@
         endings: endings.Endings,
         budgets: retries.RetryBudgets,
         quarantine_check: quarantine_module.QuarantineCheck,
+        account_check: account_check_module.AccountCheck,
     ) -> None:
         self._quarantine_check = quarantine_check
+        self._account_check = account_check
         self._reservations = reservations
         self._endings = endings
         self._budgets = budgets
@@ -50,6 +57,9 @@
         if held is not None:
             refused = self._endings.refuse(now, request, held.refusal)
             return [held.line, *refused]
+        key_refusal = self.key_refusal(now, request)
+        if key_refusal is not None:
+            return self._endings.refuse(now, request, key_refusal)
         request.attempts += 1
         request.owner = ''
         return self.search(now, request)
@@ -126,6 +136,21 @@
         request.retry_at = now + wait_s
         return [*out, count]
 
+    def key_refusal(
+        self, now: float, request: Request
+    ) -> verdict.Refusal | None:
+        """Return why its key no longer allows a send; ``None`` if it does.
+
+        Checked before each send to a backend server: a request may have
+        waited since it was admitted.
+        """
+        refusal = self._account_check.check_again(
+            now, request.admitted.account, request.call
+        )
+        if refusal is None:
+            return None
+        return msgspec.structs.replace(refusal, verdict=request.known)
+
     def held(
         self, now: float, request: Request
     ) -> quarantine_module.Held | None:
--- a/dandeliongw/entry/endings.py
+++ b/dandeliongw/entry/endings.py
@@ -9,6 +9,7 @@
 from .. import effects
 from .. import verdict
 from ..cell import cells
+from . import charges
 from . import idempotency
 from . import refusals
 from . import reservations
@@ -102,8 +103,9 @@
     ) -> Effects:
         """Refuse a request that holds at most its claim."""
         claim = idempotency.release_claim(now, request, refusal)
+        refund = charges.refund(now, request, refusal.verdict)
         last = effects.Refuse(request_id=request.request_id, refusal=refusal)
-        return [*claim, *self.end(request, last)]
+        return [*claim, *refund, *self.end(request, last)]
 
     def end(self, request: Request, last: effects.Directive) -> Effects:
         """Mark a request as ended and return its last directive."""
--- a/dandeliongw/entry/recovery.py
+++ b/dandeliongw/entry/recovery.py
@@ -74,6 +74,7 @@
         broke = event.failure in (_RETRY.STREAM_BROKEN, _RETRY.STREAM_STALLED)
         return (
             broke
+            and self._attempts.key_refusal(event.now, request) is None
             and request.last_resume_offset < event.tokens
             and request.may_run_elsewhere
         )
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -69,17 +69,26 @@
     """Creates the adapters that connect a relay to backend servers."""
 
     def model_engine(
-        self, url: str, backend_id: str, pieces_received: int
+        self,
+        url: str,
+        backend_id: str,
+        pieces_received: int,
+        told_account: str | None,
     ) -> engine.Engine:
         """Return an adapter for an engine.
 
         :param pieces_received: number of stream pieces that the client already
             has.
+        :param told_account: see ``admission.Admitted``.
         """
         ...
 
     def plain_service(
-        self, url: str, backend_id: str, timeout_s: float
+        self,
+        url: str,
+        backend_id: str,
+        timeout_s: float,
+        told_account: str | None,
     ) -> engine.PlainServiceAdapter: ...
 
 
@@ -263,7 +272,10 @@
         self, directive: effects.RunPrefill, left_s: float
     ) -> step_results.Done:
         adapter = self._backends.model_engine(
-            directive.url, directive.backend_id, self._offset
+            directive.url,
+            directive.backend_id,
+            self._offset,
+            directive.told_account,
         )
         with self._cancellations.registered(directive.attempt_id, adapter):
             # When a decode engine failed mid-stream, the text that the
@@ -289,7 +301,10 @@
         self, directive: effects.RunDecode, left_s: float
     ) -> abc.Generator[engine.Piece, None, step_results.Done]:
         adapter = self._backends.model_engine(
-            directive.url, directive.backend_id, self._offset
+            directive.url,
+            directive.backend_id,
+            self._offset,
+            directive.told_account,
         )
         measure = token_gaps.TokenGapMeter()
         with self._cancellations.registered(directive.attempt_id, adapter):
@@ -398,7 +413,10 @@
         self, directive: effects.RunCall, left_s: float
     ) -> step_results.Done:
         adapter = self._backends.plain_service(
-            directive.url, directive.backend_id, left_s
+            directive.url,
+            directive.backend_id,
+            left_s,
+            directive.told_account,
         )
         with self._cancellations.registered(directive.attempt_id, adapter):
             reply = adapter.call(
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -101,6 +101,9 @@
             return []
         now = event.now
         waited = _wait_time(now, request)
+        key_refusal = self._attempts.key_refusal(now, request)
+        if key_refusal is not None:
+            return [waited, *self._endings.give_up(now, request, key_refusal)]
         request.booked = booked
         request.phase_at = now
         return [
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -19,6 +19,8 @@
 class Phase(enum.Enum):
     """The phase of a request's life cycle."""
 
+    #: It waits until its account's rate is charged.
+    CHARGING = 'charging'
     #: Its call is quarantined; it waits for permission to run as a trial.
     ASKING = 'asking'
     CLAIMING = 'claiming'
@@ -54,6 +56,8 @@
     :param known: proved verdict on whether the request has run, its earlier
         sends included.
     :param claim_key: set while this entry holds a claim for it.
+    :param charged: what its account was charged for it.
+    :param charged_at: the instance to which a refund goes, or ``''``.
     :param serial: numbers the attempt ids; grows faster than ``attempts``,
         because each owner that is asked gets an id of its own.
     :param search_timeout_s: timeout in seconds of a search for an owner.
@@ -80,6 +84,8 @@
     search_timeout_s: float
     known: verdict.Verdict = _NOT_RUN
     claim_key: str = ''
+    charged: float = 0.0
+    charged_at: str = ''
     attempts: int = 0
     serial: int = 0
     owner: str = ''
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -13,12 +13,15 @@
 from .. import effects
 from .. import events
 from .. import verdict
+from . import account_check as account_check_module
 from . import admission
 from . import attempts
 from ..cell import cell_types
 from ..cell import cells
+from . import charges
 from ..coordination import claim_messages as claims
 from ..coordination import parts
+from ..coordination import rates
 from . import crash_detection
 from . import endings
 from . import idempotency
@@ -43,6 +46,7 @@
 CLAIM_TICKET = idempotency.CLAIM_TICKET
 FINISH_TICKET = idempotency.FINISH_TICKET
 TRIAL_TICKET = trials.TRIAL_TICKET
+CHARGE_TICKET = charges.CHARGE_TICKET
 
 _RETRY = verdict.RetryReason
 _NOT_RUN = verdict.Verdict.NOT_RUN
@@ -56,6 +60,7 @@
 
     :param directory: the instance's view of the system, see ``admission``.
     :param gate: admission control.
+    :param account_check: keys of client accounts.
     :param quarantine_check: quarantined calls, which are not sent to backend
         servers.
     :param budgets: retry budgets by service.
@@ -70,6 +75,7 @@
         *,
         directory: admission.Directory,
         gate: admission.Admission,
+        account_check: account_check_module.AccountCheck,
         quarantine_check: quarantine_module.QuarantineCheck,
         budgets: retries.RetryBudgets,
         max_claimed_s: float = float('inf'),
@@ -88,6 +94,7 @@
             endings=self._endings,
             budgets=self._budgets,
             quarantine_check=quarantine_check,
+            account_check=account_check,
         )
         self._recovery = recovery.Recovery(
             attempts=self._attempts, endings=self._endings
@@ -148,10 +155,34 @@
         request = self._make_request(event, admitted)
         self.requests_by_id[event.request_id] = request
         self._gate.enter(admitted.account.name, admitted.streamed)
+        if charges.is_limited(request):
+            return charges.request_charge(now, request)
+        return self._start(now, request)
+
+    def charge_answered(
+        self, now: float, request_id: str, result: rates.ChargeResult
+    ) -> Effects:
+        """Process the result of a charge of the request's account."""
+        request = self.requests_by_id.get(request_id)
+        if request is None or request.phase is not Phase.CHARGING:
+            return []
+        refusal = charges.answered(request, result)
+        if request.is_ended:
+            # Its client has disconnected meanwhile.
+            return charges.refund(now, request, _NOT_RUN)
+        if refusal is not None:
+            return self._endings.refuse(now, request, refusal)
+        return self._start(now, request)
+
+    def _start(self, now: float, request: Request) -> Effects:
+        """Start an admitted request, whose account was charged."""
         self._budgets.earn(request.service)
-        if held is not None:
+        held = self.quarantine_check.refusal(
+            now, request.request_id, request.call
+        )
+        if held is not None and held.may_be_trial:
             return self._trials.request_grant(now, request)
-        if call.idempotency_key is None:
+        if request.call.idempotency_key is None:
             return self._attempts.begin(now, request)
         return idempotency.begin(now, request)
 
@@ -413,6 +444,12 @@
                 event.now, request, held.refusal, cells.Outcome.CANCELLED
             )
             return [send, took, held.line, *stopped]
+        key_refusal = self._attempts.key_refusal(event.now, request)
+        if key_refusal is not None:
+            stopped = self._endings.stop(
+                event.now, request, key_refusal, cells.Outcome.CANCELLED
+            )
+            return [send, took, *stopped]
         return [send, took, *steps.run_decode(event.now, request)]
 
     def _answer_ended(
--- a/dandeliongw/entry/steps.py
+++ b/dandeliongw/entry/steps.py
@@ -22,6 +22,7 @@
             backend_id=request.booked.plain_id,
             url=request.booked.plain_url,
             deadline_in_s=request.left_s(now),
+            told_account=request.admitted.told_account,
         )
     ]
 
@@ -39,6 +40,7 @@
             fence=request.booked.epoch,
             start_in_s=request.booked.start_in_s,
             deadline_in_s=request.left_s(now),
+            told_account=request.admitted.told_account,
         )
     ]
 
@@ -62,6 +64,7 @@
             kv=request.kv,
             fence=request.booked.epoch,
             deadline_in_s=request.left_s(now),
+            told_account=request.admitted.told_account,
             reads=reads,
         )
     ]
--- a/dandeliongw/entry/waste.py
+++ b/dandeliongw/entry/waste.py
@@ -16,3 +16,5 @@
     BACKEND_LEFT = 'backend_left'
     OWNER_CHANGED = 'owner_changed'
     QUARANTINED = 'quarantined'
+    #: The account's key was taken away, or that could not be ruled out.
+    KEY_UNPROVED = 'key_unproved'
--- a/dandeliongw/hosts.py
+++ b/dandeliongw/hosts.py
@@ -58,6 +58,9 @@
     """One of the document's priorities."""
     patience_s: models.Positive | None = None
     """Callers abandon a stream after this time without data."""
+    allows_anonymous: bool = False
+    """Whether calls without a key are accepted; matters only if calls by host
+    need one."""
 
     @functools.cached_property
     def total_weight(self) -> int:
--- a/dandeliongw/http_backends.py
+++ b/dandeliongw/http_backends.py
@@ -313,7 +313,11 @@
         self._timeouts = timeouts
 
     def model_engine(
-        self, url: str, backend_id: str, pieces_received: int
+        self,
+        url: str,
+        backend_id: str,
+        pieces_received: int,
+        told_account: str | None,
     ) -> HttpEngine:
         return self.engine_at(url, backend_id)
 
@@ -327,7 +331,11 @@
         )
 
     def plain_service(
-        self, url: str, backend_id: str, timeout_s: float
+        self,
+        url: str,
+        backend_id: str,
+        timeout_s: float,
+        told_account: str | None,
     ) -> PlainService:
         return PlainService(
             url=url,
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -18,6 +18,7 @@
 from . import verdict as verdicts
 from .cell import orders
 from .coordination import lease_messages
+from .coordination import rates
 from .entry import waste
 
 # The ``_created`` samples would be half of all lines, and carry no
@@ -222,6 +223,12 @@
             None,
             [UNLABELLED],
         )
+        self.charges = self._watched(
+            'account_charges',
+            'Charges of accounts with a rate, as answered by this instance.',
+            'outcome',
+            list(rates.ChargeOutcome),
+        )
         self.order_repeats = self._watched(
             'order_repeats',
             'Orders sent again, as the answer was lost or a failure.',
@@ -255,6 +262,11 @@
             "Epochs of this instance's leases on cells.",
             'cell',
         )
+        self.account_refusals = self._watched_gauge(
+            'account_refusals',
+            'Charges refused here over the rate, of the accounts with most.',
+            'account',
+        )
         self.quarantined = self._watched_gauge(
             'quarantined_calls',
             'Calls that are held back, as they end backend servers.',
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -35,9 +35,12 @@
 from .coordination import parts
 from .coordination import presence
 from .coordination import quarantine
+from .coordination import rates
 from .coordination import register
 from .coordination import register_messages
+from .entry import account_check
 from .entry import admission
+from .entry import charges
 from .entry import fingerprints
 from .entry import quarantine_check
 from .entry import requests
@@ -141,17 +144,24 @@
             configuration=self.register,
             leases=self.leases,
         )
+        self.account_check = account_check.AccountCheck(
+            directory=self.directory,
+            max_proof_age_s=settings.timeouts.key_proof_s,
+        )
         self.admission = admission.Admission(
             directory=self.directory,
+            account_check=self.account_check,
             max_requests=settings.limits.max_requests,
             max_streams=settings.limits.max_streams,
         )
         self.quarantine = quarantine.Quarantine(
             instance_id=settings.instance_id
         )
+        self.rates = rates.Rates(instance_id=settings.instance_id)
         self.requests = requests.Requests(
             directory=self.directory,
             gate=self.admission,
+            account_check=self.account_check,
             quarantine_check=quarantine_check.QuarantineCheck(
                 quarantine=self.quarantine,
                 fingerprints=fingerprints.Fingerprints(
@@ -331,6 +341,15 @@
                 ),
             ),
             (self._on_backend_ended, (quarantine.Ended,)),
+            (
+                self.rates.handle,
+                (
+                    rates.Charge,
+                    rates.Refund,
+                    rates.SetLimits,
+                    rates.SetMembers,
+                ),
+            ),
             (
                 self.owner.handle_in_all,
                 (cells.StreamCancelled, cells.StreamsListed),
@@ -361,6 +380,7 @@
             (self.membership.handle, membership.MESSAGES),
             (self.presence.handle, presence.MESSAGES),
             (self.quarantine.handle, quarantine.MESSAGES),
+            (self.rates.handle, rates.MESSAGES),
             (self._receive_as_owner, owner_module.OWNER_MESSAGES),
             (self._reclaim, (cells.ReclaimWanted,)),
             (
@@ -391,6 +411,7 @@
             presence.CacheHints: self._on_cache_hints,
             quarantine.Quarantined: self._on_quarantined,
             quarantine.Released: self._on_released,
+            rates.RateReached: self._on_rate_reached,
         }
 
     def _route(self, event: typing.Any) -> list[typing.Any]:
@@ -442,6 +463,7 @@
             (requests.CLAIM_TICKET, self.requests.claim_answered),
             (requests.FINISH_TICKET, self.requests.finish_answered),
             (requests.TRIAL_TICKET, self.requests.trial_answered),
+            (requests.CHARGE_TICKET, self.requests.charge_answered),
         ):
             if effect.ticket.startswith(prefix):
                 request_id = effect.ticket[len(prefix) :]
@@ -628,6 +650,26 @@
         line = decisions.CallReleased(call=effect.fingerprint, why=effect.why)
         return [line.log()]
 
+    # Rates of accounts
+
+    def _on_rate_reached(
+        self, now: float, effect: rates.RateReached
+    ) -> list[typing.Any]:
+        line = decisions.RateReached(
+            account=effect.account, refused=effect.refused
+        )
+        return [line.log()]
+
+    def _review_rates(self, now: float) -> list[typing.Any]:
+        """Tell who may hold the accounts' buckets."""
+        return self.rates.handle(
+            rates.SetMembers(
+                now=now,
+                members=self.directory.entries(),
+                has_quorum=self.register.is_fresh(now),
+            )
+        )
+
     # Configuration
 
     def _change_configuration(
@@ -652,7 +694,12 @@
         self.directory.is_unreadable = False
         self.directory.document = described
         self._review_at = now
+        limits = rates.SetLimits(
+            now=now,
+            limits=charges.limits_of(described, self.settings.rate_tolerance),
+        )
         return [
+            *self.rates.handle(limits),
             effects.log(
                 'configuration in force',
                 **_confirmation_fields(self.register.confirmation_status(now)),
@@ -767,6 +814,7 @@
             for part in self._throttled_parts
             for effect in part.tick(event)
         ]
+        out += self.rates.handle(event)
         out += self.owner.tick(event)
         out += self.requests.handle(event)
         if event.now >= self._review_at:
@@ -779,6 +827,7 @@
         return [
             *self._review_instances(now),
             *self._review_serving(now),
+            *self._review_rates(now),
             self._observe(now),
             *self.succession.review(now),
             *self.voter_replacement.review(now, self._entropy),
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -295,6 +295,8 @@
     metrics.backend_ends.set_callback(
         lambda: {unlabelled: quarantine.crashes_seen}
     )
+    metrics.charges.set_callback(lambda: reducer.rates.charges_by_outcome)
+    metrics.account_refusals.set_callback(reducer.rates.most_refused)
     metrics.quarantined.set_callback(
         lambda: {unlabelled: quarantine.quarantined_count}
     )
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -134,6 +134,15 @@
     retried; each entry has an equal share."""
 
 
+class RateTolerance(models.Model):
+    """What accounts get beyond their rates before they are refused."""
+
+    part: models.NonNegative = 0.0
+    """Part of the rate and of the burst that is granted in addition."""
+    amount: models.NonNegative = 0.0
+    """Amount that is granted at once in addition, in each account's unit."""
+
+
 class Timeouts(models.Model):
     """Time-outs and intervals, all in seconds."""
 
@@ -152,6 +161,9 @@
     """Duration of a lease on slots that is not renewed."""
     lease_margin_s: models.Positive = 0.25
     """The holder stops using a lease this long before it expires."""
+    key_proof_s: models.Positive | None = None
+    """Calls with an account's key are refused if the document was confirmed
+    longer ago than this; without it, ``unconfirmed`` alone decides."""
     presence_s: models.Positive = 3.0
     """A backend server without a renewal for this long gets no requests."""
     renew_s: models.Positive = 1.0
@@ -229,6 +241,8 @@
     """Limits of this instance."""
     retries: Retries = Retries()
     """The retry budget of the whole system."""
+    rate_tolerance: RateTolerance = RateTolerance()
+    """What accounts get beyond their rates."""
     timeouts: Timeouts = Timeouts()
     """Time-outs and intervals."""
     log_level: LogLevel = 'INFO'
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,6 +8,7 @@
 
 from dandeliongw.cell import orders
 from dandeliongw.coordination import lease_messages
+from dandeliongw.coordination import rates
 from dandeliongw import effects
 from dandeliongw.entry import waste
 from dandeliongw import envelopes
@@ -32,6 +33,7 @@
         ('peer_drops', 'reason', envelopes.DropReason),
         ('peer_faults', 'reason', peers.FaultReason),
         ('orders_held_back', 'reason', orders.HoldReason),
+        ('account_charges', 'outcome', rates.ChargeOutcome),
     )
     def test_every_label_value_starts_at_zero(self, name, label, values):
         text = self.metrics.render().decode()
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -8,6 +8,7 @@
 from dandeliongw import document
 from dandeliongw import exceptions
 from tests import on_platform
+from tools import local
 
 from adapter import configuration
 
@@ -64,6 +65,85 @@
         self.assertEqual(translate(message).host_routes[0].repeat, repeat)
 
 
+TENANT = {
+    'name': 'tenant-1',
+    'apiKeys': ['key-1', 'key-2'],
+    'priority': 2,
+    'unit': 'tokens',
+    'plainTokens': 200,
+    'ratePerS': 102104,
+    'burst': 51052,
+}
+
+
+def with_tenants(*tenants):
+    message = json.loads(json.dumps(on_platform.CONFIGURATION))
+    message['tenants'] = [{**TENANT, **each} for each in tenants]
+    return message
+
+
+class TenantTest(unittest.TestCase):
+    def test_an_account(self):
+        made = translate(with_tenants({}))
+        self.assertTrue(made.host_calls_need_key)
+        self.assertEqual(
+            [local.sha256('key-1'), local.sha256('key-2')],
+            list(made.accounts_by_key_sha256),
+        )
+        (account,) = made.accounts
+        self.assertEqual(
+            (account.limit.per_s, account.limit.burst, account.limit.unit),
+            (102104.0, 51052.0, 'tokens'),
+        )
+        self.assertEqual(account.limit.weigh(0), 200.0)
+        self.assertEqual(made.priorities_by_name[account.priority].rank, 2)
+
+    @params({'ratePerS': 0}, {'ratePerS': None})
+    def test_an_account_without_a_limit(self, changes):
+        tenant = {**TENANT, **changes}
+        if tenant['ratePerS'] is None:
+            del tenant['ratePerS']
+        message = with_tenants({})
+        message['tenants'] = [tenant]
+        (account,) = translate(message).accounts
+        self.assertIsNone(account.limit)
+
+    def test_an_account_that_has_lost_its_last_key(self):
+        made = translate(with_tenants({'apiKeys': []}))
+        self.assertTrue(made.host_calls_need_key)
+        self.assertEqual(dict(made.accounts_by_key_sha256), {})
+
+    def test_without_accounts_no_key_is_needed(self):
+        self.assertFalse(translate().host_calls_need_key)
+
+    def test_the_same_key_given_twice(self):
+        made = translate(with_tenants({'apiKeys': ['key-1', 'key-1']}))
+        self.assertEqual(len(made.accounts[0].keys_sha256), 1)
+
+    @params(
+        ([{}, {'name': 'tenant-2'}], 'accounts[1]'),
+        ([{}, {'apiKeys': ['key-3']}], 'accounts[1].name'),
+        ([{'apiKeys': ['']}], 'tenants[0].apiKeys[0]'),
+        ([{'apiKeys': ['hidden key']}], 'tenants[0].apiKeys[0]'),
+        ([{'apiKeys': ['x' * 513]}], 'tenants[0].apiKeys[0]'),
+        ([{'apiKeys': 'hidden-key'}], 'tenants[0].apiKeys'),
+        ([{'ratePerS': -1}], 'tenants[0].ratePerS'),
+        ([{'burst': -1}], 'tenants[0].burst'),
+        ([{'unit': 'bytes'}], 'tenants[0].unit'),
+        ([{'plainTokens': 0}], 'tenants[0].plainTokens'),
+        ([{'priority': -1}], 'tenants[0].priority'),
+        ([{'name': ''}], 'tenants[0].name'),
+    )
+    def test_an_invalid_account_is_refused(self, tenants, named):
+        """Guards against keys in answers and logs, too."""
+        with self.assertRaises(exceptions.InvalidInput) as caught:
+            translate(with_tenants(*tenants))
+        paths = ' '.join(each.path for each in caught.exception.problems)
+        self.assertIn(named, paths)
+        for secret in ('key-1', 'hidden', 'xxx', local.sha256('key-1')):
+            self.assertNotIn(secret, str(caught.exception))
+
+
 class RefusalTest(unittest.TestCase):
     """An invalid configuration is refused as a whole."""
 
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -29,6 +29,36 @@
     )
 
 
+class AccountTest(unittest.TestCase):
+    """Guards against keys that reach backend servers, and forged accounts."""
+
+    @params(
+        *('X-Tenant', 'x-tenant', 'X_Tenant', 'X-TENANT', 'x_tenant'),
+        *('X_Stage', 'x-kv_source'),
+    )
+    def test_a_caller_cannot_set_what_only_we_may_set(self, name):
+        metadata = read((name, 'other'))
+        self.assertNotIn('other', dict(metadata.headers).values())
+        forwarded = headers.set_account(metadata.headers, 'one')
+        self.assertEqual(forwarded['X-Tenant'], 'one')
+
+    @params('Authorization', 'authorization', 'AUTHORIZATION')
+    def test_the_key_is_replaced_by_the_account(self, name):
+        given = (('X-Other', 'o'), (name, 'Bearer key'))
+        self.assertEqual(
+            headers.set_account(given, 'one'),
+            {'X-Other': 'o', 'X-Tenant': 'one'},
+        )
+
+    def test_an_anonymous_call_has_neither(self):
+        given = (('X-Other', 'o'), ('Authorization', 'Bearer key'))
+        self.assertEqual(headers.set_account(given, ''), {'X-Other': 'o'})
+
+    def test_headers_are_unchanged_where_no_key_is_needed(self):
+        given = (('X-Other', 'o'), ('Authorization', 'Bearer key'))
+        self.assertEqual(headers.set_account(given, None), dict(given))
+
+
 class DialectTest(unittest.TestCase):
     def test_the_headers_of_a_call(self):
         metadata = read()
--- a/tests/test_platform_machine.py
+++ b/tests/test_platform_machine.py
@@ -43,6 +43,25 @@
         self.assertEqual((0.1, 300.0), (made.retries.part, made.retries.saved))
         self.assertEqual(0.2, translate().retries.part)
 
+    def test_keys_hold_for_less_than_their_bound(self):
+        """Guards against a key that works after it was taken away."""
+        bounds = {**on_platform.MACHINE['bounds'], 'revokeMs': 5000}
+        self.assertIsNone(translate(bounds=bounds).timeouts.key_proof_s)
+        bounds['strictRevoke'] = True
+        proof_s = translate(bounds=bounds).timeouts.key_proof_s
+        self.assertLess(proof_s, 5.0)
+        # Calls are owed for 0.6 of the bound.
+        self.assertGreater(proof_s, 0.6 * 5.0)
+        bounds['strictRevoke'] = False
+        self.assertIsNone(translate(bounds=bounds).timeouts.key_proof_s)
+
+    def test_accounts_get_a_part_of_their_tolerance(self):
+        """Guards against a bound that one change of a holder breaks."""
+        bounds = {**on_platform.MACHINE['bounds'], 'quotaOver': 0.1}
+        made = translate(bounds={**bounds, 'quotaSlack': 140000})
+        tolerance = made.rate_tolerance
+        self.assertEqual((tolerance.part, tolerance.amount), (0.05, 35000.0))
+
     def test_a_shutdown_uses_its_grace_period(self):
         """Guards against aborting open streams seconds too early.
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,6 +1,6 @@
 """Starts a local system, sends requests to it and prints each answer.
 
-The exit code is 0 only if every request got one complete answer.
+The exit code is 0 only if every request got the answer that it should get.
 """
 
 from collections import abc
@@ -19,6 +19,8 @@
     'Check the fold and glue notes of carton 4711 against the rules. ' * 20
 )
 MAX_TOKENS = 12
+#: Key of the account that has a rate.
+LIMITED_KEY = 'demo-key-of-a-limited-account'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -126,6 +128,56 @@
     return results
 
 
+def exceed_rate_and_lose_key(
+    system: local.LocalSystem, instance_id: str, other_id: str
+) -> list[Result]:
+    """Call over an account's rate, then with a key that was taken away.
+
+    The rate holds at all instances together, so the second call is refused
+    although it goes to another instance.
+    """
+    document = local.example_document()
+    limited = {
+        'name': 'studio-2',
+        'key_sha256': local.sha256(LIMITED_KEY),
+        'services': ['studio-portal'],
+        'rate': {'per_s': 0.01},
+        'priority': 'patient',
+    }
+    document['accounts'].append(limited)
+    results = []
+    for number, (what, receiver_id, status) in enumerate(
+        (
+            ('call within the rate', instance_id, 200),
+            ('call over the rate', other_id, 429),
+            ('call with a key that was taken away', instance_id, 401),
+        )
+    ):
+        if status == 401:
+            document['accounts'].remove(limited)
+        if number != 1:
+            revision = system.apply(
+                instance_id, document, f'demo-account-{number}'
+            )
+            system.wait_serving(revision)
+        results.append(_call_limited(system, receiver_id, what, status))
+    return results
+
+
+def _call_limited(
+    system: local.LocalSystem, instance_id: str, what: str, expected: int
+) -> Result:
+    status, answer = system.call_as_account(
+        instance_id,
+        'GET',
+        '/services/studio-portal/lookup?job=4711',
+        headers={'Authorization': f'Bearer {LIMITED_KEY}'},
+    )
+    print(f'{what}: {status} {answer}')
+    problem = '' if status == expected else f'{status}, not {expected}'
+    return Result(what=what, problem=problem)
+
+
 def check_runs(system: local.LocalSystem, bookings: int) -> Result:
     """Compare the plain services' own count of runs with ``bookings``."""
     runs = 0
@@ -157,6 +209,7 @@
         results.append(stream_completion(system, instance))
         results.append(look_up(system, instance_id))
         results.extend(book_twice(system, instance_id, other_id))
+    results.extend(exceed_rate_and_lose_key(system, ids[0], ids[1]))
     runs_check = check_runs(system, len(ids))
     return report(results, runs_check)
 
