An old refusal no longer makes an owner drop its cell without its voters

Cause: an owner whose lease runs out keeps its cell if no voter answers. It concluded that one answers from any refusal since its lease began. A voter that joins late refuses its first renewal (not caught up), and that refusal was kept for the life of the lease.

Change: the time of the latest answer counts, granted or refused.

The test fails without the change.

It concerns every deployment whose voters join one by one.

--- a/dandeliongw/coordination/lease_holder.py
+++ b/dandeliongw/coordination/lease_holder.py
@@ -24,7 +24,7 @@
 #: Initial timeout, as a fraction of ``renew_s``, of an attempt that a grantor
 #: refused.
 SHORT_TIMEOUT_FRACTION = 1 / 8
-#: Fraction of a lease's duration without a confirmation by any grantor after
+#: Fraction of a lease's duration without an answer of any grantor after
 #: which all of them count as unreachable. It spans several renewals.
 SILENCE_FRACTION = 0.5
 #: The backoff doubles with each consecutive failed request, up to this many
@@ -56,6 +56,8 @@
     :param confirmed_at_by_grantor: send time of the latest claim for
         ``epoch`` that each grantor granted.
     :param refusals_by_grantor: refusals since the current request was sent.
+    :param answered_at: send time of the latest claim that any grantor
+        answered.
     :param valid_until: end of the lease by this instance's clock.
     :param released_by: grantors that reported the release of epoch
         ``highest``.
@@ -77,6 +79,7 @@
     refusals_by_grantor: dict[str, messages.LeaseAnswer] = msgspec.field(
         default_factory=dict
     )
+    answered_at: float = _NEVER
     released_by: set[str] = msgspec.field(default_factory=set)
 
 
@@ -383,6 +386,7 @@
         answer: messages.LeaseAnswer,
         asked_at: float,
     ) -> None:
+        lease.answered_at = max(lease.answered_at, asked_at)
         if answer.outcome is not _GRANTED:
             lease.refusals_by_grantor[sender] = answer
             return
@@ -416,11 +420,13 @@
         )
 
     def _is_unheard(self, now: float, lease: _Lease) -> bool:
-        """Return whether no grantor answered the latest renewals."""
-        if lease.refusals_by_grantor:
-            return False
-        last = max(lease.confirmed_at_by_grantor.values(), default=_NEVER)
-        return last <= now - SILENCE_FRACTION * self.duration_s
+        """Return whether no grantor answered the latest renewals.
+
+        Refusals count as answers as long as they are recent: a grantor that
+        was lost after it had refused tells nothing about the others.
+        """
+        silent_s = now - lease.answered_at
+        return silent_s >= SILENCE_FRACTION * self.duration_s
 
     def _abandon(self, lease: _Lease, successor: str) -> list[typing.Any]:
         effects: list[typing.Any] = []
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -436,10 +436,10 @@
         received = parts.Received(now=0.1, sender=sender, message=message)
         return self.part.handle(received)
 
-    def answer(self, sender, epoch, *, life=1, asked_at=0.1):
-        granted = messages.LeaseAnswer(
-            name=CELL, epoch=epoch, outcome=Outcome.GRANTED
-        )
+    def answer(
+        self, sender, epoch, *, life=1, asked_at=0.1, outcome=Outcome.GRANTED
+    ):
+        granted = messages.LeaseAnswer(name=CELL, epoch=epoch, outcome=outcome)
         message = messages.LeaseAnswers(
             version=0, life=life, asked_at=asked_at, answers=(granted,)
         )
@@ -469,6 +469,26 @@
         held = self.part.epoch_if_held(CELL, 0.1)
         self.assertEqual(1 if is_held else None, held)
 
+    @params((0.1, True), (1.5, False))
+    def test_a_lease_that_expires_while_no_grantor_answers(
+        self, refused_at, is_unheard
+    ):
+        """Guards against an owner that drops its cell without its voters.
+
+        A voter that joined late had refused a renewal long before all of them
+        were lost.
+        """
+        self.answer('v1', 0, asked_at=0.0)
+        self.answer('v2', 0, asked_at=0.0)
+        self.answer('v1', 1)
+        self.answer('v2', 1)
+        self.answer(
+            'v3', 1, asked_at=refused_at, outcome=Outcome.NOT_CAUGHT_UP
+        )
+        out = self.part.handle(parts.Ticked(now=2.0, entropy=1))
+        (lost,) = [each for each in out if isinstance(each, lease.LeaseLost)]
+        self.assertEqual(lost.is_unheard, is_unheard)
+
     def test_an_answer_to_an_earlier_probe_does_not_count(self):
         self.answer('v1', 0, asked_at=0.0)
         self.assertEqual([], self.answer('v2', 0, asked_at=-5.0))
