An entry that was told of no backend server asks the owner

Cause: entries of a system of up to 20 instances may place work themselves while an owner is silent. When a larger one loses its voters, fewer are left, but none has been told of backend servers, so each of them refused its callers with "no backend server is ready".

Change: an entry places work itself only if it knows a backend server of the service.

The test fails without the change.

--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -6,6 +6,7 @@
 from .coordination import lease
 from .coordination import membership
 from .coordination import placement
+from .coordination import presence
 from .coordination import register
 
 
@@ -24,6 +25,7 @@
     :param members: state of the instances.
     :param configuration: the register that holds the document.
     :param leases: the leases of cells.
+    :param backends: the backend servers that this instance hears of.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
         members: membership.Membership,
         configuration: register.Register,
         leases: lease.Leases,
+        backends: presence.Presence,
     ) -> None:
         self.document = document_module.EMPTY
         self.is_draining = False
@@ -49,6 +52,7 @@
         self._members = members
         self._configuration = configuration
         self._leases = leases
+        self._backends = backends
         self._holders_by_cell: dict[str, str] = {}
         self._epochs_by_cell: dict[str, int] = {}
         self._ranks_by_cell: dict[str, tuple[str, ...]] = {}
@@ -180,15 +184,27 @@
         """Id of this instance."""
         return self._own_id
 
-    @property
-    def places_without_owner(self) -> bool:
-        """Whether this entry places work itself if a cell's owner is silent.
+    def places_without_owner(self, cell: str) -> bool:
+        """Return whether this entry places work itself if an owner is silent.
 
         With many entries this would only refuse callers with "no backend
         server is ready", although the owner would have replied a moment later.
-        Then the owner is retried instead, and after it its deputies.
+        Then the owner is retried instead, and after it its deputies. The same
+        holds for a while after the number of instances fell: the entry has
+        yet to get the messages of backend servers.
         """
-        return self._places_alone and self.forwards_to_all
+        return (
+            self._places_alone
+            and self.forwards_to_all
+            and self._knows_backends(cell)
+        )
+
+    def _knows_backends(self, cell: str) -> bool:
+        service = cell.split('/')[0]
+        return any(
+            backend.present and backend.announcement.service == service
+            for backend in self._backends.backends_by_id.values()
+        )
 
     @property
     def forwards_to_all(self) -> bool:
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -54,9 +54,8 @@
         """The id of this instance."""
         ...
 
-    @property
-    def places_without_owner(self) -> bool:
-        """Whether it places requests while an owner is unresponsive."""
+    def places_without_owner(self, cell: str) -> bool:
+        """Return whether it places requests while an owner is unresponsive."""
         ...
 
     def owners_of(self, cell: str) -> tuple[str, ...]:
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -183,7 +183,9 @@
             return []
         if request.phase is Phase.BOOKING:
             followed = self._reservations.follow(event.now, request, holder)
-            if followed or not self._reservations.may_place_without_owner:
+            if followed or not self._reservations.may_place_without_owner(
+                request
+            ):
                 return followed
             # The cell has no owner at present.
             return self._reservations.place_without_owner(event.now, request)
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -518,7 +518,7 @@
             )
         waited_s = now - request.asked_at
         is_silent = waited_s >= reservations.OWNER_TIMEOUT_S
-        if is_silent and self._reservations.may_place_without_owner:
+        if is_silent and self._reservations.may_place_without_owner(request):
             return self._reservations.place_without_owner(now, request)
         if waited_s < reservations.OWNER_RETRY_S:
             return []
@@ -533,7 +533,7 @@
         its deadline.
         """
         if now - request.owner_replied_at >= reservations.QUEUE_TIMEOUT_S:
-            if self._reservations.may_place_without_owner:
+            if self._reservations.may_place_without_owner(request):
                 return self._reservations.place_without_owner(now, request)
             return self._attempts.search(now, request)
         if now - request.asked_at < reservations.QUEUE_RENEW_S:
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -87,10 +87,9 @@
         turn = request.tries // TRIES_PER_OWNER
         return self._book_at(now, request, owners[turn % len(owners)])
 
-    @property
-    def may_place_without_owner(self) -> bool:
-        """Whether this entry may place requests without the cell's owner."""
-        return self._directory.places_without_owner
+    def may_place_without_owner(self, request: request_module.Request) -> bool:
+        """Return whether this entry may place it without the cell's owner."""
+        return self._directory.places_without_owner(request.cell)
 
     def place_without_owner(
         self, now: float, request: request_module.Request
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -143,6 +143,7 @@
             members=self.membership,
             configuration=self.register,
             leases=self.leases,
+            backends=self.presence,
         )
         self.account_check = account_check.AccountCheck(
             directory=self.directory,
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -67,7 +67,7 @@
         self.lapsed_age_s = 9.0
         self.owners = (OWNER, NEXT_OWNER)
         self.own_id = 'gw-0'
-        self.places_without_owner = False
+        self.places_alone = False
 
     def is_fresh(self, now):
         return self.fresh
@@ -80,6 +80,9 @@
             is_confirmed=self.confirmed,
         )
 
+    def places_without_owner(self, cell):
+        return self.places_alone
+
     def cell_of(self, service, request_id):
         return CELL
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -9,6 +9,9 @@
 from tests import network
 
 
+CELL = 'studio-portal/local/0'
+
+
 class PlacingNetwork(network.Network):
     """A network whose instances place work while an owner is silent."""
 
@@ -32,9 +35,28 @@
     def test_entries_place_work_only_in_small_systems(self, count, expected):
         net = PlacingNetwork(count=count, voters=3)
         net.run(10.0)
+        for instance_id in net.reducers_by_id:
+            net.announce(instance_id, 'portal-1', 'plain')
+        net.run(0.1)
         found = net.reducers_by_id['gw-5'].directory
         self.assertEqual(count, len(found.all_ids()))
-        self.assertEqual(expected, found.places_without_owner)
+        self.assertEqual(expected, found.places_without_owner(CELL))
+
+    def test_an_entry_without_backend_servers_asks_the_owner(self):
+        """Guards against refusals while voters are lost in a larger system.
+
+        Fewer instances are left than may place work themselves, but those
+        have not been told of any backend server yet.
+        """
+        count = directory.MAX_TO_FORWARD_TO_ALL + 2
+        net = PlacingNetwork(count=count, voters=3)
+        net.run(10.0)
+        for instance_id in ('gw-1', 'gw-2', 'gw-3'):
+            net.crash(instance_id)
+        net.run(10.0)
+        found = net.reducers_by_id['gw-5'].directory
+        self.assertEqual(count - 3, len(found.all_ids()))
+        self.assertFalse(found.places_without_owner(CELL))
 
     def test_a_live_entry_is_counted_until_it_leaves(self):
         net = network.Network(count=4)
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -29,7 +29,7 @@
 
     def setUp(self):
         self.entry = entry_fake.Entry()
-        self.entry.directory.places_without_owner = True
+        self.entry.directory.places_alone = True
 
     def books(self):
         """Return the recipient and the ``unowned`` flag of each ``Book``."""
@@ -142,7 +142,7 @@
         self.assertEqual(to, [entry_fake.NEXT_OWNER, OWN])
 
     def test_without_the_setting_the_next_owner_is_asked(self):
-        self.entry.directory.places_without_owner = False
+        self.entry.directory.places_alone = False
         self.entry.arrive('lookup')
         for _ in range(2):
             self.entry.tick(reservations.OWNER_RETRY_S)
