--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -12,7 +12,6 @@
 import typing
 
 from . import backend_forwarding
-from . import decisions
 from . import directory as directory_module
 from . import document as document_module
 from . import effects
@@ -21,6 +20,7 @@
 from . import membership_log
 from . import settings as settings_module
 from . import shutdown
+from . import state_log
 from . import voter_replacement
 from .cell import cells
 from .cell import orders
@@ -28,7 +28,6 @@
 from .cell import succession
 from .coordination import claim_messages
 from .coordination import claims
-from .coordination import confirmation_status as status_module
 from .coordination import lease
 from .coordination import lease_messages
 from .coordination import membership
@@ -400,8 +399,6 @@
         return {
             register.ConfigurationChanged: self._change_configuration,
             register.VotersChanged: self._change_voters,
-            status_module.ConfirmationLapsed: self._on_confirmation_lapsed,
-            status_module.ConfirmationRegained: self._on_confirmation_regained,
             lease.LeaseGained: self._on_lease_gained,
             lease.LeaseLost: self._on_lease_lost,
             lease.GrantorCaughtUp: self._on_leases_caught_up,
@@ -411,10 +408,14 @@
             presence.BackendChanged: self._on_backend_changed,
             presence.CacheHints: self._on_cache_hints,
             quarantine.Quarantined: self._on_quarantined,
-            quarantine.Released: self._on_released,
-            rates.RateReached: self._on_rate_reached,
+            **{
+                logged: self._log_state for logged in state_log.LINES_BY_EFFECT
+            },
         }
 
+    def _log_state(self, now: float, effect: typing.Any) -> list[typing.Any]:
+        return [state_log.LINES_BY_EFFECT[type(effect)](effect)]
+
     def _route(self, event: typing.Any) -> list[typing.Any]:
         handler = self._handlers_by_type.get(type(event))
         if handler is None:
@@ -593,18 +594,11 @@
     def _on_backend_changed(
         self, now: float, effect: presence.BackendChanged
     ) -> list[typing.Any]:
-        state = 'present' if effect.present else 'gone'
         announcement = self.presence.backends_by_id[
             effect.backend_id
         ].announcement
         return [
-            effects.log(
-                f'backend server is {state}',
-                backend_id=effect.backend_id,
-                service=announcement.service,
-                role=announcement.role.value,
-                url=announcement.url,
-            ),
+            state_log.backend_changed(effect, announcement),
             *self.owner.change_backend(now, effect.backend_id),
         ]
 
@@ -634,33 +628,13 @@
     def _on_quarantined(
         self, now: float, effect: quarantine.Quarantined
     ) -> list[typing.Any]:
-        line = decisions.CallQuarantined(
-            call=effect.fingerprint,
-            backend_ids=' '.join(effect.backend_ids),
-            told_by=' '.join(effect.told_by),
-            held_s=effect.held_s,
-        )
         return [
-            line.log(),
+            state_log.call_quarantined(effect),
             *self.requests.stop_quarantined(now, effect.fingerprint),
         ]
 
-    def _on_released(
-        self, now: float, effect: quarantine.Released
-    ) -> list[typing.Any]:
-        line = decisions.CallReleased(call=effect.fingerprint, why=effect.why)
-        return [line.log()]
-
     # Rates of accounts
 
-    def _on_rate_reached(
-        self, now: float, effect: rates.RateReached
-    ) -> list[typing.Any]:
-        line = decisions.RateReached(
-            account=effect.account, refused=effect.refused
-        )
-        return [line.log()]
-
     def _review_rates(self, now: float) -> list[typing.Any]:
         """Tell who may hold the accounts' buckets."""
         return self.rates.handle(
@@ -703,37 +677,15 @@
             *self.rates.handle(limits),
             effects.log(
                 'configuration in force',
-                **_confirmation_fields(self.register.confirmation_status(now)),
+                **state_log.confirmation_fields(
+                    self.register.confirmation_status(now)
+                ),
             ),
             *self.owner.change_document(
                 now, frozenset(self.membership.alive_ids())
             ),
         ]
 
-    def _on_confirmation_lapsed(
-        self, now: float, effect: status_module.ConfirmationLapsed
-    ) -> list[typing.Any]:
-        return [
-            effects.log(
-                'configuration not confirmed in time',
-                **_confirmation_fields(effect.status),
-                asks=str(effect.asks),
-                late_answers=str(effect.late_answers),
-                level='WARNING',
-            )
-        ]
-
-    def _on_confirmation_regained(
-        self, now: float, effect: status_module.ConfirmationRegained
-    ) -> list[typing.Any]:
-        return [
-            effects.log(
-                'configuration confirmed again',
-                **_confirmation_fields(effect.status),
-                lapsed_s=f'{effect.lapsed_s:.2f}',
-            )
-        ]
-
     def _change_voters(
         self, now: float, effect: register.VotersChanged
     ) -> list[typing.Any]:
@@ -914,18 +866,6 @@
     )
 
 
-def _confirmation_fields(
-    status: status_module.ConfirmationStatus,
-) -> dict[str, str]:
-    """Return the log fields on a configuration and its confirmation."""
-    age_s = status.confirmed_age_s
-    return {
-        'revision': str(status.revision),
-        'order': str(status.order),
-        'confirmed_age_s': 'never' if age_s is None else f'{age_s:.2f}',
-    }
-
-
 def _prefix_tokens(
     name: str, part_effects: abc.Iterable[typing.Any]
 ) -> list[typing.Any]:
--- /dev/null
+++ b/dandeliongw/state_log.py
@@ -0,0 +1,96 @@
+"""Log lines on what the coordination parts report."""
+
+from collections import abc
+import types
+import typing
+
+from . import decisions
+from . import effects
+from .coordination import confirmation_status
+from .coordination import presence
+from .coordination import quarantine
+from .coordination import rates
+
+
+def backend_changed(
+    effect: presence.BackendChanged, announcement: presence.BackendAnnouncement
+) -> effects.Log:
+    """Return the line on a backend server that appeared or is gone."""
+    state = 'present' if effect.present else 'gone'
+    return effects.log(
+        f'backend server is {state}',
+        backend_id=effect.backend_id,
+        service=announcement.service,
+        role=announcement.role.value,
+        url=announcement.url,
+    )
+
+
+def call_quarantined(effect: quarantine.Quarantined) -> effects.Log:
+    """Return the line on a call that is held back from now on."""
+    line = decisions.CallQuarantined(
+        call=effect.fingerprint,
+        backend_ids=' '.join(effect.backend_ids),
+        told_by=' '.join(effect.told_by),
+        held_s=effect.held_s,
+    )
+    return line.log()
+
+
+def _call_released(effect: quarantine.Released) -> effects.Log:
+    line = decisions.CallReleased(call=effect.fingerprint, why=effect.why)
+    return line.log()
+
+
+def _rate_reached(effect: rates.RateReached) -> effects.Log:
+    line = decisions.RateReached(
+        account=effect.account, refused=effect.refused
+    )
+    return line.log()
+
+
+def _confirmation_lapsed(
+    effect: confirmation_status.ConfirmationLapsed,
+) -> effects.Log:
+    return effects.log(
+        'configuration not confirmed in time',
+        **confirmation_fields(effect.status),
+        asks=str(effect.asks),
+        late_answers=str(effect.late_answers),
+        level='WARNING',
+    )
+
+
+def _confirmation_regained(
+    effect: confirmation_status.ConfirmationRegained,
+) -> effects.Log:
+    return effects.log(
+        'configuration confirmed again',
+        **confirmation_fields(effect.status),
+        lapsed_s=f'{effect.lapsed_s:.2f}',
+    )
+
+
+def confirmation_fields(
+    status: confirmation_status.ConfirmationStatus,
+) -> dict[str, str]:
+    """Return the log fields on a configuration and its confirmation."""
+    age_s = status.confirmed_age_s
+    return {
+        'revision': str(status.revision),
+        'order': str(status.order),
+        'confirmed_age_s': 'never' if age_s is None else f'{age_s:.2f}',
+    }
+
+
+#: How effects that are only logged are written.
+LINES_BY_EFFECT: abc.Mapping[type, abc.Callable[[typing.Any], effects.Log]] = (
+    types.MappingProxyType(
+        {
+            quarantine.Released: _call_released,
+            rates.RateReached: _rate_reached,
+            confirmation_status.ConfirmationLapsed: _confirmation_lapsed,
+            confirmation_status.ConfirmationRegained: _confirmation_regained,
+        }
+    )
+)
