Rates: forget instances that are gone

Cause, by reading: the instances that did not answer a charge were kept until they answered. An entry gets a new id at each start, so the table grew with each restart under load. Change: those that are no members any more are dropped. The test fails without it.

--- a/dandeliongw/coordination/rates.py
+++ b/dandeliongw/coordination/rates.py
@@ -134,7 +134,7 @@
 class _Pending(msgspec.Struct, kw_only=True):
     """A charge that waits for a holder's answer.
 
-    :param asked_at: when the last of them was asked.
+    :param asked_at: when the last instance was asked.
     :param asked: the instances asked so far.
     """
 
@@ -195,6 +195,10 @@
             for account, each in refusals[:MAX_SHOWN_ACCOUNTS]
         }
 
+    def count_avoided(self) -> int:
+        """Return how many instances have not answered a charge lately."""
+        return len(self._avoid_until_by_id)
+
     # Interface of a coordination part.
 
     def handle(self, event: typing.Any) -> Effects:
@@ -244,6 +248,9 @@
         if event.members != self._members:
             self._members = event.members
             self._holders_by_account.clear()
+            present = {member.instance_id for member in event.members}
+            for instance_id in self._avoid_until_by_id.keys() - present:
+                del self._avoid_until_by_id[instance_id]
         count = len(event.members)
         is_old = event.now - self._most_members_at > FORGET_MEMBERS_S
         if count >= self._most_members or (event.has_quorum and is_old):
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -411,6 +411,18 @@
         self.network.run(100.3)
         self.assertEqual(len(self.network.granted), 2)
 
+    def test_instances_that_are_gone_are_forgotten(self):
+        """Guards against a table that grows with each restart of an entry."""
+        holder, _ = self.network.holders()
+        other = next(each for each in self.network.ids if each != holder)
+        self.network.down.add(holder)
+        self.network.charge_at(100.0, other, self.amount)
+        self.network.run(101.0)
+        made = self.network.rates_by_id[other]
+        self.assertEqual(made.count_avoided(), 1)
+        self.network.see(other, set(self.network.ids) - {holder})
+        self.assertEqual(made.count_avoided(), 0)
+
     def test_a_refusal_is_reported_now_and_then(self):
         """Guards against a log line for each refused request."""
         made = rates.Rates(instance_id='gw-0')
