--- a/dandeliongw/coordination/_rate_messages.py
+++ b/dandeliongw/coordination/_rate_messages.py
@@ -60,7 +60,8 @@
     """Charges an account for a request.
 
     :param ticket: of the :class:`.parts.Complete` whose result is a
-        :class:`ChargeResult`. It always arrives, within ``MAX_WAIT_S``.
+        :class:`ChargeResult`. It always arrives, within ``MAX_WAIT_S`` and
+        a tick for each instance that was asked.
     """
 
     now: float
--- a/dandeliongw/entry/account_check.py
+++ b/dandeliongw/entry/account_check.py
@@ -59,8 +59,9 @@
     ) -> document.Account | verdict.Refusal:
         """Return the account under which a call by host runs.
 
-        An unknown key is refused also where none is needed: its sender takes
-        itself for a customer and would not notice that the key is gone.
+        An unknown key is refused also where none is needed: its sender
+        expects to run under an account, and would not notice that the key is
+        gone.
         """
         if not self._directory.document.host_calls_need_key:
             return ANONYMOUS
--- a/tests/test_platform_machine.py
+++ b/tests/test_platform_machine.py
@@ -50,7 +50,7 @@
         bounds['strictRevoke'] = True
         proof_s = translate(bounds=bounds).timeouts.key_proof_s
         self.assertLess(proof_s, 5.0)
-        # Calls are owed for 0.6 of the bound.
+        # Callers count on answers for 0.6 of the bound.
         self.assertGreater(proof_s, 0.6 * 5.0)
         bounds['strictRevoke'] = False
         self.assertIsNone(translate(bounds=bounds).timeouts.key_proof_s)
