Log and count the rate limits that backend servers state

The logs of the incident don't tell which answers named a limit, so it can't be told whether entries ignore it or each keeps it for itself. The adapter decodes the header at the head of every answer, also of failures; the entry logs the first statement, each change by a tenth, and counts all. Backend servers with this project's own HTTP have a header for the same. No decision depends on it yet.

--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -125,6 +125,29 @@
     refused: int
 
 
+class RateLimitStated(Decision, frozen=True, kw_only=True):
+    """A backend server states a rate limit, or one that differs by a tenth.
+
+    :param request_id: the request whose answer states it.
+    :param per_s: requests per second, from all instances together.
+    """
+
+    message: typing.ClassVar[str] = 'backend server limits its rate'
+    backend_id: str
+    service: str
+    request_id: str
+    per_s: float
+
+
+class RateLimitEnded(Decision, frozen=True, kw_only=True):
+    """An answer of a backend server states no rate limit any more."""
+
+    message: typing.ClassVar[str] = 'backend server limits its rate no more'
+    backend_id: str
+    service: str
+    request_id: str
+
+
 class BackendEnded(Decision, frozen=True, kw_only=True):
     """The process of a backend server ended while it ran a call.
 
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -39,6 +39,22 @@
     """No data arrived within the timeout; the connection may be dead."""
 
 
+class RateLimitObserver(typing.Protocol):
+    """Is told which rate limit the head of each answer states."""
+
+    def __call__(self, per_s: float | None) -> None:
+        """Note what an answer states.
+
+        :param per_s: requests per second that the backend server accepts from
+            all instances together; ``None`` if the answer states no limit.
+        """
+        ...
+
+
+def ignore_rate_limit(per_s: float | None) -> None:
+    """Ignore what an answer states; a :class:`RateLimitObserver`."""
+
+
 class Prefilled(msgspec.Struct, frozen=True, kw_only=True):
     """Result of a prefill.
 
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -74,12 +74,14 @@
         backend_id: str,
         pieces_received: int,
         told_account: str | None,
+        on_rate_limit: engine.RateLimitObserver,
     ) -> engine.Engine:
         """Return an adapter for an engine.
 
         :param pieces_received: number of stream pieces that the client already
             has.
         :param told_account: see ``admission.Admitted``.
+        :param on_rate_limit: called for the head of each answer.
         """
         ...
 
@@ -89,6 +91,7 @@
         backend_id: str,
         timeout_s: float,
         told_account: str | None,
+        on_rate_limit: engine.RateLimitObserver,
     ) -> engine.PlainServiceAdapter: ...
 
 
@@ -276,6 +279,7 @@
             directive.backend_id,
             self._offset,
             directive.told_account,
+            self._rate_limit_observer(directive),
         )
         with self._cancellations.registered(directive.attempt_id, adapter):
             # When a decode engine failed mid-stream, the text that the
@@ -305,6 +309,7 @@
             directive.backend_id,
             self._offset,
             directive.told_account,
+            self._rate_limit_observer(directive),
         )
         measure = token_gaps.TokenGapMeter()
         with self._cancellations.registered(directive.attempt_id, adapter):
@@ -417,6 +422,7 @@
             directive.backend_id,
             left_s,
             directive.told_account,
+            self._rate_limit_observer(directive),
         )
         with self._cancellations.registered(directive.attempt_id, adapter):
             reply = adapter.call(
@@ -444,6 +450,23 @@
         self._outcome = _outcome_of(reply)
         return step_results.Done(outcome=self._outcome.to_bytes())
 
+    def _rate_limit_observer(
+        self, directive: typing.Any
+    ) -> engine.RateLimitObserver:
+        """Return the observer that notifies the reducer of rate limits."""
+
+        def observe(per_s: float | None) -> None:
+            if per_s is not None:
+                self._post_event(
+                    events.RateLimitStated,
+                    request_id=self.request_id,
+                    attempt_id=directive.attempt_id,
+                    step=_STEP_BY_DIRECTIVE[type(directive)],
+                    per_s=per_s,
+                )
+
+        return observe
+
     def _end_step(
         self, step: events.Step, attempt_id: str, end: step_results.StepResult
     ) -> None:
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -26,6 +26,7 @@
 from . import endings
 from . import idempotency
 from . import quarantine_check as quarantine_module
+from . import rate_limit_watch as rate_limit_watch_module
 from . import recovery
 from . import refusals
 from . import replies
@@ -85,6 +86,7 @@
         self._gate = gate
         self.quarantine_check = quarantine_check
         self._crashes = crash_detection.CrashDetector()
+        self.rate_limit_watch = rate_limit_watch_module.RateLimitWatch()
         self._max_claimed_s = max_claimed_s
         self._budgets = budgets
         self._reservations = reservations.Reservations(directory=directory)
@@ -123,6 +125,8 @@
                 return self._arrive(event)
             case events.StepEnded():
                 return self._end_step(event)
+            case events.RateLimitStated():
+                return self._record_rate_limit(event)
             case events.BackendProbed():
                 return self._crashes.process_probe(event)
             case events.CallerGone():
@@ -384,6 +388,19 @@
             return [*out, *self._prefill_ended(event, request)]
         return [*out, *self._answer_ended(event, request)]
 
+    def _record_rate_limit(self, event: events.RateLimitStated) -> Effects:
+        request = self.requests_by_id.get(event.request_id)
+        if request is None or request.booked is None:
+            return []
+        if event.attempt_id != request.attempt_id:
+            return []
+        return self.rate_limit_watch.record(
+            request.booked_backend(event.step).start,
+            service=request.service,
+            request_id=request.request_id,
+            per_s=event.per_s,
+        )
+
     def _interrupted_run(
         self, event: events.StepEnded, request: Request
     ) -> crash_detection.InterruptedRun:
--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -111,6 +111,20 @@
     entropy: int = 0
 
 
+class RateLimitStated(msgspec.Struct, frozen=True, kw_only=True):
+    """The head of an answer states its backend server's rate limit.
+
+    :param step: the step to which it is the answer.
+    :param per_s: requests per second, from all instances together.
+    """
+
+    now: float
+    request_id: str
+    attempt_id: str
+    step: Step
+    per_s: float
+
+
 class BackendProbed(msgspec.Struct, frozen=True, kw_only=True):
     """Result of an ``effects.ProbeBackend``.
 
--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -11,10 +11,12 @@
 from collections import abc
 import contextlib
 import http.client
+import re
 import socket
 import typing
 import urllib.parse
 
+from loguru import logger
 import urllib3
 import urllib3.connection
 
@@ -24,6 +26,30 @@
 
 #: Size limit of a line in a stream; its pieces and end mark are short lines.
 MAX_LINE_BYTES = 1 << 20
+_RATE = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+
+
+def report_rate_limit(
+    response: typing.Any, header: str, observer: engine.RateLimitObserver
+) -> None:
+    """Report the rate limit that the head of an answer states.
+
+    An invalid value is logged and not reported: it proves neither a limit
+    nor its end.
+
+    :param header: name of the header that states requests per second.
+    """
+    stated = response.headers.get(header)
+    if stated is None:
+        observer(None)
+    elif _RATE.fullmatch(stated.strip()):
+        observer(float(stated))
+    else:
+        logger.warning(
+            'ignored an invalid rate limit of a backend server',
+            header=header,
+            value=stated[:40],
+        )
 
 
 class Exchange:
--- a/dandeliongw/http_backends.py
+++ b/dandeliongw/http_backends.py
@@ -19,6 +19,9 @@
 #: Header by which a plain service states, with status 503, that it did not run
 #: a call.
 NOT_RUN_HEADER = 'X-Not-Run'
+#: Header by which a backend server states how many requests per second it
+#: accepts from all instances together.
+RATE_LIMIT_HEADER = 'X-Requests-Per-S'
 
 
 class HttpEngine:
@@ -34,8 +37,10 @@
         connect_s: float,
         first_byte_s: float,
         stall_s: float,
+        on_rate_limit: engine.RateLimitObserver = engine.ignore_rate_limit,
     ) -> None:
         self.url = url
+        self._on_rate_limit = on_rate_limit
         self._connect_s = connect_s
         self._first_byte_s = first_byte_s
         self._stall_s = stall_s
@@ -195,7 +200,13 @@
         headers = {'Content-Type': 'application/json'}
         if deadline_s is not None:
             headers['X-Deadline-S'] = f'{deadline_s:.3f}'
-        return exchange.send('POST', path, json.dumps(body).encode(), headers)
+        response = exchange.send(
+            'POST', path, json.dumps(body).encode(), headers
+        )
+        exchanges.report_rate_limit(
+            response, RATE_LIMIT_HEADER, self._on_rate_limit
+        )
+        return response
 
     def _raise_unless_ok(
         self, exchange: exchanges.Exchange, response: typing.Any
@@ -261,9 +272,15 @@
     """One call to a plain service, forwarded as the caller sent it."""
 
     def __init__(
-        self, *, url: str, connect_s: float, timeout_s: float
+        self,
+        *,
+        url: str,
+        connect_s: float,
+        timeout_s: float,
+        on_rate_limit: engine.RateLimitObserver = engine.ignore_rate_limit,
     ) -> None:
         self.url = url
+        self._on_rate_limit = on_rate_limit
         self._exchange = exchanges.Exchange(
             url=url, connect_s=connect_s, read_s=timeout_s
         )
@@ -286,6 +303,9 @@
         try:
             self._exchange.open()
             response = self._exchange.send(method, path, body, headers)
+            exchanges.report_rate_limit(
+                response, RATE_LIMIT_HEADER, self._on_rate_limit
+            )
             content = self._exchange.read(response, max_bytes)
         finally:
             self._exchange.close()
@@ -318,16 +338,23 @@
         backend_id: str,
         pieces_received: int,
         told_account: str | None,
+        on_rate_limit: engine.RateLimitObserver,
     ) -> HttpEngine:
-        return self.engine_at(url, backend_id)
+        return self._engine(url, on_rate_limit)
 
     def engine_at(self, url: str, backend_id: str) -> HttpEngine:
         """Return the adapter that sends cancels and orders."""
+        return self._engine(url, engine.ignore_rate_limit)
+
+    def _engine(
+        self, url: str, on_rate_limit: engine.RateLimitObserver
+    ) -> HttpEngine:
         return HttpEngine(
             url=url,
             connect_s=self._timeouts.connect_s,
             first_byte_s=self._timeouts.first_byte_s,
             stall_s=self._timeouts.stall_s,
+            on_rate_limit=on_rate_limit,
         )
 
     def plain_service(
@@ -336,9 +363,11 @@
         backend_id: str,
         timeout_s: float,
         told_account: str | None,
+        on_rate_limit: engine.RateLimitObserver,
     ) -> PlainService:
         return PlainService(
             url=url,
             connect_s=self._timeouts.connect_s,
             timeout_s=timeout_s,
+            on_rate_limit=on_rate_limit,
         )
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -223,6 +223,12 @@
             None,
             [UNLABELLED],
         )
+        self.rate_limits_stated = self._watched(
+            'rate_limits_stated',
+            'Answers to this entry in which a backend server limits its rate.',
+            None,
+            [UNLABELLED],
+        )
         self.charges = self._watched(
             'account_charges',
             'Charges of accounts with a rate, as answered by this instance.',
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -277,6 +277,7 @@
                 (
                     events.RequestArrived,
                     events.StepEnded,
+                    events.RateLimitStated,
                     events.BackendProbed,
                     events.CallerGone,
                     events.RequestClosed,
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -295,6 +295,10 @@
     metrics.backend_ends.set_callback(
         lambda: {unlabelled: quarantine.crashes_seen}
     )
+    watch = reducer.requests.rate_limit_watch
+    metrics.rate_limits_stated.set_callback(
+        lambda: {unlabelled: watch.stated_count}
+    )
     metrics.charges.set_callback(lambda: reducer.rates.charges_by_outcome)
     metrics.account_refusals.set_callback(reducer.rates.most_refused)
     metrics.quarantined.set_callback(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -124,10 +124,10 @@
     def close_relay(self, request_id):
         pass
 
-    def model_engine(self, url, backend_id, pieces_received, account):
+    def model_engine(self, url, backend_id, *_):
         return self._engine
 
-    def plain_service(self, url, backend_id, timeout_s, account):
+    def plain_service(self, url, backend_id, *_):
         return Plain(self._reply)
 
 
--- a/tests/test_platform_backend_calls.py
+++ b/tests/test_platform_backend_calls.py
@@ -1,5 +1,6 @@
 """Calls and orders to the platform's backend servers, and their failures."""
 
+import contextlib
 import json
 import unittest
 
@@ -71,8 +72,15 @@
     )
 
 
-def model_engine(url, pieces_received=0, told_account=None):
-    return backends().model_engine(url, 'i-1', pieces_received, told_account)
+def model_engine(
+    url,
+    pieces_received=0,
+    told_account=None,
+    on_rate_limit=engine.ignore_rate_limit,
+):
+    return backends().model_engine(
+        url, 'i-1', pieces_received, told_account, on_rate_limit
+    )
 
 
 def prefill(url, **changes):
@@ -86,9 +94,9 @@
     )
 
 
-def stream(url, pieces_received=0, told_account=None):
+def stream(url, **changes):
     """Return all that a decode engine sends, head and end included."""
-    made = model_engine(url, pieces_received, told_account)
+    made = model_engine(url, **changes)
     made.import_kv(
         stream_id='r',
         attempt_id='r.1',
@@ -108,14 +116,62 @@
     )
 
 
-def call(url, shared=None, told_account=None):
+def call(
+    url,
+    shared=None,
+    told_account=None,
+    on_rate_limit=engine.ignore_rate_limit,
+):
     return (
         backends(shared)
-        .plain_service(url, 'i-1', 2.5, told_account)
+        .plain_service(url, 'i-1', 2.5, told_account, on_rate_limit)
         .call(method='', path='', body=b'', headers={}, max_bytes=1000)
     )
 
 
+class RateLimitTest(unittest.TestCase):
+    """Guards against a backend server's rate limit that goes unnoticed."""
+
+    def stated(self, reply, send=call):
+        """Return what the observer was told."""
+        stated = []
+        with raw_server.serving(reply) as made:
+            with contextlib.suppress(engine.EngineError):
+                send(made.url, on_rate_limit=stated.append)
+        return stated
+
+    @params(
+        (answer(Server_Limit='1.9'), [1.9]),
+        (answer(Server_Limit='12'), [12.0]),
+        (answer(500, Server_Limit='0.25'), [0.25]),
+        (answer(503, X_Not_Executed='true', Server_Limit='0'), [0.0]),
+        (answer(), [None]),
+    )
+    def test_every_answer_tells_the_limit_or_its_absence(self, reply, told):
+        self.assertEqual(self.stated(reply), told)
+
+    @params('', '-1', 'nan', 'inf', '1e3', '1,5', '1.9, 1.9', 'many')
+    def test_an_invalid_limit_is_neither_a_limit_nor_its_end(self, value):
+        reply = answer().replace(
+            b'\r\n\r\n', f'\r\nServer-Limit: {value}\r\n\r\n'.encode()
+        )
+        self.assertEqual(self.stated(reply), [])
+
+    def test_an_answer_of_another_server_or_call_tells_nothing(self):
+        for reply in (
+            answer(421, Server_Limit='1.9'),
+            answer(X_Request_Id='c2', Server_Limit='1.9'),
+        ):
+            with self.subTest(reply=reply):
+                self.assertEqual(self.stated(reply), [])
+
+    @params(prefill, stream)
+    def test_engines_are_heard_at_the_head_of_their_answers(self, send):
+        body = b'{"handle":"h1","tokens":3}' if send is prefill else EVENTS
+        reply = answer(body=body, Server_Limit='3.5')
+        self.assertEqual(self.stated(reply, send), [3.5])
+
+
 class AccountTest(unittest.TestCase):
     """Guards against a caller's key that reaches a backend server."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -27,14 +27,25 @@
 
 
 class Adapters:
-    def model_engine(self, url, backend_id, pieces_received, account):
+    def model_engine(
+        self, url, backend_id, pieces_received, account, on_rate_limit
+    ):
         return http_backends.HttpEngine(
-            url=url, connect_s=20.0, first_byte_s=20.0, stall_s=20.0
+            url=url,
+            connect_s=20.0,
+            first_byte_s=20.0,
+            stall_s=20.0,
+            on_rate_limit=on_rate_limit,
         )
 
-    def plain_service(self, url, backend_id, timeout_s, account):
+    def plain_service(
+        self, url, backend_id, timeout_s, account, on_rate_limit
+    ):
         return http_backends.PlainService(
-            url=url, connect_s=20.0, timeout_s=timeout_s
+            url=url,
+            connect_s=20.0,
+            timeout_s=timeout_s,
+            on_rate_limit=on_rate_limit,
         )
 
 
@@ -233,6 +244,27 @@
         self.assertEqual((ended.failure, ended.known), (failure, NOT_RUN))
 
 
+class RateLimitTest(unittest.TestCase):
+    """Guards against a rate limit that is heard only when a stream ends."""
+
+    def test_the_limit_is_posted_before_the_step_ends(self):
+        limited = raw_server.answer(
+            {'kv': 'k', 'tokens': 5}, '200 OK', 'X-Requests-Per-S: 1.5'
+        )
+        with raw_server.serving(limited) as server, RelayThread() as runner:
+            runner.relay.put_directive(run_prefill(server.url))
+            stated = runner.next(events.RateLimitStated)
+            self.assertEqual(
+                (stated.attempt_id, stated.step, stated.per_s),
+                ('r.1', events.Step.PREFILL, 1.5),
+            )
+            runner.next(events.StepEnded)
+
+    def test_an_answer_without_a_limit_posts_nothing_more(self):
+        with raw_server.serving(PREFILLED) as server, RelayThread() as runner:
+            runner.run(run_prefill(server.url))
+
+
 class CutTest(unittest.TestCase):
     """A step reports whether its connection broke before the answer's end."""
 
@@ -298,15 +330,11 @@
             runner = RelayThread()
 
             class LateAbort(Adapters):
-                def model_engine(
-                    self, url, backend_id, pieces_received, account
-                ):
+                def model_engine(self, *args):
                     runner.relay.put_directive(
                         effects.Abort(request_id='r', attempt_id='r.1')
                     )
-                    return super().model_engine(
-                        url, backend_id, pieces_received, account
-                    )
+                    return super().model_engine(*args)
 
             runner.relay._backends = LateAbort()
             with runner:
@@ -361,7 +389,7 @@
         """
 
         class Raising(Adapters):
-            def plain_service(self, url, backend_id, timeout_s, account):
+            def plain_service(self, *_):
                 raise KeyError('odd')
 
         with RelayThread('booking') as runner:
@@ -403,7 +431,7 @@
         self.now = 0.0
         self.arrivals = arrivals
 
-    def model_engine(self, url, backend_id, pieces_received, account):
+    def model_engine(self, *_):
         return self
 
     def import_kv(self, **_):
