Tests of rate limits on engines, cells, entries and real processes

The stand-in service can state a limit. With many engines a prediction asked for the next allowed request once for each slot, also without any limit; now only for engines with one.

--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -83,8 +83,8 @@
     :returns: infinity if there are no engines for it.
     """
     slots = _slot_times(now, view, ordered[-1])
-    #: When each engine can begin a prefill, and the pause that its rate limit
-    #: asks for between two.
+    # When each engine can begin a prefill, and the seconds between two that
+    # its rate limit asks for.
     engines = [
         (
             view.prefill_ready_at(now, state),
@@ -128,10 +128,12 @@
         # If more slots are used than are open, the first ones that end
         # free no slot.
         freed = [now] * max(0, free) + ends[max(0, -free) :]
-        times.extend(
-            max(at, view.rate_limits.next_at(now, state.backend, ahead))
-            for ahead, at in enumerate(freed)
-        )
+        if view.rate_limits.interval_s(state.backend):
+            freed = [
+                max(at, view.rate_limits.next_at(now, state.backend, ahead))
+                for ahead, at in enumerate(freed)
+            ]
+        times.extend(freed)
     return times
 
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -8,6 +8,7 @@
 from dandeliongw.cell import cancels
 from dandeliongw.cell import cell_types
 from dandeliongw.cell import cells
+from dandeliongw.cell import rate_limits
 from dandeliongw.cell import roles
 from dandeliongw import codec
 from dandeliongw.coordination import parts
@@ -161,6 +162,59 @@
         self.assertEqual([], send(self.cell, progress))
 
 
+class RateLimitTest(unittest.TestCase):
+    """Guards against entries and owners that don't know of a rate limit."""
+
+    def setUp(self):
+        self.limits = tuple(
+            rate_limits.RateLimit(backend_id=each, incarnation=1, per_s=9.0)
+            for each in ('s1', 's2')
+        )
+        self.cell = make_cell(
+            *(make_backend(each, 'plain', 1) for each in ('s1', 's2'))
+        )
+        reclaim = cells.Reclaim(
+            cell=self.cell.cell_id,
+            epoch=7,
+            bookings=(),
+            rate_limits=self.limits,
+        )
+        send(self.cell, reclaim)
+
+    def book(self, request_id, now):
+        stage = cell_types.Stage.PLAIN
+        (effect,) = send(self.cell, make_book(request_id, stage=stage), now)
+        return effect.message
+
+    def test_a_new_owner_takes_what_entries_know(self):
+        self.assertTrue(self.cell.view.rate_limits.is_limited('s1', 1))
+
+    def test_what_it_knows_already_is_not_replaced(self):
+        """Guards against an entry whose knowledge is old."""
+        older = msgspec.structs.replace(self.limits[0], per_s=500.0)
+        reclaim = cells.Reclaim(
+            cell=self.cell.cell_id, epoch=7, bookings=(), rate_limits=(older,)
+        )
+        send(self.cell, reclaim)
+        (known, _) = self.cell.view.rate_limits.heard_since(0.0, most=2)
+        self.assertEqual(known.per_s, 9.0)
+
+    def test_an_entry_is_told_all_limits_once_a_second(self):
+        first = self.book('r1', 1.0)
+        self.assertEqual(set(first.rate_limits), set(self.limits))
+        second = self.book('r2', 1.1)
+        (told,) = second.rate_limits
+        self.assertEqual(told.backend_id, second.plain_id)
+        third = self.book('r3', 2.1)
+        self.assertEqual(set(third.rate_limits), set(self.limits))
+
+    def test_a_booking_has_its_own_limits_first(self):
+        """Guards against a list that is cut before the ones that matter."""
+        booked = self.book('r1', 1.0)
+        self.assertEqual(booked.rate_limits[0].backend_id, booked.plain_id)
+        self.assertTrue(booked.limits_rate_of(booked.plain_id))
+
+
 class OrphanTest(unittest.TestCase):
     """Slots of a failed entry must become free again.
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -6,6 +6,7 @@
 from nose2.tools import params
 
 from dandeliongw.cell import cells
+from dandeliongw.cell import rate_limits
 from dandeliongw.coordination import claim_messages as claims
 from dandeliongw import effects
 from dandeliongw.entry import admission
@@ -523,6 +524,17 @@
         ((_, book),) = entry.sent(cells.Book)
         self.assertEqual((book.stage, book.exclude), ('pair', ('d1',)))
 
+    def test_a_stream_is_not_resumed_at_an_engine_with_a_rate_limit(self):
+        """Guards against a request that the owner's count doesn't have."""
+        entry = Entry()
+        request_id = entry.decoding()
+        entry.rate_limits.state(
+            entry.now,
+            rate_limits.RateLimit(backend_id='d1', incarnation=0, per_s=1.0),
+        )
+        entry.decode(request_id, RETRY.STREAM_STALLED, tokens=4)
+        self.assertEqual(len(entry.sent(cells.Book)), 1)
+
     def test_a_failing_pool_is_not_overloaded_by_retries(self):
         """Guards against four times the load on a failing pool, in waves.
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -358,6 +358,131 @@
         self.assertEqual(self.finish(cell, 'r1', 0.1), ['r2'])
 
 
+class RateLimitTest(unittest.TestCase):
+    """Guards against work for backend servers that accept no more now."""
+
+    def make(self, *backends, **limits):
+        self.cell = make_cell(*backends)
+        for backend_id, per_s in limits.items():
+            self.state(backend_id, per_s)
+
+    def state(self, backend_id, per_s, now=0.0, age_s=0.0):
+        report = cells.RateLimitReported(
+            cell=self.cell.cell_id,
+            backend_id=backend_id,
+            incarnation=1,
+            per_s=per_s,
+            age_s=age_s,
+        )
+        return test_cells.send(self.cell, report, now=now)
+
+    def book(self, request_id, now, **changes):
+        book = test_cells.make_book(request_id, **changes)
+        (effect,) = test_cells.send(self.cell, book, now=now)
+        return effect.message
+
+    def call(self, request_id, now, **changes):
+        stage = cell_types.Stage.PLAIN
+        return self.book(request_id, now, stage=stage, **changes)
+
+    def test_a_decode_engine_with_a_limit_leaves_streams_to_others(self):
+        self.make(
+            test_cells.make_backend('p1', 'prefill'),
+            test_cells.make_backend('d1', 'decode', slots=60),
+            test_cells.make_backend('d2', 'decode', slots=20),
+            d1=1.0,
+        )
+        placed = [
+            self.book(f'r{number}', number * 0.2).decode_id
+            for number in range(20)
+        ]
+        self.assertEqual(placed.count('d1'), 3)
+        self.assertEqual(placed.count('d2'), 17)
+
+    def test_a_prefill_engine_with_a_limit_leaves_prompts_to_others(self):
+        self.make(
+            test_cells.make_backend('p1', 'prefill'),
+            test_cells.make_backend('p2', 'prefill'),
+            test_cells.make_backend('d1', 'decode', slots=60),
+            p1=1.0,
+        )
+        placed = [
+            self.book(f'r{number}', number * 0.2).prefill_id
+            for number in range(20)
+        ]
+        self.assertLessEqual(placed.count('p1'), 4)
+        self.assertGreaterEqual(placed.count('p2'), 16)
+
+    def test_a_prompt_that_would_wait_for_the_limit_is_refused_at_once(self):
+        self.make(
+            test_cells.make_backend('p1', 'prefill'),
+            test_cells.make_backend('d1', 'decode'),
+            p1=0.5,
+        )
+        refused = self.book('r1', 0.0)
+        self.assertIs(refused.reason, RefusalReason.TARGET_UNREACHABLE)
+        self.assertGreaterEqual(refused.retry_after_s, 1.5)
+
+    def test_a_stream_that_would_wait_for_the_limit_is_refused_at_once(self):
+        self.make(
+            test_cells.make_backend('p1', 'prefill'),
+            test_cells.make_backend('d1', 'decode'),
+            d1=0.5,
+        )
+        refused = self.book('r1', 0.0)
+        self.assertIs(refused.reason, RefusalReason.TARGET_UNREACHABLE)
+
+    def test_decode_engines_read_prompts_that_readers_accept_too_late(self):
+        self.make(
+            test_cells.make_backend('p1', 'prefill'),
+            test_cells.make_backend('d1', 'decode'),
+            p1=0.5,
+        )
+        booked = self.book('r1', 0.0, may_read_there=True)
+        self.assertEqual((booked.prefill_id, booked.decode_id), ('', 'd1'))
+
+    def test_a_call_waits_for_a_limit_that_allows_it_in_time(self):
+        self.make(test_cells.make_backend('s1', 'plain'), s1=2.0)
+        queued = self.call('r1', 0.0, deadline_s=3.0)
+        self.assertIsInstance(queued, cells.Queued)
+        self.assertAlmostEqual(queued.expected_in_s, 0.5)
+        (booked,) = test_cells.without_listing(test_cells.tick(self.cell, 0.5))
+        self.assertEqual(booked.message.plain_id, 's1')
+
+    def test_a_call_that_a_limit_allows_too_late_is_refused_at_once(self):
+        self.make(test_cells.make_backend('s1', 'plain'), s1=0.5)
+        refused = self.call('r1', 0.0, deadline_s=3.0)
+        self.assertIs(refused.reason, RefusalReason.BACKENDS_LIMITED)
+        self.assertGreaterEqual(refused.retry_after_s, 2.0)
+
+    def test_urgent_calls_are_not_refused_for_patient_ones_that_wait(self):
+        self.make(test_cells.make_backend('s1', 'plain'), s1=2.0)
+        for number in range(3):
+            self.call(f'r{number}', 0.0, priority='patient', deadline_s=7.0)
+        queued = self.call('urgent', 0.0, deadline_s=3.0)
+        self.assertIsInstance(queued, cells.Queued)
+        (booked,) = test_cells.without_listing(test_cells.tick(self.cell, 0.5))
+        self.assertEqual(booked.message.request_id, 'urgent')
+
+    def test_the_end_of_a_limit_lets_waiting_calls_start(self):
+        self.make(test_cells.make_backend('s1', 'plain'), s1=2.0)
+        self.call('r1', 0.1, deadline_s=3.0)
+        (booked,) = self.state('s1', None, now=0.2, age_s=0.1)
+        self.assertEqual(booked.message.plain_id, 's1')
+
+    def test_an_ejected_server_is_used_where_all_others_accept_no_more(self):
+        self.make(
+            test_cells.make_backend('s1', 'plain'),
+            test_cells.make_backend('s2', 'plain'),
+            test_cells.make_backend('s3', 'plain'),
+            s1=0.5,
+            s2=0.5,
+        )
+        state = self.cell.view.backends_by_id['s3']
+        state.health.ejected_until = state.health.slow_start_at = 9.0
+        self.assertEqual(self.call('r1', 0.0).plain_id, 's3')
+
+
 class PrefillOnDecodeTest(unittest.TestCase):
     """Decode engines do prefills where prefill engines are missing or busy.
 
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -7,6 +7,7 @@
 import shutil
 import signal
 import tempfile
+import time
 import unittest
 
 from tools import local
@@ -348,3 +349,61 @@
 
     def test_the_entries_quarantine_it_together(self):
         self.check()
+
+
+class RateLimitedServerTest(Serving):
+    """Guards against a rate limit that is lost between answer and owner."""
+
+    def test_the_entries_keep_it_together_and_notice_its_end(self):
+        for backend_id in ('portal-1', 'portal-2'):
+            self.system.start_stand_in(
+                'standin_service',
+                backend_id,
+                *('--service', 'studio-portal', '--data-centre', 'dc-a'),
+            )
+        local.wait_until(
+            'both servers get calls',
+            lambda: self.send() and all(map(self.runs, self.backend_ids)),
+        )
+        self.limit(0.5)
+        local.wait_until('the limit is told', self.is_told)
+        began, before = time.monotonic(), self.runs('portal-1')
+        answered = [self.send() for _ in range(120)]
+        took_s = time.monotonic() - began
+        self.assertTrue(all(answered))
+        most = 1.5 * 0.5 * took_s + 5
+        self.assertLessEqual(self.runs('portal-1') - before, most)
+        self.limit(0.0)
+        before = self.runs('portal-1')
+        local.wait_until(
+            'portal-1 gets its part again',
+            lambda: self.send() and self.runs('portal-1') >= before + 10,
+        )
+
+    backend_ids = ('portal-1', 'portal-2')
+
+    def send(self):
+        """Send a call through each entry; return whether all succeed."""
+        return all(
+            self.system.call_as_account(instance_id, 'GET', LOOKUP)[0] == 200
+            for instance_id in self.system.instances_by_id
+        )
+
+    def runs(self, backend_id):
+        stand_in = self.system.stand_ins_by_id[backend_id]
+        _, answer = self.system.call('GET', f'{stand_in.url}/runs')
+        return sum(answer['by_request'].values())
+
+    def limit(self, per_s):
+        stand_in = self.system.stand_ins_by_id['portal-1']
+        status, _ = self.system.call(
+            'POST', f'{stand_in.url}/faults', {'requests_per_s': per_s}
+        )
+        self.assertEqual(status, 200)
+
+    def is_told(self):
+        self.send()
+        return any(
+            'backend server limits its rate' in instance.log_file.read_text()
+            for instance in self.system.instances_by_id.values()
+        )
--- a/tools/standin_service.py
+++ b/tools/standin_service.py
@@ -32,6 +32,7 @@
         them as not run.
     :param cut_before_run: close the connection instead of running.
     :param cut_after_run: run, then close the connection during the answer.
+    :param requests_per_s: rate limit that every answer states; 0 for none.
     :param end_on: exit after running a request whose path, query or body
         contains this text; this breaks all connections of the process.
     """
@@ -41,6 +42,7 @@
     refuse: bool = False
     cut_before_run: bool = False
     cut_after_run: bool = False
+    requests_per_s: float = 0.0
     end_on: str = ''
 
 
@@ -109,7 +111,13 @@
             'attempt_id': request.headers.get('x-attempt-id', ''),
             'run': run,
         }
-        return json_server.Answer(body=answer)
+        return json_server.Answer(body=answer, headers=self._limit())
+
+    def _limit(self) -> tuple[tuple[str, str], ...]:
+        """Return the header that states the rate limit, if there is one."""
+        per_s = self.faults.requests_per_s
+        name = http_backends.RATE_LIMIT_HEADER
+        return ((name, f'{per_s:.3f}'),) if per_s else ()
 
     def _count(self, request: json_server.Request) -> int:
         request_id = request.headers.get('x-request-id', '')
