Entries that are cut off keep to their part of a rate limit

An entry that hears no other one takes them for dead, and its part of a limit grew to that of all.

The number of entries that share a limit now falls only while a majority of the voters is in touch, and some seconds later.

--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -15,6 +15,7 @@
 from . import directory as directory_module
 from . import document as document_module
 from . import effects
+from . import entry_count
 from . import events
 from . import exceptions
 from . import membership_log
@@ -60,6 +61,9 @@
 #: the register's confirmation requests and checks, leases, and batches of
 #: backend server renewals.
 TICK_S = 0.1
+#: Seconds for which a number of entries holds longer than a confirmation: the
+#: lapse of one is noticed at a review.
+ENTRY_COUNT_MARGIN_S = 2 * REVIEW_S
 #: If two ticks are further apart than this many seconds, this process is
 #: considered to have been paused. It is ten ticks of the runtime, and less
 #: than half of a lease.
@@ -159,8 +163,12 @@
             instance_id=settings.instance_id
         )
         self.rates = rates.Rates(instance_id=settings.instance_id)
+        self._entry_count = entry_count.EntryCount(
+            alive=self.directory.count_entries,
+            hold_s=settings.timeouts.confirm_ttl_s + ENTRY_COUNT_MARGIN_S,
+        )
         rate_limits = fallback.make_rate_limits(
-            settings.instance_id, self.directory.count_entries
+            settings.instance_id, self._entry_count.at_work
         )
         self.requests = requests.Requests(
             directory=self.directory,
@@ -784,6 +792,7 @@
 
     def _review(self, now: float) -> list[typing.Any]:
         """Review which instances are present and what each should do."""
+        self._entry_count.record(now, is_confirmed=self.register.is_fresh(now))
         return [
             *self._review_instances(now),
             *self._review_serving(now),
--- a/tests/test_backend_rate_limit.py
+++ b/tests/test_backend_rate_limit.py
@@ -201,6 +201,19 @@
         self.run_calls(12.0)
         self.check_limits()
 
+    def test_entries_that_are_cut_off_share_them(self):
+        """Guards against entries that each take themselves for the only one.
+
+        Callers still reach two entries that hear no other instance.
+        """
+        self.start(dict.fromkeys(SERVERS, 6.0))
+        self.run_calls(6.0)
+        owner = self.servers.owner
+        cut = [each for each in self.servers.entries if each != owner][-2:]
+        self.servers.net.cut.update(cut)
+        self.servers.run(16.0, calls_per_s=60.0)
+        self.check_limits()
+
     def test_owners_that_follow_each_other_keep_them(self):
         self.start(FOUR_LIMITS, count=9)
         self.run_calls(4.0)
