Retries saved up by an entry that is cut off stay its own part

The number of entries that share the burst of retries fell to one at an entry that hears no other, so that it saved up 40 retries, the burst of the whole system, instead of 40/7. Found by looking for the cause of entries that take themselves for the only one. The test failed before, with 40.0 left.

--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -185,7 +185,7 @@
             budgets=retries.RetryBudgets(
                 part=settings.retries.part,
                 burst=settings.retries.saved,
-                entries=self.directory.count_entries,
+                entries=self._entry_count.at_work,
             ),
             rate_limits=rate_limits,
             # The claims part rejects an attempt that could still run when
--- a/tests/limited_servers.py
+++ b/tests/limited_servers.py
@@ -22,16 +22,6 @@
 WINDOW_S = 4.0
 
 
-class PlacingNetwork(network.Network):
-    """Instances that keep serving while no voter is reachable."""
-
-    def _settings(self, instance_id):
-        made = super()._settings(instance_id)
-        return made.model_copy(
-            update={'unconfirmed': 'serve', 'silent_owner': 'place'}
-        )
-
-
 class Arrival(msgspec.Struct, frozen=True, kw_only=True):
     """A request that reached a server.
 
--- a/tests/network.py
+++ b/tests/network.py
@@ -245,3 +245,13 @@
         ]
         assert len(holders) <= 1, holders
         return holders[0] if holders else None
+
+
+class PlacingNetwork(Network):
+    """Instances that keep serving while no voter is reachable."""
+
+    def _settings(self, instance_id):
+        made = super()._settings(instance_id)
+        return made.model_copy(
+            update={'unconfirmed': 'serve', 'silent_owner': 'place'}
+        )
--- a/tests/test_backend_rate_limit.py
+++ b/tests/test_backend_rate_limit.py
@@ -28,7 +28,7 @@
         limits,
         count=7,
         backend_ids=SERVERS,
-        make=limited_servers.PlacingNetwork,
+        make=network.PlacingNetwork,
     ):
         """Let calls arrive; after three seconds some servers name limits."""
         self.servers = limited_servers.LimitedServers(
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -13,6 +13,8 @@
 from dandeliongw.coordination import register
 from dandeliongw import effects
 from dandeliongw import events
+from dandeliongw import settings
+from tests import limited_servers
 from tests import network
 from tools import local
 
@@ -69,16 +71,6 @@
         return made.model_copy(update={'limits': limits})
 
 
-class PlacingNetwork(network.Network):
-    """Instances that keep serving while no voter is reachable."""
-
-    def _settings(self, instance_id):
-        made = super()._settings(instance_id)
-        return made.model_copy(
-            update={'unconfirmed': 'serve', 'silent_owner': 'place'}
-        )
-
-
 class SilentVotersTest(unittest.TestCase):
     """Guards against calls refused with "no backend server is ready".
 
@@ -94,7 +86,7 @@
 
     def setUp(self):
         self.sequence = 1
-        self.net = PlacingNetwork(count=self.COUNT, voters=3)
+        self.net = network.PlacingNetwork(count=self.COUNT, voters=3)
         self.net.apply_example()
         self.keep_present(0.1, announce=True)
         self.net.run_until(self.is_owned, 20)
@@ -549,3 +541,21 @@
         found = self.call(self.others[0], 'after', renew=False)
         self.assertIsInstance(found[0], effects.Refuse)
         self.assertEqual('not_run', found[0].refusal.verdict.value)
+
+
+class CutOffEntryTest(unittest.TestCase):
+    """Guards against an entry that is cut off and uses the share of all."""
+
+    def test_it_saves_up_its_own_part_of_the_retries(self):
+        servers = limited_servers.LimitedServers(
+            net=network.PlacingNetwork(count=7, voters=5),
+            backend_ids=('portal-1', 'portal-2'),
+            through=('gw-1', 'gw-2'),
+        )
+        servers.entries = ['gw-7']
+        servers.net.cut.add('gw-7')
+        servers.run(20.0, calls_per_s=30.0)
+        self.assertGreater(servers.answered, 300)
+        requests = servers.net.reducers_by_id['gw-7'].requests
+        left = requests.retries_left_by_service()['studio-portal']
+        self.assertLessEqual(left, settings.Retries().saved / 7)
