A rate limit ends with a successful answer only

A failure without the header may come from something in between, or from a server that fails before it writes its headers; it would have lifted a limit that holds. A call that may not use a server again no longer waits for that server's missing limit.

--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -537,7 +537,7 @@
         limits = self.view.rate_limits
         for limit in reclaim.rate_limits:
             if not limits.is_limited(limit.backend_id, limit.incarnation):
-                limits.state(now, limit)
+                limits.record(now, limit)
         return []
 
     def _record_rate_limit(
@@ -555,7 +555,7 @@
                 incarnation=reported.incarnation,
                 per_s=reported.per_s,
             )
-            self.view.rate_limits.state(now, limit)
+            self.view.rate_limits.record(now, limit)
         return []
 
     def _change_backends(self, event: BackendsChanged) -> list:
--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -137,14 +137,21 @@
     return times
 
 
-def limited_start(now: float, view: CellView, role: Role, ahead: int) -> float:
+def limited_start(
+    now: float, view: CellView, role: Role, booking: Booking, ahead: int
+) -> float:
     """Return when rate limits allow a request to a backend server of a role.
 
     :param ahead: queued requests that go first.
     :returns: ``now`` if one of the backend servers has no limit.
     """
+    serving = candidates.serving(now, view, role)
     starts = []
-    for state in candidates.serving(now, view, role):
+    for state in [
+        each
+        for each in serving
+        if each.backend.backend_id not in booking.exclude
+    ] or serving:
         interval_s = view.rate_limits.interval_s(state.backend)
         if not interval_s:
             return now
--- a/dandeliongw/cell/rate_limits.py
+++ b/dandeliongw/cell/rate_limits.py
@@ -8,6 +8,7 @@
 """
 
 from collections import abc
+
 import msgspec
 
 from .cell_types import CellBackend
@@ -94,7 +95,7 @@
         """Whether no limit is known."""
         return not self._buckets_by_id
 
-    def state(self, now: float, limit: RateLimit) -> None:
+    def record(self, now: float, limit: RateLimit) -> None:
         """Record that a backend server states a limit."""
         bucket = self._buckets_by_id.pop(limit.backend_id, None)
         if bucket is None or (bucket.limit.incarnation != limit.incarnation):
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -108,7 +108,9 @@
         wait_s = (booking.deadline_at - now) * PLAIN_WAIT_PART
         booking.latest_start_at = now + wait_s
         ahead = self._ahead_of(now, view, booking)
-        starts_at = prediction.limited_start(now, view, Role.PLAIN, len(ahead))
+        starts_at = prediction.limited_start(
+            now, view, Role.PLAIN, booking, len(ahead)
+        )
         if starts_at - now > wait_s * (1.0 - self._options.spare):
             return declines.rate_limited(booking, starts_at - now)
         return Wait(expected_s=starts_at - now)
--- a/dandeliongw/entry/rate_limit_reports.py
+++ b/dandeliongw/entry/rate_limit_reports.py
@@ -64,7 +64,7 @@
                 incarnation=start.incarnation,
                 per_s=event.per_s,
             )
-            self._rate_limits.state(event.now, limit)
+            self._rate_limits.record(event.now, limit)
         lines = self._watch.record(
             start,
             service=request.service,
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -109,7 +109,7 @@
             return [waited, *self._endings.give_up(now, request, key_refusal)]
         if not request.is_unowned:
             for limit in booked.rate_limits:
-                self._rate_limits.state(now, limit)
+                self._rate_limits.record(now, limit)
         request.booked = booked
         request.phase_at = now
         return [
--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -35,13 +35,15 @@
     """Report the rate limit that the head of an answer states.
 
     An invalid value is logged and not reported: it proves neither a limit
-    nor its end.
+    nor its end. A failure without a limit doesn't prove the end either, as it
+    may come from something in between.
 
     :param header: name of the header that states requests per second.
     """
     stated = response.headers.get(header)
     if stated is None:
-        observer(None)
+        if 200 <= response.status < 300:
+            observer(None)
     elif _RATE.fullmatch(stated.strip()):
         observer(float(stated))
     else:
--- a/tests/test_platform_backend_calls.py
+++ b/tests/test_platform_backend_calls.py
@@ -146,8 +146,12 @@
         (answer(500, Server_Limit='0.25'), [0.25]),
         (answer(503, X_Not_Executed='true', Server_Limit='0'), [0.0]),
         (answer(), [None]),
+        (answer(500), []),
+        (answer(503, X_Not_Executed='true'), []),
     )
-    def test_every_answer_tells_the_limit_or_its_absence(self, reply, told):
+    def test_every_answer_tells_a_limit_and_a_good_one_its_end(
+        self, reply, told
+    ):
         self.assertEqual(self.stated(reply), told)
 
     @params('', '-1', 'nan', 'inf', '1e3', '1,5', '1.9, 1.9', 'many')
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -43,42 +43,42 @@
 
     @params(0.5, 1.2, 1.9, 20.0)
     def test_it_gets_what_it_accepts_and_no_more(self, per_s):
-        self.limits.state(0.0, limit(per_s))
+        self.limits.record(0.0, limit(per_s))
         sent = len(use(self.limits, 0.0, 40.0))
         self.assertLessEqual(sent, 40.0 * per_s)
         self.assertGreaterEqual(sent, 0.95 * 40.0 * per_s - 1)
 
     def test_an_unused_limit_saves_up_one_second(self):
-        self.limits.state(0.0, limit(5.0))
+        self.limits.record(0.0, limit(5.0))
         self.assertEqual(len(use(self.limits, 60.0, 60.01)), 1)
         burst = use(self.limits, 60.0, 60.1)
         self.assertLessEqual(len(burst), 5)
 
     def test_a_limit_of_zero_leaves_a_request_in_ten_seconds(self):
         """Guards against a limit whose end can't be noticed."""
-        self.limits.state(0.0, limit(0.0))
+        self.limits.record(0.0, limit(0.0))
         self.assertEqual(len(use(self.limits, 0.0, 39.0, 0.1)), 3)
 
     def test_a_changed_limit_holds_at_once(self):
-        self.limits.state(0.0, limit(10.0))
+        self.limits.record(0.0, limit(10.0))
         use(self.limits, 0.0, 5.0)
-        self.limits.state(5.0, limit(1.0))
+        self.limits.record(5.0, limit(1.0))
         self.assertLessEqual(len(use(self.limits, 5.0, 9.0)), 5)
 
     def test_stating_a_limit_again_adds_nothing(self):
         """Guards against a bucket that is filled by each answer."""
-        self.limits.state(0.0, limit(1.0))
+        self.limits.record(0.0, limit(1.0))
         sent = 0
         for number in range(400):
             now = number * 0.01
-            self.limits.state(now, limit(1.0))
+            self.limits.record(now, limit(1.0))
             if self.limits.allows(now, SERVER):
                 self.limits.take(now, SERVER)
                 sent += 1
         self.assertLessEqual(sent, 4)
 
     def test_an_answer_without_a_limit_ends_it(self):
-        self.limits.state(1.0, limit(1.0))
+        self.limits.record(1.0, limit(1.0))
         self.limits.lift('b1', 1, asked_at=1.5)
         self.assertTrue(self.limits.allows(1.6, SERVER))
 
@@ -87,28 +87,28 @@
         self, asked_at, incarnation
     ):
         """Guards against an answer that was overtaken."""
-        self.limits.state(1.0, limit(1.0))
+        self.limits.record(1.0, limit(1.0))
         self.limits.lift('b1', incarnation, asked_at=asked_at)
         self.assertFalse(self.limits.allows(1.6, SERVER))
 
     def test_a_new_start_has_no_limit_yet(self):
-        self.limits.state(0.0, limit(0.5, incarnation=0))
+        self.limits.record(0.0, limit(0.5, incarnation=0))
         self.assertTrue(self.limits.allows(0.0, SERVER))
         self.assertEqual(self.limits.of([SERVER]), ())
-        self.limits.state(0.0, limit(0.5))
+        self.limits.record(0.0, limit(0.5))
         self.assertFalse(self.limits.allows(0.0, SERVER))
         self.assertEqual(self.limits.of([SERVER]), (limit(0.5),))
 
     def test_it_predicts_when_a_request_is_allowed(self):
-        self.limits.state(0.0, limit(2.0))
+        self.limits.record(0.0, limit(2.0))
         self.assertAlmostEqual(self.limits.next_at(0.0, SERVER), 0.5)
         self.assertAlmostEqual(self.limits.next_at(0.0, SERVER, 3), 2.0)
         self.assertAlmostEqual(self.limits.interval_s(SERVER), 0.5)
 
     def test_only_what_was_heard_lately_is_passed_on(self):
         for number in range(3):
-            self.limits.state(float(number), limit(1.0, f'b{number}'))
-        self.limits.state(5.0, limit(2.0, 'b0'))
+            self.limits.record(float(number), limit(1.0, f'b{number}'))
+        self.limits.record(5.0, limit(2.0, 'b0'))
         heard = self.limits.heard_since(1.5, most=9)
         self.assertEqual(heard, (limit(2.0, 'b0'), limit(1.0, 'b2')))
         self.assertEqual(
@@ -117,7 +117,7 @@
 
     def test_the_table_is_bounded(self):
         for number in range(rate_limits.MAX_KNOWN + 1):
-            self.limits.state(0.0, limit(1.0, f'b{number}'))
+            self.limits.record(0.0, limit(1.0, f'b{number}'))
         self.assertFalse(self.limits.is_limited('b0', 1))
         self.assertTrue(self.limits.is_limited('b1', 1))
 
@@ -130,7 +130,7 @@
         self, per_s, pauses
     ):
         limits = rate_limits.RateLimits()
-        limits.state(0.0, limit(per_s))
+        limits.record(0.0, limit(per_s))
         now, times = 0.0, []
         for pause in pauses:
             now += pause
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -528,7 +528,7 @@
         """Guards against a request that the owner's count doesn't have."""
         entry = Entry()
         request_id = entry.decoding()
-        entry.rate_limits.state(
+        entry.rate_limits.record(
             entry.now,
             rate_limits.RateLimit(backend_id='d1', incarnation=0, per_s=1.0),
         )
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -455,6 +455,15 @@
         self.assertIs(refused.reason, RefusalReason.BACKENDS_LIMITED)
         self.assertGreaterEqual(refused.retry_after_s, 2.0)
 
+    def test_a_retry_does_not_wait_for_the_server_that_failed(self):
+        self.make(
+            test_cells.make_backend('s1', 'plain'),
+            test_cells.make_backend('s2', 'plain'),
+            s1=0.5,
+        )
+        refused = self.call('r1', 0.0, deadline_s=3.0, exclude=('s2',))
+        self.assertIs(refused.reason, RefusalReason.BACKENDS_LIMITED)
+
     def test_urgent_calls_are_not_refused_for_patient_ones_that_wait(self):
         self.make(test_cells.make_backend('s1', 'plain'), s1=2.0)
         for number in range(3):
