--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -51,7 +51,7 @@
 from .policy import Place
 from .policy import Policy
 from .policy import Wait
-from .rate_limits import RateLimit
+from .rate_limit_news import RateLimitNews
 from .rate_limits import RateLimits
 from .roles import RoleBalancer
 
@@ -71,7 +71,6 @@
     'Holding',
     'ListStreams',
     'LoadReported',
-    'MAX_TOLD_LIMITS',
     'MESSAGES',
     'NotOwner',
     'Outcome',
@@ -102,11 +101,6 @@
 #: requests a second, an owner of 59 engines used 0.99 of a core, against 0.70
 #: with it, on a busy machine.
 DISPATCH_PAUSE_S = 0.025
-#: Seconds between two times that an entry is told all rate limits of the
-#: cell. It needs them if it has to place work without the owner.
-TELL_LIMITS_INTERVAL_S = 1.0
-#: Limits that are told at a time, for a bound on the size of the message.
-MAX_TOLD_LIMITS = 64
 
 
 def _frees_capacity(event: typing.Any) -> bool:
@@ -172,7 +166,7 @@
         self._began_at: float | None = None
         self._next_dispatch_at = 0.0
         self._listed_at = 0.0
-        self._limits_told_at_by_entry: dict[str, float] = {}
+        self._rate_limit_news = RateLimitNews(view=self.view)
         self._handlers_by_type: dict[type, typing.Any] = {
             Book: self._book,
             PrefillDone: self._prefill_done,
@@ -352,26 +346,14 @@
             prefill_incarnation=self._incarnation(booking.prefill_id),
             decode_incarnation=self._incarnation(booking.decode_id),
             plain_incarnation=self._incarnation(booking.plain_id),
-            rate_limits=self._limits_to_tell(now, booking),
+            rate_limits=self._rate_limit_news.to_tell(
+                now,
+                booking.entry,
+                [state.backend for state in self._states_of(booking)],
+            ),
         )
         return parts.Send(to=booking.entry, message=booked)
 
-    def _limits_to_tell(
-        self, now: float, booking: Booking
-    ) -> tuple[RateLimit, ...]:
-        """Return the rate limits that the entry of a booking is told."""
-        limits = self.view.rate_limits
-        if limits.is_empty:
-            return ()
-        booked = limits.of(state.backend for state in self._states_of(booking))
-        told_at = self._limits_told_at_by_entry.get(booking.entry)
-        if told_at is not None and now < told_at + TELL_LIMITS_INTERVAL_S:
-            return booked
-        states = self.view.backends_by_id.values()
-        others = limits.of(state.backend for state in states)
-        self._limits_told_at_by_entry[booking.entry] = now
-        return tuple(dict.fromkeys(booked + others))[:MAX_TOLD_LIMITS]
-
     def _url(self, backend_id: str) -> str:
         state = self._state(backend_id)
         return state.backend.url if state else ''
@@ -534,28 +516,13 @@
                 expected_tokens=held.expected_tokens,
             )
             self._add_booking(booking)
-        limits = self.view.rate_limits
-        for limit in reclaim.rate_limits:
-            if not limits.is_limited(limit.backend_id, limit.incarnation):
-                limits.record(now, limit)
+        self._rate_limit_news.reclaim(now, reclaim.rate_limits)
         return []
 
     def _record_rate_limit(
         self, now: float, sender: str, reported: RateLimitReported
     ) -> list:
-        if reported.per_s is None:
-            self.view.rate_limits.lift(
-                reported.backend_id,
-                reported.incarnation,
-                asked_at=now - reported.age_s,
-            )
-        else:
-            limit = RateLimit(
-                backend_id=reported.backend_id,
-                incarnation=reported.incarnation,
-                per_s=reported.per_s,
-            )
-            self.view.rate_limits.record(now, limit)
+        self._rate_limit_news.record(now, reported)
         return []
 
     def _change_backends(self, event: BackendsChanged) -> list:
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -11,6 +11,7 @@
 from . import admission
 from ..cell import cell_types
 from ..cell import cells
+from ..cell import rate_limit_news
 from ..cell import rate_limits
 from ..coordination import parts
 from . import request as request_module
@@ -354,7 +355,7 @@
             epoch=epoch,
             bookings=tuple(_reclaimed(now, each) for each in held),
             rate_limits=self._rate_limits.heard_since(
-                now - RATE_LIMIT_AGE_S, cells.MAX_TOLD_LIMITS
+                now - RATE_LIMIT_AGE_S, rate_limit_news.MAX_TOLD
             ),
         )
         # A datagram suffices: the owner requests a lost one again. A new
--- a/tests/limited_servers.py
+++ b/tests/limited_servers.py
@@ -11,7 +11,6 @@
 from dandeliongw import events
 from dandeliongw import verdict
 from tests import network
-from tools import local
 
 CELL = 'studio-portal/local/0'
 #: Seconds that a server works on a call.
@@ -127,21 +126,9 @@
     def _call(self) -> None:
         self._sent += 1
         entry = self.entries[self._sent % len(self.entries)]
-        call = events.Call(
-            service='studio-portal',
-            method='GET',
-            path='/lookup',
-            streamed=False,
-            key_sha256=local.sha256(local.ACCOUNT_KEY),
-            idempotency_key=None,
-            digest=b'',
-        )
         request_id = f'r{self._sent}'
         self._began_by_request[request_id] = self.net.now
-        arrived = events.RequestArrived(
-            now=self.net.now, request_id=request_id, call=call, entropy=1
-        )
-        self.net.post(entry, arrived)
+        self.net.post(entry, network.lookup(request_id, self.net.now))
 
     def _perform(self) -> None:
         """Perform the directives to the threads of requests."""
--- a/tests/network.py
+++ b/tests/network.py
@@ -12,6 +12,7 @@
 from dandeliongw.coordination import presence
 from dandeliongw.coordination import register
 from dandeliongw import document
+from dandeliongw import events
 from dandeliongw import reducer
 from dandeliongw import settings
 from dandeliongw import wire
@@ -22,6 +23,21 @@
 MOST_DELIVERIES = 5000
 
 
+def lookup(request_id, now):
+    call = events.Call(
+        service='studio-portal',
+        method='GET',
+        path='/lookup',
+        streamed=False,
+        key_sha256=local.sha256(local.ACCOUNT_KEY),
+        idempotency_key=None,
+        digest=b'',
+    )
+    return events.RequestArrived(
+        now=now, request_id=request_id, call=call, entropy=1
+    )
+
+
 class Network:
     """Instances named ``gw-1``, ``gw-2`` and so on.
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -12,7 +12,6 @@
 from dandeliongw.coordination import presence
 from dandeliongw.coordination import register
 from dandeliongw import effects
-from dandeliongw import events
 from dandeliongw import settings
 from tests import limited_servers
 from tests import network
@@ -21,21 +20,6 @@
 CELL = 'studio-portal/local/0'
 
 
-def lookup(request_id, now):
-    call = events.Call(
-        service='studio-portal',
-        method='GET',
-        path='/lookup',
-        streamed=False,
-        key_sha256=local.sha256(local.ACCOUNT_KEY),
-        idempotency_key=None,
-        digest=b'',
-    )
-    return events.RequestArrived(
-        now=now, request_id=request_id, call=call, entropy=1
-    )
-
-
 def book(request_id):
     return cells.Book(
         cell=CELL,
@@ -135,7 +119,7 @@
         done = self.net.effects_by_id[self.entry]
         before = len(done)
         for request_id in request_ids:
-            self.net.post(self.entry, lookup(request_id, self.net.now))
+            self.net.post(self.entry, network.lookup(request_id, self.net.now))
         self.keep_present(0.3)
         return sum(isinstance(e, effects.RunCall) for e in done[before:])
 
@@ -210,7 +194,7 @@
         """Return the directives that a lookup leads to within a second."""
         done = self.net.effects_by_id[instance_id]
         before = len(done)
-        self.net.post(instance_id, lookup(request_id, self.net.now))
+        self.net.post(instance_id, network.lookup(request_id, self.net.now))
         self.keep_present(1.0) if renew else self.net.run(1.0)
         return [
             effect
@@ -412,7 +396,9 @@
         self.net.crash(self.owner)
         before = len(self.net.effects_by_id[other])
         for number in range(30):
-            self.net.post(other, lookup(f'more-{number}', self.net.now))
+            self.net.post(
+                other, network.lookup(f'more-{number}', self.net.now)
+            )
             self.keep_present(0.1)
         self.assertIsNotNone(self.net.owner_of(CELL))
         started = [
