--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -146,12 +146,13 @@
     :returns: ``now`` if one of the backend servers has no limit.
     """
     serving = candidates.serving(now, view, role)
+    others = [
+        state
+        for state in serving
+        if state.backend.backend_id not in booking.exclude
+    ]
     starts = []
-    for state in [
-        each
-        for each in serving
-        if each.backend.backend_id not in booking.exclude
-    ] or serving:
+    for state in others or serving:
         interval_s = view.rate_limits.interval_s(state.backend)
         if not interval_s:
             return now
