Log why a backend server is gone, and bookings of one that has left

The record of the late leave can't tell an owner that never heard of it from one that lost the news, and not at all that an entry was told to send to a backend server whose leave it knew. Lines only; no decision changes.

--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from ._presence_messages import AbsenceCause
 from ._presence_messages import BackendAnnouncement
 from ._presence_messages import BackendChanged
 from ._presence_messages import BackendDeparture
@@ -118,6 +119,13 @@
         """Return the highest leave of a backend server."""
         return self._left_by_id.get(backend_id, NEVER)
 
+    def left_s(self, now: float, backend_id: str) -> float:
+        """Return the seconds since this instance learned of that leave."""
+        forget_at = self._forget_left_by_id.get(backend_id)
+        if forget_at is None:
+            return 0.0
+        return now - (forget_at - self._retention_s)
+
     def remove_former(
         self, now: float, announcement: BackendAnnouncement
     ) -> None:
@@ -165,13 +173,13 @@
             and held.present
             and _is_new_start(held, announcement)
         ):
-            effects.append(self._changed(held, present=False))
+            effects.append(self._absent(held, AbsenceCause.RESTARTED))
         backend = self._put(now, announcement, age_s, held)
         refreshed = self._refresh(now, backend)
         if not refreshed and backend.present and _is_altered(held, backend):
             # The same start changed its role or its slots. Without this
             # effect its cell would send it the wrong work.
-            refreshed = [self._changed(backend, present=True)]
+            refreshed = [self._present(backend)]
         return effects + replaced + refreshed
 
     def renew(
@@ -347,17 +355,29 @@
         present = self.may_receive_work(backend, now)
         if present == backend.present:
             return []
-        return [self._changed(backend, present=present)]
-
-    def _changed(self, backend: Backend, *, present: bool) -> BackendChanged:
-        backend.present = present
         if present:
-            self._next_end = min(self._next_end, backend.lease_until)
-        return BackendChanged(
-            backend_id=backend.announcement.backend_id,
-            incarnation=backend.announcement.incarnation,
-            present=present,
-        )
+            return [self._present(backend)]
+        return [self._absent(backend, self._cause(backend))]
+
+    def _cause(self, backend: Backend) -> AbsenceCause:
+        announcement = backend.announcement
+        if stamp(announcement) <= self.left(announcement.backend_id):
+            return AbsenceCause.LEFT
+        holder = self._holders_by_url[announcement.url]
+        if holder.rank == self._rank(announcement):
+            return AbsenceCause.EXPIRED
+        if holder.backend_id == announcement.backend_id:
+            return AbsenceCause.RESTARTED
+        return AbsenceCause.REPLACED
+
+    def _present(self, backend: Backend) -> BackendChanged:
+        backend.present = True
+        self._next_end = min(self._next_end, backend.lease_until)
+        return _changed(backend, None)
+
+    def _absent(self, backend: Backend, cause: AbsenceCause) -> BackendChanged:
+        backend.present = False
+        return _changed(backend, cause)
 
     def _forget_urls(self, now: float) -> None:
         used = {backend.announcement.url for backend in self.by_id.values()}
@@ -380,6 +400,15 @@
     return msgspec.structs.replace(after, sequence=before.sequence) != before
 
 
+def _changed(backend: Backend, cause: AbsenceCause | None) -> BackendChanged:
+    return BackendChanged(
+        backend_id=backend.announcement.backend_id,
+        incarnation=backend.announcement.incarnation,
+        present=backend.present,
+        cause=cause,
+    )
+
+
 def _hints(backend: Backend, batch: CacheEvents) -> list[CacheHints]:
     """Return the new cache events as hints.
 
--- a/dandeliongw/coordination/_presence_messages.py
+++ b/dandeliongw/coordination/_presence_messages.py
@@ -23,6 +23,15 @@
     EVICTED = 'evicted'
 
 
+class AbsenceCause(enum.StrEnum):
+    """Why a backend server no longer receives work."""
+
+    LEFT = 'it left'
+    EXPIRED = 'no renewal arrived in time'
+    RESTARTED = 'a new start of it was announced'
+    REPLACED = 'another process started at its address'
+
+
 class PresenceOutcome(enum.StrEnum):
     """The answer to a backend server."""
 
@@ -183,11 +192,15 @@
 
 
 class BackendChanged(msgspec.Struct, frozen=True, kw_only=True):
-    """A backend server became present or absent, or altered while present."""
+    """A backend server became present or absent, or altered while present.
+
+    :param cause: why it is absent; ``None`` while it is present.
+    """
 
     backend_id: str
     incarnation: int
     present: bool
+    cause: AbsenceCause | None = None
 
 
 class CacheHints(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -21,6 +21,7 @@
 from ._backends import Backend
 from ._backends import Backends
 from ._backends import stamp
+from ._presence_messages import AbsenceCause
 from ._presence_messages import Announced
 from ._presence_messages import BackendAnnouncement
 from ._presence_messages import BackendChanged
@@ -44,6 +45,7 @@
 from ._presence_messages import SetInstances
 
 __all__ = [
+    'AbsenceCause',
     'Announced',
     'Backend',
     'BackendAnnouncement',
@@ -193,6 +195,27 @@
         left, _ = self._backends.left(start.backend_id)
         return left >= start.incarnation
 
+    def departure_of(self, start: BackendStart) -> BackendDeparture | None:
+        """Return the leave of a start; ``None`` if it may still get work."""
+        incarnation, sequence = self._backends.left(start.backend_id)
+        held = self.backends_by_id.get(start.backend_id)
+        is_back = (
+            held is not None
+            and held.announcement.incarnation == start.incarnation
+            and stamp(held.announcement) > (incarnation, sequence)
+        )
+        if incarnation < start.incarnation or is_back:
+            return None
+        return BackendDeparture(
+            backend_id=start.backend_id,
+            incarnation=incarnation,
+            sequence=sequence,
+        )
+
+    def left_s(self, now: float, backend_id: str) -> float:
+        """Return the seconds since the leave of a backend server was heard."""
+        return self._backends.left_s(now, backend_id)
+
     # Interface of a coordination part.
 
     def handle(self, event: typing.Any) -> list[typing.Any]:
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -55,6 +55,21 @@
     waited_ms: int
 
 
+class BookedBackendLeft(OfRequest, frozen=True, kw_only=True):
+    """A backend server was booked for a request although it has left.
+
+    :param epoch: as for :class:`Placed`.
+    :param left_s: seconds since this entry learned of the leave.
+    """
+
+    message: typing.ClassVar[str] = 'booked backend server has left'
+    level: typing.ClassVar[str] = 'WARNING'
+    owner: str
+    epoch: int
+    backend_id: str
+    left_s: float
+
+
 class Declined(OfRequest, frozen=True, kw_only=True):
     """A cell's owner rejected a request.
 
--- /dev/null
+++ b/dandeliongw/entry/departures.py
@@ -0,0 +1,77 @@
+"""Checks what was booked for a request against the leaves known here.
+
+A cell's owner books backend servers by what it knows. If it is cut off from
+the instances that hear the backend servers, it books some that have left.
+"""
+
+from collections import abc
+import typing
+
+from .. import decisions
+from .. import effects
+from .. import events
+from ..coordination import presence
+from .request import Request
+
+
+class Leaves(typing.Protocol):
+    """The leaves of backend servers that this instance knows."""
+
+    def departure_of(
+        self, start: presence.BackendStart
+    ) -> presence.BackendDeparture | None:
+        """Return the leave of a start; ``None`` if it may get work."""
+        ...
+
+    def left_s(self, now: float, backend_id: str) -> float:
+        """Return the seconds since a backend server's leave was heard."""
+        ...
+
+
+class DepartureCheck:
+    """Finds booked backend servers that have left.
+
+    :param leaves: the leaves that this instance knows.
+    """
+
+    def __init__(self, *, leaves: Leaves) -> None:
+        self._leaves = leaves
+
+    def departures(
+        self, request: Request, steps: abc.Iterable[events.Step]
+    ) -> tuple[presence.BackendDeparture, ...]:
+        """Return the leaves of the backend servers booked for some steps."""
+        found = (
+            self._leaves.departure_of(request.booked_backend(step).start)
+            for step in steps
+        )
+        return tuple(each for each in found if each is not None)
+
+    def lines(
+        self,
+        now: float,
+        request: Request,
+        departures: abc.Iterable[presence.BackendDeparture],
+    ) -> list[effects.Log]:
+        """Return the log lines on booked backend servers that have left."""
+        return [
+            decisions.BookedBackendLeft(
+                request_id=request.request_id,
+                attempt_id=request.attempt_id,
+                owner=request.owner,
+                epoch=request.booked.epoch,
+                backend_id=departure.backend_id,
+                left_s=self._leaves.left_s(now, departure.backend_id),
+            ).log()
+            for departure in departures
+        ]
+
+
+def booked_steps(request: Request) -> tuple[events.Step, ...]:
+    """Return the steps for which backend servers are booked."""
+    ids_by_step = {
+        events.Step.PREFILL: request.booked.prefill_id,
+        events.Step.DECODE: request.booked.decode_id,
+        events.Step.CALL: request.booked.plain_id,
+    }
+    return tuple(step for step, found in ids_by_step.items() if found)
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -11,6 +11,7 @@
 from ..cell import cells
 from ..cell import rate_limits
 from ..coordination import parts
+from . import departures as departures_module
 from . import endings
 from . import reservations
 from . import steps as steps_module
@@ -31,6 +32,7 @@
         *,
         reservations: reservations.Reservations,
         attempts: attempts.Attempts,
+        departure_check: departures_module.DepartureCheck,
         endings: endings.Endings,
         rate_limits: rate_limits.RateLimits,
         steps: steps_module.Steps,
@@ -38,6 +40,7 @@
         self._steps = steps
         self._reservations = reservations
         self._attempts = attempts
+        self._departure_check = departure_check
         self._endings = endings
         self._rate_limits = rate_limits
 
@@ -114,8 +117,12 @@
                 self._rate_limits.record(now, limit)
         request.booked = booked
         request.phase_at = now
+        departures = self._departure_check.departures(
+            request, departures_module.booked_steps(request)
+        )
         return [
             waited,
+            *self._departure_check.lines(now, request, departures),
             self._placed_log(now, request),
             *self._run_step(now, request),
         ]
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -24,6 +24,7 @@
 from ..coordination import parts
 from ..coordination import rates
 from . import crash_detection
+from . import departures as departures_module
 from . import endings
 from . import idempotency
 from . import quarantine_check as quarantine_module
@@ -68,6 +69,7 @@
         servers.
     :param budgets: retry budgets by service.
     :param rate_limits: limits of backend servers that are known here.
+    :param leaves: leaves of backend servers that are known here.
     :param max_claimed_s: upper bound in seconds for the deadline of a call
         with a claim, because claims are retained for a limited time only.
     :param startup_wait_s: seconds after the start during which calls wait for
@@ -83,6 +85,7 @@
         quarantine_check: quarantine_module.QuarantineCheck,
         budgets: retries.RetryBudgets,
         rate_limits: rate_limits_module.RateLimits,
+        leaves: departures_module.Leaves,
         max_claimed_s: float = float('inf'),
         startup_wait_s: float = 0.0,
     ) -> None:
@@ -98,6 +101,7 @@
         self.rate_limit_reports = rate_limit_reports_module.RateLimitReports(
             directory=directory, rate_limits=rate_limits
         )
+        self._departure_check = departures_module.DepartureCheck(leaves=leaves)
         self._endings = endings.Endings(reservations=self._reservations)
         self._sends = sends.Sends(budgets=budgets)
         self._steps = steps.Steps(sends=self._sends)
@@ -118,6 +122,7 @@
         self._replies = replies.Replies(
             reservations=self._reservations,
             attempts=self._attempts,
+            departure_check=self._departure_check,
             endings=self._endings,
             rate_limits=rate_limits,
             steps=self._steps,
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -195,6 +195,7 @@
                 entries=self._retry_entry_count.at_work,
             ),
             rate_limits=rate_limits,
+            leaves=self.presence,
             # The claims part rejects an attempt that could still run when
             # its record has expired.
             max_claimed_s=settings.timeouts.claim_retention_s / 2,
--- a/dandeliongw/state_log.py
+++ b/dandeliongw/state_log.py
@@ -18,12 +18,14 @@
 ) -> effects.Log:
     """Return the line on a backend server that appeared or is gone."""
     state = 'present' if effect.present else 'gone'
+    why = {} if effect.cause is None else {'why': effect.cause.value}
     return effects.log(
         f'backend server is {state}',
         backend_id=effect.backend_id,
         service=announcement.service,
         role=announcement.role.value,
         url=announcement.url,
+        **why,
     )
 
 
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -9,6 +9,7 @@
 from dandeliongw.coordination import confirmation_status
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import placement
+from dandeliongw.coordination import presence
 from dandeliongw.coordination import quarantine
 from dandeliongw.coordination import rates
 from dandeliongw import document
@@ -150,6 +151,7 @@
             fingerprints=fingerprints.Fingerprints(secret=None),
         )
         self.rate_limits = rate_limits.RateLimits()
+        self.presence = presence.Presence(instance_id='gw-0')
         self.requests = requests.Requests(
             directory=self.directory,
             gate=self.gate,
@@ -157,6 +159,7 @@
             quarantine_check=self.quarantine_check,
             budgets=make_budgets(entries, is_new=is_new),
             rate_limits=self.rate_limits,
+            leaves=self.presence,
             **options,
         )
         self.ids = (f'r{number}' for number in itertools.count(1))
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -277,6 +277,33 @@
         self.assertEqual([(1, True), (1, False), (2, True)], changes)
 
 
+class AbsenceCauseTest(unittest.TestCase):
+    """Guards against logs that don't tell a leave from a lost renewal."""
+
+    @params(
+        (presence.AbsenceCause.LEFT, make_departure(2)),
+        (presence.AbsenceCause.RESTARTED, present(incarnation=2)),
+        (
+            presence.AbsenceCause.REPLACED,
+            present(backend_id='be-2', incarnation=2),
+        ),
+    )
+    def test_the_cause_is_reported(self, cause, message):
+        lan = Lan('gw-1')
+        lan.receive('gw-2', 'gw-1', present())
+        lan.receive('gw-2', 'gw-1', message)
+        causes = [c.cause for _, c in lan.changes if not c.present]
+        self.assertEqual([cause], causes)
+
+    def test_an_expired_lease_is_reported(self):
+        lan = Lan('gw-1')
+        lan.receive('gw-2', 'gw-1', present())
+        lan.pass_time(presence.LEASE_S + 0.1)
+        self.assertEqual(
+            presence.AbsenceCause.EXPIRED, lan.changes[-1][1].cause
+        )
+
+
 class LeaseTest(unittest.TestCase):
     """Guards against sending work to a server that crashed or is isolated.
 
