Failing tests: sends to backend servers that are known to have left

The owner of a cell is cut off from the voters, which hear the backend servers, and books one that has left; the entry sends the call although it took that one for gone 2 s before. The same happens to a decode whose engine left during the prefill, and to a stream that broke and is resumed.

--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,100 @@
+"""Backend servers that have left: no entry sends them anything more."""
+
+import unittest
+
+from dandeliongw.cell import cells
+from dandeliongw.coordination import parts
+from dandeliongw.coordination import presence
+from dandeliongw import effects
+from dandeliongw import verdict
+from tests import entry_fake
+from tests import network
+from tests import test_reducer
+
+RETRY = verdict.RetryReason
+#: Seconds after an acknowledged leave in which requests may still arrive.
+DRAIN_S = 2.0
+
+
+class DepartedBackendTest(unittest.TestCase):
+    """Guards against sends to backend servers that this entry knows have left.
+
+    The owner that booked them is cut off and has not heard of their leaves.
+    """
+
+    def setUp(self):
+        self.entry = entry_fake.Entry()
+
+    def leave(self, *backend_ids, incarnation=0):
+        departures = tuple(
+            presence.BackendDeparture(
+                backend_id=each, incarnation=incarnation, sequence=9
+            )
+            for each in backend_ids
+        )
+        self.entry.presence.handle(
+            parts.Received(
+                now=self.entry.now,
+                sender='gw-3',
+                message=presence.PresenceBatch(
+                    renewals=(), departures=departures
+                ),
+            )
+        )
+
+    def test_a_cache_moves_if_the_decode_engine_left_meanwhile(self):
+        """The prefill's result is not thrown away for it."""
+        request_id = self.entry.prefilling()
+        self.leave('d1')
+        self.entry.prefill(request_id)
+        self.assertEqual([], self.entry.found(effects.RunDecode))
+        ((_, book),) = self.entry.sent(cells.Book)
+        self.assertEqual('decode', book.stage.value)
+        self.assertIn('d1', book.exclude)
+        self.entry.book(request_id, decode_id='d2', decode_url='http://d2')
+        self.assertEqual('http://d2', self.entry.one(effects.RunDecode).url)
+
+    def test_a_stream_is_not_resumed_at_one_that_left(self):
+        request_id = self.entry.decoding()
+        self.leave('d1')
+        self.entry.decode(request_id, RETRY.STREAM_BROKEN, tokens=3)
+        self.assertEqual([], self.entry.found(effects.RunDecode))
+
+
+class CutOffOwnerTest(test_reducer.OwnedCellTestCase):
+    """Guards against entries that send where an owner without news tells them.
+
+    The owner loses its links to the voters, which hear the backend servers.
+    The other entries still reach both.
+    """
+
+    def test_a_leave_is_obeyed_by_entries_that_heard_of_it(self):
+        self.net.loses = lambda sender, to, message: (
+            {sender, to} & {self.owner} and {sender, to} & {*self.VOTERS}
+        )
+        self.keep_voters_informed(4.0)
+        self.net.post(
+            'gw-1',
+            presence.Left(
+                now=self.net.now,
+                backend_id='portal-1',
+                incarnation=1,
+                sequence=2**40,
+                ticket='leave',
+            ),
+        )
+        self.net.run(DRAIN_S)
+        done = self.net.effects_by_id[self.entry]
+        before = len(done)
+        self.net.post(self.entry, network.lookup('late', self.net.now))
+        self.net.run(1.0)
+        self.assertEqual(
+            [], [e for e in done[before:] if isinstance(e, effects.RunCall)]
+        )
+
+    def keep_voters_informed(self, seconds):
+        for _ in range(round(seconds / network.TICK_S)):
+            self.sequence += 1
+            for instance_id in self.VOTERS:
+                self.net.post(instance_id, self.renewal())
+            self.net.run(network.TICK_S)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -55,14 +55,8 @@
         return made.model_copy(update={'limits': limits})
 
 
-class SilentVotersTest(unittest.TestCase):
-    """Guards against calls refused with "no backend server is ready".
-
-    All voters lose power and the lease of a cell expires, while its owner,
-    the entries and the backend servers work. If the owner dropped the cell,
-    each entry would place calls into its own share of a backend server, which
-    is too small for them.
-    """
+class OwnedCellTestCase(unittest.TestCase):
+    """Base class: a cell whose owner and entries are no voters."""
 
     VOTERS = ('gw-1', 'gw-2', 'gw-3')
     #: Large enough for the owner and its deputies to be no voters.
@@ -108,6 +102,16 @@
             ticket='renew',
         )
 
+
+class SilentVotersTest(OwnedCellTestCase):
+    """Guards against calls refused with "no backend server is ready".
+
+    All voters lose power and the lease of a cell expires, while its owner,
+    the entries and the backend servers work. If the owner dropped the cell,
+    each entry would place calls into its own share of a backend server, which
+    is too small for them.
+    """
+
     def lose_voters(self, seconds=4.0):
         for instance_id in self.VOTERS:
             self.net.crash(instance_id)
