Send nothing to backend servers that are known to have left

Callers' requests reached a backend server up to 4.3 s after its leave was acknowledged (2.0 s are allowed). The owner of the cell had lost its links to all voters, which hear the backend servers, and went on without a lease; it booked engines that had left, and the entries sent wherever they were booked, although their own lines show that they had taken these for gone within 1 ms.

Cause: who gets a request is decided in one place and carried out in another, which knew better and didn't look. The same holds where time passes between booking and send: a decode whose engine leaves during the prefill, and a stream that is resumed.

Now an entry compares each send with the leaves it has heard of: a booking, a decode after its prefill, a resumed stream. It releases such a booking, tells the owner of the leave over the connection that carries the next booking, and books again; that is no attempt, as nothing was sent. So the owner needs no way to the voters to learn of it, and one message repairs it for all entries.

--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -10,6 +10,8 @@
 from . import account_check as account_check_module
 from ..cell import cell_types
 from ..cell import cells
+from ..coordination import presence
+from . import departures as departures_module
 from . import endings
 from . import quarantine_check as quarantine_module
 from . import refusals
@@ -30,6 +32,8 @@
 class Attempts:
     """Begins attempts and decides on retries.
 
+    :param departure_check: backend servers that have left, which are sent
+        nothing.
     :param sends: takes repeated sends from the retry budget.
     :param quarantine_check: quarantined calls, which are not attempted.
     :param account_check: keys that were taken away, whose calls are not
@@ -40,6 +44,7 @@
         self,
         *,
         reservations: reservations.Reservations,
+        departure_check: departures_module.DepartureCheck,
         endings: endings.Endings,
         sends: sends.Sends,
         quarantine_check: quarantine_module.QuarantineCheck,
@@ -48,6 +53,7 @@
         self._quarantine_check = quarantine_check
         self._account_check = account_check
         self._reservations = reservations
+        self._departure_check = departure_check
         self._endings = endings
         self._sends = sends
 
@@ -69,6 +75,24 @@
         asked = self._reservations.search(now, request)
         return self.handle_no_owner(now, request, asked)
 
+    def rebook(
+        self,
+        now: float,
+        request: Request,
+        departures: tuple[presence.BackendDeparture, ...],
+    ) -> Effects:
+        """Book again what was booked on backend servers that have left.
+
+        Nothing was sent there, so this is no other attempt.
+        """
+        out = self._departure_check.report(now, request, departures)
+        request.exclude += tuple(each.backend_id for each in departures)
+        if request.stage is not cell_types.Stage.DECODE:
+            out += self._reservations.release(request, cells.Outcome.CANCELLED)
+            # The next booking has to differ from the released one.
+            request.owner = ''
+        return [*out, *self.search(now, request)]
+
     def handle_no_owner(
         self, now: float, request: Request, asked: Effects | None
     ) -> Effects:
--- a/dandeliongw/entry/departures.py
+++ b/dandeliongw/entry/departures.py
@@ -1,15 +1,17 @@
 """Checks what was booked for a request against the leaves known here.
 
 A cell's owner books backend servers by what it knows. If it is cut off from
-the instances that hear the backend servers, it books some that have left.
+the instances that hear the backend servers, it books some that have left. The
+entry is the last to decide on a send, so it obeys any leave that it has heard
+of, and passes it on to the owner.
 """
 
 from collections import abc
 import typing
 
 from .. import decisions
-from .. import effects
 from .. import events
+from ..coordination import parts
 from ..coordination import presence
 from .request import Request
 
@@ -47,14 +49,19 @@
         )
         return tuple(each for each in found if each is not None)
 
-    def lines(
+    def report(
         self,
         now: float,
         request: Request,
-        departures: abc.Iterable[presence.BackendDeparture],
-    ) -> list[effects.Log]:
-        """Return the log lines on booked backend servers that have left."""
-        return [
+        departures: tuple[presence.BackendDeparture, ...],
+    ) -> list[typing.Any]:
+        """Return the log lines on leaves, and the message to the owner.
+
+        It goes over the same connection as bookings, so that the owner knows
+        the leaves when it books again.
+        """
+        batch = presence.PresenceBatch(renewals=(), departures=departures)
+        lines = [
             decisions.BookedBackendLeft(
                 request_id=request.request_id,
                 attempt_id=request.attempt_id,
@@ -65,6 +72,7 @@
             ).log()
             for departure in departures
         ]
+        return [*lines, parts.Send(to=request.owner, message=batch)]
 
 
 def booked_steps(request: Request) -> tuple[events.Step, ...]:
--- a/dandeliongw/entry/recovery.py
+++ b/dandeliongw/entry/recovery.py
@@ -14,6 +14,7 @@
 from . import attempts
 from ..cell import cell_types
 from ..cell import rate_limits
+from . import departures as departures_module
 from . import endings
 from . import refusals
 from . import reservations
@@ -34,6 +35,7 @@
         self,
         *,
         attempts: attempts.Attempts,
+        departure_check: departures_module.DepartureCheck,
         endings: endings.Endings,
         rate_limits: rate_limits.RateLimits,
         sends: sends.Sends,
@@ -42,6 +44,7 @@
         self._sends = sends
         self._steps = steps
         self._attempts = attempts
+        self._departure_check = departure_check
         self._endings = endings
         self._rate_limits = rate_limits
 
@@ -89,12 +92,14 @@
 
         It does if only the connection failed. A second interruption at the
         same token means that the engine itself is at fault. One that limits
-        its rate gets no request that its cell's owner hasn't booked.
+        its rate gets no request that its cell's owner hasn't booked, and one
+        that has left gets none at all.
         """
         start = request.booked_backend(event.step).start
         broke = event.failure in (_RETRY.STREAM_BROKEN, _RETRY.STREAM_STALLED)
         return (
             broke
+            and not self._departure_check.departures(request, (event.step,))
             and not self._rate_limits.is_limited(
                 start.backend_id, start.incarnation
             )
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -120,9 +120,11 @@
         departures = self._departure_check.departures(
             request, departures_module.booked_steps(request)
         )
+        if departures:
+            rebooked = self._attempts.rebook(now, request, departures)
+            return [waited, *rebooked]
         return [
             waited,
-            *self._departure_check.lines(now, request, departures),
             self._placed_log(now, request),
             *self._run_step(now, request),
         ]
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -107,6 +107,7 @@
         self._steps = steps.Steps(sends=self._sends)
         self._attempts = attempts.Attempts(
             reservations=self._reservations,
+            departure_check=self._departure_check,
             endings=self._endings,
             sends=self._sends,
             quarantine_check=quarantine_check,
@@ -114,6 +115,7 @@
         )
         self._recovery = recovery.Recovery(
             attempts=self._attempts,
+            departure_check=self._departure_check,
             endings=self._endings,
             rate_limits=rate_limits,
             sends=self._sends,
@@ -490,6 +492,13 @@
                 event.now, request, key_refusal, cells.Outcome.CANCELLED
             )
             return [send, took, *stopped]
+        departures = self._departure_check.departures(
+            request, (events.Step.DECODE,)
+        )
+        if departures:
+            request.stage = cell_types.Stage.DECODE
+            rebooked = self._attempts.rebook(event.now, request, departures)
+            return [send, took, *rebooked]
         return [send, took, *self._steps.run_decode(event.now, request)]
 
     def _answer_ended(
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,18 +2,23 @@
 
 import unittest
 
+from nose2.tools import params
+
 from dandeliongw.cell import cells
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
 from dandeliongw import effects
+from dandeliongw import events
 from dandeliongw import verdict
 from tests import entry_fake
 from tests import network
 from tests import test_reducer
 
 RETRY = verdict.RetryReason
+STEP = events.Step
 #: Seconds after an acknowledged leave in which requests may still arrive.
 DRAIN_S = 2.0
+_DIRECTIVES = (effects.RunCall, effects.RunPrefill, effects.RunDecode)
 
 
 class DepartedBackendTest(unittest.TestCase):
@@ -42,6 +47,49 @@
             )
         )
 
+    def told(self):
+        """Return the leaves that the owner is told of by the last event."""
+        return [
+            departure.backend_id
+            for to, message in self.entry.sent(presence.PresenceBatch)
+            for departure in message.departures
+            if to == entry_fake.OWNER
+        ]
+
+    @params(
+        ('lookup', 's1'),
+        ('completion', 'p1'),
+        ('completion', 'd1'),
+    )
+    def test_a_booking_of_one_that_left_is_not_carried_out(self, kind, left):
+        self.leave(left)
+        request_id = self.entry.arrive(kind)
+        former = self.entry.ids_of(request_id)['attempt_id']
+        self.entry.book(request_id)
+        self.assertEqual([], self.entry.found(_DIRECTIVES))
+        ((_, release),) = self.entry.sent(cells.Release)
+        self.assertEqual(former, release.attempt_id)
+        ((_, book),) = self.entry.sent(cells.Book)
+        self.assertIn(left, book.exclude)
+        self.assertNotEqual(former, book.attempt_id)
+
+    @params('lookup', 'completion')
+    def test_the_owner_is_told_before_it_books_again(self, kind):
+        self.leave('s1', 'p1')
+        request_id = self.entry.arrive(kind)
+        self.entry.book(request_id)
+        self.assertEqual(1, len(self.told()))
+        kinds = [type(each.message) for each in self.entry.found(parts.Send)]
+        self.assertLess(
+            kinds.index(presence.PresenceBatch), kinds.index(cells.Book)
+        )
+
+    def test_a_restarted_one_is_sent_to(self):
+        self.leave('s1')
+        request_id = self.entry.arrive('lookup')
+        self.entry.book(request_id, plain_incarnation=1)
+        self.assertEqual(1, len(self.entry.found(effects.RunCall)))
+
     def test_a_cache_moves_if_the_decode_engine_left_meanwhile(self):
         """The prefill's result is not thrown away for it."""
         request_id = self.entry.prefilling()
@@ -54,6 +102,18 @@
         self.entry.book(request_id, decode_id='d2', decode_url='http://d2')
         self.assertEqual('http://d2', self.entry.one(effects.RunDecode).url)
 
+    def test_a_moved_cache_does_not_move_to_one_that_left(self):
+        request_id = self.entry.decoding()
+        self.entry.decode(
+            request_id,
+            RETRY.BACKEND_BUSY,
+            known=verdict.Verdict.NOT_RUN,
+            was_sent=False,
+        )
+        self.leave('d2')
+        self.entry.book(request_id, decode_id='d2', decode_url='http://d2')
+        self.assertEqual([], self.entry.found(effects.RunDecode))
+
     def test_a_stream_is_not_resumed_at_one_that_left(self):
         request_id = self.entry.decoding()
         self.leave('d1')
