Failing tests: leaves that are lost with their datagrams

With all datagrams between instances lost, and connections working, other instances hear nothing of a leave; nor does one that was cut off for 11 s and gets renewals of other servers only.

--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -18,6 +18,7 @@
 CODEC = codec.Codec(
     data_classes=presence.MESSAGES, wire_modules=[presence_pb2]
 )
+START = presence.BackendStart(backend_id='be-1', incarnation=1)
 LOAD = presence.BackendLoad(
     running=3, waiting=1, queued_tokens=900, slots_used=3, kv_bytes=2**34
 )
@@ -52,6 +53,10 @@
             each: presence.Presence(instance_id=each) for each in ids
         }
         self.wire: list[tuple[str, str, typing.Any]] = []
+        #: Whether all messages without a connection are lost.
+        self.loses_datagrams = False
+        #: Recipients of leaves over connections.
+        self.connections: list[str] = []
         self.changes: list[tuple[str, presence.BackendChanged]] = []
         self.hints: list[presence.CacheHints] = []
         self.outcomes: list[presence.PresenceOutcome] = []
@@ -64,7 +69,7 @@
         for effect in self.parts[to].handle(event):
             match effect:
                 case parts.Send():
-                    self.wire.append((to, effect.to, effect.message))
+                    self._send(to, effect)
                 case parts.Complete():
                     self.outcomes.append(effect.result)
                 case presence.BackendChanged():
@@ -72,6 +77,15 @@
                 case presence.CacheHints():
                     self.hints.append(effect)
 
+    def _send(self, sender: str, effect: parts.Send) -> None:
+        if effect.by_datagram and self.loses_datagrams:
+            return
+        if not effect.by_datagram and getattr(
+            effect.message, 'departures', ()
+        ):
+            self.connections.append(effect.to)
+        self.wire.append((sender, effect.to, effect.message))
+
     def receive(self, sender: str, to: str, message: typing.Any) -> None:
         decoded = CODEC.decode(*CODEC.encode(message))
         event = parts.Received(now=self.now, sender=sender, message=decoded)
@@ -404,6 +418,45 @@
         self.assertEqual(['be-1/1'], lan.usable('gw-2'))
 
 
+class LostDatagramsTest(unittest.TestCase):
+    """Guards against leaves that don't arrive although connections work.
+
+    All datagrams are lost, as with a firewall between two instances.
+    """
+
+    def test_a_leave_arrives_within_the_drain_time(self):
+        lan = Lan('gw-1', 'gw-2', 'gw-3')
+        lan.loses_datagrams = True
+        lan.announce('gw-1', to=('gw-2', 'gw-3'))
+        lan.deliver()
+        lan.leave('gw-1', 2)
+        lan.pass_time(1.0)
+        self.assertEqual([[], []], [lan.usable('gw-2'), lan.usable('gw-3')])
+
+    def test_an_instance_is_told_once_it_can_be_reached(self):
+        """Its own renewals may all come from other instances."""
+        lan = Lan('gw-1', 'gw-2')
+        lan.announce('gw-1', to=('gw-2',))
+        lan.deliver()
+        lan.leave('gw-1', 2)
+        lan.pass_time(presence.LEAVE_REPEAT_S + 1.0, but='gw-2')
+        lan.parts['gw-2'].handle(
+            parts.Received(
+                now=lan.now, sender='gw-1', message=present(age_s=0.0)
+            )
+        )
+        lan.pass_time(1.5)
+        self.assertTrue(lan.parts['gw-2'].has_left(START))
+
+    def test_no_connection_is_used_while_datagrams_arrive(self):
+        lan = Lan('gw-1', 'gw-2', 'gw-3')
+        lan.announce('gw-1', to=())
+        lan.deliver()
+        lan.leave('gw-1', 2)
+        lan.pass_time(presence.LEAVE_REPEAT_S)
+        self.assertEqual([], lan.connections)
+
+
 class OutcomeTest(unittest.TestCase):
     def test_outcomes_returned_to_a_backend_server(self):
         lan = Lan('gw-1')
