Count servers that end while they drain against the call they ran

A call that ends backend servers was sent on after three had ended, by one report of the users. The record has no such case, so that this is the cause is suspected only. Found by reading the evidence rules beside the late leaves: the end of a server that had said it leaves counted against no call, though it goes on serving for two seconds then. During a rolling replacement a bad call could end servers that nobody counted.

Now an end counts if it comes while the server should still be serving (setting backend_drain_s, from the platform's bounds; 0 by default, so that nothing changes for others). Before: three such ends, and the call is still placed (test failed: no_backend instead of quarantined). After: quarantined; ends 2 s after the leave still count for nothing.

--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -227,7 +227,10 @@
         )
 
     def left_s(self, now: float, backend_id: str) -> float:
-        """Return the seconds since the leave of a backend server was heard."""
+        """Return the seconds since the leave of a backend server was heard.
+
+        Negative if it was heard after ``now``.
+        """
         return self._backends.left_s(now, backend_id)
 
     # Interface of a coordination part.
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -68,6 +68,9 @@
 #: considered to have been paused. It is ten ticks of the runtime, and less
 #: than half of a lease.
 PAUSE_S = 0.5
+#: Seconds by which the news of a leave and the notice of an exit may differ in
+#: their delay.
+DRAIN_MARGIN_S = 0.25
 #: Seconds by which a tick may be early. Timers are not exact; without this, a
 #: timer that fires slightly early would delay the part by one more tick.
 EARLY_S = 0.02
@@ -636,9 +639,10 @@
         """Count a backend server's exit against the call that it ran.
 
         An announced exit is not counted: the backend server was stopped
-        while it worked, and the call did not cause that.
+        while it worked, and the call did not cause that. One that exits while
+        it should still drain was not stopped.
         """
-        if self.presence.has_left(event.start):
+        if self._was_stopped(event.start, event.ended_at):
             return [
                 effects.log(
                     'announced backend server exit not counted against a call',
@@ -648,6 +652,16 @@
             ]
         return self.quarantine.handle(event)
 
+    def _was_stopped(
+        self, start: presence.BackendStart, ended_at: float
+    ) -> bool:
+        """Return whether a backend server exited because it was stopped."""
+        if not self.presence.has_left(start):
+            return False
+        drained_s = self.presence.left_s(ended_at, start.backend_id)
+        drain_s = self.settings.timeouts.backend_drain_s
+        return not 0.0 <= drained_s < drain_s - DRAIN_MARGIN_S
+
     def _on_quarantined(
         self, now: float, effect: quarantine.Quarantined
     ) -> list[typing.Any]:
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -174,6 +174,9 @@
     """A backend server without a renewal for this long gets no requests."""
     renew_s: models.Positive = 1.0
     """How often backend servers renew their announcement."""
+    backend_drain_s: models.NonNegative = 0.0
+    """How long a backend server goes on serving at least after its leave was
+    acknowledged. One that ends sooner may have been ended by a call."""
     longest_order_s: models.Positive = 5.0
     """How long an engine may take to answer an order."""
     claim_retention_s: models.Positive = 86400.0
--- a/tests/test_quarantine_check.py
+++ b/tests/test_quarantine_check.py
@@ -301,21 +301,50 @@
         """Guards against a quarantine caused by servers that shut down."""
         for number in (1, 2, 3):
             backend_id = f'portal-{number}'
-            self.network.post(
-                'gw-1',
-                presence.Left(
-                    now=self.network.now,
-                    backend_id=backend_id,
-                    incarnation=1,
-                    sequence=9,
-                    ticket='t',
-                ),
-            )
+            self.leave(backend_id)
             self.network.run(1.0)
             (line,) = self.end('gw-2', backend_id)
             self.assertIn('announced', line.message)
         self.assertNotEqual(REASON.QUARANTINED, self.refusal_at('gw-2'))
 
+    def test_servers_that_end_while_they_drain_are_evidence(self):
+        """Guards against a call that ends leaving servers one by one.
+
+        They go on serving for a while after their leave, so that nothing but
+        the call explains why they end within it.
+        """
+        self.network = network.Network(backend_drain_s=2.0)
+        self.network.apply_example()
+        for number in (1, 2, 3):
+            backend_id = f'portal-{number}'
+            self.leave(backend_id)
+            self.network.run(1.0)
+            self.end('gw-2', backend_id)
+        self.assertEqual(REASON.QUARANTINED, self.refusal_at('gw-2'))
+
+    def test_servers_that_end_after_they_drained_are_no_evidence(self):
+        """Guards against a quarantine caused by servers that shut down."""
+        self.network = network.Network(backend_drain_s=2.0)
+        self.network.apply_example()
+        for number in (1, 2, 3):
+            backend_id = f'portal-{number}'
+            self.leave(backend_id)
+            self.network.run(2.0)
+            self.end('gw-2', backend_id)
+        self.assertNotEqual(REASON.QUARANTINED, self.refusal_at('gw-2'))
+
+    def leave(self, backend_id):
+        self.network.post(
+            'gw-1',
+            presence.Left(
+                now=self.network.now,
+                backend_id=backend_id,
+                incarnation=1,
+                sequence=9,
+                ticket='t',
+            ),
+        )
+
     def test_a_lift_applies_at_all_entries(self):
         for number in (1, 2, 3):
             self.end('gw-1', f'portal-{number}')
