Take a cell over from an owner that alone is cut off from the voters

The other instances had their configuration confirmed all the while, but nobody asked for the lease: the owner ranks first and is alive.

Cause: 'no voter is reachable' was taken for 'the voters are down'. Only others can tell the two apart. So an owner that goes on without a lease tells three deputies twice a second, and one that has had the configuration confirmed tries for the lease after 0.75 s. Entries are asked for their bookings as at any takeover, and the former owner yields when it hears of the new epoch.

test_another_instance_takes_the_cell_over failed before (no owner 6 s after the cut); no call is refused during the takeover.

--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -230,6 +230,13 @@
     epoch: int
 
 
+class LeaseLapsed(msgspec.Struct, frozen=True, kw_only=True):
+    """Owner to deputies: it owns the cell on, and can't renew its lease."""
+
+    cell: str
+    epoch: int
+
+
 MESSAGES = (
     Book,
     PrefillDone,
@@ -243,6 +250,7 @@
     NotOwner,
     Cancelled,
     ReclaimWanted,
+    LeaseLapsed,
 )
 
 
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -22,6 +22,7 @@
 from .cell_messages import Declined
 from .cell_messages import HeldStream
 from .cell_messages import Holding
+from .cell_messages import LeaseLapsed
 from .cell_messages import ListStreams
 from .cell_messages import LoadReported
 from .cell_messages import MESSAGES
@@ -69,6 +70,7 @@
     'Declined',
     'HeldStream',
     'Holding',
+    'LeaseLapsed',
     'ListStreams',
     'LoadReported',
     'MESSAGES',
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -20,6 +20,10 @@
 
 #: Seconds between two reviews of the pools' sizes.
 ROLE_REVIEW_INTERVAL_S = 0.5
+#: Seconds between two messages to the deputies of a cell without a lease.
+LAPSED_INTERVAL_S = 0.5
+#: Deputies that get them: as many as may be cut off at one time, and one more.
+LAPSED_DEPUTIES = 3
 #: The messages that are addressed to the owner of ``message.cell``.
 OWNER_MESSAGES = (
     cells.Book,
@@ -59,6 +63,7 @@
         self._presence = backends
         self._moves_engines = moves_engines
         self._roles_at = 0.0
+        self._lapsed_at = 0.0
         self.order_dispatch = order_dispatch.OrderDispatch(
             directory=directory,
             leases=leases,
@@ -120,7 +125,7 @@
     def keep_without_lease(self, cell: str) -> bool:
         """Keep a cell whose lease expired while no voter could be reached.
 
-        No other instance can get the lease meanwhile. If the cell were
+        If the voters are down, no other instance can get it. If the cell were
         dropped, each entry would place work within its own part of every
         backend server. With 200 entries that part is smaller than one
         request, and with more than 20 the entries don't get announcements of
@@ -128,6 +133,9 @@
         until the voters are back. No orders are sent to engines, as those
         need a lease.
 
+        The voters may also be up and only this instance cut off from them.
+        So the deputies are told, see :meth:`_notify_deputies`.
+
         :returns: whether there was a cell to keep.
         """
         if cell not in self.cells_by_id or cell in self._takeovers_by_cell:
@@ -255,11 +263,39 @@
             *self._update_loads(event.now),
             *self.handle_in_all(event),
             *self._end_takeovers(event.now),
+            *self._notify_deputies(event.now),
             *self.fallback_cells.tick(event),
             *self._review_roles(event.now),
             *self.order_dispatch.due_orders(event, self.cells_by_id),
         ]
 
+    def _notify_deputies(self, now: float) -> list[typing.Any]:
+        """Tell the deputies of cells that are kept without a lease.
+
+        A deputy that reaches the voters takes such a cell over. Without this,
+        an owner that only lost its own links would go on without news of
+        backend servers for as long as these are down.
+        """
+        if now < self._lapsed_at + LAPSED_INTERVAL_S:
+            return []
+        self._lapsed_at = now
+        return [
+            parts.Send(
+                to=deputy,
+                message=cells.LeaseLapsed(
+                    cell=cell, epoch=self.cells_by_id[cell].epoch
+                ),
+                by_datagram=True,
+            )
+            for cell in sorted(self._kept_cells)
+            for deputy in self._deputies(cell)
+        ]
+
+    def _deputies(self, cell: str) -> list[str]:
+        ranked = self._directory.ranked_owners(cell)
+        others = [each for each in ranked if each != self._directory.own_id]
+        return others[:LAPSED_DEPUTIES]
+
     def change_backend(self, now: float, backend_id: str) -> list[typing.Any]:
         """Update the cell of a backend server whose presence changed."""
         backend = self._presence.backends_by_id.get(backend_id)
--- a/dandeliongw/cell/succession.py
+++ b/dandeliongw/cell/succession.py
@@ -19,8 +19,16 @@
 DEPUTY_DELAY_S = 3.0
 
 
+#: Seconds for which an owner has to report a lapsed lease before a deputy that
+#: reaches the voters tries for it. After an outage of all voters, the owner
+#: gets it back sooner than that.
+LAPSE_CONFIRM_S = 0.75
+#: Seconds without such a report after which the next one counts as the first.
+LAPSE_GAP_S = 2.0
+
+
 class _OwnerRequests(msgspec.Struct, kw_only=True):
-    """When entries sent requests for a cell that isn't owned here."""
+    """When a reason to try for a cell that isn't owned here was given."""
 
     first_at: float
     last_at: float
@@ -45,6 +53,7 @@
         self._owner = owner
         self._wanted: frozenset[str] | None = None
         self._requests_by_cell: dict[str, _OwnerRequests] = {}
+        self._lapses_by_cell: dict[str, _OwnerRequests] = {}
 
     def record_owner_request(self, now: float, cell: str) -> None:
         """Record a request from an entry for a cell that isn't owned here.
@@ -52,11 +61,16 @@
         Entries turn to a deputy when the owner doesn't answer. The owner's
         lease may expire long before its failure is confirmed.
         """
-        requests = self._requests_by_cell.get(cell)
-        if requests is None or now - requests.last_at >= DEPUTY_TRY_S:
-            requests = _OwnerRequests(first_at=now, last_at=now)
-            self._requests_by_cell[cell] = requests
-        requests.last_at = now
+        _note(self._requests_by_cell, now, cell, DEPUTY_TRY_S)
+
+    def record_lapse(self, now: float, cell: str) -> None:
+        """Record that a cell's owner has lost its lease and goes on.
+
+        Called only while this instance reaches the voters.
+        """
+        lapse = _note(self._lapses_by_cell, now, cell, LAPSE_GAP_S)
+        if now - lapse.first_at >= LAPSE_CONFIRM_S:
+            self.record_owner_request(now, cell)
 
     def review(self, now: float) -> list[typing.Any]:
         """Return the set of wanted leases as an effect, if it changed."""
@@ -106,3 +120,18 @@
         if requests is None or now - requests.last_at >= DEPUTY_TRY_S:
             return False
         return now - requests.first_at >= (rank - 1) * DEPUTY_DELAY_S
+
+
+def _note(
+    found_by_cell: dict[str, _OwnerRequests],
+    now: float,
+    cell: str,
+    gap_s: float,
+) -> _OwnerRequests:
+    """Note one more reason to own a cell; begin anew after a gap."""
+    found = found_by_cell.get(cell)
+    if found is None or now - found.last_at >= gap_s:
+        found = _OwnerRequests(first_at=now, last_at=now)
+        found_by_cell[cell] = found
+    found.last_at = now
+    return found
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -75,6 +75,9 @@
 #: timer that fires slightly early would delay the part by one more tick.
 EARLY_S = 0.02
 
+#: Messages about who owns a cell.
+SUCCESSION_MESSAGES = (cells.ReclaimWanted, cells.LeaseLapsed)
+
 Handler = abc.Callable[[typing.Any], list[typing.Any]]
 
 
@@ -409,10 +412,11 @@
             (self.rates.handle, rates.MESSAGES),
             (self._receive_as_owner, owner_module.OWNER_MESSAGES),
             (self._reclaim, (cells.ReclaimWanted,)),
+            (self._on_lease_lapsed, (cells.LeaseLapsed,)),
             (
                 self._receive_as_entry,
                 set(cells.MESSAGES)
-                - {*owner_module.OWNER_MESSAGES, cells.ReclaimWanted},
+                - {*owner_module.OWNER_MESSAGES, *SUCCESSION_MESSAGES},
             ),
         ]
         return {
@@ -561,6 +565,13 @@
             event.now, message.cell, event.sender, message.epoch
         )
 
+    def _on_lease_lapsed(self, event: parts.Received) -> list[typing.Any]:
+        """Try for a cell whose owner lost its voters, if this one has them."""
+        if self.register.is_fresh(event.now):
+            self.succession.record_lapse(event.now, event.message.cell)
+            self._review_at = event.now
+        return []
+
     def _on_lease_gained(
         self, now: float, effect: lease.LeaseGained
     ) -> list[typing.Any]:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -16,6 +16,9 @@
 
 RETRY = verdict.RetryReason
 STEP = events.Step
+CELL = test_reducer.CELL
+#: Seconds for a takeover after the lease has expired.
+TAKEOVER_S = 2.0
 #: Seconds after an acknowledged leave in which requests may still arrive.
 DRAIN_S = 2.0
 _DIRECTIVES = (effects.RunCall, effects.RunPrefill, effects.RunDecode)
@@ -129,9 +132,7 @@
     """
 
     def test_a_leave_is_obeyed_by_entries_that_heard_of_it(self):
-        self.net.loses = lambda sender, to, message: (
-            {sender, to} & {self.owner} and {sender, to} & {*self.VOTERS}
-        )
+        self.net.loses = self.is_cut
         self.keep_voters_informed(4.0)
         self.net.post(
             'gw-1',
@@ -152,6 +153,36 @@
             [], [e for e in done[before:] if isinstance(e, effects.RunCall)]
         )
 
+    def test_another_instance_takes_the_cell_over(self):
+        """Guards against a cell that goes on without news for a whole cut."""
+        self.net.loses = self.is_cut
+        self.keep_voters_informed(4.0 + TAKEOVER_S)
+        self.assertNotIn(self.net.owner_of(CELL), (None, self.owner))
+        former = self.net.reducers_by_id[self.owner].owner
+        self.assertNotIn(CELL, former.cells_by_id)
+
+    def test_no_call_is_refused_while_it_is_taken_over(self):
+        self.net.loses = self.is_cut
+        refused = []
+        for number in range(60):
+            done = self.net.effects_by_id[self.entry]
+            before = len(done)
+            request_id = f'n-{number}'
+            self.net.post(self.entry, network.lookup(request_id, self.net.now))
+            self.keep_voters_informed(0.1)
+            refused += [
+                e for e in done[before:] if isinstance(e, effects.Refuse)
+            ]
+            self.net.post(
+                self.entry,
+                events.RequestClosed(now=self.net.now, request_id=request_id),
+            )
+        self.assertEqual([], refused)
+
+    def is_cut(self, sender, to, message):
+        pair = {sender, to}
+        return bool(pair & {self.owner} and pair & {*self.VOTERS})
+
     def keep_voters_informed(self, seconds):
         for _ in range(round(seconds / network.TICK_S)):
             self.sequence += 1
