--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -201,6 +201,88 @@
         self.assertEqual(expected, rules(record))
 
 
+class LeaveTest(unittest.TestCase):
+    """Guards against a soak that misses requests to servers that left."""
+
+    @params(
+        (1.9, [], []),
+        (2.1, [], ['drain']),
+        (2.1, [('entry-1', False)], []),
+        (2.1, [('entry-1', True)], ['drain']),
+        (2.1, [('entry-2', False)], ['drain']),
+    )
+    def test_a_request_after_a_leave(self, after_s, faults, expected):
+        record = records.Record(
+            asked=[asked(10.0 + after_s, 'r1')],
+            arrived=[arrived(10.0 + after_s, 'r1')],
+            left=[records.Left(at=10.0, server='i-1', voter='voter-1')],
+            faults=[
+                records.Fault(
+                    begin=9.0,
+                    end=11.0,
+                    what='',
+                    machines=(name,),
+                    is_servers_only=is_servers_only,
+                )
+                for name, is_servers_only in faults
+            ],
+        )
+        self.assertEqual(expected, rules(record))
+
+
+class CutOffTest(unittest.TestCase):
+    """Guards against a soak that misses callers who are served far worse."""
+
+    @params((30, []), (18, ['cut off']), (20, []))
+    def test_first_tries(self, served, expected):
+        """The others serve all of theirs: two thirds of 30 are 20."""
+        record = records.Record(
+            faults=[
+                records.Fault(
+                    begin=10.0,
+                    end=20.0,
+                    what='no servers',
+                    machines=('entry-1',),
+                    is_servers_only=True,
+                )
+            ]
+        )
+        for number in range(30):
+            self.add(record, 'entry-1', f'a{number}', number < served)
+            self.add(record, 'entry-2', f'b{number}', True)
+        # Too early, and no first tries.
+        for number in range(30):
+            self.add(record, 'entry-1', f'c{number}', False, at=12.9)
+            self.add(record, 'entry-1', f'd{number}', False, is_retry=True)
+        self.assertEqual(expected, rules(record))
+
+    def test_a_few_failures_don_t_count(self):
+        record = records.Record(
+            faults=[
+                records.Fault(
+                    begin=10.0,
+                    end=20.0,
+                    what='no servers',
+                    machines=('entry-1',),
+                    is_servers_only=True,
+                )
+            ]
+        )
+        for number in range(10):
+            self.add(record, 'entry-1', f'a{number}', False)
+            self.add(record, 'entry-2', f'b{number}', True)
+        self.assertEqual([], rules(record))
+
+    def add(self, record, entry, request_id, is_served, at=14.0, **changes):
+        record.asked.append(
+            asked(at, request_id, entry=entry, timeout_s=9.0, **changes)
+        )
+        status = 200 if is_served else 502
+        record.answered.append(
+            dataclasses.replace(answered(request_id, status), at=at)
+        )
+
+
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     """Guards against faults that a soak believes in and that don't happen."""
 
@@ -272,6 +354,33 @@
         await self.exchange_elsewhere()
         self.assertNotIn(b'two', self.received)
 
+    @params(*links.Outage)
+    async def test_new_connections_fail_while_it_is_out(self, outage):
+        reader, writer = await self.connect()
+        writer.write(b'one')
+        await reader.readexactly(3)
+        await self.link.go_out(outage)
+        kind = (
+            TimeoutError
+            if outage is links.Outage.HANG
+            else ConnectionRefusedError
+        )
+        with self.assertRaises(kind):
+            async with asyncio.timeout(0.2):
+                await self.connect()
+        await self.exchange_elsewhere()
+        await self.link.come_back()
+        later = await self.connect()
+        later[1].write(b'six')
+        self.assertEqual(b'six', await later[0].readexactly(3))
+
+    async def test_open_connections_live_on_while_new_ones_are_refused(self):
+        reader, writer = await self.connect()
+        await self.link.go_out(links.Outage.REFUSE)
+        writer.write(b'one')
+        self.assertEqual(b'one', await reader.readexactly(3))
+        await self.link.come_back()
+
     async def test_a_reset_ends_open_connections(self):
         reader, writer = await self.connect()
         writer.write(b'one')
@@ -282,6 +391,20 @@
                 self.assertEqual(b'', await reader.read())
 
 
+class LostServersTest(unittest.TestCase):
+    """Guards against callers who fail at entries that lost the servers.
+
+    Their connections to all backend servers hang; callers and the other
+    instances reach them throughout.
+    """
+
+    def test_their_callers_are_served(self):
+        plan = run.Plan(seed=2, seconds=1.0, only='lose_servers')
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(plan, pathlib.Path(folder)))
+        self.assertEqual([], report.broken, '\n'.join(report.lines()))
+
+
 class ShortRunTest(unittest.TestCase):
     """Guards against promises that only real processes break."""
 
