Reach backend servers through another instance if need be

Cause: an entry has one way to a backend server. Where that is lost, each call fails at server after server, or hangs in a connection that is believed for as long as the call has, and what the entry reports makes its owner distrust servers that are sound. Class: one's own failure is taken for that of the other end.

Now an entry that can't connect asks another instance for a tunnel to the server that was booked. The call stays with the entry, with all that is counted of it. The other instance tells a lost path from a server that has ended. Kept connections that stay silent have their path checked.

--- a/dandeliongw/adapter.py
+++ b/dandeliongw/adapter.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from . import engine
+from . import paths as paths_module
 from . import settings as settings_module
 from .api import backends
 from .api import gateway
@@ -83,6 +84,13 @@
     @property
     def header_parser(self) -> gateway.HeaderParser: ...
 
+    def use_paths(self, paths: paths_module.Paths) -> None:
+        """Make the connections of calls along these paths.
+
+        Called once, before the first call.
+        """
+        ...
+
     def backends(
         self, *, payload: relay.RequestPayload, metadata: gateway.CallMetadata
     ) -> relay.Backends:
--- a/dandeliongw/connection_pool.py
+++ b/dandeliongw/connection_pool.py
@@ -54,6 +54,13 @@
                 return found.connection
             found.connection.close()
 
+    def drop(self, host: str, port: int) -> None:
+        """Close the idle connections to an address."""
+        with self._lock:
+            dropped = self._idle_by_address.pop((host, port), ())
+        for each in dropped:
+            each.connection.close()
+
     def give(
         self, connection: urllib3.connection.HTTPConnection, keep_alive: str
     ) -> None:
--- a/dandeliongw/coordination/_roster.py
+++ b/dandeliongw/coordination/_roster.py
@@ -39,6 +39,8 @@
 
     :param host: where its peers connect, with ``port``.
     :param callers_address: the URL at which it serves clients.
+    :param tunnel_port: port at which it connects others to backend servers;
+        0 if it doesn't.
     """
 
     host: str
@@ -46,6 +48,7 @@
     data_centre: str
     region: str
     callers_address: str
+    tunnel_port: int = 0
 
 
 NO_INFO = InstanceInfo(
--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -1,6 +1,9 @@
 """Looks up the configuration, cells, owners and instances for requests."""
 
+import xxhash
+
 from . import document as document_module
+from . import effects
 from . import settings as settings_module
 from .coordination import confirmation_status as status_module
 from .coordination import lease
@@ -215,6 +218,32 @@
         """Return the ids of all instances that are alive."""
         return tuple(self._members.alive_ids())
 
+    def tunnel_peers(self) -> tuple[effects.TunnelPeer, ...]:
+        """Return the instances that connect this one to backend servers.
+
+        Entries come first, each instance has an order of its own, so that all
+        share the work. One instance without callers comes second: it may have
+        a path that the entries have lost.
+        """
+        found = [
+            (bool(member.info.callers_address), instance_id, member.info)
+            for instance_id, member in self._alive_members()
+            if member.info.tunnel_port and instance_id != self._own_id
+        ]
+        found.sort(key=lambda each: (not each[0], self._tunnel_rank(each[1])))
+        others = [each for each in found if not each[0]][:1]
+        ranked = [each for each in found if each not in others]
+        ranked[1:1] = others
+        return tuple(
+            effects.TunnelPeer(
+                instance_id=instance_id, host=info.host, port=info.tunnel_port
+            )
+            for _, instance_id, info in ranked
+        )
+
+    def _tunnel_rank(self, instance_id: str) -> int:
+        return xxhash.xxh64_intdigest(f'{self._own_id} {instance_id}'.encode())
+
     def count_entries(self) -> int:
         """Return the number of live entries, at least one."""
         if self._entries is None:
--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -254,6 +254,20 @@
     url: str
 
 
+class TunnelPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """An instance that connects others to backend servers."""
+
+    instance_id: str
+    host: str
+    port: int
+
+
+class TunnelPeers(msgspec.Struct, frozen=True, kw_only=True):
+    """Sets these instances, in the order in which to ask them."""
+
+    peers: tuple[TunnelPeer, ...]
+
+
 class PeerAddress(msgspec.Struct, frozen=True, kw_only=True):
     """Set the address of another instance; comes before any message to it."""
 
--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -12,6 +12,7 @@
 import contextlib
 import http.client
 import re
+import select
 import socket
 import struct
 import typing
@@ -23,8 +24,12 @@
 
 from . import connection_pool
 from . import engine
+from . import paths
 from . import verdict
 
+#: Seconds without an answer after which the path of a connection that was
+#: used before is checked, or half of the time that the call has.
+SUSPECT_S = 0.5
 #: Size limit of a line in a stream; its pieces and end mark are short lines.
 MAX_LINE_BYTES = 1 << 20
 #: Linger for zero seconds: a close resets the connection.
@@ -57,6 +62,22 @@
         )
 
 
+class DirectConnector:
+    """Connects to backend servers without a detour; a ``paths.Connector``."""
+
+    def connect(
+        self, host: str, port: int, timeout_s: float
+    ) -> urllib3.connection.HTTPConnection:
+        connection = urllib3.connection.HTTPConnection(
+            host, port, timeout=timeout_s
+        )
+        connection.connect()
+        return connection
+
+    def suspect(self, host: str, port: int) -> None:
+        """Do nothing: there is no other path."""
+
+
 class Exchange:
     """One HTTP call.
 
@@ -64,6 +85,7 @@
     :param read_s: seconds without a byte after which the call has stalled.
     :param pool: reuses connections; without it, the connection serves this
         call only.
+    :param connector: makes new connections; directly by default.
     """
 
     def __init__(
@@ -73,13 +95,17 @@
         connect_s: float,
         read_s: float,
         pool: connection_pool.ConnectionPool | None = None,
+        connector: paths.Connector | None = None,
     ) -> None:
         parts = urllib.parse.urlsplit(url)
         self._pool = pool
+        self._connector = connector or DirectConnector()
         self._is_complete = False
-        self._connection = urllib3.connection.HTTPConnection(
-            parts.hostname or '', parts.port or 80, timeout=connect_s
-        )
+        self._is_reused = False
+        self._host = parts.hostname or ''
+        self._port = parts.port or 80
+        self._connect_s = connect_s
+        self._connection: urllib3.connection.HTTPConnection | None = None
         self._read_s = read_s
         self._socket: socket.socket | None = None
         self._response: typing.Any = None
@@ -90,14 +116,16 @@
         pooled = self._take_pooled()
         if pooled is not None:
             self._connection = pooled
+            self._is_reused = True
             self._use_connection()
             return
         try:
-            self._connection.connect()
+            self._connection = self._connector.connect(
+                self._host, self._port, self._connect_s
+            )
         except (OSError, urllib3.exceptions.HTTPError) as error:
             raise engine.EngineError(
-                f'no connection to {self._connection.host}:'
-                f'{self._connection.port}: {error}',
+                f'no connection to {self._host}:{self._port}: {error}',
                 known=verdict.Verdict.NOT_RUN,
                 reason=verdict.RetryReason.CONNECT_REFUSED,
             ) from error
@@ -106,7 +134,7 @@
     def _take_pooled(self) -> urllib3.connection.HTTPConnection | None:
         if self._pool is None:
             return None
-        return self._pool.take(self._connection.host, self._connection.port)
+        return self._pool.take(self._host, self._port)
 
     def _use_connection(self) -> None:
         self._socket = self._connection.sock
@@ -138,9 +166,27 @@
                 preload_content=False,
                 decode_content=False,
             )
-            self._response = self._connection.getresponse()
+            self._response = self._await_answer()
             return self._response
 
+    def _await_answer(self) -> typing.Any:
+        """Return the answer; have the path checked if none comes for long.
+
+        A connection that was used before may have lost its path since, and
+        then shows it by nothing but silence.
+        """
+        if self._is_reused:
+            quiet_s = min(SUSPECT_S, self._read_s / 2)
+            poller = select.poll()
+            poller.register(self._socket, select.POLLIN)
+            if not poller.poll(quiet_s * 1000):
+                self._connector.suspect(self._host, self._port)
+                self._connection.timeout = self._read_s - quiet_s
+        response = self._connection.getresponse()
+        self._connection.timeout = self._read_s
+        self._socket.settimeout(self._read_s)
+        return response
+
     def read(self, response: typing.Any, most: int) -> bytes:
         """Return the complete body.
 
@@ -222,7 +268,8 @@
                 )
         if self._response is not None:
             self._response.close()
-        self._connection.close()
+        if self._connection is not None:
+            self._connection.close()
 
     def _is_reusable(self) -> bool:
         """Whether the connection is open and this answer's end is certain."""
@@ -248,6 +295,7 @@
         try:
             yield
         except (TimeoutError, urllib3.exceptions.ReadTimeoutError) as error:
+            self._connector.suspect(self._host, self._port)
             raise engine.StalledError(
                 f'nothing came for {self._read_s} s',
                 known=verdict.Verdict.MAY_HAVE_RUN,
--- a/dandeliongw/http_backends.py
+++ b/dandeliongw/http_backends.py
@@ -7,6 +7,7 @@
 
 from . import engine
 from . import exchange as exchanges
+from . import paths
 from . import settings as settings_module
 from . import verdict
 
@@ -38,8 +39,10 @@
         first_byte_s: float,
         stall_s: float,
         on_rate_limit: engine.RateLimitObserver = engine.ignore_rate_limit,
+        connector: paths.Connector | None = None,
     ) -> None:
         self.url = url
+        self._connector = connector
         self._on_rate_limit = on_rate_limit
         self._connect_s = connect_s
         self._first_byte_s = first_byte_s
@@ -170,7 +173,10 @@
     @contextlib.contextmanager
     def _exchange(self, read_s: float) -> abc.Iterator[exchanges.Exchange]:
         exchange = exchanges.Exchange(
-            url=self.url, connect_s=self._connect_s, read_s=read_s
+            url=self.url,
+            connect_s=self._connect_s,
+            read_s=read_s,
+            connector=self._connector,
         )
         self._current = exchange
         if self._aborted:
@@ -278,11 +284,15 @@
         connect_s: float,
         timeout_s: float,
         on_rate_limit: engine.RateLimitObserver = engine.ignore_rate_limit,
+        connector: paths.Connector | None = None,
     ) -> None:
         self.url = url
         self._on_rate_limit = on_rate_limit
         self._exchange = exchanges.Exchange(
-            url=url, connect_s=connect_s, read_s=timeout_s
+            url=url,
+            connect_s=connect_s,
+            read_s=timeout_s,
+            connector=connector,
         )
 
     def call(
@@ -327,10 +337,20 @@
 
 
 class HttpBackends:
-    """Makes the HTTP adapters of a request's backend servers."""
+    """Makes the HTTP adapters of a request's backend servers.
+
+    :param connector: makes the connections of calls; cancels and orders come
+        from the instance that sends them, so they are connected directly.
+    """
 
-    def __init__(self, *, timeouts: settings_module.Timeouts) -> None:
+    def __init__(
+        self,
+        *,
+        timeouts: settings_module.Timeouts,
+        connector: paths.Connector | None = None,
+    ) -> None:
         self._timeouts = timeouts
+        self._connector = connector
 
     def model_engine(
         self,
@@ -340,14 +360,17 @@
         told_account: str | None,
         on_rate_limit: engine.RateLimitObserver,
     ) -> HttpEngine:
-        return self._engine(url, on_rate_limit)
+        return self._engine(url, on_rate_limit, self._connector)
 
     def engine_at(self, url: str, backend_id: str) -> HttpEngine:
         """Return the adapter that sends cancels and orders."""
-        return self._engine(url, engine.ignore_rate_limit)
+        return self._engine(url, engine.ignore_rate_limit, None)
 
     def _engine(
-        self, url: str, on_rate_limit: engine.RateLimitObserver
+        self,
+        url: str,
+        on_rate_limit: engine.RateLimitObserver,
+        connector: paths.Connector | None,
     ) -> HttpEngine:
         return HttpEngine(
             url=url,
@@ -355,6 +378,7 @@
             first_byte_s=self._timeouts.first_byte_s,
             stall_s=self._timeouts.stall_s,
             on_rate_limit=on_rate_limit,
+            connector=connector,
         )
 
     def plain_service(
@@ -370,4 +394,5 @@
             connect_s=self._timeouts.connect_s,
             timeout_s=timeout_s,
             on_rate_limit=on_rate_limit,
+            connector=self._connector,
         )
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -16,6 +16,7 @@
 from . import envelopes
 from . import events
 from . import peers
+from . import tunnels
 from . import verdict as verdicts
 from .cell import orders
 from .coordination import lease_messages
@@ -206,6 +207,12 @@
             'reason',
             list(envelopes.DropReason),
         )
+        self.tunnels_asked = self._watched(
+            'tunnels_asked',
+            'Connections to backend servers asked of other instances.',
+            'outcome',
+            list(tunnels.Outcome),
+        )
         self.peer_faults = self._watched(
             'peer_faults',
             'Connections to other instances that ended badly.',
@@ -285,6 +292,17 @@
             'Calls that are held back, as they end backend servers.',
             None,
         )
+        self.detours = self._watched_gauge(
+            'detours',
+            'Backend servers that are reached through another instance.',
+            None,
+        )
+        self.tunnels = self._watched_gauge(
+            'tunnels',
+            'Connections of other instances to backend servers through this '
+            'one.',
+            None,
+        )
         self.retry_budget = self._watched_gauge(
             'retry_budget',
             'Attempts after the first that may still be made here.',
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -109,6 +109,8 @@
         instance id.
     :param disk_id: identity of the data folder; ``None`` if there is none.
     :param callers_url: URL at which callers reach this instance.
+    :param tunnel_port: port at which it connects others to backend servers;
+        0 if it doesn't.
     """
 
     def __init__(
@@ -118,10 +120,13 @@
         incarnation: int,
         disk_id: str | None,
         callers_url: str,
+        tunnel_port: int = 0,
     ) -> None:
         self.settings = settings
         self._is_voter = disk_id is not None
-        self.membership = _make_membership(settings, incarnation, callers_url)
+        self.membership = _make_membership(
+            settings, incarnation, callers_url, tunnel_port
+        )
         self.register = register.Register(
             instance_id=settings.instance_id,
             initial_voters=_voter_ids(settings),
@@ -261,6 +266,7 @@
         self._instance_ids: tuple[str, ...] = ()
         #: Instances that are alive or suspected; the latter may still act.
         self._present_ids: tuple[str, ...] = ()
+        self._tunnel_peers: tuple[effects.TunnelPeer, ...] = ()
         self._is_serving = False
         self._entropy = incarnation
         self._handlers_by_type = self._make_handlers()
@@ -830,6 +836,7 @@
         self._retry_entry_count.record(now, is_confirmed=is_confirmed)
         return [
             *self._review_instances(now),
+            *self._review_tunnel_peers(),
             *self._review_serving(now),
             *self._review_rates(now),
             self._observe(now),
@@ -871,6 +878,13 @@
             ),
         ]
 
+    def _review_tunnel_peers(self) -> list[typing.Any]:
+        peers = self.directory.tunnel_peers()
+        if peers == self._tunnel_peers:
+            return []
+        self._tunnel_peers = peers
+        return [effects.TunnelPeers(peers=peers)]
+
     def _review_serving(self, now: float) -> list[typing.Any]:
         serving = (
             self.directory.is_fresh(now) and not self.directory.is_draining
@@ -887,6 +901,7 @@
     settings: settings_module.Settings,
     incarnation: int,
     callers_url: str,
+    tunnel_port: int,
 ) -> membership.Membership:
     return membership.Membership(
         instance_id=settings.instance_id,
@@ -897,6 +912,7 @@
             data_centre=settings.data_centre,
             region=settings.region,
             callers_address=callers_url,
+            tunnel_port=tunnel_port,
         ),
         seeds_by_id={
             peer.instance_id: membership.InstanceInfo(
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -24,6 +24,7 @@
 from . import events
 from . import journal as journal_module
 from . import metrics as metrics_module
+from . import paths as paths_module
 from . import probe
 from . import verdict
 from .cell import cells
@@ -89,6 +90,7 @@
     :param engine_for: makes the adapter that sends cancels and orders to a
         backend server, from its URL and id.
     :param may_send: whether an order may be sent at a given time.
+    :param paths: the paths to backend servers.
     :param journal: ``None`` on an instance without a data folder.
     """
 
@@ -98,6 +100,7 @@
         reducer: Reducer,
         metrics: metrics_module.Metrics,
         engine_for: abc.Callable[[str, str], engine.Engine],
+        paths: paths_module.Paths,
         journal: Journal | None,
         may_send: abc.Callable[[effects.GiveOrder, float], bool],
     ) -> None:
@@ -105,6 +108,7 @@
         self._reducer = reducer
         self._metrics = metrics
         self._engine_for = engine_for
+        self._paths = paths
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._run, name='control', daemon=True
@@ -142,6 +146,7 @@
             effects.PassThroughStream: self._observe_stream,
             effects.PeerAddress: self._set_address,
             effects.PeerForgotten: self._forget_peer,
+            effects.TunnelPeers: self._set_tunnel_peers,
             effects.GaugeValues: self._observe,
             effects.GiveOrder: self._give_order,
             membership.Superseded: self._end_superseded,
@@ -285,6 +290,9 @@
         if self._wire is not None:
             self._loop.create_task(self._wire.remove_peer(effect.instance_id))
 
+    def _set_tunnel_peers(self, effect: effects.TunnelPeers) -> None:
+        self._paths.set_peers(effect.peers)
+
     def _persist(self, effect: parts.Persist) -> None:
         self._writer.put(effect)
 
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -26,10 +26,12 @@
 from . import logs
 from . import metrics as metrics_module
 from . import operators_facade
+from . import paths as paths_module
 from . import peers as peers_module
 from . import reducer as reducer_module
 from . import runtime as runtime_module
 from . import settings as settings_module
+from . import tunnels
 from . import wire
 from .api import backends as backends_module
 from .api import callers as callers_module
@@ -60,7 +62,9 @@
         control_port: int,
         joiner: joining.Joiner | None = None,
         metrics: metrics_module.Metrics | None = None,
+        tunnel_server: tunnels.TunnelServer | None = None,
     ) -> None:
+        self._tunnel_server = tunnel_server
         self._metrics = metrics
         self._joiner = joiner
         self.callers_port = callers_port
@@ -70,6 +74,8 @@
 
     def begin_shutdown(self) -> None:
         """Start a graceful shutdown; further calls have no effect."""
+        if self._tunnel_server is not None:
+            self._tunnel_server.drain()
         self._runtime.post(events.ShutdownBegun)
 
     def watch_lines(self, lines: typing.Any) -> None:
@@ -125,26 +131,33 @@
             http_ports.open_port(settings.callers, 'callers', shutdown_s)
         )
         incarnation = time.time_ns()
+        paths = paths_module.Paths(secret=_secret(settings))
+        tunnel_server = _serve_tunnels(stack, settings, paths)
         reducer = reducer_module.Reducer(
             settings=settings,
             incarnation=incarnation,
             disk_id=journal.disk_id if journal else None,
             callers_url=_callers_url(settings, callers_port.number),
+            tunnel_port=tunnel_server.port if tunnel_server else 0,
         )
         if journal is not None:
             reducer.restore(journal.records)
         backends = adapter or http_backends.HttpBackends(
-            timeouts=settings.timeouts
+            timeouts=settings.timeouts, connector=paths
         )
+        if adapter is not None:
+            adapter.use_paths(paths)
         runtime = runtime_module.Runtime(
             reducer=reducer,
             metrics=metrics,
             engine_for=backends.engine_at,
+            paths=paths,
             journal=journal,
             may_send=reducer.owner.order_dispatch.may_send,
         )
         stack.callback(runtime.stop)
         export_counts(metrics, reducer)
+        _export_paths(metrics, paths, tunnel_server)
         _start(
             runtime,
             make_wire(
@@ -193,6 +206,48 @@
             control_port=control_port.number,
             joiner=joiner,
             metrics=metrics,
+            tunnel_server=tunnel_server,
+        )
+
+
+def _secret(settings: settings_module.Settings) -> bytes | None:
+    return settings.peer_secret.encode() if settings.peer_secret else None
+
+
+def _serve_tunnels(
+    stack: contextlib.ExitStack,
+    settings: settings_module.Settings,
+    paths: paths_module.Paths,
+) -> tunnels.TunnelServer | None:
+    listen = settings.tunnel
+    if listen is None:
+        return None
+    try:
+        return stack.enter_context(
+            tunnels.serving(
+                host=listen.host,
+                port=listen.port,
+                secret=_secret(settings),
+                may_connect=paths.is_direct,
+            )
+        )
+    except OSError as error:
+        raise exceptions.PortInUse(
+            address=listen.show(), field='tunnel'
+        ) from error
+
+
+def _export_paths(
+    metrics: metrics_module.Metrics,
+    paths: paths_module.Paths,
+    tunnel_server: tunnels.TunnelServer | None,
+) -> None:
+    unlabelled = metrics_module.UNLABELLED
+    metrics.detours.set_callback(lambda: {unlabelled: paths.detours()})
+    metrics.tunnels_asked.set_callback(paths.asked_by_outcome.copy)
+    if tunnel_server is not None:
+        metrics.tunnels.set_callback(
+            lambda: {unlabelled: tunnel_server.open_count}
         )
 
 
@@ -323,7 +378,6 @@
     The function must be called on the thread of the event loop. It also
     exports the counters of the connections as metrics.
     """
-    secret = settings.peer_secret
     make = functools.partial(
         peers_module.Peers,
         instance_id=settings.instance_id,
@@ -336,7 +390,7 @@
             if peer.instance_id != settings.instance_id
         },
         codec=codec,
-        secret=secret.encode() if secret else None,
+        secret=_secret(settings),
         on_message=on_message,
         on_fault=_log_fault,
     )
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -217,6 +217,9 @@
     """The port for backend servers and operators."""
     peer: Address
     """The address that other instances connect to."""
+    tunnel: Address | None = None
+    """The address at which this instance connects others to backend servers
+    that they can't reach; without it, it serves none."""
     peers: tuple[PeerSettings, ...] = ()
     """Every instance, this one included; not used together with ``seeds``."""
     seeds: tuple[Address, ...] = ()
--- /dev/null
+++ b/dandeliongw/tunnels.py
@@ -0,0 +1,325 @@
+"""Connections to backend servers through another instance.
+
+An instance that can't reach a backend server asks another one to connect to
+it, with HTTP's ``CONNECT``, and then sends its own call through. The call
+stays with the instance that its caller chose: its booking, retries, deadline,
+account and log lines don't know of the detour.
+"""
+
+import asyncio
+from collections import abc
+import contextlib
+import enum
+import hmac
+import http.client
+import socket
+import threading
+
+from loguru import logger
+import msgspec
+
+#: Seconds that the far instance may take to connect.
+FAR_CONNECT_S = 0.3
+#: Seconds that the head of a request for a tunnel may take.
+HEAD_S = 2.0
+MAX_HEAD_BYTES = 2048
+#: Largest piece that is forwarded at once, in bytes.
+CHUNK_BYTES = 65536
+#: Most tunnels at one time; each holds two connections.
+MAX_TUNNELS = 512
+#: Seconds without data after which a connection to another instance is
+#: checked, seconds between two checks, and failed checks that end it. Without
+#: them, a backend server would work on for an instance that lost its power.
+KEEP_IDLE_S, KEEP_EVERY_S, KEEP_TRIES = 5, 2, 3
+_PROOF_HEADER = 'Proxy-Authorization'
+_PROOF_SCHEME = 'Dandeliongw'
+
+
+class Outcome(enum.StrEnum):
+    """How a request for a tunnel ended."""
+
+    OPENED = 'opened'
+    #: The backend server's machine refuses connections.
+    REFUSED = 'refused'
+    #: The far instance doesn't reach it either.
+    UNREACHABLE = 'unreachable'
+    #: The far instance serves no tunnel, or there was no answer.
+    UNAVAILABLE = 'unavailable'
+
+
+_STATUS_BY_OUTCOME = {
+    Outcome.OPENED: http.HTTPStatus.OK,
+    Outcome.REFUSED: http.HTTPStatus.BAD_GATEWAY,
+    Outcome.UNREACHABLE: http.HTTPStatus.GATEWAY_TIMEOUT,
+    Outcome.UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+}
+_OUTCOME_BY_STATUS = {
+    int(status): outcome for outcome, status in _STATUS_BY_OUTCOME.items()
+}
+
+
+class Address(msgspec.Struct, frozen=True, kw_only=True):
+    """Host and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+class Opened(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to a request for a tunnel.
+
+    :param connection: ends at the backend server; ``None`` unless it was
+        opened.
+    """
+
+    outcome: Outcome
+    connection: socket.socket | None = None
+
+
+def open_through(
+    far: Address, target: Address, *, timeout_s: float, secret: bytes | None
+) -> Opened:
+    """Connect to a backend server through another instance.
+
+    :param far: where that instance serves tunnels.
+    :param secret: shared by all instances, if they have one.
+    """
+    try:
+        made = socket.create_connection((far.host, far.port), timeout_s)
+    except OSError:
+        return Opened(outcome=Outcome.UNAVAILABLE)
+    head = f'CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n'
+    if secret is not None:
+        head += f'{_proof(secret, str(target))}\r\n'
+    answer = http.client.HTTPResponse(made, method='CONNECT')
+    try:
+        made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        made.sendall(head.encode() + b'\r\n')
+        answer.begin()
+        outcome = _OUTCOME_BY_STATUS.get(answer.status, Outcome.UNAVAILABLE)
+    except (OSError, http.client.HTTPException):
+        outcome = Outcome.UNAVAILABLE
+    if outcome is not Outcome.OPENED:
+        answer.close()
+        made.close()
+        return Opened(outcome=outcome)
+    return Opened(outcome=outcome, connection=made)
+
+
+def _proof(secret: bytes, target: str) -> str:
+    """Return the header line that proves knowledge of the secret."""
+    digest = hmac.new(secret, f'tunnel {target}'.encode(), 'sha256')
+    return f'{_PROOF_HEADER}: {_PROOF_SCHEME} {digest.hexdigest()}'
+
+
+class TunnelServer:
+    """Serves tunnels to other instances, on a thread of its own.
+
+    :param secret: as for :func:`open_through`; tunnels are served to those
+        that know it.
+    :param may_connect: whether this instance reaches an address by itself.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        secret: bytes | None,
+        may_connect: abc.Callable[[Address], bool],
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.open_count = 0
+        self._secret = secret
+        self._may_connect = may_connect
+        self._is_draining = False
+        self._loop = asyncio.new_event_loop()
+        self._tasks: set[asyncio.Task] = set()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name='tunnels', daemon=True
+        )
+
+    def start(self) -> None:
+        """Listen.
+
+        :raises OSError: if the address can't be used.
+        """
+        self._thread.start()
+        asyncio.run_coroutine_threadsafe(self._listen(), self._loop).result()
+
+    def drain(self) -> None:
+        """Open no further tunnels; those that are open go on."""
+        self._is_draining = True
+
+    def stop(self) -> None:
+        """Close everything."""
+        asyncio.run_coroutine_threadsafe(self._end(), self._loop).result()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(
+            self._accept, self.host, self.port, limit=MAX_HEAD_BYTES
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _end(self) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            # Also if either end has reset its connection.
+            pass
+        except Exception as error:
+            logger.error(f'serving a tunnel failed: {error!r}')
+        finally:
+            # Bytes on their way to a closed end are of no use.
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        _keep_alive(writer)
+        target = await self._read_target(reader)
+        if target is None or not self._has_room():
+            return await self._answer(writer, Outcome.UNAVAILABLE)
+        if not self._may_connect(target):
+            return await self._answer(writer, Outcome.UNREACHABLE)
+        try:
+            async with asyncio.timeout(FAR_CONNECT_S):
+                far_reader, far_writer = await asyncio.open_connection(
+                    target.host, target.port
+                )
+        except ConnectionRefusedError:
+            return await self._answer(writer, Outcome.REFUSED)
+        except OSError:
+            return await self._answer(writer, Outcome.UNREACHABLE)
+        self.open_count += 1
+        try:
+            await self._answer(writer, Outcome.OPENED)
+            await _join(reader, writer, far_reader, far_writer)
+        finally:
+            self.open_count -= 1
+            far_writer.transport.abort()
+
+    def _has_room(self) -> bool:
+        return not self._is_draining and self.open_count < MAX_TUNNELS
+
+    async def _read_target(
+        self, reader: asyncio.StreamReader
+    ) -> Address | None:
+        """Return the requested address, ``None`` if there is no valid one."""
+        try:
+            async with asyncio.timeout(HEAD_S):
+                head = await reader.readuntil(b'\r\n\r\n')
+        except (
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+        ):
+            return None
+        first, *fields = head.decode('latin-1').split('\r\n')
+        method, _, rest = first.partition(' ')
+        target = rest.partition(' ')[0]
+        host, _, port = target.rpartition(':')
+        if method != 'CONNECT' or not host or not port.isdigit():
+            return None
+        if self._secret is not None:
+            proof = _proof(self._secret, target).encode()
+            if not any(
+                hmac.compare_digest(proof, each.encode('latin-1'))
+                for each in fields
+            ):
+                return None
+        return Address(host=host, port=int(port))
+
+    async def _answer(
+        self, writer: asyncio.StreamWriter, outcome: Outcome
+    ) -> None:
+        status = _STATUS_BY_OUTCOME[outcome]
+        writer.write(f'HTTP/1.1 {status.value} {outcome}\r\n\r\n'.encode())
+        await writer.drain()
+        if outcome is not Outcome.OPENED:
+            writer.close()
+            await writer.wait_closed()
+
+
+async def _join(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    far_reader: asyncio.StreamReader,
+    far_writer: asyncio.StreamWriter,
+) -> None:
+    """Forward both ways until either end closes its connection.
+
+    What the backend server sent before its end is delivered. The other end
+    closes only a call that it gave up.
+    """
+    there = asyncio.create_task(_copy(reader, far_writer))
+    back = asyncio.create_task(_copy(far_reader, writer))
+    try:
+        done, _ = await asyncio.wait(
+            {there, back}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            task.result()
+        if back in done:
+            writer.close()
+            await writer.wait_closed()
+    finally:
+        there.cancel()
+        back.cancel()
+        await asyncio.gather(there, back, return_exceptions=True)
+
+
+async def _copy(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    while data := await reader.read(CHUNK_BYTES):
+        writer.write(data)
+        await writer.drain()
+
+
+def _keep_alive(writer: asyncio.StreamWriter) -> None:
+    made = writer.get_extra_info('socket')
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_IDLE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_EVERY_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_TRIES)
+
+
+@contextlib.contextmanager
+def serving(
+    *,
+    host: str,
+    port: int,
+    secret: bytes | None,
+    may_connect: abc.Callable[[Address], bool],
+) -> abc.Iterator[TunnelServer]:
+    """Serve tunnels while the context is open.
+
+    :raises OSError: if the address can't be used.
+    """
+    server = TunnelServer(
+        host=host, port=port, secret=secret, may_connect=may_connect
+    )
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
--- a/tests/network.py
+++ b/tests/network.py
@@ -47,6 +47,8 @@
     :param timeouts: overrides of the timeouts in the settings.
     """
 
+    tunnel_port = 0
+
     def __init__(
         self,
         *,
@@ -83,12 +85,16 @@
             settings=self._settings(instance_id),
             incarnation=self._starts,
             disk_id=disk_id,
-            callers_url=f'http://{instance_id}',
+            callers_url=self._callers_url(instance_id),
+            tunnel_port=self.tunnel_port,
         )
         made.restore(self.journals_by_id[disk_id])
         self.reducers_by_id[instance_id] = made
         self.frozen.discard(instance_id)
 
+    def _callers_url(self, instance_id: str) -> str:
+        return f'http://{instance_id}'
+
     def crash(self, instance_id: str) -> None:
         self.frozen.add(instance_id)
 
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -38,6 +38,13 @@
         self.assertIs(self.take(), made)
         self.assertIsNone(self.take())
 
+    def test_connections_over_a_lost_path_are_dropped(self):
+        made, _ = self.connect()
+        self.pool.give(made, 'timeout=60')
+        self.pool.drop('127.0.0.1', self.port)
+        self.assertIsNone(self.take())
+        self.assertIsNone(made.sock)
+
     def test_a_connection_with_unread_bytes_is_not_reused(self):
         """Guards against a caller who gets the answer to another call.
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -20,6 +20,20 @@
         return made.model_copy(update={'silent_owner': 'place'})
 
 
+ENTRIES = ('gw-4', 'gw-5', 'gw-6', 'gw-7', 'gw-8')
+
+
+class TunnelNetwork(network.Network):
+    """Voters that take no callers, and entries; all serve tunnels."""
+
+    tunnel_port = 9
+
+    def _callers_url(self, instance_id: str) -> str:
+        if instance_id not in ENTRIES:
+            return ''
+        return super()._callers_url(instance_id)
+
+
 class PlacesAloneTest(unittest.TestCase):
     """Guards against calls refused with "no backend server is ready".
 
@@ -66,3 +80,35 @@
         net.crash('gw-3')
         net.run(5.0)
         self.assertEqual(3, found.count_entries())
+
+
+class TunnelPeersTest(unittest.TestCase):
+    """Guards against all entries that lost the servers asking the same one."""
+
+    def setUp(self):
+        self.net = TunnelNetwork(count=8, voters=3)
+        self.net.run(3.0)
+
+    def ranked(self, instance_id):
+        found = self.net.reducers_by_id[instance_id].directory.tunnel_peers()
+        return [each.instance_id for each in found]
+
+    def test_each_has_an_order_of_its_own(self):
+        orders = {each: self.ranked(each) for each in ENTRIES}
+        for instance_id, ranked in orders.items():
+            expected = {*self.net.reducers_by_id} - {instance_id}
+            self.assertEqual(expected, {*ranked})
+        self.assertLess(1, len({ranked[0] for ranked in orders.values()}))
+
+    def test_entries_come_first_but_for_the_second(self):
+        """All entries of a data centre may have lost the servers."""
+        ranked = self.ranked(ENTRIES[0])
+        self.assertEqual(
+            [True, False, True, True, True],
+            [each in ENTRIES for each in ranked[:5]],
+        )
+
+    def test_those_that_are_gone_are_not_asked(self):
+        self.net.crash(ENTRIES[1])
+        self.net.run(5.0)
+        self.assertNotIn(ENTRIES[1], self.ranked(ENTRIES[0]))
--- a/tests/test_platform_backend_calls.py
+++ b/tests/test_platform_backend_calls.py
@@ -68,6 +68,7 @@
         payload=PAYLOAD,
         metadata=METADATA,
         pool=shared or connection_pool.ConnectionPool(),
+        connector=None,
         timeouts=TIMEOUTS,
     )
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -9,6 +9,7 @@
 from dandeliongw import effects
 from dandeliongw import journal
 from dandeliongw import metrics
+from dandeliongw import paths
 from dandeliongw import runtime
 from dandeliongw import verdict
 
@@ -82,6 +83,7 @@
             reducer=self.reducer,
             metrics=metrics.Metrics(),
             engine_for=lambda url, backend_id: self.engine,
+            paths=paths.Paths(secret=None),
             journal=self.journal,
             may_send=lambda effect, now: self.may_send,
         )
