Have another instance confirm that a backend server has ended

An entry takes a refused connection for proof that a backend server ended under a call. One that lost its path to the servers is refused by sound ones: each call that broke off there is blamed for an end, and where these ends explain the servers that a bad call did end, that one is held later (four ends, or never by this entry). Where its connections hang, it sees no refusal at all, and an end under a call that it sent counts for nobody.

Now the connection that is tried for the proof has to be refused at another instance, too, and is tried there also if it hangs here. An instance without others decides alone, as before.

Before: three of the new tests failed (an end behind a hanging path, one behind a detour, a refusal that only the prober meets). After: they pass.

--- a/dandeliongw/paths.py
+++ b/dandeliongw/paths.py
@@ -155,17 +155,18 @@
     def is_refused(self, url: str) -> bool:
         """Return whether nothing listens at the host and port of a URL.
 
-        A refusal counts only if another instance meets it, too, unless there
-        is no other.
+        Another instance has to find the same, unless there is no other: an
+        instance that is cut off is refused by servers that are sound, or
+        can't tell at all.
         """
-        if not probe.is_refused(url):
-            return False
+        if not self._peers:
+            return probe.is_refused(url)
         parts = urllib.parse.urlsplit(url)
         address = tunnels.Address(
             host=parts.hostname or '', port=parts.port or 80
         )
-        if not self._peers:
-            return True
+        if self.is_direct(address) and _listens(address):
+            return False
         for peer in self._ranked_peers()[:MOST_ASKED]:
             opened = self._ask(peer, address)
             if opened.connection is not None:
@@ -330,6 +331,16 @@
             self._set_through(address, path, None)
 
 
+def _listens(address: tunnels.Address) -> bool:
+    try:
+        socket.create_connection(
+            (address.host, address.port), DIRECT_S
+        ).close()
+    except OSError:
+        return False
+    return True
+
+
 def _connection(
     address: tunnels.Address, made: socket.socket
 ) -> urllib3.connection.HTTPConnection:
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -25,7 +25,6 @@
 from . import journal as journal_module
 from . import metrics as metrics_module
 from . import paths as paths_module
-from . import probe
 from . import verdict
 from .cell import cells
 from .cell import orders
@@ -355,7 +354,7 @@
         self._pool.submit(self._probe_now, effect)
 
     def _probe_now(self, effect: effects.ProbeBackend) -> None:
-        is_refused = probe.is_refused(effect.url)
+        is_refused = self._paths.is_refused(effect.url)
         self.post(
             lambda now: events.BackendProbed(
                 now=now, start=effect.start, is_refused=is_refused
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -1,11 +1,14 @@
 """Paths to backend servers: direct, or through another instance."""
 
 import contextlib
+import errno
 import socket
 import threading
 import unittest
 from unittest import mock
 
+from nose2.tools import params
+
 from dandeliongw import clock
 from dandeliongw import effects
 from dandeliongw import paths
@@ -58,7 +61,12 @@
         return connect(to, *rest, **options)
 
     def lose(self, error=TimeoutError, port=None):
-        self.lost[port or self.port] = error('cut')
+        number = (
+            errno.ECONNREFUSED
+            if error is ConnectionRefusedError
+            else errno.ETIMEDOUT
+        )
+        self.lost[port or self.port] = error(number, 'cut')
 
     def serve(self, *reachable):
         """Run other instances; each reaches the backend server, or not."""
@@ -223,3 +231,48 @@
         self.through()
         self.wait_for_checks()
         self.assertEqual(2, self.paths.detours())
+
+
+class EndedTest(PathsTestCase):
+    """Guards against wrong evidence on calls that end backend servers.
+
+    An entry that is cut off takes a refused connection for the end of a
+    server, or an end for a lost path.
+    """
+
+    def is_ended(self):
+        return self.paths.is_refused(f'http://{self.host}:{self.port}')
+
+    def test_a_refusal_that_others_do_not_meet_is_no_end(self):
+        self.serve(True)
+        self.lose(ConnectionRefusedError)
+        self.assertFalse(self.is_ended())
+
+    @params(ConnectionRefusedError, TimeoutError)
+    def test_a_refusal_that_others_meet_is_an_end(self, error):
+        self.serve(False, True)
+        self.backend.close()
+        self.lose(error)
+        self.assertTrue(self.is_ended())
+
+    def test_an_end_is_found_while_the_server_is_reached_through_others(self):
+        self.serve(True)
+        self.lose()
+        self.through()
+        self.backend.close()
+        self.assertTrue(self.is_ended())
+
+    def test_a_refusal_that_nobody_can_check_is_no_end(self):
+        self.serve(False)
+        self.lose(ConnectionRefusedError)
+        self.assertFalse(self.is_ended())
+
+    @params((ConnectionRefusedError, True), (TimeoutError, False))
+    def test_without_others_a_refusal_is_an_end(self, error, expected):
+        self.lose(error)
+        self.assertEqual(expected, self.is_ended())
+
+    def test_a_server_that_listens_has_not_ended(self):
+        self.serve(True)
+        self.assertFalse(self.is_ended())
+        self.assertEqual(0, sum(self.paths.asked_by_outcome.values()))
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -3,10 +3,13 @@
 import pathlib
 import threading
 import unittest
+from unittest import mock
 
 from dandeliongw.cell import orders
 from dandeliongw.coordination import parts
+from dandeliongw.coordination import presence
 from dandeliongw import effects
+from dandeliongw import events
 from dandeliongw import journal
 from dandeliongw import metrics
 from dandeliongw import paths
@@ -91,6 +94,19 @@
         self.addCleanup(self.runtime.stop)
         self.addCleanup(self.journal.may_sync.set)
 
+    def test_a_probe_asks_other_instances_as_well(self):
+        """Guards against ends that only an entry that is cut off sees."""
+        start = presence.BackendStart(backend_id='b', incarnation=1)
+        with mock.patch.object(
+            paths.Paths, 'is_refused', return_value=False
+        ) as asked:
+            self.perform(
+                effects.ProbeBackend(start=start, url='http://127.0.0.1:1')
+            )
+            found = self.reducer.wait_for(events.BackendProbed)
+        self.assertFalse(found.is_refused)
+        asked.assert_called_once_with('http://127.0.0.1:1')
+
     def perform(self, *performed):
         self.reducer.effects_by_type[parts.Received] = list(performed)
         self.runtime.post(
