--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -250,10 +250,11 @@
         for number in range(30):
             self.add(record, 'entry-1', f'a{number}', number < served)
             self.add(record, 'entry-2', f'b{number}', True)
-        # Too early, and no first tries.
+        # Too early, no first tries, and probes.
         for number in range(30):
             self.add(record, 'entry-1', f'c{number}', False, at=12.9)
             self.add(record, 'entry-1', f'd{number}', False, is_retry=True)
+            self.add(record, 'entry-1', f'e{number}', False, is_probe=True)
         self.assertEqual(expected, rules(record))
 
     def test_a_few_failures_don_t_count(self):
