Answer a leave once half of the other instances know of it

A leave was answered before any other instance knew it. A backend server that has the answer says it no second time: if the voter died then, and its datagrams were lost, the others went on until the presence lease ended, 4.8 s on the platform, where 2 s are allowed. Found by reading.

Now it is answered when half of the others have confirmed it, a round trip later, or after 0.3 s if they don't; the server waits a second before it asks the next voter. Those that know a leave repeat it with their renewals. Before: the first two of the new tests failed (answered at once).

--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -93,7 +93,7 @@
 #: Seconds after a leave during which every batch of renewals repeats it.
 LEAVE_REPEAT_S = 10.0
 #: Seconds after which a leave is sent over a connection to the instances that
-#: have not confirmed it.
+#: have not confirmed it, and answered in any case.
 LEAVE_CONFIRM_S = 0.3
 #: Seconds between two further sends to such an instance.
 LEAVE_RESEND_S = 1.0
@@ -145,6 +145,7 @@
         confirmed it; ``None`` if another instance received it first.
     :param resend_until: when to stop that.
     :param confirmed_by: instances that have confirmed it.
+    :param ticket: of the backend server that waits for the answer.
     """
 
     departure: BackendDeparture
@@ -152,6 +153,7 @@
     resend_at: float | None
     resend_until: float
     confirmed_by: set[str] = msgspec.field(default_factory=set)
+    ticket: str | None = None
 
 
 class Presence:
@@ -327,15 +329,25 @@
             incarnation=self._leaving_incarnation(event),
             sequence=event.sequence,
         )
-        effects: list[typing.Any] = [
-            _complete(event.ticket, PresenceOutcome.ACCEPTED)
-        ]
         if stamp(departure) <= self._backends.left(event.backend_id):
-            return effects
-        effects += self._record_departure(event.now, departure)
+            return [_complete(event.ticket, PresenceOutcome.ACCEPTED)]
+        effects = self._record_departure(event.now, departure)
         item = self._departures_by_id[event.backend_id]
         item.resend_at = event.now + LEAVE_CONFIRM_S
-        return effects + self._send_departure(item, by_datagram=True)
+        item.ticket = event.ticket
+        effects += self._send_departure(item, by_datagram=True)
+        return effects + self._answer_if_known(item)
+
+    def _answer_if_known(self, item: _Departure) -> list[typing.Any]:
+        """Answer a leave once half of the other instances know of it.
+
+        The backend server doesn't repeat what was answered. If only this
+        instance knew, the leave would be lost with it.
+        """
+        others = len(set(self._instance_ids) - {self.instance_id})
+        if 2 * len(item.confirmed_by) < others:
+            return []
+        return _answer(item)
 
     def _record_restart(
         self, now: float, announcement: BackendAnnouncement
@@ -443,6 +455,8 @@
         for backend_id, item in list(self._departures_by_id.items()):
             if item.resend_at is not None and now >= item.resend_at:
                 item.resend_at = now + LEAVE_RESEND_S
+                # The others may be cut off; the backend server waits no more.
+                effects += _answer(item)
                 effects += self._send_departure(item, by_datagram=False)
             is_resent = item.resend_at is not None and now < item.resend_until
             if now >= item.until and not is_resent:
@@ -485,8 +499,7 @@
             case PresenceUnknown():
                 return self._on_presence_unknown(now, event.sender, message)
             case DeparturesConfirmed():
-                self._on_departures_confirmed(event.sender, message)
-                return []
+                return self._on_departures_confirmed(event.sender, message)
         raise TypeError(
             f'presence cannot handle message {type(message).__name__}'
         )
@@ -528,16 +541,21 @@
 
     def _on_departures_confirmed(
         self, sender: str, message: DeparturesConfirmed
-    ) -> None:
+    ) -> list[typing.Any]:
+        effects: list[typing.Any] = []
         for departure in message.departures:
             item = self._departures_by_id.get(departure.backend_id)
             if item is not None and item.departure == departure:
                 item.confirmed_by.add(sender)
+                effects += self._answer_if_known(item)
+        return effects
 
     def _record_departure(
         self, now: float, departure: BackendDeparture
     ) -> list[typing.Any]:
         backend_id = departure.backend_id
+        former = self._departures_by_id.get(backend_id)
+        effects = [] if former is None else _answer(former)
         self._departures_by_id[backend_id] = _Departure(
             departure=departure,
             until=now + LEAVE_REPEAT_S,
@@ -547,7 +565,15 @@
         front = self._fronts_by_id.get(backend_id)
         if front is not None and stamp(front.announcement) <= stamp(departure):
             del self._fronts_by_id[backend_id]
-        return self._backends.leave(now, departure)
+        return [*effects, *self._backends.leave(now, departure)]
+
+
+def _answer(item: _Departure) -> list[parts.Complete]:
+    """Answer the backend server that left, if it still waits."""
+    if item.ticket is None:
+        return []
+    ticket, item.ticket = item.ticket, None
+    return [_complete(ticket, PresenceOutcome.ACCEPTED)]
 
 
 def _complete(ticket: str, outcome: PresenceOutcome) -> parts.Complete:
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -458,6 +458,55 @@
         self.assertEqual([], lan.connections)
 
 
+class AcknowledgedLeaveTest(unittest.TestCase):
+    """Guards against leaves that only a process that dies then knows of.
+
+    The backend server has the answer and says it no second time.
+    """
+
+    def start(self):
+        lan = Lan('gw-1', 'gw-2', 'gw-3', 'gw-4')
+        lan.announce('gw-1', to=('gw-2', 'gw-3', 'gw-4'))
+        lan.deliver()
+        lan.outcomes.clear()
+        return lan
+
+    def test_it_is_answered_once_half_of_the_others_know(self):
+        lan = self.start()
+        lan.leave('gw-1', 2)
+        self.assertEqual([], lan.outcomes)
+        # Two of the three others.
+        lan.deliver(but='gw-4')
+        self.assertEqual([presence.PresenceOutcome.ACCEPTED], lan.outcomes)
+        lan.pass_time(1.0)
+        self.assertEqual(1, len(lan.outcomes))
+
+    def test_it_is_answered_soon_if_the_others_are_silent(self):
+        lan = self.start()
+        lan.leave('gw-1', 2)
+        lan.wire.clear()
+        lan.pass_time(presence.LEAVE_CONFIRM_S - 0.15, but='nobody')
+        self.assertEqual([], lan.outcomes)
+        lan.wire.clear()
+        lan.now += 0.2
+        lan.handle('gw-1', parts.Ticked(now=lan.now, entropy=0))
+        self.assertEqual([presence.PresenceOutcome.ACCEPTED], lan.outcomes)
+
+    def test_one_that_a_later_leave_replaces_is_answered(self):
+        lan = self.start()
+        lan.leave('gw-1', 2)
+        lan.receive('gw-2', 'gw-1', make_departure(3))
+        self.assertEqual([presence.PresenceOutcome.ACCEPTED], lan.outcomes)
+
+    def test_a_repeated_one_is_answered_at_once(self):
+        lan = self.start()
+        lan.leave('gw-1', 2)
+        lan.leave('gw-1', 2)
+        self.assertEqual([presence.PresenceOutcome.ACCEPTED], lan.outcomes)
+        lan.deliver()
+        self.assertEqual(2, len(lan.outcomes))
+
+
 class OutcomeTest(unittest.TestCase):
     def test_outcomes_returned_to_a_backend_server(self):
         lan = Lan('gw-1')
