--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -236,17 +236,7 @@
     @params((30, []), (18, ['cut off']), (20, []))
     def test_first_tries(self, served, expected):
         """The others serve all of theirs: two thirds of 30 are 20."""
-        record = records.Record(
-            faults=[
-                records.Fault(
-                    begin=10.0,
-                    end=20.0,
-                    what='no servers',
-                    machines=('entry-1',),
-                    is_servers_only=True,
-                )
-            ]
-        )
+        record = self.record()
         for number in range(30):
             self.add(record, 'entry-1', f'a{number}', number < served)
             self.add(record, 'entry-2', f'b{number}', True)
@@ -258,22 +248,22 @@
         self.assertEqual(expected, rules(record))
 
     def test_a_few_failures_don_t_count(self):
-        record = records.Record(
-            faults=[
-                records.Fault(
-                    begin=10.0,
-                    end=20.0,
-                    what='no servers',
-                    machines=('entry-1',),
-                    is_servers_only=True,
-                )
-            ]
-        )
+        record = self.record()
         for number in range(10):
             self.add(record, 'entry-1', f'a{number}', False)
             self.add(record, 'entry-2', f'b{number}', True)
         self.assertEqual([], rules(record))
 
+    def record(self):
+        fault = records.Fault(
+            begin=10.0,
+            end=20.0,
+            what='no servers',
+            machines=('entry-1',),
+            is_servers_only=True,
+        )
+        return records.Record(faults=[fault])
+
     def add(self, record, entry, request_id, is_served, at=14.0, **changes):
         record.asked.append(
             asked(at, request_id, entry=entry, timeout_s=9.0, **changes)
