Leaves of other engines don't hold up a moved cache, nor a call for ever

Two faults of the check of leaves, found by reading it anew. A booking of a decode engine for a cache that moves names the prefill engine, too: if that one had left, each booking was given back until the cache had expired. And a backend server that comes back in the same start is announced to owners only where there are many instances: an entry that knows the leave would have had the call booked over and over. Both tests failed before.

Now only the steps that a booking is for are checked, and a request is booked anew three times at most: an owner that was told so often knows better.

--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -231,7 +231,7 @@
 
 
 class LeaseLapsed(msgspec.Struct, frozen=True, kw_only=True):
-    """Owner to deputies: it owns the cell on, and can't renew its lease."""
+    """Owner to deputies: its lease has lapsed, and it still acts as owner."""
 
     cell: str
     epoch: int
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -22,7 +22,7 @@
 ROLE_REVIEW_INTERVAL_S = 0.5
 #: Seconds between two messages to the deputies of a cell without a lease.
 LAPSED_INTERVAL_S = 0.5
-#: Deputies that get them: as many as may be cut off at one time, and one more.
+#: Deputies that get them; some may be cut off as well.
 LAPSED_DEPUTIES = 3
 #: The messages that are addressed to the owner of ``message.cell``.
 OWNER_MESSAGES = (
--- a/dandeliongw/cell/succession.py
+++ b/dandeliongw/cell/succession.py
@@ -27,8 +27,8 @@
 LAPSE_GAP_S = 2.0
 
 
-class _OwnerRequests(msgspec.Struct, kw_only=True):
-    """When a reason to try for a cell that isn't owned here was given."""
+class _Episode(msgspec.Struct, kw_only=True):
+    """A time in which there are reasons to try for a cell."""
 
     first_at: float
     last_at: float
@@ -52,8 +52,8 @@
         self._directory = directory
         self._owner = owner
         self._wanted: frozenset[str] | None = None
-        self._requests_by_cell: dict[str, _OwnerRequests] = {}
-        self._lapses_by_cell: dict[str, _OwnerRequests] = {}
+        self._requests_by_cell: dict[str, _Episode] = {}
+        self._lapses_by_cell: dict[str, _Episode] = {}
 
     def record_owner_request(self, now: float, cell: str) -> None:
         """Record a request from an entry for a cell that isn't owned here.
@@ -123,15 +123,15 @@
 
 
 def _note(
-    found_by_cell: dict[str, _OwnerRequests],
+    found_by_cell: dict[str, _Episode],
     now: float,
     cell: str,
     gap_s: float,
-) -> _OwnerRequests:
+) -> _Episode:
     """Note one more reason to own a cell; begin anew after a gap."""
     found = found_by_cell.get(cell)
     if found is None or now - found.last_at >= gap_s:
-        found = _OwnerRequests(first_at=now, last_at=now)
+        found = _Episode(first_at=now, last_at=now)
         found_by_cell[cell] = found
     found.last_at = now
     return found
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -472,16 +472,16 @@
         out without one first.
         """
         message = PresenceBatch(renewals=(), departures=(item.departure,))
-        left = [
+        missing = [
             to
             for to in self._instance_ids
             if to != self.instance_id and to not in item.confirmed_by
         ]
-        if not left:
+        if not missing:
             item.resend_at = None
         return [
             parts.Send(to=to, message=message, by_datagram=by_datagram)
-            for to in left
+            for to in missing
         ]
 
     # Messages forwarded by other instances.
--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -86,6 +86,7 @@
         Nothing was sent there, so this is no other attempt.
         """
         out = self._departure_check.report(now, request, departures)
+        request.rebookings += 1
         request.exclude += tuple(each.backend_id for each in departures)
         if request.stage is not cell_types.Stage.DECODE:
             out += self._reservations.release(request, cells.Outcome.CANCELLED)
--- a/dandeliongw/entry/departures.py
+++ b/dandeliongw/entry/departures.py
@@ -11,11 +11,17 @@
 
 from .. import decisions
 from .. import events
+from ..cell import cell_types
 from ..coordination import parts
 from ..coordination import presence
 from .request import Request
 
 
+#: Times that one request is booked anew for leaves. An owner that was told of
+#: them so often, and books the same ones, knows that these are back.
+MAX_REBOOKINGS = 3
+
+
 class Leaves(typing.Protocol):
     """The leaves of backend servers that this instance knows."""
 
@@ -43,6 +49,8 @@
         self, request: Request, steps: abc.Iterable[events.Step]
     ) -> tuple[presence.BackendDeparture, ...]:
         """Return the leaves of the backend servers booked for some steps."""
+        if request.rebookings >= MAX_REBOOKINGS:
+            return ()
         found = (
             self._leaves.departure_of(request.booked_backend(step).start)
             for step in steps
@@ -76,10 +84,11 @@
 
 
 def booked_steps(request: Request) -> tuple[events.Step, ...]:
-    """Return the steps for which backend servers are booked."""
-    ids_by_step = {
-        events.Step.PREFILL: request.booked.prefill_id,
-        events.Step.DECODE: request.booked.decode_id,
-        events.Step.CALL: request.booked.plain_id,
-    }
-    return tuple(step for step, found in ids_by_step.items() if found)
+    """Return the steps that a new booking is for."""
+    match request.stage:
+        case cell_types.Stage.PLAIN:
+            return (events.Step.CALL,)
+        case cell_types.Stage.PAIR if request.booked.prefill_id:
+            return events.Step.PREFILL, events.Step.DECODE
+    # The prefill is done, or the decode engine does it.
+    return (events.Step.DECODE,)
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -62,6 +62,8 @@
     :param reserved_sends: taken from the retry budget and not yet made.
     :param reserved_at: when they were last taken.
     :param has_prefilled: whether an engine has accepted a prefill.
+    :param rebookings: how often it was booked on backend servers that have
+        left, and then anew.
     :param serial: numbers the attempt ids; grows faster than ``attempts``,
         because each owner that is asked gets an id of its own.
     :param search_timeout_s: timeout in seconds of a search for an owner.
@@ -95,6 +97,7 @@
     reserved_sends: int = 0
     reserved_at: float = 0.0
     has_prefilled: bool = False
+    rebookings: int = 0
     serial: int = 0
     owner: str = ''
     asked_at: float = 0.0
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -8,6 +8,7 @@
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
 from dandeliongw import effects
+from dandeliongw.entry import departures
 from dandeliongw import events
 from dandeliongw import verdict
 from tests import entry_fake
@@ -117,6 +118,33 @@
         self.entry.book(request_id, decode_id='d2', decode_url='http://d2')
         self.assertEqual([], self.entry.found(effects.RunDecode))
 
+    def test_a_cache_moves_although_its_prefill_engine_left(self):
+        """Guards against a prefill thrown away after it was computed."""
+        request_id = self.entry.decoding()
+        self.entry.decode(
+            request_id,
+            RETRY.BACKEND_BUSY,
+            known=verdict.Verdict.NOT_RUN,
+            was_sent=False,
+        )
+        self.leave('p1')
+        self.entry.book(request_id, decode_id='d2', decode_url='http://d2')
+        self.assertEqual('http://d2', self.entry.one(effects.RunDecode).url)
+
+    def test_an_owner_that_was_told_and_books_it_again_is_right(self):
+        """Guards against a call that is booked over and over.
+
+        The backend server has come back in the same start, and only the owner
+        has heard its announcement.
+        """
+        self.leave('s1')
+        request_id = self.entry.arrive('lookup')
+        for _ in range(departures.MAX_REBOOKINGS):
+            self.entry.book(request_id)
+            self.assertEqual([], self.entry.found(effects.RunCall))
+        self.entry.book(request_id)
+        self.assertEqual(1, len(self.entry.found(effects.RunCall)))
+
     def test_a_stream_is_not_resumed_at_one_that_left(self):
         request_id = self.entry.decoding()
         self.leave('d1')
