--- a/dandeliongw/paths.py
+++ b/dandeliongw/paths.py
@@ -3,7 +3,8 @@
 A connection that can't be made says little: the backend server may have ended,
 or only this instance may be cut off from it. Other instances tell the two
 apart. If one of them reaches the server, calls go through it until a direct
-connection succeeds again; if the server refuses that one, too, it has ended.
+connection succeeds again; if none does and one is refused, the server has
+ended.
 
 All methods may be called from any thread.
 """
@@ -91,8 +92,6 @@
     """The paths to all backend servers; a :class:`Connector`.
 
     :param secret: shared by all instances, if they have one.
-    :param on_change: called with the host and port of a backend server whose
-        path has changed, so that kept connections to it are not used again.
     """
 
     def __init__(self, *, secret: bytes | None) -> None:
@@ -109,7 +108,10 @@
         )
 
     def on_change(self, listener: abc.Callable[[str, int], None]) -> None:
-        """Call ``listener`` with host and port when a path changes."""
+        """Call ``listener`` with host and port when a path changes.
+
+        Connections that are kept were made over the path before.
+        """
         self._listeners.append(listener)
 
     def set_peers(self, peers: abc.Iterable[effects.TunnelPeer]) -> None:
@@ -349,7 +351,7 @@
             try:
                 self._find_detour(address, path, error).close()
             except OSError:
-                # No instance reaches it: the backend server has ended.
+                # No instance reaches it, so there is no path to change to.
                 return
         else:
             self._set_through(address, path, None)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -675,9 +675,10 @@
         """Return whether a backend server exited because it was stopped."""
         if not self.presence.has_left(start):
             return False
-        drained_s = self.presence.left_s(ended_at, start.backend_id)
-        drain_s = self.settings.timeouts.backend_drain_s
-        return not 0.0 <= drained_s < drain_s - DRAIN_MARGIN_S
+        since_leave_s = self.presence.left_s(ended_at, start.backend_id)
+        drain_s = self.settings.timeouts.backend_drain_s - DRAIN_MARGIN_S
+        is_draining = 0.0 <= since_leave_s < drain_s
+        return not is_draining
 
     def _on_quarantined(
         self, now: float, effect: quarantine.Quarantined
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -219,7 +219,8 @@
     """The address that other instances connect to."""
     tunnel: Address | None = None
     """The address at which this instance connects others to backend servers
-    that they can't reach; without it, it serves none."""
+    that they can't reach; without it, it serves none. Without ``peer_secret``,
+    whoever reaches this address can connect through it."""
     peers: tuple[PeerSettings, ...] = ()
     """Every instance, this one included; not used together with ``seeds``."""
     seeds: tuple[Address, ...] = ()
