Soak tests of links that are out: awaited, as they were not before

The test was async and had parameters, which the runner calls without awaiting, so that it could not fail. It is one loop now, and open connections of links that hang or are reset have a test, too.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -345,25 +345,41 @@
         await self.exchange_elsewhere()
         self.assertNotIn(b'two', self.received)
 
-    @params(*links.Outage)
-    async def test_new_connections_fail_while_it_is_out(self, outage):
-        reader, writer = await self.connect()
-        writer.write(b'one')
-        await reader.readexactly(3)
-        await self.link.go_out(outage)
-        kind = (
-            TimeoutError
-            if outage is links.Outage.HANG
-            else ConnectionRefusedError
-        )
-        with self.assertRaises(kind):
-            async with asyncio.timeout(0.2):
-                await self.connect()
-        await self.exchange_elsewhere()
-        await self.link.come_back()
-        later = await self.connect()
-        later[1].write(b'six')
-        self.assertEqual(b'six', await later[0].readexactly(3))
+    async def test_new_connections_fail_while_it_is_out(self):
+        for outage in links.Outage:
+            with self.subTest(outage=outage):
+                await self.link.go_out(outage)
+                kind = (
+                    TimeoutError
+                    if outage is links.Outage.HANG
+                    else ConnectionRefusedError
+                )
+                with self.assertRaises(kind):
+                    async with asyncio.timeout(0.2):
+                        await self.connect()
+                await self.exchange_elsewhere()
+                await self.link.come_back()
+                reader, writer = await self.connect()
+                writer.write(b'six')
+                self.assertEqual(b'six', await reader.readexactly(3))
+
+    async def test_open_connections_hang_or_end(self):
+        for outage in (links.Outage.HANG, links.Outage.RESET):
+            with self.subTest(outage=outage):
+                reader, writer = await self.connect()
+                writer.write(b'one')
+                await reader.readexactly(3)
+                await self.link.go_out(outage)
+                if outage is links.Outage.HANG:
+                    writer.write(b'two')
+                    await self.exchange_elsewhere()
+                    self.assertNotIn(b'two', self.received)
+                    await self.link.come_back()
+                    self.assertEqual(b'two', await reader.readexactly(3))
+                    continue
+                with contextlib.suppress(ConnectionResetError):
+                    self.assertEqual(b'', await reader.read())
+                await self.link.come_back()
 
     async def test_open_connections_live_on_while_new_ones_are_refused(self):
         reader, writer = await self.connect()
