--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -410,6 +410,10 @@
         with tempfile.TemporaryDirectory() as folder:
             report = asyncio.run(run.run(plan, pathlib.Path(folder)))
         self.assertEqual([], report.broken, '\n'.join(report.lines()))
+        # Too few tries would break nothing.
+        (fault,) = [f for f in report.record.faults if f.is_servers_only]
+        (tries, _), _ = checks.first_tries(report.record, fault, BOUNDS)
+        self.assertGreater(tries, BOUNDS.cut_off_slack)
 
 
 class ShortRunTest(unittest.TestCase):
