Log what a prompt consisted of when its backend server ended

The line 'backend server ended under a call' has the fingerprints of the prompt's shared parts, how many pieces the server had written and for how long. The logs of the incident could not tell a bad part from copies of one call, nor a stream that had just begun from one that had been written for seconds: a resume at the address of the ended server replaced the record of the run before, so that a stream with 41 pieces stood there with 2 ms.

No decision changes. test_crash_detection, test_fingerprints, test_relay and test_platform_headers have the new facts.

--- a/dandeliongw/api/calls.py
+++ b/dandeliongw/api/calls.py
@@ -85,6 +85,7 @@
         raise InvalidCall(
             f'model: given {_json(model)}; must be the name of a service'
         )
+    prefix = prefixes.hash_blocks(prompt)
     call = events.Call(
         service=model,
         method='POST',
@@ -95,7 +96,8 @@
         digest=digest('POST', '/v1/completions', body),
         prompt_tokens=len(prompt.split()),
         max_tokens=max_tokens,
-        prefix=prefixes.hash_blocks(prompt),
+        prefix=prefix,
+        shared_parts=prefix,
         priority=headers.get('X-Priority'),
         deadline_s=_deadline(headers),
     )
--- a/dandeliongw/api/gateway.py
+++ b/dandeliongw/api/gateway.py
@@ -73,6 +73,7 @@
         received before the stream broke.
     :param prefix: identifiers of the prompt's leading blocks, which other
         calls may share.
+    :param shared_parts: see :class:`.events.Call`.
     :param headers: the headers to forward.
     """
 
@@ -83,6 +84,7 @@
     expected_tokens: int
     pieces_received: int
     prefix: tuple[str, ...]
+    shared_parts: tuple[str, ...]
     headers: Headers
 
 
@@ -209,6 +211,7 @@
             max_tokens=metadata.max_tokens,
             expected_tokens=metadata.expected_tokens,
             prefix=metadata.prefix,
+            shared_parts=metadata.shared_parts,
             deadline_s=metadata.deadline_s,
             host=host,
             credentials_sha256=_hash_credentials(headers),
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -187,7 +187,11 @@
     :param call: fingerprint of the call, which includes the caller.
     :param content: fingerprint of the content only: the same for all callers
         who send the same.
+    :param parts: fingerprints of the parts of its prompt that other calls may
+        have, too.
     :param caller: client account, or the address that the call came from.
+    :param pieces: number of pieces of its answer that the server wrote.
+    :param wrote_ms: milliseconds between the first and the last of them.
     :param calls_beside: other calls of this entry that it ran at that time.
     :param is_trial: whether the call was quarantined and this request was
         sent as a trial.
@@ -198,11 +202,14 @@
     request_id: str
     call: str
     content: str
+    parts: str
     service: str
     caller: str
     backend_id: str
     incarnation: int
     ran_ms: int
+    pieces: int
+    wrote_ms: int
     calls_beside: int
     is_trial: bool
 
--- a/dandeliongw/entry/crash_detection.py
+++ b/dandeliongw/entry/crash_detection.py
@@ -31,20 +31,27 @@
     :param fingerprint: of the call.
     :param content: fingerprint of the call's content, the same for all
         clients.
+    :param parts: fingerprints of the parts of its prompt that other calls may
+        have, too.
     :param caller: the client account, or the address it came from.
     :param url: of the backend server.
     :param ran_s: seconds from the start of the run until it broke off.
+    :param pieces: number of pieces of its answer that the server wrote.
+    :param wrote_s: seconds between the first and the last of these pieces.
     :param is_trial: whether it was the trial of a quarantined call.
     """
 
     request_id: str
     fingerprint: str
     content: str
+    parts: tuple[str, ...] = ()
     service: str
     caller: str
     start: presence.BackendStart
     url: str
     ran_s: float
+    pieces: int = 0
+    wrote_s: float = 0.0
     is_trial: bool = False
 
 
@@ -77,7 +84,11 @@
                 url=run.url, broke_at=now, runs_by_fingerprint={}
             )
             self._interruptions_by_start[run.start] = interruption
-        interruption.runs_by_fingerprint[run.fingerprint] = run
+        known = interruption.runs_by_fingerprint.get(run.fingerprint)
+        if known is None or run.pieces >= known.pieces:
+            # A resume at a server that has ended breaks again, with nothing
+            # written. It must not hide what was written before.
+            interruption.runs_by_fingerprint[run.fingerprint] = run
         return self._probe(now, run.start, interruption)
 
     def tick(self, now: float) -> Effects:
@@ -127,11 +138,14 @@
             request_id=run.request_id,
             call=fingerprint,
             content=run.content,
+            parts=' '.join(run.parts),
             service=run.service,
             caller=run.caller,
             backend_id=event.start.backend_id,
             incarnation=event.start.incarnation,
             ran_ms=round(run.ran_s * 1000),
+            pieces=run.pieces,
+            wrote_ms=round(run.wrote_s * 1000),
             calls_beside=len(interruption.runs_by_fingerprint) - 1,
             is_trial=run.is_trial,
         )
--- a/dandeliongw/entry/fingerprints.py
+++ b/dandeliongw/entry/fingerprints.py
@@ -1,10 +1,17 @@
 """Fingerprints, by which all instances recognise equal calls."""
 
+import functools
 import hashlib
 import hmac
+import itertools
 
 from .. import events
 
+#: Maximum parts of one prompt that have fingerprints, so that no call leaves
+#: evidence on thousands of parts.
+MAX_PARTS = 16
+#: Maximum fingerprints of parts that are kept.
+CACHED_PARTS = 10_000
 #: Length of the keyed hash. It is enough to rule out accidental collisions
 #: and short enough for messages between instances and for log lines.
 FINGERPRINT_BYTES = 16
@@ -25,6 +32,7 @@
 
     def __init__(self, *, secret: bytes | None) -> None:
         self._key = hashlib.sha256(secret or b'').digest()
+        self._of_part = functools.lru_cache(CACHED_PARTS)(self._hash_part)
 
     def of(self, call: events.Call) -> str:
         """Return the fingerprint of a call, in hexadecimal."""
@@ -38,6 +46,19 @@
         """Return the fingerprint of a call's content, for all clients."""
         return self._hash(b'content', *_content(call))
 
+    def of_parts(self, call: events.Call) -> tuple[str, ...]:
+        """Return the fingerprints of a prompt's shared parts, in order.
+
+        A part has the same one in all prompts, of all clients.
+        """
+        parts = dict.fromkeys(call.shared_parts)
+        return tuple(
+            self._of_part(part) for part in itertools.islice(parts, MAX_PARTS)
+        )
+
+    def _hash_part(self, part: str) -> str:
+        return self._hash(b'part', part.encode())
+
     def _hash(self, *fields: bytes) -> str:
         # The length prefix distinguishes ('ab', 'c') from ('a', 'bc').
         joined = b''.join(
--- a/dandeliongw/entry/quarantine_check.py
+++ b/dandeliongw/entry/quarantine_check.py
@@ -106,6 +106,10 @@
         """Return the fingerprint of a call's content, for all clients."""
         return self._fingerprints.of_content(call)
 
+    def parts(self, call: events.Call) -> tuple[str, ...]:
+        """Return the fingerprints of a prompt's shared parts, in order."""
+        return self._fingerprints.of_parts(call)
+
     def succeeded(
         self, now: float, request: request_module.Request
     ) -> Effects:
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -231,13 +231,7 @@
         try:
             end = yield from self._start_step(given_at, directive)
         except engine.EngineError as error:
-            end = step_results.Failed(
-                known=error.known,
-                failure=step_results.failure_of(step, error),
-                message=str(error),
-                is_cut=error.is_cut,
-                was_sent=error.reason != verdict.RetryReason.CONNECT_REFUSED,
-            )
+            end = step_results.Failed.of_error(step, error)
         except (KeyError, TypeError, ValueError, LookupError) as error:
             logger.exception('could not process backend server answer')
             end = step_results.Failed(
@@ -325,7 +319,9 @@
                     or self._offset < self.call.max_tokens
                 )
                 if directive.kv or lacks_more:
-                    raise step_results.StreamError(error) from error
+                    raise step_results.StreamError(
+                        error, measure=measure
+                    ) from error
         self._outcome = outcome.Outcome(
             status=200,
             content_type='application/json',
@@ -339,6 +335,8 @@
             # during the interruption, so its gaps are not measured.
             token_gap_s=measure.mean_s() if directive.kv else 0.0,
             first_piece_at=measure.first_at,
+            last_piece_at=measure.last_at,
+            pieces=measure.count,
             first_token_at=self._first_token_at,
         )
 
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -433,11 +433,14 @@
             request_id=request.request_id,
             fingerprint=self.quarantine_check.fingerprint(request.call),
             content=self.quarantine_check.content(request.call),
+            parts=self.quarantine_check.parts(request.call),
             service=request.service,
             caller=request.call.address or request.admitted.account.name,
             start=backend.start,
             url=backend.url,
             ran_s=event.now - request.phase_at,
+            pieces=event.pieces,
+            wrote_s=event.wrote_s,
             is_trial=request.is_trial,
         )
 
--- a/dandeliongw/entry/step_results.py
+++ b/dandeliongw/entry/step_results.py
@@ -5,6 +5,7 @@
 from .. import engine
 from .. import events
 from .. import verdict
+from . import token_gaps
 
 _RETRY = verdict.RetryReason
 
@@ -26,6 +27,8 @@
     outcome: bytes = b''
     token_gap_s: float = 0.0
     first_piece_at: float | None = None
+    last_piece_at: float | None = None
+    pieces: int = 0
     first_token_at: float | None = None
 
 
@@ -34,6 +37,7 @@
 
     :param is_cut: whether the connection broke.
     :param was_sent: whether the step may have reached the backend server.
+    :param pieces: see :class:`.events.StepEnded`, like the times.
     """
 
     known: verdict.Verdict
@@ -41,6 +45,9 @@
     message: str
     is_cut: bool = False
     was_sent: bool = True
+    first_piece_at: float | None = None
+    last_piece_at: float | None = None
+    pieces: int = 0
 
     @classmethod
     def unstarted(cls, message: str) -> 'Failed':
@@ -52,14 +59,36 @@
             was_sent=False,
         )
 
+    @classmethod
+    def of_error(
+        cls, step: events.Step, error: engine.EngineError
+    ) -> 'Failed':
+        """Return the result of a step that ended with an error."""
+        measure = getattr(error, 'measure', token_gaps.TokenGapMeter())
+        return cls(
+            known=error.known,
+            failure=failure_of(step, error),
+            message=str(error),
+            is_cut=error.is_cut,
+            was_sent=error.reason != _RETRY.CONNECT_REFUSED,
+            first_piece_at=measure.first_at,
+            last_piece_at=measure.last_at,
+            pieces=measure.count,
+        )
+
 
 StepResult = Done | Failed
 
 
 class StreamError(engine.EngineError):
-    """A decode engine's stream broke after its KV cache had arrived."""
+    """A decode engine's stream broke after its KV cache had arrived.
+
+    :param measure: of the pieces that the engine had written.
+    """
 
-    def __init__(self, error: engine.EngineError) -> None:
+    def __init__(
+        self, error: engine.EngineError, *, measure: token_gaps.TokenGapMeter
+    ) -> None:
         super().__init__(
             str(error),
             known=verdict.Verdict.RAN,
@@ -67,6 +96,7 @@
             is_cut=error.is_cut,
         )
         self.is_stalled = isinstance(error, engine.StalledError)
+        self.measure = measure
 
 
 def failure_of(
--- a/dandeliongw/entry/token_gaps.py
+++ b/dandeliongw/entry/token_gaps.py
@@ -43,6 +43,16 @@
         """When the first token arrived; ``None`` if none did."""
         return None if self._gaps < 0 else self._first_at
 
+    @property
+    def last_at(self) -> float | None:
+        """When the last token arrived; ``None`` if none did."""
+        return None if self._gaps < 0 else self._last_at
+
+    @property
+    def count(self) -> int:
+        """Number of tokens that have arrived."""
+        return self._gaps + 1
+
     def mean_s(self) -> float:
         """Return the mean gap in seconds; 0 if it was not measured."""
         whole_s = self._last_at - self._first_at
--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -33,6 +33,8 @@
     :param expected_tokens: answer length that the caller expects; 0 if it
         gave none.
     :param prefix: digests of the prompt's leading blocks, for cache hints.
+    :param shared_parts: identifiers of the parts of the prompt that other
+        calls may have, too; the part that is the call's own is not included.
     :param priority: a name in the document; ``None`` for the route's default.
     :param deadline_s: seconds that the caller will wait, from arrival.
     :param host: set for a call that is routed by host and path; the route
@@ -54,6 +56,7 @@
     max_tokens: int = 0
     expected_tokens: int = 0
     prefix: tuple[str, ...] = ()
+    shared_parts: tuple[str, ...] = ()
     priority: str | None = None
     deadline_s: float | None = None
     host: str = ''
@@ -84,6 +87,9 @@
         measured by the relay; zero if not measured.
     :param first_piece_at: arrival of this step's first piece, by the relay's
         clock, which is the same as the reducer's.
+    :param last_piece_at: arrival of this step's last piece.
+    :param pieces: number of pieces that the backend server wrote in this
+        step; those that it repeated after a resume are not counted.
     :param first_token_at: arrival of the first piece of any attempt; ``None``
         if the caller had received pieces before.
     :param is_cut: it failed because the connection ended before the answer
@@ -106,12 +112,21 @@
     outcome: bytes = b''
     token_gap_s: float = 0.0
     first_piece_at: float | None = None
+    last_piece_at: float | None = None
+    pieces: int = 0
     first_token_at: float | None = None
     is_cut: bool = False
     was_sent: bool = True
     late_pieces: int = 0
     entropy: int = 0
 
+    @property
+    def wrote_s(self) -> float:
+        """Seconds between the first and the last piece of this step."""
+        if self.first_piece_at is None or self.last_piece_at is None:
+            return 0.0
+        return self.last_piece_at - self.first_piece_at
+
 
 class RateLimitStated(msgspec.Struct, frozen=True, kw_only=True):
     """The head of an answer states its backend server's rate limit.
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -18,17 +18,19 @@
         self.detector = crash_detection.CrashDetector()
         self.now = 100.0
 
-    def add(self, fingerprint='f1'):
-        run = crash_detection.InterruptedRun(
-            request_id='r1',
-            fingerprint=fingerprint,
-            content='content',
-            service='studio-portal',
-            caller='10.0.0.9',
-            start=START,
-            url='http://10.0.0.1:80',
-            ran_s=0.25,
-        )
+    def add(self, fingerprint='f1', **changes):
+        fields = {
+            'request_id': 'r1',
+            'fingerprint': fingerprint,
+            'content': 'content',
+            'parts': ('p1', 'p2'),
+            'service': 'studio-portal',
+            'caller': '10.0.0.9',
+            'start': START,
+            'url': 'http://10.0.0.1:80',
+            'ran_s': 0.25,
+        }
+        run = crash_detection.InterruptedRun(**{**fields, **changes})
         return self.detector.add(self.now, run)
 
     def probed(self, is_refused):
@@ -62,6 +64,19 @@
         self.assertEqual('1', fields['calls_beside'])
         self.assertEqual([], self.tick(10.0))
 
+    def test_a_resume_does_not_hide_what_was_written(self):
+        """Guards against long runs that look as if they had just begun.
+
+        A stream is resumed at the address of the server that has ended.
+        """
+        self.add(pieces=40, wrote_s=1.5)
+        self.add(pieces=0, ran_s=0.002)
+        line, _ = self.probed(is_refused=True)
+        fields = dict(line.fields)
+        self.assertEqual('p1 p2', fields['parts'])
+        self.assertEqual('40', fields['pieces'])
+        self.assertEqual('1500', fields['wrote_ms'])
+
     def test_a_server_that_still_listens_has_not_ended(self):
         """Guards against calls that are quarantined after connection resets.
 
--- a/tests/test_fingerprints.py
+++ b/tests/test_fingerprints.py
@@ -47,6 +47,29 @@
         other = msgspec.structs.replace(mine, digest=b'other')
         self.assertNotEqual(of_content(mine), of_content(other))
 
+    def test_a_part_has_one_fingerprint_in_all_prompts(self):
+        """Guards against a part that every caller brings anew."""
+        found = [
+            self.fingerprints.of_parts(
+                msgspec.structs.replace(self.call, **changes)
+            )
+            for changes in (
+                {'shared_parts': ('a', 'b'), 'key_sha256': '1' * 64},
+                {'shared_parts': ('c', 'b', 'b'), 'digest': b'other'},
+            )
+        ]
+        self.assertEqual([2, 2], [len(each) for each in found])
+        self.assertEqual(found[0][1], found[1][1])
+        self.assertNotEqual(found[0][0], found[1][0])
+
+    def test_a_prompt_has_few_parts(self):
+        """Guards against one call that leaves evidence on thousands."""
+        many = tuple(str(number) for number in range(1000))
+        call = msgspec.structs.replace(self.call, shared_parts=many)
+        self.assertEqual(
+            fingerprints.MAX_PARTS, len(self.fingerprints.of_parts(call))
+        )
+
     @params(
         {'address': '10.0.0.8'},
         {'deadline_s': 3.0},
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -43,6 +43,7 @@
             expected_tokens=0,
             pieces_received=0,
             prefix=(),
+            shared_parts=(),
             headers=tuple(each for each in headers if each[0] != 'X-Secret'),
         )
 
--- a/tests/test_platform_backend_calls.py
+++ b/tests/test_platform_backend_calls.py
@@ -31,6 +31,7 @@
     expected_tokens=0,
     pieces_received=0,
     prefix=(),
+    shared_parts=(),
     headers=(),
 )
 PAYLOAD = relay.RequestPayload(
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -69,6 +69,7 @@
         )
         self.assertEqual(metadata.expected_tokens, 64)
         self.assertEqual(metadata.prefix, ('5c1e07a2', '91bd3f06'))
+        self.assertEqual(metadata.shared_parts, ('5c1e07a2',))
         self.assertEqual(metadata.pieces_received, 0)
 
     @params(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -23,6 +23,14 @@
 NOT_RUN = verdict.Verdict.NOT_RUN
 TIMEOUT_S = 20
 IMPORTED = raw_server.answer({'bytes': 1})
+OVER = effects.Refuse(
+    request_id='r',
+    refusal=verdict.Refusal(
+        reason=verdict.RefusalReason.CALLER_GONE,
+        verdict=NOT_RUN,
+        message='over',
+    ),
+)
 PREFILLED = raw_server.answer({'kv': 'k', 'tokens': 5})
 
 
@@ -77,14 +85,7 @@
         return self
 
     def __exit__(self, *_):
-        refusal = verdict.Refusal(
-            reason=verdict.RefusalReason.CALLER_GONE,
-            verdict=NOT_RUN,
-            message='over',
-        )
-        self.relay.put_directive(
-            effects.Refuse(request_id='r', refusal=refusal)
-        )
+        self.relay.put_directive(OVER)
         self.thread.join(TIMEOUT_S)
 
     def next(self, event_class=events.StepEnded):
@@ -427,9 +428,10 @@
 class PacedEngine:
     """An engine whose tokens arrive at given times on the test's clock."""
 
-    def __init__(self, *arrivals):
+    def __init__(self, *arrivals, breaks=False):
         self.now = 0.0
         self.arrivals = arrivals
+        self.breaks = breaks
 
     def model_engine(self, *_):
         return self
@@ -445,6 +447,10 @@
         for self.now in self.arrivals:
             yield engine.Piece(attempt_id=attempt_id, offset=offset, text='a')
             offset += 1
+        if self.breaks:
+            raise engine.EngineError(
+                'it broke', known=verdict.Verdict.MAY_HAVE_RUN
+            )
         yield engine.Piece(
             attempt_id=attempt_id, offset=offset, text='', is_end=True
         )
@@ -462,13 +468,29 @@
         clock=lambda: paced_engine.now,
     )
     runner.put_directive(directive)
-    runner.put_directive(effects.Complete(request_id='r'))
+    last = OVER if paced_engine.breaks else effects.Complete(request_id='r')
+    runner.put_directive(last)
     for _ in runner.pieces():
         pass
     (ended,) = [each for each in posted if isinstance(each, events.StepEnded)]
     return ended
 
 
+class WrittenTest(unittest.TestCase):
+    @params((True, RETRY.STREAM_BROKEN), (False, None))
+    def test_what_an_engine_wrote_is_reported(self, breaks, failure):
+        """Guards against blaming a stream on which the engine went on."""
+        paced_engine = PacedEngine(1.0, 1.25, 2.5, breaks=breaks)
+        ended = paced(paced_engine, run_decode('http://d'))
+        self.assertEqual(failure, ended.failure)
+        self.assertEqual(3, ended.pieces)
+        self.assertEqual(1.5, ended.wrote_s)
+
+    def test_an_engine_that_wrote_nothing(self):
+        ended = paced(PacedEngine(breaks=True), run_decode('http://d'))
+        self.assertEqual((0, 0.0), (ended.pieces, ended.wrote_s))
+
+
 class TokenGaps(unittest.TestCase):
     def test_a_complete_answer_reports_its_mean_gap(self):
         """Guards against decode batches that grow until tokens are late.
