Failing test: prompts with one part that crash engine after engine

The soak has prompts with a part that crashes each decode engine as it begins to write an answer, no two alike, beside sound ones that share their other parts, and judges two promises: sends long after the fifth crash, and how often sound streams begin meanwhile. The checks have tests of their own.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -416,6 +416,97 @@
         self.assertGreater(tries, BOUNDS.cut_off_slack)
 
 
+class CrashingPartCheckTest(unittest.TestCase):
+    """Guards against a soak that misses what a crashing part breaks."""
+
+    def record(self, *, crashes=5, sends=4, sound=25, begun=25):
+        record = records.Record()
+        for number in range(25):
+            self.ask(record, f'u{number}', 0.1 * number)
+        record.faults.append(
+            records.Fault(begin=5.0, end=60.0, what='', machines=())
+        )
+        for number in range(crashes):
+            at = 6.0 + 0.1 * number
+            self.ask(record, f'b{number}', at, crashing_part='bad')
+            record.crashed.append(
+                records.Crashed(at=at, server=f'i-{number}', part='bad')
+            )
+        last = 6.0 + 0.1 * (crashes - 1)
+        for number in range(sends):
+            request_id, at = f'l{number}', last + BOUNDS.stable_s + 0.1
+            self.ask(record, request_id, at, crashing_part='bad')
+            for is_prefill in (True, False):
+                record.arrived.append(
+                    arrived(at, request_id, is_free_prefill=is_prefill)
+                )
+        for number in range(sound):
+            at = last + 2 * BOUNDS.stable_s + 0.1 * number
+            self.ask(record, f's{number}', at, is_begun=number < begun)
+        self.ask(record, 'last', 30.0, crashing_part='bad')
+        return record
+
+    def ask(self, record, request_id, at, *, is_begun=True, **changes):
+        fields = {'kind': 'streaming', 'timeout_s': 9.0, 'first_part': 'f'}
+        record.asked.append(asked(at, request_id, **fields, **changes))
+        record.answered.append(
+            answered(
+                request_id,
+                200 if is_begun else 503,
+                pieces=(1, 2) if is_begun else (),
+            )
+        )
+
+    @params(
+        (5, 4, ['crashing part']),
+        (5, 3, []),
+        # With fewer crashes, nothing is bounded.
+        (4, 4, []),
+    )
+    def test_sends_after_the_crashes(self, crashes, sends, expected):
+        record = self.record(crashes=crashes, sends=sends)
+        self.assertEqual(expected, rules(record))
+
+    def test_prefills_and_repeats_count(self):
+        record = self.record(sends=1)
+        for number in (1, 2):
+            record.arrived.append(
+                arrived(10.0, f'p{number}', is_free_prefill=True)
+            )
+            self.ask(record, f'p{number}', 10.0, crashing_part='bad')
+        self.assertEqual([], rules(record))
+        record.arrived.append(arrived(10.5, 'l0'))
+        self.assertEqual(['crashing part'], rules(record))
+
+    def test_machines_out_of_touch_do_not_count(self):
+        record = self.record()
+        record.faults.append(
+            records.Fault(begin=7.0, end=8.0, what='', machines=('entry-1',))
+        )
+        self.assertEqual([], rules(record))
+
+    @params(
+        (25, 12, ['beside a crashing part']),
+        (25, 13, []),
+        # Too few to be compared.
+        (19, 0, []),
+    )
+    def test_sound_requests_beside_it(self, sound, begun, expected):
+        record = self.record(sends=0, sound=sound, begun=begun)
+        self.assertEqual(expected, rules(record))
+
+
+class CrashingPartTest(unittest.TestCase):
+    """Guards against prompts with one part that crash engine after engine."""
+
+    def test_they_are_stopped_and_sound_ones_served(self):
+        plan = run.Plan(seed=1, seconds=1.0, only='crash_part')
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(plan, pathlib.Path(folder)))
+        self.assertEqual([], report.broken, '\n'.join(report.lines()))
+        self.assertTrue(report.record.crashed)
+
+
 class ShortRunTest(unittest.TestCase):
     """Guards against promises that only real processes break."""
 
