Soak: links refuse connections to a server that has crashed

A link accepted connections for a server that was gone, and then reset them. An entry took that for a server that listens on, so that no crash in a soak was ever told from a broken connection: not one line 'backend server ended under a call' was written.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -388,6 +388,21 @@
         self.assertEqual(b'one', await reader.readexactly(3))
         await self.link.come_back()
 
+    async def test_a_target_that_is_down_refuses(self):
+        """Guards against crashed servers that seem to listen on."""
+        self.link.note_target_down()
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+        # An outage that ends meanwhile doesn't bring the target back.
+        await self.link.go_out(links.Outage.REFUSE)
+        await self.link.come_back()
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+        await self.link.note_target_up()
+        reader, writer = await self.connect()
+        writer.write(b'six')
+        self.assertEqual(b'six', await reader.readexactly(3))
+
     async def test_a_reset_ends_open_connections(self):
         reader, writer = await self.connect()
         writer.write(b'one')
