--- a/dandeliongw/coordination/_cases.py
+++ b/dandeliongw/coordination/_cases.py
@@ -1,125 +1,39 @@
-"""The evidence on calls that crash backend servers, and its evaluation.
+"""The evidence on calls and parts of prompts that crash backend servers.
 
-The evidence on a call is a set of pairs (call, start of a backend server),
-and a set of starts that no longer count against it. Both only grow, so
-instances converge to the same state whatever the order of reports, and
+The evidence on such a suspect is a set of pairs (suspect, start of a backend
+server), and a set of starts that no longer count against it. Both only grow,
+so instances converge to the same state whatever the order of reports, and
 however often they arrive.
 """
 
 from collections import abc
 
-import msgspec
 import xxhash
 
+from ._blame import CRASHES_TO_QUARANTINE
+from ._blame import CRASHES_TO_QUARANTINE_PART
+from ._blame import find_quarantined
+from ._blame import MAX_QUARANTINE_S
+from ._blame import PART_QUARANTINE_S
+from ._case import Case
+from ._case import End
+from ._case import Lifted
 from ._presence_messages import BackendStart
 from ._quarantine_messages import CaseReport
-from ._quarantine_messages import ReportedEnd
-from ._quarantine_messages import ReportedLift
 
-#: Crashes that quarantine a call. One may be a coincidence, and some of the
-#: calls that ran beside a bad one also run beside its next request.
-CRASHES_TO_QUARANTINE = 3
-#: Crashes that quarantine a call if another call ran on each of these backend
-#: servers as well, or if a quarantined call explains some of the crashes.
-CRASHES_TO_QUARANTINE_IF_SHARED = 4
-#: Seconds that must then lie between the first crash and the last. A rack
-#: that loses power takes several servers down at one moment, under all calls
-#: that they were running.
-MIN_CRASH_SPAN_S = 0.3
-#: Seconds of quarantine after the last crash, doubled with each further crash
-#: up to ``MAX_QUARANTINE_S``. It ends so that a call that was quarantined
-#: wrongly, or has been fixed, is tried again from time to time.
-QUARANTINE_S = 600.0
-MAX_QUARANTINE_S = 3600.0
-#: Seconds for which evidence is retained after the last crash, on a call with
-#: fewer than ``CRASHES_TO_QUARANTINE`` crashes that count. Interactive
-#: clients retry for as long as they wait, which is seconds; jobs retry every
-#: few minutes.
+#: Seconds for which evidence is retained after the last crash, on a suspect
+#: with too few crashes to be quarantined. Interactive clients retry for as
+#: long as they wait, which is seconds; jobs retry every few minutes.
 EVIDENCE_RETENTION_S = 600.0
-#: Maximum calls with evidence, about 1 KB each.
+#: The same for a part of prompts, which comes in requests of many clients.
+PART_EVIDENCE_RETENTION_S = 3600.0
+#: Maximum suspects with evidence, about 1 KB each.
 MAX_CASES = 2_000
-#: Groups into which calls are divided for comparison; two instances exchange
-#: only the groups whose checksums differ.
+#: Groups into which suspects are divided for comparison; two instances
+#: exchange only the groups whose checksums differ.
 BUCKETS = 16
 
 
-class End(msgspec.Struct, frozen=True, kw_only=True):
-    """A crash of a backend server while it ran a call.
-
-    :param ended_at: when, on this instance's clock.
-    :param told_by: the instance that observed it.
-    :param is_trial: whether the run was a trial of the quarantined call.
-    """
-
-    start: BackendStart
-    ended_at: float
-    told_by: str
-    is_trial: bool = False
-
-
-class Lifted(msgspec.Struct, frozen=True, kw_only=True):
-    """An operator lifted the quarantine of a call."""
-
-    operator: str
-    reason: str
-    at: float
-
-
-class Case(msgspec.Struct, kw_only=True):
-    """The evidence on one call.
-
-    :param cleared: starts whose crashes no longer count against the call.
-    :param held_until: when its quarantine ends; ``None`` if there is none.
-    """
-
-    fingerprint: str
-    ends_by_start: dict[BackendStart, End] = msgspec.field(
-        default_factory=dict
-    )
-    cleared: set[BackendStart] = msgspec.field(default_factory=set)
-    lifted: Lifted | None = None
-    held_until: float | None = None
-
-    @property
-    def counted(self) -> list[End]:
-        """The crashes that count, oldest first."""
-        found = [
-            end
-            for start, end in self.ends_by_start.items()
-            if start not in self.cleared
-        ]
-        return sorted(found, key=lambda end: end.ended_at)
-
-    @property
-    def last_at(self) -> float:
-        """When the last crash happened, whether or not it still counts."""
-        return max(end.ended_at for end in self.ends_by_start.values())
-
-    def report(self, now: float) -> CaseReport:
-        """Return all evidence on the call, for another instance."""
-        lift = self.lifted
-        return CaseReport(
-            fingerprint=self.fingerprint,
-            ends=tuple(
-                ReportedEnd(
-                    start=end.start,
-                    age_s=now - end.ended_at,
-                    told_by=end.told_by,
-                    is_trial=end.is_trial,
-                )
-                for end in self.ends_by_start.values()
-            ),
-            cleared=tuple(self.cleared),
-            lift=None
-            if lift is None
-            else ReportedLift(
-                operator=lift.operator,
-                reason=lift.reason,
-                age_s=now - lift.at,
-            ),
-        )
-
-
 class Cases:
     """All evidence of an instance."""
 
@@ -130,16 +44,17 @@
         self._checksums: tuple[int, ...] | None = None
 
     def count(self, fingerprint: str) -> int:
-        """Return the crashes under a call, whether or not they still count."""
+        """Return a suspect's crashes, whether or not they still count."""
         case = self.by_fingerprint.get(fingerprint)
         return 0 if case is None else len(case.ends_by_start)
 
     def size(self, fingerprint: str) -> int:
-        """Return the number of items of evidence on a call; it only grows."""
+        """Return the number of items of evidence on it; it only grows."""
         case = self.by_fingerprint.get(fingerprint)
         if case is None:
             return 0
-        return len(case.ends_by_start) + len(case.cleared)
+        is_known_good = case.good_at is not None
+        return len(case.ends_by_start) + len(case.cleared) + is_known_good
 
     def merge(self, now: float, report: CaseReport) -> bool:
         """Add a report; return whether anything in it was new."""
@@ -156,7 +71,7 @@
         if case is None:
             if not ends or self._is_expired(now, report, ends):
                 return False
-            case = Case(fingerprint=report.fingerprint)
+            case = Case(fingerprint=report.fingerprint, is_part=report.is_part)
             self.by_fingerprint[report.fingerprint] = case
         known = self.size(report.fingerprint)
         for end in ends:
@@ -169,6 +84,9 @@
                 reason=report.lift.reason,
                 at=now - report.lift.age_s,
             )
+        if report.good_age_s is not None:
+            good_at = now - report.good_age_s
+            case.good_at = max(good_at, case.good_at or good_at)
         is_new = known < self.size(report.fingerprint)
         if is_new:
             self._checksums = None
@@ -192,88 +110,30 @@
         cleared = set(report.cleared)
         counted = sum(end.start not in cleared for end in ends)
         last_at = max(end.ended_at for end in ends)
-        return now >= last_at + _retention_s(counted)
+        return now >= last_at + _retention_s(counted, report.is_part)
 
     def evaluate(self) -> dict[str, float]:
-        """Return the calls to quarantine, each with the end of its quarantine.
-
-        An engine runs dozens of streams. If its crash counted against all of
-        them alike, a few requests for one bad call would get the calls that
-        ran beside it refused. So the first call that is quarantined explains
-        its crashes, and the others are judged by the remaining ones, see
-        :meth:`_is_sufficient`.
-        """
-        until_by_fingerprint: dict[str, float] = {}
-        explained: set[BackendStart] = set()
-        left = [
-            case
-            for case in self.by_fingerprint.values()
-            if len(case.ends_by_start) >= CRASHES_TO_QUARANTINE
-        ]
-        while found := self._first_to_quarantine(left, explained):
-            case, ends = found
-            left.remove(case)
-            until_by_fingerprint[case.fingerprint] = _quarantine_until(ends)
-            explained |= {end.start for end in ends}
-        return until_by_fingerprint
-
-    def _first_to_quarantine(
-        self, cases: abc.Sequence[Case], explained: set[BackendStart]
-    ) -> tuple[Case, list[End]] | None:
-        """Return the first call to reach enough crashes, with these."""
-        found = None
-        for case in cases:
-            ends = case.counted
-            if not self._is_sufficient(case, ends, explained):
-                continue
-            rank = ends[CRASHES_TO_QUARANTINE - 1].ended_at, case.fingerprint
-            if found is None or rank < found[0]:
-                found = rank, case, ends
-        return None if found is None else found[1:]
+        """Return the suspects to quarantine, with the end of it."""
+        return find_quarantined(self)
 
-    def _is_sufficient(
-        self, case: Case, ends: abc.Sequence[End], explained: set[BackendStart]
-    ) -> bool:
-        own = [end for end in ends if end.start not in explained]
-        if len(own) >= CRASHES_TO_QUARANTINE and not self._is_shared(
-            case, own
-        ):
-            # Also if they happened at one moment: several requests for a bad
-            # call may arrive at once, and the next ones would crash the
-            # servers as soon as they are back.
-            return True
-        if not own or len(ends) < CRASHES_TO_QUARANTINE_IF_SHARED:
-            return False
-        # The call that explains the other crashes may itself only have run
-        # beside this one. Therefore it raises the limit by one crash and
-        # does not exclude this call for as long as it is quarantined.
-        return ends[-1].ended_at - ends[0].ended_at >= MIN_CRASH_SPAN_S
-
-    def _is_shared(self, case: Case, ends: abc.Sequence[End]) -> bool:
-        """Return whether another call ran on every one of these servers."""
-        with_each = [
-            {
-                fingerprint
-                for fingerprint in self._fingerprints_by_start[end.start]
-                if end.start not in self.by_fingerprint[fingerprint].cleared
-            }
-            for end in ends
-        ]
-        return len(set.intersection(*with_each)) > 1
+    def fingerprints_at(self, start: BackendStart) -> abc.Set[str]:
+        """Return the suspects that a crash was counted against."""
+        return self._fingerprints_by_start[start]
 
     def remove_expired(self, now: float) -> None:
-        """Remove expired evidence, and calls in excess of the maximum."""
+        """Remove expired evidence, and suspects above the maximum."""
         old = [
             case
             for case in self.by_fingerprint.values()
-            if now >= case.last_at + _retention_s(len(case.counted))
+            if now
+            >= case.last_at + _retention_s(len(case.counted), case.is_part)
         ]
         for case in old:
             self._drop(case)
         surplus = len(self.by_fingerprint) - MAX_CASES
         if surplus > 0:
             # Ranked by the evidence alone, so that instances with the same
-            # evidence remove the same calls.
+            # evidence remove the same suspects.
             ranked = sorted(
                 self.by_fingerprint.values(),
                 key=lambda case: (len(case.counted), case.fingerprint),
@@ -291,7 +151,7 @@
                 del self._fingerprints_by_start[start]
 
     def checksums(self) -> tuple[int, ...]:
-        """Return one checksum per group of calls."""
+        """Return one checksum per group of suspects."""
         if self._checksums is None:
             self._checksums = self._compute_checksums()
         return self._checksums
@@ -306,27 +166,24 @@
 
 
 def bucket_of(fingerprint: str) -> int:
-    """Return the group to which a call belongs."""
+    """Return the group to which a suspect belongs."""
     return xxhash.xxh64_intdigest(fingerprint.encode()) % BUCKETS
 
 
-def _quarantine_until(ends: abc.Sequence[End]) -> float:
-    """Return when the quarantine for these crashes ends."""
-    held_s = QUARANTINE_S * 2 ** (len(ends) - CRASHES_TO_QUARANTINE)
-    return ends[-1].ended_at + min(held_s, MAX_QUARANTINE_S)
-
-
-def _retention_s(counted: int) -> float:
+def _retention_s(counted: int, is_part: bool) -> float:
     """Return the seconds for which evidence is retained.
 
-    They count from the last crash.
+    They count from the last crash. They are longer than a quarantine, so that
+    a further crash after it quarantines the suspect again.
 
-    :param counted: number of crashes that count against the call.
+    :param counted: number of crashes that count against the suspect.
     """
+    if is_part:
+        if counted < CRASHES_TO_QUARANTINE_PART:
+            return PART_EVIDENCE_RETENTION_S
+        return 2 * PART_QUARANTINE_S
     if counted < CRASHES_TO_QUARANTINE:
         return EVIDENCE_RETENTION_S
-    # Longer than the quarantine, so that a further crash after the release
-    # quarantines the call again, and for longer.
     return 2 * MAX_QUARANTINE_S
 
 
@@ -335,6 +192,9 @@
         yield _item('end', case, start)
     for start in case.cleared:
         yield _item('cleared', case, start)
+    if case.good_at is not None:
+        # When it was differs by the delay of messages between instances.
+        yield f'good {case.fingerprint}'
 
 
 def _item(kind: str, case: Case, start: BackendStart) -> str:
--- a/dandeliongw/coordination/_quarantine_messages.py
+++ b/dandeliongw/coordination/_quarantine_messages.py
@@ -13,12 +13,13 @@
 
 
 class Ended(msgspec.Struct, frozen=True, kw_only=True):
-    """A backend server crashed while it ran a call for this instance.
+    """A backend server crashed while it ran a suspect for this instance.
 
-    :param fingerprint: of the call.
+    :param fingerprint: of the suspect: the call, or a part of its prompt.
     :param start: of the backend server that crashed.
     :param ended_at: when the run broke off, on this instance's clock.
-    :param is_trial: whether the run was a trial of the quarantined call.
+    :param is_trial: whether the run was a trial of the quarantined suspect.
+    :param is_part: whether the suspect is a part of a prompt.
     """
 
     now: float
@@ -26,17 +27,18 @@
     start: BackendStart
     ended_at: float
     is_trial: bool = False
+    is_part: bool = False
 
 
 class Succeeded(msgspec.Struct, frozen=True, kw_only=True):
-    """A backend server completed a call and is still present."""
+    """A run of a suspect went on well and its backend server is present."""
 
     now: float
     fingerprint: str
 
 
 class AskTrial(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests a trial of a quarantined call.
+    """Requests a trial of a quarantined suspect.
 
     :param ticket: of the :class:`.parts.Complete` whose result is whether the
         trial is granted. It may never arrive.
@@ -48,10 +50,10 @@
 
 
 class Lift(msgspec.Struct, frozen=True, kw_only=True):
-    """An operator lifts the quarantine of a call.
+    """An operator lifts the quarantine of a suspect.
 
     :param ticket: of the :class:`.parts.Complete` whose result is whether
-        there is any evidence on the call.
+        there is any evidence on it.
     """
 
     now: float
@@ -72,26 +74,30 @@
 
 
 class Quarantined(msgspec.Struct, frozen=True, kw_only=True):
-    """A call was quarantined: it must not be sent to any backend server.
+    """A suspect was quarantined: no backend server may be sent it.
 
     :param backend_ids: the backend servers that crashed under it.
     :param told_by: the instances that forwarded it.
     :param held_s: seconds until the quarantine ends.
+    :param is_part: whether it is a part of a prompt, or else a call.
     """
 
     fingerprint: str
+    is_part: bool
     backend_ids: tuple[str, ...]
     told_by: tuple[str, ...]
     held_s: float
 
 
 class Released(msgspec.Struct, frozen=True, kw_only=True):
-    """The quarantine of a call ended.
+    """The quarantine of a suspect ended.
 
     :param why: the reason, for the log.
+    :param is_part: whether it is a part of a prompt, or else a call.
     """
 
     fingerprint: str
+    is_part: bool
     why: str
 
 
@@ -99,11 +105,11 @@
 
 
 class ReportedEnd(msgspec.Struct, frozen=True, kw_only=True):
-    """A crash of a backend server under a call, in a message.
+    """A crash of a backend server under a suspect, in a message.
 
     :param age_s: seconds from the crash to the sending of the message.
     :param told_by: the instance that observed it.
-    :param is_trial: whether the run was a trial of the quarantined call.
+    :param is_trial: whether the run was a trial of the quarantined suspect.
     """
 
     start: BackendStart
@@ -124,15 +130,20 @@
 
 
 class CaseReport(msgspec.Struct, frozen=True, kw_only=True):
-    """The evidence on one call, or a part of it.
+    """The evidence on one suspect, or some of it.
 
     :param cleared: starts whose crashes no longer count.
+    :param is_part: whether it is a part of a prompt, or else a call.
+    :param good_age_s: seconds since a run of a part went on well, up to the
+        sending of the message; ``None`` if no such run is known.
     """
 
     fingerprint: str
     ends: tuple[ReportedEnd, ...]
     cleared: tuple[BackendStart, ...]
     lift: ReportedLift | None
+    is_part: bool = False
+    good_age_s: float | None = None
 
 
 class QuarantineNews(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandeliongw/coordination/_trials.py
+++ b/dandeliongw/coordination/_trials.py
@@ -1,32 +1,35 @@
-"""Trials of quarantined calls, to find out whether they cause crashes.
+"""Trials of quarantined suspects, to find out whether they cause crashes.
 
-Several clients may send the same call. A client that sends it together with
-a call that crashes backend servers makes crashes count against it, and while
-it is quarantined no run can succeed and clear it. Therefore one request at a
-time, over all instances, is let through as a trial. The first of the call's
-aggregators decides which.
+Several clients may send the same call, or prompts with the same part. A client
+that sends it together with one that crashes backend servers makes crashes
+count against it, and while it is quarantined no run can succeed and clear it.
+Therefore one request at a time, over all instances, is let through as a trial.
+The first of the suspect's aggregators decides which.
 """
 
-from ._cases import Case
+from ._case import Case
 
 #: Seconds between a call's last crash and its trial. By then the crashed
 #: backend servers are back: the trial may cost one, but not the last one.
 TRIAL_AFTER_S = 10.0
+#: The same for a part. Many calls may share it, so it is tried sooner.
+PART_TRIAL_AFTER_S = 5.0
 #: Seconds after which another trial may begin. A bad call crashes its server
 #: sooner than that, and the client of a trial may disconnect.
 TRIAL_S = 5.0
 
 
 def due_at(case: Case) -> float | None:
-    """Return when a trial of a quarantined call is due.
+    """Return when a trial of a quarantined suspect is due.
 
-    ``None`` if the call is not quarantined, or if a trial has crashed its
-    server: this proves the call bad, and it stays in quarantine to its end.
+    ``None`` if it is not quarantined, or if a trial has crashed its server:
+    this proves it bad, and it stays in quarantine to its end.
     """
     ends = case.counted
     if case.held_until is None or any(end.is_trial for end in ends):
         return None
-    return ends[-1].ended_at + TRIAL_AFTER_S
+    after_s = PART_TRIAL_AFTER_S if case.is_part else TRIAL_AFTER_S
+    return ends[-1].ended_at + after_s
 
 
 class TrialGrants:
--- a/dandeliongw/coordination/quarantine.py
+++ b/dandeliongw/coordination/quarantine.py
@@ -1,27 +1,28 @@
-"""Quarantine of calls that crash the backend servers that run them.
+"""Quarantine of what crashes the backend servers that run it.
 
-A call is identified by the fingerprint of its content: retries of a client
-and identical requests of others are requests for the same call. A crash here
-is any unannounced end of a backend server while it runs a call.
+Suspects are calls and parts of prompts. A call is identified by the
+fingerprint of its content: retries of a client and identical requests of
+others are requests for the same call. A part is one that prompts of different
+calls share. A crash here is any unannounced end of a backend server while it
+runs a call; it counts against the call, and against the parts of its prompt
+if the server had only begun to answer it.
 
-The instance that forwarded the request reports the crash to the call's
+The instance that forwarded the request reports the crash to the suspect's
 aggregators, three instances chosen by the fingerprint. They combine the
-crashes reported by single instances, and from the second crash on the call's
-record is broadcast to all instances. It is not broadcast earlier because most
-calls that run during one crash never see another. Records that are lost on
+crashes reported by single instances, and from the second crash on the
+suspect's record is broadcast to all instances. It is not broadcast earlier
+because most suspects of one crash never see another. Records that are lost on
 the way, or missed by an instance that was isolated or has just started, are
 found by comparing checksums with two other instances a second, which costs
 nothing while there is no evidence.
 
-Three crashes of different server starts quarantine a call. If a quarantined
-call explains some of them, or another call ran on the same servers, it takes
-four that did not all happen at one moment; see :mod:`._cases`. A run that
-succeeds clears the crashes known by then, and those within a moment after it.
-Nothing is persisted: after a loss of all instances a call has to crash three
-backend servers again.
+How many crashes quarantine a suspect is decided in :mod:`._blame`. A run that
+goes on well clears a suspect of the crashes known by then, and of those within
+a moment after it. Nothing is persisted: after a loss of all instances a
+suspect has to crash as many backend servers again.
 
-A quarantined call has no runs that could clear it. Therefore one request at a
-time is let through as a trial, see :mod:`._trials`.
+A quarantined suspect has no runs that could clear it. Therefore one request
+at a time is let through as a trial, see :mod:`._trials`.
 """
 
 from collections import abc
@@ -32,11 +33,11 @@
 import xxhash
 
 from . import parts
+from ._case import Case
+from ._case import End
 from ._cases import bucket_of
 from ._cases import BUCKETS
-from ._cases import Case
 from ._cases import Cases
-from ._cases import End
 from ._presence_messages import BackendStart
 from ._quarantine_messages import AskTrial
 from ._quarantine_messages import CaseReport
@@ -82,18 +83,22 @@
 COMPARE_S = 1.0
 #: Instances with which checksums are compared each time.
 COMPARE_FANOUT = 2
-#: Instances that combine the crashes of one call. With three, one instance
+#: Instances that combine the crashes of one suspect. With three, one instance
 #: may be down and a datagram to another one may be lost.
 AGGREGATORS = 3
-#: Crashes under one call from which on its record is broadcast. The crash of
+#: Crashes of one suspect from which on its record is broadcast. The crash of
 #: one engine counts against each of the dozens of calls it was running;
 #: sending each of them to 200 instances would block an instance's control
 #: loop for tenths of a second.
 CRASHES_TO_BROADCAST = 2
 #: Instances from which a newly started instance requests the evidence.
 PEERS_AT_START = 3
-#: Maximum calls in one message, so that it fits in a datagram.
-MAX_CALLS_PER_MESSAGE = 4
+#: Maximum suspects in one message, so that it fits in a datagram.
+MAX_CASES_PER_MESSAGE = 4
+#: Seconds for which a part is known to have run well at this instance.
+KNOWN_GOOD_S = 600.0
+#: Maximum parts that are known to have run well, about 150 bytes each.
+MAX_KNOWN_GOOD = 4_096
 
 Effects = list[typing.Any]
 
@@ -108,38 +113,42 @@
         self.instance_id = instance_id
         self._cases = Cases()
         self._grants = TrialGrants()
-        #: Recent successful runs that this instance forwarded; its owner
-        #: records them here.
+        #: Recent successful runs of calls that this instance forwarded; its
+        #: owner records them here.
         self.successes = Successes()
+        #: The same of parts of prompts.
+        self.good_parts = Successes(
+            retention_s=KNOWN_GOOD_S, max_count=MAX_KNOWN_GOOD
+        )
         self._peers: tuple[str, ...] = ()
         self._has_synced = False
         self._compare_at = 0.0
         #: Crashes under calls forwarded by this instance.
         self.crashes_seen = 0
-        #: Number of calls in quarantine.
+        #: Number of suspects in quarantine.
         self.quarantined_count = 0
 
     # Accessors.
 
     @property
     def is_empty(self) -> bool:
-        """Whether there is no evidence on any call."""
+        """Whether there is no evidence on any suspect."""
         return not self._cases.by_fingerprint
 
     def held_s(self, now: float, fingerprint: str) -> float:
-        """Return the seconds left of a call's quarantine, 0 without one."""
+        """Return the seconds left of a quarantine, 0 without one."""
         case = self._cases.by_fingerprint.get(fingerprint)
         if case is None or case.held_until is None:
             return 0.0
         return max(0.0, case.held_until - now)
 
     def trial_at(self, fingerprint: str) -> float | None:
-        """Return when a trial of a call is due; see ``due_at``."""
+        """Return when a trial of a suspect is due; see ``due_at``."""
         case = self._cases.by_fingerprint.get(fingerprint)
         return None if case is None else due_at(case)
 
     def ends(self, fingerprint: str) -> list[End]:
-        """Return the crashes that count against a call, oldest first."""
+        """Return the crashes that count against a suspect, oldest first."""
         case = self._cases.by_fingerprint.get(fingerprint)
         return [] if case is None else case.counted
 
@@ -180,7 +189,13 @@
     # Events of this instance.
 
     def _on_ended(self, event: Ended) -> Effects:
-        self.crashes_seen += 1
+        if event.is_part and self.good_parts.clears_crash(
+            event.fingerprint, event.ended_at
+        ):
+            # Parts that everybody sends would otherwise be in the evidence on
+            # each crash.
+            return []
+        self.crashes_seen += not event.is_part
         end = ReportedEnd(
             start=event.start,
             age_s=event.now - event.ended_at,
@@ -188,21 +203,37 @@
             is_trial=event.is_trial,
         )
         report = CaseReport(
-            fingerprint=event.fingerprint, ends=(end,), cleared=(), lift=None
+            fingerprint=event.fingerprint,
+            ends=(end,),
+            cleared=(),
+            lift=None,
+            is_part=event.is_part,
+            good_age_s=self._good_age_s(event.now, event.fingerprint),
         )
         return self._add_and_send(event.now, report)
 
+    def _good_age_s(self, now: float, fingerprint: str) -> float | None:
+        """Return the seconds since a part ran well at this instance."""
+        good_at = self.good_parts.last_at(fingerprint)
+        return None if good_at is None else now - good_at
+
     def _on_succeeded(self, event: Succeeded) -> Effects:
-        """Clear a call of the crashes known by now.
+        """Clear a suspect of the crashes known by now.
 
-        A call that causes crashes would have crashed this server as well.
-        For crashes that are reported later see
-        :meth:`_clear_after_success`.
+        One that causes crashes would have crashed this server as well. For
+        crashes that are reported later see :meth:`_clear_after_success`.
         """
         case = self._cases.by_fingerprint.get(event.fingerprint)
         if case is None or not case.counted:
             return []
-        return self._add_and_send(event.now, _clearing(case, lift=None))
+        report = _clearing(case, lift=None)
+        if not case.is_part:
+            return self._add_and_send(event.now, report)
+        # Many instances may have a good run of a part in the same moment, so
+        # each notifies the aggregators only, and these broadcast what is new.
+        out = self._add(event.now, (report,))
+        to = self._aggregators(event.fingerprint)
+        return [*out, *self._send_record(event.now, event.fingerprint, to)]
 
     def _on_lift(self, event: Lift) -> Effects:
         case = self._cases.by_fingerprint.get(event.fingerprint)
@@ -232,10 +263,10 @@
         return case is not None and self._grants.grant(now, case)
 
     def _add_and_send(self, now: float, report: CaseReport) -> Effects:
-        """Add evidence found by this instance, and send the call's record.
+        """Add evidence found by this instance, and send the record.
 
         It goes to all instances once there are enough crashes, otherwise to
-        the call's aggregators.
+        the suspect's aggregators.
         """
         out = self._add(now, (report,))
         fingerprint = report.fingerprint
@@ -256,7 +287,7 @@
         return [_send(each, news) for each in to if each != self.instance_id]
 
     def _aggregators(self, fingerprint: str) -> list[str]:
-        """Return the instances that combine the crashes of a call."""
+        """Return the instances that combine the crashes of a suspect."""
         return heapq.nsmallest(
             AGGREGATORS,
             (*self._peers, self.instance_id),
@@ -278,35 +309,46 @@
     def _clear_after_success(
         self, now: float, reports: tuple[CaseReport, ...]
     ) -> Effects:
-        """Clear calls of crashes just after a successful run of theirs.
+        """Clear suspects of crashes just after a successful run of theirs.
 
         A client that sends a bad call and a harmless one to the same servers
         crashes them under both; the harmless call succeeded elsewhere just
-        before. Only runs forwarded by this instance are considered.
+        before. That a part is known to have run well is told, too. Only runs
+        forwarded by this instance are considered.
         """
         out: Effects = []
         for fingerprint in {report.fingerprint for report in reports}:
             case = self._cases.by_fingerprint.get(fingerprint)
-            starts = () if case is None else self._cleared_starts(case)
-            if not starts:
+            if case is None or not case.counted:
+                continue
+            starts = self._cleared_starts(case)
+            good_age_s = self._good_age_s(now, fingerprint)
+            is_first_good = case.good_at is None and good_age_s is not None
+            if not starts and not is_first_good:
                 continue
             report = CaseReport(
-                fingerprint=fingerprint, ends=(), cleared=starts, lift=None
+                fingerprint=fingerprint,
+                ends=(),
+                cleared=starts,
+                lift=None,
+                is_part=case.is_part,
+                good_age_s=good_age_s,
             )
             self._cases.merge(now, report)
-            # All instances that forwarded the call may clear it at the same
-            # time. So each notifies the aggregators only, and these broadcast
-            # what is new.
+            # All instances that forwarded the suspect may clear it at the
+            # same time. So each notifies the aggregators only, and these
+            # broadcast what is new.
             out += self._send_record(
                 now, fingerprint, self._aggregators(fingerprint)
             )
         return out
 
     def _cleared_starts(self, case: Case) -> tuple[BackendStart, ...]:
+        successes = self.good_parts if case.is_part else self.successes
         return tuple(
             end.start
             for end in case.counted
-            if self.successes.clears_crash(case.fingerprint, end.ended_at)
+            if successes.clears_crash(case.fingerprint, end.ended_at)
         )
 
     def _update_quarantine(self, now: float) -> Effects:
@@ -319,7 +361,7 @@
             if was is None and case.held_until is not None:
                 out.append(_quarantined(now, case))
             elif was is not None and case.held_until is None:
-                out.append(_released(case))
+                out.append(_released(case, is_over=until is not None))
         self.quarantined_count = sum(
             case.held_until is not None
             for case in self._cases.by_fingerprint.values()
@@ -401,9 +443,9 @@
         ]
         return [
             QuarantineNews(
-                cases=tuple(reports[at : at + MAX_CALLS_PER_MESSAGE])
+                cases=tuple(reports[at : at + MAX_CASES_PER_MESSAGE])
             )
-            for at in range(0, len(reports), MAX_CALLS_PER_MESSAGE)
+            for at in range(0, len(reports), MAX_CASES_PER_MESSAGE)
         ]
 
     def _summary(self, *, is_answer: bool) -> QuarantineSummary:
@@ -431,28 +473,38 @@
     ends = case.counted
     return Quarantined(
         fingerprint=case.fingerprint,
+        is_part=case.is_part,
         backend_ids=tuple(end.start.backend_id for end in ends),
         told_by=tuple(sorted({end.told_by for end in ends})),
         held_s=case.held_until - now,
     )
 
 
-def _released(case: Case) -> Released:
-    why = 'quarantine expired'
-    if not case.counted:
+def _released(case: Case, *, is_over: bool) -> Released:
+    """Return the effect of a release.
+
+    :param is_over: whether the time of the quarantine has passed.
+    """
+    why = 'another suspect explains the crashes'
+    if is_over:
+        why = 'quarantine expired'
+    elif not case.counted:
         why = 'a run succeeded'
         if case.lifted is not None:
             why = f'lifted by {case.lifted.operator}: {case.lifted.reason}'
-    return Released(fingerprint=case.fingerprint, why=why)
+    return Released(
+        fingerprint=case.fingerprint, is_part=case.is_part, why=why
+    )
 
 
 def _clearing(case: Case, *, lift: ReportedLift | None) -> CaseReport:
-    """Return a report that clears a call of all crashes that count."""
+    """Return a report that clears a suspect of all crashes that count."""
     return CaseReport(
         fingerprint=case.fingerprint,
         ends=(),
         cleared=tuple(end.start for end in case.counted),
         lift=lift,
+        is_part=case.is_part,
     )
 
 
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -193,8 +193,8 @@
     :param pieces: number of pieces of its answer that the server wrote.
     :param wrote_ms: milliseconds between the first and the last of them.
     :param calls_beside: other calls of this entry that it ran at that time.
-    :param is_trial: whether the call was quarantined and this request was
-        sent as a trial.
+    :param is_trial: whether the request was sent as a trial of something
+        quarantined.
     """
 
     message: typing.ClassVar[str] = 'backend server ended under a call'
@@ -231,16 +231,35 @@
     held_s: float
 
 
+class PartQuarantined(Decision, frozen=True, kw_only=True):
+    """No call with this part in its prompt is sent to backend servers.
+
+    :param part: its fingerprint.
+    :param backend_ids: the backend servers that ended while they ran it.
+    :param told_by: the entries that observed this.
+    :param held_s: seconds until the quarantine ends.
+    """
+
+    message: typing.ClassVar[str] = 'prompt part quarantined'
+    level: typing.ClassVar[str] = 'WARNING'
+    part: str
+    backend_ids: str
+    told_by: str
+    held_s: float
+
+
 class CallHeld(Decision, frozen=True, kw_only=True):
-    """A request is refused because its call is quarantined.
+    """A request is refused because something in it is quarantined.
 
     :param call: the call's fingerprint; the lines on the backend servers that
         ended have the same one.
+    :param parts: fingerprints of the parts of its prompt that are quarantined.
     """
 
     message: typing.ClassVar[str] = 'call held back'
     request_id: str
     call: str
+    parts: str
     backend_ids: str
     told_by: str
     last_ended_s: float
@@ -248,15 +267,17 @@
 
 
 class CallTried(OfRequest, frozen=True, kw_only=True):
-    """A request with a quarantined call is sent as a trial.
+    """A request with something quarantined is sent as a trial.
 
-    The trial shows whether the call makes backend servers end.
+    The trial shows whether it makes backend servers end.
 
     :param call: the call's fingerprint.
+    :param suspects: fingerprints of what is quarantined.
     """
 
     message: typing.ClassVar[str] = 'quarantined call is tried'
     call: str
+    suspects: str
 
 
 class CallReleased(Decision, frozen=True, kw_only=True):
@@ -268,6 +289,15 @@
     why: str
 
 
+class PartReleased(Decision, frozen=True, kw_only=True):
+    """The quarantine of a part of prompts has ended."""
+
+    message: typing.ClassVar[str] = 'prompt part released'
+    level: typing.ClassVar[str] = 'WARNING'
+    part: str
+    why: str
+
+
 class MemberStateChanged(Decision, frozen=True, kw_only=True):
     """The membership state of another instance has changed here.
 
--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -142,7 +142,7 @@
         held = self.held(now, request)
         if held is not None:
             line = _retry_log(
-                request, failure, 'the call is quarantined', again=False
+                request, failure, 'it is quarantined', again=False
             )
             refused = self._endings.refuse(now, request, held.refusal)
             return [*out, line, held.line, *refused]
@@ -181,13 +181,18 @@
     ) -> quarantine_module.Held | None:
         """Return why a request may not be sent; ``None`` if it may.
 
-        A request that is a trial may run once.
+        A request that is a trial may run once, while nothing else in it has
+        been quarantined.
         """
-        if request.is_trial and not request.runs:
-            return None
-        return self._quarantine_check.refusal(
+        held = self._quarantine_check.refusal(
             now, request.request_id, request.call, request.known
         )
+        is_tried = (
+            held is not None
+            and not request.has_failed
+            and set(held.suspects) <= set(request.trial_of)
+        )
+        return None if is_tried else held
 
     def _release_attempt(
         self,
--- a/dandeliongw/entry/crash_detection.py
+++ b/dandeliongw/entry/crash_detection.py
@@ -16,6 +16,7 @@
 from .. import events
 from ..coordination import presence
 from ..coordination import quarantine
+from . import quarantine_check
 
 #: Seconds from the break to each probe of the address. The listening socket
 #: may be closed a moment after the connection; a supervisor restarts the
@@ -38,7 +39,7 @@
     :param ran_s: seconds from the start of the run until it broke off.
     :param pieces: number of pieces of its answer that the server wrote.
     :param wrote_s: seconds between the first and the last of these pieces.
-    :param is_trial: whether it was the trial of a quarantined call.
+    :param trial_of: quarantined suspects of which it was a trial.
     """
 
     request_id: str
@@ -52,7 +53,19 @@
     ran_s: float
     pieces: int = 0
     wrote_s: float = 0.0
-    is_trial: bool = False
+    trial_of: tuple[str, ...] = ()
+
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """What the crash counts against: the call and parts of its prompt.
+
+        A part crashes a server as that begins to write, if it does.
+        """
+        is_written = (
+            self.pieces >= quarantine_check.MIN_GOOD_PIECES
+            and self.wrote_s >= quarantine_check.MIN_GOOD_S
+        )
+        return (self.fingerprint, *(() if is_written else self.parts))
 
 
 class _Interruption(msgspec.Struct, kw_only=True):
@@ -147,14 +160,17 @@
             pieces=run.pieces,
             wrote_ms=round(run.wrote_s * 1000),
             calls_beside=len(interruption.runs_by_fingerprint) - 1,
-            is_trial=run.is_trial,
+            is_trial=bool(run.trial_of),
         )
-        ended = quarantine.Ended(
-            now=event.now,
-            fingerprint=fingerprint,
-            start=event.start,
-            ended_at=interruption.broke_at,
-            is_trial=run.is_trial,
-        )
-        out += [line.log(), effects.Dispatch(event=ended)]
+        out.append(line.log())
+        for suspect in run.suspects:
+            ended = quarantine.Ended(
+                now=event.now,
+                fingerprint=suspect,
+                start=event.start,
+                ended_at=interruption.broke_at,
+                is_trial=suspect in run.trial_of,
+                is_part=suspect != fingerprint,
+            )
+            out.append(effects.Dispatch(event=ended))
     return out
--- a/dandeliongw/entry/quarantine_check.py
+++ b/dandeliongw/entry/quarantine_check.py
@@ -1,5 +1,6 @@
-"""Quarantined calls at an entry: those that crash backend servers."""
+"""Quarantine at an entry: what crashes backend servers is not sent there."""
 
+from collections import abc
 import typing
 
 import msgspec
@@ -17,21 +18,31 @@
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True):
-    """The reason why a request is refused: its call is quarantined.
+    """The reason why a request is refused: something in it is quarantined.
 
     :param line: log line with the evidence.
+    :param suspects: fingerprints of what is quarantined: the call, or parts
+        of its prompt.
     :param may_be_trial: whether this send may run as a trial, if no other
         trial is under way.
     """
 
     refusal: verdict.Refusal
     line: effects.Log
+    suspects: tuple[str, ...]
     may_be_trial: bool
 
 
 #: Lower bound of ``Retry-After``, in seconds, once a trial is due: a trial of
 #: another send may be under way.
 MIN_TRIAL_RETRY_S = 2.0
+#: Seconds by which each further suspect in a request delays its trial.
+JOINT_TRIAL_DELAY_S = 5.0
+#: Pieces that an engine writes before an answer counts as one on which it
+#: went on. One that crashes as it begins may have sent the first ones.
+MIN_GOOD_PIECES = 3
+#: Seconds for which an engine writes on an unfinished answer before that.
+MIN_GOOD_S = 1.0
 
 
 class QuarantineCheck:
@@ -63,40 +74,57 @@
         if self._quarantine.is_empty:
             return None
         fingerprint = self.fingerprint(call)
-        held_s = self._quarantine.held_s(now, fingerprint)
-        if not held_s:
+        held = [
+            each
+            for each in (fingerprint, *self.parts(call))
+            if self._quarantine.held_s(now, each)
+        ]
+        if not held:
             return None
-        ends = self._quarantine.ends(fingerprint)
+        ends = self._quarantine.ends(held[0])
+        held_s = max(self._quarantine.held_s(now, each) for each in held)
         line = decisions.CallHeld(
             request_id=request_id,
             call=fingerprint,
+            parts=' '.join(each for each in held if each != fingerprint),
             backend_ids=' '.join(end.start.backend_id for end in ends),
             told_by=' '.join(sorted({end.told_by for end in ends})),
             last_ended_s=now - ends[-1].ended_at,
             held_s=held_s,
         )
-        wait_s = self._wait_s(now, fingerprint, call)
+        wait_s = self._wait_s(now, call, held)
         return Held(
             refusal=refusals.quarantined(
                 known,
                 held_s if wait_s is None else max(wait_s, MIN_TRIAL_RETRY_S),
+                is_call=fingerprint in held,
             ),
             line=line.log(),
+            suspects=tuple(held),
             may_be_trial=wait_s is not None and wait_s <= 0.0,
         )
 
     def _wait_s(
-        self, now: float, fingerprint: str, call: events.Call
+        self, now: float, call: events.Call, held: abc.Sequence[str]
     ) -> float | None:
         """Return the seconds until a trial is due; ``None`` if none will be.
 
         Only a call without an account or credentials gets a trial: no client
-        but its own sends any other.
+        but its own sends any other. Parts are shared by all clients. Of
+        several that are quarantined, each delays the trial: requests that
+        have only one of them tell more, and go first.
         """
-        if not fingerprint_module.is_shared(call):
+        if self.fingerprint(call) in held and (
+            not fingerprint_module.is_shared(call)
+        ):
             return None
-        trial_at = self._quarantine.trial_at(fingerprint)
-        return None if trial_at is None else trial_at - now
+        waits_s = []
+        for each in held:
+            trial_at = self._quarantine.trial_at(each)
+            if trial_at is None:
+                return None
+            waits_s.append(trial_at - now)
+        return max(waits_s) + (len(held) - 1) * JOINT_TRIAL_DELAY_S
 
     def fingerprint(self, call: events.Call) -> str:
         """Return the fingerprint that identifies a call."""
@@ -116,6 +144,29 @@
         """Record that a backend server completed a request."""
         fingerprint = self.fingerprint(request.call)
         self._quarantine.successes.record(now, fingerprint)
+        return self._report_good(now, fingerprint)
+
+    def answer_written(
+        self, event: events.StepEnded, request: request_module.Request
+    ) -> Effects:
+        """Record the parts of a prompt on whose answer an engine went on.
+
+        A part that crashes engines does so as they begin to write. An answer
+        that another engine completes after a crash proves nothing: the last
+        pieces may have been written by then.
+        """
+        is_whole = event.failure is None and not request.has_failed
+        if event.pieces < MIN_GOOD_PIECES or (
+            not is_whole and event.wrote_s < MIN_GOOD_S
+        ):
+            return []
+        out: Effects = []
+        for part in self.parts(request.call):
+            self._quarantine.good_parts.record(event.last_piece_at, part)
+            out += self._report_good(event.now, part)
+        return out
+
+    def _report_good(self, now: float, fingerprint: str) -> Effects:
         if self._quarantine.is_empty:
             return []
         event = quarantines.Succeeded(now=now, fingerprint=fingerprint)
--- a/dandeliongw/entry/recovery.py
+++ b/dandeliongw/entry/recovery.py
@@ -93,7 +93,8 @@
         It does if only the connection failed. A second interruption at the
         same token means that the engine itself is at fault. One that limits
         its rate gets no request that its cell's owner hasn't booked, and one
-        that has left gets none at all.
+        that has left gets none at all, and nothing is sent what has crashed
+        others.
         """
         start = request.booked_backend(event.step).start
         broke = event.failure in (_RETRY.STREAM_BROKEN, _RETRY.STREAM_STALLED)
@@ -104,6 +105,7 @@
                 start.backend_id, start.incarnation
             )
             and self._attempts.key_refusal(event.now, request) is None
+            and self._attempts.held(event.now, request) is None
             and request.last_resume_offset < event.tokens
             and request.may_run_elsewhere
         )
--- a/dandeliongw/entry/refusals.py
+++ b/dandeliongw/entry/refusals.py
@@ -149,19 +149,24 @@
     )
 
 
-def quarantined(known: verdict.Verdict, wait_s: float) -> verdict.Refusal:
+def quarantined(
+    known: verdict.Verdict, wait_s: float, *, is_call: bool = True
+) -> verdict.Refusal:
     """The call crashes the backend servers that start to run it.
 
     A retry before ``wait_s`` is refused as well.
 
     :param known: verdict on this send; earlier sends did run.
     :param wait_s: seconds until a send may run.
+    :param is_call: whether it is the call as a whole, or else a part of its
+        prompt.
     """
+    what = 'this call' if is_call else 'calls with a part of this prompt'
     return verdict.Refusal(
         reason=_REASON.QUARANTINED,
         verdict=known,
         message='backend servers ended one after the other while they ran '
-        f'this call; it is sent to none for the next {wait_s:.0f} s',
+        f'{what}; it is sent to none for the next {wait_s:.0f} s',
         retry_after_s=wait_s,
     )
 
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -67,8 +67,8 @@
     :param serial: numbers the attempt ids; grows faster than ``attempts``,
         because each owner that is asked gets an id of its own.
     :param search_timeout_s: timeout in seconds of a search for an owner.
-    :param is_trial: whether its call is quarantined, and this is the one send
-        that runs as a trial.
+    :param trial_of: quarantined suspects of which this is the one send that
+        runs as a trial; empty if it is none.
     :param is_held: whether an owner may hold a reservation for it.
     :param last_resume_offset: offset of the last resume, in pieces; a second
         interruption at the same offset means that resuming does not help.
@@ -106,7 +106,7 @@
     tries: int = 0
     redirects: int = 0
     owner_replied_at: float = 0.0
-    is_trial: bool = False
+    trial_of: tuple[str, ...] = ()
     is_held: bool = False
     booked: cells.Booked | None = None
     reclaimed_at: float | None = None
@@ -120,6 +120,8 @@
     prefilled_tokens: int = 0
     #: Number of attempts that a backend server may have run.
     runs: int = 0
+    #: Whether a backend server failed that may have begun to run it.
+    has_failed: bool = False
     #: When the client last got a piece; at first, when the request arrived.
     last_piece_at: float = 0.0
     last_resume_offset: int = -1
@@ -159,6 +161,11 @@
         """Seconds for which the engine keeps a prefill's result."""
         return self.admitted.service.kv_life_s or DEFAULT_KV_LIFE_S
 
+    @property
+    def is_trial(self) -> bool:
+        """Whether it runs as a trial of something quarantined."""
+        return bool(self.trial_of)
+
     @property
     def is_running(self) -> bool:
         """Whether a backend server may be running it now."""
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -208,7 +208,7 @@
             now, request.request_id, request.call
         )
         if held is not None and held.may_be_trial:
-            return self._trials.request_grant(now, request)
+            return self._trials.request_grant(now, request, held)
         if request.call.idempotency_key is None:
             return self._attempts.begin(now, request)
         return idempotency.begin(now, request)
@@ -275,21 +275,19 @@
         return out
 
     def stop_quarantined(self, now: float, fingerprint: str) -> Effects:
-        """Stop the pending requests of a call that is now quarantined.
+        """Stop the pending requests with something that is now quarantined.
 
         Requests that a backend server is already running are not aborted.
 
-        :param fingerprint: of the quarantined call.
+        :param fingerprint: of the quarantined call, or part of prompts.
         """
         out: Effects = []
         for request in list(self.requests_by_id.values()):
             is_waiting = not request.is_ended and not request.is_running
             if not is_waiting or request.phase is Phase.RECORDING:
                 continue
-            if self.quarantine_check.fingerprint(request.call) != fingerprint:
-                continue
             held = self._attempts.held(now, request)
-            if held is None:
+            if held is None or fingerprint not in held.suspects:
                 continue
             out.append(held.line)
             out += self._endings.stop(
@@ -397,7 +395,9 @@
         )
         if not is_current:
             return [*out, *self._end_stale_step(event, request)]
+        out += self.quarantine_check.answer_written(event, request)
         if event.known is not _NOT_RUN:
+            request.has_failed |= event.failure is not None
             # Part of it ran; only a complete answer counts as "ran".
             request.known = _MAY_HAVE_RUN
             request.runs += 1
@@ -441,7 +441,7 @@
             ran_s=event.now - request.phase_at,
             pieces=event.pieces,
             wrote_s=event.wrote_s,
-            is_trial=request.is_trial,
+            trial_of=request.trial_of,
         )
 
     def _end_stale_step(
--- a/dandeliongw/entry/trials.py
+++ b/dandeliongw/entry/trials.py
@@ -1,8 +1,8 @@
-"""Trials of quarantined calls.
+"""Trials of quarantined calls and parts of prompts.
 
-The instance responsible for a call's fingerprint grants one trial at a time,
-see :mod:`..coordination.quarantine`. A trial runs on one backend server: it
-is not retried, and its stream is not moved.
+The instance responsible for a suspect's fingerprint grants one trial at a
+time, see :mod:`..coordination.quarantine`. A trial runs on one backend
+server: it is not retried, and its stream is not moved.
 """
 
 import typing
@@ -38,13 +38,19 @@
         self._attempts = attempts
         self._endings = endings
 
-    def request_grant(self, now: float, request: Request) -> Effects:
-        """Request a trial; see :meth:`answered`."""
+    def request_grant(
+        self, now: float, request: Request, held: quarantine_module.Held
+    ) -> Effects:
+        """Request a trial; see :meth:`answered`.
+
+        :param held: why the request would be refused. If several suspects
+            are quarantined, the trial of the first one stands for all.
+        """
         request.phase = Phase.ASKING
         request.phase_at = now
         asked = quarantine.AskTrial(
             now=now,
-            fingerprint=self._quarantine_check.fingerprint(request.call),
+            fingerprint=min(held.suspects),
             ticket=TRIAL_TICKET + request.request_id,
         )
         return [effects.Dispatch(event=asked)]
@@ -58,16 +64,19 @@
         """
         if request.phase is not Phase.ASKING:
             return []
-        request.is_trial = is_granted
-        # Without a grant, this refuses the request, unless the call has been
+        held = self._attempts.held(now, request)
+        if is_granted and held is not None:
+            request.trial_of = held.suspects
+        # Without a grant, this refuses the request, unless it has been
         # released from quarantine in the meantime.
         begun = self._attempts.begin(now, request)
-        if not is_granted:
+        if not request.is_trial:
             return begun
         line = decisions.CallTried(
             request_id=request.request_id,
             attempt_id=request.attempt_id,
             call=self._quarantine_check.fingerprint(request.call),
+            suspects=' '.join(request.trial_of),
         )
         return [line.log(), *begun]
 
--- a/dandeliongw/explain.py
+++ b/dandeliongw/explain.py
@@ -26,14 +26,18 @@
     'owns a cell no more',
     'an engine is moved to another pool',
 )
-#: Messages of log lines that record, by a call's fingerprint, why it is or
-#: was quarantined.
+#: Messages of log lines that record, by the fingerprint of a call or of a
+#: part of prompts, why it is or was quarantined.
 EVIDENCE = (
     'backend server ended under a call',
     'call quarantined',
+    'prompt part quarantined',
     'quarantined call is tried',
     'call released',
+    'prompt part released',
 )
+#: Fields of log lines that contain such fingerprints, separated by spaces.
+_SUSPECT_FIELDS = ('call', 'part', 'parts', 'suspects')
 #: Seconds before a request's first line from which on beliefs are included.
 BELIEFS_BEFORE_S = 5.0
 
@@ -85,16 +89,29 @@
 def _evidence(
     all_lines: abc.Iterable[Line], own: abc.Sequence[Line]
 ) -> list[Line]:
-    """Return the quarantine lines of the call, of all instances and times."""
-    calls = {line['call'] for line in own if 'call' in line}
+    """Return the quarantine lines of the call, of all instances and times.
+
+    Lines on other calls are included if they concern a part of the prompt for
+    which this one was held back.
+    """
+    suspects = set().union(*(_suspects(line) for line in own))
     found = [
         line
         for line in all_lines
-        if line['message'] in EVIDENCE and line.get('call') in calls
+        if line['message'] in EVIDENCE and suspects & _suspects(line)
     ]
     return sorted(found, key=lambda line: line['time'])
 
 
+def _suspects(line: Line) -> set[str]:
+    """Return the fingerprints of calls and parts that a line names."""
+    return {
+        fingerprint
+        for field in _SUSPECT_FIELDS
+        for fingerprint in str(line.get(field, '')).split()
+    }
+
+
 def _beliefs(
     all_lines: abc.Iterable[Line],
     instances: abc.Container[str],
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -289,7 +289,8 @@
         )
         self.quarantined = self._watched_gauge(
             'quarantined_calls',
-            'Calls that are held back, as they end backend servers.',
+            'Calls and parts of prompts that are held back, as they end '
+            'backend servers.',
             None,
         )
         self.detours = self._watched_gauge(
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -653,13 +653,16 @@
     # Calls that make backend servers exit
 
     def _on_backend_ended(self, event: quarantine.Ended) -> list[typing.Any]:
-        """Count a backend server's exit against the call that it ran.
+        """Count a backend server's exit against a suspect that it ran.
 
         An announced exit is not counted: the backend server was stopped
         while it worked, and the call did not cause that. One that exits while
         it should still drain was not stopped.
         """
         if self._was_stopped(event.start, event.ended_at):
+            if event.is_part:
+                # The line on its call is enough.
+                return []
             return [
                 effects.log(
                     'announced backend server exit not counted against a call',
@@ -684,7 +687,7 @@
         self, now: float, effect: quarantine.Quarantined
     ) -> list[typing.Any]:
         return [
-            state_log.call_quarantined(effect),
+            state_log.quarantined(effect),
             *self.requests.stop_quarantined(now, effect.fingerprint),
         ]
 
--- a/dandeliongw/state_log.py
+++ b/dandeliongw/state_log.py
@@ -29,20 +29,28 @@
     )
 
 
-def call_quarantined(effect: quarantine.Quarantined) -> effects.Log:
-    """Return the line on a call that is held back from now on."""
-    line = decisions.CallQuarantined(
-        call=effect.fingerprint,
-        backend_ids=' '.join(effect.backend_ids),
-        told_by=' '.join(effect.told_by),
-        held_s=effect.held_s,
-    )
-    return line.log()
+def quarantined(effect: quarantine.Quarantined) -> effects.Log:
+    """Return the line on a call or part that is held back from now on."""
+    facts = {
+        'backend_ids': ' '.join(effect.backend_ids),
+        'told_by': ' '.join(effect.told_by),
+        'held_s': effect.held_s,
+    }
+    if effect.is_part:
+        return decisions.PartQuarantined(
+            part=effect.fingerprint, **facts
+        ).log()
+    return decisions.CallQuarantined(call=effect.fingerprint, **facts).log()
 
 
-def _call_released(effect: quarantine.Released) -> effects.Log:
-    line = decisions.CallReleased(call=effect.fingerprint, why=effect.why)
-    return line.log()
+def _released(effect: quarantine.Released) -> effects.Log:
+    if effect.is_part:
+        return decisions.PartReleased(
+            part=effect.fingerprint, why=effect.why
+        ).log()
+    return decisions.CallReleased(
+        call=effect.fingerprint, why=effect.why
+    ).log()
 
 
 def _rate_reached(effect: rates.RateReached) -> effects.Log:
@@ -99,7 +107,7 @@
 LINES_BY_EFFECT: abc.Mapping[type, abc.Callable[[typing.Any], effects.Log]] = (
     types.MappingProxyType(
         {
-            quarantine.Released: _call_released,
+            quarantine.Released: _released,
             rates.RateReached: _rate_reached,
             register.OtherRegisterSeen: _other_register_seen,
             confirmation_status.ConfirmationLapsed: _confirmation_lapsed,
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -23,7 +23,6 @@
             'request_id': 'r1',
             'fingerprint': fingerprint,
             'content': 'content',
-            'parts': ('p1', 'p2'),
             'service': 'studio-portal',
             'caller': '10.0.0.9',
             'start': START,
@@ -69,8 +68,9 @@
 
         A stream is resumed at the address of the server that has ended.
         """
-        self.add(pieces=40, wrote_s=1.5)
-        self.add(pieces=0, ran_s=0.002)
+        parts = ('p1', 'p2')
+        self.add(parts=parts, pieces=40, wrote_s=1.5)
+        self.add(parts=parts, pieces=0, ran_s=0.002)
         line, _ = self.probed(is_refused=True)
         fields = dict(line.fields)
         self.assertEqual('p1 p2', fields['parts'])
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 
 from dandeliongw import codec
+from dandeliongw.coordination import _blame
 from dandeliongw.coordination import _cases
 from dandeliongw.coordination import _trials
 from dandeliongw.coordination import parts
@@ -76,7 +77,7 @@
         (held,) = self.out
         self.assertEqual(('a', 'b', 'c'), held.backend_ids)
         self.assertEqual(('gw-1',), held.told_by)
-        self.assertEqual(_cases.QUARANTINE_S, self.held_s())
+        self.assertEqual(_blame.QUARANTINE_S, self.held_s())
         self.assertEqual(0.0, self.held_s('other'))
 
     def test_a_start_counts_once_and_the_next_start_again(self):
@@ -167,12 +168,12 @@
     def test_each_further_crash_doubles_the_quarantine(self):
         for backend_id in ('a', 'b', 'c'):
             self.crash(backend_id, BAD)
-        self.now += _cases.QUARANTINE_S + 1.0
+        self.now += _blame.QUARANTINE_S + 1.0
         (released,) = self.handle(parts.Ticked(now=self.now, entropy=1))
         self.assertEqual(BAD, released.fingerprint)
         self.assertEqual(0.0, self.held_s())
         self.crash('d', BAD)
-        self.assertEqual(2 * _cases.QUARANTINE_S, self.held_s())
+        self.assertEqual(2 * _blame.QUARANTINE_S, self.held_s())
 
     def test_a_single_crash_expires(self):
         self.crash('a', BAD)
@@ -315,7 +316,7 @@
         self.assertIsNone(self.part.trial_at(self.NEAR))
         self.now += _trials.TRIAL_S
         self.assertFalse(self.request_trial())
-        self.assertGreater(self.held_s(self.NEAR), _cases.QUARANTINE_S)
+        self.assertGreater(self.held_s(self.NEAR), _blame.QUARANTINE_S)
 
     def test_a_call_that_is_not_quarantined_gets_no_trial(self):
         self.crash('a', self.NEAR)
--- a/tests/test_quarantine_check.py
+++ b/tests/test_quarantine_check.py
@@ -194,6 +194,242 @@
         self.assertEqual([], self.entry.dispatched(quarantine.Succeeded))
 
 
+class PartTestCase(unittest.TestCase):
+    """Base class: an entry that is sent prompts with shared parts."""
+
+    def setUp(self):
+        self.entry = entry_fake.Entry()
+
+    def part(self, name):
+        (found,) = self.entry.quarantine_check.parts(
+            entry_fake.call('completion', shared_parts=(name,))
+        )
+        return found
+
+    def crash(self, backend_id, *names, after_s=1.0, **changes):
+        """Report a crash under parts of prompts."""
+        self.entry.now += after_s
+        for name in names:
+            fields = {
+                'now': self.entry.now,
+                'fingerprint': self.part(name),
+                'start': presence.BackendStart(
+                    backend_id=backend_id, incarnation=1
+                ),
+                'ended_at': self.entry.now,
+                'is_part': True,
+            }
+            self.entry.quarantine.handle(
+                quarantine.Ended(**{**fields, **changes})
+            )
+
+    def hold(self, *names):
+        """Quarantine parts; return the resulting effects."""
+        for backend_id in 'abcd':
+            self.crash(backend_id, *names)
+        return self.entry.take(
+            self.entry.requests.stop_quarantined(
+                self.entry.now, self.part(names[0])
+            )
+        )
+
+    def arrive(self, *names, **changes):
+        return self.entry.arrive('completion', shared_parts=names, **changes)
+
+    def decoding(self, *names):
+        request_id = self.arrive(*names)
+        self.entry.book(request_id)
+        self.entry.prefill(request_id)
+        return request_id
+
+    def wrote(self, pieces, seconds):
+        """Return how an engine wrote pieces until now."""
+        return {
+            'pieces': pieces,
+            'first_piece_at': self.entry.now - seconds,
+            'last_piece_at': self.entry.now,
+        }
+
+
+class PartTest(PartTestCase):
+    """Guards against prompts with one part that crash engine after engine."""
+
+    def test_a_prompt_with_it_is_refused_and_others_are_not(self):
+        self.hold('bad')
+        self.arrive('first', 'bad')
+        refusal = self.entry.refusal
+        self.assertEqual(REASON.QUARANTINED, refusal.reason)
+        self.assertEqual(NOT_RUN, refusal.verdict)
+        self.assertIn('a part of this prompt', refusal.message)
+        fields = dict(self.entry.one(effects.Log).fields)
+        self.assertEqual(self.part('bad'), fields['parts'])
+        self.assertEqual('a b c d', fields['backend_ids'])
+        self.arrive('first', 'other')
+        self.assertEqual(1, len(self.entry.sent(cells.Book)))
+
+    def test_one_that_waits_is_stopped(self):
+        self.arrive('first', 'bad')
+        self.hold('bad')
+        self.assertEqual(REASON.QUARANTINED, self.entry.refusal.reason)
+        self.assertEqual(NOT_RUN, self.entry.refusal.verdict)
+
+    def test_one_whose_prompt_was_read_is_not_decoded(self):
+        request_id = self.arrive('bad')
+        self.entry.book(request_id)
+        for backend_id in 'abcd':
+            self.crash(backend_id, 'bad')
+        self.entry.prefill(request_id)
+        self.assertEqual([], self.entry.found(effects.RunDecode))
+        self.assertEqual(REASON.QUARANTINED, self.entry.refusal.reason)
+
+    def test_one_that_runs_is_not_resumed(self):
+        """Guards against a stream that crashes one engine for each piece."""
+        request_id = self.decoding('bad')
+        self.assertEqual([], self.hold('bad'))
+        self.entry.decode(request_id, RETRY.STREAM_BROKEN, tokens=2)
+        self.assertEqual([], self.entry.found(effects.RunDecode))
+        self.assertEqual([], self.entry.sent(cells.Book))
+        self.assertEqual(REASON.QUARANTINED, self.entry.refusal.reason)
+        self.assertEqual(MAY_HAVE_RUN, self.entry.refusal.verdict)
+
+    def end_under(self, request_id, **changes):
+        """End the engine under a stream; return the suspects told."""
+        self.entry.decode(
+            request_id,
+            RETRY.STREAM_BROKEN,
+            known=MAY_HAVE_RUN,
+            is_cut=True,
+            **changes,
+        )
+        probe = self.entry.one(effects.ProbeBackend)
+        self.entry.post(
+            events.BackendProbed, start=probe.start, is_refused=True
+        )
+        return self.entry.dispatched(quarantine.Ended)
+
+    @params((0, 0.0), (2, 5.0), (40, 0.5))
+    def test_a_crash_counts_against_the_parts_of_a_fresh_stream(
+        self, pieces, seconds
+    ):
+        request_id = self.decoding('first', 'bad')
+        call, *found = self.end_under(
+            request_id, **self.wrote(pieces, seconds)
+        )
+        self.assertFalse(call.is_part)
+        self.assertEqual(
+            [self.part('first'), self.part('bad')],
+            [each.fingerprint for each in found],
+        )
+        self.assertTrue(all(each.is_part for each in found))
+
+    def test_a_stream_that_went_on_leaves_its_parts_alone(self):
+        """Guards against blaming the neighbours of a bad stream."""
+        request_id = self.decoding('first', 'other')
+        found = self.end_under(request_id, **self.wrote(40, 2.0))
+        self.assertEqual([False], [each.is_part for each in found])
+        # A stream beside it, of another request, had only begun.
+        self.crash('a', 'first')
+        self.assertEqual([], self.entry.quarantine.ends(self.part('first')))
+
+    def test_parts_of_a_whole_answer_are_not_blamed_just_after(self):
+        request_id = self.decoding('first')
+        self.entry.decode(request_id, **self.wrote(6, 0.2))
+        self.crash('a', 'first', after_s=0.5)
+        self.assertTrue(self.entry.quarantine.is_empty)
+        self.crash('b', 'first', after_s=2.0)
+        self.assertEqual(
+            1, len(self.entry.quarantine.ends(self.part('first')))
+        )
+
+    @params((2, False), (3, True))
+    def test_a_short_answer_acquits_nothing(self, pieces, is_good):
+        """Guards against clearing a part by an answer of two pieces.
+
+        An engine that crashes as it begins to write may have sent these.
+        """
+        self.crash('a', 'bad')
+        request_id = self.decoding('bad')
+        self.entry.decode(request_id, **self.wrote(pieces, 0.1))
+        found = self.entry.dispatched(quarantine.Succeeded)
+        parts_told = {self.part('bad')} & {each.fingerprint for each in found}
+        self.assertEqual(is_good, bool(parts_told))
+
+    def test_an_answer_completed_after_a_crash_acquits_nothing(self):
+        """Guards against a bad stream that is answered piece by piece."""
+        self.crash('a', 'bad')
+        request_id = self.decoding('bad')
+        self.entry.decode(
+            request_id,
+            RETRY.STREAM_BROKEN,
+            tokens=2,
+            **self.wrote(2, 0.1),
+        )
+        self.entry.decode(request_id, **self.wrote(8, 0.1))
+        found = self.entry.dispatched(quarantine.Succeeded)
+        self.assertNotIn(
+            self.part('bad'), {each.fingerprint for each in found}
+        )
+
+
+class PartTrialTest(PartTestCase):
+    """One send of a quarantined part shows whether it is to blame."""
+
+    def setUp(self):
+        super().setUp()
+        self.hold('bad')
+
+    def trial(self, *names, after_s=_trials.PART_TRIAL_AFTER_S):
+        """Send a request when a trial is due; return its id if it runs."""
+        self.entry.now += after_s
+        request_id = self.arrive(*names)
+        asked = self.entry.dispatched(quarantine.AskTrial)
+        for event in asked:
+            for each in self.entry.quarantine.handle(event):
+                self.entry.take(
+                    self.entry.requests.trial_answered(
+                        self.entry.now, request_id, each.result
+                    )
+                )
+        return request_id if self.entry.sent(cells.Book) else None
+
+    def test_it_runs_once(self):
+        self.assertIsNone(self.trial('bad', after_s=1.0))
+        request_id = self.trial('first', 'bad')
+        self.assertIsNotNone(request_id)
+        self.assertIsNone(self.trial('bad', after_s=0.0))
+
+    def test_a_good_run_releases_the_part(self):
+        request_id = self.trial('bad')
+        self.entry.book(request_id)
+        self.entry.prefill(request_id)
+        self.entry.decode(request_id, **self.wrote(10, 0.5))
+        for event in self.entry.dispatched(quarantine.Succeeded):
+            self.entry.quarantine.handle(event)
+        self.arrive('bad')
+        self.assertEqual(1, len(self.entry.sent(cells.Book)))
+
+    def test_a_crash_is_the_last_one(self):
+        """Guards against one more crash for each trial."""
+        self.crash('e', 'bad', is_trial=True, after_s=5.0)
+        self.assertIsNone(self.trial('bad', after_s=600.0))
+
+    def test_it_has_a_neighbour_that_is_quarantined_meanwhile(self):
+        """Guards against a trial that crashes a server for another part."""
+        self.trial('worse', 'bad')
+        self.hold('worse')
+        self.assertEqual(REASON.QUARANTINED, self.entry.refusal.reason)
+
+    def test_one_suspect_alone_is_tried_first(self):
+        """Guards against a trial that tells nothing about either."""
+        for backend_id in 'wxyz':
+            self.crash(backend_id, 'worse')
+        after_s = _trials.PART_TRIAL_AFTER_S
+        self.assertIsNone(self.trial('bad', 'worse', after_s=after_s))
+        self.assertIsNotNone(self.trial('worse', after_s=0.0))
+        self.entry.now += _trials.TRIAL_S
+        self.assertIsNotNone(self.trial('bad', 'worse', after_s=after_s))
+
+
 class TogetherTest(unittest.TestCase):
     """Evidence that is shared between complete instances."""
 
