--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,7 +1,6 @@
 """Calls that crash backend servers: evidence, its spread, its evaluation."""
 
 import itertools
-import random
 import typing
 import unittest
 
@@ -9,20 +8,15 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
-from dandeliongw import codec
 from dandeliongw.coordination import _blame
 from dandeliongw.coordination import _cases
 from dandeliongw.coordination import _trials
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
 from dandeliongw.coordination import quarantine
-from dandeliongw.protocol import quarantine_pb2
-from tests import timeline
+from tests import quarantine_network
 
-CODEC = codec.Codec(
-    data_classes=quarantine.MESSAGES, wire_modules=[quarantine_pb2]
-)
-BAD = 'bad'
+BAD = quarantine_network.BAD
 #: Seconds within which a change has to reach all instances.
 SETTLE_S = 3.0
 
@@ -360,87 +354,13 @@
         self.assertFalse(known.result)
 
 
-class Instances(timeline.Timeline):
-    """Instances on links that delay and lose messages.
-
-    :param loss: fraction of the messages that are lost.
-    """
-
-    def __init__(self, *, count: int, loss: float, seed: int) -> None:
-        super().__init__()
-        self.chance = random.Random(seed)
-        self.loss = loss
-        self.ids = tuple(f'gw-{number}' for number in range(count))
-        self.parts_by_id: dict[str, quarantine.Quarantine] = {}
-        self.cut: set[str] = set()
-        self.sent_bytes = 0
-        self.sent = 0
-        self.granted: list[str] = []
-        for each in self.ids:
-            self.begin(each)
-            self._later(self.chance.random(), self._tick, each)
-
-    def begin(self, instance_id: str) -> None:
-        """Start an instance, with nothing in memory."""
-        self.parts_by_id[instance_id] = quarantine.Quarantine(
-            instance_id=instance_id
-        )
-        self.handle(
-            instance_id,
-            quarantine.SetPeers(now=self.now, instance_ids=self.ids),
-        )
-
-    def handle(self, instance_id: str, event: typing.Any) -> None:
-        for effect in self.parts_by_id[instance_id].handle(event):
-            if isinstance(effect, parts.Send):
-                self._send(instance_id, effect)
-            elif isinstance(effect, parts.Complete) and effect.result:
-                self.granted.append(instance_id)
-
-    def _send(self, sender: str, effect: parts.Send) -> None:
-        kind, body = CODEC.encode(effect.message)
-        self.sent += 1
-        self.sent_bytes += len(body)
-        if self.chance.random() < self.loss or {sender, effect.to} & self.cut:
-            return
-        delay = self.chance.uniform(0.002, 0.08)
-        self._later(delay, self._receive, sender, effect.to, kind, body)
-
-    def _receive(self, sender: str, to: str, kind: str, body: bytes) -> None:
-        message = CODEC.decode(kind, body)
-        self.handle(
-            to, parts.Received(now=self.now, sender=sender, message=message)
-        )
-
-    def _tick(self, instance_id: str) -> None:
-        entropy = self.chance.getrandbits(64)
-        self.handle(instance_id, parts.Ticked(now=self.now, entropy=entropy))
-        self._later(0.2, self._tick, instance_id)
-
-    def crash(self, instance_id: str, backend_id: str) -> None:
-        self.handle(
-            instance_id,
-            quarantine.Ended(
-                now=self.now,
-                fingerprint=BAD,
-                start=start(backend_id),
-                ended_at=self.now,
-            ),
-        )
-
-    def not_quarantining(self) -> list[str]:
-        return [
-            each
-            for each, part in self.parts_by_id.items()
-            if not part.held_s(self.now, BAD)
-        ]
-
-
 class SpreadTest(unittest.TestCase):
     """Guards against a call crashing servers through other instances."""
 
     def setUp(self):
-        self.instances = Instances(count=80, loss=0.1, seed=7)
+        self.instances = quarantine_network.Instances(
+            count=80, loss=0.1, seed=7
+        )
         self.instances.run(2.0)
 
     def crash_three(self):
@@ -456,7 +376,7 @@
     @params(*range(20))
     def test_simultaneous_crashes_add_up_as_soon(self, seed):
         """Guards against forwarding a call for 3 s after its third crash."""
-        instances = Instances(count=80, loss=0.1, seed=seed)
+        instances = quarantine_network.Instances(count=80, loss=0.1, seed=seed)
         instances.run(2.0)
         for number in range(3):
             instances.crash(f'gw-{number * 9}', f'server-{number}')
@@ -521,7 +441,7 @@
 
     def test_a_restarted_instance_requests_the_evidence_at_once(self):
         """Guards against running a quarantined call right after a start."""
-        instances = Instances(count=80, loss=0.0, seed=7)
+        instances = quarantine_network.Instances(count=80, loss=0.0, seed=7)
         for number in range(3):
             instances.crash(f'gw-{number}', f'server-{number}')
         instances.run(5.0)
@@ -569,7 +489,7 @@
         self.assertLess(sent, 500.0)
 
     def test_removed_evidence_does_not_circulate(self):
-        instances = Instances(count=8, loss=0.1, seed=7)
+        instances = quarantine_network.Instances(count=8, loss=0.1, seed=7)
         instances.crash('gw-1', 'a')
         instances.run(_cases.EVIDENCE_RETENTION_S + 5.0)
         left = [
