Store what is quarantined, so that it outlasts a loss of all instances

After a power loss of all machines nobody knew of a quarantine, and what had crashed three or four servers crashed as many again. Instances with a disk write a suspect's record when it is quarantined, and when it changes after that, as by a lift. A restored record is as old as it was when it was written, as no clock tells for how long the instance was down.

test_a_quarantine_outlasts_a_loss_of_all_instances failed before; a lift outlasts the loss, too.

--- a/dandeliongw/coordination/_case.py
+++ b/dandeliongw/coordination/_case.py
@@ -37,6 +37,7 @@
     :param good_at: when a run of a part last went on well, on this instance's
         clock; ``None`` if no such run is known.
     :param held_until: when its quarantine ends; ``None`` if there is none.
+    :param stored_size: its size when it was last written to the disk.
     """
 
     fingerprint: str
@@ -48,6 +49,7 @@
     lifted: Lifted | None = None
     good_at: float | None = None
     held_until: float | None = None
+    stored_size: int = 0
 
     @property
     def counted(self) -> list[End]:
@@ -59,6 +61,12 @@
         ]
         return sorted(found, key=lambda end: end.ended_at)
 
+    @property
+    def size(self) -> int:
+        """The number of items of evidence, which only grows."""
+        is_known_good = self.good_at is not None
+        return len(self.ends_by_start) + len(self.cleared) + is_known_good
+
     @property
     def last_at(self) -> float:
         """When the last crash happened, whether or not it still counts."""
--- a/dandeliongw/coordination/_cases.py
+++ b/dandeliongw/coordination/_cases.py
@@ -51,10 +51,7 @@
     def size(self, fingerprint: str) -> int:
         """Return the number of items of evidence on it; it only grows."""
         case = self.by_fingerprint.get(fingerprint)
-        if case is None:
-            return 0
-        is_known_good = case.good_at is not None
-        return len(case.ends_by_start) + len(case.cleared) + is_known_good
+        return 0 if case is None else case.size
 
     def merge(self, now: float, report: CaseReport) -> bool:
         """Add a report; return whether anything in it was new."""
--- a/dandeliongw/coordination/_quarantine_messages.py
+++ b/dandeliongw/coordination/_quarantine_messages.py
@@ -183,3 +183,5 @@
 
 #: Message classes to register with the codec.
 MESSAGES = (QuarantineNews, QuarantineSummary, TrialAsked, TrialAnswered)
+#: Classes of journal records to register with the codec.
+RECORDS = (CaseReport,)
--- a/dandeliongw/coordination/quarantine.py
+++ b/dandeliongw/coordination/quarantine.py
@@ -18,8 +18,8 @@
 
 How many crashes quarantine a suspect is decided in :mod:`._blame`. A run that
 goes on well clears a suspect of the crashes known by then, and of those within
-a moment after it. Nothing is persisted: after a loss of all instances a
-suspect has to crash as many backend servers again.
+a moment after it. Instances with a disk store what is quarantined, so that it
+outlasts a loss of all instances. Other evidence is in memory only.
 
 A quarantined suspect has no runs that could clear it. Therefore one request
 at a time is let through as a trial, see :mod:`._trials`.
@@ -47,6 +47,7 @@
 from ._quarantine_messages import Quarantined
 from ._quarantine_messages import QuarantineNews
 from ._quarantine_messages import QuarantineSummary
+from ._quarantine_messages import RECORDS
 from ._quarantine_messages import Released
 from ._quarantine_messages import ReportedEnd
 from ._quarantine_messages import ReportedLift
@@ -69,6 +70,7 @@
     'Quarantine',
     'QuarantineNews',
     'QuarantineSummary',
+    'RECORDS',
     'Quarantined',
     'Released',
     'ReportedEnd',
@@ -107,10 +109,14 @@
     """The quarantine state machine; the module describes the protocol.
 
     :param instance_id: this instance.
+    :param has_disk: whether it stores what is quarantined.
     """
 
-    def __init__(self, *, instance_id: str) -> None:
+    def __init__(self, *, instance_id: str, has_disk: bool = False) -> None:
         self.instance_id = instance_id
+        self._has_disk = has_disk
+        #: Records read from the disk, until the time is known.
+        self._restored: list[CaseReport] = []
         self._cases = Cases()
         self._grants = TrialGrants()
         #: Recent successful runs of calls that this instance forwarded; its
@@ -160,7 +166,14 @@
 
     def handle(self, event: typing.Any) -> Effects:
         """Apply an event; return the effects to perform, in order."""
+        if self._restored:
+            return [*self._apply_restored(event.now), *self._handle(event)]
+        return self._handle(event)
+
+    def _handle(self, event: typing.Any) -> Effects:
         match event:
+            case parts.Persisted():
+                return []
             case parts.Ticked():
                 return self._tick(event)
             case parts.Received():
@@ -180,11 +193,46 @@
         )
 
     def restore(self, record: typing.Any) -> None:
-        """Do nothing: other instances send their records at a start."""
+        """Restore a record from the journal; ignore those of other parts."""
+        if isinstance(record, CaseReport):
+            self._restored.append(record)
+
+    def snapshot(self) -> tuple[CaseReport, ...]:
+        """Return the records that :meth:`restore` needs."""
+        return (
+            *self._restored,
+            *(
+                case.report(case.last_at)
+                for case in self._cases.by_fingerprint.values()
+                if case.stored_size
+            ),
+        )
 
-    def snapshot(self) -> tuple[typing.Any, ...]:
-        """Return no records: the quarantine is not persisted."""
-        return ()
+    def _apply_restored(self, now: float) -> Effects:
+        """Add the restored evidence, as old as it was when it was stored.
+
+        No clock tells for how long the instance was down.
+        """
+        reports, self._restored = tuple(self._restored), []
+        out = self._add(now, reports)
+        for case in self._cases.by_fingerprint.values():
+            case.stored_size = case.size
+        return [each for each in out if not isinstance(each, parts.Persist)]
+
+    def _store(self, now: float) -> Effects:
+        """Store what is quarantined, and what has changed since."""
+        if not self._has_disk:
+            return []
+        changed = [
+            case
+            for case in self._cases.by_fingerprint.values()
+            if (case.held_until is not None or case.stored_size)
+            and case.stored_size != case.size
+        ]
+        for case in changed:
+            case.stored_size = case.size
+        reports = tuple(case.report(now) for case in changed)
+        return [parts.Persist(token='', records=reports)] if reports else []
 
     # Events of this instance.
 
@@ -366,7 +414,7 @@
             case.held_until is not None
             for case in self._cases.by_fingerprint.values()
         )
-        return out
+        return [*out, *self._store(now)]
 
     # Exchange with other instances.
 
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -171,7 +171,7 @@
             max_streams=settings.limits.max_streams,
         )
         self.quarantine = quarantine.Quarantine(
-            instance_id=settings.instance_id
+            instance_id=settings.instance_id, has_disk=self._is_voter
         )
         self.rates = rates.Rates(instance_id=settings.instance_id)
         self._entry_count = entry_count.EntryCount(
@@ -248,6 +248,7 @@
             'register': self.register,
             'claims': self.claims,
             'leases': self.leases,
+            'quarantine': self.quarantine,
         }
         self._throttled_parts = (
             _ThrottledPart(handle=self.membership.handle, every_s=SLOW_TICK_S),
@@ -255,7 +256,7 @@
             _ThrottledPart(handle=self._in_claims, every_s=SLOW_TICK_S),
             _ThrottledPart(handle=self._in_leases, every_s=TICK_S),
             _ThrottledPart(handle=self.presence.handle, every_s=TICK_S),
-            _ThrottledPart(handle=self.quarantine.handle, every_s=SLOW_TICK_S),
+            _ThrottledPart(handle=self._in_quarantine, every_s=SLOW_TICK_S),
         )
         self._ticked_at = -math.inf
         #: Whether the last tick came late. The process was then paused, and
@@ -367,7 +368,7 @@
             ),
             (self._on_announced, (presence.Announced,)),
             (
-                self.quarantine.handle,
+                self._in_quarantine,
                 (
                     quarantine.AskTrial,
                     quarantine.Succeeded,
@@ -414,7 +415,7 @@
             (self._in_leases, lease_messages.MESSAGES),
             (self.membership.handle, membership.MESSAGES),
             (self.presence.handle, presence.MESSAGES),
-            (self.quarantine.handle, quarantine.MESSAGES),
+            (self._in_quarantine, quarantine.MESSAGES),
             (self.rates.handle, rates.MESSAGES),
             (self._receive_as_owner, owner_module.OWNER_MESSAGES),
             (self._reclaim, (cells.ReclaimWanted,)),
@@ -531,6 +532,9 @@
     def _in_leases(self, event: typing.Any) -> list[typing.Any]:
         return _prefix_tokens('leases', self.leases.handle(event))
 
+    def _in_quarantine(self, event: typing.Any) -> list[typing.Any]:
+        return _prefix_tokens('quarantine', self.quarantine.handle(event))
+
     def _on_persisted(self, event: parts.Persisted) -> list[typing.Any]:
         name, _, token = event.token.partition('/')
         persisted = parts.Persisted(now=event.now, token=token)
@@ -670,7 +674,7 @@
                     backend_id=event.start.backend_id,
                 )
             ]
-        return self.quarantine.handle(event)
+        return self._in_quarantine(event)
 
     def _was_stopped(
         self, start: presence.BackendStart, ended_at: float
@@ -877,7 +881,7 @@
             *self._in_register(
                 register.InstancesChanged(now=now, instance_ids=present)
             ),
-            *self.quarantine.handle(
+            *self._in_quarantine(
                 quarantine.SetPeers(now=now, instance_ids=present)
             ),
         ]
--- a/tests/test_quarantine_check.py
+++ b/tests/test_quarantine_check.py
@@ -479,6 +479,32 @@
                 REASON.QUARANTINED, self.refusal_at(f'gw-{number}')
             )
 
+    def test_a_quarantine_outlasts_a_loss_of_all_instances(self):
+        """Guards against as many crashes again after each power loss."""
+        for number in (1, 2, 3):
+            self.network.run(1.0)
+            self.end('gw-1', f'portal-{number}')
+        self.network.run(1.0)
+        for number in (1, 2, 3):
+            self.network.start(f'gw-{number}', disk_id=f'disk-gw-{number}')
+        self.network.run(3.0)
+        for number in (1, 2, 3):
+            self.assertEqual(
+                REASON.QUARANTINED, self.refusal_at(f'gw-{number}')
+            )
+
+    def test_a_lift_outlasts_it_too(self):
+        """Guards against a call that is refused again after a restart."""
+        for number in (1, 2, 3):
+            self.end('gw-1', f'portal-{number}')
+            self.network.run(1.0)
+        self.lift()
+        self.network.run(1.0)
+        for number in (1, 2, 3):
+            self.network.start(f'gw-{number}', disk_id=f'disk-gw-{number}')
+        self.network.run(3.0)
+        self.assertNotEqual(REASON.QUARANTINED, self.refusal_at('gw-3'))
+
     def test_copies_from_several_addresses_are_one_call(self):
         """Guards against three crashed servers for each client address.
 
@@ -581,12 +607,9 @@
             ),
         )
 
-    def test_a_lift_applies_at_all_entries(self):
-        for number in (1, 2, 3):
-            self.end('gw-1', f'portal-{number}')
-            self.network.run(1.0)
+    def lift(self):
         (case,) = self.network.reducers_by_id['gw-2'].quarantine.cases()
-        out = self.network.post(
+        return self.network.post(
             'gw-2',
             quarantine.Lift(
                 now=self.network.now,
@@ -596,5 +619,11 @@
                 ticket='t',
             ),
         )
+
+    def test_a_lift_applies_at_all_entries(self):
+        for number in (1, 2, 3):
+            self.end('gw-1', f'portal-{number}')
+            self.network.run(1.0)
+        out = self.lift()
         self.assertIn(parts.Complete(ticket='t', result=True), out)
         self.assertNotEqual(REASON.QUARANTINED, self.refusal_at('gw-3'))
