Tests of answers with neither a length nor chunks

They end with their connection: whole ones are passed on, a stream that ends inside an event and anything that is reset has been broken off, and the connection is not used again. All passed on the code as it was.

--- a/tests/test_platform_backend_calls.py
+++ b/tests/test_platform_backend_calls.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import json
+import socket
+import struct
 import unittest
 
 from nose2.tools import params
@@ -301,6 +303,69 @@
         self.assertIs(caught.exception.known, MAY_HAVE_RUN)
 
 
+def unframed(body=b'', *, is_reset=False):
+    """Return a reply with neither a length nor chunks, and its end.
+
+    :param is_reset: whether the connection ends with a reset.
+    """
+    data = answer(body=body, Content_Length='', Connection='')
+
+    def reply(connection):
+        connection.sendall(data)
+        if not is_reset:
+            connection.shutdown(socket.SHUT_WR)
+            connection.recv(1)
+            return
+        linger = struct.pack('ii', 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    return reply
+
+
+class UnframedTest(unittest.TestCase):
+    """Answers with neither a length nor chunks, which end by their connection.
+
+    Guards against one that was broken off and looks complete.
+    """
+
+    def test_a_whole_stream(self):
+        with raw_server.serving(unframed(EVENTS)) as made:
+            _, *pieces, end = stream(made.url)
+        self.assertEqual(b''.join(each.data for each in pieces), EVENTS)
+        self.assertTrue(end.is_end)
+
+    def test_a_whole_answer(self):
+        with raw_server.serving(unframed(b'all of it')) as made:
+            self.assertEqual(b'all of it', call(made.url).body)
+
+    @params(
+        unframed(EVENTS[:-1]),
+        unframed(EVENTS[:20]),
+        unframed(EVENTS, is_reset=True),
+    )
+    def test_a_stream_that_was_broken_off(self, reply):
+        with raw_server.serving(reply) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                stream(made.url)
+        self.assertTrue(caught.exception.is_cut)
+        self.assertIs(caught.exception.known, MAY_HAVE_RUN)
+
+    def test_an_answer_that_was_reset(self):
+        reply = unframed(b'a part', is_reset=True)
+        with raw_server.serving(reply) as made:
+            with self.assertRaises(engine.EngineError) as caught:
+                call(made.url)
+        self.assertTrue(caught.exception.is_cut)
+
+    def test_its_connection_is_not_used_again(self):
+        """Guards against a call that is sent where nobody reads it."""
+        shared = connection_pool.ConnectionPool()
+        with raw_server.serving(unframed(b'one'), answer(body=b'two')) as made:
+            bodies = [call(made.url, shared).body for _ in range(2)]
+            self.assertEqual(2, len(made.calls))
+        self.assertEqual([b'one', b'two'], bodies)
+
+
 class PlainTest(unittest.TestCase):
     def test_the_answer_is_returned_unchanged(self):
         with raw_server.serving(answer(500, b'sorry')) as made:
