--- a/dandeliongw/api/console.py
+++ b/dandeliongw/api/console.py
@@ -94,7 +94,7 @@
     @cherrypy.expose
     @page
     def quarantine(self, session: ConsoleSession, form: forms.Form) -> bytes:
-        """Show the calls in quarantine, and other suspected ones."""
+        """Show what is in quarantine, and what else is suspected."""
         content = status_pages.quarantine(
             self._control.suspects(), session.form_token
         )
@@ -103,7 +103,7 @@
     @cherrypy.expose
     @action
     def lift(self, session: ConsoleSession, form: forms.Form) -> bytes:
-        """Lift the quarantine of a call."""
+        """Lift the quarantine of a call or part of prompts."""
         call = _browser.read_call(form)
         is_known = self._control.lift(
             call=call,
--- a/dandeliongw/api/operator_interface.py
+++ b/dandeliongw/api/operator_interface.py
@@ -167,7 +167,7 @@
 
 
 class LiftEntry(typing.TypedDict):
-    """Who lifted the quarantine of a call, and why."""
+    """Who lifted a quarantine, and why."""
 
     operator: str
     reason: str
@@ -175,14 +175,16 @@
 
 
 class SuspectEntry(typing.TypedDict):
-    """A call that is suspected of ending backend servers.
+    """A call, or a part of prompts, that is suspected of ending servers.
 
-    ``call`` is its fingerprint. ``held_s`` is the remaining time of its
-    quarantine in seconds, 0 if it may be sent. ``ends`` lists the ends that
-    count against it; ``cleared`` is the number of those that no longer do.
+    ``call`` is its fingerprint, ``kind`` is ``call`` or ``part``. ``held_s``
+    is the remaining time of its quarantine in seconds, 0 if it may be sent.
+    ``ends`` lists the ends that count against it; ``cleared`` is the number of
+    those that no longer do.
     """
 
     call: str
+    kind: typing.Literal['call', 'part']
     held_s: float
     ends: list[EndEntry]
     cleared: int
@@ -225,13 +227,14 @@
         ...
 
     def suspects(self) -> list[SuspectEntry]:
-        """Return the calls that are suspected of ending backend servers."""
+        """Return what is suspected of ending backend servers."""
         ...
 
     def lift(self, *, call: str, operator: str, reason: str) -> bool:
-        """Lift the quarantine of a call, at every instance.
+        """Lift a quarantine, at every instance.
 
-        :returns: whether this instance has records of the call.
+        :param call: fingerprint of the call, or part of prompts.
+        :returns: whether this instance has records of it.
         """
         ...
 
--- a/dandeliongw/api/pages/status.py
+++ b/dandeliongw/api/pages/status.py
@@ -156,13 +156,14 @@
 def quarantine(
     suspects: abc.Iterable[operator_interface.SuspectEntry], form_token: str
 ) -> list[markup.Markup]:
-    """Return the calls that are suspected of ending backend servers.
+    """Return what is suspected of ending backend servers.
 
     :param form_token: for the forms that lift a quarantine.
     """
     rows = [
         (
             each['call'],
+            each['kind'],
             f'for {each["held_s"]:.0f} s' if each['held_s'] else 'no',
             ', '.join(end['backend_id'] for end in each['ends']) or NONE,
             _lifted(each['lifted']),
@@ -170,8 +171,11 @@
         )
         for each in suspects
     ]
-    headings = ('Call', 'Quarantined', 'Ended servers', 'Lifted', 'Lift')
-    return [layout.table('Calls suspected of ending servers', headings, rows)]
+    headings = (
+        *('Fingerprint', 'Kind', 'Quarantined'),
+        *('Ended servers', 'Lifted', 'Lift'),
+    )
+    return [layout.table('Suspected of ending servers', headings, rows)]
 
 
 def _lifted(lift: operator_interface.LiftEntry | None) -> str:
@@ -194,7 +198,7 @@
         'lift',
         form_token,
         layout.hidden('call', call),
-        markup.tag('label', 'Why the call may run again', field),
+        markup.tag('label', 'Why it may run again', field),
         markup.tag('button', 'Lift the quarantine'),
     )
 
--- a/dandeliongw/client.py
+++ b/dandeliongw/client.py
@@ -70,7 +70,7 @@
         return self._success(status, answer)
 
     def lift(self, call: str, reason: str) -> dict[str, typing.Any]:
-        """Release a call from quarantine.
+        """Release a call, or a part of prompts, from quarantine.
 
         :param call: the call's fingerprint.
         :param reason: why it may run again; recorded.
--- a/dandeliongw/command.py
+++ b/dandeliongw/command.py
@@ -124,7 +124,9 @@
 
 
 def quarantine(*, url: str, token_file: str) -> None:
-    """Show calls during which backend servers ended, quarantined ones first.
+    """Show what ended backend servers, quarantined ones first.
+
+    These are calls, and parts of the prompts of several calls.
 
     :param url: the control address of any instance, as http://10.0.1.5:7001
     :param token_file: path of a file that holds the operator's token
@@ -133,9 +135,9 @@
 
 
 def lift(call: str, /, *, url: str, token_file: str, reason: str) -> None:
-    """Release a call from quarantine, on every instance.
+    """Release a call or part from quarantine, on every instance.
 
-    :param call: fingerprint of the call, as "quarantine" shows it
+    :param call: its fingerprint, as "quarantine" shows it
     :param url: the control address of any instance, as http://10.0.1.5:7001
     :param token_file: path of a file that holds the operator's token
     :param reason: why it may run again; recorded with your name
--- a/dandeliongw/operators_facade.py
+++ b/dandeliongw/operators_facade.py
@@ -273,6 +273,7 @@
     lifted = case.lifted
     return operator_interface.SuspectEntry(
         call=case.fingerprint,
+        kind='part' if case.is_part else 'call',
         held_s=round(max(0.0, held_until - now), 1),
         ends=[
             operator_interface.EndEntry(
--- a/tests/operators_fake.py
+++ b/tests/operators_fake.py
@@ -159,6 +159,7 @@
         return [
             {
                 'call': QUARANTINED_CALL,
+                'kind': 'call',
                 'held_s': 0.0 if self.lifts else 540.0,
                 'ends': [
                     {'backend_id': 'd1', 'told_by': 'gw-1', 'age_s': 60.0}
