--- a/specs/quarantine_spec.py
+++ b/specs/quarantine_spec.py
@@ -1,20 +1,21 @@
-"""Specification of how entries share the evidence against one call.
+"""Specification of how entries share the evidence against one suspect.
 
-Three entries run the call or hold it back. A run succeeds, crashes its
-backend server, or ends with a connection reset. Each entry has two sets: the
-starts of backend servers that ended under the call, and those of them that
+The suspect is a call, or a part of prompts; which of several is to blame is in
+``blame_spec``. Three entries run it or hold it back. A run succeeds, crashes
+its backend server, or ends with a connection reset. Each entry has two sets:
+the starts of backend servers that ended under it, and those of them that
 were cleared and don't count any more, as in ``coordination/_cases.py``. A
 start is one bit. A message that is lost is a step that is not taken. In a
 *period* every entry receives the evidence of all others, as comparisons
 ensure within the time in which a change has to settle
 (``coordination/quarantine.py``). If an entry restarts, evidence that only it
-had is lost.
+had is lost. The home has a disk, on which it stores what it holds; all entries
+may restart at one moment, and then only that is left.
 
-A held call may be tried: one entry, its home, grants one trial at a time
+A held suspect may be tried: one entry, its home, grants one trial at a time
 (``coordination/_trials.py``). The grant ends when a period has passed after
 the trial, which is much shorter than the time that a trial may take.
 
-It is not modelled which call is to blame if several ran on one server.
 """
 
 from collections import abc
@@ -46,6 +47,7 @@
     ' hold the call',
     'home_grants': 'each entry grants a trial of its own',
     'trials_end': 'one trial after another ends a server',
+    'stored': 'nothing is stored, so that a loss of all entries loses it',
 }
 #: Safeguards that matter only in the model with trials.
 TRIAL_SAFEGUARDS = ('home_grants', 'trials_end')
@@ -72,6 +74,9 @@
     :param is_compared: nothing has happened since the last period.
     :param is_late: after ``is_settled``, an entry that had not restarted
         since the last period has sent the call.
+    :param stored: starts on the home's disk.
+    :param stored_cleared: those of them that don't count any more.
+    :param losses: restarts of all entries that may still happen.
     """
 
     known: tuple[int, ...]
@@ -91,6 +96,9 @@
     is_settled: bool = False
     is_compared: bool = False
     is_late: bool = False
+    stored: int = 0
+    stored_cleared: int = 0
+    losses: int = 0
 
 
 Steps = abc.Iterator[tuple[str, State]]
@@ -104,6 +112,7 @@
     :param successes: most successful runs.
     :param resets: most connection resets.
     :param restarts: most restarts of entries.
+    :param losses: most restarts of all entries at one moment.
     :param trials: whether a held call may be tried.
     :param without: the safeguard to leave out, or ``None``.
     """
@@ -112,6 +121,7 @@
     successes: int = 0
     resets: int = 0
     restarts: int = 0
+    losses: int = 0
     trials: bool = False
     without: str | None = None
 
@@ -132,11 +142,30 @@
             successes=self.successes,
             resets=self.resets,
             restarts=self.restarts,
+            losses=self.losses,
         )
 
     def steps(self, values: tuple) -> list[tuple[str, State]]:
-        state = State(*values)
+        return [
+            (label, self.store(after))
+            for label, after in self._steps(State(*values))
+        ]
+
+    def store(self, state: State) -> State:
+        """The home stores what it holds, and what changes after that."""
+        if not self.losses or not self.has('stored'):
+            return state
+        if not state.stored and not holds(state, HOME):
+            return state
+        return state._replace(
+            stored=state.stored | state.known[HOME],
+            stored_cleared=state.stored_cleared | state.cleared[HOME],
+        )
+
+    def _steps(self, state: State) -> list[tuple[str, State]]:
         found = [('period', self.period(state))]
+        if state.losses:
+            found.append(('all restart', self.lose_all(state)))
         if state.is_granted and not state.trying and state.is_compared:
             over = state._replace(is_granted=False)
             found.append(('the trial is over', over))
@@ -281,6 +310,22 @@
             is_compared=False,
         )
 
+    def lose_all(self, state: State) -> State:
+        nothing = (0,) * len(ENTRIES)
+        seen = functools.reduce(operator.or_, state.known)
+        # What nobody held may be lost; the home holds what is settled.
+        lost = 0 if holds(state, HOME) else seen
+        return state._replace(
+            known=put(nothing, HOME, state.stored),
+            cleared=put(nothing, HOME, state.stored_cleared),
+            surplus=nothing,
+            running=0,
+            fresh=(1 << len(ENTRIES)) - 1,
+            lost=state.lost | lost,
+            losses=state.losses - 1,
+            is_compared=False,
+        )
+
 
 def put(values: tuple[int, ...], who: int, value: int) -> tuple[int, ...]:
     return (*values[:who], value, *values[who + 1 :])
@@ -376,12 +421,16 @@
     :param without: the safeguard to leave out, or ``None``.
     """
     trials = _model('5 ends, trials', without, ends=5, trials=True)
+    losses = _model('3 ends, 1 loss of all', without, ends=3, losses=1)
     if without in TRIAL_SAFEGUARDS:
         return (trials,)
+    if without == 'stored':
+        return (losses,)
     return (
         _model(
             '3 ends, 1 restart, 1 reset', without, ends=3, restarts=1, resets=1
         ),
         _model('4 ends, 1 run that ends well', without, ends=4, successes=1),
+        losses,
         trials,
     )
