Tell copies of a call apart when their server ends

An entry kept one run for each call's fingerprint of those that an end had cut off, the one that had been written most. Now each request has its own; test_copies_of_a_call_are_told_apart failed before.

--- a/dandeliongw/entry/crash_detection.py
+++ b/dandeliongw/entry/crash_detection.py
@@ -76,7 +76,7 @@
 
     url: str
     broke_at: float
-    runs_by_fingerprint: dict[str, InterruptedRun]
+    runs_by_request: dict[str, InterruptedRun]
     probes: int = 0
     is_probing: bool = False
 
@@ -94,14 +94,14 @@
         interruption = self._interruptions_by_start.get(run.start)
         if interruption is None:
             interruption = _Interruption(
-                url=run.url, broke_at=now, runs_by_fingerprint={}
+                url=run.url, broke_at=now, runs_by_request={}
             )
             self._interruptions_by_start[run.start] = interruption
-        known = interruption.runs_by_fingerprint.get(run.fingerprint)
+        known = interruption.runs_by_request.get(run.request_id)
         if known is None or run.pieces >= known.pieces:
             # A resume at a server that has ended breaks again, with nothing
             # written. It must not hide what was written before.
-            interruption.runs_by_fingerprint[run.fingerprint] = run
+            interruption.runs_by_request[run.request_id] = run
         return self._probe(now, run.start, interruption)
 
     def tick(self, now: float) -> Effects:
@@ -146,10 +146,10 @@
     event: events.BackendProbed, interruption: _Interruption
 ) -> Effects:
     out: Effects = []
-    for fingerprint, run in interruption.runs_by_fingerprint.items():
+    for run in interruption.runs_by_request.values():
         line = decisions.BackendEnded(
             request_id=run.request_id,
-            call=fingerprint,
+            call=run.fingerprint,
             content=run.content,
             parts=' '.join(run.parts),
             service=run.service,
@@ -159,7 +159,7 @@
             ran_ms=round(run.ran_s * 1000),
             pieces=run.pieces,
             wrote_ms=round(run.wrote_s * 1000),
-            calls_beside=len(interruption.runs_by_fingerprint) - 1,
+            calls_beside=len(interruption.runs_by_request) - 1,
             is_trial=bool(run.trial_of),
         )
         out.append(line.log())
@@ -170,7 +170,7 @@
                 start=event.start,
                 ended_at=interruption.broke_at,
                 is_trial=suspect in run.trial_of,
-                is_part=suspect != fingerprint,
+                is_part=suspect != run.fingerprint,
             )
             out.append(effects.Dispatch(event=ended))
     return out
--- a/tests/test_crash_detection.py
+++ b/tests/test_crash_detection.py
@@ -47,7 +47,7 @@
         (probe,) = self.add('f1')
         self.assertIsInstance(probe, effects.ProbeBackend)
         # One probe for all of them.
-        self.assertEqual([], self.add('f2'))
+        self.assertEqual([], self.add('f2', request_id='r2'))
         line, first, _, second = self.probed(is_refused=True)
         self.assertIsInstance(first, effects.Dispatch)
         self.assertEqual(
@@ -77,6 +77,20 @@
         self.assertEqual('40', fields['pieces'])
         self.assertEqual('1500', fields['wrote_ms'])
 
+    def test_copies_of_a_call_are_told_apart(self):
+        """Guards against a bad prompt that another one's run hides.
+
+        Prompts may differ in parts that are no part of the fingerprint.
+        """
+        self.add(parts=('bad',), pieces=1)
+        self.add(request_id='r2', parts=('first',), pieces=2)
+        found = [
+            each.event.fingerprint
+            for each in self.probed(is_refused=True)
+            if isinstance(each, effects.Dispatch)
+        ]
+        self.assertEqual(['f1', 'bad', 'f1', 'first'], found)
+
     def test_a_server_that_still_listens_has_not_ended(self):
         """Guards against calls that are quarantined after connection resets.
 
