Give no trial to a call with a key

A trial begins without a claim. Only calls without an account got one so far, and those with a held part whoever sends them since parts are quarantined: a call with an Idempotency-Key could then run without its claim, and twice. It is refused; test_a_call_with_a_key_is_no_trial failed before.

--- a/dandeliongw/entry/quarantine_check.py
+++ b/dandeliongw/entry/quarantine_check.py
@@ -110,13 +110,15 @@
         """Return the seconds until a trial is due; ``None`` if none will be.
 
         Only a call without an account or credentials gets a trial: no client
-        but its own sends any other. Parts are shared by all clients. Of
-        several that are quarantined, each delays the trial: requests that
-        have only one of them tell more, and go first.
+        but its own sends any other. Parts are shared by all clients. A call
+        with a key gets none, as a trial runs without a claim. Of several that
+        are quarantined, each delays the trial: requests that have only one of
+        them tell more, and go first.
         """
-        if self.fingerprint(call) in held and (
+        is_own = self.fingerprint(call) in held and (
             not fingerprint_module.is_shared(call)
-        ):
+        )
+        if is_own or call.idempotency_key is not None:
             return None
         waits_s = []
         for each in held:
--- a/tests/test_quarantine_check.py
+++ b/tests/test_quarantine_check.py
@@ -413,6 +413,13 @@
         self.crash('e', 'bad', is_trial=True, after_s=5.0)
         self.assertIsNone(self.trial('bad', after_s=600.0))
 
+    def test_a_call_with_a_key_is_no_trial(self):
+        """Guards against a call that runs without its claim."""
+        self.entry.now += _trials.PART_TRIAL_AFTER_S
+        self.arrive('bad', key='k')
+        self.assertEqual([], self.entry.dispatched(quarantine.AskTrial))
+        self.assertEqual(REASON.QUARANTINED, self.entry.refusal.reason)
+
     def test_it_has_a_neighbour_that_is_quarantined_meanwhile(self):
         """Guards against a trial that crashes a server for another part."""
         self.trial('worse', 'bad')
