Tell that a part ran well together with what that clears

A good run cleared a part of its crashes without marking it as one that is known to run well, until it crashed again. An answer on which several servers wrote could replace the time of a later good run by an earlier one. GoodPartTest has what is told of parts, and to whom.

--- a/dandeliongw/coordination/_successes.py
+++ b/dandeliongw/coordination/_successes.py
@@ -33,7 +33,8 @@
     def record(self, now: float, fingerprint: str) -> None:
         """Record a good run of a suspect."""
         times = self._at_by_fingerprint
-        times[fingerprint] = now
+        # Answers on which several servers wrote are recorded out of order.
+        times[fingerprint] = max(now, times.get(fingerprint, now))
         times.move_to_end(fingerprint)
         if self._max_count is not None and len(times) > self._max_count:
             times.popitem(last=False)
--- a/dandeliongw/coordination/quarantine.py
+++ b/dandeliongw/coordination/quarantine.py
@@ -70,8 +70,8 @@
     'Quarantine',
     'QuarantineNews',
     'QuarantineSummary',
-    'RECORDS',
     'Quarantined',
+    'RECORDS',
     'Released',
     'ReportedEnd',
     'ReportedLift',
@@ -198,7 +198,10 @@
             self._restored.append(record)
 
     def snapshot(self) -> tuple[CaseReport, ...]:
-        """Return the records that :meth:`restore` needs."""
+        """Return the records that :meth:`restore` needs.
+
+        They are as old as they were at their last crash.
+        """
         return (
             *self._restored,
             *(
@@ -274,7 +277,9 @@
         case = self._cases.by_fingerprint.get(event.fingerprint)
         if case is None or not case.counted:
             return []
-        report = _clearing(case, lift=None)
+        report = _clearing(
+            case, good_age_s=self._good_age_s(event.now, event.fingerprint)
+        )
         if not case.is_part:
             return self._add_and_send(event.now, report)
         # Many instances may have a good run of a part in the same moment, so
@@ -545,7 +550,12 @@
     )
 
 
-def _clearing(case: Case, *, lift: ReportedLift | None) -> CaseReport:
+def _clearing(
+    case: Case,
+    *,
+    lift: ReportedLift | None = None,
+    good_age_s: float | None = None,
+) -> CaseReport:
     """Return a report that clears a suspect of all crashes that count."""
     return CaseReport(
         fingerprint=case.fingerprint,
@@ -553,6 +563,7 @@
         cleared=tuple(end.start for end in case.counted),
         lift=lift,
         is_part=case.is_part,
+        good_age_s=good_age_s,
     )
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -320,6 +320,69 @@
         self.assertFalse(self.request_trial('unknown'))
 
 
+class GoodPartTest(SingleInstance):
+    """What good runs of a part of prompts tell the other instances."""
+
+    PART = 'part'
+
+    def crash_part(self, backend_id):
+        self.now += 1.0
+        self.handle(
+            quarantine.Ended(
+                now=self.now,
+                fingerprint=self.PART,
+                start=start(backend_id),
+                ended_at=self.now,
+                is_part=True,
+            )
+        )
+
+    def reports(self):
+        return [
+            report
+            for each in self.out
+            if isinstance(each, parts.Send)
+            for report in each.message.cases
+        ]
+
+    def setUp(self):
+        super().setUp()
+        peers = tuple(f'gw-{number}' for number in range(2, 9))
+        self.handle(quarantine.SetPeers(now=self.now, instance_ids=peers))
+
+    def test_nothing_is_told_just_after_a_good_run(self):
+        """Guards against messages on parts that everybody sends."""
+        self.part.good_parts.record(self.now, self.PART)
+        self.crash_part('a')
+        self.assertEqual([], self.out)
+
+    def test_a_good_run_long_before_is_told(self):
+        self.part.good_parts.record(self.now - 60.0, self.PART)
+        self.crash_part('a')
+        self.assertEqual({61.0}, {r.good_age_s for r in self.reports()})
+
+    def test_a_good_run_is_told_to_the_aggregators_only(self):
+        """Guards against hundreds of instances that all tell all others."""
+        for backend_id in ('a', 'b'):
+            self.crash_part(backend_id)
+        self.part.good_parts.record(self.now, self.PART)
+        self.succeed(self.PART)
+        self.assertLessEqual(len(self.out), quarantine.AGGREGATORS)
+        self.assertEqual({0.0}, {r.good_age_s for r in self.reports()})
+        self.assertEqual([], self.part.ends(self.PART))
+
+    def test_an_earlier_good_run_does_not_replace_a_later_one(self):
+        self.part.good_parts.record(self.now, self.PART)
+        self.part.good_parts.record(self.now - 5.0, self.PART)
+        self.assertEqual(self.now, self.part.good_parts.last_at(self.PART))
+
+    def test_the_least_recent_parts_are_forgotten(self):
+        for number in range(quarantine.MAX_KNOWN_GOOD + 1):
+            self.part.good_parts.record(self.now, str(number))
+        self.assertIsNone(self.part.good_parts.last_at('0'))
+        self.assertEqual(self.now, self.part.good_parts.last_at('1'))
+
+
 class LiftTest(SingleInstance):
     """An operator lifts the quarantine of a call."""
 
