--- a/dandeliongw/entry/crash_detection.py
+++ b/dandeliongw/entry/crash_detection.py
@@ -57,15 +57,10 @@
 
     @property
     def suspects(self) -> tuple[str, ...]:
-        """What the crash counts against: the call and parts of its prompt.
-
-        A part crashes a server as that begins to write, if it does.
-        """
-        is_written = (
-            self.pieces >= quarantine_check.MIN_GOOD_PIECES
-            and self.wrote_s >= quarantine_check.MIN_GOOD_S
-        )
-        return (self.fingerprint, *(() if is_written else self.parts))
+        """What the crash counts against: the call and parts of its prompt."""
+        if quarantine_check.is_written_on(self.pieces, self.wrote_s):
+            return (self.fingerprint,)
+        return (self.fingerprint, *self.parts)
 
 
 class _Interruption(msgspec.Struct, kw_only=True):
--- a/dandeliongw/entry/quarantine_check.py
+++ b/dandeliongw/entry/quarantine_check.py
@@ -16,6 +16,17 @@
 
 Effects = list[typing.Any]
 
+#: Lower bound of ``Retry-After``, in seconds, once a trial is due: a trial of
+#: another send may be under way.
+MIN_TRIAL_RETRY_S = 2.0
+#: Seconds by which each further suspect in a request delays its trial.
+JOINT_TRIAL_DELAY_S = 5.0
+#: Pieces that an engine writes before an answer counts as one on which it
+#: went on. One that crashes as it begins may have sent the first ones.
+MIN_GOOD_PIECES = 3
+#: Seconds for which an engine writes on an unfinished answer before that.
+MIN_GOOD_S = 1.0
+
 
 class Held(msgspec.Struct, frozen=True, kw_only=True):
     """The reason why a request is refused: something in it is quarantined.
@@ -33,16 +44,15 @@
     may_be_trial: bool
 
 
-#: Lower bound of ``Retry-After``, in seconds, once a trial is due: a trial of
-#: another send may be under way.
-MIN_TRIAL_RETRY_S = 2.0
-#: Seconds by which each further suspect in a request delays its trial.
-JOINT_TRIAL_DELAY_S = 5.0
-#: Pieces that an engine writes before an answer counts as one on which it
-#: went on. One that crashes as it begins may have sent the first ones.
-MIN_GOOD_PIECES = 3
-#: Seconds for which an engine writes on an unfinished answer before that.
-MIN_GOOD_S = 1.0
+def is_written_on(pieces: int, wrote_s: float) -> bool:
+    """Return whether an engine went on with an answer that it then broke off.
+
+    A part that crashes engines does so as they begin to write.
+
+    :param pieces: that it wrote.
+    :param wrote_s: seconds between the first and the last of them.
+    """
+    return pieces >= MIN_GOOD_PIECES and wrote_s >= MIN_GOOD_S
 
 
 class QuarantineCheck:
@@ -153,14 +163,15 @@
     ) -> Effects:
         """Record the parts of a prompt on whose answer an engine went on.
 
-        A part that crashes engines does so as they begin to write. An answer
-        that another engine completes after a crash proves nothing: the last
-        pieces may have been written by then.
+        An answer that an engine completes after another one has failed proves
+        nothing: the last pieces may have been written by then.
         """
-        is_whole = event.failure is None and not request.has_failed
-        if event.pieces < MIN_GOOD_PIECES or (
-            not is_whole and event.wrote_s < MIN_GOOD_S
-        ):
+        is_whole = (
+            event.failure is None
+            and not request.has_failed
+            and event.pieces >= MIN_GOOD_PIECES
+        )
+        if not is_whole and not is_written_on(event.pieces, event.wrote_s):
             return []
         out: Effects = []
         for part in self.parts(request.call):
