--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -214,38 +214,38 @@
     is_trial: bool
 
 
-class CallQuarantined(Decision, frozen=True, kw_only=True):
-    """A call is quarantined: it is no longer sent to backend servers.
+class SuspectQuarantined(Decision, frozen=True, kw_only=True):
+    """Something is quarantined: it is no longer sent to backend servers.
 
-    :param call: its fingerprint.
     :param backend_ids: the backend servers that ended while they ran it.
     :param told_by: the entries that observed this.
     :param held_s: seconds until the quarantine ends.
     """
 
-    message: typing.ClassVar[str] = 'call quarantined'
     level: typing.ClassVar[str] = 'WARNING'
-    call: str
     backend_ids: str
     told_by: str
     held_s: float
 
 
-class PartQuarantined(Decision, frozen=True, kw_only=True):
-    """No call with this part in its prompt is sent to backend servers.
+class CallQuarantined(SuspectQuarantined, frozen=True, kw_only=True):
+    """A call is quarantined.
+
+    :param call: its fingerprint.
+    """
+
+    message: typing.ClassVar[str] = 'call quarantined'
+    call: str
+
+
+class PartQuarantined(SuspectQuarantined, frozen=True, kw_only=True):
+    """A part of prompts is quarantined, and so is every call with it.
 
     :param part: its fingerprint.
-    :param backend_ids: the backend servers that ended while they ran it.
-    :param told_by: the entries that observed this.
-    :param held_s: seconds until the quarantine ends.
     """
 
     message: typing.ClassVar[str] = 'prompt part quarantined'
-    level: typing.ClassVar[str] = 'WARNING'
     part: str
-    backend_ids: str
-    told_by: str
-    held_s: float
 
 
 class CallHeld(Decision, frozen=True, kw_only=True):
