--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -421,7 +421,7 @@
     """
 
     def test_their_callers_are_served(self):
-        plan = run.Plan(seed=2, seconds=1.0, only='lose_servers')
+        plan = run.Plan(seed=2, seconds=1.0, only=('lose_servers',))
         with tempfile.TemporaryDirectory() as folder:
             report = asyncio.run(run.run(plan, pathlib.Path(folder)))
         self.assertEqual([], report.broken, '\n'.join(report.lines()))
@@ -515,7 +515,7 @@
     """Guards against prompts with one part that crash engine after engine."""
 
     def test_they_are_stopped_and_sound_ones_served(self):
-        plan = run.Plan(seed=1, seconds=1.0, only='crash_part')
+        plan = run.Plan(seed=1, seconds=1.0, only=('crash_part',))
         with tempfile.TemporaryDirectory() as folder:
             report = asyncio.run(run.run(plan, pathlib.Path(folder)))
         self.assertEqual([], report.broken, '\n'.join(report.lines()))
