Count more parts of a prompt that the platform names

A bad part after the sixteenth was never found: prompts may be made of many parts. Of those that a caller names 64 count; on our own interface 16 blocks do, as before, since the later blocks of a prompt are mostly its own.

--- a/dandeliongw/api/calls.py
+++ b/dandeliongw/api/calls.py
@@ -23,6 +23,9 @@
 MAX_KEY_CHARACTERS = 255
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 65536
+#: Blocks at the beginning of a prompt that other prompts are taken to share.
+#: The blocks after them are mostly the prompt's own.
+MAX_SHARED_BLOCKS = 16
 _TARGET_PATTERN = re.compile(r'[\x21-\x7e]{1,8192}')
 _KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,255}')
 
@@ -97,7 +100,7 @@
         prompt_tokens=len(prompt.split()),
         max_tokens=max_tokens,
         prefix=prefix,
-        shared_parts=prefix,
+        shared_parts=prefix[:MAX_SHARED_BLOCKS],
         priority=headers.get('X-Priority'),
         deadline_s=_deadline(headers),
     )
--- a/dandeliongw/entry/fingerprints.py
+++ b/dandeliongw/entry/fingerprints.py
@@ -9,7 +9,7 @@
 
 #: Maximum parts of one prompt that have fingerprints, so that no call leaves
 #: evidence on thousands of parts.
-MAX_PARTS = 16
+MAX_PARTS = 64
 #: Maximum fingerprints of parts that are kept.
 CACHED_PARTS = 10_000
 #: Length of the keyed hash. It is enough to rule out accidental collisions
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -219,6 +219,27 @@
         with self.assertRaises(calls.InvalidCall):
             calls.parse_completion(b'[' * 100_000, {})
 
+    def test_prompts_that_begin_alike_share_parts(self):
+        """Guards against bad prompts that have nothing in common here."""
+        words = ' '.join(str(number) for number in range(80))
+        first, second = (
+            calls.parse_completion(
+                json.dumps(
+                    {'model': 'm', 'prompt': f'{words} {own * 100}'}
+                ).encode(),
+                {},
+            ).call.shared_parts
+            for own in ('a ', 'b ')
+        )
+        self.assertEqual(first[0], second[0])
+        self.assertFalse(set(first[1:]) & set(second[1:]))
+
+    def test_a_long_prompt_has_few_parts(self):
+        """Guards against one call that leaves evidence on hundreds."""
+        body = json.dumps({'model': 'm', 'prompt': 'word ' * 10_000}).encode()
+        call = calls.parse_completion(body, {}).call
+        self.assertEqual(calls.MAX_SHARED_BLOCKS, len(call.shared_parts))
+
     @params(b'', b'{', b'[]', b'\xff')
     def test_body_that_is_not_a_json_object_is_refused(self, body):
         with serving() as served:
