--- a/dandeliongw/coordination/_blame.py
+++ b/dandeliongw/coordination/_blame.py
@@ -43,9 +43,9 @@
 QUARANTINE_S = 600.0
 MAX_QUARANTINE_S = 3600.0
 #: Seconds of quarantine of a part after the last crash. Requests with it go
-#: on coming, each a different one, and each could crash a server when it
-#: ends; a trial releases it sooner if it is harmless.
-PART_QUARANTINE_S = 86_400.0
+#: on coming, each a different one, and many could crash a server each when it
+#: ends. So trials, one at a time, find out whether it has been fixed.
+PART_QUARANTINE_S = 30 * 86_400.0
 
 
 class Evidence(typing.Protocol):
