Acquit a part as soon as an engine has gone on with an answer to it

Its own trial was under way for the whole length of a stream, and a request with both parts got a trial meanwhile, whose crash counted against both.

--- a/benchmarks/quarantine.py
+++ b/benchmarks/quarantine.py
@@ -20,6 +20,7 @@
 from dandeliongw.coordination import quarantine
 from dandeliongw.entry import crash_detection
 from dandeliongw.entry import fingerprints
+from dandeliongw.entry import progress
 from dandeliongw.entry import quarantine_check
 from dandeliongw import events
 from tests import quarantine_network
@@ -284,6 +285,13 @@
         stream.runs += 1
         stream.engine = engine
         stream.began_at = self.now
+        self._later(
+            progress.MIN_WRITING_S,
+            self._go_on,
+            stream,
+            engine,
+            engine.incarnation,
+        )
         stream.ends_at = self.now + self.chance.uniform(*STREAM_S)
         engine.streams.append(stream)
         if stream.bad_part:
@@ -302,6 +310,11 @@
                 engine.incarnation,
             )
 
+    def _go_on(self, stream: Stream, engine: Engine, incarnation: int) -> None:
+        is_running = engine.is_up and engine.incarnation == incarnation
+        if is_running and self.now < stream.ends_at:
+            self._note_good(stream)
+
     def _end_well(
         self, stream: Stream, engine: Engine, incarnation: int
     ) -> None:
@@ -311,6 +324,11 @@
         part = self.parts_by_id[stream.entry]
         check = self.checks_by_id[stream.entry]
         part.successes.record(self.now, check.fingerprint(stream.call))
+        self._note_good(stream)
+
+    def _note_good(self, stream: Stream) -> None:
+        part = self.parts_by_id[stream.entry]
+        check = self.checks_by_id[stream.entry]
         for each in check.parts(stream.call):
             part.good_parts.record(self.now, each)
             if not part.is_empty:
@@ -355,7 +373,7 @@
 
     def _note_written(self, stream: Stream) -> None:
         wrote_s = self.now - stream.began_at
-        if wrote_s < quarantine_check.MIN_GOOD_S:
+        if wrote_s < progress.MIN_WRITING_S:
             return
         check = self.checks_by_id[stream.entry]
         for each in check.parts(stream.call):
--- a/dandeliongw/coordination/_trials.py
+++ b/dandeliongw/coordination/_trials.py
@@ -13,8 +13,9 @@
 #: backend servers are back: the trial may cost one, but not the last one.
 TRIAL_AFTER_S = 10.0
 #: The same for a part, before each of its trials. Many calls may share it, so
-#: the first one comes sooner; later ones are for servers that were fixed.
-PART_TRIALS_AFTER_S = (5.0, 86_400.0, 7 * 86_400.0)
+#: the first one comes sooner. The second is for a harmless part whose trial
+#: met a crash for another reason, the third for servers that were fixed.
+PART_TRIALS_AFTER_S = (5.0, 600.0, 86_400.0)
 #: Seconds after which another trial may begin. A bad call crashes its server
 #: sooner than that, and the client of a trial may disconnect.
 TRIAL_S = 5.0
--- a/dandeliongw/entry/crash_detection.py
+++ b/dandeliongw/entry/crash_detection.py
@@ -16,7 +16,7 @@
 from .. import events
 from ..coordination import presence
 from ..coordination import quarantine
-from . import quarantine_check
+from . import progress
 
 #: Seconds from the break to each probe of the address. The listening socket
 #: may be closed a moment after the connection; a supervisor restarts the
@@ -58,7 +58,7 @@
     @property
     def suspects(self) -> tuple[str, ...]:
         """What the crash counts against: the call and parts of its prompt."""
-        if quarantine_check.is_written_on(self.pieces, self.wrote_s):
+        if progress.has_gone_on(self.pieces, self.wrote_s):
             return (self.fingerprint,)
         return (self.fingerprint, *self.parts)
 
--- a/dandeliongw/entry/quarantine_check.py
+++ b/dandeliongw/entry/quarantine_check.py
@@ -11,6 +11,7 @@
 from .. import verdict
 from ..coordination import quarantine as quarantines
 from . import fingerprints as fingerprint_module
+from . import progress
 from . import refusals
 from . import request as request_module
 
@@ -20,12 +21,7 @@
 #: another send may be under way.
 MIN_TRIAL_RETRY_S = 2.0
 #: Seconds by which each further suspect in a request delays its trial.
-JOINT_TRIAL_DELAY_S = 5.0
-#: Pieces that an engine writes before an answer counts as one on which it
-#: went on. One that crashes as it begins may have sent the first ones.
-MIN_GOOD_PIECES = 3
-#: Seconds for which an engine writes on an unfinished answer before that.
-MIN_GOOD_S = 1.0
+JOINT_TRIAL_DELAY_S = 10.0
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,17 +40,6 @@
     may_be_trial: bool
 
 
-def is_written_on(pieces: int, wrote_s: float) -> bool:
-    """Return whether an engine went on with an answer that it then broke off.
-
-    A part that crashes engines does so as they begin to write.
-
-    :param pieces: that it wrote.
-    :param wrote_s: seconds between the first and the last of them.
-    """
-    return pieces >= MIN_GOOD_PIECES and wrote_s >= MIN_GOOD_S
-
-
 class QuarantineCheck:
     """Checks the calls of this entry against the quarantine.
 
@@ -169,14 +154,29 @@
         is_whole = (
             event.failure is None
             and not request.has_failed
-            and event.pieces >= MIN_GOOD_PIECES
+            and event.pieces >= progress.MIN_PIECES
         )
-        if not is_whole and not is_written_on(event.pieces, event.wrote_s):
-            return []
+        if is_whole or progress.has_gone_on(event.pieces, event.wrote_s):
+            return self.answer_goes_on(
+                event.now, request, written_at=event.last_piece_at
+            )
+        return []
+
+    def answer_goes_on(
+        self,
+        now: float,
+        request: request_module.Request,
+        *,
+        written_at: float,
+    ) -> Effects:
+        """Record that the parts of a prompt have crashed no engine.
+
+        :param written_at: when the engine last wrote on the answer.
+        """
         out: Effects = []
         for part in self.parts(request.call):
-            self._quarantine.good_parts.record(event.last_piece_at, part)
-            out += self._report_good(event.now, part)
+            self._quarantine.good_parts.record(written_at, part)
+            out += self._report_good(now, part)
         return out
 
     def _report_good(self, now: float, fingerprint: str) -> Effects:
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -23,6 +23,7 @@
 from .. import verdict
 from . import cancellations
 from . import outcome
+from . import progress
 from . import step_results
 from . import token_gaps
 
@@ -375,6 +376,7 @@
             from_offset=self._offset - self._base,
             deadline_s=left_s,
         )
+        has_gone_on = False
         with contextlib.closing(pieces):
             for piece in pieces:
                 if isinstance(piece, engine.ResponseHead):
@@ -397,6 +399,15 @@
                 if not self._payload.is_pass_through:
                     self._text.append(piece.text)
                 self._offset += 1
+                if not has_gone_on and progress.has_gone_on(
+                    measure.count, measure.writing_s
+                ):
+                    has_gone_on = True
+                    self._post_event(
+                        events.AnswerGoesOn,
+                        request_id=self.request_id,
+                        attempt_id=directive.attempt_id,
+                    )
                 yield msgspec.structs.replace(piece, offset=offset)
                 measure.taken(self._clock())
         raise engine.EngineError(
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -148,6 +148,8 @@
                 return self._arrive(event)
             case events.StepEnded():
                 return self._end_step(event)
+            case events.AnswerGoesOn():
+                return self._answer_goes_on(event)
             case events.RateLimitStated():
                 return self._record_rate_limit(event)
             case events.BackendProbed():
@@ -414,6 +416,14 @@
             return [*out, *self._prefill_ended(event, request)]
         return [*out, *self._answer_ended(event, request)]
 
+    def _answer_goes_on(self, event: events.AnswerGoesOn) -> Effects:
+        request = self.requests_by_id.get(event.request_id)
+        if request is None or event.attempt_id != request.attempt_id:
+            return []
+        return self.quarantine_check.answer_goes_on(
+            event.now, request, written_at=event.now
+        )
+
     def _record_rate_limit(self, event: events.RateLimitStated) -> Effects:
         request = self.requests_by_id.get(event.request_id)
         is_current = (
--- a/dandeliongw/entry/token_gaps.py
+++ b/dandeliongw/entry/token_gaps.py
@@ -48,6 +48,11 @@
         """When the last token arrived; ``None`` if none did."""
         return None if self._gaps < 0 else self._last_at
 
+    @property
+    def writing_s(self) -> float:
+        """Seconds between the first and the last token so far."""
+        return self._last_at - self._first_at
+
     @property
     def count(self) -> int:
         """Number of tokens that have arrived."""
--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -128,6 +128,17 @@
         return self.last_piece_at - self.first_piece_at
 
 
+class AnswerGoesOn(msgspec.Struct, frozen=True, kw_only=True):
+    """An engine has gone on writing the answer to a request for a while.
+
+    Posted once in each step; see :mod:`.entry.progress`.
+    """
+
+    now: float
+    request_id: str
+    attempt_id: str
+
+
 class RateLimitStated(msgspec.Struct, frozen=True, kw_only=True):
     """The head of an answer states its backend server's rate limit.
 
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -312,6 +312,7 @@
                 (
                     events.RequestArrived,
                     events.StepEnded,
+                    events.AnswerGoesOn,
                     events.RateLimitStated,
                     events.BackendProbed,
                     events.CallerGone,
--- a/tests/test_quarantine_check.py
+++ b/tests/test_quarantine_check.py
@@ -14,6 +14,7 @@
 from dandeliongw import decisions
 from dandeliongw import document
 from dandeliongw import effects
+from dandeliongw.entry import quarantine_check
 from dandeliongw.entry import waste
 from dandeliongw import events
 from dandeliongw import verdict
@@ -341,6 +342,21 @@
             1, len(self.entry.quarantine.ends(self.part('first')))
         )
 
+    def test_parts_of_an_answer_that_goes_on_are_acquitted(self):
+        """Guards against a long answer that acquits only at its end."""
+        self.crash('a', 'first')
+        request_id = self.decoding('first')
+        attempt_id = self.entry.ids_of(request_id)['attempt_id']
+        for attempt, is_told in (('other', False), (attempt_id, True)):
+            self.entry.post(
+                events.AnswerGoesOn, request_id=request_id, attempt_id=attempt
+            )
+            found = self.entry.dispatched(quarantine.Succeeded)
+            self.assertEqual(
+                [self.part('first')] * is_told,
+                [each.fingerprint for each in found],
+            )
+
     @params((2, False), (3, True))
     def test_a_short_answer_acquits_nothing(self, pieces, is_good):
         """Guards against clearing a part by an answer of two pieces.
@@ -438,6 +454,7 @@
         self.assertIsNone(self.trial('bad', 'worse', after_s=after_s))
         self.assertIsNotNone(self.trial('worse', after_s=0.0))
         self.entry.now += _trials.TRIAL_S
+        after_s = quarantine_check.JOINT_TRIAL_DELAY_S
         self.assertIsNotNone(self.trial('bad', 'worse', after_s=after_s))
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -456,9 +456,12 @@
         )
 
 
-def paced(paced_engine, directive):
-    """Return the end of one decode step, run in the test's own thread."""
-    posted = []
+def paced(paced_engine, directive, posted=None):
+    """Return the end of one decode step, run in the test's own thread.
+
+    :param posted: gets all events that are posted.
+    """
+    posted = [] if posted is None else posted
     runner = relay.Relay(
         request_id='r',
         call=entry_fake.call('completion'),
@@ -486,6 +489,14 @@
         self.assertEqual(3, ended.pieces)
         self.assertEqual(1.5, ended.wrote_s)
 
+    @params(((1.0, 1.5, 2.0, 2.5), 1), ((1.0, 1.1, 1.2), 0), ((1.0, 9.0), 0))
+    def test_that_it_goes_on_is_told_once(self, arrivals, count):
+        """Guards against a long stream that tells nothing until its end."""
+        posted = []
+        paced(PacedEngine(*arrivals), run_decode('http://d'), posted)
+        found = [p for p in posted if isinstance(p, events.AnswerGoesOn)]
+        self.assertEqual(['r.1'] * count, [each.attempt_id for each in found])
+
     def test_an_engine_that_wrote_nothing(self):
         ended = paced(PacedEngine(breaks=True), run_decode('http://d'))
         self.assertEqual((0, 0.0), (ended.pieces, ended.wrote_s))
