Let no server that fell silent take an address from its successor

An entry that had just started refused streams with 'no decode backend server is ready' for as long as it was seen, 3.5 s, and would have for a minute. Backend servers of the platform get a new id at each start, without an incarnation; of two ids at one address the one received last counted as the one that started last. An instance that starts is told of all of them at once, in any order, and those that crashed took the addresses of those that run.

An announcement that is older than the last renewal of the address's holder doesn't take it. test_an_id_that_fell_silent_before_takes_no_address failed before.

--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -161,7 +161,7 @@
             backend server; its lease counts from then.
         """
         self.remove_former(now, announcement)
-        replaced = self._assign_url(now, announcement)
+        replaced = self._assign_url(now, announcement, age_s)
         held = self.by_id.get(announcement.backend_id)
         if held is not None and stamp(announcement) <= stamp(
             held.announcement
@@ -302,7 +302,7 @@
         return backend
 
     def _assign_url(
-        self, now: float, announcement: BackendAnnouncement
+        self, now: float, announcement: BackendAnnouncement, age_s: float
     ) -> list[typing.Any]:
         """Assign an address to the process that was the last to start there.
 
@@ -312,7 +312,10 @@
         """
         holder = self._holders_by_url.get(announcement.url)
         is_held = holder is not None and now < holder.until
-        if is_held and holder.rank >= self._rank(announcement):
+        if is_held and (
+            holder.rank >= self._rank(announcement)
+            or self._is_outlived(holder, announcement, now - age_s)
+        ):
             return []
         self._holders_by_url[announcement.url] = _Holder(
             rank=self._rank(announcement),
@@ -322,6 +325,26 @@
         former = self.by_id.get(holder.backend_id) if holder else None
         return [] if former is None else self._refresh(now, former)
 
+    def _is_outlived(
+        self,
+        holder: _Holder,
+        announcement: BackendAnnouncement,
+        received_at: float,
+    ) -> bool:
+        """Whether a process fell silent before the holder was last heard.
+
+        An instance that has just started is told of all processes at once,
+        those that died included. Their order tells nothing then.
+
+        :param received_at: when its front last heard the process announced.
+        """
+        held = self.by_id.get(holder.backend_id)
+        return (
+            held is not None
+            and held.announcement.incarnation == announcement.incarnation
+            and received_at < held.lease_until - self._lease_s
+        )
+
     def _release_url(self, backend: Backend) -> None:
         """Release the address of a removed backend server if it has it."""
         url = backend.announcement.url
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -551,12 +551,12 @@
         self.part = presence.Presence(instance_id='gw-1')
         self.now = 0.0
 
-    def receive(self, **changes):
+    def receive(self, age_s=0.0, **changes):
         """Receive an announcement; return (id, presence) of each change."""
         announcement = msgspec.structs.replace(
             make_announcement(incarnation=0), **changes
         )
-        message = presence.Presented(announcement=announcement, age_s=0.0)
+        message = presence.Presented(announcement=announcement, age_s=age_s)
         out = self.part.handle(
             parts.Received(now=self.now, sender='gw-2', message=message)
         )
@@ -587,6 +587,21 @@
         )
         self.assertEqual(self.receive(backend_id='be-2', sequence=9), [])
 
+    def test_an_id_that_fell_silent_before_takes_no_address(self):
+        """Guards against an instance that uses no server after its start.
+
+        Others tell it of a server that crashed and, before that or after, of
+        the one that started at its address since.
+        """
+        self.assertEqual(self.receive(backend_id='be-2'), [('be-2', True)])
+        self.assertEqual(self.receive(backend_id='be-1', age_s=2.0), [])
+        self.assertEqual(self.receive(backend_id='be-2', sequence=2), [])
+        # One that starts there now takes it, as before.
+        self.now += 1.0
+        self.assertEqual(
+            self.receive(backend_id='be-3'), [('be-2', False), ('be-3', True)]
+        )
+
 
 class RestartTest(unittest.TestCase):
     """A backend server restarts with its id; its sequence restarts at 1."""
