Log what tells late requests to leaving servers apart

The record of the incident names no server, cause or knowledge: these fields came after the process' own and were cut. They come first now. New lines: a leave that an instance hears of, from whom, and whether the server is present in spite of it (a leave without effect); who was missing when a leave was acknowledged (an acknowledgement that promises nothing); each step under way at a server whose leave is heard (sent before the leave). No decision is changed.

--- a/dandeliongw/coordination/_presence_messages.py
+++ b/dandeliongw/coordination/_presence_messages.py
@@ -203,6 +203,31 @@
     cause: AbsenceCause | None = None
 
 
+class DepartureHeard(msgspec.Struct, frozen=True, kw_only=True):
+    """This instance has learned of a leave.
+
+    :param heard_from: the instance that sent it; this one if the backend
+        server itself did.
+    """
+
+    departure: BackendDeparture
+    heard_from: str
+
+
+class DepartureAnswered(msgspec.Struct, frozen=True, kw_only=True):
+    """This instance has acknowledged a leave to its backend server.
+
+    :param took_s: seconds since the backend server asked.
+    :param known_by: number of other instances that have confirmed it.
+    :param missing_ids: the other instances that have not.
+    """
+
+    departure: BackendDeparture
+    took_s: float
+    known_by: int
+    missing_ids: tuple[str, ...]
+
+
 class CacheHints(msgspec.Struct, frozen=True, kw_only=True):
     """Changes in the prefix cache of a backend server, as a hint.
 
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -36,6 +36,8 @@
 from ._presence_messages import CacheEventKind
 from ._presence_messages import CacheEvents
 from ._presence_messages import CacheHints
+from ._presence_messages import DepartureAnswered
+from ._presence_messages import DepartureHeard
 from ._presence_messages import DeparturesConfirmed
 from ._presence_messages import Forward
 from ._presence_messages import Left
@@ -62,6 +64,8 @@
     'CacheEventKind',
     'CacheEvents',
     'CacheHints',
+    'DepartureAnswered',
+    'DepartureHeard',
     'DeparturesConfirmed',
     'Forward',
     'Left',
@@ -146,6 +150,7 @@
     :param resend_until: when to stop that.
     :param confirmed_by: instances that have confirmed it.
     :param ticket: of the backend server that waits for the answer.
+    :param asked_at: when it asked.
     """
 
     departure: BackendDeparture
@@ -154,6 +159,7 @@
     resend_until: float
     confirmed_by: set[str] = msgspec.field(default_factory=set)
     ticket: str | None = None
+    asked_at: float = 0.0
 
 
 class Presence:
@@ -331,14 +337,19 @@
         )
         if stamp(departure) <= self._backends.left(event.backend_id):
             return [_complete(event.ticket, PresenceOutcome.ACCEPTED)]
-        effects = self._record_departure(event.now, departure)
+        effects = self._record_departure(
+            event.now, departure, self.instance_id
+        )
         item = self._departures_by_id[event.backend_id]
         item.resend_at = event.now + LEAVE_CONFIRM_S
         item.ticket = event.ticket
+        item.asked_at = event.now
         effects += self._send_departure(item, by_datagram=True)
-        return effects + self._answer_if_known(item)
+        return effects + self._answer_if_known(event.now, item)
 
-    def _answer_if_known(self, item: _Departure) -> list[typing.Any]:
+    def _answer_if_known(
+        self, now: float, item: _Departure
+    ) -> list[typing.Any]:
         """Answer a leave once half of the other instances know of it.
 
         The backend server doesn't repeat what was answered. If only this
@@ -347,7 +358,28 @@
         others = len(set(self._instance_ids) - {self.instance_id})
         if 2 * len(item.confirmed_by) < others:
             return []
-        return _answer(item)
+        return self._answer(now, item)
+
+    def _answer(self, now: float, item: _Departure) -> list[typing.Any]:
+        """Answer the backend server that left, if it still waits."""
+        if item.ticket is None:
+            return []
+        ticket, item.ticket = item.ticket, None
+        answered = DepartureAnswered(
+            departure=item.departure,
+            took_s=now - item.asked_at,
+            known_by=len(item.confirmed_by),
+            missing_ids=self._missing_ids(item),
+        )
+        return [_complete(ticket, PresenceOutcome.ACCEPTED), answered]
+
+    def _missing_ids(self, item: _Departure) -> tuple[str, ...]:
+        """Return the other instances that have not confirmed a leave."""
+        return tuple(
+            to
+            for to in self._instance_ids
+            if to != self.instance_id and to not in item.confirmed_by
+        )
 
     def _record_restart(
         self, now: float, announcement: BackendAnnouncement
@@ -456,7 +488,7 @@
             if item.resend_at is not None and now >= item.resend_at:
                 item.resend_at = now + LEAVE_RESEND_S
                 # The others may be cut off; the backend server waits no more.
-                effects += _answer(item)
+                effects += self._answer(now, item)
                 effects += self._send_departure(item, by_datagram=False)
             is_resent = item.resend_at is not None and now < item.resend_until
             if now >= item.until and not is_resent:
@@ -472,11 +504,7 @@
         out without one first.
         """
         message = PresenceBatch(renewals=(), departures=(item.departure,))
-        missing = [
-            to
-            for to in self._instance_ids
-            if to != self.instance_id and to not in item.confirmed_by
-        ]
+        missing = self._missing_ids(item)
         if not missing:
             item.resend_at = None
         return [
@@ -499,7 +527,9 @@
             case PresenceUnknown():
                 return self._on_presence_unknown(now, event.sender, message)
             case DeparturesConfirmed():
-                return self._on_departures_confirmed(event.sender, message)
+                return self._on_departures_confirmed(
+                    now, event.sender, message
+                )
         raise TypeError(
             f'presence cannot handle message {type(message).__name__}'
         )
@@ -510,7 +540,7 @@
         effects: list[typing.Any] = []
         for departure in message.departures:
             if stamp(departure) > self._backends.left(departure.backend_id):
-                effects += self._record_departure(now, departure)
+                effects += self._record_departure(now, departure, sender)
         if message.renewals:
             self._backends.on_message(now)
         else:
@@ -540,22 +570,25 @@
         return effects
 
     def _on_departures_confirmed(
-        self, sender: str, message: DeparturesConfirmed
+        self, now: float, sender: str, message: DeparturesConfirmed
     ) -> list[typing.Any]:
         effects: list[typing.Any] = []
         for departure in message.departures:
             item = self._departures_by_id.get(departure.backend_id)
             if item is not None and item.departure == departure:
                 item.confirmed_by.add(sender)
-                effects += self._answer_if_known(item)
+                effects += self._answer_if_known(now, item)
         return effects
 
     def _record_departure(
-        self, now: float, departure: BackendDeparture
+        self, now: float, departure: BackendDeparture, heard_from: str
     ) -> list[typing.Any]:
         backend_id = departure.backend_id
         former = self._departures_by_id.get(backend_id)
-        effects = [] if former is None else _answer(former)
+        effects = [] if former is None else self._answer(now, former)
+        effects.append(
+            DepartureHeard(departure=departure, heard_from=heard_from)
+        )
         self._departures_by_id[backend_id] = _Departure(
             departure=departure,
             until=now + LEAVE_REPEAT_S,
@@ -568,14 +601,6 @@
         return [*effects, *self._backends.leave(now, departure)]
 
 
-def _answer(item: _Departure) -> list[parts.Complete]:
-    """Answer the backend server that left, if it still waits."""
-    if item.ticket is None:
-        return []
-    ticket, item.ticket = item.ticket, None
-    return [_complete(ticket, PresenceOutcome.ACCEPTED)]
-
-
 def _complete(ticket: str, outcome: PresenceOutcome) -> parts.Complete:
     return parts.Complete(ticket=ticket, result=outcome)
 
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -70,6 +70,49 @@
     left_s: float
 
 
+class DepartureHeard(Decision, frozen=True, kw_only=True):
+    """This instance has learned that a backend server leaves.
+
+    :param incarnation: of the start that leaves.
+    :param heard_from: the instance that sent it; this one if the backend
+        server itself did.
+    :param is_present: whether the backend server still counts as present.
+    """
+
+    message: typing.ClassVar[str] = 'backend server leaves'
+    backend_id: str
+    incarnation: int
+    heard_from: str
+    is_present: bool
+
+
+class DepartureAnswered(Decision, frozen=True, kw_only=True):
+    """A backend server has got the acknowledgement of its leave.
+
+    :param known_by: number of other instances that have confirmed it.
+    :param missing: some of the others.
+    """
+
+    message: typing.ClassVar[str] = 'leave of a backend server acknowledged'
+    backend_id: str
+    incarnation: int
+    took_ms: int
+    known_by: int
+    missing: str
+
+
+class SentBeforeLeave(OfRequest, frozen=True, kw_only=True):
+    """A backend server leaves while it is booked for a step under way.
+
+    :param sent_ms: milliseconds since the step was directed.
+    """
+
+    message: typing.ClassVar[str] = 'step under way at a leaving server'
+    backend_id: str
+    step: str
+    sent_ms: int
+
+
 class Declined(OfRequest, frozen=True, kw_only=True):
     """A cell's owner rejected a request.
 
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -22,6 +22,7 @@
 from . import charges
 from ..coordination import claim_messages as claims
 from ..coordination import parts
+from ..coordination import presence
 from ..coordination import rates
 from . import crash_detection
 from . import departures as departures_module
@@ -39,6 +40,7 @@
 from . import startup_queue
 from . import steps
 from . import trials
+from . import withdrawals
 from .request import Phase
 from .request import Request
 from .request import UNPLACED
@@ -297,6 +299,14 @@
             )
         return out
 
+    def note_departure(
+        self, now: float, departure: presence.BackendDeparture
+    ) -> Effects:
+        """Process a leave that this instance has just heard of."""
+        return withdrawals.log_lines(
+            now, self.requests_by_id.values(), departure
+        )
+
     def retries_left_by_service(self, now: float) -> dict[str, float]:
         """Return the remaining retry budgets; thread-safe."""
         return self._budgets.left_by_service(now)
--- a/dandeliongw/logs.py
+++ b/dandeliongw/logs.py
@@ -114,19 +114,25 @@
         self._put(f'{fields["module"]}:{fields["line"]}', line)
 
     def _fields(self, record: typing.Any) -> dict[str, typing.Any]:
+        about_process = {
+            **self._common,
+            'module': record['name'],
+            'line': record['line'],
+        }
         fields = {
             'time': record['time'].isoformat(),
             'level': record['level'].name,
             'message': record['message'],
-            **self._common,
-            'module': record['name'],
-            'line': record['line'],
         }
         for name, value in record['extra'].items():
             # An extra field must not overwrite a common one, such as the
             # instance.
-            unused = name if name not in fields else f'extra_{name}'
+            is_used = name in fields or name in about_process
+            unused = f'extra_{name}' if is_used else name
             fields[unused] = redact(name, value)
+        # Last, as lines may be cut: what a line says of its event matters
+        # more than where it was written.
+        fields |= about_process
         if record['exception'] is not None:
             fields['exception'] = ''.join(
                 traceback.format_exception(record['exception'].value)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -444,6 +444,7 @@
             membership.MemberChanged: self._on_member_changed,
             membership.MemberForgotten: self._on_member_changed,
             presence.BackendChanged: self._on_backend_changed,
+            presence.DepartureHeard: self._on_departure_heard,
             presence.CacheHints: self._on_cache_hints,
             quarantine.Quarantined: self._on_quarantined,
             **{
@@ -650,6 +651,18 @@
             *self.owner.change_backend(now, effect.backend_id),
         ]
 
+    def _on_departure_heard(
+        self, now: float, effect: presence.DepartureHeard
+    ) -> list[typing.Any]:
+        departure = effect.departure
+        held = self.presence.backends_by_id.get(departure.backend_id)
+        return [
+            state_log.departure_heard(
+                effect, is_present=held is not None and held.present
+            ),
+            *self.requests.note_departure(now, departure),
+        ]
+
     def _on_cache_hints(
         self, now: float, effect: presence.CacheHints
     ) -> list[typing.Any]:
--- a/dandeliongw/state_log.py
+++ b/dandeliongw/state_log.py
@@ -13,6 +13,10 @@
 from .coordination import register
 
 
+#: Most instances that are named in the line on an acknowledged leave.
+MAX_MISSING_LOGGED = 8
+
+
 def backend_changed(
     effect: presence.BackendChanged, announcement: presence.BackendAnnouncement
 ) -> effects.Log:
@@ -29,6 +33,32 @@
     )
 
 
+def _departure_answered(effect: presence.DepartureAnswered) -> effects.Log:
+    return decisions.DepartureAnswered(
+        backend_id=effect.departure.backend_id,
+        incarnation=effect.departure.incarnation,
+        took_ms=round(effect.took_s * 1000),
+        known_by=effect.known_by,
+        missing=' '.join(effect.missing_ids[:MAX_MISSING_LOGGED]),
+    ).log()
+
+
+def departure_heard(
+    effect: presence.DepartureHeard, *, is_present: bool
+) -> effects.Log:
+    """Return the line on a leave that this instance has learned of.
+
+    :param is_present: whether the backend server counts as present in spite
+        of it, as another start of it has begun.
+    """
+    return decisions.DepartureHeard(
+        backend_id=effect.departure.backend_id,
+        incarnation=effect.departure.incarnation,
+        heard_from=effect.heard_from,
+        is_present=is_present,
+    ).log()
+
+
 def quarantined(effect: quarantine.Quarantined) -> effects.Log:
     """Return the line on a call or part that is held back from now on."""
     facts = {
@@ -107,6 +137,7 @@
 LINES_BY_EFFECT: abc.Mapping[type, abc.Callable[[typing.Any], effects.Log]] = (
     types.MappingProxyType(
         {
+            presence.DepartureAnswered: _departure_answered,
             quarantine.Released: _released,
             rates.RateReached: _rate_reached,
             register.OtherRegisterSeen: _other_register_seen,
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -59,6 +59,13 @@
         logger.info('done', **{name: 7})
         self.assertEqual(7, self.line()[name])
 
+    def test_what_a_line_says_comes_before_where_it_was_written(self):
+        """Guards against lines that are cut before what they tell."""
+        logger.bind(backend_id='i-1', why='it left').info('gone')
+        names = list(self.line())
+        self.assertLess(names.index('why'), names.index('instance'))
+        self.assertEqual('line', names[-1])
+
     def test_a_field_cannot_replace_the_instance(self):
         logger.info('heard', instance='gw-2')
         self.assertEqual('gw-1', self.line()['instance'])
