Failing test: leaves that are lost with the voter that took them

A voter that reaches no entry acknowledges a leave and is killed, frozen or cut off. The other voters know of the leave and tell nobody; all entries send to the server until its lease ends.

The soak judges a late request for each undisturbed entry while most voters are undisturbed. Before, one disturbed voter excused all entries.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -210,6 +210,9 @@
         (2.1, [('entry-1', False)], []),
         (2.1, [('entry-1', True)], ['drain']),
         (2.1, [('entry-2', False)], ['drain']),
+        # Most voters are well: a leave must not depend on a single one.
+        (2.1, [('voter-1', False)], ['drain']),
+        (2.1, [('voter-1', False), ('voter-2', False)], []),
     )
     def test_a_request_after_a_leave(self, after_s, faults, expected):
         record = records.Record(
@@ -522,6 +525,20 @@
         self.assertTrue(report.record.crashed)
 
 
+class UnheardLeaveTest(unittest.TestCase):
+    """Guards against leaves that are lost with the voter that took them.
+
+    It reaches no entry when it acknowledges the leave, and is killed then.
+    """
+
+    def test_no_request_arrives_late(self):
+        plan = run.Plan(seed=13, seconds=1.0, only=('unheard_leave',))
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(plan, pathlib.Path(folder)))
+        self.assertEqual([], report.broken, '\n'.join(report.lines()))
+        self.assertEqual(1, len(report.record.left))
+
+
 class ShortRunTest(unittest.TestCase):
     """Guards against promises that only real processes break."""
 
