Acknowledge a leave when a majority of the voters have stored it

Callers' requests went to backend servers up to 3.7 s after their leave was acknowledged, through every entry.

Cause: an acknowledgement promised nothing. It went out after 0.3 s whoever knew, and at once at an instance that had heard of the leave. Only the instance that acknowledged repeated it: the others did so with batches of renewals, and the platform's servers announce, so that there are none. Leaves were not stored, and instances that start were told none. With the voter killed, frozen or cut off, the entries that it had not reached sent on until the presence lease ended.

The answer waits until a majority of the voters have the leave on disk, and a moment for all others; without it the server is told to ask again (503). Each voter repeats a leave to the instances that lack it: to those that its first instance names, to all if that one falls silent. Instances that start, or start again, are told the leaves of the last minute. So an instance in touch with any majority meets a voter that knows.

Three tests of the old answer are replaced by stricter ones (test_leave_spread): a leave without a majority was acknowledged after 0.3 s and is refused now; a repeated one was acknowledged at once, a replaced one when it was replaced, and both wait as the first one does.

--- a/dandeliongw/api/backends.py
+++ b/dandeliongw/api/backends.py
@@ -94,12 +94,13 @@
 
 
 class PresenceAnswer(enum.StrEnum):
-    """The result of an announcement or a renewal."""
+    """The result of an announcement, a renewal or a leave."""
 
     ACCEPTED = 'accepted'
     ANNOUNCE_AGAIN = 'announce_again'
     OLD = 'old'
     LEFT = 'left'
+    NOT_KEPT = 'not_kept'
 
 
 STATUS_BY_ANSWER = {
@@ -107,6 +108,7 @@
     PresenceAnswer.ANNOUNCE_AGAIN: 404,
     PresenceAnswer.OLD: 409,
     PresenceAnswer.LEFT: 409,
+    PresenceAnswer.NOT_KEPT: 503,
 }
 MESSAGES_BY_ANSWER = {
     PresenceAnswer.ANNOUNCE_AGAIN: 'this instance does not know that backend '
@@ -114,6 +116,8 @@
     PresenceAnswer.OLD: 'something newer was said already, perhaps by a later '
     'process with the same backend_id',
     PresenceAnswer.LEFT: 'it has left; only a new announcement brings it back',
+    PresenceAnswer.NOT_KEPT: 'too few voters have stored the leave so far: '
+    'send it again, here or to another instance',
 }
 
 
@@ -124,7 +128,7 @@
 
     def renew(self, renewal: Renewal) -> PresenceAnswer: ...
 
-    def leave(self, leaving: Leaving) -> None: ...
+    def leave(self, leaving: Leaving) -> PresenceAnswer: ...
 
 
 class Backends:
@@ -224,8 +228,10 @@
         )
 
     def _leave(self, body: bytes) -> bytes:
-        self._presence_facade.leave(models.parse(Leaving, body, ''))
-        return _answer(200, {})
+        answer = self._presence_facade.leave(models.parse(Leaving, body, ''))
+        if answer is PresenceAnswer.ACCEPTED:
+            return _answer(200, {})
+        return self._presence_answer(answer)
 
     def _is_allowed(self) -> bool:
         if self._key_sha256 is None:
--- a/dandeliongw/control_facades.py
+++ b/dandeliongw/control_facades.py
@@ -159,7 +159,10 @@
         )
         return backends_module.PresenceAnswer(outcome.value)
 
-    def leave(self, leaving: backends_module.Leaving) -> None:
-        self._runtime.post_and_wait(
+    def leave(
+        self, leaving: backends_module.Leaving
+    ) -> backends_module.PresenceAnswer:
+        outcome = self._runtime.post_and_wait(
             functools.partial(presence.Left, **leaving.model_dump())
         )
+        return backends_module.PresenceAnswer(outcome.value)
--- a/dandeliongw/coordination/_backends.py
+++ b/dandeliongw/coordination/_backends.py
@@ -119,6 +119,15 @@
         """Return the highest leave of a backend server."""
         return self._left_by_id.get(backend_id, NEVER)
 
+    def departures(self) -> tuple[BackendDeparture, ...]:
+        """Return the highest leave of each backend server that left."""
+        return tuple(
+            BackendDeparture(
+                backend_id=backend_id, incarnation=left, sequence=sequence
+            )
+            for backend_id, (left, sequence) in self._left_by_id.items()
+        )
+
     def left_s(self, now: float, backend_id: str) -> float:
         """Return the seconds since this instance learned of that leave."""
         forget_at = self._forget_left_by_id.get(backend_id)
--- a/dandeliongw/coordination/_presence_messages.py
+++ b/dandeliongw/coordination/_presence_messages.py
@@ -44,6 +44,9 @@
     #: again only by an announcement with a higher sequence or incarnation
     #: than the leave.
     LEFT = 'left'
+    #: Too few voters have stored the leave; the backend server has to send it
+    #: again, to any instance.
+    NOT_KEPT = 'not_kept'
 
 
 # Parts of events and messages.
@@ -182,10 +185,21 @@
 
 
 class SetInstances(msgspec.Struct, frozen=True, kw_only=True):
-    """Sets the alive instances, to each of which every leave is sent."""
+    """Sets the alive instances, to each of which every leave is sent.
+
+    :param started_ids: those of them that have started since the last event.
+    """
 
     now: float
     instance_ids: tuple[str, ...]
+    started_ids: frozenset[str] = frozenset()
+
+
+class SetVoters(msgspec.Struct, frozen=True, kw_only=True):
+    """Sets the voters, a majority of which stores every leave."""
+
+    now: float
+    voter_ids: frozenset[str]
 
 
 # Effects.
@@ -218,14 +232,14 @@
     """This instance has acknowledged a leave to its backend server.
 
     :param took_s: seconds since the backend server asked.
-    :param known_by: number of other instances that have confirmed it.
-    :param missing_ids: the other instances that have not.
+    :param stored_by: number of voters that have it on disk.
+    :param lacking_ids: the instances that have not confirmed it.
     """
 
     departure: BackendDeparture
     took_s: float
-    known_by: int
-    missing_ids: tuple[str, ...]
+    stored_by: int
+    lacking_ids: tuple[str, ...]
 
 
 class CacheHints(msgspec.Struct, frozen=True, kw_only=True):
@@ -256,10 +270,15 @@
 
 
 class PresenceBatch(msgspec.Struct, frozen=True, kw_only=True):
-    """Renewals, and leaves that the receiver must apply before any of them."""
+    """Renewals, and leaves that the receiver must apply before any of them.
+
+    :param is_repeated: whether the leaves were sent before in vain. They are
+        then confirmed over a connection, as datagrams may not get through.
+    """
 
     renewals: tuple[BackendRenewal, ...]
     departures: tuple[BackendDeparture, ...]
+    is_repeated: bool = False
 
 
 class PresenceUnknown(msgspec.Struct, frozen=True, kw_only=True):
@@ -274,5 +293,30 @@
     departures: tuple[BackendDeparture, ...]
 
 
+class DeparturesStored(msgspec.Struct, frozen=True, kw_only=True):
+    """A voter has these leaves on its disk."""
+
+    departures: tuple[BackendDeparture, ...]
+
+
+class DepartureSpread(msgspec.Struct, frozen=True, kw_only=True):
+    """Tells the voters which instances still lack a leave.
+
+    Sent by the instance that got the leave from the backend server.
+    """
+
+    departure: BackendDeparture
+    lacking_ids: tuple[str, ...]
+
+
 #: Message classes to register with the codec.
-MESSAGES = (Presented, PresenceBatch, PresenceUnknown, DeparturesConfirmed)
+MESSAGES = (
+    Presented,
+    PresenceBatch,
+    PresenceUnknown,
+    DeparturesConfirmed,
+    DeparturesStored,
+    DepartureSpread,
+)
+#: Classes of journal records, likewise.
+RECORDS = (BackendDeparture,)
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -7,11 +7,9 @@
 own clock. Without renewals the lease expires, so that neither a crash nor a
 partition leaves work going to a server that is gone.
 
-A leave is sent to every instance at once, without a connection, and over
-connections to those that don't confirm it. Each instance that knows it repeats
-it with every batch of renewals for a while. It is retained for longer than an
-old announcement can be in transit, so that none can make the server present
-again.
+A leave is sent to every instance, and acknowledged when it can no longer be
+lost, see :mod:`._departures`. It is retained for longer than an old
+announcement can be in transit, so that none can make the server present again.
 """
 
 from collections import abc
@@ -23,6 +21,7 @@
 from ._backends import Backend
 from ._backends import Backends
 from ._backends import stamp
+from ._departures import Departures
 from ._presence_messages import AbsenceCause
 from ._presence_messages import Announced
 from ._presence_messages import BackendAnnouncement
@@ -39,6 +38,8 @@
 from ._presence_messages import DepartureAnswered
 from ._presence_messages import DepartureHeard
 from ._presence_messages import DeparturesConfirmed
+from ._presence_messages import DepartureSpread
+from ._presence_messages import DeparturesStored
 from ._presence_messages import Forward
 from ._presence_messages import Left
 from ._presence_messages import MESSAGES
@@ -46,8 +47,10 @@
 from ._presence_messages import PresenceOutcome
 from ._presence_messages import PresenceUnknown
 from ._presence_messages import Presented
+from ._presence_messages import RECORDS
 from ._presence_messages import Renewed
 from ._presence_messages import SetInstances
+from ._presence_messages import SetVoters
 
 __all__ = [
     'AbsenceCause',
@@ -66,7 +69,9 @@
     'CacheHints',
     'DepartureAnswered',
     'DepartureHeard',
+    'DepartureSpread',
     'DeparturesConfirmed',
+    'DeparturesStored',
     'Forward',
     'Left',
     'MESSAGES',
@@ -75,8 +80,10 @@
     'PresenceOutcome',
     'PresenceUnknown',
     'Presented',
+    'RECORDS',
     'Renewed',
     'SetInstances',
+    'SetVoters',
 ]
 
 #: Seconds without renewal after which a backend server receives no work.
@@ -94,16 +101,6 @@
 LATE_LEAVE_S = 5.0
 #: Incarnation of a leave without one, by an unknown backend server.
 _ONLY_INCARNATION = 0
-#: Seconds after a leave during which every batch of renewals repeats it.
-LEAVE_REPEAT_S = 10.0
-#: Seconds after which a leave is sent over a connection to the instances that
-#: have not confirmed it, and answered in any case.
-LEAVE_CONFIRM_S = 0.3
-#: Seconds between two further sends to such an instance.
-LEAVE_RESEND_S = 1.0
-#: Seconds after which an instance that has not confirmed a leave is given up.
-#: By then, its lease on the backend server has expired.
-LEAVE_RESEND_FOR_S = 60.0
 
 
 class _Front(msgspec.Struct, kw_only=True):
@@ -141,31 +138,11 @@
     received_at: float
 
 
-class _Departure(msgspec.Struct, kw_only=True):
-    """A leave that is still being repeated.
-
-    :param until: when to stop including it in batches.
-    :param resend_at: when to send it again to the instances that have not
-        confirmed it; ``None`` if another instance received it first.
-    :param resend_until: when to stop that.
-    :param confirmed_by: instances that have confirmed it.
-    :param ticket: of the backend server that waits for the answer.
-    :param asked_at: when it asked.
-    """
-
-    departure: BackendDeparture
-    until: float
-    resend_at: float | None
-    resend_until: float
-    confirmed_by: set[str] = msgspec.field(default_factory=set)
-    ticket: str | None = None
-    asked_at: float = 0.0
-
-
 class Presence:
     """The presence state machine, for the front and the dispatching side.
 
     :param instance_id: this instance.
+    :param has_disk: whether it stores leaves.
     :param lease_s: seconds without renewal after which presence ends.
     :param retention_s: seconds for which leaves are retained.
     :param suspends_leases_in_outage: whether leases are suspended while no
@@ -177,6 +154,7 @@
         self,
         *,
         instance_id: str,
+        has_disk: bool = False,
         lease_s: float = LEASE_S,
         retention_s: float = RETENTION_S,
         suspends_leases_in_outage: bool = False,
@@ -189,11 +167,15 @@
             retention_s=retention_s,
             suspends_leases_in_outage=suspends_leases_in_outage,
         )
+        self._has_disk = has_disk
+        self._departures = Departures(
+            instance_id=instance_id, has_disk=has_disk
+        )
+        #: Leaves read from the disk, until the time is known.
+        self._restored: list[BackendDeparture] = []
         self._fronts_by_id: dict[str, _Front] = {}
-        self._instance_ids: tuple[str, ...] = (instance_id,)
         self._renewals_by_dispatcher: dict[str, list[_Renewal]] = {}
         self._batch_at = 0.0
-        self._departures_by_id: dict[str, _Departure] = {}
         self._successors_by_id: dict[str, _Successor] = {}
 
     # Accessors.
@@ -245,11 +227,22 @@
 
     def handle(self, event: typing.Any) -> list[typing.Any]:
         """Apply an event; return the effects to perform, in order."""
+        if self._restored:
+            restored, self._restored = self._restored, []
+            return [
+                *self._apply_restored(event.now, restored),
+                *self._handle(event),
+            ]
+        return self._handle(event)
+
+    def _handle(self, event: typing.Any) -> list[typing.Any]:
         match event:
             case parts.Ticked():
                 return self._tick(event.now)
             case parts.Received():
                 return self._receive(event)
+            case parts.Persisted():
+                return self._departures.persisted(event.now, event.token)
             case Announced():
                 return self._on_announced(event)
             case Renewed():
@@ -259,16 +252,42 @@
             case Forward():
                 return self._on_forward(event)
             case SetInstances():
-                self._instance_ids = event.instance_ids
+                self._departures.set_instances(
+                    event.now, event.instance_ids, event.started_ids
+                )
+                return []
+            case SetVoters():
+                self._departures.set_voters(event.voter_ids)
                 return []
         raise TypeError(f'presence cannot handle event {type(event).__name__}')
 
     def restore(self, record: typing.Any) -> None:
-        """Do nothing: backend servers send renewals within a second."""
+        """Restore a leave from the journal; ignore records of other parts.
+
+        Backend servers renew within a second, so nothing else is stored.
+        """
+        if isinstance(record, BackendDeparture):
+            self._restored.append(record)
+
+    def snapshot(self) -> tuple[BackendDeparture, ...]:
+        """Return the records that :meth:`restore` needs."""
+        if not self._has_disk:
+            return ()
+        return (*self._restored, *self._backends.departures())
+
+    def _apply_restored(
+        self, now: float, restored: list[BackendDeparture]
+    ) -> list[typing.Any]:
+        """Apply the leaves from the disk, as if they were heard now.
 
-    def snapshot(self) -> tuple[typing.Any, ...]:
-        """Return no records: presence is not persisted."""
-        return ()
+        No clock tells for how long the instance was down.
+        """
+        self._departures.restore(now, restored)
+        return [
+            effect
+            for departure in restored
+            for effect in self._backends.leave(now, departure)
+        ]
 
     # Requests of backend servers to this instance as their front.
 
@@ -335,50 +354,19 @@
             incarnation=self._leaving_incarnation(event),
             sequence=event.sequence,
         )
-        if stamp(departure) <= self._backends.left(event.backend_id):
-            return [_complete(event.ticket, PresenceOutcome.ACCEPTED)]
+        left, sequence = self._backends.left(event.backend_id)
+        if (left, sequence) > stamp(departure):
+            # A later leave covers this one.
+            departure = BackendDeparture(
+                backend_id=event.backend_id,
+                incarnation=left,
+                sequence=sequence,
+            )
         effects = self._record_departure(
             event.now, departure, self.instance_id
         )
-        item = self._departures_by_id[event.backend_id]
-        item.resend_at = event.now + LEAVE_CONFIRM_S
-        item.ticket = event.ticket
-        item.asked_at = event.now
-        effects += self._send_departure(item, by_datagram=True)
-        return effects + self._answer_if_known(event.now, item)
-
-    def _answer_if_known(
-        self, now: float, item: _Departure
-    ) -> list[typing.Any]:
-        """Answer a leave once half of the other instances know of it.
-
-        The backend server doesn't repeat what was answered. If only this
-        instance knew, the leave would be lost with it.
-        """
-        others = len(set(self._instance_ids) - {self.instance_id})
-        if 2 * len(item.confirmed_by) < others:
-            return []
-        return self._answer(now, item)
-
-    def _answer(self, now: float, item: _Departure) -> list[typing.Any]:
-        """Answer the backend server that left, if it still waits."""
-        if item.ticket is None:
-            return []
-        ticket, item.ticket = item.ticket, None
-        answered = DepartureAnswered(
-            departure=item.departure,
-            took_s=now - item.asked_at,
-            known_by=len(item.confirmed_by),
-            missing_ids=self._missing_ids(item),
-        )
-        return [_complete(ticket, PresenceOutcome.ACCEPTED), answered]
-
-    def _missing_ids(self, item: _Departure) -> tuple[str, ...]:
-        """Return the other instances that have not confirmed a leave."""
-        return tuple(
-            to
-            for to in self._instance_ids
-            if to != self.instance_id and to not in item.confirmed_by
+        return effects + self._departures.ask(
+            event.now, departure, event.ticket
         )
 
     def _record_restart(
@@ -456,7 +444,7 @@
 
     def _tick(self, now: float) -> list[typing.Any]:
         effects = self._backends.expire(now)
-        effects += self._resend_departures(now)
+        effects += self._departures.tick(now)
         if now >= self._batch_at:
             self._batch_at = now + BATCH_S
             effects += self._send_batches(now)
@@ -467,11 +455,7 @@
         return effects
 
     def _send_batches(self, now: float) -> list[typing.Any]:
-        departures = tuple(
-            item.departure
-            for item in self._departures_by_id.values()
-            if now < item.until
-        )
+        departures = self._departures.batched(now)
         effects = []
         for to, waiting in self._renewals_by_dispatcher.items():
             message = PresenceBatch(
@@ -482,36 +466,6 @@
         self._renewals_by_dispatcher = {}
         return effects
 
-    def _resend_departures(self, now: float) -> list[typing.Any]:
-        effects: list[typing.Any] = []
-        for backend_id, item in list(self._departures_by_id.items()):
-            if item.resend_at is not None and now >= item.resend_at:
-                item.resend_at = now + LEAVE_RESEND_S
-                # The others may be cut off; the backend server waits no more.
-                effects += self._answer(now, item)
-                effects += self._send_departure(item, by_datagram=False)
-            is_resent = item.resend_at is not None and now < item.resend_until
-            if now >= item.until and not is_resent:
-                del self._departures_by_id[backend_id]
-        return effects
-
-    def _send_departure(
-        self, item: _Departure, *, by_datagram: bool
-    ) -> list[typing.Any]:
-        """Send a leave to the instances that have not confirmed it.
-
-        A connection to each of all instances would cost too much, so it goes
-        out without one first.
-        """
-        message = PresenceBatch(renewals=(), departures=(item.departure,))
-        missing = self._missing_ids(item)
-        if not missing:
-            item.resend_at = None
-        return [
-            parts.Send(to=to, message=message, by_datagram=by_datagram)
-            for to in missing
-        ]
-
     # Messages forwarded by other instances.
 
     def _receive(self, event: parts.Received) -> list[typing.Any]:
@@ -527,9 +481,27 @@
             case PresenceUnknown():
                 return self._on_presence_unknown(now, event.sender, message)
             case DeparturesConfirmed():
-                return self._on_departures_confirmed(
-                    now, event.sender, message
+                return [
+                    effect
+                    for departure in message.departures
+                    for effect in self._departures.confirmed(
+                        now, event.sender, departure
+                    )
+                ]
+            case DeparturesStored():
+                return [
+                    effect
+                    for departure in message.departures
+                    for effect in self._departures.stored(
+                        now, event.sender, departure
+                    )
+                ]
+            case DepartureSpread():
+                effects = self._hear(
+                    now, event.sender, message.departure, is_repeated=True
                 )
+                self._departures.spread_told(now, message)
+                return effects
         raise TypeError(
             f'presence cannot handle message {type(message).__name__}'
         )
@@ -539,15 +511,20 @@
     ) -> list[typing.Any]:
         effects: list[typing.Any] = []
         for departure in message.departures:
-            if stamp(departure) > self._backends.left(departure.backend_id):
-                effects += self._record_departure(now, departure, sender)
+            effects += self._hear(
+                now, sender, departure, is_repeated=message.is_repeated
+            )
         if message.renewals:
             self._backends.on_message(now)
         else:
-            confirmed = DeparturesConfirmed(departures=message.departures)
-            effects.append(
-                parts.Send(to=sender, message=confirmed, by_datagram=True)
-            )
+            effects += [
+                parts.Send(
+                    to=sender,
+                    message=each,
+                    by_datagram=not message.is_repeated,
+                )
+                for each in self._departures.confirmation(message.departures)
+            ]
         unknown = []
         for renewal in message.renewals:
             renewed = self._backends.renew(now, renewal)
@@ -569,36 +546,34 @@
                 effects += self._send_announcement(now, front, (sender,))
         return effects
 
-    def _on_departures_confirmed(
-        self, now: float, sender: str, message: DeparturesConfirmed
+    def _hear(
+        self,
+        now: float,
+        sender: str,
+        departure: BackendDeparture,
+        *,
+        is_repeated: bool,
     ) -> list[typing.Any]:
-        effects: list[typing.Any] = []
-        for departure in message.departures:
-            item = self._departures_by_id.get(departure.backend_id)
-            if item is not None and item.departure == departure:
-                item.confirmed_by.add(sender)
-                effects += self._answer_if_known(now, item)
-        return effects
+        if stamp(departure) < self._backends.left(departure.backend_id):
+            # Its sender is told of the later leave by whoever repeats that.
+            return []
+        effects = self._record_departure(now, departure, sender)
+        return effects + self._departures.hear(
+            now, sender, departure, is_repeated=is_repeated
+        )
 
     def _record_departure(
         self, now: float, departure: BackendDeparture, heard_from: str
     ) -> list[typing.Any]:
+        """Apply a leave, unless it is known."""
         backend_id = departure.backend_id
-        former = self._departures_by_id.get(backend_id)
-        effects = [] if former is None else self._answer(now, former)
-        effects.append(
-            DepartureHeard(departure=departure, heard_from=heard_from)
-        )
-        self._departures_by_id[backend_id] = _Departure(
-            departure=departure,
-            until=now + LEAVE_REPEAT_S,
-            resend_at=None,
-            resend_until=now + LEAVE_RESEND_FOR_S,
-        )
+        if stamp(departure) <= self._backends.left(backend_id):
+            return []
         front = self._fronts_by_id.get(backend_id)
         if front is not None and stamp(front.announcement) <= stamp(departure):
             del self._fronts_by_id[backend_id]
-        return [*effects, *self._backends.leave(now, departure)]
+        heard = DepartureHeard(departure=departure, heard_from=heard_from)
+        return [heard, *self._backends.leave(now, departure)]
 
 
 def _complete(ticket: str, outcome: PresenceOutcome) -> parts.Complete:
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -89,16 +89,16 @@
 class DepartureAnswered(Decision, frozen=True, kw_only=True):
     """A backend server has got the acknowledgement of its leave.
 
-    :param known_by: number of other instances that have confirmed it.
-    :param missing: some of the others.
+    :param stored_by: number of voters that have it on disk.
+    :param lacking: some of the instances that have not confirmed it.
     """
 
     message: typing.ClassVar[str] = 'leave of a backend server acknowledged'
     backend_id: str
     incarnation: int
     took_ms: int
-    known_by: int
-    missing: str
+    stored_by: int
+    lacking: str
 
 
 class SentBeforeLeave(OfRequest, frozen=True, kw_only=True):
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -150,6 +150,7 @@
         )
         self.presence = presence.Presence(
             instance_id=settings.instance_id,
+            has_disk=self._is_voter,
             lease_s=settings.timeouts.presence_s,
             suspends_leases_in_outage=settings.unconfirmed == 'serve',
         )
@@ -248,6 +249,7 @@
             'register': self.register,
             'claims': self.claims,
             'leases': self.leases,
+            'presence': self.presence,
             'quarantine': self.quarantine,
         }
         self._throttled_parts = (
@@ -255,7 +257,7 @@
             _ThrottledPart(handle=self._in_register, every_s=TICK_S),
             _ThrottledPart(handle=self._in_claims, every_s=SLOW_TICK_S),
             _ThrottledPart(handle=self._in_leases, every_s=TICK_S),
-            _ThrottledPart(handle=self.presence.handle, every_s=TICK_S),
+            _ThrottledPart(handle=self._in_presence, every_s=TICK_S),
             _ThrottledPart(handle=self._in_quarantine, every_s=SLOW_TICK_S),
         )
         self._ticked_at = -math.inf
@@ -265,8 +267,9 @@
         self._review_at = 0.0
         self._membership_log = membership_log.MembershipLog()
         self._instance_ids: tuple[str, ...] = ()
-        #: Instances that are alive or suspected; the latter may still act.
-        self._present_ids: tuple[str, ...] = ()
+        #: Incarnations of the instances that are alive or suspected; the
+        #: latter may still act.
+        self._starts_by_id: dict[str, int] = {}
         self._tunnel_peers: tuple[effects.TunnelPeer, ...] = ()
         self._is_serving = False
         self._entropy = incarnation
@@ -359,7 +362,7 @@
                 ),
             ),
             (
-                self.presence.handle,
+                self._in_presence,
                 (
                     presence.Renewed,
                     presence.Left,
@@ -415,7 +418,7 @@
             (self._in_claims, claim_messages.MESSAGES),
             (self._in_leases, lease_messages.MESSAGES),
             (self.membership.handle, membership.MESSAGES),
-            (self.presence.handle, presence.MESSAGES),
+            (self._in_presence, presence.MESSAGES),
             (self._in_quarantine, quarantine.MESSAGES),
             (self.rates.handle, rates.MESSAGES),
             (self._receive_as_owner, owner_module.OWNER_MESSAGES),
@@ -534,6 +537,9 @@
     def _in_leases(self, event: typing.Any) -> list[typing.Any]:
         return _prefix_tokens('leases', self.leases.handle(event))
 
+    def _in_presence(self, event: typing.Any) -> list[typing.Any]:
+        return _prefix_tokens('presence', self.presence.handle(event))
+
     def _in_quarantine(self, event: typing.Any) -> list[typing.Any]:
         return _prefix_tokens('quarantine', self.quarantine.handle(event))
 
@@ -626,7 +632,7 @@
     # Backend servers
 
     def _on_announced(self, event: presence.Announced) -> list[typing.Any]:
-        out = self.presence.handle(event)
+        out = self._in_presence(event)
         accepted = parts.Complete(
             ticket=event.ticket, result=presence.PresenceOutcome.ACCEPTED
         )
@@ -765,7 +771,13 @@
     def _change_voters(
         self, now: float, effect: register.VotersChanged
     ) -> list[typing.Any]:
-        return self.voter_replacement.change_voters(now, effect)
+        voters = presence.SetVoters(
+            now=now, voter_ids=frozenset(effect.voters_by_id)
+        )
+        return [
+            *self._in_presence(voters),
+            *self.voter_replacement.change_voters(now, effect),
+        ]
 
     def _on_leases_caught_up(
         self, now: float, effect: lease.GrantorCaughtUp
@@ -880,17 +892,26 @@
 
     def _review_instances(self, now: float) -> list[typing.Any]:
         alive = tuple(self.membership.alive_ids())
-        present = tuple(
-            instance_id
+        starts_by_id = {
+            instance_id: member.incarnation
             for instance_id, member in self.membership.members_by_id.items()
             if member.state <= membership.MemberState.SUSPECT
-        )
-        if (alive, present) == (self._instance_ids, self._present_ids):
+        }
+        former = self._starts_by_id
+        if alive == self._instance_ids and starts_by_id == former:
             return []
-        self._instance_ids, self._present_ids = alive, present
+        self._instance_ids, self._starts_by_id = alive, starts_by_id
+        present = tuple(starts_by_id)
+        started = frozenset(
+            instance_id
+            for instance_id, incarnation in starts_by_id.items()
+            if former.get(instance_id) != incarnation
+        )
         return [
-            *self.presence.handle(
-                presence.SetInstances(now=now, instance_ids=present)
+            *self._in_presence(
+                presence.SetInstances(
+                    now=now, instance_ids=present, started_ids=started
+                )
             ),
             *self._in_register(
                 register.InstancesChanged(now=now, instance_ids=present)
--- a/dandeliongw/state_log.py
+++ b/dandeliongw/state_log.py
@@ -14,7 +14,7 @@
 
 
 #: Most instances that are named in the line on an acknowledged leave.
-MAX_MISSING_LOGGED = 8
+MAX_LACKING_LOGGED = 8
 
 
 def backend_changed(
@@ -38,8 +38,8 @@
         backend_id=effect.departure.backend_id,
         incarnation=effect.departure.incarnation,
         took_ms=round(effect.took_s * 1000),
-        known_by=effect.known_by,
-        missing=' '.join(effect.missing_ids[:MAX_MISSING_LOGGED]),
+        stored_by=effect.stored_by,
+        lacking=' '.join(effect.lacking_ids[:MAX_LACKING_LOGGED]),
     ).log()
 
 
--- a/dandeliongw/wire.py
+++ b/dandeliongw/wire.py
@@ -32,6 +32,7 @@
     *register_messages.RECORDS,
     *claim_messages.RECORDS,
     *lease_messages.RECORDS,
+    *presence.RECORDS,
     *quarantine.RECORDS,
 )
 
