Kill one decode engine in the test of a stream that outlives it

So the test killed too late or too much; the product did as it should.

The holder is found before anything is killed, and the stream stalls two tokens later, so that it can't end first.

--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -109,20 +109,31 @@
         """Guards against a truncated answer when the decode engine dies.
 
         The engine is killed during the stream; another one must continue after
-        the tokens that the caller has received.
+        the tokens that the caller has received. The stream stalls after the
+        token at which it is killed, so that a busy machine can't end it first.
         """
         system = started(
             self,
             [engine('prefill', 1), engine('decode', 1), engine('decode', 2)],
         )
 
+        engines = [
+            stand_in
+            for backend_id, stand_in in system.stand_ins_by_id.items()
+            if backend_id.startswith('decode')
+        ]
+        for each in engines:
+            _stall(system, each, after_tokens=12)
+
         def kill(number):
-            if number == 10:
-                for backend_id, stand_in in system.stand_ins_by_id.items():
-                    if backend_id.startswith('decode') and _streams(
-                        system, stand_in
-                    ):
-                        system.kill(stand_in.process)
+            if number != 10:
+                return
+            # Found before one is killed: the stream moves to the other then.
+            (holder,) = [each for each in engines if _streams(system, each)]
+            for each in engines:
+                if each is not holder:
+                    _stall(system, each, after_tokens=-1)
+            system.kill(holder.process)
 
         tokens, is_complete = complete(system, 'gw-2', kill)
         self.assertTrue(is_complete)
@@ -185,3 +196,9 @@
 
 def _streams(system, stand_in):
     return system.call('GET', f'{stand_in.url}/v1/streams')[1]['streams']
+
+
+def _stall(system, stand_in, *, after_tokens):
+    fault = {'stall_after_tokens': after_tokens}
+    status, _ = system.call('POST', f'{stand_in.url}/faults', fault)
+    assert status == 200, status
