Withdraw what a leaving backend server has not received

A call that was placed before a leave could arrive long after it: connecting takes up to 2.7 s (directly, then through up to three instances), a prefill waits for its start, and what was written is delivered when a stalled path recovers. Whoever sent it had heard of the leave meanwhile and did nothing; an instance that opens a tunnel for another one did not look either.

Right before a call is written, its connection asks whether the server at that address has left (Paths.has_departed); then nothing is sent and the request is booked anew, which is no attempt (Recovery._rebook). 0.6 s after an entry has heard of a leave, it breaks off a step whose bytes the other end has not acknowledged (TIOCOUTQ), and resets the connection, which discards them; the same at the far end of a tunnel. What was received goes on: a booking or a stream may be at work.

--- a/dandeliongw/effects.py
+++ b/dandeliongw/effects.py
@@ -116,6 +116,28 @@
     attempt_id: str
 
 
+class Withdraw(Directive, frozen=True, kw_only=True):
+    """Break off a step that a leaving backend server may not have received.
+
+    The step ends with ``RetryReason.BACKEND_LEFT`` then, and goes on
+    otherwise.
+
+    :param is_forced: whether no answer so far is enough; otherwise the other
+        end of the connection must not have acknowledged all that was written.
+    """
+
+    attempt_id: str
+    backend_id: str
+    is_forced: bool
+
+
+class AddressDeparted(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether the backend server at a URL has left, and none followed it."""
+
+    url: str
+    has_departed: bool
+
+
 class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
     """Handle this event in the reducer before it returns to the runtime."""
 
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -19,6 +19,7 @@
     :param reason: reason code in the backend server's answer, or ``''``.
     :param is_cut: whether the connection was closed or lost before the answer
         was complete, and not by this process.
+    :param is_unsent: whether no byte of the call was written.
     """
 
     def __init__(
@@ -28,11 +29,13 @@
         known: verdict.Verdict,
         reason: str = '',
         is_cut: bool = False,
+        is_unsent: bool = False,
     ) -> None:
         super().__init__(message)
         self.known = known
         self.reason = reason
         self.is_cut = is_cut
+        self.is_unsent = is_unsent
 
 
 class StalledError(EngineError):
@@ -149,6 +152,16 @@
         """Break off the call in progress, from any thread."""
         ...
 
+    def withdraw(self, *, is_forced: bool) -> None:
+        """Break off a call that the backend server seems not to have got.
+
+        Has no effect once any byte of an answer has come. From any thread.
+
+        :param is_forced: whether that no byte has come is enough; otherwise
+            something of the call must be unacknowledged by the other end.
+        """
+        ...
+
 
 class PlainServiceAdapter(typing.Protocol):
     """Sends a single call to a plain service."""
@@ -166,3 +179,13 @@
     def abort(self) -> None:
         """Break off the call in progress, from any thread."""
         ...
+
+    def withdraw(self, *, is_forced: bool) -> None:
+        """Break off a call that the backend server seems not to have got.
+
+        Has no effect once any byte of an answer has come. From any thread.
+
+        :param is_forced: whether that no byte has come is enough; otherwise
+            something of the call must be unacknowledged by the other end.
+        """
+        ...
--- a/dandeliongw/entry/recovery.py
+++ b/dandeliongw/entry/recovery.py
@@ -59,6 +59,10 @@
             return self._endings.give_up(
                 event.now, request, refusals.past_deadline(request)
             )
+        if event.failure is _RETRY.BACKEND_LEFT and not event.was_sent:
+            rebooked = self._rebook(event, request)
+            if rebooked is not None:
+                return rebooked
         if event.step is events.Step.DECODE:
             if self._may_resume(event, request) and self._reserve(
                 event, request
@@ -83,6 +87,23 @@
             entropy=event.entropy,
         )
 
+    def _rebook(
+        self, event: events.StepEnded, request: Request
+    ) -> Effects | None:
+        """Book again for a step that was not sent, as its server had left.
+
+        Return ``None`` if that takes another attempt.
+        """
+        departures = self._departure_check.departures(request, (event.step,))
+        if not departures:
+            return None
+        if event.step is events.Step.DECODE and request.booked.prefill_id:
+            if not request.kv:
+                # A stream that was to be resumed.
+                return None
+            request.stage = cell_types.Stage.DECODE
+        return self._attempts.rebook(event.now, request, departures)
+
     def _reserve(self, event: events.StepEnded, request: Request) -> bool:
         """Take one more decode from the retry budget, if there is one."""
         return self._sends.reserve(event.now, request, with_prefill=False)
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -143,10 +143,17 @@
 
     def put_directive(self, directive: effects.Directive) -> None:
         """Accept a directive; called by the runtime, never blocks."""
-        if isinstance(directive, effects.Abort):
-            self._cancellations.cancel(directive.attempt_id)
-        else:
-            self._directives.put((self._clock(), directive))
+        match directive:
+            case effects.Abort():
+                self._cancellations.cancel(directive.attempt_id)
+            case effects.Withdraw():
+                self._cancellations.withdraw(
+                    directive.attempt_id,
+                    directive.backend_id,
+                    is_forced=directive.is_forced,
+                )
+            case _:
+                self._directives.put((self._clock(), directive))
 
     def pieces(
         self,
@@ -267,6 +274,13 @@
                 return (yield from self._decode(directive, left_s))
         return self._call(directive, left_s)
 
+    def _registered(
+        self, directive: typing.Any, adapter: typing.Any
+    ) -> contextlib.AbstractContextManager[None]:
+        return self._cancellations.registered(
+            directive.attempt_id, directive.backend_id, adapter
+        )
+
     def _prefill(
         self, directive: effects.RunPrefill, left_s: float
     ) -> step_results.Done:
@@ -277,7 +291,7 @@
             directive.told_account,
             self._rate_limit_observer(directive),
         )
-        with self._cancellations.registered(directive.attempt_id, adapter):
+        with self._registered(directive, adapter):
             # When a decode engine failed mid-stream, the text that the
             # client already has becomes part of the prompt, and the new
             # engine counts tokens from the end of that text.
@@ -308,7 +322,7 @@
             self._rate_limit_observer(directive),
         )
         measure = token_gaps.TokenGapMeter()
-        with self._cancellations.registered(directive.attempt_id, adapter):
+        with self._registered(directive, adapter):
             if directive.kv or directive.reads:
                 self._import(adapter, directive, left_s)
             try:
@@ -434,7 +448,7 @@
             directive.told_account,
             self._rate_limit_observer(directive),
         )
-        with self._cancellations.registered(directive.attempt_id, adapter):
+        with self._registered(directive, adapter):
             reply = adapter.call(
                 method=self.call.method,
                 path=self._payload.path,
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -50,6 +50,19 @@
     url: str
 
 
+class WithdrawalStage(msgspec.Struct, frozen=True, kw_only=True):
+    """A step under way at a backend server whose leave was heard.
+
+    :param is_checked: whether it was broken off if it seemed unreceived.
+    """
+
+    attempt_id: str
+    step: events.Step
+    backend_id: str
+    heard_at: float
+    is_checked: bool = False
+
+
 class Request(msgspec.Struct, kw_only=True):
     """One request in flight.
 
@@ -109,6 +122,7 @@
     trial_of: tuple[str, ...] = ()
     is_held: bool = False
     booked: cells.Booked | None = None
+    withdrawal: WithdrawalStage | None = None
     reclaimed_at: float | None = None
     exclude: tuple[str, ...] = ()
     retry_at: float = 0.0
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -107,6 +107,7 @@
         self._endings = endings.Endings(reservations=self._reservations)
         self._sends = sends.Sends(budgets=budgets)
         self._steps = steps.Steps(sends=self._sends)
+        self._withdrawals = withdrawals.Withdrawals(budgets=budgets)
         self._attempts = attempts.Attempts(
             reservations=self._reservations,
             departure_check=self._departure_check,
@@ -303,7 +304,7 @@
         self, now: float, departure: presence.BackendDeparture
     ) -> Effects:
         """Process a leave that this instance has just heard of."""
-        return withdrawals.log_lines(
+        return self._withdrawals.note_departure(
             now, self.requests_by_id.values(), departure
         )
 
@@ -573,6 +574,9 @@
                 failure=_RETRY.KV_EVICTED,
                 message='no decode engine was found in time',
             )
+        withdrawn = self._withdrawals.tick(now, request)
+        if withdrawn:
+            return withdrawn
         match request.phase:
             case Phase.ASKING:
                 return self._trials.tick(now, request)
--- a/dandeliongw/entry/step_results.py
+++ b/dandeliongw/entry/step_results.py
@@ -70,7 +70,8 @@
             failure=failure_of(step, error),
             message=str(error),
             is_cut=error.is_cut,
-            was_sent=error.reason != _RETRY.CONNECT_REFUSED,
+            was_sent=not error.is_unsent
+            and error.reason != _RETRY.CONNECT_REFUSED,
             first_piece_at=measure.first_at,
             last_piece_at=measure.last_at,
             pieces=measure.count,
@@ -109,6 +110,8 @@
         return _RETRY.STREAM_BROKEN
     if error.reason == _RETRY.CONNECT_REFUSED:
         return _RETRY.CONNECT_REFUSED
+    if error.reason == _RETRY.BACKEND_LEFT:
+        return _RETRY.BACKEND_LEFT
     if error.reason == 'busy':
         return _RETRY.BACKEND_BUSY
     if step is events.Step.DECODE:
--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -14,7 +14,6 @@
 import re
 import select
 import socket
-import struct
 import typing
 import urllib.parse
 
@@ -25,6 +24,7 @@
 from . import connection_pool
 from . import engine
 from . import paths
+from . import sockets
 from . import verdict
 
 #: Seconds without an answer after which the path of a connection that was
@@ -32,8 +32,6 @@
 SUSPECT_S = 0.5
 #: Size limit of a line in a stream; its pieces and end mark are short lines.
 MAX_LINE_BYTES = 1 << 20
-#: Linger for zero seconds: a close resets the connection.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _RATE = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 
@@ -77,6 +75,10 @@
     def suspect(self, host: str, port: int) -> None:
         """Do nothing: there is no other path."""
 
+    def has_departed(self, host: str, port: int) -> bool:
+        """Return ``False``: leaves are unknown here."""
+        return False
+
 
 class Exchange:
     """One HTTP call.
@@ -110,6 +112,9 @@
         self._socket: socket.socket | None = None
         self._response: typing.Any = None
         self._aborted = False
+        self._is_begun = False
+        self._is_written = False
+        self._is_withdrawn = False
 
     def open(self) -> None:
         """Connect; a failure here proves that nothing was sent."""
@@ -155,6 +160,15 @@
         headers: abc.Mapping[str, str],
     ) -> typing.Any:
         """Send the call; return the answer once its headers have arrived."""
+        if self._connector.has_departed(self._host, self._port):
+            # Connecting may have taken seconds since the call was placed.
+            raise engine.EngineError(
+                'the backend server left before the call was sent',
+                known=verdict.Verdict.NOT_RUN,
+                reason=verdict.RetryReason.BACKEND_LEFT,
+                is_unsent=True,
+            )
+        self._is_begun = True
         with self._as_engine_error():
             self._connection.request(
                 method,
@@ -166,6 +180,7 @@
                 preload_content=False,
                 decode_content=False,
             )
+            self._is_written = True
             self._response = self._await_answer()
             return self._response
 
@@ -241,6 +256,23 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    def withdraw(self, *, is_forced: bool) -> None:
+        """Break the call off if the backend server seems not to have it.
+
+        What the other end has not acknowledged is discarded with the
+        connection, so it can't arrive when a stalled path recovers.
+
+        :param is_forced: whether no answer so far is enough.
+        """
+        if not self._is_begun or self._response is not None:
+            return
+        is_unreceived = self._is_written and sockets.unacknowledged_bytes(
+            self._socket
+        )
+        if is_forced or is_unreceived:
+            self._is_withdrawn = True
+            self.abort()
+
     @property
     def read_timeout_s(self) -> float | None:
         """Current timeout of the socket in seconds."""
@@ -262,10 +294,7 @@
         if not self._is_complete and self._socket is not None:
             # Discard unsent data. Otherwise an abandoned call would be
             # delivered when a network partition heals.
-            with contextlib.suppress(OSError):
-                self._socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
+            sockets.reset_on_close(self._socket)
         if self._response is not None:
             self._response.close()
         if self._connection is not None:
@@ -295,6 +324,7 @@
         try:
             yield
         except (TimeoutError, urllib3.exceptions.ReadTimeoutError) as error:
+            self._raise_if_withdrawn(error)
             self._connector.suspect(self._host, self._port)
             raise engine.StalledError(
                 f'nothing came for {self._read_s} s',
@@ -310,8 +340,17 @@
         ) as error:
             # urllib3 raises any of these errors when another thread aborts
             # the call and so shuts down the socket during a read.
+            self._raise_if_withdrawn(error)
             raise engine.EngineError(
                 f'the connection broke: {error}',
                 known=verdict.Verdict.MAY_HAVE_RUN,
                 is_cut=not self._aborted,
             ) from error
+
+    def _raise_if_withdrawn(self, error: BaseException) -> None:
+        if self._is_withdrawn:
+            raise engine.EngineError(
+                'broken off: the backend server left and had not answered',
+                known=verdict.Verdict.MAY_HAVE_RUN,
+                reason=verdict.RetryReason.BACKEND_LEFT,
+            ) from error
--- a/dandeliongw/http_backends.py
+++ b/dandeliongw/http_backends.py
@@ -170,6 +170,10 @@
         if self._current is not None:
             self._current.abort()
 
+    def withdraw(self, *, is_forced: bool) -> None:
+        if self._current is not None:
+            self._current.withdraw(is_forced=is_forced)
+
     @contextlib.contextmanager
     def _exchange(self, read_s: float) -> abc.Iterator[exchanges.Exchange]:
         exchange = exchanges.Exchange(
@@ -335,6 +339,9 @@
     def abort(self) -> None:
         self._exchange.abort()
 
+    def withdraw(self, *, is_forced: bool) -> None:
+        self._exchange.withdraw(is_forced=is_forced)
+
 
 class HttpBackends:
     """Makes the HTTP adapters of a request's backend servers.
--- a/dandeliongw/paths.py
+++ b/dandeliongw/paths.py
@@ -41,6 +41,9 @@
 #: Seconds since its last use in which a backend server is checked, too, when
 #: the path to another one turns out to be lost.
 RECENT_S = 10.0
+#: Seconds for which the address of a backend server that left is remembered;
+#: no call waits for a connection as long.
+DEPARTED_S = 600.0
 
 
 class Connector(typing.Protocol):
@@ -59,6 +62,13 @@
         """Check an address whose connection has been silent for a while."""
         ...
 
+    def has_departed(self, host: str, port: int) -> bool:
+        """Return whether the backend server at an address has left.
+
+        Asked right before a call is written, as it may have waited.
+        """
+        ...
+
 
 class _Path(msgspec.Struct, kw_only=True):
     """What is known of the way to one address.
@@ -102,6 +112,10 @@
         self._avoid_until_by_id: dict[str, float] = {}
         self._last_helper = ''
         self._listeners: list[abc.Callable[[str, int], None]] = []
+        self._departed_at: dict[tunnels.Address, float] = {}
+        self._departure_listeners: list[
+            abc.Callable[[tunnels.Address], None]
+        ] = []
         #: How often other instances were asked, by outcome.
         self.asked_by_outcome = dict.fromkeys(
             (each.value for each in tunnels.Outcome), 0
@@ -114,6 +128,33 @@
         """
         self._listeners.append(listener)
 
+    def on_departure(
+        self, listener: abc.Callable[[tunnels.Address], None]
+    ) -> None:
+        """Call ``listener`` when the backend server at an address leaves."""
+        self._departure_listeners.append(listener)
+
+    def set_departed(self, url: str, *, has_departed: bool) -> None:
+        """Set whether the backend server at a URL has left."""
+        address, now = _address_of(url), clock.now()
+        if not has_departed:
+            self._departed_at.pop(address, None)
+            return
+        for each, at in list(self._departed_at.items()):
+            if now >= at + DEPARTED_S:
+                self._departed_at.pop(each, None)
+        self._departed_at[address] = now
+        for listener in self._departure_listeners:
+            listener(address)
+
+    def has_departed(self, host: str, port: int) -> bool:
+        """Return whether the backend server at an address has left."""
+        return tunnels.Address(host=host, port=port) in self._departed_at
+
+    def may_connect_for_others(self, address: tunnels.Address) -> bool:
+        """Return whether a tunnel to an address may be opened."""
+        return self.is_direct(address) and address not in self._departed_at
+
     def set_peers(self, peers: abc.Iterable[effects.TunnelPeer]) -> None:
         """Set the other instances, in the order in which to ask them."""
         self._peers = tuple(peers)
@@ -177,10 +218,7 @@
         """
         if not self._peers:
             return probe.is_refused(url)
-        parts = urllib.parse.urlsplit(url)
-        address = tunnels.Address(
-            host=parts.hostname or '', port=parts.port or 80
-        )
+        address = _address_of(url)
         if self.is_direct(address) and _listens(address):
             return False
         answer = self._ask_others(address)
@@ -357,6 +395,11 @@
             self._set_through(address, path, None)
 
 
+def _address_of(url: str) -> tunnels.Address:
+    parts = urllib.parse.urlsplit(url)
+    return tunnels.Address(host=parts.hostname or '', port=parts.port or 80)
+
+
 def _listens(address: tunnels.Address) -> bool:
     try:
         socket.create_connection(
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -652,22 +652,43 @@
         announcement = self.presence.backends_by_id[
             effect.backend_id
         ].announcement
-        return [
+        out = [
             state_log.backend_changed(effect, announcement),
             *self.owner.change_backend(now, effect.backend_id),
         ]
+        if effect.present:
+            out.append(
+                effects.AddressDeparted(
+                    url=announcement.url, has_departed=False
+                )
+            )
+        return out
 
     def _on_departure_heard(
         self, now: float, effect: presence.DepartureHeard
     ) -> list[typing.Any]:
         departure = effect.departure
         held = self.presence.backends_by_id.get(departure.backend_id)
-        return [
+        out = [
             state_log.departure_heard(
                 effect, is_present=held is not None and held.present
             ),
             *self.requests.note_departure(now, departure),
         ]
+        if held is not None and self._is_vacant(held.announcement.url):
+            out.append(
+                effects.AddressDeparted(
+                    url=held.announcement.url, has_departed=True
+                )
+            )
+        return out
+
+    def _is_vacant(self, url: str) -> bool:
+        """Return whether no backend server at a URL may receive work."""
+        return not any(
+            backend.present and backend.announcement.url == url
+            for backend in self.presence.backends_by_id.values()
+        )
 
     def _on_cache_hints(
         self, now: float, effect: presence.CacheHints
--- a/dandeliongw/runtime.py
+++ b/dandeliongw/runtime.py
@@ -146,6 +146,7 @@
             effects.PeerAddress: self._set_address,
             effects.PeerForgotten: self._forget_peer,
             effects.TunnelPeers: self._set_tunnel_peers,
+            effects.AddressDeparted: self._set_departed,
             effects.GaugeValues: self._observe,
             effects.GiveOrder: self._give_order,
             membership.Superseded: self._end_superseded,
@@ -292,6 +293,9 @@
     def _set_tunnel_peers(self, effect: effects.TunnelPeers) -> None:
         self._paths.set_peers(effect.peers)
 
+    def _set_departed(self, effect: effects.AddressDeparted) -> None:
+        self._paths.set_departed(effect.url, has_departed=effect.has_departed)
+
     def _persist(self, effect: parts.Persist) -> None:
         self._writer.put(effect)
 
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -215,18 +215,20 @@
     if listen is None:
         return None
     try:
-        return stack.enter_context(
+        server = stack.enter_context(
             tunnels.serving(
                 host=listen.host,
                 port=listen.port,
                 secret=_secret(settings),
-                may_connect=paths.is_direct,
+                may_connect=paths.may_connect_for_others,
             )
         )
     except OSError as error:
         raise exceptions.PortInUse(
             address=listen.show(), field='tunnel'
         ) from error
+    paths.on_departure(server.note_departure)
+    return server
 
 
 def _export_paths(
--- a/dandeliongw/tunnels.py
+++ b/dandeliongw/tunnels.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 from collections import abc
 import contextlib
 import enum
@@ -18,6 +19,8 @@
 from loguru import logger
 import msgspec
 
+from . import sockets
+
 #: Seconds that the far instance may take to connect.
 FAR_CONNECT_S = 0.2
 #: Seconds that the head of a request for a tunnel may take.
@@ -25,6 +28,9 @@
 #: Largest head of such a request, and largest piece that is forwarded at once,
 #: in bytes.
 CHUNK_BYTES = 65536
+#: Seconds after a backend server's leave in which what was written to it
+#: before is acknowledged, unless the path to it stalls.
+RECEIPT_S = 0.6
 #: Most tunnels at one time; each holds two connections.
 MAX_TUNNELS = 512
 #: Seconds without data after which a connection to another instance is
@@ -139,6 +145,9 @@
         self._is_draining = False
         self._loop = asyncio.new_event_loop()
         self._tasks: set[asyncio.Task] = set()
+        self._open_by_target: dict[Address, set[asyncio.StreamWriter]] = (
+            collections.defaultdict(set)
+        )
         self._thread = threading.Thread(
             target=self._loop.run_forever, name='tunnels', daemon=True
         )
@@ -151,6 +160,24 @@
         self._thread.start()
         asyncio.run_coroutine_threadsafe(self._listen(), self._loop).result()
 
+    def note_departure(self, target: Address) -> None:
+        """Note that a backend server leaves; called from any thread.
+
+        What was written to it and is not acknowledged soon is discarded.
+        Otherwise it could arrive long after the leave.
+        """
+        self._loop.call_soon_threadsafe(
+            self._loop.call_later, RECEIPT_S, self._break_unreceived, target
+        )
+
+    def _break_unreceived(self, target: Address) -> None:
+        for writer in list(self._open_by_target.get(target, ())):
+            unread = writer.transport.get_write_buffer_size()
+            connected = writer.get_extra_info('socket')
+            if unread or sockets.unacknowledged_bytes(connected):
+                sockets.reset_on_close(connected)
+                writer.transport.abort()
+
     def drain(self) -> None:
         """Open no further tunnels; those that are open go on."""
         self._is_draining = True
@@ -209,12 +236,24 @@
             return await self._answer(writer, Outcome.REFUSED)
         except OSError:
             return await self._answer(writer, Outcome.UNREACHABLE)
-        self.open_count += 1
-        try:
+        with self._opened(target, far_writer):
             await self._answer(writer, Outcome.OPENED)
             await _join(reader, writer, far_reader, far_writer)
+
+    @contextlib.contextmanager
+    def _opened(
+        self, target: Address, far_writer: asyncio.StreamWriter
+    ) -> abc.Iterator[None]:
+        self.open_count += 1
+        writers = self._open_by_target[target]
+        writers.add(far_writer)
+        try:
+            yield
         finally:
             self.open_count -= 1
+            writers.discard(far_writer)
+            if not writers:
+                self._open_by_target.pop(target, None)
             far_writer.transport.abort()
 
     def _has_room(self) -> bool:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,8 @@
 """One HTTP call and its connection, against a raw socket server."""
 
 import queue
+import socket
+import threading
 import unittest
 
 from nose2.tools import params
@@ -8,6 +10,7 @@
 from dandeliongw import connection_pool
 from dandeliongw import engine
 from dandeliongw import exchange as exchanges
+from dandeliongw import verdict
 from tests import raw_server
 
 
@@ -70,6 +73,114 @@
             self.assertEqual(b'', ends.get(timeout=raw_server.TIMEOUT_S))
 
 
+class DepartedConnector(exchanges.DirectConnector):
+    """The backend server leaves while the call connects to it."""
+
+    def has_departed(self, host, port):
+        return True
+
+
+class LeavingBackendTest(unittest.TestCase):
+    """Guards against calls that arrive long after a leave was heard."""
+
+    def exchange(self, server, connector=None):
+        exchange = exchanges.Exchange(
+            url=server.url, connect_s=1.0, read_s=20.0, connector=connector
+        )
+        self.addCleanup(exchange.close)
+        return exchange
+
+    def error_of(self, exchange, body=b''):
+        """Send a call that fails, and return its error."""
+        exchange.open()
+        with self.assertRaises(engine.EngineError) as caught:
+            exchange.send('POST', '/', body, {})
+        return caught.exception
+
+    def test_a_call_that_connects_meanwhile_is_not_sent(self):
+        with raw_server.serving(raw_server.answer({})) as server:
+            error = self.error_of(self.exchange(server, DepartedConnector()))
+            self.assertEqual([], server.calls)
+        self.assertEqual(
+            (verdict.Verdict.NOT_RUN, verdict.RetryReason.BACKEND_LEFT, True),
+            (error.known, error.reason, error.is_unsent),
+        )
+
+    @params(False, True)
+    def test_a_call_that_is_not_received_is_broken_off(self, is_read):
+        """The server's machine takes little of it, or it isn't answered."""
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(('127.0.0.1', 0))
+            listener.listen()
+            host, port = listener.getsockname()
+            exchange = exchanges.Exchange(
+                url=f'http://{host}:{port}',
+                connect_s=1.0,
+                read_s=raw_server.TIMEOUT_S,
+                connector=BufferingConnector(),
+            )
+            self.addCleanup(exchange.close)
+            body = b'' if is_read else b'x' * 500_000
+            errors = queue.SimpleQueue()
+            sending = threading.Thread(
+                target=lambda: errors.put(self.error_of(exchange, body))
+            )
+            sending.start()
+            while sending.is_alive():
+                exchange.withdraw(is_forced=is_read)
+                sending.join(0.01)
+        error = errors.get(timeout=raw_server.TIMEOUT_S)
+        self.assertEqual(
+            (
+                verdict.Verdict.MAY_HAVE_RUN,
+                verdict.RetryReason.BACKEND_LEFT,
+                False,
+            ),
+            (error.known, error.reason, error.is_unsent),
+        )
+
+    @params((False, False), (True, True))
+    def test_a_call_under_way_goes_on(self, is_forced, has_answer):
+        """It was received, or its answer has begun."""
+        received, release = threading.Event(), threading.Event()
+        self.addCleanup(release.set)
+
+        def answer_at_last(connection):
+            received.set()
+            if not has_answer:
+                release.wait(raw_server.TIMEOUT_S)
+            connection.sendall(raw_server.answer({}))
+
+        def withdraw():
+            received.wait(raw_server.TIMEOUT_S)
+            exchange.withdraw(is_forced=is_forced)
+            release.set()
+
+        with raw_server.serving(answer_at_last) as server:
+            exchange = self.exchange(server)
+            exchange.open()
+            withdrawing = threading.Thread(target=withdraw)
+            if not has_answer:
+                withdrawing.start()
+            response = exchange.send('POST', '/', b'{}', {})
+            if has_answer:
+                withdrawing.start()
+            withdrawing.join()
+            self.assertEqual(b'{}', exchange.read(response, 100))
+
+
+class BufferingConnector(exchanges.DirectConnector):
+    """Connects with a buffer that takes a whole call."""
+
+    def connect(self, host, port, timeout_s):
+        connection = super().connect(host, port, timeout_s)
+        connection.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, 4_000_000
+        )
+        return connection
+
+
 class RecordingConnector(exchanges.DirectConnector):
     """Records the addresses whose path is to be checked."""
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -314,3 +314,38 @@
         self.serve(True)
         self.assertFalse(self.is_ended())
         self.assertEqual(0, sum(self.paths.asked_by_outcome.values()))
+
+
+class DepartureTest(PathsTestCase):
+    """Guards against connections to backend servers that have left."""
+
+    def setUp(self):
+        super().setUp()
+        self.address = tunnels.Address(host='10.0.0.1', port=80)
+        self.heard = []
+        self.paths.on_departure(self.heard.append)
+
+    def set_departed(self, has_departed):
+        self.paths.set_departed('http://10.0.0.1', has_departed=has_departed)
+
+    def test_no_tunnel_leads_there(self):
+        self.assertTrue(self.paths.may_connect_for_others(self.address))
+        self.set_departed(True)
+        self.assertFalse(self.paths.may_connect_for_others(self.address))
+        self.assertTrue(self.paths.has_departed('10.0.0.1', 80))
+        self.assertFalse(self.paths.has_departed('10.0.0.1', 81))
+        self.assertEqual([self.address], self.heard)
+
+    def test_another_server_at_the_address_is_connected_to(self):
+        self.set_departed(True)
+        self.set_departed(False)
+        self.assertTrue(self.paths.may_connect_for_others(self.address))
+        self.assertFalse(self.paths.has_departed('10.0.0.1', 80))
+
+    def test_the_address_is_forgotten_in_the_end(self):
+        """Guards against a list that grows with each server that leaves."""
+        self.set_departed(True)
+        self.now += paths.DEPARTED_S
+        self.paths.set_departed('http://10.0.0.2', has_departed=True)
+        self.assertFalse(self.paths.has_departed('10.0.0.1', 80))
+        self.assertTrue(self.paths.has_departed('10.0.0.2', 80))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -584,3 +584,38 @@
         self.servers.run(usual.window_s, calls_per_s=10.0)
         self.assertGreater(self.left(), usual.saved / 7)
         self.assertLessEqual(self.left(), usual.saved / 3)
+
+
+class DepartedAddressTest(OwnedCellTestCase):
+    """Guards against calls written to a server that left while they waited."""
+
+    def said(self, action):
+        """Return what the entry's threads are told of the address by it."""
+        done = self.net.effects_by_id[self.entry]
+        before = len(done)
+        action()
+        self.net.run(0.5)
+        return [
+            each.has_departed
+            for each in done[before:]
+            if isinstance(each, effects.AddressDeparted)
+        ]
+
+    def leave(self):
+        self.net.post(
+            self.entry,
+            presence.Left(
+                now=self.net.now,
+                backend_id='portal-1',
+                incarnation=1,
+                sequence=2**40,
+                ticket='leave',
+            ),
+        )
+
+    def start_again(self):
+        self.net.announce(self.entry, 'portal-1', 'plain', incarnation=2)
+
+    def test_a_leave_and_the_next_start_at_the_address(self):
+        self.assertEqual([True], self.said(self.leave))
+        self.assertEqual([False], self.said(self.start_again))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -54,13 +54,37 @@
 
     def opened(self):
         """Return both ends of a tunnel."""
-        near = self.open(self.serve()).connection
+        self.far = self.serve()
+        near = self.open(self.far).connection
         far, _ = self.backend.accept()
         self.stack.callback(far.close)
         far.settimeout(TIMEOUT_S)
         return near, far
 
 
+class DepartureTest(TunnelTestCase):
+    """Guards against what a tunnel delivers long after a leave."""
+
+    def test_only_what_is_not_received_is_discarded(self):
+        self.backend.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        near, far = self.opened()
+        other = self.open(self.far).connection
+        other_far, _ = self.backend.accept()
+        self.stack.callback(other_far.close)
+        other.sendall(b'question')
+        self.assertEqual(b'question', other_far.recv(100))
+        near.sendall(b'x' * 500_000)
+        self.server.note_departure(self.target)
+        near.settimeout(TIMEOUT_S)
+        with contextlib.suppress(ConnectionResetError):
+            self.assertEqual(b'', near.recv(1))
+        with self.assertRaises(ConnectionResetError):
+            while far.recv(65536):
+                pass
+        other_far.sendall(b'answer')
+        self.assertEqual(b'answer', other.recv(100))
+
+
 class ForwardTest(TunnelTestCase):
     def test_bytes_pass_both_ways(self):
         near, far = self.opened()
