Send nothing to a server that left, however often it is booked

After three bookings on servers whose leave it knew, an entry sent the call all the same: it took the count for word that the owner knew better. An owner that doesn't know better, or one whose news is lost on the way, got its way.

Change: the owner says so itself. An instance that is told of a leave by which a backend server it takes for present came back answers with the newer announcement, ahead of its next booking. A request that is still booked on servers that left is refused after the third time, not run, with a time to come back. The test of the old count is replaced by two: the fourth booking sends nothing, and one that follows the newer announcement does.

--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -557,11 +557,35 @@
         if stamp(departure) < self._backends.left(departure.backend_id):
             # Its sender is told of the later leave by whoever repeats that.
             return []
-        effects = self._record_departure(now, departure, sender)
+        effects = [
+            *self._correct(now, sender, departure),
+            *self._record_departure(now, departure, sender),
+        ]
         return effects + self._departures.hear(
             now, sender, departure, is_repeated=is_repeated
         )
 
+    def _correct(
+        self, now: float, sender: str, departure: BackendDeparture
+    ) -> list[typing.Any]:
+        """Tell the sender of a leave that the backend server is back.
+
+        Without this, an entry that missed the announcement would refuse to
+        send what the owner of the cell books.
+        """
+        held = self.backends_by_id.get(departure.backend_id)
+        if held is None or not held.present:
+            return []
+        announcement = held.announcement
+        is_back = announcement.incarnation == departure.incarnation and stamp(
+            announcement
+        ) > stamp(departure)
+        if not is_back:
+            return []
+        age_s = now - (held.lease_until - self.lease_s)
+        message = Presented(announcement=announcement, age_s=age_s)
+        return [parts.Send(to=sender, message=message)]
+
     def _record_departure(
         self, now: float, departure: BackendDeparture, heard_from: str
     ) -> list[typing.Any]:
--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -86,6 +86,9 @@
         Nothing was sent there, so this is no other attempt.
         """
         out = self._departure_check.report(now, request, departures)
+        if departures_module.is_booked_too_often(request):
+            refusal = refusals.only_departed(request)
+            return [*out, *self._endings.give_up(now, request, refusal)]
         request.rebookings += 1
         request.exclude += tuple(each.backend_id for each in departures)
         if request.stage is not cell_types.Stage.DECODE:
--- a/dandeliongw/entry/departures.py
+++ b/dandeliongw/entry/departures.py
@@ -17,8 +17,8 @@
 from .request import Request
 
 
-#: Times that one request is booked anew for leaves. An owner that was told of
-#: them so often, and books the same ones, knows that these are back.
+#: Times that one request is booked anew for leaves. An owner that is told of a
+#: leave books the backend server no more, or says that it is back.
 MAX_REBOOKINGS = 3
 
 
@@ -36,6 +36,11 @@
         ...
 
 
+def is_booked_too_often(request: Request) -> bool:
+    """Whether a request is refused rather than booked anew once more."""
+    return request.rebookings >= MAX_REBOOKINGS
+
+
 class DepartureCheck:
     """Finds booked backend servers that have left.
 
@@ -49,8 +54,6 @@
         self, request: Request, steps: abc.Iterable[events.Step]
     ) -> tuple[presence.BackendDeparture, ...]:
         """Return the leaves of the backend servers booked for some steps."""
-        if request.rebookings >= MAX_REBOOKINGS:
-            return ()
         found = (
             self._leaves.departure_of(request.booked_backend(step).start)
             for step in steps
--- a/dandeliongw/entry/refusals.py
+++ b/dandeliongw/entry/refusals.py
@@ -117,6 +117,16 @@
     )
 
 
+def only_departed(request: request_module.Request) -> verdict.Refusal:
+    """The cell's owner books only backend servers that have left."""
+    return verdict.Refusal(
+        reason=_REASON.NO_BACKEND,
+        verdict=request.known,
+        message='the backend servers that were booked for it have left',
+        retry_after_s=admission.TRANSIENT_RETRY_S,
+    )
+
+
 def backend_failed(message: str) -> verdict.Refusal:
     """A call that must not be repeated failed after it was sent."""
     return verdict.Refusal(
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -131,18 +131,62 @@
         self.entry.book(request_id, decode_id='d2', decode_url='http://d2')
         self.assertEqual('http://d2', self.entry.one(effects.RunDecode).url)
 
-    def test_an_owner_that_was_told_and_books_it_again_is_right(self):
-        """Guards against a call that is booked over and over.
-
-        The backend server has come back in the same start, and only the owner
-        has heard its announcement.
-        """
+    def test_an_owner_that_was_told_and_books_it_again_is_not_obeyed(self):
+        """Guards against a call that is sent, or booked, over and over."""
         self.leave('s1')
         request_id = self.entry.arrive('lookup')
         for _ in range(departures.MAX_REBOOKINGS):
             self.entry.book(request_id)
             self.assertEqual([], self.entry.found(effects.RunCall))
         self.entry.book(request_id)
+        self.assertEqual([], self.entry.found(effects.RunCall))
+        refusal = self.entry.refusal
+        self.assertEqual(
+            (verdict.RefusalReason.NO_BACKEND, verdict.Verdict.NOT_RUN),
+            (refusal.reason, refusal.verdict),
+        )
+
+    def test_one_that_is_back_in_the_same_start_is_sent_to(self):
+        """Only the owner had heard its announcement; it says so when told."""
+        owner = presence.Presence(instance_id=entry_fake.OWNER)
+        back = presence.Presented(
+            announcement=presence.BackendAnnouncement(
+                backend_id='s1',
+                incarnation=0,
+                sequence=10,
+                service='studio-portal',
+                role=presence.BackendRole.PLAIN,
+                url='http://s1',
+                data_centre='dc-0',
+                slots=4,
+                checks_fence=False,
+            ),
+            age_s=0.5,
+        )
+        owner.handle(
+            parts.Received(now=self.entry.now, sender='gw-2', message=back)
+        )
+        self.leave('s1')
+        request_id = self.entry.arrive('lookup')
+        self.entry.book(request_id)
+        ((_, told),) = self.entry.sent(presence.PresenceBatch)
+        answers = [
+            each.message
+            for each in owner.handle(
+                parts.Received(now=self.entry.now, sender='gw-0', message=told)
+            )
+            if isinstance(each, parts.Send)
+            and isinstance(each.message, presence.Presented)
+        ]
+        self.assertEqual([back], answers)
+        self.entry.presence.handle(
+            parts.Received(
+                now=self.entry.now,
+                sender=entry_fake.OWNER,
+                message=answers[0],
+            )
+        )
+        self.entry.book(request_id)
         self.assertEqual(1, len(self.entry.found(effects.RunCall)))
 
     def test_a_stream_is_not_resumed_at_one_that_left(self):
