Acknowledge no leave that may be of another start

A leave that names no start, of a server whose newest start is younger than 5 s, was put down to the start before and acknowledged. The newest went on getting work, though it had been told that its leave was known.

A late one of a process that is gone needs no answer; one that is there sends it again, until the start is old enough to be told. The test that had such a leave recorded under the former start now has it refused, and accepted when sent again; the newest start keeps its work meanwhile, as before.

--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -96,8 +96,8 @@
 #: Seconds without a renewal after which the front requires a new announcement.
 FRONT_TIMEOUT_S = 60.0
 #: Seconds from the first announcement of a new start in which a leave without
-#: an incarnation is attributed to the start before. Messages of a backend
-#: server may arrive some seconds late.
+#: an incarnation may be of the start before. Messages of a backend server may
+#: arrive some seconds late.
 LATE_LEAVE_S = 5.0
 #: Incarnation of a leave without one, by an unknown backend server.
 _ONLY_INCARNATION = 0
@@ -121,13 +121,11 @@
     """A restart of a backend server under the same id.
 
     :param incarnation: of the new start.
-    :param former: incarnation of the start before.
     :param since: when this instance received the first announcement of the
         new one.
     """
 
     incarnation: int
-    former: int
     since: float
 
 
@@ -349,9 +347,12 @@
         return PresenceOutcome.ACCEPTED
 
     def _on_left(self, event: Left) -> list[typing.Any]:
+        incarnation = self._leaving_incarnation(event)
+        if incarnation is None:
+            return [_complete(event.ticket, PresenceOutcome.NOT_KEPT)]
         departure = BackendDeparture(
             backend_id=event.backend_id,
-            incarnation=self._leaving_incarnation(event),
+            incarnation=incarnation,
             sequence=event.sequence,
         )
         left, sequence = self._backends.left(event.backend_id)
@@ -377,7 +378,7 @@
         former = self._newest_start(backend_id)
         if former is not None and former < announcement.incarnation:
             self._successors_by_id[backend_id] = _Successor(
-                incarnation=announcement.incarnation, former=former, since=now
+                incarnation=announcement.incarnation, since=now
             )
 
     def _newest_start(self, backend_id: str) -> int | None:
@@ -391,12 +392,15 @@
         ]
         return max(held, default=None)
 
-    def _leaving_incarnation(self, event: Left) -> int:
+    def _leaving_incarnation(self, event: Left) -> int | None:
         """Return the incarnation of the start that a leave is of.
 
-        A leave that names no incarnation may be a late one of the start
-        before. If it were attributed to the newest start, a backend server
-        that has just restarted would receive no work for as long as it runs.
+        ``None`` if that can't be told. A leave that names no incarnation may
+        be a late one of the start before. If it were attributed to the newest
+        start, a backend server that has just restarted would receive no work
+        for as long as it runs; if to the start before, one that leaves soon
+        after its restart would go on receiving work. One that is there sends
+        it again until it can be told.
         """
         if event.incarnation is not None:
             return event.incarnation
@@ -409,7 +413,7 @@
             and successor.incarnation == newest
             and event.now < successor.since + LATE_LEAVE_S
         )
-        return successor.former if is_young else newest
+        return None if is_young else newest
 
     def _on_forward(self, event: Forward) -> list[typing.Any]:
         front = self._fronts_by_id.get(event.backend_id)
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -643,13 +643,29 @@
         held = self.lan.parts['gw-2'].backends_by_id['be-1']
         self.assertEqual(self.SECOND_START, held.announcement.incarnation)
 
-    def test_an_early_leave_without_incarnation_is_of_the_previous_start(self):
+    def test_an_early_leave_without_incarnation_is_sent_again(self):
+        """Guards against an acknowledged leave of a start that goes on.
+
+        It may be a late one of the start before.
+        """
         self.announce(self.FIRST_START, sequence=40)
         self.announce(self.SECOND_START)
         self.lan.now += presence.LATE_LEAVE_S - 0.5
         self.announce(self.SECOND_START, sequence=4)
+        self.lan.outcomes.clear()
         self.leave(None)
         self.assertTrue(self.is_usable())
+        self.assertEqual(
+            [presence.PresenceOutcome.NOT_KEPT], self.lan.outcomes
+        )
+        self.lan.now += 1.0
+        self.announce(self.SECOND_START, sequence=5)
+        self.lan.outcomes.clear()
+        self.leave(None)
+        self.assertFalse(self.is_usable())
+        self.assertEqual(
+            [presence.PresenceOutcome.ACCEPTED], self.lan.outcomes
+        )
 
     def test_a_later_leave_without_incarnation_is_of_the_newest_start(self):
         self.announce(self.FIRST_START, sequence=40)
