--- a/tests/test_leave_spread.py
+++ b/tests/test_leave_spread.py
@@ -1,5 +1,7 @@
 """Leaves: when they are acknowledged, and who repeats them."""
 
+import itertools
+import random
 import unittest
 
 from nose2.tools import params
@@ -171,6 +173,15 @@
         pass_time(self.lan, DRAIN_S - 0.4, 'gw-2', 'gw-4', 'gw-5')
         self.assertEqual([], ignorant(self.lan, *IDS))
 
+    def test_they_need_no_word_on_who_lacks_it(self):
+        lan = start()
+        lan.leave('gw-1', 2)
+        pass_time(lan, 0.2, *VOTERS)
+        pass_time(lan, 0.2, 'gw-1')
+        self.assertEqual([ACCEPTED], lan.outcomes)
+        pass_time(lan, DRAIN_S - 0.4, *IDS[1:])
+        self.assertEqual([], ignorant(lan, *IDS))
+
     def test_voters_that_start_again_repeat_it(self):
         for each in VOTERS:
             self.lan.restart(each, VOTERS)
@@ -227,3 +238,101 @@
         lan.connections.clear()
         pass_time(lan, 2.0, *IDS[:4])
         self.assertEqual([], lan.connections)
+
+
+class Simulation:
+    """One leave among instances that die and lose each other, by a seed."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.lan = test_presence.Lan(*IDS, voters=VOTERS, lease_s=1000.0)
+        self.lan.announce('gw-1', to=IDS[1:])
+        self.lan.deliver()
+        self.lan.outcomes.clear()
+        self.down = set()
+        self.cut = set()
+        self.loss = self.random.choice((0.0, 0.3, 1.0))
+
+    def run(self):
+        """Return whether an entry in touch has missed the leave.
+
+        ``None`` if it was not acknowledged.
+        """
+        if not self.ask_until_acknowledged():
+            return None
+        entry = self.random.choice(IDS[3:])
+        majority = self.random.sample(VOTERS, 2)
+        if self.random.random() < 0.3:
+            self.restart(entry)
+            self.lan.receive(
+                majority[0], entry, test_presence.present(age_s=1.0)
+            )
+        for each in majority:
+            if each in self.down:
+                self.restart(each)
+        self.down = {*IDS} - {entry, *majority}
+        self.cut = set()
+        for _ in range(round(DRAIN_S * 10)):
+            self.tick()
+        return bool(self.lan.usable(entry))
+
+    def ask_until_acknowledged(self):
+        for number in range(60):
+            if number % 10 == 0:
+                up = [each for each in VOTERS if each not in self.down]
+                if up:
+                    self.lan.leave(self.random.choice(up), 2)
+            self.disturb()
+            self.tick()
+            if ACCEPTED in self.lan.outcomes:
+                return True
+        return False
+
+    def disturb(self):
+        draw = self.random.random()
+        if draw < 0.08:
+            voter = self.random.choice(VOTERS)
+            if voter in self.down:
+                self.restart(voter)
+            else:
+                self.down.add(voter)
+        elif draw < 0.3:
+            pairs = list(itertools.combinations(IDS, 2))
+            self.cut = {*self.random.sample(pairs, self.random.randint(0, 8))}
+
+    def restart(self, instance_id):
+        self.down.discard(instance_id)
+        disk = VOTERS if instance_id in VOTERS else ()
+        self.lan.restart(instance_id, disk)
+
+    def tick(self):
+        self.lan.now += 0.1
+        self.lan.loses_datagrams = self.random.random() < self.loss
+        for each in IDS:
+            if each not in self.down:
+                self.lan.handle(
+                    each,
+                    test_presence.parts.Ticked(now=self.lan.now, entropy=0),
+                )
+        while self.lan.wire:
+            sender, to, message = self.lan.wire.pop(0)
+            pair = tuple(sorted((sender, to)))
+            if not {sender, to} & self.down and pair not in self.cut:
+                self.lan.receive(sender, to, message)
+
+
+class SimulationTest(unittest.TestCase):
+    """Guards against a leave that is lost to an instance in touch.
+
+    Voters crash and come back, links are cut, datagrams are lost, the backend
+    server asks several voters. Once it has an answer, one entry reaches just
+    two of the three voters for as long as requests may still arrive.
+    """
+
+    SEEDS = 400
+
+    def test_an_entry_in_touch_hears_of_an_acknowledged_leave(self):
+        missed = {seed: Simulation(seed).run() for seed in range(self.SEEDS)}
+        self.assertEqual([], [seed for seed in missed if missed[seed]])
+        acknowledged = [m for m in missed.values() if m is not None]
+        self.assertGreater(len(acknowledged), self.SEEDS / 2)
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -48,12 +48,15 @@
 class Lan:
     """Instances on a virtual clock; messages wait until delivered."""
 
-    def __init__(self, *ids: str, voters: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        *ids: str,
+        voters: tuple[str, ...] = (),
+        lease_s: float = presence.LEASE_S,
+    ) -> None:
         self.now = 100.0
-        self.parts = {
-            each: presence.Presence(instance_id=each, has_disk=each in voters)
-            for each in ids
-        }
+        self.lease_s = lease_s
+        self.parts = {each: self.make(each, voters) for each in ids}
         self.records: dict[str, list] = {each: [] for each in ids}
         #: Instances whose disks answer nothing.
         self.stalled: set[str] = set()
@@ -68,6 +71,15 @@
         for each in ids:
             self.introduce(each, voters)
 
+    def make(
+        self, instance_id: str, voters: tuple[str, ...]
+    ) -> presence.Presence:
+        return presence.Presence(
+            instance_id=instance_id,
+            has_disk=instance_id in voters,
+            lease_s=self.lease_s,
+        )
+
     def introduce(self, instance_id: str, voters: tuple[str, ...]) -> None:
         """Tell an instance of the others and of the voters."""
         ids = tuple(self.parts)
@@ -79,9 +91,7 @@
 
     def restart(self, instance_id: str, voters: tuple[str, ...] = ()) -> None:
         """Start an instance anew, with what is on its disk."""
-        made = presence.Presence(
-            instance_id=instance_id, has_disk=instance_id in voters
-        )
+        made = self.make(instance_id, voters)
         for record in self.records[instance_id]:
             made.restore(record)
         self.parts[instance_id] = made
