--- a/dandeliongw/coordination/_departures.py
+++ b/dandeliongw/coordination/_departures.py
@@ -25,6 +25,7 @@
 from . import parts
 from ._presence_messages import BackendDeparture
 from ._presence_messages import DepartureAnswered
+from ._presence_messages import DepartureNotKept
 from ._presence_messages import DeparturesConfirmed
 from ._presence_messages import DepartureSpread
 from ._presence_messages import DeparturesStored
@@ -329,12 +330,22 @@
         overdue = [
             each for each in item.waiting if now >= each.asked_at + ANSWER_S
         ]
+        out: list[object] = []
         for each in overdue:
             item.waiting.remove(each)
-        return [
-            parts.Complete(ticket=each.ticket, result=PresenceOutcome.NOT_KEPT)
-            for each in overdue
-        ]
+            out.append(
+                parts.Complete(
+                    ticket=each.ticket, result=PresenceOutcome.NOT_KEPT
+                )
+            )
+            out.append(
+                DepartureNotKept(
+                    departure=item.departure,
+                    stored_by=len(item.stored_by),
+                    voters=len(self._voter_ids),
+                )
+            )
+        return out
 
     # Repetition
 
--- a/dandeliongw/coordination/_presence_messages.py
+++ b/dandeliongw/coordination/_presence_messages.py
@@ -242,6 +242,18 @@
     lacking_ids: tuple[str, ...]
 
 
+class DepartureNotKept(msgspec.Struct, frozen=True, kw_only=True):
+    """This instance could not acknowledge a leave in time.
+
+    :param stored_by: number of voters known to have it on disk.
+    :param voters: number of all voters.
+    """
+
+    departure: BackendDeparture
+    stored_by: int
+    voters: int
+
+
 class CacheHints(msgspec.Struct, frozen=True, kw_only=True):
     """Changes in the prefix cache of a backend server, as a hint.
 
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -37,6 +37,7 @@
 from ._presence_messages import CacheHints
 from ._presence_messages import DepartureAnswered
 from ._presence_messages import DepartureHeard
+from ._presence_messages import DepartureNotKept
 from ._presence_messages import DeparturesConfirmed
 from ._presence_messages import DepartureSpread
 from ._presence_messages import DeparturesStored
@@ -69,6 +70,7 @@
     'CacheHints',
     'DepartureAnswered',
     'DepartureHeard',
+    'DepartureNotKept',
     'DepartureSpread',
     'DeparturesConfirmed',
     'DeparturesStored',
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -101,6 +101,21 @@
     lacking: str
 
 
+class DepartureNotKept(Decision, frozen=True, kw_only=True):
+    """A backend server was asked to send its leave again.
+
+    :param stored_by: number of voters known to have it on disk.
+    :param voters: number of all voters.
+    """
+
+    message: typing.ClassVar[str] = 'leave of a backend server not kept'
+    level: typing.ClassVar[str] = 'WARNING'
+    backend_id: str
+    incarnation: int
+    stored_by: int
+    voters: int
+
+
 class SentBeforeLeave(OfRequest, frozen=True, kw_only=True):
     """A backend server leaves while it is booked for a step under way.
 
--- a/dandeliongw/state_log.py
+++ b/dandeliongw/state_log.py
@@ -43,6 +43,15 @@
     ).log()
 
 
+def _departure_not_kept(effect: presence.DepartureNotKept) -> effects.Log:
+    return decisions.DepartureNotKept(
+        backend_id=effect.departure.backend_id,
+        incarnation=effect.departure.incarnation,
+        stored_by=effect.stored_by,
+        voters=effect.voters,
+    ).log()
+
+
 def departure_heard(
     effect: presence.DepartureHeard, *, is_present: bool
 ) -> effects.Log:
@@ -138,6 +147,7 @@
     types.MappingProxyType(
         {
             presence.DepartureAnswered: _departure_answered,
+            presence.DepartureNotKept: _departure_not_kept,
             quarantine.Released: _released,
             rates.RateReached: _rate_reached,
             register.OtherRegisterSeen: _other_register_seen,
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -4,6 +4,8 @@
 import contextlib
 import dataclasses
 import pathlib
+import socket
+import struct
 import tempfile
 import unittest
 
@@ -232,6 +234,16 @@
         )
         self.assertEqual(expected, rules(record))
 
+    @params(('safe', ['drain']), ('unsafe', []))
+    def test_what_links_held(self, kind, expected):
+        record = records.Record(
+            asked=[asked(10.0, 'r1', kind=kind)],
+            arrived=[arrived(12.5, 'r1')],
+            left=[records.Left(at=10.1, server='i-1', voter='voter-1')],
+            held=[records.Held(server='i-1')],
+        )
+        self.assertEqual(expected, rules(record))
+
 
 class CutOffTest(unittest.TestCase):
     """Guards against a soak that misses callers who are served far worse."""
@@ -336,6 +348,22 @@
         self.assertEqual(b'two', await reader.readexactly(3))
         self.assertEqual(b'six', await later[0].readexactly(3))
 
+    async def test_what_a_cut_holds_is_lost_if_its_sender_resets(self):
+        reader, writer = await self.connect()
+        writer.write(b'one')
+        await reader.readexactly(3)
+        self.link.cut()
+        writer.write(b'two')
+        await self.exchange_elsewhere()
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        writer.transport.abort()
+        await self.exchange_elsewhere()
+        self.link.heal()
+        await self.exchange_elsewhere()
+        self.assertEqual({b'one', b'other'}, set(self.received))
+
     async def test_a_silent_connection_stays_silent_and_new_ones_work(self):
         reader, writer = await self.connect()
         writer.write(b'one')
