Let a withdrawn call end with a reset only

Cause, traced in the entry's lines and on sockets: the call was broken off by a regular end of the connection, and the HTTP library closed it before the reset was set. What holds a connection in between, such as a tunnel, takes that for the end of a good call and delivers it. A tunnel did so, too, when a call through it was given up.

Change: the reset is set before the blocked thread is woken, and waking it sends nothing (SHUT_RD). A tunnel's far end is reset. Both tests failed before (test_exchange: test_it_ends_with_a_reset_only; test_tunnels: AbandonedTest).

--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -269,9 +269,19 @@
         is_unreceived = self._is_written and sockets.unacknowledged_bytes(
             self._socket
         )
-        if is_forced or is_unreceived:
-            self._is_withdrawn = True
+        if not is_forced and not is_unreceived:
+            return
+        self._is_withdrawn = True
+        # The HTTP library closes the connection when its answer fails.
+        sockets.reset_on_close(self._socket)
+        if not self._is_written:
             self.abort()
+            return
+        # Wakes the blocked thread, as abort does, but sends no regular end,
+        # which something in between would take for the end of a good call.
+        self._aborted = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
 
     @property
     def read_timeout_s(self) -> float | None:
--- a/dandeliongw/tunnels.py
+++ b/dandeliongw/tunnels.py
@@ -254,6 +254,9 @@
             writers.discard(far_writer)
             if not writers:
                 self._open_by_target.pop(target, None)
+            # Otherwise what the far end has not received of a call that was
+            # given up would still be sent.
+            sockets.reset_on_close(far_writer.get_extra_info('socket'))
             far_writer.transport.abort()
 
     def _has_room(self) -> bool:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -140,6 +140,31 @@
             (error.known, error.reason, error.is_unsent),
         )
 
+    def test_it_ends_with_a_reset_only(self):
+        """Guards against what is taken for the end of a good call."""
+        received, ends = threading.Event(), queue.SimpleQueue()
+
+        def note_end(connection):
+            received.set()
+            try:
+                ends.put(connection.recv(1))
+            except ConnectionResetError as error:
+                ends.put(error)
+
+        def withdraw():
+            received.wait(raw_server.TIMEOUT_S)
+            exchange.withdraw(is_forced=True)
+
+        with raw_server.serving(note_end) as server:
+            exchange = self.exchange(server)
+            withdrawing = threading.Thread(target=withdraw)
+            withdrawing.start()
+            self.error_of(exchange)
+            exchange.close()
+            withdrawing.join()
+            end = ends.get(timeout=raw_server.TIMEOUT_S)
+        self.assertIsInstance(end, ConnectionResetError)
+
     @params((False, False), (True, True))
     def test_a_call_under_way_goes_on(self, is_forced, has_answer):
         """It was received, or its answer has begun."""
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -85,6 +85,19 @@
         self.assertEqual(b'answer', other.recv(100))
 
 
+class AbandonedTest(TunnelTestCase):
+    """Guards against calls that arrive after they were given up."""
+
+    def test_what_was_not_delivered_is_discarded(self):
+        self.backend.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        near, far = self.opened()
+        near.sendall(b'x' * 500_000)
+        near.close()
+        with self.assertRaises(ConnectionResetError):
+            while far.recv(65536):
+                pass
+
+
 class ForwardTest(TunnelTestCase):
     def test_bytes_pass_both_ways(self):
         near, far = self.opened()
