Acknowledge no leave of a server whose start is unknown

A leave without a start, at an instance that does not know the server, was taken for one of a server that counts no starts and acknowledged.

Change: it is answered 503 if the servers known here count their starts, so that the server asks an instance that knows it. The test failed before (test_presence: test_a_leave_without_incarnation_of_an_unknown_server).

--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -402,13 +402,13 @@
         start, a backend server that has just restarted would receive no work
         for as long as it runs; if to the start before, one that leaves soon
         after its restart would go on receiving work. One that is there sends
-        it again until it can be told.
+        it again until it can be told, or to an instance that knows its start.
         """
         if event.incarnation is not None:
             return event.incarnation
         newest = self._newest_start(event.backend_id)
         if newest is None:
-            return _ONLY_INCARNATION
+            return None if self._are_starts_numbered() else _ONLY_INCARNATION
         successor = self._successors_by_id.get(event.backend_id)
         is_young = (
             successor is not None
@@ -417,6 +417,13 @@
         )
         return None if is_young else newest
 
+    def _are_starts_numbered(self) -> bool:
+        """Whether the backend servers known here have incarnations."""
+        return any(
+            backend.announcement.incarnation != _ONLY_INCARNATION
+            for backend in self.backends_by_id.values()
+        )
+
     def _on_forward(self, event: Forward) -> list[typing.Any]:
         front = self._fronts_by_id.get(event.backend_id)
         if front is None:
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -677,6 +677,28 @@
             [presence.PresenceOutcome.ACCEPTED], self.lan.outcomes
         )
 
+    @params(
+        (FIRST_START, presence.PresenceOutcome.NOT_KEPT),
+        (0, presence.PresenceOutcome.ACCEPTED),
+    )
+    def test_a_leave_without_incarnation_of_an_unknown_server(
+        self, incarnation, expected
+    ):
+        """Guards against an acknowledged leave that has no effect.
+
+        The instance has just started and knows another server only.
+        """
+        self.lan.receive(
+            'gw-2',
+            'gw-1',
+            present(
+                backend_id='be-2', incarnation=incarnation, url='http://2'
+            ),
+        )
+        self.lan.outcomes.clear()
+        self.leave(None)
+        self.assertEqual([expected], self.lan.outcomes)
+
     def test_a_later_leave_without_incarnation_is_of_the_newest_start(self):
         self.announce(self.FIRST_START, sequence=40)
         self.announce(self.SECOND_START)
