--- a/dandeliongw/coordination/_departures.py
+++ b/dandeliongw/coordination/_departures.py
@@ -209,25 +209,27 @@
         return out
 
     def confirmed(
-        self, now: float, sender: str, departure: BackendDeparture
+        self,
+        now: float,
+        sender: str,
+        departures: tuple[BackendDeparture, ...],
+        *,
+        is_stored: bool,
     ) -> list[object]:
-        """Note that another instance knows a leave."""
-        item = self._known(departure)
-        if item is None:
-            return []
-        item.confirmed_by.add(sender)
-        return self._answer_if_kept(now, item)
+        """Note that another instance knows leaves.
 
-    def stored(
-        self, now: float, sender: str, departure: BackendDeparture
-    ) -> list[object]:
-        """Note that another voter has a leave on its disk."""
-        item = self._known(departure)
-        if item is None:
-            return []
-        item.confirmed_by.add(sender)
-        item.stored_by.add(sender)
-        return self._answer_if_kept(now, item)
+        :param is_stored: whether it has them on its disk.
+        """
+        out: list[object] = []
+        for departure in departures:
+            item = self._known(departure)
+            if item is None:
+                continue
+            item.confirmed_by.add(sender)
+            if is_stored:
+                item.stored_by.add(sender)
+            out += self._answer_if_kept(now, item)
+        return out
 
     def persisted(self, now: float, token: str) -> list[object]:
         """Note that this instance has a leave on its disk."""
--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -493,22 +493,13 @@
                 return self._on_batch(now, event.sender, message)
             case PresenceUnknown():
                 return self._on_presence_unknown(now, event.sender, message)
-            case DeparturesConfirmed():
-                return [
-                    effect
-                    for departure in message.departures
-                    for effect in self._departures.confirmed(
-                        now, event.sender, departure
-                    )
-                ]
-            case DeparturesStored():
-                return [
-                    effect
-                    for departure in message.departures
-                    for effect in self._departures.stored(
-                        now, event.sender, departure
-                    )
-                ]
+            case DeparturesConfirmed() | DeparturesStored():
+                return self._departures.confirmed(
+                    now,
+                    event.sender,
+                    message.departures,
+                    is_stored=isinstance(message, DeparturesStored),
+                )
             case DepartureSpread():
                 effects = self._hear(
                     now, event.sender, message.departure, is_repeated=True
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -50,7 +50,7 @@
     url: str
 
 
-class WithdrawalStage(msgspec.Struct, frozen=True, kw_only=True):
+class PendingWithdrawal(msgspec.Struct, frozen=True, kw_only=True):
     """A step under way at a backend server whose leave was heard.
 
     :param is_checked: whether it was broken off if it seemed unreceived.
@@ -122,7 +122,7 @@
     trial_of: tuple[str, ...] = ()
     is_held: bool = False
     booked: cells.Booked | None = None
-    withdrawal: WithdrawalStage | None = None
+    withdrawal: PendingWithdrawal | None = None
     reclaimed_at: float | None = None
     exclude: tuple[str, ...] = ()
     retry_at: float = 0.0
--- a/dandeliongw/entry/withdrawals.py
+++ b/dandeliongw/entry/withdrawals.py
@@ -18,9 +18,9 @@
 from . import attempts
 from ..coordination import presence
 from . import retries
+from .request import PendingWithdrawal
 from .request import Phase
 from .request import Request
-from .request import WithdrawalStage
 
 #: Seconds after a leave is heard after which a plain call or a prefill that
 #: may be repeated goes elsewhere, if it has no answer.
@@ -55,7 +55,7 @@
         """
         lines = []
         for request, step in _steps_under_way(requests, departure):
-            request.withdrawal = WithdrawalStage(
+            request.withdrawal = PendingWithdrawal(
                 attempt_id=request.attempt_id,
                 step=step,
                 backend_id=departure.backend_id,
@@ -74,25 +74,28 @@
 
     def tick(self, now: float, request: Request) -> list[effects.Withdraw]:
         """Return the directive that breaks a request's step off, if due."""
-        stage = request.withdrawal
-        if stage is None:
+        pending = request.withdrawal
+        if pending is None:
             return []
         is_over = (
-            request.attempt_id != stage.attempt_id
-            or _STEP_BY_PHASE.get(request.phase) is not stage.step
+            request.attempt_id != pending.attempt_id
+            or _STEP_BY_PHASE.get(request.phase) is not pending.step
         )
         if is_over:
             request.withdrawal = None
             return []
-        if not stage.is_checked and now >= stage.heard_at + sockets.RECEIPT_S:
+        if (
+            not pending.is_checked
+            and now >= pending.heard_at + sockets.RECEIPT_S
+        ):
             request.withdrawal = msgspec.structs.replace(
-                stage, is_checked=True
+                pending, is_checked=True
             )
-            return [_withdraw(request, stage, is_forced=False)]
-        if now >= stage.heard_at + ANSWER_S:
+            return [_withdraw(request, pending, is_forced=False)]
+        if now >= pending.heard_at + ANSWER_S:
             request.withdrawal = None
-            if self._may_go_elsewhere(now, request, stage.step):
-                return [_withdraw(request, stage, is_forced=True)]
+            if self._may_go_elsewhere(now, request, pending.step):
+                return [_withdraw(request, pending, is_forced=True)]
         return []
 
     def _may_go_elsewhere(
@@ -132,11 +135,11 @@
 
 
 def _withdraw(
-    request: Request, stage: WithdrawalStage, *, is_forced: bool
+    request: Request, pending: PendingWithdrawal, *, is_forced: bool
 ) -> effects.Withdraw:
     return effects.Withdraw(
         request_id=request.request_id,
-        attempt_id=stage.attempt_id,
-        backend_id=stage.backend_id,
+        attempt_id=pending.attempt_id,
+        backend_id=pending.backend_id,
         is_forced=is_forced,
     )
