Wake a withdrawn call without a regular end in any case

test_exchange: test_it_ends_with_a_reset_only failed once: the call was read by the server a moment before the sending thread had noted that it was written, and was then ended by a shutdown of both directions, which a proxy takes for the end of a complete call.

Read again: one protocol for what both kinds of calls can be told; a test that could meet a late acknowledgement waits for it; plainer words in comments.

--- a/dandeliongw/coordination/_departures.py
+++ b/dandeliongw/coordination/_departures.py
@@ -74,8 +74,8 @@
     :param resend_until: when to stop that.
     :param confirmed_by: the other instances that are known to know it.
     :param stored_by: voters, this one included, that have it on disk.
-    :param lacking: the instances that lack it by the word of the one that got
-        it from the backend server; ``None`` if there was no word.
+    :param lacking: the instances that lack it, as reported by the one that
+        got it from the backend server; ``None`` without a report.
     :param loses_datagrams: whether its sender has sent it before in vain.
     :param is_storing: whether this instance has begun to store it.
     :param is_sent: whether this instance has sent it to those that lack it.
@@ -251,7 +251,7 @@
         return out
 
     def spread_told(self, now: float, message: DepartureSpread) -> None:
-        """Note who lacks a leave, by the word of the one that got it."""
+        """Note who lacks a leave, as reported by the one that got it."""
         item = self._known(message.departure)
         if item is None or not self._repeats(item):
             return
@@ -404,7 +404,7 @@
         """
         to = set(self._lacking_ids(item))
         if item.waiting:
-            # Also those that know it, and whose word that they have stored it
+            # Also voters that know it: their report that they have stored it
             # may have been lost.
             to |= self._voter_ids - item.stored_by - {self._own_id}
         for each in sorted(to):
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -105,7 +105,25 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-class Engine(typing.Protocol):
+class BackendCall(typing.Protocol):
+    """A call to a backend server that may block a thread."""
+
+    def abort(self) -> None:
+        """Break off the call in progress, from any thread."""
+        ...
+
+    def withdraw(self, *, is_forced: bool) -> None:
+        """Break off a call that the backend server seems not to have got.
+
+        Has no effect once any byte of an answer has come. From any thread.
+
+        :param is_forced: whether that no byte has come is enough; otherwise
+            something of the call must be unacknowledged by the other end.
+        """
+        ...
+
+
+class Engine(BackendCall, typing.Protocol):
     """A model engine, in the prefill or decode role.
 
     ``deadline_s`` is the number of seconds after which the result is no
@@ -148,22 +166,8 @@
 
     def streams(self) -> tuple[tuple[str, str], ...]: ...
 
-    def abort(self) -> None:
-        """Break off the call in progress, from any thread."""
-        ...
-
-    def withdraw(self, *, is_forced: bool) -> None:
-        """Break off a call that the backend server seems not to have got.
-
-        Has no effect once any byte of an answer has come. From any thread.
 
-        :param is_forced: whether that no byte has come is enough; otherwise
-            something of the call must be unacknowledged by the other end.
-        """
-        ...
-
-
-class PlainServiceAdapter(typing.Protocol):
+class PlainServiceAdapter(BackendCall, typing.Protocol):
     """Sends a single call to a plain service."""
 
     def call(
@@ -175,17 +179,3 @@
         headers: abc.Mapping[str, str],
         max_bytes: int,
     ) -> Reply: ...
-
-    def abort(self) -> None:
-        """Break off the call in progress, from any thread."""
-        ...
-
-    def withdraw(self, *, is_forced: bool) -> None:
-        """Break off a call that the backend server seems not to have got.
-
-        Has no effect once any byte of an answer has come. From any thread.
-
-        :param is_forced: whether that no byte has come is enough; otherwise
-            something of the call must be unacknowledged by the other end.
-        """
-        ...
--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -274,11 +274,8 @@
         self._is_withdrawn = True
         # The HTTP library closes the connection when its answer fails.
         sockets.reset_on_close(self._socket)
-        if not self._is_written:
-            self.abort()
-            return
-        # Wakes the blocked thread, as abort does, but sends no regular end,
-        # which something in between would take for the end of a good call.
+        # Wakes a thread that waits for the answer, as abort does, but sends no
+        # regular end: something in between would take the call for complete.
         self._aborted = True
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RD)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -10,8 +10,10 @@
 from dandeliongw import connection_pool
 from dandeliongw import engine
 from dandeliongw import exchange as exchanges
+from dandeliongw import sockets
 from dandeliongw import verdict
 from tests import raw_server
+from tools import local
 
 
 class TimeoutTest(unittest.TestCase):
@@ -179,6 +181,11 @@
 
         def withdraw():
             received.wait(raw_server.TIMEOUT_S)
+            # An acknowledgement may come after what it acknowledges was read.
+            local.wait_until(
+                'the call is acknowledged',
+                lambda: not sockets.unacknowledged_bytes(exchange._socket),
+            )
             exchange.withdraw(is_forced=is_forced)
             release.set()
 
