--- a/dandeliongw/coordination/presence.py
+++ b/dandeliongw/coordination/presence.py
@@ -12,16 +12,14 @@
 announcement can be in transit, so that none can make the server present again.
 """
 
-from collections import abc
 import typing
 
-import msgspec
-
 from . import parts
 from ._backends import Backend
 from ._backends import Backends
 from ._backends import stamp
 from ._departures import Departures
+from ._fronts import Fronts
 from ._presence_messages import AbsenceCause
 from ._presence_messages import Announced
 from ._presence_messages import BackendAnnouncement
@@ -93,49 +91,6 @@
 #: Seconds for which leaves are retained. A message may wait a few seconds in
 #: one of our queues, but minutes in a connection that stalls and recovers.
 RETENTION_S = 3600.0
-#: Seconds for which renewals to the same instance are collected in a batch.
-BATCH_S = 0.2
-#: Seconds without a renewal after which the front requires a new announcement.
-FRONT_TIMEOUT_S = 60.0
-#: Seconds from the first announcement of a new start in which a leave without
-#: an incarnation may be of the start before. Messages of a backend server may
-#: arrive some seconds late.
-LATE_LEAVE_S = 5.0
-#: Incarnation of a leave without one, by an unknown backend server.
-_ONLY_INCARNATION = 0
-
-
-class _Front(msgspec.Struct, kw_only=True):
-    """A backend server whose front is this instance.
-
-    :param received_at: when its last message was received.
-    :param last: stamp of its last message.
-    :param to: instances to which its messages are forwarded.
-    """
-
-    announcement: BackendAnnouncement
-    received_at: float
-    last: tuple[int, int]
-    to: tuple[str, ...] = ()
-
-
-class _Successor(msgspec.Struct, frozen=True, kw_only=True):
-    """A restart of a backend server under the same id.
-
-    :param incarnation: of the new start.
-    :param since: when this instance received the first announcement of the
-        new one.
-    """
-
-    incarnation: int
-    since: float
-
-
-class _Renewal(msgspec.Struct, kw_only=True):
-    """A renewal to be sent with the next batch."""
-
-    renewal: BackendRenewal
-    received_at: float
 
 
 class Presence:
@@ -173,10 +128,7 @@
         )
         #: Leaves read from the disk, until the time is known.
         self._restored: list[BackendDeparture] = []
-        self._fronts_by_id: dict[str, _Front] = {}
-        self._renewals_by_dispatcher: dict[str, list[_Renewal]] = {}
-        self._batch_at = 0.0
-        self._successors_by_id: dict[str, _Successor] = {}
+        self._fronts = Fronts(backends=self._backends)
 
     # Accessors.
 
@@ -244,13 +196,13 @@
             case parts.Persisted():
                 return self._departures.persisted(event.now, event.token)
             case Announced():
-                return self._on_announced(event)
+                return self._fronts.announce(event)
             case Renewed():
-                return self._on_renewed(event)
+                return self._fronts.renew(event)
             case Left():
                 return self._on_left(event)
             case Forward():
-                return self._on_forward(event)
+                return self._fronts.forward(event)
             case SetInstances():
                 self._departures.set_instances(
                     event.now, event.instance_ids, event.started_ids
@@ -289,69 +241,14 @@
             for effect in self._backends.leave(now, departure)
         ]
 
-    # Requests of backend servers to this instance as their front.
-
-    def _on_announced(self, event: Announced) -> list[typing.Any]:
-        announcement = event.announcement
-        self._backends.remove_former(event.now, announcement)
-        outcome = self._message_outcome(
-            announcement.backend_id, stamp(announcement)
-        )
-        front = self._fronts_by_id.get(announcement.backend_id)
-        is_repeated = front is not None and front.last == stamp(announcement)
-        if outcome is not PresenceOutcome.ACCEPTED or is_repeated:
-            return [_complete(event.ticket, outcome)]
-        self._record_restart(event.now, announcement)
-        self._fronts_by_id[announcement.backend_id] = _Front(
-            announcement=announcement,
-            received_at=event.now,
-            last=stamp(announcement),
-            to=front.to if front is not None else (),
-        )
-        effects: list[typing.Any] = [_complete(event.ticket, outcome)]
-        front = self._fronts_by_id[announcement.backend_id]
-        return effects + self._send_announcement(event.now, front, front.to)
-
-    def _on_renewed(self, event: Renewed) -> list[typing.Any]:
-        front = self._fronts_by_id.get(event.backend_id)
-        message_stamp = (event.incarnation, event.sequence)
-        outcome = self._renewal_outcome(event, front)
-        is_accepted = outcome is PresenceOutcome.ACCEPTED
-        if is_accepted and front is not None and front.last < message_stamp:
-            front.last = message_stamp
-            front.received_at = event.now
-            self._queue(event, front)
-        return [_complete(event.ticket, outcome)]
-
-    def _renewal_outcome(
-        self, event: Renewed, front: _Front | None
-    ) -> PresenceOutcome:
-        if front is None:
-            message_stamp = (event.incarnation, event.sequence)
-            if message_stamp <= self._backends.left(event.backend_id):
-                return PresenceOutcome.LEFT
-            return PresenceOutcome.ANNOUNCE_AGAIN
-        if event.incarnation > front.announcement.incarnation:
-            return PresenceOutcome.ANNOUNCE_AGAIN
-        return self._message_outcome(
-            event.backend_id, (event.incarnation, event.sequence)
-        )
-
-    def _message_outcome(
-        self, backend_id: str, message_stamp: tuple[int, int]
-    ) -> PresenceOutcome:
-        if message_stamp <= self._backends.left(backend_id):
-            return PresenceOutcome.LEFT
-        front = self._fronts_by_id.get(backend_id)
-        # An equal stamp is a retry after the answer was lost.
-        if front is not None and message_stamp < front.last:
-            return PresenceOutcome.OLD
-        return PresenceOutcome.ACCEPTED
-
     def _on_left(self, event: Left) -> list[typing.Any]:
-        incarnation = self._leaving_incarnation(event)
+        incarnation = self._fronts.leaving_incarnation(event)
         if incarnation is None:
-            return [_complete(event.ticket, PresenceOutcome.NOT_KEPT)]
+            return [
+                parts.Complete(
+                    ticket=event.ticket, result=PresenceOutcome.NOT_KEPT
+                )
+            ]
         departure = BackendDeparture(
             backend_id=event.backend_id,
             incarnation=incarnation,
@@ -372,112 +269,12 @@
             event.now, departure, event.ticket
         )
 
-    def _record_restart(
-        self, now: float, announcement: BackendAnnouncement
-    ) -> None:
-        """Record a restart of a backend server under the same id."""
-        backend_id = announcement.backend_id
-        former = self._newest_start(backend_id)
-        if former is not None and former < announcement.incarnation:
-            self._successors_by_id[backend_id] = _Successor(
-                incarnation=announcement.incarnation, since=now
-            )
-
-    def _newest_start(self, backend_id: str) -> int | None:
-        held = [
-            each.announcement.incarnation
-            for each in (
-                self._fronts_by_id.get(backend_id),
-                self.backends_by_id.get(backend_id),
-            )
-            if each is not None
-        ]
-        return max(held, default=None)
-
-    def _leaving_incarnation(self, event: Left) -> int | None:
-        """Return the incarnation of the start that a leave is of.
-
-        ``None`` if that can't be told. A leave that names no incarnation may
-        be a late one of the start before. If it were attributed to the newest
-        start, a backend server that has just restarted would receive no work
-        for as long as it runs; if to the start before, one that leaves soon
-        after its restart would go on receiving work. One that is there sends
-        it again until it can be told, or to an instance that knows its start.
-        """
-        if event.incarnation is not None:
-            return event.incarnation
-        newest = self._newest_start(event.backend_id)
-        if newest is None:
-            return None if self._are_starts_numbered() else _ONLY_INCARNATION
-        successor = self._successors_by_id.get(event.backend_id)
-        is_young = (
-            successor is not None
-            and successor.incarnation == newest
-            and event.now < successor.since + LATE_LEAVE_S
-        )
-        return None if is_young else newest
-
-    def _are_starts_numbered(self) -> bool:
-        """Whether the backend servers known here have incarnations."""
-        return any(
-            backend.announcement.incarnation != _ONLY_INCARNATION
-            for backend in self.backends_by_id.values()
-        )
-
-    def _on_forward(self, event: Forward) -> list[typing.Any]:
-        front = self._fronts_by_id.get(event.backend_id)
-        if front is None:
-            return []
-        added = tuple(to for to in event.to if to not in front.to)
-        front.to = event.to
-        return self._send_announcement(event.now, front, added)
-
-    # Forwarding to dispatching instances.
-
-    def _send_announcement(
-        self, now: float, front: _Front, to: abc.Iterable[str]
-    ) -> list[typing.Any]:
-        message = Presented(
-            announcement=front.announcement, age_s=now - front.received_at
-        )
-        return [parts.Send(to=each, message=message) for each in to]
-
-    def _queue(self, event: Renewed, front: _Front) -> None:
-        renewal = BackendRenewal(
-            backend_id=event.backend_id,
-            incarnation=event.incarnation,
-            sequence=event.sequence,
-            load=event.load,
-            cache_events=event.cache_events,
-            age_s=0.0,
-        )
-        for to in front.to:
-            waiting = self._renewals_by_dispatcher.setdefault(to, [])
-            waiting.append(_Renewal(renewal=renewal, received_at=event.now))
-
     def _tick(self, now: float) -> list[typing.Any]:
-        effects = self._backends.expire(now)
-        effects += self._departures.tick(now)
-        if now >= self._batch_at:
-            self._batch_at = now + BATCH_S
-            effects += self._send_batches(now)
-        for backend_id, front in list(self._fronts_by_id.items()):
-            if now >= front.received_at + FRONT_TIMEOUT_S:
-                del self._fronts_by_id[backend_id]
-                self._successors_by_id.pop(backend_id, None)
-        return effects
-
-    def _send_batches(self, now: float) -> list[typing.Any]:
-        departures = self._departures.batched(now)
-        effects = []
-        for to, waiting in self._renewals_by_dispatcher.items():
-            message = PresenceBatch(
-                renewals=tuple(_with_age(item, now) for item in waiting),
-                departures=departures,
-            )
-            effects.append(parts.Send(to=to, message=message))
-        self._renewals_by_dispatcher = {}
-        return effects
+        return [
+            *self._backends.expire(now),
+            *self._departures.tick(now),
+            *self._fronts.tick(now, self._departures.batched(now)),
+        ]
 
     # Messages forwarded by other instances.
 
@@ -492,7 +289,9 @@
             case PresenceBatch():
                 return self._on_batch(now, event.sender, message)
             case PresenceUnknown():
-                return self._on_presence_unknown(now, event.sender, message)
+                return self._fronts.announce_again(
+                    now, event.sender, message.backend_ids
+                )
             case DeparturesConfirmed() | DeparturesStored():
                 return self._departures.confirmed(
                     now,
@@ -540,16 +339,6 @@
             effects.append(parts.Send(to=sender, message=answer))
         return effects
 
-    def _on_presence_unknown(
-        self, now: float, sender: str, message: PresenceUnknown
-    ) -> list[typing.Any]:
-        effects: list[typing.Any] = []
-        for backend_id in message.backend_ids:
-            front = self._fronts_by_id.get(backend_id)
-            if front is not None and sender in front.to:
-                effects += self._send_announcement(now, front, (sender,))
-        return effects
-
     def _hear(
         self,
         now: float,
@@ -597,16 +386,6 @@
         backend_id = departure.backend_id
         if stamp(departure) <= self._backends.left(backend_id):
             return []
-        front = self._fronts_by_id.get(backend_id)
-        if front is not None and stamp(front.announcement) <= stamp(departure):
-            del self._fronts_by_id[backend_id]
+        self._fronts.end(departure)
         heard = DepartureHeard(departure=departure, heard_from=heard_from)
         return [heard, *self._backends.leave(now, departure)]
-
-
-def _complete(ticket: str, outcome: PresenceOutcome) -> parts.Complete:
-    return parts.Complete(ticket=ticket, result=outcome)
-
-
-def _with_age(item: _Renewal, now: float) -> BackendRenewal:
-    return msgspec.structs.replace(item.renewal, age_s=now - item.received_at)
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -12,6 +12,7 @@
 
 from dandeliongw import codec
 from dandeliongw.coordination import _departures
+from dandeliongw.coordination import _fronts
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import presence
 from dandeliongw.protocol import presence_pb2
@@ -522,7 +523,7 @@
         lan.announce('gw-1', to=(), sequence=6)
         lan.pass_time(2 * presence.LEASE_S)
         lan.renew('gw-1', 7)
-        lan.pass_time(presence.FRONT_TIMEOUT_S + 0.1)
+        lan.pass_time(_fronts.FRONT_TIMEOUT_S + 0.1)
         lan.renew('gw-1', 8)
         outcome = presence.PresenceOutcome
         expected = [
@@ -660,7 +661,7 @@
         """
         self.announce(self.FIRST_START, sequence=40)
         self.announce(self.SECOND_START)
-        self.lan.now += presence.LATE_LEAVE_S - 0.5
+        self.lan.now += _fronts.LATE_LEAVE_S - 0.5
         self.announce(self.SECOND_START, sequence=4)
         self.lan.outcomes.clear()
         self.leave(None)
@@ -702,7 +703,7 @@
     def test_a_later_leave_without_incarnation_is_of_the_newest_start(self):
         self.announce(self.FIRST_START, sequence=40)
         self.announce(self.SECOND_START)
-        self.lan.now += presence.LATE_LEAVE_S + 0.5
+        self.lan.now += _fronts.LATE_LEAVE_S + 0.5
         self.announce(self.SECOND_START, sequence=9)
         self.leave(None)
         self.assertFalse(self.is_usable())
