Need keys where the list of accounts is empty

A configuration with an empty list of accounts was translated as one without a list: its hosts took calls without a key and forwarded keys to backend servers. An operator who removes the last account expects that nobody may call any more.

--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -113,9 +113,20 @@
         self.assertTrue(made.host_calls_need_key)
         self.assertEqual(dict(made.accounts_by_key_sha256), {})
 
-    def test_without_accounts_no_key_is_needed(self):
+    def test_without_a_list_of_accounts_no_key_is_needed(self):
         self.assertFalse(translate().host_calls_need_key)
 
+    def test_an_empty_list_of_accounts(self):
+        """Guards against hosts that open when the last account is removed."""
+        made = translate(with_tenants())
+        self.assertTrue(made.host_calls_need_key)
+        self.assertEqual(dict(made.accounts_by_key_sha256), {})
+
+    def test_an_empty_list_survives_storage(self):
+        made = translate(with_tenants())
+        stored = document.parse_document(document.document_bytes(made))
+        self.assertTrue(stored.host_calls_need_key)
+
     def test_the_same_key_given_twice(self):
         made = translate(with_tenants({'apiKeys': ['key-1', 'key-1']}))
         self.assertEqual(len(made.accounts[0].keys_sha256), 1)
