Identify calls again that were admitted before keys were needed

What backend servers are told of a call's account was decided on admission. A call that waited while a document with accounts came into force was sent with its caller's own headers: the key itself, and any account name that the caller chose.

Each check before a send now finds the account again. Keys that are no longer needed end no call either, which was a final 401.

--- a/dandeliongw/entry/account_check.py
+++ b/dandeliongw/entry/account_check.py
@@ -10,6 +10,8 @@
 
 import typing
 
+import msgspec
+
 from .. import document
 from .. import events
 from .. import verdict
@@ -35,6 +37,15 @@
         ...
 
 
+class ToldAccount(msgspec.Struct, frozen=True, kw_only=True):
+    """The account that backend servers are told of a call.
+
+    :param name: see ``told_account`` of :class:`.admission.Admitted`.
+    """
+
+    name: str | None
+
+
 class AccountCheck:
     """Finds the account of a call and checks whether its key still holds.
 
@@ -90,21 +101,51 @@
         )
 
     def check_again(
-        self, now: float, account: document.Account, call: events.Call
-    ) -> verdict.Refusal | None:
+        self,
+        now: float,
+        account: document.Account,
+        call: events.Call,
+        told_account: str | None,
+    ) -> verdict.Refusal | ToldAccount:
         """Check an admitted call again before it is sent.
 
-        It may have waited in a queue or between two attempts meanwhile.
+        It may have waited in a queue or between two attempts meanwhile. If
+        the document has begun to need keys since, the call is sent under the
+        account of its key, although it was admitted without one.
+
+        :param account: under which it was admitted.
+        :param told_account: see :class:`.admission.Admitted`.
         """
+        unchanged = ToldAccount(name=told_account)
+        needs_key = self._directory.document.host_calls_need_key
+        if call.host and not needs_key:
+            return unchanged
         if account is ANONYMOUS:
-            return None
+            return self._check_anonymous(now, call)
         stale = self.check_proof(now, account)
         if stale is not None:
             return stale
         held_by = self.find(call)
         if held_by is None or held_by.name != account.name:
             return unknown_account()
-        return None
+        return unchanged
+
+    def _check_anonymous(
+        self, now: float, call: events.Call
+    ) -> verdict.Refusal | ToldAccount:
+        route = self._directory.document.route_table.find(call.host, call.path)
+        account = self.account_of_host_call(
+            call,
+            allows_anonymous=route is not None and route.allows_anonymous,
+        )
+        if isinstance(account, verdict.Refusal):
+            return account
+        return self.check_proof(now, account) or told(account)
+
+
+def told(account: document.Account) -> ToldAccount:
+    """Return what backend servers are told where calls need keys."""
+    return ToldAccount(name='' if account is ANONYMOUS else account.name)
 
 
 def unknown_account() -> verdict.Refusal:
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -353,4 +353,4 @@
 ) -> str | None:
     if not described.host_calls_need_key:
         return None
-    return '' if account is account_check.ANONYMOUS else account.name
+    return account_check.told(account).name
--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -178,14 +178,20 @@
         """Return why its key no longer allows a send; ``None`` if it does.
 
         Checked before each send to a backend server: a request may have
-        waited since it was admitted.
+        waited since it was admitted. What the send tells of its account is
+        brought up to date.
         """
-        refusal = self._account_check.check_again(
-            now, request.admitted.account, request.call
+        admitted = request.admitted
+        checked = self._account_check.check_again(
+            now, admitted.account, request.call, admitted.told_account
         )
-        if refusal is None:
-            return None
-        return msgspec.structs.replace(refusal, verdict=request.known)
+        if isinstance(checked, verdict.Refusal):
+            return msgspec.structs.replace(checked, verdict=request.known)
+        if checked.name != admitted.told_account:
+            request.admitted = msgspec.structs.replace(
+                admitted, told_account=checked.name
+            )
+        return None
 
     def held(
         self, now: float, request: Request
--- a/tests/test_account_check.py
+++ b/tests/test_account_check.py
@@ -207,6 +207,84 @@
         )
 
 
+class KeysNeededLaterTest(KeyedEntry):
+    """Guards against calls sent as before once a document needs keys.
+
+    They were admitted under a document that needed none, with the headers
+    that their callers gave, which may name another account.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.directory.document = test_pass_through.described()
+
+    def need_keys(self, *keys, **changes):
+        self.directory.document = described(*keys, **changes)
+
+    def told(self, directive):
+        return self.entry.one(directive).told_account
+
+    def test_a_call_with_a_known_key_is_sent_under_its_account(self):
+        request_id = self.arrive()
+        self.need_keys(KEY)
+        self.entry.book(request_id)
+        self.assertEqual(self.told(effects.RunCall), 'tenant-1')
+
+    @params('', OTHER_KEY)
+    def test_a_call_without_a_known_key_is_not_sent(self, key):
+        request_id = self.arrive(key)
+        self.need_keys(KEY)
+        self.entry.book(request_id)
+        self.assertEqual(self.entry.found(effects.RunCall), [])
+        self.assertEqual(self.refused(), (REASON.UNKNOWN_ACCOUNT, NOT_RUN))
+
+    def test_a_call_without_a_key_on_a_route_that_allows_it(self):
+        request_id = self.arrive('')
+        self.need_keys(KEY, allows_anonymous=True)
+        self.entry.book(request_id)
+        self.assertEqual(self.told(effects.RunCall), '')
+
+    def test_a_call_with_a_known_key_needs_recent_proof(self):
+        request_id = self.arrive()
+        self.need_keys(KEY)
+        self.directory.confirmed = False
+        self.entry.book(request_id)
+        self.assertEqual(self.entry.found(effects.RunCall), [])
+        self.assertEqual(self.refused(), (REASON.CONFIGURATION_STALE, NOT_RUN))
+
+    def test_the_second_step_of_a_stream_tells_the_account(self):
+        request_id = self.arrive(path='/model/x')
+        self.entry.book(request_id)
+        self.assertIsNone(self.told(effects.RunPrefill))
+        self.need_keys(KEY)
+        self.entry.prefill(request_id, known=NOT_RUN)
+        self.assertEqual(self.told(effects.RunDecode), 'tenant-1')
+
+    def test_a_retry_tells_the_account(self):
+        self.directory.document = test_pass_through.described(
+            repeat='always', max_runs=3
+        )
+        request_id = self.arrive()
+        self.entry.book(request_id)
+        self.need_keys(KEY, repeat='always', max_runs=3)
+        self.entry.answer(
+            request_id,
+            verdict.RetryReason.CONNECT_REFUSED,
+            known=verdict.Verdict.MAY_HAVE_RUN,
+        )
+        self.entry.book(request_id)
+        told = [run.told_account for run in self.entry.found(effects.RunCall)]
+        self.assertEqual(told[-1], 'tenant-1')
+
+    def test_keys_that_are_no_longer_needed(self):
+        """Guards against a final refusal that no document asks for."""
+        self.need_keys(KEY)
+        request_id = self.arrive()
+        self.directory.document = test_pass_through.described()
+        self.entry.book(request_id)
+        self.assertEqual(self.told(effects.RunCall), 'tenant-1')
+
+
 class ChargeTest(KeyedEntry):
     """What a request is charged, and when it gets that back."""
 
