--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -147,6 +147,19 @@
     """Part of the rate and of the burst that is granted in addition."""
     amount: models.NonNegative = 0.0
     """Amount that is granted at once in addition, in each account's unit."""
+    window_s: models.NonNegative = 0.0
+    """An account may use its rate times this many seconds, plus its burst, in
+    any window of this length; 0: the burst is all that it may use at once."""
+
+
+class Overload(models.Model):
+    """What protects the owner of a cell from more work than it can decide."""
+
+    paces_bookings: bool = False
+    """Whether entries bound the bookings that an owner has not answered."""
+    owner_lag_s: models.Positive | None = None
+    """Delay of its own ticks from which an owner declines new work before it
+    looks for room, in seconds; without it, it never does."""
 
 
 class Timeouts(models.Model):
@@ -256,6 +269,8 @@
     """The retry budget of the whole system."""
     rate_tolerance: RateTolerance = RateTolerance()
     """What accounts get beyond their rates."""
+    overload: Overload = Overload()
+    """Protection of the owners of cells."""
     timeouts: Timeouts = Timeouts()
     """Time-outs and intervals."""
     log_level: LogLevel = 'INFO'
