Free a former owner's late booking of a move

A move of a KV cache keeps the id of its attempt. When the owner changed while a move was asked for, the former owner's late answer was ignored, as a release would have cancelled the stream at the engine that the present owner booked. Slot and memory stayed taken for the booking's lease, 4 s.

An entry now releases such a booking with the outcome taken_over, which frees it without a cancel.

Both tests failed before; test_requests_machine, which found the fault with random draws, passes.

--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -23,6 +23,8 @@
     CANCELLED = 'cancelled'
     FAILED = 'failed'
     EXPIRED = 'expired'
+    #: Another owner booked it; its work goes on.
+    TAKEN_OVER = 'taken_over'
 
 
 class Book(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -498,6 +498,8 @@
         if booking is None:
             return []
         self._remove_booking(booking)
+        if release.outcome is Outcome.TAKEN_OVER:
+            return []
         logs = self._faults.record_fault(
             now, release.backend_fault, is_down=release.is_down
         )
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -65,7 +65,11 @@
             and message.attempt_id == request.attempt_id
         )
         if not is_current:
-            return self._release_late_booking(event)
+            return self._release_late_booking(event, cells.Outcome.CANCELLED)
+        is_booking = isinstance(message, cells.Booked | cells.Queued)
+        if is_booking and event.sender != request.owner:
+            # A move keeps the id of its attempt, whichever owner is asked.
+            return self._release_late_booking(event, cells.Outcome.TAKEN_OVER)
         request.owner_replied_at = event.now
         if not request.is_unowned and not isinstance(message, cells.NotOwner):
             self._reservations.mark_owner_responsive(request.cell)
@@ -82,12 +86,16 @@
                 return self._cancelled(event, request)
         return []
 
-    def _release_late_booking(self, event: parts.Received) -> Effects:
-        """Release what was booked for an attempt that has ended.
+    def _release_late_booking(
+        self, event: parts.Received, outcome: cells.Outcome
+    ) -> Effects:
+        """Release what was booked for an attempt that has ended or moved on.
 
         A reply can arrive after its attempt has ended. Applied to the current
         attempt, it would make the request run twice. Ignored, it would leave
         a slot booked until its lease expires.
+
+        :param outcome: whether its work ends or goes on at another owner.
         """
         message = event.message
         if not isinstance(message, cells.NotOwner):
@@ -101,7 +109,7 @@
             cell=message.cell,
             request_id=message.request_id,
             attempt_id=message.attempt_id,
-            outcome=cells.Outcome.CANCELLED,
+            outcome=outcome,
         )
         return [*late, parts.Send(to=event.sender, message=release)]
 
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -291,6 +291,19 @@
         cancels = send(cell, release, now=1.1)
         self.assertEqual({'p1', 'd1'}, {each.backend_id for each in cancels})
 
+    def test_a_booking_that_another_owner_took_over(self):
+        """Guards against cancels of work that the other owner booked."""
+        cell = make_pair_cell()
+        send(cell, make_book('r1'))
+        release = cells.Release(
+            cell=cell.cell_id,
+            request_id='r1',
+            attempt_id='a1',
+            outcome=cells.Outcome.TAKEN_OVER,
+        )
+        self.assertEqual(send(cell, release, now=1.0), [])
+        self.assertEqual(cell.bookings_by_key, {})
+
 
 class RestartTest(unittest.TestCase):
     """Bookings of an engine end when it restarts under the same id.
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -469,6 +469,34 @@
         engines = {each.backend_id for each in entry.found(cells.CancelStream)}
         self.assertEqual(engines, {'p1', 'd2'})
 
+    @params('booked', 'queued')
+    def test_a_move_that_a_former_owner_books_late(self, answer):
+        """Guards against memory that a former owner keeps for a lease.
+
+        A move keeps the attempt's id, so a plain release would break it off
+        at the engine that the present owner booked.
+        """
+        entry = Entry()
+        request_id = entry.decoding()
+        entry.decode(request_id, RETRY.IMPORT_REFUSED, tokens=0, known=NOT_RUN)
+        entry.directory.owners = (NEXT_OWNER,)
+        entry.tick(reservations.OWNER_RETRY_S)
+        entry.tick(reservations.OWNER_RETRY_S)
+        move = {'prefill_id': '', 'decode_id': 'd2', 'decode_url': 'http://d2'}
+        entry.book(request_id, sender=NEXT_OWNER, **move)
+        late = (
+            entry.booked(request_id, **move)
+            if answer == 'booked'
+            else queued(entry, request_id)
+        )
+        entry.receive(late)
+        ((owner, release),) = entry.sent(cells.Release)
+        self.assertEqual(
+            (owner, release.outcome),
+            (OWNER, cells.Outcome.TAKEN_OVER),
+        )
+        self.assertEqual(entry.found(cells.CancelStream), [])
+
     @params('declined', 'late', 'queued')
     def test_a_failed_move_is_followed_by_another_prefill(self, why):
         """Guards against failing a request instead of prefilling it again.
