Run the soaks beside the other tests

A trial with three processes, one test class each by turns, broke four soaks beside each other at a load of 40: soaks stay one after the other.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,13 +1,35 @@
-"""Runs the tests with nose2 and prints the counts as the last line."""
+"""Runs the tests with nose2 and prints the counts as the last line.
 
+All tests are run by two processes: one runs the soaks, which wait for real
+processes most of the time, and the other one runs the rest.
+"""
+
+from collections import abc
+import multiprocessing
 import pathlib
 import sys
 
+import msgspec
 import nose2
 
 from tools import outcomes
 
 KNOWN_RED = pathlib.Path('KNOWN-RED.txt')
+TESTS = pathlib.Path('tests')
+#: Takes half of the time of all tests. Its soaks come one after the other:
+#: several of them beside each other would not keep their bounds on time.
+SOAK_MODULE = 'tests.test_platform_soak'
+
+
+class Counts(msgspec.Struct, frozen=True, kw_only=True):
+    """What some tests came to.
+
+    :param failed: the names of those that failed.
+    """
+
+    started: int = 0
+    skipped: int = 0
+    failed: tuple[str, ...] = ()
 
 
 def known_red_names() -> dict[str, str]:
@@ -24,22 +46,46 @@
     return {name.strip(): cause.strip() for name, cause in fields}
 
 
+def run(*names: str) -> Counts:
+    """Run the named tests in this process."""
+    recorded = outcomes.Outcomes
+    for each in (recorded.started, recorded.skipped, recorded.failed):
+        each.clear()
+    argv = ['nose2', '-c', 'nose2.cfg', *names]
+    nose2.discover(argv=argv, exit=False, plugins=['tools.outcomes'])
+    return Counts(
+        started=len(recorded.started),
+        skipped=len(recorded.skipped),
+        failed=tuple(sorted(set(recorded.failed))),
+    )
+
+
+def run_all() -> abc.Iterator[Counts]:
+    """Run all tests, the soaks beside the others."""
+    modules = [f'tests.{each.stem}' for each in TESTS.glob('test_*.py')]
+    others = sorted(name for name in modules if name != SOAK_MODULE)
+    context = multiprocessing.get_context('spawn')
+    with context.Pool(2, maxtasksperchild=1) as pool:
+        yield from pool.starmap(run, [(SOAK_MODULE,), others], chunksize=1)
+
+
 def main() -> int:
     """Run the tests named on the command line, or all.
 
     :returns: the exit code; failures listed in KNOWN-RED.txt are allowed.
     """
-    names = sys.argv[1:] or ['-s', 'tests', '-t', '.']
-    argv = ['nose2', '-c', 'nose2.cfg', *names]
-    nose2.discover(argv=argv, exit=False, plugins=['tools.outcomes'])
+    names = sys.argv[1:]
+    counted = [run(*names)] if names else list(run_all())
     red = known_red_names()
-    failed = sorted(set(outcomes.Outcomes.failed))
+    failed = sorted({name for each in counted for name in each.failed})
     for name in failed:
         if name in red:
             print(f'known red: {name}: {red[name]}')
     unknown = [name for name in failed if name not in red]
-    skipped = len(outcomes.Outcomes.skipped)
-    passed = len(outcomes.Outcomes.started) - len(failed) - skipped
+    for name in unknown:
+        print(f'failed: {name}')
+    skipped = sum(each.skipped for each in counted)
+    passed = sum(each.started for each in counted) - len(failed) - skipped
     print(f'{passed} passed, {len(failed)} failed, {skipped} skipped')
     return 1 if unknown or passed <= 0 else 0
 
