Keep the queue of a cell in order, and make decisions in fewer steps

Checks of memory and predictions of a start called several functions for each booking on each engine.

Change: the queue is kept in order (cell/waiting.py); a key is computed when a booking joins, when the moment comes at which it becomes late, and when the measured pace of answers changes. Expected answers are kept for each booking until the pace changes, expected ends for each engine until a booking on it changes. The loops over bookings of an engine are written out. The answers of a cell stay the same (tests/test_decisions.py).

--- a/dandeliongw/cell/backend_state.py
+++ b/dandeliongw/cell/backend_state.py
@@ -69,6 +69,8 @@
     #: The last forecast that its KV cache has no room; see
     #: :meth:`clear_forecast`.
     full_forecast: FullForecast | None = None
+    #: See :meth:`decode_ends`; ``None`` after a change.
+    sorted_ends: list[float] | None = None
     batch: BatchCap = msgspec.field(default_factory=BatchCap)
     health: Health = msgspec.field(default_factory=lambda: Health())
     #: Blocks that its prefix cache may hold, least recently used first. An
@@ -110,6 +112,33 @@
         """Discard the cached forecast, as work has ended on this engine."""
         self.full_forecast = None
 
+    def add(self, booking: Booking) -> None:
+        """Add a booking, and update the peak of its own slot count."""
+        self.bookings_by_key[booking.key] = booking
+        self.clear_ends()
+        own = len(self.bookings_by_key) + self.cancelling
+        self.peak_slots = max(self.peak_slots, own)
+
+    def remove(self, booking: Booking) -> None:
+        """Remove a booking, and discard the forecast made with it."""
+        self.bookings_by_key.pop(booking.key, None)
+        self.clear_forecast()
+        self.clear_ends()
+
+    def decode_ends(self) -> list[float]:
+        """Return when the answers are expected to end, sorted."""
+        ends = self.sorted_ends
+        if ends is None or len(ends) != len(self.bookings_by_key):
+            ends = self.sorted_ends = sorted(
+                booking.decode_ends_at
+                for booking in self.bookings_by_key.values()
+            )
+        return ends
+
+    def clear_ends(self) -> None:
+        """Discard the kept ends, as one of them has changed."""
+        self.sorted_ends = None
+
     def cached_tokens(self, prefix: abc.Sequence[str]) -> int:
         """Return how many leading tokens of a prompt are probably cached."""
         count = 0
--- a/dandeliongw/cell/candidates.py
+++ b/dandeliongw/cell/candidates.py
@@ -44,7 +44,7 @@
         candidates = candidates_for(view, role, booking)
         if not self._uses_health:
             return candidates
-        if all(state.health.is_ejected(now) for state in candidates):
+        if all(now < state.health.ejected_until for state in candidates):
             reachable = [
                 state
                 for state in candidates
@@ -70,12 +70,12 @@
         most of its role is healthy: serving six in ten of its streams is
         better than serving none.
         """
-        found = [
-            BackendCandidate(state=state, free=self._open_slots(now, state))
-            for state in self.usable(now, view, role, booking)
-            if _has_room(now, view, state, booking)
-        ]
-        found = [each for each in found if each.free > 0]
+        found = self._with_slots(
+            now,
+            _with_room(
+                now, view, self.usable(now, view, role, booking), booking
+            ),
+        )
         if found:
             return _spare_awaited(view, role, booking, found)
         if not self._uses_health:
@@ -85,12 +85,16 @@
             if role is not Role.DECODE:
                 return found
             is_usable = _is_partly_working
+        usable = [
+            state
+            for state in candidates_for(view, role, booking)
+            if is_usable(state)
+        ]
         found = [
             BackendCandidate(
                 state=state, free=self._slots(state) - state.slots_used
             )
-            for state in candidates_for(view, role, booking)
-            if is_usable(state) and _has_room(now, view, state, booking)
+            for state in _with_room(now, view, usable, booking)
         ]
         return [each for each in found if each.free > 0]
 
@@ -124,6 +128,16 @@
     def _slots(self, state: BackendState) -> int:
         return state.slots_open if self._uses_cap else state.backend.slots
 
+    def _with_slots(
+        self, now: float, states: list[BackendState]
+    ) -> list[BackendCandidate]:
+        found = []
+        for state in states:
+            free = self._open_slots(now, state)
+            if free > 0:
+                found.append(BackendCandidate(state=state, free=free))
+        return found
+
     def _open_slots(self, now: float, state: BackendState) -> int:
         """Return the free slots, counting only those open to new work now.
 
@@ -148,7 +162,9 @@
     """
     if role is not Role.DECODE or booking.software_version is not None:
         return found
-    awaited = {each.software_version for each in view.queue} - {None}
+    awaited = view.queue.versions
+    if not awaited:
+        return found
     others = [
         each
         for each in found
@@ -165,11 +181,15 @@
     return max(candidates, key=lambda each: each.free).state
 
 
-def _has_room(
-    now: float, view: CellView, state: BackendState, booking: Booking
-) -> bool:
-    is_allowed = view.rate_limits.allows(now, state.backend)
-    return is_allowed and view.has_kv_room(now, state, booking)
+def _with_room(
+    now: float, view: CellView, states: list[BackendState], booking: Booking
+) -> list[BackendState]:
+    limits = view.rate_limits
+    if not limits.allows_all:
+        states = [
+            state for state in states if limits.allows(now, state.backend)
+        ]
+    return view.with_kv_room(now, states, booking)
 
 
 def is_mostly_closed(now: float, view: CellView, role: Role) -> bool:
@@ -179,10 +199,12 @@
     of them during slow start, see :data:`MIN_OPEN_FRACTION`. One whose rate
     limit allows no request now doesn't count.
     """
+    limits = view.rate_limits
+    allows_all = limits.allows_all
     parts = [
         state.health.open_fraction(now)
         for state in view.candidates(role, ())
-        if view.rate_limits.allows(now, state.backend)
+        if allows_all or limits.allows(now, state.backend)
     ]
     return sum(parts) < MIN_OPEN_FRACTION * len(parts)
 
--- a/dandeliongw/cell/cell_view.py
+++ b/dandeliongw/cell/cell_view.py
@@ -5,6 +5,8 @@
 """
 
 from collections import abc
+import math
+import typing
 
 import msgspec
 
@@ -16,6 +18,7 @@
 from .cell_types import Role
 from .cell_types import Stage
 from .rate_limits import RateLimits
+from .waiting import WaitingQueue
 
 #: Weight of a new measurement in a moving average.
 SMOOTHING = 0.1
@@ -96,7 +99,7 @@
     #: How many requests backend servers accept.
     rate_limits: RateLimits = msgspec.field(default_factory=RateLimits)
     #: Admitted work that has not been placed, in order of arrival.
-    queue: list[Booking] = msgspec.field(default_factory=list)
+    queue: WaitingQueue = msgspec.field(default_factory=WaitingQueue)
     #: Moving average of an answer's length divided by its ``max_tokens``.
     answer_ratio: float = 1.0
     #: Measured tokens a second of one stream; ``None`` until one has ended.
@@ -126,6 +129,7 @@
         tokens = booking.prompt_tokens + booking.max_tokens
         pace = round(self.stream_tokens_per_s, -1), round(self.answer_ratio, 1)
         found = []
+        # This loop runs over all engines for most events.
         for state in states:
             if now < state.full_until:
                 continue
@@ -182,10 +186,11 @@
         for each in state.bookings_by_key.values():
             prompts += each.prompt_tokens
             answers += each.max_tokens
-            if each.transfer_ends_at > now:
+            starts_at = each.transfer_ends_at
+            if starts_at > now:
                 # The forecast counts growth from now on, although the answer
                 # starts only after the transfer.
-                waits_s += each.transfer_ends_at - now
+                waits_s += starts_at - now
         grown = answers + waits_s * self.stream_tokens_per_s
         return prompts / capacity, (prompts + grown) / capacity
 
@@ -200,40 +205,41 @@
         if capacity is None:
             return 0.0
         rate = self.stream_tokens_per_s
-        growths = [
-            self._growth(now, each, rate)
-            for each in state.bookings_by_key.values()
-        ]
-        growths.append(self._growth(now, booking, rate))
+        ratio = self.answer_ratio
+        growths = []
+        # Written out, with comparisons instead of min() and max(): this loop
+        # takes most of the time of a decision.
+        for each in (*state.bookings_by_key.values(), booking):
+            if each.expected_answer_ratio == ratio:
+                answer = each.expected_answer_tokens
+            else:
+                answer = self.answer_tokens(each)
+            most = each.max_tokens
+            done = waits_s = 0.0
+            if each.transfer_ends_at > now:
+                waits_s = each.transfer_ends_at - now
+            elif each.transfer_ends_at:
+                done = (now - each.transfer_ends_at) * rate
+                if done > most:
+                    done = most
+            left = answer - done
+            if left < OVERRUN_FRACTION * answer:
+                left = OVERRUN_FRACTION * answer
+            if left > most - done:
+                left = most - done
+            growths.append((waits_s + left / rate, each.prompt_tokens + done))
         return forecast.peak_tokens(growths, rate) / capacity
 
-    def _growth(
-        self, now: float, booking: Booking, rate: float
-    ) -> forecast.Growth:
-        # Comparisons instead of min() and max(): this takes most of the time
-        # of a forecast.
-        answer = self.answer_tokens(booking)
-        began_at = booking.transfer_ends_at or now
-        most = booking.max_tokens
-        done = waits_s = 0.0
-        if began_at > now:
-            waits_s = began_at - now
-        else:
-            done = (now - began_at) * rate
-            if done > most:
-                done = most
-        left = answer - done
-        if left < OVERRUN_FRACTION * answer:
-            left = OVERRUN_FRACTION * answer
-        if left > most - done:
-            left = most - done
-        return booking.prompt_tokens + done, waits_s + left / rate
-
     @property
     def stream_tokens_per_s(self) -> float:
         """Tokens a second of one stream: measured, else from the document."""
         return self.measured_tokens_per_s or self.terms.decode_tokens_per_s
 
+    @property
+    def pace(self) -> tuple[typing.Any, ...]:
+        """What expected times of answers and prefills depend on."""
+        return self.answer_ratio, self.measured_tokens_per_s, self.terms
+
     def answer_tokens(self, booking: Booking) -> float:
         """Return the expected length of an answer, in tokens."""
         # Kept for each booking until another answer changes the ratio.
@@ -252,15 +258,18 @@
         hint = min(booking.expected_tokens, booking.max_tokens)
         return typical ** (1.0 - HINT_WEIGHT) * hint**HINT_WEIGHT
 
-    def slots_for(self, state: BackendState, booking: Booking) -> int:
-        """Return how many bookings of this size an engine can hold at once."""
-        capacity = self.terms.kv_tokens_by_role.get(state.backend.role)
+    def most_in_memory(self, role: Role, booking: Booking) -> float:
+        """Return how many bookings of this size fit in an engine's memory.
+
+        :returns: infinity if its capacity is unknown.
+        """
+        capacity = self.terms.kv_tokens_by_role.get(role)
         if capacity is None:
-            return state.slots_open
+            return math.inf
         tokens_each = max(
             1.0, booking.prompt_tokens + self.answer_tokens(booking) / 2
         )
-        return min(state.slots_open, max(1, int(capacity / tokens_each)))
+        return max(1, int(capacity / tokens_each))
 
     def candidates(
         self, role: Role, exclude: abc.Container[str]
@@ -330,6 +339,7 @@
             state.link_free_at = max(
                 state.link_free_at, booking.transfer_ends_at
             )
+            state.clear_ends()
         decode_s = self.decode_s(booking)
         booking.decode_ends_at = booking.transfer_ends_at + decode_s
 
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -413,17 +413,14 @@
     def _add_booking(self, booking: Booking) -> None:
         self.bookings_by_key[booking.key] = booking
         for state in self._states_of(booking):
-            state.bookings_by_key[booking.key] = booking
-            own = len(state.bookings_by_key) + state.cancelling
-            state.peak_slots = max(state.peak_slots, own)
+            state.add(booking)
 
     def _remove_booking(self, booking: Booking) -> None:
         self.bookings_by_key.pop(booking.key, None)
         if booking in self.view.queue:
             self.view.queue.remove(booking)
         for state in self._states_of(booking):
-            state.bookings_by_key.pop(booking.key, None)
-            state.clear_forecast()
+            state.remove(booking)
 
     def _states_of(self, booking: Booking) -> list[BackendState]:
         ids = (booking.prefill_id, booking.decode_id, booking.plain_id)
@@ -445,8 +442,7 @@
         if state is not None:
             computed = done.tokens - done.cached_tokens
             self.view.record_prefill(now, state, booking, computed)
-            state.bookings_by_key.pop(booking.key, None)
-            state.clear_forecast()
+            state.remove(booking)
         booking.prefill_done = True
         return []
 
@@ -595,6 +591,7 @@
                 state.left_at = event.now
         for state in new.values():
             state.left_at = None
+            state.clear_ends()
         self.leaving_by_id = old
         return effects
 
--- a/dandeliongw/cell/health.py
+++ b/dandeliongw/cell/health.py
@@ -77,7 +77,7 @@
 
     def open_fraction(self, now: float) -> float:
         """Return the part of its slots that may be used now, from 0 to 1."""
-        if not self.is_limited(now):
+        if self.slow_start_at is None or not self.is_limited(now):
             return 1.0
         return max(0.0, (now - self.slow_start_at) / SLOW_START_S)
 
@@ -87,8 +87,10 @@
         A fault may take seconds to show. During slow start, bookings are
         spaced out, so that little work is lost if the fault persists.
         """
-        if self.is_ejected(now):
+        if now < self.ejected_until:
             return False
+        if self.slow_start_at is None:
+            return now >= self.last_booked_at
         pause_s = SLOW_START_PAUSE_S * (1.0 - self.open_fraction(now))
         return now >= self.last_booked_at + pause_s
 
--- a/dandeliongw/cell/pairs.py
+++ b/dandeliongw/cell/pairs.py
@@ -10,7 +10,6 @@
 from .backend_state import BackendState
 from .cell_types import Booking
 from .cell_types import Role
-from .cell_types import Stage
 from .cell_types import Weights
 from .cell_view import CellView
 from .options import Options
@@ -127,11 +126,7 @@
         if not engines:
             return math.inf, 0.0
         free_at = min(view.prefill_ready_at(now, state) for state in engines)
-        queued_s = sum(
-            prediction.prefill_s(view, each)
-            for each in view.queue
-            if each.stage is Stage.PAIR
-        )
+        queued_s = view.queue.pair_tokens / view.terms.prefill_tokens_per_s
         return free_at - now, queued_s / len(engines)
 
     def _choose_pair(
--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -1,5 +1,6 @@
 """Predicts when work will start, and computes until when it may."""
 
+import bisect
 import heapq
 import math
 
@@ -109,43 +110,52 @@
     heapq.heapify(slots)
     heapq.heapify(engines)
     starts_at = now
+    terms = view.terms
+    prefill_tokens_per_s = terms.prefill_tokens_per_s
+    tokens_per_s = view.stream_tokens_per_s
     for booking in ordered:
         engine_at, interval_s = engines[0]
-        starts_at = max(heapq.heappop(slots), engine_at)
-        done_at = starts_at + prefill_s(view, booking)
-        moved_at = done_at + view.transfer_s(booking)
+        starts_at = slots[0]
+        if engine_at > starts_at:
+            starts_at = engine_at
+        done_at = starts_at + booking.prompt_tokens / prefill_tokens_per_s
+        transfer_s = view.transfer_s(booking)
         # An engine computes one prompt while it transfers another one; the
         # slower of the two determines the throughput.
-        paced_at = max(done_at, starts_at + view.transfer_s(booking))
-        next_at = max(paced_at, starts_at + interval_s)
+        next_at = max(done_at, starts_at + transfer_s, starts_at + interval_s)
         heapq.heapreplace(engines, (next_at, interval_s))
-        heapq.heappush(slots, moved_at + view.decode_s(booking))
+        decode_s = view.answer_tokens(booking) / tokens_per_s
+        heapq.heapreplace(slots, done_at + transfer_s + decode_s)
     return starts_at
 
 
 def _slot_times(now: float, view: CellView, booking: Booking) -> list[float]:
     """Return when each decode slot with room for a booking will be free."""
-    times = []
+    times: list[float] = []
+    limits = view.rate_limits
+    most = view.most_in_memory(Role.DECODE, booking)
+    # Mostly there is neither a limit nor a rest.
+    allows_all = limits.allows_all
     for state in candidates.serving(now, view, Role.DECODE):
-        free = view.slots_for(state, booking) - state.slots_used
-        ends = sorted(
-            max(now, booking.decode_ends_at)
-            for booking in state.bookings_by_key.values()
-        )
+        slots = state.slots_open
+        free = (slots if slots < most else most) - state.slots_used
+        ends = state.decode_ends()
         # If more slots are used than are open, the first ones that end
         # free no slot.
-        freed = [now] * max(0, free) + ends[max(0, -free) :]
-        limits = view.rate_limits
-        is_limited = (
+        skipped = -free if free < 0 else 0
+        overdue = bisect.bisect_left(ends, now, skipped)
+        freed = [now] * (free + overdue if free > 0 else overdue - skipped)
+        freed += ends[overdue:]
+        is_limited = not allows_all and (
             limits.interval_s(state.backend)
             or limits.next_at(now, state.backend) > now
         )
         if is_limited:
             freed = [
-                max(at, view.rate_limits.next_at(now, state.backend, ahead))
+                max(at, limits.next_at(now, state.backend, ahead))
                 for ahead, at in enumerate(freed)
             ]
-        times.extend(freed)
+        times += freed
     return times
 
 
--- a/dandeliongw/cell/rate_limits.py
+++ b/dandeliongw/cell/rate_limits.py
@@ -108,6 +108,11 @@
         """Whether no limit is known."""
         return not self._buckets_by_id
 
+    @property
+    def allows_all(self) -> bool:
+        """Whether neither a limit nor a rest is known."""
+        return not self._buckets_by_id and not self._rests_by_id
+
     def record(self, now: float, limit: RateLimit) -> None:
         """Record that a backend server states a limit."""
         bucket = self._buckets_by_id.pop(limit.backend_id, None)
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -1,11 +1,14 @@
 """The default policy: decode slots are booked before the prefill starts."""
 
+from collections import abc
 import enum
+import math
 
 from . import candidates as candidates_module
 from . import declines
 from . import pairs
 from . import prediction
+from . import waiting
 from .cell_types import Booking
 from .cell_types import Role
 from .cell_types import ROLES_BY_STAGE
@@ -220,55 +223,64 @@
         :returns: one decision; none if the first can't be placed yet. The
             first is that of each software version, if some are bound to one.
         """
-        late = [each for each in view.queue if now > each.latest_start_at]
+        late = view.queue.late(now)
         if late:
-            first = self._first(now, view, late)
+            first = min(late, key=lambda each: self._order(now, view, each))
             return [(first, declines.waited(first))]
-        waiting = view.queue
-        while waiting:
-            first = self._first(now, view, waiting)
+        full_versions: set[str] = set()
+        for first in self._ordered(now, view):
+            version = first.software_version
+            if version in full_versions:
+                continue
             placed = self._place(now, view, first)
             if placed is not None:
                 return [(first, placed)]
-            version = first.software_version
             if version is None:
                 break
             # Its version is full; that must not hold up all others.
-            waiting = [
-                each for each in waiting if each.software_version != version
-            ]
+            full_versions.add(version)
         return []
 
-    def _first(
-        self, now: float, view: CellView, bookings: list[Booking]
-    ) -> Booking:
-        return min(bookings, key=lambda each: self._order(now, view, each))
-
     def _order(
         self, now: float, view: CellView, booking: Booking
     ) -> tuple[float, ...]:
+        return self._timed_order(now, view, booking)[0]
+
+    def _timed_order(
+        self, now: float, view: CellView, booking: Booking
+    ) -> waiting.TimedKey:
+        """Return what the queue is sorted by, and until when it is valid."""
         if booking.stage is Stage.DECODE:
             # Engines keep a KV cache for half a second only.
-            return KV_MOVE_RANK, booking.arrived_at
+            return (KV_MOVE_RANK, booking.arrived_at), math.inf
         if self._options.order is Order.ARRIVAL:
-            return (booking.arrived_at,)
+            return (booking.arrived_at,), math.inf
         if self._options.order is Order.DEADLINE:
-            return prediction.latest_start(view, booking), booking.arrived_at
+            latest_at = prediction.latest_start(view, booking)
+            return (latest_at, booking.arrived_at), math.inf
         rank = prediction.rank_of(view, booking)
         if not self._options.timely:
-            return rank, booking.arrived_at
+            return (rank, booking.arrived_at), math.inf
         penalty_s = LENGTH_PENALTY * view.decode_s(booking)
-        hope = _urgency(now, view, booking)
-        return rank, hope, booking.arrived_at + penalty_s
+        hope, until = _urgency(now, view, booking)
+        return (rank, hope, booking.arrived_at + penalty_s), until
+
+    def _ordered(self, now: float, view: CellView) -> abc.Iterator[Booking]:
+        return view.queue.ordered(
+            now, lambda each: self._timed_order(now, view, each), view.pace
+        )
 
     def _ahead_of(
         self, now: float, view: CellView, booking: Booking
     ) -> list[Booking]:
-        mine = self._order(now, view, booking)
-        ordered = [(self._order(now, view, each), each) for each in view.queue]
-        ordered = [pair for pair in ordered if pair[0] <= mine]
-        ordered.sort(key=lambda pair: pair[0])
-        return [each for _, each in ordered]
+        if not view.queue:
+            return []
+        return view.queue.ahead_of(
+            self._order(now, view, booking),
+            now,
+            lambda each: self._timed_order(now, view, each),
+            view.pace,
+        )
 
     def _admit(
         self,
@@ -311,17 +323,20 @@
         return Place(decode_id=backend_id)
 
 
-def _urgency(now: float, view: CellView, booking: Booking) -> _Urgency:
-    """Return how urgent a booking is within its rank.
+def _urgency(
+    now: float, view: CellView, booking: Booking
+) -> tuple[_Urgency, float]:
+    """Return how urgent a booking is within its rank, and until when.
 
     In order of arrival, late work would go first and make all that follows
     late, too: for minutes after an overload nothing would be in time.
     """
     if booking.resent:
-        return _Urgency.LAST_CHANCE
-    if now <= prediction.timely_start(view, booking):
-        return _Urgency.IN_TIME
-    return _Urgency.MAY_COME_AGAIN
+        return _Urgency.LAST_CHANCE, math.inf
+    timely_at = prediction.timely_start(view, booking)
+    if now <= timely_at:
+        return _Urgency.IN_TIME, timely_at
+    return _Urgency.MAY_COME_AGAIN, math.inf
 
 
 def _plain_slots(view: CellView) -> int:
--- a/tests/reference_cell.py
+++ b/tests/reference_cell.py
@@ -152,7 +152,10 @@
 
 
 def _spare_awaited(view, role, booking, found):
-    if role is not cell_types.Role.DECODE or booking.software_version is not None:
+    if (
+        role is not cell_types.Role.DECODE
+        or booking.software_version is not None
+    ):
         return found
     awaited = {each.software_version for each in view.queue} - {None}
     others = [
--- a/tests/test_cell_properties.py
+++ b/tests/test_cell_properties.py
@@ -119,7 +119,7 @@
             simulation.tick(1.0)
         self.assertEqual({}, simulation.cell.bookings_by_key)
         self.assertEqual({}, simulation.cell.cancels.pending_by_key)
-        self.assertEqual([], simulation.cell.view.queue)
+        self.assertEqual([], list(simulation.cell.view.queue))
         self.assertEqual({}, simulation.cell.leaving_by_id)
         for state in simulation.cell.view.backends_by_id.values():
             self.assertEqual(0, state.slots_used)
--- a/tests/test_kv_room.py
+++ b/tests/test_kv_room.py
@@ -236,6 +236,6 @@
         cell = test_scheduler.make_cell(
             test_cells.make_backend('d1', 'decode')
         )
-        with mock.patch.object(cell_view.CellView, 'has_kv_room') as checked:
+        with mock.patch.object(cell_view.CellView, 'with_kv_room') as checked:
             cell.handle(parts.Ticked(now=1.0, entropy=0))
         checked.assert_not_called()
