Renew leases before other work, and read answers before an expiry

Cause: a lease was renewed with a tick only, and it was given up at the first event after its end, although answers of grantors that had renewed it were waiting to be read. An owner that was busy for 2 s lost its cell.

Change: the reducer sends overdue renewals before it handles any event. Answers to claims are counted before the expiry is checked. After a late tick, an expired lease that a renewal sent earlier may still extend is not used, and is given up after 0.3 s if it was not extended. Its end then counts as noticed late: the cell is not kept without a lease.

--- a/dandeliongw/coordination/lease.py
+++ b/dandeliongw/coordination/lease.py
@@ -21,6 +21,7 @@
 from .lease_messages import LeaseGained
 from .lease_messages import LeaseLost
 from .lease_messages import Release
+from .lease_messages import RenewalOverdue
 from .lease_messages import Wanted
 
 __all__ = [
@@ -31,6 +32,7 @@
     'LeaseLost',
     'Leases',
     'Release',
+    'RenewalOverdue',
     'Wanted',
 ]
 
@@ -98,6 +100,10 @@
             name, now, longest_order_s
         )
 
+    def is_renewal_overdue(self, now: float) -> bool:
+        """Return whether the next event must be :class:`RenewalOverdue`."""
+        return self._holder.is_renewal_overdue(now)
+
     def known_holder(self, name: str) -> str | None:
         """Return the last known holder of a name; it may be out of date."""
         return self._holder.known_holder(name)
@@ -119,6 +125,16 @@
         if isinstance(event, parts.Persisted):
             return self._grantor.on_persisted(event.token)
         self._grantor.start(event.now)
+        if isinstance(event, RenewalOverdue):
+            return self._holder.expire(event.now) + self._holder.renew(
+                event.now
+            )
+        if isinstance(event, parts.Received) and isinstance(
+            event.message, messages.LeaseAnswers
+        ):
+            # Counted before the expiry: the answers may have waited here
+            # while this instance was busy.
+            return self._on_received(event) + self._holder.expire(event.now)
         effects = self._holder.expire(event.now)
         if isinstance(event, parts.Ticked):
             return effects + self._on_ticked(event)
--- a/dandeliongw/coordination/lease_holder.py
+++ b/dandeliongw/coordination/lease_holder.py
@@ -27,6 +27,16 @@
 #: Fraction of a lease's duration without an answer of any grantor after
 #: which all of them count as unreachable. It spans several renewals.
 SILENCE_FRACTION = 0.5
+#: Seconds between two ticks from which this instance counts as late: what
+#: other instances have sent may still wait in its sockets.
+LATE_S = 0.3
+#: Seconds after a late tick for which an answer to a renewal that was sent
+#: before may still extend an expired lease: what had arrived is read by then.
+GRACE_S = 0.3
+#: Seconds by which a renewal may be overdue before it is sent with the next
+#: event instead of the next tick. Ticks of a busy owner come late, and an
+#: instance that renews with each event sends more renewals than it needs.
+OVERDUE_S = 0.15
 #: The backoff doubles with each consecutive failed request, up to this many
 #: times.
 MAX_BACKOFF_DOUBLINGS = 4
@@ -114,6 +124,8 @@
         self._entropy = 0
         self._draws = 0
         self._renewed_at = _NEVER
+        self._ticked_at = _NEVER
+        self._grace_until = _NEVER
 
     def epoch_if_held(self, name: str, now: float) -> int | None:
         """Return the epoch if the lease is still valid at ``now``."""
@@ -186,7 +198,10 @@
         if not self._life:
             # Zero means that no tick has supplied entropy yet.
             self._life = entropy or 1
+        if self._is_late(now):
+            self._grace_until = now + GRACE_S
         effects = self.expire(now)
+        self._ticked_at = now
         claims = self._renewals(now)
         for lease in self._leases_by_name.values():
             if lease.phase in (Phase.PROBING, Phase.ASKING):
@@ -195,8 +210,25 @@
                 claims.append(self._probe(now, lease))
         return effects + self._send_claims(now, claims)
 
+    def is_renewal_overdue(self, now: float) -> bool:
+        """Return whether renewals are so late that they can't wait."""
+        overdue_at = self._renewed_at + self.renew_s + OVERDUE_S
+        return bool(self._life) and now >= overdue_at
+
+    def renew(self, now: float) -> list[typing.Any]:
+        """Send the renewals that are due."""
+        return self._send_claims(now, self._renewals(now))
+
     def expire(self, now: float) -> list[typing.Any]:
-        """End every lease that has expired by ``now``."""
+        """End every lease that has expired by ``now``.
+
+        At a late instance, the answers to its latest renewals may not have
+        been read. Until they are, it doesn't use the expired lease, but it
+        doesn't give it up either: its cell would be dropped, although the
+        grantors have renewed the lease.
+        """
+        if self._may_have_answers(now):
+            return []
         effects: list[typing.Any] = []
         for lease in self._leases_by_name.values():
             if lease.phase is Phase.HELD and now >= lease.valid_until:
@@ -205,6 +237,15 @@
                 lease.next_attempt_at = now + self._backoff_s(lease)
         return effects
 
+    def _is_late(self, now: float) -> bool:
+        return now - self._ticked_at > LATE_S
+
+    def _may_have_answers(self, now: float) -> bool:
+        """Return whether unread answers may extend an expired lease."""
+        if not self._is_late(now) and now >= self._grace_until:
+            return False
+        return now < self._renewed_at + self.duration_s - self.margin_s
+
     def on_answers(
         self, now: float, sender: str, answers: messages.LeaseAnswers
     ) -> list[typing.Any]:
@@ -422,9 +463,14 @@
     def _is_unheard(self, now: float, lease: _Lease) -> bool:
         """Return whether no grantor answered the latest renewals.
 
+        If the end of the lease was noticed late, another instance may have
+        it, and that no answer was read tells nothing.
+
         Refusals count as answers as long as they are recent: a grantor that
         was lost after it had refused tells nothing about the others.
         """
+        if now > lease.valid_until + LATE_S:
+            return False
         silent_s = now - lease.answered_at
         return silent_s >= SILENCE_FRACTION * self.duration_s
 
--- a/dandeliongw/coordination/lease_messages.py
+++ b/dandeliongw/coordination/lease_messages.py
@@ -171,6 +171,12 @@
     successor: str | None = None
 
 
+class RenewalOverdue(msgspec.Struct, frozen=True, kw_only=True):
+    """Event: renew the held leases now, as the next tick may come late."""
+
+    now: float
+
+
 class GrantorsChanged(msgspec.Struct, frozen=True, kw_only=True):
     """Event: the voters that grant leases.
 
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -288,6 +288,8 @@
     def handle(self, event: typing.Any) -> list[typing.Any]:
         """Process one event; return the effects for the runtime."""
         pending = collections.deque([event])
+        if self.leases.is_renewal_overdue(event.now):
+            pending.appendleft(lease.RenewalOverdue(now=event.now))
         out: list[typing.Any] = []
         while pending:
             current = pending.popleft()
@@ -355,6 +357,7 @@
                 (
                     lease.Wanted,
                     lease.Release,
+                    lease.RenewalOverdue,
                     lease.GrantorsChanged,
                     lease.GrantorsFormed,
                 ),
@@ -460,7 +463,7 @@
             membership.MemberForgotten: self._on_member_changed,
             presence.BackendChanged: self._on_backend_changed,
             presence.DepartureHeard: self._on_departure_heard,
-            presence.CacheHints: self._on_cache_hints,
+            presence.CacheHints: self.owner.hint,
             quarantine.Quarantined: self._on_quarantined,
             **{
                 logged: self._log_state for logged in state_log.LINES_BY_EFFECT
@@ -709,11 +712,6 @@
             for backend in self.presence.backends_by_id.values()
         )
 
-    def _on_cache_hints(
-        self, now: float, effect: presence.CacheHints
-    ) -> list[typing.Any]:
-        return self.owner.hint(now, effect)
-
     # Calls that make backend servers exit
 
     def _on_backend_ended(self, event: quarantine.Ended) -> list[typing.Any]:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -489,6 +489,71 @@
         (lost,) = [each for each in out if isinstance(each, lease.LeaseLost)]
         self.assertEqual(lost.is_unheard, is_unheard)
 
+    def hold(self):
+        self.answer('v1', 0, asked_at=0.0)
+        self.answer('v2', 0, asked_at=0.0)
+        self.answer('v1', 1)
+        self.answer('v2', 1)
+
+    def renewed(self, now, sender, *, asked_at):
+        granted = messages.LeaseAnswer(
+            name=CELL, epoch=1, outcome=Outcome.GRANTED
+        )
+        message = messages.LeaseAnswers(
+            version=0, life=1, asked_at=asked_at, answers=(granted,)
+        )
+        return self.part.handle(
+            parts.Received(now=now, sender=sender, message=message)
+        )
+
+    def lost(self, effects):
+        return [each for each in effects if isinstance(each, lease.LeaseLost)]
+
+    def test_a_busy_holder_keeps_its_lease(self):
+        """Guards against an owner that loses its cell because it is busy.
+
+        It handles other events for 2 s, so its tick and the answers to its
+        renewals wait.
+        """
+        self.hold()
+        asked_at = []
+        for number in range(2, 21):
+            now = number / 10
+            if self.part.is_renewal_overdue(now):
+                out = self.part.handle(lease.RenewalOverdue(now=now))
+                self.assertEqual(3, len(sends(out)))
+                asked_at.append(now)
+        # No more often than with ticks.
+        self.assertEqual([0.7, 1.4], asked_at)
+        out = self.part.handle(parts.Ticked(now=2.1, entropy=1))
+        self.assertEqual([], self.lost(out))
+        # It isn't used before the answers are counted.
+        self.assertIsNone(self.part.epoch_if_held(CELL, 2.1))
+        for sender in ('v1', 'v2'):
+            out = self.renewed(2.11, sender, asked_at=1.4)
+            self.assertEqual([], self.lost(out))
+        self.assertEqual(1, self.part.epoch_if_held(CELL, 2.11))
+
+    def test_a_late_holder_without_answers_loses_its_lease(self):
+        """An owner without a lease must not stay one for longer."""
+        self.hold()
+        self.part.handle(lease.RenewalOverdue(now=1.2))
+        out = self.part.handle(parts.Ticked(now=1.9, entropy=1))
+        self.assertEqual([], self.lost(out))
+        out = []
+        for number in range(1, 5):
+            now = 1.9 + number / 10
+            out += self.part.handle(parts.Ticked(now=now, entropy=1))
+        (lost,) = self.lost(out)
+        # The end was noticed late: another instance may have it.
+        self.assertFalse(lost.is_unheard)
+
+    def test_a_holder_that_was_stopped_loses_its_lease_at_once(self):
+        """No renewal that it sent before can still be valid."""
+        self.hold()
+        out = self.part.handle(lease.RenewalOverdue(now=4.0))
+        self.assertEqual(1, len(self.lost(out)))
+
     def test_an_answer_to_an_earlier_probe_does_not_count(self):
         self.answer('v1', 0, asked_at=0.0)
         self.assertEqual([], self.answer('v2', 0, asked_at=-5.0))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -363,6 +363,15 @@
             [type(each) for each in sent if hasattr(each, 'request_id')],
         )
 
+    def test_a_busy_owner_renews_its_lease_before_other_messages(self):
+        """Guards against an owner that loses its cell because it is busy."""
+        owner = self.net.reducers_by_id[self.net.owner_of(CELL)]
+        message = parts.Received(
+            now=self.net.now + 0.8, sender=self.others[0], message=book('r')
+        )
+        first = owner.handle(message)[0]
+        self.assertIsInstance(first.message, lease_messages.LeaseClaims)
+
     def test_a_deputy_takes_over_from_an_owner_without_a_lease(self):
         """Guards against a service without an owner though no instance died.
 
