Decline new work at once while the owner of a cell is late

Cause: an owner that gets more messages than it can handle decided on each of them, too late for all, and did not recover after a burst.

Change: with overload.owner_lag_s, an owner whose ticks come later than that declines new bookings of the worst waiting rank before it looks at the cell, and the next better rank after each further 0.25 s, until a tick comes in time (cell/shedding.py). Without the setting nothing is declined. The platform's adapter sets it to 0.25 s where the contracts name 'pool'.

--- a/dandeliongw/cell/cell_view.py
+++ b/dandeliongw/cell/cell_view.py
@@ -398,3 +398,18 @@
         if booking.max_tokens and tokens > 0.0:
             ratio = min(1.0, tokens / booking.max_tokens)
             self.answer_ratio += part * (ratio - self.answer_ratio)
+
+    def record_gap(
+        self, now: float, booking: Booking, token_gap_s: float
+    ) -> None:
+        """Adjust the batch of an engine to the token gap of an answer.
+
+        :param booking: is no longer on its engine.
+        :param token_gap_s: mean gap; zero if not measured.
+        """
+        state = self.backends_by_id.get(booking.decode_id)
+        if state is not None and token_gap_s > 0.0:
+            # One more: this booking was in the batch, too.
+            streams = len(state.bookings_by_key) + 1
+            target_s = self.terms.token_gap_s
+            state.batch.adjust(now, token_gap_s, target_s, streams)
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -57,6 +57,7 @@
 from .rate_limit_news import RateLimitNews
 from .rate_limits import RateLimits
 from .roles import RoleBalancer
+from .shedding import Shedding
 
 __all__ = [
     'BackendsChanged',
@@ -140,6 +141,7 @@
     :param document_part: the service's settings from the document.
     :param rate_limits: known limits of backend servers; by default none is
         known yet, and all requests are booked here.
+    :param owner_lag_s: see :class:`.shedding.Shedding`.
     """
 
     def __init__(
@@ -151,6 +153,7 @@
         document_part: CellTerms,
         policy: Policy,
         rate_limits: RateLimits | None = None,
+        owner_lag_s: float | None = None,
     ) -> None:
         self.cell_id = cell_id
         self.service = service
@@ -162,6 +165,9 @@
         self._faults = FaultRecorder(
             cell_id=cell_id, epoch=epoch, view=self.view
         )
+        self.shedding = Shedding(
+            cell_id=cell_id, view=self.view, lag_s=owner_lag_s
+        )
         self.roles = RoleBalancer()
         self.bookings_by_key: dict[tuple[str, str], Booking] = {}
         self.cancels = Cancels(epoch=epoch)
@@ -186,7 +192,9 @@
         """Apply an event and return the resulting effects."""
         if self._began_at is None:
             self._began_at = self._listed_at = event.now
-        effects = self._handle_event(event)
+        is_tick = isinstance(event, parts.Ticked)
+        effects = self.shedding.observe(event.now, is_tick=is_tick)
+        effects += self._handle_event(event)
         if event.now < self._next_dispatch_at and not _frees_capacity(event):
             return effects
         return effects + self._dispatch(event.now)
@@ -243,6 +251,8 @@
         if known is not None and book.stage is Stage.PAIR:
             # A delayed duplicate: this attempt already moves its KV cache.
             return []
+        if known is None and (late := self.shedding.decline(now, book)):
+            return [self._decline(sender, book, late)]
         if book.needs_sole_version and len(self._decode_versions()) > 1:
             return [self._decline(sender, book, declines.several_versions())]
         logs = []
@@ -506,20 +516,10 @@
                 pieces=release.answer_pieces,
                 piece_gap_s=release.token_gap_s,
             )
-            self._record_gap(now, booking, release.token_gap_s)
+            self.view.record_gap(now, booking, release.token_gap_s)
             return logs
         return [*logs, *self._cancel(now, booking)]
 
-    def _record_gap(
-        self, now: float, booking: Booking, token_gap_s: float
-    ) -> None:
-        state = self.view.backends_by_id.get(booking.decode_id)
-        if state is not None and token_gap_s > 0.0:
-            # One more: this booking was in the batch, too.
-            streams = len(state.bookings_by_key) + 1
-            target_s = self.view.terms.token_gap_s
-            state.batch.adjust(now, token_gap_s, target_s, streams)
-
     def _cancel(self, now: float, booking: Booking) -> list:
         return [
             self.cancels.send(now, state, booking.key)
--- a/dandeliongw/cell/declines.py
+++ b/dandeliongw/cell/declines.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from ..verdict import RefusalReason
+from .cell_messages import Book
 from .cell_types import Booking
 from .cell_types import Stage
 from .policy import Decline
@@ -72,6 +73,18 @@
     )
 
 
+def owner_late(book: Book, lag_s: float) -> Decline:
+    """Return the refusal by an owner that is late with its work.
+
+    :param lag_s: from which delay it declines work, in seconds.
+    """
+    return Decline(
+        reason=RefusalReason.NO_CAPACITY,
+        message='the owner of the cell is late and declines new work',
+        retry_after_s=_retry_after(book, lag_s),
+    )
+
+
 def over_share(booking: Booking) -> Decline:
     """Return the refusal if an account exceeds its share of a full cell."""
     return Decline(
@@ -104,7 +117,7 @@
     )
 
 
-def _retry_after(booking: Booking, late_s: float) -> float:
+def _retry_after(booking: Booking | Book, late_s: float) -> float:
     """Return a Retry-After by which the present queue should be done."""
     # A reducer must be deterministic, so the jitter is a hash of the request
     # id. Requests that were refused together have different ids.
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -1,5 +1,6 @@
 """The cells that this instance owns, for as long as it holds their leases."""
 
+import collections
 import typing
 
 from .. import directory as directory_module
@@ -58,11 +59,15 @@
         longest_order_s: float = 5.0,
         lease_wait_s: float = 2.25,
         moves_engines: bool = False,
+        owner_lag_s: float | None = None,
     ) -> None:
         self._directory = directory
         self._leases = leases
         self._presence = backends
         self._moves_engines = moves_engines
+        self._owner_lag_s = owner_lag_s
+        #: Bookings that were declined as this owner was late, by rank.
+        self._shed_by_rank: collections.Counter[int] = collections.Counter()
         self._roles_at = 0.0
         self._lapsed_at = 0.0
         self.order_dispatch = order_dispatch.OrderDispatch(
@@ -106,6 +111,7 @@
             epoch=epoch,
             document_part=terms,
             policy=self.make_policy(),
+            owner_lag_s=self._owner_lag_s,
         )
         current = takeover.Takeover(
             now=now, cell=cell, epoch=epoch, awaited=instance_ids
@@ -154,7 +160,9 @@
 
     def _drop(self, cell: str) -> None:
         self._kept_cells.discard(cell)
-        self.cells_by_id.pop(cell, None)
+        dropped = self.cells_by_id.pop(cell, None)
+        if dropped is not None:
+            self._shed_by_rank += dropped.shedding.counts_by_rank
         self._takeovers_by_cell.pop(cell, None)
         self.order_dispatch.drop(cell)
 
@@ -350,6 +358,26 @@
         """
         return self._epochs_by_cell.copy()
 
+    def shed_by_rank(self) -> dict[str, int]:
+        """Return how many bookings were declined as this owner was late.
+
+        Safe to call from any thread.
+        """
+        counts = self._shed_by_rank.copy()
+        for cell in self.cells_by_id.copy().values():
+            counts += cell.shedding.counts_by_rank.copy()
+        return {str(rank): count for rank, count in counts.items()}
+
+    def lags_by_cell(self, now: float) -> dict[str, float]:
+        """Return the longest recent delay of a tick in each owned cell.
+
+        Safe to call from any thread.
+        """
+        return {
+            cell_id: cell.shedding.longest_lag_s(now)
+            for cell_id, cell in self.cells_by_id.copy().items()
+        }
+
     def pool_loads(self) -> tuple[effects.PoolLoad, ...]:
         """Return slots and queue of every pool, summed over owned cells."""
         return tuple(
--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -5,6 +5,7 @@
 import math
 
 from . import candidates
+from .cell_messages import Book
 from .cell_types import Booking
 from .cell_types import Role
 from .cell_view import CellView
@@ -20,7 +21,7 @@
 LAST_RANK = 1_000
 
 
-def rank_of(view: CellView, booking: Booking) -> int:
+def rank_of(view: CellView, booking: Booking | Book) -> int:
     """Return the rank of a booking's priority; lower goes first."""
     return view.terms.rank_by_priority.get(booking.priority, LAST_RANK)
 
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -19,6 +19,7 @@
 from . import tunnels
 from . import verdict as verdicts
 from .cell import orders
+from .cell import shedding
 from .coordination import lease_messages
 from .coordination import rates
 from .entry import waste
@@ -256,6 +257,12 @@
             [UNLABELLED],
         )
 
+        self.shed_bookings = self._watched(
+            'shed_bookings',
+            'Bookings that this owner declined at once, as it was late.',
+            'rank',
+            [str(rank) for rank in range(shedding.LAST_LABELLED_RANK + 1)],
+        )
         self.log_lines_left_out = self._watched(
             'log_lines_left_out',
             'Log lines that were left out, as they were too many.',
@@ -282,6 +289,11 @@
             "Epochs of this instance's leases on cells.",
             'cell',
         )
+        self.owner_lag = self._watched_gauge(
+            'owner_lag_seconds',
+            "Longest delay of this owner's ticks in the last 10 s.",
+            'cell',
+        )
         self.account_refusals = self._watched_gauge(
             'account_refusals',
             'Charges refused here over the rate, of the accounts with most.',
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -226,6 +226,7 @@
             store_loads_per_s=settings.limits.store_loads_per_s,
             longest_order_s=settings.timeouts.longest_order_s,
             moves_engines=settings.moves_engines,
+            owner_lag_s=settings.overload.owner_lag_s,
             lease_wait_s=settings.timeouts.lease_s
             + settings.timeouts.lease_margin_s,
         )
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -340,6 +340,10 @@
         lambda: {unlabelled: len(reducer.register.voters_by_id)}
     )
     metrics.lease_epoch.set_callback(reducer.owner.epochs_by_cell)
+    metrics.shed_bookings.set_callback(reducer.owner.shed_by_rank)
+    metrics.owner_lag.set_callback(
+        lambda: reducer.owner.lags_by_cell(clock.now())
+    )
     metrics.retry_budget.set_callback(
         lambda: reducer.requests.retries_left_by_service(clock.now())
     )
--- a/tests/test_platform_machine.py
+++ b/tests/test_platform_machine.py
@@ -64,6 +64,12 @@
         tolerance = made.rate_tolerance
         self.assertEqual((tolerance.part, tolerance.amount), (0.05, 35000.0))
 
+    def test_owners_in_large_fleets_shed_work(self):
+        """Guards against an owner that never catches up after a burst."""
+        self.assertIsNone(translate().overload.owner_lag_s)
+        made = translate(contracts=['other', 'pool'])
+        self.assertEqual(0.25, made.overload.owner_lag_s)
+
     def test_a_shutdown_uses_its_grace_period(self):
         """Guards against aborting open streams seconds too early.
 
