Bound the time for which messages keep the event loop

Cause: a stream between instances hands over all messages that have arrived without a turn of the loop, so behind a backlog of seconds an owner's ticks and the answers to its lease renewals waited for as long.

Change: after 0.35 s in one turn of the loop, each stream waits for the next turn after each message. Ticks of an instance with a backlog still come more than 0.25 s late, so that its cells shed work.

Result: a new test in tests/test_peers.py, which fails without the bound.

--- a/dandeliongw/peers.py
+++ b/dandeliongw/peers.py
@@ -43,6 +43,12 @@
     'Peers',
 ]
 
+#: Longest time, in seconds, for which streams hand over messages in one turn
+#: of the event loop. The way of a lease's renewal and that of its answer each
+#: wait for a turn, and a lease lasts 1.25 s after a renewal becomes due. It is
+#: longer than the lag from which an owner sheds work (0.25 s), so that late
+#: ticks still show that messages wait.
+MAX_TURN_S = 0.35
 #: Ports that are tried, if the operating system assigns them, until one is
 #: free for both TCP (streams) and UDP (datagrams).
 _PORT_TRIES = 20
@@ -132,6 +138,8 @@
         self._server: grpclib.server.Server | None = None
         self._receiving_by_exchange: dict[asyncio.Task, asyncio.Future] = {}
         self._stopping = False
+        self._is_in_turn = False
+        self._turn_began_at = 0.0
 
     async def start(self) -> None:
         """Start to listen.
@@ -277,8 +285,28 @@
             del self._receiving_by_exchange[exchange]
 
     async def _receive_all(self, stream: grpclib.server.Stream) -> None:
+        # A stream whose messages have arrived hands them over without a turn
+        # of the loop. Behind a backlog of seconds, ticks and the answers that
+        # renew this instance's leases would wait for as long.
         async for envelope in stream:
+            self._begin_turn()
             self._receive(envelope)
+            if self._loop_time() - self._turn_began_at > MAX_TURN_S:
+                await asyncio.sleep(0)
+
+    def _begin_turn(self) -> None:
+        """Note when the first message of a turn of the loop is handled."""
+        if self._is_in_turn:
+            return
+        self._is_in_turn = True
+        self._turn_began_at = self._loop_time()
+        asyncio.get_running_loop().call_soon(self._end_turn)
+
+    def _end_turn(self) -> None:
+        self._is_in_turn = False
+
+    def _loop_time(self) -> float:
+        return asyncio.get_running_loop().time()
 
     def drop(self, reason: DropReason) -> None:
         """Count a message that is not delivered."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 from collections import abc
 import contextlib
 import socket
+import time
 import typing
 import unittest
 
@@ -207,6 +208,34 @@
             self.assertEqual({}, dict(one.peers.counters.faults_by_reason))
 
 
+class BacklogTest(unittest.IsolatedAsyncioTestCase):
+    COUNT = 40
+    MESSAGE_S = 0.02
+
+    async def test_other_work_is_done_between_waiting_messages(self):
+        """Guards against a busy instance that never gets to its tick."""
+        async with running_pair() as (one, two):
+            receive, before_tick = two.receive, []
+
+            def handle(sender, message):
+                time.sleep(self.MESSAGE_S)
+                receive(sender, message)
+                if two.inbox.qsize() == 1:
+                    loop = asyncio.get_running_loop()
+                    loop.call_soon(
+                        lambda: before_tick.append(two.inbox.qsize())
+                    )
+
+            two.peers._on_message = handle
+            for count in range(self.COUNT):
+                one.peers.send('gw-2', Received(count=count))
+            async with asyncio.timeout(LIMIT_S):
+                while two.inbox.qsize() < self.COUNT:
+                    await asyncio.sleep(0.01)
+            (handled,) = before_tick
+            self.assertLess(handled, peers.MAX_TURN_S / self.MESSAGE_S + 5)
+
+
 class DatagramTest(unittest.IsolatedAsyncioTestCase):
     """Probes go as datagrams, so that they need no connections.
 
