Replay an overloaded owner with and without shedding

An owner that decides 166 bookings per second gets 300 for 4 s: with shedding no booking waits longer than 1 s, and the owner is in time again 1 s after the burst; without it, it is still over 2 s late then.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -209,8 +209,8 @@
 
 
 class BacklogTest(unittest.IsolatedAsyncioTestCase):
-    COUNT = 40
-    MESSAGE_S = 0.02
+    COUNT = 300
+    MESSAGE_S = 0.004
 
     async def test_other_work_is_done_between_waiting_messages(self):
         """Guards against a busy instance that never gets to its tick."""
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -1,10 +1,15 @@
 """An owner that is late declines new work, the worst rank first."""
 
+import collections
 import unittest
 
+import msgspec
+
 from dandeliongw.cell import cell_types
 from dandeliongw.cell import cells
 from dandeliongw.cell import scheduler
+from dandeliongw.cell import shedding
+from dandeliongw.coordination import parts
 from dandeliongw import effects
 from dandeliongw.verdict import RefusalReason
 from tests import test_cells
@@ -144,6 +149,80 @@
         )
 
 
+class OverloadTest(unittest.TestCase):
+    """An owner whose processor decides 166 bookings per second.
+
+    100 arrive per second, but 300 for four seconds. The loop ends a turn
+    after 0.35 s of messages; ticks wait for that.
+    """
+
+    DECISION_S = 0.006
+    REFUSAL_S = 0.0006
+    TURN_S = 0.35
+    BURST = (2.0, 6.0)
+
+    def replay(self, lag_s):
+        """Return the age of each booking at its answer, and its answer."""
+        ranks = {f'rank-{rank}': rank for rank in range(3)}
+        cell = test_scheduler.make_cell(
+            test_cells.make_backend('s1', 'plain', slots=10_000),
+            owner_lag_s=lag_s,
+        )
+        terms = msgspec.structs.replace(
+            test_scheduler.TERMS, rank_by_priority=ranks
+        )
+        cell.handle(cells.TermsChanged(now=0.0, terms=terms))
+        arrivals = collections.deque()
+        at = 0.0
+        while at < 12.0:
+            arrivals.append(at)
+            at += 1 / 300 if self.BURST[0] < at < self.BURST[1] else 1 / 100
+        now, answers = 0.0, []
+        while arrivals:
+            test_cells.tick(cell, now)
+            turn_ends_at = now + self.TURN_S
+            next_tick_at = now + shedding.TICK_S
+            while arrivals and arrivals[0] <= now < turn_ends_at:
+                arrived_at = arrivals.popleft()
+                number = len(answers)
+                book = test_cells.make_book(
+                    f'r{number}',
+                    priority=f'rank-{number % 3}',
+                    stage=cell_types.Stage.PLAIN,
+                )
+                (sent,) = [
+                    each
+                    for each in test_cells.send(cell, book, now)
+                    if isinstance(each, parts.Send)
+                ]
+                is_booked = isinstance(sent.message, cells.Booked)
+                now += self.DECISION_S if is_booked else self.REFUSAL_S
+                answers.append((arrived_at, now - arrived_at, is_booked))
+            now = max(now, next_tick_at)
+        return answers
+
+    def longest_age(self, answers, begin, end):
+        return max(age for at, age, _ in answers if begin <= at < end)
+
+    def test_it_recovers_within_a_second(self):
+        answers = self.replay(LAG_S)
+        self.assertLess(self.longest_age(answers, 2.0, 7.0), 1.0)
+        self.assertLess(self.longest_age(answers, 7.0, 12.0), 0.2)
+        by_rank = [
+            sum(is_booked for _, _, is_booked in answers[rank::3])
+            for rank in range(3)
+        ]
+        self.assertGreater(by_rank[0], by_rank[1])
+        self.assertGreater(by_rank[1], by_rank[2])
+        # It doesn't refuse much more than what its processor can't do.
+        self.assertGreater(sum(by_rank), 0.8 * (8 * 100 + 4 * 166))
+        self.assertTrue(all(booked for at, _, booked in answers if at > 7.0))
+
+    def test_without_shedding_it_stays_late(self):
+        answers = self.replay(None)
+        self.assertGreater(self.longest_age(answers, 7.0, 8.0), 2.0)
+
+
 class OwnerTest(unittest.TestCase):
     def test_a_rank_without_a_label_of_its_own_is_counted(self):
         """Guards against a metric with a label for each priority."""
