--- a/dandeliongw/cell/candidates.py
+++ b/dandeliongw/cell/candidates.py
@@ -145,7 +145,10 @@
         """
         slots = self._slots(state)
         if self._uses_health:
-            slots = max(1, math.floor(slots * state.health.open_fraction(now)))
+            if state.health.slow_start_at is not None:
+                open_part = state.health.open_fraction(now)
+                slots = math.floor(slots * open_part)
+            slots = max(1, slots)
         return slots - state.slots_used
 
 
--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -114,18 +114,26 @@
     terms = view.terms
     prefill_tokens_per_s = terms.prefill_tokens_per_s
     tokens_per_s = view.stream_tokens_per_s
+    kv_bytes_per_token = terms.kv_bytes_per_token
+    link_bytes_per_s = terms.link_bytes_per_s
+    ratio = view.answer_ratio
     for booking in ordered:
         engine_at, interval_s = engines[0]
         starts_at = slots[0]
         if engine_at > starts_at:
             starts_at = engine_at
-        done_at = starts_at + booking.prompt_tokens / prefill_tokens_per_s
-        transfer_s = view.transfer_s(booking)
+        prompt_tokens = booking.prompt_tokens
+        done_at = starts_at + prompt_tokens / prefill_tokens_per_s
+        transfer_s = prompt_tokens * kv_bytes_per_token / link_bytes_per_s
         # An engine computes one prompt while it transfers another one; the
         # slower of the two determines the throughput.
         next_at = max(done_at, starts_at + transfer_s, starts_at + interval_s)
         heapq.heapreplace(engines, (next_at, interval_s))
-        decode_s = view.answer_tokens(booking) / tokens_per_s
+        if booking.expected_answer_ratio == ratio:
+            answer = booking.expected_answer_tokens
+        else:
+            answer = view.answer_tokens(booking)
+        decode_s = answer / tokens_per_s
         heapq.heapreplace(slots, done_at + transfer_s + decode_s)
     return starts_at
 
