--- a/dandeliongw/cell/cell_view.py
+++ b/dandeliongw/cell/cell_view.py
@@ -5,6 +5,8 @@
 """
 
 from collections import abc
+import math
+import typing
 
 import msgspec
 
@@ -16,6 +18,7 @@
 from .cell_types import Role
 from .cell_types import Stage
 from .rate_limits import RateLimits
+from .waiting import WaitingQueue
 
 #: Weight of a new measurement in a moving average.
 SMOOTHING = 0.1
@@ -43,6 +46,49 @@
 FORECAST_TTL_S = 0.05
 
 
+class Candidates(msgspec.Struct, frozen=True, kw_only=True):
+    """The backend servers of each role, sorted by id.
+
+    They are kept until the cell's table of backend servers is replaced or
+    grows, or others change their role. Sorting them for each query took a
+    tenth of an owner's decisions.
+    """
+
+    backends_by_id: dict[str, BackendState]
+    count: int
+    switching_ids: frozenset[str]
+    by_role: dict[Role, list[BackendState]]
+
+    @classmethod
+    def make(
+        cls,
+        backends_by_id: dict[str, BackendState],
+        switching_ids: frozenset[str],
+    ) -> 'Candidates':
+        by_role: dict[Role, list[BackendState]] = {role: [] for role in Role}
+        for backend_id, state in sorted(backends_by_id.items()):
+            if backend_id not in switching_ids:
+                by_role[state.backend.role].append(state)
+        return cls(
+            backends_by_id=backends_by_id,
+            count=len(backends_by_id),
+            switching_ids=switching_ids,
+            by_role=by_role,
+        )
+
+    def covers(
+        self,
+        backends_by_id: dict[str, BackendState],
+        switching_ids: frozenset[str],
+    ) -> bool:
+        """Return whether these are still the same."""
+        return (
+            self.backends_by_id is backends_by_id
+            and self.count == len(backends_by_id)
+            and self.switching_ids is switching_ids
+        )
+
+
 class CellView(msgspec.Struct, kw_only=True):
     """The state of a cell that policies read."""
 
@@ -53,7 +99,7 @@
     #: How many requests backend servers accept.
     rate_limits: RateLimits = msgspec.field(default_factory=RateLimits)
     #: Admitted work that has not been placed, in order of arrival.
-    queue: list[Booking] = msgspec.field(default_factory=list)
+    queue: WaitingQueue = msgspec.field(default_factory=WaitingQueue)
     #: Moving average of an answer's length divided by its ``max_tokens``.
     answer_ratio: float = 1.0
     #: Measured tokens a second of one stream; ``None`` until one has ended.
@@ -62,28 +108,49 @@
     answer_count: int = 0
     #: Engines that are changing their role; they get no work meanwhile.
     switching_ids: frozenset[str] = frozenset()
+    _candidates: Candidates | None = None
 
     def has_kv_room(
         self, now: float, state: BackendState, booking: Booking
     ) -> bool:
-        """Return whether an engine's KV cache has room for a booking.
+        """Return whether an engine's KV cache has room for a booking."""
+        return bool(self.with_kv_room(now, [state], booking))
+
+    def with_kv_room(
+        self, now: float, states: list[BackendState], booking: Booking
+    ) -> list[BackendState]:
+        """Return the engines whose KV cache has room for a booking.
 
         An engine whose memory is full refuses work even with most of its
         slots free. If only slots were counted, decode engines would refuse
         KV caches after their prefill, which would be wasted. If answers were
         counted at ``max_tokens``, a third of the memory would stay unused.
         """
-        if now < state.full_until:
-            return False
-        # An idle engine gets work of any size: if it is larger than the KV
-        # cache, the engine refuses it.
-        if not state.bookings_by_key:
-            return True
         tokens = booking.prompt_tokens + booking.max_tokens
         pace = round(self.stream_tokens_per_s, -1), round(self.answer_ratio, 1)
-        cached = state.full_forecast
-        if cached is not None and cached.covers(now, tokens, pace):
-            return False
+        found = []
+        # This loop runs over all engines for most events.
+        for state in states:
+            if now < state.full_until:
+                continue
+            # An idle engine gets work of any size: if it is larger than the
+            # KV cache, the engine refuses it.
+            if state.bookings_by_key:
+                cached = state.full_forecast
+                if cached is not None and cached.covers(now, tokens, pace):
+                    continue
+                if not self._forecast_room(now, state, booking, pace):
+                    continue
+            found.append(state)
+        return found
+
+    def _forecast_room(
+        self,
+        now: float,
+        state: BackendState,
+        booking: Booking,
+        pace: tuple[float, float],
+    ) -> bool:
         least, most = self._kv_bounds(now, state, booking)
         if least > forecast.MAX_FILL:
             return False
@@ -92,7 +159,9 @@
         if self.kv_fraction(now, state, booking) <= forecast.MAX_FILL:
             return True
         state.full_forecast = FullForecast(
-            until=now + FORECAST_TTL_S, tokens=tokens, pace=pace
+            until=now + FORECAST_TTL_S,
+            tokens=booking.prompt_tokens + booking.max_tokens,
+            pace=pace,
         )
         return False
 
@@ -117,10 +186,11 @@
         for each in state.bookings_by_key.values():
             prompts += each.prompt_tokens
             answers += each.max_tokens
-            if each.transfer_ends_at > now:
+            starts_at = each.transfer_ends_at
+            if starts_at > now:
                 # The forecast counts growth from now on, although the answer
                 # starts only after the transfer.
-                waits_s += each.transfer_ends_at - now
+                waits_s += starts_at - now
         grown = answers + waits_s * self.stream_tokens_per_s
         return prompts / capacity, (prompts + grown) / capacity
 
@@ -134,46 +204,72 @@
         capacity = self.terms.kv_tokens_by_role.get(state.backend.role)
         if capacity is None:
             return 0.0
-        held = state.bookings_by_key.values()
         rate = self.stream_tokens_per_s
-        growths = [self._growth(now, each, rate) for each in (*held, booking)]
+        ratio = self.answer_ratio
+        growths = []
+        # Written out, with comparisons instead of min() and max(): this loop
+        # takes most of the time of a decision.
+        for each in (*state.bookings_by_key.values(), booking):
+            if each.expected_answer_ratio == ratio:
+                answer = each.expected_answer_tokens
+            else:
+                answer = self.answer_tokens(each)
+            most = each.max_tokens
+            done = waits_s = 0.0
+            if each.transfer_ends_at > now:
+                waits_s = each.transfer_ends_at - now
+            elif each.transfer_ends_at:
+                done = (now - each.transfer_ends_at) * rate
+                if done > most:
+                    done = most
+            left = answer - done
+            if left < OVERRUN_FRACTION * answer:
+                left = OVERRUN_FRACTION * answer
+            if left > most - done:
+                left = most - done
+            growths.append((waits_s + left / rate, each.prompt_tokens + done))
         return forecast.peak_tokens(growths, rate) / capacity
 
-    def _growth(
-        self, now: float, booking: Booking, rate: float
-    ) -> forecast.Growth:
-        answer = self.answer_tokens(booking)
-        began_at = booking.transfer_ends_at or now
-        done = min(max(0.0, now - began_at) * rate, booking.max_tokens)
-        left = max(answer - done, OVERRUN_FRACTION * answer)
-        left = min(left, booking.max_tokens - done)
-        return forecast.Growth(
-            held=booking.prompt_tokens + done,
-            ends_in_s=max(0.0, began_at - now) + left / rate,
-        )
-
     @property
     def stream_tokens_per_s(self) -> float:
         """Tokens a second of one stream: measured, else from the document."""
         return self.measured_tokens_per_s or self.terms.decode_tokens_per_s
 
+    @property
+    def pace(self) -> tuple[typing.Any, ...]:
+        """What expected times of answers and prefills depend on."""
+        return self.answer_ratio, self.measured_tokens_per_s, self.terms
+
     def answer_tokens(self, booking: Booking) -> float:
         """Return the expected length of an answer, in tokens."""
+        # Kept for each booking until another answer changes the ratio.
+        ratio = self.answer_ratio
+        if booking.expected_answer_ratio == ratio:
+            return booking.expected_answer_tokens
+        tokens = self._answer_tokens(booking)
+        booking.expected_answer_ratio = ratio
+        booking.expected_answer_tokens = tokens
+        return tokens
+
+    def _answer_tokens(self, booking: Booking) -> float:
         typical = booking.max_tokens * self.answer_ratio
         if not booking.expected_tokens:
             return typical
         hint = min(booking.expected_tokens, booking.max_tokens)
         return typical ** (1.0 - HINT_WEIGHT) * hint**HINT_WEIGHT
 
-    def slots_for(self, state: BackendState, booking: Booking) -> int:
-        """Return how many bookings of this size an engine can hold at once."""
-        capacity = self.terms.kv_tokens_by_role.get(state.backend.role)
+    def most_in_memory(self, role: Role, booking: Booking) -> float:
+        """Return how many bookings of this size fit in an engine's memory.
+
+        :returns: infinity if its capacity is unknown.
+        """
+        capacity = self.terms.kv_tokens_by_role.get(role)
         if capacity is None:
-            return state.slots_open
+            return math.inf
         tokens_each = max(
             1.0, booking.prompt_tokens + self.answer_tokens(booking) / 2
         )
-        return min(state.slots_open, max(1, int(capacity / tokens_each)))
+        return max(1, int(capacity / tokens_each))
 
     def candidates(
         self, role: Role, exclude: abc.Container[str]
@@ -182,12 +278,20 @@
 
         Excluded ones and those that are changing their role are left out.
         """
+        known = self._candidates
+        if known is None or not known.covers(
+            self.backends_by_id, self.switching_ids
+        ):
+            known = self._candidates = Candidates.make(
+                self.backends_by_id, self.switching_ids
+            )
+        states = known.by_role[role]
+        if not exclude:
+            return states.copy()
         return [
             state
-            for backend_id, state in sorted(self.backends_by_id.items())
-            if state.backend.role is role
-            and backend_id not in exclude
-            and backend_id not in self.switching_ids
+            for state in states
+            if state.backend.backend_id not in exclude
         ]
 
     def prefill_ready_at(self, now: float, state: BackendState) -> float:
@@ -235,6 +339,7 @@
             state.link_free_at = max(
                 state.link_free_at, booking.transfer_ends_at
             )
+            state.clear_ends()
         decode_s = self.decode_s(booking)
         booking.decode_ends_at = booking.transfer_ends_at + decode_s
 
@@ -293,3 +398,18 @@
         if booking.max_tokens and tokens > 0.0:
             ratio = min(1.0, tokens / booking.max_tokens)
             self.answer_ratio += part * (ratio - self.answer_ratio)
+
+    def record_gap(
+        self, now: float, booking: Booking, token_gap_s: float
+    ) -> None:
+        """Adjust the batch of an engine to the token gap of an answer.
+
+        :param booking: is no longer on its engine.
+        :param token_gap_s: mean gap; zero if not measured.
+        """
+        state = self.backends_by_id.get(booking.decode_id)
+        if state is not None and token_gap_s > 0.0:
+            # One more: this booking was in the batch, too.
+            streams = len(state.bookings_by_key) + 1
+            target_s = self.terms.token_gap_s
+            state.batch.adjust(now, token_gap_s, target_s, streams)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -226,6 +226,7 @@
             store_loads_per_s=settings.limits.store_loads_per_s,
             longest_order_s=settings.timeouts.longest_order_s,
             moves_engines=settings.moves_engines,
+            owner_lag_s=settings.overload.owner_lag_s,
             lease_wait_s=settings.timeouts.lease_s
             + settings.timeouts.lease_margin_s,
         )
@@ -288,6 +289,8 @@
     def handle(self, event: typing.Any) -> list[typing.Any]:
         """Process one event; return the effects for the runtime."""
         pending = collections.deque([event])
+        if self.leases.is_renewal_overdue(event.now):
+            pending.appendleft(lease.RenewalOverdue(now=event.now))
         out: list[typing.Any] = []
         while pending:
             current = pending.popleft()
@@ -355,6 +358,7 @@
                 (
                     lease.Wanted,
                     lease.Release,
+                    lease.RenewalOverdue,
                     lease.GrantorsChanged,
                     lease.GrantorsFormed,
                 ),
@@ -460,7 +464,7 @@
             membership.MemberForgotten: self._on_member_changed,
             presence.BackendChanged: self._on_backend_changed,
             presence.DepartureHeard: self._on_departure_heard,
-            presence.CacheHints: self._on_cache_hints,
+            presence.CacheHints: self.owner.hint,
             quarantine.Quarantined: self._on_quarantined,
             **{
                 logged: self._log_state for logged in state_log.LINES_BY_EFFECT
@@ -709,11 +713,6 @@
             for backend in self.presence.backends_by_id.values()
         )
 
-    def _on_cache_hints(
-        self, now: float, effect: presence.CacheHints
-    ) -> list[typing.Any]:
-        return self.owner.hint(now, effect)
-
     # Calls that make backend servers exit
 
     def _on_backend_ended(self, event: quarantine.Ended) -> list[typing.Any]:
