Bound the bookings that an owner has not answered

Cause: an entry repeats a booking after 0.25 s, turns to the next candidate after 0.5 s, renews each queued request every 0.3 s, and releases and books it anew after 0.75 s without an answer. The slower an owner is, the more messages it gets for the same calls, so that it does not recover after a burst.

Change, with the setting overload.paces_bookings (on in the platform for deployments with the contract "pool", else off): - At most `window` unanswered bookings per cell and entry. The window is halved when an answer takes more than 0.25 s, and grows by one with each that does not. The rest waits at the entry, better rank first, and is refused with NO_OWNER, not run, when an answer in time is not to be expected. - Repeats after 0.25, 0.5 and 1 s with jitter, from the measured answer time on if that is longer. - One Progress per 0.5 s renews all queued requests of an entry (Progress.queued); the owner answers with one Queued for all that wait. An owner that does not say that it can do so is renewed one by one. - An owner that sends nothing for 0.5 s is not left at once: the next candidate is asked who the owner is, by a renewal, which books nothing. - After a change of owner, what waits is spread over 0.4 s. - A booking's deadline is shortened by the measured answer time, so that a slow owner does not place what its client no longer waits for.

--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -84,10 +84,15 @@
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True):
-    """Entry to owner: renews the leases of these bookings."""
+    """Entry to owner: renews the leases of these bookings.
+
+    :param queued: bookings that the owner has queued, as far as the entry
+        knows. The owner answers these, in one message if they all still wait.
+    """
 
     cell: str
     bookings: tuple[Holding, ...]
+    queued: tuple[Holding, ...] = ()
 
 
 class Release(msgspec.Struct, frozen=True, kw_only=True):
@@ -202,13 +207,20 @@
 
 
 class Queued(msgspec.Struct, frozen=True, kw_only=True):
-    """Owner to entry: admitted; ``Booked`` follows when it may start."""
+    """Owner to entry: admitted; ``Booked`` follows when it may start.
+
+    :param others: number of others of the entry that it has queued, too, as
+        the answer to a ``Progress``.
+    :param takes_renewals: it can be renewed by ``Progress.queued``.
+    """
 
     cell: str
     epoch: int
     request_id: str
     attempt_id: str
     expected_in_s: float
+    others: int = 0
+    takes_renewals: bool = False
 
 
 class Declined(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -12,6 +12,7 @@
 
 from ..coordination import parts
 from . import declines
+from . import renewals
 from .backend_state import BackendState
 from .cancels import Cancels
 from .cell_messages import BackendsChanged
@@ -354,6 +355,7 @@
                 request_id=booking.request_id,
                 attempt_id=booking.attempt_id,
                 expected_in_s=max(0.0, booking.expected_at - now),
+                takes_renewals=True,
             )
             return parts.Send(to=booking.entry, message=queued)
         booked = Booked(
@@ -490,6 +492,13 @@
                 effects.append(self._answer_unknown(now, sender, key))
             else:
                 booking.renewed_at = now
+        effects += renewals.answer_queued(
+            now,
+            self.bookings_by_key,
+            progress.queued,
+            answer=self._answer,
+            cancel=lambda key: self._cancelled(sender, key),
+        )
         return list(dict.fromkeys(effects))
 
     def _release(self, now: float, sender: str, release: Release) -> list:
--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -193,6 +193,8 @@
             return cell.handle(event)
         if isinstance(message, cells.Book):
             return current.delay_book(event)
+        if isinstance(message, cells.Progress) and message.queued:
+            event = current.without_delayed(event)
         if isinstance(message, cells.Reclaim):
             current.record_reclaim(event.sender)
         return [*cell.handle(event), *self._end_takeovers(event.now)]
@@ -237,8 +239,10 @@
         message = event.message
         if isinstance(message, cells.Book):
             about = message
-        elif isinstance(message, cells.Progress) and message.bookings:
-            about = message.bookings[0]
+        elif isinstance(message, cells.Progress) and (
+            message.bookings or message.queued
+        ):
+            about = (*message.queued, *message.bookings)[0]
         else:
             return []
         reply = cells.NotOwner(
--- a/dandeliongw/cell/takeover.py
+++ b/dandeliongw/cell/takeover.py
@@ -77,9 +77,27 @@
             request_id=event.message.request_id,
             attempt_id=event.message.attempt_id,
             expected_in_s=max(0.0, self._ends_at - event.now),
+            takes_renewals=True,
         )
         return [parts.Send(to=event.sender, message=queued)]
 
+    def without_delayed(self, event: parts.Received) -> parts.Received:
+        """Return a ``Progress`` without the bookings that are delayed here.
+
+        The cell does not know them yet, and would cancel them.
+        """
+        delayed = {
+            (each.message.request_id, each.message.attempt_id)
+            for each in self._delayed
+        }
+        queued = tuple(
+            each
+            for each in event.message.queued
+            if (each.request_id, each.attempt_id) not in delayed
+        )
+        progress = msgspec.structs.replace(event.message, queued=queued)
+        return msgspec.structs.replace(event, message=progress)
+
     def release(self, now: float) -> list[parts.Received]:
         """Return the delayed ``Book`` messages, to be handled now."""
         return [
--- a/dandeliongw/entry/refusals.py
+++ b/dandeliongw/entry/refusals.py
@@ -117,6 +117,17 @@
     )
 
 
+def owner_too_slow(request: request_module.Request) -> verdict.Refusal:
+    """The request waits here, and its cell's owner answers too slowly."""
+    return verdict.Refusal(
+        reason=_REASON.NO_OWNER,
+        verdict=request.known,
+        message=f'the owner of cell {request.cell!r} answers too slowly just '
+        'now',
+        retry_after_s=admission.TRANSIENT_RETRY_S,
+    )
+
+
 def barred_backends(request: request_module.Request) -> verdict.Refusal:
     """The cell's owner books only what may not get the request."""
     return verdict.Refusal(
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -59,6 +59,7 @@
             it was removed already.
         """
         message = event.message
+        self._reservations.note_message(event)
         is_current = (
             request is not None
             and not request.is_ended
@@ -95,7 +96,7 @@
                 event.sender, message.cell
             )
         late: Effects = [effects.CountLate(what=effects.LateKind.OWNER)]
-        if not isinstance(message, cells.Booked | cells.Queued):
+        if not self._reservations.must_release_late(message):
             return late
         release = cells.Release(
             cell=message.cell,
@@ -176,6 +177,10 @@
             waited = _wait_time(event.now, request)
             request.phase = Phase.QUEUED
             request.phase_at = request.asked_at = event.now
+            request.queued_epoch = event.message.epoch
+            request.is_renewed_together = (
+                event.message.takes_renewals and not request.is_unowned
+            )
             return [waited]
         return []
 
@@ -218,10 +223,11 @@
             return []
         if request.phase is Phase.BOOKING:
             followed = self._reservations.follow(event.now, request, holder)
-            if followed or not self._reservations.may_place_without_owner(
-                request
+            if (
+                followed is not None
+                or not self._reservations.may_place_without_owner(request)
             ):
-                return followed
+                return followed or []
             # The cell has no owner at present.
             return self._reservations.place_without_owner(event.now, request)
         # A placed request is renewed at the owner that is known by the next
@@ -265,10 +271,11 @@
         :param open_requests: requests of the cell that have not ended.
         """
         placed = [each for each in open_requests if each.is_placed]
+        self._reservations.note_owner(now, cell, holder, epoch)
         out = self._reservations.reclaim(now, cell, placed, holder, epoch)
         for request in open_requests:
             if request.phase in UNPLACED:
-                out += self._reservations.rebook(now, request, holder)
+                out += self._reservations.rebook(now, request, holder, epoch)
         return out
 
     def _abort_lost_slot(
--- a/dandeliongw/entry/request.py
+++ b/dandeliongw/entry/request.py
@@ -128,6 +128,10 @@
     tries: int = 0
     redirects: int = 0
     owner_replied_at: float = 0.0
+    #: Epoch of the owner that has queued it.
+    queued_epoch: int = 0
+    #: Whether that owner takes renewals of queued requests in one message.
+    is_renewed_together: bool = False
     trial_of: tuple[str, ...] = ()
     origin: origins.StreamOrigin | None = None
     needs_sole_version: bool = False
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -30,6 +30,9 @@
 from . import endings
 from . import idempotency
 from . import origin_check as origin_check_module
+from . import owner_pacing
+from . import owner_search
+from . import paced_reservations
 from . import quarantine_check as quarantine_module
 from . import rate_limit_reports as rate_limit_reports_module
 from . import recovery
@@ -82,6 +85,7 @@
         with a claim, because claims are retained for a limited time only.
     :param startup_wait_s: seconds after the start during which calls wait for
         the first configuration; by default they are refused at once.
+    :param paces_bookings: whether unanswered bookings are bounded.
     """
 
     def __init__(
@@ -96,6 +100,7 @@
         leaves: departures_module.Leaves,
         max_claimed_s: float = float('inf'),
         startup_wait_s: float = 0.0,
+        paces_bookings: bool = False,
     ) -> None:
         self._directory = directory
         self._gate = gate
@@ -103,8 +108,10 @@
         self._crashes = crash_detection.CrashDetector()
         self._max_claimed_s = max_claimed_s
         self._budgets = budgets
-        self._reservations = reservations.Reservations(
-            directory=directory, rate_limits=rate_limits
+        self._reservations = paced_reservations.make_reservations(
+            paces_bookings=paces_bookings,
+            directory=directory,
+            rate_limits=rate_limits,
         )
         self.rate_limit_reports = rate_limit_reports_module.RateLimitReports(
             directory=directory, rate_limits=rate_limits
@@ -128,6 +135,11 @@
             quarantine_check=quarantine_check,
             account_check=account_check,
         )
+        self._owner_search = owner_search.make_search(
+            reservations=self._reservations,
+            attempts=self._attempts,
+            endings=self._endings,
+        )
         self._recovery = recovery.Recovery(
             attempts=self._attempts,
             departure_check=self._departure_check,
@@ -367,6 +379,10 @@
         """Return the remaining retry budgets; thread-safe."""
         return self._budgets.left_by_service(now)
 
+    def booking_loads_by_cell(self) -> dict[str, owner_pacing.Load]:
+        """Return the bookings that are held back; thread-safe."""
+        return self._reservations.loads_by_cell()
+
     def abort_all(self, now: float) -> Effects:
         """Abort all remaining requests when the shutdown grace period ends."""
         out: Effects = []
@@ -379,7 +395,10 @@
 
     def _receive(self, event: parts.Received) -> Effects:
         request = self.requests_by_id.get(event.message.request_id)
-        return self._replies.process(event, request)
+        return [
+            *self._replies.process(event, request),
+            *self._reservations.send_waiting(event.now, event.message.cell),
+        ]
 
     def reclaim_all(
         self, now: float, cell: str, holder: str, epoch: int
@@ -636,6 +655,7 @@
         for request in list(self.requests_by_id.values()):
             if not request.is_ended:
                 out.extend(self._tick_request(now, request))
+        out.extend(self._owner_search.tick(now))
         out.extend(self._crashes.tick(now))
         out.extend(self._reservations.renew(now, self.requests_by_id.values()))
         return out
@@ -660,42 +680,13 @@
             case Phase.ASKING:
                 return self._trials.tick(now, request)
             case Phase.BOOKING:
-                return self._tick_booking(now, request)
+                return self._owner_search.tick_booking(now, request)
             case Phase.QUEUED:
-                return self._tick_queued(now, request)
+                return self._owner_search.tick_queued(now, request)
             case Phase.BACKOFF if now >= request.retry_at:
                 return self._attempts.begin(now, request)
         return []
 
-    def _tick_booking(self, now: float, request: Request) -> Effects:
-        if now - request.phase_at >= request.search_timeout_s:
-            return self._endings.give_up(
-                now, request, refusals.no_owner(request)
-            )
-        waited_s = now - request.asked_at
-        is_silent = waited_s >= reservations.OWNER_TIMEOUT_S
-        if is_silent and self._reservations.may_place_without_owner(request):
-            return self._reservations.place_without_owner(now, request)
-        if waited_s < reservations.OWNER_RETRY_S:
-            return []
-        asked = self._reservations.book(now, request)
-        return self._attempts.handle_no_owner(now, request, asked)
-
-    def _tick_queued(self, now: float, request: Request) -> Effects:
-        """Repeat the booking periodically, which also renews its queue entry.
-
-        The owner sends ``Booked`` only once. Without the repetition, a lost
-        message would keep the slot reserved and the request waiting until
-        its deadline.
-        """
-        if now - request.owner_replied_at >= reservations.QUEUE_TIMEOUT_S:
-            if self._reservations.may_place_without_owner(request):
-                return self._reservations.place_without_owner(now, request)
-            return self._attempts.search(now, request)
-        if now - request.asked_at < reservations.QUEUE_RENEW_S:
-            return []
-        return self._reservations.repeat_booking(now, request)
-
 
 def _refuse_unadmitted(
     event: events.RequestArrived, refusal: verdict.Refusal
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -14,6 +14,7 @@
 from ..cell import rate_limit_news
 from ..cell import rate_limits
 from ..coordination import parts
+from . import owner_pacing
 from . import request as request_module
 
 #: Seconds without an answer after which a booking is sent again.
@@ -146,10 +147,33 @@
         self._probe_at_by_cell[request.cell] = now + PROBE_S
         return self._book_at(now, request, owners[0])
 
+    def note_message(self, event: parts.Received) -> None:
+        """Process that a message about a cell has come, before its answer."""
+
+    def must_release_late(self, message: typing.Any) -> bool:
+        """Return whether an answer for an attempt that ended is released."""
+        return isinstance(message, cells.Booked | cells.Queued)
+
+    def note_owner(
+        self, now: float, cell: str, holder: str, epoch: int
+    ) -> None:
+        """Process that an instance has announced itself as a cell's owner."""
+
+    def loads_by_cell(self) -> dict[str, owner_pacing.Load]:
+        """Return the bookings that are held back; safe in any thread."""
+        return {}
+
+    def send_waiting(self, now: float, cell: str) -> Effects:
+        """Return the bookings that wait at this entry and may be sent now."""
+        return []
+
     def follow(
         self, now: float, request: request_module.Request, holder: str
-    ) -> Effects:
-        """Book at the owner that another instance named in ``NotOwner``."""
+    ) -> Effects | None:
+        """Book at the owner that another instance named in ``NotOwner``.
+
+        :returns: ``None`` if the cell has no owner at present.
+        """
         # An instance that is not the owner is not asked a second time.
         request.tries += request.tries % TRIES_PER_OWNER
         if (
@@ -157,8 +181,8 @@
             or holder == request.owner
             or request.redirects >= MAX_REDIRECTS
         ):
-            # The cell has no owner at present; the tick asks again later.
-            return []
+            # The tick asks again later.
+            return None
         request.redirects += 1
         return self._book_at(now, request, holder)
 
@@ -202,7 +226,7 @@
             prompt_tokens=call.prompt_tokens,
             max_tokens=call.max_tokens,
             prefix=call.prefix,
-            deadline_s=request.placement_timeout_s(now),
+            deadline_s=self._deadline_s(now, request),
             exclude=request.exclude,
             stage=request.stage,
             expected_tokens=call.expected_tokens,
@@ -216,8 +240,18 @@
         )
         return parts.Send(to=request.owner, message=book)
 
+    def _deadline_s(
+        self, now: float, request: request_module.Request
+    ) -> float:
+        """Return the seconds that remain when the owner reads the booking."""
+        return request.placement_timeout_s(now)
+
     def rebook(
-        self, now: float, request: request_module.Request, holder: str
+        self,
+        now: float,
+        request: request_module.Request,
+        holder: str,
+        epoch: int,
     ) -> Effects:
         """Book at a cell's new owner what the old one had not placed."""
         request.phase = request_module.Phase.BOOKING
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -309,6 +309,19 @@
             'Attempts after the first that may still be made here.',
             'service',
         )
+        self.unanswered_bookings = self._watched_gauge(
+            'unanswered_bookings',
+            "Bookings of this entry that a cell's owner has yet to answer.",
+            'cell',
+        )
+        self.booking_window = self._watched_gauge(
+            'booking_window', 'The most of these that may be open.', 'cell'
+        )
+        self.waiting_bookings = self._watched_gauge(
+            'waiting_bookings',
+            'Bookings that wait at this entry, as the owner answers late.',
+            'cell',
+        )
         self.backends = self._gauge(
             'backends', 'Backend servers that may get work.', 'pool'
         )
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -217,6 +217,7 @@
             # its record has expired.
             max_claimed_s=settings.timeouts.claim_retention_s / 2,
             startup_wait_s=settings.timeouts.first_configuration_s,
+            paces_bookings=settings.overload.paces_bookings,
         )
         self.owner = owner_module.Owner(
             directory=self.directory,
@@ -572,9 +573,10 @@
 
     def _receive_as_owner(self, event: parts.Received) -> list[typing.Any]:
         message = event.message
-        if isinstance(message, cells.Book) and (
-            message.cell not in self.owner.cells_by_id
-        ):
+        needs_owner = isinstance(message, cells.Book) or (
+            isinstance(message, cells.Progress) and message.queued
+        )
+        if needs_owner and message.cell not in self.owner.cells_by_id:
             self.succession.record_owner_request(event.now, message.cell)
             self._review_at = event.now
         return self.owner.receive(event)
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -343,6 +343,16 @@
     metrics.retry_budget.set_callback(
         lambda: reducer.requests.retries_left_by_service(clock.now())
     )
+    loads = reducer.requests.booking_loads_by_cell
+    metrics.unanswered_bookings.set_callback(
+        lambda: {cell: load.unanswered for cell, load in loads().items()}
+    )
+    metrics.booking_window.set_callback(
+        lambda: {cell: load.window for cell, load in loads().items()}
+    )
+    metrics.waiting_bookings.set_callback(
+        lambda: {cell: load.waiting for cell, load in loads().items()}
+    )
     quarantine = reducer.quarantine
     metrics.backend_ends.set_callback(
         lambda: {unlabelled: quarantine.crashes_seen}
--- a/tests/entry_fake.py
+++ b/tests/entry_fake.py
@@ -132,10 +132,11 @@
         entries=1,
         now=100.0,
         is_new=False,
+        directory=None,
         **options,
     ):
         self.now = now
-        self.directory = Directory()
+        self.directory = directory or Directory()
         self.account_check = account_check.AccountCheck(
             directory=self.directory, max_proof_age_s=max_proof_age_s
         )
--- a/tests/test_platform_machine.py
+++ b/tests/test_platform_machine.py
@@ -64,6 +64,12 @@
         tolerance = made.rate_tolerance
         self.assertEqual((tolerance.part, tolerance.amount), (0.05, 35000.0))
 
+    def test_large_fleets_pace_their_bookings(self):
+        """Guards against an owner that the repeats of all entries overload."""
+        self.assertFalse(translate().overload.paces_bookings)
+        made = translate(contracts=['other', 'pool'])
+        self.assertTrue(made.overload.paces_bookings)
+
     def test_a_shutdown_uses_its_grace_period(self):
         """Guards against aborting open streams seconds too early.
 
--- a/tests/test_requests_machine.py
+++ b/tests/test_requests_machine.py
@@ -67,9 +67,11 @@
     ``Release`` removes it. Messages are delivered late, twice or never.
     """
 
+    options = {}
+
     def __init__(self):
         super().__init__()
-        self.entry = entry_fake.Entry()
+        self.entry = entry_fake.Entry(**self.options)
         self.threads_by_id = {}
         self.claims_by_id = {}
         self.finishes = []
@@ -384,8 +386,13 @@
                 self.booked.discard(key)
 
 
-Machine = RequestsMachine.TestCase
-Machine.settings = hypothesis.settings(
+class PacedRequestsMachine(RequestsMachine):
+    """The same with bounded bookings, which wait at the entry, too."""
+
+    options = {'paces_bookings': True}
+
+
+SETTINGS = hypothesis.settings(
     max_examples=200,
     stateful_step_count=60,
     deadline=None,
@@ -396,10 +403,17 @@
     database=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
+Machine = RequestsMachine.TestCase
+PacedMachine = PacedRequestsMachine.TestCase
+Machine.settings = PacedMachine.settings = SETTINGS
 
 
 class TestRequestsMachine(Machine, unittest.TestCase):
     """Runs the state machine deterministically."""
 
 
-del Machine
+class TestPacedRequestsMachine(PacedMachine, unittest.TestCase):
+    """Guards against bookings that pacing loses or makes twice."""
+
+
+del Machine, PacedMachine
