--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -237,19 +237,24 @@
 
     def _not_owner(self, event: parts.Received) -> list[typing.Any]:
         message = event.message
+        holder = self._leases.known_holder(message.cell) or ''
         if isinstance(message, cells.Book):
             about = message
         elif isinstance(message, cells.Progress) and (
             message.bookings or message.queued
         ):
             about = (*message.queued, *message.bookings)[0]
+            # Entries ask in this way, too, whether a silent owner is still
+            # it; only instances that have tried for a lease know its holder.
+            if message.queued:
+                holder = holder or self._directory.last_owner(message.cell)
         else:
             return []
         reply = cells.NotOwner(
             cell=message.cell,
             request_id=about.request_id,
             attempt_id=about.attempt_id,
-            holder=self._leases.known_holder(message.cell) or '',
+            holder=holder,
         )
         return [parts.Send(to=event.sender, message=reply)]
 
--- a/dandeliongw/directory.py
+++ b/dandeliongw/directory.py
@@ -154,6 +154,10 @@
             return ranked
         return hint, *(owner for owner in ranked if owner != hint)
 
+    def last_owner(self, cell: str) -> str:
+        """Return the last owner that this instance has heard, or ``''``."""
+        return self._holders_by_cell.get(cell, '')
+
     def record_owner(self, cell: str, holder: str, epoch: int) -> bool:
         """Record the sender of an owner's message as the owner of a cell.
 
--- a/dandeliongw/entry/owner_search.py
+++ b/dandeliongw/entry/owner_search.py
@@ -31,8 +31,11 @@
         self._attempts = attempts
         self._endings = endings
 
+    def note_tick(self, now: float) -> None:
+        """Process that time has passed, before the requests do."""
+
     def tick(self, now: float) -> Effects:
-        """Process that time has passed, once for all requests."""
+        """Process that time has passed, after the requests did."""
         return []
 
     def tick_booking(self, now: float, request: Request) -> Effects:
@@ -88,6 +91,9 @@
 
     _reservations: paced_reservations.PacedReservations
 
+    def note_tick(self, now: float) -> None:
+        self._reservations.note_tick(now)
+
     def tick(self, now: float) -> Effects:
         out = self._reservations.tick(now)
         for request in self._reservations.hopeless(now):
--- a/dandeliongw/entry/paced_reservations.py
+++ b/dandeliongw/entry/paced_reservations.py
@@ -114,13 +114,16 @@
 
     # Owners
 
-    def note_message(self, event: parts.Received) -> None:
+    def note_message(
+        self, event: parts.Received, request: Request | None
+    ) -> None:
         message = event.message
         pace = self._paces_by_cell.get(message.cell)
         if pace is None:
             return
         pace.heard(event.now, event.sender)
-        pace.answered(event.now, event.sender, message.attempt_id)
+        if request is None or not _is_former_pair(message, request):
+            pace.answered(event.now, event.sender, message.attempt_id)
         if isinstance(message, cells.NotOwner):
             owners = self._directory.owners_of(message.cell)
             pace.disowned(event.now, event.sender, message.holder, owners)
@@ -181,11 +184,15 @@
 
     # Time
 
+    def note_tick(self, now: float) -> None:
+        """Narrow the windows of owners that answer late."""
+        for pace in self._paces_by_cell.values():
+            pace.tick(now)
+
     def tick(self, now: float) -> Effects:
-        """Narrow windows, repeat bookings, and leave silent owners."""
+        """Repeat bookings, send what may be sent, and leave silent owners."""
         out: Effects = []
         for cell, pace in self._paces_by_cell.items():
-            pace.tick(now)
             owners = self._directory.owners_of(cell)
             out += self._inquiry(pace, pace.informant(now, owners))
             if pace.owes_and_is_silent(now):
@@ -339,6 +346,17 @@
     return made(**options)
 
 
+def _is_former_pair(message: typing.Any, request: Request) -> bool:
+    """Return whether it books the pair that a KV cache is moved away from.
+
+    The move has the same attempt id, and is not answered by that.
+    """
+    return (
+        isinstance(message, cells.Booked)
+        and message.decode_id in request.exclude
+    )
+
+
 def _is_unplaced(request: Request) -> bool:
     return request.phase is Phase.BOOKING and not request.is_ended
 
--- a/dandeliongw/entry/replies.py
+++ b/dandeliongw/entry/replies.py
@@ -59,12 +59,12 @@
             it was removed already.
         """
         message = event.message
-        self._reservations.note_message(event)
         is_current = (
             request is not None
             and not request.is_ended
             and message.attempt_id == request.attempt_id
         )
+        self._reservations.note_message(event, request if is_current else None)
         if not is_current:
             return self._release_late_booking(event)
         request.owner_replied_at = event.now
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -652,6 +652,7 @@
         out: Effects = []
         for event in self._startup_queue.pop_due(now):
             out += self._admit(now, event)
+        self._owner_search.note_tick(now)
         for request in list(self.requests_by_id.values()):
             if not request.is_ended:
                 out.extend(self._tick_request(now, request))
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -147,8 +147,13 @@
         self._probe_at_by_cell[request.cell] = now + PROBE_S
         return self._book_at(now, request, owners[0])
 
-    def note_message(self, event: parts.Received) -> None:
-        """Process that a message about a cell has come, before its answer."""
+    def note_message(
+        self, event: parts.Received, request: request_module.Request | None
+    ) -> None:
+        """Process that a message about a cell has come, before its answer.
+
+        :param request: the request whose current attempt it is for, if any.
+        """
 
     def must_release_late(self, message: typing.Any) -> bool:
         """Return whether an answer for an attempt that ended is released."""
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -363,6 +363,21 @@
             [type(each) for each in sent if hasattr(each, 'request_id')],
         )
 
+    def test_a_renewal_asks_an_instance_for_the_owner(self):
+        """Guards against a silent owner whose deputies are not told of it."""
+        holding = cells.Holding(request_id='r', attempt_id='r.1')
+        renewal = cells.Progress(cell=CELL, bookings=(), queued=(holding,))
+        asked, entry = self.others
+        out = self.net.reducers_by_id[asked].handle(
+            parts.Received(now=self.net.now, sender=entry, message=renewal)
+        )
+        (reply,) = [
+            each.message
+            for each in out
+            if isinstance(getattr(each, 'message', None), cells.NotOwner)
+        ]
+        self.assertEqual((self.owner, 'r.1'), (reply.holder, reply.attempt_id))
+
     def test_a_deputy_takes_over_from_an_owner_without_a_lease(self):
         """Guards against a service without an owner though no instance died.
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -445,13 +445,14 @@
 
 
 class NextSteps(unittest.TestCase):
-    def test_a_kv_cache_moves_without_a_release(self):
+    @params(False, True)
+    def test_a_kv_cache_moves_without_a_release(self, paces_bookings):
         """Guards against a second prefill after every refused import.
 
         The decode engine is full. If the move began with a release, the owner
         would cancel on both engines, and the KV cache would be lost.
         """
-        entry = Entry()
+        entry = Entry(paces_bookings=paces_bookings)
         request_id = entry.decoding()
         entry.decode(request_id, RETRY.IMPORT_REFUSED, tokens=0, known=NOT_RUN)
         self.assertEqual(entry.sent(cells.Release), [])
