--- a/tests/test_platform_machine.py
+++ b/tests/test_platform_machine.py
@@ -70,6 +70,12 @@
         made = translate(contracts=['other', 'pool'])
         self.assertEqual(0.25, made.overload.owner_lag_s)
 
+    def test_large_fleets_pace_their_bookings(self):
+        """Guards against an owner that the repeats of all entries overload."""
+        self.assertFalse(translate().overload.paces_bookings)
+        made = translate(contracts=['other', 'pool'])
+        self.assertTrue(made.overload.paces_bookings)
+
     def test_a_shutdown_uses_its_grace_period(self):
         """Guards against aborting open streams seconds too early.
 
