Count rates in windows, over all holders of an account

An account with a window was refused at its burst, half a second of its rate, long before it had used what the window allows. Limits with window_s are now counted in intervals of the window. Holders report their grants to each other, an instance that has just started, was suspended or was cut off asks the others first, and refused callers are told when there is room after those that were told before them. Limits without a window keep their token bucket.

--- a/dandeliongw/coordination/rates.py
+++ b/dandeliongw/coordination/rates.py
@@ -25,20 +25,27 @@
 
 import msgspec
 
+from . import _rate_holder
 from . import parts
 from . import placement
+from ._rate_bucket import Bucket
 from ._rate_messages import Charge
 from ._rate_messages import ChargeAnswered
 from ._rate_messages import ChargeAsked
 from ._rate_messages import ChargeOutcome
 from ._rate_messages import ChargeResult
 from ._rate_messages import ChargeReturned
+from ._rate_messages import GrantsReported
+from ._rate_messages import HoldersAnswering
+from ._rate_messages import HoldersSilent
 from ._rate_messages import Limit
 from ._rate_messages import MESSAGES
 from ._rate_messages import RateReached
 from ._rate_messages import Refund
 from ._rate_messages import SetLimits
 from ._rate_messages import SetMembers
+from ._rate_refusals import Refusals
+from ._rate_shares import Shares
 
 __all__ = [
     'Bucket',
@@ -48,6 +55,9 @@
     'ChargeOutcome',
     'ChargeResult',
     'ChargeReturned',
+    'GrantsReported',
+    'HoldersAnswering',
+    'HoldersSilent',
     'Limit',
     'MAX_WAIT_S',
     'MESSAGES',
@@ -67,70 +77,14 @@
 MAX_WAIT_S = MAX_HOLDERS * ANSWER_TIMEOUT_S
 #: Seconds for which an instance that did not answer is not asked again.
 AVOID_S = 1.0
-#: Part of the burst that a bucket holds when it is created.
-FIRST_LEVEL = 0.5
 #: Seconds after which members that are gone are no longer counted, if a
 #: majority of the voters is in touch. It is longer than it takes to detect
 #: all of them, one after the other, behind a partition.
 FORGET_MEMBERS_S = 10.0
-#: Seconds between two effects that report one account's rate as reached.
-REPORT_S = 10.0
-#: Accounts whose refusals are shown as a metric.
-MAX_SHOWN_ACCOUNTS = 20
-#: Shortest wait that is told to a caller, in seconds.
-MIN_WAIT_S = 0.01
 
 Effects = list[typing.Any]
 
 
-class Bucket:
-    """A token bucket that grants as long as it is not empty.
-
-    The last request may take more than is left, so that requests larger than
-    the burst are possible. What it takes too much is refilled first.
-
-    :param now: monotonic seconds.
-    :param part: the part of the rate that it stands for at first.
-    """
-
-    def __init__(self, *, limit: Limit, now: float, part: float = 1.0) -> None:
-        self.limit = limit
-        self._level = limit.burst * part * FIRST_LEVEL
-        self._updated_at = now
-
-    def take(self, now: float, amount: float, part: float) -> float:
-        """Take an amount and return 0, or the seconds until that may work.
-
-        :param part: the part of the rate that it stands for now.
-        """
-        per_s = self.limit.per_s * part
-        self._refill(now, per_s, part)
-        is_full = self._level >= self._top(part)
-        if self._level > 0 or is_full:
-            self._level -= amount
-            return 0.0
-        return max(MIN_WAIT_S, -self._level / per_s)
-
-    def put_back(self, amount: float) -> None:
-        """Return an amount that was taken and not used."""
-        self._level = min(self.limit.burst, self._level + amount)
-
-    def change_limit(self, now: float, limit: Limit) -> None:
-        """Apply a new limit; what exceeds its burst is lost."""
-        self._refill(now, self.limit.per_s, 1.0)
-        self._level = min(self._level, limit.burst)
-        self.limit = limit
-
-    def _top(self, part: float) -> float:
-        return self.limit.burst * part
-
-    def _refill(self, now: float, per_s: float, part: float) -> None:
-        gained = max(0.0, now - self._updated_at) * per_s
-        top = max(self._top(part), self._level)
-        self._level = min(top, self._level + gained)
-        self._updated_at = now
-
-
 class _Pending(msgspec.Struct, kw_only=True):
     """A charge that waits for a holder's answer.
 
@@ -143,18 +97,6 @@
     asked: tuple[str, ...] = ()
 
 
-class _Refusals(msgspec.Struct, kw_only=True):
-    """Refused charges of one account.
-
-    :param unreported: those since the last report.
-    :param report_at: when the next report may be made.
-    """
-
-    total: int = 0
-    unreported: int = 0
-    report_at: float = 0.0
-
-
 class Rates:
     """The state machine of the rates; the module describes the protocol.
 
@@ -171,14 +113,21 @@
         #: Most members seen lately, and when.
         self._most_members = 0
         self._most_members_at = 0.0
-        self._holders_by_account: dict[str, tuple[str, ...]] = {}
+        self._ranked_by_account: dict[str, tuple[str, ...]] = {}
         self._avoid_until_by_id: dict[str, float] = {}
         #: Buckets that this instance holds for all.
         self._buckets_by_account: dict[str, Bucket] = {}
         #: Buckets for this instance's own requests, without a holder.
         self._own_buckets_by_account: dict[str, Bucket] = {}
         self._pending_by_ticket: dict[str, _Pending] = {}
-        self._refusals_by_account: dict[str, _Refusals] = {}
+        self._refusals = Refusals()
+        #: The windows that this instance holds for all, and its own shares.
+        self._holder = _rate_holder.WindowHolder(
+            instance_id=instance_id,
+            ranked=self._ranked,
+            max_holders=MAX_HOLDERS,
+        )
+        self._shares = Shares()
         self.charges_by_outcome = dict.fromkeys(ChargeOutcome, 0)
 
     # Accessors.
@@ -188,12 +137,7 @@
 
         They count what this instance refused as a holder or by itself.
         """
-        refusals = list(self._refusals_by_account.items())
-        refusals.sort(key=lambda each: -each[1].total)
-        return {
-            account: each.total
-            for account, each in refusals[:MAX_SHOWN_ACCOUNTS]
-        }
+        return self._refusals.most()
 
     def count_avoided(self) -> int:
         """Return how many instances have not answered a charge lately."""
@@ -203,6 +147,7 @@
 
     def handle(self, event: typing.Any) -> Effects:
         """Apply an event; return the effects to perform, in order."""
+        self._holder.note_time(event.now)
         match event:
             case parts.Ticked():
                 return self._tick(event.now)
@@ -229,6 +174,11 @@
 
     def _set_limits(self, event: SetLimits) -> Effects:
         limits = {limit.account: limit for limit in event.limits}
+        windows = {
+            limit.account: limit for limit in event.limits if limit.window_s
+        }
+        self._holder.set_limits(windows)
+        self._shares.set_limits(windows)
         for buckets in (
             self._buckets_by_account,
             self._own_buckets_by_account,
@@ -238,8 +188,7 @@
                     del buckets[account]
                 elif buckets[account].limit != limits[account]:
                     buckets[account].change_limit(event.now, limits[account])
-        for account in self._refusals_by_account.keys() - limits.keys():
-            del self._refusals_by_account[account]
+        self._refusals.keep(limits.keys())
         self._limits_by_account = limits
         return []
 
@@ -247,7 +196,7 @@
         self._has_quorum = event.has_quorum
         if event.members != self._members:
             self._members = event.members
-            self._holders_by_account.clear()
+            self._ranked_by_account.clear()
             present = {member.instance_id for member in event.members}
             for instance_id in self._avoid_until_by_id.keys() - present:
                 del self._avoid_until_by_id[instance_id]
@@ -256,6 +205,10 @@
         if count >= self._most_members or (event.has_quorum and is_old):
             self._most_members = count
             self._most_members_at = event.now
+        self._holder.set_members(
+            frozenset(member.instance_id for member in self._members),
+            self._visible_part,
+        )
         return []
 
     @property
@@ -265,14 +218,14 @@
             return 1.0
         return max(1, len(self._members)) / self._most_members
 
-    def _holders(self, account: str) -> tuple[str, ...]:
-        found = self._holders_by_account.get(account)
+    def _ranked(self, account: str, count: int) -> tuple[str, ...]:
+        found = self._ranked_by_account.get(account)
         if found is None:
             found = placement.ranked_owners(
-                account, self._members, MAX_HOLDERS
+                account, self._members, _rate_holder.WITNESSES
             )
-            self._holders_by_account[account] = found
-        return found
+            self._ranked_by_account[account] = found
+        return found[:count]
 
     # Charges of this instance's requests.
 
@@ -286,24 +239,36 @@
             return self._charge_own_part(now, charge)
         if holder == self.instance_id:
             return self._charge_as_holder(now, charge)
+        caller = charge.caller if self._has_window(charge.account) else 0
         pending.asked += (holder,)
         pending.asked_at = now
         self._pending_by_ticket[charge.ticket] = pending
         message = ChargeAsked(
-            ticket=charge.ticket, account=charge.account, amount=charge.amount
+            ticket=charge.ticket,
+            account=charge.account,
+            amount=charge.amount,
+            caller=caller,
         )
         return [parts.Send(to=holder, message=message, by_datagram=True)]
 
     def _next_holder(self, now: float, pending: _Pending) -> str | None:
         if len(pending.asked) >= MAX_HOLDERS:
             return None
-        for holder in self._holders(pending.charge.account):
+        for holder in self._ranked(pending.charge.account, MAX_HOLDERS):
             is_avoided = now < self._avoid_until_by_id.get(holder, now)
+            if holder == self.instance_id:
+                is_avoided = self._holder.is_cut_off()
             if holder not in pending.asked and not is_avoided:
                 return holder
         return None
 
+    def _has_window(self, account: str) -> bool:
+        limit = self._limits_by_account.get(account)
+        return limit is not None and limit.window_s > 0
+
     def _charge_as_holder(self, now: float, charge: Charge) -> Effects:
+        if self._has_window(charge.account):
+            return self._charge_window(now, self.instance_id, charge)
         wait_s, reported = self._take_as_holder(
             now, charge.account, charge.amount
         )
@@ -312,7 +277,69 @@
         )
         return [_completed(charge, result), *reported]
 
+    def _charge_window(
+        self, now: float, sender: str, charge: Charge | ChargeAsked
+    ) -> Effects:
+        ask = _rate_holder.Ask(
+            sender=sender,
+            ticket=charge.ticket,
+            account=charge.account,
+            amount=charge.amount,
+            caller=charge.caller,
+        )
+        return self._settle(now, self._holder.charge(now, ask))
+
+    def _settle(self, now: float, found: Effects) -> Effects:
+        """Return the effects of decisions on charges of windows."""
+        out: Effects = []
+        for each in found:
+            if isinstance(each, _rate_holder.Decided):
+                out += self._decided(now, each)
+            else:
+                out.append(each)
+        return out
+
+    def _decided(self, now: float, decided: _rate_holder.Decided) -> Effects:
+        ask, wait_s = decided.ask, decided.charged.wait_s
+        self._count(ChargeOutcome.REFUSED if wait_s else ChargeOutcome.GRANTED)
+        reported = self._refusals.add(now, ask.account) if wait_s else []
+        answer = ChargeAnswered(
+            ticket=ask.ticket,
+            account=ask.account,
+            amount=ask.amount,
+            wait_s=wait_s,
+            granted_in=decided.charged.granted_in,
+            used=decided.used,
+        )
+        if ask.sender == self.instance_id:
+            return [*self._complete(now, ask.sender, answer), *reported]
+        send = parts.Send(to=ask.sender, message=answer, by_datagram=True)
+        return [send, *reported]
+
+    def _charge_share(self, now: float, charge: Charge) -> Effects:
+        """Charge this instance's share of a window."""
+        limit = self._limits_by_account[charge.account]
+        instances = self._most_members
+        wait_s, out = self._shares.take(now, limit, charge.amount, instances)
+        if wait_s:
+            self._count(ChargeOutcome.REFUSED_ALONE)
+            result = ChargeResult(is_granted=False, wait_s=wait_s)
+            out = [*out, *self._refusals.add(now, charge.account)]
+            return [_completed(charge, result), *out]
+        self._count(ChargeOutcome.GRANTED_ALONE)
+        result = ChargeResult(
+            is_granted=True,
+            granted_by=self.instance_id,
+            granted_in=self._holder.grant_alone(
+                now, charge.account, charge.amount
+            ),
+            used_in=self._shares.granted(now, limit, charge.amount),
+        )
+        return [_completed(charge, result), *out]
+
     def _charge_own_part(self, now: float, charge: Charge) -> Effects:
+        if self._has_window(charge.account):
+            return self._charge_share(now, charge)
         wait_s, reported = self._take(
             now,
             charge.account,
@@ -355,36 +382,33 @@
             bucket = Bucket(limit=limit, now=now, part=part)
             buckets[account] = bucket
         wait_s = bucket.take(now, amount, part)
-        return wait_s, self._report(now, account) if wait_s else []
-
-    def _report(self, now: float, account: str) -> Effects:
-        refusals = self._refusals_by_account.setdefault(account, _Refusals())
-        refusals.total += 1
-        refusals.unreported += 1
-        if now < refusals.report_at:
-            return []
-        count, refusals.unreported = refusals.unreported, 0
-        refusals.report_at = now + REPORT_S
-        return [RateReached(account=account, refused=count)]
+        return wait_s, self._refusals.add(now, account) if wait_s else []
 
     def _refund(self, event: Refund) -> Effects:
         if not event.granted_by:
             return []
+        self._shares.take_back(event.account, event.used_in, event.amount)
+        message = ChargeReturned(
+            account=event.account,
+            amount=event.amount,
+            granted_in=event.granted_in,
+        )
         if event.granted_by == self.instance_id:
-            self._put_back(event.account, event.amount)
+            self._put_back(event.now, message)
             return []
-        message = ChargeReturned(account=event.account, amount=event.amount)
         return [
             parts.Send(to=event.granted_by, message=message, by_datagram=True)
         ]
 
-    def _put_back(self, account: str, amount: float) -> None:
+    def _put_back(self, now: float, message: ChargeReturned) -> None:
+        account, amount = message.account, message.amount
+        self._holder.take_back(now, account, message.granted_in, amount)
         bucket = self._buckets_by_account.get(account)
         if bucket is not None and amount > 0:
             bucket.put_back(amount)
 
     def _tick(self, now: float) -> Effects:
-        out: Effects = []
+        out = self._settle(now, self._holder.tick(now))
         for ticket, pending in list(self._pending_by_ticket.items()):
             if now - pending.asked_at < ANSWER_TIMEOUT_S:
                 continue
@@ -401,8 +425,15 @@
                 return self._on_asked(event, event.message)
             case ChargeAnswered():
                 return self._on_answered(event, event.message)
-            case ChargeReturned(account=account, amount=amount):
-                self._put_back(account, amount)
+            case ChargeReturned():
+                self._put_back(event.now, event.message)
+            case GrantsReported():
+                return self._settle(
+                    event.now,
+                    self._holder.receive(
+                        event.now, event.sender, event.message
+                    ),
+                )
         return []
 
     def _on_asked(
@@ -413,6 +444,8 @@
         An account without a limit here has been given one a moment ago, under
         a configuration that this instance has yet to confirm.
         """
+        if self._has_window(message.account):
+            return self._charge_window(event.now, event.sender, message)
         wait_s, reported = 0.0, []
         if message.account in self._limits_by_account:
             wait_s, reported = self._take_as_holder(
@@ -431,25 +464,46 @@
         self, event: parts.Received, message: ChargeAnswered
     ) -> Effects:
         self._avoid_until_by_id.pop(event.sender, None)
+        self._holder.heard(event.now)
         pending = self._pending_by_ticket.get(message.ticket)
         if pending is None or event.sender not in pending.asked:
             return _return_late_grant(event.sender, message)
         del self._pending_by_ticket[message.ticket]
+        return self._complete(event.now, event.sender, message)
+
+    def _complete(
+        self, now: float, sender: str, answer: ChargeAnswered
+    ) -> Effects:
+        """Return the result of a charge that a holder has answered."""
+        used_in, log = 0, []
+        if self._has_window(answer.account):
+            limit = self._limits_by_account[answer.account]
+            if not answer.wait_s:
+                used_in = self._shares.granted(now, limit, answer.amount)
+            log = self._shares.answered(now, limit, answer.used)
         result = ChargeResult(
-            is_granted=not message.wait_s,
-            wait_s=message.wait_s,
-            granted_by=event.sender,
+            is_granted=not answer.wait_s,
+            wait_s=answer.wait_s,
+            granted_by=sender,
+            granted_in=answer.granted_in,
+            used_in=used_in,
         )
-        return [_completed(pending.charge, result)]
+        return [_completed(answer, result), *log]
 
 
 def _return_late_grant(sender: str, message: ChargeAnswered) -> Effects:
     """Return a grant that came after another instance had been asked."""
     if message.wait_s:
         return []
-    returned = ChargeReturned(account=message.account, amount=message.amount)
+    returned = ChargeReturned(
+        account=message.account,
+        amount=message.amount,
+        granted_in=message.granted_in,
+    )
     return [parts.Send(to=sender, message=returned, by_datagram=True)]
 
 
-def _completed(charge: Charge, result: ChargeResult) -> parts.Complete:
+def _completed(
+    charge: Charge | ChargeAnswered, result: ChargeResult
+) -> parts.Complete:
     return parts.Complete(ticket=charge.ticket, result=result)
--- a/dandeliongw/entry/charges.py
+++ b/dandeliongw/entry/charges.py
@@ -36,6 +36,7 @@
             account=account.name,
             per_s=account.limit.per_s * factor,
             burst=account.limit.burst * factor + tolerance.amount,
+            window_s=tolerance.window_s,
         )
         for account in described.accounts
         if account.limit is not None
--- a/tests/test_platform_machine.py
+++ b/tests/test_platform_machine.py
@@ -64,6 +64,13 @@
         tolerance = made.rate_tolerance
         self.assertEqual((tolerance.part, tolerance.amount), (0.05, 35000.0))
 
+    def test_accounts_have_the_window_of_the_bounds(self):
+        """Guards against refusals at the burst where a window is allowed."""
+        self.assertEqual(translate().rate_tolerance.window_s, 0.0)
+        bounds = {**on_platform.MACHINE['bounds'], 'quotaWindowS': 8}
+        made = translate(bounds=bounds)
+        self.assertEqual(made.rate_tolerance.window_s, 8.0)
+
     def test_a_shutdown_uses_its_grace_period(self):
         """Guards against aborting open streams seconds too early.
 
--- a/tests/test_rates.py
+++ b/tests/test_rates.py
@@ -1,8 +1,5 @@
 """Rates of accounts over many instances, in virtual time."""
 
-import heapq
-import itertools
-import random
 import unittest
 
 from nose2.tools import params
@@ -10,163 +7,14 @@
 from dandeliongw.coordination import parts
 from dandeliongw.coordination import placement
 from dandeliongw.coordination import rates
+from tests import rates_network
 
-ACCOUNT = 'studio'
-#: Seconds that a datagram takes.
-DELAY_S = 0.002
-TICK_S = 0.05
-#: Seconds of a window in which the rate must hold.
-WINDOW_S = 8.0
+ACCOUNT = rates_network.ACCOUNT
+WINDOW_S = rates_network.WINDOW_S
 #: Allowed excess over rate times window plus burst.
 OVER = 0.1
 
 
-class Network:
-    """Instances with a ``Rates`` each, and the datagrams between them.
-
-    :param count: number of instances.
-    :param limit: the limit of ``ACCOUNT``.
-    """
-
-    def __init__(self, *, count, limit, loss=0.0, seed=1):
-        self.now = 100.0
-        self.loss = loss
-        self.random = random.Random(seed)
-        self.order = itertools.count()
-        self.queue = []
-        self.tickets = itertools.count()
-        self.down = set()
-        #: Pairs of groups that don't reach each other.
-        self.group_by_id = {}
-        self.sent = 0
-        #: (time, amount) of each grant; (time, result) by ticket.
-        self.granted = []
-        self.results = {}
-        self.ids = [f'gw-{number}' for number in range(count)]
-        self.rates_by_id = {}
-        for each in self.ids:
-            self.start(each, limit)
-        for each in self.ids:
-            self.push(self.now + self.random.uniform(0, TICK_S), 'tick', each)
-        self.limit = limit
-        self.see_all()
-
-    def start(self, instance_id, limit):
-        """Start an instance anew, with no bucket."""
-        made = rates.Rates(instance_id=instance_id)
-        made.handle(rates.SetLimits(now=self.now, limits=(limit,)))
-        self.rates_by_id[instance_id] = made
-
-    def set_limit(self, limit):
-        for each in self.rates_by_id.values():
-            each.handle(rates.SetLimits(now=self.now, limits=(limit,)))
-
-    def see(self, instance_id, members, *, has_quorum=True):
-        self.rates_by_id[instance_id].handle(
-            rates.SetMembers(
-                now=self.now,
-                members=tuple(
-                    placement.Member(
-                        instance_id=each, data_centre=f'dc-{number % 4}'
-                    )
-                    for number, each in enumerate(self.ids)
-                    if each in members
-                ),
-                has_quorum=has_quorum,
-            )
-        )
-
-    def see_all(self):
-        for each in self.ids:
-            self.see(each, self.ids)
-
-    def holders(self):
-        members = [
-            placement.Member(instance_id=each, data_centre=f'dc-{number % 4}')
-            for number, each in enumerate(self.ids)
-        ]
-        return placement.ranked_owners(ACCOUNT, members, 2)
-
-    def push(self, at, kind, *fields):
-        heapq.heappush(self.queue, (at, next(self.order), kind, fields))
-
-    def charge_at(self, at, instance_id, amount):
-        ticket = f't{next(self.tickets)}'
-        self.push(at, 'charge', instance_id, ticket, amount)
-        return ticket
-
-    def run(self, until):
-        while self.queue and self.queue[0][0] <= until:
-            self.now, _, kind, fields = heapq.heappop(self.queue)
-            getattr(self, f'_{kind}')(*fields)
-        self.now = until
-
-    def _tick(self, instance_id):
-        self.push(self.now + TICK_S, 'tick', instance_id)
-        self._handle(instance_id, parts.Ticked(now=self.now, entropy=0))
-
-    def _charge(self, instance_id, ticket, amount):
-        event = rates.Charge(
-            now=self.now, ticket=ticket, account=ACCOUNT, amount=amount
-        )
-        self.results[ticket] = (self.now, amount, None)
-        self._handle(instance_id, event)
-
-    def _arrive(self, sender, to, message):
-        if self.group_by_id.get(sender) == self.group_by_id.get(to):
-            self._handle(
-                to,
-                parts.Received(now=self.now, sender=sender, message=message),
-            )
-
-    def _handle(self, instance_id, event):
-        if instance_id in self.down:
-            return
-        for effect in self.rates_by_id[instance_id].handle(event):
-            if isinstance(effect, parts.Send):
-                self.sent += 1
-                if self.random.random() >= self.loss:
-                    self.push(
-                        self.now + DELAY_S,
-                        'arrive',
-                        instance_id,
-                        effect.to,
-                        effect.message,
-                    )
-            elif isinstance(effect, parts.Complete):
-                asked_at, amount, _ = self.results[effect.ticket]
-                self.results[effect.ticket] = (asked_at, amount, effect.result)
-                if effect.result.is_granted:
-                    self.granted.append((self.now, amount))
-
-    def offer(self, *, begin, end, per_s, amount, among=None):
-        """Schedule charges at random instances, ``per_s`` amounts a second."""
-        at = begin
-        while at < end:
-            at += self.random.expovariate(per_s / amount)
-            instance_id = self.random.choice(among or self.ids)
-            self.charge_at(at, instance_id, amount)
-
-    def most_in_window(self):
-        """Return the most that was granted in any window."""
-        most = total = 0.0
-        first = 0
-        for at, amount in self.granted:
-            total += amount
-            while self.granted[first][0] <= at - WINDOW_S:
-                total -= self.granted[first][1]
-                first += 1
-            most = max(most, total)
-        return most
-
-    def refused(self):
-        return [
-            result
-            for _, _, result in self.results.values()
-            if result is not None and not result.is_granted
-        ]
-
-
 def make_limit(per_s=100_000.0, burst=100_000.0):
     return rates.Limit(account=ACCOUNT, per_s=per_s, burst=burst)
 
@@ -219,7 +67,7 @@
     @params((9, 1), (79, 2), (350, 3))
     def test_an_account_that_asks_for_too_much(self, count, seed):
         limit = make_limit()
-        network = Network(count=count, limit=limit, seed=seed)
+        network = rates_network.Network(count=count, limit=limit, seed=seed)
         network.offer(
             begin=100.0, end=120.0, per_s=7 * limit.per_s, amount=self.amount
         )
@@ -233,7 +81,7 @@
     @params((9, 1), (79, 2), (350, 3))
     def test_nothing_within_the_rate_is_refused(self, count, seed):
         limit = make_limit()
-        network = Network(count=count, limit=limit, seed=seed)
+        network = rates_network.Network(count=count, limit=limit, seed=seed)
         network.offer(
             begin=100.0, end=130.0, per_s=limit.per_s / 1.8, amount=self.amount
         )
@@ -248,13 +96,13 @@
         self.assertLess(max(waits), 0.01)
 
     def test_a_charge_costs_two_datagrams(self):
-        network = Network(count=79, limit=make_limit())
+        network = rates_network.Network(count=79, limit=make_limit())
         network.offer(begin=100.0, end=110.0, per_s=50_000.0, amount=5_000.0)
         network.run(111.0)
         self.assertLessEqual(network.sent, 2 * len(network.results))
 
     def test_accounts_without_a_limit_cost_nothing(self):
-        network = Network(count=79, limit=make_limit())
+        network = rates_network.Network(count=79, limit=make_limit())
         network.set_limit(rates.Limit(account='other', per_s=1.0, burst=1.0))
         network.charge_at(100.0, 'gw-3', 1e9)
         network.run(100.0)
@@ -266,7 +114,7 @@
 
     def setUp(self):
         self.limit = make_limit()
-        self.network = Network(count=79, limit=self.limit)
+        self.network = rates_network.Network(count=79, limit=self.limit)
 
     def check_bound(self, bursts=0.0):
         """Check the bound; :param bursts: granted beyond it, in bursts."""
