--- a/tests/test_account_check.py
+++ b/tests/test_account_check.py
@@ -9,7 +9,9 @@
 from dandeliongw.coordination import rates
 from dandeliongw import document
 from dandeliongw import effects
+from dandeliongw.entry import charges
 from dandeliongw import events
+from dandeliongw import settings
 from dandeliongw import verdict
 from tests import entry_fake
 from tests import test_pass_through
@@ -333,6 +335,31 @@
         self.arrive(prompt_tokens=1)
         self.assertTrue(self.entry.sent(cells.Book))
 
+    def test_a_repeat_is_recognised_at_any_entry(self):
+        """Guards against a promise that its caller can't redeem."""
+        for path in ('/plain/x', '/plain/x', '/plain/y'):
+            self.arrive(prompt_tokens=30, digest=path.encode())
+        first, repeat, other = (each.caller for each in self.entry.charges)
+        self.assertEqual(first, repeat)
+        self.assertNotEqual(first, other)
+
+    def test_a_refund_names_the_interval_of_its_charge(self):
+        """Guards against a refund that makes room for too long."""
+        request_id = self.arrive(prompt_tokens=30)
+        request = self.entry.requests.requests_by_id[request_id]
+        granted = rates.ChargeResult(
+            is_granted=True, granted_by='gw-1', granted_in=7, used_in=8
+        )
+        charges.answered(request, granted)
+        (out,) = charges.refund(self.entry.now, request, NOT_RUN)
+        self.assertEqual((out.event.granted_in, out.event.used_in), (7, 8))
+        self.assertEqual(charges.refund(self.entry.now, request, NOT_RUN), [])
+
+    def test_limits_have_the_window_of_the_settings(self):
+        tolerance = settings.RateTolerance(window_s=8.0)
+        limits = charges.limits_of(self.directory.document, tolerance)
+        self.assertEqual({limit.window_s for limit in limits}, {8.0})
+
     def test_a_request_that_may_have_run_stays_charged(self):
         request_id = self.arrive(prompt_tokens=300)
         self.entry.book(request_id)
