--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -363,7 +363,6 @@
             [type(each) for each in sent if hasattr(each, 'request_id')],
         )
 
-<<<<<<< HEAD
     def test_a_busy_owner_renews_its_lease_before_other_messages(self):
         """Guards against an owner that loses its cell because it is busy."""
         owner = self.net.reducers_by_id[self.net.owner_of(CELL)]
@@ -372,7 +371,7 @@
         )
         first = owner.handle(message)[0]
         self.assertIsInstance(first.message, lease_messages.LeaseClaims)
-=======
+
     def test_a_renewal_asks_an_instance_for_the_owner(self):
         """Guards against a silent owner whose deputies are not told of it."""
         holding = cells.Holding(request_id='r', attempt_id='r.1')
@@ -387,7 +386,6 @@
             if isinstance(getattr(each, 'message', None), cells.NotOwner)
         ]
         self.assertEqual((self.owner, 'r.1'), (reply.holder, reply.attempt_id))
->>>>>>> pacing
 
     def test_a_deputy_takes_over_from_an_owner_without_a_lease(self):
         """Guards against a service without an owner though no instance died.
