Divide a cell between accounts in the resource that binds

Cause: shares and the part reserved for better ranks were counted in decode slots. An engine of 32 slots holds eight of the usual streams in its memory, so an account reached its share only after 3.6 times what fits, and averages over 10 s followed a burst of one account too late. Calls of plain services were not divided at all.

Change: capacity.py says what a booking costs and what the engines in use carry, in decode slots, KV memory, prefill seconds and plain slots. capacity_use.py counts demand and admitted work by rank and account. Account averages follow in 4 s instead of 10 s. One account alone is never over its share, a changed weight takes effect at once, and the refusal names the resource and the factor.

--- a/dandeliongw/cell/cell_view.py
+++ b/dandeliongw/cell/cell_view.py
@@ -11,6 +11,7 @@
 from . import forecast
 from .backend_state import BackendState
 from .backend_state import FullForecast
+from .call_times import CallTimes
 from .cell_types import Booking
 from .cell_types import CellTerms
 from .cell_types import Role
@@ -60,6 +61,8 @@
     measured_tokens_per_s: float | None = None
     #: Number of complete answers.
     answer_count: int = 0
+    #: How long calls of a plain service take.
+    call_times: CallTimes = msgspec.field(default_factory=CallTimes)
     #: Engines that are changing their role; they get no work meanwhile.
     switching_ids: frozenset[str] = frozenset()
 
@@ -278,6 +281,8 @@
             measured.
         """
         self.answer_count += 1
+        if booking.stage is Stage.PLAIN and booking.start_at is not None:
+            self.call_times.add(booking.account, now - booking.start_at)
         part = max(SMOOTHING, 1.0 / self.answer_count)
         if piece_gap_s > 0.0:
             measured = self.terms.tokens_per_piece / piece_gap_s
--- a/dandeliongw/cell/declines.py
+++ b/dandeliongw/cell/declines.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from . import shares
 from ..verdict import RefusalReason
 from .cell_types import Booking
 from .cell_types import Stage
@@ -72,12 +73,13 @@
     )
 
 
-def over_share(booking: Booking) -> Decline:
+def over_share(booking: Booking, excess: shares.Excess) -> Decline:
     """Return the refusal if an account exceeds its share of a full cell."""
     return Decline(
         reason=RefusalReason.NO_CAPACITY,
         message=(
-            f'account {booking.account!r} has its share of a full service'
+            f'account {booking.account!r} has {excess.factor:.1f} times its '
+            f'share of a full service, bound by {excess.resource.value}'
         ),
         retry_after_s=_retry_after(booking, DEFAULT_RETRY_AFTER_S),
     )
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -6,6 +6,7 @@
 from . import declines
 from . import pairs
 from . import prediction
+from .capacity_use import CapacityUse
 from .cell_types import Booking
 from .cell_types import Role
 from .cell_types import ROLES_BY_STAGE
@@ -18,14 +19,10 @@
 from .policy import no_backend
 from .policy import Place
 from .policy import Wait
-from .shares import DecayingRate
-from .shares import FairShares
+from .shares import Excess
 
 #: Rank of a KV cache that waits for a decode engine: before all other work.
 KV_MOVE_RANK = -1
-#: Cap of the part of a cell that predictions reserve for work of better rank,
-#: so that a tenth is always left for the rest.
-MAX_HIGHER_RANK_PART = 0.9
 #: Part of its deadline for which resent work may wait.
 LAST_CHANCE_PART = 0.85
 #: Seconds that work is moved back in the queue for each second that its
@@ -64,10 +61,8 @@
             uses_health=options.health, uses_cap=options.cap
         )
         self._pairs = pairs.PairChooser(options=options, finder=self._finder)
-        #: Slot seconds and prefill seconds of admitted work, by rank.
-        self._slot_rate_by_rank: dict[int, DecayingRate] = {}
-        self._prefill_rate_by_rank: dict[int, DecayingRate] = {}
-        self._shares_by_rank: dict[int, FairShares] = {}
+        #: What is asked for and admitted, by rank and account.
+        self.capacity_use = CapacityUse()
 
     def decide(
         self, *, now: float, view: CellView, booking: Booking
@@ -86,13 +81,12 @@
             return self._decide_move(now, view, booking)
         if booking.stage is not Stage.PAIR or not self._options.queue:
             return self._place(now, view, booking) or declines.full(booking)
-        slot_s = view.transfer_s(booking) + view.decode_s(booking)
-        self._shares(view, booking).add_demand(now, booking.account, slot_s)
+        self.capacity_use.add_demand(now, view, booking)
         ahead = self._ahead_of(now, view, booking)
         placed = None if ahead else self._place(now, view, booking)
         decision = placed or self._admit(now, view, booking, ahead)
         if not isinstance(decision, Decline):
-            self._count(now, view, booking)
+            self._count(now, view, booking, decision)
         return decision
 
     def _decide_plain(
@@ -102,9 +96,14 @@
 
         Bursts of such calls end sooner than a refused client would retry.
         """
+        self.capacity_use.add_demand(now, view, booking)
         placed = None if view.queue else self._place(now, view, booking)
         if placed is not None:
+            self._count(now, view, booking, placed)
             return placed
+        excess = self._excess(now, view, booking)
+        if excess is not None:
+            return declines.over_share(booking, excess)
         if len(view.queue) >= PLAIN_QUEUE_PER_SLOT * _plain_slots(view):
             return declines.full(booking)
         wait_s = (booking.deadline_at - now) * PLAIN_WAIT_PART
@@ -115,6 +114,7 @@
         )
         if starts_at - now > wait_s * (1.0 - self._options.spare):
             return declines.rate_limited(booking, starts_at - now)
+        self._count(now, view, booking)
         return Wait(expected_s=starts_at - now)
 
     def _decide_move(
@@ -149,42 +149,27 @@
             )
         )
 
-    def _count(self, now: float, view: CellView, booking: Booking) -> None:
-        rank = prediction.rank_of(view, booking)
-        slot_s = view.transfer_s(booking) + view.decode_s(booking)
-        self._shares(view, booking).add_usage(now, booking.account, slot_s)
-        slots = self._slot_rate_by_rank.setdefault(rank, DecayingRate())
-        slots.add(now, slot_s)
-        prefills = self._prefill_rate_by_rank.setdefault(rank, DecayingRate())
-        prefills.add(now, prediction.prefill_s(view, booking))
-
-    def _shares(self, view: CellView, booking: Booking) -> FairShares:
-        rank = prediction.rank_of(view, booking)
-        return self._shares_by_rank.setdefault(rank, FairShares())
+    def _count(
+        self,
+        now: float,
+        view: CellView,
+        booking: Booking,
+        decision: Decision | None = None,
+    ) -> None:
+        """Count work that is admitted, and placed if ``decision`` says so."""
+        self.capacity_use.add_usage(now, view, booking)
+        if isinstance(decision, Place):
+            self.capacity_use.record_prefill(
+                view, booking, decision.prefill_id
+            )
 
-    def _is_over_share(
+    def _excess(
         self, now: float, view: CellView, booking: Booking
-    ) -> bool:
-        """Return whether an account exceeds its share of its rank's capacity.
-
-        Ranks are counted separately: many patient calls of an account don't
-        limit its urgent ones.
-        """
-        rank = prediction.rank_of(view, booking)
-        slots = sum(
-            state.backend.slots for state in view.candidates(Role.DECODE, ())
-        )
-        higher_rank = sum(
-            average.rate(now)
-            for each, average in self._slot_rate_by_rank.items()
-            if each < rank
-        )
-        return self._shares(view, booking).is_over(
-            now,
-            booking.account,
-            view.terms.share_by_account,
-            max(0.0, slots - higher_rank),
-        )
+    ) -> Excess | None:
+        """Return by how much an account exceeds its share, if it does."""
+        if not self._options.fair:
+            return None
+        return self.capacity_use.excess(now, view, booking)
 
     def _higher_rank_part(
         self, now: float, view: CellView, booking: Booking
@@ -195,22 +180,7 @@
         Without this, work would be admitted, wait until its latest start and
         then be refused.
         """
-        rank = prediction.rank_of(view, booking)
-        parts = []
-        for role, averages in (
-            (Role.DECODE, self._slot_rate_by_rank),
-            (Role.PREFILL, self._prefill_rate_by_rank),
-        ):
-            total = sum(
-                state.backend.slots for state in view.candidates(role, ())
-            )
-            higher_rank = sum(
-                average.rate(now)
-                for each, average in averages.items()
-                if each < rank
-            )
-            parts.append(higher_rank / max(1, total))
-        return min(max(parts), MAX_HIGHER_RANK_PART)
+        return self.capacity_use.higher_rank_part(now, view, booking)
 
     def dispatch(
         self, *, now: float, view: CellView
@@ -229,6 +199,9 @@
             first = self._first(now, view, waiting)
             placed = self._place(now, view, first)
             if placed is not None:
+                self.capacity_use.record_prefill(
+                    view, first, placed.prefill_id
+                )
                 return [(first, placed)]
             version = first.software_version
             if version is None:
@@ -277,8 +250,9 @@
         booking: Booking,
         ahead: list[Booking],
     ) -> Decision:
-        if self._options.fair and self._is_over_share(now, view, booking):
-            return declines.over_share(booking)
+        excess = self._excess(now, view, booking)
+        if excess is not None:
+            return declines.over_share(booking, excess)
         starts_at = prediction.expected_start(now, view, [*ahead, booking])
         if self._options.foresee:
             left = 1.0 - self._higher_rank_part(now, view, booking)
--- a/dandeliongw/cell/shares.py
+++ b/dandeliongw/cell/shares.py
@@ -3,116 +3,166 @@
 from collections import abc
 import math
 
-#: Time constant of the exponential decay of rates, in seconds.
-DECAY_S = 10.0
+import msgspec
+
+from . import comparisons
+from .capacity import Amounts
+from .capacity import Resource
+from .comparisons import fair_level
+
+__all__ = ['DecayingRates', 'Excess', 'FairShares', 'fair_level']
+
+#: Time constant of the exponential decay of rates, in seconds. Bursts of one
+#: account last for 5 to 10 s; with 10 s it had taken its surplus before its
+#: average showed it.
+DECAY_S = 4.0
 #: An account is limited above this multiple of its share, so that noise over
 #: a few seconds limits none.
 SLACK = 1.2
 #: Seconds for which a computed fair level is reused.
 LEVEL_TTL_S = 0.5
-#: Accounts with a lower rate are dropped, in slots.
-MIN_RATE = 1e-3
+#: Accounts that ask for a smaller part of a cell are not active.
+MIN_PART = 1e-5
 
 
-class DecayingRate:
-    """A rate as an exponentially decaying average, see :data:`DECAY_S`."""
+class DecayingRates:
+    """Rates as exponentially decaying averages.
 
-    def __init__(self) -> None:
-        self._rate = 0.0
+    :param decay_s: time constant of the decay.
+    """
+
+    def __init__(self, decay_s: float = DECAY_S) -> None:
+        self._decay_s = decay_s
+        self._rates: dict[Resource, float] = {}
         self._at = 0.0
 
-    def add(self, now: float, amount: float) -> None:
-        """Add an amount."""
-        self._rate = self.rate(now) + amount / DECAY_S
+    def add(self, now: float, amounts: Amounts) -> None:
+        """Add an amount of each resource."""
+        self._rates = self.rates(now)
         self._at = now
+        for resource, amount in amounts.items():
+            rate = self._rates.get(resource, 0.0)
+            self._rates[resource] = rate + amount / self._decay_s
 
-    def rate(self, now: float) -> float:
-        """Return the average amount a second."""
-        return self._rate * math.exp((self._at - now) / DECAY_S)
-
+    def rates(self, now: float) -> dict[Resource, float]:
+        """Return the average amounts a second."""
+        kept = math.exp((self._at - now) / self._decay_s)
+        return {
+            resource: rate * kept for resource, rate in self._rates.items()
+        }
 
-def fair_level(
-    demands: abc.Iterable[tuple[float, float]], capacity: float
-) -> float:
-    """Return the level of a weighted max-min fair allocation.
 
-    An account whose demand is below the level times its weight gets all of
-    it; the rest is divided between the others.
+class Excess(msgspec.Struct, frozen=True, kw_only=True):
+    """By how much an account exceeds its share.
 
-    :param demands: (demand, weight) of each account.
-    :returns: infinity if the capacity is enough for all.
+    :param resource: the one that binds.
+    :param factor: its usage over its share.
     """
-    ordered = sorted(demands, key=lambda each: each[0] / each[1])
-    left = capacity
-    weights = sum(weight for _, weight in ordered)
-    for demand, weight in ordered:
-        level = left / weights
-        if demand / weight > level:
-            return level
-        left -= demand
-        weights -= weight
-    return math.inf
+
+    resource: Resource
+    factor: float
 
 
 class FairShares:
     """Finds the accounts that take more than their share of a full cell.
 
     Without this, one busy account would fill the queue, and accounts with
-    little work would be refused, too.
-    """
-
-    def __init__(self) -> None:
-        self._demand_by_account: dict[str, DecayingRate] = {}
-        self._usage_by_account: dict[str, DecayingRate] = {}
-        self._level = math.inf
-        self._level_at = -math.inf
+    little work would be refused, too. Amounts are a number for each resource;
+    a single number stands for decode slots.
 
-    def add_demand(self, now: float, account: str, slot_s: float) -> None:
-        """Add work that an account requested.
-
-        :param slot_s: slots times seconds.
-        """
-        average = self._demand_by_account.setdefault(account, DecayingRate())
-        average.add(now, slot_s)
+    :param comparison: how accounts are compared that use several resources.
+    """
 
-    def add_usage(self, now: float, account: str, slot_s: float) -> None:
-        """Add work of an account that was admitted.
+    def __init__(
+        self, comparison: comparisons.Comparison | None = None
+    ) -> None:
+        self._comparison = comparison or comparisons.ByBindingResource()
+        self._demand_by_account: dict[str, DecayingRates] = {}
+        self._usage_by_account: dict[str, DecayingRates] = {}
+        self._division = comparisons.Division(capacity={})
+        self._divided_at = -math.inf
+        self._weights: abc.Mapping[str, float] = {}
+
+    def add_demand(
+        self, now: float, account: str, amounts: Amounts | float
+    ) -> None:
+        """Add work that an account requested."""
+        averages = self._demand_by_account.setdefault(account, DecayingRates())
+        averages.add(now, _amounts(amounts))
 
-        :param slot_s: slots times seconds.
-        """
-        average = self._usage_by_account.setdefault(account, DecayingRate())
-        average.add(now, slot_s)
+    def add_usage(
+        self, now: float, account: str, amounts: Amounts | float
+    ) -> None:
+        """Add work of an account that was admitted."""
+        averages = self._usage_by_account.setdefault(account, DecayingRates())
+        averages.add(now, _amounts(amounts))
 
     def is_over(
         self,
         now: float,
         account: str,
         weights: abc.Mapping[str, float],
-        capacity: float,
+        capacity: Amounts | float,
     ) -> bool:
         """Return whether an account uses more than its share.
 
         :param weights: by account; one if absent.
-        :param capacity: slots of the cell.
+        :param capacity: of the cell, per second.
+        """
+        return self.excess(now, account, weights, capacity) is not None
+
+    def excess(
+        self,
+        now: float,
+        account: str,
+        weights: abc.Mapping[str, float],
+        capacity: Amounts | float,
+    ) -> Excess | None:
+        """Return by how much an account exceeds its share, if it does.
+
+        Nothing is divided while only one account is active.
         """
-        if now - self._level_at >= LEVEL_TTL_S:
-            self._update_level(now, weights, capacity)
+        # A changed document has another mapping.
+        is_changed = weights is not self._weights
+        if is_changed or now - self._divided_at >= LEVEL_TTL_S:
+            self._divide(now, weights, _amounts(capacity))
         usage = self._usage_by_account.get(account)
         if usage is None:
-            return False
-        share = self._level * weights.get(account, 1.0)
-        return usage.rate(now) > share * SLACK
-
-    def _update_level(
-        self, now: float, weights: abc.Mapping[str, float], capacity: float
+            return None
+        factor, resource = self._division.factor(
+            usage.rates(now), weights.get(account, 1.0)
+        )
+        if resource is None or factor <= SLACK:
+            return None
+        return Excess(resource=resource, factor=factor)
+
+    def _divide(
+        self, now: float, weights: abc.Mapping[str, float], capacity: Amounts
     ) -> None:
         for by_account in (self._demand_by_account, self._usage_by_account):
-            for account in list(by_account):
-                if by_account[account].rate(now) < MIN_RATE:
+            for account, averages in list(by_account.items()):
+                if not _is_active(averages.rates(now), capacity):
                     del by_account[account]
+        self._divided_at = now
+        self._weights = weights
+        if len(self._demand_by_account) < 2:
+            self._division = comparisons.Division(capacity=capacity)
+            return
         demands = [
-            (average.rate(now), weights.get(account, 1.0))
-            for account, average in self._demand_by_account.items()
+            (averages.rates(now), weights.get(account, 1.0))
+            for account, averages in self._demand_by_account.items()
         ]
-        self._level = fair_level(demands, capacity)
-        self._level_at = now
+        self._division = self._comparison.divide(demands, capacity)
+
+
+def _is_active(rates: Amounts, capacity: Amounts) -> bool:
+    return any(
+        rate >= MIN_PART * capacity.get(resource, math.inf)
+        for resource, rate in rates.items()
+    )
+
+
+def _amounts(amounts: Amounts | float) -> Amounts:
+    if isinstance(amounts, float | int):
+        return {Resource.DECODE_SLOTS: float(amounts)}
+    return amounts
