Report which resource of an owned cell binds

Cause: operators saw slots only, of which three quarters are free while the KV memory of all engines is full.

Change: gauges resource_used_ratio and binding_resource by cell and resource, and the line "binding resource changed", at most once in 10 s per cell.

--- a/dandeliongw/cell/owner.py
+++ b/dandeliongw/cell/owner.py
@@ -5,6 +5,7 @@
 from .. import directory as directory_module
 from .. import document as document_module
 from .. import effects
+from . import capacity_reports as capacity_reports_module
 from . import cell_types
 from . import cells
 from ..coordination import lease
@@ -79,6 +80,7 @@
         #: Cells that are kept without a lease, see :meth:`keep_without_lease`.
         self._kept_cells: set[str] = set()
         self.cells_by_id: dict[str, cells.Cell] = {}
+        self.capacity_reports = capacity_reports_module.CapacityReports()
         self.fallback_cells = fallback.FallbackCells(
             terms_of=lambda cell: self._terms(cell.split('/')[0]),
             backends_of=self._backends_of,
@@ -267,6 +269,7 @@
             *self._notify_deputies(event.now),
             *self.fallback_cells.tick(event),
             *self._review_roles(event.now),
+            *self.capacity_reports.update(event.now, self.cells_by_id),
             *self.order_dispatch.due_orders(event, self.cells_by_id),
         ]
 
--- a/dandeliongw/cell/policy.py
+++ b/dandeliongw/cell/policy.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..verdict import RefusalReason
+from .capacity import Resource
 from .cell_types import Booking
 from .cell_types import Role
 from .cell_view import CellView
@@ -64,6 +65,15 @@
         ...
 
 
+@typing.runtime_checkable
+class ReportsBinding(typing.Protocol):
+    """A policy that knows which resource of its cell binds."""
+
+    def binding(self, *, now: float, view: CellView) -> Resource | None:
+        """Return the resource that binds now, if any."""
+        ...
+
+
 def no_backend(role: Role) -> Decline:
     """Return the refusal if there is no backend server of a role."""
     return Decline(
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -6,6 +6,7 @@
 from . import declines
 from . import pairs
 from . import prediction
+from .capacity import Resource
 from .capacity_use import CapacityUse
 from .cell_types import Booking
 from .cell_types import Role
@@ -182,6 +183,10 @@
         """
         return self.capacity_use.higher_rank_part(now, view, booking)
 
+    def binding(self, *, now: float, view: CellView) -> Resource | None:
+        """Return the resource that binds now, if any."""
+        return self.capacity_use.binding(now, view)
+
     def dispatch(
         self, *, now: float, view: CellView
     ) -> list[tuple[Booking, Decision]]:
--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -471,6 +471,22 @@
     epoch: int
 
 
+class BindingResourceChanged(Decision, frozen=True, kw_only=True):
+    """Another resource of a cell binds; logged once in 10 s at most.
+
+    :param resource: the one of which more is asked for than there is, or
+        nearly as much; ``none`` if there is enough of all.
+    :param used: the part of each resource that bookings hold.
+    """
+
+    message: typing.ClassVar[str] = 'binding resource changed'
+    cell: str
+    epoch: int
+    resource: str
+    was: str
+    used: str
+
+
 def _format(value: typing.Any) -> str:
     if isinstance(value, float):
         return f'{value:.3f}'
--- a/dandeliongw/explain.py
+++ b/dandeliongw/explain.py
@@ -25,6 +25,7 @@
     'owns a cell',
     'owns a cell no more',
     'an engine is moved to another pool',
+    'binding resource changed',
 )
 #: Messages of log lines that record, by the fingerprint of a call or of a
 #: part of prompts, why it is or was quarantined.
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -59,18 +59,18 @@
 class CallbackGauge(registry_module.Collector):
     """A gauge whose values are read from a component at each scrape.
 
-    :param label: its only label, or ``None``; the label's values are the keys
-        of the mapping that is read.
+    :param labels: their values are the keys of the mapping that is read:
+        strings if there is one label, tuples if there are several.
     """
 
-    def __init__(self, *, name: str, text: str, label: str | None) -> None:
+    def __init__(self, *, name: str, text: str, labels: tuple[str, ...]):
         self._name = name
         self._text = text
-        self._labels = (label,) if label else ()
-        self._read: abc.Callable[[], abc.Mapping[str, float]] = dict
+        self._labels = labels
+        self._read: abc.Callable[[], abc.Mapping[typing.Any, float]] = dict
 
     def set_callback(
-        self, read: abc.Callable[[], abc.Mapping[str, float]]
+        self, read: abc.Callable[[], abc.Mapping[typing.Any, float]]
     ) -> None:
         """Export the values that ``read`` returns, by label value.
 
@@ -84,7 +84,8 @@
             self._name, self._text, labels=self._labels
         )
         for value, number in sorted(self._read().items()):
-            family.add_metric([value] if self._labels else [], number)
+            values = value if len(self._labels) > 1 else (value,)
+            family.add_metric(values if self._labels else (), number)
         yield family
 
 
@@ -275,7 +276,7 @@
             'members', 'Instances that are heard of, this one included.'
         )
         self.voters = self._watched_gauge(
-            'voters', 'Voters of the set that is confirmed here.', None
+            'voters', 'Voters of the set that is confirmed here.'
         )
         self.lease_epoch = self._watched_gauge(
             'lease_epoch',
@@ -291,18 +292,15 @@
             'quarantined_calls',
             'Calls and parts of prompts that are held back, as they end '
             'backend servers.',
-            None,
         )
         self.detours = self._watched_gauge(
             'detours',
             'Backend servers that are reached through another instance.',
-            None,
         )
         self.tunnels = self._watched_gauge(
             'tunnels',
             'Connections of other instances to backend servers through this '
             'one.',
-            None,
         )
         self.retry_budget = self._watched_gauge(
             'retry_budget',
@@ -328,6 +326,21 @@
             'queue', 'Requests that wait for a slot of these cells.', 'pool'
         )
 
+        self.resource_used = self._watched_gauge(
+            'resource_used_ratio',
+            'Part in use of each resource of the cells that this instance '
+            'owns.',
+            'cell',
+            'resource',
+        )
+        self.binding_resource = self._watched_gauge(
+            'binding_resource',
+            'Whether work asks for more of the resource than there is, or '
+            'nearly as much, and most of all.',
+            'cell',
+            'resource',
+        )
+
     def _make_histograms(self) -> None:
         self.first_token = self._histogram(
             'first_token_seconds',
@@ -443,11 +456,11 @@
         return counter
 
     def _watched_gauge(
-        self, name: str, text: str, label: str | None
+        self, name: str, text: str, *labels: str
     ) -> CallbackGauge:
-        self._remember(name, (label,) if label else ())
+        self._remember(name, labels)
         gauge = CallbackGauge(
-            name=f'{NAMESPACE}_{name}', text=text, label=label
+            name=f'{NAMESPACE}_{name}', text=text, labels=labels
         )
         self.registry.register(gauge)
         return gauge
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -340,6 +340,9 @@
         lambda: {unlabelled: len(reducer.register.voters_by_id)}
     )
     metrics.lease_epoch.set_callback(reducer.owner.epochs_by_cell)
+    reports = reducer.owner.capacity_reports
+    metrics.resource_used.set_callback(reports.used_by_label)
+    metrics.binding_resource.set_callback(reports.binding_by_label)
     metrics.retry_budget.set_callback(
         lambda: reducer.requests.retries_left_by_service(clock.now())
     )
