Compare accounts by dominant resource

Cause: with the binding resource alone, an account that takes much of another resource is not limited until that one binds.

Change: dominant resource fairness is the comparison in use; the other one stays behind the same Protocol.

--- a/dandeliongw/cell/comparisons.py
+++ b/dandeliongw/cell/comparisons.py
@@ -17,20 +17,20 @@
     :param capacity: what is divided, of each resource that counts.
     :param level: part of it for an account of weight one; infinite if there
         is enough for all.
+    :param binding: the resource that limits the level.
     """
 
     capacity: Amounts
     level: float = math.inf
+    binding: Resource | None = None
 
-    def factor(
-        self, usage: Amounts, weight: float
-    ) -> tuple[float, Resource | None]:
-        """Return by what factor a usage exceeds its share, and in what."""
+    def factor(self, usage: Amounts, weight: float) -> float:
+        """Return by what factor a usage exceeds its share."""
         resource = capacity_module.most_used(usage, self.capacity)
         if resource is None:
-            return 0.0, None
+            return 0.0
         part = usage[resource] / self.capacity[resource]
-        return part / (self.level * weight), resource
+        return part / (self.level * weight)
 
 
 class Comparison(typing.Protocol):
@@ -68,6 +68,7 @@
         return Division(
             capacity={binding: capacity[binding]},
             level=fair_level(parts, 1.0),
+            binding=binding,
         )
 
 
@@ -86,10 +87,16 @@
         capacity: Amounts,
     ) -> Division:
         """Return the level at which the first resource is used up."""
-        levels = [
-            _level_of(resource, demands, capacity) for resource in capacity
-        ]
-        return Division(capacity=capacity, level=min(levels, default=math.inf))
+        levels = {
+            resource: _level_of(resource, demands, capacity)
+            for resource in capacity
+        }
+        binding = min(levels, key=lambda each: levels[each], default=None)
+        if binding is None:
+            return Division(capacity={})
+        return Division(
+            capacity=capacity, level=levels[binding], binding=binding
+        )
 
 
 def _level_of(
--- a/dandeliongw/cell/shares.py
+++ b/dandeliongw/cell/shares.py
@@ -76,7 +76,7 @@
     def __init__(
         self, comparison: comparisons.Comparison | None = None
     ) -> None:
-        self._comparison = comparison or comparisons.ByBindingResource()
+        self._comparison = comparison or comparisons.ByDominantResource()
         self._demand_by_account: dict[str, DecayingRates] = {}
         self._usage_by_account: dict[str, DecayingRates] = {}
         self._division = comparisons.Division(capacity={})
@@ -129,12 +129,13 @@
         usage = self._usage_by_account.get(account)
         if usage is None:
             return None
-        factor, resource = self._division.factor(
+        binding = self._division.binding
+        factor = self._division.factor(
             usage.rates(now), weights.get(account, 1.0)
         )
-        if resource is None or factor <= SLACK:
+        if binding is None or factor <= SLACK:
             return None
-        return Excess(resource=resource, factor=factor)
+        return Excess(resource=binding, factor=factor)
 
     def _divide(
         self, now: float, weights: abc.Mapping[str, float], capacity: Amounts
--- a/tests/test_capacity_shares.py
+++ b/tests/test_capacity_shares.py
@@ -298,8 +298,7 @@
         ]
         division = comparison.divide(demands, {memory: 10.0, prefill: 9.0})
         usage = [
-            division.factor(each, 1.0)[0] * division.level
-            for each, _ in demands
+            division.factor(each, 1.0) * division.level for each, _ in demands
         ]
         for wanted, found in zip(factors, usage, strict=True):
             self.assertAlmostEqual(wanted, found)
