--- a/dandeliongw/cell/declines.py
+++ b/dandeliongw/cell/declines.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from . import shares
 from ..verdict import RefusalReason
 from .cell_messages import Book
 from .cell_types import Booking
@@ -85,12 +86,13 @@
     )
 
 
-def over_share(booking: Booking) -> Decline:
+def over_share(booking: Booking, excess: shares.Excess) -> Decline:
     """Return the refusal if an account exceeds its share of a full cell."""
     return Decline(
         reason=RefusalReason.NO_CAPACITY,
         message=(
-            f'account {booking.account!r} has its share of a full service'
+            f'account {booking.account!r} has {excess.factor:.1f} times its '
+            f'share of a full service, bound by {excess.resource.value}'
         ),
         retry_after_s=_retry_after(booking, DEFAULT_RETRY_AFTER_S),
     )
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -344,6 +344,9 @@
     metrics.owner_lag.set_callback(
         lambda: reducer.owner.lags_by_cell(clock.now())
     )
+    reports = reducer.owner.capacity_reports
+    metrics.resource_used.set_callback(reports.used_by_label)
+    metrics.binding_resource.set_callback(reports.binding_by_label)
     metrics.retry_budget.set_callback(
         lambda: reducer.requests.retries_left_by_service(clock.now())
     )
