Judge work by the target of its route

All calls of a service were judged by the least target of its routes. On a deployment with targets of 0.8, 1.0 and 2.0 s, work with the longest one counted as late after 0.4 s in the queue and was served first come, first served. Bookings now carry the target of their route; where all routes of a service have the same one, nothing changes.

test_a_routes_own_target_decides_what_is_in_time and test_a_booking_has_the_target_of_its_route failed before.

--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -46,6 +46,8 @@
         ``None`` for any.
     :param needs_sole_version: book it only if all decode engines have one
         software version.
+    :param target_s: seconds from its arrival to its first token; 0 for the
+        target of its service.
     """
 
     cell: str
@@ -65,6 +67,7 @@
     may_read_there: bool = False
     software_version: str | None = None
     needs_sole_version: bool = False
+    target_s: float = 0.0
 
 
 class PrefillDone(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandeliongw/cell/cell_types.py
+++ b/dandeliongw/cell/cell_types.py
@@ -129,6 +129,8 @@
     #: The only software version whose decode engines may run it; ``None`` for
     #: any.
     software_version: str | None = None
+    #: Seconds from its arrival to its first token; 0 for the service's target.
+    target_s: float = 0.0
     #: The client was refused before and won't send the request again.
     resent: bool = False
     #: Predictions, updated as events come in; zero if there is none. The
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -272,6 +272,7 @@
             resent=book.resent,
             may_read_there=book.may_read_there,
             software_version=book.software_version,
+            target_s=book.target_s,
         )
         if known is not None:
             # The KV cache stays there until a decode engine takes it.
--- a/dandeliongw/cell/prediction.py
+++ b/dandeliongw/cell/prediction.py
@@ -49,20 +49,25 @@
     """
     terms = view.terms
     patience_s = terms.max_wait_s_by_priority.get(booking.priority, 0.0)
-    target_s = terms.first_token_s + patience_s
+    target_s = _target_s(view, booking) + patience_s
     target_at = min(booking.arrived_at + target_s, booking.deadline_at)
     start_at = target_at - first_token_s(view, booking)
-    bound_s = patience_s or terms.first_token_s
+    bound_s = patience_s or _target_s(view, booking)
     start_at = min(start_at, booking.arrived_at + bound_s)
     return max(booking.arrived_at, start_at)
 
 
 def timely_start(view: CellView, booking: Booking) -> float:
     """Return the latest start at which a booking meets its target."""
-    target_at = booking.arrived_at + view.terms.first_token_s
+    target_at = booking.arrived_at + _target_s(view, booking)
     return target_at - first_token_s(view, booking)
 
 
+def _target_s(view: CellView, booking: Booking) -> float:
+    """Return the target from arrival to first token, in seconds."""
+    return booking.target_s or view.terms.first_token_s
+
+
 def first_token_s(view: CellView, booking: Booking) -> float:
     """Return the time from the start to the first token, in seconds."""
     work_s = prefill_s(view, booking)
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -81,6 +81,8 @@
     #: Seconds without a piece after which its client disconnects; ``None`` if
     #: not known.
     patience_s: float | None = None
+    #: Seconds from arrival to the first token; 0 for the service's target.
+    target_s: float = 0.0
     #: Whether part of its client's time is spent, because an earlier send was
     #: refused.
     is_resent: bool = False
@@ -249,6 +251,7 @@
             max_runs=found.max_runs,
             is_pass_through=True,
             patience_s=found.patience_s if streamed else None,
+            target_s=found.target_s if streamed else 0.0,
             is_resent=(
                 call.deadline_s is not None
                 and call.deadline_s < found.timeout_s * RESENT_FRACTION
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -213,6 +213,7 @@
             if request.origin is None
             else request.origin.software_version,
             needs_sole_version=request.needs_sole_version,
+            target_s=request.admitted.target_s,
         )
         return parts.Send(to=request.owner, message=book)
 
--- a/tests/test_pass_through.py
+++ b/tests/test_pass_through.py
@@ -40,6 +40,17 @@
     return document.parse_document(json.dumps(fields).encode())
 
 
+class TargetTest(unittest.TestCase):
+    """Guards against one target for all routes of a service."""
+
+    def test_a_booking_has_the_target_of_its_route(self):
+        entry = entry_fake.Entry()
+        entry.directory.document = described(target_s=2.0)
+        entry.arrive('completion', host='a.example', path='/model/x')
+        ((_, book),) = entry.sent(cells.Book)
+        self.assertEqual(book.target_s, 2.0)
+
+
 class PassedOn(unittest.TestCase):
     """Base class: an entry whose document has host routes.
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -308,6 +308,18 @@
         self.assertEqual(self.finish(cell, 'runs', 2.1), ['timely'])
         self.assertEqual(self.finish(cell, 'timely', 2.2), ['late'])
 
+    def test_a_routes_own_target_decides_what_is_in_time(self):
+        """Guards against patient work that counts as late.
+
+        A service has the least target of its routes. With it, work of a
+        route that has more time is served as late work would be.
+        """
+        cell = make_burst()
+        self.book(cell, 'runs', 0.0, max_tokens=60)
+        self.book(cell, 'late', 0.1, max_tokens=20)
+        self.book(cell, 'patient', 0.2, max_tokens=20, target_s=4.0)
+        self.assertEqual(self.finish(cell, 'runs', 2.1), ['patient'])
+
     def test_resent_work_goes_between_timely_and_late_work(self):
         """Resent work must not go before work that can be in time.
 
