Soak: an account that exceeds its rate

Callers of one account send half of its rate and then 3.5 times as much; the run checks what is refused within the rate and what runs beyond it.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -688,6 +688,53 @@
         self.assertEqual([], report.broken, '\n'.join(report.lines()))
 
 
+class RateCheckTest(unittest.TestCase):
+    """Guards against a soak that misses wrong refusals, or a wrong grant.
+
+    The account may send 85 requests in 8 s; 113 may run.
+    """
+
+    @params(
+        (80, 8.0, (), ['rate']),
+        (81, 8.0, (), []),
+        (80, 8.0, ('entry-2',), ['rate']),
+        (80, 8.0, ('entry-2', 'entry-3'), []),
+        (80, 16.1, (), ['rate']),
+    )
+    def test_a_refusal_within_the_rate(self, ran, at, disturbed, expected):
+        self.assertEqual(expected, rules(self.make_record(ran, at, disturbed)))
+
+    def make_record(self, ran, refused_at, disturbed=()):
+        times = {f'r{each}': 8.0 * (each + 0.5) / ran for each in range(ran)}
+        return records.Record(
+            asked=[
+                asked(at, each, account='studio-1')
+                for each, at in {**times, 'refused': refused_at}.items()
+            ],
+            arrived=[arrived(at, each) for each, at in times.items()],
+            answered=[answered('refused', 429)],
+            faults=[
+                records.Fault(begin=1.0, end=9.0, what='', machines=(name,))
+                for name in disturbed
+            ],
+        )
+
+    @params((113, []), (114, ['rate']))
+    def test_more_than_the_rate(self, ran, expected):
+        record = self.make_record(ran, 8.0)
+        self.assertEqual(expected, rules(record))
+
+
+class ExceededRateTest(unittest.TestCase):
+    """Guards against refusals of an account that has not used its rate up."""
+
+    def test_it_gets_its_rate_and_no_more(self):
+        plan = run.Plan(seed=1, seconds=1.0, only=('exceed_rate',))
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(plan, pathlib.Path(folder)))
+        self.assertEqual([], report.broken, '\n'.join(report.lines()))
+
+
 class LeavingAnswerCheckTest(unittest.TestCase):
     """Guards against a soak that misses requests to servers that leave."""
 
