Build validators when a model is first used; look for no pydantic plugins

Cause: all models built their validators when imported, most of them only to be parts of others, and pydantic read the metadata of all installed libraries.

--- a/dandeliongw/models.py
+++ b/dandeliongw/models.py
@@ -7,6 +7,7 @@
 import inspect
 import itertools
 import json
+import os
 import textwrap
 import typing
 
@@ -15,6 +16,10 @@
 from . import _secrets
 from . import exceptions
 
+# Without this, pydantic reads the metadata of all installed libraries to look
+# for plugins: 20 ms of the start of an instance, which uses none.
+os.environ.setdefault('PYDANTIC_DISABLE_PLUGINS', '__all__')
+
 #: Version of a backend server's program; any text, as versions are only
 #: compared for equality.
 SoftwareVersion = typing.Annotated[
@@ -66,6 +71,9 @@
         extra='forbid',
         strict=True,
         allow_inf_nan=False,
+        # A validator is built when its model is first used. Most models are
+        # only parts of others, or are of no use to most instances.
+        defer_build=True,
     )
 
     def find_problems(self) -> abc.Iterator[exceptions.Problem]:
