--- a/tests/owner_replay.py
+++ b/tests/owner_replay.py
@@ -66,7 +66,7 @@
 
     def dispatch(self, *, now, view):
         self.decided += len(view.queue)
-        first = view.queue[0]
+        first = next(iter(view.queue))
         if now > first.latest_start_at:
             return [(first, declines.waited(first))]
         placed = self._place(view)
--- a/tests/reference_cell.py
+++ b/tests/reference_cell.py
@@ -202,6 +202,9 @@
             first = min(waiting, key=lambda each: order(now, view, each))
             placed = self._place(now, view, first)
             if placed is not None:
+                self.capacity_use.record_prefill(
+                    view, first, placed.prefill_id
+                )
                 return [(first, placed)]
             version = first.software_version
             if version is None:
