Tell the owner for how long a call has waited at its entry

With paced bookings, calls wait at their entry while the owner answers late. The owner counted their time from the booking, so that late calls went before those that could be in time.

test_what_waited_at_its_entry_counts_as_late failed before.

--- a/dandeliongw/cell/cell_messages.py
+++ b/dandeliongw/cell/cell_messages.py
@@ -48,6 +48,7 @@
         software version.
     :param target_s: seconds from its arrival to its first token; 0 for the
         target of its service.
+    :param waited_s: seconds since its arrival, if it has waited at its entry.
     """
 
     cell: str
@@ -68,6 +69,7 @@
     software_version: str | None = None
     needs_sole_version: bool = False
     target_s: float = 0.0
+    waited_s: float = 0.0
 
 
 class PrefillDone(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -275,7 +275,7 @@
             max_tokens=book.max_tokens,
             prefix=book.prefix,
             exclude=book.exclude,
-            arrived_at=now,
+            arrived_at=now - book.waited_s,
             deadline_at=now + book.deadline_s,
             renewed_at=now,
             prefill_done=book.stage is Stage.DECODE,
--- a/dandeliongw/entry/paced_reservations.py
+++ b/dandeliongw/entry/paced_reservations.py
@@ -112,6 +112,16 @@
         delay_s = 0.0 if pace is None else pace.reading_delay_s
         return max(0.0, request.placement_timeout_s(now) - delay_s)
 
+    def _waited_s(self, now: float, request: Request) -> float:
+        """Return the seconds for which a request waited before it is read.
+
+        Without them, an owner would take what has waited here for work that
+        can be in time.
+        """
+        pace = self._paces_by_cell.get(request.cell)
+        delay_s = 0.0 if pace is None else pace.reading_delay_s
+        return now - request.arrived_at + delay_s
+
     # Owners
 
     def note_message(
--- a/dandeliongw/entry/reservations.py
+++ b/dandeliongw/entry/reservations.py
@@ -243,6 +243,7 @@
             else request.origin.software_version,
             needs_sole_version=request.needs_sole_version,
             target_s=request.admitted.target_s,
+            waited_s=self._waited_s(now, request),
         )
         return parts.Send(to=request.owner, message=book)
 
@@ -252,6 +253,10 @@
         """Return the seconds that remain when the owner reads the booking."""
         return request.placement_timeout_s(now)
 
+    def _waited_s(self, now: float, request: request_module.Request) -> float:
+        """Return for how long the owner is told that a request has waited."""
+        return 0.0
+
     def rebook(
         self,
         now: float,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -308,6 +308,14 @@
         self.assertEqual(self.finish(cell, 'runs', 2.1), ['timely'])
         self.assertEqual(self.finish(cell, 'timely', 2.2), ['late'])
 
+    def test_what_waited_at_its_entry_counts_as_late(self):
+        """Guards against late work that is taken for work in time."""
+        cell = make_burst()
+        self.book(cell, 'runs', 0.0, max_tokens=60)
+        self.book(cell, 'waited', 1.9, max_tokens=20, waited_s=1.5)
+        self.book(cell, 'timely', 2.0, max_tokens=20)
+        self.assertEqual(self.finish(cell, 'runs', 2.1), ['timely'])
+
     def test_a_routes_own_target_decides_what_is_in_time(self):
         """Guards against patient work that counts as late.
 
