--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,7 +1,7 @@
 """Runs the tests with nose2 and prints the counts as the last line.
 
-All tests are run by two processes: one runs the soaks, which wait for real
-processes most of the time, and the other one runs the rest.
+All tests are run by two processes: one runs those that start real processes,
+and mostly waits for them, and the other one runs the rest.
 """
 
 from collections import abc
@@ -16,9 +16,13 @@
 
 KNOWN_RED = pathlib.Path('KNOWN-RED.txt')
 TESTS = pathlib.Path('tests')
-#: Takes half of the time of all tests. Its soaks come one after the other:
-#: several of them beside each other would not keep their bounds on time.
-SOAK_MODULE = 'tests.test_platform_soak'
+#: They come one after the other: several systems beside each other would not
+#: keep their bounds on time.
+PROCESS_MODULES = (
+    'tests.test_platform_soak',
+    'tests.test_system',
+    'tests.test_docs',
+)
 
 
 class Counts(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,12 +65,12 @@
 
 
 def run_all() -> abc.Iterator[Counts]:
-    """Run all tests, the soaks beside the others."""
-    modules = [f'tests.{each.stem}' for each in TESTS.glob('test_*.py')]
-    others = sorted(name for name in modules if name != SOAK_MODULE)
+    """Run all tests, those with real processes beside the others."""
+    modules = {f'tests.{each.stem}' for each in TESTS.glob('test_*.py')}
+    others = sorted(modules - set(PROCESS_MODULES))
     context = multiprocessing.get_context('spawn')
     with context.Pool(2, maxtasksperchild=1) as pool:
-        yield from pool.starmap(run, [(SOAK_MODULE,), others], chunksize=1)
+        yield from pool.starmap(run, [PROCESS_MODULES, others], chunksize=1)
 
 
 def main() -> int:
