Shedding test: an engine with memory for one booking

The engine had memory for one token, to keep bookings in the queue. Since capacity counts KV memory, one booking of the best rank takes all of such an engine, and other ranks are declined for that before anything waits. The checks are as they were.

--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -104,7 +104,8 @@
         )
 
     def test_the_worst_rank_that_waits_is_declined_first(self):
-        self.make(kv_tokens_by_role={'decode': 1})
+        # Memory for one booking.
+        self.make(kv_tokens_by_role={'decode': 1_900})
         self.book(0.01, 0)
         self.assertIsInstance(self.book(0.02, 1), cells.Queued)
         self.assertIsInstance(self.book(0.31, 0), cells.Queued)
