--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -240,8 +240,8 @@
         if not self._options.timely:
             return (rank, booking.arrived_at), math.inf
         penalty_s = LENGTH_PENALTY * view.decode_s(booking)
-        hope, until = _urgency(now, view, booking)
-        return (rank, hope, booking.arrived_at + penalty_s), until
+        urgency, until = _urgency(now, view, booking)
+        return (rank, urgency, booking.arrived_at + penalty_s), until
 
     def _ordered(self, now: float, view: CellView) -> abc.Iterator[Booking]:
         return view.queue.ordered(
--- a/dandeliongw/coordination/_rate_window.py
+++ b/dandeliongw/coordination/_rate_window.py
@@ -33,8 +33,7 @@
 PROMISE_S = 0.15
 #: Part of the window in which promises keep nobody else out. The tolerance of
 #: the limits is larger than the rest, so nobody is refused for a promise
-#: before the account has used what it was given. In simulations of seven
-#: times the rate, 3 of 113 callers that returned in time were refused again.
+#: before the account has used what it was given.
 OPEN_PART = 0.97
 #: Promises that are kept for one account. At the largest rates, the room of
 #: 6 s is promised then; few callers return later than that.
