--- a/review/common.py
+++ b/review/common.py
@@ -109,7 +109,9 @@
         return machine.ip, self.ports['control']
 
     def use_as_seeds(self, machines):
-        self._seeds = [f'{each.ip}:{self.ports["control"]}' for each in machines]
+        self._seeds = [
+            f'{each.ip}:{self.ports["control"]}' for each in machines
+        ]
 
     def start(self, machine, *, bootstrap):
         role = self._roles[machine.role]
