Voters: a table of all events in all states of a change; a disk lost again

Cause: while a change of the voters was in progress, an instance could only withdraw it, and only if the joining instance was absent. An instance that was alive with another disk than the one that joins did nothing, and so did all others. Disks weren't compared. The class is a change judged by the instance that it names instead of by what can become of its new voter: gone, back with another disk, leaving, or alive and never caught up.

It gives up no majority: the joining set is exchanged or dropped, and a quorum needs a majority of the present voters throughout, as before.

Related: "has caught up" stayed set for a disk that had lost its vote since. The register refuses another joiner while one is joining; a stale proposer could exchange it before.

--- a/dandeliongw/coordination/changes.py
+++ b/dandeliongw/coordination/changes.py
@@ -283,10 +283,8 @@
             return f'{self.by!r} is already a voter with its present disk'
         if self.by in present and self.by != self.instance_id:
             return f'{self.by!r} is a voter; it can replace only its own disk'
-        leaving = set(present) - set(voters.joining_by_id)
-        if voters.joining_by_id and leaving - {self.instance_id}:
-            names = ', '.join(sorted(leaving))
-            return f'the replacement of {names} is in progress'
+        if voters.joiner not in ('', self.by):
+            return f'the change that adds {voters.joiner} is in progress'
         return None
 
 
@@ -311,7 +309,7 @@
     def apply(self, configuration: configurations.Configuration) -> Decision:
         """Set the enlarged set as joining, beside the present voters."""
         voters = configuration.voters
-        if voters.joining_by_id:
+        if voters.joiner not in ('', self.by):
             message = 'another change of the voters is in progress'
             return Decision(result=VoterRefused(message=message))
         if self.by in voters.voters_by_id:
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -337,6 +337,12 @@
             {} if configuration is None else configuration.voters.joining_by_id
         )
 
+    @property
+    def joiner(self) -> str:
+        """Return the instance whose disk is joining; empty without one."""
+        configuration = self.configuration
+        return '' if configuration is None else configuration.voters.joiner
+
     @property
     def voters_number(self) -> int:
         """Return the version of the confirmed voter sets; 0 before one."""
@@ -745,6 +751,9 @@
             effects.append(changed)
             effects.extend(self._hints.confirmed(after.revision))
         if before is None or before.voters != after.voters:
+            if self.disk_id not in after.voters.instance_by_disk:
+                # It has to catch up again if it joins again.
+                self._is_disk_caught_up = False
             changed_voters = VotersChanged(
                 voters_by_id=after.voters.voters_by_id,
                 joining_by_id=after.voters.joining_by_id,
--- a/dandeliongw/coordination/voters.py
+++ b/dandeliongw/coordination/voters.py
@@ -48,6 +48,18 @@
         both = (*self.voters_by_id.items(), *self.joining_by_id.items())
         return {disk_id: instance_id for instance_id, disk_id in both}
 
+    @property
+    def joiner(self) -> str:
+        """The instance whose disk is joining; ``''`` without a change."""
+        return next(
+            (
+                instance_id
+                for instance_id, disk_id in sorted(self.joining_by_id.items())
+                if self.voters_by_id.get(instance_id) != disk_id
+            ),
+            '',
+        )
+
     def is_joining(self, disk_id: str | None) -> bool:
         """Return whether a disk is in the joining set but not a voter yet."""
         return (
--- a/dandeliongw/voter_replacement.py
+++ b/dandeliongw/voter_replacement.py
@@ -7,6 +7,7 @@
 import typing
 
 from . import effects
+from . import voter_table
 from .coordination import claim_messages
 from .coordination import lease
 from .coordination import membership
@@ -21,6 +22,12 @@
 #: takes two. After a longer network partition the voter loses its vote, and
 #: rejoins as a new one.
 ABSENCE_LIMIT_S = 20.0
+#: Seconds after which a change whose new voter is present but doesn't catch
+#: up is withdrawn, so that others can join.
+CHANGE_LIMIT_S = 60.0
+#: Seconds for which an instance whose change was withdrawn lets others join
+#: before it tries again.
+WITHDRAWN_PAUSE_S = 3.0
 #: Ticket prefix of the proposals to change the voters.
 TICKET = 'repair:'
 
@@ -46,7 +53,10 @@
         self._members = members
         self._most_voters = most_voters
         self._absent_since_by_id: dict[str, float] = {}
+        #: Number of the voter sets, and since when they are known.
+        self._number_since = (-1, 0.0)
         self._next_attempt_at = 0.0
+        self._was_joiner = False
         #: Name and voter set number of the parts that have caught up.
         self._caught_up: set[tuple[str, int]] = set()
 
@@ -101,54 +111,56 @@
         return [effects.Dispatch(event=caught_up)]
 
     def review(self, now: float, entropy: int) -> list[typing.Any]:
-        """Begin or withdraw a change of the voters, if one is needed.
-
-        There is one change at a time. The instance that joins begins it.
-        """
+        """Take the next step of a change of the voters, if one is needed."""
         self._update_absent(now)
         if self._register.configuration is None or now < self._next_attempt_at:
             return []
-        change = self._choose_change(now, entropy)
-        if change:
-            self._next_attempt_at = now + REPAIR_S
-        return change
-
-    def _choose_change(self, now: float, entropy: int) -> list[typing.Any]:
-        state = self._register
-        if state.joining_by_id:
-            return self._withdraw(now, entropy)
-        voting_disk_id = state.voters_by_id.get(self._instance_id)
-        if voting_disk_id == state.disk_id:
+        view = self._view(now)
+        is_withdrawn = self._was_joiner and not (
+            view.is_joiner or view.is_voter
+        )
+        self._was_joiner = view.is_joiner
+        if is_withdrawn:
+            self._next_attempt_at = now + WITHDRAWN_PAUSE_S
             return []
-        if voting_disk_id is not None:
-            return self._propose(now, entropy, in_place_of=self._instance_id)
-        if state.disk_id is None or self._most_voters is None:
+        step = voter_table.next_step(view)
+        if step.action is voter_table.Action.WAIT:
             return []
-        return self._join(now, entropy)
-
-    def _join(self, now: float, entropy: int) -> list[typing.Any]:
-        """Replace a voter that is gone, or join as an additional voter.
+        self._next_attempt_at = now + REPAIR_S
+        if step.action is voter_table.Action.PROPOSE:
+            return self._propose(now, entropy, in_place_of=step.voter)
+        return self._withdraw(now, entropy)
 
-        While a voter is absent but not yet gone, nothing is done. If this
-        instance joined as an additional voter then, the absent voter would
-        still count, and a majority would need more of the remaining voters.
-        """
-        gone = sorted(
-            voter
-            for voter in self._register.voters_by_id
-            if self._is_gone(now, voter)
-        )
-        if gone:
-            return self._propose(now, entropy, in_place_of=gone[0])
-        are_all_present = not self._absent_since_by_id.keys() & (
-            self._register.voters_by_id.keys()
+    def _view(self, now: float) -> voter_table.View:
+        state = self._register
+        own = self._members.members_by_id.get(self._instance_id)
+        instance_ids = state.voters_by_id.keys() | state.joining_by_id.keys()
+        if self._number_since[0] != state.voters_number:
+            self._number_since = (state.voters_number, now)
+        return voter_table.View(
+            instance_id=self._instance_id,
+            disk_id=state.disk_id,
+            is_leaving=own is not None and _is_leaving(own),
+            voters_by_id=state.voters_by_id,
+            joining_by_id=state.joining_by_id,
+            joiner=state.joiner,
+            presence_by_id={
+                each: self._presence(now, each) for each in instance_ids
+            },
+            most_voters=self._most_voters,
+            is_stuck=now - self._number_since[1] >= CHANGE_LIMIT_S,
         )
-        if (
-            are_all_present
-            and len(self._register.voters_by_id) < self._most_voters
-        ):
-            return self._propose(now, entropy, in_place_of='')
-        return []
+
+    def _presence(self, now: float, instance_id: str) -> voter_table.Presence:
+        member = self._members.members_by_id.get(instance_id)
+        since = self._absent_since_by_id.get(instance_id)
+        if since is None:
+            if member is not None and _is_leaving(member):
+                return voter_table.Presence.LEAVING
+            return voter_table.Presence.PRESENT
+        if now - since >= ABSENCE_LIMIT_S:
+            return voter_table.Presence.GONE
+        return voter_table.Presence.ABSENT
 
     def _propose(
         self, now: float, entropy: int, *, in_place_of: str
@@ -166,34 +178,27 @@
             effects.log(
                 "proposing this instance's disk as a voter",
                 in_place_of=in_place_of,
+                joiner=state.joiner,
             ),
             effects.Dispatch(event=replace),
         ]
 
     def _withdraw(self, now: float, entropy: int) -> list[typing.Any]:
-        """Withdraw a change whose new voter is gone; any voter may do so."""
         state = self._register
-        new_voters = state.joining_by_id.keys() - state.voters_by_id.keys()
-        is_voter = self._instance_id in state.voters_by_id
-        if not is_voter or not any(
-            self._is_gone(now, voter) for voter in new_voters
-        ):
-            return []
         withdraw = register.WithdrawJoining(
             now=now, number=state.voters_number, entropy=entropy
         )
+        view = self._view(now)
         return [
             effects.log(
                 'withdrawing a voter change: the joining voter is gone',
                 level='WARNING',
+                joiner=view.joiner,
+                is_stuck=view.is_stuck,
             ),
             effects.Dispatch(event=withdraw),
         ]
 
-    def _is_gone(self, now: float, instance_id: str) -> bool:
-        since = self._absent_since_by_id.get(instance_id)
-        return since is not None and now - since >= ABSENCE_LIMIT_S
-
     def _update_absent(self, now: float) -> None:
         """Update since when each current or joining voter is not alive."""
         state = self._register
@@ -202,3 +207,7 @@
         self._absent_since_by_id = {
             voter: self._absent_since_by_id.get(voter, now) for voter in absent
         }
+
+
+def _is_leaving(member: membership.Member) -> bool:
+    return member.draining or member.state is membership.MemberState.LEFT
--- a/tests/test_voter_replacement.py
+++ b/tests/test_voter_replacement.py
@@ -5,10 +5,13 @@
 from nose2.tools import params
 
 from dandeliongw.coordination import register
+from dandeliongw import events
 from dandeliongw import voter_replacement
 from tests import network
 
 LIMIT_S = 60.0
+#: Seconds for which a lost machine is down.
+DOWN_S = 1.0
 
 
 def voters(net, instance_id='gw-1'):
@@ -23,6 +26,33 @@
     return net
 
 
+def with_spares(count, spares):
+    """Return a network of ``count`` voters and machines not yet started."""
+    net = network.Network(
+        count=count + spares,
+        voters=3,
+        most_voters=11,
+    )
+    for number in range(count, count + spares):
+        net.crash(f'gw-{number + 1}')
+    net.run_until(lambda: len(voters(net)) == count, LIMIT_S)
+    # As if those that start later had never been heard of.
+    for each in net.reducers_by_id.values():
+        for number in range(count, count + spares):
+            each.membership.members_by_id.pop(f'gw-{number + 1}', None)
+    return net
+
+
+def add(net, instance_id):
+    net.start(instance_id, disk_id=f'disk-{instance_id}')
+
+
+def lose_disk(net, instance_id, disk_id):
+    net.crash(instance_id)
+    net.run(DOWN_S)
+    net.start(instance_id, disk_id=disk_id)
+
+
 def is_accepted(net, instance_id, order):
     """Return whether a numbered change is applied within 4 s."""
     held = net.reducers_by_id[instance_id].register
@@ -119,3 +149,49 @@
         self.assertEqual(sorted(voters(net)), ['gw-1', 'gw-2', 'gw-3'])
         net.crash('gw-2')
         self.assertTrue(is_accepted(net, 'gw-1', 1))
+
+    def test_a_joining_instance_that_leaves_is_withdrawn(self):
+        """Guards against a change that waits for a voter which is leaving."""
+        net = network.Network(count=4, voters=3, most_voters=4)
+        held = net.reducers_by_id['gw-1'].register
+        net.run_until(lambda: 'gw-4' in held.joining_by_id, LIMIT_S)
+        net.post('gw-4', events.ShutdownBegun(now=net.now))
+        net.run_until(lambda: not held.joining_by_id, 3.0)
+        self.assertEqual(sorted(voters(net)), ['gw-1', 'gw-2', 'gw-3'])
+
+    def test_a_joining_instance_that_is_stuck_is_withdrawn(self):
+        """Guards against one faulty disk that keeps all others from joining.
+
+        The new voter answers, but its copy of the leases never ends.
+        """
+        net = with_spares(3, 2)
+        net.loses = lambda sender, to, message: (
+            to == 'gw-4' and type(message).__name__ == 'LeaseEpochs'
+        )
+        add(net, 'gw-4')
+        net.run(10.0)
+        add(net, 'gw-5')
+        net.run_until(
+            lambda: 'gw-5' in voters(net),
+            voter_replacement.CHANGE_LIMIT_S + 30.0,
+        )
+
+    def test_a_lost_disk_is_replaced_while_the_same_disk_catches_up(self):
+        """Guards against a change whose new disk is gone for ever."""
+        net = grown()
+        lose_disk(net, 'gw-5', 'disk-second')
+        held = net.reducers_by_id['gw-1'].register
+        net.run_until(lambda: held.joining_by_id, LIMIT_S)
+        lose_disk(net, 'gw-5', 'disk-third')
+        net.run_until(lambda: voters(net).get('gw-5') == 'disk-third', LIMIT_S)
+
+    def test_a_new_machine_whose_disk_is_lost_joins_with_the_next_one(self):
+        """Guards against an addition whose new disk is gone for ever."""
+        net = with_spares(5, 1)
+        add(net, 'gw-6')
+        held = net.reducers_by_id['gw-1'].register
+        net.run_until(lambda: 'gw-6' in held.joining_by_id, LIMIT_S)
+        lose_disk(net, 'gw-6', 'disk-second')
+        net.run_until(
+            lambda: voters(net).get('gw-6') == 'disk-second', LIMIT_S
+        )
