Reset a caller's connection when a stream without chunks breaks off

What callers saw: a caller with HTTP/1.0 whose stream broke off in the middle got the same regular end of its connection as after a whole stream.

Cause: an answer to HTTP/1.0 has neither length nor chunks, so the end of the connection is its end, and the HTTP server ends it regularly whatever the reason.

Change: a connection that is broken off in such an answer is reset.

Evidence and result: test_broken_stream_without_chunks_is_reset fails on the code before (regular end), passes now; the whole stream still ends regularly.

--- a/dandeliongw/api/gateway.py
+++ b/dandeliongw/api/gateway.py
@@ -270,6 +270,11 @@
         """Close the connection after this answer."""
         self._incoming.close_connection = True
 
+    def break_off(self) -> None:
+        """End the answer so that the caller sees that it is incomplete."""
+        if not self._incoming.chunked_write:
+            self._incoming.conn.is_broken_off = True
+
     def start(self, status: int, headers: Headers) -> None:
         """Send status and headers with the first bytes of the body."""
         self._start_response(_status_line(status), list(headers))
@@ -374,6 +379,7 @@
                 why=item.message,
                 pieces=self._pieces,
             )
+            self._reply.break_off()
             # Ends the connection without the last chunk, so that the caller
             # can see that the body is incomplete. The HTTP server handles
             # this error as a disconnected caller.
--- a/dandeliongw/api/http_ports.py
+++ b/dandeliongw/api/http_ports.py
@@ -20,6 +20,7 @@
 from .. import exceptions
 from .. import hosts
 from .. import settings as settings_module
+from .. import sockets
 from . import _application
 from . import _deadlines
 from . import _headers
@@ -82,7 +83,23 @@
 
 
 class _Connection(cheroot.server.HTTPConnection):
+    """A caller's connection.
+
+    ``is_broken_off``: whether it ends in the middle of an answer without a
+    length. Such a connection is reset: its regular end would complete the
+    answer.
+    """
+
     RequestHandlerClass = _Request
+    is_broken_off = False
+
+    def _close_kernel_socket(self) -> None:
+        if not self.is_broken_off:
+            super()._close_kernel_socket()
+            return
+        sockets.reset_on_close(self.socket)
+        # It ends with the last of the objects that refer to it.
+        self.wfile.close()
 
     def __init__(
         self,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -334,6 +334,32 @@
         self.assertNotIn(b'\r\n0\r\n', got)
         self.assertTrue(facade.closed.acquire(timeout=test_callers.TIMEOUT_S))
 
+    def test_broken_stream_without_chunks_is_reset(self):
+        """Guards against a truncated answer that ends like a whole one.
+
+        A caller with HTTP/1.0 sees the end of a stream by the end of its
+        connection.
+        """
+        broken = engine.EngineError('gone', known=MAY_HAVE_RUN)
+        for last, is_broken in ((broken, True), (None, False)):
+            end = (
+                refuse(REASON.BACKEND_FAILED, MAY_HAVE_RUN)
+                if is_broken
+                else COMPLETE
+            )
+            facade = ScriptedFacade(DECODE, end, last=last)
+            with serving(facade) as port, connect(port) as caller:
+                caller.sendall(raw().replace(b'HTTP/1.1', b'HTTP/1.0'))
+                if is_broken:
+                    with self.assertRaises(ConnectionResetError):
+                        while caller.recv(65536):
+                            pass
+                    continue
+                got = b''
+                while more := caller.recv(65536):
+                    got += more
+                self.assertTrue(got.endswith(b''.join(EVENTS)))
+
     def test_error_answer_of_backend_server_is_forwarded(self):
         """The caller gets the backend server's answer, not one of ours."""
         reply = engine.Reply(
