Tunnels: an end mark tells the regular end of a backend server's connection

Cause: such an answer ends with its connection, and a tunnel is two connections. Whatever ended the far one (a reset, the end or the kill of the serving instance, a connection given up after a leave) ended the near one regularly, by abort() or by the operating system.

Evidence: with real sockets on the code before, a reset behind a tunnel and a serving instance that ends are read as whole answers; a reset on the direct path is an error. So neither the entry nor the server is at fault.

Now the asking instance names random bytes, which the serving one sends after the server's regular end and never else; all other ends are resets. Without the mark an answer without a length is broken off. Bytes are held back only while they may begin the mark, so events aren't delayed. An end after the socket was shut down here is no regular end either.

One test is replaced: what a server sent before its end arrives, and the mark after it; it compares all bytes instead of their number.

--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -26,11 +26,14 @@
 from . import engine
 from . import paths
 from . import sockets
+from . import tunnels
 from . import verdict
 
 #: Seconds without an answer after which the path of a connection that was
 #: used before is checked, or half of the time that the call has.
 SUSPECT_S = 0.5
+#: Most bytes that are read at once.
+READ_BYTES = 65536
 #: Size limit of a line in a stream; its pieces and end mark are short lines.
 MAX_LINE_BYTES = 1 << 20
 #: In a refusal: seconds for which the backend server wants no request.
@@ -238,14 +241,11 @@
         :param most: size limit in bytes.
         :raises EngineError: also when the body is truncated or too long.
         """
-        with self._as_engine_error():
-            body = response.read(most + 1)
-            while len(body) <= most:
-                more = response.read(most + 1 - len(body))
-                if not more:
-                    self._is_complete = True
-                    break
-                body += more
+        body = b''
+        for data in self.chunks(response):
+            body += data
+            if len(body) > most:
+                break
         if len(body) > most:
             raise engine.EngineError(
                 f'the answer is larger than {most} bytes',
@@ -256,16 +256,50 @@
     def chunks(self, response: typing.Any) -> abc.Iterator[bytes]:
         """Yield a body as it arrives.
 
-        :raises EngineError: when it ends early or stalls.
+        :raises EngineError: when it ends early or stalls, or if it ends in a
+            way that can't be told from an early end.
         """
+        chunks = self._raw_chunks(response)
+        if response.length_remaining is None and not response.chunked:
+            chunks = self._until_regular_end(chunks)
+        yield from chunks
+        self._is_complete = True
+
+    def _raw_chunks(self, response: typing.Any) -> abc.Iterator[bytes]:
         while True:
             with self._as_engine_error():
-                data = response.read1(65536)
+                data = response.read1(READ_BYTES)
             if not data:
-                self._is_complete = True
                 return
             yield data
 
+    def _until_regular_end(
+        self, chunks: abc.Iterator[bytes]
+    ) -> abc.Iterator[bytes]:
+        """Yield a body without a length, which ends with its connection.
+
+        :raises EngineError: unless the backend server is known to have
+            closed the connection regularly.
+        """
+        end_mark = getattr(self._connection, 'end_mark', None)
+        if end_mark is None:
+            yield from chunks
+            is_regular = not self._aborted
+        else:
+            splitter = tunnels.EndMarkSplitter(end_mark=end_mark)
+            for data in chunks:
+                before = splitter.push(data)
+                if before:
+                    yield before
+            is_regular = splitter.is_at_mark
+        if not is_regular:
+            raise engine.EngineError(
+                'the connection ended, perhaps in the middle of an answer '
+                'without a length',
+                known=verdict.Verdict.MAY_HAVE_RUN,
+                is_cut=not self._aborted,
+            )
+
     def lines(self, response: typing.Any) -> abc.Iterator[bytes]:
         r"""Yield the lines of a body as they arrive, without their ``\n``."""
         rest = b''
--- a/dandeliongw/paths.py
+++ b/dandeliongw/paths.py
@@ -96,6 +96,7 @@
     outcome: tunnels.Outcome
     helper: effects.TunnelPeer | None = None
     connection: socket.socket | None = None
+    end_mark: bytes = b''
 
 
 class Paths:
@@ -189,7 +190,7 @@
             self._check_in_background(address, path)
             opened = self._ask(through, address)
             if opened.connection is not None:
-                return _connection(address, opened.connection)
+                return _connection(address, opened.connection, opened.end_mark)
         direct_s = min(timeout_s, DIRECT_S) if self._peers else timeout_s
         try:
             made = socket.create_connection((host, port), direct_s)
@@ -197,7 +198,7 @@
             if not self._peers or clock.now() < path.down_until:
                 raise
             found = self._find_detour(address, path, error)
-            return _connection(address, found)
+            return _connection(address, found.connection, found.end_mark)
         if through is not None:
             self._set_through(address, path, None)
         return _connection(address, made)
@@ -273,8 +274,8 @@
 
     def _find_detour(
         self, address: tunnels.Address, path: _Path, error: OSError
-    ) -> socket.socket:
-        """Return a connection through another instance.
+    ) -> '_Answer':
+        """Return the answer with a connection through another instance.
 
         :param error: of the direct connection.
         :raises OSError: if no instance reaches the backend server.
@@ -282,7 +283,7 @@
         answer = self._ask_others(address)
         if answer.connection is not None:
             self._set_through(address, path, answer.helper, error)
-            return answer.connection
+            return answer
         path.through = None
         path.down_until = clock.now() + DOWN_S
         if answer.outcome is tunnels.Outcome.REFUSED:
@@ -299,6 +300,7 @@
                     outcome=opened.outcome,
                     helper=peer,
                     connection=opened.connection,
+                    end_mark=opened.end_mark,
                 )
             if opened.outcome is tunnels.Outcome.REFUSED:
                 outcome = opened.outcome
@@ -387,7 +389,7 @@
                     opened.connection.close()
                     return
             try:
-                self._find_detour(address, path, error).close()
+                self._find_detour(address, path, error).connection.close()
             except OSError:
                 # No instance reaches it, so there is no path to change to.
                 return
@@ -410,10 +412,24 @@
     return True
 
 
+class Connection(urllib3.connection.HTTPConnection):
+    """An open connection to a backend server.
+
+    :param end_mark: comes after the last byte if the backend server closed
+        the connection regularly; ``b''`` if nothing tells that. ``None`` on
+        a direct connection, whose own end does.
+    """
+
+    end_mark: bytes | None = None
+
+
 def _connection(
-    address: tunnels.Address, made: socket.socket
-) -> urllib3.connection.HTTPConnection:
-    connection = urllib3.connection.HTTPConnection(address.host, address.port)
+    address: tunnels.Address,
+    made: socket.socket,
+    end_mark: bytes | None = None,
+) -> Connection:
+    connection = Connection(address.host, address.port)
+    connection.end_mark = end_mark
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.sock = made
     return connection
--- a/dandeliongw/tunnels.py
+++ b/dandeliongw/tunnels.py
@@ -4,6 +4,11 @@
 it, with HTTP's ``CONNECT``, and then sends its own call through. The call
 stays with the instance that its caller chose: its booking, retries, deadline,
 account and log lines don't know of the detour.
+
+The end of a tunnel proves nothing about the end of the backend server's
+connection: the far instance may have ended. So the asking instance names an
+*end mark*, random bytes, which the far one sends after the backend server has
+closed its connection regularly, and in no other case.
 """
 
 import asyncio
@@ -13,6 +18,8 @@
 import enum
 import hmac
 import http.client
+import re
+import secrets
 import socket
 import threading
 
@@ -34,6 +41,11 @@
 #: checked, seconds between two checks, and failed checks that end it. Without
 #: them, a backend server would work on for an instance that lost its power.
 KEEP_IDLE_S, KEEP_EVERY_S, KEEP_TRIES = 5, 2, 3
+END_MARK_BYTES = 16
+#: In a request for a tunnel, the end mark in hexadecimal; in the answer, the
+#: same if the far instance sends it.
+_END_MARK_HEADER = 'X-End-Mark'
+_END_MARK = re.compile(r'[0-9a-f]{%d}' % (2 * END_MARK_BYTES))
 _PROOF_HEADER = 'Proxy-Authorization'
 _PROOF_SCHEME = 'Dandeliongw'
 
@@ -76,10 +88,48 @@
 
     :param connection: ends at the backend server; ``None`` unless it was
         opened.
+    :param end_mark: comes after the last byte if the backend server closed
+        its connection regularly; ``b''`` if the far instance sends none.
     """
 
     outcome: Outcome
     connection: socket.socket | None = None
+    end_mark: bytes = b''
+
+
+class _Request(msgspec.Struct, frozen=True, kw_only=True):
+    """A valid request for a tunnel.
+
+    :param end_mark: ``b''`` if the asking instance knows no end marks.
+    """
+
+    target: Address
+    end_mark: bytes
+
+
+class EndMarkSplitter:
+    """Takes the end mark off the bytes that a tunnel carries.
+
+    Bytes are held back only while they may be the beginning of the mark.
+    """
+
+    def __init__(self, *, end_mark: bytes) -> None:
+        self._end_mark = end_mark
+        self._held = b''
+
+    def push(self, data: bytes) -> bytes:
+        """Return the bytes that are certainly not of the end mark."""
+        data = self._held + data
+        length = min(len(data), len(self._end_mark))
+        while length and not data.endswith(self._end_mark[:length]):
+            length -= 1
+        self._held = data[len(data) - length :]
+        return data[: len(data) - length]
+
+    @property
+    def is_at_mark(self) -> bool:
+        """Whether the last bytes were the whole end mark."""
+        return bool(self._end_mark) and self._held == self._end_mark
 
 
 def open_through(
@@ -94,7 +144,11 @@
         made = socket.create_connection((far.host, far.port), timeout_s)
     except OSError:
         return Opened(outcome=Outcome.UNAVAILABLE)
-    head = f'CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n'
+    end_mark = secrets.token_bytes(END_MARK_BYTES)
+    head = (
+        f'CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n'
+        f'{_END_MARK_HEADER}: {end_mark.hex()}\r\n'
+    )
     if secret is not None:
         head += f'{_proof(secret, str(target))}\r\n'
     answer = http.client.HTTPResponse(made, method='CONNECT')
@@ -109,7 +163,9 @@
         answer.close()
         made.close()
         return Opened(outcome=outcome)
-    return Opened(outcome=outcome, connection=made)
+    if answer.headers.get(_END_MARK_HEADER) != end_mark.hex():
+        end_mark = b''
+    return Opened(outcome=outcome, connection=made, end_mark=end_mark)
 
 
 def _proof(secret: bytes, target: str) -> str:
@@ -215,16 +271,19 @@
         except Exception as error:
             logger.error(f'serving a tunnel failed: {error!r}')
         finally:
-            # Bytes on their way to a closed end are of no use.
+            # Bytes on their way to a closed end are of no use, and a regular
+            # end would look like that of the backend server's answer.
+            sockets.reset_on_close(writer.get_extra_info('socket'))
             writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         _keep_alive(writer)
-        target = await self._read_target(reader)
-        if target is None or not self._has_room():
+        request = await self._read_request(reader)
+        if request is None or not self._has_room():
             return await self._answer(writer, Outcome.UNAVAILABLE)
+        target = request.target
         if not self._may_connect(target):
             return await self._answer(writer, Outcome.UNREACHABLE)
         try:
@@ -237,8 +296,10 @@
         except OSError:
             return await self._answer(writer, Outcome.UNREACHABLE)
         with self._opened(target, far_writer):
-            await self._answer(writer, Outcome.OPENED)
-            await _join(reader, writer, far_reader, far_writer)
+            await self._answer(writer, Outcome.OPENED, request.end_mark)
+            await _join(
+                reader, writer, far_reader, far_writer, request.end_mark
+            )
 
     @contextlib.contextmanager
     def _opened(
@@ -262,10 +323,10 @@
     def _has_room(self) -> bool:
         return not self._is_draining and self.open_count < MAX_TUNNELS
 
-    async def _read_target(
+    async def _read_request(
         self, reader: asyncio.StreamReader
-    ) -> Address | None:
-        """Return the requested address, ``None`` if there is no valid one."""
+    ) -> _Request | None:
+        """Return the request, ``None`` if it isn't valid."""
         try:
             async with asyncio.timeout(HEAD_S):
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -288,29 +349,50 @@
                 for each in fields
             ):
                 return None
-        return Address(host=host, port=int(port))
+        return _Request(
+            target=Address(host=host, port=int(port)),
+            end_mark=_end_mark(fields),
+        )
 
     async def _answer(
-        self, writer: asyncio.StreamWriter, outcome: Outcome
+        self,
+        writer: asyncio.StreamWriter,
+        outcome: Outcome,
+        end_mark: bytes = b'',
     ) -> None:
         status = _STATUS_BY_OUTCOME[outcome]
-        writer.write(f'HTTP/1.1 {status.value} {outcome}\r\n\r\n'.encode())
+        head = f'HTTP/1.1 {status.value} {outcome}\r\n'
+        if end_mark:
+            head += f'{_END_MARK_HEADER}: {end_mark.hex()}\r\n'
+        writer.write(head.encode() + b'\r\n')
         await writer.drain()
         if outcome is not Outcome.OPENED:
             writer.close()
             await writer.wait_closed()
 
 
+def _end_mark(fields: abc.Iterable[str]) -> bytes:
+    """Return the end mark that a request names; ``b''`` if there is none."""
+    for field in fields:
+        name, _, value = field.partition(':')
+        if name == _END_MARK_HEADER and _END_MARK.fullmatch(value.strip()):
+            return bytes.fromhex(value)
+    return b''
+
+
 async def _join(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     far_reader: asyncio.StreamReader,
     far_writer: asyncio.StreamWriter,
+    end_mark: bytes,
 ) -> None:
     """Forward both ways until either end closes its connection.
 
-    What the backend server sent before its end is delivered. The other end
-    closes only a call that it gave up.
+    What the backend server sent before its end is delivered, and the end
+    mark after that. The other end closes only a call that it gave up.
+
+    :raises OSError: if either end has reset its connection.
     """
     there = asyncio.create_task(_copy(reader, far_writer))
     back = asyncio.create_task(_copy(far_reader, writer))
@@ -321,6 +403,9 @@
         for task in done:
             task.result()
         if back in done:
+            if far_writer.is_closing():
+                raise ConnectionAbortedError('closed by this instance')
+            writer.write(end_mark)
             writer.close()
             await writer.wait_closed()
     finally:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -55,7 +55,8 @@
     def opened(self):
         """Return both ends of a tunnel."""
         self.far = self.serve()
-        near = self.open(self.far).connection
+        self.tunnel = self.open(self.far)
+        near = self.tunnel.connection
         far, _ = self.backend.accept()
         self.stack.callback(far.close)
         far.settimeout(TIMEOUT_S)
@@ -114,7 +115,7 @@
         found = b''
         while data := near.recv(65536):
             found += data
-        self.assertEqual(200_000, len(found))
+        self.assertEqual(b'x' * 200_000 + self.tunnel.end_mark, found)
 
     @params(False, True)
     def test_the_end_of_a_call_reaches_the_backend_server(self, is_reset):
