Voters: a voter that is gone gives its place up in time, or is removed

Cause: a voter counted as gone 20 s after the newcomer had first missed it, also one that had said that it leaves, and meanwhile nobody joined and its vote still counted.

Now the table of voter_table.py says: a voter that leaves, or doesn't answer for 2 s after it is suspected, is replaced by the next disk; of an even number it is removed, which needs no catching up. No majority is given up: a replacement in the place of a voter that is gone keeps as many disks as answer, and what a majority of an even number holds, a majority of the rest holds.

Proved: register_voters has the removal. Its first form, in one step, was refuted, and is a mutant now.

--- a/dandeliongw/coordination/changes.py
+++ b/dandeliongw/coordination/changes.py
@@ -348,14 +348,39 @@
         )
 
 
+class VoterRemoval:
+    """Removes one voter of an even number, or finishes such a removal.
+
+    :param number: version of the sets that are meant; sets with another
+        number are left as they are.
+    """
+
+    def __init__(self, *, instance_id: str, number: int) -> None:
+        self.instance_id = instance_id
+        self.number = number
+
+    def decide(
+        self, version: configurations.Version, *, is_chosen: bool
+    ) -> Decision:
+        """Start the removal, or end it once a quorum holds its start."""
+        voters = version.configuration.voters
+        if voters.joining_by_id:
+            if voters.joiner:
+                return Decision()
+            return _end(voters, is_chosen=is_chosen)
+        if voters.number != self.number or len(voters.voters_by_id) % 2:
+            return Decision()
+        if self.instance_id not in voters.voters_by_id:
+            return Decision()
+        step = configurations.ConfigurationStep(
+            voters=voters.remove(self.instance_id)
+        )
+        return Decision(step=step, again=True)
+
+
 class ReplacementEnd:
     """Makes the joining voters the only ones.
 
-    The value with both sets must be held by a quorum first. Otherwise a
-    proposer that reads an older value, and so queries the old set only,
-    could decide independently of the new set: an accepted revision would be
-    lost.
-
     :param disk_id: the joining disk, which has caught up.
     """
 
@@ -365,15 +390,26 @@
     def decide(
         self, version: configurations.Version, *, is_chosen: bool
     ) -> Decision:
-        """Drop the old set; if the value isn't chosen, write it back first."""
+        """Drop the old set, if this disk is still joining."""
         voters = version.configuration.voters
         if not voters.is_joining(self.disk_id):
             return Decision()
-        if not is_chosen:
-            return Decision(again=True)
-        return Decision(
-            step=configurations.ConfigurationStep(voters=voters.finish())
-        )
+        return _end(voters, is_chosen=is_chosen)
+
+
+def _end(voters: voter_sets.Voters, *, is_chosen: bool) -> Decision:
+    """Drop the old set; if the value isn't chosen, write it back first.
+
+    The value with both sets must be held by a quorum first. Otherwise a
+    proposer that reads an older value, and so queries the old set only,
+    could decide independently of the new set: an accepted revision would be
+    lost.
+    """
+    if not is_chosen:
+        return Decision(again=True)
+    return Decision(
+        step=configurations.ConfigurationStep(voters=voters.finish())
+    )
 
 
 class WriteBack:
--- a/dandeliongw/coordination/lease_catchup.py
+++ b/dandeliongw/coordination/lease_catchup.py
@@ -17,6 +17,11 @@
 from . import parts
 
 
+#: Part of a full wait that a joining grantor leaves to the holders to learn
+#: of the new set.
+NOTICE_PART = 0.25
+
+
 class Phase(enum.Enum):
     """Progress of a catch-up."""
 
@@ -31,8 +36,10 @@
 
     Why it waits before the read: a candidate may still count a grant that
     this grantor made before its disk was lost. If the read were earlier, the
-    others might not have that epoch yet, and it could be granted twice. For
-    a joining grantor, the wait lets the change of the set propagate.
+    others might not have that epoch yet, and it could be granted twice. This
+    wait counts from the start of the process, as an earlier one made these
+    grants. A joining grantor waits a little from the change on as well, so
+    that holders have learned of the set before the read fences the old one.
 
     Why it waits after the read: the read fences new grants under the
     replaced set, but earlier ones are still valid.
@@ -76,7 +83,11 @@
         self._sources_needed = lease_quorum.intersecting_size(
             len(changed.grantors)
         )
-        self._wait(now, Phase.WAITING)
+        self.phase = Phase.WAITING
+        self._wait_until = max(
+            self._grantor.started_at + self._full_wait_s(),
+            now + NOTICE_PART * self._full_wait_s(),
+        )
 
     def stop(self) -> None:
         """Cancel the current catch-up."""
@@ -108,7 +119,8 @@
         if len(self._epochs_by_source) < self._sources_needed:
             return []
         self._merge_records()
-        self._wait(now, Phase.SETTLING)
+        self.phase = Phase.SETTLING
+        self._wait_until = now + self._full_wait_s()
         return []
 
     def _merge_records(self) -> None:
@@ -131,12 +143,10 @@
                 record = msgspec.structs.replace(record, holder='', life=0)
             self._grantor.learn(record)
 
-    def _wait(self, now: float, phase: Phase) -> None:
-        self.phase = phase
+    def _full_wait_s(self) -> float:
+        """Return the seconds after which no earlier grant is counted."""
         own_wait_s = self._grantor.duration_s + self._grantor.margin_s
-        self._wait_until = now + max(
-            own_wait_s, self._grantor.longest_wait_s()
-        )
+        return max(own_wait_s, self._grantor.longest_wait_s())
 
     def _read(self, now: float) -> list[typing.Any]:
         if now - self._read_sent_at < self.resend_s:
--- a/dandeliongw/coordination/lease_grantor.py
+++ b/dandeliongw/coordination/lease_grantor.py
@@ -74,6 +74,8 @@
             collections.Counter()
         )
         self._grants_by_name: dict[str, _Grant] = {}
+        #: When this process started, in monotonic seconds.
+        self.started_at = float('-inf')
         self._wait_until: float | None = None
         self._pending_replies: list[_PendingReply] = []
         self._tokens_by_subject: dict[str, str] = {}
@@ -119,6 +121,7 @@
         granted before the restart, is still valid: two holders at once.
         """
         if self._wait_until is None:
+            self.started_at = now
             self._wait_until = now + self.longest_wait_s()
 
     def form(self) -> list[typing.Any]:
--- a/dandeliongw/coordination/register.py
+++ b/dandeliongw/coordination/register.py
@@ -51,6 +51,7 @@
     'Propose',
     'ProposeOrdered',
     'Register',
+    'RemoveVoter',
     'ReplaceVoter',
     'Unavailable',
     'VoterRefused',
@@ -65,6 +66,9 @@
 #: Ids of confirmation requests and checks start at a random number below
 #: this.
 FIRST_ID_LIMIT = 2**48
+#: Seconds between two requests of an instance that waits for the end of a
+#: change of the voters.
+JOINING_POLL_S = 0.25
 
 
 class Propose(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,6 +129,19 @@
     entropy: int
 
 
+class RemoveVoter(msgspec.Struct, frozen=True, kw_only=True):
+    """A request to remove one voter of an even number.
+
+    :param number: version of the sets of voters that is meant (see
+        ``Voters.number``); ignored if the register holds another one.
+    """
+
+    now: float
+    number: int
+    instance_id: str
+    entropy: int
+
+
 class InstancesChanged(msgspec.Struct, frozen=True, kw_only=True):
     """The instances that are known to be alive, this one included."""
 
@@ -208,6 +225,7 @@
         self._referred_ids: tuple[str, ...] = ()
         self._is_started = False
         self._is_disk_caught_up = False
+        self._poll_at = 0.0
         #: Instances that have reported a version of another register.
         self._other_register_ids: set[str] = set()
         self._register_state = state_module.RegisterState(
@@ -252,6 +270,7 @@
             ContactsFound: self._on_contacts_found,
             ReplaceVoter: self._replacements.add,
             WithdrawJoining: self._on_withdraw_joining,
+            RemoveVoter: self._on_remove_voter,
             InstancesChanged: self._on_instances_changed,
             CaughtUp: self._on_caught_up,
         }
@@ -597,6 +616,17 @@
         )
         return self._proposer.add(job, event.now)
 
+    def _on_remove_voter(self, event: RemoveVoter) -> list[typing.Any]:
+        job = proposers.Job(
+            change=changes.VoterRemoval(
+                instance_id=event.instance_id, number=event.number
+            ),
+            entropy=event.entropy,
+            deadline=event.now + self._propose_limit_s,
+        )
+        self._proposer.add_after_backoff(job, event.now)
+        return []
+
     def _on_disk_query(
         self, event: parts.Received, message: messages.DiskQuery
     ) -> list[typing.Any]:
@@ -668,6 +698,9 @@
         return self._checker.on_report(event.sender, message, event.now)
 
     def _tick_requester(self, now: float) -> list[typing.Any]:
+        if self._is_waiting_to_join() and now >= self._poll_at:
+            self._poll_at = now + JOINING_POLL_S
+            self._requester.request_soon()
         if not self._requester.is_due(now):
             return []
         if self._register_state.is_voter and not self._is_overdue(now):
@@ -678,6 +711,12 @@
             )
         )
 
+    def _is_waiting_to_join(self) -> bool:
+        """Whether this disk can join once another change has ended."""
+        if self._register_state.acceptor is None or not self.joining_by_id:
+            return False
+        return not self._register_state.is_voter
+
     def _is_overdue(self, now: float) -> bool:
         # A voter that can't confirm by its own checks may hold an outdated
         # set of voters that have all been replaced. So it sends requests to
--- a/dandeliongw/coordination/voters.py
+++ b/dandeliongw/coordination/voters.py
@@ -91,6 +91,21 @@
             number=self.number + 1,
         )
 
+    def remove(self, instance_id: str) -> 'Voters':
+        """Start to remove one voter of an even number; as safe as the above.
+
+        A majority of the smaller set has one disk less. So what a majority
+        of the larger set holds, a majority of the smaller one holds too: no
+        disk has to catch up before the end.
+        """
+        joining = dict(self.voters_by_id)
+        del joining[instance_id]
+        return Voters(
+            voters_by_id=self.voters_by_id,
+            joining_by_id=joining,
+            number=self.number + 1,
+        )
+
     def withdraw(self) -> 'Voters':
         """Abandon the joining set; the present voters never stopped voting."""
         return Voters(voters_by_id=self.voters_by_id, number=self.number + 1)
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -341,6 +341,7 @@
                     register.ContactsFound,
                     register.ReplaceVoter,
                     register.WithdrawJoining,
+                    register.RemoveVoter,
                     register.InstancesChanged,
                     register.CaughtUp,
                 ),
@@ -825,6 +826,8 @@
         self, now: float, effect: register.VotersChanged
     ) -> list[typing.Any]:
         self._voter_ids = frozenset(effect.voters_by_id)
+        # Whoever waits for the end of a change may take the next step.
+        self._review_at = now
         voters = presence.SetVoters(now=now, voter_ids=self._voter_ids)
         return [
             *self._in_presence(voters),
--- a/dandeliongw/voter_replacement.py
+++ b/dandeliongw/voter_replacement.py
@@ -17,14 +17,18 @@
 #: epoch 0 of the claims means that there are no holders.
 FIRST_CLAIMS_EPOCH = 1
 #: Seconds between two attempts to change the voters.
-REPAIR_S = 2.0
-#: Seconds for which a voter is not alive before it may be replaced. A restart
-#: takes two. After a longer network partition the voter loses its vote, and
-#: rejoins as a new one.
-ABSENCE_LIMIT_S = 20.0
+REPAIR_S = 1.0
+#: Seconds for which a suspected instance may be absent until it counts as
+#: gone: a restart takes two, with the time until it is suspected.
+SUSPECT_LIMIT_S = 2.0
+#: The same for an instance that was never seen here. One that has just
+#: started knows nobody.
+UNSEEN_LIMIT_S = 20.0
 #: Seconds after which a change whose new voter is present but doesn't catch
 #: up is withdrawn, so that others can join.
 CHANGE_LIMIT_S = 60.0
+#: States of a member that its own process can't refute any more, or hasn't.
+_FINAL_STATES = (membership.MemberState.DEAD, membership.MemberState.LEFT)
 #: Seconds for which an instance whose change was withdrawn lets others join
 #: before it tries again.
 WITHDRAWN_PAUSE_S = 3.0
@@ -129,6 +133,8 @@
         self._next_attempt_at = now + REPAIR_S
         if step.action is voter_table.Action.PROPOSE:
             return self._propose(now, entropy, in_place_of=step.voter)
+        if step.action is voter_table.Action.REMOVE:
+            return self._remove(now, entropy, step.voter)
         return self._withdraw(now, entropy)
 
     def _view(self, now: float) -> voter_table.View:
@@ -158,7 +164,10 @@
             if member is not None and _is_leaving(member):
                 return voter_table.Presence.LEAVING
             return voter_table.Presence.PRESENT
-        if now - since >= ABSENCE_LIMIT_S:
+        if member is not None and member.state in _FINAL_STATES:
+            return voter_table.Presence.GONE
+        limit_s = UNSEEN_LIMIT_S if member is None else SUSPECT_LIMIT_S
+        if now - since >= limit_s:
             return voter_table.Presence.GONE
         return voter_table.Presence.ABSENT
 
@@ -183,6 +192,20 @@
             effects.Dispatch(event=replace),
         ]
 
+    def _remove(
+        self, now: float, entropy: int, voter: str
+    ) -> list[typing.Any]:
+        remove = register.RemoveVoter(
+            now=now,
+            number=self._register.voters_number,
+            instance_id=voter,
+            entropy=entropy,
+        )
+        return [
+            effects.log('removing a voter that is gone', voter=voter),
+            effects.Dispatch(event=remove),
+        ]
+
     def _withdraw(self, now: float, entropy: int) -> list[typing.Any]:
         state = self._register
         withdraw = register.WithdrawJoining(
--- a/dandeliongw/voter_table.py
+++ b/dandeliongw/voter_table.py
@@ -1,7 +1,8 @@
 """The next step of a change of the voters, for one instance.
 
 There is one change at a time. It adds a voter, puts a new voter in the place
-of one, or renews the disk of one; its *joiner* is the new voter.
+of one, or renews the disk of one; its *joiner* is the new voter. A voter that
+goes is removed without a joiner where that leaves an odd number.
 
 What an instance does depends on the change in progress, its own role, and
 the presence of the others:
@@ -9,18 +10,26 @@
 ===================  ============  ====================  =====================
 event                no change     own change            another's change
 ===================  ============  ====================  =====================
-own disk is new,     renew it      replace the joining   wait
-own id is a voter                  disk by it
+own disk is new,     renew it; of  replace the joining   wait
+own id is a voter    an even       disk by it
+                     number,
+                     remove it
 own disk is new,     as candidate  replace the joining   wait
 own id was joining                 disk by it
+voter, another goes  remove it, of --                    wait
+or is gone           an even
+                     number
 candidate, a voter   take its      wait for the          wait
-goes or is gone      place         catch-up
+goes or is gone      place, of an  catch-up
+                     odd number
 candidate, all       join          wait for the          wait
 voters are present                 catch-up
 candidate, a voter   wait          wait for the          wait
 is absent                          catch-up
 voter, joiner goes,  --            --                    withdraw the change
 is gone or stuck
+voter, a removal     --            --                    end it
+is not finished
 any voter is absent  wait          wait                  wait
 this one is leaving  wait          wait                  wait
 ===================  ============  ====================  =====================
@@ -28,7 +37,8 @@
 Why no step gives up a majority. Taking the place of a voter that is gone
 keeps as many disks that answer in the new set as in the old one, whatever
 becomes of the joiner. Joining as an additional voter may cost one, so it
-needs all voters present.
+needs all voters present. After a removal from an even number, a majority is
+one disk smaller.
 """
 
 from collections import abc
@@ -60,6 +70,7 @@
     WAIT = 'wait'
     PROPOSE = 'propose'
     WITHDRAW = 'withdraw'
+    REMOVE = 'remove'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -142,6 +153,10 @@
         return _WAIT
     if view.joining_by_id:
         return _continue(view)
+    if len(view.voters_by_id) % 2 == 0 and view.most_voters is not None:
+        removal = _remove(view)
+        if removal is not None:
+            return removal
     if view.is_voter:
         return _WAIT
     if view.instance_id in view.voters_by_id:
@@ -155,12 +170,29 @@
         return Step(action=Action.PROPOSE, voter=view.replaced)
     if not view.is_voter:
         return _WAIT
+    if not view.joiner:
+        return Step(action=Action.REMOVE, voter=view.replaced)
     is_final = view.presence_by_id[view.joiner].is_final
     if is_final or view.is_stuck:
         return Step(action=Action.WITHDRAW)
     return _WAIT
 
 
+def _remove(view: View) -> Step | None:
+    """Return the step towards a removal from an even number, if one is due.
+
+    It comes before all else, as it is the only step that needs no catch-up.
+    """
+    if not view.is_voter and view.instance_id in view.voters_by_id:
+        return Step(action=Action.REMOVE, voter=view.instance_id)
+    final = view.final_voters()
+    if not final:
+        return None
+    if not view.is_voter:
+        return _WAIT
+    return Step(action=Action.REMOVE, voter=final[0])
+
+
 def _join(view: View) -> Step:
     """Return the step of an instance that could become a voter."""
     if view.most_voters is None:
--- a/specs/register_spec.py
+++ b/specs/register_spec.py
@@ -42,6 +42,9 @@
     'caught_up_before_replacement_ends': 'a voter counts although it has not'
     ' copied the claims',
 }
+_REMOVAL_SAFEGUARDS = {
+    'removal_in_two_steps': 'two removals leave sets that decide separately',
+}
 _READS_SAFEGUARDS = {
     'quorum_confirms': 'an isolated voter confirms its own value',
     'same_ballot_confirms': 'an instance acts on a value that may still be'
@@ -70,6 +73,7 @@
     **_VOTERS_SAFEGUARDS,
     **_FAULT_SAFEGUARDS,
     **_REPLACEMENT_SAFEGUARDS,
+    **_REMOVAL_SAFEGUARDS,
     **_READS_SAFEGUARDS,
     **_FORMATION_SAFEGUARDS,
 }
@@ -85,6 +89,7 @@
         (_VOTERS_SAFEGUARDS, _changes),
         (_FAULT_SAFEGUARDS, _disk_faults),
         (_REPLACEMENT_SAFEGUARDS, _replacements),
+        (_REMOVAL_SAFEGUARDS, _removals),
         (_READS_SAFEGUARDS, _reads),
         (_FORMATION_SAFEGUARDS, _formation),
     )
@@ -163,6 +168,23 @@
     ]
 
 
+def _removals(without: str | None) -> list[specs.BoundedModel]:
+    """Return a model with the removals of two voters of four, and a change.
+
+    A third attempt may end either of them or write its value back.
+    """
+    bounds = register_voters.Bounds(
+        voters=4,
+        wishes=('-', '-', '!.x'),
+        documents=DOCUMENTS[:1],
+        replaceable=(0, 3),
+    )
+    reached = {'a removal': _has_chosen('-0')}
+    if without is None:
+        reached['its end'] = _has_chosen('-0', '!')
+    return [_voters(bounds, without, reached)]
+
+
 def _replacement_reached(wishes: tuple[str, ...]) -> dict:
     if wishes.index('+') < wishes.index('!'):
         return {'its end': _has_chosen('+03', '!')}
--- a/specs/register_voters.py
+++ b/specs/register_voters.py
@@ -2,8 +2,10 @@
 
 A value is its *lineage*: the tuple of all events that led to it. ``x``, ``y``
 and ``z`` are documents, ``+03`` starts the replacement of disk 0 by disk 3,
-and ``!`` ends a replacement. The main invariant says that any two chosen
-values are of one lineage: no chosen value is ever lost or reverted.
+``-0`` the removal of disk 0, and ``!`` ends either. A lineage that begins
+with ``4`` has four first voters instead of three. The main invariant says
+that any two chosen values are of one lineage: no chosen value is ever lost or
+reverted.
 
 Every attempt has a ballot of its own and continues after later ones have
 begun. So delayed, reordered and lost messages are steps that are taken late
@@ -22,7 +24,7 @@
 
 #: Nothing was promised or accepted.
 NONE = -1
-#: The disks that vote at the start, as bits.
+#: The disks that vote at the start, as bits, if the lineage doesn't tell.
 FIRST_VOTERS = 0b111
 
 Lineage = tuple[str, ...]
@@ -33,8 +35,9 @@
     """Which events a model has, and how many of each.
 
     :param wishes: the changes that the attempt of each ballot may make:
-        documents by their letters, ``+`` a replacement, ``!`` its end, ``.``
-        none (the value is written back).
+        documents by their letters, ``+`` a replacement, ``-`` a removal,
+        ``!`` the end of either, ``.`` none (the value is written back).
+    :param voters: number of first voters, three or four.
     :param documents: the revision that each document is based on.
     :param hearsay: whether an attempt may continue from a later value than
         those in the promises, as it may have received one in other messages.
@@ -45,6 +48,7 @@
     """
 
     wishes: tuple[str, ...]
+    voters: int = 3
     documents: tuple[tuple[str, int], ...] = ()
     hearsay: bool = False
     replaceable: tuple[int, ...] = ()
@@ -59,7 +63,9 @@
 
     def __str__(self) -> str:
         wishes = ' '.join(self.wishes)
-        parts = [f'3 voters, {self.ballots} ballots that want {wishes}']
+        parts = [
+            f'{self.voters} voters, {self.ballots} ballots that want {wishes}'
+        ]
         if self.new_disks:
             parts.append(f'{self.new_disks} new disks')
         if self.losses:
@@ -139,7 +145,11 @@
     """
     present, coming = FIRST_VOTERS, 0
     for event in lineage:
-        if event[0] == '+':
+        if event.isdigit():
+            present = (1 << int(event)) - 1
+        elif event[0] == '-':
+            coming = present & ~(1 << int(event[1]))
+        elif event[0] == '+':
             coming = present & ~(1 << int(event[1])) | 1 << int(event[2])
         elif event == '!':
             present, coming = coming, 0
@@ -261,7 +271,11 @@
 
         Disks that no operator replaces are interchangeable.
         """
-        alike = [n for n in range(3) if n not in self.bounds.replaceable]
+        alike = [
+            n
+            for n in range(self.bounds.voters)
+            if n not in self.bounds.replaceable
+        ]
         columns = {number: _column(state, number) for number in alike}
         order = sorted(alike, key=columns.__getitem__)
         if order == alike:
@@ -279,7 +293,7 @@
         self, state: State, ballot: int
     ) -> abc.Iterator[tuple[str, State]]:
         """Yield a disk's promise together with its reply."""
-        members = FIRST_VOTERS
+        members = 0
         for earlier in state.attempts:
             if earlier.holders:
                 present, coming = voters_of(earlier.lineage)
@@ -421,6 +435,8 @@
                 yield self.change_document(read.lineage, document, expected)
         if '+' in wishes:
             yield from self.start_replacements(read.lineage, state)
+        if '-' in wishes:
+            yield from self.start_removals(read.lineage)
         if '!' in wishes and voters_of(read.lineage)[1]:
             if self.may_end_replacement(read, state):
                 yield (*read.lineage, '!'), ''
@@ -445,7 +461,8 @@
         """Yield the steps of VoterReplacement.decide."""
         present, coming = voters_of(lineage)
         going = present & ~coming if coming else 0
-        for new in range(3, 3 + self.bounds.new_disks):
+        first = self.bounds.voters
+        for new in range(first, first + self.bounds.new_disks):
             if state.disks[new].is_lost or present >> new & 1:
                 continue
             for old in self.bounds.replaceable:
@@ -455,8 +472,27 @@
                     continue
                 yield (*lineage, f'+{old}{new}'), ''
 
+    def start_removals(
+        self, lineage: Lineage
+    ) -> abc.Iterator[tuple[Lineage, str]]:
+        """Yield the steps of VoterRemoval.decide that start a removal."""
+        present, coming = voters_of(lineage)
+        if coming or present.bit_count() % 2:
+            return
+        for old in self.bounds.replaceable:
+            if not present >> old & 1:
+                continue
+            removed = (*lineage, f'-{old}')
+            if self.without == 'removal_in_two_steps':
+                removed = (*removed, '!')
+            yield removed, ''
+
     def may_end_replacement(self, read: Attempt, state: State) -> bool:
-        """Return whether ReplacementEnd.decide ends the replacement."""
+        """Return whether a change of the voters may end.
+
+        That is the decision of changes._end, with the condition under which
+        ReplacementEnd is proposed.
+        """
         present, coming = voters_of(read.lineage)
         if not coming:
             return False
@@ -464,6 +500,8 @@
             if self.without != 'chosen_before_replacement_ends':
                 return False
         joiner = (coming & ~present).bit_length() - 1
+        if joiner < 0:
+            return True
         if self.without == 'caught_up_before_replacement_ends':
             return True
         return state.disks[joiner].has_claims
@@ -609,12 +647,16 @@
             synced_accepted=0,
             has_claims=True,
         )
-        disks = [first] * 3
+        voters = self.bounds.voters
+        disks = [first] * voters
         disks += [Disk()] * self.bounds.new_disks
         initial = State(
             disks=tuple(disks),
             attempts=(
-                Attempt(lineage=(), holders=FIRST_VOTERS),
+                Attempt(
+                    lineage=() if voters == 3 else (str(voters),),
+                    holders=(1 << voters) - 1,
+                ),
                 *[Attempt()] * self.bounds.ballots,
             ),
             losses=0,
--- a/tests/test_voter_replacement.py
+++ b/tests/test_voter_replacement.py
@@ -4,14 +4,21 @@
 
 from nose2.tools import params
 
+from dandeliongw.coordination import membership
 from dandeliongw.coordination import register
 from dandeliongw import events
 from dandeliongw import voter_replacement
 from tests import network
 
 LIMIT_S = 60.0
-#: Seconds for which a lost machine is down.
+#: Where a change must be in force everywhere within two seconds.
+CONFIRM_TTL_S = 1.5
+#: Seconds for which a lost machine is down, and seconds from its return, or
+#: from the start of its successor, until the next machine may be lost.
 DOWN_S = 1.0
+COUNTS_AGAIN_S = 4.0
+#: The same where two machines of nine may be lost at once.
+COUNTS_AGAIN_OF_NINE_S = 6.0
 
 
 def voters(net, instance_id='gw-1'):
@@ -21,7 +28,9 @@
 
 def grown(count=5, first=3):
     """Return a network whose instances have all become voters."""
-    net = network.Network(count=count, voters=first, most_voters=11)
+    net = network.Network(
+        count=count, voters=first, most_voters=11, confirm_ttl_s=CONFIRM_TTL_S
+    )
     net.run_until(lambda: len(voters(net)) == count, LIMIT_S)
     return net
 
@@ -32,6 +41,7 @@
         count=count + spares,
         voters=3,
         most_voters=11,
+        confirm_ttl_s=CONFIRM_TTL_S,
     )
     for number in range(count, count + spares):
         net.crash(f'gw-{number + 1}')
@@ -47,6 +57,14 @@
     net.start(instance_id, disk_id=f'disk-{instance_id}')
 
 
+def leave(net, instance_id, drains_s):
+    """Shut an instance down; its process ends after ``drains_s``."""
+    net.post(instance_id, events.ShutdownBegun(now=net.now))
+    net.run(drains_s)
+    net.post(instance_id, membership.Leave(now=net.now))
+    net.crash(instance_id)
+
+
 def lose_disk(net, instance_id, disk_id):
     net.crash(instance_id)
     net.run(DOWN_S)
@@ -130,7 +148,7 @@
         net.run_until(lambda: len(voters(net)) == 5, LIMIT_S)
         net.start('gw-6', disk_id='disk-gw-6')
         net.frozen.add('gw-2')
-        net.run(voter_replacement.ABSENCE_LIMIT_S / 2)
+        net.run(voter_replacement.SUSPECT_LIMIT_S)
         net.frozen.discard('gw-2')
         net.run(20.0)
         self.assertNotIn('gw-6', voters(net))
@@ -195,3 +213,101 @@
         net.run_until(
             lambda: voters(net).get('gw-6') == 'disk-second', LIMIT_S
         )
+
+    def test_a_voter_that_leaves_an_even_number_is_removed(self):
+        """Guards against a majority that counts a machine that is gone."""
+        net = grown(count=6)
+        leave(net, 'gw-6', drains_s=3.0)
+        net.run_until(lambda: len(voters(net)) == 5, 3.0)
+        self.assertNotIn('gw-6', voters(net))
+        net.crash('gw-5')
+        net.crash('gw-4')
+        self.assertTrue(is_accepted(net, 'gw-1', 1))
+
+    def test_a_voter_that_leaves_an_odd_number_keeps_its_place(self):
+        """Guards against a set that shrinks while machines restart."""
+        net = grown()
+        leave(net, 'gw-5', drains_s=1.0)
+        net.run(30.0)
+        self.assertEqual(len(voters(net)), 5)
+
+
+class SeriesTest(unittest.TestCase):
+    """Losses one after the other, as soon as the last one counts again."""
+
+    @params(0.0, 3.0, 7.0)
+    def test_planned_replacements(self, drains_s):
+        """Guards against voters that are gone and keep their votes.
+
+        Each new machine starts first, and the old one leaves later.
+        """
+        net = with_spares(5, 5)
+        for number in range(1, 6):
+            add(net, f'gw-{number + 5}')
+            net.run(COUNTS_AGAIN_S)
+            leave(net, f'gw-{number}', drains_s)
+        self.assertTrue(is_accepted(net, 'gw-10', 1))
+        net.run(10.0)
+        net.crash('gw-9')
+        self.assertTrue(is_accepted(net, 'gw-10', 2))
+
+    def test_unplanned_replacements(self):
+        """Guards against a successor that waits too long for its vote."""
+        net = with_spares(5, 5)
+        for number in range(1, 6):
+            net.crash(f'gw-{number}')
+            net.run(DOWN_S)
+            add(net, f'gw-{number + 5}')
+            net.run(COUNTS_AGAIN_S)
+        self.assertTrue(is_accepted(net, 'gw-10', 1))
+
+    def test_planned_and_unplanned_replacements_by_turns(self):
+        """Guards against a removal and a replacement that block each other."""
+        net = with_spares(5, 6)
+        for number in (1, 3, 5):
+            add(net, f'gw-{number + 5}')
+            net.run(COUNTS_AGAIN_S)
+            leave(net, f'gw-{number}', 2.0)
+            net.crash(f'gw-{number + 1}')
+            net.run(DOWN_S)
+            add(net, f'gw-{number + 6}')
+            net.run(COUNTS_AGAIN_S)
+        self.assertTrue(is_accepted(net, 'gw-11', 1))
+
+    @params(1, 2, 3)
+    def test_disks_lost_in_turn(self, times):
+        """Guards against a disk lost again that stops all later repairs."""
+        net = grown()
+        losses = 0
+        for number in (5, 4, 3, 2, 1):
+            for _ in range(times):
+                losses += 1
+                lose_disk(net, f'gw-{number}', f'disk-{losses}')
+                net.run(COUNTS_AGAIN_S)
+        self.assertTrue(is_accepted(net, 'gw-1', 1))
+
+    def test_disks_lost_in_pairs(self):
+        """Guards against repairs that are slower than the losses."""
+        net = grown(count=9)
+        losses = 0
+        for first in (1, 3, 5, 7, 1, 3):
+            for number in (first, first + 1):
+                net.crash(f'gw-{number}')
+            net.run(DOWN_S)
+            for number in (first, first + 1):
+                losses += 1
+                net.start(f'gw-{number}', disk_id=f'disk-{losses}')
+            net.run(COUNTS_AGAIN_OF_NINE_S)
+        self.assertTrue(is_accepted(net, 'gw-9', 1))
+
+    def test_machines_replaced_in_pairs(self):
+        """Guards against successors that wait for each other's turn."""
+        net = with_spares(9, 8)
+        for first in (1, 3, 5, 7):
+            for number in (first, first + 1):
+                net.crash(f'gw-{number}')
+            net.run(DOWN_S)
+            for number in (first, first + 1):
+                add(net, f'gw-{number + 9}')
+            net.run(COUNTS_AGAIN_OF_NINE_S)
+        self.assertTrue(is_accepted(net, 'gw-9', 1))
--- a/tests/test_voter_table.py
+++ b/tests/test_voter_table.py
@@ -10,9 +10,10 @@
 from dandeliongw.voter_table import Presence
 
 FIVE = {f'v{number}': f'disk-v{number}' for number in range(1, 6)}
+SIX = {**FIVE, 'v6': 'disk-v6'}
 
-#: Joining sets: an added voter, another voter in the place of v5, and a
-#: renewed disk of v5.
+#: Joining sets: an added voter, another voter in the place of v5, a renewed
+#: disk of v5, and a removal.
 ADDING = {**FIVE, 'new': 'disk-new'}
 REPLACING = {key: disk for key, disk in ADDING.items() if key != 'v5'}
 RENEWING = {**FIVE, 'v5': 'disk-second'}
@@ -59,9 +60,13 @@
 
 
 class WithoutChangeTest(unittest.TestCase):
-    def test_a_lost_disk_is_renewed(self):
+    def test_a_lost_disk_of_an_odd_number_is_renewed(self):
         self.assertEqual(step(WIPED, FIVE), (Action.PROPOSE, 'v5'))
 
+    def test_a_lost_disk_of_an_even_number_is_removed(self):
+        """Guards against a renewal that the next loss overtakes."""
+        self.assertEqual(step(WIPED, SIX), (Action.REMOVE, 'v5'))
+
     @params(Presence.LEAVING, Presence.GONE)
     def test_a_candidate_takes_the_place_of_a_voter_that_goes(self, presence):
         self.assertEqual(step(NEW, FIVE, v3=presence), (Action.PROPOSE, 'v3'))
@@ -81,15 +86,30 @@
         found = step(NEW, FIVE, most_voters=5, v3=Presence.GONE)
         self.assertEqual(found, (Action.PROPOSE, 'v3'))
 
+    @params(Presence.LEAVING, Presence.GONE)
+    def test_a_voter_that_goes_is_removed_from_an_even_number(self, presence):
+        found = step(VOTER, SIX, v3=presence)
+        self.assertEqual(found, (Action.REMOVE, 'v3'))
+        # A candidate waits for it.
+        self.assertEqual(step(NEW, SIX, v3=presence), WAIT)
+
+    def test_an_absent_voter_is_not_removed(self):
+        self.assertEqual(step(VOTER, SIX, v3=Presence.ABSENT), WAIT)
+
+    def test_voters_of_an_odd_number_wait(self):
+        self.assertEqual(step(VOTER, FIVE, v3=Presence.GONE), WAIT)
+
     def test_without_the_setting_only_disks_are_renewed(self):
         changes = {'most_voters': None, 'v3': Presence.GONE}
         self.assertEqual(step(NEW, FIVE, **changes), WAIT)
-        self.assertEqual(step(WIPED, FIVE, **changes), (Action.PROPOSE, 'v5'))
+        self.assertEqual(step(VOTER, SIX, **changes), WAIT)
+        self.assertEqual(step(WIPED, SIX, **changes), (Action.PROPOSE, 'v5'))
 
     @params((VOTER,), (NEW,), (WIPED,), (('new', None),))
     def test_who_is_leaving_or_has_no_disk_waits(self, own):
         is_leaving = own[1] is not None
-        self.assertEqual(step(own, FIVE, is_leaving=is_leaving), WAIT)
+        for voters in (FIVE, SIX):
+            self.assertEqual(step(own, voters, is_leaving=is_leaving), WAIT)
 
 
 class DuringChangeTest(unittest.TestCase):
@@ -132,3 +152,9 @@
     def test_the_replaced_voter_waits_if_it_is_back(self):
         for own in (('v5', 'disk-v5'), WIPED):
             self.assertEqual(step(own, FIVE, REPLACING), WAIT)
+
+    def test_any_voter_ends_a_removal(self):
+        """Guards against a removal whose proposer is lost in the middle."""
+        found = step(VOTER, SIX, FIVE, v6=Presence.GONE)
+        self.assertEqual(found, (Action.REMOVE, 'v6'))
+        self.assertEqual(step(NEW, SIX, FIVE, v6=Presence.GONE), WAIT)
