Streams that name nothing go on only where one version has begun streams

Cause: a call with the number of its last piece, but without the id of the call that began its stream, was let through if the owner of the cell knew decode engines of one version. That says who serves now. The stream began earlier, at engines that may have left, and the owner may have started since.

Now such a call asks the voters, who keep on disk what began each stream, which versions have begun streams of the services of its route. A majority has to answer; the call goes on at the one version that there is, or is refused at once, not run.

One test is replaced: a call that names nothing is looked up before it is booked; that the owner has to know a single version is still checked.

LookUpSoleTest (50 drawn orders of losses and restarts) and UnnamedTakeUpTest pass.

--- a/dandeliongw/coordination/_origin_messages.py
+++ b/dandeliongw/coordination/_origin_messages.py
@@ -36,6 +36,8 @@
     UNKNOWN = 'unknown'
     #: Too few of the instances that may keep it have answered.
     UNANSWERED = 'unanswered'
+    #: Streams that its caller may mean began at several versions.
+    SEVERAL = 'several'
 
 
 # Events.
@@ -80,6 +82,24 @@
     stream_key: bytes
 
 
+class LookUpSole(msgspec.Struct, frozen=True, kw_only=True):
+    """A caller has come back with a stream, and doesn't name what began it.
+
+    :param ticket: as of a :class:`LookUp`, and unique.
+    :param services: one of which may have begun the stream.
+    """
+
+    now: float
+    ticket: str
+    services: tuple[str, ...]
+
+
+class KeepersFormed(msgspec.Struct, frozen=True, kw_only=True):
+    """The first voters have formed: no stream began before."""
+
+    now: float
+
+
 # Messages.
 
 
@@ -121,7 +141,52 @@
     origin: StreamOrigin | None
 
 
+class KeptVersion(msgspec.Struct, frozen=True, kw_only=True):
+    """What began some stream whose caller may still come back.
+
+    :param keep_s: seconds for which it may.
+    """
+
+    origin: StreamOrigin
+    keep_s: float
+
+
+class AskVersions(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks a voter what has begun streams.
+
+    :param services: ``()`` for all.
+    """
+
+    ticket: str
+    services: tuple[str, ...]
+
+
+class VersionsAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer to an :class:`AskVersions`.
+
+    :param is_complete: whether the voter has been told of all streams; one
+        that has just become a voter hasn't.
+    """
+
+    ticket: str
+    kept: tuple[KeptVersion, ...]
+    is_complete: bool
+
+
+class KeeperReady(msgspec.Struct, frozen=True, kw_only=True):
+    """Journal record: whether this voter's answers are complete."""
+
+    is_complete: bool
+
+
 #: Message classes to register with the codec.
-MESSAGES = (KeepOrigin, OriginKept, AskOrigin, OriginAnswer)
+MESSAGES = (
+    KeepOrigin,
+    OriginKept,
+    AskOrigin,
+    OriginAnswer,
+    AskVersions,
+    VersionsAnswer,
+)
 #: Classes of journal records to register with the codec.
-RECORDS = (KeepOrigin,)
+RECORDS = (KeepOrigin, KeeperReady)
--- a/dandeliongw/coordination/origins.py
+++ b/dandeliongw/coordination/origins.py
@@ -21,6 +21,10 @@
 pieces of another version. What is not known is never guessed, and so a lost
 record costs a caller one stream and never mixes two versions.
 
+A caller that comes back may not name what began its stream. It goes on only
+where all streams that may be meant began at one version, see
+:mod:`._origin_versions`.
+
 The first origin of a key stays. A call under an id that has begun a stream at
 another version is refused, as soon as one of its keepers says so.
 """
@@ -32,27 +36,38 @@
 from . import parts
 from . import placement
 from ._origin_messages import AskOrigin
+from ._origin_messages import AskVersions
 from ._origin_messages import Keep
+from ._origin_messages import KeeperReady
+from ._origin_messages import KeepersFormed
 from ._origin_messages import KeepOrigin
 from ._origin_messages import KeepResult
 from ._origin_messages import LookUp
 from ._origin_messages import LookUpFailure
+from ._origin_messages import LookUpSole
 from ._origin_messages import MESSAGES
 from ._origin_messages import OriginAnswer
 from ._origin_messages import OriginKept
 from ._origin_messages import RECORDS
 from ._origin_messages import SetKeepers
 from ._origin_messages import StreamOrigin
+from ._origin_messages import VersionsAnswer
+from ._origin_store import as_stream
 from ._origin_store import OriginStore
+from ._origin_versions import Completeness
+from ._origin_versions import SoleVersionLookUps
 
 __all__ = [
     'AskOrigin',
+    'AskVersions',
     'HOLD_S',
     'Keep',
+    'KeepersFormed',
     'KeepOrigin',
     'KeepResult',
     'LookUp',
     'LookUpFailure',
+    'LookUpSole',
     'MESSAGES',
     'OriginAnswer',
     'OriginKept',
@@ -132,6 +147,9 @@
         self._entries: tuple[placement.Member, ...] = ()
         self._keeping_by_key: dict[bytes, _Keeping] = {}
         self._looking_up_by_ticket: dict[str, _LookingUp] = {}
+        self._sole_lookups = SoleVersionLookUps()
+        self._completeness = Completeness()
+        self._is_stored_complete = False
         #: What waits for the disk, and who is to be told then.
         self._storing_by_token: dict[str, tuple[bytes, str]] = {}
         self._tokens = 0
@@ -143,12 +161,16 @@
         self._take_in_restored(event.now)
         match event:
             case SetKeepers():
-                self._voter_ids = event.voter_ids
-                self._entries = event.entries
+                return self._set_keepers(event)
+            case KeepersFormed():
+                self._completeness.is_complete = True
+                return self._store_completeness()
             case Keep():
                 return self._keep(event)
             case LookUp():
                 return self._look_up(event)
+            case LookUpSole():
+                return self._look_up_sole(event)
             case parts.Persisted():
                 return self._persisted(event)
             case parts.Received():
@@ -161,16 +183,32 @@
         """Take in a journal record; its time runs from the start on."""
         if isinstance(record, KeepOrigin):
             self._restored.append(record)
+        elif isinstance(record, KeeperReady):
+            self._completeness.is_complete = record.is_complete
+            self._is_stored_complete = record.is_complete
 
-    def snapshot(self) -> tuple[KeepOrigin, ...]:
+    def snapshot(self) -> tuple[typing.Any, ...]:
         """Return the records that replace those written so far."""
-        return self._store.snapshot() if self._has_disk else ()
+        if not self._has_disk:
+            return ()
+        ready = KeeperReady(is_complete=self._is_stored_complete)
+        return (ready, *self._store.snapshot())
 
     def _take_in_restored(self, now: float) -> None:
         for record in self._restored:
             self._store.add(now, record)
         self._restored.clear()
 
+    def _set_keepers(self, event: SetKeepers) -> Effects:
+        self._voter_ids = event.voter_ids
+        self._entries = event.entries
+        if not self._has_disk or not self._voter_ids:
+            return []
+        self._completeness.set_voter(
+            event.now, is_voter=self._own_id in self._voter_ids
+        )
+        return self._store_completeness()
+
     # Keeping, at the instance that begins a stream
 
     def _keep(self, event: Keep) -> Effects:
@@ -263,12 +301,18 @@
         )
         if not is_new and not is_storing:
             return self._confirm(told_by, message.stream_key)
-        self._tokens += 1
-        token = str(self._tokens)
+        token = self._next_token()
         self._storing_by_token[token] = (message.stream_key, told_by)
         return [parts.Persist(token=token, records=(message,))]
 
+    def _next_token(self) -> str:
+        self._tokens += 1
+        return str(self._tokens)
+
     def _persisted(self, event: parts.Persisted) -> Effects:
+        if event.token not in self._storing_by_token:
+            # What other voters told, or that it is complete.
+            return []
         stream_key, told_by = self._storing_by_token.pop(event.token)
         return self._confirm(told_by, stream_key)
 
@@ -355,6 +399,55 @@
         item.resend_at = now + RESEND_S
         return self._send_ask(item, by_datagram=False)
 
+    # What has begun streams
+
+    def _look_up_sole(self, event: LookUpSole) -> Effects:
+        own = self._versions_answer(event.now, event.ticket, event.services)
+        return self._sole_lookups.begin(
+            event, self._other_voter_ids, own, self._own_id, self._voter_ids
+        )
+
+    @property
+    def _other_voter_ids(self) -> frozenset[str]:
+        return self._voter_ids - {self._own_id}
+
+    def _versions_answer(
+        self, now: float, ticket: str, services: tuple[str, ...]
+    ) -> VersionsAnswer:
+        return VersionsAnswer(
+            ticket=ticket,
+            kept=self._store.versions(now, services),
+            is_complete=self._has_disk and self._is_stored_complete,
+        )
+
+    def _on_versions(self, event: parts.Received) -> Effects:
+        answer = event.message
+        told = self._completeness.note(event.sender, answer, self._voter_ids)
+        records = [as_stream(each) for each in told]
+        new = tuple(
+            each for each in records if self._store.add(event.now, each)
+        )
+        out: Effects = []
+        if new:
+            out.append(parts.Persist(token=self._next_token(), records=new))
+        return [
+            *out,
+            *self._store_completeness(),
+            *self._sole_lookups.note(event.sender, answer, self._voter_ids),
+        ]
+
+    def _store_completeness(self) -> Effects:
+        """Journal whether the answers are complete, if that has changed.
+
+        What they rely on was journaled before.
+        """
+        is_complete = self._completeness.is_complete
+        if not self._has_disk or is_complete == self._is_stored_complete:
+            return []
+        self._is_stored_complete = is_complete
+        record = KeeperReady(is_complete=is_complete)
+        return [parts.Persist(token=self._next_token(), records=(record,))]
+
     # Messages and time
 
     def _receive(self, event: parts.Received) -> Effects:
@@ -373,6 +466,17 @@
                 ]
             case OriginAnswer():
                 return self._note_answer(event.now, event.sender, message)
+            case AskVersions():
+                versions = self._versions_answer(
+                    event.now, message.ticket, message.services
+                )
+                return [
+                    parts.Send(
+                        to=event.sender, message=versions, by_datagram=True
+                    )
+                ]
+            case VersionsAnswer():
+                return self._on_versions(event)
         return []
 
     def _tick(self, now: float) -> Effects:
@@ -382,6 +486,10 @@
             out += self._tick_keeping(now, keeping)
         for ticket, item in list(self._looking_up_by_ticket.items()):
             out += self._tick_lookup(now, ticket, item)
+        out += self._sole_lookups.tick(now, self._other_voter_ids)
+        if self._has_disk:
+            out += self._completeness.tick(now, self._other_voter_ids)
+            out += self._store_completeness()
         return out
 
     def _ranked_entries(self, stream_key: bytes, count: int) -> frozenset[str]:
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -78,6 +78,8 @@
     #: Whether the call is forwarded unchanged. Prefill then does not count as
     #: running it, and every send to a decode engine is a run of its own.
     is_pass_through: bool = False
+    #: Services to one of which the route leads, for such a call.
+    route_services: tuple[str, ...] = ()
     #: Seconds without a piece after which its client disconnects; ``None`` if
     #: not known.
     patience_s: float | None = None
@@ -250,6 +252,7 @@
             timeout_s=found.timeout_s,
             max_runs=found.max_runs,
             is_pass_through=True,
+            route_services=tuple(target.service for target in found.targets),
             patience_s=found.patience_s if streamed else None,
             target_s=found.target_s if streamed else 0.0,
             is_resent=(
--- a/dandeliongw/entry/origin_check.py
+++ b/dandeliongw/entry/origin_check.py
@@ -37,6 +37,9 @@
     'began it; begin it anew',
     origins.LookUpFailure.UNANSWERED: 'the instances that know which software '
     'version began it do not answer just now',
+    origins.LookUpFailure.SEVERAL: 'the call does not name the call that '
+    'began it, and several software versions have begun streams lately; '
+    'begin it anew',
 }
 
 
@@ -70,22 +73,32 @@
         """Whether what began its stream has to be found before it is booked.
 
         A call that takes up a stream without naming the call that began it
-        goes on only where its service has a single version.
+        goes on only where a single version has begun streams lately, and
+        serves now.
         """
         call = request.call
         takes_up = request.admitted.streamed and call.pieces_received > 0
         request.needs_sole_version = takes_up and not call.resumes
-        return takes_up and bool(call.resumes)
+        return takes_up
 
     def look_up(self, now: float, request: Request) -> Effects:
         """Look up what began a stream; see :meth:`found`."""
         request.phase = Phase.RESOLVING
         request.phase_at = now
-        look_up = origins.LookUp(
-            now=now,
-            ticket=LOOK_UP_TICKET + request.request_id,
-            stream_key=_stream_key(request, request.call.resumes),
-        )
+        ticket = LOOK_UP_TICKET + request.request_id
+        look_up: origins.LookUp | origins.LookUpSole
+        if request.call.resumes:
+            look_up = origins.LookUp(
+                now=now,
+                ticket=ticket,
+                stream_key=_stream_key(request, request.call.resumes),
+            )
+        else:
+            look_up = origins.LookUpSole(
+                now=now,
+                ticket=ticket,
+                services=request.admitted.route_services or (request.service,),
+            )
         return [effects.Dispatch(event=look_up)]
 
     def found(
@@ -217,9 +230,11 @@
     request: Request, failure: origins.LookUpFailure, message: str
 ) -> verdict.Refusal:
     is_transient = failure is origins.LookUpFailure.UNANSWERED
+    resumes = request.call.resumes
+    name = f'stream {resumes!r}' if resumes else 'a stream'
     return _refusal.not_run(
         verdict.RefusalReason.STREAM_UNKNOWN,
-        f'stream {request.call.resumes!r} is not taken up: {message}',
+        f'{name} is not taken up: {message}',
         _refusal.TRANSIENT_RETRY_S
         if is_transient
         else declines.LOST_STREAM_RETRY_S,
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -396,7 +396,13 @@
             (self._on_backend_ended, (quarantine.Ended,)),
             (
                 self._in_origins,
-                (origins.SetKeepers, origins.Keep, origins.LookUp),
+                (
+                    origins.SetKeepers,
+                    origins.KeepersFormed,
+                    origins.Keep,
+                    origins.LookUp,
+                    origins.LookUpSole,
+                ),
             ),
             (
                 self.rates.handle,
--- a/dandeliongw/voter_replacement.py
+++ b/dandeliongw/voter_replacement.py
@@ -11,6 +11,7 @@
 from .coordination import claim_messages
 from .coordination import lease
 from .coordination import membership
+from .coordination import origins
 from .coordination import register
 
 #: Claims epoch of the first set of voters. Sets are numbered from 0, and
@@ -92,6 +93,7 @@
         if changed.number == 0 and self._register.disk_id in voters.values():
             # Only the voters that formed the system have nothing to copy.
             out.append(lease.GrantorsFormed(now=now))
+            out.append(origins.KeepersFormed(now=now))
         return [effects.Dispatch(event=event) for event in out]
 
     def note_caught_up(
--- a/tests/test_origin_check.py
+++ b/tests/test_origin_check.py
@@ -177,9 +177,18 @@
         self.assertEqual(REASON.STREAM_UNKNOWN, self.entry.refusal.reason)
 
     def test_a_caller_that_names_no_call(self):
-        self.take_up(resumes='')
-        self.assertTrue(self.booked.needs_sole_version)
+        """Guards against a stream that goes on at a version that is new.
+
+        Who serves now doesn't tell what began it.
+        """
+        request_id = self.take_up(resumes='')
+        self.assertEqual([], self.entry.sent(cells.Book))
         self.assertEqual([], self.entry.dispatched(origins.LookUp))
+        (look_up,) = self.entry.dispatched(origins.LookUpSole)
+        self.assertEqual(('dieline-llm',), look_up.services)
+        self.found(request_id, origin())
+        self.assertEqual('v1', self.booked.software_version)
+        self.assertTrue(self.booked.needs_sole_version)
 
 
 class SplitRouteTest(StreamTest):
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -16,20 +16,22 @@
 TAKEN = origins.KeepResult.TAKEN
 UNKNOWN = origins.LookUpFailure.UNKNOWN
 UNANSWERED = origins.LookUpFailure.UNANSWERED
+SEVERAL = origins.LookUpFailure.SEVERAL
 KEY = b'k' * 16
 
 
-def origin(version='v1'):
-    return origins.StreamOrigin(service='s', software_version=version)
+def origin(version='v1', service='s'):
+    return origins.StreamOrigin(service=service, software_version=version)
 
 
 class Lan:
     """Instances on a virtual clock; messages wait until delivered."""
 
-    def __init__(self, entries=ENTRIES, voters=VOTERS):
+    def __init__(self, entries=ENTRIES, voters=VOTERS, disks=VOTERS):
         self.now = 100.0
         self.voters, self.entries = voters, entries
-        self.records = {each: [] for each in (*voters, *entries)}
+        self.disks = disks
+        self.records = {each: [] for each in (*disks, *entries)}
         self.parts = {}
         #: Instances that are down, cut off or frozen.
         self.lost = set()
@@ -43,10 +45,13 @@
 
     def start(self, name):
         """Start an instance, with what is on its disk."""
-        part = origins.Origins(instance_id=name, has_disk=name in self.voters)
+        part = origins.Origins(instance_id=name, has_disk=name in self.disks)
         for record in self.records[name]:
             part.restore(record)
         self.parts[name] = part
+        self.set_keepers(name)
+
+    def set_keepers(self, name):
         members = tuple(
             placement.Member(instance_id=each, data_centre=each)
             for each in self.entries
@@ -93,7 +98,18 @@
                     self.handle(name, parts.Ticked(now=self.now, entropy=0))
             self.deliver()
 
-    def keep(self, name, version='v1', key=KEY, keep_s=60.0):
+    def form(self):
+        """Tell the voters that they are the first ones of a new system."""
+        for each in self.voters:
+            self.handle(each, origins.KeepersFormed(now=self.now))
+
+    def set_voters(self, *voters):
+        """Change the voters, and tell all instances at once."""
+        self.voters = voters
+        for name in self.parts:
+            self.set_keepers(name)
+
+    def keep(self, name, version='v1', key=KEY, keep_s=60.0, service='s'):
         self.tickets += 1
         ticket = str(self.tickets)
         self.handle(
@@ -102,12 +118,24 @@
                 now=self.now,
                 ticket=ticket,
                 stream_key=key,
-                origin=origin(version),
+                origin=origin(version, service),
                 keep_s=keep_s,
             ),
         )
         return ticket
 
+    def look_up_sole(self, name, services=('s',)):
+        """Return which version alone can have begun a stream."""
+        self.tickets += 1
+        ticket = str(self.tickets)
+        self.handle(
+            name,
+            origins.LookUpSole(now=self.now, ticket=ticket, services=services),
+        )
+        self.deliver()
+        self.pass_time(1.0)
+        return self.results[ticket]
+
     def look_up(self, name, key=KEY):
         """Return what a lookup that is given time concludes."""
         self.tickets += 1
@@ -241,6 +269,144 @@
         self.assertEqual(origin(), self.lan.look_up('e5'))
 
 
+class LookUpSoleTest(unittest.TestCase):
+    """Guards against streams that go on at whatever version serves now.
+
+    Their callers don't name the call that began them.
+    """
+
+    def setUp(self):
+        self.lan = Lan(voters=VOTERS, disks=(*VOTERS, 'v4', 'v5', 'v6'))
+        self.lan.form()
+
+    def keep(self, *versions, service='s'):
+        for number, version in enumerate(versions):
+            key = f'{service}{version}{number}'.encode()
+            self.lan.keep('e1', version=version, key=key, service=service)
+            self.lan.deliver()
+
+    def test_the_one_version_that_has_begun_streams(self):
+        self.keep('v1', 'v1')
+        self.assertEqual(origin(), self.lan.look_up_sole('e2'))
+
+    def test_several_versions(self):
+        self.keep('v1', 'v2')
+        self.assertEqual(SEVERAL, self.lan.look_up_sole('e2'))
+
+    def test_nothing_has_begun(self):
+        self.assertEqual(UNKNOWN, self.lan.look_up_sole('e2'))
+
+    def test_other_services_do_not_matter(self):
+        self.keep('v1')
+        self.keep('v2', service='other')
+        self.assertEqual(origin(), self.lan.look_up_sole('e2'))
+        self.assertEqual(SEVERAL, self.lan.look_up_sole('e2', ('s', 'other')))
+        self.assertEqual(
+            origin('v2', 'other'), self.lan.look_up_sole('e2', ('other',))
+        )
+
+    @params((VOTERS,), (ENTRIES,), ((*VOTERS, *ENTRIES),))
+    def test_all_are_killed_at_once(self, killed):
+        """The version that began them has left, and nobody remembers it."""
+        self.keep('v1')
+        for each in killed:
+            self.lan.start(each)
+        self.keep('v2')
+        self.assertEqual(SEVERAL, self.lan.look_up_sole('e2'))
+
+    def test_a_version_counts_until_its_callers_are_gone(self):
+        self.keep('v1')
+        self.lan.pass_time(30.0)
+        self.keep('v2')
+        self.lan.pass_time(29.0)
+        self.assertEqual(SEVERAL, self.lan.look_up_sole('e2'))
+        self.lan.pass_time(1.0)
+        self.assertEqual(origin('v2'), self.lan.look_up_sole('e2'))
+
+    def test_a_minority_of_the_voters_does_not_decide(self):
+        self.keep('v1')
+        self.lan.lost = {'v2', 'v3'}
+        self.assertEqual(UNANSWERED, self.lan.look_up_sole('e2'))
+
+    def test_an_entry_counts_what_it_has_begun_itself(self):
+        self.keep('v1')
+        self.lan.lost = set(VOTERS)
+        self.lan.keep('e2', version='v2')
+        self.lan.lost = set()
+        self.assertEqual(SEVERAL, self.lan.look_up_sole('e2'))
+
+    def test_a_new_voter_asks_the_others_first(self):
+        """Guards against a majority of disks that were never told."""
+        self.keep('v1')
+        for old, new in (('v1', 'v4'), ('v2', 'v5'), ('v3', 'v6')):
+            left = [each for each in self.lan.voters if each != old]
+            self.lan.set_voters(*left, new)
+            self.lan.pass_time(6.0)
+            self.lan.lost |= {old}
+        self.keep('v2')
+        self.assertEqual(SEVERAL, self.lan.look_up_sole('e2'))
+        for each in self.lan.voters:
+            self.lan.start(each)
+        self.assertEqual(SEVERAL, self.lan.look_up_sole('e2'))
+
+    def test_a_voter_that_could_not_ask_does_not_count(self):
+        self.keep('v1')
+        self.lan.set_voters('v1', 'v4', 'v5')
+        self.lan.lost = {'v1'}
+        self.lan.pass_time(10.0)
+        self.assertEqual(UNANSWERED, self.lan.look_up_sole('e2'))
+
+    def test_a_voter_that_lost_its_vote_is_not_complete_any_more(self):
+        self.lan.set_voters('v1', 'v2', 'v4')
+        self.lan.pass_time(6.0)
+        self.keep('v1')
+        self.lan.start('v3')
+        self.lan.lost = {'v1', 'v2'}
+        self.lan.set_voters('v2', 'v3', 'v4')
+        self.assertEqual(UNANSWERED, self.lan.look_up_sole('e2'))
+
+    def test_a_snapshot_restores_what_a_voter_was_told(self):
+        self.keep('v1')
+        self.lan.set_voters('v2', 'v3', 'v4')
+        self.lan.pass_time(6.0)
+        self.lan.records['v4'] = list(self.lan.parts['v4'].snapshot())
+        self.lan.start('v4')
+        self.lan.lost = {'v2'}
+        self.assertEqual(origin(), self.lan.look_up_sole('e2'))
+
+    @params(*range(50))
+    def test_it_is_never_guessed(self, seed):
+        """Guards against orders of losses and restarts that nobody drew."""
+        choose = random.Random(seed)
+        begun = {}
+        for number in range(30):
+            self.lan.lost = set(
+                choose.sample(VOTERS, choose.choice((0, 0, 1, 1, 3)))
+                + choose.sample(ENTRIES, choose.randint(0, 3))
+            )
+            for each in choose.sample(VOTERS, choose.randint(0, 3)):
+                self.lan.start(each)
+            for each in choose.sample(ENTRIES, choose.choice((0, 1, 5))):
+                self.lan.start(each)
+            entry = choose.choice(sorted(set(ENTRIES) - self.lan.lost))
+            version = choose.choice(('v1', 'v1', 'v1', 'v2'))
+            ticket = self.lan.keep(
+                entry, version=version, key=bytes([number]) * 16, keep_s=15.0
+            )
+            self.lan.deliver()
+            is_stored = len(set(VOTERS) & self.lan.lost) < 2
+            if is_stored and self.lan.results.get(ticket) is KEPT:
+                begun[self.lan.now + 15.0] = version
+            self.lan.pass_time(choose.uniform(0.0, 4.0))
+            other = choose.choice(sorted(set(ENTRIES) - self.lan.lost))
+            answer = self.lan.look_up_sole(other)
+            lasting = {
+                each for end, each in begun.items() if end > self.lan.now
+            }
+            if isinstance(answer, origins.StreamOrigin):
+                self.assertLessEqual(lasting, {answer.software_version})
+
+
 class SimulationTest(unittest.TestCase):
     """Guards against orders of losses, cuts and restarts that nobody drew."""
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -785,6 +785,22 @@
         self.assertEqual([], report.broken, '\n'.join(report.lines()))
 
 
+class UnnamedTakeUpTest(unittest.TestCase):
+    """Guards against streams that go on at whatever version serves now.
+
+    All engines of a version leave at once, entries are killed, and callers
+    come back that don't name the request that began their stream.
+    """
+
+    def test_each_stream_has_one_version(self):
+        plan = run.Plan(
+            seed=4, seconds=1.0, rate_per_s=70.0, only=('release',)
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(plan, pathlib.Path(folder)))
+        self.assertEqual([], report.broken, '\n'.join(report.lines()))
+
+
 class ShortRunTest(unittest.TestCase):
     """Guards against promises that only real processes break."""
 
