Voter table: names that say what they mean

Cause: read as a newcomer, 'final' said neither of whom nor of what. Change: names; the order of voters that are gone no longer hangs on the words of an enumeration. Result: tests of the table and of the replacement pass.

--- a/dandeliongw/voter_table.py
+++ b/dandeliongw/voter_table.py
@@ -59,7 +59,7 @@
     GONE = 'gone'
 
     @property
-    def is_final(self) -> bool:
+    def may_be_replaced(self) -> bool:
         """Whether a new voter may take the place of this instance."""
         return self in (Presence.LEAVING, Presence.GONE)
 
@@ -133,15 +133,18 @@
         leaving = self.voters_by_id.keys() - self.joining_by_id.keys()
         return min(leaving, default='')
 
-    def final_voters(self) -> list[str]:
+    def replaceable_voters(self) -> list[str]:
         """Return the other voters that may go, those that are gone first."""
         found = [
             voter
             for voter in sorted(self.voters_by_id)
             if voter != self.instance_id
-            and self.presence_by_id[voter].is_final
+            and self.presence_by_id[voter].may_be_replaced
         ]
-        return sorted(found, key=lambda each: self.presence_by_id[each].value)
+        return sorted(
+            found,
+            key=lambda each: self.presence_by_id[each] is not Presence.GONE,
+        )
 
 
 _WAIT = Step(action=Action.WAIT)
@@ -172,8 +175,8 @@
         return _WAIT
     if not view.joiner:
         return Step(action=Action.REMOVE, voter=view.replaced)
-    is_final = view.presence_by_id[view.joiner].is_final
-    if is_final or view.is_stuck:
+    is_lost = view.presence_by_id[view.joiner].may_be_replaced
+    if is_lost or view.is_stuck:
         return Step(action=Action.WITHDRAW)
     return _WAIT
 
@@ -185,21 +188,21 @@
     """
     if not view.is_voter and view.instance_id in view.voters_by_id:
         return Step(action=Action.REMOVE, voter=view.instance_id)
-    final = view.final_voters()
-    if not final:
+    found = view.replaceable_voters()
+    if not found:
         return None
     if not view.is_voter:
         return _WAIT
-    return Step(action=Action.REMOVE, voter=final[0])
+    return Step(action=Action.REMOVE, voter=found[0])
 
 
 def _join(view: View) -> Step:
     """Return the step of an instance that could become a voter."""
     if view.most_voters is None:
         return _WAIT
-    final = view.final_voters()
-    if final:
-        return Step(action=Action.PROPOSE, voter=final[0])
+    found = view.replaceable_voters()
+    if found:
+        return Step(action=Action.PROPOSE, voter=found[0])
     are_present = all(
         view.presence_by_id[voter] is Presence.PRESENT
         for voter in view.voters_by_id
