--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -34,13 +34,14 @@
 def children_of(pid: int) -> list[int]:
     """Return the processes whose parent is ``pid``, from /proc."""
     found = []
-    for stat in pathlib.Path('/proc').glob('[0-9]*/stat'):
+    # A pattern that looked for files would fail if a process ended meanwhile.
+    for folder in pathlib.Path('/proc').glob('[0-9]*'):
         try:
-            fields = stat.read_text().rpartition(')')[2].split()
+            fields = (folder / 'stat').read_text().rpartition(')')[2].split()
         except OSError:
             continue  # The process has ended meanwhile.
         if int(fields[1]) == pid:
-            found.append(int(stat.parent.name))
+            found.append(int(folder.name))
     return found
 
 
