Voters: log who is gone, what has caught up, and each change

The log of an instance that could take the place of a voter didn't tell why it did nothing: whom it waits for, since when, and whether that one was never seen; whether its disk still reads leases or claims; that a change has ended.

--- a/dandeliongw/voter_replacement.py
+++ b/dandeliongw/voter_replacement.py
@@ -7,6 +7,7 @@
 import typing
 
 from . import effects
+from . import voter_presence
 from . import voter_table
 from .coordination import claim_messages
 from .coordination import lease
@@ -19,17 +20,9 @@
 FIRST_CLAIMS_EPOCH = 1
 #: Seconds between two attempts to change the voters.
 REPAIR_S = 1.0
-#: Seconds for which a suspected instance may be absent until it counts as
-#: gone: a restart takes two, with the time until it is suspected.
-SUSPECT_LIMIT_S = 2.0
-#: The same for an instance that was never seen here. One that has just
-#: started knows nobody.
-UNSEEN_LIMIT_S = 20.0
 #: Seconds after which a change whose new voter is present but doesn't catch
 #: up is withdrawn, so that others can join.
 CHANGE_LIMIT_S = 60.0
-#: States of a member that its own process can't refute any more, or hasn't.
-_FINAL_STATES = (membership.MemberState.DEAD, membership.MemberState.LEFT)
 #: Seconds for which an instance whose change was withdrawn lets others join
 #: before it tries again.
 WITHDRAWN_PAUSE_S = 3.0
@@ -57,7 +50,7 @@
         self._register = configuration
         self._members = members
         self._most_voters = most_voters
-        self._absent_since_by_id: dict[str, float] = {}
+        self._presence = voter_presence.VoterPresence(members=members)
         #: Number of the voter sets, and since when they are known.
         self._number_since = (-1, 0.0)
         self._next_attempt_at = 0.0
@@ -94,7 +87,14 @@
             # Only the voters that formed the system have nothing to copy.
             out.append(lease.GrantorsFormed(now=now))
             out.append(origins.KeepersFormed(now=now))
-        return [effects.Dispatch(event=event) for event in out]
+        line = effects.log(
+            'the voters have changed',
+            number=str(changed.number),
+            voters=', '.join(sorted(voters)),
+            joining=', '.join(sorted(new_voters)),
+            leaving=', '.join(sorted(set(voters) - set(joining or voters))),
+        )
+        return [line, *(effects.Dispatch(event=event) for event in out)]
 
     def note_caught_up(
         self, now: float, part: str, number: int, entropy: int
@@ -108,17 +108,25 @@
         :param part: ``leases`` or ``claims``.
         :param number: number of the set of voters that it has caught up with.
         """
+        is_joining = self._view(now).is_joiner
+        out: list[typing.Any] = []
+        if is_joining and (part, number) not in self._caught_up:
+            line = 'a part of the joining disk has caught up'
+            out.append(effects.log(line, part=part, number=str(number)))
         self._caught_up.add((part, number))
         if not {('leases', number), ('claims', number)} <= self._caught_up:
-            return []
+            return out
         caught_up = register.CaughtUp(
             now=now, disk_id=self._register.disk_id, entropy=entropy
         )
-        return [effects.Dispatch(event=caught_up)]
+        return [*out, effects.Dispatch(event=caught_up)]
 
     def review(self, now: float, entropy: int) -> list[typing.Any]:
         """Take the next step of a change of the voters, if one is needed."""
-        self._update_absent(now)
+        out = self._presence.review(now, self._instance_ids())
+        return [*out, *self._take_step(now, entropy)]
+
+    def _take_step(self, now: float, entropy: int) -> list[typing.Any]:
         if self._register.configuration is None or now < self._next_attempt_at:
             return []
         view = self._view(now)
@@ -142,36 +150,26 @@
     def _view(self, now: float) -> voter_table.View:
         state = self._register
         own = self._members.members_by_id.get(self._instance_id)
-        instance_ids = state.voters_by_id.keys() | state.joining_by_id.keys()
         if self._number_since[0] != state.voters_number:
             self._number_since = (state.voters_number, now)
         return voter_table.View(
             instance_id=self._instance_id,
             disk_id=state.disk_id,
-            is_leaving=own is not None and _is_leaving(own),
+            is_leaving=own is not None and voter_presence.is_leaving(own),
             voters_by_id=state.voters_by_id,
             joining_by_id=state.joining_by_id,
             joiner=state.joiner,
-            presence_by_id={
-                each: self._presence(now, each) for each in instance_ids
-            },
+            presence_by_id=self._presence.presence_by_id(
+                now, self._instance_ids()
+            ),
             most_voters=self._most_voters,
             is_stuck=now - self._number_since[1] >= CHANGE_LIMIT_S,
         )
 
-    def _presence(self, now: float, instance_id: str) -> voter_table.Presence:
-        member = self._members.members_by_id.get(instance_id)
-        since = self._absent_since_by_id.get(instance_id)
-        if since is None:
-            if member is not None and _is_leaving(member):
-                return voter_table.Presence.LEAVING
-            return voter_table.Presence.PRESENT
-        if member is not None and member.state in _FINAL_STATES:
-            return voter_table.Presence.GONE
-        limit_s = UNSEEN_LIMIT_S if member is None else SUSPECT_LIMIT_S
-        if now - since >= limit_s:
-            return voter_table.Presence.GONE
-        return voter_table.Presence.ABSENT
+    def _instance_ids(self) -> set[str]:
+        """Return the ids of all voters, present and joining."""
+        state = self._register
+        return state.voters_by_id.keys() | state.joining_by_id.keys()
 
     def _propose(
         self, now: float, entropy: int, *, in_place_of: str
@@ -223,16 +221,3 @@
             ),
             effects.Dispatch(event=withdraw),
         ]
-
-    def _update_absent(self, now: float) -> None:
-        """Update since when each current or joining voter is not alive."""
-        state = self._register
-        voters = state.voters_by_id.keys() | state.joining_by_id.keys()
-        absent = voters - set(self._members.alive_ids())
-        self._absent_since_by_id = {
-            voter: self._absent_since_by_id.get(voter, now) for voter in absent
-        }
-
-
-def _is_leaving(member: membership.Member) -> bool:
-    return member.draining or member.state is membership.MemberState.LEFT
--- a/tests/test_voter_replacement.py
+++ b/tests/test_voter_replacement.py
@@ -6,7 +6,9 @@
 
 from dandeliongw.coordination import membership
 from dandeliongw.coordination import register
+from dandeliongw import effects
 from dandeliongw import events
+from dandeliongw import voter_presence
 from dandeliongw import voter_replacement
 from tests import network
 
@@ -148,7 +150,7 @@
         net.run_until(lambda: len(voters(net)) == 5, LIMIT_S)
         net.start('gw-6', disk_id='disk-gw-6')
         net.frozen.add('gw-2')
-        net.run(voter_replacement.SUSPECT_LIMIT_S)
+        net.run(voter_presence.ABSENT_LIMIT_S)
         net.frozen.discard('gw-2')
         net.run(20.0)
         self.assertNotIn('gw-6', voters(net))
@@ -232,6 +234,37 @@
         self.assertEqual(len(voters(net)), 5)
 
 
+class LogTest(unittest.TestCase):
+    def test_the_presence_and_the_changes_of_voters_are_logged(self):
+        """Guards against a change that waits without a line that says why."""
+        net = with_spares(5, 1)
+        net.crash('gw-1')
+        add(net, 'gw-6')
+        net.run_until(lambda: 'gw-6' in voters(net, 'gw-2'), LIMIT_S)
+        lines = [
+            (each.message, dict(each.fields))
+            for each in net.effects_by_id['gw-6']
+            if isinstance(each, effects.Log)
+        ]
+        states = [
+            (fields['voter'], fields['presence'])
+            for message, fields in lines
+            if message == 'the presence of a voter has changed'
+        ]
+        self.assertEqual([('gw-1', 'gone')], states)
+        parts = [
+            fields['part']
+            for message, fields in lines
+            if message == 'a part of the joining disk has caught up'
+        ]
+        self.assertEqual(['claims', 'leases'], sorted(parts))
+        message, fields = [
+            line for line in lines if line[0] == 'the voters have changed'
+        ][-1]
+        self.assertIn('gw-6', fields['voters'])
+        self.assertEqual('', fields['joining'])
+
+
 class SeriesTest(unittest.TestCase):
     """Losses one after the other, as soon as the last one counts again."""
 
