Leases: sync a fence also after a claim has named the new grantors

A grantor that answers a read of its epochs takes no more claims under the replaced grantors, also after a restart. It synced that only if it hadn't heard of the new set yet: a claim under the new set, which usually comes first, raised the version in memory, and the read was then answered without a sync. Seen by a review of the catch-up, not by callers.

What is synced is now kept apart from what is known. The test fails on the code before: the read is answered at once, without a record.

--- a/dandeliongw/coordination/lease_grantor.py
+++ b/dandeliongw/coordination/lease_grantor.py
@@ -77,6 +77,8 @@
         #: When this process started, in monotonic seconds.
         self.started_at = float('-inf')
         self._wait_until: float | None = None
+        #: Highest version in a marker that is synced, or about to be.
+        self._recorded_version = -1
         self._pending_replies: list[_PendingReply] = []
         self._tokens_by_subject: dict[str, str] = {}
         self._token_count = 0
@@ -86,6 +88,7 @@
         if isinstance(record, messages.LeaseReady):
             self.ready = True
             self.version = max(self.version, record.version)
+            self._recorded_version = self.version
         if isinstance(record, messages.LeaseGranted):
             self.learn(record)
 
@@ -135,6 +138,7 @@
         """
         self.ready = True
         self.version = max(self.version, version)
+        self._recorded_version = self.version
         records = tuple(self.snapshot())
         return [parts.Persist(token=self.next_token(), records=records)]
 
@@ -234,9 +238,11 @@
             ready=self.ready,
             records=self.records(),
         )
-        if not self.ready or wanted.version <= self.version:
+        # Claims raise the version in memory only.
+        if not self.ready or wanted.version <= self._recorded_version:
             return self._reply(sender, epochs, {_VERSION}, {})
-        self.version = wanted.version
+        self.version = max(self.version, wanted.version)
+        self._recorded_version = self.version
         marker = messages.LeaseReady(version=self.version)
         return self._reply(sender, epochs, {_VERSION}, {_VERSION: marker})
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -408,6 +408,15 @@
             old = self.outcome(each, 0.0, 'a', claim(1, version=2))
             self.assertEqual(Outcome.OLD_VERSION, old)
 
+    def test_a_fence_is_synced_that_a_claim_has_raised_before(self):
+        """Guards against a fence that a restart forgets."""
+        part = make_grantor()
+        self.outcome(part, 0.0, 'a', claim(1, version=3))
+        wanted = messages.LeaseEpochsWanted(version=3, reading=9)
+        persist, *early = part.on_epochs_wanted('v4', wanted)
+        self.assertEqual([], early)
+        self.assertEqual(messages.LeaseReady(version=3), persist.records[0])
+
     def test_a_read_epoch_never_ends_a_grant_that_stands(self):
         """A grantor has granted epoch 4 and reads that another granted 5.
 
