Leases: a grantor has caught up once its records are synced

The register could end the change before they were on the disk; after a loss of power at that moment the set counted a disk that refuses all claims. Its answers to claims for an epoch that it had only read weren't held back for that sync either. Seen by a review of the catch-up, not by callers; the claims part waits for its sync already.

The effect is performed, and such answers are sent, after the sync. The changed test wants the notice after the sync; it fails on the code before in all three of its cases (the notice comes beside the records).

--- a/dandeliongw/coordination/lease_catchup.py
+++ b/dandeliongw/coordination/lease_catchup.py
@@ -161,6 +161,5 @@
 
     def _finish(self) -> list[typing.Any]:
         self.phase = Phase.OFF
-        effects = self._grantor.become_ready(self._version)
         caught_up = messages.GrantorCaughtUp(version=self._version)
-        return [*effects, caught_up]
+        return self._grantor.become_ready(self._version, then=caught_up)
--- a/dandeliongw/coordination/lease_grantor.py
+++ b/dandeliongw/coordination/lease_grantor.py
@@ -42,11 +42,10 @@
         return (self.record.holder, self.record.life) == (holder, life)
 
 
-class _PendingReply(msgspec.Struct, kw_only=True):
-    """A reply that is sent once these syncs have finished."""
+class _PendingEffect(msgspec.Struct, kw_only=True):
+    """An effect that is performed once these syncs have finished."""
 
-    to: str
-    message: typing.Any
+    effect: typing.Any
     tokens: set[str]
 
 
@@ -79,7 +78,7 @@
         self._wait_until: float | None = None
         #: Highest version in a marker that is synced, or about to be.
         self._recorded_version = -1
-        self._pending_replies: list[_PendingReply] = []
+        self._pending_effects: list[_PendingEffect] = []
         self._tokens_by_subject: dict[str, str] = {}
         self._token_count = 0
 
@@ -131,16 +130,25 @@
         """Become ready without epochs, as a first voter of a new system."""
         return self.become_ready(self.version)
 
-    def become_ready(self, version: int) -> list[typing.Any]:
+    def become_ready(
+        self, version: int, *, then: typing.Any = None
+    ) -> list[typing.Any]:
         """Journal all epochs, with the marker that they are complete.
 
         :param version: of the set of grantors.
+        :param then: an effect to perform once they are synced.
         """
         self.ready = True
         self.version = max(self.version, version)
         self._recorded_version = self.version
         records = tuple(self.snapshot())
-        return [parts.Persist(token=self.next_token(), records=records)]
+        token = self.next_token()
+        for subject in (_VERSION, *self._grants_by_name):
+            self._tokens_by_subject[subject] = token
+        if then is not None:
+            pending = _PendingEffect(effect=then, tokens={token})
+            self._pending_effects.append(pending)
+        return [parts.Persist(token=token, records=records)]
 
     def longest_wait_s(self) -> float:
         """Return in how many seconds all present grants have expired.
@@ -205,7 +213,7 @@
         return [parts.Send(to=name, message=vacant) for name in recipients]
 
     def on_persisted(self, token: str) -> list[typing.Any]:
-        """Return the replies whose last pending sync this was."""
+        """Return the effects whose last pending sync this was."""
         self._tokens_by_subject = {
             subject: waiting
             for subject, waiting in self._tokens_by_subject.items()
@@ -213,15 +221,13 @@
         }
         effects: list[typing.Any] = []
         still_pending = []
-        for pending in self._pending_replies:
+        for pending in self._pending_effects:
             pending.tokens.discard(token)
             if pending.tokens:
                 still_pending.append(pending)
             else:
-                effects.append(
-                    parts.Send(to=pending.to, message=pending.message)
-                )
-        self._pending_replies = still_pending
+                effects.append(pending.effect)
+        self._pending_effects = still_pending
         return effects
 
     def on_epochs_wanted(
@@ -379,9 +385,10 @@
             for subject in subjects
             if subject in self._tokens_by_subject
         }
+        send = parts.Send(to=sender, message=message)
         if tokens:
-            pending = _PendingReply(to=sender, message=message, tokens=tokens)
-            self._pending_replies.append(pending)
+            pending = _PendingEffect(effect=send, tokens=tokens)
+            self._pending_effects.append(pending)
         else:
-            effects.append(parts.Send(to=sender, message=message))
+            effects.append(send)
         return effects
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -634,21 +634,34 @@
         self.receive(part, 'v2', first)
         self.receive(part, 'v3', record(99, 'b'), reading=6)
         self.receive(part, 'v3', second)
-        self.assertEqual([], part.handle(parts.Ticked(now=5.2, entropy=7)))
-        done = part.handle(parts.Ticked(now=6.0, entropy=7))
-        persist, caught_up = done
+        (persist,) = part.handle(parts.Ticked(now=6.0, entropy=7))
         self.assertEqual(messages.LeaseReady(version=0), persist.records[-1])
-        self.assertEqual(lease.GrantorCaughtUp(version=0), caught_up)
-        received = parts.Received(now=9.0, sender='a', message=claim(2))
-        (answer,) = part.handle(received)[0].message.answers
-        self.assertEqual(expected, answer.outcome)
+        persisted = parts.Persisted(now=3.0, token=persist.token)
+        self.assertEqual(
+            [lease.GrantorCaughtUp(version=0)], part.handle(persisted)
+        )
+        self.assertEqual(expected, self.outcome(part, 9.0, 'a', claim(2)))
         self.assertEqual(persist.records, tuple(part.snapshot()))
 
     def receive(self, part, sender, granted, reading=7):
         epochs = messages.LeaseEpochs(
             reading=reading, ready=True, records=(granted,)
         )
-        part.handle(parts.Received(now=3.0, sender=sender, message=epochs))
+        received = parts.Received(now=3.0, sender=sender, message=epochs)
+        return part.handle(received)
+
+    def outcome(self, part, now, sender, claims):
+        received = parts.Received(now=now, sender=sender, message=claims)
+        out = part.handle(received)
+        (answers,) = [
+            each.message for each in out if isinstance(each, parts.Send)
+        ] or [self.sent_after_sync(part, now, out)]
+        return answers.answers[0].outcome
+
+    def sent_after_sync(self, part, now, effects):
+        (persist,) = effects
+        persisted = parts.Persisted(now=now, token=persist.token)
+        return part.handle(persisted)[0].message
 
 
 class WireTest(unittest.TestCase):
