Leases: a grantor that joins again doesn't renew what it granted before

Seen by a review of the catch-up, not by callers.

A grantor that the set hasn't counted so far grants nothing until it has read the epochs, and takes what it reads in place of its own record of an epoch. Grantors that stay go on as before. The new test fails on the code before: a renewal is granted (GRANTED, not NOT_CAUGHT_UP).

--- a/dandeliongw/coordination/lease_catchup.py
+++ b/dandeliongw/coordination/lease_catchup.py
@@ -53,6 +53,8 @@
     ) -> None:
         self.resend_s = resend_s
         self.phase = Phase.OFF
+        #: Whether the set has not counted the records of this grantor so far.
+        self._is_new = False
         self._grantor = own_grantor
         self._version = 0
         self._sources: tuple[str, ...] = ()
@@ -79,6 +81,10 @@
         if self.phase is not Phase.OFF and version == self._version:
             return
         self._version = version
+        self._is_new = own_id not in changed.grantors or has_lost_records
+        if self._is_new:
+            # It may have been in an earlier set and have missed epochs since.
+            self._grantor.ready = False
         self._sources = changed.grantors
         self._sources_needed = lease_quorum.intersecting_size(
             len(changed.grantors)
@@ -138,10 +144,18 @@
         for epochs in self._epochs_by_source.values():
             reports.update(epochs.records)
         needed = lease_quorum.majority(len(self._sources))
+        latest_by_name: dict[str, messages.LeaseGranted] = {}
         for record, count in reports.most_common():
             if count < needed:
                 record = msgspec.structs.replace(record, holder='', life=0)
-            self._grantor.learn(record)
+            latest = latest_by_name.get(record.name)
+            if latest is None or latest.epoch < record.epoch:
+                latest_by_name[record.name] = record
+        for record in latest_by_name.values():
+            if self._is_new:
+                self._grantor.adopt(record)
+            else:
+                self._grantor.learn(record)
 
     def _full_wait_s(self) -> float:
         """Return the seconds after which no earlier grant is counted."""
--- a/dandeliongw/coordination/lease_grantor.py
+++ b/dandeliongw/coordination/lease_grantor.py
@@ -116,6 +116,18 @@
                 grant.released = False
                 grant.expires_at = float('-inf')
 
+    def adopt(self, record: messages.LeaseGranted) -> None:
+        """Record an epoch read from others in place of the own record of it.
+
+        An own grant made under an earlier set may be of an epoch that another
+        holder has got since.
+        """
+        grant = self._grants_by_name.get(record.name)
+        if grant is not None and grant.record.epoch == record.epoch:
+            grant.record = record
+        else:
+            self.learn(record)
+
     def start(self, now: float) -> None:
         """Start the wait after a restart; later calls have no effect.
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -643,6 +643,49 @@
         self.assertEqual(expected, self.outcome(part, 9.0, 'a', claim(2)))
         self.assertEqual(persist.records, tuple(part.snapshot()))
 
+    def test_a_grantor_that_stays_grants_during_a_change(self):
+        """Guards against a change that stops all other grantors."""
+        part = lease.Leases(instance_id='v1', is_grantor=True)
+        part.restore(messages.LeaseReady(version=0))
+        self.join(part, version=1)
+        self.receive(part, 'v2', record(4, 'a'))
+        self.receive(part, 'v3', record(4, 'a'))
+        self.assertEqual(
+            Outcome.GRANTED,
+            self.outcome(part, 3.1, 'b', claim(9, version=1)),
+        )
+
+    def test_a_grantor_that_joins_again_renews_no_grant_of_before(self):
+        """Guards against an epoch of two holders after a withdrawn change.
+
+        v4 granted epoch 5 to b while it joined; it missed that a majority
+        granted 5 to a meanwhile.
+        """
+        part = lease.Leases(instance_id='v4', is_grantor=True)
+        part.restore(record(5, 'b'))
+        part.restore(messages.LeaseReady(version=1))
+        self.join(part, version=3)
+        early = self.outcome(part, 2.9, 'b', claim(5, version=3))
+        self.assertEqual(Outcome.NOT_CAUGHT_UP, early)
+        self.receive(part, 'v2', record(5, 'a'))
+        self.receive(part, 'v3', record(5, 'a'))
+        (persist,) = part.handle(parts.Ticked(now=6.0, entropy=7))
+        part.handle(parts.Persisted(now=6.0, token=persist.token))
+        late = self.outcome(part, 9.0, 'b', claim(5, version=3))
+        self.assertEqual(Outcome.OLD_EPOCH, late)
+
+    def join(self, part, version):
+        part.handle(
+            lease.GrantorsChanged(
+                now=0.0,
+                grantors=('v1', 'v2', 'v3'),
+                joining=('v1', 'v2', 'v4'),
+                version=version,
+            )
+        )
+        part.handle(parts.Ticked(now=2.2, entropy=7))
+        part.handle(parts.Ticked(now=3.0, entropy=7))
+
     def receive(self, part, sender, granted, reading=7):
         epochs = messages.LeaseEpochs(
             reading=reading, ready=True, records=(granted,)
