Leases: a joining disk votes once it has read, and waits afterwards

Callers saw no configuration, for good, after voters had been lost one after the other while all processes were killed (docs/incidents/lost-memory.md): a change of the voters took two lease times from the start of the joining process, longer than the time after which the next disk may be lost, and a start begins both anew.

The first lease time is needed before the read. The second one only keeps the new grantor from granting beside a lease of the replaced set. It is now a wait of the grantor itself, like the one after a restart, and the change of the voters ends when the records that were read are synced. That a restart waits anew follows from the durations in these records.

--- a/dandeliongw/coordination/lease_catchup.py
+++ b/dandeliongw/coordination/lease_catchup.py
@@ -1,8 +1,8 @@
 """Catch-up of a grantor without records, before it may grant leases.
 
 A grantor that lost its disk, or that joins, has no record of the epochs
-granted. It waits, reads the other grantors' epochs, waits again, and only
-then grants leases.
+granted. It waits and reads the other grantors' epochs. With these it has
+caught up, but it grants no lease until another wait has passed.
 """
 
 import collections
@@ -28,7 +28,6 @@
     OFF = 'off'
     WAITING = 'waiting'
     READING = 'reading'
-    SETTLING = 'settling'
 
 
 class CatchUp:
@@ -41,8 +40,9 @@
     grants. A joining grantor waits a little from the change on as well, so
     that holders have learned of the set before the read fences the old one.
 
-    Why it waits after the read: the read fences new grants under the
-    replaced set, but earlier ones are still valid.
+    Why one that is new grants nothing for a while after the read: the read
+    fences new grants under the replaced set, but earlier ones are still
+    valid. The set may change meanwhile, as its records are complete.
 
     :param own_grantor: the grantor of this instance.
     :param resend_s: seconds before an unfinished read is sent again.
@@ -108,8 +108,6 @@
             self._epochs_by_source.clear()
         if self.phase is Phase.READING:
             return self._read(now)
-        if self.phase is Phase.SETTLING and now >= self._wait_until:
-            return self._finish()
         return []
 
     def on_epochs(
@@ -125,9 +123,7 @@
         if len(self._epochs_by_source) < self._sources_needed:
             return []
         self._merge_records()
-        self.phase = Phase.SETTLING
-        self._wait_until = now + self._full_wait_s()
-        return []
+        return self._finish(now)
 
     def _merge_records(self) -> None:
         """Adopt the highest epoch of each name.
@@ -173,7 +169,9 @@
             parts.Send(to=source, message=wanted) for source in self._sources
         ]
 
-    def _finish(self) -> list[typing.Any]:
+    def _finish(self, now: float) -> list[typing.Any]:
         self.phase = Phase.OFF
+        if self._is_new:
+            self._grantor.withhold(now + self._full_wait_s())
         caught_up = messages.GrantorCaughtUp(version=self._version)
         return self._grantor.become_ready(self._version, then=caught_up)
--- a/dandeliongw/coordination/lease_grantor.py
+++ b/dandeliongw/coordination/lease_grantor.py
@@ -138,6 +138,14 @@
             self.started_at = now
             self._wait_until = now + self.longest_wait_s()
 
+    def withhold(self, until: float) -> None:
+        """Grant no lease to another holder before a time.
+
+        A restart within it waits anew, for as long as any grant that the
+        records name may last.
+        """
+        self._wait_until = max(self._wait_until or until, until)
+
     def form(self) -> list[typing.Any]:
         """Become ready without epochs, as a first voter of a new system."""
         return self.become_ready(self.version)
