Voters: one that nobody has seen since the start counts as gone in time

Callers saw no configuration, for good, and operators no acknowledgement: five voters, one gone for good while all other processes, entries too, were killed and back after half a second; 6 s later the same with a second one; 6 s later a third one lost its disk (docs/incidents/lost-memory.md).

Who is gone is known in memory only. An instance that has just started has seen nobody, and took 20 s to tell a voter that is gone from one that it hasn't found yet; every loss of all memory began these anew, so that no successor proposed itself while losses went on.

Now the absence of a voter that was never seen counts from the last time that any other instance was found, and lasts a second; at most 20 s while others are still being found, as in a large system after a start of all. A voter that comes back later than that has lost its place to a successor, and joins again: each step keeps as many disks that answer as before.

Three cases of the new tests in test_voter_replacement fail on the code before: no change is accepted after the last replacement.

--- a/dandeliongw/voter_presence.py
+++ b/dandeliongw/voter_presence.py
@@ -1,6 +1,7 @@
 """What an instance knows of the presence of the voters.
 
-Only memory holds it: an instance that has just started knows nobody.
+Only memory holds it: an instance that has just started knows nobody. It finds
+the others within moments in a small system and over seconds in a large one.
 """
 
 from collections import abc
@@ -15,15 +16,19 @@
 #: Seconds for which an instance may be absent until it counts as gone: a
 #: restart takes two, with the time until it is suspected.
 ABSENT_LIMIT_S = 2.0
-#: The same for an instance that was never seen here. One that has just
-#: started knows nobody.
-UNSEEN_LIMIT_S = 20.0
+#: The same for an instance that was never seen here, from the last time that
+#: another one was found; and at most, while others are still being found.
+UNSEEN_LIMIT_S, UNSEEN_MAX_S = 1.0, 20.0
 #: States of a member that its own process can't refute any more, or hasn't.
 _FINAL_STATES = (membership.MemberState.DEAD, membership.MemberState.LEFT)
 
 
 class VoterPresence:
-    """Tells voters that are gone from those that may come back."""
+    """Tells voters that are gone from those that may come back.
+
+    An instance that was never seen here may be up and not found yet. So its
+    absence counts from the last time that any other instance was found.
+    """
 
     def __init__(self, *, members: membership.Membership) -> None:
         self._members = members
@@ -66,7 +71,10 @@
             return Presence.PRESENT
         if member is not None and member.state in _FINAL_STATES:
             return Presence.GONE
-        limit_s = UNSEEN_LIMIT_S if member is None else ABSENT_LIMIT_S
+        limit_s = ABSENT_LIMIT_S
+        if member is None:
+            found_s = max(self._members.last_found_at - since, 0.0)
+            limit_s = min(found_s + UNSEEN_LIMIT_S, UNSEEN_MAX_S)
         return Presence.GONE if now - since >= limit_s else Presence.ABSENT
 
     def _log(
--- a/tests/test_voter_replacement.py
+++ b/tests/test_voter_replacement.py
@@ -367,6 +367,30 @@
             net.run(COUNTS_AGAIN_OF_NINE_S)
         self.assertTrue(is_accepted(net, 'gw-9', 1))
 
+    @params(COUNTS_AGAIN_S, COUNTS_AGAIN_OF_NINE_S)
+    def test_machines_replaced_while_all_memory_is_lost(self, gap_s):
+        """Guards against instances that wait for those they never saw.
+
+        Each time that a voter is replaced, all other instances are killed.
+        """
+        net = with_spares(5, 5)
+        for number in range(1, 6):
+            lose_memory(net, gone=f'gw-{number}', successor=f'gw-{number + 5}')
+            net.run(gap_s)
+        self.assertTrue(is_accepted(net, 'gw-10', 1))
+
+    def test_machines_replaced_in_pairs_while_all_memory_is_lost(self):
+        """Guards against a repair of one voter for each loss of memory."""
+        net = with_spares(9, 6)
+        for first in (1, 3, 5):
+            net.crash(f'gw-{first}')
+            lose_memory(
+                net, gone=f'gw-{first + 1}', successor=f'gw-{first + 10}'
+            )
+            add(net, f'gw-{first + 9}')
+            net.run(COUNTS_AGAIN_OF_NINE_S)
+        self.assertTrue(is_accepted(net, 'gw-15', 1))
+
     def test_disks_lost_in_turn_while_all_memory_is_lost(self):
         """Guards against a catch-up that begins anew with each start."""
         net = grown()
