Specification: the voters get on although all machines restart

Cause: voter_progress_spec knew no loss of memory. An instance that has just started knows nobody: it doesn't know who has left or how long others are gone, and the catch-up of a joining disk starts again. With restarts of all machines beside losses, a majority of the voters was lost while the model still held. Evidence: with the constants of the code (an unseen voter is gone after 20 s, a change takes 4 s), a majority is lost in 11 s: 1. a voter is replaced by a new machine, all restart 6. a second voter loses its disk (it proposes its new disk a second later) 11. a third voter loses its disk; two of five are left With an unseen voter gone after 4 s, but two lease times of catch-up after a restart (a change takes 4 s, or 5 s from a restart on), too: 1. a voter loses its disk, and proposes the new one a second later 6. a second voter loses its disk, all restart; the catch-up starts again 11. a third voter loses its disk Change: all machines may restart at any moment, at that of each kind of loss too; a machine that was gone before is unseen, and its absence counts from there. A change takes one lease time, from a restart on. The time until the voters are complete is kept by state, in place of 40 ticks for each state. Safeguards unseen_is_noticed and ready_after_read. It fails with an unseen voter gone after 5 s (one leaves as all restart, another is lost a second later beside a second restart, a third 5 s after that).

--- a/specs/voter_progress_spec.py
+++ b/specs/voter_progress_spec.py
@@ -10,6 +10,10 @@
 one, or a new one is started first and the old one leaves. One machine may be
 lost at a time. It counts again some seconds after it, or its successor, has
 started, whether or not its vote has been restored by then.
+
+At any moment, all machines may be killed and come back with their disks. The
+voters and a change that was proposed are on the disks, but the catch-up starts
+again. No instance is left that knows who leaves or how long others are gone.
 """
 
 from collections import abc
@@ -25,12 +29,17 @@
 
 #: Ticks from the start of a machine until another one may be lost.
 COUNTS_AGAIN = 4
-#: Ticks for which a machine that lost its disk is down.
+#: Ticks for which a machine that restarts or lost its disk is down.
 DOWN = 1
 #: Ticks until a machine that doesn't answer counts as gone.
 GONE_AFTER = 5
-#: Ticks that a joining disk needs to catch up.
-CATCH_UP = 4
+#: The same for one that was gone before all others restarted. These are down
+#: and find each other first.
+UNSEEN_AFTER = 4
+#: Ticks that a joining disk needs to catch up: the duration of a lease.
+CATCH_UP = 3
+#: The same if it waited for leases to expire before the read and after it.
+CATCH_UP_WITH_TWO_WAITS = 5
 #: Ticks within which the voters are complete if nothing more is lost.
 COMPLETE_AFTER = 40
 
@@ -43,16 +52,22 @@
     'removal': 'an even number of voters keeps one that is gone',
     'removal_ends': 'a removal that its proposer left is never ended',
     'quick_catch_up': 'catching up takes longer than losses are apart',
+    'unseen_is_noticed': 'a successor waits for its place until instances that'
+    ' have just started could have discovered thousands of others',
+    'ready_after_read': 'a joining disk is counted only after the wait that'
+    ' follows its read of the epochs',
 }
 
-UP, EMPTY, LEAVING, LEFT, KILLED = range(5)
+#: UNSEEN is a machine that was gone before all others restarted.
+UP, EMPTY, LEAVING, LEFT, KILLED, UNSEEN = range(6)
 
 
 class Machine(typing.NamedTuple):
     """One machine.
 
     :param disk: how many disks it has had; a disk's id is that and the name.
-    :param age: ticks since ``status`` changed, up to a limit.
+    :param age: ticks since ``status`` changed, up to a limit; below 0 while
+        a machine that is up restarts.
     """
 
     name: int
@@ -69,6 +84,7 @@
     :param change_age: ticks since the change began.
     :param last_start: ticks since the last machine started.
     :param losses: how many more machines may be lost.
+    :param crashes: how many more times all machines may restart.
     :param leaver: the machine that leaves once its successor counts.
     """
 
@@ -78,6 +94,7 @@
     change_age: int
     last_start: int
     losses: int
+    crashes: int
     leaver: int
 
 
@@ -92,11 +109,18 @@
     """The transitions.
 
     :param losses: number of machines that are lost.
+    :param crashes: number of times that all machines restart.
     :param without: the safeguard to leave out, or ``None``.
+    :param ticks_left_by_state: ticks until the voters are complete, of the
+        states that :meth:`ends` has passed.
     """
 
     losses: int
+    crashes: int
     without: str | None = None
+    ticks_left_by_state: dict[State, int] = dataclasses.field(
+        default_factory=dict, init=False, compare=False, repr=False
+    )
 
     def initial(self) -> State:
         return State(
@@ -109,6 +133,7 @@
             change_age=0,
             last_start=COUNTS_AGAIN,
             losses=self.losses,
+            crashes=self.crashes,
             leaver=_NOBODY,
         )
 
@@ -118,6 +143,10 @@
         for label, lost in (('', state), *self.loss_steps(state)):
             for step, after in self.tick(lost):
                 found.append((f'{label}; {step}', after))
+            if not state.crashes:
+                continue
+            for step, after in self.tick(_restarted(lost)):
+                found.append((f'{label}, all restart; {step}', after))
         return found
 
     # Losses
@@ -161,6 +190,8 @@
 
     def has_quorum(self, state: State) -> bool:
         up = _answering(state)
+        if any(each.age < 0 for each in state.machines):
+            return False
         return all(
             2 * len(up & set(each)) > len(each)
             for each in (state.voters, state.joining)
@@ -175,6 +206,8 @@
         needed = CATCH_UP
         if self.without == 'quick_catch_up':
             needed = 3 * CATCH_UP
+        if self.without == 'ready_after_read':
+            needed = CATCH_UP_WITH_TWO_WAITS
         if joiner not in _answering(state) or state.change_age < needed:
             return state
         return state._replace(voters=state.joining, joining=(), change_age=0)
@@ -211,6 +244,10 @@
         limit = GONE_AFTER
         if self.without == 'gone_is_noticed':
             limit = 4 * GONE_AFTER
+        if machine.status == UNSEEN:
+            limit = UNSEEN_AFTER
+            if self.without == 'unseen_is_noticed':
+                limit = 4 * GONE_AFTER
         if machine.status in (LEAVING, LEFT):
             if self.without != 'leave_is_final':
                 is_left = machine.status == LEFT
@@ -265,12 +302,21 @@
 
     def ends(self, values: dict[str, typing.Any]) -> bool:
         """Without further losses, every machine that is up becomes a voter."""
-        state = State(**values)._replace(losses=0)
-        for _ in range(COMPLETE_AFTER):
+        state = State(**values)._replace(losses=0, crashes=0)
+        passed: list[State] = []
+        while state not in self.ticks_left_by_state:
             if _is_complete(state):
-                return True
-            _, state = next(iter(self.tick(state)))
-        return _is_complete(state)
+                self.ticks_left_by_state[state] = 0
+            elif len(passed) > COMPLETE_AFTER:
+                return False
+            else:
+                passed.append(state)
+                _, state = next(iter(self.tick(state)))
+        left = self.ticks_left_by_state[state]
+        for before in reversed(passed):
+            left += 1
+            self.ticks_left_by_state[before] = left
+        return left <= COMPLETE_AFTER
 
 
 def _to_lose(state: State) -> list[Machine]:
@@ -315,6 +361,31 @@
     return state._replace(machines=(*state.machines, new), last_start=0)
 
 
+def _restarted(state: State) -> State:
+    """Return the state after all machines that are up have restarted.
+
+    Nobody is left that knows who leaves, or for how long others are gone.
+    """
+    machines = []
+    for each in state.machines:
+        if each.status == UP:
+            each = each._replace(age=-DOWN)
+        elif each.status == EMPTY:
+            each = each._replace(age=0)
+        else:
+            each = each._replace(status=UNSEEN, age=0)
+        machines.append(each)
+    last_start = state.last_start
+    if last_start < COUNTS_AGAIN:
+        last_start = -DOWN
+    return state._replace(
+        machines=tuple(machines),
+        change_age=-DOWN if state.joining else 0,
+        last_start=last_start,
+        crashes=state.crashes - 1,
+    )
+
+
 def _aged(state: State) -> State:
     machines = []
     last_start = min(state.last_start + 1, COUNTS_AGAIN)
@@ -345,30 +416,55 @@
     return tuple(
         each
         for each in machines
-        if each.status not in (LEFT, KILLED) or each.name in named
+        if each.status not in (LEFT, KILLED, UNSEEN) or each.name in named
     )
 
 
+#: Every kind of loss, and losses beside restarts of all machines.
+_LOSSES = Model(losses=4, crashes=0)
+_RESTARTS = Model(losses=3, crashes=3)
+
+#: The model that needs the safeguard, unless it is _LOSSES.
+_MODELS_BY_SAFEGUARD = {
+    'unseen_is_noticed': _RESTARTS,
+    'ready_after_read': _RESTARTS,
+}
+
+
 def build(*, without: str | None = None) -> tuple[specs.BoundedModel, ...]:
-    """Return the model, with one safeguard left out or none."""
-    model = Model(losses=4, without=without)
-    return (
-        specs.BoundedModel(
-            bounds=f'5 voters, {model.losses} machines lost, one at a time',
-            protocol=minicheck.Protocol(
-                name='voter progress',
-                candidate=False,
-                fields=State._fields,
-                initial=model.initial(),
-                transitions=model.steps,
-                invariants={
-                    'has_majority': model.has_majority,
-                    'ends': model.ends,
-                },
-            ),
-            reached={
-                'six_voters': lambda s: len(s['voters']) == 6,
+    """Return both models, or the one that needs the missing safeguard."""
+    if without is None:
+        return _bounded(_LOSSES), _bounded(_RESTARTS)
+    model = _MODELS_BY_SAFEGUARD.get(without, _LOSSES)
+    return (_bounded(dataclasses.replace(model, without=without)),)
+
+
+def _bounded(model: Model) -> specs.BoundedModel:
+    reached: dict[str, abc.Callable[[dict[str, typing.Any]], bool]] = {
+        'six_voters': lambda s: len(s['voters']) == 6,
+    }
+    if model.crashes:
+        reached['an_unseen_voter_is_replaced'] = lambda s: any(
+            each.status == UNSEEN
+            and (each.name, each.disk) in {*s['voters']} - {*s['joining']}
+            and len(s['joining']) == len(s['voters'])
+            for each in s['machines']
+        )
+    return specs.BoundedModel(
+        bounds=(
+            f'5 voters, {model.losses} machines lost, one at a time, '
+            f'{model.crashes} restarts of all'
+        ),
+        protocol=minicheck.Protocol(
+            name='voter progress',
+            candidate=False,
+            fields=State._fields,
+            initial=model.initial(),
+            transitions=model.steps,
+            invariants={
+                'has_majority': model.has_majority,
+                'ends': model.ends,
             },
-            max_states=2_000_000,
         ),
+        reached=reached,
     )
