Specification: a grantor hears of the change from a claim first

Cause: in the specification only the read of the epochs raises the fence, and always syncs it. A grantor of the code also raises its version in memory with each claim that names a later set. If such a claim comes before the read, the read finds the version raised and is answered without a sync; a restart then takes claims of the old set alone again. Evidence, on the code: a grantor that is ready with version 0 answers a probe of version 1, then LeaseEpochsWanted(version=1) with one Send and no Persist. Change: claims raise the fence in memory, a restart returns to the synced one; safeguard fence_synced_by_read.

--- a/specs/lease_change_spec.py
+++ b/specs/lease_change_spec.py
@@ -39,6 +39,8 @@
     ' after the new set has read the epochs',
     'synced_fence': 'the old grantor restarts after the read and grants'
     ' claims that need a majority of the old set only',
+    'fence_synced_by_read': 'the old grantor has heard of the change from a'
+    ' claim and syncs no fence for the read, which a restart undoes',
     'settle_after_read': 'a lease of the old set has not expired when the new'
     ' set grants',
     'wait_outlasts_change': 'the end of the change ends the wait of the new'
@@ -60,6 +62,7 @@
     :param grant_left: ticks until the grant expires.
     :param wait: ticks until it may grant to another candidate.
     :param fence: the oldest sets of which it accepts claims.
+    :param synced_fence: the same after a restart.
     :param progress: how far it has caught up.
     :param left_by_candidate: ticks for which a candidate may count this
         grantor's answer.
@@ -70,6 +73,7 @@
     grant_left: int = 0
     wait: int = 0
     fence: int = OLD
+    synced_fence: int = OLD
     progress: int = READY
     left_by_candidate: tuple[int, int] = (0, 0)
 
@@ -176,6 +180,8 @@
     def read(self, state: State) -> State:
         old = state.old
         if self.has('fence'):
+            if self.has('fence_synced_by_read') or old.fence < JOINT:
+                old = old._replace(synced_fence=JOINT)
             old = old._replace(fence=JOINT)
         new = state.new._replace(progress=READ)
         if self.has('read_epochs'):
@@ -194,9 +200,8 @@
         return state._replace(force=NEW, new=new)
 
     def restart_old(self, state: State) -> State:
-        old = state.old._replace(grant_left=0, wait=self.ticks)
-        if not self.has('synced_fence'):
-            old = old._replace(fence=OLD)
+        fence = state.old.synced_fence if self.has('synced_fence') else OLD
+        old = state.old._replace(grant_left=0, wait=self.ticks, fence=fence)
         return state._replace(old=old)
 
     def restart_new(self, state: State) -> State:
@@ -255,7 +260,9 @@
     def grant_steps(self, state: State, who: int) -> Steps:
         own = state.candidates[who]
         if own.claimed <= JOINT and _may_grant(state.old, own, who):
-            granted = state._replace(old=self.granted(state.old, own, who))
+            old = self.granted(state.old, own, who)
+            old = old._replace(fence=max(old.fence, own.claimed))
+            granted = state._replace(old=old)
             yield f'old grants {who}', self.count(granted, who)
         is_ready = state.new.progress >= self.least_progress
         if (
