An answer that ends within its head or framing is broken, not whole

Seen: callers got 200 with an empty body, framed as whole, where a backend server had stopped in the middle of its answer's head and closed regularly. Rate limits were taken from a number that was cut, tunnels opened or refused by a head that was cut, and the command line reported "did not answer as a dandeliongw instance does" for a change that may have taken effect.

Cause: the standard library's client takes the end of the connection for the end of the head, for that of a line with the size of a chunk ("0" of "0a"), and for that of the trailers. All readers of answers used it.

Change: message_framing.py reads answers from a transport whose end is an error from the first byte on, except where the head says that the body has no length. Exchange, Paths, the opening of tunnels, the command line and the queries of seeds use it. The verdict is that of a reset: the call may have run. An end before the first byte is treated as before.

--- a/dandeliongw/client.py
+++ b/dandeliongw/client.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from . import exceptions
+from . import message_framing
 
 CONNECT_TIMEOUT_S = 5.0
 #: Longer than an instance waits for a majority of the voters.
@@ -28,7 +29,7 @@
     def __init__(self, *, url: str, token: str | None = None) -> None:
         self._url = _check_url(url)
         self._token = token
-        self._pool = urllib3.PoolManager(
+        self._pool = message_framing.PoolManager(
             retries=False,
             timeout=urllib3.Timeout(
                 connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S
--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -24,6 +24,7 @@
 
 from . import connection_pool
 from . import engine
+from . import message_framing
 from . import paths
 from . import sockets
 from . import tunnels
@@ -99,9 +100,7 @@
     def connect(
         self, host: str, port: int, timeout_s: float
     ) -> urllib3.connection.HTTPConnection:
-        connection = urllib3.connection.HTTPConnection(
-            host, port, timeout=timeout_s
-        )
+        connection = message_framing.Connection(host, port, timeout=timeout_s)
         connection.connect()
         return connection
 
--- a/dandeliongw/joining.py
+++ b/dandeliongw/joining.py
@@ -18,6 +18,7 @@
 import urllib3
 
 from . import events
+from . import message_framing
 from . import models
 from . import settings as settings_module
 from .api import _application
@@ -107,7 +108,7 @@
         self._rounds = 0
         self._wake = threading.Event()
         self._stopped = False
-        self._http = urllib3.PoolManager(
+        self._http = message_framing.PoolManager(
             retries=False, timeout=urllib3.Timeout(SEED_TIMEOUT_S)
         )
         self._thread = threading.Thread(
--- a/dandeliongw/paths.py
+++ b/dandeliongw/paths.py
@@ -21,6 +21,7 @@
 
 from . import clock
 from . import effects
+from . import message_framing
 from . import probe
 from . import tunnels
 
@@ -412,7 +413,7 @@
     return True
 
 
-class Connection(urllib3.connection.HTTPConnection):
+class Connection(message_framing.Connection):
     """An open connection to a backend server.
 
     :param end_mark: comes after the last byte if the backend server closed
--- a/dandeliongw/tunnels.py
+++ b/dandeliongw/tunnels.py
@@ -26,6 +26,7 @@
 from loguru import logger
 import msgspec
 
+from . import message_framing
 from . import sockets
 
 #: Seconds that the far instance may take to connect.
@@ -151,7 +152,7 @@
     )
     if secret is not None:
         head += f'{_proof(secret, str(target))}\r\n'
-    answer = http.client.HTTPResponse(made, method='CONNECT')
+    answer = message_framing.Response(made, method='CONNECT')
     try:
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         made.sendall(head.encode() + b'\r\n')
