Tunnels: what a backend server sends comes in frames

Seen in a test that cuts answers at each byte: an answer with a Content-Length whose last bytes were missing arrived through a tunnel as a whole one, its end made of random bytes; so did a 204 that was cut before the last line feed of its head.

Cause: the serving instance told the regular end of the backend server's connection by an end mark, 16 random bytes after the last one. They were taken off answers without a length only; any other reader that expected more bytes took them for some. The head of an answer ended within the mark where that began with a line feed, one time in 256.

Change: the bytes of the backend server come in frames, each after its length; an empty frame is its regular end. The asking end is a socket that unpacks them, so every reader gets the bytes of the backend server and an error at each other end; Exchange knows nothing of tunnels any more. What follows the answer to the request for a tunnel isn't read with it.

Evidence: test_cut_answers through a tunnel. EndMarkSplitterTest went with the class.

Between two releases a tunnel carries no frames, as the header that asks for them is new: an answer without a length that comes through it is broken off, any other one is read as before and without a mark.

--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -27,7 +27,6 @@
 from . import message_framing
 from . import paths
 from . import sockets
-from . import tunnels
 from . import verdict
 
 #: Seconds without an answer after which the path of a connection that was
@@ -258,10 +257,14 @@
         :raises EngineError: when it ends early or stalls, or if it ends in a
             way that can't be told from an early end.
         """
-        chunks = self._raw_chunks(response)
-        if response.length_remaining is None and not response.chunked:
-            chunks = self._until_regular_end(chunks)
-        yield from chunks
+        yield from self._raw_chunks(response)
+        has_length = response.chunked or response.length_remaining is not None
+        if self._aborted and not has_length:
+            # The end of a socket that this instance has shut down looks like
+            # the regular end of the answer.
+            raise engine.EngineError(
+                'aborted', known=verdict.Verdict.MAY_HAVE_RUN
+            )
         self._is_complete = True
 
     def _raw_chunks(self, response: typing.Any) -> abc.Iterator[bytes]:
@@ -272,33 +275,6 @@
                 return
             yield data
 
-    def _until_regular_end(
-        self, chunks: abc.Iterator[bytes]
-    ) -> abc.Iterator[bytes]:
-        """Yield a body without a length, which ends with its connection.
-
-        :raises EngineError: unless the backend server is known to have
-            closed the connection regularly.
-        """
-        end_mark = getattr(self._connection, 'end_mark', None)
-        if end_mark is None:
-            yield from chunks
-            is_regular = not self._aborted
-        else:
-            splitter = tunnels.EndMarkSplitter(end_mark=end_mark)
-            for data in chunks:
-                before = splitter.push(data)
-                if before:
-                    yield before
-            is_regular = splitter.is_at_mark
-        if not is_regular:
-            raise engine.EngineError(
-                'the connection ended, perhaps in the middle of an answer '
-                'without a length',
-                known=verdict.Verdict.MAY_HAVE_RUN,
-                is_cut=not self._aborted,
-            )
-
     def lines(self, response: typing.Any) -> abc.Iterator[bytes]:
         r"""Yield the lines of a body as they arrive, without their ``\n``."""
         rest = b''
--- a/dandeliongw/message_framing.py
+++ b/dandeliongw/message_framing.py
@@ -52,14 +52,21 @@
 
 
 class Response(http.client.HTTPResponse):
-    """An answer that ends where its head says."""
+    """An answer that ends where its head says.
+
+    :param buffer_bytes: most bytes that are read at once.
+    """
 
     def __init__(
-        self, sock: typing.Any, *args: typing.Any, **options: typing.Any
+        self,
+        sock: typing.Any,
+        *args: typing.Any,
+        buffer_bytes: int = io.DEFAULT_BUFFER_SIZE,
+        **options: typing.Any,
     ) -> None:
         super().__init__(sock, *args, **options)
         self._transport = _Transport(raw=self.fp.detach())
-        self.fp = io.BufferedReader(self._transport)
+        self.fp = io.BufferedReader(self._transport, buffer_bytes)
 
     def begin(self) -> None:
         super().begin()
--- a/dandeliongw/paths.py
+++ b/dandeliongw/paths.py
@@ -97,7 +97,6 @@
     outcome: tunnels.Outcome
     helper: effects.TunnelPeer | None = None
     connection: socket.socket | None = None
-    end_mark: bytes = b''
 
 
 class Paths:
@@ -191,7 +190,7 @@
             self._check_in_background(address, path)
             opened = self._ask(through, address)
             if opened.connection is not None:
-                return _connection(address, opened.connection, opened.end_mark)
+                return _connection(address, opened.connection)
         direct_s = min(timeout_s, DIRECT_S) if self._peers else timeout_s
         try:
             made = socket.create_connection((host, port), direct_s)
@@ -199,7 +198,7 @@
             if not self._peers or clock.now() < path.down_until:
                 raise
             found = self._find_detour(address, path, error)
-            return _connection(address, found.connection, found.end_mark)
+            return _connection(address, found.connection)
         if through is not None:
             self._set_through(address, path, None)
         return _connection(address, made)
@@ -301,7 +300,6 @@
                     outcome=opened.outcome,
                     helper=peer,
                     connection=opened.connection,
-                    end_mark=opened.end_mark,
                 )
             if opened.outcome is tunnels.Outcome.REFUSED:
                 outcome = opened.outcome
@@ -413,24 +411,10 @@
     return True
 
 
-class Connection(message_framing.Connection):
-    """An open connection to a backend server.
-
-    :param end_mark: comes after the last byte if the backend server closed
-        the connection regularly; ``b''`` if nothing tells that. ``None`` on
-        a direct connection, whose own end does.
-    """
-
-    end_mark: bytes | None = None
-
-
 def _connection(
-    address: tunnels.Address,
-    made: socket.socket,
-    end_mark: bytes | None = None,
-) -> Connection:
-    connection = Connection(address.host, address.port)
-    connection.end_mark = end_mark
+    address: tunnels.Address, made: socket.socket
+) -> message_framing.Connection:
+    connection = message_framing.Connection(address.host, address.port)
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.sock = made
     return connection
--- a/dandeliongw/tunnels.py
+++ b/dandeliongw/tunnels.py
@@ -6,9 +6,10 @@
 account and log lines don't know of the detour.
 
 The end of a tunnel proves nothing about the end of the backend server's
-connection: the far instance may have ended. So the asking instance names an
-*end mark*, random bytes, which the far one sends after the backend server has
-closed its connection regularly, and in no other case.
+connection: the far instance may have ended. So the far one sends the bytes of
+the backend server in frames, if the asking instance knows them; an empty one
+follows after the backend server has closed its connection regularly, and in no
+other case.
 """
 
 import asyncio
@@ -18,14 +19,13 @@
 import enum
 import hmac
 import http.client
-import re
-import secrets
 import socket
 import threading
 
 from loguru import logger
 import msgspec
 
+from . import _tunnel_socket
 from . import message_framing
 from . import sockets
 
@@ -42,11 +42,9 @@
 #: checked, seconds between two checks, and failed checks that end it. Without
 #: them, a backend server would work on for an instance that lost its power.
 KEEP_IDLE_S, KEEP_EVERY_S, KEEP_TRIES = 5, 2, 3
-END_MARK_BYTES = 16
-#: In a request for a tunnel, the end mark in hexadecimal; in the answer, the
-#: same if the far instance sends it.
-_END_MARK_HEADER = 'X-End-Mark'
-_END_MARK = re.compile(r'[0-9a-f]{%d}' % (2 * END_MARK_BYTES))
+#: In a request for a tunnel, that the asking instance knows frames; in the
+#: answer, that the far one sends them.
+_FRAMES = 'X-Frames: 1'
 _PROOF_HEADER = 'Proxy-Authorization'
 _PROOF_SCHEME = 'Dandeliongw'
 
@@ -89,48 +87,20 @@
 
     :param connection: ends at the backend server; ``None`` unless it was
         opened.
-    :param end_mark: comes after the last byte if the backend server closed
-        its connection regularly; ``b''`` if the far instance sends none.
     """
 
     outcome: Outcome
-    connection: socket.socket | None = None
-    end_mark: bytes = b''
+    connection: _tunnel_socket.TunnelSocket | None = None
 
 
 class _Request(msgspec.Struct, frozen=True, kw_only=True):
     """A valid request for a tunnel.
 
-    :param end_mark: ``b''`` if the asking instance knows no end marks.
+    :param has_frames: whether the asking instance knows frames.
     """
 
     target: Address
-    end_mark: bytes
-
-
-class EndMarkSplitter:
-    """Takes the end mark off the bytes that a tunnel carries.
-
-    Bytes are held back only while they may be the beginning of the mark.
-    """
-
-    def __init__(self, *, end_mark: bytes) -> None:
-        self._end_mark = end_mark
-        self._held = b''
-
-    def push(self, data: bytes) -> bytes:
-        """Return the bytes that are certainly not of the end mark."""
-        data = self._held + data
-        length = min(len(data), len(self._end_mark))
-        while length and not data.endswith(self._end_mark[:length]):
-            length -= 1
-        self._held = data[len(data) - length :]
-        return data[: len(data) - length]
-
-    @property
-    def is_at_mark(self) -> bool:
-        """Whether the last bytes were the whole end mark."""
-        return bool(self._end_mark) and self._held == self._end_mark
+    has_frames: bool
 
 
 def open_through(
@@ -142,17 +112,16 @@
     :param secret: shared by all instances, if they have one.
     """
     try:
-        made = socket.create_connection((far.host, far.port), timeout_s)
+        connected = socket.create_connection((far.host, far.port), timeout_s)
     except OSError:
         return Opened(outcome=Outcome.UNAVAILABLE)
-    end_mark = secrets.token_bytes(END_MARK_BYTES)
-    head = (
-        f'CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n'
-        f'{_END_MARK_HEADER}: {end_mark.hex()}\r\n'
-    )
+    made = _tunnel_socket.TunnelSocket(fileno=connected.detach())
+    made.settimeout(timeout_s)
+    head = f'CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n{_FRAMES}\r\n'
     if secret is not None:
         head += f'{_proof(secret, str(target))}\r\n'
-    answer = message_framing.Response(made, method='CONNECT')
+    # What follows the head isn't the answer's.
+    answer = message_framing.Response(made, method='CONNECT', buffer_bytes=1)
     try:
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         made.sendall(head.encode() + b'\r\n')
@@ -164,9 +133,10 @@
         answer.close()
         made.close()
         return Opened(outcome=outcome)
-    if answer.headers.get(_END_MARK_HEADER) != end_mark.hex():
-        end_mark = b''
-    return Opened(outcome=outcome, connection=made, end_mark=end_mark)
+    name, _, value = _FRAMES.partition(': ')
+    if answer.headers.get(name) == value:
+        made.begin_frames()
+    return Opened(outcome=outcome, connection=made)
 
 
 def _proof(secret: bytes, target: str) -> str:
@@ -297,9 +267,15 @@
         except OSError:
             return await self._answer(writer, Outcome.UNREACHABLE)
         with self._opened(target, far_writer):
-            await self._answer(writer, Outcome.OPENED, request.end_mark)
+            await self._answer(
+                writer, Outcome.OPENED, has_frames=request.has_frames
+            )
             await _join(
-                reader, writer, far_reader, far_writer, request.end_mark
+                reader,
+                writer,
+                far_reader,
+                far_writer,
+                has_frames=request.has_frames,
             )
 
     @contextlib.contextmanager
@@ -352,19 +328,20 @@
                 return None
         return _Request(
             target=Address(host=host, port=int(port)),
-            end_mark=_end_mark(fields),
+            has_frames=_FRAMES in fields,
         )
 
     async def _answer(
         self,
         writer: asyncio.StreamWriter,
         outcome: Outcome,
-        end_mark: bytes = b'',
+        *,
+        has_frames: bool = False,
     ) -> None:
         status = _STATUS_BY_OUTCOME[outcome]
         head = f'HTTP/1.1 {status.value} {outcome}\r\n'
-        if end_mark:
-            head += f'{_END_MARK_HEADER}: {end_mark.hex()}\r\n'
+        if has_frames:
+            head += f'{_FRAMES}\r\n'
         writer.write(head.encode() + b'\r\n')
         await writer.drain()
         if outcome is not Outcome.OPENED:
@@ -372,31 +349,29 @@
             await writer.wait_closed()
 
 
-def _end_mark(fields: abc.Iterable[str]) -> bytes:
-    """Return the end mark that a request names; ``b''`` if there is none."""
-    for field in fields:
-        name, _, value = field.partition(':')
-        if name == _END_MARK_HEADER and _END_MARK.fullmatch(value.strip()):
-            return bytes.fromhex(value)
-    return b''
-
-
 async def _join(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     far_reader: asyncio.StreamReader,
     far_writer: asyncio.StreamWriter,
-    end_mark: bytes,
+    *,
+    has_frames: bool,
 ) -> None:
     """Forward both ways until either end closes its connection.
 
-    What the backend server sent before its end is delivered, and the end
-    mark after that. The other end closes only a call that it gave up.
+    What the backend server sent before its end is delivered, and an empty
+    frame after that. The other end closes only a call that it gave up.
 
     :raises OSError: if either end has reset its connection.
     """
     there = asyncio.create_task(_copy(reader, far_writer))
-    back = asyncio.create_task(_copy(far_reader, writer))
+    back = asyncio.create_task(
+        _copy(
+            far_reader,
+            writer,
+            _tunnel_socket.frame if has_frames else bytes,
+        )
+    )
     try:
         done, _ = await asyncio.wait(
             {there, back}, return_when=asyncio.FIRST_COMPLETED
@@ -406,7 +381,8 @@
         if back in done:
             if far_writer.is_closing():
                 raise ConnectionAbortedError('closed by this instance')
-            writer.write(end_mark)
+            if has_frames:
+                writer.write(_tunnel_socket.END)
             writer.close()
             await writer.wait_closed()
     finally:
@@ -416,10 +392,12 @@
 
 
 async def _copy(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    wrap: abc.Callable[[bytes], bytes] = bytes,
 ) -> None:
     while data := await reader.read(CHUNK_BYTES):
-        writer.write(data)
+        writer.write(wrap(data))
         await writer.drain()
 
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -13,6 +13,7 @@
 from dandeliongw import exchange as exchanges
 from dandeliongw import http_backends
 from dandeliongw import joining
+from dandeliongw import paths
 from dandeliongw import settings
 from dandeliongw import tunnels
 from dandeliongw import verdict
@@ -21,7 +22,27 @@
 
 TIMEOUT_S = cut_answers.TIMEOUT_S
 ENDS = (False, True)
-WAYS = ('direct',)
+WAYS = ('direct', 'tunnel')
+
+
+class Through:
+    """Connects through another instance only; a ``paths.Connector``."""
+
+    def __init__(self, far):
+        self._far = far
+
+    def connect(self, host, port, timeout_s):
+        target = tunnels.Address(host=host, port=port)
+        opened = tunnels.open_through(
+            self._far, target, timeout_s=timeout_s, secret=None
+        )
+        return paths._connection(target, opened.connection)
+
+    def suspect(self, host, port):
+        pass
+
+    def has_departed(self, host, port):
+        return False
 
 
 class CutTestCase(unittest.TestCase):
@@ -44,11 +65,25 @@
 class ExchangeTest(CutTestCase):
     """Guards against cut answers that are passed on as whole ones."""
 
-    def call(self, pool=None):
+    def connector(self, way):
+        if 'tunnel' not in way:
+            return None
+        far = self.stack.enter_context(
+            tunnels.serving(
+                host='127.0.0.1',
+                port=0,
+                secret=None,
+                may_connect=lambda address: True,
+            )
+        )
+        return Through(tunnels.Address(host=far.host, port=far.port))
+
+    def call(self, connector, pool):
         made = exchanges.Exchange(
             url=self.server.url,
             connect_s=TIMEOUT_S,
             read_s=TIMEOUT_S,
+            connector=connector,
             pool=pool,
         )
         try:
@@ -62,18 +97,19 @@
         ('pooled', 'length'),
         ('pooled', 'chunked'),
         ('pooled', 'interim'),
+        ('pooled tunnel', 'length'),
     )
     def test_a_cut_answer_may_have_run(self, way, name):
-        pool = None
-        if way == 'pooled':
+        connector, pool = self.connector(way), None
+        if 'pooled' in way:
             pool = connection_pool.ConnectionPool()
             self.server.before = [ANSWERS['length']]
         passed = []
         for sent, end in self.cuts(ANSWERS[name]):
             if pool is not None:
-                self.call(pool)
+                self.call(connector, pool)
             try:
-                body = self.call(pool)
+                body = self.call(connector, pool)
             except engine.EngineError as error:
                 self.assertIs(verdict.Verdict.MAY_HAVE_RUN, error.known)
                 self.assertTrue(error.is_cut)
@@ -83,14 +119,16 @@
 
     @params(*WAYS)
     def test_a_cut_head_of_an_answer_without_length_may_have_run(self, way):
+        connector = self.connector(way)
         passed = []
         for sent, end in self.cuts(b'HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n'):
             with contextlib.suppress(engine.EngineError):
-                passed.append((sent, end, self.call()))
+                passed.append((sent, end, self.call(connector, None)))
         self.assertEqual([], passed)
 
     @params(*((way, name) for way in WAYS for name in ANSWERS))
     def test_a_whole_answer_arrives(self, way, name):
+        connector = self.connector(way)
         self.server.sent = ANSWERS[name]
         body = {
             'chunked': b'0123456789 some other text',
@@ -99,7 +137,7 @@
             'HTTP/1.0': b'ab',
             'bare line feeds': b'ab',
         }.get(name, cut_answers.BODY)
-        self.assertEqual(body, self.call())
+        self.assertEqual(body, self.call(connector, None))
 
     def test_a_cut_head_states_no_rate_limit(self):
         """Guards against limits read from a number that is cut."""
--- a/tests/test_tunnel_ends.py
+++ b/tests/test_tunnel_ends.py
@@ -7,6 +7,7 @@
 
 from nose2.tools import params
 
+from dandeliongw import _tunnel_socket
 from dandeliongw import engine
 from dandeliongw import exchange as exchanges
 from dandeliongw import paths
@@ -32,10 +33,7 @@
         opened = tunnels.open_through(
             self._far, target, timeout_s=timeout_s, secret=None
         )
-        connection = paths.Connection(host, port)
-        connection.sock = opened.connection
-        connection.end_mark = opened.end_mark
-        return connection
+        return paths._connection(target, opened.connection)
 
     def suspect(self, host, port):
         pass
@@ -64,10 +62,11 @@
         )
         return tunnels.Address(host=self.server.host, port=self.server.port)
 
-    def far_instance(self, answer_head):
+    def far_instance(self, answer_head, wrap=bytes):
         """Return a stand-in that answers for the backend server, and ends.
 
         :param answer_head: returns its answer to the request for a tunnel.
+        :param wrap: makes a frame, if it sends frames.
         """
 
         def serve():
@@ -78,7 +77,7 @@
                     head += connection.recv(65536)
                 connection.sendall(answer_head(head))
                 connection.recv(65536)
-                connection.sendall(HEAD + HALF)
+                connection.sendall(wrap(HEAD + HALF))
 
         listener = self.stack.enter_context(
             socket.create_server(('127.0.0.1', 0))
@@ -159,15 +158,15 @@
             line = next(
                 each
                 for each in head.split(b'\r\n')
-                if each.lower().startswith(b'x-end-mark')
+                if each.lower().startswith(b'x-frames')
             )
             return b'HTTP/1.1 200 opened\r\n' + line + b'\r\n\r\n'
 
-        far = self.far_instance(opened)
+        far = self.far_instance(opened, _tunnel_socket.frame)
         self.assert_broken_off(self.exchange(None, far))
 
     def test_the_serving_instance_is_an_earlier_release(self):
-        """It sends no end mark, so nothing tells the end of the answer."""
+        """It sends no frames, so nothing tells the end of the answer."""
         far = self.far_instance(lambda head: b'HTTP/1.1 200 opened\r\n\r\n')
         self.assert_broken_off(self.exchange(None, far))
 
@@ -195,7 +194,7 @@
         (b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n', b'abc'),
         (b'Content-Length: 0\r\n\r\n', b''),
     )
-    def test_an_answer_with_its_own_end_needs_no_mark(self, rest, body):
+    def test_an_answer_with_its_own_end_arrives(self, rest, body):
         made = self.exchange(
             b'HTTP/1.1 200 OK\r\n' + rest, self.serve_tunnels()
         )
@@ -216,23 +215,51 @@
         self.assertEqual(b'id: 2\n\n', b''.join(chunks))
 
 
-class EndMarkSplitterTest(unittest.TestCase):
-    MARK = b'abcabd'
+class FrameTest(unittest.TestCase):
+    """Guards against frames that are taken for a part of an answer."""
 
-    @params(1, 2, 3, 5, 100)
-    def test_the_mark_is_taken_off_however_it_is_cut(self, size):
-        body = b'zabcab' + self.MARK[:-1] + b'ab'
-        sent = body + self.MARK
-        splitter = tunnels.EndMarkSplitter(end_mark=self.MARK)
-        found = b''.join(
-            splitter.push(sent[place : place + size])
-            for place in range(0, len(sent), size)
-        )
-        self.assertEqual(body, found)
-        self.assertTrue(splitter.is_at_mark)
-
-    def test_a_mark_within_the_body_is_no_end(self):
-        splitter = tunnels.EndMarkSplitter(end_mark=self.MARK)
-        found = splitter.push(self.MARK) + splitter.push(b'x')
-        self.assertEqual(self.MARK + b'x', found)
-        self.assertFalse(splitter.is_at_mark)
+    BODY = b'0123456789' * 3
+    SENT = (
+        _tunnel_socket.frame(BODY[:1])
+        + _tunnel_socket.frame(BODY[1:])
+        + _tunnel_socket.END
+    )
+
+    def setUp(self):
+        near, self.far = socket.socketpair()
+        self.near = _tunnel_socket.TunnelSocket(fileno=near.detach())
+        self.near.begin_frames()
+        self.near.settimeout(TIMEOUT_S)
+        self.addCleanup(self.near.close)
+        self.addCleanup(self.far.close)
+
+    def read(self, size):
+        found = b''
+        while data := self.near.recv(size):
+            found += data
+        return found
+
+    @params(1, 2, 7, 100)
+    def test_frames_are_read_however_they_arrive(self, size):
+        for each in self.SENT:
+            self.far.sendall(bytes((each,)))
+        self.far.close()
+        self.assertEqual(self.BODY, self.read(size))
+
+    def test_only_the_empty_frame_is_a_regular_end(self):
+        for length in range(len(self.SENT)):
+            with self.subTest(length=length):
+                self.far.sendall(self.SENT[:length])
+                self.far.close()
+                with self.assertRaises(ConnectionResetError):
+                    self.read(100)
+                self.setUp()
+
+    def test_a_time_out_within_a_length_loses_no_byte(self):
+        self.far.sendall(self.SENT[:2])
+        self.near.settimeout(0.001)
+        with self.assertRaises(TimeoutError):
+            self.near.recv(100)
+        self.far.sendall(self.SENT[2:])
+        self.near.settimeout(TIMEOUT_S)
+        self.assertEqual(self.BODY, self.read(100))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -115,7 +115,21 @@
         found = b''
         while data := near.recv(65536):
             found += data
-        self.assertEqual(b'x' * 200_000 + self.tunnel.end_mark, found)
+        self.assertEqual(b'x' * 200_000, found)
+
+    def test_an_instance_of_an_earlier_release_gets_no_frames(self):
+        far = self.serve()
+        request = f'CONNECT {self.target} HTTP/1.1\r\n\r\n'.encode()
+        opened = b'HTTP/1.1 200 opened\r\n\r\n'
+        with socket.create_connection((far.host, far.port)) as near:
+            near.settimeout(TIMEOUT_S)
+            near.sendall(request)
+            self.assertEqual(opened, near.recv(len(opened)))
+            connection, _ = self.backend.accept()
+            with connection:
+                connection.sendall(b'answer')
+            self.assertEqual(b'answer', near.recv(100))
+            self.assertEqual(b'', near.recv(100))
 
     @params(False, True)
     def test_the_end_of_a_call_reaches_the_backend_server(self, is_reset):
