Soak: a voter that shows the first configuration is judged like any other read

Cause: the check took version 0 for a read without a configuration; such reads are not recorded, and the first configuration has this number. Result: the new case of ConfigurationTest fails without the change.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -160,6 +160,7 @@
         self.assertEqual([], rules(record))
 
     @params(
+        (0, False, ['configuration']),
         (2, False, ['configuration']),
         (3, False, []),
         (3, True, ['configuration']),
