Soak: the voters have to recover after series and at the end

Cause: a soak whose voters stayed without a majority ended with a time-out of the soak itself, or hung in a round; nothing said which promise was broken, and nothing was asked of a single voter. Change: after a series of losses, after all faults and after the last kill of all processes, every voter in service shows a configuration and a change is acknowledged within 12 s of the last start, the bound of the deployments for service after all are back; recovery.py judges it.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -175,6 +175,53 @@
         self.assertEqual(expected, rules(record))
 
 
+class RecoveryCheckTest(unittest.TestCase):
+    """Guards against a soak that misses voters that don't recover."""
+
+    @params(
+        (12.0, (), None, []),
+        (12.1, (), None, ['configuration']),
+        (12.1, (), 'voter-1', []),
+        (12.1, (), 'entry-1', ['configuration']),
+        (12.1, (), '', []),
+        (20.0, (), '', ['configuration']),
+        (11.9, ('voter-1',), None, []),
+        (12.1, ('voter-1',), None, ['configuration']),
+        (12.1, ('change',), '', ['configuration']),
+        (14.0, ('change',), 'voter-1', []),
+        (14.1, ('change',), 'voter-1', ['configuration']),
+    )
+    def test_the_time_after_all_are_back(
+        self, end, missing, disturbed, expected
+    ):
+        record = records.Record(
+            recoveries=[records.Recovery(begin=0.0, end=end, missing=missing)]
+        )
+        if disturbed is not None:
+            record.faults.append(
+                records.Fault(
+                    begin=1.0, end=2.0, what='', machines=(disturbed,)
+                )
+            )
+        self.assertEqual(expected, rules(record))
+
+    def test_a_fault_that_goes_on_is_waited_for(self):
+        record = records.Record(
+            recoveries=[
+                records.Recovery(begin=0.0, end=20.0, missing=('change',))
+            ],
+            faults=[
+                records.Fault(
+                    begin=1.0,
+                    end=float('inf'),
+                    what='',
+                    machines=('entry-1', 'voter-2'),
+                )
+            ],
+        )
+        self.assertEqual([], rules(record))
+
+
 class RequestsTest(unittest.TestCase):
     @params(
         ('unsafe', 2, 200, {}, ['twice']),
