--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -849,6 +849,26 @@
         self.assertEqual([], report.broken, '\n'.join(report.lines()))
 
 
+class LostMemoryTest(unittest.TestCase):
+    """Guards against voters that aren't replaced after all memory was lost.
+
+    Instances that have just started have never seen the voter that is gone.
+    """
+
+    def test_successors_count_before_the_next_loss(self):
+        plan = run.Plan(
+            seed=1,
+            seconds=1.0,
+            voters=5,
+            spares=3,
+            entries=2,
+            only=('replace_voters_without_memory',),
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(plan, pathlib.Path(folder)))
+        self.assertEqual([], report.broken, '\n'.join(report.lines()))
+
+
 class ShortRunTest(unittest.TestCase):
     """Guards against promises that only real processes break."""
 
