Requests: a body that ends early is refused at every port

Seen in a test that cuts requests at each byte: handlers of our ports got the bytes that had come as the whole body. In reach of callers were a body in chunks on the callers' port ("0" of "0a" taken for the last chunk, or no end after it), which could be half of a call, and forms of the console. Bodies in JSON weren't read as something else, and those of forwarded calls are read by readers of their own, which the test finds right.

Cause: cheroot's readers of a body return what there is when the connection ends, and don't read what follows the last chunk.

Change: the port passes bodies on with a reader that raises an error, 400 where nothing else answers, unless the length was reached or the trailers have ended.

Evidence: test_cut_requests. Heads, chunks of forwarded calls and requests for tunnels were right before.

--- a/dandeliongw/api/_forwarded_body.py
+++ b/dandeliongw/api/_forwarded_body.py
@@ -59,10 +59,17 @@
             raise calls.InvalidCall(
                 'a chunk of the body does not end as it says'
             )
-    for _ in range(_MAX_TRAILERS):
-        if reader.readline(_MAX_LINE_BYTES) == b'\r\n':
-            return b''.join(pieces)
-    raise calls.InvalidCall('the trailers of the body do not end')
+    if not skip_trailers(reader):
+        raise calls.InvalidCall('the trailers of the body do not end')
+    return b''.join(pieces)
+
+
+def skip_trailers(reader: Reader) -> bool:
+    """Read the trailers after the last chunk; return whether they end."""
+    return any(
+        reader.readline(_MAX_LINE_BYTES) == b'\r\n'
+        for _ in range(_MAX_TRAILERS)
+    )
 
 
 def _read_size(reader: Reader) -> int:
--- a/dandeliongw/api/http_ports.py
+++ b/dandeliongw/api/http_ports.py
@@ -24,6 +24,7 @@
 from . import _application
 from . import _deadlines
 from . import _headers
+from . import _request_body
 from . import _workers
 
 #: Creates the CherryPy applications that ports serve.
@@ -41,13 +42,17 @@
     """Adds the connection's socket and request to the WSGI environment.
 
     HTTP frameworks hide the socket, but while no data is sent only the
-    socket shows that a caller has disconnected.
+    socket shows that a caller has disconnected. A body that ends early is an
+    error.
     """
 
     def get_environ(self) -> dict[str, typing.Any]:
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.req.conn.socket
         environ[REQUEST_KEY] = self.req
+        environ['wsgi.input'] = _request_body.RequestBody(
+            body=self.req.rfile, reader=self.req.conn.rfile
+        )
         return environ
 
 
