Interim answers are passed over, not passed on

Seen in a test: a backend server that sends 103 and then its answer is taken to have answered 103 with an empty body; its answer is never read, whole or cut. Cause: the standard library passes over interim answers with 100 only. Change: Response begins again after each of 102 to 199; 101 is no answer to what we send, and stays as it was. Evidence: test_cut_answers with such an answer; on the code before it fails, cut and whole, direct and through a tunnel: 4 tests. Now they pass.

--- a/dandeliongw/message_framing.py
+++ b/dandeliongw/message_framing.py
@@ -70,6 +70,10 @@
 
     def begin(self) -> None:
         super().begin()
+        while 102 <= self.status < 200:
+            # An interim answer; the library passes over those with 100 only.
+            self.headers = self.msg = None
+            super().begin()
         self._transport.ends_answer = self.length is None and not self.chunked
 
 
--- a/tests/cut_answers.py
+++ b/tests/cut_answers.py
@@ -24,6 +24,9 @@
     'HTTP/1.0': b'HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nab',
     'chunked': CHUNKED,
     'interim': b'HTTP/1.1 100 Continue\r\nX: 1\r\n\r\n' + LENGTH_HEAD + BODY,
+    'early hints': (
+        b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' + LENGTH_HEAD + BODY
+    ),
     'bare line feeds': b'HTTP/1.1 200 OK\nContent-Length: 2\n\nab',
 }
 
