Leases: one that joins again waits until its own grants have ended

A disk whose change was withdrawn and that joins again has granted leases until then, which candidates may still count. Before a joining disk voted right after its read, the wait that followed hid this. Seen in a trial of the specification, not by callers.

Such a grantor renews nothing by its own records, and reads once its last grant has ended, one lease time after it. The new test fails on the code before: it reads at 3.2 s, 2.2 s after a grant of 2.25 s with its margin.

--- a/dandeliongw/coordination/lease_catchup.py
+++ b/dandeliongw/coordination/lease_catchup.py
@@ -33,12 +33,13 @@
 class CatchUp:
     """Reads enough other grantors to get every epoch ever granted.
 
-    Why it waits before the read: a candidate may still count a grant that
-    this grantor made before its disk was lost. If the read were earlier, the
-    others might not have that epoch yet, and it could be granted twice. This
-    wait counts from the start of the process, as an earlier one made these
-    grants. A joining grantor waits a little from the change on as well, so
-    that holders have learned of the set before the read fences the old one.
+    Why it waits before the read: a candidate may still count a grant that this
+    grantor made before its disk was lost. If the read were earlier, the others
+    might not have that epoch yet, and it could be granted twice. This wait
+    counts from the start of the process, as an earlier one made these grants,
+    and from the last grant of this one, if it joins again. A joining grantor
+    waits a little from the change on as well, so that holders have learned of
+    the set before the read fences the old one.
 
     Why one that is new grants nothing for a while after the read: the read
     fences new grants under the replaced set, but earlier ones are still
@@ -84,7 +85,7 @@
         self._is_new = own_id not in changed.grantors or has_lost_records
         if self._is_new:
             # It may have been in an earlier set and have missed epochs since.
-            self._grantor.ready = False
+            self._grantor.suspend()
         self._sources = changed.grantors
         self._sources_needed = lease_quorum.intersecting_size(
             len(changed.grantors)
@@ -94,6 +95,9 @@
             self._grantor.started_at + self._full_wait_s(),
             now + NOTICE_PART * self._full_wait_s(),
         )
+        if self._is_new:
+            last_grant_ends = self._grantor.granted_at + self._full_wait_s()
+            self._wait_until = max(self._wait_until, last_grant_ends)
 
     def stop(self) -> None:
         """Cancel the current catch-up."""
--- a/dandeliongw/coordination/lease_grantor.py
+++ b/dandeliongw/coordination/lease_grantor.py
@@ -75,6 +75,8 @@
         self._grants_by_name: dict[str, _Grant] = {}
         #: When this process started, in monotonic seconds.
         self.started_at = float('-inf')
+        #: When it last granted or renewed a lease.
+        self.granted_at = float('-inf')
         self._wait_until: float | None = None
         #: Highest version in a marker that is synced, or about to be.
         self._recorded_version = -1
@@ -138,6 +140,18 @@
             self.started_at = now
             self._wait_until = now + self.longest_wait_s()
 
+    def suspend(self) -> None:
+        """Answer no claims until it becomes ready again.
+
+        The holders of its grants are those of an earlier set. It renews none
+        of them unless it reads from others that they hold their leases.
+        """
+        self.ready = False
+        for grant in self._grants_by_name.values():
+            grant.record = msgspec.structs.replace(
+                grant.record, holder='', life=0
+            )
+
     def withhold(self, until: float) -> None:
         """Grant no lease to another holder before a time.
 
@@ -333,6 +347,7 @@
         claim: messages.LeaseClaim,
     ) -> dict[str, messages.LeaseGranted]:
         """Record a grant; return the record to sync if the epoch is new."""
+        self.granted_at = now
         expires_at = now + claims.duration_s
         grant = self._grants_by_name.get(claim.name)
         if grant is not None and grant.record.epoch == claim.epoch:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -698,6 +698,31 @@
         late = self.outcome(part, 9.0, 'b', claim(5, version=3))
         self.assertEqual(Outcome.OLD_EPOCH, late)
 
+    def test_a_grantor_that_joins_again_reads_once_its_grants_have_ended(self):
+        """Guards against an epoch that is counted after it was read past."""
+        part = lease.Leases(instance_id='v4', is_grantor=True)
+        part.restore(messages.LeaseReady(version=1))
+        part.handle(parts.Ticked(now=-9.0, entropy=7))
+        self.assertEqual(
+            Outcome.GRANTED, self.outcome(part, 1.0, 'b', claim(5, version=1))
+        )
+        part.handle(
+            lease.GrantorsChanged(
+                now=1.5,
+                grantors=('v1', 'v2', 'v3'),
+                joining=('v1', 'v2', 'v4'),
+                version=3,
+            )
+        )
+        self.assertEqual([], part.handle(parts.Ticked(now=3.2, entropy=7)))
+        wanted = part.handle(parts.Ticked(now=3.25, entropy=7))
+        self.assertEqual(['v1', 'v2', 'v3'], [each.to for each in wanted])
+        self.receive(part, 'v2', record(4, 'a'))
+        (persist,) = self.receive(part, 'v3', record(4, 'a'))
+        part.handle(parts.Persisted(now=3.3, token=persist.token))
+        late = self.outcome(part, 3.3, 'b', claim(5, version=3))
+        self.assertEqual(Outcome.OLD_EPOCH, late)
+
     def join(self, part, version):
         part.handle(
             lease.GrantorsChanged(
