Answers whose head hides their length are broken off

Seen in a test: of an answer with a line in its head that is no header, or with a length or a coding that can't be read, what had come when the connection ended was passed on as the whole body: 4 bytes of 20, or the sizes of chunks in it. Cause: as with a head that is cut, the end of the connection stood in for the end that the library had not found. It takes such a line for the end of the head and reads no length after it. Change: an answer that would end with its connection must state neither length nor coding, and its head must have been read whole. Heads that look odd and are valid are read.

--- a/dandeliongw/message_framing.py
+++ b/dandeliongw/message_framing.py
@@ -74,7 +74,27 @@
             # An interim answer; the library passes over those with 100 only.
             self.headers = self.msg = None
             super().begin()
-        self._transport.ends_answer = self.length is None and not self.chunked
+        if self.length is None and not self.chunked:
+            _check_no_length(self.headers)
+            self._transport.ends_answer = True
+
+
+def _check_no_length(headers: http.client.HTTPMessage) -> None:
+    """Check that a head states no length that the library couldn't read.
+
+    The library takes a line that is no header for the end of the head, too.
+
+    :raises HTTPException: if it does; the end of the connection would be taken
+        for that of the body.
+    """
+    unread = headers.get_payload()
+    if isinstance(unread, str) and unread:
+        raise http.client.HTTPException(f'no header: {unread[:40]!r}')
+    for name in ('Content-Length', 'Transfer-Encoding'):
+        if name in headers:
+            raise http.client.HTTPException(
+                f'unknown {name}: {headers[name][:40]!r}'
+            )
 
 
 class Connection(urllib3.connection.HTTPConnection):
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -139,6 +139,32 @@
         }.get(name, cut_answers.BODY)
         self.assertEqual(body, self.call(connector, None))
 
+    @params(
+        b'X-A: b\r\nbroken\r\nContent-Length: 20\r\n',
+        b'Content-Length : 20\r\n',
+        b'Content-Length: 2o\r\n',
+        b'Content-Length: -5\r\n',
+        b'Content-Length: \r\n',
+        b'Content-Length: 4\r\nContent-Length: 8\r\n',
+        b'Transfer-Encoding: gzip, chunked\r\n',
+    )
+    def test_a_head_that_hides_the_end_may_have_run(self, fields):
+        """Guards against the end of the connection as that of the body."""
+        self.server.sent = b'HTTP/1.1 200 OK\r\n' + fields + b'\r\n0123'
+        with self.assertRaises(engine.EngineError) as raised:
+            self.call(None, None)
+        self.assertIs(verdict.Verdict.MAY_HAVE_RUN, raised.exception.known)
+
+    @params(
+        b'Content-Type: multipart/mixed; boundary=x\r\n',
+        b'Content-Type: message/rfc822\r\n',
+        b'Content-Length: 4\r\nContent-Length: 4\r\n',
+        b'X-A:\r\nX-B: c\r\n folded\r\n',
+    )
+    def test_a_valid_head_is_read(self, fields):
+        self.server.sent = b'HTTP/1.1 200 OK\r\n' + fields + b'\r\n0123'
+        self.assertEqual(b'0123', self.call(None, None))
+
     def test_a_cut_head_states_no_rate_limit(self):
         """Guards against limits read from a number that is cut."""
         head = b'HTTP/1.1 200 OK\r\nX-Requests-Per-S: 120\r\n\r\n'
