Claims: a joining holder keeps what it has copied over a restart

Callers could have had a booking twice: of a set that is being changed the new disk has copied all slots and the end of the change is chosen, but not yet known to it. All memory is lost; the new disk's instance starts under the set that it knows, cleared its slots and copied anew, and learned then that it counts.

A restart under the same set keeps the slots and copies beside them. The new test fails on the code before (Granted).

--- a/dandeliongw/coordination/claim_holder.py
+++ b/dandeliongw/coordination/claim_holder.py
@@ -103,6 +103,8 @@
         self._syncing: _Batch | None = None
         self._syncs = 0
         self._copy: _Copy | None = None
+        #: Epoch of the last copy that was begun with no slots.
+        self._copy_epoch: int | None = None
 
     # Journal.
 
@@ -115,14 +117,20 @@
             self._synced_epoch = self._journaled_epoch
         elif isinstance(record, messages.ClaimCopyStarted):
             self._clear()
+            self._copy_epoch = record.epoch
         elif isinstance(record, messages.ClaimsForgotten):
             for key in record.keys:
                 self._remove(key)
 
     def snapshot(self) -> abc.Sequence[typing.Any]:
         """Return the journal records that restore this holder."""
-        slots = [held.slot for held in self._held_by_key.values()]
-        return [messages.ClaimEpoch(epoch=self._journaled_epoch), *slots]
+        records: list[typing.Any] = [
+            messages.ClaimEpoch(epoch=self._journaled_epoch)
+        ]
+        if self._copy_epoch is not None:
+            records.append(messages.ClaimCopyStarted(epoch=self._copy_epoch))
+        records.extend(held.slot for held in self._held_by_key.values())
+        return records
 
     def persisted(self, token: str) -> Effects:
         """Release the effects that waited for a sync, and start the next."""
@@ -355,10 +363,14 @@
         joins = holder_set.joining.get(self.instance_id) == self.disk_id
         if not joins or current_disk_id == self.disk_id:
             return self.flush()
-        self._clear()
-        self._pending.records.append(
-            messages.ClaimCopyStarted(epoch=holder_set.epoch)
-        )
+        if self._copy_epoch != holder_set.epoch:
+            # Slots of an earlier set may be out of date. Those of a copy under
+            # this one stay: it may count already, unknown to this instance.
+            self._clear()
+            self._copy_epoch = holder_set.epoch
+            self._pending.records.append(
+                messages.ClaimCopyStarted(epoch=holder_set.epoch)
+            )
         sources = set(holder_set.disk_ids_by_holder) - {self.instance_id}
         self._copy = _Copy(
             holder_set=holder_set,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -465,6 +465,33 @@
         self.network.tick(GIVE_UP_S)
         self.assertEqual([], self.network.caught_up)
 
+    def test_a_restarted_holder_keeps_what_it_had_copied(self):
+        """Guards against a holder that counts without the slots it copied.
+
+        A has caught up and the end of its joining is chosen; A learns of it
+        only after a restart, before it could copy again.
+        """
+        self.grant_with_one_cut_off('C')
+        self.network.add_disk('A', 'disk-A2')
+        current = self.network.sets[0]
+        self.network.change(current, {'A': 'disk-A2'})
+        self.network.run()
+        self.network.tick(2 * claims_network.ROUND_TRIP_S)
+        self.assertNotEqual([], self.network.caught_up)
+        self.network.crash('A')
+        self.network.start('A')
+        self.network.packets = [
+            packet
+            for packet in self.network.packets
+            if isinstance(packet.message, parts.Persist)
+        ]
+        self.network.run()
+        self.network.change({**current, 'A': 'disk-A2'})
+        self.network.run()
+        self.network.cut.add('B')
+        result = self.network.claim('F', 'f1')
+        self.assertNotEqual(messages.Granted(), result)
+
     def test_caught_up_waits_for_the_sync(self):
         """A joining holder reports the end of its copy after the sync.
 
@@ -514,8 +541,13 @@
             self.network.begin('E', key, key=key)
         self.network.run()
         self.network.replace('A', 'disk-A2')
-        copied = self.network.parts_by_id['A'].snapshot()
-        self.assertEqual(151, len(copied))
+        copied = [
+            record.key
+            for record in self.network.parts_by_id['A'].snapshot()
+            if isinstance(record, messages.ClaimSlot)
+        ]
+        expected = [f'key-{number}' for number in range(150)]
+        self.assertEqual(sorted(expected), sorted(copied))
 
     def test_grants_of_two_epochs_do_not_add_up(self):
         """A grants E, loses its disk and is repaired; A and C grant F.
