Origins: a new voter asks the others after the time to live of a confirmation

Callers that take a stream up without naming it were refused for up to 15 minutes after voters had been replaced one after the other: a new voter asked the others what they store 5 s after it voted, longer than losses are apart, and needs a majority of voters that are complete themselves. With replacements 4 s after each start 5, 4, 3, 2, 1 and 0 voters were complete, and none 200 s later. Found by a review that asked what an instance that has just started doesn't know.

The wait is for instances that haven't heard of the change: these act under no configuration once they haven't confirmed one for its time to live. So it is that time, which is 5 s by default and shorter where losses may be closer. The new test fails on the code before: the lookup is not answered.

--- a/dandeliongw/coordination/_origin_versions.py
+++ b/dandeliongw/coordination/_origin_versions.py
@@ -23,9 +23,6 @@
 from ._origin_messages import VersionsAnswer
 from ._origin_store import MAX_KEEP_S
 
-#: Seconds from becoming a voter to asking the others: until then, instances
-#: that have not heard of the new voters may store an origin with the old ones.
-SETTLE_S = 5.0
 #: Seconds between two requests of a voter that asks the others.
 READY_RESEND_S = 0.5
 #: Seconds between two requests of a lookup, then over a connection.
@@ -130,9 +127,15 @@
 
 
 class Completeness:
-    """Whether this voter's own answers are complete."""
+    """Whether this voter's own answers are complete.
 
-    def __init__(self) -> None:
+    :param settle_s: seconds from becoming a voter to asking the others: until
+        then, instances that have not heard of the new voters may store an
+        origin with the old ones.
+    """
+
+    def __init__(self, *, settle_s: float) -> None:
+        self._settle_s = settle_s
         self.is_complete = False
         self._voter_since: float | None = None
         self._asking: _Asking | None = None
@@ -168,7 +171,7 @@
             # All streams that it was not told of have ended.
             self.is_complete = True
             return []
-        if now - self._voter_since < SETTLE_S:
+        if now - self._voter_since < self._settle_s:
             return []
         if self._asking is None:
             self._asking = _Asking(
--- a/dandeliongw/coordination/origins.py
+++ b/dandeliongw/coordination/origins.py
@@ -93,6 +93,8 @@
 #: Entries that are asked for one. Entries that have gone or come since have
 #: changed the ranking.
 ENTRIES_ASKED = 5
+#: Default seconds after which a new voter asks the others what they store.
+DEFAULT_SETTLE_S = 5.0
 #: Seconds after which the silence of some voters counts as "unknown" if a
 #: majority has answered so, and as no answer otherwise.
 MINORITY_WAIT_S = 0.15
@@ -137,9 +139,18 @@
 
     :param instance_id: this instance.
     :param has_disk: whether it stores origins.
+    :param settle_s: seconds after which no instance stores origins with voters
+        that have been replaced: those that haven't heard of a change for as
+        long act under no configuration.
     """
 
-    def __init__(self, *, instance_id: str, has_disk: bool) -> None:
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        has_disk: bool,
+        settle_s: float = DEFAULT_SETTLE_S,
+    ) -> None:
         self._own_id = instance_id
         self._has_disk = has_disk
         self._store = OriginStore()
@@ -148,7 +159,7 @@
         self._keeping_by_key: dict[bytes, _Keeping] = {}
         self._looking_up_by_ticket: dict[str, _LookingUp] = {}
         self._sole_lookups = SoleVersionLookUps()
-        self._completeness = Completeness()
+        self._completeness = Completeness(settle_s=settle_s)
         self._is_stored_complete = False
         #: What waits for the disk, and who is to be told then.
         self._storing_by_token: dict[str, tuple[bytes, str]] = {}
--- a/dandeliongw/reducer.py
+++ b/dandeliongw/reducer.py
@@ -176,7 +176,9 @@
             instance_id=settings.instance_id, has_disk=self._is_voter
         )
         self.origins = origins.Origins(
-            instance_id=settings.instance_id, has_disk=self._is_voter
+            instance_id=settings.instance_id,
+            has_disk=self._is_voter,
+            settle_s=settings.timeouts.confirm_ttl_s,
         )
         self._voter_ids: frozenset[str] = frozenset()
         self.rates = rates.Rates(instance_id=settings.instance_id)
--- a/tests/test_voter_replacement.py
+++ b/tests/test_voter_replacement.py
@@ -5,6 +5,8 @@
 from nose2.tools import params
 
 from dandeliongw.coordination import membership
+from dandeliongw.coordination import origins
+from dandeliongw.coordination import parts
 from dandeliongw.coordination import register
 from dandeliongw import effects
 from dandeliongw import events
@@ -288,12 +290,12 @@
             if message == 'the presence of a voter has changed'
         ]
         self.assertEqual([('gw-1', 'gone')], states)
-        parts = [
+        caught_up = [
             fields['part']
             for message, fields in lines
             if message == 'a part of the joining disk has caught up'
         ]
-        self.assertEqual(['claims', 'leases'], sorted(parts))
+        self.assertEqual(['claims', 'leases'], sorted(caught_up))
         message, fields = [
             line for line in lines if line[0] == 'the voters have changed'
         ][-1]
@@ -420,6 +422,33 @@
             net.run(COUNTS_AGAIN_S)
         self.assertTrue(is_accepted(net, 'gw-1', 1))
 
+    def test_replaced_voters_learn_which_versions_began_streams(self):
+        """Guards against voters that never learn it from each other.
+
+        Until then none of them can tell, for as long as origins are kept.
+        """
+        net = with_spares(5, 5)
+        net.run(10.0)
+        for number in range(1, 6):
+            net.crash(f'gw-{number}')
+            net.run(DOWN_S)
+            add(net, f'gw-{number + 5}')
+            net.run(COUNTS_AGAIN_S)
+        net.run(LIMIT_S)
+        net.post(
+            'gw-10',
+            origins.LookUpSole(
+                now=net.now, ticket='sole', services=('studio-portal',)
+            ),
+        )
+        net.run(1.0)
+        results = [
+            each.result
+            for each in net.effects_by_id['gw-10']
+            if isinstance(each, parts.Complete) and each.ticket == 'sole'
+        ]
+        self.assertEqual([origins.LookUpFailure.UNKNOWN], results)
+
     def test_machines_replaced_while_entries_start_one_by_one(self):
         """Guards against a repair that waits for instances without a vote.
 
