--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -700,6 +700,23 @@
         self.leave(None)
         self.assertEqual([expected], self.lan.outcomes)
 
+    def test_a_leave_without_incarnation_where_no_server_is_known(self):
+        """Guards against an acknowledged leave that has no effect.
+
+        The instance has just started; the server's last heartbeat went to
+        another one.
+        """
+        self.lan.announce(
+            'gw-2', to=('gw-2',), incarnation=self.FIRST_START, sequence=40
+        )
+        self.lan.deliver()
+        self.lan.outcomes.clear()
+        self.leave(None)
+        is_acknowledged = (
+            presence.PresenceOutcome.ACCEPTED in self.lan.outcomes
+        )
+        self.assertFalse(is_acknowledged and self.is_usable())
+
     def test_a_later_leave_without_incarnation_is_of_the_newest_start(self):
         self.announce(self.FIRST_START, sequence=40)
         self.announce(self.SECOND_START)
--- a/tests/test_voter_replacement.py
+++ b/tests/test_voter_replacement.py
@@ -233,6 +233,24 @@
             voter_replacement.CHANGE_LIMIT_S + 30.0,
         )
 
+    def test_a_stuck_joining_instance_is_withdrawn_although_memory_is_lost(
+        self,
+    ):
+        """Guards against a change whose age each loss of memory resets."""
+        net = with_spares(3, 2)
+        net.loses = no_epochs_for('gw-4')
+        add(net, 'gw-4')
+        net.run(10.0)
+        add(net, 'gw-5')
+        for _ in range(8):
+            net.run(30.0)
+            if 'gw-5' in voters(net):
+                return
+            for instance_id in list(net.reducers_by_id):
+                disk_id = net.reducers_by_id[instance_id].register.disk_id
+                net.start(instance_id, disk_id=disk_id)
+        self.fail('gw-5 has not become a voter')
+
     def test_a_lost_disk_is_replaced_while_the_same_disk_catches_up(self):
         """Guards against a change whose new disk is gone for ever."""
         net = grown()
