Answers whose head breaks the grammar are broken off

Callers got a whole 200 with a body that wasn't the server's, where its length was `1_0`, `+10`, or had a vertical tab or 0xa0 beside the digits; without the fields behind a line that is no field, or with that line passed on; and 101, 600 and 999 as statuses of answers. Cause: the library reads what resembles a head: a number as Python's `int` does, a line that is no field as the end of the head, any three digits as a status. The requests of callers were checked line by line, answers weren't. Change: the grammar of a head is in one place, `message_grammar`, for requests and answers. `message_framing.Response`, which each reader of answers uses, reads the head whole, checks it and only then lets the library parse it; with interim answers it may have 64 KiB.

--- a/dandeliongw/message_framing.py
+++ b/dandeliongw/message_framing.py
@@ -1,9 +1,10 @@
-"""Reads HTTP answers whose end is certain.
+"""Reads HTTP answers that are valid and whose end is certain.
 
-The standard library takes the end of a connection for the end of a head, for
-that of a line with the size of a chunk, and for that of the trailers. Here it
-is the end of a body without a length, and of nothing else. All readers of HTTP
-answers use these classes.
+The standard library reads whatever resembles an answer, and takes the end of a
+connection for the end of a head, for that of a line with the size of a chunk,
+and for that of the trailers. Here it gets a head only after the grammar of the
+whole head was checked, and the end of a connection is that of a body without a
+length, and of nothing else. All readers of HTTP answers use these classes.
 """
 
 import http.client
@@ -13,11 +14,22 @@
 import urllib3
 import urllib3.connection
 
+from . import message_grammar
+
+#: Most bytes of a head, with all interim answers before it.
+MAX_HEAD_BYTES = 65536
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
+
 
 class CutMessage(http.client.HTTPException):
     """A connection ended within a message."""
 
 
+class InvalidAnswer(http.client.HTTPException):
+    """An answer breaks the grammar of HTTP, or is not framed as it must be."""
+
+
 class _Transport(io.RawIOBase):
     """The bytes of a connection, from the beginning of an answer."""
 
@@ -52,7 +64,7 @@
 
 
 class Response(http.client.HTTPResponse):
-    """An answer that ends where its head says.
+    """A valid answer, which ends where its head says.
 
     :param buffer_bytes: most bytes that are read at once.
     """
@@ -69,32 +81,70 @@
         self.fp = io.BufferedReader(self._transport, buffer_bytes)
 
     def begin(self) -> None:
-        super().begin()
-        while 102 <= self.status < 200:
-            # An interim answer; the library passes over those with 100 only.
-            self.headers = self.msg = None
+        """Read the head.
+
+        :raises InvalidAnswer: for a head that is invalid or too long.
+        """
+        if self.headers is not None:
+            return
+        lines = _Lines(reader=self.fp, max_bytes=MAX_HEAD_BYTES)
+        try:
+            head = _read_head(lines)
+        except ValueError as error:
+            raise InvalidAnswer(str(error)) from error
+        # The library parses what was checked, not what comes next.
+        connection, self.fp = self.fp, io.BytesIO(head)
+        try:
             super().begin()
+        finally:
+            self.fp = connection
         if self.length is None and not self.chunked:
-            _check_no_length(self.headers)
             self._transport.ends_answer = True
 
 
-def _check_no_length(headers: http.client.HTTPMessage) -> None:
-    """Check that a head states no length that the library couldn't read.
+class _Lines:
+    """Reads lines up to a total length, and keeps them.
+
+    :param max_bytes: most bytes of all lines.
+    """
+
+    def __init__(self, *, reader: typing.BinaryIO, max_bytes: int) -> None:
+        self._reader = reader
+        self._left = max_bytes
+        self.kept: list[bytes] = []
+
+    def read(self) -> bytes:
+        """Return the next line, or ``b''`` at the end of the connection.
+
+        :raises ValueError: if the lines are too long together.
+        """
+        line = self._reader.readline(self._left)
+        self._left -= len(line)
+        if not self._left:
+            raise ValueError('the head is too long')
+        self.kept.append(line)
+        return line
+
 
-    The library takes a line that is no header for the end of the head, too.
+def _read_head(lines: _Lines) -> bytes:
+    """Read the head of the final answer, and pass over interim answers.
 
-    :raises HTTPException: if it does; the end of the connection would be taken
-        for that of the body.
+    :raises ValueError: for an invalid head.
     """
-    unread = headers.get_payload()
-    if isinstance(unread, str) and unread:
-        raise http.client.HTTPException(f'no header: {unread[:40]!r}')
-    for name in ('Content-Length', 'Transfer-Encoding'):
-        if name in headers:
-            raise http.client.HTTPException(
-                f'unknown {name}: {headers[name][:40]!r}'
+    while True:
+        lines.kept.clear()
+        line = lines.read()
+        if not line:
+            raise http.client.RemoteDisconnected(
+                'the connection ended without an answer'
             )
+        status = message_grammar.read_status(line)
+        fields = message_grammar.read_fields(lines.read)
+        if status == _SWITCHING_PROTOCOLS:
+            raise ValueError('another protocol was not asked for')
+        message_grammar.check_answer_framing(status, fields)
+        if status >= _FIRST_FINAL_STATUS:
+            return b''.join(lines.kept)
 
 
 class Connection(urllib3.connection.HTTPConnection):
