Seeds: an answer with a brace in it no longer ends the queries

Cause: the error, which shows a part of the answer, was the format string of a log line with fields; a brace in it raised a ValueError that ended the thread. The log line of a broken connection to a peer was built the same way. Change: both log the error as a field.

--- a/dandeliongw/joining.py
+++ b/dandeliongw/joining.py
@@ -162,7 +162,7 @@
             response = self._http.request('GET', f'http://{seed}{PATH}')
             members = Members.model_validate_json(response.data)
         except (urllib3.exceptions.HTTPError, pydantic.ValidationError) as e:
-            logger.debug(f'seed query failed: {e}', seed=seed)
+            logger.debug('seed query failed', seed=seed, reason=str(e))
             return False
         if seed not in self._ids_by_seed:
             logger.info('seed responded', seed=seed, peer=members.instance_id)
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -430,7 +430,7 @@
 
 
 def _log_fault(peer_id: str, message: str) -> None:
-    logger.warning(f'connection to a peer: {message}', peer=peer_id)
+    logger.warning('connection to a peer failed', peer=peer_id, why=message)
 
 
 @contextlib.contextmanager
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -8,6 +8,7 @@
 from dandeliongw.api import http_ports
 from dandeliongw import joining
 from dandeliongw import settings
+from tests import raw_server
 
 OWN = '127.0.0.1:1'
 TIMEOUT_S = 20
@@ -56,6 +57,22 @@
     def next_event(self):
         return self.events.get(timeout=TIMEOUT_S)
 
+    def test_an_answer_that_lists_no_instances_is_asked_for_again(self):
+        """Guards against a thread that ends by what it logs of an answer."""
+        members = make_members('gw-1', 'gw-7').model_dump(mode='json')
+        server = self.enterContext(
+            raw_server.serving(
+                raw_server.answer({'instance_id': '{}'}),
+                raw_server.answer(members),
+            )
+        )
+        host, _, port = server.url.removeprefix('http://').rpartition(':')
+        self.join(settings.Address(host=host, port=int(port)), forms=False)
+        found = self.next_event()
+        self.assertEqual(
+            ['gw-1', 'gw-7'], [each.instance_id for each in found.instances]
+        )
+
     def test_a_joiner_finds_all_instances_that_a_seed_lists(self):
         seed = self.seed(make_members('gw-1', 'gw-7'))
         self.join(seed, forms=False)
