Seeds and the command line: answers have a largest size

An answer of a seed without end filled the memory of the instance that joins, and one of an instance that of the command line: both read an answer whole, whatever its size. They read at most 1 MiB and 64 MiB now; a longer answer is none, as one that is cut. Evidence: test_an_answer_without_end_is_given_up, which reads on until its timeout on the code before.

--- a/dandeliongw/client.py
+++ b/dandeliongw/client.py
@@ -12,6 +12,8 @@
 CONNECT_TIMEOUT_S = 5.0
 #: Longer than an instance waits for a majority of the voters.
 READ_TIMEOUT_S = 30.0
+#: Longest answer that is read, in bytes.
+MAX_ANSWER_BYTES = 64 << 20
 
 _NEVER_CONNECTED = (
     urllib3.exceptions.NewConnectionError,
@@ -90,8 +92,13 @@
         if self._token is not None:
             headers['Authorization'] = f'Bearer {self._token}'
         try:
-            response = self._pool.request(
-                method, url, headers=headers, json=body, redirect=False
+            status, content = self._pool.fetch(
+                method,
+                url,
+                max_bytes=MAX_ANSWER_BYTES,
+                headers=headers,
+                json=body,
+                redirect=False,
             )
         except urllib3.exceptions.HTTPError as error:
             raise exceptions.InstanceUnreachable(
@@ -99,7 +106,7 @@
                 reason=str(error),
                 may_have_arrived=not isinstance(error, _NEVER_CONNECTED),
             )
-        return response.status, _read_object(url, response.data)
+        return status, _read_object(url, content)
 
     def _success(
         self, status: int, answer: dict[str, typing.Any]
--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -32,8 +32,6 @@
 #: Seconds without an answer after which the path of a connection that was
 #: used before is checked, or half of the time that the call has.
 SUSPECT_S = 0.5
-#: Most bytes that are read at once.
-READ_BYTES = 65536
 #: Size limit of a line in a stream; its pieces and end mark are short lines.
 MAX_LINE_BYTES = 1 << 20
 #: In a refusal: seconds for which the backend server wants no request.
@@ -270,7 +268,7 @@
     def _raw_chunks(self, response: typing.Any) -> abc.Iterator[bytes]:
         while True:
             with self._as_engine_error():
-                data = response.read1(READ_BYTES)
+                data = response.read1(message_framing.READ_BYTES)
             if not data:
                 return
             yield data
--- a/dandeliongw/joining.py
+++ b/dandeliongw/joining.py
@@ -33,6 +33,8 @@
 #: Timeout in seconds of a query to one seed. A machine that is disconnected
 #: does not respond at all.
 SEED_TIMEOUT_S = 0.5
+#: Longest answer of a seed, in bytes; an instance takes some 100 in it.
+MAX_ANSWER_BYTES = 1 << 20
 #: Number of rounds between two warnings that no seed responds.
 ROUNDS_PER_WARNING = 50
 
@@ -159,8 +161,10 @@
 
     def _query_one(self, seed: str) -> bool:
         try:
-            response = self._http.request('GET', f'http://{seed}{PATH}')
-            members = Members.model_validate_json(response.data)
+            _, body = self._http.fetch(
+                'GET', f'http://{seed}{PATH}', max_bytes=MAX_ANSWER_BYTES
+            )
+            members = Members.model_validate_json(body)
         except (urllib3.exceptions.HTTPError, pydantic.ValidationError) as e:
             logger.debug('seed query failed', seed=seed, reason=str(e))
             return False
--- a/dandeliongw/message_framing.py
+++ b/dandeliongw/message_framing.py
@@ -18,6 +18,8 @@
 
 #: Most bytes of a head, with all interim answers before it, and of trailers.
 MAX_HEAD_BYTES = 65536
+#: Most bytes of a body that are read at once.
+READ_BYTES = 65536
 #: Longest line with the size of a chunk, in bytes.
 MAX_SIZE_LINE_BYTES = 4096
 _SWITCHING_PROTOCOLS = 101
@@ -198,3 +200,28 @@
             'http': _ConnectionPool,
             'https': _TlsConnectionPool,
         }
+
+    def fetch(
+        self, method: str, url: str, *, max_bytes: int, **options: typing.Any
+    ) -> tuple[int, bytes]:
+        """Send a request; return the status and the body of its answer.
+
+        :param max_bytes: longest body that is read.
+        :raises urllib3.exceptions.HTTPError: also for a longer one.
+        """
+        response = self.request(
+            method, url, preload_content=False, decode_content=False, **options
+        )
+        body = io.BytesIO()
+        try:
+            while data := response.read1(READ_BYTES):
+                body.write(data)
+                if body.tell() > max_bytes:
+                    raise urllib3.exceptions.ResponseError(
+                        f'the answer is larger than {max_bytes} bytes'
+                    )
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return response.status, body.getvalue()
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -1,6 +1,8 @@
 """Discovery through seeds: forming a new system and joining a running one."""
 
+import contextlib
 import queue
+import threading
 import unittest
 
 from nose2.tools import params
@@ -57,6 +59,22 @@
     def next_event(self):
         return self.events.get(timeout=TIMEOUT_S)
 
+    def test_an_answer_without_end_is_given_up(self):
+        """Guards against a seed that fills the memory of those that join."""
+        given_up = threading.Event()
+
+        def send_without_end(connection):
+            with contextlib.suppress(OSError):
+                connection.sendall(b'HTTP/1.1 200 OK\r\n\r\n')
+                while True:
+                    connection.sendall(bytes(1 << 16))
+            given_up.set()
+
+        server = self.enterContext(raw_server.serving(send_without_end))
+        host, _, port = server.url.removeprefix('http://').rpartition(':')
+        self.join(settings.Address(host=host, port=int(port)), forms=False)
+        self.assertTrue(given_up.wait(TIMEOUT_S))
+
     def test_an_answer_that_lists_no_instances_is_asked_for_again(self):
         """Guards against a thread that ends by what it logs of an answer."""
         members = make_members('gw-1', 'gw-7').model_dump(mode='json')
