Answers without end are held up to a bound, and the largest pays

Callers of an entry lost their requests when it ran out of memory: a faulty backend server sent bytes without end, and each call to it held up to 8 MiB, several times over. Cause: a limit for each answer, none for all of them. Each byte was held up to nine times: as the body grew, in the outcome that is recorded under a claim (in base64, for calls without a claim, too), and in the HTTP server's buffers. The C library kept what each thread had freed. Change: - `answer_memory` accounts for what an instance holds of answers: heads, bodies, lines, trailers, interim answers, and answers that wait for slow callers. It has a fifth of the memory, or `limits.answer_memory_bytes`. When it is full, the largest answer that is being read is broken off, with this reason, and its buffer freed at once; smaller ones don't notice. A call that comes while whole answers fill it is refused with `instance_full`, not run. - Bodies are held once, passed on in pieces, and recorded for claims only. - Blocks from 128 KiB on go back to the operating system when they are freed. Two tests of recorded outcomes now name a key.

--- a/dandeliongw/adapter.py
+++ b/dandeliongw/adapter.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from . import answer_memory
 from . import engine
 from . import paths as paths_module
 from . import settings as settings_module
@@ -91,6 +92,13 @@
         """
         ...
 
+    def use_memory(self, memory: answer_memory.AnswerMemory) -> None:
+        """Account for what is held of answers.
+
+        Called once, before the first call.
+        """
+        ...
+
     def backends(
         self, *, payload: relay.RequestPayload, metadata: gateway.CallMetadata
     ) -> relay.Backends:
--- a/dandeliongw/api/callers.py
+++ b/dandeliongw/api/callers.py
@@ -16,6 +16,7 @@
 from .. import events
 from .. import metrics as metrics_module
 from .. import verdict
+from . import _answer_body
 from . import _application
 from . import answers
 from . import calls
@@ -164,7 +165,8 @@
         cherrypy.response.headers['Content-Type'] = (
             last.outcome.content_type or 'application/octet-stream'
         )
-        return _with_content_length(last.outcome.body)
+        _with_content_length(last.outcome.body)
+        return _answer_body.AnswerBody(finished=last)
 
     def _read_body(self) -> bytes:
         """Return the complete body.
--- a/dandeliongw/api/gateway.py
+++ b/dandeliongw/api/gateway.py
@@ -23,6 +23,7 @@
 from .. import hosts
 from .. import metrics as metrics_module
 from .. import verdict
+from . import _answer_body
 from . import _forwarded_body
 from . import calls
 from ..entry import relay
@@ -279,13 +280,16 @@
         """Send status and headers with the first bytes of the body."""
         self._start_response(_status_line(status), list(headers))
 
-    def complete(
-        self, status: int, headers: Headers, body: bytes
-    ) -> list[bytes]:
+    def complete(self, finished: relay.Finished) -> abc.Iterable[bytes]:
         """Start an answer that isn't streamed, and return its body."""
-        length = ('Content-Length', str(len(body)))
-        self.start(status, (*_without_hop_headers(headers), length))
-        return [body]
+        body = _answer_body.AnswerBody(finished=finished)
+        outcome = finished.outcome
+        self._start_whole(outcome.status, finished.headers, len(outcome.body))
+        return body
+
+    def _start_whole(self, status: int, headers: Headers, length: int) -> None:
+        with_length = ('Content-Length', str(length))
+        self.start(status, (*_without_hop_headers(headers), with_length))
 
     def refuse(self, refusal: verdict.Refusal) -> list[bytes]:
         """Start the answer to a refused call, and return its body.
@@ -300,7 +304,8 @@
         if status == http.HTTPStatus.UNAUTHORIZED:
             headers += (('WWW-Authenticate', _AUTHENTICATION_SCHEME),)
         body = f'{refusal.reason}: {refusal.message}\n'.encode()
-        return self.complete(status, headers, body)
+        self._start_whole(status, headers, len(body))
+        return [body]
 
 
 class _ForwardedCall:
@@ -349,12 +354,9 @@
                 retry_after_s=first.retry_after_s,
             )
             return self._reply.refuse(first)
-        outcome = first.outcome
         self._metrics.count_answer(verdict.Verdict.RAN)
-        self._log_end('answered', status=outcome.status)
-        return self._reply.complete(
-            outcome.status, first.headers, outcome.body
-        )
+        self._log_end('answered', status=first.outcome.status)
+        return self._reply.complete(first)
 
     def __iter__(self) -> '_ForwardedCall':
         return self
--- a/dandeliongw/applications.py
+++ b/dandeliongw/applications.py
@@ -5,6 +5,7 @@
 import cherrypy
 
 from . import adapter as adapter_module
+from . import answer_memory
 from . import caller_facades
 from . import control_facades
 from . import hosts
@@ -33,7 +34,9 @@
         disconnect_watcher: disconnects.DisconnectWatcher,
         metrics: metrics_module.Metrics,
         adapter: adapter_module.Adapter | None,
+        memory: answer_memory.AnswerMemory,
     ) -> None:
+        self._memory = memory
         self._settings = settings
         self._reducer = reducer
         self._runtime = runtime
@@ -52,6 +55,7 @@
             'reducer': self._reducer,
             'runtime': self._runtime,
             'disconnect_watcher': self._disconnect_watcher,
+            'memory': self._memory,
         }
         if self._adapter is not None:
             return gateway.Gateway(
--- a/dandeliongw/caller_facades.py
+++ b/dandeliongw/caller_facades.py
@@ -11,6 +11,7 @@
 import cherrypy
 
 from . import adapter as adapter_module
+from . import answer_memory
 from . import events
 from . import hosts
 from . import http_backends
@@ -24,7 +25,10 @@
 
 
 class CallersFacade:
-    """Opens relays for calls and lists the entries."""
+    """Opens relays for calls and lists the entries.
+
+    :param memory: the account of what is held of answers.
+    """
 
     def __init__(
         self,
@@ -33,12 +37,16 @@
         reducer: reducer_module.Reducer,
         runtime: runtime_module.Runtime,
         disconnect_watcher: disconnects.DisconnectWatcher,
+        memory: answer_memory.AnswerMemory,
     ) -> None:
+        self._memory = memory
         self._settings = settings
         self._reducer = reducer
         self._runtime = runtime
         self._disconnect_watcher = disconnect_watcher
-        self._backends = http_backends.HttpBackends(timeouts=settings.timeouts)
+        self._backends = http_backends.HttpBackends(
+            timeouts=settings.timeouts, memory=memory
+        )
 
     def open_relay(
         self,
@@ -70,6 +78,7 @@
             payload=payload,
             backends=backends,
             post=self._runtime.post,
+            has_memory=self._memory.has_room(),
         )
         self._runtime.add_relay(opened)
         if caller is not None:
@@ -110,6 +119,7 @@
         reducer: reducer_module.Reducer,
         runtime: runtime_module.Runtime,
         disconnect_watcher: disconnects.DisconnectWatcher,
+        memory: answer_memory.AnswerMemory,
         adapter: adapter_module.Adapter,
     ) -> None:
         super().__init__(
@@ -117,6 +127,7 @@
             reducer=reducer,
             runtime=runtime,
             disconnect_watcher=disconnect_watcher,
+            memory=memory,
         )
         self._adapter = adapter
 
--- a/dandeliongw/engine.py
+++ b/dandeliongw/engine.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from . import answer_memory
 from . import verdict
 
 
@@ -113,6 +114,7 @@
     """The complete answer of a plain service.
 
     :param rest_s: see :class:`EngineError`, as for ``is_leaving``.
+    :param holding: what is held of it, to be released when it was sent on.
     """
 
     status: int
@@ -121,6 +123,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     rest_s: float = 0.0
     is_leaving: bool = False
+    holding: answer_memory.Holding | None = None
 
 
 class BackendCall(typing.Protocol):
--- a/dandeliongw/entry/admission.py
+++ b/dandeliongw/entry/admission.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .. import answer_memory
 from .. import document
 from .. import events
 from .. import verdict
@@ -94,6 +95,15 @@
     told_account: str | None = None
 
 
+def out_of_memory() -> verdict.Refusal:
+    """Return the refusal of a call whose answer could not be held."""
+    return not_run(
+        _REASON.INSTANCE_FULL,
+        f'{answer_memory.FULL}; use another entry',
+        TRANSIENT_RETRY_S,
+    )
+
+
 class Admission:
     """Checks calls against the document and this instance's own limits.
 
--- a/dandeliongw/entry/relay.py
+++ b/dandeliongw/entry/relay.py
@@ -17,6 +17,7 @@
 from loguru import logger
 import msgspec
 
+from .. import answer_memory
 from .. import clock as clock_module
 from .. import effects
 from .. import engine
@@ -65,11 +66,19 @@
 
     :param replayed: whether the answer was recorded by an earlier send.
     :param headers: of a plain service's answer.
+    :param holding: what is held of a plain service's answer; whoever takes
+        this item releases it when the answer was sent.
     """
 
     outcome: outcome.Outcome
     replayed: bool = False
     headers: tuple[tuple[str, str], ...] = ()
+    holding: answer_memory.Holding | None = None
+
+    def release(self) -> None:
+        """Give back the memory of the answer."""
+        if self.holding is not None:
+            self.holding.release()
 
 
 class Backends(typing.Protocol):
@@ -113,6 +122,7 @@
 
     :param backends: creates the adapters for backend servers.
     :param post: posts events to the reducer.
+    :param has_memory: whether there is room for an answer.
     :param clock: returns monotonic seconds; the same clock as the reducer's.
     """
 
@@ -124,6 +134,7 @@
         payload: RequestPayload,
         backends: Backends,
         post: Post,
+        has_memory: bool = True,
         clock: abc.Callable[[], float] = clock_module.now,
     ) -> None:
         self.request_id = request_id
@@ -147,6 +158,11 @@
         self._answer_allowed = threading.Event()
         self._first_token_at: float | None = None
         self._failed_reply: engine.Reply | None = None
+        self._has_memory = has_memory
+        #: Of the reply that is the answer.
+        self._holding: answer_memory.Holding | None = None
+        #: Of the replies of plain services, until they are handed over.
+        self._holdings: list[answer_memory.Holding] = []
 
     def put_directive(self, directive: effects.Directive) -> None:
         """Accept a directive; called by the runtime, never blocks."""
@@ -182,6 +198,8 @@
         finally:
             if not ended:
                 self._post_event(events.CallerGone, request_id=self.request_id)
+            for holding in self._holdings:
+                holding.release()
             self._post_event(events.RequestClosed, request_id=self.request_id)
 
     def _run_directives(
@@ -192,6 +210,7 @@
             request_id=self.request_id,
             call=self.call,
             entropy=secrets.randbits(64),
+            has_memory=self._has_memory,
         )
         while True:
             given_at, directive = self._directives.get()
@@ -206,8 +225,12 @@
                     return
                 case effects.Complete():
                     assert self._outcome is not None
-                    yield Finished(
-                        outcome=self._outcome, headers=self._headers
+                    yield self._hand_over(
+                        Finished(
+                            outcome=self._outcome,
+                            headers=self._headers,
+                            holding=self._holding,
+                        )
                     )
                     return
                 case _:
@@ -227,11 +250,20 @@
             or refusal.verdict is verdict.Verdict.NOT_RUN
         ):
             return refusal
-        return Finished(
-            outcome=_outcome_of(self._failed_reply),
-            headers=self._failed_reply.headers,
+        return self._hand_over(
+            Finished(
+                outcome=_outcome_of(self._failed_reply),
+                headers=self._failed_reply.headers,
+                holding=self._failed_reply.holding,
+            )
         )
 
+    def _hand_over(self, finished: Finished) -> Finished:
+        """Leave the release of an answer to whoever sends it."""
+        if finished.holding is not None:
+            self._holdings.remove(finished.holding)
+        return finished
+
     # Steps
 
     def _run(
@@ -357,7 +389,7 @@
             tokens=self._offset,
         )
         return step_results.Done(
-            outcome=self._outcome.to_bytes(),
+            outcome=self._recorded(),
             tokens=self._offset,
             # A resumed stream delivers at once the tokens that were generated
             # during the interruption, so its gaps are not measured.
@@ -496,6 +528,8 @@
                 },
                 max_bytes=self._payload.max_bytes,
             )
+        if reply.holding is not None:
+            self._holdings.append(reply.holding)
         if reply.is_leaving:
             self._post_leave(directive)
         if (
@@ -509,8 +543,15 @@
                 rest_s=reply.rest_s,
             )
         self._headers = reply.headers
+        self._holding = reply.holding
         self._outcome = _outcome_of(reply)
-        return step_results.Done(outcome=self._outcome.to_bytes())
+        return step_results.Done(outcome=self._recorded())
+
+    def _recorded(self) -> bytes:
+        """Return the outcome as it is recorded under the call's claim."""
+        if self.call.idempotency_key is None:
+            return b''
+        return self._outcome.to_bytes()
 
     def _post_leave(self, directive: typing.Any) -> None:
         self._post_event(
--- a/dandeliongw/entry/requests.py
+++ b/dandeliongw/entry/requests.py
@@ -208,6 +208,8 @@
         admitted = self._gate.check(now, call, event.entropy)
         if isinstance(admitted, verdict.Refusal):
             return _refuse_unadmitted(event, admitted)
+        if not event.has_memory:
+            return _refuse_unadmitted(event, admission.out_of_memory())
         # A call that crashes the backend servers it runs on would crash
         # another one with each send, along with that server's other work.
         held = self.quarantine_check.refusal(now, event.request_id, call)
--- a/dandeliongw/events.py
+++ b/dandeliongw/events.py
@@ -77,6 +77,8 @@
     request_id: str
     call: Call
     entropy: int
+    #: Whether the instance has room for an answer.
+    has_memory: bool = True
 
 
 class StepEnded(msgspec.Struct, frozen=True, kw_only=True):
--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -12,9 +12,11 @@
 import contextlib
 import http
 import http.client
+import io
 import re
 import select
 import socket
+import sys
 import typing
 import urllib.parse
 
@@ -22,6 +24,7 @@
 import urllib3
 import urllib3.connection
 
+from . import answer_memory
 from . import connection_pool
 from . import engine
 from . import message_framing
@@ -117,6 +120,7 @@
     :param pool: reuses connections; without it, the connection serves this
         call only.
     :param connector: makes new connections; directly by default.
+    :param memory: the account of what is held of the answer, if any.
     """
 
     def __init__(
@@ -127,9 +131,18 @@
         read_s: float,
         pool: connection_pool.ConnectionPool | None = None,
         connector: paths.Connector | None = None,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         parts = urllib.parse.urlsplit(url)
         self._pool = pool
+        self._memory = memory or answer_memory.AnswerMemory(
+            capacity_bytes=sys.maxsize
+        )
+        self._holding: answer_memory.Holding | None = None
+        #: Of an answer that is read whole.
+        self._body = io.BytesIO()
+        #: Bytes of the answer that its reader keeps.
+        self._kept_bytes = 0
         self._connector = connector or DirectConnector()
         self._is_complete = False
         self._is_reused = False
@@ -147,6 +160,13 @@
 
     def open(self) -> None:
         """Connect; a failure here proves that nothing was sent."""
+        self._holding = self._memory.open(self._break_off)
+        if self._holding is None:
+            raise engine.EngineError(
+                answer_memory.FULL,
+                known=verdict.Verdict.NOT_RUN,
+                is_unsent=True,
+            )
         pooled = self._take_pooled()
         if pooled is not None:
             self._connection = pooled
@@ -237,17 +257,45 @@
         :param most: size limit in bytes.
         :raises EngineError: also when the body is truncated or too long.
         """
-        body = b''
+        body = self._body
+        size = 0
         for data in self.chunks(response):
-            body += data
-            if len(body) > most:
-                break
-        if len(body) > most:
-            raise engine.EngineError(
-                f'the answer is larger than {most} bytes',
-                known=verdict.Verdict.RAN,
-            )
-        return body
+            try:
+                body.write(data)
+                size = body.tell()
+            except ValueError as error:
+                # Closed by the account, which has broken the answer off.
+                raise self._memory_error() from error
+            if size > most:
+                raise engine.EngineError(
+                    f'the answer is larger than {most} bytes',
+                    known=verdict.Verdict.RAN,
+                )
+            self._hold(size)
+        if not self._holding.complete(size):
+            self.prevent_reuse()
+            raise self._memory_error()
+        return body.getvalue()
+
+    def keep_answer(self) -> answer_memory.Holding:
+        """Return what is held of the answer, for the caller to release."""
+        kept, self._holding = self._holding, None
+        return kept
+
+    def note_kept(self, count: int) -> None:
+        """Account for further bytes that the reader of the answer keeps."""
+        self._kept_bytes += count
+
+    def _hold(self, size: int) -> None:
+        """Account for ``size`` bytes of a body, and for those that are kept.
+
+        :raises EngineError: if the answer must end.
+        """
+        size += self._kept_bytes
+        if size > message_framing.READ_BYTES and not self._holding.resize(
+            answer_memory.OPEN_BYTES + size
+        ):
+            raise self._memory_error()
 
     def chunks(self, response: typing.Any) -> abc.Iterator[bytes]:
         """Yield a body as it arrives.
@@ -256,6 +304,8 @@
             way that can't be told from an early end.
         """
         yield from self._raw_chunks(response)
+        if self._is_broken_off():
+            raise self._memory_error()
         has_length = response.chunked or response.length_remaining is not None
         if self._aborted and not has_length:
             # The end of a socket that this instance has shut down looks like
@@ -274,17 +324,47 @@
             yield data
 
     def lines(self, response: typing.Any) -> abc.Iterator[bytes]:
-        r"""Yield the lines of a body as they arrive, without their ``\n``."""
-        rest = b''
+        r"""Yield the lines of a body as they arrive, without their ``\n``.
+
+        :raises EngineError: also for a line that is too long.
+        """
+        yield from self.parts(response, b'\n', MAX_LINE_BYTES, must_end=False)
+
+    def parts(
+        self,
+        response: typing.Any,
+        separator: bytes,
+        most: int,
+        *,
+        must_end: bool,
+    ) -> abc.Iterator[bytes]:
+        """Yield the parts of a body that end with a separator, without it.
+
+        :param most: size limit of a part in bytes.
+        :param must_end: whether a last part without a separator is an error;
+            otherwise it is dropped.
+        :raises EngineError: also for a part that is too long.
+        """
+        rest = bytearray()
         for data in self.chunks(response):
+            searched = max(0, len(rest) - len(separator) + 1)
             rest += data
-            *complete, rest = rest.split(b'\n')
-            yield from complete
-            if len(rest) > MAX_LINE_BYTES:
+            if rest.find(separator, searched) >= 0:
+                *complete, last = bytes(rest).split(separator)
+                rest = bytearray(last)
+                yield from complete
+            if len(rest) > most:
                 raise engine.EngineError(
-                    f'a line is longer than {MAX_LINE_BYTES} bytes',
+                    f'a part of the answer is longer than {most} bytes',
                     known=verdict.Verdict.MAY_HAVE_RUN,
                 )
+            self._hold(len(rest))
+        if rest and must_end:
+            raise engine.EngineError(
+                'the stream ended within a part',
+                known=verdict.Verdict.MAY_HAVE_RUN,
+                is_cut=True,
+            )
 
     def abort(self) -> None:
         """Make the thread that is blocked in this call fail at once."""
@@ -293,6 +373,28 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    def _break_off(self) -> None:
+        """Free what was read, and wake the thread of this call.
+
+        Called by the account, from other threads. If it were left to the
+        thread of the call, the memory would be used before it is free.
+        """
+        self._body.close()
+        if self._socket is not None:
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
+
+    def _is_broken_off(self) -> bool:
+        return (
+            self._holding is not None
+            and self._holding.state is answer_memory.State.BROKEN_OFF
+        )
+
+    def _memory_error(self) -> engine.EngineError:
+        return engine.EngineError(
+            answer_memory.FULL, known=verdict.Verdict.MAY_HAVE_RUN
+        )
+
     def withdraw(self, *, is_forced: bool) -> None:
         """Break the call off if the backend server seems not to have it.
 
@@ -329,6 +431,8 @@
         its own reference to the socket: if closing it were left to the garbage
         collector, an engine would continue to send.
         """
+        if self._holding is not None:
+            self._holding.release()
         if self._is_reusable():
             self._pool.give(
                 self._connection,
@@ -356,7 +460,7 @@
         return has_end and not closes and self._connection.sock is not None
 
     def prevent_reuse(self) -> None:
-        """Prevent reuse: an answer on the connection was for another call."""
+        """Prevent that the connection carries another call."""
         self._is_complete = False
 
     @contextlib.contextmanager
@@ -368,7 +472,7 @@
         try:
             yield
         except (TimeoutError, urllib3.exceptions.ReadTimeoutError) as error:
-            self._raise_if_withdrawn(error)
+            self._raise_if_ended_here(error)
             self._connector.suspect(self._host, self._port)
             raise engine.StalledError(
                 f'nothing came for {self._read_s} s',
@@ -384,14 +488,16 @@
         ) as error:
             # urllib3 raises any of these errors when another thread aborts
             # the call and so shuts down the socket during a read.
-            self._raise_if_withdrawn(error)
+            self._raise_if_ended_here(error)
             raise engine.EngineError(
                 f'the connection broke: {error}',
                 known=verdict.Verdict.MAY_HAVE_RUN,
                 is_cut=not self._aborted,
             ) from error
 
-    def _raise_if_withdrawn(self, error: BaseException) -> None:
+    def _raise_if_ended_here(self, error: BaseException) -> None:
+        if self._is_broken_off():
+            raise self._memory_error() from error
         if self._is_withdrawn:
             raise engine.EngineError(
                 'broken off: the backend server left and had not answered',
--- a/dandeliongw/http_backends.py
+++ b/dandeliongw/http_backends.py
@@ -5,6 +5,7 @@
 import json
 import typing
 
+from . import answer_memory
 from . import engine
 from . import exchange as exchanges
 from . import paths
@@ -40,9 +41,11 @@
         stall_s: float,
         on_rate_limit: engine.RateLimitObserver = engine.ignore_rate_limit,
         connector: paths.Connector | None = None,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self.url = url
         self._connector = connector
+        self._memory = memory
         self._on_rate_limit = on_rate_limit
         self._connect_s = connect_s
         self._first_byte_s = first_byte_s
@@ -120,6 +123,8 @@
             self._raise_unless_ok(exchange, response)
             for line in exchange.lines(response):
                 if line.startswith(b'data:'):
+                    # The text of the pieces is kept to resume the stream.
+                    exchange.note_kept(len(line))
                     yield _read_piece(line[5:])
 
     def cancel(self, *, stream_id: str, attempt_id: str) -> None:
@@ -181,6 +186,7 @@
             connect_s=self._connect_s,
             read_s=read_s,
             connector=self._connector,
+            memory=self._memory,
         )
         self._current = exchange
         if self._aborted:
@@ -289,6 +295,7 @@
         timeout_s: float,
         on_rate_limit: engine.RateLimitObserver = engine.ignore_rate_limit,
         connector: paths.Connector | None = None,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self.url = url
         self._on_rate_limit = on_rate_limit
@@ -297,6 +304,7 @@
             connect_s=connect_s,
             read_s=timeout_s,
             connector=connector,
+            memory=memory,
         )
 
     def call(
@@ -321,20 +329,21 @@
                 response, RATE_LIMIT_HEADER, self._on_rate_limit
             )
             content = self._exchange.read(response, max_bytes)
+            is_not_run = response.headers.get(NOT_RUN_HEADER, '') == 'true'
+            if response.status == 503 and is_not_run:
+                raise engine.EngineError(
+                    f'{self.url} is busy',
+                    known=verdict.Verdict.NOT_RUN,
+                    reason='busy',
+                )
+            return engine.Reply(
+                status=response.status,
+                content_type=response.headers.get('Content-Type', ''),
+                body=content,
+                holding=self._exchange.keep_answer(),
+            )
         finally:
             self._exchange.close()
-        is_not_run = response.headers.get(NOT_RUN_HEADER, '') == 'true'
-        if response.status == 503 and is_not_run:
-            raise engine.EngineError(
-                f'{self.url} is busy',
-                known=verdict.Verdict.NOT_RUN,
-                reason='busy',
-            )
-        return engine.Reply(
-            status=response.status,
-            content_type=response.headers.get('Content-Type', ''),
-            body=content,
-        )
 
     def abort(self) -> None:
         self._exchange.abort()
@@ -348,6 +357,7 @@
 
     :param connector: makes the connections of calls; cancels and orders come
         from the instance that sends them, so they are connected directly.
+    :param memory: the account of what is held of answers.
     """
 
     def __init__(
@@ -355,9 +365,11 @@
         *,
         timeouts: settings_module.Timeouts,
         connector: paths.Connector | None = None,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self._timeouts = timeouts
         self._connector = connector
+        self._memory = memory
 
     def model_engine(
         self,
@@ -386,6 +398,7 @@
             stall_s=self._timeouts.stall_s,
             on_rate_limit=on_rate_limit,
             connector=connector,
+            memory=self._memory,
         )
 
     def plain_service(
@@ -402,4 +415,5 @@
             timeout_s=timeout_s,
             on_rate_limit=on_rate_limit,
             connector=self._connector,
+            memory=self._memory,
         )
--- a/dandeliongw/metrics.py
+++ b/dandeliongw/metrics.py
@@ -203,6 +203,13 @@
         _start_at_zero(self.wasted_prefill, waste.WasteReason)
 
     def _make_watched(self) -> None:
+        self.answers_without_room = self._watched(
+            'answers_without_room',
+            'Answers of backend servers that were broken off, or not begun, '
+            'as they would have taken too much memory.',
+            None,
+            [UNLABELLED],
+        )
         self.peer_drops = self._watched(
             'peer_drops',
             'Messages between instances that were not delivered.',
@@ -309,6 +316,9 @@
             'detours',
             'Backend servers that are reached through another instance.',
         )
+        self.answer_bytes = self._watched_gauge(
+            'answer_bytes', "Memory that backend servers' answers take here."
+        )
         self.tunnels = self._watched_gauge(
             'tunnels',
             'Connections of other instances to backend servers through this '
--- a/dandeliongw/server.py
+++ b/dandeliongw/server.py
@@ -12,6 +12,8 @@
 
 from . import __version__
 from . import adapter as adapter_module
+from . import allocator
+from . import answer_memory
 from . import applications as applications_module
 from . import clock
 from . import events
@@ -134,11 +136,16 @@
         )
         if journal is not None:
             reducer.restore(journal.records)
+        memory = answer_memory.AnswerMemory(
+            capacity_bytes=settings.limits.answer_memory_bytes
+            or answer_memory.default_capacity()
+        )
         backends = adapter or http_backends.HttpBackends(
-            timeouts=settings.timeouts, connector=paths
+            timeouts=settings.timeouts, connector=paths, memory=memory
         )
         if adapter is not None:
             adapter.use_paths(paths)
+            adapter.use_memory(memory)
         runtime = runtime_module.Runtime(
             reducer=reducer,
             metrics=metrics,
@@ -150,6 +157,7 @@
         stack.callback(runtime.stop)
         export_counts(metrics, reducer)
         _export_paths(metrics, paths, tunnel_server)
+        _export_memory(metrics, memory)
         _start(
             runtime,
             make_wire(
@@ -172,6 +180,7 @@
             disconnect_watcher=disconnect_watcher,
             metrics=metrics,
             adapter=adapter,
+            memory=memory,
         )
         control_port.serve(applications.control())
         callers_port.serve(applications.callers(), applications.read_limits)
@@ -245,6 +254,16 @@
         )
 
 
+def _export_memory(
+    metrics: metrics_module.Metrics, memory: answer_memory.AnswerMemory
+) -> None:
+    unlabelled = metrics_module.UNLABELLED
+    metrics.answer_bytes.set_callback(lambda: {unlabelled: memory.held_bytes})
+    metrics.answers_without_room.set_callback(
+        lambda: {unlabelled: memory.without_room_count}
+    )
+
+
 def serve(
     settings: settings_module.Settings,
     adapter: adapter_module.Adapter | None = None,
@@ -257,6 +276,7 @@
     :raises InstanceFailed: when the instance has failed fatally.
     :raises ShutdownTimedOut: when the shutdown aborted requests.
     """
+    allocator.return_freed_memory()
     common = {
         'instance': settings.instance_id,
         'data_centre': settings.data_centre,
--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -117,6 +117,10 @@
     """Threads that streams never use, so that lookups stay fast."""
     store_loads_per_s: models.Positive = 1.0
     """This instance's share of the weight store's load rate."""
+    answer_memory_bytes: models.PositiveInt | None = None
+    """Memory for the answers of backend servers, all together; without it, a
+    fifth of the machine's memory. If it is full, the largest answer that is
+    being read is broken off."""
     max_outcome_bytes: models.PositiveInt = 65536
     """The longest recorded answer of a non-idempotent call."""
     max_claims: models.PositiveInt = 200_000
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 
 from nose2.tools import params
 
+from dandeliongw import answer_memory
 from dandeliongw.api import calls
 from dandeliongw.api import gateway
 from dandeliongw.api import http_ports
@@ -21,6 +22,7 @@
 from dandeliongw import settings
 from dandeliongw import verdict
 from tests import test_callers
+from tools import local
 
 NOT_RUN = verdict.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
@@ -387,6 +389,47 @@
         )
         self.assertEqual(answer.status, 503)
 
+    @params(
+        (200, COMPLETE),
+        (500, refuse(REASON.BACKEND_FAILED, MAY_HAVE_RUN)),
+        (500, refuse(REASON.NO_BACKEND, NOT_RUN)),
+        (200, refuse(REASON.CALLER_GONE, MAY_HAVE_RUN)),
+    )
+    def test_the_memory_of_an_answer_is_given_back(self, status, last):
+        """Guards against an instance that refuses calls with memory free."""
+        memory = answer_memory.AnswerMemory(capacity_bytes=1 << 30)
+        holding = memory.open(lambda: None)
+        holding.complete(1 << 20)
+        reply = engine.Reply(
+            status=status,
+            content_type='',
+            body=bytes(1 << 20),
+            holding=holding,
+        )
+        facade = ScriptedFacade(CALL, last, reply=reply)
+        with serving(facade) as port, connect(port) as caller:
+            caller.sendall(raw())
+            answer = test_callers.read_answer(caller)
+            facade.closed.acquire(timeout=test_callers.TIMEOUT_S)
+            local.wait_until('it is released', lambda: not memory.held_bytes)
+        if status == answer.status:
+            self.assertEqual(reply.body, answer.body)
+
+    def test_a_caller_that_leaves_gives_the_memory_back(self):
+        memory = answer_memory.AnswerMemory(capacity_bytes=1 << 30)
+        holding = memory.open(lambda: None)
+        holding.complete(64 << 20)
+        reply = engine.Reply(
+            status=200, content_type='', body=bytes(64 << 20), holding=holding
+        )
+        facade = ScriptedFacade(CALL, COMPLETE, reply=reply)
+        with serving(facade) as port:
+            with connect(port) as caller:
+                caller.sendall(raw())
+                caller.recv(1)
+                self.assertTrue(memory.held_bytes)
+            local.wait_until('it is released', lambda: not memory.held_bytes)
+
     @params(
         (REASON.UNKNOWN_ROUTE, NOT_RUN, 404),
         (REASON.TOO_LARGE, NOT_RUN, 413),
--- a/tests/test_platform_machine.py
+++ b/tests/test_platform_machine.py
@@ -64,6 +64,10 @@
         tolerance = made.rate_tolerance
         self.assertEqual((tolerance.part, tolerance.amount), (0.05, 35000.0))
 
+    def test_answers_take_a_part_of_the_memory(self):
+        """Guards against a process that is killed for the memory it takes."""
+        self.assertEqual(30_000_000, translate().limits.answer_memory_bytes)
+
     def test_owners_in_large_fleets_shed_work(self):
         """Guards against an owner that never catches up after a burst."""
         self.assertIsNone(translate().overload.owner_lag_s)
@@ -125,6 +129,7 @@
         (['bounds', 'graceS'], 0, 'bounds.graceS'),
         (['heartbeatMs'], 'soon', 'heartbeatMs'),
         (['limits', 'maxFds'], -1, 'limits.maxFds'),
+        (['limits', 'memoryMb'], 0, 'limits.memoryMb'),
         (['zones'], ['hall-a'], 'zones'),
     )
     def test_a_field_that_is_missing_or_wrong_is_named(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -260,7 +260,7 @@
             piece('r.1', 1, 'b'), piece('r.1', 2, 'c'), end('r.1', 3)
         )
         with raw_server.serving(IMPORTED, first, again) as server:
-            with RelayThread() as runner:
+            with RelayThread(key='k') as runner:
                 runner.run(run_decode(server.url))
                 ended = runner.run(run_decode(server.url, kv=''))
         self.assertIsNone(ended.failure)
@@ -464,10 +464,17 @@
 
 
 class Ends(unittest.TestCase):
-    def test_a_call_has_its_deadline_in_a_header(self):
+    def test_the_outcome_of_a_call_without_a_key_is_not_recorded(self):
+        """Guards against copies of long answers that nobody asks for."""
         with raw_server.serving(raw_server.answer(b'ok')) as server:
             with RelayThread('booking') as runner:
                 ended = runner.run(run_call(server.url, 2.5))
+        self.assertEqual(b'', ended.outcome)
+
+    def test_a_call_has_its_deadline_in_a_header(self):
+        with raw_server.serving(raw_server.answer(b'ok')) as server:
+            with RelayThread('booking', key='k') as runner:
+                ended = runner.run(run_call(server.url, 2.5))
         self.assertEqual(outcome.from_bytes(ended.outcome).body, b'ok')
         self.assertEqual(server.calls[0][1]['x-deadline-s'], '2.500')
         self.assertEqual(server.calls[0][1]['x-request-id'], 'r')
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -43,6 +43,21 @@
         ((to, release),) = entry.sent(cells.Release)
         self.assertEqual((to, release.outcome), (OWNER, cells.Outcome.DONE))
 
+    def test_a_call_whose_answer_has_no_room_is_refused_at_once(self):
+        """Guards against calls that run and whose answers are thrown away."""
+        entry = Entry()
+        entry.post(
+            events.RequestArrived,
+            request_id='r',
+            call=entry_fake.call('lookup'),
+            entropy=0,
+            has_memory=False,
+        )
+        refusal = entry.one(effects.Refuse).refusal
+        self.assertEqual(REASON.INSTANCE_FULL, refusal.reason)
+        self.assertIs(NOT_RUN, refusal.verdict)
+        self.assertEqual([], entry.sent(cells.Book))
+
     def test_the_release_of_a_complete_answer_has_its_token_gap(self):
         """Guards against decode batches that are never limited.
 
--- a/tools/local.py
+++ b/tools/local.py
@@ -141,6 +141,7 @@
         folder: pathlib.Path,
         instances: int = 3,
         timeouts: dict[str, float] | None = None,
+        limits: dict[str, int] | None = None,
         command: abc.Sequence[str] = (sys.executable, '-m', 'dandeliongw'),
         data_centres: abc.Sequence[str] = ('dc-a', 'dc-b', 'dc-c'),
     ) -> None:
@@ -148,6 +149,7 @@
         self.data_centres = tuple(data_centres)
         self._command = tuple(command)
         self._timeouts = timeouts or {}
+        self._limits = limits or {}
         self.http = urllib3.PoolManager(retries=False, timeout=30.0)
         self.stand_ins_by_id: dict[str, StandIn] = {}
         #: Processes that :meth:`kill` ended.
@@ -203,6 +205,7 @@
                 {'name': 'demo', 'token_sha256': sha256(OPERATOR_TOKEN)}
             ],
             'timeouts': self._timeouts,
+            'limits': self._limits,
         }
         instance.settings_file.write_text(json.dumps(fields, indent=1))
 
