Soak: heads that are no HTTP, and bodies without end

A part of the answers of all servers gets a byte of its head replaced by a control character, a spoilt length or status, or a line that is no field (`spoil_heads`), or a body without end (`flood`); rounds of all faults draw both. A caller that gets an answer that is no HTTP is a broken promise; a body that isn't the server's was one before. One more test, of entries that stand still or are cut off while engines change their versions, holds.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -601,6 +601,31 @@
         self.assertTrue(report.record.crashed)
 
 
+class SpoiltHeadsTest(unittest.TestCase):
+    """Guards against broken answers of servers that reach callers."""
+
+    def test_no_caller_gets_one(self):
+        plan = run.Plan(seed=1, seconds=1.0, only=('spoil_heads', 'flood'))
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(plan, pathlib.Path(folder)))
+        self.assertEqual([], report.broken, '\n'.join(report.lines()))
+
+
+class OutOfStepTest(unittest.TestCase):
+    """Guards against entries that miss a change of versions.
+
+    They stand still, or are cut off, while engines change their versions.
+    """
+
+    def test_no_stream_has_two_versions(self):
+        plan = run.Plan(
+            seed=1, seconds=1.0, only=('change_versions', 'freeze', 'cut')
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(plan, pathlib.Path(folder)))
+        self.assertEqual([], report.broken, '\n'.join(report.lines()))
+
+
 class UnheardLeaveTest(unittest.TestCase):
     """Guards against leaves that are lost with the voter that took them.
 
@@ -693,6 +718,17 @@
         self.assertEqual(expected, rules(record))
 
 
+class InvalidAnswerTest(unittest.TestCase):
+    def test_an_answer_that_is_no_http(self):
+        """Guards against a soak that misses broken answers."""
+        record = records.Record(
+            asked=[asked(1.0, 'r1')], answered=[answered('r1', 600)]
+        )
+        self.assertEqual([], rules(record))
+        record.answered = [answered('r1', 600, is_invalid=True)]
+        self.assertEqual(['invalid'], rules(record))
+
+
 class RestCheckTest(unittest.TestCase):
     """Guards against a soak that misses requests to resting servers."""
 
