Tests of cases that were handled: early answers of uploads, late calls

A 200 without a length that comes at once, a part of its body and a reset while an upload is still being written count as broken off, on the direct path and through a tunnel, whether the upload is short or long. Calls that may not be repeated and come until the process is gone are answered or refused as not run; as many have run as were answered with 200.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,5 +1,7 @@
 """One HTTP call and its connection, against a raw socket server."""
 
+import contextlib
+import itertools
 import queue
 import socket
 import threading
@@ -13,6 +15,7 @@
 from dandeliongw import sockets
 from dandeliongw import verdict
 from tests import raw_server
+from tests import through_tunnels
 from tools import local
 
 
@@ -75,6 +78,52 @@
             self.assertEqual(b'', ends.get(timeout=raw_server.TIMEOUT_S))
 
 
+class EarlyAnswerTest(unittest.TestCase):
+    """Guards against a part of an answer that passes as a whole one.
+
+    A server answers a long upload at once, without a length, and resets the
+    connection while the upload is being written.
+    """
+
+    def serve(self, listener, is_slow):
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(100)
+            connection.sendall(b'HTTP/1.1 200 OK\r\n\r\n' + bytes(100))
+            if is_slow:
+                # Until the answer was read, or all of the upload is written.
+                connection.settimeout(0.2)
+                with contextlib.suppress(TimeoutError):
+                    while connection.recv(65536):
+                        pass
+            sockets.reset_on_close(connection)
+
+    @params(
+        *itertools.product(
+            (False, True), (1000, 100_000, 8_000_000), (False, True)
+        )
+    )
+    def test_it_may_have_run(self, is_slow, size, is_tunnelled):
+        listener = self.enterContext(socket.create_server(('127.0.0.1', 0)))
+        server = threading.Thread(target=self.serve, args=(listener, is_slow))
+        server.start()
+        self.addCleanup(server.join)
+        connector = None
+        if is_tunnelled:
+            connector = self.enterContext(through_tunnels.connecting())
+        exchange = exchanges.Exchange(
+            url=f'http://127.0.0.1:{listener.getsockname()[1]}',
+            connect_s=20.0,
+            read_s=20.0,
+            connector=connector,
+        )
+        self.addCleanup(exchange.close)
+        exchange.open()
+        with self.assertRaises(engine.EngineError) as caught:
+            exchange.read(exchange.send('POST', '/', bytes(size), {}), 1000)
+        self.assertIs(verdict.Verdict.MAY_HAVE_RUN, caught.exception.known)
+
+
 class DepartedConnector(exchanges.DirectConnector):
     """The backend server leaves while the call connects to it."""
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,6 +1,9 @@
 """Graceful shutdown of real processes, while they serve requests."""
 
+from concurrent import futures
+import contextlib
 import http.client
+import itertools
 import json
 import pathlib
 import shutil
@@ -12,6 +15,8 @@
 from tools import local
 
 LOOKUP = '/services/studio-portal/lookup'
+BOOKINGS = '/services/studio-portal/bookings'
+CALLERS = 8
 TOKENS = 40
 #: Makes a stream last longer than the time to live of the list of entries.
 SLOW = ('--step-s=0.05', '--prefill-tokens-per-s=1e6')
@@ -128,6 +133,62 @@
         self.assertIsNotNone(error['retry_after_s'])
         return True
 
+    def test_calls_late_in_the_grace_are_answered(self):
+        """Guards against calls that are taken and cut off at its end.
+
+        Callers send calls that may not be repeated, each of which takes a
+        while, over open connections until the process is gone.
+        """
+        system = self.start(shutdown_s=6.0)
+        portal = system.stand_ins_by_id['portal-1']
+        system.call('POST', f'{portal.url}/faults', {'delay_s': 0.5})
+        with futures.ThreadPoolExecutor(CALLERS) as threads:
+            callers = [
+                threads.submit(self.book_until_it_is_gone, number)
+                for number in range(CALLERS)
+            ]
+            local.wait_until('calls are served', lambda: self.runs() >= 3)
+            self.instance.process.send_signal(signal.SIGTERM)
+            self.assertEqual(self.exit_code(), 0)
+            statuses = [each for caller in callers for each in caller.result()]
+        self.assertEqual({200, 503}, set(statuses))
+        self.assertEqual(self.runs(), statuses.count(200))
+
+    def book_until_it_is_gone(self, number):
+        """Return the statuses of all calls that the process has taken."""
+        statuses = []
+        for call in itertools.count():
+            connection = http.client.HTTPConnection(
+                local.HOST,
+                self.instance.callers_port,
+                timeout=local.WAIT_TIMEOUT_S,
+            )
+            with contextlib.closing(connection):
+                try:
+                    answer = self.book(connection, f'{number} {call}')
+                except OSError:
+                    # Refused, or never accepted: it was sent as the listening
+                    # socket was closed. If it has run, the counts differ.
+                    return statuses
+                statuses.append(answer.status)
+                while answer.headers['Connection'] != 'close':
+                    answer = self.book(connection, f'{number} {call}')
+                    statuses.append(answer.status)
+
+    def book(self, connection, horse):
+        connection.request(
+            'POST',
+            BOOKINGS,
+            json.dumps({'horse': horse}),
+            {'Authorization': f'Bearer {local.ACCOUNT_KEY}'},
+        )
+        return _read(connection)
+
+    def runs(self):
+        portal = self.system.stand_ins_by_id['portal-1']
+        _, answer = self.system.call('GET', f'{portal.url}/runs')
+        return sum(answer['by_body'].values())
+
     def test_a_shutdown_ends_when_its_time_is_over(self):
         """Guards against a shutdown that waits for one caller forever.
 
