Decisions: a failed attempt's line has the error

An attempt that was sent again left no trace of what was wrong with its answer: the line `attempt failed` named the kind of failure only, and the error stood in the refusal of calls that failed in the end. Found while looking at which answers were broken off.

--- a/dandeliongw/decisions.py
+++ b/dandeliongw/decisions.py
@@ -211,6 +211,7 @@
     """An attempt failed; the request is retried or fails.
 
     :param again: whether it is retried.
+    :param error: what the backend server, or its connection, did.
     :param known: what is proved about whether the request ran.
     :param attempts: number of attempts so far.
     :param runs: how many of them a backend server may have run.
@@ -220,6 +221,7 @@
     message: typing.ClassVar[str] = 'attempt failed'
     again: bool
     failure: str
+    error: str
     known: str
     attempts: int
     runs: int
--- a/dandeliongw/entry/attempts.py
+++ b/dandeliongw/entry/attempts.py
@@ -25,6 +25,8 @@
 #: Mean backoff in seconds before the third attempt, doubled for each further
 #: one. The second attempt has none, as it uses another backend server.
 BACKOFF_S = 0.1
+#: Characters of an error that are logged; it may show a part of an answer.
+MAX_ERROR_LENGTH = 200
 
 Effects = list[typing.Any]
 
@@ -147,13 +149,13 @@
         if not request.may_run_again:
             refusal = refusals.backend_failed(message)
             line = _retry_log(
-                request, failure, 'the call may have run', again=False
+                request, failure, message, 'the call may have run', again=False
             )
             return [*out, line, *self._endings.refuse(now, request, refusal)]
         held = self.held(now, request)
         if held is not None:
             line = _retry_log(
-                request, failure, 'it is quarantined', again=False
+                request, failure, message, 'it is quarantined', again=False
             )
             refused = self._endings.refuse(now, request, held.refusal)
             return [*out, line, held.line, *refused]
@@ -161,10 +163,12 @@
         obstacle = self._why_no_retry(now, wait_s, request)
         if obstacle:
             refusal = refusals.retries_spent(request, message)
-            line = _retry_log(request, failure, obstacle, again=False)
+            line = _retry_log(request, failure, message, obstacle, again=False)
             return [*out, line, *self._endings.refuse(now, request, refusal)]
         out.append(
-            _retry_log(request, failure, 'a retry is allowed', again=True)
+            _retry_log(
+                request, failure, message, 'a retry is allowed', again=True
+            )
         )
         count = effects.CountRetry(reason=failure)
         if not wait_s:
@@ -266,6 +270,7 @@
 def _retry_log(
     request: Request,
     failure: verdict.RetryReason,
+    error: str,
     why: str,
     *,
     again: bool,
@@ -275,6 +280,7 @@
         attempt_id=request.attempt_id,
         again=again,
         failure=failure.value,
+        error=error[:MAX_ERROR_LENGTH],
         known=request.known.value,
         attempts=request.attempts,
         runs=request.runs,
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -58,6 +58,24 @@
         self.assertIs(NOT_RUN, refusal.verdict)
         self.assertEqual([], entry.sent(cells.Book))
 
+    def test_the_error_of_an_attempt_is_logged(self):
+        """Guards against broken answers that leave no trace after a retry."""
+        entry = Entry()
+        request_id = entry.prefilling()
+        entry.end(
+            request_id,
+            events.Step.PREFILL,
+            RETRY.PREFILL_FAILED,
+            known=NOT_RUN,
+            message="not a field: b'X-A : b'",
+        )
+        (line,) = (
+            each
+            for each in entry.found(effects.Log)
+            if each.message == 'attempt failed'
+        )
+        self.assertEqual("not a field: b'X-A : b'", dict(line.fields)['error'])
+
     def test_the_release_of_a_complete_answer_has_its_token_gap(self):
         """Guards against decode batches that are never limited.
 
