--- a/dandeliongw/settings.py
+++ b/dandeliongw/settings.py
@@ -29,6 +29,11 @@
 #: within its share of the backend servers' slots; this requires backend
 #: servers that refuse requests beyond their capacity.
 SilentOwner = typing.Literal['wait', 'place']
+#: Less would hold the heads of a few answers only.
+MIN_ANSWER_MEMORY_BYTES = MIB
+AnswerMemory = typing.Annotated[
+    int, pydantic.Field(ge=MIN_ANSWER_MEMORY_BYTES)
+]
 VoterCount = typing.Annotated[int, pydantic.Field(ge=1, le=MAX_VOTERS)]
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=MAX_PORT)]
 LogLevel = typing.Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR']
@@ -117,7 +122,7 @@
     """Threads that streams never use, so that lookups stay fast."""
     store_loads_per_s: models.Positive = 1.0
     """This instance's share of the weight store's load rate."""
-    answer_memory_bytes: models.PositiveInt | None = None
+    answer_memory_bytes: AnswerMemory | None = None
     """Memory for the answers of backend servers, all together; without it, a
     fifth of the machine's memory. If it is full, the largest answer that is
     being read is broken off."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -86,6 +86,7 @@
         ('callers.port', 7101, 'peer.port'),
         ('callers.threads', '200', 'callers.threads'),
         ('limits.max_claims', 0, 'limits.max_claims'),
+        ('limits.answer_memory_bytes', 1000, 'limits.answer_memory_bytes'),
         ('limits.reserved_lookups', 41, 'limits.max_streams'),
         ('limits.max_requests', 200, 'limits.max_requests'),
         ('timeouts.lease_margin_s', 2, 'timeouts.lease_margin_s'),
