Answers: a call that fails frees what it has read

Cause: the error that ends a call refers to its frames, and these to the call and its buffers, until the garbage collector comes by. Change: the exchange owns its buffers and frees them when it is closed.

--- a/dandeliongw/exchange.py
+++ b/dandeliongw/exchange.py
@@ -141,6 +141,8 @@
         self._holding: answer_memory.Holding | None = None
         #: Of an answer that is read whole.
         self._body = io.BytesIO()
+        #: The unfinished part of an answer that is read in parts.
+        self._rest = bytearray()
         #: Bytes of the answer that its reader keeps.
         self._kept_bytes = 0
         self._connector = connector or DirectConnector()
@@ -345,13 +347,13 @@
             otherwise it is dropped.
         :raises EngineError: also for a part that is too long.
         """
-        rest = bytearray()
+        rest = self._rest
         for data in self.chunks(response):
             searched = max(0, len(rest) - len(separator) + 1)
             rest += data
             if rest.find(separator, searched) >= 0:
                 *complete, last = bytes(rest).split(separator)
-                rest = bytearray(last)
+                rest[:] = last
                 yield from complete
             if len(rest) > most:
                 raise engine.EngineError(
@@ -431,8 +433,7 @@
         its own reference to the socket: if closing it were left to the garbage
         collector, an engine would continue to send.
         """
-        if self._holding is not None:
-            self._holding.release()
+        self._give_back()
         if self._is_reusable():
             self._pool.give(
                 self._connection,
@@ -448,6 +449,17 @@
         if self._connection is not None:
             self._connection.close()
 
+    def _give_back(self) -> None:
+        """Free what was read, and release its part of the account.
+
+        The error that ended a call refers to its frames, and these to the
+        call, until the garbage collector finds them.
+        """
+        self._body.close()
+        self._rest.clear()
+        if self._holding is not None:
+            self._holding.release()
+
     def _is_reusable(self) -> bool:
         """Whether the connection is open and this answer's end is certain."""
         if self._pool is None or not self._is_complete or self._aborted:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,6 +7,7 @@
 import shutil
 import tempfile
 import threading
+import tracemalloc
 import unittest
 
 from dandeliongw import answer_memory
@@ -191,6 +192,23 @@
         self.assertIn(answer_memory.FULL, str(raised.exception))
         self.assertIs(verdict.Verdict.MAY_HAVE_RUN, raised.exception.known)
 
+    @params(False, True)
+    def test_a_failed_call_frees_what_it_has_read(self, as_lines):
+        """Guards against answers that the error of their call keeps alive."""
+        server = self.enterContext(
+            raw_server.serving(without_end(*ENDLESS['a body']))
+        )
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        errors = []
+        for _ in range(4):
+            try:
+                self.read(self.exchange(server), as_lines=as_lines)
+            except engine.EngineError as error:
+                errors.append(error)
+        self.assertEqual(4, len(errors))
+        self.assertLess(tracemalloc.get_traced_memory()[0], MIB)
+
     def test_a_call_without_room_is_not_sent(self):
         memory = answer_memory.AnswerMemory(capacity_bytes=_OPEN - 1)
         server = self.enterContext(
