--- a/tests/test_tunnel_ends.py
+++ b/tests/test_tunnel_ends.py
@@ -10,11 +10,11 @@
 from dandeliongw import _tunnel_socket
 from dandeliongw import engine
 from dandeliongw import exchange as exchanges
-from dandeliongw import paths
 from dandeliongw import sockets
 from dandeliongw import tunnels
 from dandeliongw import verdict
 from tests import raw_server
+from tests import through_tunnels
 
 TIMEOUT_S = raw_server.TIMEOUT_S
 HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
@@ -22,26 +22,6 @@
 HALF = BODY[:400]
 
 
-class Through:
-    """Connects through another instance only; a ``paths.Connector``."""
-
-    def __init__(self, far):
-        self._far = far
-
-    def connect(self, host, port, timeout_s):
-        target = tunnels.Address(host=host, port=port)
-        opened = tunnels.open_through(
-            self._far, target, timeout_s=timeout_s, secret=None
-        )
-        return paths._connection(target, opened.connection)
-
-    def suspect(self, host, port):
-        pass
-
-    def has_departed(self, host, port):
-        return False
-
-
 class EndTestCase(unittest.TestCase):
     """Base class: a backend server, reached directly or through a tunnel."""
 
@@ -107,7 +87,7 @@
             url=url,
             connect_s=TIMEOUT_S,
             read_s=TIMEOUT_S,
-            connector=None if far is None else Through(far),
+            connector=None if far is None else through_tunnels.Through(far),
         )
         self.stack.callback(made.close)
         made.open()
