Cells: an engine's link is busy with the work that is held only

The same after some seconds under a configuration with a slow link, and after a large prompt whose entry or engine was gone.

Cause: a booking raised `link_free_at` of both its engines to the predicted end of its transfer, and nothing lowered it: 133 s for the prefill at 30,000 tokens a second and 3 s for the transfer. A pair whose link isn't free within 0.1 to 0.7 s after the prefill is not chosen, so the queue waits for a link that nothing uses.

Why this works: each engine has a table of the bookings whose KV cache moves over its link, and the time is the greatest of theirs. A booking leaves the table where it leaves the cell, and that is one place. What was placed behind work that ended before its plan had the plan's times in its own, and would hand them on to what comes next; so the rest is planned anew then, and under new terms.

No check of sizes is in it.

--- a/dandeliongw/cell/backend_state.py
+++ b/dandeliongw/cell/backend_state.py
@@ -61,16 +61,21 @@
     #: Measured prefill time divided by the predicted one; above 1 is slow.
     slowness: float = 1.0
     last_prefill_at: float = 0.0
-    #: When the transfers booked on its link will have ended.
-    link_free_at: float = 0.0
+    #: Bookings whose KV cache moves over its link, by the same key. A prefill
+    #: engine has them for longer than in :attr:`bookings_by_key`.
+    transfers_by_key: dict[tuple[str, str], Booking] = msgspec.field(
+        default_factory=dict
+    )
     #: Until when it is treated as full, since it refused work for which the
     #: owner's count had room.
     full_until: float = -math.inf
     #: The last forecast that its KV cache has no room; see
     #: :meth:`clear_forecast`.
     full_forecast: FullForecast | None = None
-    #: See :meth:`decode_ends`; ``None`` after a change.
+    #: Derived from the bookings; ``None`` after a change. See
+    #: :meth:`decode_ends` and :attr:`link_free_at`.
     sorted_ends: list[float] | None = None
+    last_transfer_end: float | None = None
     batch: BatchCap = msgspec.field(default_factory=BatchCap)
     health: Health = msgspec.field(default_factory=lambda: Health())
     #: Blocks that its prefix cache may hold, least recently used first. An
@@ -115,15 +120,48 @@
     def add(self, booking: Booking) -> None:
         """Add a booking, and update the peak of its own slot count."""
         self.bookings_by_key[booking.key] = booking
-        self.clear_ends()
+        self.add_transfer(booking)
         own = len(self.bookings_by_key) + self.cancelling
         self.peak_slots = max(self.peak_slots, own)
 
     def remove(self, booking: Booking) -> None:
-        """Remove a booking, and discard the forecast made with it."""
+        """Remove a booking, and discard what was predicted with it."""
+        self.bookings_by_key.pop(booking.key, None)
+        self.clear_forecast()
+        self.remove_transfer(booking)
+
+    def end_prefill(self, booking: Booking) -> None:
+        """Remove a booking from a prefill engine; only its link stays in use.
+
+        The KV cache moves from there to the decode engine.
+        """
         self.bookings_by_key.pop(booking.key, None)
         self.clear_forecast()
-        self.clear_ends()
+        self.clear_plans()
+
+    def add_transfer(self, booking: Booking) -> None:
+        """Add the transfer of a booking, if one is planned."""
+        if booking.transfer_ends_at:
+            self.transfers_by_key[booking.key] = booking
+        self.clear_plans()
+
+    def remove_transfer(self, booking: Booking) -> None:
+        self.transfers_by_key.pop(booking.key, None)
+        self.clear_plans()
+
+    @property
+    def link_free_at(self) -> float:
+        """When the transfers over its link will have ended; 0 if none is."""
+        end = self.last_transfer_end
+        if end is None:
+            end = self.last_transfer_end = max(
+                (
+                    booking.transfer_ends_at
+                    for booking in self.transfers_by_key.values()
+                ),
+                default=0.0,
+            )
+        return end
 
     def decode_ends(self) -> list[float]:
         """Return when the answers are expected to end, sorted."""
@@ -135,9 +173,10 @@
             )
         return ends
 
-    def clear_ends(self) -> None:
-        """Discard the kept ends, as one of them has changed."""
+    def clear_plans(self) -> None:
+        """Discard what is derived from the bookings, as one has changed."""
         self.sorted_ends = None
+        self.last_transfer_end = None
 
     def cached_tokens(self, prefix: abc.Sequence[str]) -> int:
         """Return how many leading tokens of a prompt are probably cached."""
--- a/dandeliongw/cell/cell_types.py
+++ b/dandeliongw/cell/cell_types.py
@@ -141,9 +141,16 @@
     #: first is a duration, the others are times.
     prefill_work_s: float = 0.0
     prefill_ends_at: float = 0.0
+    transfer_starts_at: float = 0.0
     transfer_ends_at: float = 0.0
     decode_ends_at: float = 0.0
 
     @property
     def key(self) -> tuple[str, str]:
         return self.request_id, self.attempt_id
+
+    def clear_transfer(self) -> None:
+        """Discard the predictions of a transfer that won't take place."""
+        self.transfer_starts_at = 0.0
+        self.transfer_ends_at = 0.0
+        self.decode_ends_at = 0.0
--- a/dandeliongw/cell/cell_view.py
+++ b/dandeliongw/cell/cell_view.py
@@ -37,11 +37,6 @@
 OVERRUN_FRACTION = 0.1
 
 
-#: Cap of one measurement of slowness: a prefill that hung predicts nothing
-#: about the next one beyond this.
-MAX_SLOWNESS = 10.0
-
-
 #: Seconds for which a forecast that an engine has no room is cached, unless
 #: work ends there: one tick, in which each stream grows by some ten tokens.
 FORECAST_TTL_S = 0.05
@@ -317,60 +312,6 @@
         """Return how long an answer is expected to take, in seconds."""
         return self.answer_tokens(booking) / self.stream_tokens_per_s
 
-    def plan(self, booking: Booking) -> None:
-        """Set the predicted times of a booking that has just been placed."""
-        state = self.backends_by_id.get(booking.prefill_id)
-        ends_at = booking.start_at
-        if state is not None and not booking.prefill_done:
-            starts_at = max(ends_at, state.prefill_free_at(ends_at))
-            booking.prefill_work_s = self.prefill_work_s(state, booking)
-            state.add_blocks(booking.prefix)
-            ends_at = starts_at + booking.prefill_work_s
-            booking.prefill_ends_at = ends_at
-        if booking.stage is not Stage.PLAIN:
-            self._plan_decode(booking, ends_at)
-
-    def _plan_decode(self, booking: Booking, ends_at: float) -> None:
-        ends = [
-            self.backends_by_id[each]
-            for each in (booking.prefill_id, booking.decode_id)
-            if each in self.backends_by_id
-        ]
-        starts_at = max([ends_at, *(state.link_free_at for state in ends)])
-        booking.transfer_ends_at = starts_at + self.transfer_s(booking)
-        for state in ends:
-            state.link_free_at = max(
-                state.link_free_at, booking.transfer_ends_at
-            )
-            state.clear_ends()
-        decode_s = self.decode_s(booking)
-        booking.decode_ends_at = booking.transfer_ends_at + decode_s
-
-    def record_prefill(
-        self, now: float, state: BackendState, booking: Booking, computed: int
-    ) -> None:
-        """Update the predictions after a prefill has ended.
-
-        :param state: its engine, from which ``booking`` isn't removed yet.
-        :param computed: tokens that were not cached.
-        """
-        began_at = max(booking.start_at or now, state.last_prefill_at)
-        expected_s = computed / self.terms.prefill_tokens_per_s
-        if expected_s > 0.0 and now > began_at:
-            measured = min((now - began_at) / expected_s, MAX_SLOWNESS)
-            state.slowness += SMOOTHING * (measured - state.slowness)
-        state.last_prefill_at = now
-        at = now
-        for each in state.bookings_by_key.values():
-            if not each.prefill_done and each is not booking:
-                at = max(at, each.start_at or at) + each.prefill_work_s
-                each.prefill_ends_at = at
-        # The links are booked at placement already; only a late prefill
-        # occupies them for longer.
-        transfer_ends_at = now + self.transfer_s(booking)
-        if transfer_ends_at > booking.transfer_ends_at:
-            self._plan_decode(booking, now)
-
     def record_answer(
         self, now: float, booking: Booking, *, pieces: int, piece_gap_s: float
     ) -> None:
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -12,6 +12,7 @@
 
 from ..coordination import parts
 from . import declines
+from . import plans
 from . import renewals
 from .backend_state import BackendState
 from .cancels import Cancels
@@ -208,7 +209,7 @@
                 self._next_dispatch_at = now + DISPATCH_PAUSE_S
                 break
             for booking, decision in decided:
-                self._remove_booking(booking)
+                self._remove_booking(now, booking)
                 effects.extend(self._apply(now, booking, decision))
                 if booking.stage is Stage.DECODE and booking.start_at is None:
                     # Its KV cache is still held until the entry releases it.
@@ -223,7 +224,7 @@
             case parts.Ticked(now=now):
                 return self._tick(now)
             case TermsChanged():
-                self.view.terms = event.terms
+                plans.change_terms(self.view, event.now, event.terms)
             case BackendsChanged():
                 return self._change_backends(event)
             case LoadReported():
@@ -258,7 +259,7 @@
             return [self._decline(sender, book, declines.several_versions())]
         logs = []
         if known is not None:
-            self._remove_booking(known)
+            self._remove_booking(now, known)
             if known.decode_id in book.exclude and not self._is_resting(
                 now, known.decode_id
             ):
@@ -293,6 +294,7 @@
             # Declined, but the KV cache is still held and may yet move.
             known.decode_id = ''
             known.stage = Stage.DECODE
+            known.clear_transfer()
             self._add_booking(known)
         return [*logs, *effects]
 
@@ -326,7 +328,7 @@
                 booking.decode_id = decision.decode_id
                 booking.plain_id = decision.plain_id
                 booking.start_at = now + decision.start_in_s
-                self.view.plan(booking)
+                plans.plan(self.view, booking)
                 for state in self._states_of(booking):
                     state.health.last_booked_at = now
                     self.view.rate_limits.take(now, state.backend)
@@ -428,12 +430,14 @@
         for state in self._states_of(booking):
             state.add(booking)
 
-    def _remove_booking(self, booking: Booking) -> None:
+    def _remove_booking(self, now: float, booking: Booking) -> None:
         self.bookings_by_key.pop(booking.key, None)
         if booking in self.view.queue:
             self.view.queue.remove(booking)
         for state in self._states_of(booking):
             state.remove(booking)
+        if plans.is_pending(now, booking):
+            plans.plan_anew(self.view, now)
 
     def _states_of(self, booking: Booking) -> list[BackendState]:
         ids = (booking.prefill_id, booking.decode_id, booking.plain_id)
@@ -454,8 +458,8 @@
         state = self.view.backends_by_id.get(booking.prefill_id)
         if state is not None:
             computed = done.tokens - done.cached_tokens
-            self.view.record_prefill(now, state, booking, computed)
-            state.remove(booking)
+            plans.record_prefill(self.view, now, state, booking, computed)
+            state.end_prefill(booking)
         booking.prefill_done = True
         return []
 
@@ -513,7 +517,7 @@
         booking = self.bookings_by_key.get(key)
         if booking is None:
             return []
-        self._remove_booking(booking)
+        self._remove_booking(now, booking)
         if release.outcome is Outcome.TAKEN_OVER:
             return []
         logs = self._faults.record_fault(
@@ -592,7 +596,7 @@
                 self.cancels.forget(backend.backend_id)
                 self.roles.forget(backend.backend_id)
                 if state is not None:
-                    effects += self._cancel_bookings_of(state)
+                    effects += self._cancel_bookings_of(event.now, state)
                 new[backend.backend_id] = BackendState(
                     backend=backend,
                     health=self._initial_health(event, backend),
@@ -603,11 +607,11 @@
                 state.left_at = event.now
         for state in new.values():
             state.left_at = None
-            state.clear_ends()
+            state.clear_plans()
         self.leaving_by_id = old
         return effects
 
-    def _cancel_bookings_of(self, former: BackendState) -> list:
+    def _cancel_bookings_of(self, now: float, former: BackendState) -> list:
         """Cancel the bookings of a backend server that has restarted.
 
         None of its streams and KV caches has survived. If the bookings were
@@ -618,7 +622,7 @@
         """
         effects = []
         for booking in list(former.bookings_by_key.values()):
-            self._remove_booking(booking)
+            self._remove_booking(now, booking)
             effects.append(self._cancelled(booking.entry, booking.key))
         return effects
 
@@ -709,6 +713,6 @@
             # taken. The end of the lease frees the slots, the cancel frees
             # the engine's memory.
             if now - booking.renewed_at >= BOOKING_LEASE_S:
-                self._remove_booking(booking)
+                self._remove_booking(now, booking)
                 effects.extend(self._cancel(now, booking))
         return effects + self.cancels.due(now)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from dandeliongw.cell import backend_state
 from dandeliongw.cell import cancels
 from dandeliongw.cell import cell_types
 from dandeliongw.cell import cells
@@ -74,6 +75,28 @@
     return cell.handle(parts.Ticked(now=now, entropy=0))
 
 
+def occupy_link(state: backend_state.BackendState, until: float) -> None:
+    """Let a KV cache move over an engine's link, in place of all others."""
+    state.transfers_by_key.clear()
+    booking = cell_types.Booking(
+        request_id='other',
+        attempt_id='a1',
+        entry='gw-1',
+        account='studio-1',
+        priority='urgent',
+        stage=cell_types.Stage.PAIR,
+        prompt_tokens=1000,
+        max_tokens=100,
+        prefix=(),
+        exclude=(),
+        arrived_at=0.0,
+        deadline_at=30.0,
+        renewed_at=0.0,
+        transfer_ends_at=until,
+    )
+    state.add_transfer(booking)
+
+
 def without_listing(effects: list) -> list:
     """Return the effects without the periodic listing of streams."""
     return [
--- /dev/null
+++ b/tests/test_held_work.py
@@ -0,0 +1,185 @@
+"""What a cell predicts of its engines follows from the work that they hold."""
+
+import unittest
+
+import msgspec
+from nose2.tools import params
+
+from dandeliongw.cell import cell_types
+from dandeliongw.cell import cells
+from dandeliongw.cell import scheduler
+from tests import test_cells
+
+TERMS = cell_types.CellTerms(
+    first_token_s=0.9,
+    token_gap_s=0.3,
+    timeout_s=14.0,
+    prefill_tokens_per_s=30_000.0,
+    decode_tokens_per_s=320.0,
+    tokens_per_piece=16,
+    kv_bytes_per_token=327_680.0,
+    link_bytes_per_s=3_400e9 / 8,
+    kv_tokens_by_role={'prefill': 39_418, 'decode': 39_418},
+)
+#: A link on which the KV cache of a usual prompt takes a thousand seconds.
+SLOW_LINK = msgspec.structs.replace(TERMS, link_bytes_per_s=1e6)
+LARGE, USUAL = 4_000_000, 3_000
+PREFILLS = tuple(
+    test_cells.make_backend(f'p{number}', 'prefill', slots=64)
+    for number in range(4)
+)
+DECODES = tuple(
+    test_cells.make_backend(f'd{number}', 'decode', slots=64)
+    for number in range(4)
+)
+
+
+def make_cell(**changes):
+    return test_cells.make_cell(
+        *PREFILLS,
+        *DECODES,
+        document_part=TERMS,
+        policy=scheduler.Scheduler(),
+        **changes,
+    )
+
+
+class HeldWorkTest(unittest.TestCase):
+    """Books work in a cell, ends it, and looks at what is placed then."""
+
+    def setUp(self):
+        self.cell = make_cell()
+        self.numbers = iter(range(1_000))
+
+    def send(self, now, message):
+        return [
+            effect.message
+            for effect in test_cells.send(self.cell, message, now)
+            if hasattr(effect, 'message')
+        ]
+
+    def book(self, now, prompt_tokens=USUAL, **changes):
+        changes.setdefault('request_id', f'r{next(self.numbers)}')
+        book = test_cells.make_book(
+            prompt_tokens=prompt_tokens,
+            max_tokens=70,
+            may_read_there=True,
+            **changes,
+        )
+        (answer, *_) = self.send(now, book)
+        return answer
+
+    def book_all_engines(self):
+        """Book a large prompt on each pair of engines; return the answers."""
+        booked = [self.book(0.0, LARGE) for _ in DECODES]
+        self.assertEqual(
+            {each.backend_id for each in (*PREFILLS, *DECODES)},
+            {each.prefill_id for each in booked}
+            | {each.decode_id for each in booked},
+        )
+        return booked
+
+    def release(self, now, booked, outcome=cells.Outcome.FAILED):
+        release = cells.Release(
+            cell=booked.cell,
+            request_id=booked.request_id,
+            attempt_id=booked.attempt_id,
+            outcome=outcome,
+        )
+        self.send(now, release)
+
+    def change_backends(self, now, *backends):
+        self.cell.handle(cells.BackendsChanged(now=now, backends=backends))
+
+    def assert_all_are_placed(self, now):
+        """Assert that usual prompts get a pair, one after the other."""
+        for number in range(20):
+            at = now + number * 0.2
+            booked = self.book(at)
+            self.assertIsInstance(booked, cells.Booked)
+            self.assertTrue(booked.prefill_id)
+            done = cells.PrefillDone(
+                cell=booked.cell,
+                request_id=booked.request_id,
+                attempt_id=booked.attempt_id,
+                tokens=USUAL,
+                cached_tokens=0,
+            )
+            self.send(at + 0.1, done)
+            self.release(at + 0.19, booked, cells.Outcome.DONE)
+
+
+class LargePromptTest(HeldWorkTest):
+    """A prompt that is never read must not keep engines from other work."""
+
+    @params(cells.Outcome.FAILED, cells.Outcome.CANCELLED)
+    def test_refused_or_cancelled(self, outcome):
+        for booked in self.book_all_engines():
+            self.release(0.1, booked, outcome)
+        self.assert_all_are_placed(1.0)
+
+    def test_its_entry_is_gone(self):
+        self.book_all_engines()
+        test_cells.tick(self.cell, cells.BOOKING_LEASE_S)
+        self.assert_all_are_placed(cells.BOOKING_LEASE_S + 1.0)
+
+    def test_its_prefill_engine_has_restarted(self):
+        self.book_all_engines()
+        restarted = [
+            msgspec.structs.replace(each, incarnation=2) for each in PREFILLS
+        ]
+        self.change_backends(0.1, *restarted, *DECODES)
+        # New engines get one prompt after the other in slow start.
+        self.assert_all_are_placed(6.0)
+
+    def test_its_prefill_engine_is_gone_and_another_one_serves(self):
+        booked = self.book_all_engines()
+        new = test_cells.make_backend('p9', 'prefill', slots=64)
+        self.change_backends(0.1, new, *DECODES)
+        for each in booked:
+            self.release(0.2, each)
+        self.assert_all_are_placed(6.0)
+
+    def test_its_kv_cache_is_moved_and_the_move_is_given_up(self):
+        (booked, *others) = self.book_all_engines()
+        for each in others:
+            self.release(0.1, each)
+        self.book(
+            0.1,
+            LARGE,
+            request_id=booked.request_id,
+            stage=cell_types.Stage.DECODE,
+            exclude=(booked.decode_id,),
+        )
+        self.release(0.2, booked)
+        self.assert_all_are_placed(1.0)
+
+
+class ChangedTermsTest(HeldWorkTest):
+    """Predictions under a replaced document must not outlive it."""
+
+    def test_a_slow_link_is_corrected(self):
+        self.cell.handle(cells.TermsChanged(now=0.0, terms=SLOW_LINK))
+        held = [self.book(number * 0.2) for number in range(8)]
+        self.assertIn(
+            cells.Booked, [type(each) for each in held], 'none was placed'
+        )
+        self.cell.handle(cells.TermsChanged(now=2.0, terms=TERMS))
+        self.assert_all_are_placed(2.1)
+
+    def test_what_was_planned_behind_other_work_does_not_inherit_it(self):
+        one_second = msgspec.structs.replace(
+            TERMS, link_bytes_per_s=TERMS.kv_bytes_per_token * USUAL
+        )
+        self.cell = test_cells.make_cell(
+            DECODES[0], document_part=one_second, policy=scheduler.Scheduler()
+        )
+        booked = [self.book(0.0) for _ in range(5)]
+        state = self.cell.view.backends_by_id['d0']
+        self.assertEqual(5.0, state.link_free_at)
+        for count, each in enumerate(booked[:4], 1):
+            self.release(0.1, each)
+            self.assertAlmostEqual(0.1 + 5 - count, state.link_free_at)
+        (left,) = state.bookings_by_key.values()
+        ends_at = 1.1 + self.cell.view.decode_s(left)
+        self.assertEqual([ends_at], state.decode_ends())
--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -39,10 +39,11 @@
         view = cell_view.CellView(terms=test_kv_room.TERMS)
         for number, (slowness, link) in enumerate(sources):
             state = self.add(view, f'p{number}', 'prefill')
-            state.link_free_at = link
+            test_cells.occupy_link(state, link)
             state.slowness = slowness
         for number, link in enumerate(links):
-            self.add(view, f'd{number}', 'decode').link_free_at = link
+            state = self.add(view, f'd{number}', 'decode')
+            test_cells.occupy_link(state, link)
         booking = test_kv_room.make_booking(1, 3_200, 70, 0.0)
         chooser = pairs.PairChooser(options=options.Options(), finder=FINDER)
         found_candidates = FINDER.find(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -77,7 +77,7 @@
             self.book(request_id, priority='patient', max_tokens=tokens)
             self.finish_prefill(request_id, 0.0)
             for state in self.cell.view.backends_by_id.values():
-                state.link_free_at = 0.0
+                test_cells.occupy_link(state, 0.0)
 
     def test_work_that_would_be_late_is_refused_at_once(self):
         self.fill(ends_at=9.0)
@@ -186,7 +186,7 @@
             test_cells.make_backend('d1', 'decode'),
             test_cells.make_backend('d2', 'decode'),
         )
-        cell.view.backends_by_id['d1'].link_free_at = 0.3
+        test_cells.occupy_link(cell.view.backends_by_id['d1'], 0.3)
         (effect,) = test_cells.send(cell, test_cells.make_book())
         self.assertEqual('d2', effect.message.decode_id)
 
@@ -760,7 +760,7 @@
         )
         self.send(done, 0.0)
         for state in self.cell.view.backends_by_id.values():
-            state.link_free_at = 0.0
+            test_cells.occupy_link(state, 0.0)
 
     def move(self, now):
         return self.book(
