Cells: blocks of a prompt count as cached while or after it is read

What callers saw: nothing that was measured; found in the list of what an owner keeps of an engine. A prompt that an engine rejected, or whose entry was gone, was taken for cached there from then on: the next one with its prefix was sent to that engine, predicted to be short, and read whole. A rejected prompt of 4,096 blocks also drove all that the engine really had out of the table.

Cause: the blocks were added to the engine's table when the booking was placed, and nothing but a cache event took them away.

Why this works: blocks go into the table when the prefill has ended. Those of prefills under way count as well, as the next prompt is read after them; they are derived from the bookings that the engine holds, so they end with these.

--- a/dandeliongw/cell/backend_state.py
+++ b/dandeliongw/cell/backend_state.py
@@ -73,14 +73,15 @@
     #: :meth:`clear_forecast`.
     full_forecast: FullForecast | None = None
     #: Derived from the bookings; ``None`` after a change. See
-    #: :meth:`decode_ends` and :attr:`link_free_at`.
+    #: :meth:`decode_ends`, :attr:`link_free_at` and :meth:`cached_tokens`.
     sorted_ends: list[float] | None = None
     last_transfer_end: float | None = None
+    prefilling_blocks: frozenset[str] | None = None
     batch: BatchCap = msgspec.field(default_factory=BatchCap)
     health: Health = msgspec.field(default_factory=lambda: Health())
     #: Blocks that its prefix cache may hold, least recently used first. An
     #: approximation: cache events come late and with gaps, and the blocks of
-    #: a prompt are added when it is sent, long before an event reports them.
+    #: a prompt are added when its prefill ends, before an event reports them.
     blocks: collections.OrderedDict[str, None] = msgspec.field(
         default_factory=collections.OrderedDict
     )
@@ -177,18 +178,37 @@
         """Discard what is derived from the bookings, as one has changed."""
         self.sorted_ends = None
         self.last_transfer_end = None
+        self.prefilling_blocks = None
 
     def cached_tokens(self, prefix: abc.Sequence[str]) -> int:
-        """Return how many leading tokens of a prompt are probably cached."""
+        """Return how many leading tokens of a prompt are probably cached.
+
+        That includes what the prefills ahead of it will leave there.
+        """
+        if not prefix:
+            return 0
+        prefilling = self._prefilling_blocks()
         count = 0
         for block in prefix:
-            if block not in self.blocks:
+            if block not in self.blocks and block not in prefilling:
                 break
             count += 1
         return count * prefixes.BLOCK_TOKENS
 
+    def _prefilling_blocks(self) -> frozenset[str]:
+        blocks = self.prefilling_blocks
+        if blocks is None:
+            blocks = self.prefilling_blocks = frozenset(
+                block
+                for booking in self.bookings_by_key.values()
+                if not booking.prefill_done
+                and booking.prefill_id == self.backend.backend_id
+                for block in booking.prefix
+            )
+        return blocks
+
     def add_blocks(self, prefix: abc.Iterable[str]) -> None:
-        """Record that blocks are cached, or will be shortly."""
+        """Record that blocks are cached."""
         for block in prefix:
             self.blocks[block] = None
             self.blocks.move_to_end(block)
--- a/dandeliongw/cell/plans.py
+++ b/dandeliongw/cell/plans.py
@@ -29,7 +29,6 @@
     if state is not None and not booking.prefill_done:
         starts_at = max(ends_at, state.prefill_free_at(ends_at))
         booking.prefill_work_s = view.prefill_work_s(state, booking)
-        state.add_blocks(booking.prefix)
         ends_at = starts_at + booking.prefill_work_s
         booking.prefill_ends_at = ends_at
     if booking.stage is not Stage.PLAIN:
@@ -54,6 +53,7 @@
         measured = min((now - began_at) / expected_s, MAX_SLOWNESS)
         state.slowness += SMOOTHING * (measured - state.slowness)
     state.last_prefill_at = now
+    state.add_blocks(booking.prefix)
     at = now
     for each in state.bookings_by_key.values():
         if not each.prefill_done and each is not booking:
--- a/tests/test_held_work.py
+++ b/tests/test_held_work.py
@@ -5,8 +5,10 @@
 import msgspec
 from nose2.tools import params
 
+from dandeliongw.cell import backend_state
 from dandeliongw.cell import cell_types
 from dandeliongw.cell import cells
+from dandeliongw.cell import prefixes
 from dandeliongw.cell import scheduler
 from tests import test_cells
 
@@ -88,6 +90,16 @@
         )
         self.send(now, release)
 
+    def end_prefill(self, now, booked):
+        done = cells.PrefillDone(
+            cell=booked.cell,
+            request_id=booked.request_id,
+            attempt_id=booked.attempt_id,
+            tokens=USUAL,
+            cached_tokens=0,
+        )
+        self.send(now, done)
+
     def change_backends(self, now, *backends):
         self.cell.handle(cells.BackendsChanged(now=now, backends=backends))
 
@@ -98,14 +110,7 @@
             booked = self.book(at)
             self.assertIsInstance(booked, cells.Booked)
             self.assertTrue(booked.prefill_id)
-            done = cells.PrefillDone(
-                cell=booked.cell,
-                request_id=booked.request_id,
-                attempt_id=booked.attempt_id,
-                tokens=USUAL,
-                cached_tokens=0,
-            )
-            self.send(at + 0.1, done)
+            self.end_prefill(at + 0.1, booked)
             self.release(at + 0.19, booked, cells.Outcome.DONE)
 
 
@@ -183,3 +188,50 @@
         (left,) = state.bookings_by_key.values()
         ends_at = 1.1 + self.cell.view.decode_s(left)
         self.assertEqual([ends_at], state.decode_ends())
+
+
+class PrefixTest(HeldWorkTest):
+    """A prefix must not count as cached where its prefill did not end."""
+
+    PREFIX = tuple(f'b{number}' for number in range(40))
+
+    def test_the_prefill_was_refused(self):
+        self.release(0.1, self.book(0.0, prefix=self.PREFIX))
+        self.assert_cached(0)
+
+    def test_its_entry_is_gone(self):
+        self.book(0.0, prefix=self.PREFIX)
+        test_cells.tick(self.cell, cells.BOOKING_LEASE_S)
+        self.assert_cached(0)
+
+    def test_the_prefill_is_under_way_or_has_ended(self):
+        booked = self.book(0.0, prefix=self.PREFIX)
+        self.assert_cached(40 * prefixes.BLOCK_TOKENS)
+        self.end_prefill(0.1, booked)
+        self.assert_cached(40 * prefixes.BLOCK_TOKENS)
+        self.release(0.2, booked)
+        self.assert_cached(40 * prefixes.BLOCK_TOKENS)
+
+    def test_a_refused_prompt_evicts_nothing(self):
+        booked = self.book(0.0, prefix=self.PREFIX)
+        self.end_prefill(0.1, booked)
+        many = tuple(f'c{n}' for n in range(backend_state.MAX_BLOCKS))
+        others = tuple(
+            each.backend_id
+            for each in PREFILLS
+            if each.backend_id != booked.prefill_id
+        )
+        self.release(0.3, self.book(0.2, prefix=many, exclude=others))
+        self.assert_cached(40 * prefixes.BLOCK_TOKENS)
+
+    def assert_cached(self, tokens):
+        """Assert how many of its tokens all prefill engines have together."""
+        self.assertEqual(
+            tokens,
+            sum(
+                self.cell.view.backends_by_id[each.backend_id].cached_tokens(
+                    self.PREFIX
+                )
+                for each in PREFILLS
+            ),
+        )
--- a/tests/test_held_work_properties.py
+++ b/tests/test_held_work_properties.py
@@ -74,6 +74,8 @@
         self.cell = make_cell()
         self.now = 0.0
         self.serials = dict.fromkeys(REQUESTS, 0)
+        #: Blocks of prefills that have ended, by the engine's start.
+        self.read_by_start: dict[tuple[str, int], set[str]] = {}
         self.incarnations = dict.fromkeys(
             (each.backend_id for each in ENGINES), 1
         )
@@ -112,8 +114,7 @@
                     )
                 )
             case 'prefilled':
-                done = cells.PrefillDone(**ids, tokens=3_000, cached_tokens=0)
-                self.send(done)
+                self.end_prefill(ids)
             case 'renew':
                 holding = cells.Holding(
                     request_id=request_id, attempt_id=ids['attempt_id']
@@ -136,6 +137,16 @@
                 )
                 self.send(release)
 
+    def end_prefill(self, ids):
+        key = ids['request_id'], ids['attempt_id']
+        booking = self.cell.bookings_by_key.get(key)
+        if booking is not None and booking.prefill_id:
+            incarnation = self.incarnations[booking.prefill_id]
+            start = booking.prefill_id, incarnation
+            self.read_by_start.setdefault(start, set()).update(booking.prefix)
+        done = cells.PrefillDone(**ids, tokens=3_000, cached_tokens=0)
+        self.send(done)
+
     def make_book(self, request_id, draw):
         return test_cells.make_book(
             request_id,
@@ -226,6 +237,10 @@
             history.tick(after_s)
         history.end_all(ending)
         self.assertEqual({}, history.cell.bookings_by_key)
+        for state in history.cell.view.backends_by_id.values():
+            start = state.backend.backend_id, state.backend.incarnation
+            read = history.read_by_start.get(start, set())
+            self.assertLessEqual(set(state.blocks), read)
         new = history.new_cell()
         for number in range(24):
             now = history.now + 0.03 * number
