Fallback: work that failed leaves its slot

While a cell's owner is silent, an entry places its calls within its share of each engine's slots. Each call that failed or whose caller left took a slot of that share on both engines, until nothing at all was placed there at some tick. With two slots for an entry, the second failure closed the engine: "the first token would be 2.4 s late".

Cause: such a cell counts the cancels of the streams that it ends, as an owner does, and each holds a slot until its engine confirms it. But a cell at an entry sends none: they were taken out of what it returned, so none was confirmed.

Evidence: test_a_failed_call_leaves_its_slot_beside_other_work, declined at the second call on the code before.

Why this works: a cell that may not command engines makes no cancels and no listings in the first place; the filter of its effects is gone. The entry itself cancels what it has begun.

--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -144,6 +144,8 @@
     :param rate_limits: known limits of backend servers; by default none is
         known yet, and all requests are booked here.
     :param owner_lag_s: see :class:`.shedding.Shedding`.
+    :param commands_engines: list the streams of engines, and cancel them;
+        only an owner may.
     """
 
     def __init__(
@@ -156,7 +158,9 @@
         policy: Policy,
         rate_limits: RateLimits | None = None,
         owner_lag_s: float | None = None,
+        commands_engines: bool = True,
     ) -> None:
+        self._commands_engines = commands_engines
         self.cell_id = cell_id
         self.service = service
         self.epoch = epoch
@@ -537,6 +541,8 @@
         return [*logs, *self._cancel(now, booking)]
 
     def _cancel(self, now: float, booking: Booking) -> list:
+        if not self._commands_engines:
+            return []
         return [
             self.cancels.send(now, state, booking.key)
             for state in self._states_of(booking)
@@ -675,7 +681,8 @@
         return []
 
     def _list_streams(self, now: float) -> list:
-        if now - self._listed_at < LIST_INTERVAL_S:
+        is_due = now - self._listed_at >= LIST_INTERVAL_S
+        if not is_due or not self._commands_engines:
             return []
         self._listed_at = now
         return [
--- a/dandeliongw/cell/fallback.py
+++ b/dandeliongw/cell/fallback.py
@@ -16,7 +16,6 @@
 import msgspec
 import xxhash
 
-from .. import effects
 from . import cell_types
 from . import cells
 from ..coordination import parts
@@ -93,9 +92,7 @@
             cell = self._updated_cell(event.now, message.cell)
         else:
             cell = self.cells_by_id.get(message.cell)
-        return (
-            [] if cell is None else _without_engine_effects(cell.handle(event))
-        )
+        return [] if cell is None else cell.handle(event)
 
     def holds(self, cell_id: str, key: tuple[str, str]) -> bool:
         """Return whether a booking was made here, not by the cell's owner."""
@@ -106,7 +103,7 @@
         """Pass a tick to all local cells; drop those without bookings."""
         out: list[typing.Any] = []
         for cell_id, cell in list(self.cells_by_id.items()):
-            out += _without_engine_effects(cell.handle(event))
+            out += cell.handle(event)
             if not cell.bookings_by_key:
                 del self.cells_by_id[cell_id]
         return out
@@ -126,6 +123,7 @@
                 document_part=shared,
                 policy=self._make_policy(),
                 rate_limits=self._rate_limits,
+                commands_engines=False,
             )
             self.cells_by_id[cell_id] = cell
         cell.handle(cells.TermsChanged(now=now, terms=shared))
@@ -147,9 +145,3 @@
             for role, tokens in terms.kv_tokens_by_role.items()
         },
     )
-
-
-def _without_engine_effects(out: list[typing.Any]) -> list[typing.Any]:
-    """Drop cancels and listings: only the owner of a cell may send them."""
-    kept = parts.Send | effects.Log
-    return [each for each in out if isinstance(each, kept)]
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -212,6 +212,27 @@
         self.assertEqual(self.handle(release), [])
         self.assertFalse(self.fallback_cells.holds(CELL, ('r1', 'a1')))
 
+    def test_a_failed_call_leaves_its_slot_beside_other_work(self):
+        """No cancel is sent here, so none that is unconfirmed holds a slot."""
+        self.book('r1')
+        ids = {'cell': CELL, 'attempt_id': 'a1'}
+        self.handle(
+            cells.PrefillDone(
+                request_id='r1', tokens=1000, cached_tokens=0, **ids
+            )
+        )
+        for number in range(4):
+            request_id = f'failed-{number}'
+            (booked,) = self.book(request_id)
+            self.assertIsInstance(booked, cells.Booked)
+            self.handle(
+                cells.Release(
+                    request_id=request_id,
+                    outcome=cells.Outcome.FAILED,
+                    **ids,
+                )
+            )
+
     def test_a_cell_without_bookings_is_dropped(self):
         self.book('r1')
         later = parts.Ticked(now=1.0 + cells.BOOKING_LEASE_S, entropy=0)
