Cells: a cancel that no engine confirms ends with its stream

A stream that is cancelled holds a slot until its engine confirms the cancel. An engine that answers no cancel, or answers it with an error, lost a slot of the owner's count with each stream that failed or whose caller left, for as long as it announced itself: twenty of them closed an engine of twenty slots. Cancels were sent to it every second for good.

Cause: only the confirmation, or the end of the engine, lowers the count.

Why this works: no stream outlives the longest time that the service gives a request, so its cancel and its slot end then, by the terms in force at that time. A pending cancel knows the state that it counts on, so that both change together.

--- a/dandeliongw/cell/cancels.py
+++ b/dandeliongw/cell/cancels.py
@@ -11,16 +11,22 @@
 
 
 class PendingCancel(msgspec.Struct, kw_only=True):
-    """A cancel that its backend server hasn't confirmed yet."""
+    """A cancel that its backend server hasn't confirmed yet.
+
+    :param state: of the backend server, on which the stream holds a slot.
+    """
 
     effect: CancelStream
+    state: BackendState
+    sent_at: float
     again_at: float
 
 
 class Cancels:
     """The cancels of one cell.
 
-    A cancelled stream holds its slot until its engine confirms the cancel.
+    A cancelled stream holds its slot until its engine confirms the cancel, or
+    for the longest life of a request.
 
     :param epoch: of the owner's lease; every cancel carries it.
     """
@@ -42,23 +48,24 @@
             epoch=self._epoch,
         )
         key = (effect.backend_id, stream_id, attempt_id)
-        if key not in self.pending_by_key:
+        pending = self.pending_by_key.get(key)
+        if pending is None:
             state.cancelling += 1
-        self.pending_by_key[key] = PendingCancel(
-            effect=effect, again_at=now + CANCEL_AGAIN_S
-        )
+            pending = self.pending_by_key[key] = PendingCancel(
+                effect=effect, state=state, sent_at=now, again_at=now
+            )
+        pending.again_at = now + CANCEL_AGAIN_S
         return effect
 
-    def confirm(
-        self, event: StreamCancelled, state: BackendState | None
-    ) -> None:
-        """Remove a confirmed cancel and free the stream's slot.
-
-        :param state: of its backend server, if the cell still has it.
-        """
+    def confirm(self, event: StreamCancelled) -> None:
+        """Remove a confirmed cancel and free the stream's slot."""
         key = (event.backend_id, event.stream_id, event.attempt_id)
-        if self.pending_by_key.pop(key, None) and state is not None:
-            state.cancelling -= 1
+        self._remove(key)
+
+    def _remove(self, key: tuple[str, str, str]) -> None:
+        pending = self.pending_by_key.pop(key, None)
+        if pending is not None:
+            pending.state.cancelling -= 1
 
     def forget(self, backend_id: str) -> None:
         """Drop the cancels of a backend server that restarted or is gone."""
@@ -68,11 +75,17 @@
             if key[0] != backend_id
         }
 
-    def due(self, now: float) -> list[CancelStream]:
-        """Return the cancels that are due for another send."""
+    def due(self, now: float, timeout_s: float) -> list[CancelStream]:
+        """Return the cancels that are due for another send.
+
+        :param timeout_s: longest life of a request. A stream whose cancel was
+            sent that long ago has ended, whether its engine answers or not.
+        """
         effects = []
-        for pending in self.pending_by_key.values():
-            if now >= pending.again_at:
+        for key, pending in list(self.pending_by_key.items()):
+            if now >= pending.sent_at + timeout_s:
+                self._remove(key)
+            elif now >= pending.again_at:
                 pending.again_at = now + CANCEL_AGAIN_S
                 effects.append(pending.effect)
         return effects
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -238,7 +238,7 @@
             case StreamsListed():
                 return self._cancel_orphans(event)
             case StreamCancelled():
-                self.cancels.confirm(event, self._state(event.backend_id))
+                self.cancels.confirm(event)
         return []
 
     def restore(self, record: typing.Any) -> None:
@@ -722,4 +722,4 @@
             if now - booking.renewed_at >= BOOKING_LEASE_S:
                 self._remove_booking(now, booking)
                 effects.extend(self._cancel(now, booking))
-        return effects + self.cancels.due(now)
+        return effects + self.cancels.due(now, self.view.terms.timeout_s)
--- a/tests/test_held_work.py
+++ b/tests/test_held_work.py
@@ -235,3 +235,39 @@
                 for each in PREFILLS
             ),
         )
+
+
+class UnconfirmedCancelTest(HeldWorkTest):
+    """A cancel that is never confirmed must not hold a slot for good."""
+
+    def test_the_engine_answers_no_cancel(self):
+        for number in range(3):
+            self.release(0.2 * number + 0.1, self.book(0.2 * number))
+        state = self.cell.view.backends_by_id['d0']
+        times = (1.0, TERMS.timeout_s - 1.0, TERMS.timeout_s + 1.0, 30.0)
+        self.assertEqual(
+            [(0, 1), (6, 1), (0, 0), (0, 0)],
+            [(self.count_cancels(at), state.slots_used) for at in times],
+        )
+
+    def test_one_that_is_confirmed_frees_one_slot(self):
+        booked = self.book(0.0)
+        self.release(0.1, booked)
+        state = self.cell.view.backends_by_id[booked.decode_id]
+        for at in (0.2, 0.3):
+            confirmed = cells.StreamCancelled(
+                now=at,
+                backend_id=booked.decode_id,
+                stream_id=booked.request_id,
+                attempt_id=booked.attempt_id,
+            )
+            self.cell.handle(confirmed)
+            self.assertEqual(0, state.slots_used)
+        test_cells.tick(self.cell, TERMS.timeout_s + 1.0)
+        self.assertEqual(0, state.slots_used)
+
+    def count_cancels(self, now):
+        return sum(
+            isinstance(each, cells.CancelStream)
+            for each in test_cells.tick(self.cell, now)
+        )
