Cells: foreign slots of the last load report expire

Slots that an engine reports beyond the owner's own bookings stay taken until the next report.

Cause: only another report lowers the count.

Evidence: ForeignSlotsTest.test_the_engine_reports_no_more, which finds 64 slots taken one life of a request after the report, on the code before.

Why this works: what a report counts has ended when the longest time that the service gives a request has passed since.

--- a/dandeliongw/cell/backend_state.py
+++ b/dandeliongw/cell/backend_state.py
@@ -114,6 +114,16 @@
         self.previous_peak_slots = self.peak_slots
         self.peak_slots = len(self.bookings_by_key) + self.cancelling
 
+    def expire_report(self, now: float, timeout_s: float) -> None:
+        """Count no foreign slots of a report whose work has ended by now.
+
+        Reports may cease while the backend server goes on.
+
+        :param timeout_s: longest life of a request.
+        """
+        if self.foreign_slots and now >= self.reported_at + timeout_s:
+            self.foreign_slots = 0
+
     def clear_forecast(self) -> None:
         """Discard the cached forecast, as work has ended on this engine."""
         self.full_forecast = None
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -714,6 +714,9 @@
 
     def _tick(self, now: float) -> list:
         self._drop_leaving(now)
+        timeout_s = self.view.terms.timeout_s
+        for state in self.view.backends_by_id.values():
+            state.expire_report(now, timeout_s)
         effects = [*self._list_streams(now), *self._faults.log_recovered(now)]
         for booking in list(self.bookings_by_key.values()):
             # An entry that died sends no release, and its slots would stay
@@ -722,4 +725,4 @@
             if now - booking.renewed_at >= BOOKING_LEASE_S:
                 self._remove_booking(now, booking)
                 effects.extend(self._cancel(now, booking))
-        return effects + self.cancels.due(now, self.view.terms.timeout_s)
+        return effects + self.cancels.due(now, timeout_s)
--- a/tests/test_held_work.py
+++ b/tests/test_held_work.py
@@ -271,3 +271,38 @@
             isinstance(each, cells.CancelStream)
             for each in test_cells.tick(self.cell, now)
         )
+
+
+class ForeignSlotsTest(HeldWorkTest):
+    """Slots that an engine once reported must not be counted for good."""
+
+    def report(self, now, slots_used):
+        self.cell.handle(
+            cells.LoadReported(
+                now=now,
+                backend_id='d0',
+                running=0,
+                waiting=0,
+                queued_tokens=0,
+                slots_used=slots_used,
+                kv_bytes=0,
+            )
+        )
+
+    def test_the_engine_reports_no_more(self):
+        state = self.cell.view.backends_by_id['d0']
+        self.report(1.0, 64)
+        for now, slots in (
+            (1.0, 64),
+            (TERMS.timeout_s, 64),
+            (TERMS.timeout_s + 1.0, 0),
+        ):
+            test_cells.tick(self.cell, now)
+            self.assertEqual(slots, state.slots_used)
+
+    def test_a_report_counts_from_its_own_time(self):
+        state = self.cell.view.backends_by_id['d0']
+        self.report(1.0, 64)
+        self.report(9.0, 3)
+        test_cells.tick(self.cell, TERMS.timeout_s + 1.0)
+        self.assertEqual(3, state.slots_used)
--- a/tests/test_held_work_properties.py
+++ b/tests/test_held_work_properties.py
@@ -45,6 +45,7 @@
                 'renew',
                 'terms',
                 'backends',
+                'report',
             )
         ),
         st.sampled_from(REQUESTS),
@@ -70,7 +71,8 @@
 class History:
     """A cell on which random work is booked and ends."""
 
-    def __init__(self):
+    def __init__(self, confirms_cancels):
+        self.confirms_cancels = confirms_cancels
         self.cell = make_cell()
         self.now = 0.0
         self.serials = dict.fromkeys(REQUESTS, 0)
@@ -85,7 +87,9 @@
 
     def take(self, effects):
         for effect in effects:
-            if isinstance(effect, cells.CancelStream):
+            if self.confirms_cancels and isinstance(
+                effect, cells.CancelStream
+            ):
                 confirmed = cells.StreamCancelled(
                     now=self.now,
                     backend_id=effect.backend_id,
@@ -127,6 +131,8 @@
                 self.change_terms(ALL_TERMS[draw % len(ALL_TERMS)])
             case 'backends':
                 self.change_backends(draw)
+            case 'report':
+                self.report_load(draw)
             case _:
                 fault = ENGINES[draw % len(ENGINES)].backend_id
                 release = cells.Release(
@@ -168,6 +174,18 @@
             self.incarnations[changed] += 1
         self.set_backends(without='' if draw % 2 else changed)
 
+    def report_load(self, draw):
+        reported = cells.LoadReported(
+            now=self.now,
+            backend_id=ENGINES[draw % len(ENGINES)].backend_id,
+            running=0,
+            waiting=0,
+            queued_tokens=0,
+            slots_used=draw // 8 % 64,
+            kv_bytes=0,
+        )
+        self.cell.handle(reported)
+
     def set_backends(self, without=''):
         backends = tuple(
             msgspec.structs.replace(
@@ -228,9 +246,11 @@
     """Guards against predictions that outlive the work they were made of."""
 
     @SETTINGS
-    @hypothesis.given(steps=STEPS, ending=ENDINGS)
-    def test_a_cell_without_work_plans_like_a_new_one(self, steps, ending):
-        history = History()
+    @hypothesis.given(steps=STEPS, ending=ENDINGS, confirms=st.booleans())
+    def test_a_cell_without_work_plans_like_a_new_one(
+        self, steps, ending, confirms
+    ):
+        history = History(confirms_cancels=confirms)
         for name, request_id, draw, after_s in steps:
             history.step(name, request_id, draw)
             self.check_links(history)
@@ -241,6 +261,7 @@
             start = state.backend.backend_id, state.backend.incarnation
             read = history.read_by_start.get(start, set())
             self.assertLessEqual(set(state.blocks), read)
+            self.assertEqual(0, state.slots_used)
         new = history.new_cell()
         for number in range(24):
             now = history.now + 0.03 * number
