Cells: a prompt that no engine can hold is refused at once

What callers saw: a prompt of 4,000,000 tokens on engines of 39,418 was sent to one engine after the other, two to six rejections and as many sends of the retry budget that all calls share, and then refused as "no backend server had room while it could still wait", after 0.06 to 0.2 s, or 4.2 s where engines kept silent. The caller was told to come back in some 2 s.

Cause: the owner knows both figures and compared them nowhere; an idle engine got work of any size.

Why this works: the policy refuses it before anything else, with both figures, the reason `exceeds_memory`, and the longest Retry-After. The status is 503, as for all that did not run: the configuration allows the body, so 413 would deny a proper call. An entry that places work by its share of the engines compares with a whole engine. A prompt that only decode engines can hold goes to no prefill engine. An answer's longest length isn't counted, as it may end earlier.

This is not what keeps a service from stopping after such a prompt: the option `sizes` switches it off, and the tests of held work run without it.

One test was wrong by this: test_work_that_is_too_large_is_sent_to_the_engine asked that a prompt of 1,000 tokens be sent to an engine of 500. Two replace it, at the bound itself: 1,000 tokens are sent to an engine of 1,000, though their longest answer doesn't fit, and refused where it has 999.

--- a/dandeliongw/cell/candidates.py
+++ b/dandeliongw/cell/candidates.py
@@ -111,6 +111,11 @@
         their calls, 0.96 of the calls of a day were served instead of 0.81,
         one run each.
         """
+        if booking.may_read_there and (
+            view.can_hold(Role.DECODE, booking)
+            and not view.can_hold(Role.PREFILL, booking)
+        ):
+            return []
         usable = self.usable(now, view, Role.PREFILL, booking)
         if not booking.may_read_there or not self._uses_health:
             return usable
--- a/dandeliongw/cell/cell_types.py
+++ b/dandeliongw/cell/cell_types.py
@@ -57,6 +57,8 @@
     :param slots_by_role: used where an announcement says none.
     :param kv_tokens_by_role: capacity of one engine's KV cache, in tokens; a
         role that is missing is bounded by its slots alone.
+    :param whole_kv_tokens_by_role: the same where ``kv_tokens_by_role`` is
+        the part that a cell may use; ``None`` where it may use all.
     :param max_wait_s_by_priority: how much longer than ``first_token_s`` a
         request may wait for its first token.
     :param rank_by_priority: lower goes first.
@@ -74,6 +76,7 @@
     link_bytes_per_s: float = 10e9
     slots_by_role: dict[str, int] = msgspec.field(default_factory=dict)
     kv_tokens_by_role: dict[str, int] = msgspec.field(default_factory=dict)
+    whole_kv_tokens_by_role: dict[str, int] | None = None
     max_wait_s_by_priority: dict[str, float] = msgspec.field(
         default_factory=dict
     )
--- a/dandeliongw/cell/cell_view.py
+++ b/dandeliongw/cell/cell_view.py
@@ -256,6 +256,30 @@
         hint = min(booking.expected_tokens, booking.max_tokens)
         return typical ** (1.0 - HINT_WEIGHT) * hint**HINT_WEIGHT
 
+    def can_hold(self, role: Role, booking: Booking) -> bool:
+        """Return whether the memory of an engine can hold a prompt."""
+        return booking.prompt_tokens <= self._kv_tokens(role)
+
+    def longest_prompt(self, booking: Booking) -> float:
+        """Return how many tokens of a prompt the engines that it needs hold.
+
+        :returns: infinity if that is unknown, or it needs none.
+        """
+        if booking.stage is Stage.PLAIN:
+            return math.inf
+        tokens = self._kv_tokens(Role.DECODE)
+        if booking.stage is Stage.PAIR and not booking.may_read_there:
+            tokens = min(tokens, self._kv_tokens(Role.PREFILL))
+        return tokens
+
+    def _kv_tokens(self, role: Role) -> float:
+        """Return the memory of a whole engine; infinity if it is unknown."""
+        terms = self.terms
+        tokens_by_role = terms.whole_kv_tokens_by_role
+        if tokens_by_role is None:
+            tokens_by_role = terms.kv_tokens_by_role
+        return tokens_by_role.get(role, math.inf)
+
     def most_in_memory(self, role: Role, booking: Booking) -> float:
         """Return how many bookings of this size fit in an engine's memory.
 
--- a/dandeliongw/cell/declines.py
+++ b/dandeliongw/cell/declines.py
@@ -37,6 +37,23 @@
     )
 
 
+def exceeds_memory(booking: Booking, most_tokens: float) -> Decline:
+    """Return the refusal of a prompt that no engine can hold.
+
+    Another try is of no use until the document or the engines change.
+
+    :param most_tokens: what an engine can hold.
+    """
+    return Decline(
+        reason=RefusalReason.EXCEEDS_MEMORY,
+        message=(
+            f'the prompt has {booking.prompt_tokens} tokens, and an engine of '
+            f'the service can hold {most_tokens:.0f} tokens'
+        ),
+        retry_after_s=LONGEST_RETRY_AFTER_S,
+    )
+
+
 def version_gone(software_version: str) -> Decline:
     """Return the refusal if nothing can go on with a stream."""
     return Decline(
--- a/dandeliongw/cell/fallback.py
+++ b/dandeliongw/cell/fallback.py
@@ -144,4 +144,5 @@
             role: tokens // entries
             for role, tokens in terms.kv_tokens_by_role.items()
         },
+        whole_kv_tokens_by_role=terms.kv_tokens_by_role,
     )
--- a/dandeliongw/cell/options.py
+++ b/dandeliongw/cell/options.py
@@ -28,6 +28,7 @@
     :param affinity: prefer a prefill engine that has cached the prefix.
     :param links: book the links of a prefill and a decode engine as well.
     :param cap: use fewer slots where the token gap would miss its target.
+    :param sizes: refuse prompts that no engine can hold.
     :param weigh: let the document's weights decide how long a KV cache may
         wait for a link.
     :param fair: limit accounts to their share when the cell is full.
@@ -49,4 +50,5 @@
     spare: float = 0.1
     cap: bool = True
     timely: bool = True
+    sizes: bool = True
     weigh: bool = True
--- a/dandeliongw/cell/scheduler.py
+++ b/dandeliongw/cell/scheduler.py
@@ -71,6 +71,9 @@
     def decide(
         self, *, now: float, view: CellView, booking: Booking
     ) -> Decision:
+        longest = view.longest_prompt(booking)
+        if self._options.sizes and booking.prompt_tokens > longest:
+            return declines.exceeds_memory(booking, longest)
         for role in ROLES_BY_STAGE[booking.stage]:
             is_needed = role is not Role.PREFILL or not booking.may_read_there
             if is_needed and not candidates_module.candidates_for(
--- a/dandeliongw/verdict.py
+++ b/dandeliongw/verdict.py
@@ -38,6 +38,8 @@
     NO_OWNER = 'no_owner'
     NO_BACKEND = 'no_backend'
     NO_CAPACITY = 'no_capacity'
+    #: Its prompt is larger than the memory of any engine.
+    EXCEEDS_MEMORY = 'exceeds_memory'
     #: No backend server of the software version that began its stream.
     VERSION_GONE = 'version_gone'
     #: What began the stream that it takes up is not known.
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -199,6 +199,20 @@
         ].view.terms.kv_tokens_by_role
         self.assertEqual(shared, {cell_types.Role.DECODE: 80_000 // entries})
 
+    def test_a_prompt_larger_than_its_share_is_placed_if_an_engine_holds_it(
+        self,
+    ):
+        for prompt_tokens, answer in (
+            (80_000, cells.Booked),
+            (80_001, cells.Declined),
+        ):
+            book = test_cells.make_book(
+                f'r{prompt_tokens}', prompt_tokens=prompt_tokens, unowned=True
+            )
+            self.fallback_cells.cells_by_id.clear()
+            (answered,) = self.handle(book)
+            self.assertIsInstance(answered, answer)
+
     def test_a_release_frees_the_slot(self):
         self.book('r1')
         self.assertTrue(self.fallback_cells.holds(CELL, ('r1', 'a1')))
--- a/tests/test_held_work.py
+++ b/tests/test_held_work.py
@@ -8,8 +8,11 @@
 from dandeliongw.cell import backend_state
 from dandeliongw.cell import cell_types
 from dandeliongw.cell import cells
+from dandeliongw.cell import declines
+from dandeliongw.cell import options
 from dandeliongw.cell import prefixes
 from dandeliongw.cell import scheduler
+from dandeliongw.verdict import RefusalReason
 from tests import test_cells
 
 TERMS = cell_types.CellTerms(
@@ -36,12 +39,16 @@
 )
 
 
-def make_cell(**changes):
+#: Books prompts of any size, as where the engines' memory isn't known.
+ANY_SIZE = options.Options(sizes=False)
+
+
+def make_cell(used=ANY_SIZE, **changes):
     return test_cells.make_cell(
         *PREFILLS,
         *DECODES,
         document_part=TERMS,
-        policy=scheduler.Scheduler(),
+        policy=scheduler.Scheduler(options=used),
         **changes,
     )
 
@@ -65,8 +72,7 @@
         book = test_cells.make_book(
             prompt_tokens=prompt_tokens,
             max_tokens=70,
-            may_read_there=True,
-            **changes,
+            **{'may_read_there': True} | changes,
         )
         (answer, *_) = self.send(now, book)
         return answer
@@ -81,12 +87,13 @@
         )
         return booked
 
-    def release(self, now, booked, outcome=cells.Outcome.FAILED):
+    def release(self, now, booked, outcome=cells.Outcome.FAILED, **changes):
         release = cells.Release(
             cell=booked.cell,
             request_id=booked.request_id,
             attempt_id=booked.attempt_id,
             outcome=outcome,
+            **changes,
         )
         self.send(now, release)
 
@@ -306,3 +313,40 @@
         self.report(9.0, 3)
         test_cells.tick(self.cell, TERMS.timeout_s + 1.0)
         self.assertEqual(3, state.slots_used)
+
+
+class RefusedSizeTest(HeldWorkTest):
+    """What no engine can ever hold must be refused before it is sent."""
+
+    def setUp(self):
+        super().setUp()
+        self.cell = make_cell(options.Options())
+
+    @params(39_419, LARGE)
+    def test_it_is_refused_at_once(self, prompt_tokens):
+        declined = self.book(0.0, prompt_tokens)
+        self.assertIs(RefusalReason.EXCEEDS_MEMORY, declined.reason)
+        self.assertIn(f'{prompt_tokens} tokens', declined.message)
+        self.assertIn('39418 tokens', declined.message)
+        self.assertEqual(
+            declines.LONGEST_RETRY_AFTER_S, declined.retry_after_s
+        )
+        self.assertEqual({}, self.cell.bookings_by_key)
+        self.assert_all_are_placed(0.0)
+
+    def test_what_fits_is_placed(self):
+        self.assertIsInstance(self.book(0.0, 39_418), cells.Booked)
+
+    def test_memory_of_unknown_size_holds_all(self):
+        terms = msgspec.structs.replace(TERMS, kv_tokens_by_role={})
+        self.cell.handle(cells.TermsChanged(now=0.0, terms=terms))
+        self.assertIsInstance(self.book(0.0, LARGE), cells.Booked)
+
+    def test_a_decode_engine_reads_what_only_it_can_hold(self):
+        terms = msgspec.structs.replace(
+            TERMS, kv_tokens_by_role={'prefill': 2_000, 'decode': 39_418}
+        )
+        self.cell.handle(cells.TermsChanged(now=0.0, terms=terms))
+        self.assertEqual('', self.book(0.0).prefill_id)
+        declined = self.book(0.0, may_read_there=False)
+        self.assertIs(RefusalReason.EXCEEDS_MEMORY, declined.reason)
--- a/tests/test_held_work_properties.py
+++ b/tests/test_held_work_properties.py
@@ -11,6 +11,7 @@
 from dandeliongw.cell import cells
 from dandeliongw.cell import fault_recorder
 from dandeliongw.cell import health
+from dandeliongw.cell import options
 from dandeliongw.cell import scheduler
 from tests import test_cells
 from tests import test_held_work
@@ -54,6 +55,7 @@
     ),
     max_size=40,
 )
+OPTIONS = (options.Options(), test_held_work.ANY_SIZE)
 #: How the rest ends: entries release it, or are gone.
 ENDINGS = st.sampled_from(('failed', 'cancelled', 'gone'))
 #: Seconds after which no ejection, slow start or pause of an engine goes on.
@@ -71,9 +73,10 @@
 class History:
     """A cell on which random work is booked and ends."""
 
-    def __init__(self, confirms_cancels):
+    def __init__(self, *, confirms_cancels, used):
         self.confirms_cancels = confirms_cancels
-        self.cell = make_cell()
+        self.options = used
+        self.cell = make_cell(used)
         self.now = 0.0
         self.serials = dict.fromkeys(REQUESTS, 0)
         #: Blocks of prefills that have ended, by the engine's start.
@@ -219,7 +222,7 @@
 
     def new_cell(self):
         """Return a new cell with what this one has learnt by measuring."""
-        cell = make_cell()
+        cell = make_cell(self.options)
         backends = tuple(
             state.backend for state in self.cell.view.backends_by_id.values()
         )
@@ -236,9 +239,11 @@
         return cell
 
 
-def make_cell():
+def make_cell(used):
     return test_cells.make_cell(
-        *ENGINES, document_part=TERMS, policy=scheduler.Scheduler()
+        *ENGINES,
+        document_part=TERMS,
+        policy=scheduler.Scheduler(options=used),
     )
 
 
@@ -246,11 +251,16 @@
     """Guards against predictions that outlive the work they were made of."""
 
     @SETTINGS
-    @hypothesis.given(steps=STEPS, ending=ENDINGS, confirms=st.booleans())
+    @hypothesis.given(
+        steps=STEPS,
+        ending=ENDINGS,
+        confirms=st.booleans(),
+        used=st.sampled_from(OPTIONS),
+    )
     def test_a_cell_without_work_plans_like_a_new_one(
-        self, steps, ending, confirms
+        self, steps, ending, confirms, used
     ):
-        history = History(confirms_cancels=confirms)
+        history = History(confirms_cancels=confirms, used=used)
         for name, request_id, draw, after_s in steps:
             history.step(name, request_id, draw)
             self.check_links(history)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -358,10 +358,15 @@
         self.assertIsInstance(first, cells.Booked)
         self.assertIsInstance(second, cells.Queued)
 
-    def test_work_that_is_too_large_is_sent_to_the_engine(self):
-        cell = make_burst(kv_tokens_by_role={cell_types.Role.DECODE: 500})
+    def test_a_prompt_that_fits_without_its_longest_answer_is_sent(self):
+        cell = make_burst(kv_tokens_by_role={cell_types.Role.DECODE: 1000})
         self.assertIsInstance(self.book(cell, 'r1', 0.0), cells.Booked)
 
+    def test_a_prompt_that_no_engine_can_hold_is_refused(self):
+        cell = make_burst(kv_tokens_by_role={cell_types.Role.DECODE: 999})
+        refused = self.book(cell, 'r1', 0.0)
+        self.assertIs(refused.reason, RefusalReason.EXCEEDS_MEMORY)
+
     def test_calls_of_a_plain_service_wait_for_a_slot(self):
         cell = test_cells.make_cell(
             test_cells.make_backend('s1', 'plain', slots=1),
