Cells: engines that reject what they can't hold get other work

What callers saw: an engine that refuses a KV cache gets nothing for 0.5 s, and one that rejects three prompts within 5 s is left out for 2 s and longer. Both came, too, where the work was larger than the engine's memory: one caller that repeated it closed engines to all. Its size also counted as demand: one prompt of 4,000,000 tokens weighed as much as 1,300 usual ones for shares of accounts and ranks, and for the balance of the pools, so a decode engine was ordered to do prefills.

Cause: a rejection for size passed for one for want of room.

Why this works: a rejected prompt that no engine can hold tells nothing of the engine or of the demand, so it is neither a fault nor a sign of a full engine, and takes no more of a share than an engine has.

--- a/dandeliongw/cell/capacity.py
+++ b/dandeliongw/cell/capacity.py
@@ -46,19 +46,24 @@
     """Return what a booking takes.
 
     A KV cache is held from the start of its transfer. It grows with the
-    answer, whose half is held on average.
+    answer, whose half is held on average. No prompt takes more than an engine
+    has: a longer one is rejected.
 
     :param uncached_part: part of prompts that no prefix cache contains.
     """
     if booking.stage is Stage.PLAIN:
         return {Resource.PLAIN_SLOTS: view.call_times.mean_s(booking.account)}
+    prompt_tokens = min(booking.prompt_tokens, view.longest_prompt(booking))
+    part = prompt_tokens / max(1, booking.prompt_tokens)
     decode_s = view.decode_s(booking)
-    held_s = view.transfer_s(booking) + decode_s
+    held_s = view.transfer_s(booking) * part + decode_s
     grown_s = view.answer_tokens(booking) / 2.0 * decode_s
     return {
         Resource.DECODE_SLOTS: held_s,
-        Resource.KV_MEMORY: booking.prompt_tokens * held_s + grown_s,
-        Resource.PREFILL: prediction.prefill_s(view, booking) * uncached_part,
+        Resource.KV_MEMORY: prompt_tokens * held_s + grown_s,
+        Resource.PREFILL: prediction.prefill_s(view, booking)
+        * part
+        * uncached_part,
     }
 
 
--- a/dandeliongw/cell/cells.py
+++ b/dandeliongw/cell/cells.py
@@ -267,8 +267,7 @@
             if known.decode_id in book.exclude and not self._is_resting(
                 now, known.decode_id
             ):
-                logs = self._faults.record_fault(now, known.decode_id)
-                self._faults.pause(now, known.decode_id)
+                logs = self._record_refusal(now, known)
         booking = Booking(
             request_id=book.request_id,
             attempt_id=book.attempt_id,
@@ -302,6 +301,20 @@
             self._add_booking(known)
         return [*logs, *effects]
 
+    def _record_refusal(self, now: float, booking: Booking) -> list:
+        """Record that a decode engine refused a KV cache."""
+        if self._is_too_large(booking):
+            return []
+        self._faults.pause(now, booking.decode_id)
+        return self._faults.record_fault(now, booking.decode_id)
+
+    def _is_too_large(self, booking: Booking) -> bool:
+        """Return whether engines reject a prompt for its size alone.
+
+        That is no fault of theirs, and they have room for others.
+        """
+        return booking.prompt_tokens > self.view.longest_prompt(booking)
+
     def review_roles(self, now: float) -> bool:
         """Start or end moves of engines between the pools.
 
@@ -314,7 +327,7 @@
         return changed
 
     def _decide(self, now: float, booking: Booking) -> list:
-        if booking.stage is Stage.PAIR:
+        if booking.stage is Stage.PAIR and not self._is_too_large(booking):
             self.roles.record(self.view, booking)
         decision = self.policy.decide(now=now, view=self.view, booking=booking)
         return self._apply(now, booking, decision)
@@ -524,9 +537,11 @@
         self._remove_booking(now, booking)
         if release.outcome is Outcome.TAKEN_OVER:
             return []
-        logs = self._faults.record_fault(
-            now, release.backend_fault, is_down=release.is_down
-        )
+        logs = []
+        if release.is_down or not self._is_too_large(booking):
+            logs = self._faults.record_fault(
+                now, release.backend_fault, is_down=release.is_down
+            )
         if release.outcome is Outcome.DONE:
             for state in self._states_of(booking):
                 state.health.add_success(now)
--- a/tests/test_held_work.py
+++ b/tests/test_held_work.py
@@ -6,7 +6,9 @@
 from nose2.tools import params
 
 from dandeliongw.cell import backend_state
+from dandeliongw.cell import capacity
 from dandeliongw.cell import cell_types
+from dandeliongw.cell import cell_view
 from dandeliongw.cell import cells
 from dandeliongw.cell import declines
 from dandeliongw.cell import options
@@ -14,6 +16,7 @@
 from dandeliongw.cell import scheduler
 from dandeliongw.verdict import RefusalReason
 from tests import test_cells
+from tests import test_kv_room
 
 TERMS = cell_types.CellTerms(
     first_token_s=0.9,
@@ -315,6 +318,70 @@
         self.assertEqual(3, state.slots_used)
 
 
+class RejectedSizeTest(HeldWorkTest):
+    """Engines that reject what they can't hold must get other work at once.
+
+    One caller that repeats a large prompt would close them to all.
+    """
+
+    def reject(self, now):
+        """Book a large prompt and let both its engines reject it."""
+        booked = self.book(now, LARGE)
+        self.release(now, booked, backend_fault=booked.prefill_id)
+        booked = self.book(now, LARGE)
+        move = self.book(
+            now,
+            LARGE,
+            request_id=booked.request_id,
+            stage=cell_types.Stage.DECODE,
+            exclude=(booked.decode_id,),
+        )
+        self.release(now, move, backend_fault=move.decode_id)
+
+    def test_no_engine_is_ejected_or_taken_for_full(self):
+        for number in range(40):
+            self.reject(0.01 * number)
+        for state in self.cell.view.backends_by_id.values():
+            self.assertFalse(state.health.is_ejected(0.4))
+            self.assertLess(state.full_until, 0.4)
+        self.assert_all_are_placed(0.4)
+
+    def test_an_engine_that_refuses_the_connection_is_ejected(self):
+        booked = self.book(0.0, LARGE)
+        self.release(0.1, booked, backend_fault='p0', is_down=True)
+        state = self.cell.view.backends_by_id['p0']
+        self.assertTrue(state.health.is_ejected(0.1))
+
+    def test_no_engine_changes_its_role_for_it(self):
+        moves = []
+        for rejections in (0, 40):
+            self.cell = make_cell()
+            for _ in range(rejections):
+                self.reject(0.0)
+            for _ in range(40):
+                self.release(0.0, self.book(0.0))
+            self.cell.review_roles(cells.BOOKING_LEASE_S + 1.0)
+            moves.append(
+                [
+                    (each.backend_id, each.role)
+                    for each in self.cell.roles.switches_by_id.values()
+                ]
+            )
+        without, with_rejections = moves
+        self.assertEqual(without, with_rejections)
+
+    def test_it_takes_no_more_of_a_share_than_an_engine_has(self):
+        held = msgspec.structs.replace(
+            TERMS, kv_tokens_by_role={'decode': LARGE}
+        )
+        view = self.cell.view
+        booking = test_kv_room.make_booking(1, LARGE, 70, 0.0)
+        limited = capacity.cost(view, booking)
+        whole = capacity.cost(cell_view.CellView(terms=held), booking)
+        for resource in capacity.Resource.KV_MEMORY, capacity.Resource.PREFILL:
+            self.assertLess(limited[resource], whole[resource] / 50)
+
+
 class RefusedSizeTest(HeldWorkTest):
     """What no engine can ever hold must be refused before it is sent."""
 
